Workspace, wire contract and shared edges

Cause: nothing stood yet. Ruled out: one crate (the decisions must build without sockets); protoc at build (generated code is committed, tools/wire-gen rewrites it). Change: cargo workspace, protocols under proto, adapters for command line, settings, logs, metrics, health and signals; typed manifest in core. Conclusion: the parts can be written side by side on these messages.

--- /dev/null
+++ b/crates/adapters/src/command.rs
@@ -0,0 +1,99 @@
+//! Command line of the long-running programs.
+
+use std::ffi;
+use std::path;
+use std::process;
+
+/// What the command line asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Check the settings file and exit.
+    Check(path::PathBuf),
+    /// Print the help text and exit.
+    Help,
+    /// Run with the settings file.
+    Run(path::PathBuf),
+    /// Print the version and exit.
+    Version,
+    /// The arguments are wrong, for the reason given.
+    Wrong(String),
+}
+
+/// Returns the action that the arguments ask for; `default` is the settings file without `--config`.
+pub fn parse_arguments(arguments: Vec<ffi::OsString>, default: &str) -> Action {
+    let mut arguments = pico_args::Arguments::from_vec(arguments);
+    if arguments.contains(["-h", "--help"]) {
+        return Action::Help;
+    }
+    if arguments.contains(["-V", "--version"]) {
+        return Action::Version;
+    }
+    let check = arguments.contains("--check");
+    let config = arguments.opt_value_from_os_str("--config", parse_path);
+    let config = match config {
+        Ok(config) => config.unwrap_or_else(|| path::PathBuf::from(default)),
+        Err(error) => return Action::Wrong(error.to_string()),
+    };
+    let rest = arguments.finish();
+    if let Some(first) = rest.first() {
+        return Action::Wrong(format!("unknown argument {first:?}"));
+    }
+    if check {
+        Action::Check(config)
+    } else {
+        Action::Run(config)
+    }
+}
+
+fn parse_path(text: &ffi::OsStr) -> Result<path::PathBuf, String> {
+    Ok(path::PathBuf::from(text))
+}
+
+/// Returns the settings to run with, or the exit code when there is nothing to run.
+///
+/// Prints help, version, the result of `--check` or the findings. Findings and wrong arguments
+/// give exit code 2.
+pub fn load<T>(
+    program: &str,
+    default: &str,
+    load_settings: fn(&path::Path) -> Result<T, crate::settings::Findings>,
+) -> Result<T, process::ExitCode> {
+    let arguments = std::env::args_os().skip(1).collect();
+    let (config, only_check) = match parse_arguments(arguments, default) {
+        Action::Help => {
+            println!("{}", format_help(program, default));
+            return Err(process::ExitCode::SUCCESS);
+        }
+        Action::Version => {
+            println!("{program} {}", env!("CARGO_PKG_VERSION"));
+            return Err(process::ExitCode::SUCCESS);
+        }
+        Action::Wrong(problem) => {
+            eprintln!("{program}: {problem}; see --help");
+            return Err(process::ExitCode::from(2));
+        }
+        Action::Check(config) => (config, true),
+        Action::Run(config) => (config, false),
+    };
+    match load_settings(&config) {
+        Ok(_) if only_check => {
+            println!("{}: correct", config.display());
+            Err(process::ExitCode::SUCCESS)
+        }
+        Ok(settings) => Ok(settings),
+        Err(findings) => {
+            eprintln!("{findings}");
+            Err(process::ExitCode::from(2))
+        }
+    }
+}
+
+fn format_help(program: &str, default: &str) -> String {
+    format!(
+        "{program} [--config FILE] [--check]\n\n\
+         --config FILE  settings in INI (default {default})\n\
+         --check        only check the settings; exit 2 with every finding when they are wrong\n\
+         --help         print this text\n\
+         --version      print the version"
+    )
+}
--- /dev/null
+++ b/crates/adapters/src/lib.rs
@@ -0,0 +1,10 @@
+//! The edges that every peargap process shares: command line, settings, logs, metrics, health
+//! and signals.
+
+pub mod command;
+pub mod digest;
+pub mod health;
+pub mod logs;
+pub mod metrics;
+pub mod settings;
+pub mod signals;
--- /dev/null
+++ b/crates/adapters/src/logs.rs
@@ -0,0 +1,133 @@
+//! Log lines as numbered events.
+//!
+//! Each program lists its events in its own `events` module; `docs/EVENTS.md` is their catalogue.
+
+use core::fmt;
+use std::str;
+use std::sync;
+
+use spdlog::formatter;
+use spdlog::sink;
+
+/// A kind of log line.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// Severity.
+    pub level: Level,
+    /// Short name.
+    pub name: &'static str,
+    /// Number in the catalogue, never used again for another event.
+    pub number: u16,
+}
+
+/// Severity of an event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Level {
+    /// Detail for a maintainer.
+    Debug,
+    /// Something failed that an operator must see to.
+    Error,
+    /// Ordinary course.
+    Info,
+    /// Unusual, handled.
+    Warn,
+}
+
+impl Event {
+    /// Returns a debug event.
+    pub const fn debug(number: u16, name: &'static str) -> Event {
+        Event::new(Level::Debug, number, name)
+    }
+
+    /// Returns an error event.
+    pub const fn error(number: u16, name: &'static str) -> Event {
+        Event::new(Level::Error, number, name)
+    }
+
+    /// Returns an information event.
+    pub const fn info(number: u16, name: &'static str) -> Event {
+        Event::new(Level::Info, number, name)
+    }
+
+    /// Returns a warning event.
+    pub const fn warn(number: u16, name: &'static str) -> Event {
+        Event::new(Level::Warn, number, name)
+    }
+
+    const fn new(level: Level, number: u16, name: &'static str) -> Event {
+        Event {
+            level,
+            name,
+            number,
+        }
+    }
+}
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Format {
+    /// One JSON object a line.
+    Json,
+    /// Plain text.
+    #[default]
+    Text,
+}
+
+impl str::FromStr for Format {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Format, ()> {
+        match text {
+            "json" => Ok(Format::Json),
+            "text" => Ok(Format::Text),
+            _ => Err(()),
+        }
+    }
+}
+
+impl str::FromStr for Level {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Level, ()> {
+        match text {
+            "debug" => Ok(Level::Debug),
+            "error" => Ok(Level::Error),
+            "info" => Ok(Level::Info),
+            "warn" => Ok(Level::Warn),
+            _ => Err(()),
+        }
+    }
+}
+
+/// Sends log lines of `level` and above to standard error; returns spdlog's error when it cannot.
+pub fn init(name: &str, level: Level, format: Format) -> Result<(), spdlog::Error> {
+    let mut builder = sink::StdStreamSink::builder().stderr();
+    builder = match format {
+        Format::Json => builder.formatter(formatter::JsonFormatter::new()),
+        Format::Text => builder.formatter(formatter::PatternFormatter::new(formatter::pattern!(
+            "{date} {time}.{millisecond} {level} {logger} {payload}{eol}"
+        ))),
+    };
+    let logger = spdlog::Logger::builder()
+        .sink(sync::Arc::new(builder.build()?))
+        .name(name)
+        .level_filter(spdlog::LevelFilter::MoreSevereEqual(map_level(level)))
+        .build()?;
+    spdlog::set_default_logger(sync::Arc::new(logger));
+    Ok(())
+}
+
+/// Writes one line of `event` with its details as `key=value` words.
+pub fn emit(event: Event, details: fmt::Arguments<'_>) {
+    let level = map_level(event.level);
+    spdlog::log!(level, "E{} {}: {}", event.number, event.name, details);
+}
+
+fn map_level(level: Level) -> spdlog::Level {
+    match level {
+        Level::Debug => spdlog::Level::Debug,
+        Level::Error => spdlog::Level::Error,
+        Level::Info => spdlog::Level::Info,
+        Level::Warn => spdlog::Level::Warn,
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/settings.rs
@@ -0,0 +1,261 @@
+//! Settings and manifests in INI, checked whole.
+//!
+//! A [`Reader`] collects every finding with its place, so that all are reported together.
+
+use core::fmt;
+use std::collections;
+use std::ops;
+use std::path;
+use std::str;
+
+/// One thing wrong in a file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Finding {
+    /// File's name.
+    pub file: String,
+    /// Key, empty when the section itself is meant.
+    pub key: String,
+    /// What is wrong and what would be right.
+    pub problem: String,
+    /// Section, empty when the file itself is meant.
+    pub section: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: ", self.file)?;
+        if !self.section.is_empty() {
+            write!(formatter, "[{}] ", self.section)?;
+        }
+        if !self.key.is_empty() {
+            write!(formatter, "{}: ", self.key)?;
+        }
+        write!(formatter, "{}", self.problem)
+    }
+}
+
+/// Everything wrong in a file.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Findings(pub Vec<Finding>);
+
+impl fmt::Display for Findings {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.0.iter().enumerate() {
+            if index > 0 {
+                writeln!(formatter)?;
+            }
+            write!(formatter, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
+
+/// Reads typed values from an INI text and collects findings.
+#[derive(Debug)]
+pub struct Reader {
+    file: String,
+    findings: Vec<Finding>,
+    ini: ini::Ini,
+    known: collections::HashSet<Place>,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Place {
+    key: String,
+    section: String,
+}
+
+impl Reader {
+    /// Reads a file; a file that cannot be read or parsed is a finding.
+    pub fn open(path: &path::Path) -> Reader {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Reader::parse(&file, &text),
+            Err(error) => {
+                let mut reader = Reader::parse(&file, "");
+                reader.report("", "", format!("cannot be read: {error}"));
+                reader
+            }
+        }
+    }
+
+    /// Reads a text; `file` is its name in findings.
+    pub fn parse(file: &str, text: &str) -> Reader {
+        let parsed = ini::Ini::load_from_str_noescape(text);
+        let mut reader = Reader {
+            file: file.to_owned(),
+            findings: Vec::new(),
+            ini: ini::Ini::new(),
+            known: collections::HashSet::new(),
+        };
+        match parsed {
+            Ok(ini) => reader.ini = ini,
+            Err(error) => reader.report("", "", format!("is not INI: {error}")),
+        }
+        reader.report_repeated();
+        reader
+    }
+
+    /// Adds a finding.
+    pub fn report(&mut self, section: &str, key: &str, problem: String) {
+        self.findings.push(Finding {
+            file: self.file.clone(),
+            key: key.to_owned(),
+            problem,
+            section: section.to_owned(),
+        });
+    }
+
+    /// Returns the names of the sections `[{kind} {name}]`, in the file's order.
+    pub fn list_names(&self, kind: &str) -> Vec<String> {
+        let sections = self.ini.sections().flatten();
+        sections
+            .filter_map(|section| section.strip_prefix(kind)?.strip_prefix(' '))
+            .map(|name| name.trim().to_owned())
+            .collect()
+    }
+
+    /// Returns the value, or a finding that says `right` when it is missing or malformed.
+    pub fn required<T: str::FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        right: &str,
+    ) -> Option<T> {
+        match self.take(section, key) {
+            Some(text) => self.convert(section, key, &text, right),
+            None => {
+                self.report(section, key, format!("is missing; give {right}"));
+                None
+            }
+        }
+    }
+
+    /// Returns the value, `default` when it is missing, or a finding that says `right`.
+    pub fn optional<T: str::FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        default: T,
+        right: &str,
+    ) -> T {
+        match self.take(section, key) {
+            Some(text) => self.convert(section, key, &text, right).unwrap_or(default),
+            None => default,
+        }
+    }
+
+    /// Returns the number, `default` when it is missing, or a finding when outside of `range`.
+    pub fn ranged<T>(
+        &mut self,
+        section: &str,
+        key: &str,
+        default: T,
+        range: ops::RangeInclusive<T>,
+    ) -> T
+    where
+        T: Copy + fmt::Display + PartialOrd + str::FromStr,
+    {
+        let right = format!("a number from {} to {}", range.start(), range.end());
+        let value = self.optional(section, key, default, &right);
+        if !range.contains(&value) {
+            self.report(section, key, format!("{value} is not {right}"));
+        }
+        value
+    }
+
+    /// Returns the values between commas, each checked as by [`Reader::required`].
+    pub fn list<T: str::FromStr>(&mut self, section: &str, key: &str, right: &str) -> Vec<T> {
+        let text = self.take(section, key).unwrap_or_default();
+        let words: Vec<String> = text
+            .split(',')
+            .map(|word| word.trim().to_owned())
+            .filter(|word| !word.is_empty())
+            .collect();
+        words
+            .iter()
+            .filter_map(|word| self.convert(section, key, word, right))
+            .collect()
+    }
+
+    /// Returns the value, or every finding, unknown sections and keys among them.
+    pub fn finish<T>(mut self, value: Option<T>) -> Result<T, Findings> {
+        self.report_unknown();
+        match value {
+            Some(value) if self.findings.is_empty() => Ok(value),
+            Some(_) | None => Err(Findings(self.findings)),
+        }
+    }
+
+    fn take(&mut self, section: &str, key: &str) -> Option<String> {
+        self.known.insert(Place {
+            key: key.to_owned(),
+            section: section.to_owned(),
+        });
+        let text = self.ini.get_from(Some(section), key)?;
+        Some(text.trim().to_owned())
+    }
+
+    fn convert<T: str::FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        text: &str,
+        right: &str,
+    ) -> Option<T> {
+        let value = text.parse().ok();
+        if value.is_none() {
+            self.report(section, key, format!("{text:?} is not {right}"));
+        }
+        value
+    }
+
+    fn report_repeated(&mut self) {
+        let mut seen = collections::HashSet::new();
+        let mut repeated = Vec::new();
+        for (section, properties) in &self.ini {
+            let section = section.unwrap_or_default().to_owned();
+            for (key, _) in properties {
+                let place = Place {
+                    key: key.to_owned(),
+                    section: section.clone(),
+                };
+                if !seen.insert(place.clone()) {
+                    repeated.push(place);
+                }
+            }
+        }
+        for place in repeated {
+            self.report(
+                &place.section,
+                &place.key,
+                "stands twice; keep one".to_owned(),
+            );
+        }
+    }
+
+    fn report_unknown(&mut self) {
+        let mut unknown = Vec::new();
+        for (section, properties) in &self.ini {
+            let section = section.unwrap_or_default().to_owned();
+            for (key, _) in properties {
+                let place = Place {
+                    key: key.to_owned(),
+                    section: section.clone(),
+                };
+                if !self.known.contains(&place) {
+                    unknown.push(place);
+                }
+            }
+        }
+        for place in unknown {
+            self.report(
+                &place.section,
+                &place.key,
+                "is unknown; remove it".to_owned(),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,27 @@
+//! Messages between peargap's processes.
+//!
+//! The modules below are generated from `proto` by `tools/wire-gen` and committed, so the build
+//! needs no generator. They are used at the border of a process only.
+
+#![allow(missing_docs, unreachable_pub, clippy::all, clippy::as_underscore)]
+#![allow(clippy::ignored_unit_patterns)]
+
+/// Entry to agent.
+#[path = "gen/peargap.agent.rs"]
+#[rustfmt::skip]
+pub mod agent;
+
+/// Entries and agents to control.
+#[path = "gen/peargap.control.rs"]
+#[rustfmt::skip]
+pub mod control;
+
+/// Operators to control.
+#[path = "gen/peargap.operator.rs"]
+#[rustfmt::skip]
+pub mod operator;
+
+/// Control host to control host.
+#[path = "gen/peargap.peer.rs"]
+#[rustfmt::skip]
+pub mod peer;
--- /dev/null
+++ b/tools/wire-gen/src/main.rs
@@ -0,0 +1,15 @@
+//! Writes `crates/wire/src/gen` from `proto`.
+//!
+//! Run from the repository's root: `cargo run --manifest-path tools/wire-gen/Cargo.toml`.
+
+const FILES: [&str; 4] = ["agent.proto", "control.proto", "operator.proto", "peer.proto"];
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let set = protox::compile(FILES, ["proto"])?;
+    tonic_prost_build::configure()
+        .out_dir("crates/wire/src/gen")
+        .bytes(".")
+        .emit_rerun_if_changed(false)
+        .compile_fds(set)?;
+    Ok(())
+}
