--- /dev/null
+++ b/crates/control/src/convert.rs
@@ -0,0 +1,306 @@
+//! The log's types as wire messages and back.
+
+use std::collections;
+
+use bytes::Bytes;
+use peargap_core::log::effect;
+use peargap_core::log::entry;
+use peargap_core::log::mark;
+use peargap_core::log::member;
+use peargap_core::log::message;
+use peargap_wire::peer as wire;
+
+/// A wire message that lacks a part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Malformed(&'static str);
+
+impl core::fmt::Display for Malformed {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        write!(formatter, "{} is missing", self.0)
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+/// Returns the text of a name.
+pub fn text(name: &Bytes) -> String {
+    String::from_utf8_lossy(name).into_owned()
+}
+
+/// Writes a member.
+pub fn write_member(member: &member::Member) -> wire::Member {
+    wire::Member {
+        name: text(&member.name),
+        disk: member.disk,
+    }
+}
+
+/// Reads a member.
+pub fn read_member(member: Option<wire::Member>) -> Result<member::Member, Malformed> {
+    let member = member.ok_or(Malformed("member"))?;
+    Ok(member::Member {
+        disk: member.disk,
+        name: Bytes::from(member.name),
+    })
+}
+
+fn write_position(position: entry::Position) -> wire::Position {
+    wire::Position {
+        term: position.term,
+        index: position.index,
+    }
+}
+
+fn read_position(position: Option<wire::Position>) -> Result<entry::Position, Malformed> {
+    let position = position.ok_or(Malformed("position"))?;
+    Ok(entry::Position {
+        term: position.term,
+        index: position.index,
+    })
+}
+
+fn write_roster(roster: &member::Roster) -> wire::Roster {
+    wire::Roster {
+        voters: roster.voters.iter().map(write_member).collect(),
+        learners: roster.learners.iter().map(write_member).collect(),
+    }
+}
+
+fn read_roster(roster: Option<wire::Roster>) -> Result<member::Roster, Malformed> {
+    let roster = roster.ok_or(Malformed("roster"))?;
+    Ok(member::Roster {
+        learners: read_members(roster.learners)?,
+        voters: read_members(roster.voters)?,
+    })
+}
+
+fn read_members(
+    members: Vec<wire::Member>,
+) -> Result<collections::BTreeSet<member::Member>, Malformed> {
+    let members = members.into_iter().map(Some);
+    members.map(read_member).collect()
+}
+
+/// Writes an entry.
+pub fn write_entry(entry: &entry::Entry) -> wire::Entry {
+    let payload = match &entry.payload {
+        entry::Payload::Command(command) => wire::entry::Payload::Command(command.clone()),
+        entry::Payload::Noop => wire::entry::Payload::Noop(true),
+        entry::Payload::Roster(roster) => wire::entry::Payload::Roster(write_roster(roster)),
+    };
+    wire::Entry {
+        position: Some(write_position(entry.position)),
+        payload: Some(payload),
+    }
+}
+
+/// Reads an entry.
+pub fn read_entry(entry: wire::Entry) -> Result<entry::Entry, Malformed> {
+    let payload = match entry.payload.ok_or(Malformed("payload"))? {
+        wire::entry::Payload::Command(command) => entry::Payload::Command(command),
+        wire::entry::Payload::Noop(_) => entry::Payload::Noop,
+        wire::entry::Payload::Roster(roster) => entry::Payload::Roster(read_roster(Some(roster))?),
+    };
+    Ok(entry::Entry {
+        payload,
+        position: read_position(entry.position)?,
+    })
+}
+
+fn write_mark(mark: mark::Mark) -> wire::Mark {
+    wire::Mark {
+        generation: mark.generation,
+        term: mark.term,
+        voted: mark.voted,
+        index: mark.index,
+    }
+}
+
+fn read_mark(mark: Option<wire::Mark>) -> Result<mark::Mark, Malformed> {
+    let mark = mark.ok_or(Malformed("mark"))?;
+    Ok(mark::Mark {
+        generation: mark.generation,
+        index: mark.index,
+        term: mark.term,
+        voted: mark.voted,
+    })
+}
+
+fn write_stamp(stamp: mark::Stamp) -> wire::Stamp {
+    wire::Stamp {
+        run: stamp.run,
+        found: Some(write_mark(stamp.found)),
+        now: Some(write_mark(stamp.now)),
+    }
+}
+
+fn read_stamp(stamp: Option<wire::Stamp>) -> Result<mark::Stamp, Malformed> {
+    let stamp = stamp.ok_or(Malformed("stamp"))?;
+    Ok(mark::Stamp {
+        found: read_mark(stamp.found)?,
+        now: read_mark(stamp.now)?,
+        run: stamp.run,
+    })
+}
+
+/// Writes a snapshot.
+pub fn write_snapshot(snapshot: &entry::Snapshot) -> wire::Snapshot {
+    wire::Snapshot {
+        position: Some(write_position(snapshot.position)),
+        roster: Some(write_roster(&snapshot.roster)),
+        data: snapshot.data.clone(),
+    }
+}
+
+/// Reads a snapshot.
+pub fn read_snapshot(snapshot: wire::Snapshot) -> Result<entry::Snapshot, Malformed> {
+    Ok(entry::Snapshot {
+        data: snapshot.data,
+        position: read_position(snapshot.position)?,
+        roster: read_roster(snapshot.roster)?,
+    })
+}
+
+/// Writes the hard state of a member.
+pub fn write_hard(me: &member::Member, hard: &effect::Hard) -> wire::Hard {
+    let seen = hard.seen.iter().map(|(member, seen)| wire::Seen {
+        member: Some(write_member(member)),
+        run: seen.run,
+        mark: Some(write_mark(seen.mark)),
+    });
+    wire::Hard {
+        me: Some(write_member(me)),
+        generation: hard.generation,
+        term: hard.term,
+        vote: hard.vote.as_ref().map(write_member),
+        seen: seen.collect(),
+    }
+}
+
+/// Reads the hard state; its member is read with [`read_member`].
+pub fn read_hard(hard: wire::Hard) -> Result<effect::Hard, Malformed> {
+    let vote = hard.vote.map(|vote| read_member(Some(vote))).transpose()?;
+    let seen = hard.seen.into_iter().map(|seen| {
+        let mark = read_mark(seen.mark)?;
+        let run = seen.run;
+        Ok((read_member(seen.member)?, mark::Seen { mark, run }))
+    });
+    Ok(effect::Hard {
+        generation: hard.generation,
+        seen: seen.collect::<Result<_, Malformed>>()?,
+        term: hard.term,
+        vote,
+    })
+}
+
+/// Writes a message.
+pub fn write_message(message: &message::Message) -> wire::Message {
+    wire::Message {
+        from: Some(write_member(&message.from)),
+        to: Some(write_member(&message.to)),
+        term: message.term,
+        stamp: Some(write_stamp(message.stamp)),
+        kind: Some(write_kind(&message.kind)),
+    }
+}
+
+fn write_kind(kind: &message::Kind) -> wire::message::Kind {
+    use wire::message::Kind;
+    match kind {
+        message::Kind::Append(append) => Kind::Append(wire::Append {
+            previous: Some(write_position(append.previous)),
+            entries: append.entries.iter().map(write_entry).collect(),
+            commit: append.commit,
+            round: append.round,
+        }),
+        message::Kind::Appended(appended) => Kind::Appended(wire::Appended {
+            accepted: appended.accepted,
+            index: appended.index,
+            round: appended.round,
+        }),
+        message::Kind::Ballot(ballot) => Kind::Ballot(wire::Ballot {
+            granted: ballot.granted,
+            pre: ballot.pre,
+        }),
+        message::Kind::Fresh => Kind::Fresh(true),
+        message::Kind::Hello(fresh) => Kind::Hello(*fresh),
+        message::Kind::Install(install) => Kind::Install(wire::Install {
+            position: Some(write_position(install.position)),
+            roster: Some(write_roster(&install.roster)),
+            offset: install.offset,
+            chunk: install.chunk.clone(),
+            total: install.total,
+            round: install.round,
+        }),
+        message::Kind::Installed(installed) => Kind::Installed(wire::Installed {
+            position: Some(write_position(installed.position)),
+            complete: installed.complete,
+            offset: installed.offset,
+            round: installed.round,
+        }),
+        message::Kind::Poll(poll) => Kind::Poll(wire::Poll {
+            last: Some(write_position(poll.last)),
+            pre: poll.pre,
+        }),
+        message::Kind::Refused(run) => Kind::Refused(*run),
+        message::Kind::TakeOver => Kind::TakeOver(true),
+    }
+}
+
+/// Reads a message.
+pub fn read_message(message: wire::Message) -> Result<message::Message, Malformed> {
+    Ok(message::Message {
+        from: read_member(message.from)?,
+        kind: read_kind(message.kind.ok_or(Malformed("kind"))?)?,
+        stamp: read_stamp(message.stamp)?,
+        term: message.term,
+        to: read_member(message.to)?,
+    })
+}
+
+fn read_kind(kind: wire::message::Kind) -> Result<message::Kind, Malformed> {
+    use wire::message::Kind;
+    Ok(match kind {
+        Kind::Append(append) => message::Kind::Append(message::Append {
+            commit: append.commit,
+            entries: append
+                .entries
+                .into_iter()
+                .map(read_entry)
+                .collect::<Result<_, Malformed>>()?,
+            previous: read_position(append.previous)?,
+            round: append.round,
+        }),
+        Kind::Appended(appended) => message::Kind::Appended(message::Appended {
+            accepted: appended.accepted,
+            index: appended.index,
+            round: appended.round,
+        }),
+        Kind::Ballot(ballot) => message::Kind::Ballot(message::Ballot {
+            granted: ballot.granted,
+            pre: ballot.pre,
+        }),
+        Kind::Fresh(_) => message::Kind::Fresh,
+        Kind::Hello(fresh) => message::Kind::Hello(fresh),
+        Kind::Install(install) => message::Kind::Install(message::Install {
+            chunk: install.chunk,
+            offset: install.offset,
+            position: read_position(install.position)?,
+            roster: read_roster(install.roster)?,
+            round: install.round,
+            total: install.total,
+        }),
+        Kind::Installed(installed) => message::Kind::Installed(message::Installed {
+            complete: installed.complete,
+            offset: installed.offset,
+            position: read_position(installed.position)?,
+            round: installed.round,
+        }),
+        Kind::Poll(poll) => message::Kind::Poll(message::Poll {
+            last: read_position(poll.last)?,
+            pre: poll.pre,
+        }),
+        Kind::Refused(run) => message::Kind::Refused(run),
+        Kind::TakeOver(_) => message::Kind::TakeOver,
+    })
+}
--- /dev/null
+++ b/crates/control/src/disk.rs
@@ -0,0 +1,342 @@
+//! The data folder: segments of log records, the hard state and the snapshot.
+//!
+//! Everything is synced before a function returns. A torn tail of the last segment is cut; any
+//! other damage is an error that names the file and the offset.
+
+use std::fs;
+use std::io;
+use std::io::Write as _;
+use std::path;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use peargap_core::log::effect;
+use peargap_core::log::entry;
+use peargap_core::log::member;
+use peargap_core::log::store;
+use peargap_wire::peer as wire;
+use prost::Message as _;
+
+use crate::convert;
+use crate::files;
+use crate::record;
+use crate::replay;
+
+const HARD_FILE: &str = "hard";
+const LOCK_FILE: &str = "lock";
+const OLD_PREFIX: &str = "old-";
+const RESERVE_FILE: &str = "reserve";
+const SEGMENT_BYTES: u64 = 8 << 20;
+const SNAPSHOT_FILE: &str = "snapshot";
+
+/// Size limits of the data folder.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Bytes that the folder may take.
+    pub bytes: u64,
+    /// Bytes kept free for the log's own protocol once changes are refused.
+    pub reserve_bytes: u64,
+}
+
+/// What was found in the folder.
+#[derive(Debug)]
+pub struct Found {
+    /// Hard state.
+    pub hard: effect::Hard,
+    /// This host and the id of its disk.
+    pub me: member::Member,
+    /// Entries and snapshot.
+    pub store: store::Store,
+    /// Bytes of a torn tail that were cut.
+    pub torn_bytes: u64,
+}
+
+/// The data folder, open and locked.
+#[derive(Debug)]
+pub struct Disk {
+    folder: path::PathBuf,
+    full: bool,
+    limits: Limits,
+    // Holds the lock until it is dropped.
+    _lock: fs::File,
+    me: member::Member,
+    segment: fs::File,
+    segments: Vec<replay::Segment>,
+    /// Size of the snapshot file.
+    snapshot_bytes: u64,
+}
+
+impl Disk {
+    /// Opens the folder; an empty one gets `disk` as its id.
+    pub fn open(
+        folder: &path::Path,
+        name: &Bytes,
+        disk: u64,
+        limits: Limits,
+    ) -> Result<(Disk, Found), files::Error> {
+        fs::create_dir_all(folder).map_err(|error| files::fail(folder, error))?;
+        let lock = lock_folder(folder)?;
+        let (me, hard) = match read_hard(folder)? {
+            Some(found) => found,
+            None => create_hard(folder, name, disk)?,
+        };
+        let snapshot = read_snapshot(folder)?;
+        let mut replay = replay::Replay::new(snapshot);
+        let segments = replay.read_segments(folder)?;
+        let number = segments.last().map_or(1, |segment| segment.number + 1);
+        let mut disk = Disk {
+            folder: folder.to_owned(),
+            full: false,
+            limits,
+            _lock: lock,
+            me: me.clone(),
+            segment: create_segment(folder, number)?,
+            segments,
+            snapshot_bytes: files::count_file(&folder.join(SNAPSHOT_FILE)),
+        };
+        disk.segments.push(replay::Segment {
+            bytes: 0,
+            last: 0,
+            number,
+        });
+        disk.take_reserve();
+        let found = Found {
+            hard,
+            me,
+            store: store::Store::new(replay.snapshot, replay.entries),
+            torn_bytes: replay.torn_bytes,
+        };
+        Ok((disk, found))
+    }
+
+    /// Returns whether changes are refused because the disk is full.
+    pub fn is_full(&self) -> bool {
+        self.full
+    }
+
+    /// Stores the hard state.
+    pub fn save_hard(&mut self, hard: &effect::Hard) -> Result<(), files::Error> {
+        let payload = convert::write_hard(&self.me, hard).encode_to_vec();
+        self.retry_without_reserve(|disk| files::write_whole(&disk.folder, HARD_FILE, &payload))
+    }
+
+    /// Stores entries; they replace everything from the first one's index on.
+    pub fn store(&mut self, entries: &[entry::Entry]) -> Result<(), files::Error> {
+        let records: Vec<wire::Record> = entries
+            .iter()
+            .map(|entry| wire::Record {
+                kind: Some(wire::record::Kind::Entry(convert::write_entry(entry))),
+            })
+            .collect();
+        let last = entries.last().map_or(0, |entry| entry.position.index);
+        self.append(&records, last)
+    }
+
+    /// Stores a snapshot; with `reset` the entries after it are void.
+    pub fn save_snapshot(
+        &mut self,
+        snapshot: &entry::Snapshot,
+        reset: bool,
+    ) -> Result<(), files::Error> {
+        let index = snapshot.position.index;
+        if reset {
+            let cut = wire::Record {
+                kind: Some(wire::record::Kind::Cut(index)),
+            };
+            self.append(&[cut], index)?;
+        }
+        let payload = convert::write_snapshot(snapshot).encode_to_vec();
+        self.retry_without_reserve(|disk| {
+            files::write_whole(&disk.folder, SNAPSHOT_FILE, &payload)
+        })?;
+        self.snapshot_bytes = files::count_file(&self.folder.join(SNAPSHOT_FILE));
+        self.roll()?;
+        self.drop_segments(index)
+    }
+
+    /// Sets the whole content aside, so that the host starts again on a new disk id.
+    pub fn set_aside(self) -> Result<(), files::Error> {
+        let aside = self
+            .folder
+            .join(format!("{OLD_PREFIX}{:016x}", self.me.disk));
+        fs::create_dir_all(&aside).map_err(|error| files::fail(&aside, error))?;
+        // The hard state goes last: until then the folder still is the old member's.
+        for segment in &self.segments {
+            files::move_file(&self.folder, &aside, &replay::name_segment(segment.number))?;
+        }
+        files::move_file(&self.folder, &aside, SNAPSHOT_FILE)?;
+        files::move_file(&self.folder, &aside, HARD_FILE)?;
+        files::sync_folder(&aside)?;
+        files::sync_folder(&self.folder)
+    }
+
+    /// Takes changes again once there is room for the reserve; returns whether it does.
+    pub fn take_reserve(&mut self) -> bool {
+        let path = self.folder.join(RESERVE_FILE);
+        let bytes = self.limits.reserve_bytes;
+        let room = self.count_used() + bytes <= self.limits.bytes;
+        let taken = room && write_reserve(&path, bytes).is_ok();
+        if !taken {
+            let _ = fs::remove_file(&path);
+        }
+        self.full = !taken;
+        taken
+    }
+
+    fn count_used(&self) -> u64 {
+        let segments: u64 = self.segments.iter().map(|segment| segment.bytes).sum();
+        segments + self.snapshot_bytes
+    }
+
+    fn append(&mut self, records: &[wire::Record], last: u64) -> Result<(), files::Error> {
+        let Some(current) = self.segments.last() else {
+            return Ok(());
+        };
+        if current.bytes > SEGMENT_BYTES {
+            self.roll()?;
+        }
+        let synced = self.segments.last().map_or(0, |segment| segment.bytes);
+        let mut buffer = BytesMut::new();
+        for record in records {
+            record::write_record(&mut buffer, synced, &record.encode_to_vec());
+        }
+        self.retry_without_reserve(|disk| disk.write_segment(synced, &buffer))?;
+        if let Some(current) = self.segments.last_mut() {
+            current.bytes = synced + files::count_bytes(&buffer);
+            current.last = current.last.max(last);
+        }
+        Ok(())
+    }
+
+    fn write_segment(&mut self, synced: u64, buffer: &[u8]) -> Result<(), files::Error> {
+        let reserve = if self.full {
+            0
+        } else {
+            self.limits.reserve_bytes
+        };
+        if self.count_used() + files::count_bytes(buffer) + reserve > self.limits.bytes {
+            return Err(files::Error::Full);
+        }
+        let written = self.segment.write_all(buffer);
+        let written = written.and_then(|()| self.segment.sync_data());
+        if let Err(error) = written {
+            // What was written in part must not stand before the next try.
+            let cut = self.segment.set_len(synced);
+            cut.map_err(|error| files::fail(&self.folder, error))?;
+            return Err(files::fail(&self.folder, error));
+        }
+        Ok(())
+    }
+
+    /// Tries a write; when the disk is full, frees the reserve and tries once more.
+    fn retry_without_reserve(
+        &mut self,
+        write: impl Fn(&mut Disk) -> Result<(), files::Error>,
+    ) -> Result<(), files::Error> {
+        match write(self) {
+            Err(files::Error::Full) if !self.full => {
+                self.full = true;
+                let _ = fs::remove_file(self.folder.join(RESERVE_FILE));
+                write(self)
+            }
+            result => result,
+        }
+    }
+
+    fn roll(&mut self) -> Result<(), files::Error> {
+        let number = self.segments.last().map_or(1, |segment| segment.number + 1);
+        self.segment = create_segment(&self.folder, number)?;
+        self.segments.push(replay::Segment {
+            bytes: 0,
+            last: 0,
+            number,
+        });
+        Ok(())
+    }
+
+    /// Deletes the oldest segments whose entries the snapshot replaces.
+    fn drop_segments(&mut self, index: u64) -> Result<(), files::Error> {
+        let closed = self.segments.len() - 1;
+        let old = self.segments.iter().take(closed);
+        let old = old.take_while(|segment| segment.last <= index).count();
+        for segment in self.segments.drain(..old) {
+            let path = self.folder.join(replay::name_segment(segment.number));
+            fs::remove_file(&path).map_err(|error| files::fail(&path, error))?;
+        }
+        files::sync_folder(&self.folder)
+    }
+}
+
+fn lock_folder(folder: &path::Path) -> Result<fs::File, files::Error> {
+    let path = folder.join(LOCK_FILE);
+    let file = fs::File::create(&path).map_err(|error| files::fail(&path, error))?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(fs::TryLockError::WouldBlock) => Err(files::Error::InUse(folder.to_owned())),
+        Err(fs::TryLockError::Error(error)) => Err(files::fail(&path, error)),
+    }
+}
+
+fn create_segment(folder: &path::Path, number: u64) -> Result<fs::File, files::Error> {
+    let path = folder.join(replay::name_segment(number));
+    let file = fs::OpenOptions::new()
+        .append(true)
+        .create_new(true)
+        .open(&path)
+        .map_err(|error| files::fail(&path, error))?;
+    files::sync_folder(folder)?;
+    Ok(file)
+}
+
+fn read_hard(folder: &path::Path) -> Result<Option<(member::Member, effect::Hard)>, files::Error> {
+    let path = folder.join(HARD_FILE);
+    let Some(payload) = files::read_whole(&path)? else {
+        return Ok(None);
+    };
+    let mut hard =
+        wire::Hard::decode(payload).map_err(|_error| files::corrupt(&path, "no hard state"))?;
+    let me = convert::read_member(hard.me.take());
+    let me = me.map_err(|_error| files::corrupt(&path, "no member"))?;
+    let hard = convert::read_hard(hard).map_err(|_error| files::corrupt(&path, "no hard state"))?;
+    Ok(Some((me, hard)))
+}
+
+fn create_hard(
+    folder: &path::Path,
+    name: &Bytes,
+    disk: u64,
+) -> Result<(member::Member, effect::Hard), files::Error> {
+    let me = member::Member {
+        disk,
+        name: name.clone(),
+    };
+    let is_used = folder.join(SNAPSHOT_FILE).exists() || !replay::list_segments(folder)?.is_empty();
+    if is_used {
+        let path = folder.join(HARD_FILE);
+        return Err(files::corrupt(&path, "it is missing beside a log"));
+    }
+    let hard = effect::Hard::default();
+    let payload = convert::write_hard(&me, &hard).encode_to_vec();
+    files::write_whole(folder, HARD_FILE, &payload)?;
+    Ok((me, hard))
+}
+
+fn read_snapshot(folder: &path::Path) -> Result<entry::Snapshot, files::Error> {
+    let path = folder.join(SNAPSHOT_FILE);
+    let Some(payload) = files::read_whole(&path)? else {
+        return Ok(entry::Snapshot::default());
+    };
+    let snapshot = wire::Snapshot::decode(payload);
+    let snapshot = snapshot.map_err(|_error| files::corrupt(&path, "no snapshot"))?;
+    convert::read_snapshot(snapshot).map_err(|_error| files::corrupt(&path, "no snapshot"))
+}
+
+/// Writes real bytes, so that the space is taken on every file system.
+fn write_reserve(path: &path::Path, bytes: u64) -> io::Result<()> {
+    if files::count_file(path) == bytes {
+        return Ok(());
+    }
+    let mut file = fs::File::create(path)?;
+    io::copy(&mut io::Read::take(io::repeat(0x5a), bytes), &mut file)?;
+    file.sync_all()
+}
--- /dev/null
+++ b/crates/control/src/events.rs
@@ -0,0 +1,16 @@
+//! Numbered log events of a control host; `docs/EVENTS.md` is their catalogue.
+
+use peargap_adapters::logs;
+
+pub(crate) const DISK_FULL: logs::Event = logs::Event::error(2006, "disk full");
+pub(crate) const DISK_SET_ASIDE: logs::Event = logs::Event::error(2005, "old disk set aside");
+pub(crate) const LOG_FAILED: logs::Event = logs::Event::error(2009, "log stopped");
+pub(crate) const MEMBERS_CHANGED: logs::Event = logs::Event::info(2004, "members changed");
+pub(crate) const PEER_LOST: logs::Event = logs::Event::warn(2007, "peer does not answer");
+pub(crate) const PEER_REACHED: logs::Event = logs::Event::info(2008, "peer answers");
+pub(crate) const ROLE_CHANGED: logs::Event = logs::Event::info(2003, "role changed");
+pub(crate) const STARTED: logs::Event = logs::Event::info(2001, "control host started");
+pub(crate) const STOPPED: logs::Event = logs::Event::info(2002, "control host stopped");
+pub(crate) const SNAPSHOT_INSTALLED: logs::Event = logs::Event::info(2011, "snapshot installed");
+pub(crate) const SNAPSHOT_TAKEN: logs::Event = logs::Event::info(2010, "snapshot taken");
+pub(crate) const TAIL_CUT: logs::Event = logs::Event::warn(2012, "torn tail cut");
--- /dev/null
+++ b/crates/control/src/files.rs
@@ -0,0 +1,130 @@
+//! Whole files in the data folder, and why they fail.
+
+use std::fs;
+use std::io;
+use std::io::Write as _;
+use std::path;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+use crate::record;
+
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
+/// Why the data folder cannot be used.
+#[derive(Debug)]
+pub enum Error {
+    /// A file is damaged in a place that was synced.
+    Corrupt {
+        /// The file.
+        file: path::PathBuf,
+        /// Offset of the damage in bytes.
+        offset: u64,
+        /// What is wrong there.
+        problem: &'static str,
+    },
+    /// The disk, or the share of it that settings allow, is full.
+    Full,
+    /// Another process uses the folder.
+    InUse(path::PathBuf),
+    /// The kernel reports an error.
+    Io(path::PathBuf, io::Error),
+}
+
+impl core::fmt::Display for Error {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        match self {
+            Error::Corrupt {
+                file,
+                offset,
+                problem,
+            } => write!(
+                formatter,
+                "{} is corrupt at offset {offset}: {problem}; move the data folder away and the \
+                 host comes back as a new member",
+                file.display()
+            ),
+            Error::Full => write!(formatter, "the disk is full"),
+            Error::InUse(folder) => {
+                write!(formatter, "{}: another process uses it", folder.display())
+            }
+            Error::Io(file, error) => write!(formatter, "{}: {error}", file.display()),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+pub(crate) fn fail(path: &path::Path, error: io::Error) -> Error {
+    match error.kind() {
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Error::Full,
+        _ => Error::Io(path.to_owned(), error),
+    }
+}
+
+pub(crate) fn corrupt(file: &path::Path, problem: &'static str) -> Error {
+    Error::Corrupt {
+        file: file.to_owned(),
+        offset: 0,
+        problem,
+    }
+}
+
+pub(crate) fn count_bytes(buffer: &[u8]) -> u64 {
+    u64::try_from(buffer.len()).unwrap_or(u64::MAX)
+}
+
+pub(crate) fn count_file(path: &path::Path) -> u64 {
+    fs::metadata(path).map_or(0, |metadata| metadata.len())
+}
+
+pub(crate) fn cut_file(path: &path::Path, bytes: u64) -> Result<(), Error> {
+    let file = fs::OpenOptions::new().write(true).open(path);
+    let file = file.map_err(|error| fail(path, error))?;
+    file.set_len(bytes).map_err(|error| fail(path, error))?;
+    file.sync_all().map_err(|error| fail(path, error))
+}
+
+pub(crate) fn move_file(from: &path::Path, to: &path::Path, name: &str) -> Result<(), Error> {
+    match fs::rename(from.join(name), to.join(name)) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(fail(from, error)),
+        Err(_) | Ok(()) => Ok(()),
+    }
+}
+
+pub(crate) fn sync_folder(folder: &path::Path) -> Result<(), Error> {
+    let file = fs::File::open(folder).map_err(|error| fail(folder, error))?;
+    file.sync_all().map_err(|error| fail(folder, error))
+}
+
+/// Replaces a file as a whole: either the old or the new content survives a crash.
+pub(crate) fn write_whole(folder: &path::Path, name: &str, payload: &[u8]) -> Result<(), Error> {
+    let mut buffer = BytesMut::new();
+    record::write_record(&mut buffer, 0, payload);
+    let path = folder.join(name);
+    let temporary = folder.join(format!("{name}{TEMPORARY_SUFFIX}"));
+    let written = fs::File::create(&temporary).and_then(|mut file| {
+        file.write_all(&buffer)?;
+        file.sync_all()
+    });
+    written.map_err(|error| fail(&temporary, error))?;
+    fs::rename(&temporary, &path).map_err(|error| fail(&path, error))?;
+    sync_folder(folder)
+}
+
+pub(crate) fn read_whole(path: &path::Path) -> Result<Option<Bytes>, Error> {
+    let bytes = match fs::read(path) {
+        Ok(bytes) => Bytes::from(bytes),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(fail(path, error)),
+    };
+    match record::read_record(&bytes, 0) {
+        record::Found::Whole(record) if record.end == count_bytes(&bytes) => {
+            Ok(Some(record.payload))
+        }
+        record::Found::Bad | record::Found::End | record::Found::Whole(_) => {
+            Err(corrupt(path, "the file does not match its checksum"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/host.rs
@@ -0,0 +1,202 @@
+//! A control host as a whole: the replica's thread and the servers around it.
+
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use peargap_adapters::health;
+use peargap_adapters::logs;
+use peargap_adapters::metrics;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::events;
+use crate::files;
+use crate::gauges;
+use crate::machine;
+use crate::peers;
+use crate::replica;
+use crate::service;
+use crate::settings;
+use crate::worker;
+
+/// Time that a stopping host gives its last messages to leave.
+const LINGER: time::Duration = time::Duration::from_millis(100);
+
+/// Why a control host ends.
+#[derive(Debug)]
+pub enum Error {
+    /// The data folder cannot be used.
+    Disk(files::Error),
+    /// An address cannot be listened on, or a server fails.
+    Listen(net::SocketAddr, String),
+    /// A thread or metric cannot be set up.
+    Setup(String),
+}
+
+impl core::fmt::Display for Error {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        match self {
+            Error::Disk(error) => error.fmt(formatter),
+            Error::Listen(address, problem) => write!(formatter, "{address}: {problem}"),
+            Error::Setup(problem) => write!(formatter, "{problem}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Access to a running replica.
+#[derive(Debug)]
+pub struct Replica {
+    /// Ends when the thread does; with the error that ended it.
+    pub ended: oneshot::Receiver<Result<(), files::Error>>,
+    /// Handle for the services.
+    pub handle: replica::Handle,
+    inputs: mpsc::Sender<worker::Input>,
+}
+
+/// Runs a control host until `token` is cancelled.
+pub async fn run(settings: settings::Settings, token: CancellationToken) -> Result<(), Error> {
+    let settings = sync::Arc::new(settings);
+    let links = CancellationToken::new();
+    let replica = spawn_replica(&settings, &links)?;
+    let registry = metrics::Registry::new().map_err(|error| Error::Setup(error.to_string()))?;
+    gauges::observe_replica(&registry, &replica.handle.status());
+    let readiness = health::Readiness::default();
+    let servers = token.child_token();
+    let health = serve_health(&settings, readiness.clone(), registry, &servers).await?;
+    let internal = serve_internal(&settings, &replica, &servers).await?;
+    tokio::spawn(follow_readiness(replica.handle.status(), readiness));
+    let result = wait_for_end(&replica.inputs, replica.ended, &token).await;
+    servers.cancel();
+    tokio::time::sleep(LINGER).await;
+    links.cancel();
+    internal.abort();
+    health.abort();
+    logs::emit(events::STOPPED, format_args!("host={}", settings.name));
+    result
+}
+
+async fn wait_for_end(
+    inputs: &mpsc::Sender<worker::Input>,
+    mut ended: oneshot::Receiver<Result<(), files::Error>>,
+    token: &CancellationToken,
+) -> Result<(), Error> {
+    tokio::select! {
+        () = token.cancelled() => {}
+        result = &mut ended => return read_end(result),
+    }
+    let _ = inputs.send(worker::Input::Stop).await;
+    read_end(ended.await)
+}
+
+fn read_end(
+    result: Result<Result<(), files::Error>, oneshot::error::RecvError>,
+) -> Result<(), Error> {
+    match result {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(error)) => Err(Error::Disk(error)),
+        Err(_closed) => Err(Error::Setup("the replica's thread ended".to_owned())),
+    }
+}
+
+/// Starts the replica's thread; `links` ends its senders.
+pub fn spawn_replica(
+    settings: &sync::Arc<settings::Settings>,
+    links: &CancellationToken,
+) -> Result<Replica, Error> {
+    let (config, config_seen) = watch::channel(machine::Machine::new().config());
+    let (status, status_seen) = watch::channel(replica::Status::default());
+    let (inputs, queue) = mpsc::channel(worker::QUEUE_INPUTS);
+    let (end, ended) = oneshot::channel();
+    let timeout = settings.timing.election;
+    let outputs = worker::Outputs {
+        config,
+        outboxes: peers::spawn_outboxes(&settings.name, &settings.peers, timeout, links),
+        status,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .map_err(|error| Error::Setup(error.to_string()))?;
+    let worker_settings = settings.clone();
+    let thread = thread::Builder::new().name("replica".to_owned());
+    let spawned = thread.spawn(move || {
+        let result = runtime.block_on(async {
+            let worker = worker::Worker::open(worker_settings, outputs)?;
+            worker.run(queue).await
+        });
+        if let Err(error) = &result {
+            logs::emit(events::LOG_FAILED, format_args!("{error}"));
+        }
+        let _ = end.send(result);
+    });
+    spawned.map_err(|error| Error::Setup(error.to_string()))?;
+    let handle = replica::Handle {
+        config: config_seen,
+        forwarder: peers::Forwarder::new(&settings.peers),
+        inputs: inputs.clone(),
+        status: status_seen,
+    };
+    Ok(Replica {
+        ended,
+        handle,
+        inputs,
+    })
+}
+
+async fn bind(address: net::SocketAddr) -> Result<tokio::net::TcpListener, Error> {
+    let bound = tokio::net::TcpListener::bind(address).await;
+    bound.map_err(|error| Error::Listen(address, error.to_string()))
+}
+
+async fn serve_internal(
+    settings: &settings::Settings,
+    replica: &Replica,
+    token: &CancellationToken,
+) -> Result<tokio::task::JoinHandle<()>, Error> {
+    let listener = bind(settings.internal).await?;
+    let incoming = tonic::transport::server::TcpIncoming::from(listener).with_nodelay(Some(true));
+    let peer = service::build_server(service::Service {
+        handle: replica.handle.clone(),
+        inputs: replica.inputs.clone(),
+    });
+    let server = tonic::transport::Server::builder().add_service(peer);
+    let stop = token.clone().cancelled_owned();
+    Ok(tokio::spawn(async move {
+        let _ = server.serve_with_incoming_shutdown(incoming, stop).await;
+    }))
+}
+
+async fn serve_health(
+    settings: &settings::Settings,
+    readiness: health::Readiness,
+    registry: metrics::Registry,
+    token: &CancellationToken,
+) -> Result<tokio::task::JoinHandle<()>, Error> {
+    let listener = bind(settings.health).await?;
+    let router = health::build_router(readiness, registry);
+    let stop = token.clone().cancelled_owned();
+    Ok(tokio::spawn(async move {
+        let server = axum::serve(listener, router).with_graceful_shutdown(stop);
+        let _ = server.await;
+    }))
+}
+
+/// Keeps the host ready while it knows a leader.
+async fn follow_readiness(
+    mut status: watch::Receiver<replica::Status>,
+    readiness: health::Readiness,
+) {
+    loop {
+        readiness.set(status.borrow_and_update().leader.is_some());
+        if status.changed().await.is_err() {
+            readiness.set(false);
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,223 @@
+//! Links to the other control hosts.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use peargap_adapters::logs;
+use peargap_core::log::message;
+use peargap_wire::peer as wire;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use tonic::transport;
+
+use crate::convert;
+use crate::events;
+use crate::replica;
+
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_millis(500);
+const KEEPALIVE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Largest message between control hosts, in bytes.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 64 << 20;
+/// Messages in one envelope at most.
+const MAX_MESSAGES: usize = 64;
+/// Messages that wait for one peer; further ones are lost, which the protocol outlasts.
+const QUEUE_MESSAGES: usize = 1024;
+const RECONNECT_DELAY: time::Duration = time::Duration::from_millis(20);
+
+type Client = wire::peer_client::PeerClient<transport::Channel>;
+
+/// A message on its way, with the clocks that carry freshness.
+#[derive(Clone, Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) clock_ms: u64,
+    pub(crate) echo_ms: u64,
+    pub(crate) lease_ms: u32,
+    pub(crate) message: message::Message,
+}
+
+/// Queues of messages to the other control hosts.
+pub(crate) type Outboxes = collections::HashMap<Bytes, mpsc::Sender<Outgoing>>;
+
+/// Starts a sender for each peer; `timeout` bounds one delivery.
+pub(crate) fn spawn_outboxes(
+    name: &str,
+    peers: &collections::BTreeMap<String, net::SocketAddr>,
+    timeout: time::Duration,
+    token: &CancellationToken,
+) -> Outboxes {
+    let mut outboxes = Outboxes::new();
+    for (peer, address) in peers {
+        let (sender, queue) = mpsc::channel(QUEUE_MESSAGES);
+        let link = Link {
+            client: None,
+            endpoint: build_endpoint(*address),
+            name: name.to_owned(),
+            peer: peer.clone(),
+            reached: true,
+            timeout,
+        };
+        tokio::spawn(link.run(queue, token.clone()));
+        outboxes.insert(Bytes::from(peer.clone()), sender);
+    }
+    outboxes
+}
+
+fn build_endpoint(address: net::SocketAddr) -> transport::Endpoint {
+    let uri = axum::http::Uri::builder()
+        .scheme("http")
+        .authority(address.to_string())
+        .path_and_query("/")
+        .build()
+        .unwrap_or_default();
+    transport::Endpoint::from(uri)
+        .connect_timeout(CONNECT_TIMEOUT)
+        .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
+        .keep_alive_timeout(KEEPALIVE_TIMEOUT)
+        .tcp_nodelay(true)
+}
+
+async fn connect(endpoint: &transport::Endpoint) -> Result<Client, transport::Error> {
+    let channel = endpoint.connect().await?;
+    Ok(Client::new(channel)
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES))
+}
+
+/// The sending side to one peer.
+struct Link {
+    client: Option<Client>,
+    endpoint: transport::Endpoint,
+    /// This host's name.
+    name: String,
+    peer: String,
+    reached: bool,
+    timeout: time::Duration,
+}
+
+impl Link {
+    async fn run(mut self, mut queue: mpsc::Receiver<Outgoing>, token: CancellationToken) {
+        let mut batch = Vec::new();
+        loop {
+            tokio::select! {
+                () = token.cancelled() => return,
+                count = queue.recv_many(&mut batch, MAX_MESSAGES) => {
+                    if count == 0 {
+                        return;
+                    }
+                }
+            }
+            let envelope = self.pack(&batch);
+            batch.clear();
+            let delivered = self.deliver(envelope).await;
+            self.note(delivered);
+            if !delivered {
+                // A connection may be silent for good while a new one works.
+                self.client = None;
+                tokio::time::sleep(RECONNECT_DELAY).await;
+            }
+        }
+    }
+
+    fn pack(&self, batch: &[Outgoing]) -> wire::Envelope {
+        let messages = batch
+            .iter()
+            .map(|outgoing| convert::write_message(&outgoing.message));
+        let last = batch.last();
+        wire::Envelope {
+            from: self.name.clone(),
+            messages: messages.collect(),
+            clock_ms: last.map_or(0, |outgoing| outgoing.clock_ms),
+            echo_ms: last.map_or(0, |outgoing| outgoing.echo_ms),
+            lease_ms: last.map_or(0, |outgoing| outgoing.lease_ms),
+        }
+    }
+
+    async fn deliver(&mut self, envelope: wire::Envelope) -> bool {
+        let deadline = tokio::time::Instant::now() + self.timeout;
+        if self.client.is_none() {
+            let connected = tokio::time::timeout_at(deadline, connect(&self.endpoint)).await;
+            self.client = connected.ok().and_then(Result::ok);
+        }
+        let Some(client) = &mut self.client else {
+            return false;
+        };
+        let sent = tokio::time::timeout_at(deadline, client.deliver(envelope)).await;
+        matches!(sent, Ok(Ok(_receipt)))
+    }
+
+    fn note(&mut self, delivered: bool) {
+        if self.reached == delivered {
+            return;
+        }
+        self.reached = delivered;
+        let event = if delivered {
+            events::PEER_REACHED
+        } else {
+            events::PEER_LOST
+        };
+        logs::emit(event, format_args!("peer={}", self.peer));
+    }
+}
+
+/// Forwards proposals to the other control hosts; clones share the connections.
+#[derive(Clone, Debug)]
+pub(crate) struct Forwarder {
+    clients: sync::Arc<sync::Mutex<collections::HashMap<String, Client>>>,
+    endpoints: sync::Arc<collections::HashMap<String, transport::Endpoint>>,
+}
+
+impl Forwarder {
+    /// Returns a forwarder that connects when needed.
+    pub(crate) fn new(peers: &collections::BTreeMap<String, net::SocketAddr>) -> Forwarder {
+        let endpoints = peers
+            .iter()
+            .map(|(peer, address)| (peer.clone(), build_endpoint(*address)));
+        Forwarder {
+            clients: sync::Arc::default(),
+            endpoints: sync::Arc::new(endpoints.collect()),
+        }
+    }
+
+    /// Proposes a command to a peer.
+    pub(crate) async fn propose(&self, peer: &str, command: Bytes) -> replica::Answer {
+        let Some(mut client) = self.find_client(peer).await else {
+            return replica::Answer::NotLeader(None);
+        };
+        let reply = client.propose(wire::ProposeRequest { command }).await;
+        let Ok(reply) = reply else {
+            self.lock().remove(peer);
+            return replica::Answer::Refused(replica::Refusal::Unknown);
+        };
+        match reply.into_inner().kind {
+            Some(wire::propose_reply::Kind::Reply(reply)) => replica::Answer::Reply(reply),
+            Some(wire::propose_reply::Kind::NotLeader(leader)) => {
+                replica::Answer::NotLeader(Some(leader).filter(|leader| !leader.is_empty()))
+            }
+            Some(wire::propose_reply::Kind::DiskFull(_)) => {
+                replica::Answer::Refused(replica::Refusal::DiskFull)
+            }
+            Some(wire::propose_reply::Kind::Unknown(_)) | None => {
+                replica::Answer::Refused(replica::Refusal::Unknown)
+            }
+        }
+    }
+
+    async fn find_client(&self, peer: &str) -> Option<Client> {
+        let known = self.lock().get(peer).cloned();
+        if known.is_some() {
+            return known;
+        }
+        let client = connect(self.endpoints.get(peer)?).await.ok()?;
+        self.lock().insert(peer.to_owned(), client.clone());
+        Some(client)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<String, Client>> {
+        let locked = self.clients.lock();
+        locked.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/control/src/replay.rs
@@ -0,0 +1,147 @@
+//! Reads the log back from its segments.
+
+use std::fs;
+use std::path;
+
+use bytes::Bytes;
+use peargap_core::log::entry;
+use peargap_wire::peer as wire;
+use prost::Message as _;
+
+use crate::convert;
+use crate::files;
+use crate::record;
+
+const SEGMENT_PREFIX: &str = "log-";
+
+/// One file of records.
+#[derive(Clone, Debug)]
+pub(crate) struct Segment {
+    pub(crate) bytes: u64,
+    /// Highest index in it.
+    pub(crate) last: u64,
+    pub(crate) number: u64,
+}
+
+/// Entries as they come to light from segments.
+pub(crate) struct Replay {
+    pub(crate) entries: Vec<entry::Entry>,
+    pub(crate) snapshot: entry::Snapshot,
+    /// Bytes of a torn tail that were cut.
+    pub(crate) torn_bytes: u64,
+}
+
+impl Replay {
+    pub(crate) fn new(snapshot: entry::Snapshot) -> Replay {
+        Replay {
+            entries: Vec::new(),
+            snapshot,
+            torn_bytes: 0,
+        }
+    }
+
+    pub(crate) fn read_segments(
+        &mut self,
+        folder: &path::Path,
+    ) -> Result<Vec<Segment>, files::Error> {
+        let numbers = list_segments(folder)?;
+        let mut segments = Vec::new();
+        for number in &numbers {
+            let is_last = Some(number) == numbers.last();
+            segments.push(self.read_segment(folder, *number, is_last)?);
+        }
+        Ok(segments)
+    }
+
+    fn read_segment(
+        &mut self,
+        folder: &path::Path,
+        number: u64,
+        is_last: bool,
+    ) -> Result<Segment, files::Error> {
+        let path = folder.join(name_segment(number));
+        let bytes = Bytes::from(fs::read(&path).map_err(|error| files::fail(&path, error))?);
+        let mut segment = Segment {
+            bytes: 0,
+            last: 0,
+            number,
+        };
+        loop {
+            let offset = usize::try_from(segment.bytes).unwrap_or(usize::MAX);
+            match record::read_record(&bytes, offset) {
+                record::Found::End => return Ok(segment),
+                record::Found::Whole(record) => {
+                    let last =
+                        self.take(&record.payload)
+                            .map_err(|problem| files::Error::Corrupt {
+                                file: path.clone(),
+                                offset: segment.bytes,
+                                problem,
+                            })?;
+                    segment.last = segment.last.max(last);
+                    segment.bytes = record.end;
+                }
+                record::Found::Bad if is_last && !record::was_synced(&bytes, offset) => {
+                    self.torn_bytes = files::count_bytes(&bytes) - segment.bytes;
+                    files::cut_file(&path, segment.bytes)?;
+                    return Ok(segment);
+                }
+                record::Found::Bad => {
+                    return Err(files::Error::Corrupt {
+                        file: path,
+                        offset: segment.bytes,
+                        problem: "a synced record does not match its checksum",
+                    })
+                }
+            }
+        }
+    }
+
+    /// Takes one record; returns its index.
+    fn take(&mut self, payload: &Bytes) -> Result<u64, &'static str> {
+        let record = wire::Record::decode(payload.clone()).map_err(|_error| "no log record")?;
+        match record.kind.ok_or("an empty log record")? {
+            wire::record::Kind::Cut(index) => {
+                self.truncate(index + 1);
+                Ok(index)
+            }
+            wire::record::Kind::Entry(entry) => {
+                let entry = convert::read_entry(entry).map_err(|_error| "no log entry")?;
+                let index = entry.position.index;
+                self.truncate(index);
+                let base = self.snapshot.position.index;
+                if index > base {
+                    let next = base + 1 + u64::try_from(self.entries.len()).unwrap_or(u64::MAX);
+                    if index != next {
+                        return Err("entries before it are missing");
+                    }
+                    self.entries.push(entry);
+                }
+                Ok(index)
+            }
+        }
+    }
+
+    /// Drops the entries from an index on.
+    fn truncate(&mut self, index: u64) {
+        let keep = index.saturating_sub(self.snapshot.position.index + 1);
+        self.entries
+            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+    }
+}
+
+pub(crate) fn name_segment(number: u64) -> String {
+    format!("{SEGMENT_PREFIX}{number:020}")
+}
+
+pub(crate) fn list_segments(folder: &path::Path) -> Result<Vec<u64>, files::Error> {
+    let mut numbers = Vec::new();
+    for item in fs::read_dir(folder).map_err(|error| files::fail(folder, error))? {
+        let item = item.map_err(|error| files::fail(folder, error))?;
+        let name = item.file_name().to_string_lossy().into_owned();
+        let number = name.strip_prefix(SEGMENT_PREFIX);
+        numbers.extend(number.and_then(|number| number.parse::<u64>().ok()));
+    }
+    numbers.sort_unstable();
+    Ok(numbers)
+}
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,5 +1,6 @@
 //! The replicated log as the services of this process see it.
 
+use std::collections;
 use std::sync;
 
 use bytes::Bytes;
@@ -10,9 +11,15 @@
 use tokio::time;
 
 use crate::machine;
+use crate::peers;
+use crate::worker;
 
-/// Proposals that may wait for the replica's thread.
+/// Proposals that may wait for a volatile replica.
 const QUEUE_PROPOSALS: usize = 1024;
+/// Time for a command to be committed, its way to the leader included.
+const PROPOSE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+/// Time between two looks for a leader.
+const RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
 /// Why a command was not answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -39,6 +46,17 @@
     Outsider,
 }
 
+/// What one host says to a proposal.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Answer {
+    /// It is not the leader; the leader's name when known.
+    NotLeader(Option<String>),
+    /// It refuses.
+    Refused(Refusal),
+    /// The state machine's reply.
+    Reply(Bytes),
+}
+
 /// State of this host's replica.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Status {
@@ -70,28 +88,49 @@
     }
 }
 
-struct Proposal {
-    command: Bytes,
-    reply: oneshot::Sender<Result<Bytes, Refusal>>,
-}
-
 /// Access to the replica's thread; clones share it.
 #[derive(Clone, Debug)]
 pub struct Handle {
-    config: watch::Receiver<sync::Arc<config::Config>>,
-    proposals: mpsc::Sender<Proposal>,
-    status: watch::Receiver<Status>,
+    pub(crate) config: watch::Receiver<sync::Arc<config::Config>>,
+    pub(crate) forwarder: peers::Forwarder,
+    pub(crate) inputs: mpsc::Sender<worker::Input>,
+    pub(crate) status: watch::Receiver<Status>,
 }
 
 impl Handle {
-    /// Commits a command and returns the state machine's reply.
+    /// Commits a command, through the leader wherever it is, and returns the machine's reply.
     pub async fn propose(&self, command: Bytes) -> Result<Bytes, Refusal> {
+        let deadline = time::Instant::now() + PROPOSE_TIMEOUT;
+        while time::Instant::now() < deadline {
+            let tried = time::timeout_at(deadline, self.propose_once(command.clone())).await;
+            match tried {
+                Ok(Answer::NotLeader(_)) => time::sleep(RETRY_DELAY).await,
+                Ok(Answer::Refused(refusal)) => return Err(refusal),
+                Ok(Answer::Reply(reply)) => return Ok(reply),
+                Err(_elapsed) => return Err(Refusal::Unknown),
+            }
+        }
+        Err(Refusal::NoQuorum)
+    }
+
+    /// Tries this host, then the leader that it knows.
+    async fn propose_once(&self, command: Bytes) -> Answer {
+        let leader = match self.propose_here(command.clone()).await {
+            Answer::NotLeader(Some(leader)) => leader,
+            answer => return answer,
+        };
+        self.forwarder.propose(&leader, command).await
+    }
+
+    /// Proposes a command to this host only.
+    pub(crate) async fn propose_here(&self, command: Bytes) -> Answer {
         let (reply, answer) = oneshot::channel();
-        let proposal = Proposal { command, reply };
-        if self.proposals.send(proposal).await.is_err() {
-            return Err(Refusal::NoQuorum);
+        let input = worker::Input::Propose { command, reply };
+        if self.inputs.send(input).await.is_err() {
+            return Answer::NotLeader(None);
         }
-        answer.await.unwrap_or(Err(Refusal::Unknown))
+        let unknown = Answer::Refused(Refusal::Unknown);
+        answer.await.unwrap_or(unknown)
     }
 
     /// Returns the applied configuration, updated when it changes.
@@ -109,25 +148,33 @@
 pub fn spawn_volatile(mut machine: machine::Machine) -> Handle {
     let (config, config_seen) = watch::channel(machine.config());
     let (status, status_seen) = watch::channel(Status::default());
-    let (proposals, mut queue) = mpsc::channel::<Proposal>(QUEUE_PROPOSALS);
+    let (inputs, mut queue) = mpsc::channel(QUEUE_PROPOSALS);
     tokio::spawn(async move {
         let mut index = 0;
-        while let Some(proposal) = queue.recv().await {
+        while let Some(input) = queue.recv().await {
+            let worker::Input::Propose { command, reply } = input else {
+                continue;
+            };
             index += 1;
-            let reply = machine.apply(index, &proposal.command);
+            let answer = machine.apply(index, &command);
             config.send_if_modified(|seen| replace_config(seen, machine.config()));
             status.send_modify(|status| describe_alone(status, index));
-            let _ = proposal.reply.send(Ok(reply));
+            let _ = reply.send(Answer::Reply(answer));
         }
     });
     Handle {
         config: config_seen,
-        proposals,
+        forwarder: peers::Forwarder::new(&collections::BTreeMap::new()),
+        inputs,
         status: status_seen,
     }
 }
 
-fn replace_config(seen: &mut sync::Arc<config::Config>, config: sync::Arc<config::Config>) -> bool {
+/// Replaces the configuration when it is another one; returns whether it is.
+pub(crate) fn replace_config(
+    seen: &mut sync::Arc<config::Config>,
+    config: sync::Arc<config::Config>,
+) -> bool {
     let changed = !sync::Arc::ptr_eq(seen, &config);
     *seen = config;
     changed
--- /dev/null
+++ b/crates/control/src/service.rs
@@ -0,0 +1,65 @@
+//! The `Peer` service: messages and proposals from the other control hosts.
+
+use peargap_wire::peer as wire;
+use tokio::sync::mpsc;
+
+use crate::convert;
+use crate::peers;
+use crate::replica;
+use crate::worker;
+
+/// Answers the other control hosts.
+#[derive(Clone, Debug)]
+pub(crate) struct Service {
+    pub(crate) handle: replica::Handle,
+    pub(crate) inputs: mpsc::Sender<worker::Input>,
+}
+
+/// Returns the service for a server.
+pub(crate) fn build_server(service: Service) -> wire::peer_server::PeerServer<Service> {
+    wire::peer_server::PeerServer::new(service)
+        .max_decoding_message_size(peers::MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(peers::MAX_MESSAGE_BYTES)
+}
+
+#[tonic::async_trait]
+impl wire::peer_server::Peer for Service {
+    async fn deliver(
+        &self,
+        request: tonic::Request<wire::Envelope>,
+    ) -> Result<tonic::Response<wire::Receipt>, tonic::Status> {
+        let envelope = request.into_inner();
+        let clocks = worker::Clocks {
+            clock_ms: envelope.clock_ms,
+            echo_ms: envelope.echo_ms,
+            lease_ms: envelope.lease_ms,
+            received: tokio::time::Instant::now(),
+        };
+        for message in envelope.messages {
+            let message = convert::read_message(message)
+                .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?;
+            let message = Box::new(message);
+            let input = worker::Input::Message { clocks, message };
+            let sent = self.inputs.send(input).await;
+            sent.map_err(|_error| tonic::Status::unavailable("stopping"))?;
+        }
+        Ok(tonic::Response::new(wire::Receipt {}))
+    }
+
+    async fn propose(
+        &self,
+        request: tonic::Request<wire::ProposeRequest>,
+    ) -> Result<tonic::Response<wire::ProposeReply>, tonic::Status> {
+        use wire::propose_reply::Kind;
+        let command = request.into_inner().command;
+        let kind = match self.handle.propose_here(command).await {
+            replica::Answer::NotLeader(leader) => Kind::NotLeader(leader.unwrap_or_default()),
+            replica::Answer::Refused(replica::Refusal::DiskFull) => Kind::DiskFull(true),
+            replica::Answer::Refused(replica::Refusal::NoQuorum) => Kind::NotLeader(String::new()),
+            replica::Answer::Refused(replica::Refusal::Unknown) => Kind::Unknown(true),
+            replica::Answer::Reply(reply) => Kind::Reply(reply),
+        };
+        let kind = Some(kind);
+        Ok(tonic::Response::new(wire::ProposeReply { kind }))
+    }
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,180 @@
+//! Settings of a control host.
+//!
+//! `[bootstrap] voters=a,b,c` names the hosts that form the log when none of them has ever taken
+//! part. It stays in the settings and does no harm there: the first roster is written only once
+//! every host named has said that its disk is fresh. A host that comes back with an empty disk
+//! hears from the others that they are not, and is let in as a new member instead. All of them
+//! must be up once at the very beginning.
+
+use std::collections;
+use std::net;
+use std::path;
+use std::time;
+
+use bytes::Bytes;
+use peargap_adapters::logs;
+use peargap_adapters::settings;
+
+use crate::disk;
+
+const ADDRESS: &str = "an address such as 127.0.0.1:7000";
+const DEFAULT_ELECTION_MS: u64 = 300;
+const DEFAULT_HEARTBEAT_MS: u64 = 50;
+const DEFAULT_LEASE_MS: u64 = 1500;
+const DEFAULT_LIMIT_MB: u64 = 1 << 20;
+const MEGABYTE: u64 = 1 << 20;
+const RESERVE_BYTES: u64 = 4 * MEGABYTE;
+
+/// Everything a control host is told.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Hosts that form the log at the very beginning.
+    pub bootstrap: Vec<String>,
+    /// Size limits of the data folder.
+    pub disk_limits: disk::Limits,
+    /// Failure domain of this host.
+    pub domain: String,
+    /// Folder for everything that must survive.
+    pub folder: path::PathBuf,
+    /// Address of health and metrics.
+    pub health: net::SocketAddr,
+    /// Address for entries, agents and other control hosts.
+    pub internal: net::SocketAddr,
+    /// SHA-256 of the operators' keys, in hex.
+    pub key_sha256: Vec<String>,
+    /// Form of log lines.
+    pub log_format: logs::Format,
+    /// Least severity of log lines.
+    pub log_level: logs::Level,
+    /// Name of this host.
+    pub name: String,
+    /// Address for operators.
+    pub operators: net::SocketAddr,
+    /// Internal addresses of the other control hosts by name.
+    pub peers: collections::BTreeMap<String, net::SocketAddr>,
+    /// Intervals.
+    pub timing: Timing,
+}
+
+/// Intervals of the log's protocol.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Shortest time without a leader before an election.
+    pub election: time::Duration,
+    /// Time between a leader's heartbeats.
+    pub heartbeat: time::Duration,
+    /// Time that a confirmation by a quorum lets freshness be granted.
+    pub lease: time::Duration,
+}
+
+/// Reads the settings file.
+pub fn load(path: &path::Path) -> Result<Settings, settings::Findings> {
+    read(settings::Reader::open(path))
+}
+
+/// Reads settings; all findings are reported together.
+pub fn read(mut reader: settings::Reader) -> Result<Settings, settings::Findings> {
+    let value = read_all(&mut reader);
+    if let Some(settings) = &value {
+        check(&mut reader, settings);
+    }
+    reader.finish(value)
+}
+
+fn read_all(reader: &mut settings::Reader) -> Option<Settings> {
+    let name = reader.required("node", "name", "this host's name");
+    let domain = reader.required("node", "domain", "this host's failure domain");
+    let internal = reader.required("listen", "internal", ADDRESS);
+    let operators = reader.required("listen", "operators", ADDRESS);
+    let health = reader.required("listen", "health", ADDRESS);
+    let folder = reader.required("data", "folder", "a folder on a disk");
+    let limit_mb = reader.ranged("data", "limit_mb", DEFAULT_LIMIT_MB, 16..=DEFAULT_LIMIT_MB);
+    let key_sha256 = reader.list("operators", "key_sha256", "SHA-256 in hex");
+    let bootstrap = reader.list("bootstrap", "voters", "names of hosts");
+    let level = logs::Level::Info;
+    let log_level = reader.optional("log", "level", level, "debug, info, warn or error");
+    let format = logs::Format::default();
+    let log_format = reader.optional("log", "format", format, "text or json");
+    let timing = read_timing(reader);
+    let peers = read_peers(reader);
+    Some(Settings {
+        bootstrap,
+        disk_limits: disk::Limits {
+            bytes: limit_mb * MEGABYTE,
+            reserve_bytes: RESERVE_BYTES,
+        },
+        domain: domain?,
+        folder: folder?,
+        health: health?,
+        internal: internal?,
+        key_sha256,
+        log_format,
+        log_level,
+        name: name?,
+        operators: operators?,
+        peers,
+        timing,
+    })
+}
+
+fn read_timing(reader: &mut settings::Reader) -> Timing {
+    let mut millis = |key, default, range| {
+        time::Duration::from_millis(reader.ranged("timing", key, default, range))
+    };
+    Timing {
+        election: millis("election_ms", DEFAULT_ELECTION_MS, 20..=60_000),
+        heartbeat: millis("heartbeat_ms", DEFAULT_HEARTBEAT_MS, 5..=10_000),
+        lease: millis("lease_ms", DEFAULT_LEASE_MS, 50..=600_000),
+    }
+}
+
+fn read_peers(reader: &mut settings::Reader) -> collections::BTreeMap<String, net::SocketAddr> {
+    let mut peers = collections::BTreeMap::new();
+    for name in reader.list_names("peer") {
+        let section = format!("peer {name}");
+        if let Some(address) = reader.required(&section, "address", ADDRESS) {
+            peers.insert(name, address);
+        }
+    }
+    peers
+}
+
+fn check(reader: &mut settings::Reader, settings: &Settings) {
+    let timing = settings.timing;
+    if timing.election < timing.heartbeat * 3 {
+        let problem = "is less than three times heartbeat_ms".to_owned();
+        reader.report("timing", "election_ms", problem);
+    }
+    if settings.peers.contains_key(&settings.name) {
+        let section = format!("peer {}", settings.name);
+        reader.report(&section, "", "is this host itself; remove it".to_owned());
+    }
+    for voter in &settings.bootstrap {
+        if *voter != settings.name && !settings.peers.contains_key(voter) {
+            let problem = format!("{voter} has no section [peer {voter}]");
+            reader.report("bootstrap", "voters", problem);
+        }
+    }
+}
+
+impl Settings {
+    /// Returns what the log needs of them.
+    pub(crate) fn log_settings(&self) -> peargap_core::log::Settings {
+        let names = |names: &mut dyn Iterator<Item = &String>| {
+            names.map(|name| Bytes::from(name.clone())).collect()
+        };
+        peargap_core::log::Settings {
+            bootstrap: names(&mut self.bootstrap.iter()),
+            batch_entries: BATCH_ENTRIES,
+            chunk_bytes: CHUNK_BYTES,
+            keep_entries: KEEP_ENTRIES,
+            learner_lag: LEARNER_LAG_ENTRIES,
+            peers: names(&mut self.peers.keys()),
+        }
+    }
+}
+
+const BATCH_ENTRIES: usize = 512;
+const CHUNK_BYTES: usize = 1 << 20;
+const KEEP_ENTRIES: u64 = 1024;
+const LEARNER_LAG_ENTRIES: u64 = 64;
--- /dev/null
+++ b/crates/control/src/timers.rs
@@ -0,0 +1,63 @@
+//! Timers of the replica's thread.
+
+use peargap_core::log::effect;
+use rand::RngExt as _;
+use tokio::time;
+
+use crate::settings;
+
+/// When each timer of the log's protocol is due.
+#[derive(Debug)]
+pub(crate) struct Timers {
+    beat: time::Instant,
+    campaign: time::Instant,
+    quiet: Option<time::Instant>,
+    review: time::Instant,
+    timing: settings::Timing,
+}
+
+impl Timers {
+    /// Starts all timers.
+    pub(crate) fn new(timing: settings::Timing) -> Timers {
+        let now = time::Instant::now();
+        let mut timers = Timers {
+            beat: now + timing.heartbeat,
+            campaign: now,
+            quiet: None,
+            review: now + timing.election,
+            timing,
+        };
+        timers.restart_election(now);
+        timers
+    }
+
+    /// Starts the election timeouts again.
+    pub(crate) fn restart_election(&mut self, now: time::Instant) {
+        let election = self.timing.election;
+        let extra = rand::rng().random_range(0.0..1.0);
+        self.quiet = Some(now + election);
+        self.campaign = now + election + election.mul_f64(extra);
+    }
+
+    /// Waits for the next timer and returns its event.
+    pub(crate) async fn wait(&mut self) -> effect::Event {
+        let quiet = self.quiet.unwrap_or(self.campaign);
+        let next = self.beat.min(self.campaign).min(self.review).min(quiet);
+        time::sleep_until(next).await;
+        let now = time::Instant::now();
+        if self.quiet.is_some_and(|quiet| quiet <= now) {
+            self.quiet = None;
+            return effect::Event::Quiet;
+        }
+        if self.campaign <= now {
+            self.restart_election(now);
+            return effect::Event::Campaign;
+        }
+        if self.review <= now {
+            self.review = now + self.timing.election;
+            return effect::Event::Review;
+        }
+        self.beat = now + self.timing.heartbeat;
+        effect::Event::Beat
+    }
+}
--- /dev/null
+++ b/crates/control/src/worker.rs
@@ -0,0 +1,530 @@
+//! The replica's thread: the log, its disk and the state machine behind it.
+
+use std::collections;
+use std::sync;
+
+use bytes::Bytes;
+use peargap_adapters::logs;
+use peargap_core::config;
+use peargap_core::log;
+use peargap_core::log::effect;
+use peargap_core::log::entry;
+use peargap_core::log::message;
+use rand::RngExt as _;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::convert;
+use crate::disk;
+use crate::events;
+use crate::files;
+use crate::lease;
+use crate::machine;
+use crate::peers;
+use crate::replica;
+use crate::settings;
+use crate::timers;
+
+/// Inputs taken before the disk is synced once for all of them.
+const MAX_INPUTS: usize = 256;
+/// Inputs that may wait for the thread.
+pub(crate) const QUEUE_INPUTS: usize = 4096;
+/// Applied entries after which a snapshot replaces them.
+const SNAPSHOT_ENTRIES: u64 = 4096;
+/// Time between two tries to write to a full disk.
+const FULL_RETRY: time::Duration = time::Duration::from_millis(200);
+
+type Reply = oneshot::Sender<replica::Answer>;
+
+/// Something for the replica's thread.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// A message of the log's protocol.
+    Message {
+        clocks: Clocks,
+        message: Box<message::Message>,
+    },
+    /// A command to be committed, if this host leads.
+    Propose { command: Bytes, reply: Reply },
+    /// The process stops: hand over, then end.
+    Stop,
+}
+
+/// Clocks of the envelope that a message came in.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clocks {
+    pub(crate) clock_ms: u64,
+    pub(crate) echo_ms: u64,
+    pub(crate) lease_ms: u32,
+    pub(crate) received: time::Instant,
+}
+
+/// Where the thread's results go.
+#[derive(Debug)]
+pub(crate) struct Outputs {
+    pub(crate) config: watch::Sender<sync::Arc<config::Config>>,
+    pub(crate) outboxes: peers::Outboxes,
+    pub(crate) status: watch::Sender<replica::Status>,
+}
+
+/// A proposal that waits for its position to be committed.
+#[derive(Debug)]
+struct Waiting {
+    reply: Reply,
+    term: u64,
+}
+
+/// Whether the thread goes on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Next {
+    GoOn,
+    Renounce,
+    Stop,
+}
+
+/// Everything that the replica's thread owns.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    applied: u64,
+    disk: disk::Disk,
+    lease: lease::Lease,
+    log: log::Log,
+    machine: machine::Machine,
+    next_token: u64,
+    outputs: Outputs,
+    proposed: collections::HashMap<u64, Reply>,
+    settings: sync::Arc<settings::Settings>,
+    timers: timers::Timers,
+    waiting: collections::BTreeMap<u64, Waiting>,
+}
+
+impl Worker {
+    /// Opens the disk and starts the log on what is there.
+    pub(crate) fn open(
+        settings: sync::Arc<settings::Settings>,
+        outputs: Outputs,
+    ) -> Result<Worker, files::Error> {
+        let name = Bytes::from(settings.name.clone());
+        let disk_id = rand::rng().random_range(1..u64::MAX);
+        let opened = disk::Disk::open(&settings.folder, &name, disk_id, settings.disk_limits);
+        let (disk, found) = opened?;
+        if found.torn_bytes > 0 {
+            logs::emit(events::TAIL_CUT, format_args!("bytes={}", found.torn_bytes));
+        }
+        let snapshot = found.store.snapshot().clone();
+        let machine = restore_machine(&settings.folder, &snapshot)?;
+        logs::emit(
+            events::STARTED,
+            format_args!(
+                "host={} disk={:016x} term={} last={} snapshot={}",
+                settings.name,
+                found.me.disk,
+                found.hard.term,
+                found.store.last().index,
+                snapshot.position.index
+            ),
+        );
+        let start = log::Start {
+            hard: found.hard,
+            me: found.me,
+            run: rand::rng().random(),
+            settings: sync::Arc::new(settings.log_settings()),
+            store: found.store,
+        };
+        let (log, effects) = log::Log::start(start);
+        let mut worker = Worker {
+            applied: snapshot.position.index,
+            disk,
+            lease: lease::Lease::new(settings.timing.lease),
+            log,
+            machine,
+            next_token: 0,
+            outputs,
+            proposed: collections::HashMap::new(),
+            timers: timers::Timers::new(settings.timing),
+            settings,
+            waiting: collections::BTreeMap::new(),
+        };
+        worker.save(&effects)?;
+        let now = time::Instant::now();
+        worker.act(effects, now);
+        worker.publish();
+        Ok(worker)
+    }
+
+    /// Runs until the process stops; an error means that the disk cannot be trusted.
+    pub(crate) async fn run(
+        mut self,
+        mut inputs: mpsc::Receiver<Input>,
+    ) -> Result<(), files::Error> {
+        let mut batch = Vec::new();
+        loop {
+            let event = tokio::select! {
+                biased;
+                count = inputs.recv_many(&mut batch, MAX_INPUTS) => {
+                    if count == 0 {
+                        return Ok(());
+                    }
+                    None
+                }
+                event = self.timers.wait() => Some(event),
+            };
+            match self.turn(event, &mut batch).await? {
+                Next::GoOn => {}
+                Next::Renounce => self = self.start_over()?,
+                Next::Stop => return Ok(()),
+            }
+        }
+    }
+
+    /// Handles one timer's event and a batch of inputs with one sync of the disk.
+    async fn turn(
+        &mut self,
+        event: Option<effect::Event>,
+        batch: &mut Vec<Input>,
+    ) -> Result<Next, files::Error> {
+        let now = time::Instant::now();
+        let was_leader = self.log.role() == log::Role::Leader;
+        let mut next = Next::GoOn;
+        let mut effects = Vec::new();
+        let mut grants = Vec::new();
+        let mut proposals = Vec::new();
+        if let Some(event) = event {
+            effects.extend(self.log.handle(event));
+        }
+        for input in batch.drain(..) {
+            match input {
+                Input::Message { clocks, message } => {
+                    grants.extend(self.hear(clocks, &message));
+                    effects.extend(self.log.handle(effect::Event::Message(*message)));
+                }
+                Input::Propose { command, reply } => {
+                    proposals.extend(self.take_proposal(command, reply));
+                }
+                Input::Stop => {
+                    effects.extend(self.log.handle(effect::Event::HandOver));
+                    next = Next::Stop;
+                }
+            }
+        }
+        if !proposals.is_empty() {
+            effects.extend(self.log.handle(effect::Event::Propose(proposals)));
+        }
+        if let Some(round) = self.log.round() {
+            self.lease.begin_round(round, now);
+        }
+        self.save_patiently(&effects).await?;
+        if self.act(effects, now) {
+            return Ok(Next::Renounce);
+        }
+        self.take_grants(grants);
+        if was_leader && self.log.role() != log::Role::Leader {
+            self.end_lead();
+        }
+        self.compact().await?;
+        self.publish();
+        Ok(next)
+    }
+
+    /// Notes a sender's clock; returns its grant, when it has one.
+    fn hear(&mut self, clocks: Clocks, message: &message::Message) -> Option<Grant> {
+        if clocks.clock_ms > 0 {
+            let name = &message.from.name;
+            self.lease.hear(name, clocks.clock_ms, clocks.received);
+        }
+        match &message.kind {
+            message::Kind::Append(append) => Some(Grant {
+                clocks,
+                commit: append.commit,
+                leader: message.from.name.clone(),
+                term: message.term,
+            }),
+            _ => None,
+        }
+    }
+
+    /// Takes the leader's grants once everything it had committed then is applied here.
+    fn take_grants(&mut self, grants: Vec<Grant>) {
+        for grant in grants {
+            let leader = self.log.leader().map(|leader| &leader.name);
+            let is_leader = leader == Some(&grant.leader) && grant.term == self.log.hard().term;
+            if is_leader && self.applied >= grant.commit {
+                let clocks = grant.clocks;
+                self.lease.take_grant(clocks.echo_ms, clocks.lease_ms);
+            }
+        }
+    }
+
+    fn take_proposal(&mut self, command: Bytes, reply: Reply) -> Option<effect::Proposal> {
+        if self.disk.is_full() && !self.disk.take_reserve() {
+            let refused = replica::Answer::Refused(replica::Refusal::DiskFull);
+            let _ = reply.send(refused);
+            return None;
+        }
+        self.next_token += 1;
+        let token = self.next_token;
+        self.proposed.insert(token, reply);
+        Some(effect::Proposal { command, token })
+    }
+
+    /// Stores what must be on disk; waits while the disk is entirely full.
+    async fn save_patiently(&mut self, effects: &[effect::Effect]) -> Result<(), files::Error> {
+        let mut done = 0;
+        while let Some(effect) = effects.get(done) {
+            match self.save_one(effect) {
+                Ok(()) => done += 1,
+                Err(files::Error::Full) => {
+                    logs::emit(events::DISK_FULL, format_args!("retry_ms=200"));
+                    time::sleep(FULL_RETRY).await;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    fn save(&mut self, effects: &[effect::Effect]) -> Result<(), files::Error> {
+        effects.iter().try_for_each(|effect| self.save_one(effect))
+    }
+
+    fn save_one(&mut self, effect: &effect::Effect) -> Result<(), files::Error> {
+        match effect {
+            effect::Effect::SaveHard(hard) => self.disk.save_hard(hard),
+            effect::Effect::SaveSnapshot {
+                installed,
+                reset,
+                snapshot,
+            } => {
+                self.disk.save_snapshot(snapshot, *reset)?;
+                if *installed {
+                    self.install(snapshot)?;
+                }
+                Ok(())
+            }
+            effect::Effect::Store(entries) => self.disk.store(entries),
+            effect::Effect::Commit(_)
+            | effect::Effect::Confirm(_)
+            | effect::Effect::Heard
+            | effect::Effect::Proposed { .. }
+            | effect::Effect::Rejected(_)
+            | effect::Effect::Renounce
+            | effect::Effect::Send(_) => Ok(()),
+        }
+    }
+
+    fn install(&mut self, snapshot: &entry::Snapshot) -> Result<(), files::Error> {
+        self.machine = restore_machine(&self.settings.folder, snapshot)?;
+        self.applied = snapshot.position.index;
+        logs::emit(
+            events::SNAPSHOT_INSTALLED,
+            format_args!("index={}", self.applied),
+        );
+        Ok(())
+    }
+
+    /// Carries out what follows once the disk is synced; returns whether the disk is renounced.
+    fn act(&mut self, effects: Vec<effect::Effect>, now: time::Instant) -> bool {
+        let mut renounced = false;
+        for effect in effects {
+            match effect {
+                effect::Effect::Commit(index) => self.apply(index),
+                effect::Effect::Confirm(round) => self.lease.confirm_round(round),
+                effect::Effect::Heard => self.timers.restart_election(now),
+                effect::Effect::Proposed { token, position } => self.wait_for(token, position),
+                effect::Effect::Rejected(token) => self.reject(token),
+                effect::Effect::Renounce => renounced = true,
+                effect::Effect::SaveHard(_)
+                | effect::Effect::SaveSnapshot { .. }
+                | effect::Effect::Store(_) => {}
+                effect::Effect::Send(message) => self.send(message, now),
+            }
+        }
+        renounced
+    }
+
+    fn send(&self, message: message::Message, now: time::Instant) {
+        let Some(outbox) = self.outputs.outboxes.get(&message.to.name) else {
+            return;
+        };
+        let is_leader = self.log.role() == log::Role::Leader && self.is_current();
+        let grant = is_leader.then(|| self.lease.grant(&message.to.name));
+        let (echo_ms, lease_ms) = grant.flatten().unwrap_or_default();
+        let outgoing = peers::Outgoing {
+            clock_ms: self.lease.read_clock(now),
+            echo_ms,
+            lease_ms,
+            message,
+        };
+        // A full queue loses the message, as a network may.
+        let _ = outbox.try_send(outgoing);
+    }
+
+    /// Returns whether this leader has committed an entry of its own term.
+    fn is_current(&self) -> bool {
+        self.log.store().term(self.log.commit()) == Some(self.log.hard().term)
+    }
+
+    fn wait_for(&mut self, token: u64, position: entry::Position) {
+        if let Some(reply) = self.proposed.remove(&token) {
+            let term = position.term;
+            self.waiting.insert(position.index, Waiting { reply, term });
+        }
+    }
+
+    fn reject(&mut self, token: u64) {
+        let leader = self.log.leader().map(|leader| convert::text(&leader.name));
+        if let Some(reply) = self.proposed.remove(&token) {
+            let _ = reply.send(replica::Answer::NotLeader(leader));
+        }
+    }
+
+    fn apply(&mut self, commit: u64) {
+        while self.applied < commit {
+            let index = self.applied + 1;
+            let Some(entry) = self.log.store().entry(index) else {
+                return;
+            };
+            let position = entry.position;
+            let reply = match &entry.payload {
+                entry::Payload::Command(command) => Some(self.machine.apply(index, command)),
+                entry::Payload::Noop | entry::Payload::Roster(_) => None,
+            };
+            self.applied = index;
+            self.answer(position, reply);
+        }
+        let config = self.machine.config();
+        self.outputs
+            .config
+            .send_if_modified(|seen| replica::replace_config(seen, config));
+    }
+
+    fn answer(&mut self, position: entry::Position, reply: Option<Bytes>) {
+        let Some(waiting) = self.waiting.remove(&position.index) else {
+            return;
+        };
+        let answer = match reply {
+            Some(reply) if waiting.term == position.term => replica::Answer::Reply(reply),
+            Some(_) | None => replica::Answer::Refused(replica::Refusal::Unknown),
+        };
+        let _ = waiting.reply.send(answer);
+    }
+
+    /// Ends the waits of a leader that no longer leads.
+    fn end_lead(&mut self) {
+        self.lease.end_term();
+        for (_index, waiting) in std::mem::take(&mut self.waiting) {
+            let unknown = replica::Answer::Refused(replica::Refusal::Unknown);
+            let _ = waiting.reply.send(unknown);
+        }
+    }
+
+    /// Replaces applied entries by a snapshot once there are many.
+    async fn compact(&mut self) -> Result<(), files::Error> {
+        let taken = self.log.store().snapshot().position.index;
+        if self.applied < taken + SNAPSHOT_ENTRIES {
+            return Ok(());
+        }
+        let data = self.machine.snapshot();
+        logs::emit(
+            events::SNAPSHOT_TAKEN,
+            format_args!("index={} bytes={}", self.applied, data.len()),
+        );
+        let index = self.applied;
+        let effects = self.log.handle(effect::Event::Compact { data, index });
+        self.save_patiently(&effects).await
+    }
+
+    /// Sets the old disk aside and starts as a new member.
+    fn start_over(mut self) -> Result<Worker, files::Error> {
+        let me = self.log.me();
+        logs::emit(
+            events::DISK_SET_ASIDE,
+            format_args!("disk={:016x} why=older than what peers saw", me.disk),
+        );
+        self.end_lead();
+        self.disk.set_aside()?;
+        Worker::open(self.settings, self.outputs)
+    }
+
+    fn publish(&self) {
+        let status = self.describe();
+        self.outputs.status.send_if_modified(|seen| {
+            report_changes(seen, &status);
+            let changed = *seen != status;
+            *seen = status;
+            changed
+        });
+    }
+
+    fn describe(&self) -> replica::Status {
+        let roster = self.log.store().roster();
+        let is_member = roster.contains(self.log.me());
+        let fresh = self.log.role() != log::Role::Leader || self.is_current();
+        replica::Status {
+            applied: self.applied,
+            committed: self.log.commit(),
+            fresh_until: self.lease.until().filter(|_until| fresh),
+            last: self.log.store().last().index,
+            leader: self.log.leader().map(|leader| convert::text(&leader.name)),
+            learners: roster.learners.iter().map(format_member).collect(),
+            role: match self.log.role() {
+                log::Role::Candidate => replica::Role::Candidate,
+                log::Role::Follower if is_member => replica::Role::Follower,
+                log::Role::Follower => replica::Role::Outsider,
+                log::Role::Leader => replica::Role::Leader,
+            },
+            term: self.log.hard().term,
+            voters: roster.voters.iter().map(format_member).collect(),
+        }
+    }
+}
+
+/// A leader's grant of freshness, with what it had committed.
+#[derive(Clone, Debug)]
+struct Grant {
+    clocks: Clocks,
+    commit: u64,
+    leader: Bytes,
+    term: u64,
+}
+
+fn format_member(member: &peargap_core::log::member::Member) -> String {
+    format!("{}/{:016x}", convert::text(&member.name), member.disk)
+}
+
+fn report_changes(seen: &replica::Status, status: &replica::Status) {
+    if seen.role != status.role || seen.leader != status.leader {
+        logs::emit(
+            events::ROLE_CHANGED,
+            format_args!(
+                "role={:?} term={} leader={}",
+                status.role,
+                status.term,
+                status.leader.as_deref().unwrap_or("none")
+            ),
+        );
+    }
+    if seen.voters != status.voters || seen.learners != status.learners {
+        logs::emit(
+            events::MEMBERS_CHANGED,
+            format_args!(
+                "voters={} learners={}",
+                status.voters.join(","),
+                status.learners.join(",")
+            ),
+        );
+    }
+}
+
+fn restore_machine(
+    folder: &std::path::Path,
+    snapshot: &entry::Snapshot,
+) -> Result<machine::Machine, files::Error> {
+    if snapshot.position.index == 0 {
+        return Ok(machine::Machine::new());
+    }
+    let restored = machine::Machine::restore(&snapshot.data);
+    restored.map_err(|_error| files::corrupt(folder, "the snapshot cannot be restored"))
+}
--- /dev/null
+++ b/crates/control/tests/support/mod.rs
@@ -0,0 +1,283 @@
+//! Control hosts as real processes on real disks.
+
+#![allow(dead_code)]
+
+use std::fs;
+use std::future;
+use std::io;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net;
+use std::path;
+use std::process;
+use std::thread;
+use std::time;
+
+use bytes::Bytes;
+use peargap_control::disk;
+use peargap_core::log::entry;
+use peargap_wire::peer as wire;
+
+/// Longest wait for anything in these tests.
+pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(20);
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
+
+/// One control host, running or not.
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub(crate) child: Option<process::Child>,
+    pub(crate) folder: path::PathBuf,
+    pub(crate) health: net::SocketAddr,
+    pub(crate) internal: net::SocketAddr,
+    pub(crate) name: String,
+    pub(crate) stderr: path::PathBuf,
+    settings: path::PathBuf,
+}
+
+/// Several control hosts of one deployment.
+#[derive(Debug)]
+pub(crate) struct Cluster {
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) root: tempfile::TempDir,
+}
+
+impl Cluster {
+    /// Starts hosts `a`, `b`, `c`, ... that know of each other; `extra` is added to their settings.
+    pub(crate) fn start(count: usize, extra: &str) -> Cluster {
+        let mut cluster = Cluster::prepare(count, count, extra);
+        for index in 0..count {
+            cluster.hosts[index].start();
+        }
+        cluster
+    }
+
+    /// Writes the settings of `count` hosts, of which the first `voters` form the log.
+    pub(crate) fn prepare(count: usize, voters: usize, extra: &str) -> Cluster {
+        let root = tempfile::tempdir().expect("temporary folder");
+        let names: Vec<String> = (0..count)
+            .map(|index| char::from(b'a' + u8::try_from(index).expect("few hosts")).to_string())
+            .collect();
+        let addresses: Vec<[net::SocketAddr; 3]> =
+            names.iter().map(|_name| find_addresses()).collect();
+        let mut hosts = Vec::new();
+        for (name, address) in names.iter().zip(&addresses) {
+            let folder = root.path().join(name);
+            let mut text = format!(
+                "[node]\nname={name}\ndomain=d-{name}\n[listen]\ninternal={}\noperators={}\n\
+                 health={}\n[data]\nfolder={}\n[bootstrap]\nvoters={}\n",
+                address[0],
+                address[1],
+                address[2],
+                folder.display(),
+                names[..voters].join(",")
+            );
+            for (peer, address) in names.iter().zip(&addresses) {
+                if peer != name {
+                    text.push_str(&format!("[peer {peer}]\naddress={}\n", address[0]));
+                }
+            }
+            text.push_str(extra);
+            let settings = root.path().join(format!("{name}.ini"));
+            fs::write(&settings, text).expect("settings");
+            hosts.push(Host {
+                child: None,
+                folder,
+                health: address[2],
+                internal: address[0],
+                name: name.clone(),
+                stderr: root.path().join(format!("{name}.log")),
+                settings,
+            });
+        }
+        Cluster { hosts, root }
+    }
+
+    /// Waits for one running leader that has committed in its term; returns its index.
+    pub(crate) fn wait_for_leader(&self) -> usize {
+        let mut found = None;
+        wait_until("a leader", || {
+            found = (0..self.hosts.len()).find(|index| {
+                let host = &self.hosts[*index];
+                host.child.is_some() && host.gauge("leader") == Some(1) && host.is_fresh()
+            });
+            found.is_some()
+        });
+        found.expect("a leader")
+    }
+
+    /// Commits a command through any running host.
+    pub(crate) fn commit(&self, command: &str) {
+        wait_until(command, || {
+            let running = self.hosts.iter().filter(|host| host.child.is_some());
+            let mut running = running;
+            running.any(|host| matches!(host.propose(command), Some(Outcome::Reply)))
+        });
+    }
+
+    /// Waits until every running host has applied what `leader` has committed.
+    pub(crate) fn wait_for_all(&self, leader: usize) {
+        let committed = self.hosts[leader]
+            .gauge("commits")
+            .expect("a running leader");
+        wait_until("all hosts to catch up", || {
+            let mut running = self.hosts.iter().filter(|host| host.child.is_some());
+            running.all(|host| host.gauge("applied") >= Some(committed))
+        });
+    }
+
+    /// Ends every host and returns the commands that `index` keeps on its disk.
+    pub(crate) fn read_commands(&mut self, index: usize) -> Vec<String> {
+        self.hosts[index].kill();
+        read_commands(&self.hosts[index].folder)
+    }
+}
+
+/// What a host says to a proposal.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum Outcome {
+    DiskFull,
+    NotLeader,
+    Reply,
+    Unknown,
+}
+
+impl Host {
+    /// Starts the process.
+    pub(crate) fn start(&mut self) {
+        let log = fs::OpenOptions::new()
+            .append(true)
+            .create(true)
+            .open(&self.stderr)
+            .expect("log file");
+        let child = process::Command::new(env!("CARGO_BIN_EXE_peargap-control"))
+            .arg("--config")
+            .arg(&self.settings)
+            .stderr(log)
+            .spawn()
+            .expect("the program");
+        self.child = Some(child);
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends the process a signal by name.
+    pub(crate) fn signal(&self, signal: &str) {
+        let id = self.child.as_ref().expect("a running host").id();
+        let status = process::Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(id.to_string())
+            .status();
+        assert!(status.expect("kill").success());
+    }
+
+    /// Waits for the process to end by itself; returns whether it succeeded.
+    pub(crate) fn wait_for_exit(&mut self) -> bool {
+        let mut child = self.child.take().expect("a running host");
+        let mut ended = None;
+        wait_until("the process to end", || {
+            ended = child.try_wait().expect("a child");
+            ended.is_some()
+        });
+        ended.expect("an exit status").success()
+    }
+
+    /// Returns a gauge of the log, when the host answers.
+    pub(crate) fn gauge(&self, name: &str) -> Option<u64> {
+        let text = fetch(self.health, "/metrics").ok()?;
+        let prefix = format!("peargap_log_{name}{{");
+        let plain = format!("peargap_log_{name} ");
+        let mut lines = text.lines();
+        let line = lines.find(|line| line.starts_with(&prefix) || line.starts_with(&plain))?;
+        let value: f64 = line.rsplit(' ').next()?.parse().ok()?;
+        format!("{value:.0}").parse().ok()
+    }
+
+    /// Returns whether the host may grant freshness leases.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.gauge("fresh") == Some(1)
+    }
+
+    /// Proposes a command to this host only; nothing when it does not answer.
+    pub(crate) fn propose(&self, command: &str) -> Option<Outcome> {
+        let command = Bytes::copy_from_slice(command.as_bytes());
+        let address = format!("http://{}", self.internal);
+        let reply = block_on(async {
+            let mut client = wire::peer_client::PeerClient::connect(address).await.ok()?;
+            let proposed = client.propose(wire::ProposeRequest { command });
+            let reply = tokio::time::timeout(time::Duration::from_secs(2), proposed).await;
+            reply.ok()?.ok()?.into_inner().kind
+        })?;
+        Some(match reply {
+            wire::propose_reply::Kind::DiskFull(_) => Outcome::DiskFull,
+            wire::propose_reply::Kind::NotLeader(_) => Outcome::NotLeader,
+            wire::propose_reply::Kind::Reply(_) => Outcome::Reply,
+            wire::propose_reply::Kind::Unknown(_) => Outcome::Unknown,
+        })
+    }
+
+    /// Returns what the host has logged so far.
+    pub(crate) fn read_log(&self) -> String {
+        fs::read_to_string(&self.stderr).unwrap_or_default()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Returns the commands on the disk of a host that does not run.
+pub(crate) fn read_commands(folder: &path::Path) -> Vec<String> {
+    let limits = disk::Limits {
+        bytes: u64::MAX / 2,
+        reserve_bytes: 0,
+    };
+    let name = Bytes::from_static(b"test");
+    let (_disk, found) = disk::Disk::open(folder, &name, 1, limits).expect("a data folder");
+    let last = found.store.last().index;
+    let entries = (1..=last).filter_map(|index| found.store.entry(index));
+    let commands = entries.filter_map(|entry| match &entry.payload {
+        entry::Payload::Command(command) => Some(String::from_utf8_lossy(command).into_owned()),
+        entry::Payload::Noop | entry::Payload::Roster(_) => None,
+    });
+    commands.collect()
+}
+
+/// Waits for a condition; fails the test when it does not come true in time.
+pub(crate) fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = time::Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(time::Instant::now() < deadline, "waited in vain for {what}");
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Runs a future to its end.
+pub(crate) fn block_on<T>(future: impl future::Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime")
+        .block_on(future)
+}
+
+fn find_addresses() -> [net::SocketAddr; 3] {
+    let listeners = [(); 3].map(|()| net::TcpListener::bind("127.0.0.1:0").expect("a port"));
+    listeners.map(|listener| listener.local_addr().expect("an address"))
+}
+
+fn fetch(address: net::SocketAddr, path: &str) -> io::Result<String> {
+    let mut stream = net::TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(time::Duration::from_secs(1)))?;
+    write!(stream, "GET {path} HTTP/1.0\r\nHost: test\r\n\r\n")?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    Ok(text)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,5 +4,6 @@
 //! perform the effects that its functions return.
 
 pub mod config;
+pub mod log;
 pub mod manifest;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/log/follow.rs
@@ -0,0 +1,186 @@
+//! What a follower does with its leader's entries and snapshots.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+use crate::log::effect;
+use crate::log::entry;
+use crate::log::member;
+use crate::log::message;
+use crate::log::replica;
+
+impl replica::Replica {
+    /// Tells the leader of an earlier term that its term has passed.
+    pub(crate) fn reject_leader(&self, message: &message::Message, effects: &mut effect::Effects) {
+        let appended = message::Appended {
+            accepted: false,
+            index: 0,
+            round: 0,
+        };
+        let kind = message::Kind::Appended(appended);
+        self.send(message.from.clone(), kind, effects);
+    }
+
+    /// Stores the leader's entries, if they follow what is here, and answers.
+    pub(crate) fn take_append(
+        &mut self,
+        leader: &member::Member,
+        append: &message::Append,
+        effects: &mut effect::Effects,
+    ) {
+        effects.push(effect::Effect::Heard);
+        let appended = match self.find_mismatch(append.previous) {
+            Some(index) => message::Appended {
+                accepted: false,
+                index,
+                round: append.round,
+            },
+            None => message::Appended {
+                accepted: true,
+                index: self.store_entries(append, effects),
+                round: append.round,
+            },
+        };
+        if appended.accepted {
+            self.acked = self.acked.max(appended.index);
+            self.raise_commit(append.commit.min(appended.index), effects);
+        }
+        self.send(leader.clone(), message::Kind::Appended(appended), effects);
+    }
+
+    /// Returns where the leader should try next when `previous` is not in this log.
+    fn find_mismatch(&self, previous: entry::Position) -> Option<u64> {
+        // What is committed is the same everywhere.
+        if previous.index <= self.commit {
+            return None;
+        }
+        let last = self.store.last().index;
+        if previous.index > last {
+            return Some(last);
+        }
+        let same = self.store.term(previous.index) == Some(previous.term);
+        (!same).then_some(self.commit)
+    }
+
+    /// Stores entries that are not here yet; returns the last index equal to the leader's log.
+    fn store_entries(&mut self, append: &message::Append, effects: &mut effect::Effects) -> u64 {
+        let matched = append
+            .entries
+            .last()
+            .map_or(append.previous.index, |entry| entry.position.index);
+        let known = append.entries.iter().take_while(|entry| {
+            let index = entry.position.index;
+            index <= self.commit || self.store.term(index) == Some(entry.position.term)
+        });
+        let known = known.count();
+        let new = append.entries.get(known..).unwrap_or_default();
+        if !new.is_empty() {
+            self.store.append(new);
+            effects.push(effect::Effect::Store(new.to_vec()));
+        }
+        matched
+    }
+
+    /// Takes what is newly committed.
+    pub(crate) fn raise_commit(&mut self, commit: u64, effects: &mut effect::Effects) {
+        if commit > self.commit {
+            self.commit = commit;
+            effects.push(effect::Effect::Commit(commit));
+        }
+    }
+
+    /// Takes a part of the leader's snapshot and answers which byte is wanted next.
+    pub(crate) fn take_install(
+        &mut self,
+        leader: &member::Member,
+        install: &message::Install,
+        effects: &mut effect::Effects,
+    ) {
+        effects.push(effect::Effect::Heard);
+        let complete = install.position.index <= self.commit || self.collect(install);
+        if complete && install.position.index > self.commit {
+            self.install(install, effects);
+        }
+        if complete {
+            self.acked = self.acked.max(install.position.index);
+            self.incoming = None;
+        }
+        let offset = self.incoming.as_ref().map_or(0, count_bytes);
+        let installed = message::Installed {
+            complete,
+            offset,
+            position: install.position,
+            round: install.round,
+        };
+        self.send(leader.clone(), message::Kind::Installed(installed), effects);
+    }
+
+    /// Adds a part; returns whether the snapshot is complete.
+    fn collect(&mut self, install: &message::Install) -> bool {
+        let started = self
+            .incoming
+            .as_ref()
+            .filter(|incoming| incoming.position == install.position);
+        let held = started.map_or(0, count_bytes);
+        if install.offset != held {
+            if started.is_none() {
+                self.incoming = None;
+            }
+            return false;
+        }
+        let mut whole = BytesMut::new();
+        whole.extend_from_slice(started.map_or(&[], |incoming| &incoming.chunk));
+        whole.extend_from_slice(&install.chunk);
+        let mut incoming = install.clone();
+        incoming.chunk = whole.freeze();
+        let complete = count_bytes(&incoming) >= install.total;
+        self.incoming = Some(incoming);
+        complete
+    }
+
+    fn install(&mut self, install: &message::Install, effects: &mut effect::Effects) {
+        let data = self
+            .incoming
+            .take()
+            .map_or_else(Bytes::new, |incoming| incoming.chunk);
+        let snapshot = entry::Snapshot {
+            data,
+            position: install.position,
+            roster: install.roster.clone(),
+        };
+        let reset = self.store.install(snapshot.clone());
+        self.commit = install.position.index;
+        effects.push(effect::Effect::SaveSnapshot {
+            installed: true,
+            reset,
+            snapshot,
+        });
+        effects.push(effect::Effect::Commit(self.commit));
+    }
+
+    /// Takes the state after `index` in place of the entries that led to it.
+    pub(crate) fn compact(&mut self, index: u64, data: &Bytes, effects: &mut effect::Effects) {
+        if index > self.commit || index <= self.store.snapshot().position.index {
+            return;
+        }
+        let Some(term) = self.store.term(index) else {
+            return;
+        };
+        let snapshot = entry::Snapshot {
+            data: data.clone(),
+            position: entry::Position { term, index },
+            roster: self.store.roster_at(index),
+        };
+        let keep = self.settings.keep_entries;
+        self.store.compact(snapshot.clone(), keep);
+        effects.push(effect::Effect::SaveSnapshot {
+            installed: false,
+            reset: false,
+            snapshot,
+        });
+    }
+}
+
+fn count_bytes(install: &message::Install) -> u64 {
+    u64::try_from(install.chunk.len()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/core/src/log/lead.rs
@@ -0,0 +1,333 @@
+//! What a leader does: replication, commit, heartbeats.
+
+use std::collections;
+
+use bytes::Bytes;
+
+use crate::log::effect;
+use crate::log::entry;
+use crate::log::member;
+use crate::log::message;
+use crate::log::replica;
+
+/// State of a leader.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub(crate) struct Leading {
+    /// Last round that a quorum answered.
+    pub(crate) confirmed: u64,
+    pub(crate) progress: collections::BTreeMap<member::Member, Progress>,
+    /// Last round begun.
+    pub(crate) round: u64,
+}
+
+/// How far a member has come.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub(crate) struct Progress {
+    /// Answered since the last review.
+    pub(crate) active: bool,
+    /// Next byte of the snapshot at a position, while one is sent.
+    pub(crate) install: Option<Transfer>,
+    /// Last index stored there and equal to this log.
+    pub(crate) matched: u64,
+    /// Next index to send.
+    pub(crate) next: u64,
+    /// Last round answered.
+    pub(crate) round: u64,
+}
+
+/// A snapshot on its way.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct Transfer {
+    offset: u64,
+    position: entry::Position,
+}
+
+impl replica::Replica {
+    /// Begins to lead with an entry of its own term, which commits what came before.
+    pub(crate) fn begin_lead(&mut self, leading: &mut Leading, effects: &mut effect::Effects) {
+        self.fit_progress(leading);
+        // The votes were heard just now.
+        for progress in leading.progress.values_mut() {
+            progress.active = true;
+        }
+        self.order(vec![entry::Payload::Noop], effects);
+        leading.round += 1;
+        self.replicate_all(leading, effects);
+        self.advance_commit(leading, effects);
+    }
+
+    /// Makes the members of the progress table those of the roster.
+    pub(crate) fn fit_progress(&self, leading: &mut Leading) {
+        let roster = self.store.roster();
+        leading
+            .progress
+            .retain(|member, _progress| roster.contains(member));
+        let next = self.store.last().index + 1;
+        for member in roster.others(&self.me) {
+            let fresh = Progress {
+                next,
+                ..Progress::default()
+            };
+            leading.progress.entry(member.clone()).or_insert(fresh);
+        }
+    }
+
+    /// Appends entries of this term to the own log; returns the last position.
+    pub(crate) fn order(
+        &mut self,
+        payloads: Vec<entry::Payload>,
+        effects: &mut effect::Effects,
+    ) -> entry::Position {
+        let term = self.hard.term;
+        let first = self.store.last().index + 1;
+        let entries: Vec<entry::Entry> = (first..)
+            .zip(payloads)
+            .map(|(index, payload)| entry::Entry {
+                payload,
+                position: entry::Position { term, index },
+            })
+            .collect();
+        self.store.append(&entries);
+        effects.push(effect::Effect::Store(entries));
+        self.acked = self.store.last().index;
+        self.store.last()
+    }
+
+    /// Orders commands and sends them on.
+    pub(crate) fn propose(
+        &mut self,
+        leading: &mut Leading,
+        proposals: &[effect::Proposal],
+        effects: &mut effect::Effects,
+    ) {
+        let term = self.hard.term;
+        let first = self.store.last().index + 1;
+        let payloads = proposals
+            .iter()
+            .map(|proposal| entry::Payload::Command(proposal.command.clone()));
+        self.order(payloads.collect(), effects);
+        for (index, proposal) in (first..).zip(proposals) {
+            effects.push(effect::Effect::Proposed {
+                token: proposal.token,
+                position: entry::Position { term, index },
+            });
+        }
+        self.replicate_all(leading, effects);
+        self.advance_commit(leading, effects);
+    }
+
+    /// Begins a heartbeat round.
+    pub(crate) fn beat(&mut self, leading: &mut Leading, effects: &mut effect::Effects) {
+        leading.round += 1;
+        self.confirm_round(leading, effects);
+        self.change_roster(leading, effects);
+        self.replicate_all(leading, effects);
+        self.advance_commit(leading, effects);
+    }
+
+    /// Sends every member what it lacks, or a heartbeat.
+    pub(crate) fn replicate_all(&self, leading: &mut Leading, effects: &mut effect::Effects) {
+        let round = leading.round;
+        for (member, progress) in &mut leading.progress {
+            self.replicate(round, member, progress, effects);
+        }
+    }
+
+    /// Sends one member what it lacks, or a heartbeat.
+    pub(crate) fn replicate(
+        &self,
+        round: u64,
+        member: &member::Member,
+        progress: &mut Progress,
+        effects: &mut effect::Effects,
+    ) {
+        if progress.install.is_some() || progress.next <= self.store.base().index {
+            self.send_chunk(round, member, progress, effects);
+            return;
+        }
+        let index = progress.next - 1;
+        let term = self.store.term(index).unwrap_or_default();
+        let settings = &self.settings;
+        let entries = self
+            .store
+            .slice(progress.next, settings.batch_entries, settings.chunk_bytes);
+        progress.next += u64::try_from(entries.len()).unwrap_or_default();
+        let append = message::Append {
+            commit: self.commit,
+            entries,
+            previous: entry::Position { term, index },
+            round,
+        };
+        self.send(member.clone(), message::Kind::Append(append), effects);
+    }
+
+    fn send_chunk(
+        &self,
+        round: u64,
+        member: &member::Member,
+        progress: &mut Progress,
+        effects: &mut effect::Effects,
+    ) {
+        let snapshot = self.store.snapshot();
+        let started = progress
+            .install
+            .filter(|transfer| transfer.position == snapshot.position);
+        let transfer = started.unwrap_or(Transfer {
+            offset: 0,
+            position: snapshot.position,
+        });
+        progress.install = Some(transfer);
+        let install = message::Install {
+            chunk: cut_chunk(&snapshot.data, transfer.offset, self.settings.chunk_bytes),
+            offset: transfer.offset,
+            position: snapshot.position,
+            roster: snapshot.roster.clone(),
+            round,
+            total: u64::try_from(snapshot.data.len()).unwrap_or(u64::MAX),
+        };
+        self.send(member.clone(), message::Kind::Install(install), effects);
+    }
+
+    /// Takes a member's answer to entries or a heartbeat.
+    pub(crate) fn take_appended(
+        &mut self,
+        leading: &mut Leading,
+        message: &message::Message,
+        appended: message::Appended,
+        effects: &mut effect::Effects,
+    ) {
+        let last = self.store.last().index;
+        let round = leading.round;
+        let Some(progress) = self.find_progress(leading, message, appended.round) else {
+            return;
+        };
+        if appended.accepted {
+            progress.matched = progress.matched.max(appended.index);
+            progress.next = progress.next.max(progress.matched + 1);
+            if progress.matched >= self.store.base().index {
+                progress.install = None;
+            }
+        } else {
+            progress.next = (appended.index + 1).max(progress.matched + 1);
+        }
+        if progress.next <= last && progress.install.is_none() {
+            self.replicate(round, &message.from, progress, effects);
+        }
+        self.confirm_round(leading, effects);
+        self.advance_commit(leading, effects);
+    }
+
+    /// Takes a member's answer to a part of the snapshot.
+    pub(crate) fn take_installed(
+        &mut self,
+        leading: &mut Leading,
+        message: &message::Message,
+        installed: message::Installed,
+        effects: &mut effect::Effects,
+    ) {
+        let round = leading.round;
+        let Some(progress) = self.find_progress(leading, message, installed.round) else {
+            return;
+        };
+        let current = progress
+            .install
+            .is_some_and(|transfer| transfer.position == installed.position);
+        if installed.complete {
+            progress.matched = progress.matched.max(installed.position.index);
+            progress.next = progress.next.max(progress.matched + 1);
+            if current {
+                progress.install = None;
+            }
+            self.replicate(round, &message.from, progress, effects);
+        } else if current {
+            progress.install = Some(Transfer {
+                offset: installed.offset,
+                position: installed.position,
+            });
+            self.replicate(round, &message.from, progress, effects);
+        }
+        self.confirm_round(leading, effects);
+        self.advance_commit(leading, effects);
+    }
+
+    /// Returns the sender's progress after noting that it answered in this term.
+    fn find_progress<'a>(
+        &self,
+        leading: &'a mut Leading,
+        message: &message::Message,
+        round: u64,
+    ) -> Option<&'a mut Progress> {
+        if message.term != self.hard.term {
+            return None;
+        }
+        let progress = leading.progress.get_mut(&message.from)?;
+        progress.active = true;
+        progress.round = progress.round.max(round);
+        Some(progress)
+    }
+
+    /// Tells when a quorum has answered a later round.
+    fn confirm_round(&self, leading: &mut Leading, effects: &mut effect::Effects) {
+        let own = leading.round;
+        let confirmed = self.find_quorum(leading, own, |progress| progress.round);
+        if confirmed > leading.confirmed {
+            leading.confirmed = confirmed;
+            effects.push(effect::Effect::Confirm(confirmed));
+        }
+    }
+
+    /// Commits what a quorum has stored, once that includes an entry of this term.
+    pub(crate) fn advance_commit(&mut self, leading: &mut Leading, effects: &mut effect::Effects) {
+        let own = self.store.last().index;
+        let commit = self.find_quorum(leading, own, |progress| progress.matched);
+        if commit <= self.commit || self.store.term(commit) != Some(self.hard.term) {
+            return;
+        }
+        self.raise_commit(commit, effects);
+        self.replicate_all(leading, effects);
+    }
+
+    /// Returns the largest value that a quorum of voters has reached.
+    fn find_quorum(&self, leading: &Leading, own: u64, read: fn(&Progress) -> u64) -> u64 {
+        let roster = self.store.roster();
+        let mut values: Vec<u64> = roster
+            .voters
+            .iter()
+            .map(|voter| match leading.progress.get(voter) {
+                Some(progress) => read(progress),
+                None if *voter == self.me => own,
+                None => 0,
+            })
+            .collect();
+        values.sort_unstable_by(|left, right| right.cmp(left));
+        values.get(roster.quorum() - 1).copied().unwrap_or_default()
+    }
+
+    /// Returns whether a quorum answered since the last review, and begins the next.
+    pub(crate) fn review(&self, leading: &mut Leading) -> bool {
+        let active = self.find_quorum(leading, 1, |progress| u64::from(progress.active));
+        for progress in leading.progress.values_mut() {
+            progress.active = false;
+        }
+        active > 0
+    }
+
+    /// Asks the most advanced voter to take over.
+    pub(crate) fn hand_over(&self, leading: &Leading, effects: &mut effect::Effects) {
+        let voters = &self.store.roster().voters;
+        let ready = leading
+            .progress
+            .iter()
+            .filter(|(member, progress)| voters.contains(*member) && progress.active);
+        let best = ready.max_by_key(|(_member, progress)| progress.matched);
+        if let Some((member, _progress)) = best {
+            self.send(member.clone(), message::Kind::TakeOver, effects);
+        }
+    }
+}
+
+fn cut_chunk(data: &Bytes, offset: u64, limit: usize) -> Bytes {
+    let start = usize::try_from(offset).map_or(data.len(), |offset| offset.min(data.len()));
+    let end = start.saturating_add(limit).min(data.len());
+    data.slice(start..end)
+}
--- /dev/null
+++ b/crates/core/src/log/replica.rs
@@ -0,0 +1,390 @@
+//! The role machine of a replica.
+
+use std::collections;
+use std::sync;
+
+use statig::Outcome;
+
+use crate::log;
+use crate::log::effect;
+use crate::log::lead;
+use crate::log::mark;
+use crate::log::member;
+use crate::log::message;
+use crate::log::store;
+
+/// What a replica keeps in every role.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct Replica {
+    /// Highest index acknowledged in this term.
+    pub(crate) acked: u64,
+    /// Last index known to be committed.
+    pub(crate) commit: u64,
+    /// What this process found on its disk.
+    pub(crate) found: mark::Mark,
+    /// Hosts that said they have never taken part.
+    pub(crate) fresh: collections::BTreeSet<member::Member>,
+    pub(crate) hard: effect::Hard,
+    /// Snapshot that is arriving.
+    pub(crate) incoming: Option<message::Install>,
+    pub(crate) me: member::Member,
+    pub(crate) run: u64,
+    pub(crate) settings: sync::Arc<log::Settings>,
+    pub(crate) store: store::Store,
+}
+
+type Step = Outcome<State>;
+
+impl Replica {
+    /// Returns the replica on what was found on the disk.
+    pub(crate) fn new(start: log::Start) -> Replica {
+        let log::Start {
+            mut hard,
+            me,
+            run,
+            settings,
+            store,
+        } = start;
+        let found = mark::Mark {
+            generation: hard.generation,
+            index: store.last().index,
+            term: hard.term,
+            voted: hard.vote.is_some(),
+        };
+        hard.generation += 1;
+        Replica {
+            acked: 0,
+            commit: store.snapshot().position.index,
+            found,
+            fresh: collections::BTreeSet::new(),
+            hard,
+            incoming: None,
+            me,
+            run,
+            settings,
+            store,
+        }
+    }
+
+    /// Decides whether a message is taken.
+    pub(crate) fn screen(
+        &mut self,
+        message: &message::Message,
+        effects: &mut effect::Effects,
+    ) -> effect::Screened {
+        if !message.to.means(&self.me) || message.from == self.me {
+            return effect::Screened::Drop;
+        }
+        if !self.admit_stamp(message, effects) {
+            return effect::Screened::Drop;
+        }
+        if message.term > self.hard.term && shows_term(&message.kind) {
+            return effect::Screened::Raise;
+        }
+        effect::Screened::Take
+    }
+
+    fn admit_stamp(&mut self, message: &message::Message, effects: &mut effect::Effects) -> bool {
+        let seen = self.hard.seen.get(&message.from);
+        match mark::check_stamp(seen, message.stamp) {
+            mark::Verdict::NewRun(seen) => {
+                self.hard.seen.insert(message.from.clone(), seen);
+                effects.dirty = true;
+                true
+            }
+            mark::Verdict::OldCopy => {
+                let refused = message::Kind::Refused(message.stamp.run);
+                self.send(message.from.clone(), refused, effects);
+                false
+            }
+            mark::Verdict::SameRun(seen) => {
+                self.hard.seen.insert(message.from.clone(), seen);
+                true
+            }
+        }
+    }
+
+    /// Returns whether this host has never taken part.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.hard.term == 0 && self.store.last().index == 0
+    }
+
+    /// Returns whether this member votes.
+    pub(crate) fn is_voter(&self) -> bool {
+        self.store.roster().voters.contains(&self.me)
+    }
+
+    /// Sends a message of the current term.
+    pub(crate) fn send(
+        &self,
+        to: member::Member,
+        kind: message::Kind,
+        effects: &mut effect::Effects,
+    ) {
+        self.send_in(self.hard.term, to, kind, effects);
+    }
+
+    /// Sends a message of a term.
+    pub(crate) fn send_in(
+        &self,
+        term: u64,
+        to: member::Member,
+        kind: message::Kind,
+        effects: &mut effect::Effects,
+    ) {
+        let now = mark::Mark {
+            generation: self.hard.generation,
+            index: self.acked,
+            term: self.hard.term,
+            voted: self.hard.vote.is_some(),
+        };
+        let stamp = mark::Stamp {
+            found: self.found,
+            now,
+            run: self.run,
+        };
+        effects.push(effect::Effect::Send(message::Message {
+            from: self.me.clone(),
+            kind,
+            stamp,
+            term,
+            to,
+        }));
+    }
+
+    /// Enters a later term without a vote.
+    fn raise(&mut self, term: u64, effects: &mut effect::Effects) -> Step {
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.acked = 0;
+            effects.dirty = true;
+        }
+        Outcome::Transition(State::follower(None))
+    }
+
+    fn campaign(&mut self, effects: &mut effect::Effects) -> Step {
+        effects.push(effect::Effect::Heard);
+        if !self.is_voter() {
+            self.announce(effects);
+            if self.bootstrap(effects) {
+                return self.poll(effects);
+            }
+            return Outcome::Transition(State::follower(None));
+        }
+        self.poll(effects)
+    }
+
+    fn poll(&mut self, effects: &mut effect::Effects) -> Step {
+        let grants = collections::BTreeSet::from([self.me.clone()]);
+        if grants.len() >= self.store.roster().quorum() {
+            return self.stand(effects);
+        }
+        self.ask_votes(true, effects);
+        Outcome::Transition(State::poller(grants))
+    }
+
+    fn stand(&mut self, effects: &mut effect::Effects) -> Step {
+        self.hard.term += 1;
+        self.hard.vote = Some(self.me.clone());
+        self.acked = 0;
+        effects.dirty = true;
+        effects.push(effect::Effect::Heard);
+        let grants = collections::BTreeSet::from([self.me.clone()]);
+        if grants.len() >= self.store.roster().quorum() {
+            return self.take_lead(effects);
+        }
+        self.ask_votes(false, effects);
+        Outcome::Transition(State::candidate(grants))
+    }
+
+    fn take_lead(&mut self, effects: &mut effect::Effects) -> Step {
+        let mut leading = lead::Leading::default();
+        self.begin_lead(&mut leading, effects);
+        Outcome::Transition(State::leader(leading))
+    }
+
+    fn follow(&mut self, message: &message::Message, effects: &mut effect::Effects) -> Step {
+        match &message.kind {
+            message::Kind::Append(append) => self.take_append(&message.from, append, effects),
+            message::Kind::Install(install) => self.take_install(&message.from, install, effects),
+            message::Kind::Appended(_)
+            | message::Kind::Ballot(_)
+            | message::Kind::Fresh
+            | message::Kind::Hello(_)
+            | message::Kind::Installed(_)
+            | message::Kind::Poll(_)
+            | message::Kind::Refused(_)
+            | message::Kind::TakeOver => return Outcome::Handled,
+        }
+        Outcome::Transition(State::follower(Some(message.from.clone())))
+    }
+}
+
+/// Returns whether a message's term is one that its sender has entered.
+fn shows_term(kind: &message::Kind) -> bool {
+    match kind {
+        message::Kind::Poll(poll) => !poll.pre,
+        message::Kind::Ballot(ballot) => !(ballot.pre && ballot.granted),
+        message::Kind::Fresh | message::Kind::Hello(_) | message::Kind::Refused(_) => false,
+        message::Kind::Append(_)
+        | message::Kind::Appended(_)
+        | message::Kind::Install(_)
+        | message::Kind::Installed(_)
+        | message::Kind::TakeOver => true,
+    }
+}
+
+#[statig::state_machine(
+    initial = "State::follower(None)",
+    state(derive(Clone, Debug, Eq, Hash, PartialEq)),
+    visibility = "pub(crate)"
+)]
+impl Replica {
+    /// Follows a leader, or waits for one.
+    #[state(superstate = "member")]
+    fn follower(
+        &mut self,
+        leader: &mut Option<member::Member>,
+        event: &effect::Event,
+        context: &mut effect::Effects,
+    ) -> Step {
+        match event {
+            effect::Event::Quiet => {
+                *leader = None;
+                Outcome::Handled
+            }
+            effect::Event::Message(message) if matches!(message.kind, message::Kind::Poll(_)) => {
+                self.answer_poll(leader.is_some(), message, context);
+                Outcome::Handled
+            }
+            effect::Event::Message(message) if message.kind == message::Kind::TakeOver => {
+                if message.term == self.hard.term && self.is_voter() {
+                    return self.stand(context);
+                }
+                Outcome::Handled
+            }
+            _ => Outcome::Super,
+        }
+    }
+
+    /// Asks whether a quorum would vote for it.
+    #[state(superstate = "member")]
+    fn poller(
+        &mut self,
+        grants: &mut collections::BTreeSet<member::Member>,
+        event: &effect::Event,
+        context: &mut effect::Effects,
+    ) -> Step {
+        match event {
+            effect::Event::Message(message) if self.is_grant(true, message) => {
+                grants.insert(message.from.clone());
+                if grants.len() >= self.store.roster().quorum() {
+                    return self.stand(context);
+                }
+                Outcome::Handled
+            }
+            _ => Outcome::Super,
+        }
+    }
+
+    /// Asks for the votes of its term.
+    #[state(superstate = "member")]
+    fn candidate(
+        &mut self,
+        grants: &mut collections::BTreeSet<member::Member>,
+        event: &effect::Event,
+        context: &mut effect::Effects,
+    ) -> Step {
+        match event {
+            effect::Event::Message(message) if self.is_grant(false, message) => {
+                grants.insert(message.from.clone());
+                if grants.len() >= self.store.roster().quorum() {
+                    return self.take_lead(context);
+                }
+                Outcome::Handled
+            }
+            _ => Outcome::Super,
+        }
+    }
+
+    /// Orders the commands of its term.
+    #[state(superstate = "member")]
+    fn leader(
+        &mut self,
+        leading: &mut lead::Leading,
+        event: &effect::Event,
+        context: &mut effect::Effects,
+    ) -> Step {
+        match event {
+            effect::Event::Beat => self.beat(leading, context),
+            effect::Event::Campaign | effect::Event::Quiet => {}
+            effect::Event::HandOver => self.hand_over(leading, context),
+            effect::Event::Message(message) => match &message.kind {
+                message::Kind::Appended(appended) => {
+                    self.take_appended(leading, message, *appended, context);
+                }
+                message::Kind::Hello(_) => self.greet(leading, &message.from, context),
+                message::Kind::Installed(installed) => {
+                    self.take_installed(leading, message, *installed, context);
+                }
+                message::Kind::Poll(_) => self.answer_poll(true, message, context),
+                _ => return Outcome::Super,
+            },
+            effect::Event::Propose(proposals) => self.propose(leading, proposals, context),
+            effect::Event::Review => {
+                if !self.review(leading) {
+                    return Outcome::Transition(State::follower(None));
+                }
+            }
+            _ => return Outcome::Super,
+        }
+        Outcome::Handled
+    }
+
+    /// What every role does alike.
+    #[superstate]
+    fn member(&mut self, event: &effect::Event, context: &mut effect::Effects) -> Step {
+        match event {
+            effect::Event::Campaign => return self.campaign(context),
+            effect::Event::Compact { data, index } => self.compact(*index, data, context),
+            effect::Event::Message(message) => match &message.kind {
+                message::Kind::Append(_) | message::Kind::Install(_) => {
+                    if message.term < self.hard.term {
+                        self.reject_leader(message, context);
+                        return Outcome::Handled;
+                    }
+                    return self.follow(message, context);
+                }
+                message::Kind::Fresh => {
+                    self.note_fresh(&message.from);
+                    if self.bootstrap(context) {
+                        return self.poll(context);
+                    }
+                }
+                message::Kind::Hello(fresh) => self.answer_hello(*fresh, &message.from, context),
+                message::Kind::Poll(_) => self.answer_poll(false, message, context),
+                message::Kind::Refused(run) if *run == self.run => {
+                    context.push(effect::Effect::Renounce);
+                }
+                message::Kind::Appended(_)
+                | message::Kind::Ballot(_)
+                | message::Kind::Installed(_)
+                | message::Kind::Refused(_)
+                | message::Kind::TakeOver => {}
+            },
+            effect::Event::Propose(proposals) => {
+                for proposal in proposals {
+                    context.push(effect::Effect::Rejected(proposal.token));
+                }
+            }
+            effect::Event::Raise(term) => return self.raise(*term, context),
+            effect::Event::Screen(message) => context.screened = self.screen(message, context),
+            effect::Event::Beat
+            | effect::Event::HandOver
+            | effect::Event::Quiet
+            | effect::Event::Review => {}
+        }
+        Outcome::Handled
+    }
+}
--- /dev/null
+++ b/crates/core/src/log/roster.rs
@@ -0,0 +1,90 @@
+//! Changes of the members, one at a time.
+
+use crate::log::effect;
+use crate::log::entry;
+use crate::log::lead;
+use crate::log::member;
+use crate::log::replica;
+
+impl replica::Replica {
+    /// Answers a host that started or wants to be let in.
+    pub(crate) fn greet(
+        &mut self,
+        leading: &mut lead::Leading,
+        from: &member::Member,
+        effects: &mut effect::Effects,
+    ) {
+        let round = leading.round;
+        if let Some(progress) = leading.progress.get_mut(from) {
+            self.replicate(round, from, progress, effects);
+            return;
+        }
+        if !self.may_change() || !self.may_join(from) {
+            return;
+        }
+        let mut roster = self.store.roster().clone();
+        // A host has one disk: of two that wait under one name the later counts.
+        roster.learners.retain(|learner| learner.name != from.name);
+        roster.learners.insert(from.clone());
+        self.change(leading, roster, effects);
+    }
+
+    /// Takes the next step of a change: removes a lost disk, or lets a learner vote.
+    pub(crate) fn change_roster(
+        &mut self,
+        leading: &mut lead::Leading,
+        effects: &mut effect::Effects,
+    ) {
+        if !self.may_change() {
+            return;
+        }
+        let Some(learner) = self.find_ready(leading) else {
+            return;
+        };
+        let mut roster = self.store.roster().clone();
+        match roster.find_voter(&learner.name).cloned() {
+            Some(lost) => {
+                roster.voters.remove(&lost);
+            }
+            None => {
+                roster.learners.remove(&learner);
+                roster.voters.insert(learner);
+            }
+        }
+        self.change(leading, roster, effects);
+    }
+
+    /// Returns whether the last change is committed and this leader has committed in its term.
+    fn may_change(&self) -> bool {
+        self.store.roster_index() <= self.commit
+            && self.store.term(self.commit) == Some(self.hard.term)
+    }
+
+    fn may_join(&self, from: &member::Member) -> bool {
+        from.name != self.me.name && self.settings.peers.contains(&from.name)
+    }
+
+    /// Returns a learner that has caught up.
+    fn find_ready(&self, leading: &lead::Leading) -> Option<member::Member> {
+        let mut learners = self.store.roster().learners.iter();
+        let ready = learners.find(|learner| {
+            let progress = leading.progress.get(*learner);
+            progress.is_some_and(|progress| {
+                progress.active && progress.matched + self.settings.learner_lag >= self.commit
+            })
+        });
+        ready.cloned()
+    }
+
+    fn change(
+        &mut self,
+        leading: &mut lead::Leading,
+        roster: member::Roster,
+        effects: &mut effect::Effects,
+    ) {
+        self.order(vec![entry::Payload::Roster(roster)], effects);
+        self.fit_progress(leading);
+        self.replicate_all(leading, effects);
+        self.advance_commit(leading, effects);
+    }
+}
--- /dev/null
+++ b/crates/core/src/log/store.rs
@@ -0,0 +1,175 @@
+//! Entries and snapshot in memory.
+
+use crate::log::entry;
+use crate::log::member;
+
+/// The part of the log that is kept, with the snapshot of what came before.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub struct Store {
+    /// Position before the first entry kept.
+    base: entry::Position,
+    entries: Vec<entry::Entry>,
+    roster: member::Roster,
+    roster_index: u64,
+    snapshot: entry::Snapshot,
+}
+
+impl Store {
+    /// Returns a store with what was found on the disk; entries follow the snapshot.
+    #[must_use]
+    pub fn new(snapshot: entry::Snapshot, entries: Vec<entry::Entry>) -> Store {
+        let mut store = Store {
+            base: snapshot.position,
+            entries,
+            roster: member::Roster::default(),
+            roster_index: 0,
+            snapshot,
+        };
+        store.find_roster();
+        store
+    }
+
+    /// Returns the last position.
+    #[must_use]
+    pub fn last(&self) -> entry::Position {
+        self.entries
+            .last()
+            .map_or(self.base, |entry| entry.position)
+    }
+
+    /// Returns the snapshot, with position 0 when there is none.
+    #[must_use]
+    pub fn snapshot(&self) -> &entry::Snapshot {
+        &self.snapshot
+    }
+
+    /// Returns the members as of the last entry.
+    #[must_use]
+    pub fn roster(&self) -> &member::Roster {
+        &self.roster
+    }
+
+    /// Returns the index that set the members.
+    pub(crate) fn roster_index(&self) -> u64 {
+        self.roster_index
+    }
+
+    /// Returns the position before the first entry kept.
+    pub(crate) fn base(&self) -> entry::Position {
+        self.base
+    }
+
+    /// Returns the entry, unless it is compacted or not there yet.
+    #[must_use]
+    pub fn entry(&self, index: u64) -> Option<&entry::Entry> {
+        let offset = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Returns the term at an index, unless it is compacted or not there yet.
+    #[must_use]
+    pub fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        if index == self.snapshot.position.index {
+            return Some(self.snapshot.position.term);
+        }
+        self.entry(index).map(|entry| entry.position.term)
+    }
+
+    /// Returns consecutive entries from `index` on: at least one, if there is one, then up to
+    /// `limit` entries and `limit_bytes` of commands.
+    pub(crate) fn slice(&self, index: u64, limit: usize, limit_bytes: usize) -> Vec<entry::Entry> {
+        let offset = index.saturating_sub(self.base.index + 1);
+        let offset = usize::try_from(offset).unwrap_or(usize::MAX);
+        let rest = self.entries.iter().skip(offset).take(limit);
+        let mut bytes = 0;
+        let mut entries = Vec::new();
+        for entry in rest {
+            bytes += entry.count_bytes();
+            if bytes > limit_bytes && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry.clone());
+        }
+        entries
+    }
+
+    /// Replaces everything from the first of `entries` on.
+    pub(crate) fn append(&mut self, entries: &[entry::Entry]) {
+        let Some(first) = entries.first() else {
+            return;
+        };
+        let keep = first.position.index.saturating_sub(self.base.index + 1);
+        self.entries
+            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        if self.roster_index >= first.position.index {
+            self.find_roster();
+        }
+        for entry in entries {
+            self.note_roster(entry);
+        }
+        self.entries.extend_from_slice(entries);
+    }
+
+    /// Takes the state after `index` as snapshot and drops entries but for the last `keep` in it.
+    pub(crate) fn compact(&mut self, snapshot: entry::Snapshot, keep: u64) {
+        let base = snapshot.position.index.saturating_sub(keep);
+        self.snapshot = snapshot;
+        if base <= self.base.index {
+            return;
+        }
+        let Some(term) = self.term(base) else {
+            return;
+        };
+        let dropped = base - self.base.index;
+        self.entries
+            .drain(..usize::try_from(dropped).unwrap_or(usize::MAX));
+        self.base = entry::Position { term, index: base };
+    }
+
+    /// Takes the leader's snapshot; returns whether the entries after it are void.
+    pub(crate) fn install(&mut self, snapshot: entry::Snapshot) -> bool {
+        let position = snapshot.position;
+        let reset = self.term(position.index) != Some(position.term);
+        let rest = if reset {
+            Vec::new()
+        } else {
+            self.slice(position.index + 1, usize::MAX, usize::MAX)
+        };
+        *self = Store::new(snapshot, rest);
+        reset
+    }
+
+    /// Returns the members as of an index.
+    pub(crate) fn roster_at(&self, index: u64) -> member::Roster {
+        let entries = self.entries.iter().rev();
+        let mut older = entries.filter(|entry| entry.position.index <= index);
+        older
+            .find_map(|entry| match &entry.payload {
+                entry::Payload::Roster(roster) => Some(roster.clone()),
+                entry::Payload::Command(_) | entry::Payload::Noop => None,
+            })
+            .unwrap_or_else(|| self.snapshot.roster.clone())
+    }
+
+    fn note_roster(&mut self, entry: &entry::Entry) {
+        if let entry::Payload::Roster(roster) = &entry.payload {
+            self.roster = roster.clone();
+            self.roster_index = entry.position.index;
+        }
+    }
+
+    fn find_roster(&mut self) {
+        self.roster = self.snapshot.roster.clone();
+        self.roster_index = self.snapshot.position.index;
+        let entries = std::mem::take(&mut self.entries);
+        for entry in &entries {
+            if entry.position.index > self.snapshot.position.index {
+                self.note_roster(entry);
+            }
+        }
+        self.entries = entries;
+    }
+}
