Stand-in engine and service; prefix hashes; follower state

Cause: agents and entries need something to run against. Ruled out: a static list of upstreams for the first path (it would be thrown away). Change: peargap-fake engine (continuous batching, block memory that fills in mid-decode and preempts, prefix cache with late events and gaps, lagging report, priorities, cancel, resume, cold start, orders with fences) and service (runs counted by key); core prefix and follow.

--- /dev/null
+++ b/crates/fake/src/length.rs
@@ -0,0 +1,31 @@
+//! Output lengths with a long tail, drawn from the seed and the prompt.
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use xxhash_rust::xxh3;
+
+/// Spread of the logarithm of the lengths.
+const SIGMA: f64 = 1.0;
+/// A prompt holding this followed by a number and `]]` fixes its output length, for tests.
+const MARK: &str = "[[length=";
+/// Longest output in tokens.
+const MAX_TOKENS: u64 = 60_000;
+
+/// Returns the number of tokens that the engine will produce for `prompt`.
+pub(crate) fn draw_length(seed: u64, median: f64, prompt: &str) -> u64 {
+    if let Some(length) = scan_mark(prompt) {
+        return length;
+    }
+    let seed = xxh3::xxh3_64_with_seed(prompt.as_bytes(), seed);
+    let mut random = rand::rngs::SmallRng::seed_from_u64(seed);
+    // The sum of twelve uniform numbers is close to a normal one.
+    let sum: f64 = (0..12).map(|_| random.random::<f64>()).sum();
+    let length = median * ((sum - 6.0) * SIGMA).exp();
+    (length as u64).clamp(1, MAX_TOKENS)
+}
+
+fn scan_mark(prompt: &str) -> Option<u64> {
+    let (_, rest) = prompt.split_once(MARK)?;
+    let (number, _) = rest.split_once("]]")?;
+    number.parse().ok()
+}
--- /dev/null
+++ b/crates/fake/src/report.rs
@@ -0,0 +1,91 @@
+//! The load report, which lags.
+
+use std::sync;
+
+use core::time;
+
+use serde::Serialize;
+
+use crate::engine;
+use crate::stream;
+
+/// Age that a report may have.
+const LAG: time::Duration = time::Duration::from_millis(500);
+
+/// The load as published.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct Load {
+    pub(crate) adapters: Vec<String>,
+    pub(crate) cold: bool,
+    pub(crate) fence: u64,
+    pub(crate) incarnation: String,
+    pub(crate) memory_tokens: u64,
+    pub(crate) models: Vec<String>,
+    pub(crate) name: String,
+    pub(crate) orders: u64,
+    pub(crate) preemptions: u64,
+    pub(crate) role: String,
+    pub(crate) running: usize,
+    pub(crate) sequence: u64,
+    pub(crate) stall_ms: u64,
+    pub(crate) tokens: u64,
+    pub(crate) used_tokens: u64,
+    pub(crate) version: String,
+    pub(crate) waiting: usize,
+}
+
+/// The last published report; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Publisher(sync::Arc<sync::Mutex<Published>>);
+
+#[derive(Debug)]
+struct Published {
+    at: tokio::time::Instant,
+    load: Load,
+}
+
+impl Publisher {
+    /// Returns a publisher whose first report is taken now.
+    pub(crate) fn new(engine: &engine::Engine) -> Publisher {
+        let published = Published {
+            at: tokio::time::Instant::now(),
+            load: take_load(engine, 1),
+        };
+        Publisher(sync::Arc::new(sync::Mutex::new(published)))
+    }
+
+    /// Returns the load as of up to [`LAG`] ago.
+    pub(crate) fn read(&self, engine: &engine::Engine) -> Load {
+        let mut published = self.0.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        if published.at.elapsed() >= LAG {
+            published.at = tokio::time::Instant::now();
+            published.load = take_load(engine, published.load.sequence + 1);
+        }
+        published.load.clone()
+    }
+}
+
+fn take_load(engine: &engine::Engine, sequence: u64) -> Load {
+    let state = engine.lock();
+    let running = engine::list_running(&state).len();
+    let stall = u64::try_from(state.totals.stall.as_millis()).unwrap_or(u64::MAX);
+    Load {
+        adapters: state.orders.adapters.clone(),
+        cold: tokio::time::Instant::now() < state.cold_until,
+        fence: state.orders.fence,
+        incarnation: engine.incarnation.to_string(),
+        memory_tokens: engine.options.memory_tokens / stream::BLOCK_TOKENS * stream::BLOCK_TOKENS,
+        models: state.orders.models.clone(),
+        name: engine.options.name.clone(),
+        orders: state.orders.carried_out,
+        preemptions: state.totals.preemptions,
+        role: state.orders.role.clone(),
+        running,
+        sequence,
+        stall_ms: stall,
+        tokens: state.totals.tokens,
+        used_tokens: engine::count_used(&state),
+        version: state.orders.version.clone(),
+        waiting: engine::count_active(&state) - running,
+    }
+}
