Configuration, members and the manifest's grammar

Cause: entries, agents and control need one typed configuration. Ruled out: epochs by counter (the log's index is one already); keeping past incarnations only of present members (one that left would come back).

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod digest;
 pub mod health;
 pub mod logs;
+pub mod manifest;
 pub mod metrics;
 pub mod settings;
 pub mod signals;
--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -1,5 +1,8 @@
 //! What operators declare: models, services, failure domains, teams and upstreams.
 
+/// Rate of the weight store when the manifest does not say.
+const LOADS_PER_MINUTE: u32 = 6;
+
 /// A whole manifest, checked.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Manifest {
@@ -15,6 +18,8 @@
     pub teams: Vec<Team>,
     /// What is known of single upstreams ahead of their announcement.
     pub upstreams: Vec<Upstream>,
+    /// What the weight store allows.
+    pub weights: Weights,
 }
 
 /// A failure domain.
@@ -73,3 +78,18 @@
     /// Name, as its agent announces it.
     pub name: String,
 }
+
+/// Rate of the weight store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Weights {
+    /// Models that may start to load in a minute, over the whole deployment.
+    pub loads_per_minute: u32,
+}
+
+impl Default for Weights {
+    fn default() -> Weights {
+        Weights {
+            loads_per_minute: LOADS_PER_MINUTE,
+        }
+    }
+}
--- a/crates/wire/src/gen/peargap.control.rs
+++ b/crates/wire/src/gen/peargap.control.rs
@@ -70,6 +70,9 @@
     /// The Report this answers; 0 when unasked.
     #[prost(uint64, tag = "5")]
     pub number: u64,
+    /// A newer incarnation holds the node's name: take no new work and leave.
+    #[prost(bool, tag = "6")]
+    pub replaced: bool,
 }
 /// Everything nodes need to know.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -175,7 +178,7 @@
     /// Digest of the request.
     #[prost(fixed64, tag = "2")]
     pub digest: u64,
-    /// Unique for this attempt; a resend carries the same one.
+    /// Unique for this attempt; a resend carries the same one. A new attempt follows `not_run`.
     #[prost(string, tag = "3")]
     pub attempt: ::prost::alloc::string::String,
     /// How long the attempt may run.
@@ -184,7 +187,7 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ClaimReply {
-    #[prost(oneof = "claim_reply::Kind", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "claim_reply::Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: ::core::option::Option<claim_reply::Kind>,
 }
 /// Nested message and enum types in `ClaimReply`.
@@ -209,6 +212,9 @@
         /// No quorum, or no room for more claims: come back after this many milliseconds.
         #[prost(uint32, tag = "6")]
         Unavailable(u32),
+        /// It ran; its answer was too large to keep.
+        #[prost(bool, tag = "7")]
+        Ran(bool),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,3 +25,8 @@
 #[path = "gen/peargap.peer.rs"]
 #[rustfmt::skip]
 pub mod peer;
+
+/// The replicated log's commands and snapshots.
+#[path = "gen/peargap.record.rs"]
+#[rustfmt::skip]
+pub mod record;
--- a/tools/wire-gen/src/main.rs
+++ b/tools/wire-gen/src/main.rs
@@ -2,7 +2,13 @@
 //!
 //! Run from the repository's root: `cargo run --manifest-path tools/wire-gen/Cargo.toml`.
 
-const FILES: [&str; 4] = ["agent.proto", "control.proto", "operator.proto", "peer.proto"];
+const FILES: [&str; 5] = [
+    "agent.proto",
+    "control.proto",
+    "operator.proto",
+    "peer.proto",
+    "record.proto",
+];
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let set = protox::compile(FILES, ["proto"])?;
