core: first traffic decisions (placement, admission, queue, ramp, retry)

Ruled out: a scan of all upstreams per choice (cost grows with the fleet); worst-case reservation. Change: modules admit, batch, breaker, curve, fair, forecast, place, queue, ramp, retry, table; thin dispatcher of peargap-load.

--- /dev/null
+++ b/crates/core/src/admit.rs
@@ -0,0 +1,464 @@
+//! Admission at one upstream: its streams, its queue, and whether a request may start now.
+
+use std::collections;
+
+use crate::batch;
+use crate::curve;
+use crate::fair;
+use crate::forecast;
+use crate::queue;
+use crate::ramp;
+use crate::time;
+
+slotmap::new_key_type! {
+    /// Names one running stream.
+    pub struct Stream;
+}
+
+/// Time between tokens before any was seen, in milliseconds.
+const FIRST_GAP_MS: f64 = 30.0;
+/// Longest expected wait at which a request is still queued, in milliseconds.
+const MAX_WAIT_MS: u64 = 60_000;
+
+/// What the agent knows of its upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Size of a memory block in tokens.
+    pub block_tokens: u32,
+    /// Streams or calls that the upstream may ever run at once.
+    pub max_running: u32,
+    /// Requests that may wait.
+    pub max_waiting: usize,
+    /// Token slots of engine memory; 0 for a plain service, which is bound by the ramp only.
+    pub memory_tokens: u64,
+    /// Chance that memory overflows, at most.
+    pub overflow_chance: f32,
+}
+
+/// A request for a generation or call.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// Prompt tokens that the engine is freshly known to hold in its prefix cache.
+    pub cached_tokens: u32,
+    /// Class whose curve its length follows.
+    pub class: curve::Class,
+    /// Time by which the caller wants the whole answer.
+    pub deadline: time::Instant,
+    /// Longest output in tokens; 0 for a plain call.
+    pub max_tokens: u32,
+    /// Smaller is served first.
+    pub priority: u8,
+    /// Prompt length in tokens; 0 for a plain call.
+    pub prompt_tokens: u32,
+    /// Account that pays for it.
+    pub team: fair::Team,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// Too many requests wait.
+    Busy,
+    /// The deadline cannot be met.
+    Deadline,
+    /// The upstream is still proving itself and its limit is reached.
+    Ramping,
+    /// It can never fit in the engine's memory.
+    TooLarge,
+}
+
+/// What to do with a new request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Start it now.
+    Admit,
+    /// Answer "not run" now.
+    Refuse {
+        /// Why.
+        reason: Reason,
+        /// When to come back; 0 for never.
+        retry_after_ms: u64,
+    },
+    /// Queue it.
+    Wait,
+}
+
+/// Whether a request may start now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Room {
+    /// The batch is as large as the time between tokens allows.
+    Batch,
+    /// It may.
+    Fits,
+    /// Memory might overflow, or a preempted stream waits for it.
+    Memory,
+    /// The upstream is still proving itself.
+    Ramping,
+}
+
+/// A queued request whose turn has come; it runs from now on.
+#[derive(Clone, Copy, Debug)]
+pub struct Started {
+    /// Its place in the queue until now.
+    pub ticket: queue::Ticket,
+    /// Its stream from now on.
+    pub stream: Stream,
+}
+
+/// A queued request that is refused.
+#[derive(Clone, Copy, Debug)]
+pub struct Shed {
+    /// When to come back.
+    pub retry_after_ms: u64,
+    /// Its place in the queue until now.
+    pub ticket: queue::Ticket,
+}
+
+/// How a stream ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// Its caller cancelled it.
+    Cancelled,
+    /// The upstream failed it.
+    Failed,
+    /// Its answer is whole.
+    Whole,
+}
+
+/// The load to report to entries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// Streams or calls that may run at once now.
+    pub limit: u32,
+    /// Streams or calls that run.
+    pub running: u32,
+    /// Memory in use in tokens.
+    pub used_tokens: u64,
+    /// Expected wait of a new request of the least urgent priority.
+    pub wait_ms: u64,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// One running stream.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    begun: time::Instant,
+    charged: f64,
+    last_token: time::Instant,
+    preempted: bool,
+    produced: u32,
+    request: Request,
+}
+
+/// Everything that admission at one upstream needs to know.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    batch: batch::Bound,
+    curves: curve::Curves,
+    deviations: f32,
+    options: Options,
+    preempted: u32,
+    queue: queue::Queue<Request>,
+    ramp: ramp::Ramp,
+    runs: slotmap::SlotMap<Stream, Run>,
+    teams: collections::HashMap<String, fair::Team>,
+    /// Streams that have no token yet.
+    unproven: u32,
+}
+
+impl Admission {
+    /// Returns the admission of an upstream that runs nothing and has proven nothing.
+    #[must_use]
+    pub fn new(now: time::Instant, options: Options) -> Admission {
+        Admission {
+            batch: batch::Bound::new(options.max_running),
+            curves: curve::Curves::new(),
+            deviations: forecast::deviations(options.overflow_chance),
+            options,
+            preempted: 0,
+            queue: queue::Queue::new(options.max_waiting),
+            ramp: ramp::Ramp::new(now, options.max_running),
+            runs: slotmap::SlotMap::with_key(),
+            teams: collections::HashMap::new(),
+            unproven: 0,
+        }
+    }
+
+    /// Returns the class of a model (or service) and team.
+    pub fn class(&mut self, model: &str, team: &str) -> curve::Class {
+        self.curves.class(model, team)
+    }
+
+    /// Returns a team's account, with its weight brought up to date.
+    pub fn team(&mut self, name: &str, weight: u32) -> fair::Team {
+        if let Some(team) = self.teams.get(name).copied() {
+            self.queue.shares().set_weight(team, weight);
+            return team;
+        }
+        let team = self.queue.shares().open(weight);
+        self.teams.insert(name.to_owned(), team);
+        team
+    }
+
+    /// Queues a request after [`Decision::Wait`].
+    pub fn push(&mut self, now: time::Instant, request: Request) -> queue::Pushed {
+        let start_by = time::Instant(request.deadline.0.saturating_sub(self.run_ms(&request)));
+        let item = queue::Item {
+            arrived: now,
+            start_by,
+            priority: request.priority,
+            team: request.team,
+            work: request,
+        };
+        self.queue.push(now, item)
+    }
+
+    /// Takes out a queued request whose caller has gone.
+    pub fn cancel(&mut self, ticket: queue::Ticket) {
+        self.queue.remove(ticket);
+    }
+
+    /// Starts a request after [`Decision::Admit`].
+    pub fn start(&mut self, now: time::Instant, request: Request) -> Stream {
+        let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
+        let charged = f64::from(uncached) + f64::from(self.mean(&request));
+        self.queue.shares().charge(request.team, charged);
+        self.unproven += 1;
+        let run = Run {
+            begun: now,
+            charged,
+            last_token: now,
+            preempted: false,
+            produced: 0,
+            request,
+        };
+        self.runs.insert(run)
+    }
+
+    /// Starts the queued request whose turn it is, if there is room; to be called until none.
+    ///
+    /// Call it, after [`Admission::shed`], whenever a stream has ended or got a token.
+    pub fn next(&mut self, now: time::Instant) -> Option<Started> {
+        let ticket = self.queue.peek()?;
+        let request = self.queue.get(ticket)?.work;
+        if self.room(&request) != Room::Fits {
+            return None;
+        }
+        self.queue.take(now, ticket)?;
+        let stream = self.start(now, request);
+        Some(Started { ticket, stream })
+    }
+
+    /// Takes out the queued requests that cannot make it; each is to be refused now.
+    pub fn shed(&mut self, now: time::Instant) -> Vec<Shed> {
+        let mut shed = Vec::new();
+        for ticket in self.queue.shed(now) {
+            shed.push(Shed {
+                retry_after_ms: self.load().wait_ms,
+                ticket,
+            });
+        }
+        shed
+    }
+
+    /// Notes `count` new tokens of a stream, or the answer of a plain call.
+    ///
+    /// Returns the sign of a cold upstream that a slow first token gives; the ramp has then fallen
+    /// back already.
+    pub fn token(&mut self, now: time::Instant, stream: Stream, count: u32) -> Option<ramp::Sign> {
+        let running = self.running();
+        let run = self.runs.get_mut(stream)?;
+        let before = run.produced;
+        let waited_ms = now.millis_since(run.last_token);
+        run.produced += count;
+        run.last_token = now;
+        self.curves.passed(run.request.class, before, run.produced);
+        if run.preempted {
+            run.preempted = false;
+            self.preempted -= 1;
+            return None;
+        }
+        if before > 0 {
+            self.batch
+                .observe(running, waited_ms / u64::from(count.max(1)));
+            return None;
+        }
+        self.unproven -= 1;
+        let sign = self.ramp.first_token(waited_ms)?;
+        self.ramp.fall_back(now, sign);
+        Some(sign)
+    }
+
+    /// Notes that the engine has taken a stream's memory away.
+    pub fn preempted(&mut self, stream: Stream) {
+        let Some(run) = self.runs.get_mut(stream) else {
+            return;
+        };
+        if !run.preempted {
+            run.preempted = true;
+            self.preempted += 1;
+        }
+    }
+
+    /// Notes that a stream has ended.
+    pub fn finished(&mut self, now: time::Instant, stream: Stream, end: End) {
+        let Some(run) = self.runs.remove(stream) else {
+            return;
+        };
+        self.unproven -= u32::from(run.produced == 0);
+        self.preempted -= u32::from(run.preempted);
+        let request = &run.request;
+        let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
+        let tokens = f64::from(uncached) + f64::from(run.produced);
+        self.queue
+            .shares()
+            .charge(request.team, tokens - run.charged);
+        match end {
+            End::Whole => self.prove(&run),
+            End::Failed => self.ramp.fall_back(now, ramp::Sign::Failure),
+            End::Cancelled => {}
+        }
+    }
+
+    /// Falls back to the start limit on a sign that the agent has seen.
+    pub fn sign(&mut self, now: time::Instant, sign: ramp::Sign) {
+        self.ramp.fall_back(now, sign);
+    }
+
+    /// Falls back if a first token is overdue; to be called a few times a second.
+    pub fn check_overdue(&mut self, now: time::Instant) -> Option<ramp::Sign> {
+        let waiting = self.runs.values().filter(|run| run.produced == 0);
+        let longest = waiting.map(|run| now.millis_since(run.begun)).max()?;
+        if !self.ramp.is_slow(longest) {
+            return None;
+        }
+        self.ramp.fall_back(now, ramp::Sign::SlowFirstToken);
+        Some(ramp::Sign::SlowFirstToken)
+    }
+
+    /// Returns the load to report.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let used = self
+            .runs
+            .values()
+            .map(|run| u64::from(self.used_tokens(run)));
+        Load {
+            limit: self.ramp.limit().min(self.batch.limit()),
+            running: self.running(),
+            used_tokens: used.sum(),
+            wait_ms: self.queue.wait_ms(u8::MAX, fair::Team::default()),
+            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns whether a request may start now.
+    #[must_use]
+    pub fn room(&self, request: &Request) -> Room {
+        if self.running() >= self.ramp.limit() || self.unproven >= self.ramp.unproven_limit() {
+            return Room::Ramping;
+        }
+        if self.running() >= self.batch.limit() {
+            return Room::Batch;
+        }
+        if self.options.memory_tokens > 0 && !self.has_memory(request) {
+            return Room::Memory;
+        }
+        Room::Fits
+    }
+
+    fn has_memory(&self, request: &Request) -> bool {
+        if self.runs.is_empty() {
+            return true;
+        }
+        if self.preempted > 0 {
+            return false;
+        }
+        let mut forecast = forecast::Forecast::default();
+        for run in self.runs.values() {
+            forecast.add(
+                &self.curves,
+                &self.forecast_load(&run.request, run.produced),
+            );
+        }
+        forecast.add(&self.curves, &self.forecast_load(request, 0));
+        forecast.peak(self.deviations) <= self.options.memory_tokens as f32
+    }
+
+    fn forecast_load(&self, request: &Request, produced: u32) -> forecast::Load {
+        let held = request.prompt_tokens.saturating_sub(request.cached_tokens) + produced;
+        let used_tokens = held.next_multiple_of(self.options.block_tokens.max(1));
+        forecast::Load {
+            class: request.class,
+            max_tokens: request.max_tokens,
+            produced,
+            used_tokens,
+        }
+    }
+
+    fn used_tokens(&self, run: &Run) -> u32 {
+        self.forecast_load(&run.request, run.produced).used_tokens
+    }
+
+    fn running(&self) -> u32 {
+        u32::try_from(self.runs.len()).unwrap_or(u32::MAX)
+    }
+
+    fn mean(&self, request: &Request) -> f32 {
+        self.curves.mean(request.class, request.max_tokens)
+    }
+
+    /// Returns the expected time to run a request in milliseconds.
+    fn run_ms(&self, request: &Request) -> u64 {
+        (f64::from(self.mean(request)) * self.batch.gap_ms(FIRST_GAP_MS)) as u64
+    }
+
+    /// Learns from a whole answer.
+    fn prove(&mut self, run: &Run) {
+        if run.produced < run.request.max_tokens {
+            self.curves.ended(run.request.class, run.produced);
+        }
+        self.ramp.completed(run.begun);
+    }
+}
+
+/// Decides what to do with a new request.
+#[must_use]
+pub fn decide(admission: &Admission, now: time::Instant, request: &Request) -> Decision {
+    let options = &admission.options;
+    let prompt = u64::from(request.prompt_tokens);
+    if options.memory_tokens > 0 && prompt + 1 > options.memory_tokens {
+        return Decision::Refuse {
+            reason: Reason::TooLarge,
+            retry_after_ms: 0,
+        };
+    }
+    let queue = &admission.queue;
+    let room = admission.room(request);
+    if queue.is_empty() && room == Room::Fits {
+        return Decision::Admit;
+    }
+    let wait_ms = queue.wait_ms(request.priority, request.team);
+    let retry_after_ms = queue.retry_after_ms(request.priority, request.team);
+    let run_ms = admission.run_ms(request);
+    if now.0 + wait_ms + run_ms > request.deadline.0 {
+        return Decision::Refuse {
+            reason: Reason::Deadline,
+            retry_after_ms,
+        };
+    }
+    if wait_ms > MAX_WAIT_MS {
+        let ramping = room == Room::Ramping && admission.ramp.is_ramping();
+        let reason = if ramping {
+            Reason::Ramping
+        } else {
+            Reason::Busy
+        };
+        return Decision::Refuse {
+            reason,
+            retry_after_ms,
+        };
+    }
+    Decision::Wait
+}
--- /dev/null
+++ b/crates/core/src/curve.rs
@@ -0,0 +1,282 @@
+//! Survival curves of output lengths, learned online.
+//!
+//! A curve is a table of hazards over logarithmic buckets of length. Streams that pass a bucket
+//! count as evidence at once, so that longer answers are learned before they end. A class with
+//! little evidence falls back on its model, the model on all models, and these on a prior.
+
+use std::collections;
+
+slotmap::new_key_type! {
+    /// Names one learned curve.
+    pub struct Class;
+}
+
+/// Buckets of length: four for each doubling.
+const BUCKETS: usize = 56;
+/// Tokens added to a length before its logarithm is taken.
+const OFFSET_TOKENS: f32 = 16.0;
+/// Mantissa bits of `f32` below the two that choose the bucket.
+const FRACTION_BITS: u32 = 21;
+/// Bucket number of `OFFSET_TOKENS` before the numbers are shifted to start at 0.
+const FIRST_BUCKET: u32 = OFFSET_TOKENS.to_bits() >> FRACTION_BITS;
+/// Observations after which evidence has decayed to 1/e.
+const MEMORY_OBSERVATIONS: f32 = 150.0;
+/// Observations that the parent's curve is worth.
+const PARENT_OBSERVATIONS: f32 = 6.0;
+/// Median length of the prior in tokens.
+const PRIOR_MEDIAN_TOKENS: f32 = 256.0;
+/// Classes kept; further teams share their model's curve.
+const MAX_CLASSES: usize = 4096;
+
+/// Decayed counts of one bucket.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    /// Streams that reached the bucket.
+    at_risk: f32,
+    /// Streams that ended in it.
+    ended: f32,
+}
+
+/// One learned curve.
+#[derive(Clone, Debug)]
+struct Curve {
+    buckets: [Bucket; BUCKETS],
+    parent: Option<Class>,
+    /// Chance to reach the left edge of each bucket.
+    survival: [f32; BUCKETS + 1],
+}
+
+/// A length's place in the table.
+#[derive(Clone, Copy)]
+struct Position {
+    bucket: usize,
+    fraction: f32,
+}
+
+/// The curves of all classes.
+#[derive(Clone, Debug)]
+pub struct Curves {
+    curves: slotmap::SlotMap<Class, Curve>,
+    models: collections::HashMap<String, Model>,
+    root: Class,
+}
+
+/// A model's own curve and those of its teams.
+#[derive(Clone, Debug)]
+struct Model {
+    class: Class,
+    teams: collections::HashMap<String, Class>,
+}
+
+impl Default for Curves {
+    fn default() -> Curves {
+        Curves::new()
+    }
+}
+
+impl Curves {
+    /// Returns curves that know nothing but the prior.
+    #[must_use]
+    pub fn new() -> Curves {
+        let mut curves = slotmap::SlotMap::with_key();
+        let root = curves.insert(Curve::new(None));
+        let mut curves = Curves {
+            curves,
+            models: collections::HashMap::new(),
+            root,
+        };
+        curves.refresh(root);
+        curves
+    }
+
+    /// Returns the class of a model (or service) and team, with its curve brought up to date.
+    pub fn class(&mut self, model: &str, team: &str) -> Class {
+        let parent = self.model_class(model);
+        self.refresh(self.root);
+        self.refresh(parent);
+        let class = self.team_class(model, team, parent);
+        self.refresh(class);
+        class
+    }
+
+    /// Notes that a stream has grown from `before` to `after` tokens and goes on.
+    pub fn passed(&mut self, class: Class, before: u32, after: u32) {
+        let first = locate(before).bucket;
+        let last = locate(after).bucket;
+        for bucket in first..last {
+            self.observe(class, bucket, false);
+        }
+    }
+
+    /// Notes that a stream has ended by itself after `tokens`.
+    pub fn ended(&mut self, class: Class, tokens: u32) {
+        self.observe(class, locate(tokens).bucket, true);
+    }
+
+    /// Returns the chance that an output is longer than `tokens`.
+    #[must_use]
+    pub fn survival(&self, class: Class, tokens: u32) -> f32 {
+        let curve = self.curves.get(class).unwrap_or(&self.curves[self.root]);
+        curve.at(tokens)
+    }
+
+    /// Returns the chance that an output which has `produced` tokens gets `more` beyond them.
+    #[must_use]
+    pub fn conditional(&self, class: Class, produced: u32, more: u32) -> f32 {
+        let curve = self.curves.get(class).unwrap_or(&self.curves[self.root]);
+        curve.conditional(produced, more)
+    }
+
+    /// Returns the expected length in tokens, cut at `limit`.
+    #[must_use]
+    pub fn mean(&self, class: Class, limit: u32) -> f32 {
+        let mut sum = 0.0;
+        let mut left = 0;
+        for bucket in 0..BUCKETS {
+            let right = edge(bucket + 1).min(limit);
+            if right <= left {
+                break;
+            }
+            let chance = self.survival(class, left) + self.survival(class, right);
+            sum += chance * 0.5 * (right - left) as f32;
+            left = right;
+        }
+        sum
+    }
+
+    fn model_class(&mut self, model: &str) -> Class {
+        if let Some(known) = self.models.get(model) {
+            return known.class;
+        }
+        if self.curves.len() >= MAX_CLASSES {
+            return self.root;
+        }
+        let class = self.curves.insert(Curve::new(Some(self.root)));
+        let teams = collections::HashMap::new();
+        self.models.insert(model.to_owned(), Model { class, teams });
+        class
+    }
+
+    fn team_class(&mut self, model: &str, team: &str, parent: Class) -> Class {
+        let full = self.curves.len() >= MAX_CLASSES;
+        let Some(known) = self.models.get_mut(model) else {
+            return parent;
+        };
+        if let Some(class) = known.teams.get(team) {
+            return *class;
+        }
+        if full {
+            return parent;
+        }
+        let class = self.curves.insert(Curve::new(Some(parent)));
+        known.teams.insert(team.to_owned(), class);
+        class
+    }
+
+    /// Counts one stream in a bucket, for the class and all it falls back on.
+    fn observe(&mut self, class: Class, bucket: usize, ended: bool) {
+        let mut next = Some(class);
+        while let Some(curve) = next.and_then(|key| self.curves.get_mut(key)) {
+            curve.buckets[bucket].observe(ended);
+            next = curve.parent;
+        }
+    }
+
+    /// Works out a class's table from its evidence and its parent's table.
+    fn refresh(&mut self, class: Class) {
+        let Some(curve) = self.curves.get(class) else {
+            return;
+        };
+        let parent = curve.parent.and_then(|key| self.curves.get(key));
+        let table = curve.blend(parent);
+        self.curves[class].survival = table;
+    }
+}
+
+impl Bucket {
+    fn observe(&mut self, ended: bool) {
+        const KEEP: f32 = 1.0 - 1.0 / MEMORY_OBSERVATIONS;
+        self.at_risk = self.at_risk * KEEP + 1.0;
+        self.ended = self.ended * KEEP + if ended { 1.0 } else { 0.0 };
+    }
+}
+
+impl Curve {
+    fn new(parent: Option<Class>) -> Curve {
+        let buckets = [Bucket::default(); BUCKETS];
+        Curve {
+            buckets,
+            parent,
+            survival: [1.0; BUCKETS + 1],
+        }
+    }
+
+    fn at(&self, tokens: u32) -> f32 {
+        let position = locate(tokens);
+        let left = self.survival[position.bucket];
+        let right = self.survival[position.bucket + 1];
+        left + (right - left) * position.fraction
+    }
+
+    fn conditional(&self, produced: u32, more: u32) -> f32 {
+        let reached = self.at(produced);
+        if reached <= f32::MIN_POSITIVE {
+            return 1.0;
+        }
+        (self.at(produced.saturating_add(more)) / reached).min(1.0)
+    }
+
+    fn blend(&self, parent: Option<&Curve>) -> [f32; BUCKETS + 1] {
+        let mut table = [1.0; BUCKETS + 1];
+        for (bucket, counts) in self.buckets.iter().enumerate() {
+            let fallback = match parent {
+                Some(parent) => parent.hazard(bucket),
+                None => prior_hazard(bucket),
+            };
+            let ended = counts.ended + PARENT_OBSERVATIONS * fallback;
+            let hazard = ended / (counts.at_risk + PARENT_OBSERVATIONS);
+            table[bucket + 1] = table[bucket] * (1.0 - hazard);
+        }
+        table
+    }
+
+    /// Returns the chance to end in a bucket once it is reached.
+    fn hazard(&self, bucket: usize) -> f32 {
+        let reached = self.survival[bucket];
+        if reached <= f32::MIN_POSITIVE {
+            return prior_hazard(bucket);
+        }
+        1.0 - self.survival[bucket + 1] / reached
+    }
+}
+
+/// Returns the chance to end in a bucket when nothing was seen: a long-tailed (Lomax) curve.
+fn prior_hazard(bucket: usize) -> f32 {
+    let left = PRIOR_MEDIAN_TOKENS + edge(bucket) as f32;
+    let right = PRIOR_MEDIAN_TOKENS + edge(bucket + 1) as f32;
+    1.0 - left / right
+}
+
+/// Returns the bucket of a length and the fraction of the bucket that lies below it.
+fn locate(tokens: u32) -> Position {
+    const MASK: u32 = (1 << FRACTION_BITS) - 1;
+    const SCALE: f32 = 1.0 / (1 << FRACTION_BITS) as f32;
+    let bits = (tokens as f32 + OFFSET_TOKENS).to_bits();
+    let bucket = ((bits >> FRACTION_BITS) - FIRST_BUCKET) as usize;
+    if bucket >= BUCKETS {
+        return Position {
+            bucket: BUCKETS - 1,
+            fraction: 1.0,
+        };
+    }
+    Position {
+        bucket,
+        fraction: (bits & MASK) as f32 * SCALE,
+    }
+}
+
+/// Returns the length in tokens at which a bucket begins.
+fn edge(bucket: usize) -> u32 {
+    let bits = (bucket as u32 + FIRST_BUCKET) << FRACTION_BITS;
+    (f32::from_bits(bits) - OFFSET_TOKENS) as u32
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,5 +3,16 @@
 //! Time is passed in as [`time::Instant`], randomness as a generator. Adapters around this crate
 //! perform the effects that its functions return.
 
+pub mod admit;
+pub mod batch;
+pub mod breaker;
+pub mod curve;
+pub mod fair;
+pub mod forecast;
 pub mod manifest;
+pub mod place;
+pub mod queue;
+pub mod ramp;
+pub mod retry;
+pub mod table;
 pub mod time;
--- /dev/null
+++ b/crates/load/src/experiment/mod.rs
@@ -0,0 +1,3 @@
+//! The real decision code in front of small engine stand-ins under a virtual clock.
+
+pub mod command;
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,3 @@
+//! Load and experiment tool of peargap, for development.
+
+pub mod experiment;
