Failure tests on the real programs, to run once the parts are in

Cause: the guarantees need a proof with real processes. Ruled out: one test program per failure (the scaffolding would be built many times).

--- /dev/null
+++ b/crates/proof/tests/failures/configuration.rs
@@ -0,0 +1,65 @@
+//! Racing operators, resends and versions that never go back.
+
+use crate::fleet;
+use crate::settings;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_of_two_racing_manifests_wins_and_the_other_is_told() {
+    let fleet = fleet::Fleet::start(fleet::Plan::default()).await;
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let mut paths = Vec::new();
+    for note in 1..=2 {
+        let path = folder.path().join(format!("race-{note}.ini"));
+        std::fs::write(&path, settings::format_manifest(note)).expect("manifest written");
+        paths.push(path.display().to_string());
+    }
+    let first = [
+        "manifest",
+        "apply",
+        &paths[0],
+        "--base",
+        "1",
+        "--operator",
+        "ama",
+    ];
+    let second = [
+        "manifest",
+        "apply",
+        &paths[1],
+        "--base",
+        "1",
+        "--operator",
+        "kofi",
+    ];
+    let outcomes = tokio::join!(fleet.operate(&first), fleet.operate(&second));
+    let codes = [outcomes.0.status.code(), outcomes.1.status.code()];
+    assert!(
+        codes == [Some(0), Some(3)] || codes == [Some(3), Some(0)],
+        "{}\n{}",
+        fleet::show(&outcomes.0),
+        fleet::show(&outcomes.1)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resend_of_a_change_gets_the_first_answer_after_a_failover() {
+    let mut fleet = fleet::Fleet::start(fleet::Plan::default()).await;
+    let words = ["domain", "out", "zone-0", "--id", "move-1"];
+    let first = fleet.operate(&words).await;
+    assert!(first.status.success(), "{}", fleet::show(&first));
+    let back = fleet
+        .operate(&["domain", "back", "zone-0", "--id", "move-2"])
+        .await;
+    assert!(back.status.success(), "{}", fleet::show(&back));
+    fleet.kill("control-0");
+    let again = fleet.operate(&words).await;
+    assert!(again.status.success(), "{}", fleet::show(&again));
+    let shown = fleet.operate(&["--json", "manifest", "show"]).await;
+    let text = String::from_utf8_lossy(&shown.stdout).into_owned();
+    let shown: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    let out = shown["domains_out"].as_array().expect("a list");
+    assert!(
+        out.is_empty(),
+        "the resend took the domain out again: {text}"
+    );
+}
--- /dev/null
+++ b/crates/proof/tests/failures/fleet.rs
@@ -0,0 +1,359 @@
+//! Starts, stops, kills and freezes the processes of one test.
+
+use core::time;
+use std::collections;
+use std::env;
+use std::fs;
+use std::path;
+use std::process;
+
+use bytes::Bytes;
+use peargap_load::client;
+use peargap_load::ports;
+use peargap_load::ready;
+use rustix::process as unix;
+
+use crate::relay;
+use crate::settings;
+
+/// How long a step may take before the test fails.
+pub(crate) const LIMIT: time::Duration = time::Duration::from_secs(20);
+/// Pause between two looks at a condition.
+const PERIOD: time::Duration = time::Duration::from_millis(20);
+
+/// What to start besides the control hosts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Plan {
+    pub(crate) controls: usize,
+    pub(crate) engine_arguments: &'static [&'static str],
+    pub(crate) engines: usize,
+    pub(crate) entries: usize,
+    /// Puts a relay between each agent and its engine.
+    pub(crate) relays: bool,
+    pub(crate) services: usize,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            controls: 3,
+            engine_arguments: &[],
+            engines: 2,
+            entries: 2,
+            relays: false,
+            services: 1,
+        }
+    }
+}
+
+struct Process {
+    arguments: Vec<String>,
+    child: process::Child,
+    program: &'static str,
+}
+
+/// The processes of one test; all are killed when it is dropped.
+pub(crate) struct Fleet {
+    pub(crate) engines: Vec<u16>,
+    pub(crate) entries: Vec<String>,
+    pub(crate) relays: Vec<relay::Relay>,
+    pub(crate) services: Vec<u16>,
+    controls: Vec<settings::Control>,
+    folder: tempfile::TempDir,
+    healths: collections::BTreeMap<String, u16>,
+    processes: collections::BTreeMap<String, Process>,
+}
+
+impl Fleet {
+    /// Starts a deployment, applies the manifest and waits until every process is ready.
+    pub(crate) async fn start(plan: Plan) -> Fleet {
+        let mut fleet = Fleet {
+            controls: Vec::new(),
+            engines: Vec::new(),
+            entries: Vec::new(),
+            folder: tempfile::tempdir().expect("a temporary folder"),
+            healths: collections::BTreeMap::new(),
+            processes: collections::BTreeMap::new(),
+            relays: Vec::new(),
+            services: Vec::new(),
+        };
+        fleet.start_controls(plan.controls);
+        for index in 0..plan.engines {
+            fleet.start_engine(index, &plan).await;
+        }
+        for index in 0..plan.services {
+            fleet.start_service(index);
+        }
+        for index in 0..plan.entries {
+            fleet.start_entry(index);
+        }
+        fleet.apply(0, 0).await;
+        let names: Vec<String> = fleet.healths.keys().cloned().collect();
+        for name in names {
+            fleet.wait_ready(&name).await;
+        }
+        fleet
+    }
+
+    fn start_controls(&mut self, count: usize) {
+        let found = ports::find_ports(count * 3).expect("free ports");
+        self.controls = found
+            .chunks_exact(3)
+            .map(|ports| settings::Control {
+                health: ports[0],
+                internal: ports[1],
+                operators: ports[2],
+            })
+            .collect();
+        let folder = self.folder.path().display().to_string();
+        for index in 0..count {
+            let text = settings::format_control(&self.controls, index, &folder);
+            let name = format!("control-{index}");
+            self.healths
+                .insert(name.clone(), self.controls[index].health);
+            self.start_configured(&name, "peargap-control", &text);
+        }
+    }
+
+    async fn start_engine(&mut self, index: usize, plan: &Plan) {
+        let name = format!("engine-{index}");
+        let address = self.find_port();
+        self.engines.push(address);
+        let mut arguments: Vec<String> = ["engine", "--models", "transcript", "--checks-fences"]
+            .iter()
+            .chain(plan.engine_arguments)
+            .map(|word| (*word).to_owned())
+            .collect();
+        arguments.push(format!("--listen=127.0.0.1:{address}"));
+        self.spawn(&name, "peargap-fake", arguments);
+        let mut reached = address;
+        if plan.relays {
+            let relay = relay::Relay::start(address).await;
+            reached = relay.port;
+            self.relays.push(relay);
+        }
+        self.start_agent(&name, "engine", "transcript", index, reached);
+    }
+
+    fn start_service(&mut self, index: usize) {
+        let name = format!("desk-{index}");
+        let address = self.find_port();
+        self.services.push(address);
+        let arguments = vec![
+            "service".to_owned(),
+            format!("--listen=127.0.0.1:{address}"),
+        ];
+        self.spawn(&name, "peargap-fake", arguments);
+        self.start_agent(&name, "service", "loans,lookups", index, address);
+    }
+
+    fn start_agent(&mut self, name: &str, kind: &str, offers: &str, index: usize, address: u16) {
+        let health = self.find_port();
+        let internal = self.find_port();
+        let text = settings::format_agent(&settings::Agent {
+            address,
+            controls: &self.list_controls(),
+            domain: &format!("zone-{}", index % 2),
+            health,
+            internal,
+            kind,
+            name,
+            offers,
+        });
+        let agent = format!("agent-{name}");
+        self.healths.insert(agent.clone(), health);
+        self.start_configured(&agent, "peargap-agent", &text);
+    }
+
+    fn start_entry(&mut self, index: usize) {
+        let callers = self.find_port();
+        let health = self.find_port();
+        let text = settings::format_entry(index, callers, health, &self.list_controls());
+        let name = format!("entry-{index}");
+        self.healths.insert(name.clone(), health);
+        self.entries.push(format!("http://127.0.0.1:{callers}"));
+        self.start_configured(&name, "peargap-entry", &text);
+    }
+
+    fn find_port(&self) -> u16 {
+        ports::find_ports(1).expect("a free port")[0]
+    }
+
+    fn list_controls(&self) -> String {
+        let list: Vec<String> = self
+            .controls
+            .iter()
+            .map(|control| format!("127.0.0.1:{}", control.internal))
+            .collect();
+        list.join(",")
+    }
+
+    fn start_configured(&mut self, name: &str, program: &'static str, text: &str) {
+        let path = self.folder.path().join(format!("{name}.ini"));
+        fs::write(&path, text).expect("settings written");
+        let arguments = vec!["--config".to_owned(), path.display().to_string()];
+        self.spawn(name, program, arguments);
+    }
+
+    fn spawn(&mut self, name: &str, program: &'static str, arguments: Vec<String>) {
+        let log = fs::OpenOptions::new()
+            .append(true)
+            .create(true)
+            .open(self.folder.path().join(format!("{name}.log")))
+            .expect("a log file");
+        let child = process::Command::new(find_program(program))
+            .args(&arguments)
+            .stdout(process::Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the program starts");
+        self.processes.insert(
+            name.to_owned(),
+            Process {
+                arguments,
+                child,
+                program,
+            },
+        );
+    }
+
+    /// Sends a signal to a process.
+    pub(crate) fn signal(&self, name: &str, signal: unix::Signal) {
+        let id = self.processes[name].child.id();
+        let pid = unix::Pid::from_raw(id.cast_signed()).expect("a process id");
+        unix::kill_process(pid, signal).expect("the signal is sent");
+    }
+
+    /// Kills a process and waits for its end.
+    pub(crate) fn kill(&mut self, name: &str) {
+        let process = self.processes.get_mut(name).expect("a known process");
+        process.child.kill().expect("the process is killed");
+        process.child.wait().expect("the process ends");
+    }
+
+    /// Starts a process again with the arguments it had.
+    pub(crate) fn restart(&mut self, name: &str) {
+        let process = self.processes.remove(name).expect("a known process");
+        self.spawn(name, process.program, process.arguments);
+    }
+
+    /// Waits until a process that was told to stop has ended; returns whether it exited 0.
+    pub(crate) async fn wait_end(&mut self, name: &str) -> bool {
+        let deadline = tokio::time::Instant::now() + LIMIT;
+        loop {
+            let process = self.processes.get_mut(name).expect("a known process");
+            if let Some(status) = process.child.try_wait().expect("the process is ours") {
+                return status.success();
+            }
+            assert!(
+                tokio::time::Instant::now() < deadline,
+                "{name} did not end\n{}",
+                self.read_log(name)
+            );
+            tokio::time::sleep(PERIOD).await;
+        }
+    }
+
+    /// Waits until a process's `/readyz` answers 200.
+    pub(crate) async fn wait_ready(&self, name: &str) {
+        let url = format!("http://127.0.0.1:{}/readyz", self.healths[name]);
+        let answered = ready::wait_ready(&[url], LIMIT).await;
+        assert!(
+            answered.is_ok(),
+            "{name} is not ready\n{}",
+            self.read_log(name)
+        );
+    }
+
+    /// Applies the manifest with `note` over revision `base` and waits until it is in force.
+    pub(crate) async fn apply(&self, note: u32, base: u64) {
+        let path = self.folder.path().join(format!("manifest-{note}.ini"));
+        fs::write(&path, settings::format_manifest(note)).expect("manifest written");
+        let path = path.display().to_string();
+        let base = base.to_string();
+        let words = ["manifest", "apply", &path, "--base", &base, "--wait", "15"];
+        let outcome = self.operate(&words).await;
+        assert!(outcome.status.success(), "apply: {}", show(&outcome));
+    }
+
+    /// Runs the operators' command line against all control hosts.
+    pub(crate) async fn operate(&self, words: &[&str]) -> process::Output {
+        let key = self.folder.path().join("operator.key");
+        fs::write(&key, settings::OPERATOR_KEY).expect("key written");
+        let list: Vec<String> = self
+            .controls
+            .iter()
+            .map(|control| format!("127.0.0.1:{}", control.operators))
+            .collect();
+        let mut command = process::Command::new(find_program("peargap"));
+        command
+            .args(["--control", &list.join(",")])
+            .arg("--key-file")
+            .arg(key)
+            .args(words);
+        let run = tokio::task::spawn_blocking(move || command.output());
+        run.await.expect("not cancelled").expect("the command runs")
+    }
+
+    /// Returns the JSON that a stand-in answers at `path`.
+    pub(crate) async fn ask(&self, port: u16, path: &str) -> serde_json::Value {
+        let request = http::Request::get(format!("http://127.0.0.1:{port}{path}"));
+        let answer = client::Client::new("").call(request, Bytes::new()).await;
+        let answer = answer.expect("the stand-in answers");
+        serde_json::from_slice(&answer.body).expect("JSON")
+    }
+
+    /// Returns the end of a process's log.
+    pub(crate) fn read_log(&self, name: &str) -> String {
+        let path = self.folder.path().join(format!("{name}.log"));
+        let text = fs::read_to_string(path).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(30)..].join("\n")
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for process in self.processes.values_mut() {
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+        if std::thread::panicking() {
+            for name in self.processes.keys() {
+                eprintln!("== {name}\n{}", self.read_log(name));
+            }
+        }
+    }
+}
+
+/// Waits until `check` returns true; fails the test with `what` after [`LIMIT`].
+pub(crate) async fn wait_until(what: &str, mut check: impl AsyncFnMut() -> bool) {
+    let deadline = tokio::time::Instant::now() + LIMIT;
+    while !check().await {
+        assert!(
+            tokio::time::Instant::now() < deadline,
+            "not in time: {what}"
+        );
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+/// Returns what a command printed.
+pub(crate) fn show(output: &process::Output) -> String {
+    format!(
+        "{}\n{}{}",
+        output.status,
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    )
+}
+
+/// Returns the path of a program that `cargo test --workspace` has built.
+fn find_program(name: &str) -> path::PathBuf {
+    let test = env::current_exe().expect("the test's own path");
+    let folder = test
+        .parent()
+        .and_then(path::Path::parent)
+        .expect("a target folder");
+    folder.join(name)
+}
--- /dev/null
+++ b/crates/proof/tests/failures/kills.rs
@@ -0,0 +1,155 @@
+//! Processes that die, freeze or fall silent in the middle of work.
+
+use core::time;
+
+use rustix::process as unix;
+
+use crate::caller;
+use crate::fleet;
+
+const TOKENS: u32 = 400;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_goes_on_through_another_entry_after_its_entry_died() {
+    let mut fleet = fleet::Fleet::start(fleet::Plan::default()).await;
+    let prompt = caller::build_prompt("entry dies", TOKENS);
+    let opened = caller::open(&fleet.entries[0], &prompt).await;
+    let mut reading = opened.unwrap_or_else(|answer| panic!("{answer:?}"));
+    assert_eq!(reading.read_tokens(40).await, None);
+    fleet.kill("entry-0");
+    let _cut = reading.finish().await;
+    let reopened = caller::reopen(&fleet.entries[1], &prompt, reading).await;
+    let mut reading = reopened.unwrap_or_else(|answer| panic!("{answer:?}"));
+    assert_eq!(reading.finish().await, caller::End::Whole);
+    assert_eq!(reading.checker.count(), u64::from(TOKENS));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_death_after_tokens_is_told_at_once() {
+    let mut fleet = fleet::Fleet::start(fleet::Plan {
+        engines: 1,
+        ..fleet::Plan::default()
+    })
+    .await;
+    let prompt = caller::build_prompt("engine dies", TOKENS);
+    let opened = caller::open(&fleet.entries[0], &prompt).await;
+    let mut reading = opened.unwrap_or_else(|answer| panic!("{answer:?}"));
+    assert_eq!(reading.read_tokens(40).await, None);
+    fleet.kill("engine-0");
+    let told = tokio::time::timeout(time::Duration::from_secs(3), reading.finish()).await;
+    let end = told.expect("the caller is told within 3 s");
+    assert!(matches!(end, caller::End::Failed(_)), "{end:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn whole_answer_is_run_again_when_its_engine_dies() {
+    let mut fleet = fleet::Fleet::start(fleet::Plan::default()).await;
+    let prompt = caller::build_prompt("rerun", TOKENS);
+    let entry = fleet.entries[0].clone();
+    let asked = prompt.clone();
+    let answer = tokio::spawn(async move { caller::ask_whole(&entry, &asked).await });
+    let engine = find_busy(&fleet).await;
+    fleet.kill(&engine);
+    let answer = answer.await.expect("an answer");
+    assert!(answer.status.is_success(), "{answer:?}");
+    let text = peargap_load::client::read_completion(&answer.body).expect("text");
+    let mut checker = peargap_load::token::Checker::new(&prompt);
+    checker.check(&text).expect("one generation, in order");
+    assert_eq!(checker.count(), u64::from(TOKENS));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn call_whose_agent_died_is_unknown_and_never_runs_again() {
+    let mut fleet = fleet::Fleet::start(fleet::Plan::default()).await;
+    let entry = fleet.entries[0].clone();
+    let call =
+        tokio::spawn(
+            async move { caller::call(&entry, "loans/book?delay_ms=3000", "tape-1").await },
+        );
+    let service = fleet.services[0];
+    fleet::wait_until("the call runs", async || {
+        fleet.ask(service, "/runs").await["tape-1"] == 1
+    })
+    .await;
+    fleet.kill("agent-desk-0");
+    let answer = call.await.expect("an answer");
+    assert!(answer.status.is_server_error(), "{answer:?}");
+    assert_eq!(caller::read_ran(&answer.body), "unknown", "{answer:?}");
+    fleet.restart("agent-desk-0");
+    fleet.wait_ready("agent-desk-0").await;
+    let repeated = caller::call(&fleet.entries[1], "loans/book?delay_ms=3000", "tape-1").await;
+    assert_eq!(caller::read_ran(&repeated.body), "unknown", "{repeated:?}");
+    assert_eq!(fleet.ask(service, "/runs").await["tape-1"], 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn call_whose_entry_died_runs_at_most_once() {
+    let mut fleet = fleet::Fleet::start(fleet::Plan::default()).await;
+    let entry = fleet.entries[0].clone();
+    let call = tokio::spawn(async move {
+        let request = http::Request::post(format!("{entry}/services/loans/book?delay_ms=500"));
+        let request = request.header("idempotency-key", "tape-2");
+        let client = peargap_load::client::Client::new(crate::settings::KEY);
+        client.call(request, bytes::Bytes::from_static(b"{}")).await
+    });
+    let service = fleet.services[0];
+    fleet::wait_until("the call runs", async || {
+        fleet.ask(service, "/runs").await["tape-2"] == 1
+    })
+    .await;
+    fleet.kill("entry-0");
+    assert!(call.await.expect("an end").is_err());
+    for _ in 0..5 {
+        let answer = caller::call(&fleet.entries[1], "loans/book?delay_ms=500", "tape-2").await;
+        assert!(!answer.status.is_success() || answer.body.starts_with(b"{"));
+    }
+    assert_eq!(fleet.ask(service, "/runs").await["tape-2"], 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frozen_agent_gets_no_new_work() {
+    let fleet = fleet::Fleet::start(fleet::Plan::default()).await;
+    fleet.signal("agent-engine-0", unix::Signal::STOP);
+    for index in 0..12 {
+        let prompt = caller::build_prompt(&format!("frozen {index}"), 20);
+        let answer = caller::ask_whole(&fleet.entries[index % 2], &prompt).await;
+        let ran = caller::read_ran(&answer.body);
+        assert!(answer.status.is_success() || ran != "ran", "{answer:?}");
+    }
+    let prompt = caller::build_prompt("frozen last", 20);
+    let answer = caller::ask_whole(&fleet.entries[0], &prompt).await;
+    assert!(answer.status.is_success(), "{answer:?}");
+    fleet.signal("agent-engine-0", unix::Signal::CONT);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_engine_connection_is_replaced_and_the_stream_goes_on() {
+    let fleet = fleet::Fleet::start(fleet::Plan {
+        engines: 1,
+        relays: true,
+        ..fleet::Plan::default()
+    })
+    .await;
+    let prompt = caller::build_prompt("silent link", TOKENS);
+    let opened = caller::open(&fleet.entries[0], &prompt).await;
+    let mut reading = opened.unwrap_or_else(|answer| panic!("{answer:?}"));
+    assert_eq!(reading.read_tokens(40).await, None);
+    fleet.relays[0].silence();
+    assert_eq!(reading.finish().await, caller::End::Whole);
+    assert_eq!(reading.checker.count(), u64::from(TOKENS));
+}
+
+/// Returns the engine that produces tokens.
+async fn find_busy(fleet: &fleet::Fleet) -> String {
+    let mut busy = None;
+    fleet::wait_until("an engine runs the request", async || {
+        for (index, port) in fleet.engines.iter().enumerate() {
+            if fleet.ask(*port, "/load").await["running"] == 1 {
+                busy = Some(format!("engine-{index}"));
+            }
+        }
+        busy.is_some()
+    })
+    .await;
+    busy.expect("a busy engine")
+}
--- /dev/null
+++ b/crates/proof/tests/failures/main.rs
@@ -0,0 +1,15 @@
+//! Failure tests on the real programs, with the stand-in engine and service behind them.
+//!
+//! Run as part of `cargo test --workspace --locked`, which builds the programs first.
+
+mod caller;
+mod fleet;
+mod relay;
+mod settings;
+
+mod configuration;
+mod control;
+mod domains;
+mod kills;
+mod path;
+mod stops;
