--- /dev/null
+++ b/crates/adapters/src/follow.rs
@@ -0,0 +1,320 @@
+//! Follows the configuration that the control hosts spread.
+//!
+//! One task keeps a link to one control host, reports to it, and moves on to the next host when
+//! the link fails or is silent. The version in force only grows; see [`peargap_core::follow`].
+
+use core::net;
+use core::time;
+use std::sync;
+
+use futures::StreamExt as _;
+use peargap_core::follow;
+use peargap_core::time::Instant;
+use peargap_wire::control;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_stream::wrappers;
+use tokio_util::sync as cancel;
+
+use crate::config;
+use crate::logs;
+
+const LINKED: logs::Event = logs::Event::info(1001, "control linked");
+const LINK_LOST: logs::Event = logs::Event::warn(1002, "control link lost");
+const APPLIED: logs::Event = logs::Event::info(1003, "configuration in force");
+const REJECTED: logs::Event = logs::Event::error(1004, "configuration not readable");
+const REPLACED: logs::Event = logs::Event::error(1005, "name taken by a newer process");
+
+/// Time between two reports on an idle link.
+const REPORT_PERIOD: time::Duration = time::Duration::from_millis(500);
+/// A link without any message for this long is replaced.
+const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(1_500);
+/// Wait before the next control host is tried.
+const RETRY_PERIOD: time::Duration = time::Duration::from_millis(100);
+/// Reports that may wait for a slow link.
+const REPORT_BUFFER: usize = 8;
+/// Reports whose send time is kept to date the lease that answers them.
+const SENT_KEPT: usize = 16;
+
+/// What to follow and as whom.
+#[derive(Debug)]
+pub struct Options {
+    /// The agent's upstream; `None` for an entry.
+    pub announcement: watch::Receiver<Option<control::Announcement>>,
+    /// Control hosts, tried in turn.
+    pub controls: Vec<net::SocketAddr>,
+    /// This process.
+    pub node: control::Node,
+}
+
+/// The node's view of the configuration; clones share it.
+#[derive(Clone, Debug)]
+pub struct View {
+    config: watch::Receiver<sync::Arc<config::Config>>,
+    leaving: watch::Sender<bool>,
+    replaced: watch::Sender<bool>,
+    started: tokio::time::Instant,
+    state: sync::Arc<sync::Mutex<follow::Follower>>,
+}
+
+impl View {
+    /// Returns the configuration in force and its changes.
+    pub fn config(&self) -> watch::Receiver<sync::Arc<config::Config>> {
+        self.config.clone()
+    }
+
+    /// Returns whether the freshness lease allows new work.
+    pub fn is_fresh(&self) -> bool {
+        let now = self.now();
+        self.lock().is_fresh(now)
+    }
+
+    /// Returns the version in force.
+    pub fn version(&self) -> u64 {
+        self.lock().version()
+    }
+
+    /// Tells the control hosts that this node is leaving.
+    pub fn set_leaving(&self) {
+        self.leaving.send_replace(true);
+    }
+
+    /// Tells when a newer process has taken this node's name; it takes no new work from then on.
+    pub fn replaced(&self) -> watch::Receiver<bool> {
+        self.replaced.subscribe()
+    }
+
+    fn now(&self) -> Instant {
+        let elapsed = self.started.elapsed();
+        Instant(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, follow::Follower> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// Starts to follow until `token` is cancelled.
+pub fn spawn(options: Options, token: cancel::CancellationToken) -> View {
+    let (publisher, receiver) = watch::channel(sync::Arc::new(config::Config::default()));
+    let view = View {
+        config: receiver,
+        leaving: watch::Sender::new(false),
+        replaced: watch::Sender::new(false),
+        started: tokio::time::Instant::now(),
+        state: sync::Arc::default(),
+    };
+    let task = Task {
+        options,
+        publisher,
+        refetch: false,
+        sent: Vec::new(),
+        view: view.clone(),
+    };
+    tokio::spawn(task.run(token));
+    view
+}
+
+/// Why a link ended.
+enum End {
+    Failed(tonic::Status),
+    Silent,
+    Stopped,
+}
+
+struct Sent {
+    at: Instant,
+    number: u64,
+}
+
+struct Task {
+    options: Options,
+    publisher: watch::Sender<sync::Arc<config::Config>>,
+    refetch: bool,
+    sent: Vec<Sent>,
+    view: View,
+}
+
+impl Task {
+    async fn run(mut self, token: cancel::CancellationToken) {
+        let controls = self.options.controls.clone();
+        // Nodes start at different hosts so that no control host carries them all.
+        let first = self
+            .options
+            .node
+            .name
+            .bytes()
+            .map(usize::from)
+            .sum::<usize>();
+        for host in controls.iter().cycle().skip(first % controls.len().max(1)) {
+            let end = self.follow_host(*host, &token).await;
+            match end {
+                End::Stopped => return,
+                End::Silent => logs::emit(LINK_LOST, format_args!("control={host} cause=silent")),
+                End::Failed(status) => logs::emit(
+                    LINK_LOST,
+                    format_args!("control={host} cause={:?}", status.code()),
+                ),
+            }
+            tokio::select! {
+                () = token.cancelled() => return,
+                () = tokio::time::sleep(RETRY_PERIOD) => {}
+            }
+        }
+    }
+
+    async fn follow_host(
+        &mut self,
+        host: net::SocketAddr,
+        token: &cancel::CancellationToken,
+    ) -> End {
+        let (reports, outgoing) = mpsc::channel(REPORT_BUFFER);
+        let opened = tokio::select! {
+            () = token.cancelled() => return End::Stopped,
+            opened = tokio::time::timeout(SILENCE_LIMIT, open_link(host, outgoing)) => opened,
+        };
+        let mut updates = match opened {
+            Err(_) => return End::Silent,
+            Ok(Err(status)) => return End::Failed(status),
+            Ok(Ok(updates)) => updates,
+        };
+        logs::emit(LINKED, format_args!("control={host}"));
+        self.sent.clear();
+        let mut number = 0;
+        let mut timer = tokio::time::interval(REPORT_PERIOD);
+        let mut leaving = self.view.leaving.subscribe();
+        let mut announcement = self.options.announcement.clone();
+        let mut heard = tokio::time::Instant::now();
+        loop {
+            let report = tokio::select! {
+                () = token.cancelled() => return End::Stopped,
+                () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => return End::Silent,
+                update = updates.next() => {
+                    heard = tokio::time::Instant::now();
+                    match update {
+                        Some(Ok(update)) => self.take_update(update),
+                        Some(Err(status)) => return End::Failed(status),
+                        None => return End::Failed(tonic::Status::unavailable("closed")),
+                    }
+                }
+                _ = timer.tick() => true,
+                Ok(()) = leaving.changed() => true,
+                Ok(()) = announcement.changed() => true,
+            };
+            if report {
+                number += 1;
+                // A full buffer means a stalled link, which the silence limit ends.
+                let _ = reports.try_send(self.build_report(number));
+            }
+        }
+    }
+
+    fn build_report(&mut self, number: u64) -> control::Report {
+        let first = number == 1;
+        self.sent.push(Sent {
+            at: self.view.now(),
+            number,
+        });
+        if self.sent.len() > SENT_KEPT {
+            self.sent.remove(0);
+        }
+        let applied_version = if self.refetch { 0 } else { self.view.version() };
+        control::Report {
+            node: first.then(|| self.options.node.clone()),
+            announcement: self.options.announcement.borrow_and_update().clone(),
+            applied_version,
+            leaving: *self.view.leaving.borrow(),
+            number,
+            order_done: 0,
+        }
+    }
+
+    /// Applies an update; returns whether a report is due at once.
+    fn take_update(&mut self, update: control::Update) -> bool {
+        let mut applied = false;
+        if update.replaced && !self.view.replaced.send_replace(true) {
+            logs::emit(REPLACED, format_args!("node={}", self.options.node.name));
+        }
+        if let Some(whole) = update.config {
+            applied |= self.take_whole(whole);
+        }
+        if let Some(delta) = update.delta {
+            applied |= self.take_delta(delta, update.version);
+        }
+        let reported = self.sent.iter().find(|sent| sent.number == update.number);
+        if let (Some(sent), true) = (reported, update.lease_ms > 0) {
+            let length = time::Duration::from_millis(u64::from(update.lease_ms));
+            self.view
+                .lock()
+                .extend_lease(update.version, sent.at, length);
+        }
+        applied || self.refetch
+    }
+
+    fn take_whole(&mut self, whole: control::Config) -> bool {
+        let version = whole.version;
+        let parsed = match config::Config::from_wire(whole) {
+            Ok(parsed) => parsed,
+            Err(findings) => {
+                logs::emit(REJECTED, format_args!("version={version} {findings}"));
+                return false;
+            }
+        };
+        self.refetch = false;
+        match self.view.lock().offer_whole(version) {
+            follow::Step::Apply => {}
+            follow::Step::Ignore | follow::Step::Refetch => return false,
+        }
+        self.publish(parsed);
+        true
+    }
+
+    fn take_delta(&mut self, delta: control::Delta, version: u64) -> bool {
+        let step = self.view.lock().offer_delta(delta.base_version, version);
+        match step {
+            follow::Step::Ignore => return false,
+            follow::Step::Refetch => {
+                self.refetch = true;
+                return false;
+            }
+            follow::Step::Apply => {}
+        }
+        let mut changed = config::Config::clone(&self.publisher.borrow());
+        changed.version = version;
+        for change in delta.changes {
+            if let Err(findings) = changed.apply(change) {
+                logs::emit(REJECTED, format_args!("version={version} {findings}"));
+            }
+        }
+        self.publish(changed);
+        true
+    }
+
+    fn publish(&self, config: config::Config) {
+        logs::emit(
+            APPLIED,
+            format_args!("version={} revision={}", config.version, config.revision),
+        );
+        self.publisher.send_replace(sync::Arc::new(config));
+    }
+}
+
+async fn open_link(
+    host: net::SocketAddr,
+    outgoing: mpsc::Receiver<control::Report>,
+) -> Result<tonic::Streaming<control::Update>, tonic::Status> {
+    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{host}"))
+        .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?
+        .tcp_nodelay(true);
+    let channel = endpoint
+        .connect()
+        .await
+        .map_err(|error| tonic::Status::unavailable(error.to_string()))?;
+    let mut client = control::control_client::ControlClient::new(channel);
+    let answer = client
+        .watch(wrappers::ReceiverStream::new(outgoing))
+        .await?;
+    Ok(answer.into_inner())
+}
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -2,9 +2,12 @@
 //! and signals.
 
 pub mod command;
+pub mod config;
 pub mod digest;
+pub mod follow;
 pub mod health;
 pub mod logs;
+pub mod manifest;
 pub mod metrics;
 pub mod settings;
 pub mod signals;
