Replicated state: changes, claims, members, orders behind one machine

Cause: the log needs a state to apply commands to. Ruled out: wall clocks in commands (one host's clock ahead would forget answers early); the state's time is made of committed ticks instead, each counted only as the next one, so it never runs ahead of real time. Change: core changes, claims, clock, fences; control machine and codec.

--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,4 @@
+//! Control host: the durable configuration, members, fences and claims.
+
+mod codec;
+pub mod machine;
--- /dev/null
+++ b/crates/control/src/machine.rs
@@ -0,0 +1,236 @@
+//! The replicated state: applies the log's commands one after the other.
+
+use core::fmt;
+use std::collections;
+use std::sync;
+
+use bytes::Bytes;
+use peargap_core::changes;
+use peargap_core::claims;
+use peargap_core::clock;
+use peargap_core::config;
+use peargap_core::fences;
+use peargap_core::members;
+use peargap_wire::control;
+use peargap_wire::operator;
+use peargap_wire::record;
+use prost::Message as _;
+
+use crate::codec;
+
+/// Why a snapshot cannot be restored.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Error(String);
+
+impl fmt::Display for Error {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "snapshot of the state: {}", self.0)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Machine {
+    changes: changes::Changes,
+    claims: claims::Claims,
+    clock: clock::Clock,
+    config: sync::Arc<config::Config>,
+    past: members::Past,
+}
+
+impl Machine {
+    /// Returns the empty state.
+    pub fn new() -> Machine {
+        Machine::default()
+    }
+
+    /// Applies the committed command at `index` and returns its reply.
+    pub fn apply(&mut self, index: u64, command: &Bytes) -> Bytes {
+        let command = record::Command::decode(command.clone());
+        let kind = command.ok().and_then(|command| command.kind);
+        let reply = match kind {
+            Some(kind) => self.apply_kind(index, kind),
+            None => record::reply::Kind::Rejected(true),
+        };
+        let reply = record::Reply { kind: Some(reply) };
+        reply.encode_to_vec().into()
+    }
+
+    /// Returns the whole state, the same bytes for the same state.
+    pub fn snapshot(&self) -> Bytes {
+        let claims = self.claims.records();
+        let past = self.past.0.iter();
+        let snapshot = record::Snapshot {
+            changes: self.changes.records().map(codec::encode_change).collect(),
+            claims: claims.map(codec::encode_claim).collect(),
+            clock_ms: self.clock.millis,
+            config: Some(codec::encode_config(&self.config)),
+            past: past.map(codec::encode_past).collect(),
+            ticks: self.clock.ticks,
+        };
+        snapshot.encode_to_vec().into()
+    }
+
+    /// Returns the state of a snapshot.
+    pub fn restore(snapshot: &Bytes) -> Result<Machine, Error> {
+        let snapshot = record::Snapshot::decode(snapshot.clone());
+        let snapshot = snapshot.map_err(|error| Error(error.to_string()))?;
+        let config = snapshot.config.unwrap_or_default();
+        let config = codec::decode_config(config).map_err(|error| Error(error.to_string()))?;
+        let mut machine = Machine {
+            clock: clock::Clock {
+                millis: snapshot.clock_ms,
+                ticks: snapshot.ticks,
+            },
+            config: sync::Arc::new(config),
+            past: restore_past(snapshot.past),
+            ..Machine::default()
+        };
+        for change in snapshot.changes {
+            let change = codec::decode_change(change);
+            machine
+                .changes
+                .push(change.ok_or_else(|| incomplete("change"))?);
+        }
+        for claim in snapshot.claims {
+            let key = claim.key.clone();
+            let claim = codec::decode_claim(claim).ok_or_else(|| incomplete("claim"))?;
+            machine.claims.insert(key, claim);
+        }
+        Ok(machine)
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> sync::Arc<config::Config> {
+        self.config.clone()
+    }
+
+    /// Returns the answered changes.
+    pub fn changes(&self) -> &changes::Changes {
+        &self.changes
+    }
+
+    /// Returns the claimed keys.
+    pub fn claims(&self) -> &claims::Claims {
+        &self.claims
+    }
+
+    /// Returns the state's time.
+    pub fn clock(&self) -> clock::Clock {
+        self.clock
+    }
+
+    fn apply_kind(&mut self, index: u64, kind: record::command::Kind) -> record::reply::Kind {
+        match kind {
+            record::command::Kind::Announce(announce) => self.announce(index, announce),
+            record::command::Kind::Assign(assign) => self.assign(index, assign),
+            record::command::Kind::Claim(request) => self.claim(index, request),
+            record::command::Kind::Leave(leave) => self.leave(&leave),
+            record::command::Kind::Settle(request) => self.settle(request),
+            record::command::Kind::Submit(request) => self.submit(request),
+            record::command::Kind::Tick(tick) => self.tick(&tick),
+        }
+    }
+
+    fn submit(&mut self, request: operator::SubmitRequest) -> record::reply::Kind {
+        let answer = match codec::decode_request(request) {
+            Some(request) => {
+                let config = sync::Arc::make_mut(&mut self.config);
+                changes::submit(config, &mut self.changes, request)
+            }
+            None => changes::Answer::Invalid(vec!["names no change".to_owned()]),
+        };
+        record::reply::Kind::Submit(codec::encode_answer(&answer))
+    }
+
+    fn announce(&mut self, index: u64, announce: record::Announce) -> record::reply::Kind {
+        let node = announce.node.and_then(codec::decode_node);
+        let Some(node) = node else {
+            return record::reply::Kind::Rejected(true);
+        };
+        let announcement = announce.announcement.map(codec::decode_announcement);
+        let config = sync::Arc::make_mut(&mut self.config);
+        let outcome = members::announce(
+            &mut config.members,
+            &mut self.past,
+            node,
+            announcement,
+            index,
+        );
+        self.answer_announced(outcome)
+    }
+
+    fn leave(&mut self, leave: &record::Leave) -> record::reply::Kind {
+        let config = sync::Arc::make_mut(&mut self.config);
+        let outcome = members::leave(
+            &mut config.members,
+            &mut self.past,
+            &leave.name,
+            &leave.incarnation,
+        );
+        self.answer_announced(outcome)
+    }
+
+    fn answer_announced(&mut self, outcome: members::Outcome) -> record::reply::Kind {
+        let config = sync::Arc::make_mut(&mut self.config);
+        if outcome == members::Outcome::Recorded {
+            config.version += 1;
+        }
+        record::reply::Kind::Announced(record::Announced {
+            outcome: codec::encode_outcome(outcome).into(),
+            version: config.version,
+        })
+    }
+
+    fn claim(&mut self, index: u64, request: control::ClaimRequest) -> record::reply::Kind {
+        let request = codec::decode_claim_request(request);
+        let grant = self.claims.claim(self.clock.millis, index, request);
+        record::reply::Kind::Claim(codec::encode_grant(grant))
+    }
+
+    fn settle(&mut self, request: control::SettleRequest) -> record::reply::Kind {
+        let key = request.key.clone();
+        let fence = request.fence;
+        let recorded = match codec::decode_outcome(request) {
+            Some(outcome) => self.claims.settle(self.clock.millis, &key, fence, outcome),
+            None => false,
+        };
+        record::reply::Kind::Settled(control::SettleReply { recorded })
+    }
+
+    fn tick(&mut self, tick: &record::Tick) -> record::reply::Kind {
+        let ticked = self.clock.tick(tick.number, tick.elapsed_ms);
+        self.claims.expire(self.clock.millis);
+        record::reply::Kind::Ticked(ticked)
+    }
+
+    fn assign(&mut self, index: u64, assign: record::Assign) -> record::reply::Kind {
+        if assign.base_version != self.config.version {
+            return record::reply::Kind::Assigned(false);
+        }
+        let config = sync::Arc::make_mut(&mut self.config);
+        let mut changed = false;
+        for placement in assign.placements {
+            let models = placement.models;
+            changed |= fences::give_order(config, &placement.upstream, models, index);
+        }
+        if changed {
+            config.version += 1;
+        }
+        record::reply::Kind::Assigned(changed)
+    }
+}
+
+fn restore_past(past: Vec<record::Past>) -> members::Past {
+    let mut names = collections::BTreeMap::new();
+    for past in past {
+        names.insert(past.name, past.incarnations.into());
+    }
+    members::Past(names)
+}
+
+fn incomplete(what: &str) -> Error {
+    Error(format!("a {what} is incomplete"))
+}
--- /dev/null
+++ b/crates/core/src/changes.rs
@@ -0,0 +1,333 @@
+//! Operators' changes: one winner for each revision, one answer for each id.
+
+use std::collections;
+use std::hash;
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
+use std::sync;
+
+use bytes::Bytes;
+
+use crate::config;
+use crate::manifest;
+
+/// Answered changes remembered, so that a resend gets the first answer.
+pub const CHANGES_KEPT: usize = 4096;
+/// Longest id or operator's name in bytes.
+pub const NAME_BYTES: usize = 128;
+/// Findings kept of an invalid change.
+const FINDINGS_KEPT: usize = 32;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Request {
+    /// What shall change.
+    pub change: Change,
+    /// Chosen by the operator; a resend carries the same one.
+    pub id: String,
+    /// Who asks.
+    pub operator: String,
+}
+
+/// A change of the configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Gives the failure domain work again.
+    DomainBack(String),
+    /// Takes the failure domain out.
+    DomainOut(String),
+    /// Replaces the manifest.
+    Manifest(Manifest),
+    /// Lets the upstream finish and gives it no new work.
+    UpstreamDrain(String),
+    /// Gives the upstream work again.
+    UpstreamResume(String),
+}
+
+/// A new manifest.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Manifest {
+    /// Revision it builds on.
+    pub base: u64,
+    /// The manifest, or what is wrong with the text.
+    pub parsed: Result<sync::Arc<manifest::Manifest>, Vec<String>>,
+    /// Its text.
+    pub text: Bytes,
+}
+
+/// The answer to a change.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Answer {
+    /// It is committed.
+    Accepted(Accepted),
+    /// Another one won the revision.
+    Conflict(Conflict),
+    /// It cannot be done, for these reasons.
+    Invalid(Vec<String>),
+}
+
+/// Where an accepted change stands.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Accepted {
+    /// Whether the id was answered before.
+    pub repeated: bool,
+    /// The manifest's revision.
+    pub revision: u64,
+    /// Version that holds the change.
+    pub version: u64,
+}
+
+/// Who won instead.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Conflict {
+    /// The present revision.
+    pub revision: u64,
+    /// Id of the change that won the revision asked for; empty when no longer known.
+    pub winner_id: String,
+    /// Its operator.
+    pub winner_operator: String,
+}
+
+/// An answered change.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Record {
+    /// The first answer.
+    pub answer: Answer,
+    /// Digest of the change.
+    pub digest: u64,
+    /// The change's id.
+    pub id: String,
+    /// Who asked.
+    pub operator: String,
+    /// One line for people.
+    pub summary: String,
+}
+
+/// Answered changes, oldest first.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Changes {
+    by_id: collections::BTreeMap<String, u64>,
+    first: u64,
+    records: collections::VecDeque<Record>,
+}
+
+impl Changes {
+    /// Adds an answered change and forgets the oldest beyond the bound.
+    pub fn push(&mut self, record: Record) {
+        if self.records.len() == CHANGES_KEPT {
+            self.forget_oldest();
+        }
+        let number = self.first + self.records.len() as u64;
+        self.by_id.insert(record.id.clone(), number);
+        self.records.push_back(record);
+    }
+
+    /// Returns the change of that id.
+    pub fn find(&self, id: &str) -> Option<&Record> {
+        let number = self.by_id.get(id)?;
+        let index = usize::try_from(number - self.first).ok()?;
+        self.records.get(index)
+    }
+
+    /// Returns the changes, oldest first.
+    pub fn records(&self) -> impl DoubleEndedIterator<Item = &Record> {
+        self.records.iter()
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some(record) = self.records.pop_front() {
+            self.by_id.remove(&record.id);
+            self.first += 1;
+        }
+    }
+
+    /// Returns the change that made `revision`.
+    fn find_winner(&self, revision: u64) -> Option<&Record> {
+        let made = |record: &&Record| match &record.answer {
+            Answer::Accepted(accepted) => {
+                accepted.revision == revision && record.summary.starts_with(MANIFEST_SUMMARY)
+            }
+            Answer::Conflict(_) | Answer::Invalid(_) => false,
+        };
+        self.records.iter().rev().find(made)
+    }
+}
+
+/// Start of a manifest's summary.
+const MANIFEST_SUMMARY: &str = "manifest";
+
+/// Carries out a change, or returns the first answer when its id was answered before.
+pub fn submit(config: &mut config::Config, changes: &mut Changes, request: Request) -> Answer {
+    let digest = digest_change(&request.change);
+    if let Some(known) = changes.find(&request.id) {
+        return answer_again(known, &request, digest);
+    }
+    if let Some(problem) = check_names(&request) {
+        return Answer::Invalid(vec![problem]);
+    }
+    let summary = summarize(&request.change);
+    let answer = carry_out(config, changes, request.change);
+    changes.push(Record {
+        answer: answer.clone(),
+        digest,
+        id: request.id,
+        operator: request.operator,
+        summary,
+    });
+    answer
+}
+
+fn answer_again(known: &Record, request: &Request, digest: u64) -> Answer {
+    if known.digest != digest || known.operator != request.operator {
+        let problem = format!(
+            "id {:?} stands for another change: {} by {}",
+            known.id, known.summary, known.operator
+        );
+        return Answer::Invalid(vec![problem]);
+    }
+    match &known.answer {
+        Answer::Accepted(accepted) => Answer::Accepted(Accepted {
+            repeated: true,
+            ..*accepted
+        }),
+        Answer::Conflict(_) | Answer::Invalid(_) => known.answer.clone(),
+    }
+}
+
+fn check_names(request: &Request) -> Option<String> {
+    if request.id.is_empty() || request.id.len() > NAME_BYTES {
+        return Some(format!("the id needs 1 to {NAME_BYTES} bytes"));
+    }
+    if request.operator.len() > NAME_BYTES {
+        return Some(format!("the operator's name has over {NAME_BYTES} bytes"));
+    }
+    None
+}
+
+fn carry_out(config: &mut config::Config, changes: &Changes, change: Change) -> Answer {
+    match change {
+        Change::DomainBack(name) => put_back(config, Place::Domain, name),
+        Change::DomainOut(name) => take_out(config, Place::Domain, name),
+        Change::Manifest(manifest) => replace_manifest(config, changes, manifest),
+        Change::UpstreamDrain(name) => take_out(config, Place::Upstream, name),
+        Change::UpstreamResume(name) => put_back(config, Place::Upstream, name),
+    }
+}
+
+/// What can be taken out.
+#[derive(Clone, Copy)]
+enum Place {
+    Domain,
+    Upstream,
+}
+
+fn take_out(config: &mut config::Config, place: Place, name: String) -> Answer {
+    if !is_known(config, place, &name) {
+        return Answer::Invalid(vec![format!("{name:?} is not known")]);
+    }
+    let changed = list_out(config, place).insert(name);
+    accept(config, changed)
+}
+
+fn put_back(config: &mut config::Config, place: Place, name: String) -> Answer {
+    let changed = list_out(config, place).remove(&name);
+    if !changed && !is_known(config, place, &name) {
+        return Answer::Invalid(vec![format!("{name:?} is not known")]);
+    }
+    accept(config, changed)
+}
+
+fn list_out(config: &mut config::Config, place: Place) -> &mut collections::BTreeSet<String> {
+    match place {
+        Place::Domain => &mut config.domains_out,
+        Place::Upstream => &mut config.upstreams_out,
+    }
+}
+
+fn is_known(config: &config::Config, place: Place, name: &str) -> bool {
+    match place {
+        Place::Domain => {
+            let declared = config.manifest.domains.iter();
+            let mut members = config.members.values();
+            declared.clone().any(|domain| domain.name == name)
+                || members.any(|member| member.node.domain == name)
+        }
+        Place::Upstream => {
+            let mut declared = config.manifest.upstreams.iter();
+            let announced = config.members.values();
+            let mut announced = announced.filter_map(|member| member.announcement.as_ref());
+            declared.any(|upstream| upstream.name == name)
+                || announced.any(|announcement| announcement.upstream == name)
+        }
+    }
+}
+
+fn replace_manifest(config: &mut config::Config, changes: &Changes, manifest: Manifest) -> Answer {
+    if manifest.base > config.revision {
+        let problem = format!(
+            "revision {} does not exist; the present one is {}",
+            manifest.base, config.revision
+        );
+        return Answer::Invalid(vec![problem]);
+    }
+    if manifest.base < config.revision {
+        return Answer::Conflict(name_winner(config, changes, manifest.base + 1));
+    }
+    match manifest.parsed {
+        Ok(parsed) => {
+            config.manifest = parsed;
+            config.text = manifest.text;
+            config.revision += 1;
+            accept(config, true)
+        }
+        Err(mut findings) => {
+            findings.truncate(FINDINGS_KEPT);
+            Answer::Invalid(findings)
+        }
+    }
+}
+
+fn name_winner(config: &config::Config, changes: &Changes, revision: u64) -> Conflict {
+    let winner = changes.find_winner(revision);
+    Conflict {
+        revision: config.revision,
+        winner_id: winner.map_or_else(String::new, |winner| winner.id.clone()),
+        winner_operator: winner.map_or_else(String::new, |winner| winner.operator.clone()),
+    }
+}
+
+fn accept(config: &mut config::Config, changed: bool) -> Answer {
+    if changed {
+        config.version += 1;
+    }
+    Answer::Accepted(Accepted {
+        repeated: false,
+        revision: config.revision,
+        version: config.version,
+    })
+}
+
+fn summarize(change: &Change) -> String {
+    match change {
+        Change::DomainBack(name) => format!("domain back {name}"),
+        Change::DomainOut(name) => format!("domain out {name}"),
+        Change::Manifest(manifest) => {
+            format!("{MANIFEST_SUMMARY} on revision {}", manifest.base)
+        }
+        Change::UpstreamDrain(name) => format!("upstream drain {name}"),
+        Change::UpstreamResume(name) => format!("upstream resume {name}"),
+    }
+}
+
+fn digest_change(change: &Change) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    summarize(change).hash(&mut hasher);
+    if let Change::Manifest(manifest) = change {
+        hash_bytes(&mut hasher, &manifest.text);
+    }
+    hasher.finish()
+}
+
+fn hash_bytes(hasher: &mut impl hash::Hasher, bytes: &[u8]) {
+    hasher.write(bytes);
+}
--- /dev/null
+++ b/crates/core/src/fences.rs
@@ -0,0 +1,49 @@
+//! Numbered orders to engines.
+
+use std::sync;
+
+use crate::config;
+
+/// Refuses orders older than one already seen.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub struct Gate(u64);
+
+impl Gate {
+    /// Returns whether an order under `fence` may be carried out, and remembers it.
+    pub fn admit(&mut self, fence: u64) -> bool {
+        if fence < self.0 {
+            return false;
+        }
+        self.0 = fence;
+        true
+    }
+
+    /// Returns the largest fence seen.
+    pub fn seen(&self) -> u64 {
+        self.0
+    }
+}
+
+/// Orders `upstream` to have `models` loaded, under `fence` from the log.
+///
+/// Returns false, and leaves the former order and its fence, when it says the same already.
+pub fn give_order(
+    config: &mut config::Config,
+    upstream: &str,
+    models: Vec<String>,
+    fence: u64,
+) -> bool {
+    let present = config.orders.get(upstream);
+    if present.is_some_and(|order| order.models == models) {
+        return false;
+    }
+    let order = config::Order {
+        fence,
+        models,
+        upstream: upstream.to_owned(),
+    };
+    config
+        .orders
+        .insert(upstream.to_owned(), sync::Arc::new(order));
+    true
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,7 +3,11 @@
 //! Time is passed in as [`time::Instant`], randomness as a generator. Adapters around this crate
 //! perform the effects that its functions return.
 
+pub mod changes;
+pub mod claims;
+pub mod clock;
 pub mod config;
+pub mod fences;
 pub mod manifest;
 pub mod members;
 pub mod time;
--- a/crates/wire/src/gen/peargap.record.rs
+++ b/crates/wire/src/gen/peargap.record.rs
@@ -115,9 +115,6 @@
     pub ticks: u64,
     #[prost(uint64, tag = "6")]
     pub clock_ms: u64,
-    /// Starts of loads on the state's clock, oldest first.
-    #[prost(uint64, repeated, tag = "7")]
-    pub loads_ms: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Past {
