--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod clock;
 pub mod config;
 pub mod fences;
+pub mod follow;
 pub mod manifest;
 pub mod members;
+pub mod prefix;
 pub mod time;
