Services of a control host: watch, claims, operators

Cause: nodes and operators need the state through every control host. Ruled out: a comparison of configurations for each node (steps between versions are worked out once); members of other agents spread to agents.

--- /dev/null
+++ b/crates/control/src/claims.rs
@@ -0,0 +1,72 @@
+//! At-most-once claims over the inter-process port.
+
+use peargap_adapters::logs;
+use peargap_wire::control;
+use peargap_wire::record;
+
+use crate::events;
+use crate::proposal;
+use crate::replica;
+
+/// When to come back while there is no quorum.
+const RETRY_MS: u32 = 500;
+
+/// Claims a key; without a quorum the answer says when to come back.
+pub(crate) async fn claim(
+    handle: &replica::Handle,
+    request: control::ClaimRequest,
+) -> control::ClaimReply {
+    let key = request.key.clone();
+    let kind = record::command::Kind::Claim(request);
+    let reply = match proposal::propose(handle, kind).await {
+        Ok(record::reply::Kind::Claim(reply)) => reply,
+        Ok(_) | Err(_) => control::ClaimReply {
+            kind: Some(control::claim_reply::Kind::Unavailable(RETRY_MS)),
+        },
+    };
+    let outcome = reply.kind.as_ref().map_or("none", name_outcome);
+    logs::emit(
+        events::CLAIM_ANSWERED,
+        format_args!("key={key:?} outcome={outcome}"),
+    );
+    reply
+}
+
+/// Records an outcome; fails when that is not known to be recorded, so that it is sent again.
+pub(crate) async fn settle(
+    handle: &replica::Handle,
+    request: control::SettleRequest,
+) -> Result<control::SettleReply, tonic::Status> {
+    let key = request.key.clone();
+    let kind = record::command::Kind::Settle(request);
+    let settled = match proposal::propose(handle, kind).await {
+        Ok(record::reply::Kind::Settled(settled)) => settled,
+        Ok(_) => return Err(tonic::Status::internal("unexpected reply of the state")),
+        Err(refusal) => return Err(describe_refusal(refusal)),
+    };
+    logs::emit(
+        events::CLAIM_SETTLED,
+        format_args!("key={key:?} recorded={}", settled.recorded),
+    );
+    Ok(settled)
+}
+
+pub(crate) fn describe_refusal(refusal: replica::Refusal) -> tonic::Status {
+    match refusal {
+        replica::Refusal::DiskFull => tonic::Status::resource_exhausted("the disk is full"),
+        replica::Refusal::NoQuorum => tonic::Status::unavailable("no quorum; not recorded"),
+        replica::Refusal::Unknown => tonic::Status::unavailable("not known whether recorded"),
+    }
+}
+
+fn name_outcome(kind: &control::claim_reply::Kind) -> &'static str {
+    match kind {
+        control::claim_reply::Kind::Answer(_) => "answer",
+        control::claim_reply::Kind::Granted(_) => "granted",
+        control::claim_reply::Kind::InProgress(_) => "in_progress",
+        control::claim_reply::Kind::Mismatch(_) => "mismatch",
+        control::claim_reply::Kind::Ran(_) => "ran",
+        control::claim_reply::Kind::Unavailable(_) => "unavailable",
+        control::claim_reply::Kind::Unknown(_) => "unknown",
+    }
+}
--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -127,6 +127,28 @@
     })
 }
 
+pub(crate) fn describe_change(change: &changes::Record) -> operator::Entry {
+    let mut entry = operator::Entry {
+        id: change.id.clone(),
+        operator: change.operator.clone(),
+        summary: change.summary.clone(),
+        ..operator::Entry::default()
+    };
+    entry.outcome = match &change.answer {
+        changes::Answer::Accepted(accepted) => {
+            entry.revision = accepted.revision;
+            entry.version = accepted.version;
+            "accepted".to_owned()
+        }
+        changes::Answer::Conflict(conflict) => {
+            entry.revision = conflict.revision;
+            "conflict".to_owned()
+        }
+        changes::Answer::Invalid(_) => "invalid".to_owned(),
+    };
+    entry
+}
+
 pub(crate) fn encode_past(past: (&String, &std::collections::VecDeque<String>)) -> record::Past {
     record::Past {
         incarnations: past.1.iter().cloned().collect(),
@@ -291,7 +313,7 @@
     })
 }
 
-fn encode_announcement(announcement: &members::Announcement) -> control::Announcement {
+pub(crate) fn encode_announcement(announcement: &members::Announcement) -> control::Announcement {
     let kind = match announcement.kind {
         members::Kind::Engine => control::Kind::Engine,
         members::Kind::Service => control::Kind::Service,
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -127,6 +127,7 @@
             record::command::Kind::Announce(announce) => self.announce(index, announce),
             record::command::Kind::Assign(assign) => self.assign(index, assign),
             record::command::Kind::Claim(request) => self.claim(index, request),
+            record::command::Kind::History(request) => self.list_history(&request),
             record::command::Kind::Leave(leave) => self.leave(&leave),
             record::command::Kind::Settle(request) => self.settle(request),
             record::command::Kind::Submit(request) => self.submit(request),
@@ -201,9 +202,21 @@
     }
 
     fn tick(&mut self, tick: &record::Tick) -> record::reply::Kind {
-        let ticked = self.clock.tick(tick.number, tick.elapsed_ms);
-        self.claims.expire(self.clock.millis);
-        record::reply::Kind::Ticked(ticked)
+        if self.clock.tick(tick.number, tick.elapsed_ms) {
+            self.claims.expire(self.clock.millis);
+        }
+        record::reply::Kind::Ticked(record::Ticked {
+            busy: self.claims.is_running(),
+            number: self.clock.ticks,
+        })
+    }
+
+    fn list_history(&self, request: &operator::HistoryRequest) -> record::reply::Kind {
+        let limit = usize::try_from(request.limit).unwrap_or(usize::MAX);
+        let newest = self.changes.records().rev().take(limit);
+        record::reply::Kind::History(operator::HistoryReply {
+            entries: newest.map(codec::describe_change).collect(),
+        })
     }
 
     fn assign(&mut self, index: u64, assign: record::Assign) -> record::reply::Kind {
--- /dev/null
+++ b/crates/control/src/pace.rs
@@ -0,0 +1,70 @@
+//! The leader's ticks, which let time pass for the replicated state.
+
+use core::time as duration;
+
+use peargap_wire::record;
+use tokio::time;
+use tokio_util::sync as cancel;
+
+use crate::proposal;
+use crate::replica;
+
+/// Time between ticks while an attempt waits for its deadline.
+const BUSY_PERIOD: duration::Duration = duration::Duration::from_secs(1);
+/// Time between ticks otherwise.
+const IDLE_PERIOD: duration::Duration = duration::Duration::from_secs(5);
+/// Number of a tick that only asks where the state stands; the first real one is 1.
+const ASK: u64 = 0;
+
+/// A tick known to be applied.
+#[derive(Clone, Copy, Debug)]
+struct Applied {
+    at: time::Instant,
+    number: u64,
+}
+
+/// Proposes ticks while this host leads, until `token` is cancelled.
+pub(crate) async fn run(handle: replica::Handle, token: cancel::CancellationToken) {
+    let mut applied = None;
+    let mut period = BUSY_PERIOD;
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = time::sleep(period) => {}
+        }
+        let role = handle.status().borrow().role;
+        if role != replica::Role::Leader {
+            applied = None;
+            continue;
+        }
+        let reply = proposal::propose(&handle, next_tick(applied)).await;
+        let Ok(record::reply::Kind::Ticked(ticked)) = reply else {
+            applied = None;
+            continue;
+        };
+        // The answer comes after the tick was applied, so elapsed time is never counted twice.
+        applied = Some(Applied {
+            at: time::Instant::now(),
+            number: ticked.number,
+        });
+        period = if ticked.busy {
+            BUSY_PERIOD
+        } else {
+            IDLE_PERIOD
+        };
+    }
+}
+
+fn next_tick(applied: Option<Applied>) -> record::command::Kind {
+    let tick = match applied {
+        None => record::Tick {
+            elapsed_ms: 0,
+            number: ASK,
+        },
+        Some(applied) => record::Tick {
+            elapsed_ms: u32::try_from(applied.at.elapsed().as_millis()).unwrap_or(u32::MAX),
+            number: applied.number + 1,
+        },
+    };
+    record::command::Kind::Tick(tick)
+}
--- /dev/null
+++ b/crates/control/src/spread.rs
@@ -0,0 +1,225 @@
+//! What attached nodes have not seen of the configuration: steps between versions, or all of it.
+
+use std::collections;
+use std::sync;
+
+use peargap_core::config;
+use peargap_core::members;
+use peargap_wire::control;
+
+use crate::codec;
+
+/// Steps kept for nodes that are behind.
+const STEPS_KEPT: usize = 1024;
+/// Changes beyond which the whole configuration is sent instead.
+const CHANGES_SENT: usize = 512;
+
+/// Who an update is for.
+#[derive(Clone, Debug)]
+pub(crate) struct Reader {
+    pub(crate) name: String,
+    pub(crate) role: members::Role,
+    /// Name of the agent's upstream.
+    pub(crate) upstream: String,
+}
+
+/// What leads a reader to the present version.
+#[derive(Debug)]
+pub(crate) enum Lead {
+    /// The whole configuration, as far as it concerns the reader.
+    Config(control::Config),
+    /// The changes that concern the reader, perhaps none.
+    Delta(control::Delta),
+    /// It is there.
+    Nothing,
+}
+
+/// Changes from one version to the next one seen.
+#[derive(Debug)]
+struct Step {
+    base: u64,
+    changes: Vec<control::Change>,
+}
+
+#[derive(Debug, Default)]
+struct Ring {
+    config: sync::Arc<config::Config>,
+    steps: collections::VecDeque<Step>,
+}
+
+/// The configuration and how it came about; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Spread(sync::Arc<sync::Mutex<Ring>>);
+
+impl Spread {
+    /// Takes in the applied configuration and returns it.
+    pub(crate) fn advance(&self, config: &sync::Arc<config::Config>) -> sync::Arc<config::Config> {
+        let mut ring = self.lock();
+        if config.version > ring.config.version {
+            ring.advance(config);
+        }
+        ring.config.clone()
+    }
+
+    /// Returns what leads `reader` from version `from` to the present one.
+    pub(crate) fn lead(&self, reader: &Reader, from: u64) -> Lead {
+        let ring = self.lock();
+        if from == ring.config.version {
+            return Lead::Nothing;
+        }
+        match ring.collect(reader, from) {
+            Some(changes) => Lead::Delta(control::Delta {
+                base_version: from,
+                changes,
+            }),
+            None => Lead::Config(narrow_config(&ring.config, reader)),
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Ring> {
+        self.0.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Ring {
+    fn advance(&mut self, config: &sync::Arc<config::Config>) {
+        if self.steps.len() == STEPS_KEPT {
+            self.steps.pop_front();
+        }
+        self.steps.push_back(Step {
+            base: self.config.version,
+            changes: compare(&self.config, config),
+        });
+        self.config = config.clone();
+    }
+
+    /// Returns the reader's changes since `from`; nothing when they are not known or too many.
+    fn collect(&self, reader: &Reader, from: u64) -> Option<Vec<control::Change>> {
+        // The first step leads from the empty configuration, which no node has in force.
+        if from == 0 {
+            return None;
+        }
+        let first = self.steps.binary_search_by_key(&from, |step| step.base);
+        let steps = self.steps.range(first.ok()?..);
+        let changes = steps.flat_map(|step| &step.changes);
+        let changes: Vec<control::Change> = changes
+            .filter(|change| concerns(change, reader))
+            .take(CHANGES_SENT + 1)
+            .cloned()
+            .collect();
+        (changes.len() <= CHANGES_SENT).then_some(changes)
+    }
+}
+
+/// Returns the changes that make `new` of `old`.
+fn compare(old: &config::Config, new: &config::Config) -> Vec<control::Change> {
+    let mut changes = Vec::new();
+    if old.revision != new.revision {
+        changes.push(control::change::Kind::Manifest(control::Manifest {
+            revision: new.revision,
+            text: new.text.clone(),
+        }));
+    }
+    compare_sets(&old.domains_out, &new.domains_out, |domain, out| {
+        changes.push(control::change::Kind::Domain(control::DomainState {
+            domain,
+            out,
+        }));
+    });
+    compare_sets(&old.upstreams_out, &new.upstreams_out, |upstream, out| {
+        changes.push(control::change::Kind::Upstream(control::UpstreamState {
+            out,
+            upstream,
+        }));
+    });
+    compare_members(&old.members, &new.members, &mut changes);
+    compare_orders(old, new, &mut changes);
+    changes
+        .into_iter()
+        .map(|kind| control::Change { kind: Some(kind) })
+        .collect()
+}
+
+fn compare_sets(
+    old: &collections::BTreeSet<String>,
+    new: &collections::BTreeSet<String>,
+    mut report: impl FnMut(String, bool),
+) {
+    for name in new.difference(old) {
+        report(name.clone(), true);
+    }
+    for name in old.difference(new) {
+        report(name.clone(), false);
+    }
+}
+
+fn compare_members(
+    old: &members::Table,
+    new: &members::Table,
+    changes: &mut Vec<control::change::Kind>,
+) {
+    for (name, member) in new {
+        let same = old
+            .get(name)
+            .is_some_and(|known| sync::Arc::ptr_eq(known, member));
+        if !same {
+            changes.push(control::change::Kind::Member(codec::encode_member(member)));
+        }
+    }
+    for name in old.keys().filter(|name| !new.contains_key(*name)) {
+        changes.push(control::change::Kind::Left(name.clone()));
+    }
+}
+
+fn compare_orders(
+    old: &config::Config,
+    new: &config::Config,
+    changes: &mut Vec<control::change::Kind>,
+) {
+    for (upstream, order) in &new.orders {
+        let known = old.orders.get(upstream);
+        if known.is_none_or(|known| known.fence != order.fence) {
+            changes.push(control::change::Kind::Order(codec::encode_order(order)));
+        }
+    }
+}
+
+/// Returns whether a reader needs the change: entries need all, agents not the other nodes.
+fn concerns(change: &control::Change, reader: &Reader) -> bool {
+    use control::change::Kind;
+    match (reader.role, &change.kind) {
+        (members::Role::Entry, _) => true,
+        (members::Role::Agent, Some(Kind::Member(member))) => {
+            let node = member.node.as_ref();
+            node.is_some_and(|node| node.name == reader.name)
+        }
+        (members::Role::Agent, Some(Kind::Left(name))) => *name == reader.name,
+        (members::Role::Agent, Some(Kind::Order(order))) => order.upstream == reader.upstream,
+        (
+            members::Role::Agent,
+            Some(Kind::Domain(_) | Kind::Manifest(_) | Kind::Upstream(_)) | None,
+        ) => true,
+    }
+}
+
+fn narrow_config(config: &config::Config, reader: &Reader) -> control::Config {
+    match reader.role {
+        members::Role::Entry => codec::encode_config(config),
+        members::Role::Agent => {
+            let own = config.members.get(&reader.name);
+            let order = config.orders.get(&reader.upstream);
+            control::Config {
+                domains_out: config.domains_out.iter().cloned().collect(),
+                manifest: config.text.clone(),
+                members: own.iter().map(|own| codec::encode_member(own)).collect(),
+                orders: order
+                    .iter()
+                    .map(|order| codec::encode_order(order))
+                    .collect(),
+                revision: config.revision,
+                upstreams_out: config.upstreams_out.iter().cloned().collect(),
+                version: config.version,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/watch.rs
@@ -0,0 +1,315 @@
+//! One node's link: its reports, the configuration spread to it, its lease.
+
+use core::time as duration;
+use std::sync;
+
+use futures::StreamExt as _;
+use peargap_adapters::logs;
+use peargap_core::config;
+use peargap_core::members;
+use peargap_wire::control;
+use peargap_wire::record;
+use tokio::sync::mpsc;
+use tokio::time;
+use tokio_util::sync as cancel;
+
+use crate::attached;
+use crate::codec;
+use crate::events;
+use crate::proposal;
+use crate::replica;
+use crate::spread;
+
+/// Longest lease; every grant ends by then, or with this host's own freshness.
+pub(crate) const LEASE: duration::Duration = duration::Duration::from_millis(1_800);
+/// A link without a report for this long is closed.
+const SILENCE_LIMIT: duration::Duration = duration::Duration::from_secs(5);
+
+/// What every link shares.
+#[derive(Clone, Debug)]
+pub(crate) struct Shared {
+    pub(crate) handle: replica::Handle,
+    pub(crate) nodes: attached::Nodes,
+    pub(crate) spread: spread::Spread,
+    pub(crate) token: cancel::CancellationToken,
+}
+
+/// Where a node's announcement stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    /// Not yet proposed, or the proposal failed.
+    Unknown,
+    /// Committed as it stands by this version.
+    Recorded(u64),
+    /// A newer incarnation holds the name.
+    Replaced,
+}
+
+/// What comes after a step of the link.
+enum Next {
+    Continue,
+    Stop,
+}
+
+type Reports = tonic::Streaming<control::Report>;
+type Updates = mpsc::Sender<Result<control::Update, tonic::Status>>;
+
+/// One attached node.
+pub(crate) struct Link {
+    announcement: Option<members::Announcement>,
+    /// Whether the node has had a configuration in force on this link.
+    applied: bool,
+    leaving: bool,
+    number: u64,
+    node: members::Node,
+    /// Version that the updates sent lead to.
+    sent: u64,
+    shared: Shared,
+    standing: Standing,
+    updates: Updates,
+}
+
+impl Link {
+    /// Returns the link of the node that `first` names.
+    pub(crate) fn new(
+        shared: Shared,
+        number: u64,
+        first: &control::Report,
+        updates: Updates,
+    ) -> Option<Link> {
+        let node = codec::decode_node(first.node.clone()?)?;
+        Some(Link {
+            announcement: None,
+            applied: false,
+            leaving: false,
+            node,
+            number,
+            sent: first.applied_version,
+            shared,
+            standing: Standing::Unknown,
+            updates,
+        })
+    }
+
+    /// Serves the node until its link ends.
+    pub(crate) async fn run(mut self, first: control::Report, mut reports: Reports) {
+        let mut config = self.shared.handle.config();
+        self.attach(&first);
+        let mut next = self.take_report(first).await;
+        while let Next::Continue = next {
+            next = tokio::select! {
+                () = self.shared.token.cancelled() => Next::Stop,
+                report = time::timeout(SILENCE_LIMIT, reports.next()) => match report {
+                    Ok(Some(Ok(report))) => self.take_report(report).await,
+                    Ok(Some(Err(_)) | None) | Err(_) => Next::Stop,
+                },
+                changed = config.changed() => match changed {
+                    Ok(()) => self.push(),
+                    Err(_) => Next::Stop,
+                },
+            };
+        }
+        self.detach().await;
+    }
+
+    fn attach(&self, first: &control::Report) {
+        let role = first.node.as_ref().map_or(0, |node| node.role);
+        let row = attached::Row {
+            applied_version: first.applied_version,
+            heard: time::Instant::now(),
+            incarnation: self.node.incarnation.clone(),
+            name: self.node.name.clone(),
+            role,
+        };
+        self.shared.nodes.set(self.number, row);
+        logs::emit(
+            events::NODE_ATTACHED,
+            format_args!("node={} version={}", self.node.name, first.applied_version),
+        );
+    }
+
+    async fn detach(self) {
+        self.shared.nodes.remove(self.number);
+        logs::emit(
+            events::NODE_DETACHED,
+            format_args!("node={} leaving={}", self.node.name, self.leaving),
+        );
+        match self.standing {
+            Standing::Recorded(_) if self.leaving => self.propose_leave().await,
+            Standing::Recorded(_) | Standing::Replaced | Standing::Unknown => {}
+        }
+    }
+
+    async fn take_report(&mut self, report: control::Report) -> Next {
+        self.shared.nodes.hear(self.number, report.applied_version);
+        self.leaving |= report.leaving;
+        self.note_applied(report.applied_version);
+        let announcement = report.announcement.map(codec::decode_announcement);
+        if announcement.is_some() && announcement != self.announcement {
+            self.announcement = announcement;
+            self.standing = Standing::Unknown;
+        }
+        if self.standing == Standing::Unknown {
+            self.announce().await;
+        }
+        // The freshness is read before the configuration, so that it never vouches for an older one.
+        let fresh_until = self.shared.handle.status().borrow().fresh_until;
+        let config = self.refresh();
+        let mut update = self.lead(&config);
+        update.number = report.number;
+        update.replaced = self.standing == Standing::Replaced;
+        update.lease_ms = self.measure_lease(&config, fresh_until);
+        self.send(update)
+    }
+
+    /// A node that asks anew for everything reports version 0.
+    fn note_applied(&mut self, version: u64) {
+        if version > 0 {
+            self.applied = true;
+        } else if self.applied {
+            self.applied = false;
+            self.sent = 0;
+        }
+    }
+
+    fn push(&mut self) -> Next {
+        let config = self.refresh();
+        let update = self.lead(&config);
+        let concerns = match (&update.config, &update.delta) {
+            (Some(_), _) => true,
+            (None, Some(delta)) => !delta.changes.is_empty(),
+            (None, None) => false,
+        };
+        // What does not concern the node goes with the answer to its next report.
+        if concerns {
+            self.send(update)
+        } else {
+            Next::Continue
+        }
+    }
+
+    fn refresh(&mut self) -> sync::Arc<config::Config> {
+        let config = self.shared.handle.config().borrow().clone();
+        let config = self.shared.spread.advance(&config);
+        let holder = config.members.get(&self.node.name);
+        let taken = holder.is_some_and(|holder| holder.node.incarnation != self.node.incarnation);
+        let Standing::Recorded(version) = self.standing else {
+            return config;
+        };
+        // This host may not have applied the announcement yet.
+        if taken && config.version >= version {
+            self.set_replaced();
+        }
+        config
+    }
+
+    fn lead(&self, config: &config::Config) -> control::Update {
+        let reader = spread::Reader {
+            name: self.node.name.clone(),
+            role: self.node.role,
+            upstream: match &self.announcement {
+                Some(announcement) => announcement.upstream.clone(),
+                None => String::new(),
+            },
+        };
+        let mut update = control::Update {
+            version: config.version,
+            ..control::Update::default()
+        };
+        match self.shared.spread.lead(&reader, self.sent) {
+            spread::Lead::Config(config) => {
+                update.version = config.version;
+                update.config = Some(config);
+            }
+            spread::Lead::Delta(delta) => update.delta = Some(delta),
+            spread::Lead::Nothing => {}
+        }
+        update
+    }
+
+    fn send(&mut self, update: control::Update) -> Next {
+        let version = update.version;
+        match self.updates.try_send(Ok(update)) {
+            Ok(()) => {
+                self.sent = version;
+                Next::Continue
+            }
+            // The next report, or the silence limit, follows.
+            Err(mpsc::error::TrySendError::Full(_)) => Next::Continue,
+            Err(mpsc::error::TrySendError::Closed(_)) => Next::Stop,
+        }
+    }
+
+    fn measure_lease(&self, config: &config::Config, fresh_until: Option<time::Instant>) -> u32 {
+        let holder = config.members.get(&self.node.name);
+        let holds = holder.is_some_and(|holder| holder.node.incarnation == self.node.incarnation);
+        let Some(fresh_until) = fresh_until.filter(|_| holds) else {
+            return 0;
+        };
+        let left = fresh_until.saturating_duration_since(time::Instant::now());
+        u32::try_from(left.min(LEASE).as_millis()).unwrap_or(0)
+    }
+
+    async fn announce(&mut self) {
+        let config = self.shared.handle.config().borrow().clone();
+        let known = config.members.get(&self.node.name);
+        let stands = known.is_some_and(|known| {
+            known.node == self.node && known.announcement == self.announcement
+        });
+        if stands {
+            self.standing = Standing::Recorded(config.version);
+            return;
+        }
+        let announce = record::Announce {
+            announcement: self.announcement.as_ref().map(codec::encode_announcement),
+            node: Some(codec::encode_node(&self.node)),
+        };
+        let kind = record::command::Kind::Announce(announce);
+        let reply = proposal::propose(&self.shared.handle, kind).await;
+        // Without an answer the next report brings another try.
+        if let Ok(record::reply::Kind::Announced(announced)) = reply {
+            self.take_announced(&announced);
+        }
+    }
+
+    fn take_announced(&mut self, announced: &record::Announced) {
+        match announced.outcome() {
+            record::Outcome::Replaced => self.set_replaced(),
+            record::Outcome::Known | record::Outcome::Recorded => {
+                self.standing = Standing::Recorded(announced.version);
+                logs::emit(
+                    events::NODE_ANNOUNCED,
+                    format_args!(
+                        "node={} incarnation={} version={}",
+                        self.node.name, self.node.incarnation, announced.version
+                    ),
+                );
+            }
+            record::Outcome::Unspecified => {}
+        }
+    }
+
+    fn set_replaced(&mut self) {
+        self.standing = Standing::Replaced;
+        logs::emit(
+            events::NODE_REPLACED,
+            format_args!(
+                "node={} incarnation={}",
+                self.node.name, self.node.incarnation
+            ),
+        );
+    }
+
+    async fn propose_leave(&self) {
+        let leave = record::Leave {
+            incarnation: self.node.incarnation.clone(),
+            name: self.node.name.clone(),
+        };
+        let kind = record::command::Kind::Leave(leave);
+        let left = proposal::propose(&self.shared.handle, kind).await.is_ok();
+        logs::emit(
+            events::NODE_LEFT,
+            format_args!("node={} recorded={left}", self.node.name),
+        );
+    }
+}
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -132,6 +132,7 @@
     dues: collections::BTreeSet<Due>,
     limits: Limits,
     records: collections::BTreeMap<String, Record>,
+    running: usize,
 }
 
 impl Claims {
@@ -143,9 +144,9 @@
         }
     }
 
-    /// Returns whether time matters to any key.
-    pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+    /// Returns whether an attempt waits for its deadline.
+    pub fn is_running(&self) -> bool {
+        self.running > 0
     }
 
     /// Returns the memory counted.
@@ -162,6 +163,7 @@
     pub fn insert(&mut self, key: String, record: Record) {
         self.remove(&key);
         self.bytes += measure(&key, &record);
+        self.running += usize::from(is_running(&record));
         self.dues.insert(Due {
             at: record.due,
             key: key.clone(),
@@ -239,10 +241,7 @@
     }
 
     fn expire_one(&mut self, now: u64, key: &str) {
-        let running = match self.records.get(key).map(|record| &record.state) {
-            Some(State::Running(_)) => true,
-            Some(State::Answered(_) | State::Free(_) | State::Ran | State::Unknown) | None => false,
-        };
+        let running = self.records.get(key).is_some_and(is_running);
         if running {
             self.change(key, now + RETENTION_MS, State::Unknown);
         } else {
@@ -295,6 +294,7 @@
     fn remove(&mut self, key: &str) -> Option<Record> {
         let record = self.records.remove(key)?;
         self.bytes -= measure(key, &record);
+        self.running -= usize::from(is_running(&record));
         self.dues.remove(&Due {
             at: record.due,
             key: key.to_owned(),
@@ -303,6 +303,13 @@
     }
 }
 
+fn is_running(record: &Record) -> bool {
+    match record.state {
+        State::Running(_) => true,
+        State::Answered(_) | State::Free(_) | State::Ran | State::Unknown => false,
+    }
+}
+
 fn is_well_formed(request: &Request) -> bool {
     let names = [&request.key, &request.attempt];
     names
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod config;
 pub mod fences;
 pub mod follow;
-pub mod config;
 pub mod manifest;
 pub mod members;
 pub mod prefix;
--- a/crates/wire/src/gen/peargap.operator.rs
+++ b/crates/wire/src/gen/peargap.operator.rs
@@ -129,6 +129,9 @@
     pub operator: ::prost::alloc::string::String,
     #[prost(string, tag = "5")]
     pub summary: ::prost::alloc::string::String,
+    /// `accepted`, `conflict` or `invalid`.
+    #[prost(string, tag = "6")]
+    pub outcome: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StatusRequest {}
@@ -155,6 +158,12 @@
     pub log_last: u64,
     #[prost(uint64, tag = "10")]
     pub log_committed: u64,
+    /// Longest freshness lease that nodes are granted.
+    #[prost(uint32, tag = "11")]
+    pub lease_ms: u32,
+    /// This host hears from a quorum and may grant leases.
+    #[prost(bool, tag = "12")]
+    pub fresh: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct NodeRow {
@@ -167,6 +176,8 @@
     /// Time since the last report.
     #[prost(uint32, tag = "4")]
     pub silent_ms: u32,
+    #[prost(string, tag = "5")]
+    pub incarnation: ::prost::alloc::string::String,
 }
 /// Generated client implementations.
 pub mod operator_client {
@@ -304,7 +315,7 @@
                 .insert(GrpcMethod::new("peargap.operator.Operator", "Show"));
             self.inner.unary(req, path, codec).await
         }
-        /// Accepted changes, newest first.
+        /// Answered changes, newest first.
         pub async fn history(
             &mut self,
             request: impl tonic::IntoRequest<super::HistoryRequest>,
@@ -373,7 +384,7 @@
             &self,
             request: tonic::Request<super::ShowRequest>,
         ) -> std::result::Result<tonic::Response<super::ShowReply>, tonic::Status>;
-        /// Accepted changes, newest first.
+        /// Answered changes, newest first.
         async fn history(
             &self,
             request: tonic::Request<super::HistoryRequest>,
--- a/crates/wire/src/gen/peargap.record.rs
+++ b/crates/wire/src/gen/peargap.record.rs
@@ -2,7 +2,7 @@
 /// A command to the replicated state.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Command {
-    #[prost(oneof = "command::Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "command::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub kind: ::core::option::Option<command::Kind>,
 }
 /// Nested message and enum types in `Command`.
@@ -23,17 +23,20 @@
         Tick(super::Tick),
         #[prost(message, tag = "7")]
         Assign(super::Assign),
+        /// Reads the answered changes.
+        #[prost(message, tag = "8")]
+        History(super::super::operator::HistoryRequest),
     }
 }
 /// What the state answers to a command.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Reply {
-    #[prost(oneof = "reply::Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "reply::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub kind: ::core::option::Option<reply::Kind>,
 }
 /// Nested message and enum types in `Reply`.
 pub mod reply {
-    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
     pub enum Kind {
         #[prost(message, tag = "1")]
         Submit(super::super::operator::SubmitReply),
@@ -43,13 +46,15 @@
         Claim(super::super::control::ClaimReply),
         #[prost(message, tag = "4")]
         Settled(super::super::control::SettleReply),
-        #[prost(bool, tag = "5")]
-        Ticked(bool),
+        #[prost(message, tag = "5")]
+        Ticked(super::Ticked),
         #[prost(bool, tag = "6")]
         Assigned(bool),
         /// The command was not understood and changed nothing.
         #[prost(bool, tag = "7")]
         Rejected(bool),
+        #[prost(message, tag = "8")]
+        History(super::super::operator::HistoryReply),
     }
 }
 /// A node announced itself or changed what it announces.
@@ -83,6 +88,16 @@
     #[prost(uint32, tag = "2")]
     pub elapsed_ms: u32,
 }
+/// Where the state's time stands.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Ticked {
+    /// The last tick applied.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Whether an attempt or a load waits for time to pass.
+    #[prost(bool, tag = "2")]
+    pub busy: bool,
+}
 /// Gives orders to engines; applied only when `base_version` is the present one.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Assign {
