--- /dev/null
+++ b/crates/load/src/command.rs
@@ -0,0 +1,142 @@
+//! Command line of the load tool, but for the experiment.
+
+use core::future;
+use core::str;
+use core::time;
+use std::fs;
+use std::process;
+
+use crate::ports;
+use crate::ready;
+use crate::run;
+use crate::walk;
+
+/// How long processes may take to become ready.
+const READY_LIMIT: time::Duration = time::Duration::from_secs(30);
+
+/// Prints free ports, one a line: `ports COUNT`.
+pub fn print_ports(arguments: pico_args::Arguments) -> process::ExitCode {
+    let count = arguments
+        .finish()
+        .first()
+        .and_then(|word| word.to_str()?.parse().ok());
+    let Some(count) = count else {
+        return fail("ports: give a count");
+    };
+    match ports::find_ports(count) {
+        Ok(found) => {
+            for port in found {
+                println!("{port}");
+            }
+            process::ExitCode::SUCCESS
+        }
+        Err(error) => fail(&format!("ports: {error}")),
+    }
+}
+
+/// Waits until each URL answers 200: `ready URL...`.
+pub fn wait_ready(arguments: pico_args::Arguments) -> process::ExitCode {
+    let urls: Vec<String> = arguments
+        .finish()
+        .iter()
+        .map(|word| word.to_string_lossy().into_owned())
+        .collect();
+    block_on(async move {
+        ready::wait_ready(&urls, READY_LIMIT)
+            .await
+            .map_err(|url| format!("{url} is not ready"))
+    })
+}
+
+/// Sends the demo's requests: `walk --entries URLS --key K --model M --service S --text FILE`.
+pub fn walk(mut arguments: pico_args::Arguments) -> process::ExitCode {
+    match parse_tour(&mut arguments) {
+        Ok(tour) => block_on(async move { walk::walk(&tour).await }),
+        Err(error) => fail(&format!("walk: {error}")),
+    }
+}
+
+/// Sends a load: `run --entries URLS --key K [--model M] [--service S] [--rate R] ...`.
+pub fn run(mut arguments: pico_args::Arguments) -> process::ExitCode {
+    let out: Result<Option<String>, _> = arguments.opt_value_from_str("--json");
+    let load = parse_load(&mut arguments);
+    match (load, out) {
+        (Ok(load), Ok(out)) => block_on(async move {
+            let report = run::run(&load).await;
+            let text = serde_json::to_string_pretty(&report).map_err(|error| error.to_string())?;
+            println!("{text}");
+            if let Some(path) = out {
+                fs::write(path, &text).map_err(|error| error.to_string())?;
+            }
+            if report.lost == 0 {
+                Ok(())
+            } else {
+                Err(format!("{} answers were lost or wrong", report.lost))
+            }
+        }),
+        (Err(error), _) | (_, Err(error)) => fail(&format!("run: {error}")),
+    }
+}
+
+fn parse_tour(arguments: &mut pico_args::Arguments) -> Result<walk::Tour, pico_args::Error> {
+    let path: String = arguments.value_from_str("--text")?;
+    let text =
+        fs::read_to_string(&path).map_err(|error| pico_args::Error::ArgumentParsingFailed {
+            cause: format!("{path}: {error}"),
+        })?;
+    Ok(walk::Tour {
+        entries: parse_entries(arguments)?,
+        key: arguments.value_from_str("--key")?,
+        model: arguments.value_from_str("--model")?,
+        service: arguments.value_from_str("--service")?,
+        text,
+    })
+}
+
+fn parse_load(arguments: &mut pico_args::Arguments) -> Result<run::Load, pico_args::Error> {
+    Ok(run::Load {
+        entries: parse_entries(arguments)?,
+        key: arguments.value_from_str("--key")?,
+        max_tokens: take(arguments, "--max-tokens", 2_000)?,
+        model: arguments.opt_value_from_str("--model")?,
+        prompt_words: take(arguments, "--prompt-words", 60)?,
+        rate: take(arguments, "--rate", 10.0)?,
+        seconds: take(arguments, "--seconds", 20)?,
+        seed: take(arguments, "--seed", 1)?,
+        service: arguments.opt_value_from_str("--service")?,
+        service_share: take(arguments, "--service-share", 0.2)?,
+    })
+}
+
+fn parse_entries(arguments: &mut pico_args::Arguments) -> Result<Vec<String>, pico_args::Error> {
+    let text: String = arguments.value_from_str("--entries")?;
+    Ok(text.split(',').map(str::to_owned).collect())
+}
+
+fn take<T>(
+    arguments: &mut pico_args::Arguments,
+    key: &'static str,
+    default: T,
+) -> Result<T, pico_args::Error>
+where
+    T: str::FromStr,
+    T::Err: core::fmt::Display,
+{
+    Ok(arguments.opt_value_from_str(key)?.unwrap_or(default))
+}
+
+fn block_on(work: impl future::Future<Output = Result<(), String>>) -> process::ExitCode {
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&format!("cannot start threads: {error}")),
+    };
+    match runtime.block_on(work) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(problem) => fail(&problem),
+    }
+}
+
+fn fail(problem: &str) -> process::ExitCode {
+    eprintln!("peargap-load: {problem}");
+    process::ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,131 @@
+//! `peargap-load run`: open-loop arrivals against real entries.
+//!
+//! Times count from when a request was meant to start, so that a slow system cannot hide its
+//! delay by slowing the arrivals (coordinated omission).
+
+use core::time;
+use std::sync;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+
+use crate::caller;
+use crate::client;
+use crate::tally;
+
+/// Time between two lines of progress.
+const PROGRESS_PERIOD: time::Duration = time::Duration::from_secs(5);
+/// Words of a prompt, besides its number.
+const WORDS: [&str; 8] = [
+    "sermon", "hymn", "harvest", "tape", "kente", "gown", "stitch", "psalm",
+];
+
+/// A load to send.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Entries' URLs, in turn.
+    pub entries: Vec<String>,
+    /// Bearer key.
+    pub key: String,
+    /// Longest output in tokens.
+    pub max_tokens: u32,
+    /// Model to ask; none sends no completions.
+    pub model: Option<String>,
+    /// Words in a prompt.
+    pub prompt_words: usize,
+    /// Requests a second.
+    pub rate: f64,
+    /// How long requests are sent.
+    pub seconds: u64,
+    /// Seed of arrivals and prompts.
+    pub seed: u64,
+    /// Service to call in between; none sends no calls.
+    pub service: Option<String>,
+    /// Share of requests that are calls to the service.
+    pub service_share: f64,
+}
+
+/// Sends the load, waits for every answer and returns the report.
+pub async fn run(load: &Load) -> tally::Report {
+    let tally = sync::Arc::new(sync::Mutex::new(tally::Tally::default()));
+    let client = client::Client::new(&load.key);
+    let progress = tokio::spawn(print_progress(sync::Arc::clone(&tally)));
+    let mut random = rand::rngs::SmallRng::seed_from_u64(load.seed);
+    let start = tokio::time::Instant::now();
+    let mut due = time::Duration::ZERO;
+    let mut requests = tokio::task::JoinSet::new();
+    let mut number = 0_usize;
+    while due < time::Duration::from_secs(load.seconds) {
+        tokio::time::sleep_until(start + due).await;
+        let intended = start + due;
+        let request = build_request(load, number, &mut random);
+        let client = client.clone();
+        let tally = sync::Arc::clone(&tally);
+        requests.spawn(async move {
+            let sample = match request {
+                Request::Call(call) => caller::run_call(&client, &call, intended).await,
+                Request::Stream(wish) => caller::run_stream(&client, &wish, intended).await,
+            };
+            lock(&tally).add(&sample);
+        });
+        number += 1;
+        // Exponential gaps make the arrivals a Poisson process.
+        let uniform: f64 = random.random();
+        due += time::Duration::from_secs_f64(-(1.0 - uniform).ln() / load.rate);
+    }
+    while requests.join_next().await.is_some() {}
+    progress.abort();
+    let report = lock(&tally).report();
+    report
+}
+
+enum Request {
+    Call(caller::Call),
+    Stream(caller::Wish),
+}
+
+fn build_request(load: &Load, number: usize, random: &mut rand::rngs::SmallRng) -> Request {
+    let entry = load.entries[number % load.entries.len()].clone();
+    let share: f64 = random.random();
+    match (&load.model, &load.service) {
+        (_, Some(service)) if share < load.service_share || load.model.is_none() => {
+            Request::Call(caller::Call {
+                entry,
+                key: Some(format!("load-{}-{number}", load.seed)),
+                service: service.clone(),
+            })
+        }
+        (model, _) => Request::Stream(caller::Wish {
+            entry,
+            max_tokens: load.max_tokens,
+            model: model.clone().unwrap_or_default(),
+            prompt: build_prompt(load, number, random),
+        }),
+    }
+}
+
+fn build_prompt(load: &Load, number: usize, random: &mut rand::rngs::SmallRng) -> String {
+    let mut prompt = format!("{}-{number}:", load.seed);
+    for _ in 0..load.prompt_words {
+        prompt.push(' ');
+        prompt.push_str(WORDS[random.random_range(0..WORDS.len())]);
+    }
+    prompt
+}
+
+async fn print_progress(tally: sync::Arc<sync::Mutex<tally::Tally>>) {
+    let mut timer = tokio::time::interval(PROGRESS_PERIOD);
+    timer.tick().await;
+    loop {
+        timer.tick().await;
+        let report = lock(&tally).report();
+        eprintln!(
+            "ended={} whole={} lost={} refused={:?} tokens={}",
+            report.sent, report.whole, report.lost, report.refused, report.tokens
+        );
+    }
+}
+
+fn lock(tally: &sync::Mutex<tally::Tally>) -> sync::MutexGuard<'_, tally::Tally> {
+    tally.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
