--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -12,6 +12,7 @@
 use std::time;
 
 use bytes::Bytes;
+use peargap_adapters::digest;
 use peargap_adapters::logs;
 use peargap_adapters::settings;
 
@@ -40,14 +41,14 @@
     pub health: net::SocketAddr,
     /// Address for entries, agents and other control hosts.
     pub internal: net::SocketAddr,
-    /// SHA-256 of the operators' keys, in hex.
-    pub key_sha256: Vec<String>,
     /// Form of log lines.
     pub log_format: logs::Format,
     /// Least severity of log lines.
     pub log_level: logs::Level,
     /// Name of this host.
     pub name: String,
+    /// SHA-256 digests of the operators' keys.
+    pub operator_keys: Vec<[u8; 32]>,
     /// Address for operators.
     pub operators: net::SocketAddr,
     /// Internal addresses of the other control hosts by name.
@@ -89,7 +90,7 @@
     let health = reader.required("listen", "health", ADDRESS);
     let folder = reader.required("data", "folder", "a folder on a disk");
     let limit_mb = reader.ranged("data", "limit_mb", DEFAULT_LIMIT_MB, 16..=DEFAULT_LIMIT_MB);
-    let key_sha256 = reader.list("operators", "key_sha256", "SHA-256 in hex");
+    let operator_keys = read_keys(reader);
     let bootstrap = reader.list("bootstrap", "voters", "names of hosts");
     let level = logs::Level::Info;
     let log_level = reader.optional("log", "level", level, "debug, info, warn or error");
@@ -107,16 +108,29 @@
         folder: folder?,
         health: health?,
         internal: internal?,
-        key_sha256,
         log_format,
         log_level,
         name: name?,
+        operator_keys,
         operators: operators?,
         peers,
         timing,
     })
 }
 
+fn read_keys(reader: &mut settings::Reader) -> Vec<[u8; 32]> {
+    let texts: Vec<String> = reader.list("operators", "key_sha256", "SHA-256 in hex");
+    let keys: Vec<[u8; 32]> = texts
+        .iter()
+        .filter_map(|text| digest::parse_hex(text))
+        .collect();
+    if keys.len() < texts.len() {
+        let problem = "holds something that is not SHA-256 in 64 hex digits".to_owned();
+        reader.report("operators", "key_sha256", problem);
+    }
+    keys
+}
+
 fn read_timing(reader: &mut settings::Reader) -> Timing {
     let mut millis = |key, default, range| {
         time::Duration::from_millis(reader.ranged("timing", key, default, range))
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,9 +6,13 @@
 pub mod admit;
 pub mod batch;
 pub mod breaker;
+pub mod changes;
+pub mod claims;
+pub mod clock;
 pub mod config;
 pub mod curve;
 pub mod fair;
+pub mod fences;
 pub mod follow;
 pub mod forecast;
 pub mod log;
