Let a control host's own [peer] section stand

Cause: one list of peers for all hosts is the simplest to generate. Ruled out: refusing it, as before. Change: it is dropped when its address is the host's own, a finding otherwise.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -51,6 +51,8 @@
     pub operator_keys: Vec<[u8; 32]>,
     /// Address for operators.
     pub operators: net::SocketAddr,
+    /// Address in this host's own `[peer]` section, which may stand there for uniformity.
+    pub own_address: Option<net::SocketAddr>,
     /// Internal addresses of the other control hosts by name.
     pub peers: collections::BTreeMap<String, net::SocketAddr>,
     /// Intervals.
@@ -97,7 +99,8 @@
     let format = logs::Format::default();
     let log_format = reader.optional("log", "format", format, "text or json");
     let timing = read_timing(reader);
-    let peers = read_peers(reader);
+    let mut peers = read_peers(reader);
+    let own_address = name.as_ref().and_then(|name: &String| peers.remove(name));
     Some(Settings {
         bootstrap,
         disk_limits: disk::Limits {
@@ -113,6 +116,7 @@
         name: name?,
         operator_keys,
         operators: operators?,
+        own_address,
         peers,
         timing,
     })
@@ -159,9 +163,13 @@
         let problem = "is less than three times heartbeat_ms".to_owned();
         reader.report("timing", "election_ms", problem);
     }
-    if settings.peers.contains_key(&settings.name) {
+    if settings
+        .own_address
+        .is_some_and(|address| address != settings.internal)
+    {
         let section = format!("peer {}", settings.name);
-        reader.report(&section, "", "is this host itself; remove it".to_owned());
+        let problem = format!("is this host, which listens on {}", settings.internal);
+        reader.report(&section, "address", problem);
     }
     for voter in &settings.bootstrap {
         if *voter != settings.name && !settings.peers.contains_key(voter) {
