Model-check the log; refuse copied disks

The first run found that a host on an old copy of its disk could elect with a lagging host while the only one that knew better was silent, and that two hosts could refuse each other without end. Ruled out: marks seen by others as the only defence (the run above); renouncing every copied disk (a restored cluster would lose its log). Change: a copied folder is told by its birth file; the host takes no part until a voter says that it kept its disk (then it comes back as a new member) or all say that they are copies too. Refusals are never answered.

--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -222,8 +222,12 @@
             granted: ballot.granted,
             pre: ballot.pre,
         }),
+        message::Kind::Copied(copied) => Kind::Copied(*copied),
         message::Kind::Fresh => Kind::Fresh(true),
-        message::Kind::Hello(fresh) => Kind::Hello(*fresh),
+        message::Kind::Hello(hello) => Kind::Hello(wire::Hello {
+            fresh: hello.fresh,
+            copied: hello.copied,
+        }),
         message::Kind::Install(install) => Kind::Install(wire::Install {
             position: Some(write_position(install.position)),
             roster: Some(write_roster(&install.roster)),
@@ -280,8 +284,12 @@
             granted: ballot.granted,
             pre: ballot.pre,
         }),
+        Kind::Copied(copied) => message::Kind::Copied(copied),
         Kind::Fresh(_) => message::Kind::Fresh,
-        Kind::Hello(fresh) => message::Kind::Hello(fresh),
+        Kind::Hello(hello) => message::Kind::Hello(message::Hello {
+            copied: hello.copied,
+            fresh: hello.fresh,
+        }),
         Kind::Install(install) => message::Kind::Install(message::Install {
             chunk: install.chunk,
             offset: install.offset,
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -17,11 +17,13 @@
 use peargap_wire::peer as wire;
 use prost::Message as _;
 
+use crate::birth;
 use crate::convert;
 use crate::files;
 use crate::record;
 use crate::replay;
 
+const BIRTH_FILE: &str = "birth";
 const HARD_FILE: &str = "hard";
 const LOCK_FILE: &str = "lock";
 const OLD_PREFIX: &str = "old-";
@@ -41,6 +43,8 @@
 /// What was found in the folder.
 #[derive(Debug)]
 pub struct Found {
+    /// The files were copied since they were written, so they may be older than what was lost.
+    pub copied: bool,
     /// Hard state.
     pub hard: effect::Hard,
     /// This host and the id of its disk.
@@ -84,6 +88,7 @@
         let mut replay = replay::Replay::new(snapshot);
         let segments = replay.read_segments(folder)?;
         let number = segments.last().map_or(1, |segment| segment.number + 1);
+        let copied = !birth::is_original(&folder.join(BIRTH_FILE))?;
         let mut disk = Disk {
             folder: folder.to_owned(),
             full: false,
@@ -101,6 +106,7 @@
         });
         disk.take_reserve();
         let found = Found {
+            copied,
             hard,
             me,
             store: store::Store::new(replay.snapshot, replay.entries),
@@ -114,6 +120,12 @@
         self.full
     }
 
+    /// Takes copied files for the original from now on.
+    pub fn adopt(&mut self) -> Result<(), files::Error> {
+        birth::write_birth(&self.folder.join(BIRTH_FILE))?;
+        files::sync_folder(&self.folder)
+    }
+
     /// Stores the hard state.
     pub fn save_hard(&mut self, hard: &effect::Hard) -> Result<(), files::Error> {
         let payload = convert::write_hard(&self.me, hard).encode_to_vec();
@@ -317,6 +329,7 @@
     }
     let hard = effect::Hard::default();
     let payload = convert::write_hard(&me, &hard).encode_to_vec();
+    birth::write_birth(&folder.join(BIRTH_FILE))?;
     files::write_whole(folder, HARD_FILE, &payload)?;
     Ok((me, hard))
 }
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -11,6 +11,7 @@
 pub(crate) const OPERATOR_REFUSED: logs::Event = logs::Event::warn(2107, "operator refused");
 pub(crate) const CLAIM_ANSWERED: logs::Event = logs::Event::debug(2108, "claim answered");
 pub(crate) const CLAIM_SETTLED: logs::Event = logs::Event::debug(2109, "claim settled");
+pub(crate) const DISK_COPIED: logs::Event = logs::Event::warn(2013, "disk copied");
 pub(crate) const DISK_FULL: logs::Event = logs::Event::error(2006, "disk full");
 pub(crate) const DISK_SET_ASIDE: logs::Event = logs::Event::error(2005, "old disk set aside");
 pub(crate) const LOG_FAILED: logs::Event = logs::Event::error(2009, "log stopped");
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,7 @@
 //! Control host: the durable configuration, members, fences and claims.
 
 mod attached;
+mod birth;
 mod claims;
 mod codec;
 pub mod convert;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -57,6 +57,8 @@
     pub peers: collections::BTreeMap<String, net::SocketAddr>,
     /// Intervals.
     pub timing: Timing,
+    /// Take a copied data folder for the newest there is.
+    pub trust_copy: bool,
 }
 
 /// Intervals of the log's protocol.
@@ -92,6 +94,7 @@
     let health = reader.required("listen", "health", ADDRESS);
     let folder = reader.required("data", "folder", "a folder on a disk");
     let limit_mb = reader.ranged("data", "limit_mb", DEFAULT_LIMIT_MB, 16..=DEFAULT_LIMIT_MB);
+    let trust_copy = reader.optional("data", "trust_copy", false, "true or false");
     let operator_keys = read_keys(reader);
     let bootstrap = reader.list("bootstrap", "voters", "names of hosts");
     let level = logs::Level::Info;
@@ -119,6 +122,7 @@
         own_address,
         peers,
         timing,
+        trust_copy,
     })
 }
 
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -109,7 +109,10 @@
         let name = Bytes::from(settings.name.clone());
         let disk_id = rand::rng().random_range(1..u64::MAX);
         let opened = disk::Disk::open(&settings.folder, &name, disk_id, settings.disk_limits);
-        let (disk, found) = opened?;
+        let (mut disk, found) = opened?;
+        if found.copied && settings.trust_copy {
+            disk.adopt()?;
+        }
         if found.torn_bytes > 0 {
             logs::emit(events::TAIL_CUT, format_args!("bytes={}", found.torn_bytes));
         }
@@ -126,7 +129,14 @@
                 snapshot.position.index
             ),
         );
+        if found.copied {
+            logs::emit(
+                events::DISK_COPIED,
+                format_args!("disk={:016x}", found.me.disk),
+            );
+        }
         let start = log::Start {
+            copied: found.copied && !settings.trust_copy,
             hard: found.hard,
             me: found.me,
             run: rand::rng().random(),
@@ -291,6 +301,7 @@
 
     fn save_one(&mut self, effect: &effect::Effect) -> Result<(), files::Error> {
         match effect {
+            effect::Effect::Adopt => self.disk.adopt(),
             effect::Effect::SaveHard(hard) => self.disk.save_hard(hard),
             effect::Effect::SaveSnapshot {
                 installed,
@@ -335,7 +346,8 @@
                 effect::Effect::Proposed { token, position } => self.wait_for(token, position),
                 effect::Effect::Rejected(token) => self.reject(token),
                 effect::Effect::Renounce => renounced = true,
-                effect::Effect::SaveHard(_)
+                effect::Effect::Adopt
+                | effect::Effect::SaveHard(_)
                 | effect::Effect::SaveSnapshot { .. }
                 | effect::Effect::Store(_) => {}
                 effect::Effect::Send(message) => self.send(message, now),
@@ -441,7 +453,7 @@
         let me = self.log.me();
         logs::emit(
             events::DISK_SET_ASIDE,
-            format_args!("disk={:016x} why=older than what peers saw", me.disk),
+            format_args!("disk={:016x} why=an old copy", me.disk),
         );
         self.end_lead();
         self.disk.set_aside()?;
--- a/crates/core/src/log/effect.rs
+++ b/crates/core/src/log/effect.rs
@@ -64,6 +64,8 @@
 /// Something the adapters do. Storage is synced before a later effect is begun.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Effect {
+    /// The copied disk holds the newest there is: from now on it is no copy.
+    Adopt,
     /// Everything up to this index is committed: apply it.
     Commit(u64),
     /// A quorum has answered this heartbeat round.
--- a/crates/core/src/log/follow.rs
+++ b/crates/core/src/log/follow.rs
@@ -85,6 +85,7 @@
     pub(crate) fn raise_commit(&mut self, commit: u64, effects: &mut effect::Effects) {
         if commit > self.commit {
             self.commit = commit;
+            self.copied = false;
             effects.push(effect::Effect::Commit(commit));
         }
     }
--- a/crates/core/src/log/join.rs
+++ b/crates/core/src/log/join.rs
@@ -17,21 +17,62 @@
                 disk: member::ANY_DISK,
                 name: name.clone(),
             };
-            let hello = message::Kind::Hello(self.is_fresh());
+            let hello = message::Kind::Hello(message::Hello {
+                copied: self.doubt.is_some(),
+                fresh: self.is_fresh(),
+            });
             self.send(to, hello, effects);
         }
     }
 
-    /// Tells a fresh host that this one is fresh too.
+    /// Tells a fresh host whether this one is fresh too, and one on a copied disk whether this
+    /// one runs on a copy too.
     pub(crate) fn answer_hello(
         &self,
-        fresh: bool,
+        hello: message::Hello,
         from: &member::Member,
         effects: &mut effect::Effects,
     ) {
-        if fresh && self.is_fresh() {
+        if hello.fresh && self.is_fresh() {
             self.send(from.clone(), message::Kind::Fresh, effects);
         }
+        if hello.copied && self.is_voter() {
+            self.send(from.clone(), message::Kind::Copied(self.copied), effects);
+        }
+    }
+
+    /// Decides what becomes of this copied disk.
+    ///
+    /// Where another voter kept its own disk, this one may have forgotten what it acknowledged:
+    /// it is renounced. Where every voter runs on a copy, the whole log was restored: it goes on.
+    pub(crate) fn take_copied(
+        &mut self,
+        copied: bool,
+        from: &member::Member,
+        effects: &mut effect::Effects,
+    ) {
+        let Some(copies) = &mut self.doubt else {
+            return;
+        };
+        if !copied {
+            effects.push(effect::Effect::Renounce);
+            return;
+        }
+        copies.insert(from.clone());
+        self.settle_doubt(effects);
+    }
+
+    /// Trusts the copied disk once every other voter is known to run on a copy.
+    pub(crate) fn settle_doubt(&mut self, effects: &mut effect::Effects) {
+        let Some(copies) = &self.doubt else {
+            return;
+        };
+        let voters = &self.store.roster().voters;
+        let mut others = voters.iter().filter(|voter| **voter != self.me);
+        if others.all(|voter| copies.contains(voter)) {
+            self.doubt = None;
+            effects.push(effect::Effect::Adopt);
+        }
     }
 
     /// Remembers a host that has never taken part.
--- a/crates/core/src/log/member.rs
+++ b/crates/core/src/log/member.rs
@@ -10,10 +10,10 @@
 /// A host with one particular disk; the same host with a new disk is another member.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Member {
-    /// Id drawn when the data folder was first used.
-    pub disk: u64,
     /// Name of the host.
     pub name: Bytes,
+    /// Id drawn when the data folder was first used.
+    pub disk: u64,
 }
 
 impl Member {
--- a/crates/core/src/log/message.rs
+++ b/crates/core/src/log/message.rs
@@ -30,10 +30,13 @@
     Appended(Appended),
     /// Answers a [`Poll`].
     Ballot(Ballot),
+    /// Whether the sender, a voter, runs on a copied disk as well; answers a [`Kind::Hello`] of a
+    /// host that does.
+    Copied(bool),
     /// The sender has never taken part; answers a fresh host's [`Kind::Hello`].
     Fresh,
-    /// The sender has started, or waits to be let in; true when it has never taken part.
-    Hello(bool),
+    /// The sender has started, or waits to be let in.
+    Hello(Hello),
     /// A part of the leader's snapshot.
     Install(Install),
     /// Answers an [`Install`].
@@ -46,6 +49,15 @@
     TakeOver,
 }
 
+/// How a host that starts describes its disk.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Hello {
+    /// The files were copied, so they may be older than what the host once had.
+    pub copied: bool,
+    /// It has never taken part.
+    pub fresh: bool,
+}
+
 /// Entries that follow `previous`.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Append {
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -46,6 +46,8 @@
 /// What a process found on its disk, and who it is.
 #[derive(Clone, Debug)]
 pub struct Start {
+    /// The files were copied, so they may be older than what this host once had.
+    pub copied: bool,
     /// Hard state on the disk.
     pub hard: effect::Hard,
     /// This host with its disk.
@@ -80,7 +82,8 @@
     #[must_use]
     pub fn start(start: Start) -> (Log, Vec<effect::Effect>) {
         let mut effects = effect::Effects::default();
-        let replica = replica::Replica::new(start);
+        let mut replica = replica::Replica::new(start);
+        replica.settle_doubt(&mut effects);
         replica.announce(&mut effects);
         let hard = replica.hard.clone();
         let mut list = effects.list;
--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -20,6 +20,10 @@
     pub(crate) acked: u64,
     /// Last index known to be committed.
     pub(crate) commit: u64,
+    /// Whether this process started on a copied disk and has committed nothing since.
+    pub(crate) copied: bool,
+    /// While the copied disk is not trusted: the other voters that run on copies as well.
+    pub(crate) doubt: Option<collections::BTreeSet<member::Member>>,
     /// What this process found on its disk.
     pub(crate) found: mark::Mark,
     /// Hosts that said they have never taken part.
@@ -39,6 +43,7 @@
     /// Returns the replica on what was found on the disk.
     pub(crate) fn new(start: log::Start) -> Replica {
         let log::Start {
+            copied,
             mut hard,
             me,
             run,
@@ -55,6 +60,8 @@
         Replica {
             acked: 0,
             commit: store.snapshot().position.index,
+            copied,
+            doubt: copied.then(collections::BTreeSet::new),
             found,
             fresh: collections::BTreeSet::new(),
             hard,
@@ -75,9 +82,16 @@
         if !message.to.means(&self.me) || message.from == self.me {
             return effect::Screened::Drop;
         }
+        // A refusal counts whoever sends it, and is never answered by another.
+        if matches!(message.kind, message::Kind::Refused(_)) {
+            return effect::Screened::Take;
+        }
         if !self.admit_stamp(message, effects) {
             return effect::Screened::Drop;
         }
+        if self.doubt.is_some() && !is_greeting(&message.kind) {
+            return effect::Screened::Drop;
+        }
         if message.term > self.hard.term && shows_term(&message.kind) {
             return effect::Screened::Raise;
         }
@@ -165,7 +179,7 @@
 
     fn campaign(&mut self, effects: &mut effect::Effects) -> Step {
         effects.push(effect::Effect::Heard);
-        if !self.is_voter() {
+        if self.doubt.is_some() || !self.is_voter() {
             self.announce(effects);
             if self.bootstrap(effects) {
                 return self.poll(effects);
@@ -210,6 +224,7 @@
             message::Kind::Install(install) => self.take_install(&message.from, install, effects),
             message::Kind::Appended(_)
             | message::Kind::Ballot(_)
+            | message::Kind::Copied(_)
             | message::Kind::Fresh
             | message::Kind::Hello(_)
             | message::Kind::Installed(_)
@@ -221,17 +236,29 @@
     }
 }
 
-/// Returns whether a message's term is one that its sender has entered.
-fn shows_term(kind: &message::Kind) -> bool {
+/// Returns whether a message is about disks and starts only.
+fn is_greeting(kind: &message::Kind) -> bool {
     match kind {
-        message::Kind::Poll(poll) => !poll.pre,
-        message::Kind::Ballot(ballot) => !(ballot.pre && ballot.granted),
-        message::Kind::Fresh | message::Kind::Hello(_) | message::Kind::Refused(_) => false,
+        message::Kind::Copied(_)
+        | message::Kind::Fresh
+        | message::Kind::Hello(_)
+        | message::Kind::Refused(_) => true,
         message::Kind::Append(_)
         | message::Kind::Appended(_)
+        | message::Kind::Ballot(_)
         | message::Kind::Install(_)
         | message::Kind::Installed(_)
-        | message::Kind::TakeOver => true,
+        | message::Kind::Poll(_)
+        | message::Kind::TakeOver => false,
+    }
+}
+
+/// Returns whether a message's term is one that its sender has entered.
+fn shows_term(kind: &message::Kind) -> bool {
+    match kind {
+        message::Kind::Poll(poll) => !poll.pre,
+        message::Kind::Ballot(ballot) => !(ballot.pre && ballot.granted),
+        kind => !is_greeting(kind),
     }
 }
 
@@ -324,7 +351,10 @@
                 message::Kind::Appended(appended) => {
                     self.take_appended(leading, message, *appended, context);
                 }
-                message::Kind::Hello(_) => self.greet(leading, &message.from, context),
+                message::Kind::Hello(hello) => {
+                    self.answer_hello(*hello, &message.from, context);
+                    self.greet(leading, &message.from, context);
+                }
                 message::Kind::Installed(installed) => {
                     self.take_installed(leading, message, *installed, context);
                 }
@@ -362,7 +392,8 @@
                         return self.poll(context);
                     }
                 }
-                message::Kind::Hello(fresh) => self.answer_hello(*fresh, &message.from, context),
+                message::Kind::Copied(copied) => self.take_copied(*copied, &message.from, context),
+                message::Kind::Hello(hello) => self.answer_hello(*hello, &message.from, context),
                 message::Kind::Poll(_) => self.answer_poll(false, message, context),
                 message::Kind::Refused(run) if *run == self.run => {
                     context.push(effect::Effect::Renounce);
--- /dev/null
+++ b/crates/core/tests/model/action.rs
@@ -0,0 +1,123 @@
+//! What may happen next, and how often.
+
+use peargap_core::log;
+use peargap_core::log::entry;
+use peargap_core::log::member;
+
+use super::World;
+
+/// How often each thing may still happen.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub(crate) struct Budget {
+    pub(crate) beats: u8,
+    pub(crate) campaigns: u8,
+    pub(crate) compactions: u8,
+    pub(crate) crashes: u8,
+    pub(crate) losses: u8,
+    pub(crate) proposals: u8,
+    pub(crate) repeats: u8,
+    pub(crate) restores: u8,
+}
+
+/// Something that may happen next.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Action {
+    Beat(usize),
+    Campaign(usize),
+    Compact(usize),
+    Crash(usize),
+    Deliver(usize),
+    /// The receiver crashes after this many effects of the message.
+    DeliverAndCrash(usize, usize),
+    LoseDisk(usize),
+    Propose(usize),
+    Repeat(usize),
+    Restart(usize),
+    RestoreCopy(usize),
+}
+
+impl World {
+    /// Returns everything that may happen next.
+    pub(crate) fn list_actions(&self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.broken.is_some() {
+            return actions;
+        }
+        for index in 0..self.net.len() {
+            actions.push(Action::Deliver(index));
+            if self.budget.repeats > 0 {
+                actions.push(Action::Repeat(index));
+            }
+            if self.budget.crashes > 0 {
+                actions.push(Action::DeliverAndCrash(index, 1));
+                actions.push(Action::DeliverAndCrash(index, 2));
+            }
+        }
+        for index in 0..self.hosts.len() {
+            self.list_of_host(index, &mut actions);
+        }
+        actions
+    }
+
+    fn list_of_host(&self, index: usize, actions: &mut Vec<Action>) {
+        let host = &self.hosts[index];
+        let budget = self.budget;
+        let Some(log) = &host.log else {
+            actions.push(Action::Restart(index));
+            return;
+        };
+        let leads = log.role() == log::Role::Leader;
+        let mut add = |allowed: bool, action| {
+            if allowed {
+                actions.push(action);
+            }
+        };
+        add(leads && budget.beats > 0, Action::Beat(index));
+        add(!leads && budget.campaigns > 0, Action::Campaign(index));
+        add(leads && budget.proposals > 0, Action::Propose(index));
+        add(budget.crashes > 0, Action::Crash(index));
+        let repaired = self.is_repaired();
+        add(budget.losses > 0 && repaired, Action::LoseDisk(index));
+        let has_copy = host.copy.is_some() && repaired;
+        add(budget.restores > 0 && has_copy, Action::RestoreCopy(index));
+        let compactable = log.commit() > log.store().snapshot().position.index;
+        add(
+            budget.compactions > 0 && compactable,
+            Action::Compact(index),
+        );
+    }
+
+    /// Returns whether every host's present disk votes in a committed roster.
+    pub(crate) fn is_repaired(&self) -> bool {
+        let mut rosters = self.ghost.committed.iter().rev();
+        let roster = rosters.find_map(|entry| match &entry.payload {
+            entry::Payload::Roster(roster) => Some(roster),
+            entry::Payload::Command(_) | entry::Payload::Noop => None,
+        });
+        let is_present = |voter: &member::Member| {
+            let mut present = self.hosts.iter().map(|host| &host.disk.me);
+            present.any(|me| me == voter)
+        };
+        roster.is_some_and(|roster| {
+            let names = self.hosts.iter().map(|host| &host.disk.me.name);
+            let known = names.filter(|name| roster.find_voter(name).is_some());
+            known.count() >= super::FIRST_VOTERS && roster.voters.iter().all(is_present)
+        })
+    }
+
+    /// Takes an action from the budget.
+    pub(crate) fn spend(&mut self, action: Action) {
+        let budget = &mut self.budget;
+        match action {
+            Action::Beat(_) => budget.beats -= 1,
+            Action::Campaign(_) => budget.campaigns -= 1,
+            Action::Compact(_) => budget.compactions -= 1,
+            Action::Crash(_) | Action::DeliverAndCrash(_, _) => budget.crashes -= 1,
+            Action::LoseDisk(_) => budget.losses -= 1,
+            Action::Propose(_) => budget.proposals -= 1,
+            Action::Repeat(_) => budget.repeats -= 1,
+            Action::RestoreCopy(_) => budget.restores -= 1,
+            Action::Deliver(_) | Action::Restart(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/model/mod.rs
@@ -0,0 +1,465 @@
+//! A small world of control hosts that runs the real log machines.
+//!
+//! A state holds the hosts with their disks, the messages on their way, and what was ever elected
+//! and committed. Messages are delivered in any order, or never, or twice; hosts crash between
+//! any two effects, lose their disks, or start on an old copy of one.
+
+mod action;
+mod check;
+mod shared;
+
+use std::collections;
+use std::sync;
+
+use bytes::Bytes;
+use peargap_core::log;
+use peargap_core::log::effect;
+use peargap_core::log::entry;
+use peargap_core::log::member;
+use peargap_core::log::message;
+use peargap_core::log::store;
+
+pub(crate) use action::Action;
+pub(crate) use action::Budget;
+use shared::Shared;
+
+/// Voters of every scenario at its beginning.
+pub(crate) const FIRST_VOTERS: usize = 3;
+/// Generation that makes any disk look newer than what was seen of it.
+const FORGED_GENERATION: u64 = 1_000;
+
+/// A fault of the adapters, planted to see whether the run finds it.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Bug {
+    /// A vote is counted a second time under another voter's name.
+    CountTwice,
+    /// Entries are acknowledged before they are synced.
+    ForgetEntries,
+    /// The hard state is not synced.
+    ForgetHard,
+    /// A host that lost its disk takes its former disk id.
+    KeepIdentity,
+    /// Entries look as if they followed what the receiver has.
+    MixTerms,
+    /// None.
+    None,
+    /// An old copy of a disk looks like the newest.
+    TrustCopy,
+}
+
+/// What is on a disk.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct Disk {
+    pub(crate) hard: effect::Hard,
+    pub(crate) me: member::Member,
+    pub(crate) store: store::Store,
+}
+
+/// One host.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct Host {
+    /// An old copy of the disk.
+    pub(crate) copy: Option<Disk>,
+    pub(crate) disk: Disk,
+    /// The process, when it runs.
+    pub(crate) log: Option<log::Log>,
+}
+
+/// Everything there is.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct World {
+    /// The property that does not hold here.
+    pub(crate) broken: Option<&'static str>,
+    pub(crate) budget: Budget,
+    pub(crate) bug: Bug,
+    pub(crate) ghost: Shared<Ghost>,
+    pub(crate) hosts: Vec<Shared<Host>>,
+    /// Greetings arrive at once, as pre-votes always do, so that the search gets further.
+    instant: bool,
+    /// Messages on their way at most; further ones are lost.
+    limit: usize,
+    pub(crate) net: Vec<Shared<message::Message>>,
+    next_disk: u64,
+    next_run: u64,
+    /// The only property to watch; all of them when there is none.
+    only: Option<&'static str>,
+    settings: sync::Arc<log::Settings>,
+    /// Old copies of disks are not told by their files, only by what other hosts saw.
+    unseen_copies: bool,
+}
+
+/// What was ever seen, which no host knows.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub(crate) struct Ghost {
+    /// Every entry ever committed, from index 1.
+    pub(crate) committed: Vec<entry::Entry>,
+    /// Term in which each of them was committed.
+    commit_terms: Vec<u64>,
+    /// Leader of each term.
+    leaders: collections::BTreeMap<u64, member::Member>,
+    /// Votes given, by term and voter.
+    votes: collections::BTreeMap<(u64, member::Member), member::Member>,
+}
+
+impl World {
+    /// Returns a world of `count` hosts, of which the first three have formed a log.
+    pub(crate) fn new(count: usize, bug: Bug) -> World {
+        let names: Vec<Bytes> = ["a", "b", "c", "d"][..count]
+            .iter()
+            .map(|name| Bytes::from_static(name.as_bytes()))
+            .collect();
+        let settings = log::Settings {
+            batch_entries: 8,
+            bootstrap: names[..FIRST_VOTERS].iter().cloned().collect(),
+            chunk_bytes: 1,
+            keep_entries: 0,
+            learner_lag: 0,
+            peers: names.iter().cloned().collect(),
+        };
+        let mut world = World {
+            broken: None,
+            budget: Budget::default(),
+            bug,
+            ghost: Shared::new(Ghost::default()),
+            hosts: Vec::new(),
+            instant: true,
+            limit: usize::MAX,
+            net: Vec::new(),
+            next_disk: 1,
+            next_run: 1,
+            only: None,
+            settings: sync::Arc::new(settings),
+            unseen_copies: false,
+        };
+        for name in names {
+            let disk = world.create_disk(name);
+            let host = Host {
+                copy: None,
+                disk,
+                log: None,
+            };
+            world.hosts.push(Shared::new(host));
+        }
+        for index in 0..count {
+            world.take(Action::Restart(index));
+        }
+        world.settle();
+        world
+    }
+
+    /// Limits the messages on their way and sets what may happen.
+    pub(crate) fn bound(mut self, limit: usize, budget: Budget) -> World {
+        self.limit = limit;
+        self.budget = budget;
+        self
+    }
+
+    /// Watches one property only.
+    pub(crate) fn watch(mut self, property: &'static str) -> World {
+        self.only = Some(property);
+        self
+    }
+
+    /// Lets greetings take their time as well.
+    pub(crate) fn slow(mut self) -> World {
+        self.instant = false;
+        self
+    }
+
+    /// Hides from a starting host that its disk is a copy.
+    pub(crate) fn unseen(mut self) -> World {
+        self.unseen_copies = true;
+        self
+    }
+
+    /// Delivers every message in order, and those that follow, until none is left.
+    pub(crate) fn settle(&mut self) {
+        while !self.net.is_empty() {
+            self.take(Action::Deliver(0));
+        }
+    }
+
+    /// Returns the state after an action.
+    pub(crate) fn after(&self, action: Action) -> World {
+        let mut world = self.clone();
+        world.spend(action);
+        world.take(action);
+        world
+    }
+
+    /// Performs an action.
+    pub(crate) fn take(&mut self, action: Action) {
+        match action {
+            Action::Beat(index) => self.handle(index, effect::Event::Beat, usize::MAX),
+            Action::Campaign(index) => {
+                // The other hosts' timers may have run out as well.
+                for other in 0..self.hosts.len() {
+                    self.handle(other, effect::Event::Quiet, usize::MAX);
+                }
+                self.handle(index, effect::Event::Campaign, usize::MAX);
+            }
+            Action::Compact(index) => self.compact(index),
+            Action::Crash(index) => self.crash(index),
+            Action::Deliver(place) => {
+                let message = self.net.remove(place);
+                self.deliver(&message, usize::MAX);
+            }
+            Action::DeliverAndCrash(place, effects) => {
+                let message = self.net.remove(place);
+                if let Some(index) = self.deliver(&message, effects) {
+                    self.crash(index);
+                }
+            }
+            Action::LoseDisk(index) => self.lose_disk(index),
+            Action::Propose(index) => {
+                let proposal = effect::Proposal {
+                    command: Bytes::from(vec![b'0' + self.budget.proposals]),
+                    token: 0,
+                };
+                let event = effect::Event::Propose(vec![proposal]);
+                self.handle(index, event, usize::MAX);
+            }
+            Action::Repeat(place) => {
+                let message = self.net[place].clone();
+                self.deliver(&message, usize::MAX);
+            }
+            Action::Restart(index) => self.restart(index),
+            Action::RestoreCopy(index) => self.restore_copy(index),
+        }
+    }
+
+    /// Delivers the first message from one host to another.
+    pub(crate) fn pass(&mut self, from: usize, to: usize) {
+        let from = &self.hosts[from].disk.me.name;
+        let to = &self.hosts[to].disk.me.name;
+        let mut net = self.net.iter();
+        let place = net.position(|message| message.from.name == *from && message.to.name == *to);
+        self.take(Action::Deliver(place.expect("a message")));
+    }
+
+    /// Copies a host's disk as it is now.
+    pub(crate) fn copy_disk(&mut self, index: usize) {
+        self.hosts[index].change(|host| host.copy = Some(host.disk.clone()));
+    }
+
+    /// Ends a host's process.
+    pub(crate) fn crash(&mut self, index: usize) {
+        self.hosts[index].change(|host| host.log = None);
+    }
+
+    fn create_disk(&mut self, name: Bytes) -> Disk {
+        let disk = self.next_disk;
+        self.next_disk += 1;
+        Disk {
+            hard: effect::Hard::default(),
+            me: member::Member { name, disk },
+            store: store::Store::default(),
+        }
+    }
+
+    fn lose_disk(&mut self, index: usize) {
+        let me = self.hosts[index].disk.me.clone();
+        let mut disk = self.create_disk(me.name.clone());
+        if self.bug == Bug::KeepIdentity {
+            disk.me = me;
+            disk.hard.generation = FORGED_GENERATION;
+        }
+        self.hosts[index].change(|host| host.disk = disk);
+        self.restart(index);
+    }
+
+    fn restore_copy(&mut self, index: usize) {
+        let trust = self.bug == Bug::TrustCopy;
+        self.hosts[index].change(|host| {
+            if let Some(copy) = host.copy.take() {
+                host.disk = copy;
+            }
+            if trust {
+                host.disk.hard.generation = FORGED_GENERATION;
+            }
+        });
+        self.start(index, !trust && !self.unseen_copies);
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.start(index, false);
+    }
+
+    fn start(&mut self, index: usize, copied: bool) {
+        let disk = self.hosts[index].disk.clone();
+        let mut settings = self.settings.as_ref().clone();
+        settings.peers.remove(&disk.me.name);
+        let (log, effects) = log::Log::start(log::Start {
+            copied,
+            hard: disk.hard,
+            me: disk.me,
+            run: self.next_run,
+            settings: sync::Arc::new(settings),
+            store: disk.store,
+        });
+        self.next_run += 1;
+        self.hosts[index].change(|host| host.log = Some(log));
+        self.perform(index, effects, usize::MAX);
+    }
+
+    fn compact(&mut self, index: usize) {
+        let Some(log) = &self.hosts[index].log else {
+            return;
+        };
+        let event = effect::Event::Compact {
+            data: Bytes::from_static(b"xy"),
+            index: log.commit(),
+        };
+        self.handle(index, event, usize::MAX);
+    }
+
+    /// Hands a message to the running host it is meant for.
+    fn deliver(&mut self, message: &message::Message, limit: usize) -> Option<usize> {
+        let name = &message.to.name;
+        let index = self
+            .hosts
+            .iter()
+            .position(|host| host.disk.me.name == *name)?;
+        let mut delivered = message.clone();
+        if self.bug == Bug::MixTerms {
+            self.mix_terms(index, &mut delivered);
+        }
+        self.handle(index, effect::Event::Message(delivered), limit);
+        if self.bug == Bug::CountTwice {
+            self.count_twice(index, message);
+        }
+        Some(index)
+    }
+
+    fn mix_terms(&self, index: usize, message: &mut message::Message) {
+        if let message::Kind::Append(append) = &mut message.kind {
+            let store = &self.hosts[index].disk.store;
+            if let Some(term) = store.term(append.previous.index) {
+                append.previous.term = term;
+            }
+        }
+    }
+
+    fn count_twice(&mut self, index: usize, message: &message::Message) {
+        let message::Kind::Ballot(ballot) = message.kind else {
+            return;
+        };
+        // The refusal of one voter arrives as the consent of another.
+        if ballot.pre || ballot.granted {
+            return;
+        }
+        let mut forged = message.clone();
+        let other = self.hosts.iter().map(|host| &host.disk.me);
+        let other = other.filter(|me| **me != forged.from && **me != forged.to);
+        if let Some(other) = other.last() {
+            forged.from = other.clone();
+            forged.stamp.found.generation = FORGED_GENERATION;
+            forged.stamp.run = 0;
+            let granted = true;
+            forged.kind = message::Kind::Ballot(message::Ballot {
+                granted,
+                pre: false,
+            });
+            self.handle(index, effect::Event::Message(forged), usize::MAX);
+        }
+    }
+
+    /// Lets a running host handle an event; it performs at most `limit` effects.
+    fn handle(&mut self, index: usize, event: effect::Event, limit: usize) {
+        if self.hosts[index].log.is_none() {
+            return;
+        }
+        let effects = self.hosts[index].change(|host| match &mut host.log {
+            Some(log) => log.handle(event),
+            None => Vec::new(),
+        });
+        self.perform(index, effects, limit);
+    }
+
+    fn perform(&mut self, index: usize, effects: Vec<effect::Effect>, limit: usize) {
+        let mut renounced = false;
+        for effect in effects.into_iter().take(limit) {
+            match effect {
+                effect::Effect::Commit(commit) => self.check_commit(index, commit),
+                effect::Effect::Renounce => renounced = true,
+                effect::Effect::SaveHard(hard) => self.save_hard(index, hard),
+                effect::Effect::SaveSnapshot { .. } | effect::Effect::Store(_) => {
+                    self.save_store(index);
+                }
+                effect::Effect::Send(message) => self.send(message),
+                effect::Effect::Adopt
+                | effect::Effect::Confirm(_)
+                | effect::Effect::Heard
+                | effect::Effect::Proposed { .. }
+                | effect::Effect::Rejected(_) => {}
+            }
+        }
+        self.check_vote(index);
+        self.check_leader(index);
+        self.check_match(index);
+        if renounced {
+            let name = self.hosts[index].disk.me.name.clone();
+            let disk = self.create_disk(name);
+            self.hosts[index].change(|host| host.disk = disk);
+            self.restart(index);
+        }
+    }
+
+    fn save_hard(&mut self, index: usize, hard: effect::Hard) {
+        let is_prepared = self.limit != usize::MAX;
+        let forget = self.bug == Bug::ForgetHard && is_prepared;
+        self.hosts[index].change(|host| {
+            if forget {
+                host.disk.hard.generation = hard.generation;
+            } else {
+                host.disk.hard = hard;
+            }
+        });
+    }
+
+    fn save_store(&mut self, index: usize) {
+        let is_prepared = self.limit != usize::MAX;
+        if self.bug == Bug::ForgetEntries && is_prepared {
+            return;
+        }
+        self.hosts[index].change(|host| {
+            if let Some(log) = &host.log {
+                host.disk.store = log.store().clone();
+            }
+        });
+    }
+
+    fn send(&mut self, message: message::Message) {
+        let is_prepared = self.limit != usize::MAX;
+        if is_prepared && self.is_instant(&message.kind) {
+            self.deliver(&message, usize::MAX);
+            return;
+        }
+        let message = Shared::new(message);
+        if self.net.len() >= self.limit || self.net.contains(&message) {
+            return;
+        }
+        let place = if is_prepared {
+            self.net.partition_point(|other| other.hash < message.hash)
+        } else {
+            self.net.len()
+        };
+        self.net.insert(place, message);
+    }
+
+    fn is_instant(&self, kind: &message::Kind) -> bool {
+        match kind {
+            message::Kind::Ballot(ballot) => ballot.pre,
+            message::Kind::Poll(poll) => poll.pre,
+            message::Kind::Copied(_)
+            | message::Kind::Fresh
+            | message::Kind::Hello(_)
+            | message::Kind::Refused(_) => self.instant,
+            message::Kind::Append(_)
+            | message::Kind::Appended(_)
+            | message::Kind::Install(_)
+            | message::Kind::Installed(_)
+            | message::Kind::TakeOver => false,
+        }
+    }
+}
--- a/crates/wire/src/gen/peargap.peer.rs
+++ b/crates/wire/src/gen/peargap.peer.rs
@@ -105,7 +105,7 @@
     pub term: u64,
     #[prost(message, optional, tag = "4")]
     pub stamp: ::core::option::Option<Stamp>,
-    #[prost(oneof = "message::Kind", tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "message::Kind", tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub kind: ::core::option::Option<message::Kind>,
 }
 /// Nested message and enum types in `Message`.
@@ -121,9 +121,8 @@
         /// The sender has never taken part.
         #[prost(bool, tag = "8")]
         Fresh(bool),
-        /// The sender has started, or waits to be let in; true when it has never taken part.
-        #[prost(bool, tag = "9")]
-        Hello(bool),
+        #[prost(message, tag = "9")]
+        Hello(super::Hello),
         #[prost(message, tag = "10")]
         Install(super::Install),
         #[prost(message, tag = "11")]
@@ -136,8 +135,21 @@
         /// The leader asks the receiver to replace it at once.
         #[prost(bool, tag = "14")]
         TakeOver(bool),
+        /// Whether the sender, a voter, runs on a copied disk as well.
+        #[prost(bool, tag = "15")]
+        Copied(bool),
     }
 }
+/// The sender has started, or waits to be let in.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Hello {
+    /// It has never taken part.
+    #[prost(bool, tag = "1")]
+    pub fresh: bool,
+    /// Its files were copied, so they may be older than what it once had.
+    #[prost(bool, tag = "2")]
+    pub copied: bool,
+}
 /// Entries that follow `previous`; without entries a heartbeat.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Append {
