--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::process;
 
+use crate::compare;
 use crate::ports;
 use crate::ready;
 use crate::run;
@@ -78,6 +79,37 @@
     }
 }
 
+/// Compares entry and agent with the engine: `compare --direct URL --entry URL --key K ...`.
+pub fn compare(mut arguments: pico_args::Arguments) -> process::ExitCode {
+    let comparison = match parse_comparison(&mut arguments) {
+        Ok(comparison) => comparison,
+        Err(error) => return fail(&format!("compare: {error}")),
+    };
+    block_on(async move {
+        compare::check_direct(&comparison.direct).await?;
+        let outcome = compare::compare(&comparison).await?;
+        let text = serde_json::to_string_pretty(&outcome).map_err(|error| error.to_string())?;
+        println!("{text}");
+        Ok(())
+    })
+}
+
+fn parse_comparison(
+    arguments: &mut pico_args::Arguments,
+) -> Result<compare::Comparison, pico_args::Error> {
+    Ok(compare::Comparison {
+        agent: arguments.value_from_str("--agent-pid")?,
+        direct: arguments.value_from_str("--direct")?,
+        entry: arguments.value_from_str("--entry")?,
+        entry_process: arguments.value_from_str("--entry-pid")?,
+        key: arguments.value_from_str("--key")?,
+        model: arguments.value_from_str("--model")?,
+        pairs: take(arguments, "--pairs", 100)?,
+        streams: take(arguments, "--streams", 64)?,
+        tokens: take(arguments, "--tokens", 200)?,
+    })
+}
+
 fn parse_tour(arguments: &mut pico_args::Arguments) -> Result<walk::Tour, pico_args::Error> {
     let path: String = arguments.value_from_str("--text")?;
     let text =
--- /dev/null
+++ b/crates/load/src/compare.rs
@@ -0,0 +1,219 @@
+//! `peargap-load compare`: what entry and agent add against the engine asked directly.
+//!
+//! Requests alternate between the two ways within one run, so that both see the same machine.
+
+use core::time;
+use std::fs;
+
+use bytes::Bytes;
+use serde::Serialize;
+
+use crate::caller;
+use crate::client;
+
+/// Clock ticks a second in `/proc/PID/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// What to compare.
+#[derive(Clone, Debug)]
+pub struct Comparison {
+    /// Process id of the agent.
+    pub agent: u32,
+    /// Engine's URL.
+    pub direct: String,
+    /// Entry's URL.
+    pub entry: String,
+    /// Process id of the entry.
+    pub entry_process: u32,
+    /// Bearer key.
+    pub key: String,
+    /// Model.
+    pub model: String,
+    /// Pairs of requests for the added times.
+    pub pairs: u32,
+    /// Streams at once for the relay cost.
+    pub streams: u32,
+    /// Tokens of each answer.
+    pub tokens: u32,
+}
+
+/// One quantile of both ways.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Pair {
+    /// Milliseconds added.
+    pub added_ms: f64,
+    /// Milliseconds at the engine asked directly.
+    pub direct_ms: f64,
+    /// Through entry and agent, as a multiple of directly.
+    pub ratio: f64,
+    /// Milliseconds through entry and agent.
+    pub through_ms: f64,
+}
+
+/// The outcome.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Outcome {
+    /// Tokens relayed for a second of the agent's processor time.
+    pub agent_tokens_per_core_second: f64,
+    /// Tokens relayed for a second of the entry's processor time.
+    pub entry_tokens_per_core_second: f64,
+    /// Time to the first token, median.
+    pub first_p50: Pair,
+    /// Time to the first token, 99th percentile.
+    pub first_p99: Pair,
+    /// Time between tokens, median.
+    pub gap_p50: Pair,
+    /// Time between tokens, 99th percentile.
+    pub gap_p99: Pair,
+    /// Answers that were not whole.
+    pub not_whole: u64,
+    /// Tokens relayed for the processor time.
+    pub relayed_tokens: u64,
+    /// Tokens a second that came through while the relay cost was taken.
+    pub relayed_tokens_per_second: f64,
+}
+
+/// Times of one way in milliseconds.
+#[derive(Debug, Default)]
+struct Way {
+    first: Vec<f64>,
+    gaps: Vec<f64>,
+    not_whole: u64,
+}
+
+/// Runs the comparison.
+///
+/// Fails when a process's time cannot be read or the engine cannot be reached.
+pub async fn compare(comparison: &Comparison) -> Result<Outcome, String> {
+    let direct = client::Client::new("");
+    let through = client::Client::new(&comparison.key);
+    let mut ways = [Way::default(), Way::default()];
+    for number in 0..comparison.pairs {
+        let prompt = build_prompt(comparison, number);
+        let asked = ask(&direct, &comparison.direct, comparison, &prompt).await;
+        ways[0].add(&asked);
+        let asked = ask(&through, &comparison.entry, comparison, &prompt).await;
+        ways[1].add(&asked);
+    }
+    let cost = measure_cost(&through, comparison).await?;
+    let [direct, through] = &mut ways;
+    Ok(Outcome {
+        agent_tokens_per_core_second: cost.agent,
+        entry_tokens_per_core_second: cost.entry,
+        first_p50: pair(&mut direct.first, &mut through.first, 0.5),
+        first_p99: pair(&mut direct.first, &mut through.first, 0.99),
+        gap_p50: pair(&mut direct.gaps, &mut through.gaps, 0.5),
+        gap_p99: pair(&mut direct.gaps, &mut through.gaps, 0.99),
+        not_whole: direct.not_whole + through.not_whole + cost.not_whole,
+        relayed_tokens: cost.tokens,
+        relayed_tokens_per_second: cost.tokens as f64 / cost.took.as_secs_f64(),
+    })
+}
+
+impl Way {
+    fn add(&mut self, sample: &caller::Sample) {
+        if sample.end != caller::End::Whole {
+            self.not_whole += 1;
+        }
+        self.first.extend(sample.first.map(to_millis));
+        self.gaps.extend(sample.gaps.iter().copied().map(to_millis));
+    }
+}
+
+struct Cost {
+    agent: f64,
+    entry: f64,
+    not_whole: u64,
+    tokens: u64,
+    took: time::Duration,
+}
+
+async fn measure_cost(client: &client::Client, comparison: &Comparison) -> Result<Cost, String> {
+    let agent = read_cpu(comparison.agent)?;
+    let entry = read_cpu(comparison.entry_process)?;
+    let start = tokio::time::Instant::now();
+    let mut streams = tokio::task::JoinSet::new();
+    for number in 0..comparison.streams {
+        let client = client.clone();
+        let comparison = comparison.clone();
+        let prompt = build_prompt(&comparison, comparison.pairs + number);
+        streams.spawn(async move { ask(&client, &comparison.entry, &comparison, &prompt).await });
+    }
+    let samples = streams.join_all().await;
+    let tokens: u64 = samples.iter().map(|sample| sample.tokens).sum();
+    let whole = |sample: &&caller::Sample| sample.end != caller::End::Whole;
+    Ok(Cost {
+        agent: tokens as f64 / (read_cpu(comparison.agent)? - agent),
+        entry: tokens as f64 / (read_cpu(comparison.entry_process)? - entry),
+        not_whole: samples.iter().filter(whole).count() as u64,
+        tokens,
+        took: start.elapsed(),
+    })
+}
+
+async fn ask(
+    client: &client::Client,
+    url: &str,
+    comparison: &Comparison,
+    prompt: &str,
+) -> caller::Sample {
+    let wish = caller::Wish {
+        entry: url.to_owned(),
+        max_tokens: comparison.tokens,
+        model: comparison.model.clone(),
+        prompt: prompt.to_owned(),
+    };
+    caller::run_stream(client, &wish, tokio::time::Instant::now()).await
+}
+
+fn build_prompt(comparison: &Comparison, number: u32) -> String {
+    format!("compare {number} [[length={}]]", comparison.tokens)
+}
+
+/// Returns the processor seconds that a process has used.
+fn read_cpu(process: u32) -> Result<f64, String> {
+    let path = format!("/proc/{process}/stat");
+    let text = fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
+    let fields: Option<Vec<&str>> = text
+        .rsplit_once(") ")
+        .map(|(_, rest)| rest.split(' ').collect());
+    let ticks = fields.and_then(|fields| {
+        let user: f64 = fields.get(11)?.parse().ok()?;
+        let system: f64 = fields.get(12)?.parse().ok()?;
+        Some(user + system)
+    });
+    ticks
+        .map(|ticks| ticks / TICKS_PER_SECOND)
+        .ok_or_else(|| format!("{path}: not understood"))
+}
+
+fn pair(direct: &mut [f64], through: &mut [f64], quantile: f64) -> Pair {
+    let direct_ms = read_quantile(direct, quantile);
+    let through_ms = read_quantile(through, quantile);
+    Pair {
+        added_ms: through_ms - direct_ms,
+        direct_ms,
+        ratio: through_ms / direct_ms,
+        through_ms,
+    }
+}
+
+fn read_quantile(times: &mut [f64], quantile: f64) -> f64 {
+    times.sort_by(f64::total_cmp);
+    let last = times.len().saturating_sub(1);
+    let index = (last as f64 * quantile).round() as usize;
+    times.get(index).copied().unwrap_or(f64::NAN)
+}
+
+fn to_millis(time: time::Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
+
+/// Checks that the engine answers, so that a wrong address is told before the run.
+pub async fn check_direct(url: &str) -> Result<(), String> {
+    let request = http::Request::get(format!("{url}/healthz"));
+    let answer = client::Client::new("").call(request, Bytes::new()).await;
+    answer
+        .map(|_| ())
+        .map_err(|error| format!("{url}: {error}"))
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod client;
 pub mod command;
+pub mod compare;
 pub mod experiment;
 pub mod ports;
 pub mod ready;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -19,6 +19,7 @@
 fn run_word(word: &str, arguments: pico_args::Arguments) -> process::ExitCode {
     match word {
         "experiment" => experiment::command::run(arguments),
+        "compare" => command::compare(arguments),
         "ports" => command::print_ports(arguments),
         "ready" => command::wait_ready(arguments),
         "run" => command::run(arguments),
