Agent contract: incarnation of the addressee, superseded and repeated reasons

Cause: an entry that means a former incarnation, and two links on one generation, had no truthful answer. Ruled out: telling the older link by a transport error, which reads as a fault. Change: two fields, two reasons, heartbeat and acknowledgement rules in comments. Conclusion: additive; the entry may leave the fields empty.

--- a/crates/wire/src/gen/peargap.agent.rs
+++ b/crates/wire/src/gen/peargap.agent.rs
@@ -57,6 +57,10 @@
     /// Name of the entry, for the log.
     #[prost(string, tag = "12")]
     pub entry: ::prost::alloc::string::String,
+    /// Incarnation of the agent that the entry means, from its Load; empty means any. Another
+    /// incarnation refuses: RAN_NO, REASON_GONE.
+    #[prost(string, tag = "13")]
+    pub incarnation: ::prost::alloc::string::String,
 }
 /// Asks for the rest of a generation that this agent holds.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -72,6 +76,9 @@
     pub config_version: u64,
 }
 /// Tokens below `offset` need not be kept for replay on this link.
+///
+/// Unacknowledged tokens are never dropped: when they fill the replay buffer the agent stops
+/// reading from the engine. Acknowledged ones stay for later Resumes while there is room.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ack {
     #[prost(uint64, tag = "1")]
@@ -80,7 +87,9 @@
 /// The caller has gone: stop the generation and free its memory.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Cancel {}
-/// Keeps the link alive; answered by a Pong with the same number.
+/// Keeps the link alive in both directions. The entry sends one at least every 250 ms; the agent
+/// answers at once with the same number. From the first Ping on, an end that has heard nothing
+/// for 1 s takes the link for silent and abandons it; the generation waits for a Resume.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ping {
     #[prost(uint64, tag = "1")]
@@ -190,6 +199,10 @@
     pub claim: ::core::option::Option<Claim>,
     #[prost(string, tag = "11")]
     pub entry: ::prost::alloc::string::String,
+    /// Incarnation of the agent that the entry means, from its Load; empty means any. Another
+    /// incarnation refuses: it cannot know what a former one ran (RAN_UNKNOWN, REASON_GONE).
+    #[prost(string, tag = "12")]
+    pub incarnation: ::prost::alloc::string::String,
 }
 /// Permission for one run, granted by the control quorum.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -357,6 +370,10 @@
     Fenced = 10,
     /// The caller cancelled.
     Cancelled = 11,
+    /// Another link resumed this generation; this one gets no more. The generation goes on.
+    Superseded = 12,
+    /// A request with this id was already received; the first one decides.
+    Repeated = 13,
 }
 impl Reason {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -377,6 +394,8 @@
             Self::Invalid => "REASON_INVALID",
             Self::Fenced => "REASON_FENCED",
             Self::Cancelled => "REASON_CANCELLED",
+            Self::Superseded => "REASON_SUPERSEDED",
+            Self::Repeated => "REASON_REPEATED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -394,6 +413,8 @@
             "REASON_INVALID" => Some(Self::Invalid),
             "REASON_FENCED" => Some(Self::Fenced),
             "REASON_CANCELLED" => Some(Self::Cancelled),
+            "REASON_SUPERSEDED" => Some(Self::Superseded),
+            "REASON_REPEATED" => Some(Self::Repeated),
             _ => None,
         }
     }
