--- /dev/null
+++ b/crates/agent/src/engine.rs
@@ -0,0 +1,199 @@
+//! The engine's HTTP protocol: generations, load, orders.
+
+use core::net;
+use core::time;
+
+use bytes::Bytes;
+
+use crate::http as link;
+use crate::tokens;
+
+/// Time for a short answer.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Time for the engine to carry out an order.
+const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// Longest short answer, in bytes.
+const ANSWER_LIMIT: usize = 1 << 20;
+/// Most of an error's body that is passed on, in bytes.
+const DETAIL_LIMIT: usize = 512;
+
+/// Speaks to one engine; clones share nothing but its address.
+#[derive(Clone, Debug)]
+pub(crate) struct Client {
+    address: net::SocketAddr,
+    silent_after: time::Duration,
+}
+
+/// Endpoint of a generation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Path {
+    Chat,
+    Completion,
+}
+
+/// What became of a request for a stream.
+#[derive(Debug)]
+pub(crate) enum Opened {
+    /// No head arrived; the engine may run it.
+    Fault(link::Fault),
+    /// The engine answered with an error.
+    Refused {
+        detail: String,
+        status: http::StatusCode,
+    },
+    /// Tokens come.
+    Tokens(tokens::Reader),
+}
+
+/// The engine's load report, late by some hundred milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize)]
+#[serde(default)]
+pub(crate) struct Report {
+    pub(crate) cold: bool,
+    pub(crate) incarnation: String,
+    pub(crate) memory_tokens: u64,
+    pub(crate) models: Vec<String>,
+    pub(crate) preemptions: u64,
+    pub(crate) running: u32,
+    pub(crate) sequence: u64,
+    pub(crate) stall_ms: u64,
+    pub(crate) used_tokens: u64,
+    pub(crate) waiting: u32,
+}
+
+/// What became of an order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Ordered {
+    Done,
+    /// The engine has seen a larger fence.
+    Fenced,
+    Failed(String),
+}
+
+#[derive(serde::Serialize)]
+struct OrderBody<'a> {
+    fence: u64,
+    models: &'a [String],
+}
+
+impl Client {
+    /// Returns a client of the engine at `address`.
+    pub(crate) fn new(address: net::SocketAddr, silent_after: time::Duration) -> Client {
+        Client {
+            address,
+            silent_after,
+        }
+    }
+
+    /// Asks for a new generation.
+    pub(crate) async fn start(&self, path: Path, id: &str, body: Bytes) -> Opened {
+        let path = match path {
+            Path::Chat => "/v1/chat/completions",
+            Path::Completion => "/v1/completions",
+        };
+        let request = self
+            .build(http::Method::POST, path)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .header("x-request-id", id);
+        self.open(request, body).await
+    }
+
+    /// Asks for the tokens of a generation from `offset` on.
+    pub(crate) async fn resume(&self, id: &str, offset: u64) -> Opened {
+        let path = format!("/v1/streams/{id}?offset={offset}");
+        self.open(self.build(http::Method::GET, &path), Bytes::new())
+            .await
+    }
+
+    /// Stops a generation and frees its memory.
+    pub(crate) async fn cancel(&self, id: &str) -> Result<(), link::Fault> {
+        let request = self.build(http::Method::DELETE, &format!("/v1/streams/{id}"));
+        let request = finish(request, Bytes::new())?;
+        link::send(self.address, request, ANSWER_TIMEOUT).await?;
+        Ok(())
+    }
+
+    /// Reads the load report.
+    pub(crate) async fn read_load(&self) -> Result<Report, link::Fault> {
+        let request = finish(self.build(http::Method::GET, "/load"), Bytes::new())?;
+        let response = link::send(self.address, request, ANSWER_TIMEOUT).await?;
+        let status = response.status();
+        let reading = link::read_body(response.into_body(), ANSWER_LIMIT);
+        let body = tokio::time::timeout(ANSWER_TIMEOUT, reading)
+            .await
+            .map_err(|_| link::Fault::Silent)??;
+        if !status.is_success() {
+            return Err(link::Fault::Lost(format!("status {status}")));
+        }
+        serde_json::from_slice(&body).map_err(|error| link::Fault::Lost(error.to_string()))
+    }
+
+    /// Orders the engine to have `models` loaded.
+    pub(crate) async fn order(&self, fence: u64, models: &[String]) -> Ordered {
+        let body = match serde_json::to_vec(&OrderBody { fence, models }) {
+            Ok(body) => body,
+            Err(error) => return Ordered::Failed(error.to_string()),
+        };
+        let request = self
+            .build(http::Method::POST, "/orders")
+            .header(http::header::CONTENT_TYPE, "application/json");
+        let request = match finish(request, body.into()) {
+            Ok(request) => request,
+            Err(fault) => return Ordered::Failed(format!("{fault:?}")),
+        };
+        match link::send(self.address, request, ORDER_TIMEOUT).await {
+            Ok(response) if response.status().is_success() => Ordered::Done,
+            Ok(response) if response.status() == http::StatusCode::CONFLICT => Ordered::Fenced,
+            Ok(response) => Ordered::Failed(format!("status {}", response.status())),
+            Err(fault) => Ordered::Failed(format!("{fault:?}")),
+        }
+    }
+
+    async fn open(&self, request: http::request::Builder, body: Bytes) -> Opened {
+        let request = match finish(request, body) {
+            Ok(request) => request,
+            Err(fault) => return Opened::Fault(fault),
+        };
+        let response = match link::send(self.address, request, self.silent_after).await {
+            Ok(response) => response,
+            Err(fault) => return Opened::Fault(fault),
+        };
+        let status = response.status();
+        if status.is_success() {
+            let reader = tokens::Reader::new(response.into_body(), self.silent_after);
+            return Opened::Tokens(reader);
+        }
+        Opened::Refused {
+            detail: self.read_detail(response).await,
+            status,
+        }
+    }
+
+    async fn read_detail(&self, response: http::Response<hyper::body::Incoming>) -> String {
+        let reading = link::read_body(response.into_body(), ANSWER_LIMIT);
+        match tokio::time::timeout(self.silent_after, reading).await {
+            Ok(Ok(body)) => {
+                let body = body.slice(..body.len().min(DETAIL_LIMIT));
+                String::from_utf8_lossy(&body).into_owned()
+            }
+            Ok(Err(_)) | Err(_) => String::new(),
+        }
+    }
+
+    fn build(&self, method: http::Method, path: &str) -> http::request::Builder {
+        http::Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, self.address.to_string())
+    }
+}
+
+/// Completes a request; one that cannot be built never reaches the engine.
+fn finish(
+    request: http::request::Builder,
+    body: Bytes,
+) -> Result<http::Request<link::Body>, link::Fault> {
+    request
+        .body(link::Body::new(body))
+        .map_err(|error| link::Fault::Unreachable(error.to_string()))
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,2 +1,7 @@
-//! Placeholder.
-fn main() {}
+//! Starts the agent.
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    peargap_agent::run()
+}
--- /dev/null
+++ b/crates/agent/src/settings.rs
@@ -0,0 +1,159 @@
+//! Settings of the agent.
+
+use core::net;
+use core::time;
+use std::path;
+use std::str;
+
+use peargap_adapters::logs;
+use peargap_adapters::settings;
+
+/// Everything the settings file says.
+#[derive(Clone, Debug)]
+pub(crate) struct Settings {
+    pub(crate) controls: Vec<net::SocketAddr>,
+    pub(crate) domain: String,
+    pub(crate) health: net::SocketAddr,
+    pub(crate) internal: net::SocketAddr,
+    pub(crate) log_format: logs::Format,
+    pub(crate) log_level: logs::Level,
+    pub(crate) name: String,
+    pub(crate) queue: Queue,
+    pub(crate) stream: Stream,
+    pub(crate) upstream: Upstream,
+}
+
+/// The upstream beside the agent.
+#[derive(Clone, Debug)]
+pub(crate) struct Upstream {
+    pub(crate) address: net::SocketAddr,
+    pub(crate) checks_fences: bool,
+    pub(crate) kind: Kind,
+    /// Streams or calls it may run at once when warm.
+    pub(crate) max_running: u32,
+    /// Token slots of engine memory.
+    pub(crate) memory_tokens: u64,
+    pub(crate) name: String,
+    /// Models loaded at the start, or services.
+    pub(crate) offers: Vec<String>,
+    /// A link to the engine without any byte for this long is replaced.
+    pub(crate) silent_after: time::Duration,
+}
+
+/// What kind of work the upstream does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Kind {
+    Engine,
+    Service,
+}
+
+impl str::FromStr for Kind {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Kind, ()> {
+        match text {
+            "engine" => Ok(Kind::Engine),
+            "service" => Ok(Kind::Service),
+            _ => Err(()),
+        }
+    }
+}
+
+/// Bounds of the queue.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Queue {
+    /// Requests that may wait.
+    pub(crate) max_queued: u32,
+    /// Requests a cold upstream may run at once.
+    pub(crate) ramp_start: u32,
+}
+
+/// Bounds of the replay buffers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stream {
+    /// How long a running generation waits for a resume.
+    pub(crate) grace: time::Duration,
+    /// Memory of one generation's tokens.
+    pub(crate) replay_bytes: usize,
+    /// How long a finished generation is kept for a resume.
+    pub(crate) retention: time::Duration,
+    /// Memory of all finished generations' tokens.
+    pub(crate) retained_bytes: usize,
+}
+
+/// Reads the settings file, or returns every finding.
+pub(crate) fn load(path: &path::Path) -> Result<Settings, settings::Findings> {
+    let mut reader = settings::Reader::open(path);
+    let settings = read(&mut reader);
+    reader.finish(settings)
+}
+
+fn read(reader: &mut settings::Reader) -> Option<Settings> {
+    let name = reader.required("node", "name", "the agent's name");
+    let domain = reader.required("node", "domain", "the name of its failure domain");
+    let internal = reader.required("listen", "internal", "ip:port");
+    let health = reader.required("listen", "health", "ip:port");
+    let controls = reader.list("control", "addresses", "ip:port,ip:port");
+    if controls.is_empty() {
+        reader.report("control", "addresses", "gives no ip:port".to_owned());
+    }
+    let upstream = read_upstream(reader);
+    let queue = Queue {
+        max_queued: reader.ranged("queue", "max_queued", 256, 0..=100_000),
+        ramp_start: reader.ranged("queue", "ramp_start", 1, 1..=10_000),
+    };
+    let stream = read_stream(reader);
+    let log_level = reader.optional("log", "level", logs::Level::Info, "debug, info, warn, error");
+    let log_format = reader.optional("log", "format", logs::Format::Text, "text or json");
+    Some(Settings {
+        controls,
+        domain: domain?,
+        health: health?,
+        internal: internal?,
+        log_format,
+        log_level,
+        name: name?,
+        queue,
+        stream,
+        upstream: upstream?,
+    })
+}
+
+fn read_upstream(reader: &mut settings::Reader) -> Option<Upstream> {
+    let name: Option<String> = reader.required("upstream", "name", "the upstream's name");
+    let kind = reader.required("upstream", "kind", "engine or service");
+    let address = reader.required("upstream", "address", "ip:port");
+    let offers: Vec<String> = reader.list("upstream", "offers", "names");
+    if offers.is_empty() {
+        reader.report("upstream", "offers", "gives no name".to_owned());
+    }
+    let memory_tokens = reader.ranged("upstream", "memory_tokens", 0, 0..=1_000_000_000);
+    if kind == Some(Kind::Engine) && memory_tokens == 0 {
+        let problem = "is missing; give the engine's token slots".to_owned();
+        reader.report("upstream", "memory_tokens", problem);
+    }
+    let max_running = reader.ranged("upstream", "max_running", 64, 1..=100_000);
+    let checks_fences = reader.optional("upstream", "checks_fences", false, "true or false");
+    let silent_after_ms = reader.ranged("upstream", "silent_after_ms", 800, 50..=60_000);
+    Some(Upstream {
+        address: address?,
+        checks_fences,
+        kind: kind?,
+        max_running,
+        memory_tokens,
+        name: name?,
+        offers,
+        silent_after: time::Duration::from_millis(silent_after_ms),
+    })
+}
+
+fn read_stream(reader: &mut settings::Reader) -> Stream {
+    let grace = reader.ranged("stream", "grace_ms", 10_000, 100..=600_000);
+    let retention = reader.ranged("stream", "retention_ms", 60_000, 100..=3_600_000);
+    Stream {
+        grace: time::Duration::from_millis(grace),
+        replay_bytes: reader.ranged("stream", "replay_bytes", 1 << 20, 1 << 10..=1 << 30),
+        retention: time::Duration::from_millis(retention),
+        retained_bytes: reader.ranged("stream", "retained_bytes", 64 << 20, 1 << 16..=8 << 30),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/tokens.rs
@@ -0,0 +1,173 @@
+//! Reads the engine's SSE answer as tokens.
+
+use core::pin;
+use core::time;
+use std::sync;
+
+use bytes::Bytes;
+use eventsource_stream::Eventsource as _;
+use futures::Stream as _;
+use futures::StreamExt as _;
+use hyper::body;
+
+/// Data of the event that ends a stream.
+const DONE: &str = "[DONE]";
+
+type Frames = pin::Pin<Box<dyn futures::Stream<Item = Result<Bytes, hyper::Error>> + Send>>;
+type Events = pin::Pin<Box<eventsource_stream::EventStream<Frames>>>;
+
+/// Events of one answer, in order.
+pub(crate) struct Reader {
+    events: Events,
+    heard: sync::Arc<sync::Mutex<tokio::time::Instant>>,
+    silent_after: time::Duration,
+}
+
+impl core::fmt::Debug for Reader {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        formatter.debug_struct("Reader").finish_non_exhaustive()
+    }
+}
+
+/// What the answer says next.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Next {
+    /// The answer is complete.
+    Done,
+    /// The engine says that it failed.
+    Failed(String),
+    /// The connection broke, or what came is no event.
+    Lost(String),
+    /// Nothing arrived, no comment either.
+    Silent,
+    /// A step of the generation.
+    Step(Step),
+}
+
+/// One event of the answer.
+#[derive(Debug, Default, PartialEq)]
+pub(crate) struct Step {
+    /// Offset of the token, when the engine numbers them.
+    pub(crate) offset: Option<u64>,
+    /// Why the generation ended, on its last token.
+    pub(crate) reason: Option<String>,
+    /// Text of one token.
+    pub(crate) text: Option<Bytes>,
+    /// Counts, after the last token.
+    pub(crate) usage: Option<Usage>,
+}
+
+/// Counts of a whole generation.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize)]
+#[serde(default)]
+pub(crate) struct Usage {
+    pub(crate) completion_tokens: u32,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) prompt_tokens_details: Option<Details>,
+}
+
+/// Part of [`Usage`].
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize)]
+#[serde(default)]
+pub(crate) struct Details {
+    pub(crate) cached_tokens: u32,
+}
+
+#[derive(serde::Deserialize)]
+struct Data {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    error: Option<serde_json::Value>,
+    usage: Option<Usage>,
+}
+
+#[derive(serde::Deserialize)]
+struct Choice {
+    delta: Option<Delta>,
+    finish_reason: Option<String>,
+    text: Option<String>,
+}
+
+#[derive(serde::Deserialize)]
+struct Delta {
+    content: Option<String>,
+}
+
+impl Reader {
+    /// Returns a reader of a response's body.
+    pub(crate) fn new(body: body::Incoming, silent_after: time::Duration) -> Reader {
+        let heard = sync::Arc::new(sync::Mutex::new(tokio::time::Instant::now()));
+        let mark = sync::Arc::clone(&heard);
+        let frames = http_body_util::BodyDataStream::new(body);
+        // Comments are no events, so the time of each frame is kept here.
+        let frames: Frames = Box::pin(frames.inspect(move |_| store_now(&mark)));
+        Reader {
+            events: Box::pin(frames.eventsource()),
+            heard,
+            silent_after,
+        }
+    }
+
+    /// Waits for what comes next.
+    ///
+    /// Silence counts from this call on, so time in which nobody read is none.
+    pub(crate) async fn next(&mut self) -> Next {
+        let called = tokio::time::Instant::now();
+        loop {
+            let heard = *lock(&self.heard);
+            let until = heard.max(called) + self.silent_after;
+            match tokio::time::timeout_at(until, self.events.next()).await {
+                Ok(Some(Ok(event))) => return parse(&event),
+                Ok(Some(Err(error))) => return Next::Lost(error.to_string()),
+                Ok(None) => return Next::Lost("closed".to_owned()),
+                Err(_) if *lock(&self.heard) > heard => {}
+                Err(_) => return Next::Silent,
+            }
+        }
+    }
+
+    /// Returns the next event when it has already arrived.
+    pub(crate) fn poll_ready(&mut self) -> Option<Next> {
+        let waker = futures::task::noop_waker();
+        let mut context = core::task::Context::from_waker(&waker);
+        match self.events.as_mut().poll_next(&mut context) {
+            core::task::Poll::Ready(Some(Ok(event))) => Some(parse(&event)),
+            core::task::Poll::Ready(Some(Err(error))) => Some(Next::Lost(error.to_string())),
+            core::task::Poll::Ready(None) => Some(Next::Lost("closed".to_owned())),
+            core::task::Poll::Pending => None,
+        }
+    }
+}
+
+fn store_now(mark: &sync::Mutex<tokio::time::Instant>) {
+    *lock(mark) = tokio::time::Instant::now();
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn parse(event: &eventsource_stream::Event) -> Next {
+    if event.data == DONE {
+        return Next::Done;
+    }
+    let data: Data = match serde_json::from_str(&event.data) {
+        Ok(data) => data,
+        Err(error) => return Next::Lost(format!("malformed event: {error}")),
+    };
+    if let Some(error) = data.error {
+        return Next::Failed(error.to_string());
+    }
+    let mut step = Step {
+        offset: event.id.parse().ok(),
+        usage: data.usage,
+        ..Step::default()
+    };
+    if let Some(choice) = data.choices.into_iter().next() {
+        let content = choice.delta.and_then(|delta| delta.content);
+        let text = choice.text.or(content).filter(|text| !text.is_empty());
+        step.text = text.map(Bytes::from);
+        step.reason = choice.finish_reason;
+    }
+    Next::Step(step)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,5 +3,7 @@
 //! Time is passed in as [`time::Instant`], randomness as a generator. Adapters around this crate
 //! perform the effects that its functions return.
 
+pub mod generation;
 pub mod manifest;
+pub mod replay;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/replay.rs
@@ -0,0 +1,231 @@
+//! Bounded replay buffer of one generation.
+//!
+//! The writer pushes tokens by offset; one reader at a time takes them in order and acknowledges
+//! what its caller got. A token that was not acknowledged is never dropped: when such tokens fill
+//! the buffer, pushing is refused and the writer stops reading from the engine. Acknowledged
+//! tokens stay for a later reader while there is room.
+
+use std::collections;
+
+use bytes::Bytes;
+
+/// Memory counted for a token besides its text, in bytes.
+const TOKEN_OVERHEAD: usize = 64;
+
+/// One reader of the buffer; a newer link takes over from an older one.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Link(u64);
+
+/// Tokens of one generation from [`Buffer::first`] to [`Buffer::next`].
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Buffer {
+    /// Tokens below it may be dropped.
+    acknowledged: u64,
+    /// Offset of the oldest token kept.
+    first: u64,
+    kept_bytes: usize,
+    /// Number of the newest link.
+    last_link: u64,
+    limit_bytes: usize,
+    reader: Option<Reader>,
+    tokens: collections::VecDeque<Bytes>,
+    unacknowledged_bytes: usize,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+struct Reader {
+    link: Link,
+    /// Offset of the next token to hand out.
+    next: u64,
+}
+
+/// What became of a pushed token.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Push {
+    /// Not stored: the reader has to acknowledge first.
+    Full,
+    /// Not stored: tokens before it are missing.
+    Gap,
+    /// Not stored: the buffer had it already.
+    Repeated,
+    /// Stored.
+    Stored,
+}
+
+/// What became of a new link.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Attach {
+    /// The generation has not come as far as the offset.
+    Ahead,
+    /// Tokens at the offset were dropped; the oldest kept is `first`.
+    Forgotten {
+        /// Offset of the oldest token kept.
+        first: u64,
+    },
+    /// The link reads from the offset on.
+    Ready(Link),
+}
+
+/// What a reader gets.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Take {
+    /// Consecutive tokens.
+    Batch {
+        /// Offset of the first one.
+        offset: u64,
+        /// Text of each.
+        tokens: Vec<Bytes>,
+    },
+    /// Nothing new.
+    Empty,
+    /// A newer link took over.
+    Superseded,
+}
+
+impl Buffer {
+    /// Returns an empty buffer for about `limit_bytes` of tokens.
+    pub fn new(limit_bytes: usize) -> Buffer {
+        Buffer {
+            acknowledged: 0,
+            first: 0,
+            kept_bytes: 0,
+            last_link: 0,
+            limit_bytes,
+            reader: None,
+            tokens: collections::VecDeque::new(),
+            unacknowledged_bytes: 0,
+        }
+    }
+
+    /// Returns the offset of the oldest token kept.
+    pub fn first(&self) -> u64 {
+        self.first
+    }
+
+    /// Returns the offset of the next token to push.
+    pub fn next(&self) -> u64 {
+        self.first + self.tokens.len() as u64
+    }
+
+    /// Returns the memory held, in bytes.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    /// Returns whether a token may be pushed.
+    pub fn has_room(&self) -> bool {
+        self.unacknowledged_bytes < self.limit_bytes
+    }
+
+    /// Returns whether a link reads.
+    pub fn is_attached(&self) -> bool {
+        self.reader.is_some()
+    }
+
+    /// Adds the token at `offset`.
+    pub fn push(&mut self, offset: u64, token: Bytes) -> Push {
+        if offset < self.next() {
+            return Push::Repeated;
+        }
+        if offset > self.next() {
+            return Push::Gap;
+        }
+        if !self.has_room() {
+            return Push::Full;
+        }
+        let size = measure(&token);
+        self.tokens.push_back(token);
+        self.kept_bytes += size;
+        self.unacknowledged_bytes += size;
+        self.drop_acknowledged();
+        Push::Stored
+    }
+
+    /// Starts a new link at `offset`; an older one gets no more.
+    ///
+    /// Tokens below `offset` count as acknowledged, those from it on do not.
+    pub fn attach(&mut self, offset: u64) -> Attach {
+        if offset < self.first {
+            return Attach::Forgotten { first: self.first };
+        }
+        if offset > self.next() {
+            return Attach::Ahead;
+        }
+        self.last_link += 1;
+        let link = Link(self.last_link);
+        self.reader = Some(Reader { link, next: offset });
+        self.set_acknowledged(offset);
+        Attach::Ready(link)
+    }
+
+    /// Ends `link`; what it did not acknowledge stays. Returns whether it was the reader.
+    pub fn detach(&mut self, link: Link) -> bool {
+        let current = self.reader.is_some_and(|reader| reader.link == link);
+        if current {
+            self.reader = None;
+        }
+        current
+    }
+
+    /// Returns up to `most` tokens that `link` did not take yet.
+    pub fn take(&mut self, link: Link, most: usize) -> Take {
+        let (first, next) = (self.first, self.next());
+        let Some(reader) = self.reader.as_mut().filter(|reader| reader.link == link) else {
+            return Take::Superseded;
+        };
+        if reader.next == next {
+            return Take::Empty;
+        }
+        let offset = reader.next;
+        let start = (offset - first) as usize;
+        let tokens: Vec<Bytes> = self.tokens.range(start..).take(most).cloned().collect();
+        reader.next += tokens.len() as u64;
+        Take::Batch { offset, tokens }
+    }
+
+    /// Notes that the reader of `link` needs no token below `offset` again.
+    ///
+    /// Returns false, changing nothing, for an old link, an older offset or one not yet taken.
+    pub fn acknowledge(&mut self, link: Link, offset: u64) -> bool {
+        let taken = match self.reader {
+            Some(reader) if reader.link == link => reader.next,
+            Some(_) | None => return false,
+        };
+        if offset <= self.acknowledged || offset > taken {
+            return false;
+        }
+        self.set_acknowledged(offset);
+        true
+    }
+
+    fn set_acknowledged(&mut self, offset: u64) {
+        if offset >= self.acknowledged {
+            self.unacknowledged_bytes -= self.measure_range(self.acknowledged, offset);
+        } else {
+            self.unacknowledged_bytes += self.measure_range(offset, self.acknowledged);
+        }
+        self.acknowledged = offset;
+        self.drop_acknowledged();
+    }
+
+    /// Returns the memory of the tokens kept from offset `from` up to `to`.
+    fn measure_range(&self, from: u64, to: u64) -> usize {
+        let start = (from - self.first) as usize;
+        let end = (to - self.first) as usize;
+        self.tokens.range(start..end).map(measure).sum()
+    }
+
+    fn drop_acknowledged(&mut self) {
+        while self.kept_bytes > self.limit_bytes && self.first < self.acknowledged {
+            let Some(token) = self.tokens.pop_front() else {
+                return;
+            };
+            self.kept_bytes -= measure(&token);
+            self.first += 1;
+        }
+    }
+}
+
+fn measure(token: &Bytes) -> usize {
+    token.len() + TOKEN_OVERHEAD
+}
