--- /dev/null
+++ b/crates/agent/src/agent.rs
@@ -0,0 +1,163 @@
+//! What the tasks of the agent share.
+
+use core::sync::atomic;
+use std::sync;
+
+use peargap_adapters::follow;
+use peargap_core::generation;
+use peargap_core::time;
+use peargap_wire::agent as wire;
+
+use crate::clock;
+use crate::engine;
+use crate::gate;
+use crate::meters;
+use crate::registry;
+use crate::settings;
+use crate::stream;
+
+/// When to come back to an agent that is leaving.
+const LEAVING_RETRY_MS: u32 = 1_000;
+/// When to come back to an upstream that operators took out.
+const OUT_RETRY_MS: u32 = 5_000;
+/// When to come back to an agent that waits for its lease.
+const STALE_RETRY_MS: u32 = 1_000;
+/// When to come back for a model that is not loaded here.
+const MODEL_RETRY_MS: u32 = 5_000;
+
+/// The agent; tasks share it by reference count.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) claims: sync::Mutex<registry::Claims>,
+    pub(crate) clock: clock::Clock,
+    pub(crate) engine: engine::Client,
+    pub(crate) gate: gate::Handle,
+    pub(crate) generations: sync::Mutex<registry::Generations>,
+    /// Fresh at each start of the agent.
+    pub(crate) incarnation: String,
+    pub(crate) leaving: atomic::AtomicBool,
+    pub(crate) meters: meters::Meters,
+    pub(crate) numbers: atomic::AtomicU64,
+    pub(crate) requests: sync::Mutex<registry::Requests>,
+    pub(crate) settings: settings::Settings,
+    pub(crate) view: follow::View,
+}
+
+/// Who asks for what.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Caller<'a> {
+    /// Model or service.
+    pub(crate) offer: &'a str,
+    pub(crate) request: &'a str,
+}
+
+impl Agent {
+    /// Returns why no new work is taken, if it is not.
+    pub(crate) fn check_enforcement(&self) -> Option<wire::Failed> {
+        if self.is_leaving() {
+            let detail = "the upstream is leaving";
+            return Some(refuse(wire::Reason::Draining, LEAVING_RETRY_MS, detail));
+        }
+        if self.is_out() {
+            let detail = "the upstream or its failure domain is out";
+            return Some(refuse(wire::Reason::Draining, OUT_RETRY_MS, detail));
+        }
+        if !self.view.is_fresh() {
+            let detail = "the freshness lease has lapsed";
+            return Some(refuse(wire::Reason::Stale, STALE_RETRY_MS, detail));
+        }
+        None
+    }
+
+    /// Returns why the request is not taken, if it is not; a request that is taken is remembered.
+    pub(crate) fn check_request(&self, caller: Caller<'_>) -> Option<wire::Failed> {
+        if let Some(failed) = self.check_enforcement() {
+            return Some(failed);
+        }
+        if !self.offers(caller.offer) {
+            let detail = format!("{:?} is not offered here", caller.offer);
+            return Some(refuse(wire::Reason::Model, MODEL_RETRY_MS, detail));
+        }
+        if !lock(&self.requests).admit(caller.request, self.clock.now()) {
+            let detail = "the request's id was seen before";
+            let (ran, reason) = (wire::Ran::Unknown, wire::Reason::Repeated);
+            return Some(stream::fail(ran, reason, 0, detail));
+        }
+        None
+    }
+
+    /// Returns whether a message is meant for another incarnation of this agent.
+    pub(crate) fn is_other(&self, incarnation: &str) -> bool {
+        !incarnation.is_empty() && incarnation != self.incarnation
+    }
+
+    /// Returns whether the process stops.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(atomic::Ordering::Acquire)
+    }
+
+    /// Returns whether operators took the upstream or its failure domain out.
+    pub(crate) fn is_out(&self) -> bool {
+        let config = self.view.config();
+        let config = config.borrow();
+        config.domains_out.contains(&self.settings.domain)
+            || config.upstreams_out.contains(&self.settings.upstream.name)
+    }
+
+    /// Returns the models loaded, or the services.
+    pub(crate) fn list_offers(&self) -> Vec<String> {
+        let reported = self.gate.watch().borrow().report.models.clone();
+        if reported.is_empty() {
+            return self.settings.upstream.offers.clone();
+        }
+        reported
+    }
+
+    /// Returns a name for the next generation.
+    pub(crate) fn name_generation(&self) -> String {
+        let id = generation::Id {
+            incarnation: self.incarnation.clone(),
+            number: self.numbers.fetch_add(1, atomic::Ordering::Relaxed) + 1,
+            upstream: self.settings.upstream.name.clone(),
+        };
+        id.to_string()
+    }
+
+    /// Returns how many generations are still owed to somebody.
+    pub(crate) fn count_unsettled(&self) -> usize {
+        let (now, grace) = (self.clock.now(), self.settings.stream.grace);
+        lock(&self.generations).count_unsettled(now, grace)
+    }
+
+    /// Returns the time at which a request with this much time left is given up.
+    pub(crate) fn find_deadline(&self, deadline_ms: u32) -> time::Instant {
+        let length = match deadline_ms {
+            0 => u64::from(u32::MAX),
+            millis => u64::from(millis),
+        };
+        self.clock.now() + core::time::Duration::from_millis(length)
+    }
+
+    fn offers(&self, name: &str) -> bool {
+        let snapshots = self.gate.watch();
+        let reported = &snapshots.borrow().report.models;
+        if reported.is_empty() {
+            return self.settings.upstream.offers.iter().any(|one| one == name);
+        }
+        reported.iter().any(|one| one == name)
+    }
+}
+
+/// Returns the answer to a request that did not run.
+pub(crate) fn refuse(
+    reason: wire::Reason,
+    retry_after_ms: u32,
+    detail: impl Into<String>,
+) -> wire::Failed {
+    stream::fail(wire::Ran::No, reason, retry_after_ms, detail)
+}
+
+/// Locks a mutex whose holder never panics halfway through a change.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/agent/src/call.rs
@@ -0,0 +1,234 @@
+//! Calls to a plain service.
+
+use core::time::Duration;
+use std::sync;
+
+use peargap_adapters::logs;
+use peargap_core::admit;
+use peargap_wire::agent as wire;
+
+use crate::agent;
+use crate::events;
+use crate::gate;
+use crate::http as upstream;
+use crate::meters;
+use crate::start;
+use crate::stream;
+
+/// Longest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// When to come back after the service failed.
+const FAILED_RETRY_MS: u32 = 1_000;
+/// Headers that concern one connection only, or that the agent sets.
+const DROPPED_HEADERS: [&str; 11] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Runs a call, or says truthfully why there is no answer.
+pub(crate) async fn run(agent: &agent::Agent, call: wire::CallRequest) -> wire::CallReply {
+    let name = call.request.clone();
+    let begun = tokio::time::Instant::now();
+    let outcome = attempt(agent, call).await;
+    log_outcome(agent, &name, begun.elapsed(), &outcome);
+    let kind = match outcome {
+        Ok(response) => wire::call_reply::Kind::Response(response),
+        Err(failed) => wire::call_reply::Kind::Failed(failed),
+    };
+    wire::CallReply { kind: Some(kind) }
+}
+
+async fn attempt(
+    agent: &agent::Agent,
+    call: wire::CallRequest,
+) -> Result<wire::Response, wire::Failed> {
+    if agent.is_other(&call.incarnation) {
+        let detail = "another incarnation of the agent is meant";
+        let (ran, reason) = (wire::Ran::Unknown, wire::Reason::Gone);
+        return Err(stream::fail(ran, reason, 0, detail));
+    }
+    let caller = agent::Caller {
+        offer: &call.service,
+        request: &call.request,
+    };
+    if let Some(failed) = agent.check_request(caller) {
+        return Err(failed);
+    }
+    let request = build_request(agent, &call)?;
+    let deadline = agent.find_deadline(call.deadline_ms);
+    let mut permit = wait_for_turn(agent, &call, deadline).await?;
+    // Checked last, so that a call refused above has not used up its fence.
+    check_claim(agent, &call)?;
+    let left = Duration::from_millis(deadline.millis_since(agent.clock.now()));
+    let outcome = match tokio::time::timeout(left, exchange(agent, request, left)).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(upstream::Fault::Silent),
+    };
+    permit.tell_first();
+    permit.set_end(match &outcome {
+        Ok(response) if response.status < 500 => admit::End::Whole,
+        Err(upstream::Fault::Silent) => admit::End::Cancelled,
+        Ok(_) | Err(_) => admit::End::Failed,
+    });
+    outcome.map_err(judge_fault)
+}
+
+async fn wait_for_turn(
+    agent: &agent::Agent,
+    call: &wire::CallRequest,
+    deadline: peargap_core::time::Instant,
+) -> Result<gate::Permit, wire::Failed> {
+    let mut verdicts = agent.gate.ask(build_ask(agent, call, deadline));
+    loop {
+        match verdicts.recv().await {
+            Some(gate::Verdict::Admitted(permit)) => return Ok(permit),
+            Some(gate::Verdict::Queued(_)) => {}
+            Some(gate::Verdict::Refused {
+                reason,
+                retry_after_ms,
+            }) => return Err(agent::refuse(reason, retry_after_ms, "refused by admission")),
+            None => {
+                let detail = "the agent is stopping";
+                return Err(agent::refuse(wire::Reason::Draining, 0, detail));
+            }
+        }
+    }
+}
+
+fn build_ask(
+    agent: &agent::Agent,
+    call: &wire::CallRequest,
+    deadline: peargap_core::time::Instant,
+) -> gate::Ask {
+    let config = agent.view.config();
+    let config = config.borrow();
+    let mut services = config.manifest.services.iter();
+    let service = services.find(|service| service.name == call.service);
+    let team = config.manifest.teams.iter().find(|team| team.name == call.team);
+    gate::Ask {
+        deadline,
+        max_tokens: 0,
+        model: call.service.clone(),
+        priority: start::combine_priorities(service.map(|service| service.priority), team),
+        produced: sync::Arc::default(),
+        prompt_tokens: 0,
+        request: call.request.clone(),
+        team: call.team.clone(),
+        weight: team.map_or(1, |team| team.weight),
+    }
+}
+
+fn check_claim(agent: &agent::Agent, call: &wire::CallRequest) -> Result<(), wire::Failed> {
+    let Some(claim) = &call.claim else {
+        return Ok(());
+    };
+    let now = agent.clock.now();
+    if agent::lock(&agent.claims).admit(&claim.key, claim.fence, now) {
+        return Ok(());
+    }
+    let detail = format!("fence {} is not newer than one seen", claim.fence);
+    let (ran, reason) = (wire::Ran::Unknown, wire::Reason::Fenced);
+    Err(stream::fail(ran, reason, 0, detail))
+}
+
+fn build_request(
+    agent: &agent::Agent,
+    call: &wire::CallRequest,
+) -> Result<::http::Request<upstream::Body>, wire::Failed> {
+    let address = agent.settings.upstream.address;
+    let mut builder = ::http::Request::builder()
+        .method(call.method.as_str())
+        .uri(call.path.as_str())
+        .header(::http::header::HOST, address.to_string());
+    for header in &call.headers {
+        if is_passed_on(&header.name) {
+            builder = builder.header(header.name.as_str(), header.value.as_ref());
+        }
+    }
+    let body = upstream::Body::new(call.body.clone());
+    builder.body(body).map_err(|error| {
+        let detail = format!("the call is malformed: {error}");
+        agent::refuse(wire::Reason::Invalid, 0, detail)
+    })
+}
+
+fn is_passed_on(name: &str) -> bool {
+    let mut dropped = DROPPED_HEADERS.iter();
+    !dropped.any(|dropped| name.eq_ignore_ascii_case(dropped))
+}
+
+async fn exchange(
+    agent: &agent::Agent,
+    request: ::http::Request<upstream::Body>,
+    patience: Duration,
+) -> Result<wire::Response, upstream::Fault> {
+    let address = agent.settings.upstream.address;
+    let response = upstream::send(address, request, patience).await?;
+    let (head, body) = response.into_parts();
+    let body = upstream::read_body(body, MAX_ANSWER_BYTES).await?;
+    let headers = head.headers.iter().filter(|(name, _)| is_passed_on(name.as_str()));
+    let headers = headers.map(|(name, value)| wire::Header {
+        name: name.as_str().to_owned(),
+        value: bytes::Bytes::copy_from_slice(value.as_bytes()),
+    });
+    Ok(wire::Response {
+        status: u32::from(head.status.as_u16()),
+        headers: headers.collect(),
+        body,
+    })
+}
+
+fn judge_fault(fault: upstream::Fault) -> wire::Failed {
+    if fault.is_before_send() {
+        let detail = format!("the service was not reached: {fault:?}");
+        return agent::refuse(wire::Reason::Upstream, FAILED_RETRY_MS, detail);
+    }
+    let (ran, reason) = match fault {
+        upstream::Fault::Silent => (wire::Ran::Unknown, wire::Reason::Deadline),
+        upstream::Fault::TooLarge => (wire::Ran::Yes, wire::Reason::Upstream),
+        upstream::Fault::Lost(_) | upstream::Fault::Refused | upstream::Fault::Unreachable(_) => {
+            (wire::Ran::Unknown, wire::Reason::Upstream)
+        }
+    };
+    stream::fail(ran, reason, 0, format!("no answer of the service: {fault:?}"))
+}
+
+fn log_outcome(
+    agent: &agent::Agent,
+    request: &str,
+    took: Duration,
+    outcome: &Result<wire::Response, wire::Failed>,
+) {
+    let took = took.as_millis();
+    match outcome {
+        Ok(response) => {
+            agent.meters.count_end(meters::Ended::Finished);
+            let status = response.status;
+            logs::emit(
+                events::CALLED,
+                format_args!("request={request} status={status} took_ms={took}"),
+            );
+        }
+        Err(failed) => {
+            agent.meters.count_end(meters::Ended::Failed);
+            logs::emit(
+                events::CALL_FAILED,
+                format_args!(
+                    "request={request} ran={} reason={} took_ms={took} detail={:?}",
+                    failed.ran().as_str_name(),
+                    failed.reason().as_str_name(),
+                    failed.detail
+                ),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/link.rs
@@ -0,0 +1,273 @@
+//! One entry's link to one generation.
+
+use core::time::Duration;
+use std::sync;
+
+use peargap_adapters::logs;
+use peargap_core::replay;
+use peargap_wire::agent as wire;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::agent;
+use crate::events;
+use crate::start;
+use crate::stream;
+
+/// Time for the first message.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Once the entry has sent a ping, a link without any message for this long is given up.
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Messages towards the entry.
+pub(crate) type Sender = mpsc::Sender<Result<wire::Down, tonic::Status>>;
+
+/// Why a link ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Closed {
+    /// The generation's end was handed over.
+    Complete,
+    /// The connection broke or the entry went away.
+    Lost,
+    /// Nothing came from the entry.
+    Silent,
+    /// A newer link took over.
+    Superseded,
+}
+
+/// Serves a link from its first message to its end.
+pub(crate) async fn serve(
+    agent: sync::Arc<agent::Agent>,
+    mut up: tonic::Streaming<wire::Up>,
+    down: Sender,
+) {
+    let opened = match open(&agent, &mut up).await {
+        Opened::Link(opened) => opened,
+        Opened::Refused(failed) => {
+            let _ = down.send(Ok(wrap_failed(failed))).await;
+            return;
+        }
+        Opened::Nothing => return,
+    };
+    let mut link = Link {
+        down,
+        heard: tokio::time::Instant::now(),
+        pinged: false,
+        stream: opened.stream,
+        up: Some(up),
+    };
+    let closed = link.pump(opened.cursor).await;
+    match closed {
+        Closed::Complete | Closed::Superseded => {}
+        Closed::Lost | Closed::Silent => logs::emit(
+            events::ENTRY_LINK_LOST,
+            format_args!("generation={} cause={closed:?}", link.stream.id),
+        ),
+    }
+    link.stream.detach(opened.cursor, agent.clock.now());
+}
+
+/// A link's generation and place in it.
+struct Attached {
+    cursor: stream::Cursor,
+    stream: sync::Arc<stream::Stream>,
+}
+
+enum Opened {
+    Link(Attached),
+    Nothing,
+    Refused(wire::Failed),
+}
+
+async fn open(agent: &sync::Arc<agent::Agent>, up: &mut tonic::Streaming<wire::Up>) -> Opened {
+    let first = match tokio::time::timeout(OPEN_TIMEOUT, up.message()).await {
+        Ok(Ok(Some(first))) => first,
+        Ok(Ok(None) | Err(_)) | Err(_) => return Opened::Nothing,
+    };
+    let begun = match first.kind {
+        Some(wire::up::Kind::Start(start)) => begin(agent, start),
+        Some(wire::up::Kind::Resume(resume)) => find(agent, &resume),
+        Some(wire::up::Kind::Ack(_) | wire::up::Kind::Cancel(_) | wire::up::Kind::Ping(_))
+        | None => {
+            let detail = "the first message is neither Start nor Resume";
+            Err(agent::refuse(wire::Reason::Invalid, 0, detail))
+        }
+    };
+    match begun {
+        Ok(attached) => Opened::Link(attached),
+        Err(failed) => Opened::Refused(failed),
+    }
+}
+
+fn begin(agent: &sync::Arc<agent::Agent>, start: wire::Start) -> Result<Attached, wire::Failed> {
+    let (request, model) = (start.request.clone(), start.model.clone());
+    let stream = start::begin(agent, start).inspect_err(|failed| {
+        agent.meters.count_refusal(failed.reason());
+        logs::emit(
+            events::REFUSED,
+            format_args!(
+                "request={request} model={model} reason={} retry_after_ms={} detail={:?}",
+                failed.reason().as_str_name(),
+                failed.retry_after_ms,
+                failed.detail
+            ),
+        );
+    })?;
+    attach(stream, 0)
+}
+
+fn find(agent: &agent::Agent, resume: &wire::Resume) -> Result<Attached, wire::Failed> {
+    let found = agent::lock(&agent.generations).find(&resume.generation);
+    let stream = found.filter(|stream| stream.team == resume.team);
+    let Some(stream) = stream else {
+        let detail = "the generation is not held here";
+        let (ran, reason) = (wire::Ran::Unknown, wire::Reason::Gone);
+        return Err(stream::fail(ran, reason, 0, detail));
+    };
+    logs::emit(
+        events::RESUMED,
+        format_args!("generation={} offset={}", stream.id, resume.offset),
+    );
+    agent.meters.count_entry_resume();
+    attach(stream, resume.offset)
+}
+
+fn attach(stream: sync::Arc<stream::Stream>, offset: u64) -> Result<Attached, wire::Failed> {
+    match stream.attach(offset) {
+        Ok(cursor) => Ok(Attached { cursor, stream }),
+        Err(replay::Attach::Forgotten { first }) => {
+            let detail = format!("tokens before offset {first} are no longer held");
+            Err(stream::fail(wire::Ran::Yes, wire::Reason::Gone, 0, detail))
+        }
+        Err(replay::Attach::Ahead | replay::Attach::Ready(_)) => {
+            let detail = "the generation has not come as far as the offset";
+            let (ran, reason) = (wire::Ran::Yes, wire::Reason::Invalid);
+            Err(stream::fail(ran, reason, 0, detail))
+        }
+    }
+}
+
+struct Link {
+    down: Sender,
+    /// When the entry was last heard.
+    heard: tokio::time::Instant,
+    /// Whether the entry sends pings.
+    pinged: bool,
+    stream: sync::Arc<stream::Stream>,
+    /// Ends when the entry has nothing more to say.
+    up: Option<tonic::Streaming<wire::Up>>,
+}
+
+impl Link {
+    async fn pump(&mut self, mut cursor: stream::Cursor) -> Closed {
+        let mut changes = self.stream.subscribe();
+        loop {
+            let silent_at = self.heard + SILENCE_LIMIT;
+            tokio::select! {
+                heard = receive(&mut self.up) => match heard {
+                    Ok(Some(message)) => self.take_message(cursor, message),
+                    Ok(None) => self.up = None,
+                    Err(_) => return Closed::Lost,
+                },
+                () = tokio::time::sleep_until(silent_at), if self.pinged => return Closed::Silent,
+                sent = send_next(&self.stream, &mut cursor, &mut changes, &self.down) => {
+                    match sent {
+                        Sent::Complete => return Closed::Complete,
+                        Sent::Lost => return Closed::Lost,
+                        Sent::More => {}
+                        Sent::Superseded => return Closed::Superseded,
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_message(&mut self, cursor: stream::Cursor, message: wire::Up) {
+        self.heard = tokio::time::Instant::now();
+        match message.kind {
+            Some(wire::up::Kind::Ack(ack)) => self.stream.acknowledge(cursor, ack.offset),
+            Some(wire::up::Kind::Cancel(_)) => self.stream.cancelled.cancel(),
+            Some(wire::up::Kind::Ping(ping)) => {
+                self.pinged = true;
+                let kind = Some(wire::down::Kind::Pong(ping));
+                // An entry that reads nothing has no use for an answer.
+                let _ = self.down.try_send(Ok(wire::Down { kind }));
+            }
+            Some(wire::up::Kind::Start(_) | wire::up::Kind::Resume(_)) | None => {}
+        }
+    }
+}
+
+/// Waits for the entry's next message; for ever once it has closed its side.
+async fn receive(
+    up: &mut Option<tonic::Streaming<wire::Up>>,
+) -> Result<Option<wire::Up>, tonic::Status> {
+    match up {
+        Some(up) => up.message().await,
+        None => core::future::pending().await,
+    }
+}
+
+enum Sent {
+    Complete,
+    Lost,
+    More,
+    Superseded,
+}
+
+/// Hands over the next message; nothing is taken from the generation when this is dropped early.
+async fn send_next(
+    stream: &stream::Stream,
+    cursor: &mut stream::Cursor,
+    changes: &mut watch::Receiver<()>,
+    down: &Sender,
+) -> Sent {
+    let Ok(permit) = down.reserve().await else {
+        return Sent::Lost;
+    };
+    loop {
+        changes.borrow_and_update();
+        match stream.take(cursor) {
+            stream::Output::Accepted(accepted) => {
+                permit.send(Ok(wrap(wire::down::Kind::Accepted(accepted))));
+                return Sent::More;
+            }
+            stream::Output::Chunk(chunk) => {
+                permit.send(Ok(wrap(wire::down::Kind::Chunk(chunk))));
+                return Sent::More;
+            }
+            stream::Output::End(end) => {
+                permit.send(Ok(wrap_end(end)));
+                return Sent::Complete;
+            }
+            stream::Output::Superseded => {
+                let detail = "another link resumed the generation";
+                let (ran, reason) = (wire::Ran::Yes, wire::Reason::Superseded);
+                permit.send(Ok(wrap_failed(stream::fail(ran, reason, 0, detail))));
+                return Sent::Superseded;
+            }
+            stream::Output::Nothing => {}
+        }
+        tokio::select! {
+            () = down.closed() => return Sent::Lost,
+            changed = changes.changed() => if changed.is_err() {
+                return Sent::Lost;
+            },
+        }
+    }
+}
+
+fn wrap(kind: wire::down::Kind) -> wire::Down {
+    wire::Down { kind: Some(kind) }
+}
+
+fn wrap_end(end: stream::End) -> wire::Down {
+    match end {
+        stream::End::Failed(failed) => wrap_failed(failed),
+        stream::End::Finished(finished) => wrap(wire::down::Kind::Finished(finished)),
+    }
+}
+
+fn wrap_failed(failed: wire::Failed) -> wire::Down {
+    wrap(wire::down::Kind::Failed(failed))
+}
--- /dev/null
+++ b/crates/agent/src/start.rs
@@ -0,0 +1,131 @@
+//! New generations: checks, names and starts them.
+
+use std::sync;
+
+use bytes::Bytes;
+use peargap_core::manifest;
+use peargap_wire::agent as wire;
+
+use crate::agent;
+use crate::body;
+use crate::drive;
+use crate::engine;
+use crate::gate;
+use crate::stream;
+
+/// Longest output of a model that the manifest does not name, in tokens.
+const DEFAULT_MAX_TOKENS: u32 = 4_096;
+/// Longest request id, in bytes.
+const MAX_REQUEST_BYTES: usize = 256;
+
+/// Starts the generation that the entry asks for, or says why not.
+pub(crate) fn begin(
+    agent: &sync::Arc<agent::Agent>,
+    start: wire::Start,
+) -> Result<sync::Arc<stream::Stream>, wire::Failed> {
+    if agent.is_other(&start.incarnation) {
+        let detail = "another incarnation of the agent is meant";
+        return Err(agent::refuse(wire::Reason::Gone, 0, detail));
+    }
+    if start.request.is_empty() || start.request.len() > MAX_REQUEST_BYTES {
+        let detail = "the request's id is empty or too long";
+        return Err(agent::refuse(wire::Reason::Invalid, 0, detail));
+    }
+    let terms = find_terms(agent, &start);
+    let body = rewrite(&start, &terms)?;
+    let caller = agent::Caller {
+        offer: &start.model,
+        request: &start.request,
+    };
+    if let Some(failed) = agent.check_request(caller) {
+        return Err(failed);
+    }
+    let stream = sync::Arc::new(stream::Stream::new(
+        agent.name_generation(),
+        start.request.clone(),
+        start.team.clone(),
+        agent.settings.stream.replay_bytes,
+        agent.clock.now(),
+    ));
+    agent::lock(&agent.generations).add(sync::Arc::clone(&stream));
+    let job = drive::Job {
+        ask: build_ask(agent, &start, &terms, &stream),
+        body,
+        path: find_path(&start),
+    };
+    tokio::spawn(drive::run(
+        sync::Arc::clone(agent),
+        sync::Arc::clone(&stream),
+        job,
+    ));
+    Ok(stream)
+}
+
+/// What the manifest says of a request.
+#[derive(Clone, Copy, Debug)]
+struct Terms {
+    max_tokens: u32,
+    priority: u8,
+    weight: u32,
+}
+
+fn find_terms(agent: &agent::Agent, start: &wire::Start) -> Terms {
+    let config = agent.view.config();
+    let config = config.borrow();
+    let model = config.manifest.models.iter().find(|model| model.name == start.model);
+    let team = config.manifest.teams.iter().find(|team| team.name == start.team);
+    let limit = model.map_or(DEFAULT_MAX_TOKENS, |model| model.max_output_tokens);
+    let max_tokens = match start.max_tokens {
+        0 => limit,
+        wanted => wanted.min(limit),
+    };
+    Terms {
+        max_tokens,
+        priority: combine_priorities(model.map(|model| model.priority), team),
+        weight: team.map_or(1, |team| team.weight),
+    }
+}
+
+/// Returns the priority of an offer first and of its team second, each cut to 0..=15.
+pub(crate) fn combine_priorities(offer: Option<u8>, team: Option<&manifest::Team>) -> u8 {
+    let offer = offer.unwrap_or(0).min(15);
+    let team = team.map_or(0, |team| team.priority).min(15);
+    offer << 4 | team
+}
+
+fn rewrite(start: &wire::Start, terms: &Terms) -> Result<Bytes, wire::Failed> {
+    let additions = body::Additions {
+        max_tokens: terms.max_tokens,
+        priority: terms.priority,
+    };
+    body::rewrite(&start.body, additions).map_err(|error| {
+        let detail = format!("the body is not a JSON object: {error}");
+        agent::refuse(wire::Reason::Invalid, 0, detail)
+    })
+}
+
+fn build_ask(
+    agent: &agent::Agent,
+    start: &wire::Start,
+    terms: &Terms,
+    stream: &stream::Stream,
+) -> gate::Ask {
+    gate::Ask {
+        deadline: agent.find_deadline(start.deadline_ms),
+        max_tokens: terms.max_tokens,
+        model: start.model.clone(),
+        priority: terms.priority,
+        produced: sync::Arc::clone(&stream.produced),
+        prompt_tokens: start.prompt_tokens,
+        request: start.request.clone(),
+        team: start.team.clone(),
+        weight: terms.weight,
+    }
+}
+
+fn find_path(start: &wire::Start) -> engine::Path {
+    match start.shape() {
+        wire::Shape::Chat => engine::Path::Chat,
+        wire::Shape::Completion => engine::Path::Completion,
+    }
+}
