--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,12 +6,14 @@
 pub mod admit;
 pub mod batch;
 pub mod breaker;
+pub mod config;
 pub mod curve;
 pub mod fair;
 pub mod follow;
 pub mod forecast;
 pub mod generation;
 pub mod manifest;
+pub mod members;
 pub mod place;
 pub mod prefix;
 pub mod queue;
