Agent: admission, streams, calls, load, orders and planned stop

Cause: nothing stood beside an upstream. Ruled out: pooled connections to the engine (a failed send on one proves nothing about what was received); dropping unacknowledged tokens (the engine read stops instead). Change: the agent on the policy's admission, one fresh connection a request, replay buffer between engine and entry links, enforcement, orders, graceful stop; failure tests with the real binary.

--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -95,7 +95,13 @@
             Some(gate::Verdict::Refused {
                 reason,
                 retry_after_ms,
-            }) => return Err(agent::refuse(reason, retry_after_ms, "refused by admission")),
+            }) => {
+                return Err(agent::refuse(
+                    reason,
+                    retry_after_ms,
+                    "refused by admission",
+                ))
+            }
             None => {
                 let detail = "the agent is stopping";
                 return Err(agent::refuse(wire::Reason::Draining, 0, detail));
@@ -113,7 +119,11 @@
     let config = config.borrow();
     let mut services = config.manifest.services.iter();
     let service = services.find(|service| service.name == call.service);
-    let team = config.manifest.teams.iter().find(|team| team.name == call.team);
+    let team = config
+        .manifest
+        .teams
+        .iter()
+        .find(|team| team.name == call.team);
     gate::Ask {
         deadline,
         max_tokens: 0,
@@ -175,7 +185,10 @@
     let response = upstream::send(address, request, patience).await?;
     let (head, body) = response.into_parts();
     let body = upstream::read_body(body, MAX_ANSWER_BYTES).await?;
-    let headers = head.headers.iter().filter(|(name, _)| is_passed_on(name.as_str()));
+    let headers = head
+        .headers
+        .iter()
+        .filter(|(name, _)| is_passed_on(name.as_str()));
     let headers = headers.map(|(name, value)| wire::Header {
         name: name.as_str().to_owned(),
         value: bytes::Bytes::copy_from_slice(value.as_bytes()),
@@ -199,7 +212,12 @@
             (wire::Ran::Unknown, wire::Reason::Upstream)
         }
     };
-    stream::fail(ran, reason, 0, format!("no answer of the service: {fault:?}"))
+    stream::fail(
+        ran,
+        reason,
+        0,
+        format!("no answer of the service: {fault:?}"),
+    )
 }
 
 fn log_outcome(
--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use peargap_adapters::logs;
-use peargap_core::admit;
 use peargap_core::replay;
 use peargap_core::time;
 use peargap_wire::agent as wire;
@@ -15,7 +14,7 @@
 use crate::events;
 use crate::gate;
 use crate::http;
-use crate::meters;
+use crate::judge;
 use crate::stream;
 use crate::tokens;
 
@@ -25,10 +24,8 @@
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 /// Attempts to cancel a stream at the engine.
 const CANCEL_ATTEMPTS: u32 = 3;
-/// When to come back after the engine failed.
-const FAILED_RETRY_MS: u32 = 1_000;
 /// Most tokens stored before the reader is told of them.
-const MAX_READY: usize = 64;
+const MAX_READY: u64 = 64;
 
 /// What to run.
 #[derive(Debug)]
@@ -39,7 +36,11 @@
 }
 
 /// Runs `job` until `stream` has its end.
-pub(crate) async fn run(agent: sync::Arc<agent::Agent>, stream: sync::Arc<stream::Stream>, job: Job) {
+pub(crate) async fn run(
+    agent: sync::Arc<agent::Agent>,
+    stream: sync::Arc<stream::Stream>,
+    job: Job,
+) {
     let deadline = job.ask.deadline;
     let mut permit = match wait_for_turn(&agent, &stream, job.ask).await {
         Turn::Admitted(permit) => permit,
@@ -66,7 +67,7 @@
         Some(end) => end,
         None => stop(&agent, &stream).await,
     };
-    let (how, ended) = classify(&end);
+    let (how, ended) = judge::classify(&end);
     permit.set_end(how);
     drop(permit);
     agent.meters.count_end(ended);
@@ -79,11 +80,7 @@
     Over(wire::Failed),
 }
 
-async fn wait_for_turn(
-    agent: &agent::Agent,
-    stream: &stream::Stream,
-    ask: gate::Ask,
-) -> Turn {
+async fn wait_for_turn(agent: &agent::Agent, stream: &stream::Stream, ask: gate::Ask) -> Turn {
     let mut verdicts = agent.gate.ask(ask);
     loop {
         let verdict = tokio::select! {
@@ -103,7 +100,13 @@
             Some(gate::Verdict::Refused {
                 reason,
                 retry_after_ms,
-            }) => return Turn::Over(agent::refuse(reason, retry_after_ms, "refused by admission")),
+            }) => {
+                return Turn::Over(agent::refuse(
+                    reason,
+                    retry_after_ms,
+                    "refused by admission",
+                ))
+            }
             None => {
                 let detail = "the agent is stopping";
                 return Turn::Over(agent::refuse(wire::Reason::Draining, 0, detail));
@@ -136,19 +139,6 @@
     stream::fail(wire::Ran::Yes, reason, retry_after_ms, detail)
 }
 
-fn classify(end: &stream::End) -> (admit::End, meters::Ended) {
-    let failed = match end {
-        stream::End::Finished(_) => return (admit::End::Whole, meters::Ended::Finished),
-        stream::End::Failed(failed) => failed,
-    };
-    match failed.reason() {
-        wire::Reason::Cancelled | wire::Reason::Deadline | wire::Reason::Invalid => {
-            (admit::End::Cancelled, meters::Ended::Cancelled)
-        }
-        _ => (admit::End::Failed, meters::Ended::Failed),
-    }
-}
-
 fn log_end(stream: &stream::Stream, end: &stream::End) {
     let (request, id, next) = (&stream.request, &stream.id, stream.next());
     match end {
@@ -251,11 +241,9 @@
         match next {
             tokens::Next::Step(step) => self.take_step(step).await,
             tokens::Next::Done => Taken::Over(self.finish_whole()),
-            tokens::Next::Failed(detail) => Taken::Over(end_failed(
-                wire::Ran::Yes,
-                wire::Reason::Upstream,
-                detail,
-            )),
+            tokens::Next::Failed(detail) => {
+                Taken::Over(Step::End(judge::end_with(wire::Ran::Yes, detail)))
+            }
             tokens::Next::Lost(cause) => Taken::Over(self.lose_link(&cause)),
             tokens::Next::Silent => Taken::Over(self.lose_link("silent")),
         }
@@ -345,15 +333,18 @@
             engine::Opened::Tokens(reader) => return Step::Read(reader),
             engine::Opened::Refused { status, detail } => {
                 let detail = format!("the engine lost the generation: {status} {detail}");
-                return Step::End(end_with(ran, detail));
+                return Step::End(judge::end_with(ran, detail));
             }
             engine::Opened::Fault(http::Fault::Refused) => {
-                return Step::End(end_with(ran, "the engine has gone"));
+                return Step::End(judge::end_with(ran, "the engine has gone"));
             }
             engine::Opened::Fault(fault) => fault,
         };
         if tokio::time::Instant::now() >= seek.until {
-            return Step::End(end_with(ran, format!("the engine does not answer: {fault:?}")));
+            return Step::End(judge::end_with(
+                ran,
+                format!("the engine does not answer: {fault:?}"),
+            ));
         }
         tokio::time::sleep(RESUME_PAUSE).await;
         Step::Seek(seek)
@@ -370,10 +361,12 @@
 fn judge_start(opened: engine::Opened) -> Step {
     match opened {
         engine::Opened::Tokens(reader) => Step::Read(reader),
-        engine::Opened::Refused { status, detail } => Step::End(judge_refusal(status, &detail)),
+        engine::Opened::Refused { status, detail } => {
+            Step::End(judge::judge_refusal(status, &detail))
+        }
         engine::Opened::Fault(fault) if fault.is_before_send() => {
             let detail = format!("the engine was not reached: {fault:?}");
-            let failed = agent::refuse(wire::Reason::Upstream, FAILED_RETRY_MS, detail);
+            let failed = agent::refuse(wire::Reason::Upstream, judge::FAILED_RETRY_MS, detail);
             Step::End(stream::End::Failed(failed))
         }
         engine::Opened::Fault(_) => Step::Seek(Seek {
@@ -383,32 +376,6 @@
     }
 }
 
-/// Judges an error answer to a new request: the engine says 4xx or 503 before it runs anything.
-fn judge_refusal(status: ::http::StatusCode, detail: &str) -> stream::End {
-    let detail = format!("the engine answered {status}: {detail}");
-    let failed = match status {
-        ::http::StatusCode::NOT_FOUND => {
-            agent::refuse(wire::Reason::Model, FAILED_RETRY_MS, detail)
-        }
-        ::http::StatusCode::TOO_MANY_REQUESTS | ::http::StatusCode::SERVICE_UNAVAILABLE => {
-            agent::refuse(wire::Reason::Busy, FAILED_RETRY_MS, detail)
-        }
-        status if status.is_client_error() => agent::refuse(wire::Reason::Invalid, 0, detail),
-        _ => return end_with(wire::Ran::Unknown, detail),
-    };
-    stream::End::Failed(failed)
-}
-
-fn end_with(ran: wire::Ran, detail: impl Into<String>) -> stream::End {
-    let failed = stream::fail(ran, wire::Reason::Upstream, FAILED_RETRY_MS, detail);
-    stream::End::Failed(failed)
-}
-
-fn end_failed(ran: wire::Ran, reason: wire::Reason, detail: String) -> Step {
-    let failed = stream::fail(ran, reason, FAILED_RETRY_MS, detail);
-    Step::End(stream::End::Failed(failed))
-}
-
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -1,33 +1,16 @@
-//! Who runs now, who waits and who is turned away; owned by the control thread.
+//! The way to admission: what is asked, what is answered, what it is told.
 
-use std::collections;
 use std::sync;
 use std::sync::atomic;
 
-use core::time::Duration;
-
-use peargap_adapters::logs;
 use peargap_core::admit;
-use peargap_core::queue;
 use peargap_core::ramp;
 use peargap_core::time;
 use peargap_wire::agent as wire;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio_util::sync as cancel;
 
-use crate::clock;
 use crate::engine;
-use crate::events;
-use crate::meters;
-
-/// Time between two looks at the progress of running streams.
-const TICK: Duration = Duration::from_millis(20);
-/// A stream without a token for this long is the one that the engine preempted, when it says that
-/// it preempted some.
-const STALLED_AFTER_MS: u64 = 250;
-/// When to come back to an upstream that does not answer.
-const LOST_RETRY_MS: u32 = 1_000;
 
 /// What a request asks of the gate.
 #[derive(Clone, Debug)]
@@ -70,6 +53,15 @@
 }
 
 impl Permit {
+    /// Returns leave for `stream`, given back through `sender`.
+    pub(crate) fn new(stream: admit::Stream, sender: mpsc::UnboundedSender<Message>) -> Permit {
+        Permit {
+            end: admit::End::Cancelled,
+            sender,
+            stream,
+        }
+    }
+
     /// Says how the work ended; without it, it counts as cancelled.
     pub(crate) fn set_end(&mut self, end: admit::End) {
         self.end = end;
@@ -121,6 +113,14 @@
 }
 
 impl Handle {
+    /// Returns a handle that sends to `sender` and shows `snapshots`.
+    pub(crate) fn new(
+        sender: mpsc::UnboundedSender<Message>,
+        snapshots: watch::Receiver<Snapshot>,
+    ) -> Handle {
+        Handle { sender, snapshots }
+    }
+
     /// Asks for leave to use the upstream; dropping the receiver takes the request back.
     pub(crate) fn ask(&self, ask: Ask) -> mpsc::UnboundedReceiver<Verdict> {
         let (answer, verdicts) = mpsc::unbounded_channel();
@@ -138,379 +138,3 @@
         self.snapshots.clone()
     }
 }
-
-struct Waiting {
-    answer: mpsc::UnboundedSender<Verdict>,
-    ask: Ask,
-    since: time::Instant,
-}
-
-struct Running {
-    /// Tokens that admission knows of.
-    known: u32,
-    last_token: time::Instant,
-    produced: sync::Arc<atomic::AtomicU32>,
-}
-
-/// The gate itself.
-pub(crate) struct Gate {
-    admission: admit::Admission,
-    clock: clock::Clock,
-    healthy: bool,
-    messages: mpsc::UnboundedReceiver<Message>,
-    meters: meters::Meters,
-    report: engine::Report,
-    running: collections::HashMap<admit::Stream, Running>,
-    sender: mpsc::UnboundedSender<Message>,
-    snapshots: watch::Sender<Snapshot>,
-    waiting: collections::HashMap<queue::Ticket, Waiting>,
-}
-
-impl Gate {
-    /// Returns a gate and the handle that reaches it.
-    pub(crate) fn new(
-        clock: clock::Clock,
-        options: admit::Options,
-        meters: meters::Meters,
-    ) -> (Gate, Handle) {
-        let (sender, messages) = mpsc::unbounded_channel();
-        let admission = admit::Admission::new(clock.now(), options);
-        let (snapshots, watched) = watch::channel(Snapshot {
-            healthy: false,
-            load: admission.load(),
-            report: engine::Report::default(),
-        });
-        let handle = Handle {
-            sender: sender.clone(),
-            snapshots: watched,
-        };
-        let gate = Gate {
-            admission,
-            clock,
-            healthy: false,
-            messages,
-            meters,
-            report: engine::Report::default(),
-            running: collections::HashMap::new(),
-            sender,
-            snapshots,
-            waiting: collections::HashMap::new(),
-        };
-        (gate, handle)
-    }
-
-    /// Decides until `token` is cancelled.
-    pub(crate) async fn run(mut self, token: cancel::CancellationToken) {
-        let mut timer = tokio::time::interval(TICK);
-        timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
-        loop {
-            tokio::select! {
-                () = token.cancelled() => return,
-                message = self.messages.recv() => match message {
-                    Some(message) => self.take_message(message),
-                    None => return,
-                },
-                _ = timer.tick() => self.tick(),
-            }
-            self.start_waiting();
-            self.publish();
-        }
-    }
-
-    fn take_message(&mut self, message: Message) {
-        match message {
-            Message::Arrived(ask, answer) => self.decide(ask, answer),
-            Message::First(stream) => self.note_progress(stream),
-            Message::Left { end, stream } => self.leave(stream, end),
-            Message::Reported(report) => self.take_report(report),
-            Message::Sign(sign) => self.fall_back(sign),
-        }
-    }
-
-    fn decide(&mut self, ask: Ask, answer: mpsc::UnboundedSender<Verdict>) {
-        if !self.healthy {
-            refuse(&self.meters, &ask, &answer, wire::Reason::Upstream, LOST_RETRY_MS);
-            return;
-        }
-        let now = self.clock.now();
-        let request = self.build_request(&ask);
-        match admit::decide(&self.admission, now, &request) {
-            admit::Decision::Admit => {
-                let stream = self.admission.start(now, request);
-                self.admit(stream, &ask, &answer, 0);
-            }
-            admit::Decision::Refuse {
-                reason,
-                retry_after_ms,
-            } => {
-                let reason = map_reason(reason);
-                refuse(&self.meters, &ask, &answer, reason, clip(retry_after_ms));
-            }
-            admit::Decision::Wait => self.queue(now, request, ask, answer),
-        }
-    }
-
-    fn build_request(&mut self, ask: &Ask) -> admit::Request {
-        admit::Request {
-            cached_tokens: 0,
-            class: self.admission.class(&ask.model, &ask.team),
-            deadline: ask.deadline,
-            max_tokens: ask.max_tokens,
-            priority: ask.priority,
-            prompt_tokens: ask.prompt_tokens,
-            team: self.admission.team(&ask.team, ask.weight),
-        }
-    }
-
-    fn queue(
-        &mut self,
-        now: time::Instant,
-        request: admit::Request,
-        ask: Ask,
-        answer: mpsc::UnboundedSender<Verdict>,
-    ) {
-        let ahead = self.admission.load().waiting;
-        let ticket = match self.admission.push(now, request) {
-            queue::Pushed::Full { retry_after_ms } => {
-                let after = clip(retry_after_ms);
-                refuse(&self.meters, &ask, &answer, wire::Reason::Busy, after);
-                return;
-            }
-            queue::Pushed::Displaced {
-                ticket,
-                shed,
-                retry_after_ms,
-            } => {
-                self.turn_away(shed, wire::Reason::Busy, clip(retry_after_ms));
-                ticket
-            }
-            queue::Pushed::Waits(ticket) => ticket,
-        };
-        let load = self.admission.load();
-        logs::emit(
-            events::QUEUED,
-            format_args!(
-                "request={} team={} model={} ahead={ahead} running={} limit={} used_tokens={} wait_ms={}",
-                ask.request, ask.team, ask.model, load.running, load.limit, load.used_tokens, load.wait_ms
-            ),
-        );
-        let _ = answer.send(Verdict::Queued(ahead));
-        let since = now;
-        self.waiting.insert(ticket, Waiting { answer, ask, since });
-    }
-
-    fn admit(
-        &mut self,
-        stream: admit::Stream,
-        ask: &Ask,
-        answer: &mpsc::UnboundedSender<Verdict>,
-        waited_ms: u64,
-    ) {
-        let now = self.clock.now();
-        self.running.insert(
-            stream,
-            Running {
-                known: 0,
-                last_token: now,
-                produced: sync::Arc::clone(&ask.produced),
-            },
-        );
-        self.meters.count_admitted(waited_ms);
-        let load = self.admission.load();
-        logs::emit(
-            events::ADMITTED,
-            format_args!(
-                "request={} team={} model={} priority={} prompt_tokens={} waited_ms={waited_ms} running={} limit={} used_tokens={}",
-                ask.request, ask.team, ask.model, ask.priority, ask.prompt_tokens, load.running, load.limit, load.used_tokens
-            ),
-        );
-        // A caller that has gone drops the permit, which gives it back.
-        let _ = answer.send(Verdict::Admitted(Permit {
-            end: admit::End::Cancelled,
-            sender: self.sender.clone(),
-            stream,
-        }));
-    }
-
-    /// Starts those whose turn has come and turns away those that cannot make it.
-    fn start_waiting(&mut self) {
-        let now = self.clock.now();
-        for shed in self.admission.shed(now) {
-            self.turn_away(shed.ticket, wire::Reason::Deadline, clip(shed.retry_after_ms));
-        }
-        while let Some(started) = self.admission.next(now) {
-            let Some(waiting) = self.waiting.remove(&started.ticket) else {
-                self.admission.finished(now, started.stream, admit::End::Cancelled);
-                continue;
-            };
-            let waited_ms = now.millis_since(waiting.since);
-            self.admit(started.stream, &waiting.ask, &waiting.answer, waited_ms);
-        }
-    }
-
-    fn turn_away(&mut self, ticket: queue::Ticket, reason: wire::Reason, retry_after_ms: u32) {
-        if let Some(waiting) = self.waiting.remove(&ticket) {
-            refuse(&self.meters, &waiting.ask, &waiting.answer, reason, retry_after_ms);
-        }
-    }
-
-    fn leave(&mut self, stream: admit::Stream, end: admit::End) {
-        self.note_progress(stream);
-        self.running.remove(&stream);
-        self.admission.finished(self.clock.now(), stream, end);
-        if self.report.cold {
-            // Answers of an upstream that says it is cold prove nothing.
-            self.admission.sign(self.clock.now(), ramp::Sign::EmptyCache);
-        }
-    }
-
-    fn tick(&mut self) {
-        let now = self.clock.now();
-        let streams: Vec<_> = self.running.keys().copied().collect();
-        for stream in streams {
-            self.note_progress(stream);
-        }
-        if let Some(sign) = self.admission.check_overdue(now) {
-            self.log_sign(sign);
-        }
-        let gone = self.waiting.iter().filter(|(_, waiting)| waiting.answer.is_closed());
-        let gone: Vec<_> = gone.map(|(ticket, _)| *ticket).collect();
-        for ticket in gone {
-            self.waiting.remove(&ticket);
-            self.admission.cancel(ticket);
-        }
-    }
-
-    /// Tells admission of the tokens that a stream got since it was last told.
-    fn note_progress(&mut self, stream: admit::Stream) {
-        let now = self.clock.now();
-        let Some(running) = self.running.get_mut(&stream) else {
-            return;
-        };
-        let produced = running.produced.load(atomic::Ordering::Relaxed);
-        let count = produced - running.known;
-        if count == 0 {
-            return;
-        }
-        running.known = produced;
-        running.last_token = now;
-        if let Some(sign) = self.admission.token(now, stream, count) {
-            self.log_sign(sign);
-        }
-    }
-
-    fn take_report(&mut self, report: Option<engine::Report>) {
-        let Some(report) = report else {
-            self.lose_upstream();
-            return;
-        };
-        if !self.healthy {
-            self.healthy = true;
-            logs::emit(
-                events::UPSTREAM_BACK,
-                format_args!("incarnation={}", report.incarnation),
-            );
-        }
-        let known = !self.report.incarnation.is_empty();
-        if known && report.incarnation != self.report.incarnation {
-            self.fall_back(ramp::Sign::NewIncarnation);
-        } else if report.cold && !self.report.cold {
-            self.fall_back(ramp::Sign::EmptyCache);
-        } else if report.preemptions > self.report.preemptions {
-            self.note_preemptions(report.preemptions - self.report.preemptions);
-        }
-        self.meters.set_report(&report);
-        self.report = report;
-    }
-
-    fn lose_upstream(&mut self) {
-        if self.healthy {
-            logs::emit(events::UPSTREAM_LOST, format_args!("waiting={}", self.waiting.len()));
-        }
-        self.healthy = false;
-        let tickets: Vec<_> = self.waiting.keys().copied().collect();
-        for ticket in tickets {
-            self.admission.cancel(ticket);
-            self.turn_away(ticket, wire::Reason::Upstream, LOST_RETRY_MS);
-        }
-    }
-
-    /// Marks the streams that stand still as the preempted ones.
-    fn note_preemptions(&mut self, count: u64) {
-        let now = self.clock.now();
-        let mut stalled = 0;
-        for (stream, running) in &self.running {
-            if running.known > 0 && now.millis_since(running.last_token) > STALLED_AFTER_MS {
-                self.admission.preempted(*stream);
-                stalled += 1;
-            }
-        }
-        logs::emit(events::PREEMPTED, format_args!("count={count} stalled={stalled}"));
-    }
-
-    fn fall_back(&mut self, sign: ramp::Sign) {
-        self.admission.sign(self.clock.now(), sign);
-        self.log_sign(sign);
-    }
-
-    fn log_sign(&self, sign: ramp::Sign) {
-        let load = self.admission.load();
-        self.meters.count_sign();
-        logs::emit(
-            events::COLD_SIGN,
-            format_args!("sign={sign:?} running={} limit={}", load.running, load.limit),
-        );
-    }
-
-    fn publish(&mut self) {
-        let load = self.admission.load();
-        self.meters.set_load(&load);
-        let snapshot = Snapshot {
-            healthy: self.healthy,
-            load,
-            report: self.report.clone(),
-        };
-        self.snapshots.send_if_modified(|old| {
-            let changed = *old != snapshot;
-            *old = snapshot;
-            changed
-        });
-    }
-}
-
-fn refuse(
-    meters: &meters::Meters,
-    ask: &Ask,
-    answer: &mpsc::UnboundedSender<Verdict>,
-    reason: wire::Reason,
-    retry_after_ms: u32,
-) {
-    meters.count_refusal(reason);
-    logs::emit(
-        events::REFUSED,
-        format_args!(
-            "request={} team={} model={} reason={} retry_after_ms={retry_after_ms}",
-            ask.request,
-            ask.team,
-            ask.model,
-            reason.as_str_name()
-        ),
-    );
-    let _ = answer.send(Verdict::Refused {
-        reason,
-        retry_after_ms,
-    });
-}
-
-fn map_reason(reason: admit::Reason) -> wire::Reason {
-    match reason {
-        admit::Reason::Busy => wire::Reason::Busy,
-        admit::Reason::Deadline => wire::Reason::Deadline,
-        admit::Reason::Ramping => wire::Reason::Ramping,
-        admit::Reason::TooLarge => wire::Reason::Invalid,
-    }
-}
-
-fn clip(millis: u64) -> u32 {
-    u32::try_from(millis).unwrap_or(u32::MAX)
-}
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,28 @@
+//! The agent beside one upstream: admission, queue, streams and orders.
+
+mod admission;
+mod agent;
+mod body;
+mod call;
+mod clock;
+mod drive;
+mod engine;
+mod events;
+mod gate;
+mod http;
+mod judge;
+mod link;
+mod meters;
+mod observe;
+mod orders;
+mod poll;
+mod registry;
+mod run;
+mod service;
+mod settings;
+mod start;
+mod stream;
+mod sweep;
+mod tokens;
+
+pub use run::run;
--- a/crates/agent/src/meters.rs
+++ b/crates/agent/src/meters.rs
@@ -167,22 +167,32 @@
             .with_callback(move |gauge| gauge.observe(read(&levels), &[]))
             .build();
     };
-    gauge("peargap_agent_limit", "Streams or calls allowed at once", |levels| {
-        levels.limit.load(atomic::Ordering::Relaxed)
-    });
+    gauge(
+        "peargap_agent_limit",
+        "Streams or calls allowed at once",
+        |levels| levels.limit.load(atomic::Ordering::Relaxed),
+    );
     gauge("peargap_agent_queued", "Requests that wait", |levels| {
         levels.queued.load(atomic::Ordering::Relaxed)
     });
-    gauge("peargap_agent_running", "Streams or calls that run", |levels| {
-        levels.running.load(atomic::Ordering::Relaxed)
-    });
-    gauge("peargap_agent_used_tokens", "Engine memory in use in tokens", |levels| {
-        levels.used_tokens.load(atomic::Ordering::Relaxed)
-    });
-    gauge("peargap_agent_preemptions", "Preemptions the engine reports", |levels| {
-        levels.preemptions.load(atomic::Ordering::Relaxed)
-    });
-    gauge("peargap_agent_stall_ms", "Stall time the engine reports", |levels| {
-        levels.stall_ms.load(atomic::Ordering::Relaxed)
-    });
+    gauge(
+        "peargap_agent_running",
+        "Streams or calls that run",
+        |levels| levels.running.load(atomic::Ordering::Relaxed),
+    );
+    gauge(
+        "peargap_agent_used_tokens",
+        "Engine memory in use in tokens",
+        |levels| levels.used_tokens.load(atomic::Ordering::Relaxed),
+    );
+    gauge(
+        "peargap_agent_preemptions",
+        "Preemptions the engine reports",
+        |levels| levels.preemptions.load(atomic::Ordering::Relaxed),
+    );
+    gauge(
+        "peargap_agent_stall_ms",
+        "Stall time the engine reports",
+        |levels| levels.stall_ms.load(atomic::Ordering::Relaxed),
+    );
 }
--- /dev/null
+++ b/crates/agent/src/observe.rs
@@ -0,0 +1,78 @@
+//! Load reports to entries.
+
+use core::time::Duration;
+use std::sync;
+
+use peargap_wire::agent as wire;
+use tokio::sync::mpsc;
+use tokio_util::sync as cancel;
+
+use crate::agent;
+
+/// Shortest time between two reports on one link.
+const REPORT_GAP: Duration = Duration::from_millis(50);
+/// Longest time between two reports on one link.
+const REPORT_PERIOD: Duration = Duration::from_millis(400);
+
+/// Reports the load on one link until the entry goes away or `closing` is cancelled.
+pub(crate) async fn report(
+    agent: sync::Arc<agent::Agent>,
+    mut seen: tonic::Streaming<wire::Seen>,
+    loads: mpsc::Sender<Result<wire::Load, tonic::Status>>,
+    closing: cancel::CancellationToken,
+) {
+    let mut snapshots = agent.gate.watch();
+    let mut heard = true;
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        let load = build_load(&agent, sequence);
+        tokio::select! {
+            sent = loads.send(Ok(load)) => if sent.is_err() {
+                return;
+            },
+            () = closing.cancelled() => return,
+        }
+        tokio::time::sleep(REPORT_GAP).await;
+        let timer = tokio::time::sleep(REPORT_PERIOD - REPORT_GAP);
+        tokio::pin!(timer);
+        loop {
+            tokio::select! {
+                () = closing.cancelled() => return,
+                () = loads.closed() => return,
+                () = &mut timer => break,
+                changed = snapshots.changed() => match changed {
+                    Ok(()) => break,
+                    Err(_) => return,
+                },
+                message = seen.message(), if heard => match message {
+                    Ok(Some(_)) => {}
+                    Ok(None) => heard = false,
+                    Err(_) => return,
+                },
+            }
+        }
+    }
+}
+
+fn build_load(agent: &agent::Agent, sequence: u64) -> wire::Load {
+    let snapshots = agent.gate.watch();
+    let snapshot = snapshots.borrow().clone();
+    let load = snapshot.load;
+    wire::Load {
+        upstream: agent.settings.upstream.name.clone(),
+        incarnation: agent.incarnation.clone(),
+        sequence,
+        config_version: agent.view.version(),
+        memory_tokens: agent.settings.upstream.memory_tokens,
+        used_tokens: load.used_tokens,
+        running: load.running,
+        queued: load.waiting,
+        limit: load.limit,
+        wait_ms: u32::try_from(load.wait_ms).unwrap_or(u32::MAX),
+        draining: agent.is_leaving() || agent.is_out(),
+        healthy: snapshot.healthy && agent.view.is_fresh(),
+        models: agent.list_offers(),
+        prefixes: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/run.rs
@@ -0,0 +1,246 @@
+//! Builds the agent from its settings, runs it and stops it.
+
+use core::error;
+use core::future::IntoFuture as _;
+use core::sync::atomic;
+use core::time::Duration;
+use std::process;
+use std::sync;
+use std::thread;
+
+use peargap_adapters::command;
+use peargap_adapters::follow;
+use peargap_adapters::health;
+use peargap_adapters::logs;
+use peargap_adapters::metrics;
+use peargap_adapters::signals;
+use peargap_core::admit;
+use peargap_wire::control;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio_util::sync as cancel;
+use tokio_util::task;
+
+use crate::admission;
+use crate::agent;
+use crate::clock;
+use crate::engine;
+use crate::events;
+use crate::meters;
+use crate::orders;
+use crate::poll;
+use crate::registry;
+use crate::service;
+use crate::settings;
+use crate::sweep;
+
+/// Block size of engine memory in tokens.
+const BLOCK_TOKENS: u32 = 16;
+/// Chance that engine memory overflows, at most.
+const OVERFLOW_CHANCE: f32 = 0.01;
+/// Time between two looks at what a stop still waits for.
+const SETTLE_PERIOD: Duration = Duration::from_millis(20);
+/// Time in which the leaving agent still answers, so that entries hear of it.
+const FAREWELL: Duration = Duration::from_millis(500);
+/// Time for links to end after their last message.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What makes the agent end with an error.
+type Fault = Box<dyn error::Error + Send + Sync>;
+
+/// Runs the program; returns its exit code.
+pub fn run() -> process::ExitCode {
+    let settings = match command::load("peargap-agent", "agent.ini", settings::load) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    if let Err(error) = logs::init(&settings.name, settings.log_level, settings.log_format) {
+        eprintln!("peargap-agent: {error}");
+        return process::ExitCode::FAILURE;
+    }
+    match run_settings(settings) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(fault) => {
+            logs::emit(events::FAILED, format_args!("cause={fault}"));
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_settings(settings: settings::Settings) -> Result<(), Fault> {
+    let registry = metrics::Registry::new()?;
+    let stop = cancel::CancellationToken::new();
+    let (agent, control) = start_control(settings, &registry, stop.clone())?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let served = runtime.block_on(serve(agent, registry));
+    stop.cancel();
+    let _ = control.join();
+    served
+}
+
+/// Starts the thread that owns the control state.
+fn start_control(
+    settings: settings::Settings,
+    registry: &metrics::Registry,
+    stop: cancel::CancellationToken,
+) -> Result<(sync::Arc<agent::Agent>, thread::JoinHandle<()>), Fault> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let meters = meters::Meters::new(registry);
+    let (ready, built) = oneshot::channel();
+    let control = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            runtime.block_on(async move {
+                let (agent, admission) = build(settings, meters, stop.clone());
+                tokio::spawn(admission.run(stop.clone()));
+                tokio::spawn(poll::run(sync::Arc::clone(&agent), stop.clone()));
+                tokio::spawn(orders::run(sync::Arc::clone(&agent), stop.clone()));
+                tokio::spawn(sweep::run(sync::Arc::clone(&agent), stop.clone()));
+                let _ = ready.send(agent);
+                stop.cancelled().await;
+            });
+        })?;
+    let agent = built.blocking_recv()?;
+    Ok((agent, control))
+}
+
+fn build(
+    settings: settings::Settings,
+    meters: meters::Meters,
+    stop: cancel::CancellationToken,
+) -> (sync::Arc<agent::Agent>, admission::Admission) {
+    let clock = clock::Clock::start();
+    let incarnation = format!("{:016x}", rand::random::<u64>());
+    let upstream = &settings.upstream;
+    let options = admit::Options {
+        block_tokens: BLOCK_TOKENS,
+        max_running: upstream.max_running,
+        max_waiting: settings.queue.max_queued as usize,
+        memory_tokens: upstream.memory_tokens,
+        overflow_chance: OVERFLOW_CHANCE,
+    };
+    let (admission, handle) = admission::Admission::new(clock, options, meters.clone());
+    let view = follow::spawn(build_options(&settings, &incarnation), stop);
+    let engine = engine::Client::new(upstream.address, upstream.silent_after);
+    let agent = agent::Agent {
+        claims: sync::Mutex::default(),
+        clock,
+        engine,
+        gate: handle,
+        generations: sync::Mutex::new(registry::Generations::default()),
+        incarnation,
+        leaving: atomic::AtomicBool::new(false),
+        meters,
+        numbers: atomic::AtomicU64::new(0),
+        requests: sync::Mutex::default(),
+        settings,
+        view,
+    };
+    (sync::Arc::new(agent), admission)
+}
+
+fn build_options(settings: &settings::Settings, incarnation: &str) -> follow::Options {
+    let upstream = &settings.upstream;
+    let kind = match upstream.kind {
+        settings::Kind::Engine => control::Kind::Engine,
+        settings::Kind::Service => control::Kind::Service,
+    };
+    let announcement = control::Announcement {
+        upstream: upstream.name.clone(),
+        kind: kind.into(),
+        offers: upstream.offers.clone(),
+        memory_tokens: upstream.memory_tokens,
+        checks_fences: upstream.checks_fences,
+    };
+    follow::Options {
+        announcement: watch::Sender::new(Some(announcement)).subscribe(),
+        controls: settings.controls.clone(),
+        node: control::Node {
+            name: settings.name.clone(),
+            role: control::Role::Agent.into(),
+            domain: settings.domain.clone(),
+            address: settings.internal.to_string(),
+            incarnation: incarnation.to_owned(),
+        },
+    }
+}
+
+async fn serve(agent: sync::Arc<agent::Agent>, registry: metrics::Registry) -> Result<(), Fault> {
+    let asked = signals::listen()?;
+    let closing = cancel::CancellationToken::new();
+    let readiness = health::Readiness::default();
+    let listener = tokio::net::TcpListener::bind(agent.settings.health).await?;
+    let router = health::build_router(readiness.clone(), registry);
+    let probes =
+        axum::serve(listener, router).with_graceful_shutdown(closing.clone().cancelled_owned());
+    let probes = tokio::spawn(probes.into_future());
+    let incoming = tonic::transport::server::TcpIncoming::bind(agent.settings.internal)?
+        .with_nodelay(Some(true));
+    let service = service::Service {
+        agent: sync::Arc::clone(&agent),
+        calls: task::TaskTracker::new(),
+        closing: closing.clone(),
+    };
+    let calls = service.calls.clone();
+    let serving = service::serve(service, incoming, closing.clone(), CLOSE_TIMEOUT);
+    let serving = tokio::spawn(serving);
+    logs::emit(
+        events::STARTED,
+        format_args!(
+            "upstream={} domain={} incarnation={} internal={}",
+            agent.settings.upstream.name,
+            agent.settings.domain,
+            agent.incarnation,
+            agent.settings.internal
+        ),
+    );
+    follow_readiness(&agent, &readiness, &asked).await;
+    leave(&agent, &readiness, &calls).await;
+    closing.cancel();
+    serving.await??;
+    probes.await??;
+    logs::emit(
+        events::STOPPED,
+        format_args!("upstream={}", agent.settings.upstream.name),
+    );
+    Ok(())
+}
+
+/// Keeps the readiness up to date until a stop is asked for.
+async fn follow_readiness(
+    agent: &agent::Agent,
+    readiness: &health::Readiness,
+    asked: &cancel::CancellationToken,
+) {
+    loop {
+        let healthy = agent.gate.watch().borrow().healthy;
+        readiness.set(healthy && agent.check_enforcement().is_none());
+        tokio::select! {
+            () = asked.cancelled() => return,
+            () = tokio::time::sleep(SETTLE_PERIOD) => {}
+        }
+    }
+}
+
+/// Takes no new work and waits until what runs is whole.
+async fn leave(agent: &agent::Agent, readiness: &health::Readiness, calls: &task::TaskTracker) {
+    agent.leaving.store(true, atomic::Ordering::Release);
+    readiness.set(false);
+    agent.view.set_leaving();
+    logs::emit(
+        events::STOPPING,
+        format_args!(
+            "generations={} calls={}",
+            agent.count_unsettled(),
+            calls.len()
+        ),
+    );
+    tokio::time::sleep(FAREWELL).await;
+    while agent.count_unsettled() > 0 || !calls.is_empty() {
+        tokio::time::sleep(SETTLE_PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/agent/src/service.rs
@@ -0,0 +1,93 @@
+//! The agent's gRPC service.
+
+use core::pin;
+use core::time::Duration;
+use std::sync;
+
+use futures::Stream;
+use peargap_wire::agent as wire;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers;
+use tokio_util::sync as cancel;
+use tokio_util::task;
+
+use crate::agent;
+use crate::call;
+use crate::link;
+use crate::observe;
+
+/// Messages that may wait for a slow entry on one link.
+const DOWN_BUFFER: usize = 8;
+
+/// Answers entries; clones share the agent.
+#[derive(Clone, Debug)]
+pub(crate) struct Service {
+    pub(crate) agent: sync::Arc<agent::Agent>,
+    /// Calls that run.
+    pub(crate) calls: task::TaskTracker,
+    /// Ends the load links.
+    pub(crate) closing: cancel::CancellationToken,
+}
+
+type Outgoing<T> = pin::Pin<Box<dyn Stream<Item = Result<T, tonic::Status>> + Send>>;
+
+#[tonic::async_trait]
+impl wire::agent_server::Agent for Service {
+    type GenerateStream = Outgoing<wire::Down>;
+    type ObserveStream = Outgoing<wire::Load>;
+
+    async fn generate(
+        &self,
+        request: tonic::Request<tonic::Streaming<wire::Up>>,
+    ) -> Result<tonic::Response<Self::GenerateStream>, tonic::Status> {
+        let (down, outgoing) = mpsc::channel(DOWN_BUFFER);
+        let agent = sync::Arc::clone(&self.agent);
+        tokio::spawn(link::serve(agent, request.into_inner(), down));
+        let outgoing = wrappers::ReceiverStream::new(outgoing);
+        Ok(tonic::Response::new(Box::pin(outgoing)))
+    }
+
+    async fn call(
+        &self,
+        request: tonic::Request<wire::CallRequest>,
+    ) -> Result<tonic::Response<wire::CallReply>, tonic::Status> {
+        let agent = sync::Arc::clone(&self.agent);
+        // A call runs to its end even when the entry's connection breaks.
+        let running = self
+            .calls
+            .spawn(async move { call::run(&agent, request.into_inner()).await });
+        let reply = running
+            .await
+            .map_err(|error| tonic::Status::internal(error.to_string()))?;
+        Ok(tonic::Response::new(reply))
+    }
+
+    async fn observe(
+        &self,
+        request: tonic::Request<tonic::Streaming<wire::Seen>>,
+    ) -> Result<tonic::Response<Self::ObserveStream>, tonic::Status> {
+        let (loads, outgoing) = mpsc::channel(1);
+        let agent = sync::Arc::clone(&self.agent);
+        let closing = self.closing.clone();
+        tokio::spawn(observe::report(agent, request.into_inner(), loads, closing));
+        let outgoing = wrappers::ReceiverStream::new(outgoing);
+        Ok(tonic::Response::new(Box::pin(outgoing)))
+    }
+}
+
+/// Serves until `stop` is cancelled and every link has ended, or `patience` is over.
+pub(crate) async fn serve(
+    service: Service,
+    incoming: tonic::transport::server::TcpIncoming,
+    stop: cancel::CancellationToken,
+    patience: Duration,
+) -> Result<(), tonic::transport::Error> {
+    let server = wire::agent_server::AgentServer::new(service);
+    let serving = tonic::transport::Server::builder()
+        .add_service(server)
+        .serve_with_incoming_shutdown(incoming, stop.clone().cancelled_owned());
+    tokio::select! {
+        served = serving => served,
+        () = async { stop.cancelled().await; tokio::time::sleep(patience).await } => Ok(()),
+    }
+}
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -64,8 +64,6 @@
 pub(crate) struct Queue {
     /// Requests that may wait.
     pub(crate) max_queued: u32,
-    /// Requests a cold upstream may run at once.
-    pub(crate) ramp_start: u32,
 }
 
 /// Bounds of the replay buffers.
@@ -100,10 +98,14 @@
     let upstream = read_upstream(reader);
     let queue = Queue {
         max_queued: reader.ranged("queue", "max_queued", 256, 0..=100_000),
-        ramp_start: reader.ranged("queue", "ramp_start", 1, 1..=10_000),
     };
     let stream = read_stream(reader);
-    let log_level = reader.optional("log", "level", logs::Level::Info, "debug, info, warn, error");
+    let log_level = reader.optional(
+        "log",
+        "level",
+        logs::Level::Info,
+        "debug, info, warn, error",
+    );
     let log_format = reader.optional("log", "format", logs::Format::Text, "text or json");
     Some(Settings {
         controls,
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -72,8 +72,16 @@
 fn find_terms(agent: &agent::Agent, start: &wire::Start) -> Terms {
     let config = agent.view.config();
     let config = config.borrow();
-    let model = config.manifest.models.iter().find(|model| model.name == start.model);
-    let team = config.manifest.teams.iter().find(|team| team.name == start.team);
+    let model = config
+        .manifest
+        .models
+        .iter()
+        .find(|model| model.name == start.model);
+    let team = config
+        .manifest
+        .teams
+        .iter()
+        .find(|team| team.name == start.team);
     let limit = model.map_or(DEFAULT_MAX_TOKENS, |model| model.max_output_tokens);
     let max_tokens = match start.max_tokens {
         0 => limit,
--- a/crates/agent/src/stream.rs
+++ b/crates/agent/src/stream.rs
@@ -194,9 +194,7 @@
             }
         }
         match state.buffer.take(cursor.link, CHUNK_TOKENS) {
-            replay::Take::Batch { offset, tokens } => {
-                Output::Chunk(wire::Chunk { offset, tokens })
-            }
+            replay::Take::Batch { offset, tokens } => Output::Chunk(wire::Chunk { offset, tokens }),
             replay::Take::Superseded => Output::Superseded,
             replay::Take::Empty => match state.end.clone() {
                 None => Output::Nothing,
--- /dev/null
+++ b/crates/agent/tests/support/mod.rs
@@ -0,0 +1,139 @@
+//! Stand-ins around one real agent process, all in the test's own process.
+
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+pub(crate) mod control;
+pub(crate) mod engine;
+pub(crate) mod process;
+pub(crate) mod relay;
+
+use core::time;
+
+use peargap_wire::agent as wire;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers;
+
+/// Longest wait for anything in a test.
+pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(10);
+
+/// A link to the agent as an entry holds it.
+pub(crate) struct Link {
+    pub(crate) down: tonic::Streaming<wire::Down>,
+    pub(crate) up: mpsc::Sender<wire::Up>,
+}
+
+/// What a link gave until it ended.
+#[derive(Debug, Default)]
+pub(crate) struct Heard {
+    pub(crate) failed: Option<wire::Failed>,
+    pub(crate) finished: Option<wire::Finished>,
+    pub(crate) generation: String,
+    /// Text of the tokens.
+    pub(crate) text: String,
+    /// Offset after the last token.
+    pub(crate) next: u64,
+}
+
+/// Returns a client of the agent at `address`.
+pub(crate) async fn connect(
+    address: core::net::SocketAddr,
+) -> wire::agent_client::AgentClient<tonic::transport::Channel> {
+    let url = format!("http://{address}");
+    wire::agent_client::AgentClient::connect(url).await.unwrap()
+}
+
+/// Opens a link whose first message is `first`.
+pub(crate) async fn open(address: core::net::SocketAddr, first: wire::up::Kind) -> Link {
+    let mut client = connect(address).await;
+    let (up, outgoing) = mpsc::channel(16);
+    up.send(wire::Up { kind: Some(first) }).await.unwrap();
+    let answer = client
+        .generate(wrappers::ReceiverStream::new(outgoing))
+        .await;
+    Link {
+        down: answer.unwrap().into_inner(),
+        up,
+    }
+}
+
+/// Returns a request for `length` tokens.
+pub(crate) fn start(request: &str, length: u64) -> wire::up::Kind {
+    wire::up::Kind::Start(wire::Start {
+        request: request.to_owned(),
+        team: "archive".to_owned(),
+        model: "transcript".to_owned(),
+        body: format!(r#"{{"model":"transcript","prompt":"{length}"}}"#).into(),
+        max_tokens: 4_000,
+        deadline_ms: 60_000,
+        prompt_tokens: 4,
+        streaming: true,
+        ..wire::Start::default()
+    })
+}
+
+/// Returns a request for the rest of `generation`.
+pub(crate) fn resume(generation: &str, offset: u64) -> wire::up::Kind {
+    wire::up::Kind::Resume(wire::Resume {
+        generation: generation.to_owned(),
+        offset,
+        team: "archive".to_owned(),
+        config_version: 1,
+    })
+}
+
+impl Link {
+    /// Reads and acknowledges until `enough` tokens have come or the link ends.
+    pub(crate) async fn read(&mut self, heard: &mut Heard, enough: u64) {
+        while heard.next < enough {
+            let message = tokio::time::timeout(PATIENCE, self.down.message()).await;
+            let Ok(Some(message)) = message.expect("nothing came in time") else {
+                return;
+            };
+            match message.kind.unwrap() {
+                wire::down::Kind::Accepted(accepted) => heard.generation = accepted.generation,
+                wire::down::Kind::Chunk(chunk) => self.take_chunk(heard, chunk).await,
+                wire::down::Kind::Finished(finished) => heard.finished = Some(finished),
+                wire::down::Kind::Failed(failed) => heard.failed = Some(failed),
+                wire::down::Kind::Pong(_) => {}
+            }
+        }
+    }
+
+    /// Reads until the link ends.
+    pub(crate) async fn read_all(&mut self, heard: &mut Heard) {
+        self.read(heard, u64::MAX).await;
+    }
+
+    /// Sends one message.
+    pub(crate) async fn say(&self, kind: wire::up::Kind) {
+        self.up.send(wire::Up { kind: Some(kind) }).await.unwrap();
+    }
+
+    async fn take_chunk(&mut self, heard: &mut Heard, chunk: wire::Chunk) {
+        assert_eq!(chunk.offset, heard.next, "tokens repeated or lost");
+        for token in &chunk.tokens {
+            heard.text.push_str(core::str::from_utf8(token).unwrap());
+        }
+        heard.next += chunk.tokens.len() as u64;
+        let ack = wire::up::Kind::Ack(wire::Ack { offset: heard.next });
+        let _ = self.up.send(wire::Up { kind: Some(ack) }).await;
+    }
+}
+
+/// Returns the text of a whole generation of `length` tokens.
+pub(crate) fn whole_text(length: u64) -> String {
+    (0..length).map(engine::format_token).collect()
+}
+
+/// Waits until `check` is true.
+pub(crate) async fn wait_until(what: &str, mut check: impl FnMut() -> bool) {
+    let deadline = tokio::time::Instant::now() + PATIENCE;
+    while !check() {
+        assert!(
+            tokio::time::Instant::now() < deadline,
+            "waited in vain: {what}"
+        );
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/support/process.rs
@@ -0,0 +1,105 @@
+//! The agent's process.
+
+use core::net;
+use std::fs;
+use std::process;
+
+/// A running agent; killed when dropped.
+pub(crate) struct Agent {
+    pub(crate) address: net::SocketAddr,
+    pub(crate) health: net::SocketAddr,
+    child: process::Child,
+    _folder: tempfile::TempDir,
+}
+
+impl Agent {
+    /// Starts an agent of kind `kind` and waits until it is ready.
+    pub(crate) async fn start(
+        kind: &str,
+        control: net::SocketAddr,
+        upstream: net::SocketAddr,
+        more: &str,
+    ) -> Agent {
+        let folder = tempfile::tempdir().unwrap();
+        let (address, health) = (find_address(), find_address());
+        let offers = if kind == "engine" {
+            "transcript"
+        } else {
+            "loans"
+        };
+        let text = format!(
+            "[node]\nname=agent-1\ndomain=a\n[listen]\ninternal={address}\nhealth={health}\n\
+             [control]\naddresses={control}\n[upstream]\nname=up-1\nkind={kind}\n\
+             address={upstream}\noffers={offers}\nmemory_tokens=100000\nmax_running=8\n{more}"
+        );
+        let path = folder.path().join("agent.ini");
+        fs::write(&path, text).unwrap();
+        let mut command = process::Command::new(env!("CARGO_BIN_EXE_peargap-agent"));
+        let child = command.arg("--config").arg(&path).spawn().unwrap();
+        let agent = Agent {
+            address,
+            health,
+            child,
+            _folder: folder,
+        };
+        agent.wait_ready(true).await;
+        agent
+    }
+
+    /// Waits until the agent says that it is ready, or not.
+    pub(crate) async fn wait_ready(&self, ready: bool) {
+        let wanted = if ready { 200 } else { 503 };
+        let deadline = tokio::time::Instant::now() + super::PATIENCE;
+        while self.read("/readyz").await.map(|answer| answer.0) != Some(wanted) {
+            assert!(
+                tokio::time::Instant::now() < deadline,
+                "never ready={ready}"
+            );
+            tokio::time::sleep(core::time::Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Returns status and body of a page of the health listener.
+    pub(crate) async fn read(&self, page: &str) -> Option<(u16, String)> {
+        use tokio::io::AsyncReadExt as _;
+        use tokio::io::AsyncWriteExt as _;
+        let mut socket = tokio::net::TcpStream::connect(self.health).await.ok()?;
+        let request = format!("GET {page} HTTP/1.0\r\nhost: a\r\n\r\n");
+        socket.write_all(request.as_bytes()).await.ok()?;
+        let mut answer = String::new();
+        socket.read_to_string(&mut answer).await.ok()?;
+        let status = answer.split(' ').nth(1)?.parse().ok()?;
+        Some((status, answer))
+    }
+
+    /// Sends SIGTERM.
+    pub(crate) fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let status = process::Command::new("kill").args(["-TERM", &id]).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Waits for the end of the process and returns whether its exit code is 0.
+    pub(crate) async fn wait_exit(&mut self) -> bool {
+        let deadline = tokio::time::Instant::now() + super::PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            assert!(tokio::time::Instant::now() < deadline, "never ended");
+            tokio::time::sleep(core::time::Duration::from_millis(10)).await;
+        }
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn find_address() -> net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
