--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::process;
 
+use peargap_load::command;
 use peargap_load::experiment;
 
 const HELP: &str = "usage: peargap-load experiment --all [--seeds N] [--out DIR]";
@@ -18,6 +19,10 @@
 fn run_word(word: &str, arguments: pico_args::Arguments) -> process::ExitCode {
     match word {
         "experiment" => experiment::command::run(arguments),
+        "ports" => command::print_ports(arguments),
+        "ready" => command::wait_ready(arguments),
+        "run" => command::run(arguments),
+        "walk" => command::walk(arguments),
         _ => fail(HELP),
     }
 }
