--- /dev/null
+++ b/crates/entry/src/app.rs
@@ -0,0 +1,136 @@
+//! What every request of an entry shares.
+
+use core::time;
+use std::sync;
+use std::sync::atomic;
+
+use peargap_adapters::follow;
+use peargap_adapters::logs;
+use peargap_core::retry;
+use peargap_core::time::Instant;
+use tokio::time as clock;
+use tokio_util::sync as cancel;
+
+use crate::events;
+use crate::fleet;
+use crate::metrics;
+use crate::refusal;
+use crate::settings;
+
+/// The entry's shared state.
+#[derive(Debug)]
+pub(crate) struct App {
+    pub(crate) fleet: fleet::Watch,
+    pub(crate) ids: Ids,
+    pub(crate) metrics: metrics::Metrics,
+    pub(crate) retries: Retries,
+    pub(crate) settings: settings::Settings,
+    pub(crate) started: clock::Instant,
+    /// Cancelled when the entry stops.
+    pub(crate) stop: cancel::CancellationToken,
+    /// Cancelled when streams are to be resumed elsewhere.
+    pub(crate) streams_end: cancel::CancellationToken,
+    pub(crate) view: follow::View,
+}
+
+impl App {
+    /// Returns the agents and configuration in force.
+    pub(crate) fn fleet(&self) -> sync::Arc<fleet::Fleet> {
+        self.fleet.borrow().clone()
+    }
+
+    /// Returns the time for the decisions in core.
+    pub(crate) fn now(&self) -> Instant {
+        self.instant(clock::Instant::now())
+    }
+
+    /// Returns a point in time for the decisions in core.
+    pub(crate) fn instant(&self, at: clock::Instant) -> Instant {
+        let elapsed = at.saturating_duration_since(self.started);
+        Instant(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Returns the refusal of new work while the configuration may be out of date.
+    pub(crate) fn refuse_stale(&self) -> Option<refusal::Refusal> {
+        if self.view.is_fresh() {
+            return None;
+        }
+        let message = "This entry cannot learn the configuration in force.";
+        let refusal = refusal::Refusal::not_run(refusal::Code::Stale, message);
+        Some(refusal.with_retry(refusal::DEFAULT_RETRY_MS))
+    }
+
+    /// Writes a refusal to the log and the metrics.
+    pub(crate) fn log_refusal(&self, request: &str, team: &str, refusal: &refusal::Refusal) {
+        self.metrics.count_refusal(refusal);
+        let details = format_args!(
+            "request={request} team={team} code={} ran={} retry_after_ms={}",
+            refusal.code.as_str(),
+            refusal.ran.as_str(),
+            refusal.retry_after_ms.unwrap_or(0),
+        );
+        logs::emit(events::REFUSED, details);
+    }
+}
+
+/// Gives each request an identity that is unique in the deployment.
+#[derive(Debug)]
+pub(crate) struct Ids {
+    last: atomic::AtomicU64,
+    prefix: String,
+}
+
+impl Ids {
+    /// Returns ids that begin with the entry's name and incarnation.
+    pub(crate) fn new(entry: &str, incarnation: &str) -> Ids {
+        Ids {
+            last: atomic::AtomicU64::new(0),
+            prefix: format!("{entry}-{incarnation}"),
+        }
+    }
+
+    /// Returns the next id.
+    pub(crate) fn next(&self) -> String {
+        let number = self.last.fetch_add(1, atomic::Ordering::Relaxed) + 1;
+        format!("{}-{number}", self.prefix)
+    }
+}
+
+/// Retry budget of the whole entry.
+#[derive(Debug, Default)]
+pub(crate) struct Retries(sync::Mutex<retry::Budget>);
+
+impl Retries {
+    /// Notes a first attempt.
+    pub(crate) fn earn(&self) {
+        self.lock().earn();
+    }
+
+    /// Decides on another attempt and pays for it.
+    pub(crate) fn plan(&self, now: Instant, attempt: &retry::Attempt) -> retry::Next {
+        retry::plan_retry(&mut self.lock(), now, attempt, &mut rand::rng())
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, retry::Budget> {
+        self.0.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// Returns how long a request may take: what its header asks for, within the settings.
+pub(crate) fn read_timeout(
+    limits: &settings::Limits,
+    headers: &http::HeaderMap,
+) -> Result<time::Duration, refusal::Refusal> {
+    const HEADER: &str = "x-request-timeout-ms";
+    let Some(value) = headers.get(HEADER) else {
+        return Ok(limits.default_deadline);
+    };
+    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    match millis {
+        Some(millis) if millis > 0 => Ok(time::Duration::from_millis(millis).min(limits.max_deadline)),
+        Some(_) | None => {
+            let message = format!("`{HEADER}` must be a whole number of milliseconds above 0.");
+            Err(refusal::Refusal::invalid(HEADER, message))
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/generations.rs
@@ -0,0 +1,293 @@
+//! `POST /v1/chat/completions`, `POST /v1/completions` and `GET /v1/models`.
+
+use core::time;
+use std::sync;
+
+use axum::body;
+use axum::extract;
+use axum::http;
+use axum::http::header;
+use axum::response;
+use axum::response::IntoResponse as _;
+use bytes::Bytes;
+use peargap_core::manifest;
+use peargap_core::prefix;
+use peargap_wire::agent as wire;
+use tokio::time as clock;
+
+use crate::app;
+use crate::auth;
+use crate::prompt;
+use crate::refusal;
+use crate::relay;
+use crate::render;
+use crate::stream;
+use crate::whole;
+
+/// A streaming caller that left may come back this long.
+const RESUME_GRACE: time::Duration = time::Duration::from_secs(5);
+
+type Shared = extract::State<sync::Arc<app::App>>;
+
+/// Answers a chat completion.
+pub(crate) async fn answer_chat(
+    extract::State(app): Shared,
+    request: extract::Request,
+) -> response::Response {
+    answer(app, prompt::Shape::Chat, request).await
+}
+
+/// Answers a completion.
+pub(crate) async fn answer_completion(
+    extract::State(app): Shared,
+    request: extract::Request,
+) -> response::Response {
+    answer(app, prompt::Shape::Completion, request).await
+}
+
+/// Lists the models of the manifest.
+pub(crate) async fn list_models(
+    extract::State(app): Shared,
+    headers: http::HeaderMap,
+) -> response::Response {
+    let fleet = app.fleet();
+    if let Err(refusal) = auth::find_team(&fleet.config.manifest, &headers) {
+        return refusal.into_response();
+    }
+    let models = fleet.config.manifest.models.iter().map(|model| {
+        serde_json::json!({
+            "id": model.name,
+            "object": "model",
+            "created": 0,
+            "owned_by": fleet.config.manifest.deployment,
+        })
+    });
+    let data: Vec<_> = models.collect();
+    axum::Json(serde_json::json!({"object": "list", "data": data})).into_response()
+}
+
+async fn answer(
+    app: sync::Arc<app::App>,
+    shape: prompt::Shape,
+    request: extract::Request,
+) -> response::Response {
+    let id = app.ids.next();
+    let (parts, body) = request.into_parts();
+    let team = match auth::find_team(&app.fleet().config.manifest, &parts.headers) {
+        Ok(team) => team,
+        Err(refusal) => {
+            app.log_refusal(&id, "", &refusal);
+            return refusal.into_response();
+        }
+    };
+    let mut response = match prepare(&app, shape, &id, &team, &parts.headers, body).await {
+        Ok(call) => run(app, call).await,
+        Err(refusal) => {
+            app.log_refusal(&id, &team, &refusal);
+            refusal.into_response()
+        }
+    };
+    if let Ok(id) = http::HeaderValue::from_str(&id) {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    response
+}
+
+/// A checked call.
+struct Call {
+    job: relay::Job,
+    prompt: prompt::Prompt,
+}
+
+async fn prepare(
+    app: &app::App,
+    shape: prompt::Shape,
+    id: &str,
+    team: &str,
+    headers: &http::HeaderMap,
+    body: body::Body,
+) -> Result<Call, refusal::Refusal> {
+    let timeout = app::read_timeout(&app.settings.limits, headers)?;
+    let deadline = clock::Instant::now() + timeout;
+    let body = read_body(app, body, deadline).await?;
+    let prompt = prompt::parse_prompt(shape, body).map_err(prompt::Wrong::into_refusal)?;
+    let fleet = app.fleet();
+    check_model(&fleet.config.manifest, &prompt)?;
+    let order = match read_resume(headers)? {
+        Some(resume) if prompt.stream => resume,
+        Some(_) => {
+            let message = "`Last-Event-ID` needs `stream` to be true.";
+            return Err(refusal::Refusal::invalid("stream", message));
+        }
+        None => relay::Order::Start(Box::new(build_start(app, team, &prompt))),
+    };
+    let job = relay::Job {
+        audience: read_audience(headers, &prompt),
+        deadline,
+        order,
+        request: id.to_owned(),
+        team: team.to_owned(),
+    };
+    Ok(Call { job, prompt })
+}
+
+/// Reads a body within the entry's limit and the deadline.
+pub(crate) async fn read_body(
+    app: &app::App,
+    body: body::Body,
+    deadline: clock::Instant,
+) -> Result<Bytes, refusal::Refusal> {
+    let limit = app.settings.limits.body_bytes;
+    let read = clock::timeout_at(deadline, body::to_bytes(body, limit)).await;
+    match read {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(error)) if is_too_large(&error) => {
+            let message = format!("The body is larger than {limit} bytes.");
+            Err(refusal::Refusal::not_run(refusal::Code::TooLarge, message))
+        }
+        Ok(Err(_)) => {
+            let message = "The body did not arrive whole.";
+            Err(refusal::Refusal::not_run(refusal::Code::InvalidRequest, message))
+        }
+        Err(_) => {
+            let message = "The body did not arrive within the deadline.";
+            Err(refusal::Refusal::not_run(refusal::Code::Deadline, message))
+        }
+    }
+}
+
+fn is_too_large(error: &axum::Error) -> bool {
+    let cause = std::error::Error::source(error);
+    cause.is_some_and(|cause| cause.is::<http_body_util::LengthLimitError>())
+}
+
+fn check_model(
+    manifest: &manifest::Manifest,
+    prompt: &prompt::Prompt,
+) -> Result<(), refusal::Refusal> {
+    let model = manifest.models.iter().find(|model| model.name == prompt.model);
+    let Some(model) = model else {
+        let message = format!("The model `{}` does not exist.", prompt.model);
+        let mut refusal = refusal::Refusal::not_run(refusal::Code::ModelNotFound, message);
+        refusal.param = Some("model".to_owned());
+        return Err(refusal);
+    };
+    if prompt.max_tokens > model.max_output_tokens {
+        let field = prompt.limit_field;
+        let message = format!("`{field}` is above {}.", model.max_output_tokens);
+        return Err(refusal::Refusal::invalid(field, message));
+    }
+    let tokens = prompt.estimate_tokens();
+    if tokens > model.max_prompt_tokens {
+        let message = format!(
+            "The prompt has about {tokens} tokens; the model takes {}.",
+            model.max_prompt_tokens
+        );
+        return Err(refusal::Refusal::invalid(prompt.text_field(), message));
+    }
+    Ok(())
+}
+
+fn build_start(app: &app::App, team: &str, prompt: &prompt::Prompt) -> wire::Start {
+    wire::Start {
+        body: prompt.body.clone(),
+        entry: app.settings.node.name.clone(),
+        max_tokens: prompt.max_tokens,
+        model: prompt.model.clone(),
+        prefix: prefix::hash_blocks(&prompt.text),
+        prompt_tokens: prompt.estimate_tokens(),
+        shape: prompt.shape.to_wire().into(),
+        streaming: prompt.stream,
+        team: team.to_owned(),
+        ..wire::Start::default()
+    }
+}
+
+/// Returns the place in a generation that the caller wants to resume at.
+fn read_resume(headers: &http::HeaderMap) -> Result<Option<relay::Order>, refusal::Refusal> {
+    let Some(value) = headers.get("last-event-id") else {
+        return Ok(None);
+    };
+    match value.to_str().ok().and_then(parse_event_id) {
+        Some(order) => Ok(Some(order)),
+        None => {
+            let message = "`Last-Event-ID` must be an id that a stream gave.";
+            Err(refusal::Refusal::invalid("Last-Event-ID", message))
+        }
+    }
+}
+
+fn parse_event_id(text: &str) -> Option<relay::Order> {
+    let (generation, offset) = text.rsplit_once('.')?;
+    let parts = generation.split('~').filter(|part| !part.is_empty());
+    if parts.count() != 3 {
+        return None;
+    }
+    Some(relay::Order::Resume {
+        generation: generation.to_owned(),
+        offset: offset.parse().ok()?,
+    })
+}
+
+fn read_audience(headers: &http::HeaderMap, prompt: &prompt::Prompt) -> relay::Audience {
+    if !prompt.stream {
+        return relay::Audience::Whole;
+    }
+    let leaves = headers.get("x-on-disconnect").map(http::HeaderValue::as_bytes);
+    let grace = match leaves {
+        Some(b"cancel") => time::Duration::ZERO,
+        Some(_) | None => RESUME_GRACE,
+    };
+    relay::Audience::Stream { grace }
+}
+
+async fn run(app: sync::Arc<app::App>, call: Call) -> response::Response {
+    let style = render::Style::new(&call.prompt);
+    let resumed = match &call.job.order {
+        relay::Order::Resume { generation, .. } => Some(generation.clone()),
+        relay::Order::Start(_) => None,
+    };
+    let audience = call.job.audience;
+    let (mut pieces, written) = relay::spawn(app, call.job);
+    if audience == relay::Audience::Whole {
+        let whole = whole::collect(&style, pieces, written).await;
+        return whole.unwrap_or_else(refusal::Refusal::into_response);
+    }
+    // The status line waits for the first piece, so that a refusal has a status of its own.
+    match pieces.recv().await {
+        Some(relay::Piece::Failed(refusal)) => refusal.into_response(),
+        Some(first) => stream::respond(style, resumed.as_deref(), first, pieces, written),
+        None => http::StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
+/// Answers a path that does not exist.
+pub(crate) async fn refuse_path() -> refusal::Refusal {
+    refusal::Refusal::not_run(refusal::Code::NotFound, "The path does not exist.")
+}
+
+/// Answers a method that the path does not have.
+pub(crate) async fn refuse_method() -> refusal::Refusal {
+    let message = "The path does not have this method.";
+    refusal::Refusal::not_run(refusal::Code::MethodNotAllowed, message)
+}
+
+/// Returns a header's text, if it is text.
+pub(crate) fn read_header<'a>(headers: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Headers that concern the caller's connection or this entry only.
+pub(crate) fn is_own_header(name: &http::HeaderName) -> bool {
+    const OWN: [http::HeaderName; 8] = [
+        header::AUTHORIZATION,
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::HOST,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+    ];
+    OWN.contains(name) || name.as_str() == "keep-alive" || name.as_str() == "proxy-connection"
+}
--- /dev/null
+++ b/crates/entry/src/link.rs
@@ -0,0 +1,180 @@
+//! One generation's link to its agent, with heartbeats in both directions.
+
+use core::error;
+use core::time;
+use std::io;
+
+use peargap_wire::agent as wire;
+use peargap_wire::agent::down;
+use peargap_wire::agent::up;
+use tokio::sync::mpsc;
+use tokio::time as clock;
+use tokio_stream::wrappers;
+use tokio_stream::StreamExt as _;
+
+use crate::peer;
+
+/// Time between two heartbeats on a link.
+pub(crate) const PING_PERIOD: time::Duration = time::Duration::from_millis(200);
+/// A link without any message for this long is silent.
+pub(crate) const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(900);
+/// How long an agent has to end a cancelled generation's link.
+const CANCEL_LIMIT: time::Duration = time::Duration::from_secs(1);
+/// Messages to the agent that may wait for a slow link.
+const UP_BUFFER: usize = 16;
+
+/// Why a link could not be opened.
+#[derive(Debug)]
+pub(crate) enum OpenError {
+    /// The agent provably received nothing.
+    NotSent(tonic::Status),
+    /// The agent may have received the request.
+    Sent(tonic::Status),
+    /// No answer came within the silence limit.
+    Silent,
+}
+
+impl OpenError {
+    /// Returns whether nothing listens at the agent's address: its process is gone.
+    pub(crate) fn is_connection_refused(&self) -> bool {
+        let status = match self {
+            OpenError::NotSent(status) | OpenError::Sent(status) => status,
+            OpenError::Silent => return false,
+        };
+        let mut cause = error::Error::source(status);
+        while let Some(error) = cause {
+            if let Some(error) = error.downcast_ref::<io::Error>() {
+                return error.kind() == io::ErrorKind::ConnectionRefused;
+            }
+            cause = error.source();
+        }
+        false
+    }
+}
+
+/// What a link brings next.
+#[derive(Debug)]
+pub(crate) enum Event {
+    Accepted(wire::Accepted),
+    Chunk(wire::Chunk),
+    Failed(wire::Failed),
+    Finished(wire::Finished),
+    /// The connection ended.
+    Lost(tonic::Status),
+}
+
+/// An open link.
+#[derive(Debug)]
+pub(crate) struct Link {
+    down: tonic::Streaming<wire::Down>,
+    heard: clock::Instant,
+    pub(crate) lane: u64,
+    pings: u64,
+    up: mpsc::Sender<wire::Up>,
+}
+
+/// Opens a link over the agent's connection in use; `first` is the Start or Resume.
+pub(crate) async fn open_link(peer: &peer::Peer, first: up::Kind) -> Result<Link, OpenError> {
+    let (sender, receiver) = mpsc::channel(UP_BUFFER);
+    let lane = peer.lanes.current();
+    let (mut client, mark) = lane.client();
+    // Room is certain in an empty channel.
+    let _ = sender.try_send(wire::Up { kind: Some(first) });
+    let opening = client.generate(wrappers::ReceiverStream::new(receiver));
+    let answer = clock::timeout(SILENCE_LIMIT, opening).await;
+    match answer {
+        Ok(Ok(answer)) => Ok(Link {
+            down: answer.into_inner(),
+            heard: clock::Instant::now(),
+            lane: lane.number,
+            pings: 0,
+            up: sender,
+        }),
+        Ok(Err(status)) if mark.is_sent() => Err(OpenError::Sent(status)),
+        Ok(Err(status)) => Err(OpenError::NotSent(status)),
+        Err(_) => {
+            peer.lanes.replace(lane.number);
+            if mark.is_sent() {
+                Err(OpenError::Silent)
+            } else {
+                Err(OpenError::NotSent(tonic::Status::deadline_exceeded("no connection")))
+            }
+        }
+    }
+}
+
+impl Link {
+    /// Returns the next message other than a heartbeat.
+    ///
+    /// Nothing is lost when the future is dropped before it is ready.
+    pub(crate) async fn next(&mut self) -> Event {
+        loop {
+            let message = self.down.next().await;
+            self.heard = clock::Instant::now();
+            match message {
+                None => return Event::Lost(tonic::Status::unavailable("link closed")),
+                Some(Err(status)) => return Event::Lost(status),
+                Some(Ok(message)) => {
+                    if let Some(event) = map_message(message) {
+                        return event;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns when the link counts as silent unless something arrives.
+    pub(crate) fn silent_at(&self) -> clock::Instant {
+        self.heard + SILENCE_LIMIT
+    }
+
+    /// Starts the silence limit anew, after a time in which the link was not read.
+    pub(crate) fn excuse_silence(&mut self) {
+        self.heard = clock::Instant::now();
+    }
+
+    /// Sends a heartbeat.
+    pub(crate) fn ping(&mut self) {
+        self.pings += 1;
+        self.send(up::Kind::Ping(wire::Ping { number: self.pings }));
+    }
+
+    /// Tells the agent that tokens below `offset` were handed to the caller.
+    pub(crate) fn ack(&self, offset: u64) {
+        self.send(up::Kind::Ack(wire::Ack { offset }));
+    }
+
+    /// Cancels the generation; waits in the background for the agent to take note.
+    pub(crate) fn cancel(self) {
+        // Dropping the link at once would reset it before the Cancel is on its way.
+        tokio::spawn(clock::timeout(CANCEL_LIMIT, finish_cancel(self)));
+    }
+
+    fn send(&self, kind: up::Kind) {
+        // A full buffer means a stalled link, which the silence limit ends.
+        let _ = self.up.try_send(wire::Up { kind: Some(kind) });
+    }
+}
+
+async fn finish_cancel(mut link: Link) {
+    let kind = Some(up::Kind::Cancel(wire::Cancel {}));
+    if link.up.send(wire::Up { kind }).await.is_err() {
+        return;
+    }
+    loop {
+        match link.next().await {
+            Event::Failed(_) | Event::Finished(_) | Event::Lost(_) => return,
+            Event::Accepted(_) | Event::Chunk(_) => {}
+        }
+    }
+}
+
+fn map_message(message: wire::Down) -> Option<Event> {
+    match message.kind? {
+        down::Kind::Accepted(accepted) => Some(Event::Accepted(accepted)),
+        down::Kind::Chunk(chunk) => Some(Event::Chunk(chunk)),
+        down::Kind::Failed(failed) => Some(Event::Failed(failed)),
+        down::Kind::Finished(finished) => Some(Event::Finished(finished)),
+        down::Kind::Pong(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,131 @@
+//! What an entry measures.
+
+use core::time;
+use std::sync;
+use std::sync::atomic;
+
+use opentelemetry::metrics as otel;
+use peargap_adapters::metrics;
+
+use crate::refusal;
+
+/// A gap between two tokens above this is a stall.
+const STALL_LIMIT: time::Duration = time::Duration::from_millis(500);
+/// Bounds of the time histograms in seconds.
+const BOUNDS: [f64; 16] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// The instruments.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    active: sync::Arc<atomic::AtomicU64>,
+    between_tokens: otel::Histogram<f64>,
+    first_token: otel::Histogram<f64>,
+    pub(crate) links_replaced: otel::Counter<u64>,
+    refusals: otel::Counter<u64>,
+    pub(crate) retries: otel::Counter<u64>,
+    stall_seconds: otel::Counter<f64>,
+    tokens: otel::Counter<u64>,
+}
+
+/// Counts one running request until dropped.
+#[derive(Debug)]
+pub(crate) struct Active(sync::Arc<atomic::AtomicU64>);
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+impl Metrics {
+    /// Returns the instruments of `registry`.
+    pub(crate) fn new(registry: &metrics::Registry) -> Metrics {
+        let meter = registry.meter();
+        let active = sync::Arc::new(atomic::AtomicU64::new(0));
+        let observed = active.clone();
+        let _gauge = meter
+            .u64_observable_gauge("peargap_entry_active_requests")
+            .with_description("Requests that are running")
+            .with_callback(move |gauge| {
+                gauge.observe(observed.load(atomic::Ordering::Relaxed), &[]);
+            })
+            .build();
+        Metrics {
+            active,
+            between_tokens: build_histogram(
+                &meter,
+                "peargap_entry_between_tokens_seconds",
+                "Time between two tokens from the agent",
+            ),
+            first_token: build_histogram(
+                &meter,
+                "peargap_entry_first_token_seconds",
+                "Time from a request's arrival to its first token",
+            ),
+            links_replaced: meter
+                .u64_counter("peargap_entry_links_replaced")
+                .with_description("Silent or lost links that were replaced")
+                .build(),
+            refusals: meter
+                .u64_counter("peargap_entry_refusals")
+                .with_description("Requests refused, by reason and by whether they ran")
+                .build(),
+            retries: meter
+                .u64_counter("peargap_entry_retries")
+                .with_description("Attempts beyond the first")
+                .build(),
+            stall_seconds: meter
+                .f64_counter("peargap_entry_stall_seconds")
+                .with_description("Time beyond the stall bound between two tokens")
+                .build(),
+            tokens: meter
+                .u64_counter("peargap_entry_tokens")
+                .with_description("Tokens received from agents")
+                .build(),
+        }
+    }
+
+    /// Counts a request as running until the result is dropped.
+    pub(crate) fn count_active(&self) -> Active {
+        self.active.fetch_add(1, atomic::Ordering::Relaxed);
+        Active(self.active.clone())
+    }
+
+    /// Records the time to the first token.
+    pub(crate) fn record_first_token(&self, elapsed: time::Duration) {
+        self.first_token.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    /// Records the time since the last token, with how many came at once.
+    pub(crate) fn record_gap(&self, gap: time::Duration, tokens: usize) {
+        self.tokens.add(tokens as u64, &[]);
+        self.between_tokens.record(gap.as_secs_f64(), &[]);
+        let stall = gap.saturating_sub(STALL_LIMIT);
+        if !stall.is_zero() {
+            self.stall_seconds.add(stall.as_secs_f64(), &[]);
+        }
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn count_refusal(&self, refusal: &refusal::Refusal) {
+        let labels = [
+            opentelemetry::KeyValue::new("reason", refusal.code.as_str()),
+            opentelemetry::KeyValue::new("ran", refusal.ran.as_str()),
+        ];
+        self.refusals.add(1, &labels);
+    }
+}
+
+fn build_histogram(
+    meter: &otel::Meter,
+    name: &'static str,
+    description: &'static str,
+) -> otel::Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(description)
+        .with_boundaries(BOUNDS.to_vec())
+        .build()
+}
--- /dev/null
+++ b/crates/entry/src/prompt.rs
@@ -0,0 +1,273 @@
+//! Checks the JSON body of a request for a generation.
+
+use bytes::Bytes;
+use peargap_wire::agent as wire;
+use serde_json::Value;
+
+use crate::refusal;
+
+/// Bytes of prompt text taken for one token.
+const BYTES_PER_TOKEN: usize = 4;
+/// Most stop sequences.
+const MAX_STOPS: usize = 4;
+
+/// A checked request for a generation.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Prompt {
+    /// The body as received.
+    pub body: Bytes,
+    /// Whether the stream's last chunk carries the usage.
+    pub include_usage: bool,
+    /// Upper limit of output tokens; 0 leaves it to the model.
+    pub max_tokens: u32,
+    /// Model's name.
+    pub model: String,
+    /// Field of the output limit, for refusals.
+    pub limit_field: &'static str,
+    /// Completion or chat.
+    pub shape: Shape,
+    /// Whether the caller reads tokens as they come.
+    pub stream: bool,
+    /// Prompt text: role and content of each message, or the prompt.
+    pub text: Vec<u8>,
+}
+
+/// Which of the two request forms it is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shape {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Completion,
+}
+
+impl Shape {
+    /// Returns the wire form.
+    pub(crate) fn to_wire(self) -> wire::Shape {
+        match self {
+            Shape::Chat => wire::Shape::Chat,
+            Shape::Completion => wire::Shape::Completion,
+        }
+    }
+
+    fn text_field(self) -> &'static str {
+        match self {
+            Shape::Chat => "messages",
+            Shape::Completion => "prompt",
+        }
+    }
+}
+
+impl Prompt {
+    /// Returns the prompt's length in tokens as estimated from its bytes.
+    pub(crate) fn estimate_tokens(&self) -> u32 {
+        u32::try_from(self.text.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the field that holds the text.
+    pub(crate) fn text_field(&self) -> &'static str {
+        self.shape.text_field()
+    }
+}
+
+/// A field that is wrong, and what would be right.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Wrong {
+    /// The field; empty when the body as a whole is meant.
+    pub field: &'static str,
+    /// What would be right.
+    pub message: String,
+}
+
+impl Wrong {
+    fn new(field: &'static str, message: impl Into<String>) -> Wrong {
+        Wrong {
+            field,
+            message: message.into(),
+        }
+    }
+
+    /// Returns the refusal for the caller.
+    pub(crate) fn into_refusal(self) -> refusal::Refusal {
+        if self.field.is_empty() {
+            return refusal::Refusal::not_run(refusal::Code::InvalidRequest, self.message);
+        }
+        refusal::Refusal::invalid(self.field, format!("`{}` {}.", self.field, self.message))
+    }
+}
+
+/// Checks a body and returns what the entry needs of it, or the first wrong field.
+pub fn parse_prompt(shape: Shape, body: Bytes) -> Result<Prompt, Wrong> {
+    let value: Value = serde_json::from_slice(&body)
+        .map_err(|error| Wrong::new("", format!("The body is not JSON: {error}.")))?;
+    if !value.is_object() {
+        return Err(Wrong::new("", "The body must be a JSON object."));
+    }
+    let model = read_model(&value)?;
+    let text = match shape {
+        Shape::Chat => read_messages(&value)?,
+        Shape::Completion => read_prompt(&value)?,
+    };
+    let limit_field = match shape {
+        Shape::Chat if is_set(&value, "max_completion_tokens") => "max_completion_tokens",
+        Shape::Chat | Shape::Completion => "max_tokens",
+    };
+    let max_tokens = read_limit(&value, limit_field)?;
+    let stream = read_flag(&value, "stream")?;
+    let include_usage = read_usage_option(&value, stream)?;
+    check_sampling(&value)?;
+    check_unsupported(&value)?;
+    Ok(Prompt {
+        body,
+        include_usage,
+        limit_field,
+        max_tokens,
+        model,
+        shape,
+        stream,
+        text,
+    })
+}
+
+fn is_set(value: &Value, field: &str) -> bool {
+    value.get(field).is_some_and(|value| !value.is_null())
+}
+
+fn read_model(value: &Value) -> Result<String, Wrong> {
+    match value.get("model").and_then(Value::as_str) {
+        Some(model) if !model.is_empty() => Ok(model.to_owned()),
+        Some(_) | None => Err(Wrong::new("model", "must be a model's name")),
+    }
+}
+
+fn read_messages(value: &Value) -> Result<Vec<u8>, Wrong> {
+    let wrong = || Wrong::new("messages", "must be a list of objects with role and content");
+    let messages = value
+        .get("messages")
+        .and_then(Value::as_array)
+        .filter(|messages| !messages.is_empty())
+        .ok_or_else(wrong)?;
+    let mut text = Vec::new();
+    for message in messages {
+        let role = message.get("role").and_then(Value::as_str);
+        text.extend_from_slice(role.ok_or_else(wrong)?.as_bytes());
+        text.push(b'\n');
+        read_content(message.get("content"), &mut text).ok_or_else(wrong)?;
+        text.push(b'\n');
+    }
+    Ok(text)
+}
+
+fn read_content(content: Option<&Value>, text: &mut Vec<u8>) -> Option<()> {
+    match content? {
+        Value::String(content) => text.extend_from_slice(content.as_bytes()),
+        Value::Array(parts) => {
+            for part in parts {
+                text.extend_from_slice(part.get("text")?.as_str()?.as_bytes());
+            }
+        }
+        Value::Null | Value::Bool(_) | Value::Number(_) | Value::Object(_) => return None,
+    }
+    Some(())
+}
+
+fn read_prompt(value: &Value) -> Result<Vec<u8>, Wrong> {
+    let wrong = || Wrong::new("prompt", "must be a text, or a list with one text");
+    let prompt = match value.get("prompt").ok_or_else(wrong)? {
+        Value::Array(prompts) if prompts.len() == 1 => &prompts[0],
+        other => other,
+    };
+    let text = prompt.as_str().ok_or_else(wrong)?;
+    Ok(text.as_bytes().to_vec())
+}
+
+fn read_limit(value: &Value, field: &'static str) -> Result<u32, Wrong> {
+    if !is_set(value, field) {
+        return Ok(0);
+    }
+    let limit = value.get(field).and_then(Value::as_u64);
+    match limit.map(u32::try_from) {
+        Some(Ok(limit)) if limit > 0 => Ok(limit),
+        Some(_) | None => Err(Wrong::new(field, "must be a whole number from 1 to 4294967295")),
+    }
+}
+
+fn read_flag(value: &Value, field: &'static str) -> Result<bool, Wrong> {
+    match value.get(field) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(flag)) => Ok(*flag),
+        Some(_) => Err(Wrong::new(field, "must be true or false")),
+    }
+}
+
+fn read_usage_option(value: &Value, stream: bool) -> Result<bool, Wrong> {
+    let options = match value.get("stream_options") {
+        None | Some(Value::Null) => return Ok(false),
+        Some(options @ Value::Object(_)) => options,
+        Some(_) => return Err(Wrong::new("stream_options", "must be an object")),
+    };
+    if !stream {
+        return Err(Wrong::new("stream_options", "needs `stream` to be true"));
+    }
+    read_flag(options, "include_usage")
+}
+
+fn check_sampling(value: &Value) -> Result<(), Wrong> {
+    check_number(value, "temperature", 0.0, 2.0)?;
+    check_number(value, "top_p", 0.0, 1.0)?;
+    check_number(value, "presence_penalty", -2.0, 2.0)?;
+    check_number(value, "frequency_penalty", -2.0, 2.0)?;
+    if is_set(value, "seed") && !value["seed"].is_i64() {
+        return Err(Wrong::new("seed", "must be a whole number"));
+    }
+    check_stop(value)
+}
+
+fn check_number(value: &Value, field: &'static str, least: f64, most: f64) -> Result<(), Wrong> {
+    if !is_set(value, field) {
+        return Ok(());
+    }
+    match value[field].as_f64() {
+        Some(number) if (least..=most).contains(&number) => Ok(()),
+        Some(_) | None => {
+            let message = format!("must be a number from {least} to {most}");
+            Err(Wrong::new(field, message))
+        }
+    }
+}
+
+fn check_stop(value: &Value) -> Result<(), Wrong> {
+    let right = match value.get("stop") {
+        None | Some(Value::Null | Value::String(_)) => true,
+        Some(Value::Array(stops)) => {
+            stops.len() <= MAX_STOPS && stops.iter().all(Value::is_string)
+        }
+        Some(Value::Bool(_) | Value::Number(_) | Value::Object(_)) => false,
+    };
+    if right {
+        return Ok(());
+    }
+    let message = format!("must be a text or a list of at most {MAX_STOPS} texts");
+    Err(Wrong::new("stop", message))
+}
+
+/// Refuses what the answer could not carry, rather than drop it silently.
+fn check_unsupported(value: &Value) -> Result<(), Wrong> {
+    for field in ["n", "best_of"] {
+        if is_set(value, field) && value[field].as_u64() != Some(1) {
+            return Err(Wrong::new(field, "must be 1"));
+        }
+    }
+    for field in ["echo", "logprobs"] {
+        if is_set(value, field) && value[field] != Value::Bool(false) {
+            return Err(Wrong::new(field, "is not supported"));
+        }
+    }
+    for field in ["audio", "function_call", "functions", "tool_choice", "tools", "top_logprobs"] {
+        let empty = value[field].as_array().is_some_and(Vec::is_empty);
+        if is_set(value, field) && !empty {
+            return Err(Wrong::new(field, "is not supported"));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/pump.rs
@@ -0,0 +1,326 @@
+//! Moves a link's messages to the caller through a bounded buffer.
+
+use core::time;
+use std::collections;
+
+use peargap_adapters::logs;
+use peargap_wire::agent as wire;
+use tokio::sync::mpsc;
+use tokio::time as clock;
+
+use crate::app;
+use crate::events;
+use crate::link;
+use crate::progress;
+use crate::refusal;
+use crate::relay;
+
+/// Pieces that may wait for the caller's connection.
+pub(crate) const PIECES_BUFFER: usize = 16;
+/// Pieces that may wait behind those before the link is left unread.
+const PENDING_LIMIT: usize = 64;
+/// Newly written tokens that are acknowledged without waiting for the next heartbeat.
+const ACK_TOKENS: u64 = 64;
+/// Time after the deadline that the agent has to say so itself.
+const DEADLINE_MARGIN: time::Duration = time::Duration::from_millis(250);
+
+/// Why a link is not followed any more.
+#[derive(Debug)]
+pub(crate) enum End {
+    /// Nothing more is due to the caller.
+    Done,
+    /// The agent said so.
+    Failed(wire::Failed),
+    /// The connection ended or is silent.
+    Lost(&'static str),
+    /// This entry said so.
+    Refused(refusal::Refusal),
+}
+
+/// The caller's side of a relay.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    acked: u64,
+    audience: relay::Audience,
+    deadline: clock::Instant,
+    first_token: Option<clock::Instant>,
+    last_token: clock::Instant,
+    pending: collections::VecDeque<relay::Piece>,
+    pieces: mpsc::Sender<relay::Piece>,
+    pub(crate) progress: progress::Progress,
+    started: clock::Instant,
+    written: progress::Written,
+}
+
+enum Next {
+    Deadline,
+    Left,
+    Link(link::Event),
+    Moved,
+    Ping,
+    Silent,
+    Stalled,
+    Taken,
+}
+
+impl Caller {
+    pub(crate) fn new(
+        audience: relay::Audience,
+        deadline: clock::Instant,
+        pieces: mpsc::Sender<relay::Piece>,
+        written: progress::Written,
+    ) -> Caller {
+        let started = clock::Instant::now();
+        Caller {
+            acked: 0,
+            audience,
+            deadline,
+            first_token: None,
+            last_token: started,
+            pending: collections::VecDeque::new(),
+            pieces,
+            progress: progress::Progress::default(),
+            started,
+            written,
+        }
+    }
+
+    /// Resolves when the caller has left.
+    pub(crate) async fn left(&self) {
+        self.pieces.closed().await;
+    }
+
+    /// Returns the time left until the deadline, at least 1 ms.
+    pub(crate) fn remaining_ms(&self) -> u32 {
+        let left = self.deadline.saturating_duration_since(clock::Instant::now());
+        u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Gives the caller the last piece, after those that still wait.
+    pub(crate) async fn give(&mut self, piece: relay::Piece) {
+        self.pending.push_back(piece);
+        while let Some(piece) = self.pending.pop_front() {
+            if self.pieces.send(piece).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Follows a link until it ends one way or another.
+    pub(crate) async fn pump(&mut self, app: &app::App, mut link: link::Link) -> End {
+        let mut ping = clock::interval(link::PING_PERIOD);
+        ping.set_missed_tick_behavior(clock::MissedTickBehavior::Delay);
+        let mut taken_at = clock::Instant::now();
+        loop {
+            let stalled_at = taken_at + app.settings.limits.stalled_reader;
+            match self.await_next(app, &mut link, &mut ping, stalled_at).await {
+                Next::Deadline => {
+                    link.cancel();
+                    return End::Refused(self.refuse_deadline());
+                }
+                Next::Left => {
+                    self.end_left(app, link).await;
+                    return End::Done;
+                }
+                Next::Link(event) => {
+                    if self.pending.is_empty() {
+                        taken_at = clock::Instant::now();
+                    }
+                    if let Some(end) = self.take_event(app, event) {
+                        return self.conclude(end, link).await;
+                    }
+                    self.ack(&link, ACK_TOKENS);
+                }
+                Next::Moved => {
+                    self.give(relay::Piece::Moved).await;
+                    return End::Done;
+                }
+                Next::Ping => {
+                    link.ping();
+                    self.ack(&link, 1);
+                }
+                Next::Silent => return End::Lost("silent"),
+                Next::Stalled => {
+                    let offset = self.written.get();
+                    logs::emit(events::READER_STALLED, format_args!("written={offset}"));
+                    link.cancel();
+                    return End::Done;
+                }
+                Next::Taken => {
+                    taken_at = clock::Instant::now();
+                    if self.pending.len() + 1 == PENDING_LIMIT {
+                        link.excuse_silence();
+                    }
+                }
+            }
+        }
+    }
+
+    async fn await_next(
+        &mut self,
+        app: &app::App,
+        link: &mut link::Link,
+        ping: &mut clock::Interval,
+        stalled_at: clock::Instant,
+    ) -> Next {
+        let waiting = !self.pending.is_empty();
+        let reading = self.pending.len() < PENDING_LIMIT;
+        let silent_at = link.silent_at();
+        let is_stream = self.audience != relay::Audience::Whole;
+        tokio::select! {
+            biased;
+            () = self.pieces.closed() => Next::Left,
+            permit = self.pieces.reserve(), if waiting => {
+                if let (Ok(permit), Some(piece)) = (permit, self.pending.pop_front()) {
+                    permit.send(piece);
+                }
+                Next::Taken
+            }
+            _ = ping.tick() => Next::Ping,
+            event = link.next(), if reading => Next::Link(event),
+            () = clock::sleep_until(silent_at), if reading => Next::Silent,
+            () = clock::sleep_until(self.deadline + DEADLINE_MARGIN) => Next::Deadline,
+            () = clock::sleep_until(stalled_at), if waiting => Next::Stalled,
+            () = app.streams_end.cancelled(), if is_stream => Next::Moved,
+        }
+    }
+
+    /// Takes a message; returns the end if it is one.
+    fn take_event(&mut self, app: &app::App, event: link::Event) -> Option<End> {
+        match event {
+            link::Event::Accepted(accepted) => self.take_name(&accepted.generation),
+            link::Event::Chunk(chunk) => self.take_chunk(app, chunk),
+            link::Event::Failed(failed) => Some(End::Failed(failed)),
+            link::Event::Finished(finished) => {
+                self.pending.push_back(relay::Piece::Finished(finished));
+                Some(End::Done)
+            }
+            link::Event::Lost(_) => Some(End::Lost("closed")),
+        }
+    }
+
+    fn take_name(&mut self, generation: &str) -> Option<End> {
+        match self.progress.take_name(generation) {
+            progress::Naming::New => {
+                let generation = self.progress.generation()?;
+                self.pending.push_back(relay::Piece::Accepted(generation));
+                None
+            }
+            progress::Naming::Other => Some(End::Refused(refuse_broken())),
+            progress::Naming::Same => None,
+        }
+    }
+
+    fn take_chunk(&mut self, app: &app::App, chunk: wire::Chunk) -> Option<End> {
+        match self.progress.take_chunk(chunk.offset, chunk.tokens) {
+            progress::Step::Deliver { offset, tokens } => {
+                self.measure(app, tokens.len());
+                if self.audience != relay::Audience::Whole {
+                    self.progress.set_delivered();
+                }
+                let piece = relay::Piece::Tokens { offset, tokens };
+                self.pending.push_back(piece);
+                None
+            }
+            progress::Step::Gap => Some(End::Lost("gap")),
+            progress::Step::Ignore => None,
+        }
+    }
+
+    fn measure(&mut self, app: &app::App, tokens: usize) {
+        let now = clock::Instant::now();
+        match self.first_token {
+            None => {
+                self.first_token = Some(now);
+                app.metrics.record_first_token(now - self.started);
+            }
+            Some(_) => app.metrics.record_gap(now - self.last_token, tokens),
+        }
+        self.last_token = now;
+    }
+
+    fn ack(&mut self, link: &link::Link, least: u64) {
+        let written = self.written.get();
+        if written >= self.acked + least {
+            self.acked = written;
+            link.ack(written);
+        }
+    }
+
+    /// Sees to the caller and the agent after the last message.
+    async fn conclude(&mut self, end: End, mut link: link::Link) -> End {
+        match end {
+            End::Done => {
+                while let Some(piece) = self.pending.pop_front() {
+                    if !self.give_waiting(piece, &mut link).await {
+                        break;
+                    }
+                }
+                link.ack(self.written.get());
+                End::Done
+            }
+            End::Refused(refusal) => {
+                link.cancel();
+                End::Refused(refusal)
+            }
+            End::Failed(_) | End::Lost(_) => end,
+        }
+    }
+
+    /// Gives a piece while heartbeats go on; returns false when the caller has left.
+    async fn give_waiting(&mut self, piece: relay::Piece, link: &mut link::Link) -> bool {
+        let mut ping = clock::interval(link::PING_PERIOD);
+        loop {
+            tokio::select! {
+                permit = self.pieces.reserve() => {
+                    let Ok(permit) = permit else { return false };
+                    permit.send(piece);
+                    return true;
+                }
+                _ = ping.tick() => link.ping(),
+            }
+        }
+    }
+
+    /// Cancels the generation of a caller that left, after the grace in which it may resume.
+    async fn end_left(&self, app: &app::App, mut link: link::Link) {
+        let offset = self.written.get();
+        logs::emit(events::CALLER_LEFT, format_args!("written={offset}"));
+        let grace = match self.audience {
+            relay::Audience::Stream { grace } if self.progress.is_delivered() => grace,
+            relay::Audience::Stream { .. } | relay::Audience::Whole => time::Duration::ZERO,
+        };
+        let over = clock::sleep(grace);
+        tokio::pin!(over);
+        let mut ping = clock::interval(link::PING_PERIOD);
+        loop {
+            tokio::select! {
+                biased;
+                () = &mut over => return link.cancel(),
+                // The agent cancels what nobody resumes.
+                () = app.stop.cancelled(), if !grace.is_zero() => return,
+                _ = ping.tick() => link.ping(),
+                event = link.next() => match event {
+                    link::Event::Failed(_) | link::Event::Finished(_) | link::Event::Lost(_) => return,
+                    link::Event::Accepted(_) | link::Event::Chunk(_) => {}
+                },
+            }
+        }
+    }
+
+    fn refuse_deadline(&self) -> refusal::Refusal {
+        let ran = if self.progress.has_tokens() {
+            refusal::Ran::Ran
+        } else {
+            refusal::Ran::Unknown
+        };
+        let message = "The request was not answered within its deadline.";
+        refusal::Refusal::not_run(refusal::Code::Deadline, message).with_ran(ran)
+    }
+}
+
+fn refuse_broken() -> refusal::Refusal {
+    let message = "The upstream answered with another generation.";
+    refusal::Refusal::not_run(refusal::Code::UpstreamFailed, message)
+        .with_ran(refusal::Ran::Unknown)
+}
--- /dev/null
+++ b/crates/entry/src/refusal.rs
@@ -0,0 +1,292 @@
+//! Refusals: the error bodies that callers get, in OpenAI's shape.
+
+use axum::body;
+use axum::http;
+use axum::http::header;
+use axum::response;
+use peargap_core::retry;
+use peargap_wire::agent as wire;
+
+/// Name of the header that tells whether the request ran.
+pub(crate) const RAN_HEADER: &str = "x-peargap-ran";
+/// When to come back if nobody gave a better estimate.
+pub(crate) const DEFAULT_RETRY_MS: u32 = 1_000;
+
+/// Whether the work was run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ran {
+    /// It provably did not run and will not.
+    NotRun,
+    /// It ran or began to.
+    Ran,
+    /// Nobody knows.
+    Unknown,
+}
+
+impl Ran {
+    /// Returns the word used in error bodies and headers.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Ran::NotRun => "not_run",
+            Ran::Ran => "ran",
+            Ran::Unknown => "unknown",
+        }
+    }
+
+    /// Returns it for the retry decision.
+    pub(crate) fn to_core(self) -> retry::Ran {
+        match self {
+            Ran::NotRun => retry::Ran::No,
+            Ran::Ran => retry::Ran::Yes,
+            Ran::Unknown => retry::Ran::Unknown,
+        }
+    }
+
+    /// Returns what holds of a request with two attempts.
+    pub(crate) fn merge(self, other: Ran) -> Ran {
+        match (self, other) {
+            (Ran::Ran, _) | (_, Ran::Ran) => Ran::Ran,
+            (Ran::Unknown, _) | (_, Ran::Unknown) => Ran::Unknown,
+            (Ran::NotRun, Ran::NotRun) => Ran::NotRun,
+        }
+    }
+
+    /// Returns the agent's word for it.
+    pub(crate) fn from_wire(ran: i32) -> Ran {
+        match wire::Ran::try_from(ran) {
+            Ok(wire::Ran::No) => Ran::NotRun,
+            Ok(wire::Ran::Yes) => Ran::Ran,
+            Ok(wire::Ran::Unknown) | Err(_) => Ran::Unknown,
+        }
+    }
+}
+
+/// Why a request gets no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Code {
+    Busy,
+    Cancelled,
+    Conflict,
+    Deadline,
+    Draining,
+    Gone,
+    HeadersTooLarge,
+    InProgress,
+    InvalidKey,
+    InvalidRequest,
+    MethodNotAllowed,
+    ModelNotFound,
+    NoUpstream,
+    NotFound,
+    Stale,
+    TooLarge,
+    Unknown,
+    UpstreamFailed,
+}
+
+impl Code {
+    /// Returns the word used in error bodies and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Code::Busy => "busy",
+            Code::Cancelled => "cancelled",
+            Code::Conflict => "idempotency_mismatch",
+            Code::Deadline => "deadline_exceeded",
+            Code::Draining => "draining",
+            Code::Gone => "generation_gone",
+            Code::HeadersTooLarge => "headers_too_large",
+            Code::InProgress => "in_progress",
+            Code::InvalidKey => "invalid_api_key",
+            Code::InvalidRequest => "invalid_request",
+            Code::MethodNotAllowed => "method_not_allowed",
+            Code::ModelNotFound => "model_not_found",
+            Code::NoUpstream => "no_upstream",
+            Code::NotFound => "not_found",
+            Code::Stale => "configuration_stale",
+            Code::TooLarge => "request_too_large",
+            Code::Unknown => "outcome_unknown",
+            Code::UpstreamFailed => "upstream_failed",
+        }
+    }
+
+    fn status(self) -> http::StatusCode {
+        match self {
+            Code::Busy => http::StatusCode::TOO_MANY_REQUESTS,
+            Code::Cancelled => http::StatusCode::BAD_REQUEST,
+            Code::Conflict => http::StatusCode::UNPROCESSABLE_ENTITY,
+            Code::Deadline => http::StatusCode::GATEWAY_TIMEOUT,
+            Code::Draining | Code::NoUpstream | Code::Stale => {
+                http::StatusCode::SERVICE_UNAVAILABLE
+            }
+            Code::Gone => http::StatusCode::GONE,
+            Code::HeadersTooLarge => http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Code::InProgress => http::StatusCode::CONFLICT,
+            Code::InvalidKey => http::StatusCode::UNAUTHORIZED,
+            Code::InvalidRequest => http::StatusCode::BAD_REQUEST,
+            Code::MethodNotAllowed => http::StatusCode::METHOD_NOT_ALLOWED,
+            Code::ModelNotFound | Code::NotFound => http::StatusCode::NOT_FOUND,
+            Code::TooLarge => http::StatusCode::PAYLOAD_TOO_LARGE,
+            Code::Unknown | Code::UpstreamFailed => http::StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Returns OpenAI's error type.
+    fn kind(self) -> &'static str {
+        match self {
+            Code::Busy => "rate_limit_error",
+            Code::InvalidKey => "authentication_error",
+            Code::Deadline
+            | Code::Draining
+            | Code::NoUpstream
+            | Code::Stale
+            | Code::Unknown
+            | Code::UpstreamFailed => "server_error",
+            Code::Cancelled
+            | Code::Conflict
+            | Code::Gone
+            | Code::HeadersTooLarge
+            | Code::InProgress
+            | Code::InvalidRequest
+            | Code::MethodNotAllowed
+            | Code::ModelNotFound
+            | Code::NotFound
+            | Code::TooLarge => "invalid_request_error",
+        }
+    }
+}
+
+/// An answer that says why there is no other.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Refusal {
+    /// Why.
+    pub(crate) code: Code,
+    /// For people.
+    pub(crate) message: String,
+    /// Field of the request that is wrong.
+    pub(crate) param: Option<String>,
+    /// Whether the request ran.
+    pub(crate) ran: Ran,
+    /// When to come back; absent when coming back is of no use.
+    pub(crate) retry_after_ms: Option<u32>,
+}
+
+impl Refusal {
+    /// Returns a refusal of a request that did not run.
+    pub(crate) fn not_run(code: Code, message: impl Into<String>) -> Refusal {
+        Refusal {
+            code,
+            message: message.into(),
+            param: None,
+            ran: Ran::NotRun,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Returns a refusal of a request with a wrong field.
+    pub(crate) fn invalid(param: &str, message: impl Into<String>) -> Refusal {
+        let mut refusal = Refusal::not_run(Code::InvalidRequest, message);
+        refusal.param = Some(param.to_owned());
+        refusal
+    }
+
+    /// Returns the refusal with whether the request ran.
+    #[must_use]
+    pub(crate) fn with_ran(mut self, ran: Ran) -> Refusal {
+        self.ran = ran;
+        self
+    }
+
+    /// Returns the refusal with the time to come back.
+    #[must_use]
+    pub(crate) fn with_retry(mut self, millis: u32) -> Refusal {
+        self.retry_after_ms = Some(millis.max(1));
+        self
+    }
+
+    /// Returns what an agent's failure means to the caller.
+    pub(crate) fn from_failed(failed: &wire::Failed) -> Refusal {
+        let reason = wire::Reason::try_from(failed.reason).unwrap_or(wire::Reason::Unspecified);
+        let ran = Ran::from_wire(failed.ran);
+        let refusal = Refusal::not_run(map_reason(reason), describe_reason(reason)).with_ran(ran);
+        match (refusal.code, failed.retry_after_ms) {
+            (Code::InvalidRequest | Code::Cancelled | Code::Gone, _) => refusal,
+            (_, 0) => refusal.with_retry(DEFAULT_RETRY_MS),
+            (_, millis) => refusal.with_retry(millis),
+        }
+    }
+
+    /// Returns the error object as JSON, as in a body or a stream's last event.
+    pub(crate) fn to_json(&self) -> String {
+        let mut error = serde_json::json!({
+            "message": self.message,
+            "type": self.code.kind(),
+            "param": self.param,
+            "code": self.code.as_str(),
+            "ran": self.ran.as_str(),
+        });
+        if let Some(millis) = self.retry_after_ms {
+            error["retry_after_ms"] = millis.into();
+        }
+        serde_json::json!({ "error": error }).to_string()
+    }
+}
+
+impl response::IntoResponse for Refusal {
+    fn into_response(self) -> response::Response {
+        let mut response = response::Response::new(body::Body::from(self.to_json()));
+        *response.status_mut() = self.code.status();
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            http::HeaderValue::from_static("application/json"),
+        );
+        headers.insert(
+            RAN_HEADER,
+            http::HeaderValue::from_static(self.ran.as_str()),
+        );
+        if self.code == Code::InvalidKey {
+            let scheme = http::HeaderValue::from_static("Bearer");
+            headers.insert(header::WWW_AUTHENTICATE, scheme);
+        }
+        if let Some(millis) = self.retry_after_ms {
+            headers.insert(
+                header::RETRY_AFTER,
+                http::HeaderValue::from(millis.div_ceil(1_000)),
+            );
+            headers.insert("retry-after-ms", http::HeaderValue::from(millis));
+        }
+        response
+    }
+}
+
+fn map_reason(reason: wire::Reason) -> Code {
+    match reason {
+        wire::Reason::Busy | wire::Reason::Ramping => Code::Busy,
+        wire::Reason::Deadline => Code::Deadline,
+        wire::Reason::Draining => Code::Draining,
+        wire::Reason::Stale => Code::Stale,
+        wire::Reason::Gone => Code::Gone,
+        wire::Reason::Invalid => Code::InvalidRequest,
+        wire::Reason::Cancelled => Code::Cancelled,
+        wire::Reason::Model => Code::NoUpstream,
+        wire::Reason::Unspecified | wire::Reason::Upstream | wire::Reason::Fenced => {
+            Code::UpstreamFailed
+        }
+    }
+}
+
+fn describe_reason(reason: wire::Reason) -> &'static str {
+    match reason {
+        wire::Reason::Busy => "Every upstream for this request is at its limit.",
+        wire::Reason::Ramping => "The upstreams for this request have just started.",
+        wire::Reason::Deadline => "The request cannot be answered within its deadline.",
+        wire::Reason::Draining => "The upstream is taking no new work.",
+        wire::Reason::Stale => "The upstream cannot learn the configuration in force.",
+        wire::Reason::Gone => "The generation is not held any more.",
+        wire::Reason::Invalid => "The upstream found the request malformed.",
+        wire::Reason::Cancelled => "The request was cancelled.",
+        wire::Reason::Model => "The model is not loaded on the upstream.",
+        wire::Reason::Fenced => "A later attempt holds the claim on this call.",
+        wire::Reason::Unspecified | wire::Reason::Upstream => "The upstream failed.",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/relay.rs
@@ -0,0 +1,289 @@
+//! Brings one generation from its agent to its caller.
+//!
+//! A task of its own: it places the request, follows links, resumes over a fresh link when one is
+//! silent, and starts the request again elsewhere only while nothing was delivered.
+
+use core::time;
+use std::sync;
+
+use bytes::Bytes;
+use peargap_adapters::logs;
+use peargap_core::retry;
+use peargap_wire::agent as wire;
+use peargap_wire::agent::up;
+use tokio::sync::mpsc;
+use tokio::time as clock;
+
+use crate::app;
+use crate::events;
+use crate::link;
+use crate::peer;
+use crate::place;
+use crate::progress;
+use crate::pump;
+use crate::refusal;
+
+/// How long a generation is sought over fresh links before it is given up.
+const RESUME_LIMIT: time::Duration = time::Duration::from_secs(3);
+/// Pause between two fresh links.
+const RELINK_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// What the caller gets next.
+#[derive(Clone, Debug)]
+pub(crate) enum Piece {
+    /// A generation was accepted; what an earlier one brought is void.
+    Accepted(sync::Arc<str>),
+    /// The generation ends without a whole answer.
+    Failed(refusal::Refusal),
+    /// The generation is complete.
+    Finished(wire::Finished),
+    /// The entry stops; the caller may resume elsewhere.
+    Moved,
+    /// Consecutive tokens, the first with this offset.
+    Tokens { offset: u64, tokens: Vec<Bytes> },
+}
+
+/// How the caller takes the answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Audience {
+    /// Token by token; a caller that left may come back within `grace`.
+    Stream { grace: time::Duration },
+    /// Whole, at the end.
+    Whole,
+}
+
+/// What the caller asked for.
+#[derive(Clone, Debug)]
+pub(crate) enum Order {
+    /// The rest of a generation.
+    Resume { generation: String, offset: u64 },
+    /// A new generation; the relay fills in what an attempt needs.
+    Start(Box<wire::Start>),
+}
+
+/// One request for a generation.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) audience: Audience,
+    pub(crate) deadline: clock::Instant,
+    pub(crate) order: Order,
+    pub(crate) request: String,
+    pub(crate) team: String,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub(crate) enum Outcome {
+    /// Nothing more is due to the caller.
+    Done,
+    /// No whole answer.
+    Failed(refusal::Refusal),
+}
+
+/// Starts a relay; the caller reads its pieces and tells what it has written.
+pub(crate) fn spawn(
+    app: sync::Arc<app::App>,
+    job: Job,
+) -> (mpsc::Receiver<Piece>, progress::Written) {
+    let (pieces, receiver) = mpsc::channel(pump::PIECES_BUFFER);
+    let written = progress::Written::default();
+    let caller = pump::Caller::new(job.audience, job.deadline, pieces, written.clone());
+    let relay = Relay { app, caller, job };
+    tokio::spawn(relay.run());
+    (receiver, written)
+}
+
+struct Relay {
+    app: sync::Arc<app::App>,
+    caller: pump::Caller,
+    job: Job,
+}
+
+impl Relay {
+    async fn run(mut self) {
+        let _active = self.app.metrics.count_active();
+        let outcome = match self.job.order.clone() {
+            Order::Resume { generation, offset } => self.resume(generation, offset).await,
+            Order::Start(start) => self.start(*start).await,
+        };
+        match outcome {
+            Outcome::Done => {}
+            Outcome::Failed(refusal) => self.give_up(refusal).await,
+        }
+    }
+
+    async fn give_up(&mut self, refusal: refusal::Refusal) {
+        self.app.log_refusal(&self.job.request, &self.job.team, &refusal);
+        self.caller.give(Piece::Failed(refusal)).await;
+    }
+
+    async fn start(&mut self, start: wire::Start) -> Outcome {
+        let mut history = place::History::default();
+        self.app.retries.earn();
+        loop {
+            if let Some(refusal) = self.app.refuse_stale() {
+                return Outcome::Failed(history.merge(refusal));
+            }
+            let request = place::Request {
+                model: &start.model,
+                prefix: &start.prefix,
+                request: &self.job.request,
+                tokens: start.prompt_tokens,
+            };
+            let peer = match place::pick_engine(&self.app, &request, &history) {
+                Ok(peer) => peer,
+                Err(refusal) => return Outcome::Failed(history.merge(refusal)),
+            };
+            let refusal = match self.attempt(&peer, &start, &history).await {
+                Outcome::Done => return Outcome::Done,
+                Outcome::Failed(refusal) => refusal,
+            };
+            let deliverable = !self.caller.progress.is_delivered();
+            let attempt = retry::Attempt {
+                deadline: self.app.instant(self.job.deadline),
+                number: history.attempts() + 1,
+                ran: refusal.ran.to_core(),
+                repeatable: deliverable,
+            };
+            let next = history.plan(&self.app, &peer, &refusal, &attempt, &self.job.request);
+            let refusal = history.merge(refusal);
+            let Some(pause) = next else {
+                return Outcome::Failed(refusal);
+            };
+            tokio::select! {
+                () = clock::sleep(pause) => {}
+                () = self.caller.left() => return Outcome::Done,
+            }
+        }
+    }
+
+    async fn attempt(
+        &mut self,
+        peer: &sync::Arc<peer::Peer>,
+        start: &wire::Start,
+        history: &place::History,
+    ) -> Outcome {
+        let mut start = start.clone();
+        start.request = format!("{}.{}", self.job.request, history.attempts());
+        start.deadline_ms = self.caller.remaining_ms();
+        start.config_version = self.app.view.version();
+        start.incarnation = peer.incarnation();
+        peer.count_sent();
+        self.caller.progress = progress::Progress::default();
+        let opened = tokio::select! {
+            opened = link::open_link(peer, up::Kind::Start(start)) => opened,
+            () = self.caller.left() => return Outcome::Done,
+        };
+        match opened {
+            Ok(link) => self.follow(peer, link).await,
+            Err(error) => Outcome::Failed(describe_open_error(&error)),
+        }
+    }
+
+    async fn resume(&mut self, generation: String, offset: u64) -> Outcome {
+        let upstream = generation.split('~').next().unwrap_or_default();
+        let Some(peer) = self.app.fleet().peers.get(upstream).cloned() else {
+            return Outcome::Failed(refuse_gone());
+        };
+        self.caller.progress = progress::Progress::resumed(&generation, offset);
+        let details = format_args!(
+            "request={} team={} generation={generation} offset={offset}",
+            self.job.request, self.job.team
+        );
+        logs::emit(events::RESUMED, details);
+        match self.relink(&peer, None).await {
+            Ok(link) => self.follow(&peer, link).await,
+            Err(refusal) => Outcome::Failed(refusal),
+        }
+    }
+
+    /// Follows a generation over one link after another.
+    async fn follow(&mut self, peer: &peer::Peer, mut link: link::Link) -> Outcome {
+        loop {
+            let lane = link.lane;
+            let cause = match self.caller.pump(&self.app, link).await {
+                pump::End::Done => return Outcome::Done,
+                pump::End::Failed(failed) => {
+                    return Outcome::Failed(self.describe_failed(&failed));
+                }
+                pump::End::Refused(refusal) => return Outcome::Failed(refusal),
+                pump::End::Lost(cause) => cause,
+            };
+            let details = format_args!(
+                "request={} upstream={} offset={} cause={cause}",
+                self.job.request,
+                peer.identity.upstream,
+                self.caller.progress.next(),
+            );
+            logs::emit(events::LINK_REPLACED, details);
+            self.app.metrics.links_replaced.add(1, &[]);
+            link = match self.relink(peer, Some(lane)).await {
+                Ok(link) => link,
+                Err(refusal) => return Outcome::Failed(refusal),
+            };
+        }
+    }
+
+    /// Opens a fresh link at the next token that is due.
+    async fn relink(
+        &mut self,
+        peer: &peer::Peer,
+        lost: Option<u64>,
+    ) -> Result<link::Link, refusal::Refusal> {
+        let Some(generation) = self.caller.progress.generation() else {
+            return Err(refuse_lost());
+        };
+        if let Some(lane) = lost {
+            peer.lanes.replace(lane);
+        }
+        let give_up_at = (clock::Instant::now() + RESUME_LIMIT).min(self.job.deadline);
+        loop {
+            let resume = up::Kind::Resume(wire::Resume {
+                config_version: self.app.view.version(),
+                generation: generation.to_string(),
+                offset: self.caller.progress.next(),
+                team: self.job.team.clone(),
+            });
+            let error = match link::open_link(peer, resume).await {
+                Ok(link) => return Ok(link),
+                Err(error) => error,
+            };
+            if error.is_connection_refused() || clock::Instant::now() >= give_up_at {
+                return Err(refuse_lost());
+            }
+            clock::sleep(RELINK_PAUSE).await;
+        }
+    }
+
+    /// Returns what a failure means once tokens may have been delivered.
+    fn describe_failed(&self, failed: &wire::Failed) -> refusal::Refusal {
+        let refusal = refusal::Refusal::from_failed(failed);
+        if self.caller.progress.has_tokens() {
+            return refusal.with_ran(refusal::Ran::Ran);
+        }
+        refusal
+    }
+}
+
+fn describe_open_error(error: &link::OpenError) -> refusal::Refusal {
+    let ran = match error {
+        link::OpenError::NotSent(_) => refusal::Ran::NotRun,
+        link::OpenError::Sent(_) | link::OpenError::Silent => refusal::Ran::Unknown,
+    };
+    let message = "The upstream cannot be reached.";
+    refusal::Refusal::not_run(refusal::Code::UpstreamFailed, message)
+        .with_ran(ran)
+        .with_retry(refusal::DEFAULT_RETRY_MS)
+}
+
+fn refuse_gone() -> refusal::Refusal {
+    let message = "The generation is not held any more.";
+    refusal::Refusal::not_run(refusal::Code::Gone, message).with_ran(refusal::Ran::Unknown)
+}
+
+fn refuse_lost() -> refusal::Refusal {
+    let message = "The upstream that held the generation is gone.";
+    refusal::Refusal::not_run(refusal::Code::UpstreamFailed, message)
+        .with_ran(refusal::Ran::Unknown)
+        .with_retry(refusal::DEFAULT_RETRY_MS)
+}
--- /dev/null
+++ b/crates/entry/src/render.rs
@@ -0,0 +1,199 @@
+//! Answers in OpenAI's JSON.
+
+use std::time;
+
+use bytes::BufMut as _;
+use bytes::BytesMut;
+use peargap_wire::agent as wire;
+use serde_json::json;
+
+use crate::prompt;
+
+/// What the answers of one request have in common.
+#[derive(Clone, Debug)]
+pub(crate) struct Style {
+    created: u64,
+    include_usage: bool,
+    model: String,
+    shape: prompt::Shape,
+}
+
+impl Style {
+    /// Returns the style of a request's answers.
+    pub(crate) fn new(prompt: &prompt::Prompt) -> Style {
+        let since_epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        Style {
+            created: since_epoch.map_or(0, |elapsed| elapsed.as_secs()),
+            include_usage: prompt.include_usage,
+            model: prompt.model.clone(),
+            shape: prompt.shape,
+        }
+    }
+
+    /// Returns the answer's id.
+    fn id(&self, generation: &str) -> String {
+        match self.shape {
+            prompt::Shape::Chat => format!("chatcmpl-{generation}"),
+            prompt::Shape::Completion => format!("cmpl-{generation}"),
+        }
+    }
+
+    /// Returns the whole answer.
+    pub(crate) fn render_whole(
+        &self,
+        generation: &str,
+        text: &str,
+        finished: &wire::Finished,
+    ) -> String {
+        let (object, choice) = match self.shape {
+            prompt::Shape::Chat => (
+                "chat.completion",
+                json!({
+                    "index": 0,
+                    "message": {"role": "assistant", "content": text, "refusal": null},
+                    "logprobs": null,
+                    "finish_reason": finished.reason,
+                }),
+            ),
+            prompt::Shape::Completion => (
+                "text_completion",
+                json!({
+                    "index": 0,
+                    "text": text,
+                    "logprobs": null,
+                    "finish_reason": finished.reason,
+                }),
+            ),
+        };
+        json!({
+            "id": self.id(generation),
+            "object": object,
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+            "usage": render_usage(finished),
+        })
+        .to_string()
+    }
+
+    /// Returns the renderer of a stream's events for one generation.
+    pub(crate) fn events(&self, generation: &str) -> Events {
+        let object = match self.shape {
+            prompt::Shape::Chat => "chat.completion.chunk",
+            prompt::Shape::Completion => "text_completion",
+        };
+        let usage = if self.include_usage {
+            ",\"usage\":null"
+        } else {
+            ""
+        };
+        let head = format!(
+            "{{\"id\":{},\"object\":\"{object}\",\"created\":{},\"model\":{}",
+            json!(self.id(generation)),
+            self.created,
+            json!(self.model),
+        );
+        let (before, after, tail) = match self.shape {
+            prompt::Shape::Chat => ("\"delta\":{\"content\":", "}", "\"delta\":{}"),
+            prompt::Shape::Completion => ("\"text\":", "", "\"text\":\"\""),
+        };
+        let none = "\"logprobs\":null,\"finish_reason\":";
+        Events {
+            after: format!("{after},{none}null}}]{usage}}}\n\n"),
+            before: format!("\ndata: {head},\"choices\":[{{\"index\":0,{before}"),
+            finish: format!("data: {head},\"choices\":[{{\"index\":0,{tail},{none}"),
+            generation: generation.to_owned(),
+            head,
+            include_usage: self.include_usage,
+            opening: self.shape == prompt::Shape::Chat,
+            usage,
+        }
+    }
+}
+
+/// Renders the events of one generation's stream.
+#[derive(Clone, Debug)]
+pub(crate) struct Events {
+    after: String,
+    before: String,
+    finish: String,
+    generation: String,
+    head: String,
+    include_usage: bool,
+    /// Whether a chat's first event, which names the role, is still due.
+    opening: bool,
+    usage: &'static str,
+}
+
+impl Events {
+    /// Appends one event for each token.
+    pub(crate) fn put_tokens(&mut self, buffer: &mut BytesMut, offset: u64, tokens: &[bytes::Bytes]) {
+        if self.opening && offset == 0 {
+            self.put_opening(buffer);
+        }
+        self.opening = false;
+        let mut next = offset;
+        for token in tokens {
+            next += 1;
+            let room = self.before.len() + self.after.len() + self.generation.len();
+            buffer.reserve(room + token.len() * 2 + 32);
+            buffer.put_slice(b"id: ");
+            buffer.put_slice(self.generation.as_bytes());
+            buffer.put_u8(b'.');
+            put_number(buffer, next);
+            buffer.put_slice(self.before.as_bytes());
+            put_text(buffer, token);
+            buffer.put_slice(self.after.as_bytes());
+        }
+    }
+
+    /// Appends the events that end the stream.
+    pub(crate) fn put_finish(&mut self, buffer: &mut BytesMut, finished: &wire::Finished) {
+        if self.opening {
+            self.put_opening(buffer);
+        }
+        self.opening = false;
+        buffer.put_slice(self.finish.as_bytes());
+        buffer.put_slice(json!(finished.reason).to_string().as_bytes());
+        buffer.put_slice(b"}]");
+        buffer.put_slice(self.usage.as_bytes());
+        buffer.put_slice(b"}\n\n");
+        if self.include_usage {
+            let usage = render_usage(finished);
+            let chunk = format!("data: {},\"choices\":[],\"usage\":{usage}}}\n\n", self.head);
+            buffer.put_slice(chunk.as_bytes());
+        }
+        buffer.put_slice(b"data: [DONE]\n\n");
+    }
+
+    fn put_opening(&self, buffer: &mut BytesMut) {
+        let chunk = format!(
+            "data: {},\"choices\":[{{\"index\":0,\"delta\":{{\"role\":\"assistant\",\"content\":\"\"}},\
+             \"logprobs\":null,\"finish_reason\":null}}]{}}}\n\n",
+            self.head, self.usage
+        );
+        buffer.put_slice(chunk.as_bytes());
+    }
+}
+
+fn render_usage(finished: &wire::Finished) -> serde_json::Value {
+    json!({
+        "prompt_tokens": finished.prompt_tokens,
+        "completion_tokens": finished.output_tokens,
+        "total_tokens": u64::from(finished.prompt_tokens) + u64::from(finished.output_tokens),
+        "prompt_tokens_details": {"cached_tokens": finished.cached_tokens},
+    })
+}
+
+/// Appends a token as a JSON string.
+fn put_text(buffer: &mut BytesMut, token: &[u8]) {
+    let text = String::from_utf8_lossy(token);
+    // Writing to memory does not fail.
+    let _ = serde_json::to_writer(buffer.writer(), &text);
+}
+
+fn put_number(buffer: &mut BytesMut, number: u64) {
+    use core::fmt::Write as _;
+    // Writing to memory does not fail.
+    let _ = write!(buffer, "{number}");
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,177 @@
+//! Settings of an entry.
+
+use core::time;
+use std::net;
+use std::path;
+
+use peargap_adapters::logs;
+use peargap_adapters::settings;
+
+/// Everything an entry is told by its settings file.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Control hosts, in order of preference.
+    pub controls: Vec<net::SocketAddr>,
+    /// How a stop goes.
+    pub drain: Drain,
+    /// Listen addresses.
+    pub listen: Listen,
+    /// Bounds on callers.
+    pub limits: Limits,
+    /// Log format and level.
+    pub log: Log,
+    /// Own failure domain and name.
+    pub node: Node,
+}
+
+/// How a stop goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Drain {
+    /// New connections are still taken this long after SIGTERM, for the balancer to notice.
+    pub linger: time::Duration,
+    /// Streams are ended with a resume hint this long after SIGTERM; never when absent.
+    pub streams: Option<time::Duration>,
+}
+
+/// Listen addresses.
+#[derive(Clone, Copy, Debug)]
+pub struct Listen {
+    /// Callers' HTTP.
+    pub callers: net::SocketAddr,
+    /// `/healthz`, `/readyz` and `/metrics`.
+    pub health: net::SocketAddr,
+}
+
+/// Bounds on callers.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Largest request body.
+    pub body_bytes: usize,
+    /// Deadline of a request that names none.
+    pub default_deadline: time::Duration,
+    /// Largest request head.
+    pub header_bytes: usize,
+    /// Most callers' connections at once.
+    pub max_connections: usize,
+    /// Longest deadline that a caller may ask for.
+    pub max_deadline: time::Duration,
+    /// A caller that reads nothing for this long is given up.
+    pub stalled_reader: time::Duration,
+}
+
+/// Log format and level.
+#[derive(Clone, Copy, Debug)]
+pub struct Log {
+    /// Text or JSON.
+    pub format: logs::Format,
+    /// Least severe level written.
+    pub level: logs::Level,
+}
+
+/// Own failure domain and name.
+#[derive(Clone, Debug)]
+pub struct Node {
+    /// Failure domain.
+    pub domain: String,
+    /// Name, unique in the deployment.
+    pub name: String,
+}
+
+/// Reads a settings file and returns the settings or every finding.
+pub fn load(path: &path::Path) -> Result<Settings, settings::Findings> {
+    read(settings::Reader::open(path))
+}
+
+/// Returns the settings or every finding.
+pub fn read(mut reader: settings::Reader) -> Result<Settings, settings::Findings> {
+    let node = read_node(&mut reader);
+    let listen = read_listen(&mut reader);
+    let controls = read_controls(&mut reader);
+    let limits = read_limits(&mut reader);
+    let drain = read_drain(&mut reader);
+    let log = read_log(&mut reader);
+    let settings = node.zip(listen).map(|(node, listen)| Settings {
+        controls,
+        drain,
+        listen,
+        limits,
+        log,
+        node,
+    });
+    reader.finish(settings)
+}
+
+fn read_node(reader: &mut settings::Reader) -> Option<Node> {
+    let name = reader.required("node", "name", "a name unique in the deployment");
+    let domain = reader.required("node", "domain", "a failure domain's name");
+    Some(Node {
+        domain: domain?,
+        name: name?,
+    })
+}
+
+fn read_listen(reader: &mut settings::Reader) -> Option<Listen> {
+    let callers = reader.required("listen", "callers", "ip:port");
+    let health = reader.required("listen", "health", "ip:port");
+    Some(Listen {
+        callers: callers?,
+        health: health?,
+    })
+}
+
+fn read_controls(reader: &mut settings::Reader) -> Vec<net::SocketAddr> {
+    let right = "ip:port, several between commas";
+    let controls = reader.list("control", "addresses", right);
+    if controls.is_empty() {
+        reader.report("control", "addresses", format!("is empty; give {right}"));
+    }
+    controls
+}
+
+fn read_limits(reader: &mut settings::Reader) -> Limits {
+    let limits = Limits {
+        body_bytes: reader.ranged("limits", "body_bytes", 4 << 20, 1024..=256 << 20),
+        default_deadline: read_millis(reader, "limits", "default_deadline_ms", 600_000, 1),
+        header_bytes: reader.ranged("limits", "header_bytes", 32 << 10, 8 << 10..=1 << 20),
+        max_connections: reader.ranged("limits", "max_connections", 10_000, 1..=1_000_000),
+        max_deadline: read_millis(reader, "limits", "max_deadline_ms", 3_600_000, 1),
+        stalled_reader: read_millis(reader, "limits", "stalled_reader_ms", 30_000, 100),
+    };
+    if limits.default_deadline > limits.max_deadline {
+        let problem = "is longer than max_deadline_ms; give at most that".to_owned();
+        reader.report("limits", "default_deadline_ms", problem);
+    }
+    limits
+}
+
+fn read_drain(reader: &mut settings::Reader) -> Drain {
+    let streams = read_millis(reader, "drain", "streams_ms", 0, 0);
+    Drain {
+        linger: read_millis(reader, "drain", "linger_ms", 2_000, 0),
+        streams: (!streams.is_zero()).then_some(streams),
+    }
+}
+
+fn read_log(reader: &mut settings::Reader) -> Log {
+    Log {
+        format: reader.optional("log", "format", logs::Format::Text, "text or json"),
+        level: reader.optional(
+            "log",
+            "level",
+            logs::Level::Info,
+            "debug, info, warn or error",
+        ),
+    }
+}
+
+fn read_millis(
+    reader: &mut settings::Reader,
+    section: &str,
+    key: &str,
+    default: u64,
+    least: u64,
+) -> time::Duration {
+    /// A day.
+    const MOST: u64 = 86_400_000;
+    time::Duration::from_millis(reader.ranged(section, key, default, least..=MOST))
+}
--- /dev/null
+++ b/crates/entry/src/whole.rs
@@ -0,0 +1,57 @@
+//! A caller's whole answer.
+
+use std::sync;
+
+use axum::body;
+use axum::http;
+use axum::http::header;
+use axum::response;
+use tokio::sync::mpsc;
+
+use crate::progress;
+use crate::refusal;
+use crate::relay;
+use crate::render;
+
+/// Collects the pieces of one generation; those of an earlier one are dropped.
+pub(crate) async fn collect(
+    style: &render::Style,
+    mut pieces: mpsc::Receiver<relay::Piece>,
+    written: progress::Written,
+) -> Result<response::Response, refusal::Refusal> {
+    let mut generation = sync::Arc::<str>::from("");
+    let mut text = Vec::new();
+    while let Some(piece) = pieces.recv().await {
+        match piece {
+            relay::Piece::Accepted(accepted) => {
+                generation = accepted;
+                text.clear();
+                written.set(0);
+            }
+            relay::Piece::Failed(refusal) => return Err(refusal),
+            relay::Piece::Finished(finished) => {
+                let text = String::from_utf8_lossy(&text);
+                return Ok(respond(style.render_whole(&generation, &text, &finished)));
+            }
+            relay::Piece::Moved => break,
+            relay::Piece::Tokens { offset, tokens } => {
+                text.extend(tokens.iter().flatten());
+                written.set(offset + tokens.len() as u64);
+            }
+        }
+    }
+    Err(refuse_broken())
+}
+
+fn respond(json: String) -> response::Response {
+    let mut response = response::Response::new(body::Body::from(json));
+    let kind = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+fn refuse_broken() -> refusal::Refusal {
+    let message = "The entry lost the answer.";
+    refusal::Refusal::not_run(refusal::Code::UpstreamFailed, message)
+        .with_ran(refusal::Ran::Unknown)
+}
