--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,7 +3,9 @@
 //! Time is passed in as [`time::Instant`], randomness as a generator. Adapters around this crate
 //! perform the effects that its functions return.
 
+pub mod config;
 pub mod follow;
 pub mod manifest;
+pub mod members;
 pub mod prefix;
 pub mod time;
