--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,9 +3,20 @@
 //! Time is passed in as [`time::Instant`], randomness as a generator. Adapters around this crate
 //! perform the effects that its functions return.
 
+pub mod admit;
+pub mod batch;
+pub mod breaker;
 pub mod config;
+pub mod curve;
+pub mod fair;
 pub mod follow;
+pub mod forecast;
 pub mod manifest;
 pub mod members;
+pub mod place;
 pub mod prefix;
+pub mod queue;
+pub mod ramp;
+pub mod retry;
+pub mod table;
 pub mod time;
