--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -8,9 +8,9 @@
 use peargap_adapters::logs;
 use peargap_core::retry;
 use peargap_core::time::Instant;
-use tokio::time as clock;
 use tokio_util::sync as cancel;
 
+use crate::board;
 use crate::events;
 use crate::fleet;
 use crate::metrics;
@@ -20,12 +20,12 @@
 /// The entry's shared state.
 #[derive(Debug)]
 pub(crate) struct App {
+    pub(crate) board: sync::Arc<board::Board>,
     pub(crate) fleet: fleet::Watch,
     pub(crate) ids: Ids,
     pub(crate) metrics: metrics::Metrics,
     pub(crate) retries: Retries,
     pub(crate) settings: settings::Settings,
-    pub(crate) started: clock::Instant,
     /// Cancelled when the entry stops.
     pub(crate) stop: cancel::CancellationToken,
     /// Cancelled when streams are to be resumed elsewhere.
@@ -39,17 +39,6 @@
         self.fleet.borrow().clone()
     }
 
-    /// Returns the time for the decisions in core.
-    pub(crate) fn now(&self) -> Instant {
-        self.instant(clock::Instant::now())
-    }
-
-    /// Returns a point in time for the decisions in core.
-    pub(crate) fn instant(&self, at: clock::Instant) -> Instant {
-        let elapsed = at.saturating_duration_since(self.started);
-        Instant(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
-    }
-
     /// Returns the refusal of new work while the configuration may be out of date.
     pub(crate) fn refuse_stale(&self) -> Option<refusal::Refusal> {
         if self.view.is_fresh() {
--- /dev/null
+++ b/crates/entry/src/board.rs
@@ -0,0 +1,154 @@
+//! The table of upstreams, shared between the control thread and the requests.
+
+use std::sync;
+
+use peargap_core::place;
+use peargap_core::table;
+use peargap_core::time::Instant;
+use peargap_wire::agent as wire;
+use peargap_wire::control;
+use tokio::time as clock;
+
+use crate::peer;
+
+/// How old the figures in a load report may be when they arrive.
+const LOAD_AGE_MS: u32 = 50;
+
+/// The table and the clock that its times are counted by.
+#[derive(Debug)]
+pub(crate) struct Board {
+    started: clock::Instant,
+    table: sync::Mutex<table::Table>,
+}
+
+impl Board {
+    /// Returns an empty board.
+    pub(crate) fn new() -> Board {
+        Board {
+            started: clock::Instant::now(),
+            table: sync::Mutex::default(),
+        }
+    }
+
+    /// Returns the time for the decisions in core.
+    pub(crate) fn now(&self) -> Instant {
+        self.instant(clock::Instant::now())
+    }
+
+    /// Returns a point in time for the decisions in core.
+    pub(crate) fn instant(&self, at: clock::Instant) -> Instant {
+        let elapsed = at.saturating_duration_since(self.started);
+        Instant(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Adds an agent's upstream.
+    pub(crate) fn announce(&self, identity: &peer::Identity) -> table::Upstream {
+        let mut table = self.lock();
+        let domain = table.domain(&identity.domain);
+        let groups = list_groups(&mut table, identity.kind, &identity.offers);
+        table.announce(domain, &groups)
+    }
+
+    /// Removes an upstream.
+    pub(crate) fn withdraw(&self, upstream: table::Upstream) {
+        self.lock().withdraw(upstream);
+    }
+
+    /// Takes a failure domain out or brings it back.
+    pub(crate) fn set_domain_out(&self, domain: &str, out: bool) {
+        let mut table = self.lock();
+        let domain = table.domain(domain);
+        table.set_domain_out(domain, out);
+    }
+
+    /// Takes an upstream out or brings it back.
+    pub(crate) fn set_out(&self, upstream: table::Upstream, out: bool) {
+        self.lock().set_out(upstream, out);
+    }
+
+    /// Notes a load report that arrived now.
+    pub(crate) fn record_load(&self, peer: &peer::Peer, load: &wire::Load) {
+        let now = self.now();
+        let mut table = self.lock();
+        if peer.identity.kind == control::Kind::Engine {
+            let groups = list_groups(&mut table, control::Kind::Engine, &load.models);
+            table.set_groups(peer.key, &groups);
+        }
+        table.set_prefixes(peer.key, &load.prefixes);
+        table.report(now, peer.key, map_load(load));
+    }
+
+    /// Notes that an agent is silent: it gets no new work until it reports again.
+    pub(crate) fn record_silence(&self, upstream: table::Upstream) {
+        let now = self.now();
+        self.lock().report(now, upstream, table::Report::default());
+    }
+
+    /// Notes a request sent.
+    pub(crate) fn record_sent(&self, upstream: table::Upstream, tokens: u32) {
+        let now = self.now();
+        self.lock().sent(now, upstream, tokens);
+    }
+
+    /// Notes an answer.
+    pub(crate) fn record_answer(&self, upstream: table::Upstream, ran: bool) {
+        self.lock().answered(upstream, ran);
+    }
+
+    /// Notes a broken link or a failed engine.
+    pub(crate) fn record_failure(&self, upstream: table::Upstream) {
+        let now = self.now();
+        self.lock().failed(now, upstream);
+    }
+
+    /// Picks an upstream that offers `offer`; `weighed` is filled for the log.
+    pub(crate) fn pick(
+        &self,
+        kind: control::Kind,
+        offer: &str,
+        fill: impl FnOnce(table::Group) -> place::Ask<'_>,
+        weighed: &mut Vec<place::Candidate>,
+    ) -> place::Choice {
+        let now = self.now();
+        let mut table = self.lock();
+        let group = table.group(&name_group(kind, offer));
+        let ask = fill(group);
+        place::pick_upstream(&table, now, &ask, &mut rand::rng(), weighed)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, table::Table> {
+        self.table
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+fn list_groups(
+    table: &mut table::Table,
+    kind: control::Kind,
+    offers: &[String],
+) -> Vec<table::Group> {
+    let names = offers.iter().map(|offer| name_group(kind, offer));
+    names.map(|name| table.group(&name)).collect()
+}
+
+/// Returns the table's name for a model or service, which may have the same name.
+fn name_group(kind: control::Kind, offer: &str) -> String {
+    match kind {
+        control::Kind::Engine => format!("model {offer}"),
+        control::Kind::Service => format!("service {offer}"),
+    }
+}
+
+fn map_load(load: &wire::Load) -> table::Report {
+    table::Report {
+        accepting: load.healthy && !load.draining,
+        age_ms: LOAD_AGE_MS,
+        limit: load.limit,
+        memory_tokens: load.memory_tokens,
+        queued: load.queued,
+        running: load.running,
+        used_tokens: load.used_tokens,
+        wait_ms: load.wait_ms,
+    }
+}
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -9,6 +9,7 @@
 use peargap_adapters::config;
 use peargap_adapters::follow;
 use peargap_adapters::logs;
+use peargap_core::table;
 use peargap_wire::agent as wire;
 use peargap_wire::agent::agent_client;
 use tokio::sync::mpsc;
@@ -18,12 +19,15 @@
 use tokio_stream::StreamExt as _;
 use tokio_util::sync as cancel;
 
+use crate::board;
 use crate::events;
 use crate::lane;
 use crate::peer;
 
 /// Time between two messages to an agent on its load link.
 const SEEN_PERIOD: time::Duration = time::Duration::from_millis(250);
+/// An agent that has reported nothing for this long gets no new work.
+const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(900);
 /// Wait before a lost load link is opened again.
 const REOPEN_PERIOD: time::Duration = time::Duration::from_millis(100);
 /// Messages that may wait for a slow load link.
@@ -35,56 +39,131 @@
     pub(crate) config: sync::Arc<config::Config>,
     /// Agents by upstream.
     pub(crate) peers: collections::BTreeMap<String, sync::Arc<peer::Peer>>,
+    /// The same agents by their keys in the table.
+    keys: collections::HashMap<table::Upstream, sync::Arc<peer::Peer>>,
+}
+
+impl Fleet {
+    /// Returns the agent with this key.
+    pub(crate) fn find(&self, upstream: table::Upstream) -> Option<sync::Arc<peer::Peer>> {
+        self.keys.get(&upstream).cloned()
+    }
 }
 
 /// Publishes fleets; each change of the configuration gives a new one.
 pub(crate) type Watch = watch::Receiver<sync::Arc<Fleet>>;
 
+/// Follows the configuration's agents.
+pub(crate) struct Follower {
+    pub(crate) board: sync::Arc<board::Board>,
+    /// This entry's name.
+    pub(crate) entry: String,
+    /// Runtime that drives the requests' connections.
+    pub(crate) traffic: tokio::runtime::Handle,
+    pub(crate) view: follow::View,
+}
+
 struct Observed {
     peer: sync::Arc<peer::Peer>,
-    stop: cancel::DropGuard,
+    /// Ends the load link when dropped.
+    _stop: cancel::DropGuard,
 }
 
-/// Follows the configuration's agents until `token` is cancelled.
-pub(crate) fn spawn(
-    entry: String,
-    view: follow::View,
-    traffic: tokio::runtime::Handle,
-    token: cancel::CancellationToken,
-) -> Watch {
+type Observers = collections::BTreeMap<String, Observed>;
+
+/// Starts to follow the agents until `token` is cancelled.
+pub(crate) fn spawn(follower: Follower, token: cancel::CancellationToken) -> Watch {
     let (publisher, receiver) = watch::channel(sync::Arc::default());
-    tokio::spawn(run(entry, view, traffic, publisher, token));
+    tokio::spawn(follower.run(publisher, token));
     receiver
 }
 
-async fn run(
-    entry: String,
-    view: follow::View,
-    traffic: tokio::runtime::Handle,
-    publisher: watch::Sender<sync::Arc<Fleet>>,
-    token: cancel::CancellationToken,
-) {
-    let mut observed = collections::BTreeMap::<String, Observed>::new();
-    let mut configs = view.config();
-    loop {
-        let config = configs.borrow_and_update().clone();
-        let identities = list_identities(&config);
-        observed.retain(|upstream, known| identities.get(upstream) == Some(&known.peer.identity));
+impl Follower {
+    async fn run(
+        self,
+        publisher: watch::Sender<sync::Arc<Fleet>>,
+        token: cancel::CancellationToken,
+    ) {
+        let mut observers = Observers::new();
+        let mut configs = self.view.config();
+        loop {
+            let config = configs.borrow_and_update().clone();
+            self.update_observers(&config, &mut observers, &token);
+            self.update_states(&config, &observers);
+            publisher.send_replace(sync::Arc::new(build_fleet(config, &observers)));
+            tokio::select! {
+                () = token.cancelled() => return,
+                changed = configs.changed() => if changed.is_err() { return },
+            }
+        }
+    }
+
+    fn update_observers(
+        &self,
+        config: &config::Config,
+        observers: &mut Observers,
+        token: &cancel::CancellationToken,
+    ) {
+        let identities = list_identities(config);
+        observers.retain(|upstream, observed| {
+            let kept = identities.get(upstream) == Some(&observed.peer.identity);
+            if !kept {
+                self.board.withdraw(observed.peer.key);
+            }
+            kept
+        });
         for (upstream, identity) in identities {
-            observed
+            observers
                 .entry(upstream)
-                .or_insert_with(|| start_observing(&entry, &view, identity, &traffic, &token));
+                .or_insert_with(|| self.start_observing(identity, token));
+        }
+    }
+
+    fn update_states(&self, config: &config::Config, observers: &Observers) {
+        for domain in &config.manifest.domains {
+            let out = config.domains_out.contains(&domain.name);
+            self.board.set_domain_out(&domain.name, out);
         }
-        let peers = observed
-            .iter()
-            .map(|(upstream, known)| (upstream.clone(), known.peer.clone()))
-            .collect();
-        publisher.send_replace(sync::Arc::new(Fleet { config, peers }));
-        tokio::select! {
-            () = token.cancelled() => return,
-            changed = configs.changed() => if changed.is_err() { return },
+        for (upstream, observed) in observers {
+            let domain = &observed.peer.identity.domain;
+            let domain_out = config.domains_out.contains(domain);
+            self.board.set_domain_out(domain, domain_out);
+            let out = config.upstreams_out.contains(upstream);
+            self.board.set_out(observed.peer.key, out);
         }
     }
+
+    fn start_observing(
+        &self,
+        identity: peer::Identity,
+        token: &cancel::CancellationToken,
+    ) -> Observed {
+        let key = self.board.announce(&identity);
+        let peer = sync::Arc::new(peer::Peer::new(identity, key, self.traffic.clone()));
+        let stop = token.child_token();
+        let observer = Observer {
+            board: self.board.clone(),
+            entry: self.entry.clone(),
+            peer: peer.clone(),
+            view: self.view.clone(),
+        };
+        tokio::spawn(observer.run(stop.clone()));
+        Observed {
+            peer,
+            _stop: stop.drop_guard(),
+        }
+    }
+}
+
+fn build_fleet(config: sync::Arc<config::Config>, observers: &Observers) -> Fleet {
+    let peers = observers.values().map(|observed| &observed.peer);
+    Fleet {
+        config,
+        keys: peers.clone().map(|peer| (peer.key, peer.clone())).collect(),
+        peers: peers
+            .map(|peer| (peer.identity.upstream.clone(), peer.clone()))
+            .collect(),
+    }
 }
 
 /// Returns the agents by upstream; of two with one upstream the later announced counts.
@@ -104,29 +183,9 @@
     identities
 }
 
-fn start_observing(
-    entry: &str,
-    view: &follow::View,
-    identity: peer::Identity,
-    traffic: &tokio::runtime::Handle,
-    token: &cancel::CancellationToken,
-) -> Observed {
-    let peer = sync::Arc::new(peer::Peer::new(identity, traffic.clone()));
-    let stop = token.child_token();
-    let observer = Observer {
-        entry: entry.to_owned(),
-        peer: peer.clone(),
-        view: view.clone(),
-    };
-    tokio::spawn(observer.run(stop.clone()));
-    Observed {
-        peer,
-        stop: stop.drop_guard(),
-    }
-}
-
 /// Keeps a load link to one agent.
 struct Observer {
+    board: sync::Arc<board::Board>,
     entry: String,
     peer: sync::Arc<peer::Peer>,
     view: follow::View,
@@ -149,14 +208,14 @@
     /// Records loads over a fresh connection until it is lost or silent.
     async fn observe(&self) {
         let (sender, receiver) = mpsc::channel(SEEN_BUFFER);
-        let opened = clock::timeout(peer::SILENCE_LIMIT, self.open(receiver)).await;
+        let opened = clock::timeout(SILENCE_LIMIT, self.open(receiver)).await;
         let Ok(Ok(mut loads)) = opened else {
             return;
         };
         let upstream = &self.peer.identity.upstream;
         let mut sequence = 0;
         let mut timer = clock::interval(SEEN_PERIOD);
-        let mut silent_at = clock::Instant::now() + peer::SILENCE_LIMIT;
+        let mut silent_at = clock::Instant::now() + SILENCE_LIMIT;
         loop {
             let load = tokio::select! {
                 _ = timer.tick() => {
@@ -175,10 +234,12 @@
                 let details = format_args!("upstream={upstream} incarnation={incarnation}");
                 logs::emit(events::AGENT_SEEN, details);
             }
-            silent_at = clock::Instant::now() + peer::SILENCE_LIMIT;
+            silent_at = clock::Instant::now() + SILENCE_LIMIT;
             sequence = load.sequence.max(1);
-            self.peer.record_load(load);
+            self.peer.set_incarnation(&load.incarnation);
+            self.board.record_load(&self.peer, &load);
         }
+        self.board.record_silence(self.peer.key);
         logs::emit(events::AGENT_SILENT, format_args!("upstream={upstream}"));
     }
 
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -1,18 +1,13 @@
-//! One agent as this entry knows it: where it is, what it offers and the load it last reported.
+//! One agent as this entry knows it: where it is and what it offers.
 
-use core::time;
 use std::net;
 use std::sync;
 
-use peargap_wire::agent as wire;
+use peargap_core::table;
 use peargap_wire::control;
-use tokio::time as clock;
 
 use crate::lane;
 
-/// An agent that has reported nothing for this long gets no new work.
-pub(crate) const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(900);
-
 /// What the configuration says of an agent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Identity {
@@ -42,73 +37,46 @@
     }
 }
 
-/// A load report and when it arrived.
-#[derive(Clone, Debug)]
-pub(crate) struct Report {
-    pub(crate) arrived: clock::Instant,
-    pub(crate) load: wire::Load,
-    /// Requests this entry sent since the report arrived.
-    pub(crate) sent_since: u32,
-}
-
-impl Report {
-    /// Returns whether the report is recent enough to send new work by.
-    pub(crate) fn is_recent(&self) -> bool {
-        self.arrived.elapsed() < SILENCE_LIMIT
-    }
-}
-
 /// An agent; shared by the requests that use it.
 #[derive(Debug)]
 pub(crate) struct Peer {
     pub(crate) identity: Identity,
+    incarnation: sync::Mutex<String>,
+    pub(crate) key: table::Upstream,
     pub(crate) lanes: lane::Lanes,
-    report: sync::Mutex<Option<sync::Arc<Report>>>,
 }
 
 impl Peer {
     /// Returns an agent that has not reported yet.
-    pub(crate) fn new(identity: Identity, traffic: tokio::runtime::Handle) -> Peer {
+    pub(crate) fn new(
+        identity: Identity,
+        key: table::Upstream,
+        traffic: tokio::runtime::Handle,
+    ) -> Peer {
         let lanes = lane::Lanes::new(identity.address, traffic);
         Peer {
             identity,
+            incarnation: sync::Mutex::default(),
+            key,
             lanes,
-            report: sync::Mutex::default(),
         }
     }
 
-    /// Records a load report that arrived now.
-    pub(crate) fn record_load(&self, load: wire::Load) {
-        let report = Report {
-            arrived: clock::Instant::now(),
-            load,
-            sent_since: 0,
-        };
-        *self.lock() = Some(sync::Arc::new(report));
-    }
-
-    /// Counts a request sent to the agent against its last report.
-    pub(crate) fn count_sent(&self) {
-        if let Some(report) = self.lock().as_mut() {
-            let report = sync::Arc::make_mut(report);
-            report.sent_since += 1;
+    /// Records the incarnation that the agent reports.
+    pub(crate) fn set_incarnation(&self, incarnation: &str) {
+        let mut known = self.lock();
+        if *known != incarnation {
+            incarnation.clone_into(&mut known);
         }
     }
 
-    /// Returns the last report.
-    pub(crate) fn report(&self) -> Option<sync::Arc<Report>> {
-        self.lock().clone()
-    }
-
-    /// Returns the agent's incarnation as last reported, empty when it has not reported.
+    /// Returns the incarnation last reported, empty when there was no report.
     pub(crate) fn incarnation(&self) -> String {
-        self.report()
-            .map(|report| report.load.incarnation.clone())
-            .unwrap_or_default()
+        self.lock().clone()
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, Option<sync::Arc<Report>>> {
-        self.report
+    fn lock(&self) -> sync::MutexGuard<'_, String> {
+        self.incarnation
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -5,9 +5,11 @@
 use std::sync;
 
 use peargap_adapters::logs;
+use peargap_core::place;
 use peargap_core::retry;
+use peargap_core::table;
 use peargap_wire::control;
-use rand::seq::IndexedRandom as _;
+use tokio::time as clock;
 
 use crate::app;
 use crate::events;
@@ -15,13 +17,13 @@
 use crate::peer;
 use crate::refusal;
 
-/// Candidates compared for a request.
-const CANDIDATES: usize = 2;
-
-/// What a generation needs of its engine.
+/// What a request needs of its upstream.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Request<'a> {
-    pub(crate) model: &'a str,
+    pub(crate) deadline: clock::Instant,
+    pub(crate) kind: control::Kind,
+    /// Model or service.
+    pub(crate) offer: &'a str,
     pub(crate) prefix: &'a [u64],
     pub(crate) request: &'a str,
     pub(crate) tokens: u32,
@@ -30,7 +32,7 @@
 /// What the attempts of one request have shown so far.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct History {
-    excluded: Vec<String>,
+    excluded: Vec<table::Upstream>,
     ran: Option<refusal::Ran>,
     retry_after_ms: Option<u32>,
 }
@@ -62,16 +64,17 @@
         request: &str,
     ) -> Option<time::Duration> {
         let upstream = &peer.identity.upstream;
-        self.excluded.push(upstream.clone());
+        self.excluded.push(peer.key);
         self.ran = Some(refusal.ran.merge(self.ran.unwrap_or(refusal.ran)));
         self.retry_after_ms = match (self.retry_after_ms, refusal.retry_after_ms) {
             (Some(earlier), Some(now)) => Some(now.min(earlier)),
             (earlier, now) => earlier.or(now),
         };
+        note_evidence(app, peer, refusal);
         if !is_worth_retry(refusal.code) {
             return None;
         }
-        let next = app.retries.plan(app.now(), attempt);
+        let next = app.retries.plan(app.board.now(), attempt);
         let details = format_args!(
             "request={request} upstream={upstream} attempt={} code={} ran={} next={next:?}",
             attempt.number,
@@ -89,6 +92,16 @@
     }
 }
 
+/// Notes what a failed attempt shows of its upstream.
+fn note_evidence(app: &app::App, peer: &peer::Peer, refusal: &refusal::Refusal) {
+    if refusal.code == refusal::Code::UpstreamFailed {
+        app.board.record_failure(peer.key);
+    } else {
+        let ran = refusal.ran != refusal::Ran::NotRun;
+        app.board.record_answer(peer.key, ran);
+    }
+}
+
 fn is_worth_retry(code: refusal::Code) -> bool {
     use refusal::Code;
     matches!(
@@ -102,96 +115,82 @@
     )
 }
 
-/// Returns the engine's agent for a generation, or why there is none.
-pub(crate) fn pick_engine(
+/// Returns the agent that gets the request, or why there is none.
+pub(crate) fn pick_peer(
     app: &app::App,
     request: &Request<'_>,
     history: &History,
 ) -> Result<sync::Arc<peer::Peer>, refusal::Refusal> {
     let fleet = app.fleet();
-    let offers = |peer: &peer::Peer| {
-        let report = peer.report();
-        peer.identity.kind == control::Kind::Engine
-            && report.is_some_and(|report| report.load.models.iter().any(|m| m == request.model))
-    };
-    pick(&fleet, request.request, history, offers)
-}
-
-/// Returns the agent for a call to a plain service, or why there is none.
-pub(crate) fn pick_service(
-    app: &app::App,
-    service: &str,
-    request: &str,
-    history: &History,
-) -> Result<sync::Arc<peer::Peer>, refusal::Refusal> {
-    let fleet = app.fleet();
-    let offers = |peer: &peer::Peer| {
-        peer.identity.kind == control::Kind::Service
-            && peer.identity.offers.iter().any(|offer| offer == service)
+    let fill = |group| place::Ask {
+        avoid: &history.excluded,
+        deadline: app.board.instant(request.deadline),
+        group,
+        prefix: request.prefix,
+        prompt_tokens: request.tokens,
     };
-    pick(&fleet, request, history, offers)
-}
-
-fn pick(
-    fleet: &fleet::Fleet,
-    request: &str,
-    history: &History,
-    offers: impl Fn(&peer::Peer) -> bool,
-) -> Result<sync::Arc<peer::Peer>, refusal::Refusal> {
-    let able: Vec<_> = fleet
-        .peers
-        .values()
-        .filter(|peer| is_open(fleet, peer) && offers(peer))
-        .filter(|peer| !history.excluded.contains(&peer.identity.upstream))
-        .collect();
-    let drawn: Vec<_> = able.sample(&mut rand::rng(), CANDIDATES).collect();
-    let Some(best) = drawn.iter().min_by_key(|peer| score(peer)) else {
-        return Err(refuse_none());
+    let mut weighed = Vec::new();
+    let choice = app
+        .board
+        .pick(request.kind, request.offer, fill, &mut weighed);
+    let weighed = Weighed {
+        candidates: &weighed,
+        fleet: &fleet,
     };
-    let details = format_args!(
-        "request={request} upstream={} able={} weighed={}",
-        best.identity.upstream,
-        able.len(),
-        Weighed(&drawn)
-    );
-    logs::emit(events::PLACED, details);
-    Ok(sync::Arc::clone(best))
-}
-
-fn is_open(fleet: &fleet::Fleet, peer: &peer::Peer) -> bool {
-    let config = &fleet.config;
-    if config.domains_out.contains(&peer.identity.domain)
-        || config.upstreams_out.contains(&peer.identity.upstream)
-    {
-        return false;
+    match choice {
+        place::Choice::Chosen { upstream, why } => {
+            let Some(peer) = fleet.find(upstream) else {
+                return Err(refuse_none(refusal::DEFAULT_RETRY_MS));
+            };
+            let details = format_args!(
+                "request={} upstream={} why={why:?} attempt={} weighed={weighed}",
+                request.request,
+                peer.identity.upstream,
+                history.attempts() + 1,
+            );
+            logs::emit(events::PLACED, details);
+            Ok(peer)
+        }
+        place::Choice::None { retry_after_ms } => {
+            let details = format_args!(
+                "request={} offer={} retry_after_ms={retry_after_ms} weighed={weighed}",
+                request.request, request.offer,
+            );
+            logs::emit(events::NOT_PLACED, details);
+            Err(refuse_none(u32::try_from(retry_after_ms).unwrap_or(u32::MAX)))
+        }
     }
-    let Some(report) = peer.report() else {
-        return false;
-    };
-    report.is_recent() && report.load.healthy && !report.load.draining
 }
 
-fn score(peer: &peer::Peer) -> u32 {
-    let Some(report) = peer.report() else {
-        return u32::MAX;
-    };
-    report.load.running + report.load.queued + report.sent_since
+/// Formats candidates as `upstream:cost(running+queued+sent/limit,free,matched)`.
+struct Weighed<'a> {
+    candidates: &'a [place::Candidate],
+    fleet: &'a fleet::Fleet,
 }
 
-struct Weighed<'a>(&'a [&'a &'a sync::Arc<peer::Peer>]);
-
 impl fmt::Display for Weighed<'_> {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, peer) in self.0.iter().enumerate() {
+        for (index, candidate) in self.candidates.iter().enumerate() {
             let comma = if index > 0 { "," } else { "" };
-            write!(formatter, "{comma}{}:{}", peer.identity.upstream, score(peer))?;
+            let peer = self.fleet.find(candidate.upstream);
+            let name = peer.as_ref().map_or("?", |peer| &peer.identity.upstream);
+            write!(
+                formatter,
+                "{comma}{name}:{:.0}({}+{}+{}/{},{},{})",
+                candidate.cost_ms,
+                candidate.running,
+                candidate.queued,
+                candidate.sent,
+                candidate.limit,
+                candidate.free_tokens,
+                candidate.matched_blocks,
+            )?;
         }
         Ok(())
     }
 }
 
-fn refuse_none() -> refusal::Refusal {
-    let message = "No upstream for this request is reachable.";
-    refusal::Refusal::not_run(refusal::Code::NoUpstream, message)
-        .with_retry(refusal::DEFAULT_RETRY_MS)
+fn refuse_none(retry_after_ms: u32) -> refusal::Refusal {
+    let message = "No upstream can take this request now.";
+    refusal::Refusal::not_run(refusal::Code::NoUpstream, message).with_retry(retry_after_ms)
 }
--- a/crates/entry/src/progress.rs
+++ b/crates/entry/src/progress.rs
@@ -35,6 +35,7 @@
 /// Position in one generation. Tokens of two generations never pass.
 #[derive(Clone, Debug, Default)]
 pub struct Progress {
+    announced: bool,
     delivered: bool,
     generation: Option<sync::Arc<str>>,
     next: u64,
@@ -44,6 +45,7 @@
     /// Returns the progress of a caller that already has the tokens below `offset`.
     pub fn resumed(generation: &str, offset: u64) -> Progress {
         Progress {
+            announced: false,
             delivered: true,
             generation: Some(generation.into()),
             next: offset,
@@ -53,12 +55,14 @@
     /// Takes the generation's name.
     pub fn take_name(&mut self, generation: &str) -> Naming {
         match &self.generation {
-            Some(known) if **known == *generation => Naming::Same,
-            Some(_) => Naming::Other,
-            None => {
-                self.generation = Some(generation.into());
-                Naming::New
-            }
+            Some(known) if **known != *generation => return Naming::Other,
+            Some(_) => {}
+            None => self.generation = Some(generation.into()),
+        }
+        if core::mem::replace(&mut self.announced, true) {
+            Naming::Same
+        } else {
+            Naming::New
         }
     }
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -11,6 +11,7 @@
 use peargap_core::retry;
 use peargap_wire::agent as wire;
 use peargap_wire::agent::up;
+use peargap_wire::control;
 use tokio::sync::mpsc;
 use tokio::time as clock;
 
@@ -125,12 +126,14 @@
                 return Outcome::Failed(history.merge(refusal));
             }
             let request = place::Request {
-                model: &start.model,
+                deadline: self.job.deadline,
+                kind: control::Kind::Engine,
+                offer: &start.model,
                 prefix: &start.prefix,
                 request: &self.job.request,
                 tokens: start.prompt_tokens,
             };
-            let peer = match place::pick_engine(&self.app, &request, &history) {
+            let peer = match place::pick_peer(&self.app, &request, &history) {
                 Ok(peer) => peer,
                 Err(refusal) => return Outcome::Failed(history.merge(refusal)),
             };
@@ -140,7 +143,7 @@
             };
             let deliverable = !self.caller.progress.is_delivered();
             let attempt = retry::Attempt {
-                deadline: self.app.instant(self.job.deadline),
+                deadline: self.app.board.instant(self.job.deadline),
                 number: history.attempts() + 1,
                 ran: refusal.ran.to_core(),
                 repeatable: deliverable,
@@ -168,14 +171,20 @@
         start.deadline_ms = self.caller.remaining_ms();
         start.config_version = self.app.view.version();
         start.incarnation = peer.incarnation();
-        peer.count_sent();
+        self.app.board.record_sent(peer.key, start.prompt_tokens);
         self.caller.progress = progress::Progress::default();
         let opened = tokio::select! {
             opened = link::open_link(peer, up::Kind::Start(start)) => opened,
             () = self.caller.left() => return Outcome::Done,
         };
         match opened {
-            Ok(link) => self.follow(peer, link).await,
+            Ok(link) => {
+                let outcome = self.follow(peer, link).await;
+                if let Outcome::Done = outcome {
+                    self.app.board.record_answer(peer.key, true);
+                }
+                outcome
+            }
             Err(error) => Outcome::Failed(describe_open_error(&error)),
         }
     }
--- a/crates/entry/src/render.rs
+++ b/crates/entry/src/render.rs
@@ -126,6 +126,12 @@
 }
 
 impl Events {
+    /// Returns the renderer for a caller that already has the stream's beginning.
+    pub(crate) fn resumed(mut self) -> Events {
+        self.opening = false;
+        self
+    }
+
     /// Appends one event for each token.
     pub(crate) fn put_tokens(&mut self, buffer: &mut BytesMut, offset: u64, tokens: &[bytes::Bytes]) {
         if self.opening && offset == 0 {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -32,9 +32,10 @@
     written: progress::Written,
 ) -> response::Response {
     let state = State {
-        events: resumed.map(|generation| style.events(generation)),
+        events: resumed.map(|generation| style.events(generation).resumed()),
         first: Some(first),
         handed: written.get(),
+        is_resumed: resumed.is_some(),
         over: false,
         pieces,
         style,
@@ -58,6 +59,7 @@
     first: Option<relay::Piece>,
     /// Offset below which tokens are in chunks that were handed out.
     handed: u64,
+    is_resumed: bool,
     over: bool,
     pieces: mpsc::Receiver<relay::Piece>,
     style: render::Style,
@@ -95,7 +97,9 @@
     fn put_piece(&mut self, buffer: &mut BytesMut, piece: relay::Piece) {
         match piece {
             relay::Piece::Accepted(generation) => {
-                self.events = Some(self.style.events(&generation));
+                if !self.is_resumed {
+                    self.events = Some(self.style.events(&generation));
+                }
                 buffer.put_slice(b": accepted\n\n");
             }
             relay::Piece::Failed(refusal) => {
