--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -2,7 +2,9 @@
 //! and signals.
 
 pub mod command;
+pub mod config;
 pub mod digest;
+pub mod follow;
 pub mod health;
 pub mod logs;
 pub mod manifest;
