--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -14,6 +14,7 @@
 use crate::events;
 use crate::fleet;
 use crate::metrics;
+use crate::quorum;
 use crate::refusal;
 use crate::settings;
 
@@ -24,12 +25,15 @@
     pub(crate) fleet: fleet::Watch,
     pub(crate) ids: Ids,
     pub(crate) metrics: metrics::Metrics,
+    pub(crate) quorum: quorum::Quorum,
     pub(crate) retries: Retries,
     pub(crate) settings: settings::Settings,
     /// Cancelled when the entry stops.
     pub(crate) stop: cancel::CancellationToken,
     /// Cancelled when streams are to be resumed elsewhere.
     pub(crate) streams_end: cancel::CancellationToken,
+    /// Work that outlives its caller's connection.
+    pub(crate) tasks: tokio_util::task::TaskTracker,
     pub(crate) view: follow::View,
 }
 
--- /dev/null
+++ b/crates/entry/src/call.rs
@@ -0,0 +1,149 @@
+//! Dispatches a call to a plain service's agent.
+
+use core::time;
+use std::sync;
+
+use axum::body;
+use axum::http;
+use axum::response;
+use peargap_core::retry;
+use peargap_wire::agent as wire;
+use peargap_wire::agent::call_reply;
+use peargap_wire::control;
+use tokio::time as clock;
+
+use crate::app;
+use crate::generations;
+use crate::peer;
+use crate::place;
+use crate::refusal;
+
+/// Time after the deadline that the agent has to say so itself.
+const DEADLINE_MARGIN: time::Duration = time::Duration::from_millis(250);
+
+/// One call.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) deadline: clock::Instant,
+    /// Whether it may run more than once.
+    pub(crate) repeatable: bool,
+    pub(crate) request: wire::CallRequest,
+}
+
+/// Runs a call and returns the service's answer as the caller's.
+pub(crate) async fn run(
+    app: sync::Arc<app::App>,
+    job: Job,
+) -> Result<response::Response, refusal::Refusal> {
+    let answer = dispatch(&app, &job).await?;
+    Ok(respond(answer))
+}
+
+/// Runs a call and returns the service's answer; tries again only what may run again.
+pub(crate) async fn dispatch(
+    app: &app::App,
+    job: &Job,
+) -> Result<wire::Response, refusal::Refusal> {
+    let _active = app.metrics.count_active();
+    let mut history = place::History::default();
+    app.retries.earn();
+    loop {
+        if let Some(refusal) = app.refuse_stale() {
+            return Err(history.merge(refusal));
+        }
+        let request = place::Request {
+            deadline: job.deadline,
+            kind: control::Kind::Service,
+            offer: &job.request.service,
+            prefix: &[],
+            request: &job.request.request,
+            tokens: 0,
+        };
+        let peer = place::pick_peer(app, &request, &history);
+        let peer = peer.map_err(|refusal| history.merge(refusal))?;
+        let refusal = match attempt(app, &peer, job, history.attempts()).await {
+            Ok(answer) => {
+                app.board.record_answer(peer.key, true);
+                return Ok(answer);
+            }
+            Err(refusal) => refusal,
+        };
+        let attempt = retry::Attempt {
+            deadline: app.board.instant(job.deadline),
+            number: history.attempts() + 1,
+            ran: refusal.ran.to_core(),
+            repeatable: job.repeatable,
+        };
+        let next = history.plan(app, &peer, &refusal, &attempt, &job.request.request);
+        let Some(pause) = next else {
+            return Err(history.merge(refusal));
+        };
+        clock::sleep(pause).await;
+    }
+}
+
+async fn attempt(
+    app: &app::App,
+    peer: &peer::Peer,
+    job: &Job,
+    number: u32,
+) -> Result<wire::Response, refusal::Refusal> {
+    let mut request = job.request.clone();
+    let left = job.deadline.saturating_duration_since(clock::Instant::now());
+    request.config_version = app.view.version();
+    request.deadline_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1);
+    request.incarnation = peer.incarnation();
+    request.request = format!("{}.{number}", job.request.request);
+    app.board.record_sent(peer.key, 0);
+    let (mut client, mark) = peer.lanes.current().client();
+    let limit = job.deadline + DEADLINE_MARGIN;
+    let reply = clock::timeout_at(limit, client.call(request)).await;
+    let ran = if mark.is_sent() {
+        refusal::Ran::Unknown
+    } else {
+        refusal::Ran::NotRun
+    };
+    match reply {
+        Ok(Ok(reply)) => read_reply(reply.into_inner()),
+        Ok(Err(_)) => Err(refuse_broken(ran)),
+        Err(_) => Err(refuse_late(ran)),
+    }
+}
+
+fn read_reply(reply: wire::CallReply) -> Result<wire::Response, refusal::Refusal> {
+    match reply.kind {
+        Some(call_reply::Kind::Response(answer)) => Ok(answer),
+        Some(call_reply::Kind::Failed(failed)) => Err(refusal::Refusal::from_failed(&failed)),
+        None => Err(refuse_broken(refusal::Ran::Unknown)),
+    }
+}
+
+fn refuse_broken(ran: refusal::Ran) -> refusal::Refusal {
+    let message = "The connection to the upstream was lost before its answer.";
+    refusal::Refusal::not_run(refusal::Code::UpstreamFailed, message)
+        .with_ran(ran)
+        .with_retry(refusal::DEFAULT_RETRY_MS)
+}
+
+fn refuse_late(ran: refusal::Ran) -> refusal::Refusal {
+    let message = "The call was not answered within its deadline.";
+    refusal::Refusal::not_run(refusal::Code::Deadline, message).with_ran(ran)
+}
+
+/// Returns a service's answer as the caller's.
+pub(crate) fn respond(answer: wire::Response) -> response::Response {
+    let mut response = response::Response::new(body::Body::from(answer.body));
+    let status = u16::try_from(answer.status).ok();
+    let status = status.and_then(|status| http::StatusCode::from_u16(status).ok());
+    *response.status_mut() = status.unwrap_or(http::StatusCode::BAD_GATEWAY);
+    for header in answer.headers {
+        let name = http::HeaderName::try_from(header.name);
+        let value = http::HeaderValue::from_maybe_shared(header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            if !generations::is_own_header(&name) {
+                response.headers_mut().append(name, value);
+            }
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/entry/src/claim.rs
@@ -0,0 +1,255 @@
+//! Calls that may not be repeated: claimed, dispatched once, settled.
+//!
+//! The work is a task of its own, so that a caller that leaves does not leave a claim behind.
+//! The outcome is settled before it is told where the quorum is quick; where it is not, the
+//! caller gets it after [`SETTLE_WAIT`] and the settlement goes on behind.
+
+use core::time;
+use std::sync;
+
+use axum::http;
+use axum::response;
+use peargap_adapters::logs;
+use peargap_wire::agent as wire;
+use peargap_wire::control;
+use peargap_wire::control::claim_reply;
+use peargap_wire::control::settle_request;
+use tokio::sync::oneshot;
+use tokio::time as clock;
+use xxhash_rust::xxh3;
+
+use crate::app;
+use crate::call;
+use crate::events;
+use crate::record;
+use crate::refusal;
+
+/// Header by which a caller names a call that it may send again.
+pub(crate) const KEY_HEADER: &str = "idempotency-key";
+/// Header on a recorded answer.
+const REPLAYED_HEADER: &str = "idempotency-replayed";
+/// How long a claim is sought while the quorum does not answer.
+const CLAIM_LIMIT: time::Duration = time::Duration::from_secs(5);
+/// How long a caller's answer waits for its settlement.
+const SETTLE_WAIT: time::Duration = time::Duration::from_millis(500);
+/// How long a settlement is tried after the deadline.
+const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(60);
+/// How long a claim whose answer was lost is sought in order to give it back.
+const RETURN_LIMIT: time::Duration = time::Duration::from_secs(30);
+
+type Answer = Result<response::Response, refusal::Refusal>;
+
+/// Names a call and the digest of what it asks for.
+#[derive(Clone, Debug)]
+pub(crate) struct Key {
+    digest: u64,
+    text: String,
+}
+
+impl Key {
+    /// Returns the key of a request that carries the caller's `key`.
+    pub(crate) fn new(request: &wire::CallRequest, key: &str) -> Key {
+        Key {
+            digest: hash_request(request),
+            text: format!("{}/{}/{key}", request.team, request.service),
+        }
+    }
+}
+
+fn hash_request(request: &wire::CallRequest) -> u64 {
+    let mut hasher = xxh3::Xxh3::new();
+    for part in [request.method.as_bytes(), request.path.as_bytes()] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.update(&request.body);
+    hasher.digest()
+}
+
+/// Runs a call at most once and returns its answer, or the one recorded earlier.
+pub(crate) async fn run(app: sync::Arc<app::App>, job: call::Job, key: Key) -> Answer {
+    let (sender, receiver) = oneshot::channel();
+    let task = Task {
+        answer: Some(sender),
+        app: app.clone(),
+        job,
+        key,
+    };
+    app.tasks.spawn(task.run());
+    receiver.await.unwrap_or_else(|_| Err(refuse_unknown()))
+}
+
+struct Task {
+    /// Where the caller waits, until it is told.
+    answer: Option<oneshot::Sender<Answer>>,
+    app: sync::Arc<app::App>,
+    job: call::Job,
+    key: Key,
+}
+
+impl Task {
+    async fn run(mut self) {
+        if let Some(refusal) = self.app.refuse_stale() {
+            return self.tell(Err(refusal));
+        }
+        let give_up_at = (clock::Instant::now() + CLAIM_LIMIT).min(self.job.deadline);
+        let reply = self.app.quorum.claim(self.build_claim(), give_up_at).await;
+        self.log_claim(reply.as_ref());
+        match reply {
+            Some(claim_reply::Kind::Granted(fence)) => self.run_granted(fence).await,
+            Some(claim_reply::Kind::Answer(answer)) => self.tell(replay(&answer)),
+            Some(kind) => self.tell(Err(describe_claim(&kind))),
+            None => {
+                self.tell(Err(refuse_unavailable(refusal::DEFAULT_RETRY_MS)));
+                self.give_back().await;
+            }
+        }
+    }
+
+    async fn run_granted(&mut self, fence: u64) {
+        self.job.request.claim = Some(wire::Claim {
+            fence,
+            key: self.key.text.clone(),
+        });
+        let outcome = call::dispatch(&self.app, &self.job).await;
+        let settlement = self.build_settlement(fence, &outcome);
+        let answer = outcome.map(call::respond);
+        let give_up_at = self.job.deadline.max(clock::Instant::now()) + SETTLE_LIMIT;
+        let app = self.app.clone();
+        let settling = app.quorum.settle(settlement, give_up_at);
+        tokio::pin!(settling);
+        let settled = clock::timeout(SETTLE_WAIT, &mut settling).await;
+        self.tell(answer);
+        let recorded = match settled {
+            Ok(recorded) => recorded,
+            Err(_) => settling.await,
+        };
+        self.log_settled(fence, recorded);
+    }
+
+    /// Looks for a claim whose answer was lost and gives it back: nothing ran under it.
+    async fn give_back(&mut self) {
+        let give_up_at = clock::Instant::now() + RETURN_LIMIT;
+        let reply = self.app.quorum.claim(self.build_claim(), give_up_at).await;
+        let Some(claim_reply::Kind::Granted(fence)) = reply else {
+            return;
+        };
+        let settlement = control::SettleRequest {
+            fence,
+            key: self.key.text.clone(),
+            outcome: Some(settle_request::Outcome::NotRun(true)),
+        };
+        let recorded = self.app.quorum.settle(settlement, give_up_at).await;
+        self.log_settled(fence, recorded);
+    }
+
+    fn tell(&mut self, answer: Answer) {
+        if let Some(sender) = self.answer.take() {
+            // The caller may have left.
+            let _ = sender.send(answer);
+        }
+    }
+
+    fn build_claim(&self) -> control::ClaimRequest {
+        let left = self.job.deadline.saturating_duration_since(clock::Instant::now());
+        control::ClaimRequest {
+            attempt: self.job.request.request.clone(),
+            deadline_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1),
+            digest: self.key.digest,
+            key: self.key.text.clone(),
+        }
+    }
+
+    fn build_settlement(
+        &self,
+        fence: u64,
+        outcome: &Result<wire::Response, refusal::Refusal>,
+    ) -> control::SettleRequest {
+        let outcome = match outcome {
+            Ok(answer) => settle_request::Outcome::Answer(record::encode_answer(answer)),
+            Err(refusal) => match refusal.ran {
+                refusal::Ran::NotRun => settle_request::Outcome::NotRun(true),
+                refusal::Ran::Ran | refusal::Ran::Unknown => settle_request::Outcome::Unknown(true),
+            },
+        };
+        control::SettleRequest {
+            fence,
+            key: self.key.text.clone(),
+            outcome: Some(outcome),
+        }
+    }
+
+    fn log_claim(&self, reply: Option<&claim_reply::Kind>) {
+        let outcome = match reply {
+            Some(claim_reply::Kind::Granted(_)) => "granted",
+            Some(claim_reply::Kind::InProgress(_)) => "in_progress",
+            Some(claim_reply::Kind::Answer(_)) => "answer",
+            Some(claim_reply::Kind::Unknown(_)) => "unknown",
+            Some(claim_reply::Kind::Mismatch(_)) => "mismatch",
+            Some(claim_reply::Kind::Unavailable(_)) => "unavailable",
+            Some(claim_reply::Kind::Ran(_)) => "ran",
+            None => "none",
+        };
+        let request = &self.job.request.request;
+        logs::emit(events::CLAIMED, format_args!("request={request} outcome={outcome}"));
+    }
+
+    fn log_settled(&self, fence: u64, recorded: bool) {
+        let request = &self.job.request.request;
+        let event = if recorded {
+            events::SETTLED
+        } else {
+            events::SETTLE_FAILED
+        };
+        logs::emit(event, format_args!("request={request} fence={fence}"));
+    }
+}
+
+/// Returns the recorded answer, marked as such.
+fn replay(answer: &[u8]) -> Answer {
+    let Some(answer) = record::decode_answer(answer) else {
+        return Err(refuse_ran());
+    };
+    let mut response = call::respond(answer);
+    let headers = response.headers_mut();
+    headers.insert(REPLAYED_HEADER, http::HeaderValue::from_static("true"));
+    Ok(response)
+}
+
+/// Returns what a claim that was not granted means to the caller.
+fn describe_claim(kind: &claim_reply::Kind) -> refusal::Refusal {
+    match kind {
+        claim_reply::Kind::InProgress(millis) => {
+            let message = "A call with this `Idempotency-Key` is running.";
+            refusal::Refusal::not_run(refusal::Code::InProgress, message)
+                .with_ran(refusal::Ran::Unknown)
+                .with_retry(*millis)
+        }
+        claim_reply::Kind::Mismatch(_) => {
+            let message = "This `Idempotency-Key` was used with another request.";
+            let mut refusal = refusal::Refusal::not_run(refusal::Code::Conflict, message);
+            refusal.param = Some("Idempotency-Key".to_owned());
+            refusal
+        }
+        claim_reply::Kind::Unavailable(millis) => refuse_unavailable(*millis),
+        claim_reply::Kind::Ran(_) => refuse_ran(),
+        claim_reply::Kind::Unknown(_)
+        | claim_reply::Kind::Granted(_)
+        | claim_reply::Kind::Answer(_) => refuse_unknown(),
+    }
+}
+
+fn refuse_unavailable(retry_after_ms: u32) -> refusal::Refusal {
+    let message = "The call could not be claimed, so it was not run.";
+    refusal::Refusal::not_run(refusal::Code::NoUpstream, message).with_retry(retry_after_ms)
+}
+
+fn refuse_ran() -> refusal::Refusal {
+    let message = "The call ran; its answer was too large to keep.";
+    refusal::Refusal::not_run(refusal::Code::AnswerGone, message).with_ran(refusal::Ran::Ran)
+}
+
+fn refuse_unknown() -> refusal::Refusal {
+    let message = "Whether the call ran is not known; it will not be run again.";
+    refusal::Refusal::not_run(refusal::Code::Unknown, message).with_ran(refusal::Ran::Unknown)
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,30 @@
+//! The entry: callers' connections, choice of an upstream, retries and the answer on its way back.
+
+mod app;
+mod auth;
+mod board;
+mod call;
+mod claim;
+mod events;
+mod fleet;
+mod generations;
+mod guard;
+mod lane;
+mod link;
+mod metrics;
+mod peer;
+mod place;
+pub mod progress;
+pub mod prompt;
+mod pump;
+mod quorum;
+mod record;
+mod refusal;
+mod relay;
+mod render;
+pub mod run;
+mod server;
+mod services;
+pub mod settings;
+mod stream;
+mod whole;
--- /dev/null
+++ b/crates/entry/src/quorum.rs
@@ -0,0 +1,105 @@
+//! Claims and settlements, asked of one control host after another.
+
+use core::time;
+use std::net;
+use std::sync::atomic;
+
+use peargap_wire::control;
+use peargap_wire::control::claim_reply;
+use peargap_wire::control::control_client;
+use tokio::time as clock;
+use tonic::transport;
+
+use crate::lane;
+
+/// A control host that has not answered by then is passed over.
+const HOST_LIMIT: time::Duration = time::Duration::from_millis(1_500);
+/// Pause before the next control host.
+const NEXT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+type Client = control_client::ControlClient<transport::Channel>;
+
+/// The control hosts, the last that answered first.
+#[derive(Debug)]
+pub(crate) struct Quorum {
+    channels: Vec<transport::Channel>,
+    preferred: atomic::AtomicUsize,
+}
+
+impl Quorum {
+    /// Returns the hosts at these addresses.
+    pub(crate) fn new(addresses: &[net::SocketAddr]) -> Quorum {
+        let endpoints = addresses.iter().map(|address| lane::build_endpoint(*address));
+        Quorum {
+            channels: endpoints.map(|endpoint| endpoint.connect_lazy()).collect(),
+            preferred: atomic::AtomicUsize::new(0),
+        }
+    }
+
+    /// Asks for a claim until there is an answer; the same attempt is sent to each host.
+    ///
+    /// Returns nothing at `give_up_at`: the claim may then be granted without this entry knowing.
+    pub(crate) async fn claim(
+        &self,
+        request: control::ClaimRequest,
+        give_up_at: clock::Instant,
+    ) -> Option<claim_reply::Kind> {
+        let mut unavailable = None;
+        loop {
+            let host = self.host();
+            let mut client = Client::new(self.channels[host].clone());
+            let limit = (clock::Instant::now() + HOST_LIMIT).min(give_up_at);
+            let answer = clock::timeout_at(limit, client.claim(request.clone())).await;
+            match answer {
+                Ok(Ok(reply)) => match reply.into_inner().kind {
+                    Some(claim_reply::Kind::Unavailable(millis)) => {
+                        unavailable = Some(claim_reply::Kind::Unavailable(millis));
+                    }
+                    Some(kind) => return Some(kind),
+                    None => {}
+                },
+                Ok(Err(_)) | Err(_) => {}
+            }
+            self.pass_over(host);
+            if clock::Instant::now() + NEXT_PAUSE >= give_up_at {
+                return unavailable;
+            }
+            clock::sleep(NEXT_PAUSE).await;
+        }
+    }
+
+    /// Sends a settlement until it is recorded; returns false at `give_up_at`.
+    pub(crate) async fn settle(
+        &self,
+        request: control::SettleRequest,
+        give_up_at: clock::Instant,
+    ) -> bool {
+        loop {
+            let host = self.host();
+            let mut client = Client::new(self.channels[host].clone());
+            let limit = (clock::Instant::now() + HOST_LIMIT).min(give_up_at);
+            let answer = clock::timeout_at(limit, client.settle(request.clone())).await;
+            if let Ok(Ok(reply)) = answer {
+                if reply.into_inner().recorded {
+                    return true;
+                }
+            }
+            self.pass_over(host);
+            if clock::Instant::now() + NEXT_PAUSE >= give_up_at {
+                return false;
+            }
+            clock::sleep(NEXT_PAUSE).await;
+        }
+    }
+
+    fn host(&self) -> usize {
+        self.preferred.load(atomic::Ordering::Relaxed) % self.channels.len()
+    }
+
+    fn pass_over(&self, host: usize) {
+        let next = (host + 1) % self.channels.len();
+        let order = atomic::Ordering::Relaxed;
+        // Another request may have moved on already.
+        let _ = self.preferred.compare_exchange(host, next, order, order);
+    }
+}
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -64,6 +64,7 @@
 /// Why a request gets no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Code {
+    AnswerGone,
     Busy,
     Cancelled,
     Conflict,
@@ -88,6 +89,7 @@
     /// Returns the word used in error bodies and metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
+            Code::AnswerGone => "answer_not_kept",
             Code::Busy => "busy",
             Code::Cancelled => "cancelled",
             Code::Conflict => "idempotency_mismatch",
@@ -118,7 +120,7 @@
             Code::Draining | Code::NoUpstream | Code::Stale => {
                 http::StatusCode::SERVICE_UNAVAILABLE
             }
-            Code::Gone => http::StatusCode::GONE,
+            Code::AnswerGone | Code::Gone => http::StatusCode::GONE,
             Code::HeadersTooLarge => http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Code::InProgress => http::StatusCode::CONFLICT,
             Code::InvalidKey => http::StatusCode::UNAUTHORIZED,
@@ -141,7 +143,8 @@
             | Code::Stale
             | Code::Unknown
             | Code::UpstreamFailed => "server_error",
-            Code::Cancelled
+            Code::AnswerGone
+            | Code::Cancelled
             | Code::Conflict
             | Code::Gone
             | Code::HeadersTooLarge
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,228 @@
+//! Starts and stops an entry's threads.
+
+use core::time;
+use std::process;
+use std::sync;
+use std::thread;
+
+use error_stack::ResultExt as _;
+use peargap_adapters::follow;
+use peargap_adapters::health;
+use peargap_adapters::logs;
+use peargap_adapters::metrics;
+use peargap_adapters::signals;
+use peargap_wire::control;
+use tokio::net;
+use tokio::runtime;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio_util::sync as cancel;
+
+use crate::app;
+use crate::board;
+use crate::events;
+use crate::fleet;
+use crate::metrics as instruments;
+use crate::quorum;
+use crate::server;
+use crate::settings;
+
+/// Time that outcomes of claimed calls have to be settled after the last request.
+const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(10);
+/// Period at which readiness is looked at.
+const READY_PERIOD: time::Duration = time::Duration::from_millis(100);
+
+/// What kept the entry from running.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Error {
+    /// An address cannot be listened on.
+    Listen,
+    /// The logs cannot be set up.
+    Logs,
+    /// The metrics cannot be set up.
+    Metrics,
+    /// A runtime or thread cannot be started.
+    Runtime,
+    /// Signals cannot be handled.
+    Signals,
+}
+
+impl core::fmt::Display for Error {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        formatter.write_str(match self {
+            Error::Listen => "cannot listen",
+            Error::Logs => "cannot set up logs",
+            Error::Metrics => "cannot set up metrics",
+            Error::Runtime => "cannot start a runtime",
+            Error::Signals => "cannot handle signals",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Runs an entry until SIGTERM; returns the process's exit code.
+pub fn run_entry(settings: settings::Settings) -> process::ExitCode {
+    match try_run(settings) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("peargap-entry: {report:?}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn try_run(settings: settings::Settings) -> Result<(), error_stack::Report<Error>> {
+    let log = settings.log;
+    logs::init(&settings.node.name, log.level, log.format).change_context(Error::Logs)?;
+    let traffic = runtime::Builder::new_multi_thread()
+        .enable_all()
+        .thread_name("traffic")
+        .build()
+        .change_context(Error::Runtime)?;
+    let control = start_control(&settings, traffic.handle().clone())?;
+    let served = traffic.block_on(serve(settings, &control));
+    control.stop.cancel();
+    // The control thread ends with its token; nothing depends on how.
+    let _ = control.thread.join();
+    served
+}
+
+/// The thread that follows the configuration and the agents' loads.
+struct Control {
+    board: sync::Arc<board::Board>,
+    fleet: fleet::Watch,
+    incarnation: String,
+    stop: cancel::CancellationToken,
+    thread: thread::JoinHandle<()>,
+    view: follow::View,
+}
+
+struct Followed {
+    fleet: fleet::Watch,
+    view: follow::View,
+}
+
+fn start_control(
+    settings: &settings::Settings,
+    traffic: runtime::Handle,
+) -> Result<Control, error_stack::Report<Error>> {
+    let incarnation = format!("{:08x}", rand::random::<u32>());
+    let board = sync::Arc::new(board::Board::new());
+    let stop = cancel::CancellationToken::new();
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(Error::Runtime)?;
+    let (sender, receiver) = oneshot::channel();
+    let options = build_options(settings, &incarnation);
+    let shared = board.clone();
+    let token = stop.clone();
+    let run = move || {
+        runtime.block_on(async {
+            let entry = options.node.name.clone();
+            let view = follow::spawn(options, token.clone());
+            let follower = fleet::Follower {
+                board: shared,
+                entry,
+                traffic,
+                view: view.clone(),
+            };
+            let fleet = fleet::spawn(follower, token.clone());
+            // The receiver waits below.
+            let _ = sender.send(Followed { fleet, view });
+            token.cancelled().await;
+        });
+    };
+    let thread = thread::Builder::new().name("control".to_owned()).spawn(run);
+    let thread = thread.change_context(Error::Runtime)?;
+    let followed = receiver.blocking_recv().change_context(Error::Runtime)?;
+    Ok(Control {
+        board,
+        fleet: followed.fleet,
+        incarnation,
+        stop,
+        thread,
+        view: followed.view,
+    })
+}
+
+fn build_options(settings: &settings::Settings, incarnation: &str) -> follow::Options {
+    let (_, announcement) = watch::channel(None);
+    follow::Options {
+        announcement,
+        controls: settings.controls.clone(),
+        node: control::Node {
+            address: settings.listen.callers.to_string(),
+            domain: settings.node.domain.clone(),
+            incarnation: incarnation.to_owned(),
+            name: settings.node.name.clone(),
+            role: control::Role::Entry.into(),
+        },
+    }
+}
+
+async fn serve(
+    settings: settings::Settings,
+    control: &Control,
+) -> Result<(), error_stack::Report<Error>> {
+    let registry = metrics::Registry::new().change_context(Error::Metrics)?;
+    let stop = signals::listen().change_context(Error::Signals)?;
+    let callers = bind(settings.listen.callers).await?;
+    let health = bind(settings.listen.health).await?;
+    let app = sync::Arc::new(app::App {
+        board: control.board.clone(),
+        fleet: control.fleet.clone(),
+        ids: app::Ids::new(&settings.node.name, &control.incarnation),
+        metrics: instruments::Metrics::new(&registry),
+        quorum: quorum::Quorum::new(&settings.controls),
+        retries: app::Retries::default(),
+        settings,
+        stop,
+        streams_end: cancel::CancellationToken::new(),
+        tasks: tokio_util::task::TaskTracker::new(),
+        view: control.view.clone(),
+    });
+    let readiness = health::Readiness::default();
+    let router = health::build_router(readiness.clone(), registry);
+    tokio::spawn(async move { axum::serve(health, router).await });
+    tokio::spawn(watch_readiness(app.clone(), readiness));
+    tokio::spawn(watch_stop(app.clone()));
+    let name = &app.settings.node.name;
+    logs::emit(events::STARTED, format_args!("entry={name}"));
+    server::serve(app.clone(), callers).await;
+    app.tasks.close();
+    // What is not settled by then stays claimed, and its key is answered as unknown.
+    let _ = tokio::time::timeout(SETTLE_LIMIT, app.tasks.wait()).await;
+    logs::emit(events::STOPPED, format_args!("entry={}", app.settings.node.name));
+    Ok(())
+}
+
+async fn bind(address: std::net::SocketAddr) -> Result<net::TcpListener, error_stack::Report<Error>> {
+    let listener = net::TcpListener::bind(address).await;
+    listener
+        .change_context(Error::Listen)
+        .attach_with(|| format!("address {address}"))
+}
+
+/// Keeps readiness true while the entry takes new work.
+async fn watch_readiness(app: sync::Arc<app::App>, readiness: health::Readiness) {
+    let mut timer = tokio::time::interval(READY_PERIOD);
+    loop {
+        tokio::select! {
+            biased;
+            () = app.stop.cancelled() => return readiness.set(false),
+            _ = timer.tick() => readiness.set(app.view.is_fresh()),
+        }
+    }
+}
+
+async fn watch_stop(app: sync::Arc<app::App>) {
+    app.stop.cancelled().await;
+    app.view.set_leaving();
+    logs::emit(events::DRAINING, format_args!("entry={}", app.settings.node.name));
+    if let Some(streams) = app.settings.drain.streams {
+        tokio::time::sleep(streams).await;
+        app.streams_end.cancel();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,129 @@
+//! Callers' listener: HTTP/1.1 and HTTP/2 in cleartext, and its graceful stop.
+
+use core::time;
+use std::sync;
+
+use axum::routing;
+use hyper_util::rt;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful;
+use hyper_util::service;
+use peargap_adapters::logs;
+use tokio::net;
+use tokio::sync::Semaphore;
+use tokio::time as clock;
+
+use crate::app;
+use crate::events;
+use crate::generations;
+use crate::guard;
+use crate::services;
+
+/// A request's head must arrive within this time.
+const HEAD_LIMIT: time::Duration = time::Duration::from_secs(10);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
+/// Most requests at once on one HTTP/2 connection.
+const STREAMS_LIMIT: u32 = 1_000;
+/// Output that one HTTP/2 stream may hold in memory.
+const STREAM_BUFFER_BYTES: usize = 64 << 10;
+
+/// Returns the routes that callers use.
+pub(crate) fn build_router(app: sync::Arc<app::App>) -> axum::Router {
+    let call = routing::any(services::answer_call);
+    axum::Router::new()
+        .route(
+            "/v1/chat/completions",
+            routing::post(generations::answer_chat),
+        )
+        .route(
+            "/v1/completions",
+            routing::post(generations::answer_completion),
+        )
+        .route("/v1/models", routing::get(generations::list_models))
+        .route("/services/{service}", call.clone())
+        .route("/services/{service}/", call.clone())
+        .route("/services/{service}/{*path}", call)
+        .fallback(generations::refuse_path)
+        .method_not_allowed_fallback(generations::refuse_method)
+        .with_state(app)
+}
+
+/// Serves callers until the entry stops, then lets running requests finish.
+pub(crate) async fn serve(app: sync::Arc<app::App>, listener: net::TcpListener) {
+    let server = Server {
+        builder: build_connections(&app),
+        connections: graceful::GracefulShutdown::new(),
+        places: sync::Arc::new(Semaphore::new(app.settings.limits.max_connections)),
+        router: build_router(app.clone()),
+        app,
+    };
+    server.run(listener).await;
+}
+
+struct Server {
+    app: sync::Arc<app::App>,
+    builder: auto::Builder<rt::TokioExecutor>,
+    connections: graceful::GracefulShutdown,
+    places: sync::Arc<Semaphore>,
+    router: axum::Router,
+}
+
+impl Server {
+    async fn run(self, listener: net::TcpListener) {
+        // A balancer needs a moment to learn that this entry is not ready.
+        let stop = async {
+            self.app.stop.cancelled().await;
+            clock::sleep(self.app.settings.drain.linger).await;
+        };
+        tokio::pin!(stop);
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => self.start_connection(stream),
+                    Err(_) => clock::sleep(ACCEPT_PAUSE).await,
+                },
+                () = &mut stop => break,
+            }
+        }
+        drop(listener);
+        self.connections.shutdown().await;
+    }
+
+    fn start_connection(&self, stream: net::TcpStream) {
+        let Ok(place) = self.places.clone().try_acquire_owned() else {
+            let most = self.app.settings.limits.max_connections;
+            logs::emit(events::CONNECTION_REFUSED, format_args!("most={most}"));
+            return;
+        };
+        // Without it small events wait for the peer's acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let limit = self.app.settings.limits.stalled_reader;
+        let io = rt::TokioIo::new(guard::Guarded::new(stream, limit));
+        let service = service::TowerToHyperService::new(self.router.clone());
+        let connection = self.builder.serve_connection(io, service).into_owned();
+        let connection = self.connections.watch(connection);
+        tokio::spawn(async move {
+            // A broken connection ends its requests; there is nobody to tell.
+            let _ = connection.await;
+            drop(place);
+        });
+    }
+}
+
+fn build_connections(app: &app::App) -> auto::Builder<rt::TokioExecutor> {
+    let header_bytes = app.settings.limits.header_bytes;
+    let mut builder = auto::Builder::new(rt::TokioExecutor::new());
+    builder
+        .http1()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .max_buf_size(header_bytes);
+    builder
+        .http2()
+        .timer(rt::TokioTimer::new())
+        .max_concurrent_streams(STREAMS_LIMIT)
+        .max_header_list_size(u32::try_from(header_bytes).unwrap_or(u32::MAX))
+        .max_send_buf_size(STREAM_BUFFER_BYTES);
+    builder
+}
