--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -118,9 +118,14 @@
     let Some(value) = headers.get(HEADER) else {
         return Ok(limits.default_deadline);
     };
-    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse::<u64>().ok());
     match millis {
-        Some(millis) if millis > 0 => Ok(time::Duration::from_millis(millis).min(limits.max_deadline)),
+        Some(millis) if millis > 0 => {
+            Ok(time::Duration::from_millis(millis).min(limits.max_deadline))
+        }
         Some(_) | None => {
             let message = format!("`{HEADER}` must be a whole number of milliseconds above 0.");
             Err(refusal::Refusal::invalid(HEADER, message))
--- a/crates/entry/src/board.rs
+++ b/crates/entry/src/board.rs
@@ -102,11 +102,11 @@
     }
 
     /// Picks an upstream that offers `offer`; `weighed` is filled for the log.
-    pub(crate) fn pick(
+    pub(crate) fn pick<'a>(
         &self,
         kind: control::Kind,
         offer: &str,
-        fill: impl FnOnce(table::Group) -> place::Ask<'_>,
+        fill: impl FnOnce(table::Group) -> place::Ask<'a>,
         weighed: &mut Vec<place::Candidate>,
     ) -> place::Choice {
         let now = self.now();
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -21,6 +21,9 @@
 /// Time after the deadline that the agent has to say so itself.
 const DEADLINE_MARGIN: time::Duration = time::Duration::from_millis(250);
 
+/// Times that a call is sent to one agent while connections break; the agent takes the first.
+const MAX_SENDS: u32 = 3;
+
 /// One call.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -89,32 +92,59 @@
     number: u32,
 ) -> Result<wire::Response, refusal::Refusal> {
     let mut request = job.request.clone();
-    let left = job.deadline.saturating_duration_since(clock::Instant::now());
+    let left = job
+        .deadline
+        .saturating_duration_since(clock::Instant::now());
     request.config_version = app.view.version();
     request.deadline_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1);
     request.incarnation = peer.incarnation();
     request.request = format!("{}.{number}", job.request.request);
     app.board.record_sent(peer.key, 0);
-    let (mut client, mark) = peer.lanes.current().client();
     let limit = job.deadline + DEADLINE_MARGIN;
-    let reply = clock::timeout_at(limit, client.call(request)).await;
-    let ran = if mark.is_sent() {
+    let mut sent = false;
+    for _ in 0..MAX_SENDS {
+        let lane = peer.lanes.current();
+        let (mut client, mark) = lane.client();
+        let reply = clock::timeout_at(limit, client.call(request.clone())).await;
+        let resent = sent;
+        sent |= mark.is_sent();
+        match reply {
+            Ok(Ok(reply)) => return read_reply(reply.into_inner(), resent),
+            Ok(Err(_)) => {}
+            Err(_) => return Err(refuse_late(map_sent(sent))),
+        }
+        // Only the same incarnation knows whether it received the request before.
+        if !sent || request.incarnation.is_empty() {
+            break;
+        }
+        peer.lanes.replace(lane.number);
+    }
+    Err(refuse_broken(map_sent(sent)))
+}
+
+fn map_sent(sent: bool) -> refusal::Ran {
+    if sent {
         refusal::Ran::Unknown
     } else {
-        refusal::Ran::NotRun
-    };
-    match reply {
-        Ok(Ok(reply)) => read_reply(reply.into_inner()),
-        Ok(Err(_)) => Err(refuse_broken(ran)),
-        Err(_) => Err(refuse_late(ran)),
+        refusal::Ran::No
     }
 }
 
-fn read_reply(reply: wire::CallReply) -> Result<wire::Response, refusal::Refusal> {
-    match reply.kind {
-        Some(call_reply::Kind::Response(answer)) => Ok(answer),
-        Some(call_reply::Kind::Failed(failed)) => Err(refusal::Refusal::from_failed(&failed)),
-        None => Err(refuse_broken(refusal::Ran::Unknown)),
+fn read_reply(reply: wire::CallReply, resent: bool) -> Result<wire::Response, refusal::Refusal> {
+    let failed = match reply.kind {
+        Some(call_reply::Kind::Response(answer)) => return Ok(answer),
+        Some(call_reply::Kind::Failed(failed)) => failed,
+        None => return Err(refuse_broken(refusal::Ran::Unknown)),
+    };
+    let refusal = refusal::Refusal::from_failed(&failed);
+    match (failed.reason(), resent) {
+        // An incarnation that this entry had not heard of refused the only copy.
+        (wire::Reason::Gone, false) => Err(refusal.with_ran(refusal::Ran::No)),
+        (_, true) => {
+            let ran = refusal.ran.merge(refusal::Ran::Unknown);
+            Err(refusal.with_ran(ran))
+        }
+        (_, false) => Err(refusal),
     }
 }
 
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -151,7 +151,10 @@
     }
 
     fn build_claim(&self) -> control::ClaimRequest {
-        let left = self.job.deadline.saturating_duration_since(clock::Instant::now());
+        let left = self
+            .job
+            .deadline
+            .saturating_duration_since(clock::Instant::now());
         control::ClaimRequest {
             attempt: self.job.request.request.clone(),
             deadline_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1),
@@ -168,8 +171,8 @@
         let outcome = match outcome {
             Ok(answer) => settle_request::Outcome::Answer(record::encode_answer(answer)),
             Err(refusal) => match refusal.ran {
-                refusal::Ran::NotRun => settle_request::Outcome::NotRun(true),
-                refusal::Ran::Ran | refusal::Ran::Unknown => settle_request::Outcome::Unknown(true),
+                refusal::Ran::No => settle_request::Outcome::NotRun(true),
+                refusal::Ran::Yes | refusal::Ran::Unknown => settle_request::Outcome::Unknown(true),
             },
         };
         control::SettleRequest {
@@ -191,7 +194,10 @@
             None => "none",
         };
         let request = &self.job.request.request;
-        logs::emit(events::CLAIMED, format_args!("request={request} outcome={outcome}"));
+        logs::emit(
+            events::CLAIMED,
+            format_args!("request={request} outcome={outcome}"),
+        );
     }
 
     fn log_settled(&self, fence: u64, recorded: bool) {
@@ -246,7 +252,7 @@
 
 fn refuse_ran() -> refusal::Refusal {
     let message = "The call ran; its answer was too large to keep.";
-    refusal::Refusal::not_run(refusal::Code::AnswerGone, message).with_ran(refusal::Ran::Ran)
+    refusal::Refusal::not_run(refusal::Code::AnswerGone, message).with_ran(refusal::Ran::Yes)
 }
 
 fn refuse_unknown() -> refusal::Refusal {
--- a/crates/entry/src/generations.rs
+++ b/crates/entry/src/generations.rs
@@ -147,7 +147,10 @@
         }
         Ok(Err(_)) => {
             let message = "The body did not arrive whole.";
-            Err(refusal::Refusal::not_run(refusal::Code::InvalidRequest, message))
+            Err(refusal::Refusal::not_run(
+                refusal::Code::InvalidRequest,
+                message,
+            ))
         }
         Err(_) => {
             let message = "The body did not arrive within the deadline.";
@@ -165,7 +168,10 @@
     manifest: &manifest::Manifest,
     prompt: &prompt::Prompt,
 ) -> Result<(), refusal::Refusal> {
-    let model = manifest.models.iter().find(|model| model.name == prompt.model);
+    let model = manifest
+        .models
+        .iter()
+        .find(|model| model.name == prompt.model);
     let Some(model) = model else {
         let message = format!("The model `{}` does not exist.", prompt.model);
         let mut refusal = refusal::Refusal::not_run(refusal::Code::ModelNotFound, message);
@@ -233,7 +239,9 @@
     if !prompt.stream {
         return relay::Audience::Whole;
     }
-    let leaves = headers.get("x-on-disconnect").map(http::HeaderValue::as_bytes);
+    let leaves = headers
+        .get("x-on-disconnect")
+        .map(http::HeaderValue::as_bytes);
     let grace = match leaves {
         Some(b"cancel") => time::Duration::ZERO,
         Some(_) | None => RESUME_GRACE,
@@ -272,11 +280,6 @@
     refusal::Refusal::not_run(refusal::Code::MethodNotAllowed, message)
 }
 
-/// Returns a header's text, if it is text.
-pub(crate) fn read_header<'a>(headers: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
 /// Headers that concern the caller's connection or this entry only.
 pub(crate) fn is_own_header(name: &http::HeaderName) -> bool {
     const OWN: [http::HeaderName; 8] = [
--- a/crates/entry/src/guard.rs
+++ b/crates/entry/src/guard.rs
@@ -39,7 +39,9 @@
             return polled;
         }
         let limit = self.limit;
-        let timer = self.timer.get_or_insert_with(|| Box::pin(clock::sleep(limit)));
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(clock::sleep(limit)));
         match timer.as_mut().poll(context) {
             task::Poll::Pending => task::Poll::Pending,
             task::Poll::Ready(()) => task::Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
--- a/crates/entry/src/lane.rs
+++ b/crates/entry/src/lane.rs
@@ -9,7 +9,6 @@
 use http_body_util::BodyExt as _;
 use peargap_wire::agent::agent_client;
 use tonic::codegen;
-use tonic::codegen::Service as _;
 use tonic::transport;
 
 /// A connection that is not made by then counts as failed.
@@ -131,7 +130,8 @@
 
 impl codegen::Service<http::Request<tonic::body::Body>> for Witness {
     type Error = transport::Error;
-    type Future = <transport::Channel as codegen::Service<http::Request<tonic::body::Body>>>::Future;
+    type Future =
+        <transport::Channel as codegen::Service<http::Request<tonic::body::Body>>>::Future;
     type Response = http::Response<tonic::body::Body>;
 
     fn poll_ready(
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -60,7 +60,7 @@
     Failed(wire::Failed),
     Finished(wire::Finished),
     /// The connection ended.
-    Lost(tonic::Status),
+    Lost,
 }
 
 /// An open link.
@@ -97,7 +97,9 @@
             if mark.is_sent() {
                 Err(OpenError::Silent)
             } else {
-                Err(OpenError::NotSent(tonic::Status::deadline_exceeded("no connection")))
+                Err(OpenError::NotSent(tonic::Status::deadline_exceeded(
+                    "no connection",
+                )))
             }
         }
     }
@@ -112,8 +114,7 @@
             let message = self.down.next().await;
             self.heard = clock::Instant::now();
             match message {
-                None => return Event::Lost(tonic::Status::unavailable("link closed")),
-                Some(Err(status)) => return Event::Lost(status),
+                None | Some(Err(_)) => return Event::Lost,
                 Some(Ok(message)) => {
                     if let Some(event) = map_message(message) {
                         return event;
@@ -163,7 +164,7 @@
     }
     loop {
         match link.next().await {
-            Event::Failed(_) | Event::Finished(_) | Event::Lost(_) => return,
+            Event::Failed(_) | Event::Finished(_) | Event::Lost => return,
             Event::Accepted(_) | Event::Chunk(_) => {}
         }
     }
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -97,7 +97,7 @@
     if refusal.code == refusal::Code::UpstreamFailed {
         app.board.record_failure(peer.key);
     } else {
-        let ran = refusal.ran != refusal::Ran::NotRun;
+        let ran = refusal.ran != refusal::Ran::No;
         app.board.record_answer(peer.key, ran);
     }
 }
@@ -157,7 +157,9 @@
                 request.request, request.offer,
             );
             logs::emit(events::NOT_PLACED, details);
-            Err(refuse_none(u32::try_from(retry_after_ms).unwrap_or(u32::MAX)))
+            Err(refuse_none(
+                u32::try_from(retry_after_ms).unwrap_or(u32::MAX),
+            ))
         }
     }
 }
--- a/crates/entry/src/prompt.rs
+++ b/crates/entry/src/prompt.rs
@@ -141,7 +141,12 @@
 }
 
 fn read_messages(value: &Value) -> Result<Vec<u8>, Wrong> {
-    let wrong = || Wrong::new("messages", "must be a list of objects with role and content");
+    let wrong = || {
+        Wrong::new(
+            "messages",
+            "must be a list of objects with role and content",
+        )
+    };
     let messages = value
         .get("messages")
         .and_then(Value::as_array)
@@ -188,7 +193,10 @@
     let limit = value.get(field).and_then(Value::as_u64);
     match limit.map(u32::try_from) {
         Some(Ok(limit)) if limit > 0 => Ok(limit),
-        Some(_) | None => Err(Wrong::new(field, "must be a whole number from 1 to 4294967295")),
+        Some(_) | None => Err(Wrong::new(
+            field,
+            "must be a whole number from 1 to 4294967295",
+        )),
     }
 }
 
@@ -239,9 +247,7 @@
 fn check_stop(value: &Value) -> Result<(), Wrong> {
     let right = match value.get("stop") {
         None | Some(Value::Null | Value::String(_)) => true,
-        Some(Value::Array(stops)) => {
-            stops.len() <= MAX_STOPS && stops.iter().all(Value::is_string)
-        }
+        Some(Value::Array(stops)) => stops.len() <= MAX_STOPS && stops.iter().all(Value::is_string),
         Some(Value::Bool(_) | Value::Number(_) | Value::Object(_)) => false,
     };
     if right {
@@ -263,7 +269,14 @@
             return Err(Wrong::new(field, "is not supported"));
         }
     }
-    for field in ["audio", "function_call", "functions", "tool_choice", "tools", "top_logprobs"] {
+    for field in [
+        "audio",
+        "function_call",
+        "functions",
+        "tool_choice",
+        "tools",
+        "top_logprobs",
+    ] {
         let empty = value[field].as_array().is_some_and(Vec::is_empty);
         if is_set(value, field) && !empty {
             return Err(Wrong::new(field, "is not supported"));
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -90,9 +90,21 @@
         self.pieces.closed().await;
     }
 
+    /// Returns the time since the request arrived.
+    pub(crate) fn elapsed(&self) -> time::Duration {
+        self.started.elapsed()
+    }
+
+    /// Returns the time until the first token, if there was one.
+    pub(crate) fn first_token(&self) -> Option<time::Duration> {
+        self.first_token.map(|at| at - self.started)
+    }
+
     /// Returns the time left until the deadline, at least 1 ms.
     pub(crate) fn remaining_ms(&self) -> u32 {
-        let left = self.deadline.saturating_duration_since(clock::Instant::now());
+        let left = self
+            .deadline
+            .saturating_duration_since(clock::Instant::now());
         u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1)
     }
 
@@ -195,7 +207,7 @@
                 self.pending.push_back(relay::Piece::Finished(finished));
                 Some(End::Done)
             }
-            link::Event::Lost(_) => Some(End::Lost("closed")),
+            link::Event::Lost => Some(End::Lost("closed")),
         }
     }
 
@@ -301,7 +313,7 @@
                 () = app.stop.cancelled(), if !grace.is_zero() => return,
                 _ = ping.tick() => link.ping(),
                 event = link.next() => match event {
-                    link::Event::Failed(_) | link::Event::Finished(_) | link::Event::Lost(_) => return,
+                    link::Event::Failed(_) | link::Event::Finished(_) | link::Event::Lost => return,
                     link::Event::Accepted(_) | link::Event::Chunk(_) => {}
                 },
             }
@@ -310,7 +322,7 @@
 
     fn refuse_deadline(&self) -> refusal::Refusal {
         let ran = if self.progress.has_tokens() {
-            refusal::Ran::Ran
+            refusal::Ran::Yes
         } else {
             refusal::Ran::Unknown
         };
--- a/crates/entry/src/quorum.rs
+++ b/crates/entry/src/quorum.rs
@@ -29,7 +29,9 @@
 impl Quorum {
     /// Returns the hosts at these addresses.
     pub(crate) fn new(addresses: &[net::SocketAddr]) -> Quorum {
-        let endpoints = addresses.iter().map(|address| lane::build_endpoint(*address));
+        let endpoints = addresses
+            .iter()
+            .map(|address| lane::build_endpoint(*address));
         Quorum {
             channels: endpoints.map(|endpoint| endpoint.connect_lazy()).collect(),
             preferred: atomic::AtomicUsize::new(0),
@@ -50,15 +52,14 @@
             let mut client = Client::new(self.channels[host].clone());
             let limit = (clock::Instant::now() + HOST_LIMIT).min(give_up_at);
             let answer = clock::timeout_at(limit, client.claim(request.clone())).await;
-            match answer {
-                Ok(Ok(reply)) => match reply.into_inner().kind {
-                    Some(claim_reply::Kind::Unavailable(millis)) => {
-                        unavailable = Some(claim_reply::Kind::Unavailable(millis));
-                    }
-                    Some(kind) => return Some(kind),
-                    None => {}
-                },
-                Ok(Err(_)) | Err(_) => {}
+            let kind = match answer {
+                Ok(Ok(reply)) => reply.into_inner().kind,
+                Ok(Err(_)) | Err(_) => None,
+            };
+            match kind {
+                Some(claim_reply::Kind::Unavailable(_)) => unavailable = kind,
+                Some(kind) => return Some(kind),
+                None => {}
             }
             self.pass_over(host);
             if clock::Instant::now() + NEXT_PAUSE >= give_up_at {
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -16,19 +16,19 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Ran {
     /// It provably did not run and will not.
-    NotRun,
-    /// It ran or began to.
-    Ran,
+    No,
     /// Nobody knows.
     Unknown,
+    /// It ran or began to.
+    Yes,
 }
 
 impl Ran {
     /// Returns the word used in error bodies and headers.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
-            Ran::NotRun => "not_run",
-            Ran::Ran => "ran",
+            Ran::No => "not_run",
+            Ran::Yes => "ran",
             Ran::Unknown => "unknown",
         }
     }
@@ -36,8 +36,8 @@
     /// Returns it for the retry decision.
     pub(crate) fn to_core(self) -> retry::Ran {
         match self {
-            Ran::NotRun => retry::Ran::No,
-            Ran::Ran => retry::Ran::Yes,
+            Ran::No => retry::Ran::No,
+            Ran::Yes => retry::Ran::Yes,
             Ran::Unknown => retry::Ran::Unknown,
         }
     }
@@ -45,17 +45,17 @@
     /// Returns what holds of a request with two attempts.
     pub(crate) fn merge(self, other: Ran) -> Ran {
         match (self, other) {
-            (Ran::Ran, _) | (_, Ran::Ran) => Ran::Ran,
+            (Ran::Yes, _) | (_, Ran::Yes) => Ran::Yes,
             (Ran::Unknown, _) | (_, Ran::Unknown) => Ran::Unknown,
-            (Ran::NotRun, Ran::NotRun) => Ran::NotRun,
+            (Ran::No, Ran::No) => Ran::No,
         }
     }
 
     /// Returns the agent's word for it.
     pub(crate) fn from_wire(ran: i32) -> Ran {
         match wire::Ran::try_from(ran) {
-            Ok(wire::Ran::No) => Ran::NotRun,
-            Ok(wire::Ran::Yes) => Ran::Ran,
+            Ok(wire::Ran::No) => Ran::No,
+            Ok(wire::Ran::Yes) => Ran::Yes,
             Ok(wire::Ran::Unknown) | Err(_) => Ran::Unknown,
         }
     }
@@ -71,7 +71,6 @@
     Deadline,
     Draining,
     Gone,
-    HeadersTooLarge,
     InProgress,
     InvalidKey,
     InvalidRequest,
@@ -80,6 +79,7 @@
     NoUpstream,
     NotFound,
     Stale,
+    Superseded,
     TooLarge,
     Unknown,
     UpstreamFailed,
@@ -96,7 +96,6 @@
             Code::Deadline => "deadline_exceeded",
             Code::Draining => "draining",
             Code::Gone => "generation_gone",
-            Code::HeadersTooLarge => "headers_too_large",
             Code::InProgress => "in_progress",
             Code::InvalidKey => "invalid_api_key",
             Code::InvalidRequest => "invalid_request",
@@ -105,6 +104,7 @@
             Code::NoUpstream => "no_upstream",
             Code::NotFound => "not_found",
             Code::Stale => "configuration_stale",
+            Code::Superseded => "resumed_elsewhere",
             Code::TooLarge => "request_too_large",
             Code::Unknown => "outcome_unknown",
             Code::UpstreamFailed => "upstream_failed",
@@ -121,8 +121,7 @@
                 http::StatusCode::SERVICE_UNAVAILABLE
             }
             Code::AnswerGone | Code::Gone => http::StatusCode::GONE,
-            Code::HeadersTooLarge => http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Code::InProgress => http::StatusCode::CONFLICT,
+            Code::InProgress | Code::Superseded => http::StatusCode::CONFLICT,
             Code::InvalidKey => http::StatusCode::UNAUTHORIZED,
             Code::InvalidRequest => http::StatusCode::BAD_REQUEST,
             Code::MethodNotAllowed => http::StatusCode::METHOD_NOT_ALLOWED,
@@ -147,12 +146,12 @@
             | Code::Cancelled
             | Code::Conflict
             | Code::Gone
-            | Code::HeadersTooLarge
             | Code::InProgress
             | Code::InvalidRequest
             | Code::MethodNotAllowed
             | Code::ModelNotFound
             | Code::NotFound
+            | Code::Superseded
             | Code::TooLarge => "invalid_request_error",
         }
     }
@@ -180,7 +179,7 @@
             code,
             message: message.into(),
             param: None,
-            ran: Ran::NotRun,
+            ran: Ran::No,
             retry_after_ms: None,
         }
     }
@@ -209,10 +208,14 @@
     /// Returns what an agent's failure means to the caller.
     pub(crate) fn from_failed(failed: &wire::Failed) -> Refusal {
         let reason = wire::Reason::try_from(failed.reason).unwrap_or(wire::Reason::Unspecified);
-        let ran = Ran::from_wire(failed.ran);
+        // Of a request received before, only the first receipt knows whether it ran.
+        let ran = match reason {
+            wire::Reason::Repeated => Ran::Unknown,
+            _ => Ran::from_wire(failed.ran),
+        };
         let refusal = Refusal::not_run(map_reason(reason), describe_reason(reason)).with_ran(ran);
         match (refusal.code, failed.retry_after_ms) {
-            (Code::InvalidRequest | Code::Cancelled | Code::Gone, _) => refusal,
+            (Code::InvalidRequest | Code::Cancelled | Code::Gone | Code::Superseded, _) => refusal,
             (_, 0) => refusal.with_retry(DEFAULT_RETRY_MS),
             (_, millis) => refusal.with_retry(millis),
         }
@@ -272,9 +275,11 @@
         wire::Reason::Invalid => Code::InvalidRequest,
         wire::Reason::Cancelled => Code::Cancelled,
         wire::Reason::Model => Code::NoUpstream,
-        wire::Reason::Unspecified | wire::Reason::Upstream | wire::Reason::Fenced => {
-            Code::UpstreamFailed
-        }
+        wire::Reason::Superseded => Code::Superseded,
+        wire::Reason::Unspecified
+        | wire::Reason::Upstream
+        | wire::Reason::Fenced
+        | wire::Reason::Repeated => Code::UpstreamFailed,
     }
 }
 
@@ -290,6 +295,8 @@
         wire::Reason::Cancelled => "The request was cancelled.",
         wire::Reason::Model => "The model is not loaded on the upstream.",
         wire::Reason::Fenced => "A later attempt holds the claim on this call.",
+        wire::Reason::Superseded => "The generation was resumed on another connection.",
+        wire::Reason::Repeated => "The upstream received the request before.",
         wire::Reason::Unspecified | wire::Reason::Upstream => "The upstream failed.",
     }
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -108,13 +108,30 @@
             Order::Start(start) => self.start(*start).await,
         };
         match outcome {
-            Outcome::Done => {}
+            Outcome::Done => self.log_finished(),
             Outcome::Failed(refusal) => self.give_up(refusal).await,
         }
     }
 
+    fn log_finished(&self) {
+        let generation = self.caller.progress.generation().unwrap_or_default();
+        let first_token = self.caller.first_token().unwrap_or_default();
+        logs::emit(
+            events::FINISHED,
+            format_args!(
+                "request={} team={} generation={generation} next={} first_token_ms={} total_ms={}",
+                self.job.request,
+                self.job.team,
+                self.caller.progress.next(),
+                first_token.as_millis(),
+                self.caller.elapsed().as_millis(),
+            ),
+        );
+    }
+
     async fn give_up(&mut self, refusal: refusal::Refusal) {
-        self.app.log_refusal(&self.job.request, &self.job.team, &refusal);
+        self.app
+            .log_refusal(&self.job.request, &self.job.team, &refusal);
         self.caller.give(Piece::Failed(refusal)).await;
     }
 
@@ -195,11 +212,13 @@
             return Outcome::Failed(refuse_gone());
         };
         self.caller.progress = progress::Progress::resumed(&generation, offset);
-        let details = format_args!(
-            "request={} team={} generation={generation} offset={offset}",
-            self.job.request, self.job.team
+        logs::emit(
+            events::RESUMED,
+            format_args!(
+                "request={} team={} generation={generation} offset={offset}",
+                self.job.request, self.job.team
+            ),
         );
-        logs::emit(events::RESUMED, details);
         match self.relink(&peer, None).await {
             Ok(link) => self.follow(&peer, link).await,
             Err(refusal) => Outcome::Failed(refusal),
@@ -218,13 +237,15 @@
                 pump::End::Refused(refusal) => return Outcome::Failed(refusal),
                 pump::End::Lost(cause) => cause,
             };
-            let details = format_args!(
-                "request={} upstream={} offset={} cause={cause}",
-                self.job.request,
-                peer.identity.upstream,
-                self.caller.progress.next(),
+            logs::emit(
+                events::LINK_REPLACED,
+                format_args!(
+                    "request={} upstream={} offset={} cause={cause}",
+                    self.job.request,
+                    peer.identity.upstream,
+                    self.caller.progress.next(),
+                ),
             );
-            logs::emit(events::LINK_REPLACED, details);
             self.app.metrics.links_replaced.add(1, &[]);
             link = match self.relink(peer, Some(lane)).await {
                 Ok(link) => link,
@@ -268,7 +289,7 @@
     fn describe_failed(&self, failed: &wire::Failed) -> refusal::Refusal {
         let refusal = refusal::Refusal::from_failed(failed);
         if self.caller.progress.has_tokens() {
-            return refusal.with_ran(refusal::Ran::Ran);
+            return refusal.with_ran(refusal::Ran::Yes);
         }
         refusal
     }
@@ -276,7 +297,7 @@
 
 fn describe_open_error(error: &link::OpenError) -> refusal::Refusal {
     let ran = match error {
-        link::OpenError::NotSent(_) => refusal::Ran::NotRun,
+        link::OpenError::NotSent(_) => refusal::Ran::No,
         link::OpenError::Sent(_) | link::OpenError::Silent => refusal::Ran::Unknown,
     };
     let message = "The upstream cannot be reached.";
--- a/crates/entry/src/render.rs
+++ b/crates/entry/src/render.rs
@@ -133,7 +133,12 @@
     }
 
     /// Appends one event for each token.
-    pub(crate) fn put_tokens(&mut self, buffer: &mut BytesMut, offset: u64, tokens: &[bytes::Bytes]) {
+    pub(crate) fn put_tokens(
+        &mut self,
+        buffer: &mut BytesMut,
+        offset: u64,
+        tokens: &[bytes::Bytes],
+    ) {
         if self.opening && offset == 0 {
             self.put_opening(buffer);
         }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -194,11 +194,16 @@
     app.tasks.close();
     // What is not settled by then stays claimed, and its key is answered as unknown.
     let _ = tokio::time::timeout(SETTLE_LIMIT, app.tasks.wait()).await;
-    logs::emit(events::STOPPED, format_args!("entry={}", app.settings.node.name));
+    logs::emit(
+        events::STOPPED,
+        format_args!("entry={}", app.settings.node.name),
+    );
     Ok(())
 }
 
-async fn bind(address: std::net::SocketAddr) -> Result<net::TcpListener, error_stack::Report<Error>> {
+async fn bind(
+    address: std::net::SocketAddr,
+) -> Result<net::TcpListener, error_stack::Report<Error>> {
     let listener = net::TcpListener::bind(address).await;
     listener
         .change_context(Error::Listen)
@@ -220,7 +225,10 @@
 async fn watch_stop(app: sync::Arc<app::App>) {
     app.stop.cancelled().await;
     app.view.set_leaving();
-    logs::emit(events::DRAINING, format_args!("entry={}", app.settings.node.name));
+    logs::emit(
+        events::DRAINING,
+        format_args!("entry={}", app.settings.node.name),
+    );
     if let Some(streams) = app.settings.drain.streams {
         tokio::time::sleep(streams).await;
         app.streams_end.cancel();
