--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod follow;
 pub mod forecast;
 pub mod generation;
+pub mod log;
 pub mod manifest;
 pub mod members;
 pub mod place;
