--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -8,15 +8,20 @@
 use peargap_adapters::health;
 use peargap_adapters::logs;
 use peargap_adapters::metrics;
+use peargap_wire::control::control_server;
+use peargap_wire::operator::operator_server;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use tonic::transport::server;
 
 use crate::events;
 use crate::files;
 use crate::gauges;
+use crate::inbox;
 use crate::machine;
+use crate::operators;
 use crate::peers;
 use crate::replica;
 use crate::service;
@@ -69,13 +74,16 @@
     let readiness = health::Readiness::default();
     let servers = token.child_token();
     let health = serve_health(&settings, readiness.clone(), registry, &servers).await?;
-    let internal = serve_internal(&settings, &replica, &servers).await?;
+    let services = build_services(&settings, &replica, &servers);
+    let internal = serve_internal(&settings, &replica, services.control, &servers).await?;
+    let operators = serve_operators(&settings, services.operator, &servers).await?;
     tokio::spawn(follow_readiness(replica.handle.status(), readiness));
     let result = wait_for_end(&replica.inputs, replica.ended, &token).await;
     servers.cancel();
     tokio::time::sleep(LINGER).await;
     links.cancel();
     internal.abort();
+    operators.abort();
     health.abort();
     logs::emit(events::STOPPED, format_args!("host={}", settings.name));
     result
@@ -154,18 +162,48 @@
     bound.map_err(|error| Error::Listen(address, error.to_string()))
 }
 
+fn build_services(
+    settings: &settings::Settings,
+    replica: &Replica,
+    token: &CancellationToken,
+) -> service::Services {
+    let options = service::Options {
+        handle: replica.handle.clone(),
+        name: settings.name.clone(),
+        operator_keys: settings.operator_keys.clone(),
+    };
+    service::build(options, token.clone())
+}
+
+async fn serve_operators(
+    settings: &settings::Settings,
+    operators: operator_server::OperatorServer<operators::Operators>,
+    token: &CancellationToken,
+) -> Result<tokio::task::JoinHandle<()>, Error> {
+    let listener = bind(settings.operators).await?;
+    let incoming = server::TcpIncoming::from(listener).with_nodelay(Some(true));
+    let server = tonic::transport::Server::builder().add_service(operators);
+    let stop = token.clone().cancelled_owned();
+    Ok(tokio::spawn(async move {
+        let _ = server.serve_with_incoming_shutdown(incoming, stop).await;
+    }))
+}
+
 async fn serve_internal(
     settings: &settings::Settings,
     replica: &Replica,
+    control: control_server::ControlServer<service::Control>,
     token: &CancellationToken,
 ) -> Result<tokio::task::JoinHandle<()>, Error> {
     let listener = bind(settings.internal).await?;
-    let incoming = tonic::transport::server::TcpIncoming::from(listener).with_nodelay(Some(true));
-    let peer = service::build_server(service::Service {
+    let incoming = server::TcpIncoming::from(listener).with_nodelay(Some(true));
+    let peer = inbox::build_server(inbox::Inbox {
         handle: replica.handle.clone(),
         inputs: replica.inputs.clone(),
     });
-    let server = tonic::transport::Server::builder().add_service(peer);
+    let server = tonic::transport::Server::builder()
+        .add_service(peer)
+        .add_service(control);
     let stop = token.clone().cancelled_owned();
     Ok(tokio::spawn(async move {
         let _ = server.serve_with_incoming_shutdown(incoming, stop).await;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,65 +1,129 @@
-//! The `Peer` service: messages and proposals from the other control hosts.
+//! The services of a control host, as tonic serves them.
 
-use peargap_wire::peer as wire;
+use std::sync;
+use std::sync::atomic;
+
+use futures::StreamExt as _;
+use peargap_wire::control;
+use peargap_wire::control::control_server;
+use peargap_wire::operator::operator_server;
 use tokio::sync::mpsc;
+use tokio_stream::wrappers;
+use tokio_util::sync as cancel;
 
-use crate::convert;
-use crate::peers;
+use crate::attached;
+use crate::claims;
+use crate::operators;
+use crate::pace;
 use crate::replica;
-use crate::worker;
+use crate::spread;
+use crate::watch;
+
+/// Updates that may wait for a slow link.
+const UPDATE_BUFFER: usize = 4;
+/// Largest message taken, in bytes.
+const MESSAGE_BYTES: usize = 16 << 20;
 
-/// Answers the other control hosts.
+/// What the services of a control host are built from.
 #[derive(Clone, Debug)]
-pub(crate) struct Service {
-    pub(crate) handle: replica::Handle,
-    pub(crate) inputs: mpsc::Sender<worker::Input>,
+pub struct Options {
+    /// The replicated state.
+    pub handle: replica::Handle,
+    /// Name of this control host.
+    pub name: String,
+    /// SHA-256 digests of operators' keys.
+    pub operator_keys: Vec<[u8; 32]>,
+}
+
+/// The services on both ports.
+#[derive(Debug)]
+pub struct Services {
+    /// For entries and agents, on the inter-process port.
+    pub control: control_server::ControlServer<Control>,
+    /// For operators, on their own port.
+    pub operator: operator_server::OperatorServer<operators::Operators>,
+}
+
+/// Returns the services; their links end when `token` is cancelled.
+pub fn build(options: Options, token: cancel::CancellationToken) -> Services {
+    let nodes = attached::Nodes::default();
+    tokio::spawn(pace::run(options.handle.clone(), token.clone()));
+    let control = Control {
+        links: sync::Arc::default(),
+        shared: watch::Shared {
+            handle: options.handle.clone(),
+            nodes: nodes.clone(),
+            spread: spread::Spread::default(),
+            token,
+        },
+    };
+    let operators = operators::Operators {
+        handle: options.handle,
+        keys: options.operator_keys.into(),
+        name: options.name,
+        nodes,
+    };
+    Services {
+        control: control_server::ControlServer::new(control)
+            .max_decoding_message_size(MESSAGE_BYTES),
+        operator: operator_server::OperatorServer::new(operators)
+            .max_decoding_message_size(MESSAGE_BYTES),
+    }
 }
 
-/// Returns the service for a server.
-pub(crate) fn build_server(service: Service) -> wire::peer_server::PeerServer<Service> {
-    wire::peer_server::PeerServer::new(service)
-        .max_decoding_message_size(peers::MAX_MESSAGE_BYTES)
-        .max_encoding_message_size(peers::MAX_MESSAGE_BYTES)
+/// Serves entries and agents.
+#[derive(Clone, Debug)]
+pub struct Control {
+    links: sync::Arc<atomic::AtomicU64>,
+    shared: watch::Shared,
 }
 
 #[tonic::async_trait]
-impl wire::peer_server::Peer for Service {
-    async fn deliver(
+impl control_server::Control for Control {
+    type WatchStream = wrappers::ReceiverStream<Result<control::Update, tonic::Status>>;
+
+    async fn watch(
         &self,
-        request: tonic::Request<wire::Envelope>,
-    ) -> Result<tonic::Response<wire::Receipt>, tonic::Status> {
-        let envelope = request.into_inner();
-        let clocks = worker::Clocks {
-            clock_ms: envelope.clock_ms,
-            echo_ms: envelope.echo_ms,
-            lease_ms: envelope.lease_ms,
-            received: tokio::time::Instant::now(),
-        };
-        for message in envelope.messages {
-            let message = convert::read_message(message)
-                .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?;
-            let message = Box::new(message);
-            let input = worker::Input::Message { clocks, message };
-            let sent = self.inputs.send(input).await;
-            sent.map_err(|_error| tonic::Status::unavailable("stopping"))?;
-        }
-        Ok(tonic::Response::new(wire::Receipt {}))
+        request: tonic::Request<tonic::Streaming<control::Report>>,
+    ) -> Result<tonic::Response<Self::WatchStream>, tonic::Status> {
+        let mut reports = request.into_inner();
+        let (updates, outgoing) = mpsc::channel(UPDATE_BUFFER);
+        let number = self.links.fetch_add(1, atomic::Ordering::Relaxed);
+        let shared = self.shared.clone();
+        // The first report may follow the answer's head, so it is not waited for here.
+        tokio::spawn(async move {
+            let Some(Ok(first)) = reports.next().await else {
+                return;
+            };
+            match watch::Link::new(shared, number, &first, updates.clone()) {
+                Some(link) => link.run(first, reports).await,
+                None => refuse(&updates),
+            }
+        });
+        Ok(tonic::Response::new(wrappers::ReceiverStream::new(
+            outgoing,
+        )))
     }
 
-    async fn propose(
+    async fn claim(
         &self,
-        request: tonic::Request<wire::ProposeRequest>,
-    ) -> Result<tonic::Response<wire::ProposeReply>, tonic::Status> {
-        use wire::propose_reply::Kind;
-        let command = request.into_inner().command;
-        let kind = match self.handle.propose_here(command).await {
-            replica::Answer::NotLeader(leader) => Kind::NotLeader(leader.unwrap_or_default()),
-            replica::Answer::Refused(replica::Refusal::DiskFull) => Kind::DiskFull(true),
-            replica::Answer::Refused(replica::Refusal::NoQuorum) => Kind::NotLeader(String::new()),
-            replica::Answer::Refused(replica::Refusal::Unknown) => Kind::Unknown(true),
-            replica::Answer::Reply(reply) => Kind::Reply(reply),
-        };
-        let kind = Some(kind);
-        Ok(tonic::Response::new(wire::ProposeReply { kind }))
+        request: tonic::Request<control::ClaimRequest>,
+    ) -> Result<tonic::Response<control::ClaimReply>, tonic::Status> {
+        let reply = claims::claim(&self.shared.handle, request.into_inner()).await;
+        Ok(tonic::Response::new(reply))
     }
+
+    async fn settle(
+        &self,
+        request: tonic::Request<control::SettleRequest>,
+    ) -> Result<tonic::Response<control::SettleReply>, tonic::Status> {
+        let reply = claims::settle(&self.shared.handle, request.into_inner()).await?;
+        Ok(tonic::Response::new(reply))
+    }
+}
+
+fn refuse(updates: &mpsc::Sender<Result<control::Update, tonic::Status>>) {
+    let status = tonic::Status::invalid_argument("the first report names no node");
+    // A link that has gone needs no answer.
+    let _ = updates.try_send(Err(status));
 }
