Operators' command line

Cause: operators drive the system by manifest and a few actions. Ruled out: the base revision as part of an id's digest (a pipeline that resends with the present revision would be told it reused the id).

--- /dev/null
+++ b/crates/cli/src/changes.rs
@@ -0,0 +1,95 @@
+//! Commands that change something.
+
+use peargap_wire::operator;
+use peargap_wire::operator::submit_request;
+use tokio::time;
+
+use crate::client;
+use crate::command;
+use crate::exit;
+use crate::in_force;
+use crate::page;
+
+/// Submits a change under the line's id and tells how it ended.
+pub(crate) async fn submit(
+    line: &command::Line,
+    client: &client::Client,
+    operator: &str,
+    change: submit_request::Change,
+) -> exit::Code {
+    let base_revision = match find_base(line, client, &change).await {
+        Ok(base) => base,
+        Err(error) => return page::report_error(line.json, &error),
+    };
+    let id = line.id.clone().unwrap_or_else(make_id);
+    let request = operator::SubmitRequest {
+        base_revision,
+        change: Some(change),
+        id: id.clone(),
+        operator: operator.to_owned(),
+    };
+    match client.submit(&request).await {
+        Ok(reply) => finish(line, client, &id, reply).await,
+        Err(client::Error::Unavailable(why)) => {
+            let why = format!("{why}; whether {id} was accepted may be unknown: resend --id {id}");
+            page::report_error(line.json, &client::Error::Unavailable(why))
+        }
+        Err(error) => page::report_error(line.json, &error),
+    }
+}
+
+async fn find_base(
+    line: &command::Line,
+    client: &client::Client,
+    change: &submit_request::Change,
+) -> Result<u64, client::Error> {
+    match (line.base, change) {
+        (Some(base), _) => Ok(base),
+        (None, submit_request::Change::Manifest(_)) => Ok(client.show().await?.revision),
+        (
+            None,
+            submit_request::Change::DomainBack(_)
+            | submit_request::Change::DomainOut(_)
+            | submit_request::Change::UpstreamDrain(_)
+            | submit_request::Change::UpstreamResume(_),
+        ) => Ok(0),
+    }
+}
+
+fn make_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+async fn finish(
+    line: &command::Line,
+    client: &client::Client,
+    id: &str,
+    reply: operator::SubmitReply,
+) -> exit::Code {
+    let accepted_at = time::Instant::now();
+    match reply.kind {
+        Some(operator::submit_reply::Kind::Accepted(accepted)) => {
+            let spread = match line.wait {
+                Some(limit) => {
+                    let wait = in_force::wait(client, accepted.version, accepted_at, limit);
+                    page::Wait::Waited(wait.await)
+                }
+                None => page::Wait::NotAsked,
+            };
+            page::report_accepted(line.json, id, &accepted, &spread)
+        }
+        Some(operator::submit_reply::Kind::Conflict(conflict)) => {
+            page::report_conflict(line.json, id, &conflict)
+        }
+        Some(operator::submit_reply::Kind::Invalid(invalid)) => {
+            page::report_invalid(line.json, &invalid.findings)
+        }
+        Some(operator::submit_reply::Kind::Unavailable(why)) => {
+            page::report_error(line.json, &client::Error::Unavailable(why))
+        }
+        None => {
+            let why = "an empty answer".to_owned();
+            page::report_error(line.json, &client::Error::Unavailable(why))
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,164 @@
+//! Calls to the control hosts, one after the other until one answers.
+
+use core::net;
+use core::time as duration;
+
+use peargap_wire::operator;
+use peargap_wire::operator::operator_client;
+use tokio::time;
+
+use crate::options;
+
+/// Longest wait for one host's connection.
+const CONNECT_TIMEOUT: duration::Duration = duration::Duration::from_secs(1);
+/// Longest wait for one host's answer.
+const ANSWER_TIMEOUT: duration::Duration = duration::Duration::from_secs(3);
+/// Pause after no host answered.
+const RETRY_PERIOD: duration::Duration = duration::Duration::from_millis(200);
+/// Largest answer in bytes.
+const MESSAGE_BYTES: usize = 64 << 20;
+
+type Inner = operator_client::OperatorClient<tonic::transport::Channel>;
+
+/// Why there is no answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Error {
+    /// The key is wrong.
+    Unauthorized,
+    /// No host answered; what the last one said.
+    Unavailable(String),
+}
+
+/// The control hosts.
+#[derive(Clone, Debug)]
+pub(crate) struct Client {
+    options: options::Options,
+    timeout: duration::Duration,
+}
+
+impl Client {
+    pub(crate) fn new(options: options::Options, timeout: duration::Duration) -> Client {
+        Client { options, timeout }
+    }
+
+    /// Returns the control hosts' operator ports.
+    pub(crate) fn controls(&self) -> &[net::SocketAddr] {
+        &self.options.controls
+    }
+
+    /// Submits a change, the same id to each host, until one knows the outcome.
+    pub(crate) async fn submit(
+        &self,
+        request: &operator::SubmitRequest,
+    ) -> Result<operator::SubmitReply, Error> {
+        self.ask_any(|host| self.submit_to(host, request.clone()))
+            .await
+    }
+
+    /// Returns the configuration of any host.
+    pub(crate) async fn show(&self) -> Result<operator::ShowReply, Error> {
+        self.ask_any(|host| self.show_of(host)).await
+    }
+
+    /// Returns the answered changes, newest first.
+    pub(crate) async fn history(&self, limit: u32) -> Result<operator::HistoryReply, Error> {
+        self.ask_any(|host| self.history_of(host, limit)).await
+    }
+
+    /// Returns the state of one host.
+    pub(crate) async fn status_of(
+        &self,
+        host: net::SocketAddr,
+    ) -> Result<operator::StatusReply, Error> {
+        let mut inner = connect(host).await?;
+        let request = self.sign(operator::StatusRequest {});
+        finish(inner.status(request)).await
+    }
+
+    async fn submit_to(
+        &self,
+        host: net::SocketAddr,
+        request: operator::SubmitRequest,
+    ) -> Result<operator::SubmitReply, Error> {
+        let mut inner = connect(host).await?;
+        let request = self.sign(request);
+        let reply = finish(inner.submit(request)).await?;
+        match reply.kind {
+            Some(operator::submit_reply::Kind::Unavailable(why)) => Err(Error::Unavailable(why)),
+            Some(_) => Ok(reply),
+            None => Err(Error::Unavailable("an empty answer".to_owned())),
+        }
+    }
+
+    async fn show_of(&self, host: net::SocketAddr) -> Result<operator::ShowReply, Error> {
+        let mut inner = connect(host).await?;
+        finish(inner.show(self.sign(operator::ShowRequest {}))).await
+    }
+
+    async fn history_of(
+        &self,
+        host: net::SocketAddr,
+        limit: u32,
+    ) -> Result<operator::HistoryReply, Error> {
+        let mut inner = connect(host).await?;
+        finish(inner.history(self.sign(operator::HistoryRequest { limit }))).await
+    }
+
+    async fn ask_any<T, F, A>(&self, ask: F) -> Result<T, Error>
+    where
+        A: core::future::Future<Output = Result<T, Error>>,
+        F: Fn(net::SocketAddr) -> A,
+    {
+        let end = time::Instant::now() + self.timeout;
+        let mut last = Error::Unavailable("no control host".to_owned());
+        loop {
+            for host in &self.options.controls {
+                match ask(*host).await {
+                    Ok(answer) => return Ok(answer),
+                    Err(Error::Unauthorized) => return Err(Error::Unauthorized),
+                    Err(Error::Unavailable(why)) => {
+                        last = Error::Unavailable(format!("{host}: {why}"));
+                    }
+                }
+            }
+            if time::Instant::now() + RETRY_PERIOD >= end {
+                return Err(last);
+            }
+            time::sleep(RETRY_PERIOD).await;
+        }
+    }
+
+    fn sign<T>(&self, message: T) -> tonic::Request<T> {
+        let mut request = tonic::Request::new(message);
+        let value = format!("Bearer {}", self.options.key).parse();
+        // A key that is no header value cannot be right; the host refuses the call without it.
+        if let Ok(value) = value {
+            request.metadata_mut().insert("authorization", value);
+        }
+        request
+    }
+}
+
+async fn connect(host: net::SocketAddr) -> Result<Inner, Error> {
+    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{host}"));
+    let endpoint = endpoint.map_err(|error| Error::Unavailable(error.to_string()))?;
+    let channel = match time::timeout(CONNECT_TIMEOUT, endpoint.connect()).await {
+        Ok(Ok(channel)) => channel,
+        Ok(Err(error)) => return Err(Error::Unavailable(error.to_string())),
+        Err(_) => return Err(Error::Unavailable("does not accept".to_owned())),
+    };
+    Ok(Inner::new(channel).max_decoding_message_size(MESSAGE_BYTES))
+}
+
+async fn finish<T>(
+    call: impl core::future::Future<Output = Result<tonic::Response<T>, tonic::Status>>,
+) -> Result<T, Error> {
+    match time::timeout(ANSWER_TIMEOUT, call).await {
+        Ok(Ok(response)) => Ok(response.into_inner()),
+        Ok(Err(status)) if status.code() == tonic::Code::Unauthenticated => {
+            Err(Error::Unauthorized)
+        }
+        Ok(Err(status)) => Err(Error::Unavailable(status.message().to_owned())),
+        Err(_) => Err(Error::Unavailable("does not answer".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/diff.rs
@@ -0,0 +1,97 @@
+//! What one manifest changes against another, section by section.
+
+use core::fmt;
+use std::collections;
+
+/// One difference.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Line {
+    /// The section is new.
+    Added(String),
+    /// A key's value differs.
+    Changed(Value),
+    /// The section is gone.
+    Removed(String),
+}
+
+/// A key whose value differs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Value {
+    /// The key.
+    pub key: String,
+    /// Its value after, when it has one.
+    pub new: Option<String>,
+    /// Its value before, when it had one.
+    pub old: Option<String>,
+    /// The section.
+    pub section: String,
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Line::Added(section) => write!(formatter, "+ [{section}]"),
+            Line::Changed(value) => write!(
+                formatter,
+                "~ [{}] {}: {} -> {}",
+                value.section,
+                value.key,
+                value.old.as_deref().unwrap_or("(default)"),
+                value.new.as_deref().unwrap_or("(default)")
+            ),
+            Line::Removed(section) => write!(formatter, "- [{section}]"),
+        }
+    }
+}
+
+type Keys = collections::BTreeMap<String, String>;
+type Sections = collections::BTreeMap<String, Keys>;
+
+/// Returns what `new` changes against `old`, both INI texts.
+pub fn compare(old: &str, new: &str) -> Vec<Line> {
+    let old = read_sections(old);
+    let new = read_sections(new);
+    let mut lines = Vec::new();
+    for (section, keys) in &new {
+        match old.get(section) {
+            Some(former) => compare_keys(section, former, keys, &mut lines),
+            None => lines.push(Line::Added(section.clone())),
+        }
+    }
+    for section in old.keys().filter(|section| !new.contains_key(*section)) {
+        lines.push(Line::Removed(section.clone()));
+    }
+    lines
+}
+
+fn compare_keys(section: &str, old: &Keys, new: &Keys, lines: &mut Vec<Line>) {
+    let names: collections::BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    for key in names {
+        if old.get(key) == new.get(key) {
+            continue;
+        }
+        lines.push(Line::Changed(Value {
+            key: key.clone(),
+            new: new.get(key).cloned(),
+            old: old.get(key).cloned(),
+            section: section.to_owned(),
+        }));
+    }
+}
+
+fn read_sections(text: &str) -> Sections {
+    let mut sections = Sections::new();
+    let Ok(ini) = ini::Ini::load_from_str_noescape(text) else {
+        return sections;
+    };
+    for (section, properties) in &ini {
+        let Some(section) = section else {
+            continue;
+        };
+        let keys = sections.entry(section.to_owned()).or_default();
+        for (key, value) in properties {
+            keys.insert(key.to_owned(), value.trim().to_owned());
+        }
+    }
+    sections
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,13 @@
+//! Operators' command line: manifests, failure domains, upstreams, members, status.
+
+mod changes;
+mod client;
+pub mod command;
+pub mod diff;
+mod exit;
+mod in_force;
+mod options;
+mod page;
+mod run;
+
+pub use run::run;
--- /dev/null
+++ b/crates/cli/src/page.rs
@@ -0,0 +1,297 @@
+//! What the commands print, for people or as JSON.
+
+use peargap_wire::operator;
+use serde_json::json;
+
+use crate::client;
+use crate::diff;
+use crate::exit;
+use crate::in_force;
+
+/// Whether a change was waited for.
+pub(crate) enum Wait {
+    NotAsked,
+    /// Where it stands; nothing when no control host told.
+    Waited(Option<in_force::Spread>),
+}
+
+/// Prints `value` as JSON, or the lines.
+fn print(json: bool, value: &serde_json::Value, lines: &[String]) {
+    if json {
+        println!("{value}");
+        return;
+    }
+    for line in lines {
+        println!("{line}");
+    }
+}
+
+pub(crate) fn report_error(json: bool, error: &client::Error) -> exit::Code {
+    let (code, why) = match error {
+        client::Error::Unauthorized => (exit::Code::Wrong, "the operator's key is not known"),
+        client::Error::Unavailable(why) => (exit::Code::Unavailable, why.as_str()),
+    };
+    if json {
+        println!("{}", json!({ "error": why }));
+    }
+    eprintln!("peargap: {why}");
+    code
+}
+
+pub(crate) fn report_wrong(json: bool, why: &str) -> exit::Code {
+    if json {
+        println!("{}", json!({ "error": why }));
+    }
+    eprintln!("peargap: {why}");
+    exit::Code::Wrong
+}
+
+pub(crate) fn report_invalid(json: bool, findings: &[String]) -> exit::Code {
+    if json {
+        println!("{}", json!({ "findings": findings }));
+    }
+    for finding in findings {
+        eprintln!("{finding}");
+    }
+    exit::Code::Wrong
+}
+
+pub(crate) fn report_conflict(json: bool, id: &str, conflict: &operator::Conflict) -> exit::Code {
+    let winner = json!({ "id": conflict.winner_id, "operator": conflict.winner_operator });
+    let value = json!({
+        "conflict": { "revision": conflict.revision, "winner": winner },
+        "id": id,
+    });
+    let line = format!(
+        "conflict: {} by {:?} won; the present revision is {}",
+        conflict.winner_id, conflict.winner_operator, conflict.revision
+    );
+    print(json, &value, &[line]);
+    exit::Code::Conflict
+}
+
+pub(crate) fn report_accepted(
+    json: bool,
+    id: &str,
+    accepted: &operator::Accepted,
+    wait: &Wait,
+) -> exit::Code {
+    let mut value = json!({
+        "accepted": { "revision": accepted.revision, "version": accepted.version },
+        "id": id,
+        "repeated": accepted.repeated,
+    });
+    let repeated = if accepted.repeated { " before" } else { "" };
+    let mut lines = vec![format!(
+        "accepted{repeated}: revision {} version {} id {id}",
+        accepted.revision, accepted.version
+    )];
+    let code = match wait {
+        Wait::NotAsked => exit::Code::Done,
+        Wait::Waited(None) => {
+            lines.push("not known whether in force everywhere: no answer".to_owned());
+            value["in_force"] = json!(null);
+            exit::Code::Late
+        }
+        Wait::Waited(Some(spread)) => describe_spread(spread, &mut value, &mut lines),
+    };
+    print(json, &value, &lines);
+    code
+}
+
+fn describe_spread(
+    spread: &in_force::Spread,
+    value: &mut serde_json::Value,
+    lines: &mut Vec<String>,
+) -> exit::Code {
+    value["in_force"] = json!(spread.missing.is_empty());
+    value["lapsed"] = json!(spread.lapsed);
+    value["missing"] = json!(spread.missing);
+    if !spread.lapsed.is_empty() {
+        lines.push(format!(
+            "without a lease, so without new work: {}",
+            spread.lapsed.join(" ")
+        ));
+    }
+    if spread.missing.is_empty() {
+        lines.push(format!("in force on {} nodes", spread.applied.len()));
+        return exit::Code::Done;
+    }
+    lines.push(format!("not in force yet on: {}", spread.missing.join(" ")));
+    exit::Code::Late
+}
+
+pub(crate) fn report_diff(json: bool, lines: &[diff::Line]) -> exit::Code {
+    let mut texts: Vec<String> = lines.iter().map(ToString::to_string).collect();
+    let value = json!({ "changes": texts });
+    if texts.is_empty() {
+        texts.push("no difference".to_owned());
+    }
+    print(json, &value, &texts);
+    exit::Code::Done
+}
+
+pub(crate) fn report_correct(json: bool, file: &str) -> exit::Code {
+    let value = json!({ "correct": true, "file": file });
+    print(json, &value, &[format!("{file}: correct")]);
+    exit::Code::Done
+}
+
+pub(crate) fn report_manifest(json: bool, show: &operator::ShowReply) -> exit::Code {
+    let text = String::from_utf8_lossy(&show.manifest);
+    let value = json!({
+        "domains_out": show.domains_out,
+        "manifest": text,
+        "revision": show.revision,
+        "upstreams_out": show.upstreams_out,
+        "version": show.version,
+    });
+    let mut lines = vec![format!(
+        "# revision {} version {}",
+        show.revision, show.version
+    )];
+    lines.extend(
+        show.domains_out
+            .iter()
+            .map(|name| format!("# domain out: {name}")),
+    );
+    let drained = show.upstreams_out.iter();
+    lines.extend(drained.map(|name| format!("# upstream drained: {name}")));
+    lines.push(text.trim_end().to_owned());
+    print(json, &value, &lines);
+    exit::Code::Done
+}
+
+pub(crate) fn report_history(json: bool, history: &operator::HistoryReply) -> exit::Code {
+    let describe = |entry: &operator::Entry| {
+        json!({
+            "id": entry.id,
+            "operator": entry.operator,
+            "outcome": entry.outcome,
+            "revision": entry.revision,
+            "summary": entry.summary,
+            "version": entry.version,
+        })
+    };
+    let value: Vec<serde_json::Value> = history.entries.iter().map(describe).collect();
+    let lines = history.entries.iter().map(|entry| {
+        format!(
+            "version {} revision {} {} {} by {} id {}",
+            entry.version, entry.revision, entry.outcome, entry.summary, entry.operator, entry.id
+        )
+    });
+    let lines: Vec<String> = lines.collect();
+    print(json, &json!({ "changes": value }), &lines);
+    exit::Code::Done
+}
+
+pub(crate) fn report_members(json: bool, show: &operator::ShowReply) -> exit::Code {
+    let describe = |member: &operator::MemberRow| {
+        json!({
+            "address": member.address,
+            "domain": member.domain,
+            "epoch": member.epoch,
+            "incarnation": member.incarnation,
+            "name": member.name,
+            "offers": member.offers,
+            "role": member.role,
+        })
+    };
+    let value: Vec<serde_json::Value> = show.members.iter().map(describe).collect();
+    let lines = show.members.iter().map(|member| {
+        format!(
+            "{} {} domain {} at {} epoch {} offers {}",
+            member.role,
+            member.name,
+            member.domain,
+            member.address,
+            member.epoch,
+            member.offers.join(",")
+        )
+    });
+    let lines: Vec<String> = lines.collect();
+    print(json, &json!({ "members": value }), &lines);
+    exit::Code::Done
+}
+
+/// One control host's answer.
+pub(crate) struct Host {
+    pub(crate) address: String,
+    pub(crate) status: Result<operator::StatusReply, client::Error>,
+}
+
+pub(crate) fn report_status(json: bool, hosts: &[Host]) -> exit::Code {
+    let mut values = Vec::new();
+    let mut lines = Vec::new();
+    let mut code = exit::Code::Unavailable;
+    for host in hosts {
+        match &host.status {
+            Ok(status) => {
+                code = exit::Code::Done;
+                values.push(describe_host(&host.address, status));
+                list_host(&host.address, status, &mut lines);
+            }
+            Err(client::Error::Unauthorized) => {
+                return report_error(json, &client::Error::Unauthorized);
+            }
+            Err(client::Error::Unavailable(why)) => {
+                values.push(json!({ "address": host.address, "error": why }));
+                lines.push(format!("{}: {why}", host.address));
+            }
+        }
+    }
+    print(json, &json!({ "hosts": values }), &lines);
+    code
+}
+
+fn describe_host(address: &str, status: &operator::StatusReply) -> serde_json::Value {
+    let describe = |node: &operator::NodeRow| {
+        json!({
+            "applied_version": node.applied_version,
+            "incarnation": node.incarnation,
+            "name": node.name,
+            "role": node.role,
+            "silent_ms": node.silent_ms,
+        })
+    };
+    let nodes: Vec<serde_json::Value> = status.nodes.iter().map(describe).collect();
+    json!({
+        "address": address,
+        "fresh": status.fresh,
+        "leader": status.leader,
+        "lease_ms": status.lease_ms,
+        "learners": status.learners,
+        "log_committed": status.log_committed,
+        "log_last": status.log_last,
+        "name": status.name,
+        "nodes": nodes,
+        "role": status.role,
+        "term": status.term,
+        "version": status.version,
+        "voters": status.voters,
+    })
+}
+
+fn list_host(address: &str, status: &operator::StatusReply, lines: &mut Vec<String>) {
+    lines.push(format!(
+        "{address}: {} {} term {} leader {} version {} committed {} of {} fresh {}",
+        status.name,
+        status.role,
+        status.term,
+        status.leader,
+        status.version,
+        status.log_committed,
+        status.log_last,
+        status.fresh
+    ));
+    lines.push(format!("  voters {}", status.voters.join(" ")));
+    if !status.learners.is_empty() {
+        lines.push(format!("  learners {}", status.learners.join(" ")));
+    }
+    for node in &status.nodes {
+        lines.push(format!(
+            "  {} {} version {} heard {} ms ago",
+            node.role, node.name, node.applied_version, node.silent_ms
+        ));
+    }
+}
--- /dev/null
+++ b/crates/cli/src/run.rs
@@ -0,0 +1,136 @@
+//! From the command line to the exit code.
+
+use std::ffi;
+use std::path;
+use std::process;
+
+use peargap_adapters::manifest;
+use peargap_wire::operator::submit_request;
+
+use crate::changes;
+use crate::client;
+use crate::command;
+use crate::diff;
+use crate::exit;
+use crate::options;
+use crate::page;
+
+/// Carries out a command line.
+pub async fn run(arguments: Vec<ffi::OsString>) -> process::ExitCode {
+    let code = match command::parse(arguments) {
+        Ok(line) => carry_out(&line).await,
+        Err(why) => page::report_wrong(false, &format!("{why}; see --help")),
+    };
+    code.into()
+}
+
+async fn carry_out(line: &command::Line) -> exit::Code {
+    match &line.command {
+        command::Command::Help => {
+            println!("{}", command::HELP);
+            exit::Code::Done
+        }
+        command::Command::Version => {
+            println!("peargap {}", env!("CARGO_PKG_VERSION"));
+            exit::Code::Done
+        }
+        command::Command::ManifestCheck(file) => match read_manifest(file) {
+            Ok(_) => page::report_correct(line.json, &file.display().to_string()),
+            Err(findings) => page::report_invalid(line.json, &findings),
+        },
+        command::Command::DomainBack(_)
+        | command::Command::DomainOut(_)
+        | command::Command::ManifestApply(_)
+        | command::Command::ManifestDiff(_)
+        | command::Command::ManifestHistory
+        | command::Command::ManifestShow
+        | command::Command::Members
+        | command::Command::Status
+        | command::Command::UpstreamDrain(_)
+        | command::Command::UpstreamResume(_) => match options::gather(line) {
+            Ok(options) => ask(line, options).await,
+            Err(why) => page::report_wrong(line.json, &why),
+        },
+    }
+}
+
+async fn ask(line: &command::Line, options: options::Options) -> exit::Code {
+    let operator = options.operator.clone();
+    let client = client::Client::new(options, line.timeout);
+    let change = match &line.command {
+        command::Command::DomainBack(name) => submit_request::Change::DomainBack(name.clone()),
+        command::Command::DomainOut(name) => submit_request::Change::DomainOut(name.clone()),
+        command::Command::UpstreamDrain(name) => {
+            submit_request::Change::UpstreamDrain(name.clone())
+        }
+        command::Command::UpstreamResume(name) => {
+            submit_request::Change::UpstreamResume(name.clone())
+        }
+        command::Command::ManifestApply(file) => match read_manifest(file) {
+            Ok(text) => submit_request::Change::Manifest(text.into()),
+            Err(findings) => return page::report_invalid(line.json, &findings),
+        },
+        command::Command::ManifestDiff(file) => return show_diff(line, &client, file).await,
+        command::Command::ManifestHistory => return show_history(line, &client).await,
+        command::Command::ManifestShow => return show(line, &client, page::report_manifest).await,
+        command::Command::Members => return show(line, &client, page::report_members).await,
+        command::Command::Status => return show_status(line, &client).await,
+        command::Command::Help | command::Command::ManifestCheck(_) | command::Command::Version => {
+            return exit::Code::Done
+        }
+    };
+    changes::submit(line, &client, &operator, change).await
+}
+
+fn read_manifest(file: &path::Path) -> Result<String, Vec<String>> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file);
+    let text = text.map_err(|error| vec![format!("{name}: cannot be read: {error}")])?;
+    match manifest::parse_manifest(&name, &text) {
+        Ok(_) => Ok(text),
+        Err(findings) => Err(findings.0.iter().map(ToString::to_string).collect()),
+    }
+}
+
+async fn show_diff(line: &command::Line, client: &client::Client, file: &path::Path) -> exit::Code {
+    let text = match read_manifest(file) {
+        Ok(text) => text,
+        Err(findings) => return page::report_invalid(line.json, &findings),
+    };
+    match client.show().await {
+        Ok(show) => {
+            let present = String::from_utf8_lossy(&show.manifest);
+            page::report_diff(line.json, &diff::compare(&present, &text))
+        }
+        Err(error) => page::report_error(line.json, &error),
+    }
+}
+
+async fn show_history(line: &command::Line, client: &client::Client) -> exit::Code {
+    match client.history(line.limit).await {
+        Ok(history) => page::report_history(line.json, &history),
+        Err(error) => page::report_error(line.json, &error),
+    }
+}
+
+async fn show(
+    line: &command::Line,
+    client: &client::Client,
+    report: fn(bool, &peargap_wire::operator::ShowReply) -> exit::Code,
+) -> exit::Code {
+    match client.show().await {
+        Ok(reply) => report(line.json, &reply),
+        Err(error) => page::report_error(line.json, &error),
+    }
+}
+
+async fn show_status(line: &command::Line, client: &client::Client) -> exit::Code {
+    let asked = client.controls().iter().map(|host| async {
+        page::Host {
+            address: host.to_string(),
+            status: client.status_of(*host).await,
+        }
+    });
+    let hosts = futures::future::join_all(asked).await;
+    page::report_status(line.json, &hosts)
+}
--- a/crates/core/src/changes.rs
+++ b/crates/core/src/changes.rs
@@ -1,7 +1,6 @@
 //! Operators' changes: one winner for each revision, one answer for each id.
 
 use std::collections;
-use std::hash;
 use std::hash::Hash as _;
 use std::hash::Hasher as _;
 use std::sync;
@@ -319,15 +318,19 @@
     }
 }
 
+/// Returns the digest of what shall change; the revision it builds on is no part of it, so that a
+/// resend that names a newer one is still known.
 fn digest_change(change: &Change) -> u64 {
     let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-    summarize(change).hash(&mut hasher);
-    if let Change::Manifest(manifest) = change {
-        hash_bytes(&mut hasher, &manifest.text);
+    match change {
+        Change::Manifest(manifest) => {
+            MANIFEST_SUMMARY.hash(&mut hasher);
+            hasher.write(&manifest.text);
+        }
+        Change::DomainBack(_)
+        | Change::DomainOut(_)
+        | Change::UpstreamDrain(_)
+        | Change::UpstreamResume(_) => summarize(change).hash(&mut hasher),
     }
     hasher.finish()
 }
-
-fn hash_bytes(hasher: &mut impl hash::Hasher, bytes: &[u8]) {
-    hasher.write(bytes);
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,17 +3,16 @@
 //! Time is passed in as [`time::Instant`], randomness as a generator. Adapters around this crate
 //! perform the effects that its functions return.
 
-pub mod changes;
-pub mod claims;
-pub mod clock;
-pub mod config;
-pub mod fences;
 pub mod admit;
 pub mod batch;
 pub mod breaker;
+pub mod changes;
+pub mod claims;
+pub mod clock;
 pub mod config;
 pub mod curve;
 pub mod fair;
+pub mod fences;
 pub mod follow;
 pub mod forecast;
 pub mod manifest;
