--- /dev/null
+++ b/crates/cli/tests/manifests.rs
@@ -0,0 +1,85 @@
+//! The example manifests and what the command line makes of wrong ones.
+
+use std::net;
+use std::path;
+use std::process;
+
+use peargap_cli::diff;
+
+fn run(arguments: &[&str]) -> process::Output {
+    process::Command::new(env!("CARGO_BIN_EXE_peargap"))
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+fn example(name: &str) -> path::PathBuf {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    root.join("examples").join(name).join("manifest.ini")
+}
+
+#[test]
+fn the_examples_are_correct() {
+    for name in ["archive", "lending"] {
+        let file = example(name);
+        let output = run(&["manifest", "check", file.to_str().unwrap()]);
+        assert_eq!(output.status.code(), Some(0), "{output:?}");
+    }
+}
+
+#[test]
+fn every_finding_is_reported_with_its_place() {
+    let file = std::env::temp_dir().join(format!("peargap-wrong-{}.ini", process::id()));
+    std::fs::write(&file, "[domain a]\n[team t]\nweight = 0\nkey_sha256 = 12\n").unwrap();
+    let output = run(&["manifest", "check", file.to_str().unwrap()]);
+    std::fs::remove_file(&file).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    for place in [
+        "[deployment] name",
+        "[domain a] region",
+        "[team t] weight",
+        "[team t] key_sha256",
+    ] {
+        assert!(text.contains(place), "{place} is not in {text}");
+    }
+}
+
+#[test]
+fn wrong_arguments_give_code_2() {
+    for arguments in [
+        &["manifest"][..],
+        &["domain", "out"],
+        &["status", "--bogus"],
+        &["status"],
+    ] {
+        assert_eq!(run(arguments).status.code(), Some(2), "{arguments:?}");
+    }
+}
+
+#[test]
+fn no_control_host_gives_code_4() {
+    let key = std::env::temp_dir().join(format!("peargap-key-{}", process::id()));
+    std::fs::write(&key, "key").unwrap();
+    // A port that was free a moment ago.
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let control = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let key_file = key.to_str().unwrap();
+    let output = run(&["status", "--control", &control, "--key-file", key_file]);
+    std::fs::remove_file(&key).unwrap();
+    assert_eq!(output.status.code(), Some(4), "{output:?}");
+}
+
+#[test]
+fn a_difference_names_sections_and_values() {
+    let old = "[model a]\npriority = 1\n[model b]\npriority = 2\n";
+    let new = "[model a]\npriority = 3\n[model c]\npriority = 2\n";
+    let lines = diff::compare(old, new);
+    let texts: Vec<String> = lines.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        texts,
+        ["~ [model a] priority: 1 -> 3", "+ [model c]", "- [model b]"]
+    );
+    assert_eq!(diff::compare(new, new), []);
+}
