load: experiment rig with baselines (first cut)

Ruled out: a simulator of hosts and links; only engines, reports and a one-way hop are modelled. Change: event loop, engine stand-in, workloads of both deployments, scenarios, five baselines.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -19,6 +19,10 @@
 const FIRST_GAP_MS: f64 = 30.0;
 /// Longest expected wait at which a request is still queued, in milliseconds.
 const MAX_WAIT_MS: u64 = 60_000;
+/// Gap after which a stream counts as preempted, in milliseconds.
+const STALL_MS: u64 = 200;
+/// Gap between tokens against that of a lone stream, at most.
+pub const MAX_STRETCH: f64 = 1.2;
 
 /// What the agent knows of its upstream.
 #[derive(Clone, Copy, Debug)]
@@ -27,12 +31,18 @@
     pub block_tokens: u32,
     /// Streams or calls that the upstream may ever run at once.
     pub max_running: u32,
+    /// Gap between tokens against that of a lone stream, at most; see [`MAX_STRETCH`].
+    pub max_stretch: f64,
     /// Requests that may wait.
     pub max_waiting: usize,
     /// Token slots of engine memory; 0 for a plain service, which is bound by the ramp only.
     pub memory_tokens: u64,
     /// Chance that memory overflows, at most.
     pub overflow_chance: f32,
+    /// Streams or calls that may run before any was whole; see [`ramp::START_LIMIT`].
+    pub start_limit: u32,
+    /// Streams or calls that may wait for their first token or answer at once.
+    pub unproven_limit: u32,
 }
 
 /// A request for a generation or call.
@@ -145,6 +155,8 @@
 struct Run {
     begun: time::Instant,
     charged: f64,
+    /// Begun since the last sign of a cold upstream, or without a token at that time.
+    fresh: bool,
     last_token: time::Instant,
     preempted: bool,
     produced: u32,
@@ -157,6 +169,8 @@
     batch: batch::Bound,
     curves: curve::Curves,
     deviations: f32,
+    /// Streams begun since the last sign of a cold upstream.
+    fresh: u32,
     options: Options,
     preempted: u32,
     queue: queue::Queue<Request>,
@@ -171,14 +185,20 @@
     /// Returns the admission of an upstream that runs nothing and has proven nothing.
     #[must_use]
     pub fn new(now: time::Instant, options: Options) -> Admission {
+        let limits = ramp::Options {
+            ceiling: options.max_running,
+            start_limit: options.start_limit,
+            unproven_limit: options.unproven_limit,
+        };
         Admission {
-            batch: batch::Bound::new(options.max_running),
+            batch: batch::Bound::new(options.max_running, options.max_stretch),
             curves: curve::Curves::new(),
             deviations: forecast::deviations(options.overflow_chance),
+            fresh: 0,
             options,
             preempted: 0,
             queue: queue::Queue::new(options.max_waiting),
-            ramp: ramp::Ramp::new(now, options.max_running),
+            ramp: ramp::Ramp::new(now, limits),
             runs: slotmap::SlotMap::with_key(),
             teams: collections::HashMap::new(),
             unproven: 0,
@@ -225,15 +245,16 @@
         let charged = f64::from(uncached) + f64::from(self.mean(&request));
         self.queue.shares().charge(request.team, charged);
         self.unproven += 1;
-        let run = Run {
+        self.fresh += 1;
+        self.runs.insert(Run {
             begun: now,
             charged,
+            fresh: true,
             last_token: now,
             preempted: false,
             produced: 0,
             request,
-        };
-        self.runs.insert(run)
+        })
     }
 
     /// Starts the queued request whose turn it is, if there is room; to be called until none.
@@ -285,19 +306,23 @@
             return None;
         }
         self.unproven -= 1;
-        let sign = self.ramp.first_token(waited_ms)?;
-        self.ramp.fall_back(now, sign);
+        let sign = self
+            .ramp
+            .first_token(waited_ms, run.request.prompt_tokens)?;
+        self.sign(now, sign);
         Some(sign)
     }
 
-    /// Notes that the engine has taken a stream's memory away.
-    pub fn preempted(&mut self, stream: Stream) {
-        let Some(run) = self.runs.get_mut(stream) else {
-            return;
-        };
-        if !run.preempted {
-            run.preempted = true;
-            self.preempted += 1;
+    /// Counts streams that get no tokens as preempted; to be called a few times a second.
+    ///
+    /// No request starts while a preempted stream waits for its memory.
+    pub fn check_stalled(&mut self, now: time::Instant) {
+        for run in self.runs.values_mut() {
+            let quiet = now.millis_since(run.last_token) > STALL_MS;
+            if quiet && run.produced > 0 && !run.preempted {
+                run.preempted = true;
+                self.preempted += 1;
+            }
         }
     }
 
@@ -307,6 +332,7 @@
             return;
         };
         self.unproven -= u32::from(run.produced == 0);
+        self.fresh -= u32::from(run.fresh);
         self.preempted -= u32::from(run.preempted);
         let request = &run.request;
         let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
@@ -316,7 +342,7 @@
             .charge(request.team, tokens - run.charged);
         match end {
             End::Whole => self.prove(&run),
-            End::Failed => self.ramp.fall_back(now, ramp::Sign::Failure),
+            End::Failed => self.sign(now, ramp::Sign::Failure),
             End::Cancelled => {}
         }
     }
@@ -324,16 +350,24 @@
     /// Falls back to the start limit on a sign that the agent has seen.
     pub fn sign(&mut self, now: time::Instant, sign: ramp::Sign) {
         self.ramp.fall_back(now, sign);
+        self.fresh = 0;
+        for run in self.runs.values_mut() {
+            run.fresh = run.produced <= 1;
+            self.fresh += u32::from(run.fresh);
+        }
     }
 
     /// Falls back if a first token is overdue; to be called a few times a second.
     pub fn check_overdue(&mut self, now: time::Instant) -> Option<ramp::Sign> {
-        let waiting = self.runs.values().filter(|run| run.produced == 0);
-        let longest = waiting.map(|run| now.millis_since(run.begun)).max()?;
-        if !self.ramp.is_slow(longest) {
+        let mut waiting = self.runs.values().filter(|run| run.produced == 0);
+        let overdue = waiting.any(|run| {
+            self.ramp
+                .is_slow(now.millis_since(run.begun), run.request.prompt_tokens)
+        });
+        if !overdue {
             return None;
         }
-        self.ramp.fall_back(now, ramp::Sign::SlowFirstToken);
+        self.sign(now, ramp::Sign::SlowFirstToken);
         Some(ramp::Sign::SlowFirstToken)
     }
 
@@ -345,7 +379,7 @@
             .values()
             .map(|run| u64::from(self.used_tokens(run)));
         Load {
-            limit: self.ramp.limit().min(self.batch.limit()),
+            limit: self.limit(),
             running: self.running(),
             used_tokens: used.sum(),
             wait_ms: self.queue.wait_ms(u8::MAX, fair::Team::default()),
@@ -356,7 +390,7 @@
     /// Returns whether a request may start now.
     #[must_use]
     pub fn room(&self, request: &Request) -> Room {
-        if self.running() >= self.ramp.limit() || self.unproven >= self.ramp.unproven_limit() {
+        if self.fresh >= self.ramp.limit() || self.unproven >= self.ramp.unproven_limit() {
             return Room::Ramping;
         }
         if self.running() >= self.batch.limit() {
@@ -368,6 +402,12 @@
         Room::Fits
     }
 
+    /// Returns how many streams or calls may run at once now.
+    fn limit(&self) -> u32 {
+        let proven = self.running() - self.fresh;
+        (proven + self.ramp.limit()).min(self.batch.limit())
+    }
+
     fn has_memory(&self, request: &Request) -> bool {
         if self.runs.is_empty() {
             return true;
@@ -387,7 +427,7 @@
     }
 
     fn forecast_load(&self, request: &Request, produced: u32) -> forecast::Load {
-        let held = request.prompt_tokens.saturating_sub(request.cached_tokens) + produced;
+        let held = request.prompt_tokens + produced;
         let used_tokens = held.next_multiple_of(self.options.block_tokens.max(1));
         forecast::Load {
             class: request.class,
--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -9,8 +9,6 @@
 const MIN_OBSERVATIONS: f64 = 400.0;
 /// Spread of the batch sizes (variance) before the slope is trusted.
 const MIN_SPREAD: f64 = 2.0;
-/// Gap against that of one stream, at most.
-const MAX_STRETCH: f64 = 1.2;
 /// Longest gap that is counted, in milliseconds; longer ones are stalls.
 const MAX_GAP_MS: u64 = 500;
 
@@ -18,6 +16,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Bound {
     ceiling: u32,
+    max_stretch: f64,
     weight: f64,
     sum_x: f64,
     sum_y: f64,
@@ -26,11 +25,13 @@
 }
 
 impl Bound {
-    /// Returns a bound that is `ceiling` until enough was seen.
+    /// Returns a bound that is `ceiling` until enough was seen, then keeps the gap below
+    /// `max_stretch` times that of one stream.
     #[must_use]
-    pub fn new(ceiling: u32) -> Bound {
+    pub fn new(ceiling: u32, max_stretch: f64) -> Bound {
         Bound {
             ceiling,
+            max_stretch,
             weight: 0.0,
             sum_x: 0.0,
             sum_y: 0.0,
@@ -79,7 +80,7 @@
             return self.ceiling;
         }
         let single = mean_y - slope * (mean_x - 1.0);
-        let streams = 1.0 + single.max(0.0) * (MAX_STRETCH - 1.0) / slope;
+        let streams = 1.0 + single.max(0.0) * (self.max_stretch - 1.0) / slope;
         (streams as u32).clamp(1, self.ceiling)
     }
 }
--- a/crates/core/src/ramp.rs
+++ b/crates/core/src/ramp.rs
@@ -10,10 +10,18 @@
 pub const START_LIMIT: u32 = 2;
 /// First tokens slower than this times the usual are a sign of a cold upstream.
 const SLOW_FACTOR: f32 = 4.0;
-/// First tokens faster than this are never a sign, in milliseconds.
-const SLOW_FLOOR_MS: f32 = 250.0;
-/// Share of a new sample in the usual time to the first token.
+/// Stretch of the expected time below which a first token is never a sign.
+const SLOW_FLOOR: f32 = 2.0;
+/// Wait for a first token that is never a sign, in milliseconds.
+const SLOW_FLOOR_MS: u64 = 250;
+/// Expected time to the first token of an empty prompt, in milliseconds.
+const FIRST_TOKEN_MS: f32 = 50.0;
+/// Expected time to compute one prompt token, in milliseconds.
+const PROMPT_TOKEN_MS: f32 = 0.2;
+/// Share of a new sample in the usual stretch.
 const SMOOTHING: f32 = 0.05;
+/// Share of a slow sample in the usual stretch, so that a slow upstream becomes usual in time.
+const SLOW_SMOOTHING: f32 = 0.01;
 
 /// Evidence that an upstream has turned cold.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,31 +38,42 @@
     SlowFirstToken,
 }
 
+/// Limits of a ramp.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Streams or calls that may ever run at once.
+    pub ceiling: u32,
+    /// Streams or calls that may run before any was whole.
+    pub start_limit: u32,
+    /// Streams or calls that may wait for their first token or answer at once.
+    pub unproven_limit: u32,
+}
+
 /// A limit that grows by proven completions.
 #[derive(Clone, Copy, Debug)]
 pub struct Ramp {
-    ceiling: u32,
     limit: u32,
+    options: Options,
     /// Time of the last sign; work begun before it proves nothing.
     reset_at: time::Instant,
-    /// Usual time to the first token per unit of prefill work, in milliseconds; 0 when unknown.
-    usual_ms: f32,
+    /// Usual time to the first token against the expected one; 0 when unknown.
+    usual: f32,
 }
 
 impl Ramp {
-    /// Returns a ramp at the start limit that may grow to `ceiling`.
+    /// Returns a ramp at its start limit.
     #[must_use]
-    pub fn new(now: time::Instant, ceiling: u32) -> Ramp {
-        let limit = START_LIMIT.min(ceiling);
+    pub fn new(now: time::Instant, options: Options) -> Ramp {
+        let limit = options.start_limit.min(options.ceiling);
         Ramp {
-            ceiling,
             limit,
+            options,
             reset_at: now,
-            usual_ms: 0.0,
+            usual: 0.0,
         }
     }
 
-    /// Returns how many streams or calls may run at once.
+    /// Returns how many streams or calls begun since the last sign may run at once.
     #[must_use]
     pub fn limit(&self) -> u32 {
         self.limit
@@ -63,13 +82,13 @@
     /// Returns how many may wait for their first token or answer at once.
     #[must_use]
     pub fn unproven_limit(&self) -> u32 {
-        START_LIMIT.min(self.ceiling)
+        self.options.unproven_limit
     }
 
     /// Returns whether the limit is still below its ceiling.
     #[must_use]
     pub fn is_ramping(&self) -> bool {
-        self.limit < self.ceiling
+        self.limit < self.options.ceiling
     }
 
     /// Notes a whole answer of work that was begun at `begun`.
@@ -77,34 +96,38 @@
         if begun < self.reset_at {
             return;
         }
-        self.limit = (self.limit + 1).min(self.ceiling);
+        self.limit = (self.limit + 1).min(self.options.ceiling);
     }
 
     /// Falls back to the start limit.
     pub fn fall_back(&mut self, now: time::Instant, _sign: Sign) {
-        self.limit = START_LIMIT.min(self.ceiling);
+        self.limit = self.options.start_limit.min(self.options.ceiling);
         self.reset_at = now;
     }
 
     /// Notes the time to a first token or answer and returns the sign it gives, if any.
     ///
     /// `waited_ms` leaves out the time in queues of this system.
-    pub fn first_token(&mut self, waited_ms: u64) -> Option<Sign> {
-        if self.is_slow(waited_ms) {
-            return Some(Sign::SlowFirstToken);
+    pub fn first_token(&mut self, waited_ms: u64, prompt_tokens: u32) -> Option<Sign> {
+        let sample = stretch(waited_ms, prompt_tokens);
+        let slow = self.is_slow(waited_ms, prompt_tokens);
+        if self.usual == 0.0 && !slow {
+            self.usual = sample;
         }
-        let sample = waited_ms as f32;
-        if self.usual_ms == 0.0 {
-            self.usual_ms = sample;
-        }
-        self.usual_ms += (sample - self.usual_ms) * SMOOTHING;
-        None
+        let smoothing = if slow { SLOW_SMOOTHING } else { SMOOTHING };
+        self.usual += (sample - self.usual) * smoothing;
+        slow.then_some(Sign::SlowFirstToken)
     }
 
     /// Returns whether a first token that is due for `waited_ms` is a sign already.
     #[must_use]
-    pub fn is_slow(&self, waited_ms: u64) -> bool {
-        let bound = (self.usual_ms * SLOW_FACTOR).max(SLOW_FLOOR_MS);
-        waited_ms as f32 > bound
+    pub fn is_slow(&self, waited_ms: u64, prompt_tokens: u32) -> bool {
+        let bound = (self.usual * SLOW_FACTOR).max(SLOW_FLOOR);
+        waited_ms > SLOW_FLOOR_MS && stretch(waited_ms, prompt_tokens) > bound
     }
 }
+
+/// Returns a time to the first token against the expected one.
+fn stretch(waited_ms: u64, prompt_tokens: u32) -> f32 {
+    waited_ms as f32 / (FIRST_TOKEN_MS + prompt_tokens as f32 * PROMPT_TOKEN_MS)
+}
--- /dev/null
+++ b/crates/load/src/experiment/entry.rs
@@ -0,0 +1,222 @@
+//! The entry's part in the experiment: the real placement, or a baseline.
+
+use peargap_core::place;
+use peargap_core::retry;
+use peargap_core::table;
+use peargap_core::time;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+
+use crate::experiment::gate;
+use crate::experiment::job;
+use crate::experiment::policy;
+use crate::experiment::workload;
+
+/// How old an agent's figures usually are when they arrive, in milliseconds.
+const REPORT_AGE_MS: u32 = 400;
+
+/// One entry with its own late view.
+#[derive(Debug)]
+pub struct Entry {
+    budget: retry::Budget,
+    /// Engines of each model.
+    engines: Vec<Vec<usize>>,
+    groups: Vec<table::Group>,
+    next: usize,
+    off: policy::Off,
+    /// Requests of this entry at each engine.
+    outstanding: Vec<u32>,
+    placement: policy::Placement,
+    random: rand::rngs::SmallRng,
+    reports: Vec<table::Report>,
+    table: table::Table,
+    upstreams: Vec<table::Upstream>,
+    domains: Vec<table::Domain>,
+    domain_out: [bool; workload::DOMAINS],
+    weighed: Vec<place::Candidate>,
+}
+
+impl Entry {
+    /// Returns an entry that has seen no report yet.
+    #[must_use]
+    pub fn new(policy: &policy::Policy, models: &[workload::Model], seed: u64) -> Entry {
+        let mut table = table::Table::new();
+        let mut domains = Vec::new();
+        for number in 0..workload::DOMAINS {
+            domains.push(table.domain(&number.to_string()));
+        }
+        let mut groups = Vec::new();
+        let mut engines = Vec::new();
+        let mut upstreams = Vec::new();
+        for model in models {
+            let group = table.group(model.name);
+            let first = upstreams.len();
+            for engine in first..first + model.engines {
+                upstreams.push(table.announce(domains[engine % workload::DOMAINS], &[group]));
+            }
+            groups.push(group);
+            engines.push((first..upstreams.len()).collect());
+        }
+        let report = table::Report {
+            accepting: true,
+            limit: 1,
+            ..table::Report::default()
+        };
+        Entry {
+            budget: retry::Budget::new(),
+            engines,
+            groups,
+            next: 0,
+            off: policy.off,
+            outstanding: vec![0; upstreams.len()],
+            placement: policy.placement,
+            random: rand::rngs::SmallRng::seed_from_u64(seed),
+            reports: vec![report; upstreams.len()],
+            table,
+            upstreams,
+            domains,
+            domain_out: [false; workload::DOMAINS],
+            weighed: Vec::new(),
+        }
+    }
+
+    /// Returns the engine that gets a job, none when no engine can take it.
+    pub fn choose(&mut self, now: u64, job: &job::Job, deadline: u64) -> Option<usize> {
+        let chosen = match self.placement {
+            policy::Placement::LeastRequests => {
+                self.least(job, |entry, engine| u64::from(entry.outstanding[engine]))
+            }
+            policy::Placement::LeastReported => {
+                self.least(job, |entry, engine| entry.reports[engine].used_tokens)
+            }
+            policy::Placement::RoundRobin => self.in_turn(job),
+            policy::Placement::Weighed => self.weigh(now, job, deadline),
+        }?;
+        self.outstanding[chosen] += 1;
+        if self.off != policy::Off::Correction {
+            self.table.sent(
+                gate::instant(now),
+                self.upstreams[chosen],
+                job.request.prompt,
+            );
+        }
+        Some(chosen)
+    }
+
+    /// Notes a first attempt.
+    pub fn earn(&mut self) {
+        self.budget.earn();
+    }
+
+    /// Decides on another attempt; baselines may always try again.
+    pub fn plan_retry(&mut self, now: u64, job: &job::Job, deadline: u64) -> retry::Next {
+        if self.placement != policy::Placement::Weighed {
+            return match job.attempts {
+                0..4 => retry::Next::Retry { after_ms: 5 },
+                _ => retry::Next::GiveUp(retry::Reason::TooMany),
+            };
+        }
+        let attempt = retry::Attempt {
+            deadline: gate::instant(deadline),
+            number: job.attempts,
+            ran: retry::Ran::No,
+            repeatable: true,
+        };
+        retry::plan_retry(
+            &mut self.budget,
+            gate::instant(now),
+            &attempt,
+            &mut self.random,
+        )
+    }
+
+    /// Notes that a job has left an engine, or was never taken.
+    pub fn left(&mut self, engine: usize) {
+        self.outstanding[engine] = self.outstanding[engine].saturating_sub(1);
+    }
+
+    /// Notes an agent's answer to an offer.
+    pub fn answered(&mut self, engine: usize, ran: bool) {
+        self.table.answered(self.upstreams[engine], ran);
+    }
+
+    /// Notes that an engine failed a job.
+    pub fn failed(&mut self, now: u64, engine: usize) {
+        self.table
+            .failed(gate::instant(now), self.upstreams[engine]);
+    }
+
+    /// Takes an agent's report.
+    pub fn report(&mut self, now: u64, engine: usize, report: table::Report, prefixes: &[u64]) {
+        let report = table::Report {
+            age_ms: REPORT_AGE_MS,
+            ..report
+        };
+        self.reports[engine] = report;
+        let upstream = self.upstreams[engine];
+        self.table.report(gate::instant(now), upstream, report);
+        if self.off != policy::Off::Prefix {
+            self.table.set_prefixes(upstream, prefixes);
+        }
+    }
+
+    /// Learns that a failure domain is out or back.
+    pub fn set_domain_out(&mut self, domain: usize, out: bool) {
+        self.domain_out[domain] = out;
+        self.table.set_domain_out(self.domains[domain], out);
+    }
+
+    fn open(&self, job: &job::Job) -> Vec<usize> {
+        let engines = self.engines[job.request.model].iter().copied();
+        let open = engines.filter(|engine| {
+            self.reports[*engine].accepting
+                && !self.domain_out[engine % workload::DOMAINS]
+                && !job.avoid.contains(engine)
+        });
+        open.collect()
+    }
+
+    fn least(&mut self, job: &job::Job, load: fn(&Entry, usize) -> u64) -> Option<usize> {
+        let open = self.open(job);
+        let least = open.iter().map(|engine| load(self, *engine)).min()?;
+        let equal: Vec<usize> = open
+            .into_iter()
+            .filter(|engine| load(self, *engine) == least)
+            .collect();
+        Some(equal[self.random.random_range(0..equal.len())])
+    }
+
+    fn in_turn(&mut self, job: &job::Job) -> Option<usize> {
+        let open = self.open(job);
+        self.next += 1;
+        open.get(self.next % open.len().max(1)).copied()
+    }
+
+    fn weigh(&mut self, now: u64, job: &job::Job, deadline: u64) -> Option<usize> {
+        let avoid: Vec<table::Upstream> = job
+            .avoid
+            .iter()
+            .map(|engine| self.upstreams[*engine])
+            .collect();
+        let prefix = match self.off {
+            policy::Off::Prefix => &[],
+            _ => job.request.prefix.as_slice(),
+        };
+        let ask = place::Ask {
+            avoid: &avoid,
+            deadline: time::Instant(deadline / 1000),
+            group: self.groups[job.request.model],
+            prefix,
+            prompt_tokens: job.request.prompt,
+        };
+        let now = gate::instant(now);
+        let choice =
+            place::pick_upstream(&self.table, now, &ask, &mut self.random, &mut self.weighed);
+        match choice {
+            place::Choice::Chosen { upstream, .. } => {
+                self.upstreams.iter().position(|other| *other == upstream)
+            }
+            place::Choice::None { .. } => None,
+        }
+    }
+}
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -1,3 +1,15 @@
 //! The real decision code in front of small engine stand-ins under a virtual clock.
 
+pub mod cache;
 pub mod command;
+pub mod engine;
+pub mod entry;
+pub mod gate;
+pub mod job;
+pub mod measure;
+pub mod node;
+pub mod plain;
+pub mod policy;
+pub mod scenario;
+pub mod workload;
+pub mod world;
--- /dev/null
+++ b/crates/load/src/experiment/node.rs
@@ -0,0 +1,149 @@
+//! An engine with its agent.
+
+use std::collections;
+
+use peargap_core::table;
+use rand::RngExt as _;
+
+use crate::experiment::cache;
+use crate::experiment::engine;
+use crate::experiment::gate;
+use crate::experiment::policy;
+use crate::experiment::workload;
+
+/// Blocks that an engine's prefix cache holds.
+const CACHE_BLOCKS: usize = 400;
+/// Prefix hashes in one report, at most.
+const MAX_REPORTED: usize = 256;
+/// Share of cache events that never arrive.
+const LOST_SHARE: f64 = 0.05;
+/// How late cache events are, in microseconds.
+const EVENT_LAG_US: u64 = 500_000;
+
+/// An engine with its agent's gate and its agent's late view of the cache.
+#[derive(Debug)]
+pub struct Node {
+    /// It takes no new work.
+    pub draining: bool,
+    /// The engine.
+    pub engine: engine::Engine,
+    /// The agent's admission.
+    pub gate: gate::Gate,
+    /// A step is under way.
+    pub stepping: bool,
+    /// Blocks that the agent takes for cached.
+    known: collections::HashSet<u64>,
+    model: &'static workload::Model,
+    /// Events on their way to the agent, with the time of their arrival.
+    pending: collections::VecDeque<(u64, cache::Event)>,
+    /// Known blocks that a second request has asked for, newest last.
+    shared: collections::VecDeque<u64>,
+}
+
+impl Node {
+    /// Returns an idle engine with its agent.
+    #[must_use]
+    pub fn new(policy: &policy::Policy, model: &'static workload::Model) -> Node {
+        Node {
+            draining: false,
+            engine: engine::Engine::new(model.memory_tokens, CACHE_BLOCKS),
+            gate: gate::Gate::new(policy, model.memory_tokens),
+            stepping: false,
+            known: collections::HashSet::new(),
+            model,
+            pending: collections::VecDeque::new(),
+            shared: collections::VecDeque::new(),
+        }
+    }
+
+    /// Offers a request to the agent.
+    pub fn offer(
+        &mut self,
+        now: u64,
+        job: usize,
+        request: &workload::Request,
+        deadline: u64,
+        acts: &mut Vec<gate::Act>,
+    ) {
+        let cached = self.note_prefix(&request.prefix);
+        let offer = gate::Offer {
+            cached,
+            deadline,
+            job,
+            model: self.model,
+            output: request.output,
+            prompt: request.prompt,
+            team: &workload::TEAMS[request.team],
+        };
+        self.gate.offer(now, &offer, &self.engine, acts);
+    }
+
+    /// Hands a request to the engine.
+    pub fn submit(
+        &mut self,
+        now: u64,
+        job: usize,
+        request: &workload::Request,
+    ) -> engine::Submitted {
+        let work = engine::Work {
+            job,
+            output: request.output,
+            prefix: request.prefix.clone(),
+            priority: self.model.priority,
+            prompt: request.prompt,
+        };
+        self.engine.submit(now, work)
+    }
+
+    /// Returns the load to report.
+    #[must_use]
+    pub fn report(&self) -> table::Report {
+        table::Report {
+            accepting: self.engine.up && !self.draining,
+            ..self.gate.report(&self.engine)
+        }
+    }
+
+    /// Takes the cache events that have arrived and returns the prefixes to report.
+    pub fn prefixes(&mut self, now: u64, random: &mut rand::rngs::SmallRng) -> Vec<u64> {
+        for event in self.engine.cache.events.drain(..) {
+            if random.random::<f64>() >= LOST_SHARE {
+                self.pending.push_back((now + EVENT_LAG_US, event));
+            }
+        }
+        while let Some((_, event)) = self.pending.pop_front_if(|(at, _)| *at <= now) {
+            self.learn(event);
+        }
+        let known = &self.known;
+        self.shared.retain(|hash| known.contains(hash));
+        self.shared.iter().copied().collect()
+    }
+
+    fn learn(&mut self, event: cache::Event) {
+        match event {
+            cache::Event::Cleared => self.known.clear(),
+            cache::Event::Evicted(hash) => {
+                self.known.remove(&hash);
+            }
+            cache::Event::Stored(hash) => {
+                self.known.insert(hash);
+            }
+        }
+    }
+
+    /// Marks the known part of a prompt as shared and returns its length in tokens.
+    fn note_prefix(&mut self, prefix: &[u64]) -> u32 {
+        let mut tokens = 0;
+        for hash in prefix.iter().take_while(|hash| self.known.contains(*hash)) {
+            tokens += cache::BLOCK_TOKENS;
+            if self.shared.contains(hash) {
+                continue;
+            }
+            if self.shared.len() >= MAX_REPORTED {
+                self.shared.pop_front();
+            }
+            self.shared.push_back(*hash);
+        }
+        tokens
+    }
+}
--- /dev/null
+++ b/crates/load/src/experiment/plain.rs
@@ -0,0 +1,193 @@
+//! Baseline admissions: none, worst-case reservation, and an oracle.
+
+use std::collections;
+
+use crate::experiment::engine;
+use crate::experiment::gate;
+
+/// Streams that a baseline lets its engine run, at most.
+const MAX_RUNNING: u32 = 128;
+/// Expected time of a decode step, in microseconds.
+const STEP_US: u64 = 25_000;
+/// Time between departures that a baseline expects, in milliseconds.
+const PACE_MS: u32 = 400;
+
+/// Requests handed over.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Count {
+    /// Streams at the engine.
+    pub running: u32,
+}
+
+impl Count {
+    /// Takes finished streams off.
+    pub fn step(&mut self, notes: &[engine::Note]) {
+        let finished = notes
+            .iter()
+            .filter(|note| matches!(note, engine::Note::Finished(_)));
+        self.running -= finished.count() as u32;
+    }
+}
+
+/// How a baseline judges memory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rule {
+    /// Knows the length of each answer and when an engine is cold.
+    Oracle,
+    /// Takes each answer for as long as allowed.
+    Reserve,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    offer: gate::Offer,
+    produced: u32,
+}
+
+/// First come, first served, by one rule of memory.
+#[derive(Clone, Debug)]
+pub struct Plain {
+    memory_tokens: u32,
+    rule: Rule,
+    running: Vec<Run>,
+    waiting: collections::VecDeque<gate::Offer>,
+}
+
+impl Plain {
+    /// Returns an idle gate.
+    #[must_use]
+    pub fn new(rule: Rule, memory_tokens: u32) -> Plain {
+        let running = Vec::new();
+        Plain {
+            memory_tokens,
+            rule,
+            running,
+            waiting: collections::VecDeque::new(),
+        }
+    }
+
+    /// Takes an offer; one that can't be in time is refused.
+    pub fn offer(
+        &mut self,
+        now: u64,
+        offer: &gate::Offer,
+        engine: &engine::Engine,
+        acts: &mut Vec<gate::Act>,
+    ) {
+        let ahead = self.waiting.len() as u64;
+        let wait = ahead * u64::from(PACE_MS) * 1000;
+        if now + wait + self.run_us(offer) > offer.deadline {
+            acts.push(gate::Act::Refuse {
+                job: offer.job,
+                queued: false,
+            });
+            return;
+        }
+        self.waiting.push_back(*offer);
+        acts.push(gate::Act::Queue(offer.job));
+        self.start_waiting(now, engine, acts);
+    }
+
+    /// Takes what the engine did, refuses what is late and starts what fits.
+    pub fn step(
+        &mut self,
+        now: u64,
+        notes: &[engine::Note],
+        engine: &engine::Engine,
+        acts: &mut Vec<gate::Act>,
+    ) {
+        for note in notes {
+            match note {
+                engine::Note::Finished(job) => self.drop_job(*job),
+                engine::Note::Preempted(_) => {}
+                engine::Note::Token(job) => {
+                    let run = self.running.iter_mut().find(|run| run.offer.job == *job);
+                    run.into_iter().for_each(|run| run.produced += 1);
+                }
+            }
+        }
+        self.start_waiting(now, engine, acts);
+    }
+
+    /// Takes a job out.
+    pub fn drop_job(&mut self, job: usize) {
+        self.running.retain(|run| run.offer.job != job);
+        self.waiting.retain(|offer| offer.job != job);
+    }
+
+    /// Returns running, waiting, limit, and wait in milliseconds.
+    #[must_use]
+    pub fn load(&self) -> (u32, u32, u32, u32) {
+        let waiting = self.waiting.len() as u32;
+        (
+            self.running.len() as u32,
+            waiting,
+            MAX_RUNNING,
+            waiting * PACE_MS,
+        )
+    }
+
+    fn start_waiting(&mut self, now: u64, engine: &engine::Engine, acts: &mut Vec<gate::Act>) {
+        while let Some(offer) = self.waiting.front().copied() {
+            let late = now + self.run_us(&offer) > offer.deadline;
+            if !late && !self.fits(&offer, now, engine) {
+                return;
+            }
+            self.waiting.pop_front();
+            if late {
+                acts.push(gate::Act::Refuse {
+                    job: offer.job,
+                    queued: true,
+                });
+                continue;
+            }
+            self.running.push(Run { offer, produced: 0 });
+            acts.push(gate::Act::Submit(offer.job));
+        }
+    }
+
+    fn run_us(&self, offer: &gate::Offer) -> u64 {
+        match self.rule {
+            Rule::Oracle => u64::from(offer.output) * STEP_US,
+            Rule::Reserve => 0,
+        }
+    }
+
+    fn fits(&self, offer: &gate::Offer, now: u64, engine: &engine::Engine) -> bool {
+        match self.rule {
+            Rule::Oracle => {
+                let cold = engine.is_cold(now) && engine.cold_load(now) >= engine::COLD_LIMIT;
+                !cold && self.peak_tokens(offer) <= self.memory_tokens
+            }
+            Rule::Reserve => {
+                let running = self.running.iter().map(|run| &run.offer);
+                let all = running.chain([offer]);
+                let tokens: u32 = all.map(|offer| offer.prompt + offer.model.max_tokens).sum();
+                tokens <= self.memory_tokens || self.running.is_empty()
+            }
+        }
+    }
+
+    /// Returns the most memory that the running streams and one more will hold, in tokens.
+    fn peak_tokens(&self, offer: &gate::Offer) -> u32 {
+        let mut ends: Vec<(u32, u32)> = Vec::with_capacity(self.running.len() + 1);
+        for run in &self.running {
+            let left = run.offer.output - run.produced;
+            ends.push((left, run.offer.prompt + run.produced));
+        }
+        ends.push((offer.output, offer.prompt));
+        ends.sort_unstable();
+        let mut peak = 0;
+        for (index, (left, _)) in ends.iter().enumerate() {
+            let held = ends[index..]
+                .iter()
+                .map(|(_, context)| block(context + left + 1));
+            peak = peak.max(held.sum());
+        }
+        peak
+    }
+}
+
+fn block(tokens: u32) -> u32 {
+    tokens.next_multiple_of(engine::BLOCK_TOKENS)
+}
--- /dev/null
+++ b/crates/load/src/experiment/world.rs
@@ -0,0 +1,517 @@
+//! The event loop: entries, agents and engines under a virtual clock in microseconds.
+
+use std::cmp;
+use std::collections;
+
+use peargap_core::admit;
+use peargap_core::ramp;
+use peargap_core::retry;
+use peargap_core::table;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+
+use crate::experiment::engine;
+use crate::experiment::entry;
+use crate::experiment::gate;
+use crate::experiment::job;
+use crate::experiment::measure;
+use crate::experiment::node;
+use crate::experiment::policy;
+use crate::experiment::scenario;
+use crate::experiment::workload;
+
+/// Entries, each with its own view.
+pub const ENTRIES: usize = 3;
+/// One way between an entry and an agent, in microseconds.
+const HOP_US: u64 = 1_000;
+/// Time between an agent's reports, in microseconds.
+const REPORT_US: u64 = 250_000;
+/// Time between an agent's looks at its time-outs, in microseconds.
+const TICK_US: u64 = 100_000;
+/// Time from a failure to the restart, in microseconds.
+const RESTART_US: u64 = 10_000_000;
+/// Time until a domain's state is known everywhere, in microseconds.
+const CONFIG_US: u64 = 1_000_000;
+
+#[derive(Debug)]
+enum Event {
+    Arrive(usize),
+    Deadline(usize),
+    Domain {
+        domain: usize,
+        out: bool,
+    },
+    Fault(scenario::Fault),
+    Offer {
+        job: usize,
+        engine: usize,
+    },
+    Refused {
+        job: usize,
+        engine: usize,
+        failed: bool,
+    },
+    Report {
+        engine: usize,
+        load: table::Report,
+        prefixes: Vec<u64>,
+    },
+    Restart(usize),
+    Retry(usize),
+    Sample(usize),
+    Step {
+        engine: usize,
+        incarnation: u32,
+    },
+    Tick,
+}
+
+#[derive(Debug)]
+struct Due {
+    at: u64,
+    event: Event,
+    number: u64,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Due) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Due) -> Option<cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Due) -> cmp::Ordering {
+        // Reversed: the heap yields the earliest.
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+/// One run of one policy in one scenario.
+#[derive(Debug)]
+pub struct World {
+    acts: Vec<gate::Act>,
+    due: collections::BinaryHeap<Due>,
+    entries: Vec<entry::Entry>,
+    jobs: Vec<job::Job>,
+    measure: measure::Measure,
+    models: &'static [workload::Model],
+    nodes: Vec<node::Node>,
+    notes: Vec<engine::Note>,
+    now: u64,
+    number: u64,
+    random: rand::rngs::SmallRng,
+    scenario: scenario::Scenario,
+}
+
+/// Runs one policy in one scenario and returns what was measured.
+#[must_use]
+pub fn run_policy(
+    scenario: &scenario::Scenario,
+    policy: &policy::Policy,
+    seed: u64,
+) -> measure::Figures {
+    let mut world = World::new(scenario, policy, seed);
+    world.run();
+    world.measure.conclude(&world.jobs, &world.scenario)
+}
+
+impl World {
+    fn new(scenario: &scenario::Scenario, policy: &policy::Policy, seed: u64) -> World {
+        let models = scenario.deployment.models();
+        let requests = workload::generate_requests(scenario.deployment, &scenario.traffic, seed);
+        let mut random = rand::rngs::SmallRng::seed_from_u64(seed ^ 0x5EED);
+        let mut jobs = Vec::with_capacity(requests.len());
+        for request in requests {
+            jobs.push(job::Job::new(request, random.random_range(0..ENTRIES)));
+        }
+        let mut nodes = Vec::new();
+        for model in models {
+            for _ in 0..model.engines {
+                nodes.push(node::Node::new(policy, model));
+            }
+        }
+        let entries =
+            (0..ENTRIES as u64).map(|n| entry::Entry::new(policy, models, seed ^ (n + 1)));
+        World {
+            acts: Vec::new(),
+            due: collections::BinaryHeap::new(),
+            entries: entries.collect(),
+            jobs,
+            measure: measure::Measure::new(models),
+            models,
+            nodes,
+            notes: Vec::new(),
+            now: 0,
+            number: 0,
+            random,
+            scenario: scenario.clone(),
+        }
+    }
+
+    fn run(&mut self) {
+        for job in 0..self.jobs.len() {
+            self.schedule(self.jobs[job].request.at, Event::Arrive(job));
+        }
+        for (at, fault) in self.scenario.faults.clone() {
+            self.schedule(at, Event::Fault(fault));
+        }
+        for engine in 0..self.nodes.len() {
+            let spread = REPORT_US * engine as u64 / self.nodes.len() as u64;
+            self.schedule(spread, Event::Sample(engine));
+        }
+        self.schedule(TICK_US, Event::Tick);
+        while let Some(due) = self.due.pop() {
+            if due.at > self.scenario.end {
+                return;
+            }
+            self.now = due.at;
+            self.handle(due.event);
+        }
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.number += 1;
+        self.due.push(Due {
+            at,
+            event,
+            number: self.number,
+        });
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(job) => self.arrive(job),
+            Event::Deadline(job) => self.expire(job),
+            Event::Domain { domain, out } => self.learn_domain(domain, out),
+            Event::Fault(fault) => self.fault(fault),
+            Event::Offer { job, engine } => self.offer(job, engine),
+            Event::Refused {
+                job,
+                engine,
+                failed,
+            } => self.refused(job, engine, failed),
+            Event::Report {
+                engine,
+                load,
+                prefixes,
+            } => {
+                for entry in &mut self.entries {
+                    entry.report(self.now, engine, load, &prefixes);
+                }
+            }
+            Event::Restart(engine) => self.restart(engine),
+            Event::Retry(job) => self.place(job),
+            Event::Sample(engine) => self.sample(engine),
+            Event::Step {
+                engine,
+                incarnation,
+            } => self.step(engine, incarnation),
+            Event::Tick => self.tick(),
+        }
+    }
+
+    fn arrive(&mut self, job: usize) {
+        self.entries[self.jobs[job].entry].earn();
+        self.schedule(self.deadline(job), Event::Deadline(job));
+        self.place(job);
+    }
+
+    fn place(&mut self, job: usize) {
+        if self.jobs[job].outcome.is_some() {
+            return;
+        }
+        let deadline = self.deadline(job);
+        self.jobs[job].attempts += 1;
+        let entry = &mut self.entries[self.jobs[job].entry];
+        match entry.choose(self.now, &self.jobs[job], deadline) {
+            Some(engine) => self.schedule(self.now + HOP_US, Event::Offer { job, engine }),
+            None => self.end(job, job::Outcome::Refused),
+        }
+    }
+
+    fn offer(&mut self, job: usize, engine: usize) {
+        let node = &mut self.nodes[engine];
+        if !node.engine.up || node.draining {
+            let failed = !node.engine.up;
+            self.schedule(
+                self.now + HOP_US,
+                Event::Refused {
+                    job,
+                    engine,
+                    failed,
+                },
+            );
+            return;
+        }
+        let deadline = self.deadline(job);
+        let node = &mut self.nodes[engine];
+        node.offer(
+            self.now,
+            job,
+            &self.jobs[job].request,
+            deadline,
+            &mut self.acts,
+        );
+        self.act(engine);
+    }
+
+    /// Carries out what an agent decided.
+    fn act(&mut self, engine: usize) {
+        let mut acts = core::mem::take(&mut self.acts);
+        for act in acts.drain(..) {
+            match act {
+                gate::Act::Queue(job) => self.accept(job, engine),
+                gate::Act::Refuse { job, queued: true } => {
+                    self.entries[self.jobs[job].entry].left(engine);
+                    self.end(job, job::Outcome::Shed);
+                }
+                gate::Act::Refuse { job, queued: false } => {
+                    let at = self.now + HOP_US;
+                    self.schedule(
+                        at,
+                        Event::Refused {
+                            job,
+                            engine,
+                            failed: false,
+                        },
+                    );
+                }
+                gate::Act::Submit(job) => self.submit(job, engine),
+            }
+        }
+        if self.acts.is_empty() {
+            self.acts = acts;
+        }
+    }
+
+    fn accept(&mut self, job: usize, engine: usize) {
+        self.jobs[job].accepted = true;
+        self.jobs[job].engine = Some(engine);
+        self.entries[self.jobs[job].entry].answered(engine, true);
+    }
+
+    fn submit(&mut self, job: usize, engine: usize) {
+        if !self.nodes[engine].engine.up {
+            return;
+        }
+        self.accept(job, engine);
+        let request = &self.jobs[job].request;
+        let submitted = self.nodes[engine].submit(self.now, job, request);
+        self.measure
+            .cold(self.nodes[engine].engine.cold_load(self.now));
+        if submitted == engine::Submitted::FellOver {
+            self.measure.fell_over();
+            self.kill(engine, job::Outcome::FellOver);
+            return;
+        }
+        self.start_step(engine);
+    }
+
+    fn start_step(&mut self, engine: usize) {
+        let node = &mut self.nodes[engine];
+        if node.stepping || !node.engine.is_busy() {
+            return;
+        }
+        node.stepping = true;
+        self.notes.clear();
+        let step = node.engine.begin_step(self.now, &mut self.notes);
+        for note in &self.notes {
+            if let engine::Note::Preempted(job) = note {
+                let since = self.jobs[*job].preempted_at;
+                self.jobs[*job].preempted_at = since.or(Some(self.now));
+                self.measure.preempted(self.now, &self.scenario);
+            }
+        }
+        let incarnation = node.engine.incarnation;
+        self.schedule(
+            self.now + step,
+            Event::Step {
+                engine,
+                incarnation,
+            },
+        );
+    }
+
+    fn step(&mut self, engine: usize, incarnation: u32) {
+        let node = &mut self.nodes[engine];
+        if node.engine.incarnation != incarnation || !node.engine.up {
+            return;
+        }
+        node.stepping = false;
+        let mut notes = core::mem::take(&mut self.notes);
+        notes.clear();
+        node.engine.end_step(self.now, &mut notes);
+        for note in &notes {
+            match note {
+                engine::Note::Finished(job) => self.finish(*job, engine),
+                engine::Note::Preempted(_) => {}
+                engine::Note::Token(job) => {
+                    let job = &mut self.jobs[*job];
+                    self.measure.token(self.now, job, &self.scenario);
+                }
+            }
+        }
+        let node = &mut self.nodes[engine];
+        node.gate
+            .step(self.now, &notes, &node.engine, &mut self.acts);
+        self.notes = notes;
+        self.act(engine);
+        self.start_step(engine);
+    }
+
+    fn finish(&mut self, job: usize, engine: usize) {
+        self.entries[self.jobs[job].entry].left(engine);
+        self.end(job, job::Outcome::Whole);
+    }
+
+    fn end(&mut self, job: usize, outcome: job::Outcome) {
+        let job = &mut self.jobs[job];
+        if job.outcome.is_none() {
+            job.outcome = Some(outcome);
+            job.ended_at = self.now;
+        }
+    }
+
+    fn expire(&mut self, job: usize) {
+        if self.jobs[job].outcome.is_some() {
+            return;
+        }
+        let accepted = self.jobs[job].accepted;
+        if let Some(engine) = self.jobs[job].engine {
+            self.entries[self.jobs[job].entry].left(engine);
+            let node = &mut self.nodes[engine];
+            node.engine.cancel(job);
+            node.gate.drop_job(self.now, job, admit::End::Cancelled);
+        }
+        let late = if accepted {
+            job::Outcome::Late
+        } else {
+            job::Outcome::Refused
+        };
+        self.end(job, late);
+    }
+
+    /// An offer was not run: tries elsewhere or refuses.
+    fn refused(&mut self, job: usize, engine: usize, failed: bool) {
+        let deadline = self.deadline(job);
+        let entry = &mut self.entries[self.jobs[job].entry];
+        entry.left(engine);
+        if failed {
+            entry.failed(self.now, engine);
+        } else {
+            entry.answered(engine, false);
+        }
+        self.jobs[job].engine = None;
+        self.jobs[job].avoid.push(engine);
+        match entry.plan_retry(self.now, &self.jobs[job], deadline) {
+            retry::Next::GiveUp(_) => self.end(job, job::Outcome::Refused),
+            retry::Next::Retry { after_ms } => {
+                self.schedule(self.now + after_ms * 1000, Event::Retry(job));
+            }
+        }
+    }
+
+    /// The engine dies with all it holds; streams without a token are tried elsewhere.
+    fn kill(&mut self, engine: usize, outcome: job::Outcome) {
+        let node = &mut self.nodes[engine];
+        node.stepping = false;
+        for job in node.engine.die() {
+            self.nodes[engine]
+                .gate
+                .drop_job(self.now, job, admit::End::Failed);
+            if self.jobs[job].delivered == 0 {
+                self.schedule(
+                    self.now + HOP_US,
+                    Event::Refused {
+                        job,
+                        engine,
+                        failed: true,
+                    },
+                );
+                continue;
+            }
+            self.entries[self.jobs[job].entry].left(engine);
+            self.end(job, outcome);
+        }
+        self.schedule(self.now + RESTART_US, Event::Restart(engine));
+    }
+
+    fn restart(&mut self, engine: usize) {
+        let node = &mut self.nodes[engine];
+        if node.engine.up {
+            return;
+        }
+        node.engine.restart(self.now);
+        node.gate.sign(self.now, ramp::Sign::NewIncarnation);
+        node.gate.tick(self.now, &node.engine, &mut self.acts);
+        self.act(engine);
+        self.start_step(engine);
+    }
+
+    fn fault(&mut self, fault: scenario::Fault) {
+        match fault {
+            scenario::Fault::Die(engine) => self.kill(engine, job::Outcome::Died),
+            scenario::Fault::Domain { domain, out } => {
+                self.schedule(self.now + CONFIG_US, Event::Domain { domain, out });
+            }
+            scenario::Fault::TurnCold(engine) => self.nodes[engine].engine.turn_cold(self.now),
+        }
+    }
+
+    fn learn_domain(&mut self, domain: usize, out: bool) {
+        for entry in &mut self.entries {
+            entry.set_domain_out(domain, out);
+        }
+        for engine in (0..self.nodes.len()).filter(|n| n % workload::DOMAINS == domain) {
+            let node = &mut self.nodes[engine];
+            node.draining = out;
+            if !out {
+                // Hosts that were out were serviced and come back cold.
+                node.engine.turn_cold(self.now);
+                node.gate.sign(self.now, ramp::Sign::DomainReturned);
+            }
+        }
+    }
+
+    fn sample(&mut self, engine: usize) {
+        let lag = self
+            .random
+            .random_range(self.scenario.report_lag_us.clone());
+        let node = &mut self.nodes[engine];
+        let load = node.report();
+        let prefixes = node.prefixes(self.now, &mut self.random);
+        self.schedule(
+            self.now + lag,
+            Event::Report {
+                engine,
+                load,
+                prefixes,
+            },
+        );
+        self.schedule(self.now + REPORT_US, Event::Sample(engine));
+    }
+
+    fn tick(&mut self) {
+        for engine in 0..self.nodes.len() {
+            let node = &mut self.nodes[engine];
+            if node.engine.up {
+                node.gate.tick(self.now, &node.engine, &mut self.acts);
+                self.act(engine);
+            }
+        }
+        self.schedule(self.now + TICK_US, Event::Tick);
+    }
+
+    fn deadline(&self, job: usize) -> u64 {
+        let request = &self.jobs[job].request;
+        request.at + self.models[request.model].deadline_ms * 1000
+    }
+}
