--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -22,7 +22,7 @@
 /// Gap after which a stream counts as preempted, in milliseconds.
 const STALL_MS: u64 = 200;
 /// Gap between tokens against that of a lone stream, at most.
-pub const MAX_STRETCH: f64 = 1.2;
+pub const MAX_STRETCH: f64 = 1.25;
 
 /// What the agent knows of its upstream.
 #[derive(Clone, Copy, Debug)]
@@ -160,6 +160,8 @@
     last_token: time::Instant,
     preempted: bool,
     produced: u32,
+    /// Prompt tokens to compute before its first token, its own and those ahead of it.
+    prompted: u32,
     request: Request,
 }
 
@@ -173,6 +175,8 @@
     fresh: u32,
     options: Options,
     preempted: u32,
+    /// When a prompt was last seen to be computed.
+    prompted_at: time::Instant,
     queue: queue::Queue<Request>,
     ramp: ramp::Ramp,
     runs: slotmap::SlotMap<Stream, Run>,
@@ -197,6 +201,7 @@
             fresh: 0,
             options,
             preempted: 0,
+            prompted_at: now,
             queue: queue::Queue::new(options.max_waiting),
             ramp: ramp::Ramp::new(now, limits),
             runs: slotmap::SlotMap::with_key(),
@@ -244,6 +249,8 @@
         let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
         let charged = f64::from(uncached) + f64::from(self.mean(&request));
         self.queue.shares().charge(request.team, charged);
+        let unproven = self.runs.values().filter(|run| run.produced == 0);
+        let ahead: u32 = unproven.map(|run| run.request.prompt_tokens).sum();
         self.unproven += 1;
         self.fresh += 1;
         self.runs.insert(Run {
@@ -253,6 +260,7 @@
             last_token: now,
             preempted: false,
             produced: 0,
+            prompted: ahead + request.prompt_tokens,
             request,
         })
     }
@@ -291,7 +299,8 @@
         let running = self.running();
         let run = self.runs.get_mut(stream)?;
         let before = run.produced;
-        let waited_ms = now.millis_since(run.last_token);
+        let since = run.last_token;
+        let waited_ms = now.millis_since(since);
         run.produced += count;
         run.last_token = now;
         self.curves.passed(run.request.class, before, run.produced);
@@ -306,9 +315,10 @@
             return None;
         }
         self.unproven -= 1;
+        self.prompted_at = now;
         let sign = self
             .ramp
-            .first_token(waited_ms, run.request.prompt_tokens)?;
+            .first_token(waited_ms, run.prompted)?;
         self.sign(now, sign);
         Some(sign)
     }
@@ -362,7 +372,7 @@
         let mut waiting = self.runs.values().filter(|run| run.produced == 0);
         let overdue = waiting.any(|run| {
             self.ramp
-                .is_slow(now.millis_since(run.begun), run.request.prompt_tokens)
+                .is_slow(now.millis_since(run.begun), run.prompted)
         });
         if !overdue {
             return None;
@@ -387,6 +397,14 @@
         }
     }
 
+    /// Debug.
+    pub fn debug(&self, now: time::Instant) -> String {
+        let head = self.queue.peek().and_then(|t| self.queue.get(t)).copied();
+        let room = head.map(|i| self.room(&i.work));
+        let age = head.map(|i| now.millis_since(i.arrived));
+        format!("{:?} fresh {} unproven {} preempted {} ramp {} batch {} room {:?} headage {:?} prompt {:?} mem {}", self.load(), self.fresh, self.unproven, self.preempted, self.ramp.limit(), self.batch.limit(), room, age, head.map(|i| i.work.prompt_tokens), self.options.memory_tokens)
+    }
+
     /// Returns whether a request may start now.
     #[must_use]
     pub fn room(&self, request: &Request) -> Room {
--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -4,7 +4,7 @@
 //! gap stays within a factor of that of one stream.
 
 /// Share of an observation that is left after the next one.
-const KEEP: f64 = 0.9998;
+const KEEP: f64 = 0.99999;
 /// Observations before the fit is trusted.
 const MIN_OBSERVATIONS: f64 = 400.0;
 /// Spread of the batch sizes (variance) before the slope is trusted.
--- a/crates/load/src/experiment/measure.rs
+++ b/crates/load/src/experiment/measure.rs
@@ -62,10 +62,27 @@
     pub whole: u64,
     /// Whole answers by time of arrival, in points of `POINT_US`.
     pub whole_points: Vec<f64>,
+    /// By model.
+    pub tallies: Vec<Tally>,
     /// Preemptions and other losses by time of arrival.
     pub lost_points: Vec<f64>,
 }
 
+/// What became of one model's requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    /// Requests that arrived.
+    pub arrived: u64,
+    /// Accepted but not whole in time.
+    pub late: u64,
+    /// Refused when offered.
+    pub refused: u64,
+    /// Refused from the queue.
+    pub shed: u64,
+    /// Whole and in time.
+    pub whole: u64,
+}
+
 impl Measure {
     /// Returns an empty measure.
     #[must_use]
@@ -133,6 +150,7 @@
         let points = (scenario.traffic.until / POINT_US) as usize + 1;
         figures.whole_points = vec![0.0; points];
         figures.lost_points = vec![0.0; points];
+        figures.tallies = vec![Tally::default(); self.models.len()];
         let mut firsts = histogram();
         let mut tokens = 0_u64;
         for job in jobs {
@@ -228,6 +246,14 @@
 }
 
 fn count(figures: &mut Figures, job: &job::Job) {
+    let tally = &mut figures.tallies[job.request.model];
+    tally.arrived += 1;
+    match job.outcome {
+        Some(job::Outcome::Whole) => tally.whole += 1,
+        Some(job::Outcome::Refused) => tally.refused += 1,
+        Some(job::Outcome::Shed) => tally.shed += 1,
+        _ => tally.late += 1,
+    }
     figures.arrived += 1;
     figures.accepted += u64::from(job.accepted);
     match job.outcome {
