--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,6 +5,7 @@
 mod body;
 mod call;
 mod clock;
+mod domain;
 mod drive;
 mod engine;
 mod events;
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -8,14 +8,12 @@
 use std::sync;
 
 use peargap_adapters::logs;
-use peargap_core::ramp;
 use peargap_wire::control;
 use tokio_util::sync as cancel;
 
 use crate::agent;
 use crate::engine;
 use crate::events;
-use crate::gate;
 
 /// Time between two looks at the orders.
 const PERIOD: Duration = Duration::from_millis(200);
@@ -25,13 +23,11 @@
 /// Carries out orders until `token` is cancelled.
 pub(crate) async fn run(agent: sync::Arc<agent::Agent>, token: cancel::CancellationToken) {
     let mut newest = 0;
-    let mut out = false;
     loop {
         tokio::select! {
             () = token.cancelled() => return,
             () = tokio::time::sleep(PERIOD) => {}
         }
-        out = follow_state(&agent, out);
         let Some(order) = find_order(&agent, newest) else {
             continue;
         };
@@ -42,23 +38,6 @@
     }
 }
 
-/// Returns whether the upstream is out now; one that is brought back is ramped.
-fn follow_state(agent: &agent::Agent, before: bool) -> bool {
-    let out = agent.is_out();
-    let version = agent.view.version();
-    match (before, out) {
-        (false, true) => logs::emit(events::OUT, format_args!("version={version}")),
-        (true, false) => {
-            logs::emit(events::BACK, format_args!("version={version}"));
-            agent
-                .gate
-                .tell(gate::Message::Sign(ramp::Sign::DomainReturned));
-        }
-        (false, false) | (true, true) => {}
-    }
-    out
-}
-
 /// Returns the order in force when it is newer than `newest`.
 fn find_order(agent: &agent::Agent, newest: u64) -> Option<control::Order> {
     if !agent.view.is_fresh() {
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -24,6 +24,7 @@
 use crate::admission;
 use crate::agent;
 use crate::clock;
+use crate::domain;
 use crate::engine;
 use crate::events;
 use crate::meters;
@@ -98,6 +99,7 @@
                 let (agent, admission) = build(settings, meters, stop.clone());
                 tokio::spawn(admission.run(stop.clone()));
                 tokio::spawn(poll::run(sync::Arc::clone(&agent), stop.clone()));
+                tokio::spawn(domain::run(sync::Arc::clone(&agent), stop.clone()));
                 tokio::spawn(orders::run(sync::Arc::clone(&agent), stop.clone()));
                 tokio::spawn(sweep::run(sync::Arc::clone(&agent), stop.clone()));
                 let _ = ready.send(agent);
--- /dev/null
+++ b/crates/core/tests/replay.rs
@@ -0,0 +1,176 @@
+//! Properties of the replay buffer and of generations' names.
+
+use bytes::Bytes;
+use peargap_core::generation;
+use peargap_core::replay;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+const CASES: u64 = 300;
+const LIMIT_BYTES: usize = 600;
+
+/// One thing done to a buffer.
+#[derive(Clone, Debug)]
+enum Deed {
+    Acknowledge(u8),
+    Attach(u8),
+    Detach,
+    Push(u8),
+    Take(u8),
+}
+
+impl Arbitrary for Deed {
+    fn arbitrary(random: &mut Gen) -> Deed {
+        let number = u8::arbitrary(random) % 24;
+        match u8::arbitrary(random) % 10 {
+            0 => Deed::Attach(number),
+            1 => Deed::Detach,
+            2 | 3 => Deed::Acknowledge(number),
+            4..=6 => Deed::Take(number % 4),
+            _ => Deed::Push(number % 12),
+        }
+    }
+}
+
+/// A buffer and what its reader knows.
+struct Bench {
+    acknowledged: u64,
+    buffer: replay::Buffer,
+    link: Option<replay::Link>,
+    taken: u64,
+}
+
+fn text(offset: u64) -> Bytes {
+    Bytes::from(format!("{offset} "))
+}
+
+impl Bench {
+    /// Does one thing and checks its outcome.
+    fn apply(&mut self, deed: &Deed) {
+        match *deed {
+            Deed::Acknowledge(ahead) => self.acknowledge(self.acknowledged + u64::from(ahead)),
+            Deed::Attach(offset) => self.attach(u64::from(offset)),
+            Deed::Detach => {
+                if let Some(old) = self.link.take() {
+                    assert!(self.buffer.detach(old));
+                    assert!(!self.buffer.detach(old));
+                }
+            }
+            Deed::Push(back) => {
+                let next = self.buffer.next();
+                self.push(next.saturating_sub(u64::from(back / 4)) + u64::from(back % 2));
+            }
+            Deed::Take(most) => self.take(usize::from(most)),
+        }
+    }
+
+    fn push(&mut self, offset: u64) {
+        let (next, room) = (self.buffer.next(), self.buffer.has_room());
+        let pushed = self.buffer.push(offset, text(offset));
+        let right = match offset.cmp(&next) {
+            core::cmp::Ordering::Less => replay::Push::Repeated,
+            core::cmp::Ordering::Greater => replay::Push::Gap,
+            core::cmp::Ordering::Equal if room => replay::Push::Stored,
+            core::cmp::Ordering::Equal => replay::Push::Full,
+        };
+        assert_eq!(pushed, right);
+        let grown = u64::from(pushed == replay::Push::Stored);
+        assert_eq!(self.buffer.next(), next + grown);
+    }
+
+    fn take(&mut self, most: usize) {
+        let Some(link) = self.link else {
+            return;
+        };
+        if let replay::Take::Batch { offset, tokens } = self.buffer.take(link, most) {
+            assert_eq!(offset, self.taken, "not in order");
+            for token in tokens {
+                assert_eq!(token, text(self.taken), "another token");
+                self.taken += 1;
+            }
+        }
+    }
+
+    fn acknowledge(&mut self, offset: u64) {
+        let Some(link) = self.link else {
+            return;
+        };
+        if self.buffer.acknowledge(link, offset) {
+            assert!(offset <= self.taken, "more than was taken");
+            self.acknowledged = offset;
+        }
+    }
+
+    fn attach(&mut self, offset: u64) {
+        match self.buffer.attach(offset) {
+            replay::Attach::Ready(new) => {
+                if let Some(old) = self.link {
+                    assert!(old < new);
+                    assert_eq!(self.buffer.take(old, 9), replay::Take::Superseded);
+                    assert!(!self.buffer.acknowledge(old, self.buffer.next()));
+                }
+                self.link = Some(new);
+                (self.taken, self.acknowledged) = (offset, offset);
+            }
+            replay::Attach::Ahead => assert!(offset > self.buffer.next()),
+            replay::Attach::Forgotten { first } => assert!(offset < first),
+        }
+    }
+}
+
+#[test]
+fn tokens_come_in_order_and_are_kept_until_acknowledged() {
+    for seed in 0..CASES {
+        let mut random = Gen::from_size_and_seed(200, seed);
+        let mut bench = Bench {
+            acknowledged: 0,
+            buffer: replay::Buffer::new(LIMIT_BYTES),
+            link: None,
+            taken: 0,
+        };
+        for deed in Vec::<Deed>::arbitrary(&mut random) {
+            bench.apply(&deed);
+            let dropped = bench.buffer.first();
+            assert!(dropped <= bench.acknowledged, "dropped while owed");
+            let most = LIMIT_BYTES + text(999).len() + 64;
+            assert!(bench.buffer.kept_bytes() <= most, "over the limit");
+        }
+    }
+}
+
+#[test]
+fn full_buffer_goes_on_after_an_acknowledgement() {
+    let mut buffer = replay::Buffer::new(LIMIT_BYTES);
+    let replay::Attach::Ready(link) = buffer.attach(0) else {
+        panic!("not attached");
+    };
+    while buffer.push(buffer.next(), text(0)) == replay::Push::Stored {}
+    assert!(!buffer.has_room());
+    buffer.take(link, usize::MAX);
+    assert!(buffer.acknowledge(link, 3));
+    assert!(buffer.has_room());
+    assert_eq!(buffer.push(buffer.next(), text(0)), replay::Push::Stored);
+}
+
+#[test]
+fn names_read_back_as_written() {
+    for seed in 0..CASES {
+        let mut random = Gen::from_size_and_seed(20, seed);
+        let id = generation::Id {
+            incarnation: format!("{:x}", u64::arbitrary(&mut random)),
+            number: u64::arbitrary(&mut random),
+            upstream: format!("up~{}", u8::arbitrary(&mut random)),
+        };
+        assert_eq!(id.to_string().parse(), Ok(id));
+        let noise = String::arbitrary(&mut random);
+        if let Ok(id) = noise.parse::<generation::Id>() {
+            assert_eq!(id.to_string(), noise);
+        }
+    }
+    let wrong = [
+        "", "a", "a~b", "~b~1", "a~~1", "a~b~", "a~b~-1", "a~b~01", "a~b~+1",
+    ];
+    for text in wrong {
+        assert!(text.parse::<generation::Id>().is_err(), "{text}");
+    }
+}
