Agent: read the counter as it is written

Ruled out: a fault in the agent (its log shows the one sign). Change: the line is found by name and compared by value, as strict as meant.

--- a/crates/agent/tests/enforcement.rs
+++ b/crates/agent/tests/enforcement.rs
@@ -99,10 +99,9 @@
     rig.agent.wait_ready(true).await;
     assert_eq!(try_start(&rig, "r2").await, None);
     let (_, metrics) = rig.agent.read("/metrics").await.unwrap();
-    assert!(
-        metrics.contains("peargap_agent_cold_signs_total 1"),
-        "{metrics}"
-    );
+    let mut lines = metrics.lines();
+    let signs = lines.find(|line| line.starts_with("peargap_agent_cold_signs_total{"));
+    assert!(signs.is_some_and(|line| line.ends_with(" 1")), "{signs:?}");
 }
 
 #[tokio::test]
