Model check of a generation's way from engine to caller

Cause: each token once, in order, of one generation was only tested by example. Ruled out: a model of its own buffer (the real replay buffer is driven). Change: crates/core/tests/model_stream.rs; links cut, silent, replaced, engine death, caller lost; six planted bugs.

--- /dev/null
+++ b/crates/core/tests/model_stream.rs
@@ -0,0 +1,463 @@
+//! Model check of a generation's way: engine, agent, entry, caller, and links that are cut, go
+//! silent and are replaced. The agent's part is the real replay buffer.
+//!
+//! Property: the caller gets each token once, in order, of one generation; a loss of a link alone
+//! never ends the generation; nothing is stuck. Each planted bug must be found.
+
+use bytes::Bytes;
+use pathfinding::directed::bfs;
+use peargap_core::replay;
+
+/// Tokens of a whole generation.
+const LENGTH: u64 = 3;
+/// Room for two tokens that are not acknowledged.
+const LIMIT_BYTES: usize = 2 * 66;
+/// Most tokens in one chunk.
+const CHUNK: usize = 2;
+
+/// A fault put into the specification, which the check must find.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Bug {
+    /// The agent counts a token as acknowledged once it is sent.
+    AcknowledgeWhenSent,
+    /// The agent takes the engine's tokens in the order of arrival, whatever their offset.
+    IgnoreEngineOffset,
+    /// The entry uses what still arrives on a link that it has replaced.
+    ReadOldLink,
+    /// The entry starts a dead generation again after tokens have left for the caller.
+    RerunAfterDelivery,
+    /// The entry resumes one token too early and trusts what comes.
+    ResumeTooEarly,
+    /// The agent drops the engine's token when its buffer is full.
+    DropWhenFull,
+}
+
+/// Bounds of one run.
+#[derive(Clone, Copy, Debug)]
+struct Spec {
+    bug: Option<Bug>,
+    faults: u8,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Token {
+    generation: u8,
+    number: u8,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+enum Message {
+    Chunk { offset: u64, tokens: Vec<Bytes> },
+    Failed,
+    Finished,
+}
+
+/// One link between entry and agent.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Channel {
+    /// Acknowledgement on its way to the agent.
+    acknowledged: Option<u64>,
+    /// Whether the agent handed over the end.
+    ended: bool,
+    link: replay::Link,
+    /// On their way to the entry.
+    messages: Vec<Message>,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+enum Event {
+    Failed,
+    Finished,
+    Token(Token),
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Outcome {
+    Failed,
+    Finished,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct State {
+    alive: bool,
+    buffer: replay::Buffer,
+    current: Option<Channel>,
+    /// Whether the engine's death or the caller's loss excuses a failure.
+    excused: bool,
+    /// Offset that the entry expects next.
+    expected: u64,
+    faults: u8,
+    /// Whether the entry may start another generation: the caller named none.
+    fresh: bool,
+    generation: u8,
+    got: Vec<Token>,
+    /// A link that the entry has replaced; the agent may not know.
+    old: Option<Channel>,
+    outcome: Option<Outcome>,
+    /// Offset of the engine's next token on the link to the agent.
+    source: Option<u64>,
+    /// On their way from the entry to the caller.
+    wire: Vec<Event>,
+}
+
+fn token_text(generation: u8, offset: u64) -> Bytes {
+    Bytes::copy_from_slice(&[generation, offset as u8])
+}
+
+fn read_token(text: &Bytes) -> Token {
+    Token {
+        generation: text[0],
+        number: text[1],
+    }
+}
+
+impl State {
+    fn new(faults: u8) -> State {
+        State {
+            alive: true,
+            buffer: replay::Buffer::new(LIMIT_BYTES),
+            current: None,
+            excused: false,
+            expected: 0,
+            faults,
+            fresh: true,
+            generation: 1,
+            got: Vec::new(),
+            old: None,
+            outcome: None,
+            source: Some(0),
+            wire: Vec::new(),
+        }
+    }
+
+    /// Returns whether something that must never be has come to be.
+    fn is_wrong(&self) -> bool {
+        let in_order = self.got.iter().enumerate();
+        let in_order = in_order
+            .clone()
+            .all(|(at, token)| usize::from(token.number) == at);
+        let one = self
+            .got
+            .windows(2)
+            .all(|two| two[0].generation == two[1].generation);
+        let whole = self.got.len() as u64 == LENGTH;
+        let ended_well = match self.outcome {
+            Some(Outcome::Finished) => whole,
+            Some(Outcome::Failed) => self.excused,
+            None => true,
+        };
+        !(in_order && one && ended_well)
+    }
+
+    /// Returns every state that one step leads to.
+    fn list_next(&self, spec: Spec) -> Vec<State> {
+        let mut next = Vec::new();
+        if self.outcome.is_some() {
+            return next;
+        }
+        next.extend(self.emit_token(spec));
+        next.extend(self.resume_engine());
+        next.extend(self.send(true, spec));
+        next.extend(self.send(false, spec));
+        next.extend(self.receive_current(spec));
+        next.extend(self.receive_old(spec));
+        next.extend(self.take_acknowledgement(true));
+        next.extend(self.take_acknowledgement(false));
+        next.extend(self.open_link(spec));
+        next.extend(self.read_event());
+        if self.faults > 0 {
+            let mut rest = self.clone();
+            rest.faults -= 1;
+            next.extend(rest.break_something());
+        }
+        next
+    }
+
+    /// The engine's next token reaches the agent.
+    fn emit_token(&self, spec: Spec) -> Option<State> {
+        let offset = self.source.filter(|offset| *offset < LENGTH)?;
+        let mut state = self.clone();
+        state.source = Some(offset + 1);
+        let text = token_text(self.generation, offset);
+        let place = match spec.bug {
+            Some(Bug::IgnoreEngineOffset) => self.buffer.next(),
+            Some(_) | None => offset,
+        };
+        match state.buffer.push(place, text) {
+            replay::Push::Stored | replay::Push::Repeated => Some(state),
+            replay::Push::Full if spec.bug == Some(Bug::DropWhenFull) => Some(state),
+            replay::Push::Full => None,
+            replay::Push::Gap => {
+                state.source = None;
+                Some(state)
+            }
+        }
+    }
+
+    /// The agent replaces its link to the engine, perhaps with an overlap.
+    fn resume_engine(&self) -> Vec<State> {
+        if self.source.is_some() || !self.alive {
+            return Vec::new();
+        }
+        let next = self.buffer.next();
+        [next, next.saturating_sub(1)]
+            .map(|offset| State {
+                source: Some(offset),
+                ..self.clone()
+            })
+            .to_vec()
+    }
+
+    /// The agent sends on the current link, or on one that it does not know to be replaced.
+    fn send(&self, on_current: bool, spec: Spec) -> Option<State> {
+        let mut state = self.clone();
+        let side = if on_current {
+            &mut state.current
+        } else {
+            &mut state.old
+        };
+        let channel = side.as_mut().filter(|channel| !channel.ended)?;
+        match state.buffer.take(channel.link, CHUNK) {
+            replay::Take::Batch { offset, tokens } => {
+                if spec.bug == Some(Bug::AcknowledgeWhenSent) {
+                    let sent = offset + tokens.len() as u64;
+                    state.buffer.acknowledge(channel.link, sent);
+                }
+                channel.messages.push(Message::Chunk { offset, tokens });
+            }
+            replay::Take::Empty if state.buffer.next() == LENGTH => {
+                channel.ended = true;
+                channel.messages.push(Message::Finished);
+            }
+            replay::Take::Empty if !state.alive => {
+                channel.ended = true;
+                channel.messages.push(Message::Failed);
+            }
+            replay::Take::Empty | replay::Take::Superseded => return None,
+        }
+        Some(state)
+    }
+
+    fn receive_current(&self, spec: Spec) -> Option<State> {
+        let mut state = self.clone();
+        let channel = state.current.as_mut()?;
+        if channel.messages.is_empty() {
+            return None;
+        }
+        let message = channel.messages.remove(0);
+        state.take_message(message, spec);
+        if let Some(channel) = &mut state.current {
+            channel.acknowledged = Some(state.expected);
+        }
+        Some(state)
+    }
+
+    /// What arrives late on a replaced link is nothing to the entry.
+    fn receive_old(&self, spec: Spec) -> Option<State> {
+        let mut state = self.clone();
+        let channel = state.old.as_mut()?;
+        if channel.messages.is_empty() {
+            return None;
+        }
+        let message = channel.messages.remove(0);
+        if spec.bug == Some(Bug::ReadOldLink) {
+            if let Message::Chunk { tokens, .. } = message {
+                state.forward(&tokens);
+            }
+        }
+        Some(state)
+    }
+
+    fn take_message(&mut self, message: Message, spec: Spec) {
+        match message {
+            Message::Chunk { offset, tokens } => {
+                let known = match spec.bug {
+                    Some(Bug::ResumeTooEarly) => 0,
+                    Some(_) | None => self.expected - offset,
+                };
+                self.forward(&tokens[known as usize..]);
+                self.expected = offset + tokens.len() as u64;
+            }
+            Message::Finished => self.wire.push(Event::Finished),
+            Message::Failed => self.take_failure(spec),
+        }
+    }
+
+    fn forward(&mut self, tokens: &[Bytes]) {
+        let events = tokens.iter().map(|text| Event::Token(read_token(text)));
+        self.wire.extend(events);
+    }
+
+    /// The engine died: the entry starts another generation while nothing has left for the caller.
+    fn take_failure(&mut self, spec: Spec) {
+        let untouched = self.expected == 0 || spec.bug == Some(Bug::RerunAfterDelivery);
+        if !(untouched && self.fresh && self.generation == 1) {
+            self.wire.push(Event::Failed);
+            return;
+        }
+        self.alive = true;
+        self.buffer = replay::Buffer::new(LIMIT_BYTES);
+        self.current = None;
+        self.expected = 0;
+        self.generation = 2;
+        self.old = None;
+        self.source = Some(0);
+    }
+
+    fn take_acknowledgement(&self, on_current: bool) -> Option<State> {
+        let mut state = self.clone();
+        let side = if on_current {
+            &mut state.current
+        } else {
+            &mut state.old
+        };
+        let channel = side.as_mut()?;
+        let offset = channel.acknowledged.take()?;
+        state.buffer.acknowledge(channel.link, offset);
+        Some(state)
+    }
+
+    /// The entry opens a link at what it expects next.
+    fn open_link(&self, spec: Spec) -> Option<State> {
+        if self.current.is_some() {
+            return None;
+        }
+        let mut state = self.clone();
+        let offset = match spec.bug {
+            Some(Bug::ResumeTooEarly) => self.expected.saturating_sub(1),
+            Some(_) | None => self.expected,
+        };
+        match state.buffer.attach(offset) {
+            replay::Attach::Ready(link) => {
+                state.current = Some(Channel {
+                    acknowledged: None,
+                    ended: false,
+                    link,
+                    messages: Vec::new(),
+                });
+            }
+            replay::Attach::Forgotten { .. } | replay::Attach::Ahead => {
+                if state.wire.contains(&Event::Failed) {
+                    return None;
+                }
+                state.wire.push(Event::Failed);
+            }
+        }
+        Some(state)
+    }
+
+    fn read_event(&self) -> Option<State> {
+        if self.wire.is_empty() {
+            return None;
+        }
+        let mut state = self.clone();
+        match state.wire.remove(0) {
+            Event::Token(token) => state.got.push(token),
+            Event::Finished => state.outcome = Some(Outcome::Finished),
+            Event::Failed => state.outcome = Some(Outcome::Failed),
+        }
+        Some(state)
+    }
+
+    fn break_something(&self) -> Vec<State> {
+        let mut next = Vec::new();
+        next.extend(self.cut_link());
+        next.extend(self.silence_link());
+        if self.alive {
+            next.push(State {
+                source: None,
+                ..self.clone()
+            });
+            next.push(State {
+                alive: false,
+                excused: true,
+                source: None,
+                ..self.clone()
+            });
+        }
+        next.push(self.lose_caller());
+        next
+    }
+
+    /// The link breaks and both ends learn it; what was on its way is lost.
+    fn cut_link(&self) -> Option<State> {
+        let mut state = self.clone();
+        let channel = state.current.take()?;
+        state.buffer.detach(channel.link);
+        Some(state)
+    }
+
+    /// The link goes silent: the entry gives it up, the agent does not know.
+    fn silence_link(&self) -> Option<State> {
+        let mut state = self.clone();
+        state.old = Some(state.current.take()?);
+        Some(state)
+    }
+
+    /// The caller's connection or entry is lost; it comes back through another entry.
+    fn lose_caller(&self) -> State {
+        let mut state = self.clone();
+        state.wire.clear();
+        if state.current.is_some() {
+            state.old = state.current.take();
+        }
+        state.excused = true;
+        state.expected = state.got.len() as u64;
+        state.fresh = false;
+        state
+    }
+}
+
+/// Searches every reachable state; returns the way to a wrong one and the states looked at.
+fn search(spec: Spec) -> (Option<Vec<State>>, usize) {
+    let mut looked = 0;
+    let found = bfs::bfs(
+        &State::new(spec.faults),
+        |state| {
+            looked += 1;
+            state.list_next(spec)
+        },
+        |state| {
+            let stuck = state.outcome.is_none() && state.list_next(spec).is_empty();
+            state.is_wrong() || stuck
+        },
+    );
+    (found, looked)
+}
+
+#[test]
+fn each_token_once_in_order_of_one_generation() {
+    let spec = Spec {
+        bug: None,
+        faults: 3,
+    };
+    let (found, looked) = search(spec);
+    println!("{looked} states with {} faults", spec.faults);
+    assert!(
+        found.is_none(),
+        "{:#?}",
+        found.and_then(|way| way.last().cloned())
+    );
+}
+
+#[test]
+fn planted_bugs_are_found() {
+    let bugs = [
+        Bug::AcknowledgeWhenSent,
+        Bug::DropWhenFull,
+        Bug::IgnoreEngineOffset,
+        Bug::ReadOldLink,
+        Bug::RerunAfterDelivery,
+        Bug::ResumeTooEarly,
+    ];
+    for bug in bugs {
+        let spec = Spec {
+            bug: Some(bug),
+            faults: 2,
+        };
+        let (found, looked) = search(spec);
+        let steps = found.map(|way| way.len());
+        println!("{bug:?}: found after {looked} states, {steps:?} steps");
+        assert!(steps.is_some(), "{bug:?} was not found");
+    }
+}
