--- /dev/null
+++ b/crates/entry/src/peer.rs
@@ -0,0 +1,83 @@
+//! One agent as this entry knows it: where it is and what it offers.
+
+use std::net;
+use std::sync;
+
+use peargap_core::table;
+use peargap_wire::control;
+
+use crate::lane;
+
+/// What the configuration says of an agent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Identity {
+    pub(crate) address: net::SocketAddr,
+    pub(crate) domain: String,
+    pub(crate) epoch: u64,
+    pub(crate) kind: control::Kind,
+    pub(crate) node: String,
+    pub(crate) offers: Vec<String>,
+    pub(crate) upstream: String,
+}
+
+impl Identity {
+    /// Returns the identity of a member that is an agent with an upstream.
+    pub(crate) fn from_member(member: &control::Member) -> Option<Identity> {
+        let node = member.node.as_ref()?;
+        let announcement = member.announcement.as_ref()?;
+        Some(Identity {
+            address: node.address.parse().ok()?,
+            domain: node.domain.clone(),
+            epoch: member.epoch,
+            kind: announcement.kind(),
+            node: node.name.clone(),
+            offers: announcement.offers.clone(),
+            upstream: announcement.upstream.clone(),
+        })
+    }
+}
+
+/// An agent; shared by the requests that use it.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    pub(crate) identity: Identity,
+    incarnation: sync::Mutex<String>,
+    pub(crate) key: table::Upstream,
+    pub(crate) lanes: lane::Lanes,
+}
+
+impl Peer {
+    /// Returns an agent that has not reported yet.
+    pub(crate) fn new(
+        identity: Identity,
+        key: table::Upstream,
+        traffic: tokio::runtime::Handle,
+    ) -> Peer {
+        let lanes = lane::Lanes::new(identity.address, traffic);
+        Peer {
+            identity,
+            incarnation: sync::Mutex::default(),
+            key,
+            lanes,
+        }
+    }
+
+    /// Records the incarnation that the agent reports.
+    pub(crate) fn set_incarnation(&self, incarnation: &str) {
+        let mut known = self.lock();
+        if *known != incarnation {
+            incarnation.clone_into(&mut known);
+        }
+    }
+
+    /// Returns the incarnation last reported, empty when there was no report.
+    pub(crate) fn incarnation(&self) -> String {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, String> {
+        self.incarnation
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
