entry: tests on the real binary with stand-in agents and control host

Cause: the API, streams and claims need proof at each step of loss. Ruled out: mocks inside the process, which would not show connections and signals. Change: tests/api, streams, claims, input with their support; a refusal after tokens says "ran"; a chunk before its generation's name is a broken link, not a silent loss.

--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -224,6 +224,9 @@
     }
 
     fn take_chunk(&mut self, app: &app::App, chunk: wire::Chunk) -> Option<End> {
+        if self.progress.generation().is_none() {
+            return Some(End::Refused(refuse_broken()));
+        }
         match self.progress.take_chunk(chunk.offset, chunk.tokens) {
             progress::Step::Deliver { offset, tokens } => {
                 self.measure(app, tokens.len());
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -279,7 +279,7 @@
                 Err(error) => error,
             };
             if error.is_connection_refused() || clock::Instant::now() >= give_up_at {
-                return Err(refuse_lost());
+                return Err(self.describe_ran(refuse_lost()));
             }
             clock::sleep(RELINK_PAUSE).await;
         }
@@ -287,7 +287,11 @@
 
     /// Returns what a failure means once tokens may have been delivered.
     fn describe_failed(&self, failed: &wire::Failed) -> refusal::Refusal {
-        let refusal = refusal::Refusal::from_failed(failed);
+        self.describe_ran(refusal::Refusal::from_failed(failed))
+    }
+
+    /// Returns the refusal, which says that the request ran if there were tokens.
+    fn describe_ran(&self, refusal: refusal::Refusal) -> refusal::Refusal {
         if self.caller.progress.has_tokens() {
             return refusal.with_ran(refusal::Ran::Yes);
         }
--- /dev/null
+++ b/crates/entry/tests/streams.rs
@@ -0,0 +1,303 @@
+//! Streams that survive links, entries and callers, and those that cannot.
+
+mod support;
+
+use std::time;
+
+use serde_json::json;
+use support::agent::Step;
+use support::caller;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+
+const PATH: &str = "/v1/completions";
+
+fn stream() -> caller::Call {
+    let body = json!({"model": "m", "prompt": "hello", "stream": true});
+    caller::Call::post(PATH, body.to_string())
+}
+
+fn whole() -> caller::Call {
+    let body = json!({"model": "m", "prompt": "hello"});
+    caller::Call::post(PATH, body.to_string())
+}
+
+/// Checks that these are the tokens from `first` on of one generation, with their ids.
+fn check_tokens(events: &[caller::Event], generation: &str, first: usize) {
+    for (index, event) in events.iter().enumerate() {
+        let offset = first + index;
+        assert_eq!(event.token(), Some(format!("{generation}#{offset} ")));
+        assert_eq!(event.id, Some(format!("{generation}.{}", offset + 1)));
+    }
+}
+
+fn is_done(events: &[caller::Event]) -> bool {
+    events.last().is_some_and(|event| event.data == "[DONE]")
+}
+
+/// Earns one retry: the budget is a tenth of the requests.
+async fn earn_retry(bench: &support::Bench) {
+    for _ in 0..10 {
+        assert_eq!(whole().send(bench.entry.callers).await.unwrap().status, 200);
+    }
+}
+
+#[tokio::test]
+async fn a_silent_link_is_replaced_within_a_second_and_no_token_lost_or_doubled() {
+    let bench = support::start_bench(1, "").await;
+    bench.agents[0].plan(&[&[
+        Step::Tokens(3),
+        Step::Wait,
+        Step::Mute,
+        Step::Tokens(3),
+        Step::Finish,
+    ]]);
+    let mut events = caller::Events::open(stream(), bench.entry.callers).await;
+    check_tokens(&events.take_tokens(3).await, "e0~i1~0", 0);
+    let begun = time::Instant::now();
+    bench.agents[0].release();
+    let seen = bench.agents[0]
+        .wait_for(|seen| !seen.resumes.is_empty())
+        .await;
+    // The stated target is detection within 1 s; the rest is for the new connection.
+    assert!(
+        begun.elapsed() < time::Duration::from_millis(1_250),
+        "{:?}",
+        begun.elapsed()
+    );
+    assert_eq!(seen.resumes[0].offset, 3);
+    let rest = events.collect().await;
+    check_tokens(&rest[..3], "e0~i1~0", 3);
+    assert!(is_done(&rest));
+    assert_eq!(bench.agents[0].seen().starts.len(), 1);
+}
+
+#[tokio::test]
+async fn a_caller_resumes_through_another_entry_after_its_own_died() {
+    let bench = support::start_bench(2, "").await;
+    let plan = [Step::Tokens(4), Step::Wait, Step::Tokens(4), Step::Finish];
+    bench.agents.iter().for_each(|agent| agent.plan(&[&plan]));
+    let other = support::Entry::start("entry-b", &bench.control, "").await;
+    for agent in &bench.agents {
+        agent.wait_observed("entry-b").await;
+    }
+    let mut events = caller::Events::open(stream(), bench.entry.callers).await;
+    let had = events.take_tokens(4).await;
+    let last = had[2].id.clone().unwrap();
+    let generation = last.rsplit_once('.').unwrap().0.to_owned();
+    check_tokens(&had, &generation, 0);
+    drop(bench.entry);
+
+    let call = stream().header("last-event-id", &last);
+    let mut events = caller::Events::open(call, other.callers).await;
+    check_tokens(&events.take_tokens(1).await, &generation, 3);
+    bench.agents.iter().for_each(|agent| agent.release());
+    let rest = events.collect().await;
+    check_tokens(&rest[..4], &generation, 4);
+    assert!(is_done(&rest));
+    let resumes: Vec<_> = bench
+        .agents
+        .iter()
+        .flat_map(|agent| agent.seen().resumes)
+        .collect();
+    assert_eq!((resumes.len(), resumes[0].team.as_str()), (1, "desk"));
+
+    let gone = stream()
+        .header("last-event-id", "e0~i1~999.4")
+        .send(other.callers)
+        .await
+        .unwrap();
+    assert_eq!(
+        (gone.status, gone.error()["code"].as_str()),
+        (410, Some("generation_gone"))
+    );
+    let wrong = stream()
+        .header("last-event-id", "nonsense")
+        .send(other.callers)
+        .await
+        .unwrap();
+    assert_eq!(
+        (wrong.status, wrong.error()["ran"].as_str()),
+        (400, Some("not_run"))
+    );
+}
+
+#[tokio::test]
+async fn an_agent_that_dies_before_the_first_token_is_replaced_by_another() {
+    let mut bench = support::start_bench(2, "").await;
+    earn_retry(&bench).await;
+    let before: Vec<_> = bench
+        .agents
+        .iter()
+        .map(|agent| agent.seen().starts.len())
+        .collect();
+    bench
+        .agents
+        .iter()
+        .for_each(|agent| agent.plan(&[&[Step::Wait, Step::Tokens(5), Step::Finish]]));
+    let events = caller::Events::open(stream(), bench.entry.callers).await;
+    let holder = (0..2)
+        .find(|at| bench.agents[*at].seen().starts.len() > before[*at])
+        .unwrap();
+    bench.agents[holder].kill();
+    bench.agents[1 - holder].release();
+    let events = events.collect().await;
+    check_tokens(
+        &events[..5],
+        &format!("e{}~i1~{}", 1 - holder, before[1 - holder]),
+        0,
+    );
+    assert!(is_done(&events));
+}
+
+#[tokio::test]
+async fn an_agent_that_dies_after_the_first_token_gives_a_truthful_error_at_once() {
+    let mut bench = support::start_bench(1, "").await;
+    earn_retry(&bench).await;
+    bench.agents[0].plan(&[&[Step::Tokens(2), Step::Die]]);
+    let mut events = caller::Events::open(stream(), bench.entry.callers).await;
+    check_tokens(&events.take_tokens(2).await, "e0~i1~10", 0);
+    bench.agents[0].die_as_planned().await;
+    let begun = time::Instant::now();
+    let rest = events.collect().await;
+    assert!(
+        begun.elapsed() < time::Duration::from_secs(1),
+        "{:?}",
+        begun.elapsed()
+    );
+    assert_eq!(rest.len(), 1, "the error is all that follows: {rest:?}");
+    assert_eq!(rest[0].json()["error"]["code"], "upstream_failed");
+    assert_eq!(rest[0].json()["error"]["ran"], "ran");
+}
+
+#[tokio::test]
+async fn a_whole_answer_is_run_again_and_never_joins_two_generations() {
+    let mut bench = support::start_bench(2, "").await;
+    earn_retry(&bench).await;
+    let before: Vec<_> = bench
+        .agents
+        .iter()
+        .map(|agent| agent.seen().starts.len())
+        .collect();
+    bench
+        .agents
+        .iter()
+        .for_each(|agent| agent.plan(&[&[Step::Tokens(2), Step::Wait, Step::Finish]]));
+    let sent = tokio::spawn(whole().send(bench.entry.callers));
+    let agents = &bench.agents;
+    let produced = |at: usize| agents[at].seen().produced > before[at] as u64 * 5;
+    support::wait_until(|| async { produced(0) || produced(1) }).await;
+    let holder = if produced(0) { 0 } else { 1 };
+    bench.agents[holder].kill();
+    bench.agents[1 - holder].release();
+    let answer = sent.await.unwrap().unwrap();
+    let generation = format!("e{}~i1~{}", 1 - holder, before[1 - holder]);
+    let text = format!("{generation}#0 {generation}#1 ");
+    assert_eq!(answer.json()["choices"][0]["text"], text);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_has_its_generation_cancelled() {
+    let bench = support::start_bench(1, "").await;
+    let plan = [Step::Tokens(2), Step::Wait];
+    bench.agents[0].plan(&[&plan, &plan, &plan]);
+    let call = stream().header("x-on-disconnect", "cancel");
+    let mut events = caller::Events::open(call, bench.entry.callers).await;
+    events.take_tokens(2).await;
+    drop(events);
+    bench.agents[0].wait_for(|seen| seen.cancels == 1).await;
+    let sent = tokio::spawn(whole().send(bench.entry.callers));
+    bench.agents[0]
+        .wait_for(|seen| seen.starts.len() == 2)
+        .await;
+    sent.abort();
+    bench.agents[0].wait_for(|seen| seen.cancels == 2).await;
+    // Without that header the caller may come back for 5 s, then it is cancelled as well.
+    let mut events = caller::Events::open(stream(), bench.entry.callers).await;
+    events.take_tokens(2).await;
+    let left = time::Instant::now();
+    drop(events);
+    bench.agents[0].wait_for(|seen| seen.cancels == 3).await;
+    assert!(
+        left.elapsed() >= time::Duration::from_secs(4),
+        "{:?}",
+        left.elapsed()
+    );
+}
+
+#[tokio::test]
+async fn a_slow_reader_holds_the_agent_back_and_a_stalled_one_is_given_up() {
+    let bench = support::start_bench(1, "[limits]\nstalled_reader_ms=1000").await;
+    bench.agents[0].plan(&[&[Step::Tokens(1_000_000), Step::Finish]]);
+    let mut caller = tokio::net::TcpStream::connect(bench.entry.callers)
+        .await
+        .unwrap();
+    let body = json!({"model": "m", "prompt": "hello", "stream": true}).to_string();
+    let head = format!(
+        "POST {PATH} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\ncontent-length: {}\r\n\r\n",
+        support::KEY,
+        body.len()
+    );
+    caller.write_all((head + &body).as_bytes()).await.unwrap();
+    let mut first = [0; 16];
+    caller.read_exact(&mut first).await.unwrap();
+    // The caller reads nothing more.
+    let seen = bench.agents[0].wait_for(|seen| seen.cancels == 1).await;
+    let ahead = seen.produced - seen.acked;
+    assert!(ahead <= 1_000, "{ahead} tokens ahead of the caller");
+    assert!(seen.produced < 1_000_000);
+}
+
+#[tokio::test]
+async fn sigterm_lets_streams_finish_whole_and_takes_no_new_ones() {
+    let mut bench = support::start_bench(1, "[drain]\nlinger_ms=300").await;
+    bench.agents[0].plan(&[&[Step::Tokens(2), Step::Wait, Step::Tokens(2), Step::Finish]]);
+    let mut events = caller::Events::open(stream(), bench.entry.callers).await;
+    check_tokens(&events.take_tokens(2).await, "e0~i1~0", 0);
+    bench.entry.terminate();
+    support::wait_until(|| async { !bench.entry.is_ready().await }).await;
+    let callers = bench.entry.callers;
+    // New connections are still served for a moment, then refused.
+    assert_eq!(whole().send(callers).await.unwrap().status, 200);
+    support::wait_until(|| async { whole().send(callers).await.is_err() }).await;
+    assert!(bench.entry.is_running());
+    bench.agents[0].release();
+    let rest = events.collect().await;
+    check_tokens(&rest[..2], "e0~i1~0", 2);
+    assert!(is_done(&rest));
+    assert_eq!(bench.entry.wait().await, Some(0));
+}
+
+#[tokio::test]
+async fn a_stated_drain_ends_streams_at_a_token_to_be_resumed_elsewhere() {
+    let mut bench = support::start_bench(1, "[drain]\nlinger_ms=0\nstreams_ms=200").await;
+    let other = support::Entry::start("entry-b", &bench.control, "").await;
+    bench.agents[0].wait_observed("entry-b").await;
+    bench.agents[0].plan(&[&[Step::Tokens(2), Step::Wait, Step::Tokens(2), Step::Finish]]);
+    let mut events = caller::Events::open(stream(), bench.entry.callers).await;
+    let last = events.take_tokens(2).await[1].id.clone().unwrap();
+    bench.entry.terminate();
+    assert_eq!(events.collect().await, [], "no error and no end");
+    assert_eq!(bench.entry.wait().await, Some(0));
+    assert_eq!(bench.agents[0].seen().cancels, 0);
+    let call = stream().header("last-event-id", &last);
+    let events = caller::Events::open(call, other.callers).await;
+    bench.agents[0].release();
+    let rest = events.collect().await;
+    check_tokens(&rest[..2], "e0~i1~0", 2);
+    assert!(is_done(&rest));
+}
+
+#[tokio::test]
+async fn a_late_request_is_told_so_and_cancelled() {
+    let bench = support::start_bench(1, "").await;
+    bench.agents[0].plan(&[&[Step::Tokens(1), Step::Wait]]);
+    let call = whole().header("x-request-timeout-ms", "300");
+    let answer = call.send(bench.entry.callers).await.unwrap();
+    assert_eq!(
+        (answer.status, answer.error()["ran"].as_str()),
+        (504, Some("ran"))
+    );
+    bench.agents[0].wait_for(|seen| seen.cancels == 1).await;
+    assert!(bench.agents[0].seen().starts[0].deadline_ms <= 300);
+}
--- /dev/null
+++ b/crates/entry/tests/support/agent.rs
@@ -0,0 +1,514 @@
+//! A stand-in agent whose generations and calls follow a plan.
+
+use std::collections;
+use std::net;
+use std::pin;
+use std::sync;
+use std::time;
+
+use peargap_wire::agent as wire;
+use peargap_wire::agent::agent_server;
+use peargap_wire::agent::call_reply;
+use peargap_wire::agent::down;
+use peargap_wire::agent::up;
+use peargap_wire::control;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_stream::wrappers;
+use tokio_stream::StreamExt as _;
+
+/// One step of a generation.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Ends every connection of the agent and stops listening.
+    Die,
+    Fail(wire::Failed),
+    Finish,
+    /// The open link goes silent; a new one is served.
+    Mute,
+    Tokens(usize),
+    /// Waits until the test releases it.
+    Wait,
+}
+
+/// What becomes of a call.
+#[derive(Clone, Debug)]
+pub enum Fate {
+    Answer(u32, &'static str),
+    Fail(wire::Failed),
+    /// It runs; the connection breaks before the answer.
+    LoseAnswer,
+    /// It runs and waits until the test releases it.
+    Wait,
+}
+
+/// What the agent has seen so far.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub acked: u64,
+    pub calls: Vec<wire::CallRequest>,
+    pub cancels: u32,
+    pub observed: Vec<String>,
+    pub produced: u64,
+    pub resumes: Vec<wire::Resume>,
+    pub runs: u32,
+    pub starts: Vec<wire::Start>,
+}
+
+#[derive(Debug)]
+struct Generation {
+    end: Option<down::Kind>,
+    muted_below: u64,
+    team: String,
+    tokens: Vec<String>,
+}
+
+#[derive(Default)]
+struct State {
+    died: bool,
+    fates: collections::VecDeque<Fate>,
+    generations: collections::HashMap<String, Generation>,
+    links: u64,
+    plans: collections::VecDeque<Vec<Step>>,
+    releases: u64,
+    seen: Seen,
+}
+
+#[derive(Clone)]
+struct Shared {
+    /// Changes with every change of the state.
+    changes: watch::Sender<u64>,
+    kind: &'static str,
+    name: String,
+    state: sync::Arc<sync::Mutex<State>>,
+}
+
+pub struct Agent {
+    pub address: net::SocketAddr,
+    shared: Shared,
+    runtime: Option<tokio::runtime::Runtime>,
+}
+
+impl Agent {
+    /// Starts an agent on threads of its own, so that it can die at once.
+    pub fn start(name: &str, kind: &'static str) -> Agent {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        let shared = Shared {
+            changes: watch::Sender::new(0),
+            kind,
+            name: name.to_owned(),
+            state: sync::Arc::default(),
+        };
+        let service = agent_server::AgentServer::new(shared.clone());
+        runtime.spawn(async move {
+            let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+            let incoming = wrappers::TcpListenerStream::new(listener);
+            let server = tonic::transport::Server::builder().add_service(service);
+            server.serve_with_incoming(incoming).await
+        });
+        Agent {
+            address,
+            shared,
+            runtime: Some(runtime),
+        }
+    }
+
+    pub fn member(&self) -> control::Member {
+        let kind = match self.shared.kind {
+            "engine" => control::Kind::Engine,
+            _ => control::Kind::Service,
+        };
+        control::Member {
+            node: Some(control::Node {
+                name: format!("agent-{}", self.shared.name),
+                role: control::Role::Agent.into(),
+                domain: "d1".to_owned(),
+                address: self.address.to_string(),
+                incarnation: "i1".to_owned(),
+            }),
+            announcement: Some(control::Announcement {
+                upstream: self.shared.name.clone(),
+                kind: kind.into(),
+                offers: self.shared.offers(),
+                ..control::Announcement::default()
+            }),
+            epoch: 1,
+        }
+    }
+
+    /// Sets what the next generations do.
+    pub fn plan(&self, plans: &[&[Step]]) {
+        let plans = plans.iter().map(|plan| plan.to_vec());
+        self.shared.change(|state| state.plans.extend(plans));
+    }
+
+    /// Sets what becomes of the next calls.
+    pub fn plan_calls(&self, fates: &[Fate]) {
+        self.shared
+            .change(|state| state.fates.extend(fates.iter().cloned()));
+    }
+
+    /// Lets every waiting step go on, and those that come.
+    pub fn release(&self) {
+        self.shared.change(|state| state.releases += 1);
+    }
+
+    pub fn seen(&self) -> Seen {
+        self.shared.state.lock().unwrap().seen.clone()
+    }
+
+    /// Waits until what the agent has seen fulfils `check`.
+    pub async fn wait_for(&self, check: impl Fn(&Seen) -> bool) -> Seen {
+        let found = self.shared.wait(|state| check(&state.seen));
+        let found = tokio::time::timeout(super::LIMIT, found).await;
+        found.unwrap_or_else(|_| panic!("only saw {:?}", self.seen()));
+        self.seen()
+    }
+
+    /// Waits until an entry has received this agent's load.
+    pub async fn wait_observed(&self, entry: &str) {
+        self.wait_for(|seen| seen.observed.iter().any(|name| name == entry))
+            .await;
+    }
+
+    /// Ends the agent at once, with all of its connections.
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Kills the agent when a generation reaches [`Step::Die`].
+    pub async fn die_as_planned(&mut self) {
+        let died = self.shared.wait(|state| state.died);
+        tokio::time::timeout(super::LIMIT, died).await.unwrap();
+        self.kill();
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Shared {
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        change(&mut self.state.lock().unwrap());
+        self.changes.send_modify(|number| *number += 1);
+    }
+
+    async fn wait(&self, check: impl Fn(&State) -> bool) {
+        let mut changes = self.changes.subscribe();
+        while !check(&self.state.lock().unwrap()) {
+            changes.changed().await.unwrap();
+        }
+    }
+
+    fn offers(&self) -> Vec<String> {
+        match self.kind {
+            "engine" => vec!["m".to_owned()],
+            _ => vec!["orders".to_owned(), "lookups".to_owned()],
+        }
+    }
+
+    fn begin(&self, start: wire::Start) -> String {
+        let mut plan = None;
+        let mut id = String::new();
+        self.change(|state| {
+            plan = state.plans.pop_front();
+            id = format!("{}~i1~{}", self.name, state.seen.starts.len());
+            // A request that is refused is not accepted before.
+            let refused = match plan.as_ref().and_then(|plan| plan.first()) {
+                Some(Step::Fail(failed)) => Some(down::Kind::Failed(failed.clone())),
+                _ => None,
+            };
+            let generation = Generation {
+                end: refused,
+                muted_below: 0,
+                team: start.team.clone(),
+                tokens: Vec::new(),
+            };
+            state.generations.insert(id.clone(), generation);
+            state.seen.starts.push(start);
+        });
+        let plan = plan.unwrap_or_else(|| vec![Step::Tokens(5), Step::Finish]);
+        tokio::spawn(self.clone().run(id.clone(), plan));
+        id
+    }
+
+    async fn run(self, id: String, plan: Vec<Step>) {
+        for step in plan {
+            match step {
+                Step::Die => {
+                    self.change(|state| state.died = true);
+                    std::future::pending::<()>().await;
+                }
+                Step::Fail(failed) => self.end(&id, down::Kind::Failed(failed)),
+                Step::Finish => {
+                    let finished = wire::Finished {
+                        prompt_tokens: 7,
+                        output_tokens: 5,
+                        reason: "stop".to_owned(),
+                        cached_tokens: 3,
+                    };
+                    self.end(&id, down::Kind::Finished(finished));
+                }
+                Step::Mute => self.change(|state| {
+                    let links = state.links;
+                    state.generations.get_mut(&id).unwrap().muted_below = links + 1;
+                }),
+                Step::Tokens(count) => self.produce(&id, count).await,
+                Step::Wait => {
+                    self.wait(|state| state.releases > 0).await;
+                }
+            }
+        }
+    }
+
+    /// Produces tokens, at most 1,000 ahead of what was acknowledged.
+    async fn produce(&self, id: &str, count: usize) {
+        for _ in 0..count {
+            self.wait(|state| state.seen.produced < state.seen.acked + 1_000)
+                .await;
+            self.change(|state| {
+                let tokens = &mut state.generations.get_mut(id).unwrap().tokens;
+                tokens.push(format!("{id}#{} ", tokens.len()));
+                state.seen.produced += 1;
+            });
+        }
+    }
+
+    fn end(&self, id: &str, end: down::Kind) {
+        self.change(|state| state.generations.get_mut(id).unwrap().end = Some(end));
+    }
+
+    async fn serve(self, mut ups: tonic::Streaming<wire::Up>, downs: Downs) {
+        let Ok(Some(first)) = ups.message().await else {
+            return;
+        };
+        let (id, offset) = match first.kind {
+            Some(up::Kind::Start(start)) => (self.begin(start), 0),
+            Some(up::Kind::Resume(resume)) => {
+                self.change(|state| state.seen.resumes.push(resume.clone()));
+                (resume.generation, resume.offset)
+            }
+            _ => return,
+        };
+        let mut link = 0;
+        self.change(|state| {
+            state.links += 1;
+            link = state.links;
+        });
+        let known = self.state.lock().unwrap().generations.contains_key(&id);
+        if !known {
+            let failed = fail(wire::Ran::Unknown, wire::Reason::Gone, 0);
+            send(&downs, down::Kind::Failed(failed)).await;
+            return;
+        }
+        tokio::spawn(self.clone().listen(id.clone(), link, ups, downs.clone()));
+        self.speak(id, link, offset, downs).await;
+    }
+
+    fn is_refused(&self, id: &str) -> bool {
+        let generation = &self.state.lock().unwrap().generations[id];
+        generation.tokens.is_empty() && matches!(generation.end, Some(down::Kind::Failed(_)))
+    }
+
+    fn is_muted(&self, id: &str, link: u64) -> bool {
+        link < self.state.lock().unwrap().generations[id].muted_below
+    }
+
+    async fn listen(
+        self,
+        id: String,
+        link: u64,
+        mut ups: tonic::Streaming<wire::Up>,
+        downs: Downs,
+    ) {
+        while let Ok(Some(message)) = ups.message().await {
+            match message.kind {
+                Some(up::Kind::Ack(ack)) => {
+                    self.change(|state| state.seen.acked = state.seen.acked.max(ack.offset));
+                }
+                Some(up::Kind::Cancel(_)) => {
+                    self.change(|state| state.seen.cancels += 1);
+                    self.end(
+                        &id,
+                        down::Kind::Failed(fail(wire::Ran::Yes, wire::Reason::Cancelled, 0)),
+                    );
+                }
+                Some(up::Kind::Ping(ping)) if !self.is_muted(&id, link) => {
+                    // A full link gets no pong; the entry then does not read anyway.
+                    let message = wire::Down {
+                        kind: Some(down::Kind::Pong(ping)),
+                    };
+                    let _ = downs.try_send(Ok(message));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    async fn speak(self, id: String, link: u64, offset: u64, downs: Downs) {
+        if !self.is_refused(&id) {
+            let accepted = wire::Accepted {
+                generation: id.clone(),
+                queued: 0,
+            };
+            send(&downs, down::Kind::Accepted(accepted)).await;
+        }
+        let mut next = usize::try_from(offset).unwrap();
+        loop {
+            let ready = |state: &State| {
+                let generation = &state.generations[&id];
+                generation.tokens.len() > next || generation.end.is_some()
+            };
+            self.wait(ready).await;
+            if self.is_muted(&id, link) {
+                // Kept open, so that the entry sees no more than silence.
+                return std::future::pending().await;
+            }
+            let message = {
+                let state = self.state.lock().unwrap();
+                let generation = &state.generations[&id];
+                match generation.tokens.get(next..) {
+                    Some(tokens) if !tokens.is_empty() => {
+                        let tokens = tokens.iter().take(100).cloned().map(Into::into).collect();
+                        let offset = next as u64;
+                        down::Kind::Chunk(wire::Chunk { offset, tokens })
+                    }
+                    _ => generation.end.clone().unwrap(),
+                }
+            };
+            let last = match &message {
+                down::Kind::Chunk(chunk) => {
+                    next += chunk.tokens.len();
+                    false
+                }
+                _ => true,
+            };
+            if !send(&downs, message).await || last {
+                return;
+            }
+        }
+    }
+}
+
+type Downs = mpsc::Sender<Result<wire::Down, tonic::Status>>;
+type Stream<T> =
+    pin::Pin<Box<dyn tokio_stream::Stream<Item = Result<T, tonic::Status>> + Send + 'static>>;
+
+async fn send(downs: &Downs, kind: down::Kind) -> bool {
+    let message = wire::Down { kind: Some(kind) };
+    downs.send(Ok(message)).await.is_ok()
+}
+
+/// Returns a failure.
+pub fn fail(ran: wire::Ran, reason: wire::Reason, retry_after_ms: u32) -> wire::Failed {
+    wire::Failed {
+        ran: ran.into(),
+        reason: reason.into(),
+        retry_after_ms,
+        detail: String::new(),
+    }
+}
+
+#[tonic::async_trait]
+impl agent_server::Agent for Shared {
+    type GenerateStream = Stream<wire::Down>;
+    type ObserveStream = Stream<wire::Load>;
+
+    async fn generate(
+        &self,
+        request: tonic::Request<tonic::Streaming<wire::Up>>,
+    ) -> Result<tonic::Response<Self::GenerateStream>, tonic::Status> {
+        let (sender, receiver) = mpsc::channel(4);
+        tokio::spawn(self.clone().serve(request.into_inner(), sender));
+        let stream = wrappers::ReceiverStream::new(receiver);
+        Ok(tonic::Response::new(Box::pin(stream)))
+    }
+
+    async fn call(
+        &self,
+        request: tonic::Request<wire::CallRequest>,
+    ) -> Result<tonic::Response<wire::CallReply>, tonic::Status> {
+        let request = request.into_inner();
+        let mut fate = Fate::Answer(200, "done");
+        let mut repeated = false;
+        self.change(|state| {
+            let calls = &mut state.seen.calls;
+            repeated = calls.iter().any(|call| call.request == request.request);
+            calls.push(request);
+            if !repeated {
+                fate = state.fates.pop_front().unwrap_or(fate.clone());
+            }
+            if !repeated && !matches!(fate, Fate::Fail(_)) {
+                state.seen.runs += 1;
+            }
+        });
+        let kind = match fate {
+            _ if repeated => {
+                call_reply::Kind::Failed(fail(wire::Ran::Unknown, wire::Reason::Repeated, 0))
+            }
+            Fate::Answer(status, body) => answer(status, body),
+            Fate::Fail(failed) => call_reply::Kind::Failed(failed),
+            Fate::LoseAnswer => return Err(tonic::Status::unavailable("lost")),
+            Fate::Wait => {
+                self.wait(|state| state.releases > 0).await;
+                answer(200, "late")
+            }
+        };
+        let kind = Some(kind);
+        Ok(tonic::Response::new(wire::CallReply { kind }))
+    }
+
+    async fn observe(
+        &self,
+        request: tonic::Request<tonic::Streaming<wire::Seen>>,
+    ) -> Result<tonic::Response<Self::ObserveStream>, tonic::Status> {
+        let shared = self.clone();
+        let mut seen = request.into_inner();
+        tokio::spawn(async move {
+            while let Ok(Some(seen)) = seen.message().await {
+                if seen.sequence > 0 {
+                    shared.change(|state| state.seen.observed.push(seen.entry));
+                }
+            }
+        });
+        let load = wire::Load {
+            upstream: self.name.clone(),
+            incarnation: "i1".to_owned(),
+            memory_tokens: 100_000,
+            limit: 64,
+            healthy: true,
+            models: self.offers(),
+            ..wire::Load::default()
+        };
+        let timer = tokio::time::interval(time::Duration::from_millis(100));
+        let mut sequence = 0;
+        let loads = wrappers::IntervalStream::new(timer).map(move |_| {
+            sequence += 1;
+            Ok(wire::Load {
+                sequence,
+                ..load.clone()
+            })
+        });
+        Ok(tonic::Response::new(Box::pin(loads)))
+    }
+}
+
+fn answer(status: u32, body: &'static str) -> call_reply::Kind {
+    call_reply::Kind::Response(wire::Response {
+        status,
+        headers: Vec::new(),
+        body: body.into(),
+    })
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,175 @@
+//! The entry's binary between a stand-in control host, stand-in agents and a caller.
+
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+pub mod agent;
+pub mod caller;
+pub mod control;
+
+use std::fs;
+use std::net;
+use std::process;
+use std::time;
+
+use peargap_adapters::digest;
+use tokio::time as clock;
+
+/// Nothing in these tests takes this long unless it is broken.
+pub const LIMIT: time::Duration = time::Duration::from_secs(20);
+pub const KEY: &str = "key-of-desk";
+pub const OTHER_KEY: &str = "key-of-archive";
+
+/// A running entry.
+pub struct Entry {
+    pub callers: net::SocketAddr,
+    child: process::Child,
+    pub health: net::SocketAddr,
+    _folder: tempfile::TempDir,
+}
+
+impl Entry {
+    /// Starts an entry and waits until it is ready; `more` is added to its settings.
+    pub async fn start(name: &str, control: &control::Control, more: &str) -> Entry {
+        let (callers, health) = (find_address(), find_address());
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join("entry.ini");
+        let text = format!(
+            "[node]\nname={name}\ndomain=d1\n[listen]\ncallers={callers}\nhealth={health}\n\
+             [control]\naddresses={}\n{more}\n",
+            control.address
+        );
+        fs::write(&file, text).unwrap();
+        let child = process::Command::new(env!("CARGO_BIN_EXE_peargap-entry"))
+            .arg("--config")
+            .arg(&file)
+            .spawn()
+            .unwrap();
+        let entry = Entry {
+            callers,
+            child,
+            health,
+            _folder: folder,
+        };
+        wait_until(|| entry.is_ready()).await;
+        entry
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let answer = caller::Call::get("/readyz").send(self.health).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    }
+
+    /// Returns the value of a counter without labels, 0 when it was never counted.
+    pub async fn read_counter(&self, name: &str) -> f64 {
+        let page = caller::Call::get("/metrics")
+            .send(self.health)
+            .await
+            .unwrap();
+        let text = page.text();
+        let line = text
+            .lines()
+            .find(|line| line.split(['{', ' ']).next() == Some(name));
+        line.map_or(0.0, |line| {
+            line.rsplit(' ').next().unwrap().parse().unwrap()
+        })
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let status = process::Command::new("kill").args(["-TERM", &id]).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Waits until the process has ended and returns its exit code.
+    pub async fn wait(&mut self) -> Option<i32> {
+        let until = clock::Instant::now() + LIMIT;
+        while clock::Instant::now() < until {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            clock::sleep(time::Duration::from_millis(10)).await;
+        }
+        panic!("the entry did not end");
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A control host, agents that all offer the model `m`, and an entry that sees them.
+pub struct Bench {
+    pub agents: Vec<agent::Agent>,
+    pub control: control::Control,
+    pub entry: Entry,
+}
+
+/// Starts a bench; the agents' upstreams are `e0`, `e1` and so on.
+pub async fn start_bench(agents: usize, more: &str) -> Bench {
+    let agents: Vec<_> = (0..agents)
+        .map(|number| agent::Agent::start(&format!("e{number}"), "engine"))
+        .collect();
+    start_with(agents, more).await
+}
+
+/// Starts a bench with one agent of the plain services `orders` and `lookups`.
+pub async fn start_service_bench(more: &str) -> Bench {
+    start_with(vec![agent::Agent::start("s0", "service")], more).await
+}
+
+async fn start_with(agents: Vec<agent::Agent>, more: &str) -> Bench {
+    let control = control::Control::start(&manifest());
+    for agent in &agents {
+        control.add_member(agent.member());
+    }
+    let entry = Entry::start("entry-a", &control, more).await;
+    for agent in &agents {
+        agent.wait_observed("entry-a").await;
+    }
+    Bench {
+        agents,
+        control,
+        entry,
+    }
+}
+
+fn manifest() -> String {
+    let key = hex(&digest::hash_key(KEY.as_bytes()));
+    let other = hex(&digest::hash_key(OTHER_KEY.as_bytes()));
+    format!(
+        "[deployment]\nname=test\n[domain d1]\nregion=r\n[domain d2]\nregion=r\n\
+         [model m]\nmax_output_tokens=1000\nmax_prompt_tokens=1000\n\
+         [service orders]\nrepeatable=false\n[service lookups]\nrepeatable=true\n\
+         [team desk]\nkey_sha256={key}\n[team archive]\nkey_sha256={other}\n"
+    )
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Returns an address that is free now.
+pub fn find_address() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Waits until `check` holds.
+pub async fn wait_until<F>(mut check: impl FnMut() -> F)
+where
+    F: std::future::Future<Output = bool>,
+{
+    let until = clock::Instant::now() + LIMIT;
+    while !check().await {
+        assert!(clock::Instant::now() < until, "it never held");
+        clock::sleep(time::Duration::from_millis(10)).await;
+    }
+}
