--- /dev/null
+++ b/crates/load/src/tally.rs
@@ -0,0 +1,145 @@
+//! Totals and histograms of a load run.
+
+use core::time;
+use std::collections;
+
+use serde::Serialize;
+
+use crate::caller;
+
+/// Largest time recorded, in microseconds.
+const MAX_MICROS: u64 = 600_000_000;
+const DIGITS: u8 = 3;
+/// Faults kept for the report.
+const FAULTS_KEPT: usize = 8;
+
+/// What a run has seen so far.
+#[derive(Debug)]
+pub struct Tally {
+    faults: Vec<String>,
+    first: hdrhistogram::Histogram<u64>,
+    gaps: hdrhistogram::Histogram<u64>,
+    lost: u64,
+    refused: collections::BTreeMap<u16, u64>,
+    sent: u64,
+    stall: time::Duration,
+    tokens: u64,
+    total: hdrhistogram::Histogram<u64>,
+    whole: u64,
+}
+
+/// Quantiles in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Quantiles {
+    max: f64,
+    p50: f64,
+    p95: f64,
+    p99: f64,
+}
+
+/// A run's report.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// Tokens that were wrong, and answers cut off without a word.
+    pub faults: Vec<String>,
+    /// Time to the first token.
+    pub first_ms: Quantiles,
+    /// Time between tokens.
+    pub gap_ms: Quantiles,
+    /// Answers lost or faulty.
+    pub lost: u64,
+    /// Truthful refusals and failures by status; 0 is an error event in a stream.
+    pub refused: collections::BTreeMap<u16, u64>,
+    /// Requests sent.
+    pub sent: u64,
+    /// Time in gaps beyond the stall limit, all requests together.
+    pub stall_ms: u128,
+    /// Tokens that came.
+    pub tokens: u64,
+    /// Time to the end.
+    pub total_ms: Quantiles,
+    /// Whole answers.
+    pub whole: u64,
+}
+
+impl Default for Tally {
+    fn default() -> Tally {
+        Tally {
+            faults: Vec::new(),
+            first: build_histogram(),
+            gaps: build_histogram(),
+            lost: 0,
+            refused: collections::BTreeMap::new(),
+            sent: 0,
+            stall: time::Duration::ZERO,
+            tokens: 0,
+            total: build_histogram(),
+            whole: 0,
+        }
+    }
+}
+
+impl Tally {
+    /// Adds one request.
+    pub fn add(&mut self, sample: &caller::Sample) {
+        self.sent += 1;
+        self.tokens += sample.tokens;
+        self.stall += sample.stall;
+        if let Some(first) = sample.first {
+            self.first.saturating_record(to_micros(first));
+        }
+        for gap in &sample.gaps {
+            self.gaps.saturating_record(to_micros(*gap));
+        }
+        self.total.saturating_record(to_micros(sample.total));
+        match &sample.end {
+            caller::End::Whole => self.whole += 1,
+            caller::End::Refused(status) => *self.refused.entry(*status).or_insert(0) += 1,
+            caller::End::Lost(detail) => self.add_fault(detail.clone()),
+            caller::End::Faulty(fault) => self.add_fault(fault.to_string()),
+        }
+    }
+
+    /// Returns the report so far.
+    #[must_use]
+    pub fn report(&self) -> Report {
+        Report {
+            faults: self.faults.clone(),
+            first_ms: read_quantiles(&self.first),
+            gap_ms: read_quantiles(&self.gaps),
+            lost: self.lost,
+            refused: self.refused.clone(),
+            sent: self.sent,
+            stall_ms: self.stall.as_millis(),
+            tokens: self.tokens,
+            total_ms: read_quantiles(&self.total),
+            whole: self.whole,
+        }
+    }
+
+    fn add_fault(&mut self, detail: String) {
+        self.lost += 1;
+        if self.faults.len() < FAULTS_KEPT {
+            self.faults.push(detail);
+        }
+    }
+}
+
+fn build_histogram() -> hdrhistogram::Histogram<u64> {
+    let histogram = hdrhistogram::Histogram::new_with_max(MAX_MICROS, DIGITS);
+    histogram.unwrap_or_else(|_| unreachable!("constant bounds are valid"))
+}
+
+fn to_micros(time: time::Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(MAX_MICROS)
+}
+
+fn read_quantiles(histogram: &hdrhistogram::Histogram<u64>) -> Quantiles {
+    let read = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+    Quantiles {
+        max: histogram.max() as f64 / 1_000.0,
+        p50: read(0.5),
+        p95: read(0.95),
+        p99: read(0.99),
+    }
+}
--- /dev/null
+++ b/crates/load/src/walk.rs
@@ -0,0 +1,145 @@
+//! The demo's requests: one streamed, one whole, and a call that may not be repeated sent twice.
+
+use bytes::Bytes;
+
+use crate::client;
+use crate::token;
+
+/// Tokens asked for.
+const MAX_TOKENS: u32 = 48;
+/// Bytes of the text that go into a prompt.
+const PROMPT_BYTES: usize = 1_500;
+
+/// Where and what to ask.
+#[derive(Clone, Debug)]
+pub struct Tour {
+    /// Entries' URLs; they are asked in turn.
+    pub entries: Vec<String>,
+    /// Bearer key.
+    pub key: String,
+    /// Model.
+    pub model: String,
+    /// A service whose calls may not be repeated.
+    pub service: String,
+    /// Text to summarise.
+    pub text: String,
+}
+
+/// Runs the whole tour and prints what came back; returns what was wrong first.
+pub async fn walk(tour: &Tour) -> Result<(), String> {
+    let client = client::Client::new(&tour.key);
+    stream_summary(&client, tour).await?;
+    ask_summary(&client, tour).await?;
+    call_twice(&client, tour).await
+}
+
+fn pick_entry(tour: &Tour, index: usize) -> &str {
+    tour.entries
+        .get(index % tour.entries.len().max(1))
+        .map_or("", String::as_str)
+}
+
+fn build_prompt(tour: &Tour) -> String {
+    let end = tour.text.floor_char_boundary(PROMPT_BYTES);
+    format!("Summarise: {}", &tour.text[..end])
+}
+
+async fn stream_summary(client: &client::Client, tour: &Tour) -> Result<(), String> {
+    let prompt = build_prompt(tour);
+    let body = serde_json::json!({
+        "model": tour.model,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": MAX_TOKENS,
+        "stream": true,
+    });
+    let url = format!("{}/v1/chat/completions", pick_entry(tour, 0));
+    let opened = client
+        .open(http::Request::post(url), Bytes::from(body.to_string()))
+        .await
+        .map_err(|error| error.to_string())?;
+    let mut stream = match opened {
+        client::Opened::Stream(stream) => stream,
+        client::Opened::Refused(answer) => return Err(describe("streamed", &answer)),
+    };
+    // The engine sees a chat as lines of role and content.
+    let mut checker = token::Checker::new(&format!("user: {prompt}\n"));
+    let mut whole = String::new();
+    while let Some(event) = stream.next().await {
+        match event.map_err(|error| error.to_string())? {
+            client::Event::Done => {
+                println!(
+                    "streamed: {} tokens, each once and in order",
+                    checker.count()
+                );
+                println!("  {}", whole.trim_end());
+                return Ok(());
+            }
+            client::Event::Failed(text) => return Err(format!("streamed: {text}")),
+            client::Event::Other => {}
+            client::Event::Text { text, .. } => {
+                checker.check(&text).map_err(|fault| fault.to_string())?;
+                whole.push_str(&text);
+            }
+        }
+    }
+    Err("streamed: the connection ended before the answer did".to_owned())
+}
+
+async fn ask_summary(client: &client::Client, tour: &Tour) -> Result<(), String> {
+    let prompt = build_prompt(tour);
+    let body = serde_json::json!({
+        "model": tour.model,
+        "prompt": prompt,
+        "max_tokens": MAX_TOKENS,
+    });
+    let url = format!("{}/v1/completions", pick_entry(tour, 1));
+    let answer = client
+        .call(http::Request::post(url), Bytes::from(body.to_string()))
+        .await
+        .map_err(|error| error.to_string())?;
+    if !answer.status.is_success() {
+        return Err(describe("whole", &answer));
+    }
+    let text = client::read_completion(&answer.body)
+        .ok_or_else(|| format!("whole: no text in {}", client::show_body(&answer.body)))?;
+    let mut checker = token::Checker::new(&prompt);
+    checker.check(&text).map_err(|fault| fault.to_string())?;
+    println!("whole: {} tokens, each once and in order", checker.count());
+    println!("  {}", client::show_body(&answer.body));
+    Ok(())
+}
+
+async fn call_twice(client: &client::Client, tour: &Tour) -> Result<(), String> {
+    let key = format!("demo-{:016x}", rand::random::<u64>());
+    let mut bodies = Vec::new();
+    for index in 0..2 {
+        let url = format!(
+            "{}/services/{}/orders",
+            pick_entry(tour, index),
+            tour.service
+        );
+        let request = http::Request::post(url).header("idempotency-key", &key);
+        let body = Bytes::from_static(b"{\"item\":\"tape 12\"}");
+        let answer = client
+            .call(request, body)
+            .await
+            .map_err(|error| error.to_string())?;
+        if !answer.status.is_success() {
+            return Err(describe("call", &answer));
+        }
+        println!("call {}: {}", index + 1, client::show_body(&answer.body));
+        bodies.push(answer.body);
+    }
+    let run: serde_json::Value =
+        serde_json::from_slice(&bodies[1]).map_err(|error| error.to_string())?;
+    if bodies[0] != bodies[1] || run["run"] != 1 {
+        return Err("the call that may not be repeated did not run once".to_owned());
+    }
+    println!("call: sent twice, run once");
+    Ok(())
+}
+
+fn describe(what: &str, answer: &client::Answer) -> String {
+    let body = client::show_body(&answer.body);
+    format!("{what}: status {}: {body}", answer.status)
+}
