The whole path serves: agent follows the admission core's new options

Cause: the admission core now finds preempted streams by their gap itself. Ruled out: keeping the agent's own marking (two judgements of one thing). Change: the agent passes the new options and only logs reported preemptions. Conclusion: tools/demo.sh passes: a streamed and a whole answer, and a call sent twice that ran once.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -348,13 +348,12 @@
         }
     }
 
-    /// Marks the streams that stand still as the preempted ones.
+    /// Logs the preemptions that the engine reported, and how many streams stand still now.
     fn note_preemptions(&mut self, count: u64) {
         let now = self.clock.now();
         let mut stalled = 0;
-        for (stream, running) in &self.running {
+        for running in self.running.values() {
             if running.known > 0 && now.millis_since(running.last_token) > STALLED_AFTER_MS {
-                self.admission.preempted(*stream);
                 stalled += 1;
             }
         }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -15,6 +15,7 @@
 use peargap_adapters::metrics;
 use peargap_adapters::signals;
 use peargap_core::admit;
+use peargap_core::ramp;
 use peargap_wire::control;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -121,9 +122,12 @@
     let options = admit::Options {
         block_tokens: BLOCK_TOKENS,
         max_running: upstream.max_running,
+        max_stretch: admit::MAX_STRETCH,
         max_waiting: settings.queue.max_queued as usize,
         memory_tokens: upstream.memory_tokens,
         overflow_chance: OVERFLOW_CHANCE,
+        start_limit: ramp::START_LIMIT,
+        unproven_limit: ramp::START_LIMIT,
     };
     let (admission, handle) = admission::Admission::new(clock, options, meters.clone());
     let view = follow::spawn(build_options(&settings, &incarnation), stop);
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -316,9 +316,7 @@
         }
         self.unproven -= 1;
         self.prompted_at = now;
-        let sign = self
-            .ramp
-            .first_token(waited_ms, run.prompted)?;
+        let sign = self.ramp.first_token(waited_ms, run.prompted)?;
         self.sign(now, sign);
         Some(sign)
     }
@@ -370,10 +368,8 @@
     /// Falls back if a first token is overdue; to be called a few times a second.
     pub fn check_overdue(&mut self, now: time::Instant) -> Option<ramp::Sign> {
         let mut waiting = self.runs.values().filter(|run| run.produced == 0);
-        let overdue = waiting.any(|run| {
-            self.ramp
-                .is_slow(now.millis_since(run.begun), run.prompted)
-        });
+        let overdue =
+            waiting.any(|run| self.ramp.is_slow(now.millis_since(run.begun), run.prompted));
         if !overdue {
             return None;
         }
--- a/crates/load/src/experiment/gate.rs
+++ b/crates/load/src/experiment/gate.rs
@@ -291,7 +291,9 @@
                 engine::Note::Token(job) => {
                     let stream = self.streams.get(job).copied();
                     let sign = stream.and_then(|stream| self.admission.token(now, stream, 1));
-                    if sign.is_some() && std::env::var("DBG").is_ok() { eprintln!("SIGN token {now:?}"); }
+                    if sign.is_some() && std::env::var("DBG").is_ok() {
+                        eprintln!("SIGN token {now:?}");
+                    }
                 }
             }
         }
@@ -301,7 +303,9 @@
     fn tick(&mut self, now: u64, acts: &mut Vec<Act>) {
         let now = instant(now);
         let sign = self.admission.check_overdue(now);
-        if sign.is_some() && std::env::var("DBG").is_ok() { eprintln!("SIGN overdue {now:?}"); }
+        if sign.is_some() && std::env::var("DBG").is_ok() {
+            eprintln!("SIGN overdue {now:?}");
+        }
         if self.off != policy::Off::Hold {
             self.admission.check_stalled(now);
         }
