Failure tests give the stand-ins their address as two words

Cause: the argument library takes no key=value here, so no stand-in started and all 21 tests failed. Ruled out: the programs under test (they started and linked). Change: two words.

--- a/crates/proof/tests/failures/fleet.rs
+++ b/crates/proof/tests/failures/fleet.rs
@@ -124,7 +124,8 @@
             .chain(plan.engine_arguments)
             .map(|word| (*word).to_owned())
             .collect();
-        arguments.push(format!("--listen=127.0.0.1:{address}"));
+        arguments.push("--listen".to_owned());
+        arguments.push(format!("127.0.0.1:{address}"));
         self.spawn(&name, "peargap-fake", arguments);
         let mut reached = address;
         if plan.relays {
@@ -141,7 +142,8 @@
         self.services.push(address);
         let arguments = vec![
             "service".to_owned(),
-            format!("--listen=127.0.0.1:{address}"),
+            "--listen".to_owned(),
+            format!("127.0.0.1:{address}"),
         ];
         self.spawn(&name, "peargap-fake", arguments);
         self.start_agent(&name, "service", "loans,lookups", index, address);
