A fresh retry budget holds three retries

Cause: a whole answer whose engine died was not run again, because the budget of 10% had earned less than one retry after the first request. Ruled out: a minimum rate of retries by time (it would feed a storm). Change: a fresh budget holds a reserve of 3; earning stays at 10%. Conclusion: the reserve bounds a storm to three reruns an entry start plus 10%.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -6,6 +6,8 @@
 
 /// Retries for each first attempt, at most.
 pub const BUDGET_SHARE: f64 = 0.1;
+/// Retries that a fresh budget holds, so that the first failure at a quiet site is retried too.
+pub const RESERVED_RETRIES: f64 = 3.0;
 /// Retries that may be saved up.
 const MAX_SAVED_RETRIES: f64 = 20.0;
 /// Upper bound of the first pause.
@@ -65,16 +67,24 @@
 }
 
 /// Retries that are left, earned by first attempts.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Budget {
     saved: f64,
 }
 
+impl Default for Budget {
+    fn default() -> Budget {
+        Budget::new()
+    }
+}
+
 impl Budget {
-    /// Returns an empty budget.
+    /// Returns a budget that holds [`RESERVED_RETRIES`].
     #[must_use]
     pub fn new() -> Budget {
-        Budget::default()
+        Budget {
+            saved: RESERVED_RETRIES,
+        }
     }
 
     /// Notes a first attempt.
