entry: hedged lookups, calls cancelled even while their link opens, bounded stop

Cause: a caller that left while its link was opening had no Cancel sent; a repeatable lookup on a slow upstream waited for it; a stop waited 10 s for claimed calls that still ran. Ruled out: leaving it to the agent's own grace (memory is held meanwhile); a fixed hedge delay. Test fix: two entries could take one port, so a start is tried again until it says it started.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -13,6 +13,7 @@
 use crate::board;
 use crate::events;
 use crate::fleet;
+use crate::latency;
 use crate::metrics;
 use crate::quorum;
 use crate::refusal;
@@ -24,6 +25,8 @@
     pub(crate) board: sync::Arc<board::Board>,
     pub(crate) fleet: fleet::Watch,
     pub(crate) ids: Ids,
+    /// Latencies of each repeatable service.
+    pub(crate) latencies: latency::Latencies,
     pub(crate) metrics: metrics::Metrics,
     pub(crate) quorum: quorum::Quorum,
     pub(crate) retries: Retries,
@@ -104,6 +107,11 @@
         retry::plan_retry(&mut self.lock(), now, attempt, &mut rand::rng())
     }
 
+    /// Pays for one more attempt while another runs; returns false when there is no budget.
+    pub(crate) fn spend(&self) -> bool {
+        self.lock().spend()
+    }
+
     fn lock(&self) -> sync::MutexGuard<'_, retry::Budget> {
         self.0.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -14,6 +14,7 @@
 
 use crate::app;
 use crate::generations;
+use crate::hedge;
 use crate::peer;
 use crate::place;
 use crate::refusal;
@@ -52,7 +53,7 @@
     app.retries.earn();
     loop {
         if let Some(refusal) = app.refuse_stale() {
-            return Err(history.merge(refusal));
+            return Err(history.conclude(refusal));
         }
         let request = place::Request {
             deadline: job.deadline,
@@ -63,12 +64,14 @@
             tokens: 0,
         };
         let peer = place::pick_peer(app, &request, &history);
-        let peer = peer.map_err(|refusal| history.merge(refusal))?;
-        let refusal = match attempt(app, &peer, job, history.attempts()).await {
-            Ok(answer) => {
-                app.board.record_answer(peer.key, true);
-                return Ok(answer);
-            }
+        let peer = peer.map_err(|refusal| history.conclude(refusal))?;
+        let attempted = if job.repeatable {
+            hedge::attempt_hedged(app, &peer, job, &request, &history).await
+        } else {
+            attempt(app, &peer, job, &history.attempts().to_string()).await
+        };
+        let refusal = match attempted {
+            Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
         let attempt = retry::Attempt {
@@ -79,17 +82,18 @@
         };
         let next = history.plan(app, &peer, &refusal, &attempt, &job.request.request);
         let Some(pause) = next else {
-            return Err(history.merge(refusal));
+            return Err(history.conclude(refusal));
         };
         clock::sleep(pause).await;
     }
 }
 
-async fn attempt(
+/// Sends a call to one agent; `tag` tells its attempts apart.
+pub(crate) async fn attempt(
     app: &app::App,
     peer: &peer::Peer,
     job: &Job,
-    number: u32,
+    tag: &str,
 ) -> Result<wire::Response, refusal::Refusal> {
     let mut request = job.request.clone();
     let left = job
@@ -98,7 +102,7 @@
     request.config_version = app.view.version();
     request.deadline_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1);
     request.incarnation = peer.incarnation();
-    request.request = format!("{}.{number}", job.request.request);
+    request.request = format!("{}.{tag}", job.request.request);
     app.board.record_sent(peer.key, 0);
     let limit = job.deadline + DEADLINE_MARGIN;
     let mut sent = false;
@@ -109,7 +113,11 @@
         let resent = sent;
         sent |= mark.is_sent();
         match reply {
-            Ok(Ok(reply)) => return read_reply(reply.into_inner(), resent),
+            Ok(Ok(reply)) => {
+                let answer = read_reply(reply.into_inner(), resent)?;
+                app.board.record_answer(peer.key, true);
+                return Ok(answer);
+            }
             Ok(Err(_)) => {}
             Err(_) => return Err(refuse_late(map_sent(sent))),
         }
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -34,6 +34,8 @@
 const SETTLE_WAIT: time::Duration = time::Duration::from_millis(500);
 /// How long a settlement is tried after the deadline.
 const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(60);
+/// How long a stopping entry waits for the quorum.
+const STOP_LIMIT: time::Duration = time::Duration::from_secs(10);
 /// How long a claim whose answer was lost is sought in order to give it back.
 const RETURN_LIMIT: time::Duration = time::Duration::from_secs(30);
 
@@ -116,7 +118,7 @@
         let answer = outcome.map(call::respond);
         let give_up_at = self.job.deadline.max(clock::Instant::now()) + SETTLE_LIMIT;
         let app = self.app.clone();
-        let settling = app.quorum.settle(settlement, give_up_at);
+        let settling = settle(&app, settlement, give_up_at);
         tokio::pin!(settling);
         let settled = clock::timeout(SETTLE_WAIT, &mut settling).await;
         self.tell(answer);
@@ -130,7 +132,10 @@
     /// Looks for a claim whose answer was lost and gives it back: nothing ran under it.
     async fn give_back(&mut self) {
         let give_up_at = clock::Instant::now() + RETURN_LIMIT;
-        let reply = self.app.quorum.claim(self.build_claim(), give_up_at).await;
+        let reply = tokio::select! {
+            reply = self.app.quorum.claim(self.build_claim(), give_up_at) => reply,
+            () = last_call(&self.app) => None,
+        };
         let Some(claim_reply::Kind::Granted(fence)) = reply else {
             return;
         };
@@ -139,7 +144,7 @@
             key: self.key.text.clone(),
             outcome: Some(settle_request::Outcome::NotRun(true)),
         };
-        let recorded = self.app.quorum.settle(settlement, give_up_at).await;
+        let recorded = settle(&self.app, settlement, give_up_at).await;
         self.log_settled(fence, recorded);
     }
 
@@ -211,6 +216,24 @@
     }
 }
 
+/// Settles a claim; returns whether it is recorded.
+async fn settle(
+    app: &app::App,
+    settlement: control::SettleRequest,
+    give_up_at: clock::Instant,
+) -> bool {
+    tokio::select! {
+        recorded = app.quorum.settle(settlement, give_up_at) => recorded,
+        () = last_call(app) => false,
+    }
+}
+
+/// Resolves when a stopping entry waits no longer for the quorum.
+async fn last_call(app: &app::App) {
+    app.stop.cancelled().await;
+    clock::sleep(STOP_LIMIT).await;
+}
+
 /// Returns the recorded answer, marked as such.
 fn replay(answer: &[u8]) -> Answer {
     let Some(answer) = record::decode_answer(answer) else {
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -21,3 +21,4 @@
 pub(crate) const SETTLE_FAILED: logs::Event = logs::Event::error(3015, "claim not settled");
 pub(crate) const RESUMED: logs::Event = logs::Event::info(3016, "stream resumed for caller");
 pub(crate) const NOT_PLACED: logs::Event = logs::Event::info(3017, "request not placed");
+pub(crate) const HEDGED: logs::Event = logs::Event::info(3018, "lookup sent twice");
--- /dev/null
+++ b/crates/entry/src/hedge.rs
@@ -0,0 +1,94 @@
+//! Sends a repeatable call that takes unusually long to a second upstream.
+//!
+//! Paid for from the retry budget; the first answer counts.
+
+use core::future;
+use std::sync;
+
+use peargap_adapters::logs;
+use peargap_wire::agent as wire;
+use tokio::time as clock;
+
+use crate::app;
+use crate::call;
+use crate::events;
+use crate::peer;
+use crate::place;
+use crate::refusal;
+
+type Answer = Result<wire::Response, refusal::Refusal>;
+
+/// Sends a call to `peer`, and to another agent when there is no answer in the usual time.
+pub(crate) async fn attempt_hedged(
+    app: &app::App,
+    peer: &peer::Peer,
+    job: &call::Job,
+    request: &place::Request<'_>,
+    history: &place::History,
+) -> Answer {
+    let begun = clock::Instant::now();
+    let tag = history.attempts().to_string();
+    let first = call::attempt(app, peer, job, &tag);
+    tokio::pin!(first);
+    let usual = app.latencies.get(&job.request.service);
+    let early = match usual {
+        Some(usual) => clock::timeout(usual, &mut first).await.ok(),
+        None => None,
+    };
+    let answer = match (early, usual) {
+        (Some(answer), _) => answer,
+        (None, None) => first.await,
+        (None, Some(_)) => match pick_second(app, peer, request, history) {
+            Some(second) => {
+                let tag = format!("{tag}h");
+                let second = call::attempt(app, &second, job, &tag);
+                race(first, second).await
+            }
+            None => first.await,
+        },
+    };
+    if answer.is_ok() {
+        app.latencies.add(&job.request.service, begun.elapsed());
+    }
+    answer
+}
+
+/// Returns another agent for the call if the budget has room for it.
+fn pick_second(
+    app: &app::App,
+    peer: &peer::Peer,
+    request: &place::Request<'_>,
+    history: &place::History,
+) -> Option<sync::Arc<peer::Peer>> {
+    let decision = place::decide(app, request, &history.without(peer));
+    let second = decision.peer()?;
+    if !app.retries.spend() {
+        return None;
+    }
+    app.metrics.hedges.add(1, &[]);
+    let first = &peer.identity.upstream;
+    logs::emit(
+        events::HEDGED,
+        format_args!("request={} first={first} {decision}", request.request),
+    );
+    Some(second)
+}
+
+/// Returns the first answer; a failure only when both failed.
+async fn race(
+    first: impl future::Future<Output = Answer> + Unpin,
+    second: impl future::Future<Output = Answer>,
+) -> Answer {
+    tokio::pin!(second);
+    let mut first = first;
+    tokio::select! {
+        answer = &mut first => match answer {
+            Ok(answer) => Ok(answer),
+            Err(_) => second.await,
+        },
+        answer = &mut second => match answer {
+            Ok(answer) => Ok(answer),
+            Err(_) => first.await,
+        },
+    }
+}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -22,6 +22,7 @@
     active: sync::Arc<atomic::AtomicU64>,
     between_tokens: otel::Histogram<f64>,
     first_token: otel::Histogram<f64>,
+    pub(crate) hedges: otel::Counter<u64>,
     pub(crate) links_replaced: otel::Counter<u64>,
     refusals: otel::Counter<u64>,
     pub(crate) retries: otel::Counter<u64>,
@@ -64,6 +65,10 @@
                 "peargap_entry_first_token_seconds",
                 "Time from a request's arrival to its first token",
             ),
+            hedges: meter
+                .u64_counter("peargap_entry_hedges")
+                .with_description("Repeatable calls that were sent to a second upstream")
+                .build(),
             links_replaced: meter
                 .u64_counter("peargap_entry_links_replaced")
                 .with_description("Silent or lost links that were replaced")
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -33,7 +33,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct History {
     excluded: Vec<table::Upstream>,
-    ran: Option<refusal::Ran>,
+    last: Option<refusal::Refusal>,
+    ran: refusal::Ran,
     retry_after_ms: Option<u32>,
 }
 
@@ -43,15 +44,22 @@
         u32::try_from(self.excluded.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns a refusal that is true of all attempts together.
-    pub(crate) fn merge(&self, mut refusal: refusal::Refusal) -> refusal::Refusal {
-        if let Some(ran) = self.ran {
-            refusal.ran = refusal.ran.merge(ran);
-        }
-        if let (Some(earlier), Some(now)) = (self.retry_after_ms, refusal.retry_after_ms) {
-            refusal.retry_after_ms = Some(now.min(earlier));
-        }
-        refusal
+    /// Returns the history for a request that shall not meet `peer`.
+    pub(crate) fn without(&self, peer: &peer::Peer) -> History {
+        let mut history = self.clone();
+        history.excluded.push(peer.key);
+        history
+    }
+
+    /// Returns the refusal for the caller: what the last attempt met, true of all together.
+    pub(crate) fn conclude(&self, refusal: refusal::Refusal) -> refusal::Refusal {
+        let Some(last) = &self.last else {
+            return refusal;
+        };
+        let mut concluded = last.clone();
+        concluded.ran = last.ran.merge(self.ran);
+        concluded.retry_after_ms = self.retry_after_ms;
+        concluded
     }
 
     /// Records a failed attempt and returns the pause before the next, if there is one.
@@ -65,7 +73,8 @@
     ) -> Option<time::Duration> {
         let upstream = &peer.identity.upstream;
         self.excluded.push(peer.key);
-        self.ran = Some(refusal.ran.merge(self.ran.unwrap_or(refusal.ran)));
+        self.ran = refusal.ran.merge(self.ran);
+        self.last = Some(refusal.clone());
         self.retry_after_ms = match (self.retry_after_ms, refusal.retry_after_ms) {
             (Some(earlier), Some(now)) => Some(now.min(earlier)),
             (earlier, now) => earlier.or(now),
@@ -115,13 +124,36 @@
     )
 }
 
-/// Returns the agent that gets the request, or why there is none.
-pub(crate) fn pick_peer(
-    app: &app::App,
-    request: &Request<'_>,
-    history: &History,
-) -> Result<sync::Arc<peer::Peer>, refusal::Refusal> {
-    let fleet = app.fleet();
+/// A choice with what was weighed for it.
+#[derive(Debug)]
+pub(crate) struct Decision {
+    choice: place::Choice,
+    fleet: sync::Arc<fleet::Fleet>,
+    weighed: Vec<place::Candidate>,
+}
+
+impl Decision {
+    /// Returns the chosen agent.
+    pub(crate) fn peer(&self) -> Option<sync::Arc<peer::Peer>> {
+        match self.choice {
+            place::Choice::Chosen { upstream, .. } => self.fleet.find(upstream),
+            place::Choice::None { .. } => None,
+        }
+    }
+
+    /// Returns when to come back if nothing was chosen, in milliseconds.
+    fn retry_after_ms(&self) -> u32 {
+        match self.choice {
+            place::Choice::Chosen { .. } => refusal::DEFAULT_RETRY_MS,
+            place::Choice::None { retry_after_ms } => {
+                u32::try_from(retry_after_ms).unwrap_or(u32::MAX)
+            }
+        }
+    }
+}
+
+/// Decides which agent gets a request.
+pub(crate) fn decide(app: &app::App, request: &Request<'_>, history: &History) -> Decision {
     let fill = |group| place::Ask {
         avoid: &history.excluded,
         deadline: app.board.instant(request.deadline),
@@ -130,49 +162,57 @@
         prompt_tokens: request.tokens,
     };
     let mut weighed = Vec::new();
-    let choice = app
-        .board
-        .pick(request.kind, request.offer, fill, &mut weighed);
-    let weighed = Weighed {
-        candidates: &weighed,
-        fleet: &fleet,
-    };
-    match choice {
-        place::Choice::Chosen { upstream, why } => {
-            let Some(peer) = fleet.find(upstream) else {
-                return Err(refuse_none(refusal::DEFAULT_RETRY_MS));
-            };
-            let details = format_args!(
-                "request={} upstream={} why={why:?} attempt={} weighed={weighed}",
-                request.request,
-                peer.identity.upstream,
-                history.attempts() + 1,
+    let board = &app.board;
+    let choice = board.pick(request.kind, request.offer, fill, &mut weighed);
+    Decision {
+        choice,
+        fleet: app.fleet(),
+        weighed,
+    }
+}
+
+/// Returns the agent that gets the request, or why there is none.
+pub(crate) fn pick_peer(
+    app: &app::App,
+    request: &Request<'_>,
+    history: &History,
+) -> Result<sync::Arc<peer::Peer>, refusal::Refusal> {
+    let decision = decide(app, request, history);
+    let attempt = history.attempts() + 1;
+    let (id, offer) = (request.request, request.offer);
+    match decision.peer() {
+        Some(peer) => {
+            logs::emit(
+                events::PLACED,
+                format_args!("request={id} offer={offer} attempt={attempt} {decision}"),
             );
-            logs::emit(events::PLACED, details);
             Ok(peer)
         }
-        place::Choice::None { retry_after_ms } => {
-            let details = format_args!(
-                "request={} offer={} retry_after_ms={retry_after_ms} weighed={weighed}",
-                request.request, request.offer,
+        None => {
+            logs::emit(
+                events::NOT_PLACED,
+                format_args!("request={id} offer={offer} attempt={attempt} {decision}"),
             );
-            logs::emit(events::NOT_PLACED, details);
-            Err(refuse_none(
-                u32::try_from(retry_after_ms).unwrap_or(u32::MAX),
-            ))
+            Err(refuse_none(decision.retry_after_ms()))
         }
     }
 }
 
-/// Formats candidates as `upstream:cost(running+queued+sent/limit,free,matched)`.
-struct Weighed<'a> {
-    candidates: &'a [place::Candidate],
-    fleet: &'a fleet::Fleet,
-}
-
-impl fmt::Display for Weighed<'_> {
+/// Formats the outcome and the candidates as `upstream:cost(running+queued+sent/limit,free,matched)`.
+impl fmt::Display for Decision {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, candidate) in self.candidates.iter().enumerate() {
+        match (self.peer(), self.choice) {
+            (Some(peer), place::Choice::Chosen { why, .. }) => {
+                write!(formatter, "upstream={} why={why:?}", peer.identity.upstream)?;
+            }
+            _ => write!(
+                formatter,
+                "upstream= retry_after_ms={}",
+                self.retry_after_ms()
+            )?,
+        }
+        write!(formatter, " weighed=")?;
+        for (index, candidate) in self.weighed.iter().enumerate() {
             let comma = if index > 0 { "," } else { "" };
             let peer = self.fleet.find(candidate.upstream);
             let name = peer.as_ref().map_or("?", |peer| &peer.identity.upstream);
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -13,9 +13,10 @@
 pub(crate) const DEFAULT_RETRY_MS: u32 = 1_000;
 
 /// Whether the work was run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) enum Ran {
     /// It provably did not run and will not.
+    #[default]
     No,
     /// Nobody knows.
     Unknown,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -3,6 +3,7 @@
 //! A task of its own: it places the request, follows links, resumes over a fresh link when one is
 //! silent, and starts the request again elsewhere only while nothing was delivered.
 
+use core::future;
 use core::time;
 use std::sync;
 
@@ -89,8 +90,12 @@
     let (pieces, receiver) = mpsc::channel(pump::PIECES_BUFFER);
     let written = progress::Written::default();
     let caller = pump::Caller::new(job.audience, job.deadline, pieces, written.clone());
-    let relay = Relay { app, caller, job };
-    tokio::spawn(relay.run());
+    let relay = Relay {
+        app: app.clone(),
+        caller,
+        job,
+    };
+    app.tasks.spawn(relay.run());
     (receiver, written)
 }
 
@@ -140,7 +145,7 @@
         self.app.retries.earn();
         loop {
             if let Some(refusal) = self.app.refuse_stale() {
-                return Outcome::Failed(history.merge(refusal));
+                return Outcome::Failed(history.conclude(refusal));
             }
             let request = place::Request {
                 deadline: self.job.deadline,
@@ -152,7 +157,7 @@
             };
             let peer = match place::pick_peer(&self.app, &request, &history) {
                 Ok(peer) => peer,
-                Err(refusal) => return Outcome::Failed(history.merge(refusal)),
+                Err(refusal) => return Outcome::Failed(history.conclude(refusal)),
             };
             let refusal = match self.attempt(&peer, &start, &history).await {
                 Outcome::Done => return Outcome::Done,
@@ -166,9 +171,8 @@
                 repeatable: deliverable,
             };
             let next = history.plan(&self.app, &peer, &refusal, &attempt, &self.job.request);
-            let refusal = history.merge(refusal);
             let Some(pause) = next else {
-                return Outcome::Failed(refusal);
+                return Outcome::Failed(history.conclude(refusal));
             };
             tokio::select! {
                 () = clock::sleep(pause) => {}
@@ -190,9 +194,15 @@
         start.incarnation = peer.incarnation();
         self.app.board.record_sent(peer.key, start.prompt_tokens);
         self.caller.progress = progress::Progress::default();
+        let shared = peer.clone();
+        let open = async move { link::open_link(&shared, up::Kind::Start(start)).await };
+        let mut opening = Box::pin(open);
         let opened = tokio::select! {
-            opened = link::open_link(peer, up::Kind::Start(start)) => opened,
-            () = self.caller.left() => return Outcome::Done,
+            opened = &mut opening => opened,
+            () = self.caller.left() => {
+                self.app.tasks.spawn(cancel_opening(opening));
+                return Outcome::Done;
+            }
         };
         match opened {
             Ok(link) => {
@@ -299,6 +309,15 @@
     }
 }
 
+/// Cancels a generation whose caller left while its link was being opened.
+async fn cancel_opening(
+    opening: impl future::Future<Output = Result<link::Link, link::OpenError>>,
+) {
+    if let Ok(link) = opening.await {
+        link.cancel();
+    }
+}
+
 fn describe_open_error(error: &link::OpenError) -> refusal::Refusal {
     let ran = match error {
         link::OpenError::NotSent(_) => refusal::Ran::No,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -22,13 +22,12 @@
 use crate::board;
 use crate::events;
 use crate::fleet;
+use crate::latency;
 use crate::metrics as instruments;
 use crate::quorum;
 use crate::server;
 use crate::settings;
 
-/// Time that outcomes of claimed calls have to be settled after the last request.
-const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(10);
 /// Period at which readiness is looked at.
 const READY_PERIOD: time::Duration = time::Duration::from_millis(100);
 
@@ -174,6 +173,7 @@
         board: control.board.clone(),
         fleet: control.fleet.clone(),
         ids: app::Ids::new(&settings.node.name, &control.incarnation),
+        latencies: latency::Latencies::default(),
         metrics: instruments::Metrics::new(&registry),
         quorum: quorum::Quorum::new(&settings.controls),
         retries: app::Retries::default(),
@@ -192,8 +192,7 @@
     logs::emit(events::STARTED, format_args!("entry={name}"));
     server::serve(app.clone(), callers).await;
     app.tasks.close();
-    // What is not settled by then stays claimed, and its key is answered as unknown.
-    let _ = tokio::time::timeout(SETTLE_LIMIT, app.tasks.wait()).await;
+    app.tasks.wait().await;
     logs::emit(
         events::STOPPED,
         format_args!("entry={}", app.settings.node.name),
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -99,6 +99,8 @@
         // Without it small events wait for the peer's acknowledgement.
         let _ = stream.set_nodelay(true);
         let limit = self.app.settings.limits.stalled_reader;
+        // A caller whose connection went silent for good counts as stalled as well.
+        let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(limit));
         let io = rt::TokioIo::new(guard::Guarded::new(stream, limit));
         let service = service::TowerToHyperService::new(self.router.clone());
         let connection = self.builder.serve_connection(io, service).into_owned();
--- a/crates/entry/tests/api.rs
+++ b/crates/entry/tests/api.rs
@@ -194,7 +194,8 @@
     }
     let busy = agent::Step::Fail(agent::fail(wire::Ran::No, wire::Reason::Busy, 500));
     for agent in &bench.agents {
-        agent.plan(&[&[busy.clone()], &[busy.clone()]]);
+        let plan = std::slice::from_ref(&busy);
+        agent.plan(&[plan, plan]);
     }
     // Ten requests have earned one retry: it meets the other agent, which is busy as well.
     assert_eq!(send().await.unwrap().status, 429);
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -20,7 +20,7 @@
 
 #[tokio::test]
 async fn a_repeated_call_gets_the_recorded_answer_and_runs_once() {
-    let bench = support::start_service_bench("").await;
+    let bench = support::start_service_bench(1, "").await;
     let entry = bench.entry.callers;
     bench.agents[0].plan_calls(&[Fate::Answer(201, "booked")]);
     let first = order("k1").send(entry).await.unwrap();
@@ -83,7 +83,7 @@
 
 #[tokio::test]
 async fn a_call_that_runs_is_in_progress_for_others_even_when_its_caller_left() {
-    let bench = support::start_service_bench("").await;
+    let bench = support::start_service_bench(1, "").await;
     let entry = bench.entry.callers;
     bench.agents[0].plan_calls(&[Fate::Wait]);
     let first = tokio::spawn(order("k1").send(entry));
@@ -107,7 +107,7 @@
 
 #[tokio::test]
 async fn a_lost_claim_answer_is_asked_for_again_under_the_same_attempt() {
-    let bench = support::start_service_bench("").await;
+    let bench = support::start_service_bench(1, "").await;
     bench.control.state.lock().unwrap().lost_claims = 2;
     let answer = order("k1").send(bench.entry.callers).await.unwrap();
     assert_eq!((answer.status, bench.agents[0].seen().runs), (200, 1));
@@ -123,7 +123,7 @@
 
 #[tokio::test]
 async fn a_claim_that_cannot_be_had_is_refused_as_not_run_and_given_back() {
-    let bench = support::start_service_bench("").await;
+    let bench = support::start_service_bench(1, "").await;
     bench.control.state.lock().unwrap().lost_claims = 8;
     let call = order("k1").header("x-request-timeout-ms", "200");
     let answer = call.send(bench.entry.callers).await.unwrap();
@@ -141,7 +141,7 @@
 
 #[tokio::test]
 async fn a_lost_answer_is_unknown_and_the_call_is_never_run_again() {
-    let bench = support::start_service_bench("").await;
+    let bench = support::start_service_bench(1, "").await;
     let entry = bench.entry.callers;
     bench.agents[0].plan_calls(&[Fate::LoseAnswer]);
     let first = order("k1").send(entry).await.unwrap();
@@ -159,7 +159,7 @@
 
 #[tokio::test]
 async fn a_call_that_did_not_run_gives_its_claim_back() {
-    let bench = support::start_service_bench("").await;
+    let bench = support::start_service_bench(1, "").await;
     let entry = bench.entry.callers;
     let busy = agent::fail(wire::Ran::No, wire::Reason::Busy, 900);
     bench.agents[0].plan_calls(&[Fate::Fail(busy)]);
@@ -182,7 +182,7 @@
 
 #[tokio::test]
 async fn a_settlement_is_sent_until_it_is_recorded() {
-    let mut bench = support::start_service_bench("[drain]\nlinger_ms=0").await;
+    let mut bench = support::start_service_bench(1, "[drain]\nlinger_ms=0").await;
     let entry = bench.entry.callers;
     bench.control.state.lock().unwrap().lost_settles = 2;
     assert_eq!(order("k1").send(entry).await.unwrap().status, 200);
@@ -198,12 +198,28 @@
 }
 
 #[tokio::test]
-async fn a_repeatable_call_needs_no_key_and_may_run_again() {
-    let bench = support::start_service_bench("").await;
+async fn a_repeatable_call_needs_no_key_and_a_slow_one_is_sent_twice_within_the_budget() {
+    let bench = support::start_service_bench(2, "").await;
     let lookup = || caller::Call::post("/services/lookups/gown", "").send(bench.entry.callers);
-    for _ in 0..10 {
+    for _ in 0..40 {
         assert_eq!(lookup().await.unwrap().status, 200);
     }
-    assert!(bench.agents[0].seen().calls[0].claim.is_none());
+    // The first call that meets this agent waits for good; the other agent answers it.
+    bench.agents[0].plan_calls(&[Fate::Wait]);
+    for _ in 0..40 {
+        assert_eq!(lookup().await.unwrap().status, 200);
+    }
+    let calls: Vec<_> = bench
+        .agents
+        .iter()
+        .flat_map(|agent| agent.seen().calls)
+        .collect();
+    assert!(calls.iter().all(|call| call.claim.is_none()));
+    assert!(
+        (81..=88).contains(&calls.len()),
+        "{} calls for 80",
+        calls.len()
+    );
+    assert!(bench.entry.read_counter("peargap_entry_hedges_total").await >= 1.0);
     assert!(bench.control.settles().is_empty());
 }
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -48,7 +48,7 @@
     pub acked: u64,
     pub calls: Vec<wire::CallRequest>,
     pub cancels: u32,
-    pub observed: Vec<String>,
+    pub observed: collections::BTreeSet<String>,
     pub produced: u64,
     pub resumes: Vec<wire::Resume>,
     pub runs: u32,
@@ -174,8 +174,7 @@
 
     /// Waits until an entry has received this agent's load.
     pub async fn wait_observed(&self, entry: &str) {
-        self.wait_for(|seen| seen.observed.iter().any(|name| name == entry))
-            .await;
+        self.wait_for(|seen| seen.observed.contains(entry)).await;
     }
 
     /// Ends the agent at once, with all of its connections.
@@ -479,7 +478,9 @@
         tokio::spawn(async move {
             while let Ok(Some(seen)) = seen.message().await {
                 if seen.sequence > 0 {
-                    shared.change(|state| state.seen.observed.push(seen.entry));
+                    shared.change(|state| {
+                        state.seen.observed.insert(seen.entry);
+                    });
                 }
             }
         });
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -23,13 +23,27 @@
 pub struct Entry {
     pub callers: net::SocketAddr,
     child: process::Child,
+    folder: tempfile::TempDir,
     pub health: net::SocketAddr,
-    _folder: tempfile::TempDir,
 }
 
 impl Entry {
     /// Starts an entry and waits until it is ready; `more` is added to its settings.
     pub async fn start(name: &str, control: &control::Control, more: &str) -> Entry {
+        loop {
+            let mut entry = Entry::spawn(name, control, more);
+            // Another process may have taken one of the ports meanwhile.
+            while entry.is_running() {
+                if entry.read_log().contains("E3000") {
+                    wait_until(|| entry.is_ready()).await;
+                    return entry;
+                }
+                clock::sleep(time::Duration::from_millis(10)).await;
+            }
+        }
+    }
+
+    fn spawn(name: &str, control: &control::Control, more: &str) -> Entry {
         let (callers, health) = (find_address(), find_address());
         let folder = tempfile::tempdir().unwrap();
         let file = folder.path().join("entry.ini");
@@ -39,19 +53,23 @@
             control.address
         );
         fs::write(&file, text).unwrap();
+        let log = fs::File::create(folder.path().join("log")).unwrap();
         let child = process::Command::new(env!("CARGO_BIN_EXE_peargap-entry"))
             .arg("--config")
             .arg(&file)
+            .stderr(log)
             .spawn()
             .unwrap();
-        let entry = Entry {
+        Entry {
             callers,
             child,
+            folder,
             health,
-            _folder: folder,
-        };
-        wait_until(|| entry.is_ready()).await;
-        entry
+        }
+    }
+
+    pub fn read_log(&self) -> String {
+        fs::read_to_string(self.folder.path().join("log")).unwrap()
     }
 
     pub async fn is_ready(&self) -> bool {
@@ -100,6 +118,9 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("{}", self.read_log());
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -120,9 +141,10 @@
     start_with(agents, more).await
 }
 
-/// Starts a bench with one agent of the plain services `orders` and `lookups`.
-pub async fn start_service_bench(more: &str) -> Bench {
-    start_with(vec![agent::Agent::start("s0", "service")], more).await
+/// Starts a bench with agents of the plain services `orders` and `lookups`.
+pub async fn start_service_bench(agents: usize, more: &str) -> Bench {
+    let agents = (0..agents).map(|number| agent::Agent::start(&format!("s{number}"), "service"));
+    start_with(agents.collect(), more).await
 }
 
 async fn start_with(agents: Vec<agent::Agent>, more: &str) -> Bench {
