--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -15,6 +15,7 @@
 use peargap_adapters::metrics;
 use peargap_adapters::signals;
 use peargap_core::admit;
+use peargap_core::ramp;
 use peargap_wire::control;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -24,6 +25,7 @@
 use crate::admission;
 use crate::agent;
 use crate::clock;
+use crate::domain;
 use crate::engine;
 use crate::events;
 use crate::meters;
@@ -98,6 +100,7 @@
                 let (agent, admission) = build(settings, meters, stop.clone());
                 tokio::spawn(admission.run(stop.clone()));
                 tokio::spawn(poll::run(sync::Arc::clone(&agent), stop.clone()));
+                tokio::spawn(domain::run(sync::Arc::clone(&agent), stop.clone()));
                 tokio::spawn(orders::run(sync::Arc::clone(&agent), stop.clone()));
                 tokio::spawn(sweep::run(sync::Arc::clone(&agent), stop.clone()));
                 let _ = ready.send(agent);
@@ -119,9 +122,12 @@
     let options = admit::Options {
         block_tokens: BLOCK_TOKENS,
         max_running: upstream.max_running,
+        max_stretch: admit::MAX_STRETCH,
         max_waiting: settings.queue.max_queued as usize,
         memory_tokens: upstream.memory_tokens,
         overflow_chance: OVERFLOW_CHANCE,
+        start_limit: ramp::START_LIMIT,
+        unproven_limit: ramp::START_LIMIT,
     };
     let (admission, handle) = admission::Admission::new(clock, options, meters.clone());
     let view = follow::spawn(build_options(&settings, &incarnation), stop);
