--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -22,13 +22,14 @@
 use crate::board;
 use crate::events;
 use crate::fleet;
+use crate::latency;
 use crate::metrics as instruments;
 use crate::quorum;
 use crate::server;
 use crate::settings;
 
-/// Time that outcomes of claimed calls have to be settled after the last request.
-const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(10);
+/// Longest wait of a started entry for the agents' first load reports.
+const HEAR_LIMIT: time::Duration = time::Duration::from_secs(2);
 /// Period at which readiness is looked at.
 const READY_PERIOD: time::Duration = time::Duration::from_millis(100);
 
@@ -174,6 +175,7 @@
         board: control.board.clone(),
         fleet: control.fleet.clone(),
         ids: app::Ids::new(&settings.node.name, &control.incarnation),
+        latencies: latency::Latencies::default(),
         metrics: instruments::Metrics::new(&registry),
         quorum: quorum::Quorum::new(&settings.controls),
         retries: app::Retries::default(),
@@ -192,8 +194,7 @@
     logs::emit(events::STARTED, format_args!("entry={name}"));
     server::serve(app.clone(), callers).await;
     app.tasks.close();
-    // What is not settled by then stays claimed, and its key is answered as unknown.
-    let _ = tokio::time::timeout(SETTLE_LIMIT, app.tasks.wait()).await;
+    app.tasks.wait().await;
     logs::emit(
         events::STOPPED,
         format_args!("entry={}", app.settings.node.name),
@@ -211,17 +212,36 @@
 }
 
 /// Keeps readiness true while the entry takes new work.
+///
+/// A started entry is ready once each known agent has reported its load, or after
+/// [`HEAR_LIMIT`]: before that it would refuse what the agents can take.
 async fn watch_readiness(app: sync::Arc<app::App>, readiness: health::Readiness) {
     let mut timer = tokio::time::interval(READY_PERIOD);
+    let mut fresh_since = None;
     loop {
         tokio::select! {
             biased;
             () = app.stop.cancelled() => return readiness.set(false),
-            _ = timer.tick() => readiness.set(app.view.is_fresh()),
+            _ = timer.tick() => {}
+        }
+        if !app.view.is_fresh() {
+            readiness.set(false);
+            continue;
+        }
+        let since = *fresh_since.get_or_insert_with(tokio::time::Instant::now);
+        if readiness.is_ready() || since.elapsed() > HEAR_LIMIT || has_heard_all(&app) {
+            readiness.set(true);
         }
     }
 }
 
+/// Returns whether there are agents and each has reported its load.
+fn has_heard_all(app: &app::App) -> bool {
+    let fleet = app.fleet();
+    let mut peers = fleet.peers.values();
+    !fleet.peers.is_empty() && peers.all(|peer| !peer.incarnation().is_empty())
+}
+
 async fn watch_stop(app: sync::Arc<app::App>) {
     app.stop.cancelled().await;
     app.view.set_leaving();
--- a/crates/proof/tests/failures/fleet.rs
+++ b/crates/proof/tests/failures/fleet.rs
@@ -87,14 +87,35 @@
         for index in 0..plan.entries {
             fleet.start_entry(index);
         }
+        for index in 0..plan.controls {
+            fleet.wait_ready(&format!("control-{index}")).await;
+        }
         fleet.apply(0, 0).await;
         let names: Vec<String> = fleet.healths.keys().cloned().collect();
         for name in names {
             fleet.wait_ready(&name).await;
         }
+        fleet.wait_members(plan.engines + plan.services).await;
         fleet
     }
 
+    /// Waits until every agent is a member and each entry has heard of them all.
+    async fn wait_members(&self, count: usize) {
+        let expected = format!("peargap_entry_upstreams {count}");
+        for (name, port) in &self.healths {
+            if !name.starts_with("entry-") {
+                continue;
+            }
+            let url = format!("http://127.0.0.1:{port}/metrics");
+            wait_until("the entry has heard of every agent", async || {
+                let request = http::Request::get(url.clone());
+                let answer = client::Client::new("").call(request, Bytes::new()).await;
+                answer.is_ok_and(|answer| client::show_body(&answer.body).contains(&expected))
+            })
+            .await;
+        }
+    }
+
     fn start_controls(&mut self, count: usize) {
         let found = ports::find_ports(count * 3).expect("free ports");
         self.controls = found
