Agent: tells entries which prefixes the engine caches

Cause: placement by prefix had no source. Ruled out: counting cached blocks as free memory (events are late and gapped, and the stand-in engine does not share them between streams). Change: core::cached, cache events polled, prefixes in the load report, at most 128, reports at most every 100 ms. Conclusion: tests pass; the effect on placement is the entry's to measure.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use peargap_adapters::follow;
+use peargap_core::cached;
 use peargap_core::generation;
 use peargap_core::time;
 use peargap_wire::agent as wire;
@@ -28,6 +29,8 @@
 /// The agent; tasks share it by reference count.
 #[derive(Debug)]
 pub(crate) struct Agent {
+    /// The engine's prefix cache as far as it is known.
+    pub(crate) cached: sync::Mutex<cached::Known>,
     pub(crate) claims: sync::Mutex<registry::Claims>,
     pub(crate) clock: clock::Clock,
     pub(crate) engine: engine::Client,
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -61,6 +61,24 @@
     pub(crate) waiting: u32,
 }
 
+/// Changes of the engine's prefix cache, late and with gaps.
+#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize)]
+pub(crate) struct Events {
+    pub(crate) events: Vec<Event>,
+    /// Sequence number of the newest change, published or not.
+    pub(crate) last: u64,
+}
+
+/// One change of the prefix cache.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize)]
+pub(crate) struct Event {
+    /// 16 hexadecimal digits.
+    pub(crate) hash: String,
+    /// `stored` or `evicted`.
+    pub(crate) kind: String,
+    pub(crate) sequence: u64,
+}
+
 /// What became of an order.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Ordered {
@@ -115,7 +133,16 @@
 
     /// Reads the load report.
     pub(crate) async fn read_load(&self) -> Result<Report, link::Fault> {
-        let request = finish(self.build(http::Method::GET, "/load"), Bytes::new())?;
+        self.read("/load").await
+    }
+
+    /// Reads the changes of the prefix cache after the one numbered `after`.
+    pub(crate) async fn read_events(&self, after: u64) -> Result<Events, link::Fault> {
+        self.read(&format!("/cache-events?after={after}")).await
+    }
+
+    async fn read<T: serde::de::DeserializeOwned>(&self, path: &str) -> Result<T, link::Fault> {
+        let request = finish(self.build(http::Method::GET, path), Bytes::new())?;
         let response = link::send(self.address, request, ANSWER_TIMEOUT).await?;
         let status = response.status();
         let reading = link::read_body(response.into_body(), ANSWER_LIMIT);
--- a/crates/agent/src/observe.rs
+++ b/crates/agent/src/observe.rs
@@ -9,8 +9,10 @@
 
 use crate::agent;
 
+/// Prefixes named in one report.
+const MAX_PREFIXES: usize = 128;
 /// Shortest time between two reports on one link.
-const REPORT_GAP: Duration = Duration::from_millis(50);
+const REPORT_GAP: Duration = Duration::from_millis(100);
 /// Longest time between two reports on one link.
 const REPORT_PERIOD: Duration = Duration::from_millis(400);
 
@@ -73,6 +75,6 @@
         draining: agent.is_leaving() || agent.is_out(),
         healthy: snapshot.healthy && agent.view.is_fresh(),
         models: agent.list_offers(),
-        prefixes: Vec::new(),
+        prefixes: agent::lock(&agent.cached).list_prefixes(MAX_PREFIXES),
     }
 }
--- a/crates/agent/src/poll.rs
+++ b/crates/agent/src/poll.rs
@@ -3,11 +3,14 @@
 use core::time::Duration;
 use std::sync;
 
+use peargap_core::cached;
 use tokio_util::sync as cancel;
 
 use crate::agent;
+use crate::engine;
 use crate::gate;
 use crate::http;
+use crate::settings;
 
 /// Time between two reads.
 const PERIOD: Duration = Duration::from_millis(200);
@@ -17,6 +20,7 @@
 /// Reads reports until `token` is cancelled.
 pub(crate) async fn run(agent: sync::Arc<agent::Agent>, token: cancel::CancellationToken) {
     let mut silent = 0;
+    let mut seen = 0;
     loop {
         match agent.engine.read_load().await {
             Ok(report) => {
@@ -31,9 +35,42 @@
                 }
             }
         }
+        if agent.settings.upstream.kind == settings::Kind::Engine {
+            seen = follow_cache(&agent, seen).await;
+        }
         tokio::select! {
             () = token.cancelled() => return,
             () = tokio::time::sleep(PERIOD) => {}
         }
     }
 }
+
+/// Notes the changes of the prefix cache after `seen`; returns the newest one seen.
+async fn follow_cache(agent: &agent::Agent, seen: u64) -> u64 {
+    let Ok(events) = agent.engine.read_events(seen).await else {
+        return seen;
+    };
+    let mut known = agent::lock(&agent.cached);
+    if events.last < seen {
+        // The engine counts from the start again.
+        known.clear();
+        return 0;
+    }
+    let mut newest = seen;
+    for event in events.events {
+        newest = newest.max(event.sequence);
+        if let Some(change) = parse_event(&event) {
+            known.apply(change);
+        }
+    }
+    newest
+}
+
+fn parse_event(event: &engine::Event) -> Option<cached::Change> {
+    let hash = u64::from_str_radix(&event.hash, 16).ok()?;
+    match event.kind.as_str() {
+        "evicted" => Some(cached::Change::Evicted(hash)),
+        "stored" => Some(cached::Change::Stored(hash)),
+        _ => None,
+    }
+}
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -133,6 +133,7 @@
     let view = follow::spawn(build_options(&settings, &incarnation), stop);
     let engine = engine::Client::new(upstream.address, upstream.silent_after);
     let agent = agent::Agent {
+        cached: sync::Mutex::default(),
         claims: sync::Mutex::default(),
         clock,
         engine,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod batch;
 pub mod breaker;
+pub mod cached;
 pub mod changes;
 pub mod claims;
 pub mod clock;
