--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -65,6 +65,10 @@
             let detail = "the upstream or its failure domain is out";
             return Some(refuse(wire::Reason::Draining, OUT_RETRY_MS, detail));
         }
+        if *self.view.replaced().borrow() {
+            let detail = "a newer process has taken the agent's name";
+            return Some(refuse(wire::Reason::Draining, LEAVING_RETRY_MS, detail));
+        }
         if !self.view.is_fresh() {
             let detail = "the freshness lease has lapsed";
             return Some(refuse(wire::Reason::Stale, STALE_RETRY_MS, detail));
--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -61,6 +61,7 @@
         request: &call.request,
     };
     if let Some(failed) = agent.check_request(caller) {
+        agent.meters.count_refusal(failed.reason());
         return Err(failed);
     }
     let request = build_request(agent, &call)?;
@@ -154,6 +155,10 @@
     agent: &agent::Agent,
     call: &wire::CallRequest,
 ) -> Result<::http::Request<upstream::Body>, wire::Failed> {
+    if !call.path.starts_with('/') {
+        let detail = "the path does not start with a slash";
+        return Err(agent::refuse(wire::Reason::Invalid, 0, detail));
+    }
     let address = agent.settings.upstream.address;
     let mut builder = ::http::Request::builder()
         .method(call.method.as_str())
--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -257,6 +257,9 @@
         if let Some(text) = step.text {
             taken = self.store(step.offset, text).await;
         }
+        if let Taken::Over(_) = taken {
+            return taken;
+        }
         if step.reason.is_some() {
             self.finish.reason = step.reason;
         }
@@ -308,6 +311,14 @@
         }))
     }
 
+    /// Ends a generation that cannot be resumed; one whose last token has come is whole.
+    fn end_lost(&mut self, ran: wire::Ran, detail: String) -> Step {
+        if self.finish.reason.is_some() {
+            return self.finish_whole();
+        }
+        Step::End(judge::end_with(ran, detail))
+    }
+
     fn lose_link(&mut self, cause: &str) -> Step {
         let (id, offset) = (&self.stream.id, self.stream.next());
         logs::emit(
@@ -333,18 +344,15 @@
             engine::Opened::Tokens(reader) => return Step::Read(reader),
             engine::Opened::Refused { status, detail } => {
                 let detail = format!("the engine lost the generation: {status} {detail}");
-                return Step::End(judge::end_with(ran, detail));
+                return self.end_lost(ran, detail);
             }
             engine::Opened::Fault(http::Fault::Refused) => {
-                return Step::End(judge::end_with(ran, "the engine has gone"));
+                return self.end_lost(ran, "the engine has gone".to_owned());
             }
             engine::Opened::Fault(fault) => fault,
         };
         if tokio::time::Instant::now() >= seek.until {
-            return Step::End(judge::end_with(
-                ran,
-                format!("the engine does not answer: {fault:?}"),
-            ));
+            return self.end_lost(ran, format!("the engine does not answer: {fault:?}"));
         }
         tokio::time::sleep(RESUME_PAUSE).await;
         Step::Seek(seek)
--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -16,6 +16,12 @@
 use crate::link;
 use crate::observe;
 
+/// Longest message from or to an entry, in bytes.
+const MAX_MESSAGE_BYTES: usize = 32 << 20;
+/// Time between two HTTP/2 pings on a connection.
+const KEEPALIVE_PERIOD: Duration = Duration::from_secs(5);
+/// A connection whose ping is not answered for this long is closed.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Messages that may wait for a slow entry on one link.
 const DOWN_BUFFER: usize = 8;
 
@@ -82,8 +88,12 @@
     stop: cancel::CancellationToken,
     patience: Duration,
 ) -> Result<(), tonic::transport::Error> {
-    let server = wire::agent_server::AgentServer::new(service);
+    let server = wire::agent_server::AgentServer::new(service)
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
     let serving = tonic::transport::Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE_PERIOD))
+        .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
         .add_service(server)
         .serve_with_incoming_shutdown(incoming, stop.clone().cancelled_owned());
     tokio::select! {
