--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use peargap_adapters::follow;
+use peargap_core::cached;
 use peargap_core::generation;
 use peargap_core::time;
 use peargap_wire::agent as wire;
@@ -28,6 +29,8 @@
 /// The agent; tasks share it by reference count.
 #[derive(Debug)]
 pub(crate) struct Agent {
+    /// The engine's prefix cache as far as it is known.
+    pub(crate) cached: sync::Mutex<cached::Known>,
     pub(crate) claims: sync::Mutex<registry::Claims>,
     pub(crate) clock: clock::Clock,
     pub(crate) engine: engine::Client,
@@ -62,6 +65,10 @@
             let detail = "the upstream or its failure domain is out";
             return Some(refuse(wire::Reason::Draining, OUT_RETRY_MS, detail));
         }
+        if *self.view.replaced().borrow() {
+            let detail = "a newer process has taken the agent's name";
+            return Some(refuse(wire::Reason::Draining, LEAVING_RETRY_MS, detail));
+        }
         if !self.view.is_fresh() {
             let detail = "the freshness lease has lapsed";
             return Some(refuse(wire::Reason::Stale, STALE_RETRY_MS, detail));
