Model check of at-most-once claims

Cause: 'at most one run' must hold under lost, repeated and reordered messages. Change: crates/core/tests/model_claims.rs on the real table, five planted faults. Conclusion: the properties hold within the bounds and each fault is found.

--- /dev/null
+++ b/crates/core/tests/model_claims.rs
@@ -0,0 +1,421 @@
+//! Model checking of at-most-once claims: the real table, two entries, an agent, and a network
+//! that loses, repeats and reorders.
+//!
+//! Every reachable state within the bounds is visited. A message that is never delivered is lost;
+//! a delivered one may stay and be delivered again. A connection to an agent ends with the agent's
+//! incarnation, as over TCP, so a dispatch reaches only the incarnation it was sent to.
+
+use std::collections;
+use std::time;
+
+use bytes::Bytes;
+use pathfinding::directed::bfs;
+use peargap_core::claims;
+
+const ENTRIES: usize = 2;
+const ATTEMPTS: u8 = 2;
+const REPEATS: u8 = 1;
+const ENTRY_CRASHES: u8 = 1;
+const AGENT_CRASHES: u8 = 1;
+const TICKS: u8 = 1;
+/// Longer than an attempt may run and than a key that did not run is retained.
+const TICK_MS: u64 = claims::FREE_RETENTION_MS + 1_000;
+const KEY: &str = "team/loans/1";
+
+/// A mistake planted to see that the run finds it.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Fault {
+    None,
+    /// An agent runs a repeated dispatch again.
+    AgentForgetsFence,
+    /// An overdue attempt becomes free.
+    ExpiryFrees,
+    /// An entry that loses an agent says that the call did not run.
+    LossIsNotRun,
+    /// A settlement counts for whatever attempt holds the key now.
+    SettleIgnoresFence,
+    /// An entry records the answer before it has it.
+    SettleTooEarly,
+}
+
+/// An attempt: entry and its count there.
+type Attempt = (usize, u8);
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+enum Message {
+    Claim(Attempt),
+    Dispatch(Attempt, u64, u8),
+    Grant(Attempt, Grant),
+    NotRun(Attempt, u64),
+    Ran(Attempt, u64),
+    Settle(u64, Outcome),
+}
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+enum Grant {
+    Answer(u64),
+    Granted(u64),
+    Later,
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+enum Outcome {
+    Answer(u64),
+    NotRun,
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Entry {
+    Idle,
+    Claiming,
+    Dispatched(u64),
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+struct Budget {
+    agent_crashes: u8,
+    entry_crashes: u8,
+    repeats: u8,
+    ticks: u8,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct World {
+    agent_incarnation: u8,
+    agent_seen: u64,
+    attempts: [u8; ENTRIES],
+    budget: Budget,
+    claims: claims::Claims,
+    entries: [Entry; ENTRIES],
+    fence: u64,
+    fault: Fault,
+    network: collections::BTreeSet<Message>,
+    now: u64,
+    /// Fences under which the call ran, each time.
+    ran: Vec<u64>,
+    /// Attempts that ran.
+    ran_attempts: collections::BTreeSet<Attempt>,
+    told_answers: collections::BTreeSet<u64>,
+    told_not_run: collections::BTreeSet<Attempt>,
+    /// The key was unknown and then granted again.
+    regranted: bool,
+}
+
+fn start(fault: Fault) -> World {
+    World {
+        agent_incarnation: 0,
+        agent_seen: 0,
+        attempts: [0; ENTRIES],
+        budget: Budget {
+            agent_crashes: AGENT_CRASHES,
+            entry_crashes: ENTRY_CRASHES,
+            repeats: REPEATS,
+            ticks: TICKS,
+        },
+        claims: claims::Claims::new(claims::Limits::default()),
+        entries: [Entry::Idle; ENTRIES],
+        fault,
+        fence: 1,
+        network: collections::BTreeSet::new(),
+        now: 0,
+        ran: Vec::new(),
+        ran_attempts: collections::BTreeSet::new(),
+        regranted: false,
+        told_answers: collections::BTreeSet::new(),
+        told_not_run: collections::BTreeSet::new(),
+    }
+}
+
+impl World {
+    fn successors(&self) -> Vec<World> {
+        let mut next = Vec::new();
+        for entry in 0..ENTRIES {
+            self.act_entry(entry, &mut next);
+        }
+        if self.budget.agent_crashes > 0 {
+            next.push(self.with(World::crash_agent));
+        }
+        if self.budget.ticks > 0 {
+            next.push(self.with(World::tick));
+        }
+        for message in &self.network {
+            next.push(self.with(|world| {
+                world.network.remove(message);
+                world.deliver(message.clone());
+            }));
+            if self.budget.repeats > 0 {
+                next.push(self.with(|world| {
+                    world.budget.repeats -= 1;
+                    world.deliver(message.clone());
+                }));
+            }
+        }
+        next
+    }
+
+    fn with(&self, change: impl FnOnce(&mut World)) -> World {
+        let mut world = self.clone();
+        change(&mut world);
+        world.prune();
+        world
+    }
+
+    /// Drops messages that no delivery can make count any more, as attempts never come back.
+    fn prune(&mut self) {
+        let network = core::mem::take(&mut self.network);
+        let counts = |message: &Message| match message {
+            Message::Claim(_) | Message::Settle(_, _) => true,
+            Message::Dispatch(_, _, incarnation) => *incarnation == self.agent_incarnation,
+            Message::Grant(attempt, _) => {
+                self.entries[attempt.0] == Entry::Claiming && self.attempt(attempt.0) == *attempt
+            }
+            Message::NotRun(attempt, fence) | Message::Ran(attempt, fence) => {
+                self.entries[attempt.0] == Entry::Dispatched(*fence)
+            }
+        };
+        self.network = network.into_iter().filter(counts).collect();
+    }
+
+    fn act_entry(&self, entry: usize, next: &mut Vec<World>) {
+        match self.entries[entry] {
+            Entry::Idle if self.attempts[entry] < ATTEMPTS => next.push(self.with(|world| {
+                world.attempts[entry] += 1;
+                world.entries[entry] = Entry::Claiming;
+                world.send(Message::Claim(world.attempt(entry)));
+            })),
+            Entry::Idle => {}
+            // Giving up a claim before any dispatch: the caller hears that nothing ran.
+            Entry::Claiming => next.push(self.with(|world| {
+                world.told_not_run.insert(world.attempt(entry));
+                world.entries[entry] = Entry::Idle;
+            })),
+            Entry::Dispatched(fence) => next.push(self.with(|world| {
+                let outcome = if world.fault == Fault::LossIsNotRun {
+                    world.told_not_run.insert(world.attempt(entry));
+                    Outcome::NotRun
+                } else {
+                    Outcome::Unknown
+                };
+                world.send(Message::Settle(fence, outcome));
+                world.entries[entry] = Entry::Idle;
+            })),
+        }
+        if self.budget.entry_crashes > 0 && self.entries[entry] != Entry::Idle {
+            next.push(self.with(|world| {
+                world.budget.entry_crashes -= 1;
+                world.entries[entry] = Entry::Idle;
+            }));
+        }
+    }
+
+    fn attempt(&self, entry: usize) -> Attempt {
+        (entry, self.attempts[entry])
+    }
+
+    fn send(&mut self, message: Message) {
+        self.network.insert(message);
+    }
+
+    fn crash_agent(&mut self) {
+        self.budget.agent_crashes -= 1;
+        self.agent_incarnation += 1;
+        self.agent_seen = 0;
+    }
+
+    fn tick(&mut self) {
+        self.budget.ticks -= 1;
+        self.now += TICK_MS;
+        if self.fault == Fault::ExpiryFrees {
+            self.claims = claims::Claims::new(claims::Limits::default());
+        }
+        self.claims.expire(self.now);
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Claim(attempt) => self.claim(attempt),
+            Message::Dispatch(attempt, fence, incarnation) => {
+                self.dispatch(attempt, fence, incarnation);
+            }
+            Message::Grant(attempt, grant) => self.take_grant(attempt, grant),
+            Message::NotRun(attempt, fence) => self.finish(attempt, fence, Outcome::NotRun),
+            Message::Ran(attempt, fence) => self.finish(attempt, fence, Outcome::Answer(fence)),
+            Message::Settle(fence, outcome) => self.settle(fence, outcome),
+        }
+    }
+
+    fn claim(&mut self, attempt: Attempt) {
+        let was_unknown = self.state() == Some(claims::State::Unknown);
+        let request = claims::Request {
+            attempt: format!("{attempt:?}"),
+            deadline_ms: 1_000,
+            digest: 1,
+            key: KEY.to_owned(),
+        };
+        let grant = match self.claims.claim(self.now, self.fence, request) {
+            claims::Grant::Answer(answer) => Grant::Answer(read_answer(&answer)),
+            claims::Grant::Granted(fence) => {
+                self.regranted |= was_unknown;
+                self.fence = self.fence.max(fence + 1);
+                Grant::Granted(fence)
+            }
+            claims::Grant::InProgress(_) | claims::Grant::Unavailable(_) => Grant::Later,
+            claims::Grant::Unknown => Grant::Unknown,
+            claims::Grant::Mismatch | claims::Grant::Ran => unreachable!(),
+        };
+        self.send(Message::Grant(attempt, grant));
+    }
+
+    fn take_grant(&mut self, attempt: Attempt, grant: Grant) {
+        let (entry, _) = attempt;
+        if self.entries[entry] != Entry::Claiming || self.attempt(entry) != attempt {
+            return;
+        }
+        self.entries[entry] = match grant {
+            Grant::Granted(fence) => {
+                self.send(Message::Dispatch(attempt, fence, self.agent_incarnation));
+                if self.fault == Fault::SettleTooEarly {
+                    self.send(Message::Settle(fence, Outcome::Answer(fence)));
+                }
+                Entry::Dispatched(fence)
+            }
+            Grant::Answer(answer) => {
+                self.told_answers.insert(answer);
+                Entry::Idle
+            }
+            Grant::Later => {
+                self.told_not_run.insert(attempt);
+                Entry::Idle
+            }
+            Grant::Unknown => Entry::Idle,
+        };
+    }
+
+    fn dispatch(&mut self, attempt: Attempt, fence: u64, incarnation: u8) {
+        if incarnation != self.agent_incarnation {
+            return;
+        }
+        // A repeat says nothing about the first run, so it is not answered.
+        if fence <= self.agent_seen && self.fault != Fault::AgentForgetsFence {
+            return;
+        }
+        self.agent_seen = fence;
+        // The first attempt of the second entry is refused, so that keys become free again.
+        if attempt == (1, 1) {
+            self.send(Message::NotRun(attempt, fence));
+            return;
+        }
+        self.ran.push(fence);
+        self.ran_attempts.insert(attempt);
+        self.send(Message::Ran(attempt, fence));
+    }
+
+    fn finish(&mut self, attempt: Attempt, fence: u64, outcome: Outcome) {
+        let (entry, _) = attempt;
+        if self.entries[entry] != Entry::Dispatched(fence) {
+            return;
+        }
+        self.entries[entry] = Entry::Idle;
+        self.send(Message::Settle(fence, outcome));
+        match outcome {
+            Outcome::Answer(answer) => {
+                self.told_answers.insert(answer);
+            }
+            Outcome::NotRun => {
+                self.told_not_run.insert(attempt);
+            }
+            Outcome::Unknown => {}
+        }
+    }
+
+    fn settle(&mut self, fence: u64, outcome: Outcome) {
+        let fence = match self.fault {
+            Fault::SettleIgnoresFence => self.claims.records().next().map_or(0, |(_, r)| r.fence),
+            _ => fence,
+        };
+        let outcome = match outcome {
+            Outcome::Answer(answer) => {
+                claims::Outcome::Answer(Bytes::copy_from_slice(&answer.to_be_bytes()))
+            }
+            Outcome::NotRun => claims::Outcome::NotRun,
+            Outcome::Unknown => claims::Outcome::Unknown,
+        };
+        self.claims.settle(self.now, KEY, fence, outcome);
+    }
+
+    fn state(&self) -> Option<claims::State> {
+        let record = self.claims.records().next();
+        record.map(|(_, record)| record.state.clone())
+    }
+
+    /// Returns the first property that does not hold.
+    fn broken(&self) -> Option<&'static str> {
+        if self.ran.len() > 1 {
+            return Some("ran twice");
+        }
+        if !self.told_not_run.is_disjoint(&self.ran_attempts) {
+            return Some("told not run, but ran");
+        }
+        if self
+            .told_answers
+            .iter()
+            .any(|answer| !self.ran.contains(answer))
+        {
+            return Some("told an answer of no run");
+        }
+        if self.regranted {
+            return Some("granted again after unknown");
+        }
+        if self.rebuild() != self.claims {
+            return Some("a snapshot differs");
+        }
+        None
+    }
+
+    fn rebuild(&self) -> claims::Claims {
+        let mut rebuilt = claims::Claims::new(claims::Limits::default());
+        for (key, record) in self.claims.records() {
+            rebuilt.insert(key.clone(), record.clone());
+        }
+        rebuilt
+    }
+}
+
+fn read_answer(answer: &Bytes) -> u64 {
+    u64::from_be_bytes(answer.as_ref().try_into().unwrap())
+}
+
+/// Visits every state; returns their number, or the first broken property.
+fn explore(fault: Fault) -> Result<usize, &'static str> {
+    let mut states = 0;
+    for world in bfs::bfs_reach(start(fault), World::successors) {
+        states += 1;
+        if let Some(broken) = world.broken() {
+            return Err(broken);
+        }
+    }
+    Ok(states)
+}
+
+#[test]
+fn every_state_holds() {
+    let began = time::Instant::now();
+    let states = explore(Fault::None).unwrap();
+    println!("claims: {states} states in {:?}", began.elapsed());
+}
+
+#[test]
+fn planted_faults_are_found() {
+    let faults = [
+        (Fault::AgentForgetsFence, "ran twice"),
+        (Fault::ExpiryFrees, "ran twice"),
+        (Fault::LossIsNotRun, "told not run, but ran"),
+        (Fault::SettleIgnoresFence, "ran twice"),
+        (Fault::SettleTooEarly, "told an answer of no run"),
+    ];
+    for (fault, expected) in faults {
+        assert_eq!(explore(fault), Err(expected), "{fault:?}");
+    }
+}
