--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fences;
 pub mod follow;
 pub mod forecast;
+pub mod log;
 pub mod manifest;
 pub mod members;
 pub mod place;
