A control host cut off from its quorum closes its links

Cause: a node attached to a host that is cut off got answers without a lease and stayed there for as long as the cut. Ruled out: leaving it to the silence limit (the host is not silent). Change: links end after 1 s without freshness; the lease's length comes from the settings. Conclusion: nodes try the next host.

--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -169,6 +169,7 @@
 ) -> service::Services {
     let options = service::Options {
         handle: replica.handle.clone(),
+        lease: settings.timing.lease,
         name: settings.name.clone(),
         operator_keys: settings.operator_keys.clone(),
     };
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -1,5 +1,6 @@
 //! Operators' service, on a port of its own.
 
+use core::time;
 use std::sync;
 
 use peargap_adapters::digest;
@@ -16,7 +17,6 @@
 use crate::events;
 use crate::proposal;
 use crate::replica;
-use crate::watch;
 
 /// Header that carries the operator's key.
 const AUTHORIZATION: &str = "authorization";
@@ -28,6 +28,8 @@
 pub struct Operators {
     pub(crate) handle: replica::Handle,
     pub(crate) keys: sync::Arc<[[u8; 32]]>,
+    /// Longest lease that nodes are granted.
+    pub(crate) lease: time::Duration,
     pub(crate) name: String,
     pub(crate) nodes: attached::Nodes,
 }
@@ -110,7 +112,7 @@
         Ok(tonic::Response::new(operator::StatusReply {
             fresh: status.is_fresh(),
             leader: status.leader.unwrap_or_default(),
-            lease_ms: u32::try_from(watch::LEASE.as_millis()).unwrap_or(u32::MAX),
+            lease_ms: u32::try_from(self.lease.as_millis()).unwrap_or(u32::MAX),
             learners: status.learners,
             log_committed: status.committed,
             log_last: status.last,
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,5 +1,6 @@
 //! The services of a control host, as tonic serves them.
 
+use core::time;
 use std::sync;
 use std::sync::atomic;
 
@@ -29,6 +30,8 @@
 pub struct Options {
     /// The replicated state.
     pub handle: replica::Handle,
+    /// Longest freshness lease that nodes are granted.
+    pub lease: time::Duration,
     /// Name of this control host.
     pub name: String,
     /// SHA-256 digests of operators' keys.
@@ -52,6 +55,7 @@
         links: sync::Arc::default(),
         shared: watch::Shared {
             handle: options.handle.clone(),
+            lease: options.lease,
             nodes: nodes.clone(),
             spread: spread::Spread::default(),
             token,
@@ -60,6 +64,7 @@
     let operators = operators::Operators {
         handle: options.handle,
         keys: options.operator_keys.into(),
+        lease: options.lease,
         name: options.name,
         nodes,
     };
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -20,15 +20,17 @@
 use crate::replica;
 use crate::spread;
 
-/// Longest lease; every grant ends by then, or with this host's own freshness.
-pub(crate) const LEASE: duration::Duration = duration::Duration::from_millis(1_800);
 /// A link without a report for this long is closed.
 const SILENCE_LIMIT: duration::Duration = duration::Duration::from_secs(5);
+/// A link is closed, so that its node tries another host, once no lease could be granted this long.
+const STALE_LIMIT: duration::Duration = duration::Duration::from_secs(1);
 
 /// What every link shares.
 #[derive(Clone, Debug)]
 pub(crate) struct Shared {
     pub(crate) handle: replica::Handle,
+    /// Longest lease; a grant ends by then, or with this host's own freshness.
+    pub(crate) lease: duration::Duration,
     pub(crate) nodes: attached::Nodes,
     pub(crate) spread: spread::Spread,
     pub(crate) token: cancel::CancellationToken,
@@ -65,6 +67,8 @@
     /// Version that the updates sent lead to.
     sent: u64,
     shared: Shared,
+    /// Since when this host could grant no lease.
+    stale_since: Option<time::Instant>,
     standing: Standing,
     updates: Updates,
 }
@@ -86,6 +90,7 @@
             number,
             sent: first.applied_version,
             shared,
+            stale_since: None,
             standing: Standing::Unknown,
             updates,
         })
@@ -154,6 +159,9 @@
         }
         // The freshness is read before the configuration, so that it never vouches for an older one.
         let fresh_until = self.shared.handle.status().borrow().fresh_until;
+        if self.is_stale(fresh_until) {
+            return Next::Stop;
+        }
         let config = self.refresh();
         let mut update = self.lead(&config);
         update.number = report.number;
@@ -162,6 +170,17 @@
         self.send(update)
     }
 
+    /// Returns whether this host has been cut off from a quorum for too long to be of use.
+    fn is_stale(&mut self, fresh_until: Option<time::Instant>) -> bool {
+        let now = time::Instant::now();
+        if fresh_until.is_some_and(|until| now < until) {
+            self.stale_since = None;
+            return false;
+        }
+        let since = *self.stale_since.get_or_insert(now);
+        now.saturating_duration_since(since) >= STALE_LIMIT
+    }
+
     /// A node that asks anew for everything reports version 0.
     fn note_applied(&mut self, version: u64) {
         if version > 0 {
@@ -247,7 +266,7 @@
             return 0;
         };
         let left = fresh_until.saturating_duration_since(time::Instant::now());
-        u32::try_from(left.min(LEASE).as_millis()).unwrap_or(0)
+        u32::try_from(left.min(self.shared.lease).as_millis()).unwrap_or(0)
     }
 
     async fn announce(&mut self) {
--- a/crates/control/tests/services.rs
+++ b/crates/control/tests/services.rs
@@ -1,6 +1,7 @@
 //! The services over loopback in front of a volatile replica.
 
 use core::net;
+use core::time;
 
 use peargap_adapters::digest;
 use peargap_control::machine;
@@ -29,6 +30,7 @@
     let token = cancel::CancellationToken::new();
     let options = service::Options {
         handle: replica::spawn_volatile(machine::Machine::new()),
+        lease: time::Duration::from_millis(1_500),
         name: "c1".to_owned(),
         operator_keys: vec![digest::hash_key(KEY.as_bytes())],
     };
