core: timely first tokens, queue wait by fair turns, batch fit without prompts

Ruled out: a shorter memory of the fit (spread too small); a multiple of the usual first token alone (misses cold signs on long prompts). Change: gaps during prompt computation are not fitted; a first token is expected after all prompts ahead of it; streams whose first token was late stay counted against the ramp; a request's wait is the turns that fair shares put before it, and it is refused at once beyond a quarter of its time left.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -17,10 +17,16 @@
 
 /// Time between tokens before any was seen, in milliseconds.
 const FIRST_GAP_MS: f64 = 30.0;
-/// Longest expected wait at which a request is still queued, in milliseconds.
-const MAX_WAIT_MS: u64 = 60_000;
+/// Share of the time to a request's deadline that it is expected to wait, at most.
+const MAX_WAIT_SHARE: f64 = 0.25;
+/// Expected wait times this must leave time to run a request.
+const WAIT_MARGIN: f64 = 1.5;
 /// Gap after which a stream counts as preempted, in milliseconds.
 const STALL_MS: u64 = 200;
+/// Requests that wait, at most.
+pub const MAX_WAITING: usize = 256;
+/// Chance that memory overflows, at most.
+pub const OVERFLOW_CHANCE: f32 = 0.01;
 /// Gap between tokens against that of a lone stream, at most.
 pub const MAX_STRETCH: f64 = 1.25;
 
@@ -45,6 +51,23 @@
     pub unproven_limit: u32,
 }
 
+impl Options {
+    /// Returns the usual options of an upstream; no `memory_tokens` for a plain service.
+    #[must_use]
+    pub fn new(memory_tokens: u64, block_tokens: u32, max_running: u32) -> Options {
+        Options {
+            block_tokens,
+            max_running,
+            max_stretch: MAX_STRETCH,
+            max_waiting: MAX_WAITING,
+            memory_tokens,
+            overflow_chance: OVERFLOW_CHANCE,
+            start_limit: ramp::START_LIMIT,
+            unproven_limit: ramp::UNPROVEN_LIMIT,
+        }
+    }
+}
+
 /// A request for a generation or call.
 #[derive(Clone, Copy, Debug)]
 pub struct Request {
@@ -155,7 +178,7 @@
 struct Run {
     begun: time::Instant,
     charged: f64,
-    /// Begun since the last sign of a cold upstream, or without a token at that time.
+    /// Begun since the last sign of a cold upstream, or with no timely first token before it.
     fresh: bool,
     last_token: time::Instant,
     preempted: bool,
@@ -163,6 +186,8 @@
     /// Prompt tokens to compute before its first token, its own and those ahead of it.
     prompted: u32,
     request: Request,
+    /// Its first token came in the usual time.
+    timely: bool,
 }
 
 /// Everything that admission at one upstream needs to know.
@@ -262,6 +287,7 @@
             produced: 0,
             prompted: ahead + request.prompt_tokens,
             request,
+            timely: false,
         })
     }
 
@@ -310,17 +336,19 @@
             return None;
         }
         if before > 0 {
-            self.batch
-                .observe(running, waited_ms / u64::from(count.max(1)));
+            // Prompts computed meanwhile would be taken for the cost of the streams.
+            if self.unproven == 0 && since > self.prompted_at {
+                let gap_ms = waited_ms / u64::from(count.max(1));
+                self.batch.observe(running, gap_ms);
+            }
             return None;
         }
         self.unproven -= 1;
         self.prompted_at = now;
-        let sign = self
-            .ramp
-            .first_token(waited_ms, run.prompted)?;
-        self.sign(now, sign);
-        Some(sign)
+        let sign = self.ramp.first_token(waited_ms, run.prompted);
+        run.timely = sign.is_none();
+        self.sign(now, sign?);
+        sign
     }
 
     /// Counts streams that get no tokens as preempted; to be called a few times a second.
@@ -349,7 +377,7 @@
         let tokens = f64::from(uncached) + f64::from(run.produced);
         self.queue
             .shares()
-            .charge(request.team, tokens - run.charged);
+            .settle(request.team, tokens - run.charged);
         match end {
             End::Whole => self.prove(&run),
             End::Failed => self.sign(now, ramp::Sign::Failure),
@@ -362,7 +390,7 @@
         self.ramp.fall_back(now, sign);
         self.fresh = 0;
         for run in self.runs.values_mut() {
-            run.fresh = run.produced <= 1;
+            run.fresh = !run.timely;
             self.fresh += u32::from(run.fresh);
         }
     }
@@ -370,10 +398,8 @@
     /// Falls back if a first token is overdue; to be called a few times a second.
     pub fn check_overdue(&mut self, now: time::Instant) -> Option<ramp::Sign> {
         let mut waiting = self.runs.values().filter(|run| run.produced == 0);
-        let overdue = waiting.any(|run| {
-            self.ramp
-                .is_slow(now.millis_since(run.begun), run.prompted)
-        });
+        let overdue =
+            waiting.any(|run| self.ramp.is_slow(now.millis_since(run.begun), run.prompted));
         if !overdue {
             return None;
         }
@@ -397,14 +423,6 @@
         }
     }
 
-    /// Debug.
-    pub fn debug(&self, now: time::Instant) -> String {
-        let head = self.queue.peek().and_then(|t| self.queue.get(t)).copied();
-        let room = head.map(|i| self.room(&i.work));
-        let age = head.map(|i| now.millis_since(i.arrived));
-        format!("{:?} fresh {} unproven {} preempted {} ramp {} batch {} room {:?} headage {:?} prompt {:?} mem {}", self.load(), self.fresh, self.unproven, self.preempted, self.ramp.limit(), self.batch.limit(), room, age, head.map(|i| i.work.prompt_tokens), self.options.memory_tokens)
-    }
-
     /// Returns whether a request may start now.
     #[must_use]
     pub fn room(&self, request: &Request) -> Room {
@@ -500,13 +518,16 @@
     let wait_ms = queue.wait_ms(request.priority, request.team);
     let retry_after_ms = queue.retry_after_ms(request.priority, request.team);
     let run_ms = admission.run_ms(request);
-    if now.0 + wait_ms + run_ms > request.deadline.0 {
+    let latest_ms = (wait_ms as f64 * WAIT_MARGIN) as u64 + run_ms;
+    if now.0 + latest_ms > request.deadline.0 {
+        let reason = Reason::Deadline;
         return Decision::Refuse {
-            reason: Reason::Deadline,
+            reason,
             retry_after_ms,
         };
     }
-    if wait_ms > MAX_WAIT_MS {
+    let patience_ms = request.deadline.millis_since(now) as f64 * MAX_WAIT_SHARE;
+    if wait_ms as f64 > patience_ms {
         let ramping = room == Room::Ramping && admission.ramp.is_ramping();
         let reason = if ramping {
             Reason::Ramping
--- a/crates/core/src/fair.rs
+++ b/crates/core/src/fair.rs
@@ -7,6 +7,10 @@
 
 /// Tokens by weight that an idle team may save up.
 const MAX_CREDIT_TOKENS: f64 = 2000.0;
+/// Tokens of a request before any was seen.
+const FIRST_REQUEST_TOKENS: f64 = 1000.0;
+/// Share of a new request in the usual tokens of one.
+const SMOOTHING: f64 = 0.02;
 
 /// What one team has used.
 #[derive(Clone, Copy, Debug)]
@@ -19,18 +23,31 @@
 }
 
 /// The accounts of all teams at one upstream.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Shares {
     accounts: slotmap::SlotMap<Team, Account>,
     /// Use of the team that was served last.
     level: f64,
+    /// Usual tokens of a request.
+    typical: f64,
+}
+
+impl Default for Shares {
+    fn default() -> Shares {
+        Shares::new()
+    }
 }
 
 impl Shares {
     /// Returns no accounts.
     #[must_use]
     pub fn new() -> Shares {
-        Shares::default()
+        let accounts = slotmap::SlotMap::with_key();
+        Shares {
+            accounts,
+            level: 0.0,
+            typical: FIRST_REQUEST_TOKENS,
+        }
     }
 
     /// Opens an account; a weight of 0 counts as 1.
@@ -50,8 +67,14 @@
         }
     }
 
-    /// Charges tokens to a team; a negative number gives back what was charged too much.
+    /// Charges a request that starts with the tokens it is expected to use.
     pub fn charge(&mut self, team: Team, tokens: f64) {
+        self.typical += (tokens - self.typical) * SMOOTHING;
+        self.settle(team, tokens);
+    }
+
+    /// Charges what a request used beyond its charge; a negative number gives tokens back.
+    pub fn settle(&mut self, team: Team, tokens: f64) {
         if let Some(account) = self.accounts.get_mut(team) {
             account.used += tokens / account.weight;
         }
@@ -63,8 +86,7 @@
             return;
         };
         if account.waiting == 0 {
-            let credit = MAX_CREDIT_TOKENS / account.weight;
-            account.used = account.used.max(self.level - credit);
+            account.used = account.lift(self.level);
         }
         account.waiting += 1;
     }
@@ -99,6 +121,32 @@
             .map_or(f64::MAX, |account| account.used)
     }
 
+    /// Returns how many requests go before a new one of the team, as things stand.
+    #[must_use]
+    pub fn turns(&self, team: Team) -> f64 {
+        let Some(own) = self.accounts.get(team) else {
+            return self
+                .accounts
+                .values()
+                .map(|account| f64::from(account.waiting))
+                .sum();
+        };
+        let used = if own.waiting == 0 {
+            own.lift(self.level)
+        } else {
+            own.used
+        };
+        let reach = used + f64::from(own.waiting) * self.typical / own.weight;
+        let mut turns = f64::from(own.waiting);
+        for (key, account) in &self.accounts {
+            let ahead = (reach - account.used) * account.weight / self.typical;
+            if key != team && account.waiting > 0 {
+                turns += ahead.clamp(0.0, f64::from(account.waiting));
+            }
+        }
+        turns
+    }
+
     /// Returns a team's requests that wait, divided by its weight.
     #[must_use]
     pub fn backlog(&self, team: Team) -> f64 {
@@ -106,3 +154,10 @@
         account.map_or(0.0, |account| f64::from(account.waiting) / account.weight)
     }
 }
+
+impl Account {
+    /// Returns the use at which an idle team comes back: a bounded credit below `level`.
+    fn lift(&self, level: f64) -> f64 {
+        self.used.max(level - MAX_CREDIT_TOKENS / self.weight)
+    }
+}
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -192,13 +192,13 @@
     /// Returns the expected wait of a new request in milliseconds.
     #[must_use]
     pub fn wait_ms(&self, priority: u8, team: fair::Team) -> u64 {
-        let before = self.lanes.iter().filter(|lane| lane.priority <= priority);
-        let ahead: usize = before.clone().map(|lane| lane.tickets.len()).sum();
-        let own = self.shares.backlog(team) + 1.0 / self.shares.weight(team);
-        let rivals = before.filter(|lane| !lane.tickets.is_empty() && lane.team != team);
-        let weights: f64 = rivals.map(|lane| self.shares.weight(lane.team)).sum();
-        let turns = own * (weights + self.shares.weight(team));
-        let places = turns.min(ahead as f64 + 1.0);
+        if self.items.is_empty() {
+            return 0;
+        }
+        let urgent = self.lanes.iter().filter(|lane| lane.priority < priority);
+        let urgent: usize = urgent.map(|lane| lane.tickets.len()).sum();
+        let ahead = self.items.len() as f64;
+        let places = (self.shares.turns(team) + urgent as f64).min(ahead) + 1.0;
         (places * self.pace_ms) as u64
     }
 
--- a/crates/core/src/ramp.rs
+++ b/crates/core/src/ramp.rs
@@ -8,12 +8,12 @@
 
 /// Work that an upstream gets before it has proven anything.
 pub const START_LIMIT: u32 = 2;
-/// First tokens slower than this times the usual are a sign of a cold upstream.
-const SLOW_FACTOR: f32 = 4.0;
-/// Stretch of the expected time below which a first token is never a sign.
-const SLOW_FLOOR: f32 = 2.0;
-/// Wait for a first token that is never a sign, in milliseconds.
-const SLOW_FLOOR_MS: u64 = 250;
+/// Work that may wait for its first token or answer at once.
+pub const UNPROVEN_LIMIT: u32 = 3;
+/// Stretch of a first token against the usual one that is no sign of a cold upstream.
+const SLOW_FACTOR: f32 = 1.5;
+/// Delay of a first token beyond that which is no sign, in milliseconds.
+const SLOW_ALLOWANCE_MS: f32 = 300.0;
 /// Expected time to the first token of an empty prompt, in milliseconds.
 const FIRST_TOKEN_MS: f32 = 50.0;
 /// Expected time to compute one prompt token, in milliseconds.
@@ -109,7 +109,7 @@
     ///
     /// `waited_ms` leaves out the time in queues of this system.
     pub fn first_token(&mut self, waited_ms: u64, prompt_tokens: u32) -> Option<Sign> {
-        let sample = stretch(waited_ms, prompt_tokens);
+        let sample = waited_ms as f32 / expected_ms(prompt_tokens);
         let slow = self.is_slow(waited_ms, prompt_tokens);
         if self.usual == 0.0 && !slow {
             self.usual = sample;
@@ -122,12 +122,13 @@
     /// Returns whether a first token that is due for `waited_ms` is a sign already.
     #[must_use]
     pub fn is_slow(&self, waited_ms: u64, prompt_tokens: u32) -> bool {
-        let bound = (self.usual * SLOW_FACTOR).max(SLOW_FLOOR);
-        waited_ms > SLOW_FLOOR_MS && stretch(waited_ms, prompt_tokens) > bound
+        let usual = if self.usual == 0.0 { 1.0 } else { self.usual };
+        let bound_ms = usual * SLOW_FACTOR * expected_ms(prompt_tokens) + SLOW_ALLOWANCE_MS;
+        waited_ms as f32 > bound_ms
     }
 }
 
-/// Returns a time to the first token against the expected one.
-fn stretch(waited_ms: u64, prompt_tokens: u32) -> f32 {
-    waited_ms as f32 / (FIRST_TOKEN_MS + prompt_tokens as f32 * PROMPT_TOKEN_MS)
+/// Returns the expected time to a first token, in milliseconds.
+fn expected_ms(prompt_tokens: u32) -> f32 {
+    FIRST_TOKEN_MS + prompt_tokens as f32 * PROMPT_TOKEN_MS
 }
--- a/crates/load/src/experiment/measure.rs
+++ b/crates/load/src/experiment/measure.rs
@@ -162,6 +162,8 @@
             if let Some(first) = job.first_at {
                 firsts.saturating_record(first - job.request.at);
             }
+        }
+        for job in jobs.iter().filter(|job| scenario.measures(job.ended_at)) {
             if job.outcome == Some(job::Outcome::Whole) {
                 tokens += u64::from(job.request.output);
             }
