--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -237,8 +237,10 @@
             silent_at = clock::Instant::now() + SILENCE_LIMIT;
             sequence = load.sequence.max(1);
             self.peer.set_incarnation(&load.incarnation);
+            self.peer.set_open(load.healthy && !load.draining);
             self.board.record_load(&self.peer, &load);
         }
+        self.peer.set_open(false);
         self.board.record_silence(self.peer.key);
         logs::emit(events::AGENT_SILENT, format_args!("upstream={upstream}"));
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub(crate) struct Metrics {
     active: sync::Arc<atomic::AtomicU64>,
-    /// Upstreams whose agent has reported its load.
+    /// Upstreams whose agent reports that it takes work.
     pub(crate) upstreams: sync::Arc<atomic::AtomicU64>,
     between_tokens: otel::Histogram<f64>,
     first_token: otel::Histogram<f64>,
@@ -59,7 +59,7 @@
         let heard = upstreams.clone();
         let _gauge = meter
             .u64_observable_gauge("peargap_entry_upstreams")
-            .with_description("Upstreams whose agent has reported its load")
+            .with_description("Upstreams whose agent reports that it takes work")
             .with_callback(move |gauge| gauge.observe(heard.load(atomic::Ordering::Relaxed), &[]))
             .build();
         Metrics {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::sync;
+use std::sync::atomic;
 
 use peargap_core::table;
 use peargap_wire::control;
@@ -40,6 +41,8 @@
 /// An agent; shared by the requests that use it.
 #[derive(Debug)]
 pub(crate) struct Peer {
+    /// Whether its last report says that it takes work.
+    open: atomic::AtomicBool,
     pub(crate) identity: Identity,
     incarnation: sync::Mutex<String>,
     pub(crate) key: table::Upstream,
@@ -55,6 +58,7 @@
     ) -> Peer {
         let lanes = lane::Lanes::new(identity.address, traffic);
         Peer {
+            open: atomic::AtomicBool::new(false),
             identity,
             incarnation: sync::Mutex::default(),
             key,
@@ -62,6 +66,16 @@
         }
     }
 
+    /// Records whether it takes work.
+    pub(crate) fn set_open(&self, open: bool) {
+        self.open.store(open, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns whether its last report says that it takes work.
+    pub(crate) fn is_open(&self) -> bool {
+        self.open.load(atomic::Ordering::Relaxed)
+    }
+
     /// Records the incarnation that the agent reports.
     pub(crate) fn set_incarnation(&self, incarnation: &str) {
         let mut known = self.lock();
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -214,7 +214,7 @@
 
 /// Keeps readiness true while the entry takes new work.
 ///
-/// A started entry is ready once each known agent has reported its load, or after
+/// A started entry is ready once each known agent has reported that it takes work, or after
 /// [`HEAR_LIMIT`]: before that it would refuse what the agents can take.
 async fn watch_readiness(app: sync::Arc<app::App>, readiness: health::Readiness) {
     let mut timer = tokio::time::interval(READY_PERIOD);
@@ -225,27 +225,26 @@
             () = app.stop.cancelled() => return readiness.set(false),
             _ = timer.tick() => {}
         }
-        let heard = count_heard(&app);
-        app.metrics
-            .upstreams
-            .store(heard as u64, atomic::Ordering::Relaxed);
+        let open = count_open(&app);
+        let gauge = &app.metrics.upstreams;
+        gauge.store(open as u64, atomic::Ordering::Relaxed);
         if !app.view.is_fresh() {
             readiness.set(false);
             continue;
         }
         let since = *fresh_since.get_or_insert_with(tokio::time::Instant::now);
-        let all_heard = heard > 0 && heard == app.fleet().peers.len();
-        if readiness.is_ready() || since.elapsed() > HEAR_LIMIT || all_heard {
+        let all_open = open > 0 && open == app.fleet().peers.len();
+        if readiness.is_ready() || since.elapsed() > HEAR_LIMIT || all_open {
             readiness.set(true);
         }
     }
 }
 
-/// Returns how many agents have reported their load.
-fn count_heard(app: &app::App) -> usize {
+/// Returns how many agents report that they take work.
+fn count_open(app: &app::App) -> usize {
     let fleet = app.fleet();
     let peers = fleet.peers.values();
-    peers.filter(|peer| !peer.incarnation().is_empty()).count()
+    peers.filter(|peer| peer.is_open()).count()
 }
 
 async fn watch_stop(app: sync::Arc<app::App>) {
