--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -17,8 +17,18 @@
 
 /// Time between tokens before any was seen, in milliseconds.
 const FIRST_GAP_MS: f64 = 30.0;
-/// Longest expected wait at which a request is still queued, in milliseconds.
-const MAX_WAIT_MS: u64 = 60_000;
+/// Share of the time to a request's deadline that it is expected to wait, at most.
+const MAX_WAIT_SHARE: f64 = 0.25;
+/// Expected wait times this must leave time to run a request.
+const WAIT_MARGIN: f64 = 1.5;
+/// Gap after which a stream counts as preempted, in milliseconds.
+const STALL_MS: u64 = 200;
+/// Requests that wait, at most.
+pub const MAX_WAITING: usize = 256;
+/// Chance that memory overflows, at most.
+pub const OVERFLOW_CHANCE: f32 = 0.01;
+/// Gap between tokens against that of a lone stream, at most.
+pub const MAX_STRETCH: f64 = 1.25;
 
 /// What the agent knows of its upstream.
 #[derive(Clone, Copy, Debug)]
@@ -27,12 +37,35 @@
     pub block_tokens: u32,
     /// Streams or calls that the upstream may ever run at once.
     pub max_running: u32,
+    /// Gap between tokens against that of a lone stream, at most; see [`MAX_STRETCH`].
+    pub max_stretch: f64,
     /// Requests that may wait.
     pub max_waiting: usize,
     /// Token slots of engine memory; 0 for a plain service, which is bound by the ramp only.
     pub memory_tokens: u64,
     /// Chance that memory overflows, at most.
     pub overflow_chance: f32,
+    /// Streams or calls that may run before any was whole; see [`ramp::START_LIMIT`].
+    pub start_limit: u32,
+    /// Streams or calls that may wait for their first token or answer at once.
+    pub unproven_limit: u32,
+}
+
+impl Options {
+    /// Returns the usual options of an upstream; no `memory_tokens` for a plain service.
+    #[must_use]
+    pub fn new(memory_tokens: u64, block_tokens: u32, max_running: u32) -> Options {
+        Options {
+            block_tokens,
+            max_running,
+            max_stretch: MAX_STRETCH,
+            max_waiting: MAX_WAITING,
+            memory_tokens,
+            overflow_chance: OVERFLOW_CHANCE,
+            start_limit: ramp::START_LIMIT,
+            unproven_limit: ramp::UNPROVEN_LIMIT,
+        }
+    }
 }
 
 /// A request for a generation or call.
@@ -145,10 +178,16 @@
 struct Run {
     begun: time::Instant,
     charged: f64,
+    /// Begun since the last sign of a cold upstream, or with no timely first token before it.
+    fresh: bool,
     last_token: time::Instant,
     preempted: bool,
     produced: u32,
+    /// Prompt tokens to compute before its first token, its own and those ahead of it.
+    prompted: u32,
     request: Request,
+    /// Its first token came in the usual time.
+    timely: bool,
 }
 
 /// Everything that admission at one upstream needs to know.
@@ -157,8 +196,12 @@
     batch: batch::Bound,
     curves: curve::Curves,
     deviations: f32,
+    /// Streams begun since the last sign of a cold upstream.
+    fresh: u32,
     options: Options,
     preempted: u32,
+    /// When a prompt was last seen to be computed.
+    prompted_at: time::Instant,
     queue: queue::Queue<Request>,
     ramp: ramp::Ramp,
     runs: slotmap::SlotMap<Stream, Run>,
@@ -171,14 +214,21 @@
     /// Returns the admission of an upstream that runs nothing and has proven nothing.
     #[must_use]
     pub fn new(now: time::Instant, options: Options) -> Admission {
+        let limits = ramp::Options {
+            ceiling: options.max_running,
+            start_limit: options.start_limit,
+            unproven_limit: options.unproven_limit,
+        };
         Admission {
-            batch: batch::Bound::new(options.max_running),
+            batch: batch::Bound::new(options.max_running, options.max_stretch),
             curves: curve::Curves::new(),
             deviations: forecast::deviations(options.overflow_chance),
+            fresh: 0,
             options,
             preempted: 0,
+            prompted_at: now,
             queue: queue::Queue::new(options.max_waiting),
-            ramp: ramp::Ramp::new(now, options.max_running),
+            ramp: ramp::Ramp::new(now, limits),
             runs: slotmap::SlotMap::with_key(),
             teams: collections::HashMap::new(),
             unproven: 0,
@@ -224,16 +274,21 @@
         let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
         let charged = f64::from(uncached) + f64::from(self.mean(&request));
         self.queue.shares().charge(request.team, charged);
+        let unproven = self.runs.values().filter(|run| run.produced == 0);
+        let ahead: u32 = unproven.map(|run| run.request.prompt_tokens).sum();
         self.unproven += 1;
-        let run = Run {
+        self.fresh += 1;
+        self.runs.insert(Run {
             begun: now,
             charged,
+            fresh: true,
             last_token: now,
             preempted: false,
             produced: 0,
+            prompted: ahead + request.prompt_tokens,
             request,
-        };
-        self.runs.insert(run)
+            timely: false,
+        })
     }
 
     /// Starts the queued request whose turn it is, if there is room; to be called until none.
@@ -270,7 +325,8 @@
         let running = self.running();
         let run = self.runs.get_mut(stream)?;
         let before = run.produced;
-        let waited_ms = now.millis_since(run.last_token);
+        let since = run.last_token;
+        let waited_ms = now.millis_since(since);
         run.produced += count;
         run.last_token = now;
         self.curves.passed(run.request.class, before, run.produced);
@@ -280,24 +336,31 @@
             return None;
         }
         if before > 0 {
-            self.batch
-                .observe(running, waited_ms / u64::from(count.max(1)));
+            // Prompts computed meanwhile would be taken for the cost of the streams.
+            if self.unproven == 0 && since > self.prompted_at {
+                let gap_ms = waited_ms / u64::from(count.max(1));
+                self.batch.observe(running, gap_ms);
+            }
             return None;
         }
         self.unproven -= 1;
-        let sign = self.ramp.first_token(waited_ms)?;
-        self.ramp.fall_back(now, sign);
-        Some(sign)
+        self.prompted_at = now;
+        let sign = self.ramp.first_token(waited_ms, run.prompted);
+        run.timely = sign.is_none();
+        self.sign(now, sign?);
+        sign
     }
 
-    /// Notes that the engine has taken a stream's memory away.
-    pub fn preempted(&mut self, stream: Stream) {
-        let Some(run) = self.runs.get_mut(stream) else {
-            return;
-        };
-        if !run.preempted {
-            run.preempted = true;
-            self.preempted += 1;
+    /// Counts streams that get no tokens as preempted; to be called a few times a second.
+    ///
+    /// No request starts while a preempted stream waits for its memory.
+    pub fn check_stalled(&mut self, now: time::Instant) {
+        for run in self.runs.values_mut() {
+            let quiet = now.millis_since(run.last_token) > STALL_MS;
+            if quiet && run.produced > 0 && !run.preempted {
+                run.preempted = true;
+                self.preempted += 1;
+            }
         }
     }
 
@@ -307,16 +370,17 @@
             return;
         };
         self.unproven -= u32::from(run.produced == 0);
+        self.fresh -= u32::from(run.fresh);
         self.preempted -= u32::from(run.preempted);
         let request = &run.request;
         let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
         let tokens = f64::from(uncached) + f64::from(run.produced);
         self.queue
             .shares()
-            .charge(request.team, tokens - run.charged);
+            .settle(request.team, tokens - run.charged);
         match end {
             End::Whole => self.prove(&run),
-            End::Failed => self.ramp.fall_back(now, ramp::Sign::Failure),
+            End::Failed => self.sign(now, ramp::Sign::Failure),
             End::Cancelled => {}
         }
     }
@@ -324,16 +388,22 @@
     /// Falls back to the start limit on a sign that the agent has seen.
     pub fn sign(&mut self, now: time::Instant, sign: ramp::Sign) {
         self.ramp.fall_back(now, sign);
+        self.fresh = 0;
+        for run in self.runs.values_mut() {
+            run.fresh = !run.timely;
+            self.fresh += u32::from(run.fresh);
+        }
     }
 
     /// Falls back if a first token is overdue; to be called a few times a second.
     pub fn check_overdue(&mut self, now: time::Instant) -> Option<ramp::Sign> {
-        let waiting = self.runs.values().filter(|run| run.produced == 0);
-        let longest = waiting.map(|run| now.millis_since(run.begun)).max()?;
-        if !self.ramp.is_slow(longest) {
+        let mut waiting = self.runs.values().filter(|run| run.produced == 0);
+        let overdue =
+            waiting.any(|run| self.ramp.is_slow(now.millis_since(run.begun), run.prompted));
+        if !overdue {
             return None;
         }
-        self.ramp.fall_back(now, ramp::Sign::SlowFirstToken);
+        self.sign(now, ramp::Sign::SlowFirstToken);
         Some(ramp::Sign::SlowFirstToken)
     }
 
@@ -345,7 +415,7 @@
             .values()
             .map(|run| u64::from(self.used_tokens(run)));
         Load {
-            limit: self.ramp.limit().min(self.batch.limit()),
+            limit: self.limit(),
             running: self.running(),
             used_tokens: used.sum(),
             wait_ms: self.queue.wait_ms(u8::MAX, fair::Team::default()),
@@ -356,7 +426,7 @@
     /// Returns whether a request may start now.
     #[must_use]
     pub fn room(&self, request: &Request) -> Room {
-        if self.running() >= self.ramp.limit() || self.unproven >= self.ramp.unproven_limit() {
+        if self.fresh >= self.ramp.limit() || self.unproven >= self.ramp.unproven_limit() {
             return Room::Ramping;
         }
         if self.running() >= self.batch.limit() {
@@ -368,6 +438,12 @@
         Room::Fits
     }
 
+    /// Returns how many streams or calls may run at once now.
+    fn limit(&self) -> u32 {
+        let proven = self.running() - self.fresh;
+        (proven + self.ramp.limit()).min(self.batch.limit())
+    }
+
     fn has_memory(&self, request: &Request) -> bool {
         if self.runs.is_empty() {
             return true;
@@ -387,7 +463,7 @@
     }
 
     fn forecast_load(&self, request: &Request, produced: u32) -> forecast::Load {
-        let held = request.prompt_tokens.saturating_sub(request.cached_tokens) + produced;
+        let held = request.prompt_tokens + produced;
         let used_tokens = held.next_multiple_of(self.options.block_tokens.max(1));
         forecast::Load {
             class: request.class,
@@ -442,13 +518,16 @@
     let wait_ms = queue.wait_ms(request.priority, request.team);
     let retry_after_ms = queue.retry_after_ms(request.priority, request.team);
     let run_ms = admission.run_ms(request);
-    if now.0 + wait_ms + run_ms > request.deadline.0 {
+    let latest_ms = (wait_ms as f64 * WAIT_MARGIN) as u64 + run_ms;
+    if now.0 + latest_ms > request.deadline.0 {
+        let reason = Reason::Deadline;
         return Decision::Refuse {
-            reason: Reason::Deadline,
+            reason,
             retry_after_ms,
         };
     }
-    if wait_ms > MAX_WAIT_MS {
+    let patience_ms = request.deadline.millis_since(now) as f64 * MAX_WAIT_SHARE;
+    if wait_ms as f64 > patience_ms {
         let ramping = room == Room::Ramping && admission.ramp.is_ramping();
         let reason = if ramping {
             Reason::Ramping
--- /dev/null
+++ b/crates/entry/src/place.rs
@@ -0,0 +1,238 @@
+//! Chooses the agent for a request among those that offer what it needs.
+
+use core::fmt;
+use core::time;
+use std::sync;
+
+use peargap_adapters::logs;
+use peargap_core::place;
+use peargap_core::retry;
+use peargap_core::table;
+use peargap_wire::control;
+use tokio::time as clock;
+
+use crate::app;
+use crate::events;
+use crate::fleet;
+use crate::peer;
+use crate::refusal;
+
+/// What a request needs of its upstream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Request<'a> {
+    pub(crate) deadline: clock::Instant,
+    pub(crate) kind: control::Kind,
+    /// Model or service.
+    pub(crate) offer: &'a str,
+    pub(crate) prefix: &'a [u64],
+    pub(crate) request: &'a str,
+    pub(crate) tokens: u32,
+}
+
+/// What the attempts of one request have shown so far.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct History {
+    excluded: Vec<table::Upstream>,
+    last: Option<refusal::Refusal>,
+    ran: refusal::Ran,
+    retry_after_ms: Option<u32>,
+}
+
+impl History {
+    /// Returns how many attempts failed.
+    pub(crate) fn attempts(&self) -> u32 {
+        u32::try_from(self.excluded.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the history for a request that shall not meet `peer`.
+    pub(crate) fn without(&self, peer: &peer::Peer) -> History {
+        let mut history = self.clone();
+        history.excluded.push(peer.key);
+        history
+    }
+
+    /// Returns the refusal for the caller: what the last attempt met, true of all together.
+    pub(crate) fn conclude(&self, refusal: refusal::Refusal) -> refusal::Refusal {
+        let Some(last) = &self.last else {
+            return refusal;
+        };
+        let mut concluded = last.clone();
+        concluded.ran = last.ran.merge(self.ran);
+        concluded.retry_after_ms = self.retry_after_ms;
+        concluded
+    }
+
+    /// Records a failed attempt and returns the pause before the next, if there is one.
+    pub(crate) fn plan(
+        &mut self,
+        app: &app::App,
+        peer: &peer::Peer,
+        refusal: &refusal::Refusal,
+        attempt: &retry::Attempt,
+        request: &str,
+    ) -> Option<time::Duration> {
+        let upstream = &peer.identity.upstream;
+        self.excluded.push(peer.key);
+        self.ran = refusal.ran.merge(self.ran);
+        self.last = Some(refusal.clone());
+        self.retry_after_ms = match (self.retry_after_ms, refusal.retry_after_ms) {
+            (Some(earlier), Some(now)) => Some(now.min(earlier)),
+            (earlier, now) => earlier.or(now),
+        };
+        note_evidence(app, peer, refusal);
+        if !is_worth_retry(refusal.code) {
+            return None;
+        }
+        let next = app.retries.plan(app.board.now(), attempt);
+        let details = format_args!(
+            "request={request} upstream={upstream} attempt={} code={} ran={} next={next:?}",
+            attempt.number,
+            refusal.code.as_str(),
+            refusal.ran.as_str(),
+        );
+        logs::emit(events::RERUN, details);
+        match next {
+            retry::Next::Retry { after_ms } => {
+                app.metrics.retries.add(1, &[]);
+                Some(time::Duration::from_millis(after_ms))
+            }
+            retry::Next::GiveUp(_) => None,
+        }
+    }
+}
+
+/// Notes what a failed attempt shows of its upstream.
+fn note_evidence(app: &app::App, peer: &peer::Peer, refusal: &refusal::Refusal) {
+    if refusal.code == refusal::Code::UpstreamFailed {
+        app.board.record_failure(peer.key);
+    } else {
+        let ran = refusal.ran != refusal::Ran::No;
+        app.board.record_answer(peer.key, ran);
+    }
+}
+
+fn is_worth_retry(code: refusal::Code) -> bool {
+    use refusal::Code;
+    matches!(
+        code,
+        Code::Busy
+            | Code::Draining
+            | Code::Gone
+            | Code::NoUpstream
+            | Code::Stale
+            | Code::UpstreamFailed
+    )
+}
+
+/// A choice with what was weighed for it.
+#[derive(Debug)]
+pub(crate) struct Decision {
+    choice: place::Choice,
+    fleet: sync::Arc<fleet::Fleet>,
+    weighed: Vec<place::Candidate>,
+}
+
+impl Decision {
+    /// Returns the chosen agent.
+    pub(crate) fn peer(&self) -> Option<sync::Arc<peer::Peer>> {
+        match self.choice {
+            place::Choice::Chosen { upstream, .. } => self.fleet.find(upstream),
+            place::Choice::None { .. } => None,
+        }
+    }
+
+    /// Returns when to come back if nothing was chosen, in milliseconds.
+    fn retry_after_ms(&self) -> u32 {
+        match self.choice {
+            place::Choice::Chosen { .. } => refusal::DEFAULT_RETRY_MS,
+            place::Choice::None { retry_after_ms } => {
+                u32::try_from(retry_after_ms).unwrap_or(u32::MAX)
+            }
+        }
+    }
+}
+
+/// Decides which agent gets a request.
+pub(crate) fn decide(app: &app::App, request: &Request<'_>, history: &History) -> Decision {
+    let fill = |group| place::Ask {
+        avoid: &history.excluded,
+        deadline: app.board.instant(request.deadline),
+        group,
+        prefix: request.prefix,
+        prompt_tokens: request.tokens,
+    };
+    let mut weighed = Vec::new();
+    let board = &app.board;
+    let choice = board.pick(request.kind, request.offer, fill, &mut weighed);
+    Decision {
+        choice,
+        fleet: app.fleet(),
+        weighed,
+    }
+}
+
+/// Returns the agent that gets the request, or why there is none.
+pub(crate) fn pick_peer(
+    app: &app::App,
+    request: &Request<'_>,
+    history: &History,
+) -> Result<sync::Arc<peer::Peer>, refusal::Refusal> {
+    let decision = decide(app, request, history);
+    let attempt = history.attempts() + 1;
+    let (id, offer) = (request.request, request.offer);
+    match decision.peer() {
+        Some(peer) => {
+            logs::emit(
+                events::PLACED,
+                format_args!("request={id} offer={offer} attempt={attempt} {decision}"),
+            );
+            Ok(peer)
+        }
+        None => {
+            logs::emit(
+                events::NOT_PLACED,
+                format_args!("request={id} offer={offer} attempt={attempt} {decision}"),
+            );
+            Err(refuse_none(decision.retry_after_ms()))
+        }
+    }
+}
+
+/// Formats the outcome and the candidates as `upstream:cost(running+queued+sent/limit,free,matched)`.
+impl fmt::Display for Decision {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (self.peer(), self.choice) {
+            (Some(peer), place::Choice::Chosen { why, .. }) => {
+                write!(formatter, "upstream={} why={why:?}", peer.identity.upstream)?;
+            }
+            _ => write!(
+                formatter,
+                "upstream= retry_after_ms={}",
+                self.retry_after_ms()
+            )?,
+        }
+        write!(formatter, " weighed=")?;
+        for (index, candidate) in self.weighed.iter().enumerate() {
+            let comma = if index > 0 { "," } else { "" };
+            let peer = self.fleet.find(candidate.upstream);
+            let name = peer.as_ref().map_or("?", |peer| &peer.identity.upstream);
+            write!(
+                formatter,
+                "{comma}{name}:{:.0}({}+{}+{}/{},{},{})",
+                candidate.cost_ms,
+                candidate.running,
+                candidate.queued,
+                candidate.sent,
+                candidate.limit,
+                candidate.free_tokens,
+                candidate.matched_blocks,
+            )?;
+        }
+        Ok(())
+    }
+}
+
+fn refuse_none(retry_after_ms: u32) -> refusal::Refusal {
+    let message = "No upstream can take this request now.";
+    refusal::Refusal::not_run(refusal::Code::NoUpstream, message).with_retry(retry_after_ms)
+}
