Failure tests of control hosts; full disks; smaller modules

Ruled out: refusing changes only when a write fails (the log would already hold them); a test that fills a real file system (no mounts here): the folder's limit stands in for it.

--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -27,6 +27,16 @@
 const HARD_FILE: &str = "hard";
 const LOCK_FILE: &str = "lock";
 const OLD_PREFIX: &str = "old-";
+/// Files of the folder whose sizes are known.
+const OWN_FILES: [&str; 6] = [
+    BIRTH_FILE,
+    HARD_FILE,
+    LOCK_FILE,
+    PROBE_FILE,
+    RESERVE_FILE,
+    SNAPSHOT_FILE,
+];
+const PROBE_FILE: &str = "probe";
 const RESERVE_FILE: &str = "reserve";
 const SEGMENT_BYTES: u64 = 8 << 20;
 const SNAPSHOT_FILE: &str = "snapshot";
@@ -59,6 +69,8 @@
 #[derive(Debug)]
 pub struct Disk {
     folder: path::PathBuf,
+    /// Bytes of files that are not the log's own, such as disks set aside.
+    foreign_bytes: u64,
     full: bool,
     limits: Limits,
     // Holds the lock until it is dropped.
@@ -91,6 +103,7 @@
         let copied = !birth::is_original(&folder.join(BIRTH_FILE))?;
         let mut disk = Disk {
             folder: folder.to_owned(),
+            foreign_bytes: 0,
             full: false,
             limits,
             _lock: lock,
@@ -184,6 +197,7 @@
 
     /// Takes changes again once there is room for the reserve; returns whether it does.
     pub fn take_reserve(&mut self) -> bool {
+        self.foreign_bytes = count_foreign(&self.folder);
         let path = self.folder.join(RESERVE_FILE);
         let bytes = self.limits.reserve_bytes;
         let room = self.count_used() + bytes <= self.limits.bytes;
@@ -195,9 +209,29 @@
         taken
     }
 
+    /// Returns whether this many bytes more would leave the reserve free.
+    pub fn has_room(&self, bytes: u64) -> bool {
+        !self.full && self.count_used() + bytes + self.limits.reserve_bytes <= self.limits.bytes
+    }
+
+    /// Returns whether a snapshot of this many bytes can be written, by writing as many.
+    pub fn can_hold(&self, bytes: u64) -> bool {
+        if self.count_used() + bytes > self.limits.bytes {
+            return false;
+        }
+        let path = self.folder.join(PROBE_FILE);
+        let held = write_filler(&path, bytes).is_ok();
+        let _ = fs::remove_file(&path);
+        held
+    }
+
+    /// Returns the bytes of the log's segments.
+    pub fn count_log(&self) -> u64 {
+        self.segments.iter().map(|segment| segment.bytes).sum()
+    }
+
     fn count_used(&self) -> u64 {
-        let segments: u64 = self.segments.iter().map(|segment| segment.bytes).sum();
-        segments + self.snapshot_bytes
+        self.count_log() + self.snapshot_bytes + self.foreign_bytes
     }
 
     fn append(&mut self, records: &[wire::Record], last: u64) -> Result<(), files::Error> {
@@ -344,11 +378,32 @@
     convert::read_snapshot(snapshot).map_err(|_error| files::corrupt(&path, "no snapshot"))
 }
 
-/// Writes real bytes, so that the space is taken on every file system.
+/// Returns the bytes of files and folders that the log does not know.
+fn count_foreign(folder: &path::Path) -> u64 {
+    let Ok(items) = fs::read_dir(folder) else {
+        return 0;
+    };
+    let foreign = items.flatten().filter(|item| {
+        let name = item.file_name().to_string_lossy().into_owned();
+        !OWN_FILES.contains(&name.as_str()) && !name.starts_with(replay::SEGMENT_PREFIX)
+    });
+    foreign
+        .map(|item| match item.file_type() {
+            Ok(kind) if kind.is_dir() => count_foreign(&item.path()),
+            Ok(_) | Err(_) => files::count_file(&item.path()),
+        })
+        .sum()
+}
+
 fn write_reserve(path: &path::Path, bytes: u64) -> io::Result<()> {
     if files::count_file(path) == bytes {
         return Ok(());
     }
+    write_filler(path, bytes)
+}
+
+/// Writes real bytes, so that the space is taken on every file system.
+fn write_filler(path: &path::Path, bytes: u64) -> io::Result<()> {
     let mut file = fs::File::create(path)?;
     io::copy(&mut io::Read::take(io::repeat(0x5a), bytes), &mut file)?;
     file.sync_all()
--- a/crates/control/src/replay.rs
+++ b/crates/control/src/replay.rs
@@ -12,7 +12,8 @@
 use crate::files;
 use crate::record;
 
-const SEGMENT_PREFIX: &str = "log-";
+/// Start of a segment's file name.
+pub(crate) const SEGMENT_PREFIX: &str = "log-";
 
 /// One file of records.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/crates/control/src/report.rs
@@ -0,0 +1,65 @@
+//! The replica's state for others to see.
+
+use peargap_adapters::logs;
+use peargap_core::log;
+use peargap_core::log::member;
+use tokio::time;
+
+use crate::convert;
+use crate::events;
+use crate::replica;
+
+/// Describes a replica.
+pub(crate) fn describe(
+    log: &log::Log,
+    applied: u64,
+    fresh_until: Option<time::Instant>,
+) -> replica::Status {
+    let roster = log.store().roster();
+    let is_member = roster.contains(log.me());
+    replica::Status {
+        applied,
+        committed: log.commit(),
+        fresh_until,
+        last: log.store().last().index,
+        leader: log.leader().map(|leader| convert::text(&leader.name)),
+        learners: roster.learners.iter().map(format_member).collect(),
+        role: match log.role() {
+            log::Role::Candidate => replica::Role::Candidate,
+            log::Role::Follower if is_member => replica::Role::Follower,
+            log::Role::Follower => replica::Role::Outsider,
+            log::Role::Leader => replica::Role::Leader,
+        },
+        term: log.hard().term,
+        voters: roster.voters.iter().map(format_member).collect(),
+    }
+}
+
+fn format_member(member: &member::Member) -> String {
+    format!("{}/{:016x}", convert::text(&member.name), member.disk)
+}
+
+/// Logs what changed of role, leader and members.
+pub(crate) fn log_changes(seen: &replica::Status, status: &replica::Status) {
+    if seen.role != status.role || seen.leader != status.leader {
+        logs::emit(
+            events::ROLE_CHANGED,
+            format_args!(
+                "role={:?} term={} leader={}",
+                status.role,
+                status.term,
+                status.leader.as_deref().unwrap_or("none")
+            ),
+        );
+    }
+    if seen.voters != status.voters || seen.learners != status.learners {
+        logs::emit(
+            events::MEMBERS_CHANGED,
+            format_args!(
+                "voters={} learners={}",
+                status.voters.join(","),
+                status.learners.join(",")
+            ),
+        );
+    }
+}
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -19,10 +19,15 @@
 use crate::disk;
 
 const ADDRESS: &str = "an address such as 127.0.0.1:7000";
+const BATCH_ENTRIES: usize = 512;
+const CHUNK_BYTES: usize = 1 << 20;
 const DEFAULT_ELECTION_MS: u64 = 300;
 const DEFAULT_HEARTBEAT_MS: u64 = 50;
 const DEFAULT_LEASE_MS: u64 = 1500;
 const DEFAULT_LIMIT_MB: u64 = 1 << 20;
+const KEEP_BYTES: usize = 16 << 20;
+const KEEP_ENTRIES: u64 = 1024;
+const LEARNER_LAG_ENTRIES: u64 = 64;
 const MEGABYTE: u64 = 1 << 20;
 const RESERVE_BYTES: u64 = 4 * MEGABYTE;
 
@@ -193,14 +198,10 @@
             bootstrap: names(&mut self.bootstrap.iter()),
             batch_entries: BATCH_ENTRIES,
             chunk_bytes: CHUNK_BYTES,
+            keep_bytes: KEEP_BYTES,
             keep_entries: KEEP_ENTRIES,
             learner_lag: LEARNER_LAG_ENTRIES,
             peers: names(&mut self.peers.keys()),
         }
     }
 }
-
-const BATCH_ENTRIES: usize = 512;
-const CHUNK_BYTES: usize = 1 << 20;
-const KEEP_ENTRIES: u64 = 1024;
-const LEARNER_LAG_ENTRIES: u64 = 64;
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -1,6 +1,5 @@
 //! The replica's thread: the log, its disk and the state machine behind it.
 
-use std::collections;
 use std::sync;
 
 use bytes::Bytes;
@@ -12,7 +11,6 @@
 use peargap_core::log::message;
 use rand::RngExt as _;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -24,20 +22,26 @@
 use crate::machine;
 use crate::peers;
 use crate::replica;
+use crate::report;
 use crate::settings;
 use crate::timers;
+use crate::waits;
 
 /// Inputs taken before the disk is synced once for all of them.
 const MAX_INPUTS: usize = 256;
 /// Inputs that may wait for the thread.
 pub(crate) const QUEUE_INPUTS: usize = 4096;
+/// Largest command taken, in bytes; the disk's reserve holds one.
+const MAX_COMMAND_BYTES: usize = 2 << 20;
+/// Bytes of the log after which a snapshot replaces it, also when the disk's limit is larger.
+const SNAPSHOT_BYTES: u64 = 64 << 20;
+/// Part of the disk's limit after which a snapshot replaces the log.
+const SNAPSHOT_SHARE: u64 = 4;
 /// Applied entries after which a snapshot replaces them.
 const SNAPSHOT_ENTRIES: u64 = 4096;
 /// Time between two tries to write to a full disk.
 const FULL_RETRY: time::Duration = time::Duration::from_millis(200);
 
-type Reply = oneshot::Sender<replica::Answer>;
-
 /// Something for the replica's thread.
 #[derive(Debug)]
 pub(crate) enum Input {
@@ -47,7 +51,7 @@
         message: Box<message::Message>,
     },
     /// A command to be committed, if this host leads.
-    Propose { command: Bytes, reply: Reply },
+    Propose { command: Bytes, reply: waits::Reply },
     /// The process stops: hand over, then end.
     Stop,
 }
@@ -69,13 +73,6 @@
     pub(crate) status: watch::Sender<replica::Status>,
 }
 
-/// A proposal that waits for its position to be committed.
-#[derive(Debug)]
-struct Waiting {
-    reply: Reply,
-    term: u64,
-}
-
 /// Whether the thread goes on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Next {
@@ -92,12 +89,10 @@
     lease: lease::Lease,
     log: log::Log,
     machine: machine::Machine,
-    next_token: u64,
     outputs: Outputs,
-    proposed: collections::HashMap<u64, Reply>,
     settings: sync::Arc<settings::Settings>,
     timers: timers::Timers,
-    waiting: collections::BTreeMap<u64, Waiting>,
+    waits: waits::Waits,
 }
 
 impl Worker {
@@ -150,12 +145,10 @@
             lease: lease::Lease::new(settings.timing.lease),
             log,
             machine,
-            next_token: 0,
             outputs,
-            proposed: collections::HashMap::new(),
             timers: timers::Timers::new(settings.timing),
             settings,
-            waiting: collections::BTreeMap::new(),
+            waits: waits::Waits::default(),
         };
         worker.save(&effects)?;
         let now = time::Instant::now();
@@ -200,6 +193,7 @@
         let mut next = Next::GoOn;
         let mut effects = Vec::new();
         let mut grants = Vec::new();
+        let mut pending = 0;
         let mut proposals = Vec::new();
         if let Some(event) = event {
             effects.extend(self.log.handle(event));
@@ -211,7 +205,8 @@
                     effects.extend(self.log.handle(effect::Event::Message(*message)));
                 }
                 Input::Propose { command, reply } => {
-                    proposals.extend(self.take_proposal(command, reply));
+                    let taken = self.take_proposal(command, reply, &mut pending);
+                    proposals.extend(taken);
                 }
                 Input::Stop => {
                     effects.extend(self.log.handle(effect::Event::HandOver));
@@ -267,18 +262,31 @@
         }
     }
 
-    fn take_proposal(&mut self, command: Bytes, reply: Reply) -> Option<effect::Proposal> {
-        if self.disk.is_full() && !self.disk.take_reserve() {
+    /// Takes a proposal if the disk has room for it after `pending` bytes of earlier ones.
+    fn take_proposal(
+        &mut self,
+        command: Bytes,
+        reply: waits::Reply,
+        pending: &mut u64,
+    ) -> Option<effect::Proposal> {
+        let bytes = *pending + count_bytes(&command);
+        if command.len() > MAX_COMMAND_BYTES || !self.find_room(bytes) {
             let refused = replica::Answer::Refused(replica::Refusal::DiskFull);
             let _ = reply.send(refused);
             return None;
         }
-        self.next_token += 1;
-        let token = self.next_token;
-        self.proposed.insert(token, reply);
+        *pending = bytes;
+        let token = self.waits.add(reply);
         Some(effect::Proposal { command, token })
     }
 
+    fn find_room(&mut self, bytes: u64) -> bool {
+        if self.disk.is_full() && !self.disk.take_reserve() {
+            return false;
+        }
+        self.disk.has_room(bytes)
+    }
+
     /// Stores what must be on disk; waits while the disk is entirely full.
     async fn save_patiently(&mut self, effects: &[effect::Effect]) -> Result<(), files::Error> {
         let mut done = 0;
@@ -343,7 +351,7 @@
                 effect::Effect::Commit(index) => self.apply(index),
                 effect::Effect::Confirm(round) => self.lease.confirm_round(round),
                 effect::Effect::Heard => self.timers.restart_election(now),
-                effect::Effect::Proposed { token, position } => self.wait_for(token, position),
+                effect::Effect::Proposed { token, position } => self.waits.place(token, position),
                 effect::Effect::Rejected(token) => self.reject(token),
                 effect::Effect::Renounce => renounced = true,
                 effect::Effect::Adopt
@@ -378,18 +386,9 @@
         self.log.store().term(self.log.commit()) == Some(self.log.hard().term)
     }
 
-    fn wait_for(&mut self, token: u64, position: entry::Position) {
-        if let Some(reply) = self.proposed.remove(&token) {
-            let term = position.term;
-            self.waiting.insert(position.index, Waiting { reply, term });
-        }
-    }
-
     fn reject(&mut self, token: u64) {
         let leader = self.log.leader().map(|leader| convert::text(&leader.name));
-        if let Some(reply) = self.proposed.remove(&token) {
-            let _ = reply.send(replica::Answer::NotLeader(leader));
-        }
+        self.waits.reject(token, leader);
     }
 
     fn apply(&mut self, commit: u64) {
@@ -404,7 +403,7 @@
                 entry::Payload::Noop | entry::Payload::Roster(_) => None,
             };
             self.applied = index;
-            self.answer(position, reply);
+            self.waits.answer(position, reply);
         }
         let config = self.machine.config();
         self.outputs
@@ -412,33 +411,25 @@
             .send_if_modified(|seen| replica::replace_config(seen, config));
     }
 
-    fn answer(&mut self, position: entry::Position, reply: Option<Bytes>) {
-        let Some(waiting) = self.waiting.remove(&position.index) else {
-            return;
-        };
-        let answer = match reply {
-            Some(reply) if waiting.term == position.term => replica::Answer::Reply(reply),
-            Some(_) | None => replica::Answer::Refused(replica::Refusal::Unknown),
-        };
-        let _ = waiting.reply.send(answer);
-    }
-
     /// Ends the waits of a leader that no longer leads.
     fn end_lead(&mut self) {
         self.lease.end_term();
-        for (_index, waiting) in std::mem::take(&mut self.waiting) {
-            let unknown = replica::Answer::Refused(replica::Refusal::Unknown);
-            let _ = waiting.reply.send(unknown);
-        }
+        self.waits.end();
     }
 
     /// Replaces applied entries by a snapshot once there are many.
     async fn compact(&mut self) -> Result<(), files::Error> {
         let taken = self.log.store().snapshot().position.index;
-        if self.applied < taken + SNAPSHOT_ENTRIES {
+        let limit = self.settings.disk_limits.bytes / SNAPSHOT_SHARE;
+        let is_large = self.disk.count_log() > limit.min(SNAPSHOT_BYTES) && self.applied > taken;
+        if self.applied < taken + SNAPSHOT_ENTRIES && !is_large {
             return Ok(());
         }
         let data = self.machine.snapshot();
+        // The log forgets the entries, so the snapshot must not fail.
+        if !self.disk.can_hold(count_bytes(&data)) {
+            return Ok(());
+        }
         logs::emit(
             events::SNAPSHOT_TAKEN,
             format_args!("index={} bytes={}", self.applied, data.len()),
@@ -461,36 +452,16 @@
     }
 
     fn publish(&self) {
-        let status = self.describe();
+        let fresh = self.log.role() != log::Role::Leader || self.is_current();
+        let fresh_until = self.lease.until().filter(|_until| fresh);
+        let status = report::describe(&self.log, self.applied, fresh_until);
         self.outputs.status.send_if_modified(|seen| {
-            report_changes(seen, &status);
+            report::log_changes(seen, &status);
             let changed = *seen != status;
             *seen = status;
             changed
         });
     }
-
-    fn describe(&self) -> replica::Status {
-        let roster = self.log.store().roster();
-        let is_member = roster.contains(self.log.me());
-        let fresh = self.log.role() != log::Role::Leader || self.is_current();
-        replica::Status {
-            applied: self.applied,
-            committed: self.log.commit(),
-            fresh_until: self.lease.until().filter(|_until| fresh),
-            last: self.log.store().last().index,
-            leader: self.log.leader().map(|leader| convert::text(&leader.name)),
-            learners: roster.learners.iter().map(format_member).collect(),
-            role: match self.log.role() {
-                log::Role::Candidate => replica::Role::Candidate,
-                log::Role::Follower if is_member => replica::Role::Follower,
-                log::Role::Follower => replica::Role::Outsider,
-                log::Role::Leader => replica::Role::Leader,
-            },
-            term: self.log.hard().term,
-            voters: roster.voters.iter().map(format_member).collect(),
-        }
-    }
 }
 
 /// A leader's grant of freshness, with what it had committed.
@@ -502,32 +473,8 @@
     term: u64,
 }
 
-fn format_member(member: &peargap_core::log::member::Member) -> String {
-    format!("{}/{:016x}", convert::text(&member.name), member.disk)
-}
-
-fn report_changes(seen: &replica::Status, status: &replica::Status) {
-    if seen.role != status.role || seen.leader != status.leader {
-        logs::emit(
-            events::ROLE_CHANGED,
-            format_args!(
-                "role={:?} term={} leader={}",
-                status.role,
-                status.term,
-                status.leader.as_deref().unwrap_or("none")
-            ),
-        );
-    }
-    if seen.voters != status.voters || seen.learners != status.learners {
-        logs::emit(
-            events::MEMBERS_CHANGED,
-            format_args!(
-                "voters={} learners={}",
-                status.voters.join(","),
-                status.learners.join(",")
-            ),
-        );
-    }
+fn count_bytes(bytes: &Bytes) -> u64 {
+    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
 }
 
 fn restore_machine(
--- /dev/null
+++ b/crates/control/tests/failures.rs
@@ -0,0 +1,341 @@
+//! Failures of control hosts: crashes, lost and copied disks, pauses.
+
+mod support;
+
+use std::fs;
+use std::io::Write as _;
+use std::path;
+use std::time;
+
+use support::wait_until;
+use support::Cluster;
+use support::Outcome;
+
+/// Lease of these hosts, in milliseconds.
+const LEASE_MS: u64 = 400;
+const TIMING: &str = "[timing]\nlease_ms=400\n";
+
+fn copy_folder(from: &path::Path, to: &path::Path) {
+    fs::create_dir_all(to).expect("a folder");
+    for item in fs::read_dir(from).expect("a folder") {
+        let item = item.expect("an item");
+        fs::copy(item.path(), to.join(item.file_name())).expect("copied");
+    }
+}
+
+fn find_last_segment(folder: &path::Path) -> path::PathBuf {
+    let items = fs::read_dir(folder).expect("a folder");
+    let paths = items.map(|item| item.expect("an item").path());
+    let segments = paths.filter(|path| {
+        let name = path.file_name().expect("a name").to_string_lossy();
+        name.starts_with("log-") && fs::metadata(path).expect("metadata").len() > 0
+    });
+    segments.max().expect("a segment")
+}
+
+fn name_commands(count: usize) -> Vec<String> {
+    (0..count)
+        .map(|number| format!("command {number:03}"))
+        .collect()
+}
+
+#[test]
+fn every_host_may_be_killed_in_turn() {
+    let mut cluster = Cluster::start(3, "");
+    let commands = name_commands(12);
+    for (number, command) in commands.iter().enumerate() {
+        let victim = number % 3;
+        cluster.wait_for_leader();
+        cluster.hosts[victim].kill();
+        cluster.commit(command);
+        cluster.hosts[victim].start();
+    }
+    let leader = cluster.wait_for_leader();
+    cluster.wait_for_all(leader);
+    for index in 0..3 {
+        let mut kept = cluster.read_commands(index);
+        // A command whose answer was lost may be committed twice.
+        kept.dedup();
+        assert_eq!(kept, commands, "host {index}");
+    }
+}
+
+#[test]
+fn all_hosts_may_be_killed_at_once() {
+    let mut cluster = Cluster::start(3, "");
+    cluster.wait_for_leader();
+    cluster.commit("before");
+    for host in &mut cluster.hosts {
+        host.kill();
+    }
+    for host in &mut cluster.hosts {
+        host.start();
+    }
+    let leader = cluster.wait_for_leader();
+    cluster.commit("after");
+    cluster.wait_for_all(leader);
+    assert_eq!(cluster.read_commands(leader), ["before", "after"]);
+}
+
+#[test]
+fn a_host_catches_up_after_five_hundred_changes() {
+    let mut cluster = Cluster::start(3, "");
+    let leader = cluster.wait_for_leader();
+    let behind = (leader + 1) % 3;
+    cluster.hosts[behind].kill();
+    let commands = name_commands(500);
+    for command in &commands {
+        cluster.commit(command);
+    }
+    cluster.hosts[behind].start();
+    let leader = cluster.wait_for_leader();
+    cluster.wait_for_all(leader);
+    let mut kept = cluster.read_commands(behind);
+    kept.dedup();
+    assert_eq!(kept, commands);
+}
+
+#[test]
+fn a_torn_tail_is_cut_and_caught_up() {
+    let mut cluster = Cluster::start(3, "");
+    let leader = cluster.wait_for_leader();
+    cluster.commit("one");
+    cluster.wait_for_all(leader);
+    let torn = (leader + 1) % 3;
+    cluster.hosts[torn].kill();
+    let segment = find_last_segment(&cluster.hosts[torn].folder);
+    let whole = fs::read(&segment).expect("a segment");
+    let file = fs::OpenOptions::new().append(true).open(&segment);
+    let half = &whole[..whole.len().min(24)];
+    file.expect("a segment").write_all(half).expect("written");
+    cluster.commit("two");
+    cluster.hosts[torn].start();
+    let leader = cluster.wait_for_leader();
+    cluster.wait_for_all(leader);
+    assert!(cluster.hosts[torn].read_log().contains("E2012"));
+    assert_eq!(cluster.read_commands(torn), ["one", "two"]);
+}
+
+#[test]
+fn a_corrupt_middle_stops_the_host_and_names_its_place() {
+    let mut cluster = Cluster::start(3, "");
+    let leader = cluster.wait_for_leader();
+    for command in name_commands(5) {
+        cluster.commit(&command);
+    }
+    cluster.wait_for_all(leader);
+    let corrupt = (leader + 1) % 3;
+    cluster.hosts[corrupt].kill();
+    let segment = find_last_segment(&cluster.hosts[corrupt].folder);
+    let mut bytes = fs::read(&segment).expect("a segment");
+    bytes[40] ^= 1;
+    fs::write(&segment, bytes).expect("written");
+    cluster.hosts[corrupt].start();
+    assert!(!cluster.hosts[corrupt].wait_for_exit());
+    let log = cluster.hosts[corrupt].read_log();
+    let name = segment
+        .file_name()
+        .expect("a name")
+        .to_string_lossy()
+        .into_owned();
+    assert!(log.contains("E2009") && log.contains(&name), "{log}");
+    assert!(log.contains("is corrupt at offset 0"), "{log}");
+    cluster.commit("the others go on");
+}
+
+#[test]
+fn a_second_disk_may_be_lost_right_after_a_repair() {
+    let mut cluster = Cluster::start(3, "");
+    let mut leader = cluster.wait_for_leader();
+    let commands = name_commands(60);
+    let mut lost = (leader + 1) % 3;
+    for round in 0..3 {
+        for command in &commands[round * 20..(round + 1) * 20] {
+            cluster.commit(command);
+        }
+        let former = cluster.read_disk_id(lost);
+        cluster.replace_disk(lost);
+        leader = cluster.wait_for_leader();
+        cluster.wait_for_repair(leader, &former);
+        // The next to lose its disk is the leader of now.
+        lost = leader;
+    }
+    let leader = cluster.wait_for_leader();
+    cluster.wait_for_all(leader);
+    for index in 0..3 {
+        let mut kept = cluster.read_commands(index);
+        kept.dedup();
+        assert_eq!(kept, commands, "host {index}");
+    }
+}
+
+#[test]
+fn an_old_copy_of_a_disk_comes_back_as_a_new_member() {
+    let mut cluster = Cluster::start(3, "");
+    let leader = cluster.wait_for_leader();
+    let copied = (leader + 1) % 3;
+    let lagging = (leader + 2) % 3;
+    cluster.hosts[copied].kill();
+    let backup = cluster.root.path().join("backup");
+    copy_folder(&cluster.hosts[copied].folder, &backup);
+    cluster.hosts[copied].start();
+    cluster.wait_for_all(leader);
+    // Only the leader and the host whose disk is then rolled back have this one.
+    cluster.hosts[lagging].kill();
+    cluster.commit("accepted");
+    let former = cluster.read_disk_id(copied);
+    cluster.hosts[copied].kill();
+    cluster.hosts[leader].signal("STOP");
+    let folder = cluster.hosts[copied].folder.clone();
+    fs::remove_dir_all(&folder).expect("removed");
+    copy_folder(&backup, &folder);
+    cluster.hosts[copied].start();
+    cluster.hosts[lagging].start();
+    // The lagging host kept its disk, so the copy is renounced although the leader is silent.
+    wait_until("the copy to be renounced", || {
+        cluster.hosts[copied].read_log().contains("E2005")
+    });
+    cluster.hosts[leader].signal("CONT");
+    let leader = cluster.wait_for_leader();
+    cluster.wait_for_repair(leader, &former);
+    cluster.wait_for_all(leader);
+    for index in 0..3 {
+        assert_eq!(cluster.read_commands(index), ["accepted"], "host {index}");
+    }
+}
+
+#[test]
+fn a_whole_cluster_of_copies_goes_on() {
+    let mut cluster = Cluster::start(3, "");
+    let leader = cluster.wait_for_leader();
+    cluster.commit("before");
+    cluster.wait_for_all(leader);
+    for host in &mut cluster.hosts {
+        host.kill();
+        let folder = host.folder.clone();
+        let aside = folder.with_extension("aside");
+        fs::rename(&folder, &aside).expect("renamed");
+        copy_folder(&aside, &folder);
+        host.start();
+    }
+    let leader = cluster.wait_for_leader();
+    cluster.commit("after");
+    cluster.wait_for_all(leader);
+    for index in 0..3 {
+        assert_eq!(
+            cluster.read_commands(index),
+            ["before", "after"],
+            "host {index}"
+        );
+    }
+}
+
+#[test]
+fn a_leader_paused_for_longer_than_a_lease_is_replaced() {
+    let mut cluster = Cluster::start(3, TIMING);
+    let first = cluster.wait_for_leader();
+    cluster.commit("one");
+    cluster.hosts[first].signal("STOP");
+    let mut others = (0..3).filter(|index| *index != first);
+    let pair = [
+        others.next().expect("a host"),
+        others.next().expect("a host"),
+    ];
+    wait_until("another leader", || {
+        let mut leads = pair.iter().map(|index| &cluster.hosts[*index]);
+        leads.any(|host| host.gauge("leader") == Some(1) && host.is_fresh())
+    });
+    let paused = time::Instant::now();
+    let lease = time::Duration::from_millis(LEASE_MS);
+    wait_until("the lease to run out", || paused.elapsed() > lease);
+    wait_until("a commit without it", || {
+        pair.iter()
+            .any(|index| cluster.hosts[*index].propose("two") == Some(Outcome::Reply))
+    });
+    cluster.hosts[first].signal("CONT");
+    // It says so itself: what it could not commit is refused or not known, never answered.
+    let answer = cluster.hosts[first].propose("three");
+    let leads = cluster.hosts[first].gauge("leader") == Some(1);
+    assert!(answer != Some(Outcome::Reply) || leads, "{answer:?}");
+    let leader = cluster.wait_for_leader();
+    cluster.wait_for_all(leader);
+    let kept = cluster.read_commands(first);
+    assert_eq!(kept[..2], ["one", "two"]);
+}
+
+#[test]
+fn a_cut_off_host_stops_granting_freshness() {
+    let mut cluster = Cluster::start(3, TIMING);
+    let leader = cluster.wait_for_leader();
+    cluster.commit("one");
+    for index in 0..3 {
+        wait_until("freshness", || cluster.hosts[index].is_fresh());
+    }
+    for index in 0..3 {
+        if index != leader {
+            cluster.hosts[index].kill();
+        }
+    }
+    wait_until("freshness to run out", || !cluster.hosts[leader].is_fresh());
+    wait_until("the leader to step down", || {
+        cluster.hosts[leader].gauge("leader") == Some(0)
+    });
+    assert_ne!(cluster.hosts[leader].propose("two"), Some(Outcome::Reply));
+}
+
+#[test]
+fn a_full_disk_refuses_changes_and_keeps_serving() {
+    let mut cluster = Cluster::start(3, "");
+    let leader = cluster.wait_for_leader();
+    cluster.commit("one");
+    cluster.wait_for_all(leader);
+    let extra = "limit_mb=16\n";
+    for host in &mut cluster.hosts {
+        host.kill();
+        host.set_data(extra);
+        let ballast = fs::File::create(host.folder.join("ballast")).expect("a file");
+        ballast.set_len(14 << 20).expect("a size");
+        host.start();
+    }
+    let leader = cluster.wait_for_leader();
+    assert_eq!(
+        cluster.hosts[leader].propose("two"),
+        Some(Outcome::DiskFull)
+    );
+    assert!(cluster.hosts[leader].is_fresh());
+    for host in &cluster.hosts {
+        fs::remove_file(host.folder.join("ballast")).expect("removed");
+    }
+    cluster.commit("three");
+    let leader = cluster.wait_for_leader();
+    cluster.wait_for_all(leader);
+    assert_eq!(cluster.read_commands(leader), ["one", "three"]);
+}
+
+#[test]
+fn a_fourth_host_joins_and_votes() {
+    let mut cluster = Cluster::prepare(4, 3, "");
+    for index in 0..3 {
+        cluster.hosts[index].start();
+    }
+    let leader = cluster.wait_for_leader();
+    cluster.commit("one");
+    cluster.hosts[3].start();
+    wait_until("four voters", || {
+        cluster.hosts[leader].gauge("voters") == Some(4)
+    });
+    cluster.wait_for_all(leader);
+    assert_eq!(cluster.read_commands(3), ["one"]);
+}
+
+#[test]
+fn a_leader_that_stops_hands_over() {
+    let mut cluster = Cluster::start(3, "");
+    let first = cluster.wait_for_leader();
+    cluster.commit("one");
+    cluster.hosts[first].signal("TERM");
+    assert!(cluster.hosts[first].wait_for_exit());
+    let second = cluster.wait_for_leader();
+    assert_ne!(first, second);
+    cluster.commit("two");
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use peargap_control::disk;
 use peargap_core::log::entry;
+use peargap_load::ports;
 use peargap_wire::peer as wire;
 
 /// Longest wait for anything in these tests.
@@ -105,6 +106,34 @@
         found.expect("a leader")
     }
 
+    /// Starts again a host that a test killed, on an empty folder.
+    pub(crate) fn replace_disk(&mut self, index: usize) {
+        self.hosts[index].kill();
+        fs::remove_dir_all(&self.hosts[index].folder).expect("a data folder");
+        self.hosts[index].start();
+    }
+
+    /// Waits until every host's present disk votes, as `leader` sees it.
+    pub(crate) fn wait_for_repair(&self, leader: usize, former: &str) {
+        let host = &self.hosts[leader];
+        let count = u64::try_from(self.hosts.len()).expect("few hosts");
+        wait_until("the repair", || {
+            let log = host.read_log();
+            let members = log.lines().rev().find(|line| line.contains("E2004"));
+            let replaced = members.is_some_and(|line| !line.contains(former));
+            replaced && host.gauge("voters") == Some(count) && host.gauge("learners") == Some(0)
+        });
+    }
+
+    /// Returns a host's disk id as it logged it last.
+    pub(crate) fn read_disk_id(&self, index: usize) -> String {
+        let log = self.hosts[index].read_log();
+        let line = log.lines().rev().find(|line| line.contains("E2001"));
+        let words = line.expect("a started host").split(' ');
+        let mut ids = words.filter_map(|word| word.strip_prefix("disk="));
+        ids.next().expect("a disk id").to_owned()
+    }
+
     /// Commits a command through any running host.
     pub(crate) fn commit(&self, command: &str) {
         wait_until(command, || {
@@ -158,6 +187,13 @@
         self.child = Some(child);
     }
 
+    /// Adds lines to the settings of the data folder.
+    pub(crate) fn set_data(&self, lines: &str) {
+        let text = fs::read_to_string(&self.settings).expect("settings");
+        let text = text.replace("[data]\n", &format!("[data]\n{lines}"));
+        fs::write(&self.settings, text).expect("settings");
+    }
+
     /// Ends the process at once.
     pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -247,7 +283,10 @@
         entry::Payload::Command(command) => Some(String::from_utf8_lossy(command).into_owned()),
         entry::Payload::Noop | entry::Payload::Roster(_) => None,
     });
-    commands.collect()
+    // The services of the hosts propose commands of their own, which are not text.
+    commands
+        .filter(|command| command.starts_with(|first: char| first.is_ascii_lowercase()))
+        .collect()
 }
 
 /// Waits for a condition; fails the test when it does not come true in time.
@@ -269,8 +308,8 @@
 }
 
 fn find_addresses() -> [net::SocketAddr; 3] {
-    let listeners = [(); 3].map(|()| net::TcpListener::bind("127.0.0.1:0").expect("a port"));
-    listeners.map(|listener| listener.local_addr().expect("an address"))
+    let found = ports::find_ports(3).expect("free ports");
+    [found[0], found[1], found[2]].map(|port| (net::Ipv4Addr::LOCALHOST, port).into())
 }
 
 fn fetch(address: net::SocketAddr, path: &str) -> io::Result<String> {
--- a/crates/core/src/log/follow.rs
+++ b/crates/core/src/log/follow.rs
@@ -173,7 +173,8 @@
             roster: self.store.roster_at(index),
         };
         let keep = self.settings.keep_entries;
-        self.store.compact(snapshot.clone(), keep);
+        let keep_bytes = self.settings.keep_bytes;
+        self.store.compact(snapshot.clone(), keep, keep_bytes);
         effects.push(effect::Effect::SaveSnapshot {
             installed: false,
             reset: false,
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -35,6 +35,8 @@
     pub batch_entries: usize,
     /// Bytes of a snapshot, or of several commands, in one message at most.
     pub chunk_bytes: usize,
+    /// Bytes of commands in the compacted entries that are kept, at most.
+    pub keep_bytes: usize,
     /// Compacted entries kept for members that lag a little.
     pub keep_entries: u64,
     /// A learner that lags at most this many entries may vote.
--- a/crates/core/src/log/store.rs
+++ b/crates/core/src/log/store.rs
@@ -113,12 +113,19 @@
         self.entries.extend_from_slice(entries);
     }
 
-    /// Takes the state after `index` as snapshot and drops entries but for the last `keep` in it.
-    pub(crate) fn compact(&mut self, snapshot: entry::Snapshot, keep: u64) {
-        let base = snapshot.position.index.saturating_sub(keep);
+    /// Takes a snapshot and drops the entries in it but for the last `keep`, of at most
+    /// `keep_bytes` of commands.
+    pub(crate) fn compact(&mut self, snapshot: entry::Snapshot, keep: u64, keep_bytes: usize) {
+        let last = snapshot.position.index;
         self.snapshot = snapshot;
-        if base <= self.base.index {
-            return;
+        let mut base = last;
+        let mut bytes = 0;
+        while base > self.base.index && last - base < keep {
+            bytes += self.entry(base).map_or(0, entry::Entry::count_bytes);
+            if bytes > keep_bytes {
+                break;
+            }
+            base -= 1;
         }
         let Some(term) = self.term(base) else {
             return;
--- a/crates/core/tests/model/mod.rs
+++ b/crates/core/tests/model/mod.rs
@@ -112,6 +112,7 @@
             batch_entries: 8,
             bootstrap: names[..FIRST_VOTERS].iter().cloned().collect(),
             chunk_bytes: 1,
+            keep_bytes: 0,
             keep_entries: 0,
             learner_lag: 0,
             peers: names.iter().cloned().collect(),
