--- a/crates/control/tests/failures.rs
+++ b/crates/control/tests/failures.rs
@@ -95,6 +95,35 @@
     assert_eq!(kept, commands);
 }
 
+#[test]
+fn a_host_that_lags_far_gets_a_snapshot() {
+    let mut cluster = Cluster::start(3, "");
+    for host in &mut cluster.hosts {
+        host.kill();
+        host.set_data("limit_mb=32\n");
+        host.start();
+    }
+    let leader = cluster.wait_for_leader();
+    let behind = (leader + 1) % 3;
+    cluster.hosts[behind].kill();
+    // More than a leader keeps of the entries that its snapshot replaces.
+    for number in 0..24 {
+        let filler = "x".repeat(1 << 20);
+        cluster.commit(&format!("command {number:03} {filler}"));
+    }
+    cluster.hosts[behind].start();
+    let leader = cluster.wait_for_leader();
+    cluster.wait_for_all(leader);
+    assert!(cluster.hosts[leader].read_log().contains("E2010"));
+    assert!(cluster.hosts[behind].read_log().contains("E2011"));
+    cluster.commit("after");
+    cluster.wait_for_all(leader);
+    assert_eq!(
+        cluster.read_commands(behind).last().expect("a command"),
+        "after"
+    );
+}
+
 #[test]
 fn a_torn_tail_is_cut_and_caught_up() {
     let mut cluster = Cluster::start(3, "");
