--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -16,7 +16,7 @@
 }
 
 /// A node's version and lease.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub struct Follower {
     fresh_until: Instant,
     version: u64,
