--- a/crates/adapters/src/manifest.rs
+++ b/crates/adapters/src/manifest.rs
@@ -67,18 +67,13 @@
     read: fn(&mut settings::Reader, &str, String) -> T,
 ) -> Vec<T> {
     let mut values = Vec::new();
-    let mut seen = collections::BTreeSet::new();
     for name in reader.list_names(kind) {
         let section = format!("{kind} {name}");
         if !is_name(&name) {
             let problem = "needs a name of letters, digits and . _ - : / after its kind";
             reader.report(&section, "", problem.to_owned());
         }
-        if seen.insert(name.clone()) {
-            values.push(read(reader, &section, name));
-        } else {
-            reader.report(&section, "", "stands twice; keep one".to_owned());
-        }
+        values.push(read(reader, &section, name));
     }
     values
 }
--- /dev/null
+++ b/crates/control/tests/machine.rs
@@ -0,0 +1,177 @@
+//! The replicated state: the same commands give the same state, whatever their bytes, and a
+//! snapshot gives it back whole.
+
+use bytes::Bytes;
+use peargap_control::machine;
+use peargap_wire::control;
+use peargap_wire::operator;
+use peargap_wire::operator::submit_request;
+use peargap_wire::record;
+use prost::Message as _;
+use quickcheck::Arbitrary as _;
+
+const RUNS: u64 = 100;
+const SIZE: usize = 40;
+
+fn generator(seed: u64) -> quickcheck::Gen {
+    quickcheck::Gen::from_size_and_seed(SIZE, seed)
+}
+
+/// Returns one of a few names, so that commands meet.
+fn name(random: &mut quickcheck::Gen) -> String {
+    (*random.choose(&["a", "b", "c", "d"]).unwrap()).to_owned()
+}
+
+fn number(random: &mut quickcheck::Gen) -> u64 {
+    u64::arbitrary(random) % 64
+}
+
+fn build_submit(random: &mut quickcheck::Gen) -> operator::SubmitRequest {
+    let text = format!(
+        "[deployment]\nname={}\n[domain a]\nregion=r\n",
+        name(random)
+    );
+    let change = match number(random) % 5 {
+        0 => submit_request::Change::DomainBack(name(random)),
+        1 => submit_request::Change::DomainOut(name(random)),
+        2 => submit_request::Change::UpstreamDrain(name(random)),
+        3 => submit_request::Change::UpstreamResume(name(random)),
+        _ => submit_request::Change::Manifest(text.into()),
+    };
+    operator::SubmitRequest {
+        base_revision: number(random) % 4,
+        change: Some(change),
+        id: format!("{}{}", name(random), number(random)),
+        operator: name(random),
+    }
+}
+
+fn build_announce(random: &mut quickcheck::Gen) -> record::Announce {
+    let announcement = control::Announcement {
+        checks_fences: bool::arbitrary(random),
+        kind: i32::from(bool::arbitrary(random)),
+        memory_tokens: number(random),
+        offers: vec![name(random)],
+        upstream: name(random),
+    };
+    record::Announce {
+        announcement: bool::arbitrary(random).then_some(announcement),
+        node: Some(control::Node {
+            address: name(random),
+            domain: name(random),
+            incarnation: name(random),
+            name: name(random),
+            role: i32::try_from(number(random) % 3).unwrap(),
+        }),
+    }
+}
+
+fn build_settle(random: &mut quickcheck::Gen) -> control::SettleRequest {
+    let outcome = match number(random) % 4 {
+        0 => Some(control::settle_request::Outcome::Answer(
+            name(random).into(),
+        )),
+        1 => Some(control::settle_request::Outcome::NotRun(true)),
+        2 => Some(control::settle_request::Outcome::Unknown(true)),
+        _ => None,
+    };
+    control::SettleRequest {
+        fence: number(random),
+        key: name(random),
+        outcome,
+    }
+}
+
+fn build_command(random: &mut quickcheck::Gen) -> Bytes {
+    let kind = match number(random) % 8 {
+        0 => record::command::Kind::Submit(build_submit(random)),
+        1 => record::command::Kind::Announce(build_announce(random)),
+        2 => record::command::Kind::Leave(record::Leave {
+            incarnation: name(random),
+            name: name(random),
+        }),
+        3 => record::command::Kind::Claim(control::ClaimRequest {
+            attempt: name(random),
+            deadline_ms: u32::arbitrary(random) % 10_000,
+            digest: number(random) % 2,
+            key: name(random),
+        }),
+        4 => record::command::Kind::Settle(build_settle(random)),
+        5 => record::command::Kind::Tick(record::Tick {
+            elapsed_ms: u32::arbitrary(random),
+            number: number(random) % 8,
+        }),
+        6 => record::command::Kind::Assign(record::Assign {
+            base_version: number(random) % 16,
+            placements: vec![record::Placement {
+                models: vec![name(random)],
+                upstream: name(random),
+            }],
+        }),
+        _ => return Vec::<u8>::arbitrary(random).into(),
+    };
+    let command = record::Command { kind: Some(kind) };
+    command.encode_to_vec().into()
+}
+
+#[test]
+fn replicas_agree_and_snapshots_lose_nothing() {
+    for seed in 0..RUNS {
+        let random = &mut generator(seed);
+        let mut first = machine::Machine::new();
+        let mut second = machine::Machine::new();
+        let mut version = 0;
+        for index in 1..200 {
+            let command = build_command(random);
+            let reply = first.apply(index, &command);
+            assert_eq!(
+                reply,
+                second.apply(index, &command),
+                "seed {seed} index {index}"
+            );
+            if index % 16 == 0 {
+                let snapshot = second.snapshot();
+                second = machine::Machine::restore(&snapshot).unwrap();
+                assert_eq!(second.snapshot(), snapshot, "seed {seed} index {index}");
+            }
+            assert!(first.config().version >= version);
+            version = first.config().version;
+        }
+        assert_eq!(first, second, "seed {seed}");
+    }
+}
+
+#[test]
+fn no_bytes_make_the_state_panic() {
+    for seed in 0..RUNS * 20 {
+        let random = &mut generator(seed);
+        let bytes: Bytes = Vec::<u8>::arbitrary(random).into();
+        machine::Machine::new().apply(1, &bytes);
+        let _ = machine::Machine::restore(&bytes);
+    }
+}
+
+fn submit(machine: &mut machine::Machine, index: u64, id: &str, out: &str) -> Bytes {
+    let request = operator::SubmitRequest {
+        base_revision: 0,
+        change: Some(submit_request::Change::DomainOut(out.to_owned())),
+        id: id.to_owned(),
+        operator: "ada".to_owned(),
+    };
+    let kind = record::command::Kind::Submit(request);
+    let command = record::Command { kind: Some(kind) };
+    machine.apply(index, &command.encode_to_vec().into())
+}
+
+#[test]
+fn an_id_is_answered_as_before_after_hundreds_of_changes_and_a_snapshot() {
+    let mut machine = machine::Machine::new();
+    let first = submit(&mut machine, 1, "first", "nowhere");
+    for index in 2..1_000 {
+        submit(&mut machine, index, &format!("id-{index}"), "nowhere");
+    }
+    let mut machine = machine::Machine::restore(&machine.snapshot()).unwrap();
+    assert_eq!(submit(&mut machine, 1_000, "first", "nowhere"), first);
+    let other = submit(&mut machine, 1_001, "first", "elsewhere");
+    assert_ne!(other, first);
+}
