--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,6 +3,7 @@
 use core::time;
 use std::process;
 use std::sync;
+use std::sync::atomic;
 use std::thread;
 
 use error_stack::ResultExt as _;
@@ -22,13 +23,14 @@
 use crate::board;
 use crate::events;
 use crate::fleet;
+use crate::latency;
 use crate::metrics as instruments;
 use crate::quorum;
 use crate::server;
 use crate::settings;
 
-/// Time that outcomes of claimed calls have to be settled after the last request.
-const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(10);
+/// Longest wait of a started entry for the agents' first load reports.
+const HEAR_LIMIT: time::Duration = time::Duration::from_secs(2);
 /// Period at which readiness is looked at.
 const READY_PERIOD: time::Duration = time::Duration::from_millis(100);
 
@@ -174,6 +176,7 @@
         board: control.board.clone(),
         fleet: control.fleet.clone(),
         ids: app::Ids::new(&settings.node.name, &control.incarnation),
+        latencies: latency::Latencies::default(),
         metrics: instruments::Metrics::new(&registry),
         quorum: quorum::Quorum::new(&settings.controls),
         retries: app::Retries::default(),
@@ -192,8 +195,7 @@
     logs::emit(events::STARTED, format_args!("entry={name}"));
     server::serve(app.clone(), callers).await;
     app.tasks.close();
-    // What is not settled by then stays claimed, and its key is answered as unknown.
-    let _ = tokio::time::timeout(SETTLE_LIMIT, app.tasks.wait()).await;
+    app.tasks.wait().await;
     logs::emit(
         events::STOPPED,
         format_args!("entry={}", app.settings.node.name),
@@ -211,17 +213,41 @@
 }
 
 /// Keeps readiness true while the entry takes new work.
+///
+/// A started entry is ready once each known agent has reported its load, or after
+/// [`HEAR_LIMIT`]: before that it would refuse what the agents can take.
 async fn watch_readiness(app: sync::Arc<app::App>, readiness: health::Readiness) {
     let mut timer = tokio::time::interval(READY_PERIOD);
+    let mut fresh_since = None;
     loop {
         tokio::select! {
             biased;
             () = app.stop.cancelled() => return readiness.set(false),
-            _ = timer.tick() => readiness.set(app.view.is_fresh()),
+            _ = timer.tick() => {}
+        }
+        let heard = count_heard(&app);
+        app.metrics
+            .upstreams
+            .store(heard as u64, atomic::Ordering::Relaxed);
+        if !app.view.is_fresh() {
+            readiness.set(false);
+            continue;
+        }
+        let since = *fresh_since.get_or_insert_with(tokio::time::Instant::now);
+        let all_heard = heard > 0 && heard == app.fleet().peers.len();
+        if readiness.is_ready() || since.elapsed() > HEAR_LIMIT || all_heard {
+            readiness.set(true);
         }
     }
 }
 
+/// Returns how many agents have reported their load.
+fn count_heard(app: &app::App) -> usize {
+    let fleet = app.fleet();
+    let peers = fleet.peers.values();
+    peers.filter(|peer| !peer.incarnation().is_empty()).count()
+}
+
 async fn watch_stop(app: sync::Arc<app::App>) {
     app.stop.cancelled().await;
     app.view.set_leaving();
--- a/crates/proof/tests/failures/fleet.rs
+++ b/crates/proof/tests/failures/fleet.rs
@@ -87,14 +87,36 @@
         for index in 0..plan.entries {
             fleet.start_entry(index);
         }
+        for index in 0..plan.controls {
+            fleet.wait_ready(&format!("control-{index}")).await;
+        }
         fleet.apply(0, 0).await;
         let names: Vec<String> = fleet.healths.keys().cloned().collect();
         for name in names {
             fleet.wait_ready(&name).await;
         }
+        fleet.wait_members(plan.engines + plan.services).await;
         fleet
     }
 
+    /// Waits until every agent is a member and each entry has heard of them all.
+    async fn wait_members(&self, count: usize) {
+        for (name, port) in &self.healths {
+            if !name.starts_with("entry-") {
+                continue;
+            }
+            let url = format!("http://127.0.0.1:{port}/metrics");
+            wait_until("the entry has heard of every agent", async || {
+                let request = http::Request::get(url.clone());
+                let answer = client::Client::new("").call(request, Bytes::new()).await;
+                answer.is_ok_and(|answer| {
+                    read_metric(&answer.body, "peargap_entry_upstreams") == Some(count as f64)
+                })
+            })
+            .await;
+        }
+    }
+
     fn start_controls(&mut self, count: usize) {
         let found = ports::find_ports(count * 3).expect("free ports");
         self.controls = found
@@ -124,7 +146,8 @@
             .chain(plan.engine_arguments)
             .map(|word| (*word).to_owned())
             .collect();
-        arguments.push(format!("--listen=127.0.0.1:{address}"));
+        arguments.push("--listen".to_owned());
+        arguments.push(format!("127.0.0.1:{address}"));
         self.spawn(&name, "peargap-fake", arguments);
         let mut reached = address;
         if plan.relays {
@@ -141,7 +164,8 @@
         self.services.push(address);
         let arguments = vec![
             "service".to_owned(),
-            format!("--listen=127.0.0.1:{address}"),
+            "--listen".to_owned(),
+            format!("127.0.0.1:{address}"),
         ];
         self.spawn(&name, "peargap-fake", arguments);
         self.start_agent(&name, "service", "loans,lookups", index, address);
@@ -338,6 +362,13 @@
     }
 }
 
+/// Returns the value of a metric without labels of its own.
+fn read_metric(body: &[u8], name: &str) -> Option<f64> {
+    let text = client::show_body(body);
+    let line = text.lines().find(|line| line.starts_with(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
 /// Returns what a command printed.
 pub(crate) fn show(output: &process::Output) -> String {
     format!(
