Fetch machine in core; one traffic thread; test agents on loopback numbers of their own

Cause: what is true of a generation whose engine fails was decided inside the driver and not checked by itself; a test agent once never became ready because another process took its port; 12 worker threads wake each other for each token.

--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use peargap_adapters::logs;
+use peargap_core::fetch;
 use peargap_core::replay;
 use peargap_core::time;
 use peargap_wire::agent as wire;
@@ -52,9 +53,12 @@
     let mut driver = Driver {
         agent: &agent,
         begun: tokio::time::Instant::now(),
+        detail: String::new(),
+        fetch: fetch::Fetch::new(RESUME_WINDOW),
         finish: Finish::default(),
         last: None,
         permit: &permit,
+        reader: None,
         stream: &stream,
     };
     let end = tokio::select! {
@@ -174,78 +178,113 @@
     usage: tokens::Usage,
 }
 
-/// What to do next with the engine.
-enum Step {
-    End(stream::End),
-    Read(tokens::Reader),
-    Seek(Seek),
-}
-
-/// A stream whose link broke.
-struct Seek {
-    /// Whether the engine is known to have taken the request.
-    received: bool,
-    until: tokio::time::Instant,
-}
-
 struct Driver<'a> {
     agent: &'a agent::Agent,
     begun: tokio::time::Instant,
+    /// What the engine last said of a failure.
+    detail: String,
+    fetch: fetch::Fetch,
     finish: Finish,
     /// When tokens were last stored.
     last: Option<tokio::time::Instant>,
     permit: &'a gate::Permit,
+    /// The open link, while tokens come.
+    reader: Option<tokens::Reader>,
     stream: &'a stream::Stream,
 }
 
 impl Driver<'_> {
     async fn read(&mut self, path: engine::Path, body: Bytes) -> stream::End {
-        let opened = self.agent.engine.start(path, &self.stream.id, body).await;
-        let mut step = judge_start(opened);
         loop {
-            step = match step {
-                Step::End(end) => return end,
-                Step::Read(reader) => self.relay(reader).await,
-                Step::Seek(seek) => self.resume(seek).await,
+            let event = match self.fetch.next() {
+                fetch::Next::End(end) => return self.build_end(end),
+                fetch::Next::Read => self.relay().await,
+                fetch::Next::Resume => self.resume().await,
+                fetch::Next::Start => self.start(path, body.clone()).await,
             };
+            self.fetch.handle(self.agent.clock.now(), event);
+        }
+    }
+
+    async fn start(&mut self, path: engine::Path, body: Bytes) -> fetch::Event {
+        let opened = self.agent.engine.start(path, &self.stream.id, body).await;
+        self.take_opened(opened)
+    }
+
+    /// Asks for the rest of the stream over a new link.
+    async fn resume(&mut self) -> fetch::Event {
+        self.agent.meters.count_engine_resume();
+        let offset = self.stream.next();
+        let opened = self.agent.engine.resume(&self.stream.id, offset).await;
+        let event = self.take_opened(opened);
+        if matches!(event, fetch::Event::Lost | fetch::Event::Unreachable) {
+            tokio::time::sleep(RESUME_PAUSE).await;
         }
+        event
     }
 
-    /// Stores tokens until the link ends.
-    async fn relay(&mut self, mut reader: tokens::Reader) -> Step {
+    fn take_opened(&mut self, opened: engine::Opened) -> fetch::Event {
+        match opened {
+            engine::Opened::Tokens(reader) => {
+                self.reader = Some(reader);
+                fetch::Event::Opened
+            }
+            engine::Opened::Refused { status, detail } => {
+                self.detail = format!("the engine answered {status}: {detail}");
+                fetch::Event::Refused(judge::judge_status(status))
+            }
+            engine::Opened::Fault(fault) => {
+                self.detail = format!("the engine was not reached: {fault:?}");
+                judge::judge_fault(&fault)
+            }
+        }
+    }
+
+    /// Stores tokens until something else happens on the link.
+    async fn relay(&mut self) -> fetch::Event {
+        let Some(mut reader) = self.reader.take() else {
+            return self.lose_link("no link");
+        };
         loop {
             let mut next = reader.next().await;
             let mut stored = 0;
-            loop {
+            let event = loop {
                 match self.take_next(next).await {
-                    Taken::Over(step) => {
-                        self.publish(stored);
-                        return step;
-                    }
+                    Taken::Event(event) => break Some(event),
                     Taken::Stored => stored += 1,
-                    Taken::Other => {}
+                    Taken::Nothing => {}
                 }
                 if stored >= MAX_READY {
-                    break;
+                    break None;
                 }
                 next = match reader.poll_ready() {
                     Some(next) => next,
-                    None => break,
+                    None => break None,
                 };
-            }
+            };
             self.publish(stored);
+            match event {
+                Some(fetch::Event::LastToken) => {
+                    // Counts follow the last token on the same link.
+                    self.reader = Some(reader);
+                    return fetch::Event::LastToken;
+                }
+                Some(event) => return event,
+                None => {}
+            }
         }
     }
 
     async fn take_next(&mut self, next: tokens::Next) -> Taken {
         match next {
             tokens::Next::Step(step) => self.take_step(step).await,
-            tokens::Next::Done => Taken::Over(self.finish_whole()),
+            tokens::Next::Done => Taken::Event(fetch::Event::Completed),
             tokens::Next::Failed(detail) => {
-                Taken::Over(Step::End(judge::end_with(wire::Ran::Yes, detail)))
+                self.detail = detail;
+                Taken::Event(fetch::Event::Failed)
             }
-            tokens::Next::Lost(cause) => Taken::Over(self.lose_link(&cause)),
-            tokens::Next::Silent => Taken::Over(self.lose_link("silent")),
+            tokens::Next::Lost(cause) => Taken::Event(self.lose_link(&cause)),
+            tokens::Next::Silent => Taken::Event(self.lose_link("silent")),
         }
     }
 
@@ -253,17 +292,17 @@
         if let Some(usage) = step.usage {
             self.finish.usage = usage;
         }
-        let mut taken = Taken::Other;
-        if let Some(text) = step.text {
-            taken = self.store(step.offset, text).await;
-        }
-        if let Taken::Over(_) = taken {
+        let last = step.reason.is_some();
+        let taken = match step.text {
+            Some(text) => self.store(step.offset, text).await,
+            None => Taken::Nothing,
+        };
+        if matches!(taken, Taken::Event(_)) || !last {
             return taken;
         }
-        if step.reason.is_some() {
-            self.finish.reason = step.reason;
-        }
-        taken
+        self.finish.reason = step.reason;
+        self.publish(u64::from(matches!(taken, Taken::Stored)));
+        Taken::Event(fetch::Event::LastToken)
     }
 
     /// Stores a token, waiting for the reader while the buffer is full.
@@ -274,8 +313,8 @@
                     self.stream.publish();
                     self.stream.wait_for_room().await;
                 }
-                replay::Push::Gap => return Taken::Over(self.lose_link("gap in the offsets")),
-                replay::Push::Repeated => return Taken::Other,
+                replay::Push::Gap => return Taken::Event(self.lose_link("gap in the offsets")),
+                replay::Push::Repeated => return Taken::Nothing,
                 replay::Push::Stored => return Taken::Stored,
             }
         }
@@ -298,92 +337,45 @@
         self.agent.meters.count_tokens(stored, gap);
     }
 
-    fn finish_whole(&mut self) -> Step {
-        let usage = self.finish.usage;
-        let reason = self.finish.reason.take();
-        let output_tokens = u32::try_from(self.stream.next()).unwrap_or(u32::MAX);
-        let details = usage.prompt_tokens_details.unwrap_or_default();
-        Step::End(stream::End::Finished(wire::Finished {
-            prompt_tokens: usage.prompt_tokens,
-            output_tokens,
-            reason: reason.unwrap_or_else(|| "stop".to_owned()),
-            cached_tokens: details.cached_tokens,
-        }))
-    }
-
-    /// Ends a generation that cannot be resumed; one whose last token has come is whole.
-    fn end_lost(&mut self, ran: wire::Ran, detail: String) -> Step {
-        if self.finish.reason.is_some() {
-            return self.finish_whole();
-        }
-        Step::End(judge::end_with(ran, detail))
-    }
-
-    fn lose_link(&mut self, cause: &str) -> Step {
+    fn lose_link(&mut self, cause: &str) -> fetch::Event {
         let (id, offset) = (&self.stream.id, self.stream.next());
         logs::emit(
             events::ENGINE_LINK_LOST,
             format_args!("generation={id} offset={offset} cause={cause:?}"),
         );
-        Step::Seek(Seek {
-            received: true,
-            until: tokio::time::Instant::now() + RESUME_WINDOW,
-        })
+        fetch::Event::Lost
     }
 
-    /// Asks for the rest of the stream over a new link.
-    async fn resume(&mut self, seek: Seek) -> Step {
-        self.agent.meters.count_engine_resume();
-        let offset = self.stream.next();
-        let ran = if seek.received {
-            wire::Ran::Yes
-        } else {
-            wire::Ran::Unknown
-        };
-        let fault = match self.agent.engine.resume(&self.stream.id, offset).await {
-            engine::Opened::Tokens(reader) => return Step::Read(reader),
-            engine::Opened::Refused { status, detail } => {
-                let detail = format!("the engine lost the generation: {status} {detail}");
-                return self.end_lost(ran, detail);
-            }
-            engine::Opened::Fault(http::Fault::Refused) => {
-                return self.end_lost(ran, "the engine has gone".to_owned());
+    fn build_end(&mut self, end: fetch::End) -> stream::End {
+        match end {
+            fetch::End::Whole => self.build_whole(),
+            fetch::End::Failed { cause, ran } => {
+                let detail = core::mem::take(&mut self.detail);
+                stream::End::Failed(judge::build_failed(cause, ran, detail))
             }
-            engine::Opened::Fault(fault) => fault,
-        };
-        if tokio::time::Instant::now() >= seek.until {
-            return self.end_lost(ran, format!("the engine does not answer: {fault:?}"));
         }
-        tokio::time::sleep(RESUME_PAUSE).await;
-        Step::Seek(seek)
+    }
+
+    fn build_whole(&mut self) -> stream::End {
+        let usage = self.finish.usage;
+        let reason = self.finish.reason.take();
+        let details = usage.prompt_tokens_details.unwrap_or_default();
+        stream::End::Finished(wire::Finished {
+            prompt_tokens: usage.prompt_tokens,
+            output_tokens: u32::try_from(self.stream.next()).unwrap_or(u32::MAX),
+            reason: reason.unwrap_or_else(|| "stop".to_owned()),
+            cached_tokens: details.cached_tokens,
+        })
     }
 }
 
-/// What became of one event.
+/// What became of one event of the engine.
 enum Taken {
-    Other,
-    Over(Step),
+    Event(fetch::Event),
+    Nothing,
     Stored,
 }
 
-fn judge_start(opened: engine::Opened) -> Step {
-    match opened {
-        engine::Opened::Tokens(reader) => Step::Read(reader),
-        engine::Opened::Refused { status, detail } => {
-            Step::End(judge::judge_refusal(status, &detail))
-        }
-        engine::Opened::Fault(fault) if fault.is_before_send() => {
-            let detail = format!("the engine was not reached: {fault:?}");
-            let failed = agent::refuse(wire::Reason::Upstream, judge::FAILED_RETRY_MS, detail);
-            Step::End(stream::End::Failed(failed))
-        }
-        engine::Opened::Fault(_) => Step::Seek(Seek {
-            received: false,
-            until: tokio::time::Instant::now() + RESUME_WINDOW,
-        }),
-    }
-}
-
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
--- a/crates/agent/src/judge.rs
+++ b/crates/agent/src/judge.rs
@@ -1,33 +1,51 @@
 //! What an engine's fault says of a generation.
 
 use peargap_core::admit;
+use peargap_core::fetch;
 use peargap_wire::agent as wire;
 
-use crate::agent;
+use crate::http as link;
 use crate::meters;
 use crate::stream;
 
 /// When to come back after the engine failed.
-pub(crate) const FAILED_RETRY_MS: u32 = 1_000;
+const FAILED_RETRY_MS: u32 = 1_000;
 
-/// Judges an error answer to a new request: the engine says 4xx or 503 before it runs anything.
-pub(crate) fn judge_refusal(status: http::StatusCode, detail: &str) -> stream::End {
-    let detail = format!("the engine answered {status}: {detail}");
-    let failed = match status {
-        http::StatusCode::NOT_FOUND => agent::refuse(wire::Reason::Model, FAILED_RETRY_MS, detail),
+/// Returns what an error status of the engine says.
+pub(crate) fn judge_status(status: http::StatusCode) -> fetch::Refusal {
+    match status {
+        http::StatusCode::NOT_FOUND => fetch::Refusal::NotFound,
         http::StatusCode::TOO_MANY_REQUESTS | http::StatusCode::SERVICE_UNAVAILABLE => {
-            agent::refuse(wire::Reason::Busy, FAILED_RETRY_MS, detail)
+            fetch::Refusal::Busy
         }
-        status if status.is_client_error() => agent::refuse(wire::Reason::Invalid, 0, detail),
-        _ => return end_with(wire::Ran::Unknown, detail),
-    };
-    stream::End::Failed(failed)
+        status if status.is_client_error() => fetch::Refusal::Invalid,
+        _ => fetch::Refusal::Error,
+    }
 }
 
-/// Returns the end of a generation that the engine failed.
-pub(crate) fn end_with(ran: wire::Ran, detail: impl Into<String>) -> stream::End {
-    let failed = stream::fail(ran, wire::Reason::Upstream, FAILED_RETRY_MS, detail);
-    stream::End::Failed(failed)
+/// Returns what a request without any answer says.
+pub(crate) fn judge_fault(fault: &link::Fault) -> fetch::Event {
+    match fault {
+        link::Fault::Refused => fetch::Event::Gone,
+        link::Fault::Unreachable(_) => fetch::Event::Unreachable,
+        link::Fault::Lost(_) | link::Fault::Silent | link::Fault::TooLarge => fetch::Event::Lost,
+    }
+}
+
+/// Returns the answer for a generation without a whole one.
+pub(crate) fn build_failed(cause: fetch::Cause, ran: fetch::Ran, detail: String) -> wire::Failed {
+    let ran = match ran {
+        fetch::Ran::No => wire::Ran::No,
+        fetch::Ran::Unknown => wire::Ran::Unknown,
+        fetch::Ran::Yes => wire::Ran::Yes,
+    };
+    let (reason, retry_after_ms) = match cause {
+        fetch::Cause::Busy => (wire::Reason::Busy, FAILED_RETRY_MS),
+        fetch::Cause::Engine => (wire::Reason::Upstream, FAILED_RETRY_MS),
+        fetch::Cause::Invalid => (wire::Reason::Invalid, 0),
+        fetch::Cause::Model => (wire::Reason::Model, FAILED_RETRY_MS),
+    };
+    stream::fail(ran, reason, retry_after_ms, detail)
 }
 
 /// Returns what the end means to admission and to the metrics.
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -74,6 +74,7 @@
     let stop = cancel::CancellationToken::new();
     let (agent, control) = start_control(settings, &registry, stop.clone())?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(agent.settings.traffic_threads)
         .enable_all()
         .build()?;
     let served = runtime.block_on(serve(agent, registry));
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -20,6 +20,8 @@
     pub(crate) name: String,
     pub(crate) queue: Queue,
     pub(crate) stream: Stream,
+    /// Threads that relay tokens and calls.
+    pub(crate) traffic_threads: usize,
     pub(crate) upstream: Upstream,
 }
 
@@ -89,6 +91,7 @@
 fn read(reader: &mut settings::Reader) -> Option<Settings> {
     let name = reader.required("node", "name", "the agent's name");
     let domain = reader.required("node", "domain", "the name of its failure domain");
+    let traffic_threads = reader.ranged("node", "traffic_threads", 1, 1..=64);
     let internal = reader.required("listen", "internal", "ip:port");
     let health = reader.required("listen", "health", "ip:port");
     let controls = reader.list("control", "addresses", "ip:port,ip:port");
@@ -117,6 +120,7 @@
         name: name?,
         queue,
         stream,
+        traffic_threads,
         upstream: upstream?,
     })
 }
--- a/crates/agent/tests/support/process.rs
+++ b/crates/agent/tests/support/process.rs
@@ -1,6 +1,7 @@
 //! The agent's process.
 
 use core::net;
+use core::sync::atomic;
 use std::fs;
 use std::process;
 
@@ -99,7 +100,13 @@
     }
 }
 
+/// Returns a free address on a loopback number of this agent's own, so that nothing else takes it
+/// before the agent does.
 fn find_address() -> net::SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    static AGENTS: atomic::AtomicU8 = atomic::AtomicU8::new(1);
+    let [.., high, low] = process::id().to_be_bytes();
+    let number = AGENTS.fetch_add(1, atomic::Ordering::Relaxed);
+    let host = net::Ipv4Addr::new(127, 128 | high, low, number);
+    let listener = std::net::TcpListener::bind((host, 0)).unwrap();
     listener.local_addr().unwrap()
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod curve;
 pub mod fair;
 pub mod fences;
+pub mod fetch;
 pub mod follow;
 pub mod forecast;
 pub mod generation;
--- /dev/null
+++ b/crates/core/tests/fetch.rs
@@ -0,0 +1,113 @@
+//! What the fetch machine says of a generation is true, whatever happens in whatever order.
+
+use core::time::Duration;
+
+use peargap_core::fetch;
+use peargap_core::time;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+const CASES: u64 = 5_000;
+const WINDOW: Duration = Duration::from_millis(100);
+
+/// An event after some milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Timed {
+    after_ms: u64,
+    event: fetch::Event,
+}
+
+impl Arbitrary for Timed {
+    fn arbitrary(random: &mut Gen) -> Timed {
+        let refusals = [
+            fetch::Refusal::Busy,
+            fetch::Refusal::Error,
+            fetch::Refusal::Invalid,
+            fetch::Refusal::NotFound,
+        ];
+        let events = [
+            fetch::Event::Completed,
+            fetch::Event::Failed,
+            fetch::Event::Gone,
+            fetch::Event::LastToken,
+            fetch::Event::Lost,
+            fetch::Event::Lost,
+            fetch::Event::Opened,
+            fetch::Event::Opened,
+            fetch::Event::Refused(*random.choose(&refusals).unwrap()),
+            fetch::Event::Unreachable,
+        ];
+        Timed {
+            after_ms: u64::from(u8::arbitrary(random) % 40),
+            event: *random.choose(&events).unwrap(),
+        }
+    }
+}
+
+/// Returns whether the engine may have taken the request when `event` answers it.
+fn may_have_run(event: fetch::Event) -> bool {
+    match event {
+        fetch::Event::Gone | fetch::Event::Unreachable => false,
+        fetch::Event::Refused(refusal) => refusal == fetch::Refusal::Error,
+        fetch::Event::Completed
+        | fetch::Event::Failed
+        | fetch::Event::LastToken
+        | fetch::Event::Lost
+        | fetch::Event::Opened => true,
+    }
+}
+
+fn check(events: &[Timed]) {
+    let mut machine = fetch::Fetch::new(WINDOW);
+    let mut now = time::Instant::default();
+    let (mut opened, mut last_token, mut completed) = (false, false, false);
+    for (index, timed) in events.iter().enumerate() {
+        let before = machine.next();
+        now.0 += timed.after_ms;
+        let next = machine.handle(now, timed.event);
+        if let fetch::Next::End(_) = before {
+            assert_eq!(next, before, "an end is final");
+            continue;
+        }
+        opened |= timed.event == fetch::Event::Opened;
+        let reading = before == fetch::Next::Read;
+        last_token |= reading && timed.event == fetch::Event::LastToken;
+        completed |= reading && timed.event == fetch::Event::Completed;
+        assert!(next != fetch::Next::Start, "asked twice");
+        match next {
+            fetch::Next::End(fetch::End::Whole) => assert!(last_token || completed),
+            fetch::Next::End(fetch::End::Failed { ran, .. }) => {
+                assert!(!last_token, "whole, yet failed");
+                let may_have_run = may_have_run(events[0].event);
+                assert_eq!(ran == fetch::Ran::No, index == 0 && !may_have_run);
+                assert!(ran != fetch::Ran::Yes || opened);
+            }
+            fetch::Next::Read | fetch::Next::Resume | fetch::Next::Start => {}
+        }
+    }
+}
+
+#[test]
+fn ends_are_true_and_final() {
+    for seed in 0..CASES {
+        let mut random = Gen::from_size_and_seed(12, seed);
+        let events = Vec::<Timed>::arbitrary(&mut random);
+        check(&events);
+    }
+}
+
+#[test]
+fn silent_engine_is_sought_for_the_window_only() {
+    let mut machine = fetch::Fetch::new(WINDOW);
+    machine.handle(time::Instant(0), fetch::Event::Opened);
+    let lost = machine.handle(time::Instant(1_000), fetch::Event::Lost);
+    assert_eq!(lost, fetch::Next::Resume);
+    let lost = machine.handle(time::Instant(1_099), fetch::Event::Lost);
+    assert_eq!(lost, fetch::Next::Resume);
+    let failed = fetch::End::Failed {
+        cause: fetch::Cause::Engine,
+        ran: fetch::Ran::Yes,
+    };
+    let lost = machine.handle(time::Instant(1_100), fetch::Event::Lost);
+    assert_eq!(lost, fetch::Next::End(failed));
+}
