Agent: answers count for plain calls, models announced, decisions logged with what was weighed

Cause: a plain call's answer never counted as its first token; a change of loaded models was not announced; a request shed from the queue was told to come back after 0 ms; check_stalled had no caller. Ruled out: counting every stream that stands still as preempted (a slow caller would stop admission for all); only within 1 s of the engine's own report. Change: tell_answer, announce, floor of 100 ms, decision module; test that an unproven upstream gets two whatever the number of callers.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync as cancel;
 
 use crate::clock;
+use crate::decision;
 use crate::engine;
 use crate::events;
 use crate::gate;
@@ -29,6 +30,8 @@
 const STALLED_AFTER_MS: u64 = 250;
 /// When to come back to an upstream that does not answer.
 const LOST_RETRY_MS: u32 = 1_000;
+/// How long after a reported preemption streams that stand still count as preempted.
+const PREEMPTION_MEMORY_MS: u64 = 1_000;
 
 /// A request in the queue.
 struct Waiting {
@@ -52,6 +55,8 @@
     healthy: bool,
     messages: mpsc::UnboundedReceiver<gate::Message>,
     meters: meters::Meters,
+    /// When the engine last reported preemptions.
+    preempted_at: time::Instant,
     report: engine::Report,
     running: collections::HashMap<admit::Stream, Running>,
     sender: mpsc::UnboundedSender<gate::Message>,
@@ -80,6 +85,7 @@
             healthy: false,
             messages,
             meters,
+            preempted_at: time::Instant::default(),
             report: engine::Report::default(),
             running: collections::HashMap::new(),
             sender,
@@ -119,8 +125,9 @@
 
     fn decide(&mut self, ask: gate::Ask, answer: mpsc::UnboundedSender<gate::Verdict>) {
         if !self.healthy {
-            refuse(
+            decision::refuse(
                 &self.meters,
+                &self.admission.load(),
                 &ask,
                 &answer,
                 wire::Reason::Upstream,
@@ -139,8 +146,15 @@
                 reason,
                 retry_after_ms,
             } => {
-                let reason = map_reason(reason);
-                refuse(&self.meters, &ask, &answer, reason, clip(retry_after_ms));
+                let reason = decision::map_reason(reason);
+                decision::refuse(
+                    &self.meters,
+                    &self.admission.load(),
+                    &ask,
+                    &answer,
+                    reason,
+                    decision::clip(retry_after_ms),
+                );
             }
             admit::Decision::Wait => self.queue(now, request, ask, answer),
         }
@@ -168,8 +182,15 @@
         let ahead = self.admission.load().waiting;
         let ticket = match self.admission.push(now, request) {
             queue::Pushed::Full { retry_after_ms } => {
-                let after = clip(retry_after_ms);
-                refuse(&self.meters, &ask, &answer, wire::Reason::Busy, after);
+                let after = decision::clip(retry_after_ms);
+                decision::refuse(
+                    &self.meters,
+                    &self.admission.load(),
+                    &ask,
+                    &answer,
+                    wire::Reason::Busy,
+                    after,
+                );
                 return;
             }
             queue::Pushed::Displaced {
@@ -177,19 +198,13 @@
                 shed,
                 retry_after_ms,
             } => {
-                self.turn_away(shed, wire::Reason::Busy, clip(retry_after_ms));
+                self.turn_away(shed, wire::Reason::Busy, decision::clip(retry_after_ms));
                 ticket
             }
             queue::Pushed::Waits(ticket) => ticket,
         };
         let load = self.admission.load();
-        logs::emit(
-            events::QUEUED,
-            format_args!(
-                "request={} team={} model={} ahead={ahead} running={} limit={} used_tokens={} wait_ms={}",
-                ask.request, ask.team, ask.model, load.running, load.limit, load.used_tokens, load.wait_ms
-            ),
-        );
+        decision::log_queued(&ask, ahead, &load);
         let _ = answer.send(gate::Verdict::Queued(ahead));
         let since = now;
         self.waiting.insert(ticket, Waiting { answer, ask, since });
@@ -213,16 +228,11 @@
         );
         self.meters.count_admitted(waited_ms);
         let load = self.admission.load();
-        logs::emit(
-            events::ADMITTED,
-            format_args!(
-                "request={} team={} model={} priority={} prompt_tokens={} waited_ms={waited_ms} running={} limit={} used_tokens={}",
-                ask.request, ask.team, ask.model, ask.priority, ask.prompt_tokens, load.running, load.limit, load.used_tokens
-            ),
-        );
+        decision::log_admitted(ask, waited_ms, &load);
         // A caller that has gone drops the permit, which gives it back.
         let _ = answer.send(gate::Verdict::Admitted(gate::Permit::new(
             stream,
+            sync::Arc::clone(&ask.produced),
             self.sender.clone(),
         )));
     }
@@ -234,7 +244,7 @@
             self.turn_away(
                 shed.ticket,
                 wire::Reason::Deadline,
-                clip(shed.retry_after_ms),
+                decision::clip(shed.retry_after_ms),
             );
         }
         while let Some(started) = self.admission.next(now) {
@@ -250,8 +260,9 @@
 
     fn turn_away(&mut self, ticket: queue::Ticket, reason: wire::Reason, retry_after_ms: u32) {
         if let Some(waiting) = self.waiting.remove(&ticket) {
-            refuse(
+            decision::refuse(
                 &self.meters,
+                &self.admission.load(),
                 &waiting.ask,
                 &waiting.answer,
                 reason,
@@ -277,6 +288,12 @@
         for stream in streams {
             self.note_progress(stream);
         }
+        // A stream may also stand still because its caller reads slowly; only the engine's own
+        // report makes it a preempted one.
+        let recent = now.millis_since(self.preempted_at) < PREEMPTION_MEMORY_MS;
+        if self.report.preemptions > 0 && recent {
+            self.admission.check_stalled(now);
+        }
         if let Some(sign) = self.admission.check_overdue(now) {
             self.log_sign(sign);
         }
@@ -348,9 +365,10 @@
         }
     }
 
-    /// Logs the preemptions that the engine reported, and how many streams stand still now.
+    /// Notes the preemptions that the engine reported, and how many streams stand still now.
     fn note_preemptions(&mut self, count: u64) {
         let now = self.clock.now();
+        self.preempted_at = now;
         let mut stalled = 0;
         for running in self.running.values() {
             if running.known > 0 && now.millis_since(running.last_token) > STALLED_AFTER_MS {
@@ -395,40 +413,3 @@
         });
     }
 }
-
-fn refuse(
-    meters: &meters::Meters,
-    ask: &gate::Ask,
-    answer: &mpsc::UnboundedSender<gate::Verdict>,
-    reason: wire::Reason,
-    retry_after_ms: u32,
-) {
-    meters.count_refusal(reason);
-    logs::emit(
-        events::REFUSED,
-        format_args!(
-            "request={} team={} model={} reason={} retry_after_ms={retry_after_ms}",
-            ask.request,
-            ask.team,
-            ask.model,
-            reason.as_str_name()
-        ),
-    );
-    let _ = answer.send(gate::Verdict::Refused {
-        reason,
-        retry_after_ms,
-    });
-}
-
-fn map_reason(reason: admit::Reason) -> wire::Reason {
-    match reason {
-        admit::Reason::Busy => wire::Reason::Busy,
-        admit::Reason::Deadline => wire::Reason::Deadline,
-        admit::Reason::Ramping => wire::Reason::Ramping,
-        admit::Reason::TooLarge => wire::Reason::Invalid,
-    }
-}
-
-fn clip(millis: u64) -> u32 {
-    u32::try_from(millis).unwrap_or(u32::MAX)
-}
--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -8,6 +8,8 @@
 use peargap_core::generation;
 use peargap_core::time;
 use peargap_wire::agent as wire;
+use peargap_wire::control;
+use tokio::sync::watch;
 
 use crate::clock;
 use crate::engine;
@@ -29,6 +31,8 @@
 /// The agent; tasks share it by reference count.
 #[derive(Debug)]
 pub(crate) struct Agent {
+    /// What the control hosts are told of the upstream.
+    pub(crate) announcement: watch::Sender<Option<control::Announcement>>,
     /// The engine's prefix cache as far as it is known.
     pub(crate) cached: sync::Mutex<cached::Known>,
     pub(crate) claims: sync::Mutex<registry::Claims>,
@@ -120,6 +124,21 @@
         reported
     }
 
+    /// Announces the models loaded when they have changed.
+    pub(crate) fn announce(&self, models: &[String]) {
+        if models.is_empty() {
+            return;
+        }
+        self.announcement.send_if_modified(|announcement| {
+            let Some(announcement) = announcement else {
+                return false;
+            };
+            let changed = announcement.offers != models;
+            announcement.offers = models.to_vec();
+            changed
+        });
+    }
+
     /// Returns a name for the next generation.
     pub(crate) fn name_generation(&self) -> String {
         let id = generation::Id {
--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -74,7 +74,9 @@
         Ok(outcome) => outcome,
         Err(_) => Err(upstream::Fault::Silent),
     };
-    permit.tell_first();
+    if outcome.is_ok() {
+        permit.tell_answer();
+    }
     permit.set_end(match &outcome {
         Ok(response) if response.status < 500 => admit::End::Whole,
         Err(upstream::Fault::Silent) => admit::End::Cancelled,
--- /dev/null
+++ b/crates/agent/src/decision.rs
@@ -0,0 +1,85 @@
+//! Decisions of admission as they are logged, counted and answered.
+
+use peargap_adapters::logs;
+use peargap_core::admit;
+use peargap_wire::agent as wire;
+use tokio::sync::mpsc;
+
+use crate::events;
+use crate::gate;
+use crate::meters;
+
+/// Soonest time to come back after a refusal that is not final.
+const MIN_RETRY_MS: u32 = 100;
+
+/// Logs that a request waits behind `ahead` others.
+pub(crate) fn log_queued(ask: &gate::Ask, ahead: u32, load: &admit::Load) {
+    logs::emit(
+        events::QUEUED,
+        format_args!(
+            "request={} team={} model={} ahead={ahead} running={} limit={} used_tokens={} wait_ms={}",
+            ask.request, ask.team, ask.model, load.running, load.limit, load.used_tokens, load.wait_ms
+        ),
+    );
+}
+
+/// Logs that a request runs after a wait of `waited_ms`.
+pub(crate) fn log_admitted(ask: &gate::Ask, waited_ms: u64, load: &admit::Load) {
+    logs::emit(
+        events::ADMITTED,
+        format_args!(
+            "request={} team={} model={} priority={} prompt_tokens={} waited_ms={waited_ms} running={} limit={} used_tokens={}",
+            ask.request, ask.team, ask.model, ask.priority, ask.prompt_tokens, load.running, load.limit, load.used_tokens
+        ),
+    );
+}
+
+/// Answers, logs and counts that a request does not run.
+pub(crate) fn refuse(
+    meters: &meters::Meters,
+    load: &admit::Load,
+    ask: &gate::Ask,
+    answer: &mpsc::UnboundedSender<gate::Verdict>,
+    reason: wire::Reason,
+    retry_after_ms: u32,
+) {
+    let retry_after_ms = match reason {
+        wire::Reason::Invalid => 0,
+        _ => retry_after_ms.max(MIN_RETRY_MS),
+    };
+    meters.count_refusal(reason);
+    logs::emit(
+        events::REFUSED,
+        format_args!(
+            "request={} team={} model={} reason={} retry_after_ms={retry_after_ms} running={} queued={} limit={} used_tokens={} wait_ms={}",
+            ask.request,
+            ask.team,
+            ask.model,
+            reason.as_str_name(),
+            load.running,
+            load.waiting,
+            load.limit,
+            load.used_tokens,
+            load.wait_ms
+        ),
+    );
+    let _ = answer.send(gate::Verdict::Refused {
+        reason,
+        retry_after_ms,
+    });
+}
+
+/// Returns a refusal's reason in its wire form.
+pub(crate) fn map_reason(reason: admit::Reason) -> wire::Reason {
+    match reason {
+        admit::Reason::Busy => wire::Reason::Busy,
+        admit::Reason::Deadline => wire::Reason::Deadline,
+        admit::Reason::Ramping => wire::Reason::Ramping,
+        admit::Reason::TooLarge => wire::Reason::Invalid,
+    }
+}
+
+/// Returns milliseconds as they fit in a message.
+pub(crate) fn clip(millis: u64) -> u32 {
+    u32::try_from(millis).unwrap_or(u32::MAX)
+}
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -48,15 +48,21 @@
 #[derive(Debug)]
 pub(crate) struct Permit {
     end: admit::End,
+    produced: sync::Arc<atomic::AtomicU32>,
     sender: mpsc::UnboundedSender<Message>,
     stream: admit::Stream,
 }
 
 impl Permit {
-    /// Returns leave for `stream`, given back through `sender`.
-    pub(crate) fn new(stream: admit::Stream, sender: mpsc::UnboundedSender<Message>) -> Permit {
+    /// Returns leave for `stream`, whose tokens are counted in `produced`.
+    pub(crate) fn new(
+        stream: admit::Stream,
+        produced: sync::Arc<atomic::AtomicU32>,
+        sender: mpsc::UnboundedSender<Message>,
+    ) -> Permit {
         Permit {
             end: admit::End::Cancelled,
+            produced,
             sender,
             stream,
         }
@@ -67,10 +73,16 @@
         self.end = end;
     }
 
-    /// Tells the gate of the first token or of a plain call's answer.
+    /// Tells the gate of the first token.
     pub(crate) fn tell_first(&self) {
         let _ = self.sender.send(Message::First(self.stream));
     }
+
+    /// Tells the gate of a plain call's answer, which counts as its first token.
+    pub(crate) fn tell_answer(&self) {
+        self.produced.fetch_add(1, atomic::Ordering::Relaxed);
+        self.tell_first();
+    }
 }
 
 impl Drop for Permit {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,6 +5,7 @@
 mod body;
 mod call;
 mod clock;
+mod decision;
 mod domain;
 mod drive;
 mod engine;
--- a/crates/agent/src/poll.rs
+++ b/crates/agent/src/poll.rs
@@ -25,6 +25,7 @@
         match agent.engine.read_load().await {
             Ok(report) => {
                 silent = 0;
+                agent.announce(&report.models);
                 agent.gate.tell(gate::Message::Reported(Some(report)));
             }
             Err(http::Fault::Refused) => agent.gate.tell(gate::Message::Reported(None)),
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -131,9 +131,12 @@
         unproven_limit: ramp::START_LIMIT,
     };
     let (admission, handle) = admission::Admission::new(clock, options, meters.clone());
-    let view = follow::spawn(build_options(&settings, &incarnation), stop);
+    let announcement = watch::Sender::new(Some(build_announcement(&settings)));
+    let options = build_options(&settings, &incarnation, announcement.subscribe());
+    let view = follow::spawn(options, stop);
     let engine = engine::Client::new(upstream.address, upstream.silent_after);
     let agent = agent::Agent {
+        announcement,
         cached: sync::Mutex::default(),
         claims: sync::Mutex::default(),
         clock,
@@ -151,21 +154,28 @@
     (sync::Arc::new(agent), admission)
 }
 
-fn build_options(settings: &settings::Settings, incarnation: &str) -> follow::Options {
+fn build_announcement(settings: &settings::Settings) -> control::Announcement {
     let upstream = &settings.upstream;
     let kind = match upstream.kind {
         settings::Kind::Engine => control::Kind::Engine,
         settings::Kind::Service => control::Kind::Service,
     };
-    let announcement = control::Announcement {
+    control::Announcement {
         upstream: upstream.name.clone(),
         kind: kind.into(),
         offers: upstream.offers.clone(),
         memory_tokens: upstream.memory_tokens,
         checks_fences: upstream.checks_fences,
-    };
+    }
+}
+
+fn build_options(
+    settings: &settings::Settings,
+    incarnation: &str,
+    announcement: watch::Receiver<Option<control::Announcement>>,
+) -> follow::Options {
     follow::Options {
-        announcement: watch::Sender::new(Some(announcement)).subscribe(),
+        announcement,
         controls: settings.controls.clone(),
         node: control::Node {
             name: settings.name.clone(),
--- a/crates/agent/tests/queue.rs
+++ b/crates/agent/tests/queue.rs
@@ -118,3 +118,27 @@
     }
     assert_eq!(rig.engine.look(|state| state.starts), 2);
 }
+
+#[tokio::test]
+async fn upstream_that_has_proven_nothing_gets_two_whatever_the_number_of_callers() {
+    let rig = build_rig("").await;
+    let mut links = Vec::new();
+    for number in 0..12 {
+        let length = if number < 2 { 200 } else { 5 };
+        let first = support::start(&format!("r{number}"), length);
+        links.push(support::open(rig.agent.address, first).await);
+    }
+    for link in &mut links {
+        let answer = link.down.message().await.unwrap().unwrap().kind;
+        assert!(answer.is_some(), "no answer");
+    }
+    assert_eq!(rig.engine.look(|state| state.starts), 2);
+    for link in &mut links {
+        link.read_all(&mut support::Heard::default()).await;
+    }
+    let (_, metrics) = rig.agent.read("/metrics").await.unwrap();
+    let limit = metrics
+        .lines()
+        .find(|line| line.starts_with("peargap_agent_limit{"));
+    assert!(limit.is_some_and(|line| !line.ends_with(" 2")), "{limit:?}");
+}
