core: streams of an upstream in a module of their own; overflow chance 3 %

Change: module runs; OVERFLOW_CHANCE 0.03; the experiment's traffic swells in its first minute and two teams are urgent.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -8,6 +8,7 @@
 use crate::forecast;
 use crate::queue;
 use crate::ramp;
+use crate::runs;
 use crate::time;
 
 slotmap::new_key_type! {
@@ -21,12 +22,10 @@
 const MAX_WAIT_SHARE: f64 = 0.25;
 /// Expected wait times this must leave time to run a request.
 const WAIT_MARGIN: f64 = 1.5;
-/// Gap after which a stream counts as preempted, in milliseconds.
-const STALL_MS: u64 = 200;
 /// Requests that wait, at most.
 pub const MAX_WAITING: usize = 256;
 /// Chance that memory overflows, at most.
-pub const OVERFLOW_CHANCE: f32 = 0.01;
+pub const OVERFLOW_CHANCE: f32 = 0.03;
 /// Gap between tokens against that of a lone stream, at most.
 pub const MAX_STRETCH: f64 = 1.25;
 
@@ -173,41 +172,17 @@
     pub waiting: u32,
 }
 
-/// One running stream.
-#[derive(Clone, Copy, Debug)]
-struct Run {
-    begun: time::Instant,
-    charged: f64,
-    /// Begun since the last sign of a cold upstream, or with no timely first token before it.
-    fresh: bool,
-    last_token: time::Instant,
-    preempted: bool,
-    produced: u32,
-    /// Prompt tokens to compute before its first token, its own and those ahead of it.
-    prompted: u32,
-    request: Request,
-    /// Its first token came in the usual time.
-    timely: bool,
-}
-
 /// Everything that admission at one upstream needs to know.
 #[derive(Clone, Debug)]
 pub struct Admission {
     batch: batch::Bound,
     curves: curve::Curves,
     deviations: f32,
-    /// Streams begun since the last sign of a cold upstream.
-    fresh: u32,
     options: Options,
-    preempted: u32,
-    /// When a prompt was last seen to be computed.
-    prompted_at: time::Instant,
     queue: queue::Queue<Request>,
     ramp: ramp::Ramp,
-    runs: slotmap::SlotMap<Stream, Run>,
+    runs: runs::Table,
     teams: collections::HashMap<String, fair::Team>,
-    /// Streams that have no token yet.
-    unproven: u32,
 }
 
 impl Admission {
@@ -223,15 +198,11 @@
             batch: batch::Bound::new(options.max_running, options.max_stretch),
             curves: curve::Curves::new(),
             deviations: forecast::deviations(options.overflow_chance),
-            fresh: 0,
             options,
-            preempted: 0,
-            prompted_at: now,
             queue: queue::Queue::new(options.max_waiting),
             ramp: ramp::Ramp::new(now, limits),
-            runs: slotmap::SlotMap::with_key(),
+            runs: runs::Table::new(now),
             teams: collections::HashMap::new(),
-            unproven: 0,
         }
     }
 
@@ -274,21 +245,7 @@
         let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
         let charged = f64::from(uncached) + f64::from(self.mean(&request));
         self.queue.shares().charge(request.team, charged);
-        let unproven = self.runs.values().filter(|run| run.produced == 0);
-        let ahead: u32 = unproven.map(|run| run.request.prompt_tokens).sum();
-        self.unproven += 1;
-        self.fresh += 1;
-        self.runs.insert(Run {
-            begun: now,
-            charged,
-            fresh: true,
-            last_token: now,
-            preempted: false,
-            produced: 0,
-            prompted: ahead + request.prompt_tokens,
-            request,
-            timely: false,
-        })
+        self.runs.start(now, request, charged)
     }
 
     /// Starts the queued request whose turn it is, if there is room; to be called until none.
@@ -322,46 +279,29 @@
     /// Returns the sign of a cold upstream that a slow first token gives; the ramp has then fallen
     /// back already.
     pub fn token(&mut self, now: time::Instant, stream: Stream, count: u32) -> Option<ramp::Sign> {
-        let running = self.running();
-        let run = self.runs.get_mut(stream)?;
-        let before = run.produced;
-        let since = run.last_token;
-        let waited_ms = now.millis_since(since);
-        run.produced += count;
-        run.last_token = now;
-        self.curves.passed(run.request.class, before, run.produced);
-        if run.preempted {
-            run.preempted = false;
-            self.preempted -= 1;
-            return None;
-        }
-        if before > 0 {
-            // Prompts computed meanwhile would be taken for the cost of the streams.
-            if self.unproven == 0 && since > self.prompted_at {
-                let gap_ms = waited_ms / u64::from(count.max(1));
-                self.batch.observe(running, gap_ms);
+        let step = self.runs.token(now, stream, count)?;
+        self.curves.passed(step.class, step.before, step.after);
+        match step.kind {
+            runs::Kind::First { prompted } => {
+                let sign = self.ramp.first_token(step.waited_ms, prompted);
+                self.runs.judge(stream, sign.is_none());
+                self.sign(now, sign?);
+                sign
             }
-            return None;
+            runs::Kind::Next { clean: true } => {
+                let gap_ms = step.waited_ms / u64::from(count.max(1));
+                self.batch.observe(self.runs.len(), gap_ms);
+                None
+            }
+            runs::Kind::Next { clean: false } | runs::Kind::Resumed => None,
         }
-        self.unproven -= 1;
-        self.prompted_at = now;
-        let sign = self.ramp.first_token(waited_ms, run.prompted);
-        run.timely = sign.is_none();
-        self.sign(now, sign?);
-        sign
     }
 
     /// Counts streams that get no tokens as preempted; to be called a few times a second.
     ///
     /// No request starts while a preempted stream waits for its memory.
     pub fn check_stalled(&mut self, now: time::Instant) {
-        for run in self.runs.values_mut() {
-            let quiet = now.millis_since(run.last_token) > STALL_MS;
-            if quiet && run.produced > 0 && !run.preempted {
-                run.preempted = true;
-                self.preempted += 1;
-            }
-        }
+        self.runs.check_stalled(now);
     }
 
     /// Notes that a stream has ended.
@@ -369,9 +309,6 @@
         let Some(run) = self.runs.remove(stream) else {
             return;
         };
-        self.unproven -= u32::from(run.produced == 0);
-        self.fresh -= u32::from(run.fresh);
-        self.preempted -= u32::from(run.preempted);
         let request = &run.request;
         let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
         let tokens = f64::from(uncached) + f64::from(run.produced);
@@ -388,18 +325,15 @@
     /// Falls back to the start limit on a sign that the agent has seen.
     pub fn sign(&mut self, now: time::Instant, sign: ramp::Sign) {
         self.ramp.fall_back(now, sign);
-        self.fresh = 0;
-        for run in self.runs.values_mut() {
-            run.fresh = !run.timely;
-            self.fresh += u32::from(run.fresh);
-        }
+        self.runs.doubt();
     }
 
     /// Falls back if a first token is overdue; to be called a few times a second.
     pub fn check_overdue(&mut self, now: time::Instant) -> Option<ramp::Sign> {
-        let mut waiting = self.runs.values().filter(|run| run.produced == 0);
-        let overdue =
-            waiting.any(|run| self.ramp.is_slow(now.millis_since(run.begun), run.prompted));
+        let overdue = self.runs.values().any(|run| {
+            let waited_ms = now.millis_since(run.begun);
+            run.produced == 0 && self.ramp.is_slow(waited_ms, run.prompted)
+        });
         if !overdue {
             return None;
         }
@@ -416,7 +350,7 @@
             .map(|run| u64::from(self.used_tokens(run)));
         Load {
             limit: self.limit(),
-            running: self.running(),
+            running: self.runs.len(),
             used_tokens: used.sum(),
             wait_ms: self.queue.wait_ms(u8::MAX, fair::Team::default()),
             waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
@@ -426,10 +360,12 @@
     /// Returns whether a request may start now.
     #[must_use]
     pub fn room(&self, request: &Request) -> Room {
-        if self.fresh >= self.ramp.limit() || self.unproven >= self.ramp.unproven_limit() {
+        if self.runs.fresh() >= self.ramp.limit()
+            || self.runs.unproven() >= self.ramp.unproven_limit()
+        {
             return Room::Ramping;
         }
-        if self.running() >= self.batch.limit() {
+        if self.runs.len() >= self.batch.limit() {
             return Room::Batch;
         }
         if self.options.memory_tokens > 0 && !self.has_memory(request) {
@@ -440,15 +376,15 @@
 
     /// Returns how many streams or calls may run at once now.
     fn limit(&self) -> u32 {
-        let proven = self.running() - self.fresh;
+        let proven = self.runs.len() - self.runs.fresh();
         (proven + self.ramp.limit()).min(self.batch.limit())
     }
 
     fn has_memory(&self, request: &Request) -> bool {
-        if self.runs.is_empty() {
+        if self.runs.len() == 0 {
             return true;
         }
-        if self.preempted > 0 {
+        if self.runs.preempted() > 0 {
             return false;
         }
         let mut forecast = forecast::Forecast::default();
@@ -473,14 +409,10 @@
         }
     }
 
-    fn used_tokens(&self, run: &Run) -> u32 {
+    fn used_tokens(&self, run: &runs::Run) -> u32 {
         self.forecast_load(&run.request, run.produced).used_tokens
     }
 
-    fn running(&self) -> u32 {
-        u32::try_from(self.runs.len()).unwrap_or(u32::MAX)
-    }
-
     fn mean(&self, request: &Request) -> f32 {
         self.curves.mean(request.class, request.max_tokens)
     }
@@ -491,7 +423,7 @@
     }
 
     /// Learns from a whole answer.
-    fn prove(&mut self, run: &Run) {
+    fn prove(&mut self, run: &runs::Run) {
         if run.produced < run.request.max_tokens {
             self.curves.ended(run.request.class, run.produced);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod ramp;
 pub mod replay;
 pub mod retry;
+mod runs;
 pub mod table;
 pub mod time;
--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -36,8 +36,8 @@
             if std::env::var("TALLY").is_ok() {
                 println!("{:?}", f.tallies);
             }
-            println!("{:22} pre {:5} stall {:8.1} p99 {:6.1} p999 {:7.1} good {:7.0} arr {} whole {} ref {} shed {} late {} fell {}/{} died {} cold {} jain {:.3} ttft {:.0}/{:.0}  {:?}",
-                policy.name, f.preemptions, f.stall_s, f.gap_p99_ms, f.gap_p999_ms, f.goodput, f.arrived, f.whole, f.refused, f.shed, f.late, f.falls, f.fell_over, f.died, f.max_cold, f.fairness, f.first_p50_ms, f.first_p99_ms, started.elapsed());
+            println!("{:22} pre {:5} stall {:8.1} p99 {:6.1} p999 {:7.1} good {:7.0} arr {} whole {} ref {} shed {} late {} fell {}/{} died {} cold {} jain {:.3} ttft {:.0}/{:.0}/{:.0}  {:?}",
+                policy.name, f.preemptions, f.stall_s, f.gap_p99_ms, f.gap_p999_ms, f.goodput, f.arrived, f.whole, f.refused, f.shed, f.late, f.falls, f.fell_over, f.died, f.max_cold, f.fairness, f.first_p50_ms, f.first_p99_ms, f.urgent_p99_ms, started.elapsed());
         }
     }
     process::ExitCode::SUCCESS
--- a/crates/load/src/experiment/gate.rs
+++ b/crates/load/src/experiment/gate.rs
@@ -219,7 +219,7 @@
         };
         let priority = match self.off {
             policy::Off::Priority => 0,
-            _ => offer.model.priority,
+            _ => offer.team.priority,
         };
         admit::Request {
             cached_tokens: offer.cached,
--- a/crates/load/src/experiment/measure.rs
+++ b/crates/load/src/experiment/measure.rs
@@ -58,6 +58,8 @@
     pub first_p50_ms: f64,
     /// See `first_p50_ms`.
     pub first_p99_ms: f64,
+    /// As `first_p99_ms`, of urgent requests.
+    pub urgent_p99_ms: f64,
     /// Whole and in time.
     pub whole: u64,
     /// Whole answers by time of arrival, in points of `POINT_US`.
@@ -152,6 +154,7 @@
         figures.lost_points = vec![0.0; points];
         figures.tallies = vec![Tally::default(); self.models.len()];
         let mut firsts = histogram();
+        let mut urgent = histogram();
         let mut tokens = 0_u64;
         for job in jobs {
             add_point(&mut figures, job);
@@ -161,6 +164,9 @@
             count(&mut figures, job);
             if let Some(first) = job.first_at {
                 firsts.saturating_record(first - job.request.at);
+                if workload::TEAMS[job.request.team].priority == workload::URGENT {
+                    urgent.saturating_record(first - job.request.at);
+                }
             }
         }
         for job in jobs.iter().filter(|job| scenario.measures(job.ended_at)) {
@@ -171,6 +177,7 @@
         let seconds = (scenario.traffic.until - scenario.warm_up) as f64 / 1e6;
         figures.goodput = tokens as f64 / seconds;
         figures.first_p50_ms = firsts.value_at_quantile(0.5) as f64 / 1000.0;
+        figures.urgent_p99_ms = urgent.value_at_quantile(0.99) as f64 / 1000.0;
         figures.first_p99_ms = firsts.value_at_quantile(0.99) as f64 / 1000.0;
         figures
     }
--- a/crates/load/src/experiment/node.rs
+++ b/crates/load/src/experiment/node.rs
@@ -89,7 +89,7 @@
             job,
             output: request.output,
             prefix: request.prefix.clone(),
-            priority: self.model.priority,
+            priority: workload::TEAMS[request.team].priority,
             prompt: request.prompt,
         };
         self.engine.submit(now, work)
--- a/crates/load/src/experiment/scenario.rs
+++ b/crates/load/src/experiment/scenario.rs
@@ -122,8 +122,8 @@
     use workload::Deployment::Archive;
     use workload::Deployment::Lending;
     let mut list = vec![
-        steady("archive-steady", "Archive, crowded", Archive, 1.0),
-        steady("lending-steady", "Lending, crowded", Lending, 1.0),
+        steady("archive-steady", "Archive, crowded", Archive, 1.25),
+        steady("lending-steady", "Lending, crowded", Lending, 1.3),
         steady(
             "lending-saturday",
             "Lending, a crowded Saturday",
--- a/crates/load/src/experiment/workload.rs
+++ b/crates/load/src/experiment/workload.rs
@@ -32,8 +32,6 @@
     pub output_median: f64,
     /// Spread of the logarithm of the output.
     pub output_sigma: f64,
-    /// Smaller goes first.
-    pub priority: u8,
     /// Median prompt in tokens.
     pub prompt_median: f64,
     /// Requests a second of the whole deployment at load 1.
@@ -47,6 +45,8 @@
     pub length: f64,
     /// Name.
     pub name: &'static str,
+    /// Smaller goes first.
+    pub priority: u8,
     /// Share of the requests.
     pub share: f64,
     /// Weight of its fair share.
@@ -89,16 +89,16 @@
 
 /// Teams of both deployments: a few large, most small.
 pub const TEAMS: [Team; 10] = [
-    team("a", 0.34, 3, 1.3),
-    team("b", 0.20, 2, 0.8),
-    team("c", 0.14, 2, 1.0),
-    team("d", 0.08, 1, 1.6),
-    team("e", 0.06, 1, 0.6),
-    team("f", 0.05, 1, 1.0),
-    team("g", 0.05, 1, 0.9),
-    team("h", 0.04, 1, 1.2),
-    team("i", 0.02, 1, 0.7),
-    team("j", 0.02, 1, 1.0),
+    team("a", 0.34, 3, 1.3, 2),
+    team("b", 0.20, 2, 0.8, 2),
+    team("c", 0.14, 2, 1.0, 2),
+    team("d", 0.08, 1, 1.6, 2),
+    team("e", 0.06, 1, 0.6, 2),
+    team("f", 0.05, 1, 1.0, 1),
+    team("g", 0.05, 1, 0.9, 1),
+    team("h", 0.04, 1, 1.2, 2),
+    team("i", 0.02, 1, 0.7, 2),
+    team("j", 0.02, 1, 1.0, 2),
 ];
 
 const ARCHIVE: [Model; 2] = [
@@ -110,7 +110,6 @@
         name: "transcript",
         output_median: 420.0,
         output_sigma: 0.7,
-        priority: 2,
         prompt_median: 1600.0,
         rate: 20.0,
     },
@@ -122,7 +121,6 @@
         name: "desk",
         output_median: 50.0,
         output_sigma: 0.5,
-        priority: 1,
         prompt_median: 400.0,
         rate: 30.0,
     },
@@ -137,7 +135,6 @@
         name: "fitting",
         output_median: 350.0,
         output_sigma: 0.7,
-        priority: 2,
         prompt_median: 700.0,
         rate: 17.0,
     },
@@ -149,12 +146,13 @@
         name: "booking",
         output_median: 40.0,
         output_sigma: 0.5,
-        priority: 1,
         prompt_median: 120.0,
         rate: 70.0,
     },
 ];
 
+/// Time in which the first traffic swells, in microseconds.
+const BEGIN_US: f64 = 60e6;
 /// Share of outputs drawn from the long tail.
 const TAIL_SHARE: f64 = 0.06;
 /// Exponent of the long tail.
@@ -166,10 +164,14 @@
 /// Longest common prefix in blocks.
 const MAX_PREFIX_BLOCKS: u32 = 24;
 
-const fn team(name: &'static str, share: f64, weight: u32, length: f64) -> Team {
+/// Priority of the teams whose callers stand at a desk.
+pub const URGENT: u8 = 1;
+
+const fn team(name: &'static str, share: f64, weight: u32, length: f64, priority: u8) -> Team {
     Team {
         length,
         name,
+        priority,
         share,
         weight,
     }
@@ -214,11 +216,12 @@
 
 /// Returns the factor on the rate at a time.
 fn swell(traffic: &Traffic, at: u64) -> f64 {
+    let begin = (0.3 + at as f64 / BEGIN_US).min(1.0);
     if !traffic.swell {
-        return 1.0;
+        return begin;
     }
     let turn = at as f64 / traffic.until as f64 * core::f64::consts::PI;
-    0.7 + 0.6 * turn.sin()
+    begin * (0.7 + 0.6 * turn.sin())
 }
 
 fn draw_request(
