load: tables, targets and plots of the experiment

Cause: the users' measures must be shown beside the baselines and judged against stated targets. Change: suite, target, report and plot; command line of peargap-load experiment.

--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -1,44 +1,127 @@
 //! Command line of `peargap-load experiment`.
 
+use std::fs;
+use std::path;
 use std::process;
 
+use crate::experiment::plot;
 use crate::experiment::policy;
+use crate::experiment::report;
 use crate::experiment::scenario;
-use crate::experiment::world;
+use crate::experiment::suite;
+
+const HELP: &str = "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME)
+  [--seeds N] [--load FACTOR] [--out DIR]";
+/// Scenarios in which the mechanisms are switched off in turn.
+const ABLATED: [&str; 6] = [
+    "archive-steady",
+    "lending-saturday",
+    "archive-overload",
+    "archive-cold",
+    "archive-shift",
+    "archive-prefix",
+];
+
+/// What the command line asks for.
+#[derive(Debug)]
+struct Options {
+    ablate: Vec<scenario::Scenario>,
+    compare: Vec<scenario::Scenario>,
+    out: Option<path::PathBuf>,
+    seeds: u64,
+}
 
 /// Runs the experiments that the arguments ask for.
 #[must_use]
-pub fn run(mut arguments: pico_args::Arguments) -> process::ExitCode {
-    let name: String = arguments
-        .value_from_str("--scenario")
-        .unwrap_or("archive-steady".into());
-    let seeds: u64 = arguments.value_from_str("--seeds").unwrap_or(1);
-    let ablate = arguments.contains("--ablate");
-    let load: Option<f64> = arguments.opt_value_from_str("--load").unwrap_or(None);
-    let Some(mut scenario) = scenario::find_scenario(&name) else {
-        return process::ExitCode::from(2);
-    };
-    scenario.traffic.load = load.unwrap_or(scenario.traffic.load);
-    let base = world::run_policy(&scenario.uncrowded(), &policy::LEAST_REQUESTS, 1);
-    println!(
-        "uncrowded p99 {:.1} p999 {:.1}",
-        base.gap_p99_ms, base.gap_p999_ms
-    );
-    let list: Vec<policy::Policy> = if ablate {
-        policy::ABLATED.to_vec()
-    } else {
-        policy::COMPARED.to_vec()
+pub fn run(arguments: pico_args::Arguments) -> process::ExitCode {
+    let result = parse_options(arguments).and_then(|options| run_options(&options));
+    match result {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("peargap-load: {problem}\n{HELP}");
+            process::ExitCode::from(2)
+        }
+    }
+}
+
+fn parse_options(mut arguments: pico_args::Arguments) -> Result<Options, String> {
+    let all = arguments.contains("--all");
+    let one: Option<String> = parse(&mut arguments, "--scenario")?;
+    let ablate: Option<String> = parse(&mut arguments, "--ablate")?;
+    let load: Option<f64> = parse(&mut arguments, "--load")?;
+    let seeds = parse(&mut arguments, "--seeds")?.unwrap_or(3);
+    let out: Option<String> = parse(&mut arguments, "--out")?;
+    if let Some(rest) = arguments.finish().first() {
+        return Err(format!("unknown argument {rest:?}"));
+    }
+    let mut options = Options {
+        ablate: Vec::new(),
+        compare: Vec::new(),
+        out: out.map(Into::into),
+        seeds,
     };
-    for policy in list {
-        for seed in 1..=seeds {
-            let started = std::time::Instant::now();
-            let f = world::run_policy(&scenario, &policy, seed);
-            if std::env::var("TALLY").is_ok() {
-                println!("{:?}", f.tallies);
-            }
-            println!("{:22} pre {:5} stall {:8.1} p99 {:6.1} p999 {:7.1} good {:7.0} arr {} whole {} ref {} shed {} late {} fell {}/{} died {} cold {} jain {:.3} ttft {:.0}/{:.0}/{:.0}  {:?}",
-                policy.name, f.preemptions, f.stall_s, f.gap_p99_ms, f.gap_p999_ms, f.goodput, f.arrived, f.whole, f.refused, f.shed, f.late, f.falls, f.fell_over, f.died, f.max_cold, f.fairness, f.first_p50_ms, f.first_p99_ms, f.urgent_p99_ms, started.elapsed());
+    if all {
+        options.compare = scenario::list_scenarios();
+        options.ablate = ABLATED
+            .iter()
+            .filter_map(|name| scenario::find_scenario(name))
+            .collect();
+    }
+    if let Some(name) = one {
+        options.compare.push(find(&name)?);
+    }
+    if let Some(name) = ablate {
+        options.ablate.push(find(&name)?);
+    }
+    for scenario in options.compare.iter_mut().chain(&mut options.ablate) {
+        scenario.traffic.load = load.unwrap_or(scenario.traffic.load);
+    }
+    if options.compare.is_empty() && options.ablate.is_empty() {
+        return Err("nothing to run".to_owned());
+    }
+    Ok(options)
+}
+
+fn parse<T: core::str::FromStr>(
+    arguments: &mut pico_args::Arguments,
+    key: &'static str,
+) -> Result<Option<T>, String>
+where
+    T::Err: core::fmt::Display,
+{
+    arguments
+        .opt_value_from_str(key)
+        .map_err(|error| error.to_string())
+}
+
+fn find(name: &str) -> Result<scenario::Scenario, String> {
+    scenario::find_scenario(name).ok_or_else(|| format!("no scenario {name:?}"))
+}
+
+fn run_options(options: &Options) -> Result<(), String> {
+    let mut text = String::new();
+    for scenario in &options.compare {
+        eprintln!("{}", scenario.name);
+        let table = suite::run_scenario(scenario, &policy::COMPARED, options.seeds);
+        report::write_table(&mut text, &table, true).map_err(|error| error.to_string())?;
+        if let Some(out) = &options.out {
+            fs::create_dir_all(out).map_err(|error| error.to_string())?;
+            plot::draw_table(out, &table).map_err(|error| error.to_string())?;
+            let name = scenario.name;
+            text.push_str(&format!("![{name}](figures/{name}.svg)\n\n"));
+        }
+    }
+    for scenario in &options.ablate {
+        eprintln!("{}, ablated", scenario.name);
+        let table = suite::run_scenario(scenario, &policy::ABLATED, options.seeds);
+        text.push_str("## Ablated\n\n");
+        report::write_table(&mut text, &table, false).map_err(|error| error.to_string())?;
+    }
+    match &options.out {
+        Some(out) => fs::write(out.join("tables.md"), text).map_err(|error| error.to_string()),
+        None => {
+            print!("{text}");
+            Ok(())
         }
     }
-    process::ExitCode::SUCCESS
 }
--- a/crates/load/src/experiment/measure.rs
+++ b/crates/load/src/experiment/measure.rs
@@ -70,6 +70,15 @@
     pub lost_points: Vec<f64>,
 }
 
+impl Figures {
+    /// Returns the share of accepted requests lost to anything but an engine's own death.
+    #[must_use]
+    pub fn lost_share(&self) -> f64 {
+        let lost = self.shed + self.late + self.fell_over;
+        lost as f64 / (self.accepted as f64).max(1.0)
+    }
+}
+
 /// What became of one model's requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tally {
--- /dev/null
+++ b/crates/load/src/experiment/suite.rs
@@ -0,0 +1,108 @@
+//! Runs of several policies and seeds, side by side.
+
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+
+use crate::experiment::measure;
+use crate::experiment::policy;
+use crate::experiment::scenario;
+use crate::experiment::world;
+
+/// Runs that go on at once.
+const THREADS: usize = 6;
+
+/// One policy's figures in one scenario, one for each seed.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Figures by seed.
+    pub figures: Vec<measure::Figures>,
+    /// Policy.
+    pub policy: policy::Policy,
+}
+
+/// All policies in one scenario.
+#[derive(Clone, Debug)]
+pub struct Table {
+    /// One row for each policy.
+    pub rows: Vec<Row>,
+    /// Scenario.
+    pub scenario: scenario::Scenario,
+    /// Time between tokens on uncrowded engines that 99 % stay below, in milliseconds.
+    pub uncrowded_ms: f64,
+}
+
+impl Table {
+    /// Returns the mean of a figure over the seeds; none for a policy that did not run.
+    #[must_use]
+    pub fn mean(
+        &self,
+        policy: &policy::Policy,
+        figure: fn(&measure::Figures) -> f64,
+    ) -> Option<f64> {
+        let row = self.rows.iter().find(|row| row.policy == *policy)?;
+        Some(row.mean(figure))
+    }
+}
+
+impl Row {
+    /// Returns the mean of a figure over the seeds.
+    #[must_use]
+    pub fn mean(&self, figure: fn(&measure::Figures) -> f64) -> f64 {
+        let sum: f64 = self.figures.iter().map(figure).sum();
+        sum / self.figures.len() as f64
+    }
+
+    /// Returns the largest of a figure over the seeds.
+    #[must_use]
+    pub fn max(&self, figure: fn(&measure::Figures) -> f64) -> f64 {
+        self.figures.iter().map(figure).fold(0.0, f64::max)
+    }
+}
+
+/// Runs each policy with seeds 1 to `seeds`.
+#[must_use]
+pub fn run_scenario(
+    scenario: &scenario::Scenario,
+    policies: &[policy::Policy],
+    seeds: u64,
+) -> Table {
+    let runs = policies
+        .iter()
+        .flat_map(|policy| (1..=seeds).map(move |seed| (*policy, seed)));
+    let runs: Vec<(policy::Policy, u64)> = runs.collect();
+    let next = atomic::AtomicUsize::new(0);
+    let done = sync::Mutex::new(vec![None; runs.len()]);
+    thread::scope(|scope| {
+        for _ in 0..THREADS.min(runs.len()) {
+            scope.spawn(|| loop {
+                let index = next.fetch_add(1, atomic::Ordering::Relaxed);
+                let Some((policy, seed)) = runs.get(index) else {
+                    return;
+                };
+                let figures = world::run_policy(scenario, policy, *seed);
+                done.lock().expect("no run panics")[index] = Some(figures);
+            });
+        }
+    });
+    let mut figures = done
+        .into_inner()
+        .expect("no run panics")
+        .into_iter()
+        .flatten();
+    let mut rows = Vec::new();
+    for policy in policies {
+        let figures = figures.by_ref().take(seeds as usize).collect();
+        rows.push(Row {
+            figures,
+            policy: *policy,
+        });
+    }
+    let uncrowded = world::run_policy(&scenario.uncrowded(), &policy::LEAST_REQUESTS, 1);
+    let uncrowded_ms = uncrowded.gap_p99_ms;
+    Table {
+        rows,
+        scenario: scenario.clone(),
+        uncrowded_ms,
+    }
+}
