--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod ramp;
 pub mod replay;
 pub mod retry;
+mod runs;
 pub mod table;
 pub mod time;
