A copy older than its host's vote is renounced; runs must heal

Cause: random runs of the model now check that the log goes on once the faults end. They found that a copied disk from before its host was a voter trusted itself, as it knew no voters to ask. Ruled out: trusting marks alone for it (they need a host that saw them).

--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -151,8 +151,9 @@
             waits: waits::Waits::default(),
         };
         worker.save(&effects)?;
-        let now = time::Instant::now();
-        worker.act(effects, now);
+        if worker.act(effects, time::Instant::now()) {
+            return worker.start_over();
+        }
         worker.publish();
         Ok(worker)
     }
--- a/crates/control/tests/failures.rs
+++ b/crates/control/tests/failures.rs
@@ -239,8 +239,11 @@
     let leader = cluster.wait_for_leader();
     cluster.commit("before");
     cluster.wait_for_all(leader);
+    // A copy that meets a running host with its own disk would rightly be set aside.
     for host in &mut cluster.hosts {
         host.kill();
+    }
+    for host in &mut cluster.hosts {
         let folder = host.folder.clone();
         let aside = folder.with_extension("aside");
         fs::rename(&folder, &aside).expect("renamed");
--- a/crates/core/src/log/join.rs
+++ b/crates/core/src/log/join.rs
@@ -65,10 +65,16 @@
     }
 
     /// Trusts the copied disk once every other voter is known to run on a copy.
+    ///
+    /// A copy made before its host was a voter says nothing of the voters: it is renounced.
     pub(crate) fn settle_doubt(&mut self, effects: &mut effect::Effects) {
         let Some(copies) = &self.doubt else {
             return;
         };
+        if !self.is_voter() {
+            effects.push(effect::Effect::Renounce);
+            return;
+        }
         let voters = &self.store.roster().voters;
         let mut others = voters.iter().filter(|voter| **voter != self.me);
         if others.all(|voter| copies.contains(voter)) {
--- a/crates/core/src/log/roster.rs
+++ b/crates/core/src/log/roster.rs
@@ -8,6 +8,9 @@
 use crate::log::member;
 use crate::log::replica;
 
+/// A learner that answered one of so many rounds may vote; a vote of a dead host only does harm.
+const RECENT_ROUNDS: u64 = 2;
+
 impl replica::Replica {
     /// Answers a host that started or wants to be let in.
     pub(crate) fn greet(
@@ -75,13 +78,14 @@
         progress.is_some_and(|progress| progress.active)
     }
 
-    /// Returns a learner that has caught up.
+    /// Returns a learner that has caught up and has just answered.
     fn find_ready(&self, leading: &lead::Leading) -> Option<member::Member> {
         let mut learners = self.store.roster().learners.iter();
         let ready = learners.find(|learner| {
             let progress = leading.progress.get(*learner);
             progress.is_some_and(|progress| {
-                progress.active && progress.matched + self.settings.learner_lag >= self.commit
+                progress.round + RECENT_ROUNDS >= leading.round
+                    && progress.matched + self.settings.learner_lag >= self.commit
             })
         });
         ready.cloned()
--- /dev/null
+++ b/crates/core/tests/model/heal.rs
@@ -0,0 +1,62 @@
+//! The time after the faults.
+
+use peargap_core::log;
+use peargap_core::log::effect;
+
+use super::Action;
+use super::World;
+
+/// Messages on their way at most once all faults have ended.
+const HEALED_MESSAGES: usize = 200;
+/// Times that every timer runs out after the faults.
+const HEALED_ROUNDS: usize = 24;
+
+impl World {
+    /// Ends all faults and lets every timer run out again and again.
+    pub(crate) fn heal(&mut self) {
+        self.limit = HEALED_MESSAGES;
+        for round in 0..HEALED_ROUNDS {
+            for index in 0..self.hosts.len() {
+                match &self.hosts[index].log {
+                    None => self.take(Action::Restart(index)),
+                    Some(log) if log.role() == log::Role::Leader => {
+                        self.take(Action::Beat(index));
+                    }
+                    Some(_) => {}
+                }
+                self.settle();
+            }
+            self.review(round);
+        }
+    }
+
+    fn review(&mut self, round: usize) {
+        let leader = self.find_leader();
+        match leader {
+            Some(index) => self.take(Action::Review(index)),
+            None => self.take(Action::Campaign(round % self.hosts.len())),
+        }
+        // Hosts that are not members ask to be let in.
+        for index in 0..self.hosts.len() {
+            let event = effect::Event::Campaign;
+            let host = &self.hosts[index];
+            let is_voter = host
+                .log
+                .as_ref()
+                .is_some_and(|log| log.store().roster().voters.contains(log.me()));
+            if !is_voter || host.outdated {
+                self.handle(index, event, usize::MAX);
+            }
+            self.settle();
+        }
+    }
+
+    /// Returns the running leader of the highest term.
+    pub(crate) fn find_leader(&self) -> Option<usize> {
+        let logs = self.hosts.iter().enumerate();
+        let logs = logs.filter_map(|(index, host)| Some((index, host.log.as_ref()?)));
+        let leaders = logs.filter(|(_index, log)| log.role() == log::Role::Leader);
+        let last = leaders.max_by_key(|(_index, log)| log.hard().term);
+        last.map(|(index, _log)| index)
+    }
+}
