The cold engine's test waits for the first stream before it sends the second

Cause: the two requests raced; when the second was first, it ran for 50,000 tokens and the test never ended. Ruled out: a fault of the stand-in (it falls over when the order is as meant). Change: the test reads a byte of the first answer before it sends the second.

--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -37,6 +37,14 @@
 
 /// Sends one request and returns status line, headers and body.
 fn send(engine: &Engine, method: &str, path: &str, body: &str) -> String {
+    let mut answer = String::new();
+    let mut stream = open(engine, method, path, body);
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
+/// Sends one request and leaves its answer to be read.
+fn open(engine: &Engine, method: &str, path: &str, body: &str) -> net::TcpStream {
     let mut stream = net::TcpStream::connect(&engine.address).expect("a connection");
     write!(
         stream,
@@ -46,9 +54,7 @@
         length = body.len(),
     )
     .expect("the request is sent");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("an answer");
-    answer
+    stream
 }
 
 fn complete(engine: &Engine, prompt: &str) -> String {
@@ -110,16 +116,14 @@
 #[test]
 fn cold_engine_falls_over_above_its_limit() {
     let engine = start(&["--cold-ms", "60000", "--cold-limit", "1"]);
-    let first = std::thread::scope(|scope| {
-        let engine = &engine;
-        let long = scope.spawn(move || complete(engine, "[[length=50000]]"));
-        loop {
-            let second = complete(engine, "more [[length=50000]]");
-            if second.starts_with("HTTP/1.1 500") {
-                break;
-            }
-        }
-        long.join().expect("an answer")
-    });
-    assert!(!first.contains("[DONE]"), "{first}");
+    let body = "{\"model\":\"transcript\",\"prompt\":\"[[length=50000]]\"}";
+    let mut long = open(&engine, "POST", "/v1/completions", body);
+    let mut first = [0];
+    long.read_exact(&mut first).expect("the first stream runs");
+    let second = complete(&engine, "more");
+    assert!(second.starts_with("HTTP/1.1 500"), "{second}");
+    let mut rest = String::new();
+    long.read_to_string(&mut rest)
+        .expect("the first stream ends");
+    assert!(!rest.contains("[DONE]"), "{rest}");
 }
