--- a/crates/adapters/src/follow.rs
+++ b/crates/adapters/src/follow.rs
@@ -223,7 +223,7 @@
         let applied_version = if self.refetch { 0 } else { self.view.version() };
         control::Report {
             node: first.then(|| self.options.node.clone()),
-            announcement: self.options.announcement.borrow_and_update().clone(),
+            announcement: self.take_announcement(first),
             applied_version,
             leaving: *self.view.leaving.borrow(),
             number,
@@ -231,6 +231,13 @@
         }
     }
 
+    /// Returns the announcement when the link is new or when it changed.
+    fn take_announcement(&mut self, first: bool) -> Option<control::Announcement> {
+        let changed = self.options.announcement.has_changed().unwrap_or(false);
+        let present = self.options.announcement.borrow_and_update().clone();
+        present.filter(|_| first || changed)
+    }
+
     /// Applies an update; returns whether a report is due at once.
     fn take_update(&mut self, update: control::Update) -> bool {
         let mut applied = false;
--- /dev/null
+++ b/crates/control/examples/spread/main.rs
@@ -0,0 +1,134 @@
+//! Measures what attached nodes cost three control hosts, and how fast a change is in force.
+//!
+//! `cargo run --release -p peargap-control --example spread -- --nodes 100`, after
+//! `cargo build --release -p peargap-control`. The control hosts are real processes, the nodes are
+//! followers as entries and agents use them, behind relays that count bytes.
+
+mod cluster;
+mod nodes;
+mod relay;
+
+use std::time;
+
+use peargap_wire::operator::operator_client;
+use peargap_wire::operator::submit_request;
+
+const HOSTS: usize = 3;
+/// Time for links and the first configuration to settle.
+const SETTLE: time::Duration = time::Duration::from_secs(4);
+/// Pause between two changes.
+const PAUSE: time::Duration = time::Duration::from_millis(30);
+
+struct Options {
+    changes: usize,
+    nodes: usize,
+    seconds: u64,
+}
+
+fn read_options() -> Result<Options, pico_args::Error> {
+    let mut arguments = pico_args::Arguments::from_env();
+    Ok(Options {
+        changes: arguments.opt_value_from_str("--changes")?.unwrap_or(200),
+        nodes: arguments.opt_value_from_str("--nodes")?.unwrap_or(100),
+        seconds: arguments.opt_value_from_str("--seconds")?.unwrap_or(10),
+    })
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let options = read_options()?;
+    let mut cluster = cluster::Cluster::start(HOSTS)?;
+    cluster.wait_for_leader().await?;
+    let mut relays = Vec::new();
+    for address in cluster.internals() {
+        relays.push(relay::Relay::start(*address).await?);
+    }
+    let channel = cluster.connect_operator().await?;
+    let mut operator = operator_client::OperatorClient::new(channel);
+    cluster::submit_manifest(&mut operator).await?;
+    let bare = cluster.read_usage();
+    let views = nodes::attach(options.nodes, &relays);
+    nodes::wait_for_members(&views, options.nodes).await;
+    tokio::time::sleep(SETTLE).await;
+    report_idle(&options, &cluster, &relays, &bare).await;
+    report_changes(&options, &mut operator, &views).await?;
+    cluster.stop();
+    Ok(())
+}
+
+async fn report_idle(
+    options: &Options,
+    cluster: &cluster::Cluster,
+    relays: &[relay::Relay],
+    bare: &[cluster::Usage],
+) {
+    let before = cluster.read_usage();
+    let counted: Vec<relay::Count> = relays.iter().map(relay::Relay::read).collect();
+    let window = time::Duration::from_secs(options.seconds);
+    tokio::time::sleep(window).await;
+    let after = cluster.read_usage();
+    let seconds = window.as_secs_f64();
+    println!("| nodes | host | CPU % of a core | memory MB | grown MB | bytes/s in | bytes/s out | reads/s |");
+    println!("|---|---|---|---|---|---|---|---|");
+    for host in 0..HOSTS {
+        let count = relays[host].read();
+        println!(
+            "| {} | {host} | {:.2} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} |",
+            options.nodes,
+            100.0 * (after[host].cpu_seconds - before[host].cpu_seconds) / seconds,
+            after[host].resident_bytes / 1e6,
+            (after[host].resident_bytes - bare[host].resident_bytes) / 1e6,
+            per_second(count.up - counted[host].up, seconds),
+            per_second(count.down - counted[host].down, seconds),
+            per_second(count.reads - counted[host].reads, seconds),
+        );
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn per_second(count: u64, seconds: f64) -> f64 {
+    count as f64 / seconds
+}
+
+async fn report_changes(
+    options: &Options,
+    operator: &mut operator_client::OperatorClient<tonic::transport::Channel>,
+    views: &[nodes::Node],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let mut accepted = Vec::new();
+    let mut in_force = Vec::new();
+    for index in 0..options.changes {
+        let name = "zone-0".to_owned();
+        let change = match index % 2 {
+            0 => submit_request::Change::DomainOut(name),
+            _ => submit_request::Change::DomainBack(name),
+        };
+        let began = time::Instant::now();
+        let version = cluster::submit(operator, format!("change-{index}"), change).await?;
+        accepted.push(began.elapsed());
+        nodes::wait_for_version(views, version).await;
+        in_force.push(began.elapsed());
+        tokio::time::sleep(PAUSE).await;
+    }
+    println!("| nodes | changes | what | p50 ms | p99 ms | largest ms |");
+    println!("|---|---|---|---|---|---|");
+    report_times(options, "accepted", accepted);
+    report_times(options, "in force on every node", in_force);
+    Ok(())
+}
+
+fn report_times(options: &Options, what: &str, mut times: Vec<time::Duration>) {
+    times.sort();
+    let at = |percent: usize| {
+        let index = (times.len() * percent).div_ceil(100).max(1) - 1;
+        times[index].as_secs_f64() * 1e3
+    };
+    println!(
+        "| {} | {} | {what} | {:.1} | {:.1} | {:.1} |",
+        options.nodes,
+        options.changes,
+        at(50),
+        at(99),
+        at(100)
+    );
+}
