Placement of models by priority, paced by the weight store

Cause: the manifest says how many engines shall have a model. Ruled out: unloading what nobody needs room for; counting engines of a domain that is out; the rate kept by the leader alone (it would be lost at failover). Change: core assign, orders through the log, loads counted on the state's clock, the leader's planner with a settle time of 10 s, one log line a placement.

--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -24,3 +24,5 @@
 pub(crate) const SNAPSHOT_INSTALLED: logs::Event = logs::Event::info(2011, "snapshot installed");
 pub(crate) const SNAPSHOT_TAKEN: logs::Event = logs::Event::info(2010, "snapshot taken");
 pub(crate) const TAIL_CUT: logs::Event = logs::Event::warn(2012, "torn tail cut");
+pub(crate) const MODEL_PLACED: logs::Event = logs::Event::info(2110, "model placed");
+pub(crate) const LOAD_FAILED: logs::Event = logs::Event::warn(2111, "model not loaded in time");
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -5,6 +5,7 @@
 use std::sync;
 
 use bytes::Bytes;
+use peargap_core::assign;
 use peargap_core::changes;
 use peargap_core::claims;
 use peargap_core::clock;
@@ -18,6 +19,9 @@
 
 use crate::codec;
 
+/// Time over which the weight store's rate is counted, on the state's clock.
+const LOADS_WINDOW_MS: u64 = 60_000;
+
 /// Why a snapshot cannot be restored.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Error(String);
@@ -37,6 +41,8 @@
     claims: claims::Claims,
     clock: clock::Clock,
     config: sync::Arc<config::Config>,
+    /// Starts of loads within the last minute, oldest first.
+    loads: collections::VecDeque<u64>,
     past: members::Past,
 }
 
@@ -67,6 +73,7 @@
             claims: claims.map(codec::encode_claim).collect(),
             clock_ms: self.clock.millis,
             config: Some(codec::encode_config(&self.config)),
+            loads_ms: self.loads.iter().copied().collect(),
             past: past.map(codec::encode_past).collect(),
             ticks: self.clock.ticks,
         };
@@ -85,6 +92,7 @@
                 ticks: snapshot.ticks,
             },
             config: sync::Arc::new(config),
+            loads: snapshot.loads_ms.into(),
             past: restore_past(snapshot.past),
             ..Machine::default()
         };
@@ -204,9 +212,10 @@
     fn tick(&mut self, tick: &record::Tick) -> record::reply::Kind {
         if self.clock.tick(tick.number, tick.elapsed_ms) {
             self.claims.expire(self.clock.millis);
+            self.forget_loads();
         }
         record::reply::Kind::Ticked(record::Ticked {
-            busy: self.claims.is_running(),
+            busy: self.claims.is_running() || !self.loads.is_empty(),
             number: self.clock.ticks,
         })
     }
@@ -220,19 +229,45 @@
     }
 
     fn assign(&mut self, index: u64, assign: record::Assign) -> record::reply::Kind {
-        if assign.base_version != self.config.version {
-            return record::reply::Kind::Assigned(false);
+        let mut upstreams = Vec::new();
+        if assign.base_version == self.config.version {
+            for placement in assign.placements {
+                let upstream = placement.upstream.clone();
+                if self.place(index, placement) {
+                    upstreams.push(upstream);
+                }
+            }
         }
-        let config = sync::Arc::make_mut(&mut self.config);
-        let mut changed = false;
-        for placement in assign.placements {
-            let models = placement.models;
-            changed |= fences::give_order(config, &placement.upstream, models, index);
+        if !upstreams.is_empty() {
+            sync::Arc::make_mut(&mut self.config).version += 1;
+        }
+        record::reply::Kind::Assigned(record::Assigned { upstreams })
+    }
+
+    /// Gives an order when the weight store's rate allows its loads.
+    fn place(&mut self, index: u64, placement: record::Placement) -> bool {
+        let record::Placement { models, upstream } = placement;
+        let loads = assign::count_loads(&self.config, &upstream, &models);
+        let rate = self.config.manifest.weights.loads_per_minute;
+        let rate = usize::try_from(rate).unwrap_or(usize::MAX);
+        if self.loads.len() + loads > rate {
+            return false;
         }
+        let config = sync::Arc::make_mut(&mut self.config);
+        let changed = fences::give_order(config, &upstream, models, index);
         if changed {
-            config.version += 1;
+            let now = self.clock.millis;
+            self.loads.extend(core::iter::repeat_n(now, loads));
+        }
+        changed
+    }
+
+    fn forget_loads(&mut self) {
+        let now = self.clock.millis;
+        let is_over = |start: &u64| start + LOADS_WINDOW_MS <= now;
+        while self.loads.front().is_some_and(is_over) {
+            self.loads.pop_front();
         }
-        record::reply::Kind::Assigned(changed)
     }
 }
 
--- /dev/null
+++ b/crates/control/src/place.rs
@@ -0,0 +1,142 @@
+//! The leader's placement of models on engines.
+
+use core::time as duration;
+use std::collections;
+use std::sync;
+
+use peargap_adapters::logs;
+use peargap_core::assign;
+use peargap_core::config;
+use peargap_wire::record;
+use tokio::time;
+use tokio_util::sync as cancel;
+
+use crate::events;
+use crate::proposal;
+use crate::replica;
+
+/// Time between two looks.
+const LOOK_PERIOD: duration::Duration = duration::Duration::from_secs(2);
+/// Time without a change of the configuration before anything moves, so that a restart moves nothing.
+const SETTLE_TIME: duration::Duration = duration::Duration::from_secs(10);
+/// Longest time for an engine to carry out an order.
+const LOAD_LIMIT: duration::Duration = duration::Duration::from_secs(600);
+/// Placements proposed at once.
+const PLACEMENTS: usize = 4;
+
+/// What this leader has seen of one upstream's order.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    fence: u64,
+    since: time::Instant,
+}
+
+#[derive(Debug)]
+struct Planner {
+    changed: time::Instant,
+    pending: collections::BTreeMap<String, Pending>,
+    version: u64,
+}
+
+/// Places models while this host leads, until `token` is cancelled.
+pub(crate) async fn run(handle: replica::Handle, token: cancel::CancellationToken) {
+    let mut planner = Planner {
+        changed: time::Instant::now(),
+        pending: collections::BTreeMap::new(),
+        version: 0,
+    };
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = time::sleep(LOOK_PERIOD) => {}
+        }
+        let config = handle.config().borrow().clone();
+        let leads = handle.status().borrow().role == replica::Role::Leader;
+        if let (true, Some(placements)) = (leads, planner.look(&config)) {
+            propose(&handle, &config, placements).await;
+        }
+    }
+}
+
+impl Planner {
+    /// Returns what to place now, if anything.
+    fn look(&mut self, config: &sync::Arc<config::Config>) -> Option<Vec<assign::Placement>> {
+        if config.version != self.version {
+            self.version = config.version;
+            self.changed = time::Instant::now();
+        }
+        let failed = self.list_failed(config);
+        if self.changed.elapsed() < SETTLE_TIME {
+            return None;
+        }
+        let placements = assign::plan(config, &failed, PLACEMENTS);
+        (!placements.is_empty()).then_some(placements)
+    }
+
+    /// Returns the upstreams that did not carry out their order in time.
+    fn list_failed(&mut self, config: &config::Config) -> collections::BTreeSet<String> {
+        let mut failed = collections::BTreeSet::new();
+        for (upstream, order) in &config.orders {
+            if assign::count_loads(config, upstream, &order.models) == 0 {
+                self.pending.remove(upstream);
+                continue;
+            }
+            let present = Pending {
+                fence: order.fence,
+                since: time::Instant::now(),
+            };
+            let pending = self.pending.entry(upstream.clone()).or_insert(present);
+            if pending.fence != order.fence {
+                *pending = present;
+            }
+            if pending.since.elapsed() >= LOAD_LIMIT {
+                failed.insert(upstream.clone());
+                logs::emit(
+                    events::LOAD_FAILED,
+                    format_args!("upstream={upstream} fence={}", order.fence),
+                );
+            }
+        }
+        failed
+    }
+}
+
+async fn propose(
+    handle: &replica::Handle,
+    config: &config::Config,
+    placements: Vec<assign::Placement>,
+) {
+    let wire = placements.iter().map(|placement| record::Placement {
+        models: placement.models.clone(),
+        upstream: placement.upstream.clone(),
+    });
+    let assign = record::Assign {
+        base_version: config.version,
+        placements: wire.collect(),
+    };
+    let reply = proposal::propose(handle, record::command::Kind::Assign(assign)).await;
+    // What the weight store's rate or a newer version refused is planned anew at the next look.
+    let Ok(record::reply::Kind::Assigned(assigned)) = reply else {
+        return;
+    };
+    let given = |placement: &&assign::Placement| assigned.upstreams.contains(&placement.upstream);
+    for placement in placements.iter().filter(given) {
+        report_placement(placement);
+    }
+}
+
+fn report_placement(placement: &assign::Placement) {
+    let (replaced, cost) = match &placement.replaced {
+        Some(replaced) => (replaced.model.as_str(), format!("{:?}", replaced.cost)),
+        None => ("none", "Free".to_owned()),
+    };
+    logs::emit(
+        events::MODEL_PLACED,
+        format_args!(
+            "upstream={} model={} replaced={replaced} cost={cost} models={}",
+            placement.upstream,
+            placement.model,
+            placement.models.join(",")
+        ),
+    );
+}
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -16,6 +16,7 @@
 use crate::claims;
 use crate::operators;
 use crate::pace;
+use crate::place;
 use crate::replica;
 use crate::spread;
 use crate::watch;
@@ -51,6 +52,7 @@
 pub fn build(options: Options, token: cancel::CancellationToken) -> Services {
     let nodes = attached::Nodes::default();
     tokio::spawn(pace::run(options.handle.clone(), token.clone()));
+    tokio::spawn(place::run(options.handle.clone(), token.clone()));
     let control = Control {
         links: sync::Arc::default(),
         shared: watch::Shared {
--- a/crates/control/tests/machine.rs
+++ b/crates/control/tests/machine.rs
@@ -175,3 +175,45 @@
     let other = submit(&mut machine, 1_001, "first", "elsewhere");
     assert_ne!(other, first);
 }
+
+fn apply(machine: &mut machine::Machine, index: u64, kind: record::command::Kind) -> Bytes {
+    let command = record::Command { kind: Some(kind) };
+    machine.apply(index, &command.encode_to_vec().into())
+}
+
+#[test]
+fn loads_keep_to_the_weight_stores_rate() {
+    let mut machine = machine::Machine::new();
+    let text = "[deployment]\nname=d\n[domain a]\nregion=r\n[weights]\nloads_per_minute=2\n";
+    let manifest = operator::SubmitRequest {
+        base_revision: 0,
+        change: Some(submit_request::Change::Manifest(text.into())),
+        id: "m".to_owned(),
+        operator: "ada".to_owned(),
+    };
+    apply(&mut machine, 1, record::command::Kind::Submit(manifest));
+    let assign = |machine: &mut machine::Machine, index: u64| {
+        let placements = ["u1", "u2", "u3"].map(|upstream| record::Placement {
+            models: vec!["m".to_owned()],
+            upstream: upstream.to_owned(),
+        });
+        let assign = record::Assign {
+            base_version: machine.config().version,
+            placements: placements.into(),
+        };
+        apply(machine, index, record::command::Kind::Assign(assign));
+        machine.config().orders.len()
+    };
+    assert_eq!(assign(&mut machine, 2), 2);
+    assert_eq!(assign(&mut machine, 3), 2);
+    for number in 1..=12 {
+        let tick = record::Tick {
+            elapsed_ms: 5_000,
+            number,
+        };
+        apply(&mut machine, 3 + number, record::command::Kind::Tick(tick));
+    }
+    assert_eq!(assign(&mut machine, 20), 3);
+    assert_eq!(machine.config().orders["u3"].fence, 20);
+    assert_eq!(machine.config().orders["u1"].fence, 2);
+}
--- /dev/null
+++ b/crates/core/src/assign.rs
@@ -0,0 +1,255 @@
+//! Placement of models on engines.
+//!
+//! An engine holds as many models as it announced, at least one. A model that has too few replicas
+//! takes a slot by preference that is free, then one whose model is in surplus, then one of the
+//! least important model; nothing else moves. Only a bounded number of engines load at once.
+
+use std::collections;
+
+use crate::config;
+use crate::manifest;
+use crate::members;
+
+/// Models that one engine shall have loaded.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Placement {
+    /// Model to load.
+    pub model: String,
+    /// All models the engine shall have.
+    pub models: Vec<String>,
+    /// Model that makes room, and why it may.
+    pub replaced: Option<Replaced>,
+    /// Name of the upstream.
+    pub upstream: String,
+}
+
+/// A model that makes room.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Replaced {
+    /// Why it may.
+    pub cost: Cost,
+    /// Its name.
+    pub model: String,
+}
+
+/// What taking a slot costs, least first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Cost {
+    /// Nothing is loaded there.
+    Free,
+    /// Its model has more replicas than wanted, or none are.
+    Surplus,
+    /// Its model matters less; the larger the number the less.
+    Lower(core::cmp::Reverse<u8>),
+}
+
+/// An engine that may be given models.
+#[derive(Clone, Debug)]
+struct Engine<'a> {
+    domain: &'a str,
+    loading: bool,
+    models: Vec<String>,
+    slots: usize,
+    upstream: &'a str,
+}
+
+/// A slot that a model may take.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Slot {
+    cost: Cost,
+    /// Replicas of the model that the domain has already.
+    beside: usize,
+    engine: usize,
+    /// Index of the model that makes room.
+    index: usize,
+}
+
+/// Returns the next placements, at most `loads` of them.
+///
+/// Engines in `failed` did not carry out their last order and are left alone.
+pub fn plan(
+    config: &config::Config,
+    failed: &collections::BTreeSet<String>,
+    loads: usize,
+) -> Vec<Placement> {
+    let mut engines = list_engines(config, failed);
+    let mut placements = Vec::new();
+    while placements.len() < loads {
+        let Some(placement) = place_next(config, &mut engines) else {
+            break;
+        };
+        placements.push(placement);
+    }
+    placements
+}
+
+/// Returns the models that `order` gives an engine beyond what it has announced.
+pub fn count_loads(config: &config::Config, upstream: &str, models: &[String]) -> usize {
+    let offers = find_offers(config, upstream);
+    let has = |model: &&String| !offers.is_some_and(|offers| offers.contains(model));
+    models.iter().filter(has).count()
+}
+
+fn find_offers<'a>(config: &'a config::Config, upstream: &str) -> Option<&'a Vec<String>> {
+    let mut announced = config
+        .members
+        .values()
+        .filter_map(|member| member.announcement.as_ref());
+    let announced = announced.find(|announcement| announcement.upstream == upstream);
+    announced.map(|announcement| &announcement.offers)
+}
+
+fn list_engines<'a>(
+    config: &'a config::Config,
+    failed: &collections::BTreeSet<String>,
+) -> Vec<Engine<'a>> {
+    let mut engines = Vec::new();
+    for member in config.members.values() {
+        let Some(announcement) = &member.announcement else {
+            continue;
+        };
+        let upstream = &announcement.upstream;
+        let is_engine = announcement.kind == members::Kind::Engine;
+        let is_open = config.is_open(upstream, &member.node.domain);
+        if !is_engine || !is_open || failed.contains(upstream) {
+            continue;
+        }
+        let order = config.orders.get(upstream);
+        let models = order.map_or(&announcement.offers, |order| &order.models);
+        engines.push(Engine {
+            domain: &member.node.domain,
+            loading: models
+                .iter()
+                .any(|model| !announcement.offers.contains(model)),
+            models: models.clone(),
+            slots: announcement.offers.len().max(models.len()).max(1),
+            upstream,
+        });
+    }
+    engines
+}
+
+fn place_next(config: &config::Config, engines: &mut [Engine<'_>]) -> Option<Placement> {
+    let mut models: Vec<&manifest::Model> = config.manifest.models.iter().collect();
+    models.sort_by_key(|model| (model.priority, &model.name));
+    for model in models {
+        let wanted = usize::try_from(model.replicas).unwrap_or(usize::MAX);
+        if count_replicas(engines, &model.name) >= wanted {
+            continue;
+        }
+        if let Some(slot) = pick_slot(config, engines, model) {
+            return Some(take_slot(engines, model, &slot));
+        }
+    }
+    None
+}
+
+fn count_replicas(engines: &[Engine<'_>], model: &str) -> usize {
+    let has = |engine: &&Engine<'_>| engine.models.iter().any(|known| known == model);
+    engines.iter().filter(has).count()
+}
+
+fn pick_slot(
+    config: &config::Config,
+    engines: &[Engine<'_>],
+    model: &manifest::Model,
+) -> Option<Slot> {
+    let mut slots = Vec::new();
+    for (index, engine) in engines.iter().enumerate() {
+        let has = engine.models.contains(&model.name);
+        if has || engine.loading || !may_load(engines, engine.domain) {
+            continue;
+        }
+        slots.extend(list_slots(config, engines, index, model));
+    }
+    slots.into_iter().min()
+}
+
+fn list_slots(
+    config: &config::Config,
+    engines: &[Engine<'_>],
+    engine: usize,
+    model: &manifest::Model,
+) -> Vec<Slot> {
+    let Engine {
+        domain,
+        models,
+        slots,
+        ..
+    } = &engines[engine];
+    let in_domain = |other: &&Engine<'_>| other.domain == *domain;
+    let in_domain: Vec<Engine<'_>> = engines.iter().filter(in_domain).cloned().collect();
+    let beside = count_replicas(&in_domain, &model.name);
+    let slot = |cost, index| Slot {
+        beside,
+        cost,
+        engine,
+        index,
+    };
+    if models.len() < *slots {
+        return vec![slot(Cost::Free, models.len())];
+    }
+    let costs = models.iter().enumerate().filter_map(|(index, held)| {
+        let cost = weigh_model(config, engines, held, model)?;
+        Some(slot(cost, index))
+    });
+    costs.collect()
+}
+
+/// Returns what it costs that `held` makes room for `model`; nothing when it may not.
+fn weigh_model(
+    config: &config::Config,
+    engines: &[Engine<'_>],
+    held: &str,
+    model: &manifest::Model,
+) -> Option<Cost> {
+    let mut known = config.manifest.models.iter();
+    let Some(known) = known.find(|known| known.name == held) else {
+        return Some(Cost::Surplus);
+    };
+    let wanted = usize::try_from(known.replicas).unwrap_or(usize::MAX);
+    if count_replicas(engines, held) > wanted {
+        return Some(Cost::Surplus);
+    }
+    (known.priority > model.priority).then_some(Cost::Lower(core::cmp::Reverse(known.priority)))
+}
+
+/// Returns whether one more engine of the domain may load: half of it goes on serving, and never
+/// do more engines load at once than leave the smallest domain's worth untouched.
+fn may_load(engines: &[Engine<'_>], domain: &str) -> bool {
+    let mut sizes = collections::BTreeMap::new();
+    let mut loading = collections::BTreeMap::new();
+    for engine in engines {
+        *sizes.entry(engine.domain).or_insert(0_usize) += 1;
+        *loading.entry(engine.domain).or_insert(0_usize) += usize::from(engine.loading);
+    }
+    let smallest = sizes.values().copied().min().unwrap_or(0);
+    let total: usize = loading.values().sum();
+    let size = sizes.get(domain).copied().unwrap_or(0);
+    let here = loading.get(domain).copied().unwrap_or(0);
+    total < smallest.saturating_sub(1).max(1) && here < (size / 2).max(1)
+}
+
+fn take_slot(engines: &mut [Engine<'_>], model: &manifest::Model, slot: &Slot) -> Placement {
+    let engine = &mut engines[slot.engine];
+    let replaced = match slot.cost {
+        Cost::Free => {
+            engine.models.push(model.name.clone());
+            None
+        }
+        Cost::Lower(_) | Cost::Surplus => {
+            let former = core::mem::replace(&mut engine.models[slot.index], model.name.clone());
+            Some(Replaced {
+                cost: slot.cost,
+                model: former,
+            })
+        }
+    };
+    engine.loading = true;
+    Placement {
+        model: model.name.clone(),
+        models: engine.models.clone(),
+        replaced,
+        upstream: engine.upstream.to_owned(),
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! perform the effects that its functions return.
 
 pub mod admit;
+pub mod assign;
 pub mod batch;
 pub mod breaker;
 pub mod cached;
--- a/crates/wire/src/gen/peargap.record.rs
+++ b/crates/wire/src/gen/peargap.record.rs
@@ -48,8 +48,8 @@
         Settled(super::super::control::SettleReply),
         #[prost(message, tag = "5")]
         Ticked(super::Ticked),
-        #[prost(bool, tag = "6")]
-        Assigned(bool),
+        #[prost(message, tag = "6")]
+        Assigned(super::Assigned),
         /// The command was not understood and changed nothing.
         #[prost(bool, tag = "7")]
         Rejected(bool),
@@ -98,7 +98,8 @@
     #[prost(bool, tag = "2")]
     pub busy: bool,
 }
-/// Gives orders to engines; applied only when `base_version` is the present one.
+/// Gives orders to engines; applied only when `base_version` is the present one, and only as many
+/// as the weight store's rate allows.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Assign {
     #[prost(uint64, tag = "1")]
@@ -106,6 +107,12 @@
     #[prost(message, repeated, tag = "2")]
     pub placements: ::prost::alloc::vec::Vec<Placement>,
 }
+/// Upstreams that were given an order.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Assigned {
+    #[prost(string, repeated, tag = "1")]
+    pub upstreams: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
 /// Models that one engine shall have loaded.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Placement {
@@ -130,6 +137,9 @@
     pub ticks: u64,
     #[prost(uint64, tag = "6")]
     pub clock_ms: u64,
+    /// Starts of loads on the state's clock, oldest first.
+    #[prost(uint64, repeated, tag = "7")]
+    pub loads_ms: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Past {
