Operators and claims against real control processes

Cause: racing and resent operations must hold through kills and restarts. Ruled out: the volatile replica for these (it keeps nothing). Change: crates/control/tests/operators.rs. Conclusion: winners, first answers and claims outlive kills of all hosts.

--- /dev/null
+++ b/crates/control/tests/operators.rs
@@ -0,0 +1,210 @@
+//! Operators and claims against real control processes that are killed and started again.
+
+mod support;
+
+use peargap_adapters::digest;
+use peargap_wire::control;
+use peargap_wire::control::control_client;
+use peargap_wire::operator;
+use peargap_wire::operator::operator_client;
+use peargap_wire::operator::submit_request;
+
+const KEY: &str = "operators-example-key";
+const MANIFEST: &str = "[deployment]\nname=d\n[domain a]\nregion=r\n[domain b]\nregion=r\n";
+
+fn start() -> support::Cluster {
+    let digest = digest::hash_key(KEY.as_bytes());
+    let hex: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    let cluster = support::Cluster::start(3, &format!("[operators]\nkey_sha256={hex}\n"));
+    cluster.wait_for_leader();
+    cluster
+}
+
+/// Kills every host at once and starts them again.
+fn restart(cluster: &mut support::Cluster) {
+    for host in &mut cluster.hosts {
+        host.kill();
+    }
+    for host in &mut cluster.hosts {
+        host.start();
+    }
+    cluster.wait_for_leader();
+}
+
+fn sign<T>(message: T) -> tonic::Request<T> {
+    let mut request = tonic::Request::new(message);
+    let value = format!("Bearer {KEY}").parse().unwrap();
+    request.metadata_mut().insert("authorization", value);
+    request
+}
+
+/// Submits to a host; without an answer nothing.
+async fn submit(
+    host: &support::Host,
+    id: &str,
+    change: submit_request::Change,
+) -> Option<operator::submit_reply::Kind> {
+    let address = format!("http://{}", host.operators);
+    let mut client = operator_client::OperatorClient::connect(address)
+        .await
+        .ok()?;
+    let request = operator::SubmitRequest {
+        base_revision: 0,
+        change: Some(change),
+        id: id.to_owned(),
+        operator: format!("operator of {id}"),
+    };
+    let reply = client.submit(sign(request)).await.ok()?;
+    match reply.into_inner().kind? {
+        operator::submit_reply::Kind::Unavailable(_) => None,
+        kind => Some(kind),
+    }
+}
+
+/// Submits the same id until a host answers.
+fn submit_until_answered(
+    host: &support::Host,
+    id: &str,
+    change: &submit_request::Change,
+) -> operator::submit_reply::Kind {
+    let mut answer = None;
+    support::wait_until("an answer to a change", || {
+        answer = support::block_on(submit(host, id, change.clone()));
+        answer.is_some()
+    });
+    answer.unwrap()
+}
+
+fn manifest(note: &str) -> submit_request::Change {
+    submit_request::Change::Manifest(format!("; {note}\n{MANIFEST}").into())
+}
+
+#[test]
+fn of_racing_operators_on_three_hosts_one_wins_and_a_resend_hears_it_again() {
+    let mut cluster = start();
+    let hosts = &cluster.hosts;
+    let answers = support::block_on(async {
+        futures::future::join_all([
+            submit(&hosts[0], "x0", manifest("0")),
+            submit(&hosts[1], "x1", manifest("1")),
+            submit(&hosts[2], "x2", manifest("2")),
+        ])
+        .await
+    });
+    let winner = answers
+        .iter()
+        .position(|answer| matches!(answer, Some(operator::submit_reply::Kind::Accepted(_))))
+        .unwrap();
+    for (index, answer) in answers
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| *index != winner)
+    {
+        let Some(operator::submit_reply::Kind::Conflict(conflict)) = answer else {
+            panic!("{index}: {answer:?}");
+        };
+        assert_eq!(conflict.winner_id, format!("x{winner}"));
+        assert_eq!(conflict.winner_operator, format!("operator of x{winner}"));
+    }
+    restart(&mut cluster);
+    for (index, first) in answers.iter().enumerate() {
+        let other = &cluster.hosts[(index + 1) % 3];
+        let change = manifest(&index.to_string());
+        let again = submit_until_answered(other, &format!("x{index}"), &change);
+        match (first, again) {
+            (
+                Some(operator::submit_reply::Kind::Accepted(first)),
+                operator::submit_reply::Kind::Accepted(again),
+            ) => {
+                assert!(again.repeated);
+                assert_eq!(again.version, first.version);
+            }
+            (Some(first), again) => assert_eq!(*first, again),
+            (None, _) => panic!("{index}: no answer"),
+        }
+    }
+}
+
+#[test]
+fn a_resend_after_hundreds_of_changes_and_a_leader_s_death_changes_nothing() {
+    let mut cluster = start();
+    submit_until_answered(&cluster.hosts[0], "m", &manifest("0"));
+    let out = submit_request::Change::DomainOut("a".to_owned());
+    let first = submit_until_answered(&cluster.hosts[0], "first", &out);
+    let operator::submit_reply::Kind::Accepted(first) = first else {
+        panic!("{first:?}");
+    };
+    for index in 0..200 {
+        let change = match index % 2 {
+            0 => submit_request::Change::DomainBack("a".to_owned()),
+            _ => submit_request::Change::DomainOut("a".to_owned()),
+        };
+        submit_until_answered(&cluster.hosts[index % 3], &format!("c{index}"), &change);
+    }
+    let leader = cluster.wait_for_leader();
+    cluster.hosts[leader].kill();
+    let other = &cluster.hosts[(leader + 1) % 3];
+    let again = submit_until_answered(other, "first", &out);
+    let expected = operator::Accepted {
+        repeated: true,
+        ..first
+    };
+    assert_eq!(again, operator::submit_reply::Kind::Accepted(expected));
+}
+
+async fn claim(host: &support::Host, attempt: &str) -> Option<control::claim_reply::Kind> {
+    let address = format!("http://{}", host.internal);
+    let mut client = control_client::ControlClient::connect(address).await.ok()?;
+    let request = control::ClaimRequest {
+        attempt: attempt.to_owned(),
+        deadline_ms: 60_000,
+        digest: 7,
+        key: "team/loans/k".to_owned(),
+    };
+    match client.claim(request).await.ok()?.into_inner().kind? {
+        control::claim_reply::Kind::Unavailable(_) => None,
+        kind => Some(kind),
+    }
+}
+
+fn claim_until_answered(host: &support::Host, attempt: &str) -> control::claim_reply::Kind {
+    let mut answer = None;
+    support::wait_until("an answer to a claim", || {
+        answer = support::block_on(claim(host, attempt));
+        answer.is_some()
+    });
+    answer.unwrap()
+}
+
+async fn settle(host: &support::Host, fence: u64) -> Option<bool> {
+    let address = format!("http://{}", host.internal);
+    let mut client = control_client::ControlClient::connect(address).await.ok()?;
+    let request = control::SettleRequest {
+        fence,
+        key: "team/loans/k".to_owned(),
+        outcome: Some(control::settle_request::Outcome::Answer("done".into())),
+    };
+    Some(client.settle(request).await.ok()?.into_inner().recorded)
+}
+
+#[test]
+fn a_claim_and_its_answer_outlive_every_process() {
+    let mut cluster = start();
+    let granted = claim_until_answered(&cluster.hosts[0], "a");
+    let control::claim_reply::Kind::Granted(fence) = granted else {
+        panic!("{granted:?}");
+    };
+    restart(&mut cluster);
+    let waiting = claim_until_answered(&cluster.hosts[1], "b");
+    assert!(
+        matches!(waiting, control::claim_reply::Kind::InProgress(_)),
+        "{waiting:?}"
+    );
+    assert_eq!(claim_until_answered(&cluster.hosts[2], "a"), granted);
+    support::wait_until("a settlement", || {
+        support::block_on(settle(&cluster.hosts[1], fence)) == Some(true)
+    });
+    restart(&mut cluster);
+    let answer = control::claim_reply::Kind::Answer("done".into());
+    assert_eq!(claim_until_answered(&cluster.hosts[0], "c"), answer);
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -31,6 +31,7 @@
     pub(crate) health: net::SocketAddr,
     pub(crate) internal: net::SocketAddr,
     pub(crate) name: String,
+    pub(crate) operators: net::SocketAddr,
     pub(crate) stderr: path::PathBuf,
     settings: path::PathBuf,
 }
@@ -86,6 +87,7 @@
                 health: address[2],
                 internal: address[0],
                 name: name.clone(),
+                operators: address[1],
                 stderr: root.path().join(format!("{name}.log")),
                 settings,
             });
