Claims: answers too large never enter the log; names that cannot collide

Cause: an answer of megabytes went through the log to be dropped after; a team 'a/b' with service 'c' shared keys with team 'a' and service 'b/c'; an entry sent a settlement that the state had refused each 50 ms for a minute. Ruled out: escaping names in keys (the grammar may simply not allow the slash). Change: SettleRequest.ran, names without ':' and '/' but for models, steps bounded to 1 MiB, a node ahead of its host is left alone, one settlement. Conclusion: log and spread are bounded in bytes.

--- a/crates/adapters/src/manifest.rs
+++ b/crates/adapters/src/manifest.rs
@@ -69,18 +69,31 @@
     let mut values = Vec::new();
     for name in reader.list_names(kind) {
         let section = format!("{kind} {name}");
-        if !is_name(&name) {
-            let problem = "needs a name of letters, digits and . _ - : / after its kind";
-            reader.report(&section, "", problem.to_owned());
+        let more = list_more(kind);
+        if !is_name(&name, more) {
+            let problem = format!("needs a name of letters, digits and ._-{more} after its kind");
+            reader.report(&section, "", problem);
         }
         values.push(read(reader, &section, name));
     }
     values
 }
 
-fn is_name(name: &str) -> bool {
-    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-:/".contains(&byte);
-    !name.is_empty() && name.len() <= NAME_BYTES && name.bytes().all(is_allowed)
+/// Returns what a name of this kind may hold besides letters, digits and `._-`.
+///
+/// Teams and services are parts of a claim's key, so they hold no slash.
+fn list_more(kind: &str) -> &'static str {
+    match kind {
+        "model" => ":/",
+        _ => "",
+    }
+}
+
+fn is_name(name: &str, more: &str) -> bool {
+    let is_allowed = |letter: char| {
+        letter.is_ascii_alphanumeric() || "._-".contains(letter) || more.contains(letter)
+    };
+    !name.is_empty() && name.len() <= NAME_BYTES && name.chars().all(is_allowed)
 }
 
 fn read_domain(reader: &mut settings::Reader, section: &str, name: String) -> manifest::Domain {
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -1,6 +1,7 @@
 //! At-most-once claims over the inter-process port.
 
 use peargap_adapters::logs;
+use peargap_core::claims as core_claims;
 use peargap_wire::control;
 use peargap_wire::record;
 
@@ -35,8 +36,9 @@
 /// Records an outcome; fails when that is not known to be recorded, so that it is sent again.
 pub(crate) async fn settle(
     handle: &replica::Handle,
-    request: control::SettleRequest,
+    mut request: control::SettleRequest,
 ) -> Result<control::SettleReply, tonic::Status> {
+    drop_large_answer(&mut request);
     let key = request.key.clone();
     let kind = record::command::Kind::Settle(request);
     let settled = match proposal::propose(handle, kind).await {
@@ -51,6 +53,16 @@
     Ok(settled)
 }
 
+/// Keeps an answer out of the log that the state would not keep.
+fn drop_large_answer(request: &mut control::SettleRequest) {
+    let Some(control::settle_request::Outcome::Answer(answer)) = &request.outcome else {
+        return;
+    };
+    if answer.len() > core_claims::ANSWER_BYTES {
+        request.outcome = Some(control::settle_request::Outcome::Ran(true));
+    }
+}
+
 pub(crate) fn describe_refusal(refusal: replica::Refusal) -> tonic::Status {
     match refusal {
         replica::Refusal::DiskFull => tonic::Status::resource_exhausted("the disk is full"),
--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -215,6 +215,7 @@
     match request.outcome? {
         control::settle_request::Outcome::Answer(answer) => Some(claims::Outcome::Answer(answer)),
         control::settle_request::Outcome::NotRun(_) => Some(claims::Outcome::NotRun),
+        control::settle_request::Outcome::Ran(_) => Some(claims::Outcome::Ran),
         control::settle_request::Outcome::Unknown(_) => Some(claims::Outcome::Unknown),
     }
 }
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -11,6 +11,8 @@
 
 /// Steps kept for nodes that are behind.
 const STEPS_KEPT: usize = 1024;
+/// Memory of all steps kept.
+const STEPS_BYTES: usize = 1 << 20;
 /// Changes beyond which the whole configuration is sent instead.
 const CHANGES_SENT: usize = 512;
 
@@ -38,11 +40,14 @@
 #[derive(Debug)]
 struct Step {
     base: u64,
+    bytes: usize,
     changes: Vec<control::Change>,
 }
 
 #[derive(Debug, Default)]
 struct Ring {
+    /// Memory of the steps.
+    bytes: usize,
     config: sync::Arc<config::Config>,
     steps: collections::VecDeque<Step>,
 }
@@ -64,7 +69,8 @@
     /// Returns what leads `reader` from version `from` to the present one.
     pub(crate) fn lead(&self, reader: &Reader, from: u64) -> Lead {
         let ring = self.lock();
-        if from == ring.config.version {
+        // A node may have heard of a newer version from a host that applied it sooner.
+        if from >= ring.config.version {
             return Lead::Nothing;
         }
         match ring.collect(reader, from) {
@@ -83,13 +89,20 @@
 
 impl Ring {
     fn advance(&mut self, config: &sync::Arc<config::Config>) {
-        if self.steps.len() == STEPS_KEPT {
-            self.steps.pop_front();
-        }
+        let changes = compare(&self.config, config);
+        let bytes = changes.iter().map(prost::Message::encoded_len).sum();
+        self.bytes += bytes;
         self.steps.push_back(Step {
             base: self.config.version,
-            changes: compare(&self.config, config),
+            bytes,
+            changes,
         });
+        while self.steps.len() > STEPS_KEPT || self.bytes > STEPS_BYTES {
+            let Some(oldest) = self.steps.pop_front() else {
+                break;
+            };
+            self.bytes -= oldest.bytes;
+        }
         self.config = config.clone();
     }
 
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -250,7 +250,7 @@
         let version = update.version;
         match self.updates.try_send(Ok(update)) {
             Ok(()) => {
-                self.sent = version;
+                self.sent = self.sent.max(version);
                 Next::Continue
             }
             // The next report, or the silence limit, follows.
--- a/crates/control/tests/services.rs
+++ b/crates/control/tests/services.rs
@@ -280,3 +280,33 @@
         Some(control::claim_reply::Kind::Mismatch(true))
     );
 }
+
+#[tokio::test]
+async fn an_answer_too_large_to_keep_is_known_to_have_run() {
+    let host = start().await;
+    let mut client = host.control().await;
+    let request = control::ClaimRequest {
+        attempt: "a".to_owned(),
+        deadline_ms: 1000,
+        digest: 7,
+        key: "team/loans/large".to_owned(),
+    };
+    let reply = client.claim(request.clone()).await.unwrap().into_inner();
+    let Some(control::claim_reply::Kind::Granted(fence)) = reply.kind else {
+        panic!("{reply:?}");
+    };
+    let settle = control::SettleRequest {
+        fence,
+        key: request.key.clone(),
+        outcome: Some(control::settle_request::Outcome::Answer(
+            vec![0; 1 << 20].into(),
+        )),
+    };
+    assert!(client.settle(settle).await.unwrap().into_inner().recorded);
+    let repeat = control::ClaimRequest {
+        attempt: "b".to_owned(),
+        ..request
+    };
+    let ran = client.claim(repeat).await.unwrap().into_inner();
+    assert_eq!(ran.kind, Some(control::claim_reply::Kind::Ran(true)));
+}
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -86,6 +86,8 @@
     Answer(Bytes),
     /// It provably did not run.
     NotRun,
+    /// It ran; its answer is too large to keep.
+    Ran,
     /// Nobody knows.
     Unknown,
 }
@@ -211,6 +213,10 @@
                 self.keep_answer(now, key, answer);
                 true
             }
+            (State::Running(_) | State::Unknown, Outcome::Ran) => {
+                self.change(key, now + RETENTION_MS, State::Ran);
+                true
+            }
             (State::Running(attempt), Outcome::NotRun) => {
                 let state = State::Free(attempt.clone());
                 self.change(key, now + FREE_RETENTION_MS, state);
@@ -222,10 +228,11 @@
             }
             (State::Answered(known), Outcome::Answer(answer)) => *known == answer,
             (State::Free(_), Outcome::NotRun) => true,
-            (State::Ran, Outcome::Answer(_)) => true,
+            (State::Ran, Outcome::Answer(_) | Outcome::Ran) => true,
             (State::Unknown, Outcome::Unknown) => true,
-            (State::Answered(_) | State::Ran, Outcome::NotRun | Outcome::Unknown) => false,
-            (State::Free(_), Outcome::Answer(_) | Outcome::Unknown) => false,
+            (State::Answered(_), Outcome::NotRun | Outcome::Ran | Outcome::Unknown) => false,
+            (State::Ran, Outcome::NotRun | Outcome::Unknown) => false,
+            (State::Free(_), Outcome::Answer(_) | Outcome::Ran | Outcome::Unknown) => false,
             (State::Unknown, Outcome::NotRun) => false,
         }
     }
--- a/crates/entry/src/quorum.rs
+++ b/crates/entry/src/quorum.rs
@@ -80,10 +80,9 @@
             let mut client = Client::new(self.channels[host].clone());
             let limit = (clock::Instant::now() + HOST_LIMIT).min(give_up_at);
             let answer = clock::timeout_at(limit, client.settle(request.clone())).await;
+            // The committed state answered: what it does not record now it never will.
             if let Ok(Ok(reply)) = answer {
-                if reply.into_inner().recorded {
-                    return true;
-                }
+                return reply.into_inner().recorded;
             }
             self.pass_over(host);
             if clock::Instant::now() + NEXT_PAUSE >= give_up_at {
--- a/crates/entry/tests/support/control.rs
+++ b/crates/entry/tests/support/control.rs
@@ -187,6 +187,7 @@
                 return claim_reply::Kind::Answer(answer.clone());
             }
             Some(settle_request::Outcome::Unknown(_)) => return claim_reply::Kind::Unknown(true),
+            Some(settle_request::Outcome::Ran(_)) => return claim_reply::Kind::Ran(true),
             Some(settle_request::Outcome::NotRun(_)) => {}
         }
     }
--- a/crates/wire/src/gen/peargap.control.rs
+++ b/crates/wire/src/gen/peargap.control.rs
@@ -223,7 +223,7 @@
     pub key: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub fence: u64,
-    #[prost(oneof = "settle_request::Outcome", tags = "3, 4, 5")]
+    #[prost(oneof = "settle_request::Outcome", tags = "3, 4, 5, 6")]
     pub outcome: ::core::option::Option<settle_request::Outcome>,
 }
 /// Nested message and enum types in `SettleRequest`.
@@ -239,6 +239,9 @@
         /// Nobody knows.
         #[prost(bool, tag = "5")]
         Unknown(bool),
+        /// It ran; its answer is too large to keep.
+        #[prost(bool, tag = "6")]
+        Ran(bool),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
