Nodes leave a frozen control host in time for the next one's lease

Cause: a node attached to a frozen control host was without a lease for 129 ms. Ruled out: a longer lease (cut-off nodes would work longer under an old version).

--- a/crates/adapters/src/follow.rs
+++ b/crates/adapters/src/follow.rs
@@ -27,8 +27,8 @@
 
 /// Time between two reports on an idle link.
 const REPORT_PERIOD: time::Duration = time::Duration::from_millis(500);
-/// A link without any message for this long is replaced.
-const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(1_500);
+/// A link without any message for this long is replaced, in time for the next host's lease.
+const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(900);
 /// Wait before the next control host is tried.
 const RETRY_PERIOD: time::Duration = time::Duration::from_millis(100);
 /// Reports that may wait for a slow link.
