Agent: only the reading link may cancel; engine's words stay out of the log

Cause: an entry that cancels for a caller that left could end a generation another entry had resumed; an engine's error body, which may quote the prompt, was logged. Ruled out: leaving it to the entry's order of messages (a Cancel and a newer link race). Change: Stream::cancel asks the buffer whether the link reads; cause logged without the engine's text; a seventh planted bug in the model.

--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -53,6 +53,7 @@
     let mut driver = Driver {
         agent: &agent,
         begun: tokio::time::Instant::now(),
+        cause: String::new(),
         detail: String::new(),
         fetch: fetch::Fetch::new(RESUME_WINDOW),
         finish: Finish::default(),
@@ -71,11 +72,12 @@
         Some(end) => end,
         None => stop(&agent, &stream).await,
     };
+    let cause = driver.cause;
     let (how, ended) = judge::classify(&end);
     permit.set_end(how);
     drop(permit);
     agent.meters.count_end(ended);
-    log_end(&stream, &end);
+    log_end(&stream, &end, &cause);
     stream.end(end, agent.clock.now());
 }
 
@@ -143,7 +145,7 @@
     stream::fail(wire::Ran::Yes, reason, retry_after_ms, detail)
 }
 
-fn log_end(stream: &stream::Stream, end: &stream::End) {
+fn log_end(stream: &stream::Stream, end: &stream::End, cause: &str) {
     let (request, id, next) = (&stream.request, &stream.id, stream.next());
     match end {
         stream::End::Finished(finished) => logs::emit(
@@ -161,10 +163,9 @@
             logs::emit(
                 event,
                 format_args!(
-                    "request={request} generation={id} tokens={next} ran={} reason={} detail={:?}",
+                    "request={request} generation={id} tokens={next} ran={} reason={} cause={cause:?}",
                     failed.ran().as_str_name(),
-                    failed.reason().as_str_name(),
-                    failed.detail
+                    failed.reason().as_str_name()
                 ),
             );
         }
@@ -181,7 +182,9 @@
 struct Driver<'a> {
     agent: &'a agent::Agent,
     begun: tokio::time::Instant,
-    /// What the engine last said of a failure.
+    /// What was last seen of a failure, without the engine's own words.
+    cause: String,
+    /// The engine's own words, for the caller only: they may quote the prompt.
     detail: String,
     fetch: fetch::Fetch,
     finish: Finish,
@@ -230,11 +233,12 @@
                 fetch::Event::Opened
             }
             engine::Opened::Refused { status, detail } => {
-                self.detail = format!("the engine answered {status}: {detail}");
+                self.cause = format!("the engine answered {status}");
+                self.detail = detail;
                 fetch::Event::Refused(judge::judge_status(status))
             }
             engine::Opened::Fault(fault) => {
-                self.detail = format!("the engine was not reached: {fault:?}");
+                self.cause = format!("the engine gave no answer: {fault:?}");
                 judge::judge_fault(&fault)
             }
         }
@@ -280,6 +284,7 @@
             tokens::Next::Step(step) => self.take_step(step).await,
             tokens::Next::Done => Taken::Event(fetch::Event::Completed),
             tokens::Next::Failed(detail) => {
+                self.cause = "the engine said that it failed".to_owned();
                 self.detail = detail;
                 Taken::Event(fetch::Event::Failed)
             }
@@ -350,7 +355,7 @@
         match end {
             fetch::End::Whole => self.build_whole(),
             fetch::End::Failed { cause, ran } => {
-                let detail = core::mem::take(&mut self.detail);
+                let detail = format!("{} {}", self.cause, self.detail);
                 stream::End::Failed(judge::build_failed(cause, ran, detail))
             }
         }
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -186,7 +186,7 @@
         self.heard = tokio::time::Instant::now();
         match message.kind {
             Some(wire::up::Kind::Ack(ack)) => self.stream.acknowledge(cursor, ack.offset),
-            Some(wire::up::Kind::Cancel(_)) => self.stream.cancelled.cancel(),
+            Some(wire::up::Kind::Cancel(_)) => self.stream.cancel(cursor),
             Some(wire::up::Kind::Ping(ping)) => {
                 self.pinged = true;
                 let kind = Some(wire::down::Kind::Pong(ping));
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -108,7 +108,9 @@
         priority: terms.priority,
     };
     body::rewrite(&start.body, additions).map_err(|error| {
-        let detail = format!("the body is not a JSON object: {error}");
+        // The error's own text may quote the body.
+        let (line, column) = (error.line(), error.column());
+        let detail = format!("the body is not a JSON object: line {line} column {column}");
         agent::refuse(wire::Reason::Invalid, 0, detail)
     })
 }
--- a/crates/agent/src/stream.rs
+++ b/crates/agent/src/stream.rs
@@ -213,6 +213,13 @@
         }
     }
 
+    /// Cancels the generation for the caller of a link, unless a newer link has taken over.
+    pub(crate) fn cancel(&self, cursor: Cursor) {
+        if self.lock().buffer.is_reader(cursor.link) {
+            self.cancelled.cancel();
+        }
+    }
+
     /// Returns the state as the sweeper needs it.
     pub(crate) fn summarize(&self) -> Summary {
         let state = self.lock();
--- a/crates/agent/src/tokens.rs
+++ b/crates/agent/src/tokens.rs
@@ -153,7 +153,7 @@
     }
     let data: Data = match serde_json::from_str(&event.data) {
         Ok(data) => data,
-        Err(error) => return Next::Lost(format!("malformed event: {error}")),
+        Err(_) => return Next::Lost("malformed event".to_owned()),
     };
     if let Some(error) = data.error {
         return Next::Failed(error.to_string());
--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -86,6 +86,14 @@
     older.read(&mut heard, 10).await;
     let first = support::resume(&heard.generation, heard.next);
     let mut newer = support::open(rig.front.address, first).await;
+    newer.read(&mut heard, 11).await;
+    // The older entry finds out late that its caller has gone; the generation is another's now.
+    let _ = older
+        .up
+        .send(wire::Up {
+            kind: Some(wire::up::Kind::Cancel(wire::Cancel {})),
+        })
+        .await;
     let mut lost = support::Heard {
         next: heard.next,
         ..support::Heard::default()
@@ -97,6 +105,7 @@
     );
     newer.read_all(&mut heard).await;
     assert_eq!(heard.text, support::whole_text(100));
+    assert_eq!(rig.engine.look(|state| state.cancelled), 0);
 }
 
 #[tokio::test]
--- a/crates/core/src/replay.rs
+++ b/crates/core/src/replay.rs
@@ -122,6 +122,11 @@
         self.reader.is_some()
     }
 
+    /// Returns whether `link` is the one that reads.
+    pub fn is_reader(&self, link: Link) -> bool {
+        self.reader.is_some_and(|reader| reader.link == link)
+    }
+
     /// Adds the token at `offset`.
     pub fn push(&mut self, offset: u64, token: Bytes) -> Push {
         if offset < self.next() {
@@ -160,7 +165,7 @@
 
     /// Ends `link`; what it did not acknowledge stays. Returns whether it was the reader.
     pub fn detach(&mut self, link: Link) -> bool {
-        let current = self.reader.is_some_and(|reader| reader.link == link);
+        let current = self.is_reader(link);
         if current {
             self.reader = None;
         }
--- a/crates/core/tests/model_stream.rs
+++ b/crates/core/tests/model_stream.rs
@@ -22,6 +22,8 @@
     AcknowledgeWhenSent,
     /// The agent takes the engine's tokens in the order of arrival, whatever their offset.
     IgnoreEngineOffset,
+    /// The agent cancels for whichever link asks.
+    CancelFromOldLink,
     /// The entry uses what still arrives on a link that it has replaced.
     ReadOldLink,
     /// The entry starts a dead generation again after tokens have left for the caller.
@@ -80,10 +82,14 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct State {
     alive: bool,
+    /// Whether the entry of the old link is yet to cancel for a caller that left it.
+    cancelling: bool,
     buffer: replay::Buffer,
     current: Option<Channel>,
     /// Whether the engine's death or the caller's loss excuses a failure.
     excused: bool,
+    /// Whether no replaced link has cancelled the generation of another.
+    cancelled_rightly: bool,
     /// Offset that the entry expects next.
     expected: u64,
     faults: u8,
@@ -115,9 +121,11 @@
     fn new(faults: u8) -> State {
         State {
             alive: true,
+            cancelling: false,
             buffer: replay::Buffer::new(LIMIT_BYTES),
             current: None,
             excused: false,
+            cancelled_rightly: true,
             expected: 0,
             faults,
             fresh: true,
@@ -146,7 +154,7 @@
             Some(Outcome::Failed) => self.excused,
             None => true,
         };
-        !(in_order && one && ended_well)
+        !(in_order && one && ended_well && self.cancelled_rightly)
     }
 
     /// Returns every state that one step leads to.
@@ -163,6 +171,7 @@
         next.extend(self.receive_old(spec));
         next.extend(self.take_acknowledgement(true));
         next.extend(self.take_acknowledgement(false));
+        next.extend(self.cancel_old(spec));
         next.extend(self.open_link(spec));
         next.extend(self.read_event());
         if self.faults > 0 {
@@ -317,6 +326,20 @@
         Some(state)
     }
 
+    /// The entry of a replaced link cancels for the caller that left it.
+    fn cancel_old(&self, spec: Spec) -> Option<State> {
+        let channel = self.old.as_ref().filter(|_| self.cancelling)?;
+        let mut state = self.clone();
+        state.cancelling = false;
+        let reads = self.buffer.is_reader(channel.link);
+        if reads || spec.bug == Some(Bug::CancelFromOldLink) {
+            state.alive = false;
+            state.source = None;
+            state.cancelled_rightly = reads;
+        }
+        Some(state)
+    }
+
     /// The entry opens a link at what it expects next.
     fn open_link(&self, spec: Spec) -> Option<State> {
         if self.current.is_some() {
@@ -391,6 +414,7 @@
     fn silence_link(&self) -> Option<State> {
         let mut state = self.clone();
         state.old = Some(state.current.take()?);
+        state.cancelling = false;
         Some(state)
     }
 
@@ -400,6 +424,7 @@
         state.wire.clear();
         if state.current.is_some() {
             state.old = state.current.take();
+            state.cancelling = true;
         }
         state.excused = true;
         state.expected = state.got.len() as u64;
@@ -444,6 +469,7 @@
 fn planted_bugs_are_found() {
     let bugs = [
         Bug::AcknowledgeWhenSent,
+        Bug::CancelFromOldLink,
         Bug::DropWhenFull,
         Bug::IgnoreEngineOffset,
         Bug::ReadOldLink,
