--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -241,3 +241,39 @@
     assert_eq!(heard.next, 60);
     assert!(heard.finished.is_some());
 }
+
+#[tokio::test]
+async fn finished_generation_is_kept_for_its_retention_and_its_team() {
+    let rig = build_rig("[stream]\nretention_ms=1500\n").await;
+    let mut link = support::open(rig.front.address, support::start("r1", 20)).await;
+    let mut heard = support::Heard::default();
+    link.read_all(&mut heard).await;
+    let first = support::resume(&heard.generation, 15);
+    let mut again = support::open(rig.front.address, first).await;
+    let mut rest = support::Heard {
+        next: 15,
+        ..support::Heard::default()
+    };
+    again.read_all(&mut rest).await;
+    assert_eq!(rest.next, 20);
+    assert_eq!(rest.finished, heard.finished);
+    let wire::up::Kind::Resume(mut other) = support::resume(&heard.generation, 0) else {
+        unreachable!("a resume");
+    };
+    other.team = "lending".to_owned();
+    let gone = read_failure(&rig, wire::up::Kind::Resume(other)).await;
+    assert_eq!(gone.reason(), wire::Reason::Gone);
+    tokio::time::sleep(time::Duration::from_millis(2_000)).await;
+    let gone = read_failure(&rig, support::resume(&heard.generation, 15)).await;
+    assert_eq!(
+        (gone.ran(), gone.reason()),
+        (wire::Ran::Unknown, wire::Reason::Gone)
+    );
+}
+
+async fn read_failure(rig: &Rig, first: wire::up::Kind) -> wire::Failed {
+    let mut link = support::open(rig.front.address, first).await;
+    let mut heard = support::Heard::default();
+    link.read_all(&mut heard).await;
+    heard.failed.expect("not refused")
+}
