--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -80,7 +80,7 @@
             ran: refusal.ran.to_core(),
             repeatable: job.repeatable,
         };
-        let next = history.plan(app, &peer, &refusal, &attempt, &job.request.request);
+        let next = history.plan(app, &peer, &refusal, &attempt, &request);
         let Some(pause) = next else {
             return Err(history.conclude(refusal));
         };
--- a/crates/entry/src/generations.rs
+++ b/crates/entry/src/generations.rs
@@ -258,7 +258,7 @@
     let audience = call.job.audience;
     let (mut pieces, written) = relay::spawn(app, call.job);
     if audience == relay::Audience::Whole {
-        let whole = whole::collect(&style, pieces, written).await;
+        let whole = whole::collect(&style, pieces).await;
         return whole.unwrap_or_else(refusal::Refusal::into_response);
     }
     // The status line waits for the first piece, so that a refusal has a status of its own.
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -14,10 +14,12 @@
 
 use crate::peer;
 
-/// Time between two heartbeats on a link.
-pub(crate) const PING_PERIOD: time::Duration = time::Duration::from_millis(200);
+/// Time between two looks at the clock.
+pub(crate) const TICK_PERIOD: time::Duration = time::Duration::from_millis(100);
+/// Ticks between two heartbeats on a link.
+const PING_TICKS: u64 = 2;
 /// A link without any message for this long is silent.
-pub(crate) const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(900);
+const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(800);
 /// How long an agent has to end a cancelled generation's link.
 const CANCEL_LIMIT: time::Duration = time::Duration::from_secs(1);
 /// Messages to the agent that may wait for a slow link.
@@ -69,7 +71,7 @@
     down: tonic::Streaming<wire::Down>,
     heard: clock::Instant,
     pub(crate) lane: u64,
-    pings: u64,
+    ticks: u64,
     up: mpsc::Sender<wire::Up>,
 }
 
@@ -87,7 +89,7 @@
             down: answer.into_inner(),
             heard: clock::Instant::now(),
             lane: lane.number,
-            pings: 0,
+            ticks: 0,
             up: sender,
         }),
         Ok(Err(status)) if mark.is_sent() => Err(OpenError::Sent(status)),
@@ -134,10 +136,13 @@
         self.heard = clock::Instant::now();
     }
 
-    /// Sends a heartbeat.
-    pub(crate) fn ping(&mut self) {
-        self.pings += 1;
-        self.send(up::Kind::Ping(wire::Ping { number: self.pings }));
+    /// Sends a heartbeat when one is due; called every [`TICK_PERIOD`].
+    pub(crate) fn tick(&mut self) {
+        if self.ticks.is_multiple_of(PING_TICKS) {
+            let number = self.ticks / PING_TICKS + 1;
+            self.send(up::Kind::Ping(wire::Ping { number }));
+        }
+        self.ticks += 1;
     }
 
     /// Tells the agent that tokens below `offset` were handed to the caller.
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -69,7 +69,7 @@
         peer: &peer::Peer,
         refusal: &refusal::Refusal,
         attempt: &retry::Attempt,
-        request: &str,
+        request: &Request<'_>,
     ) -> Option<time::Duration> {
         let upstream = &peer.identity.upstream;
         self.excluded.push(peer.key);
@@ -80,12 +80,13 @@
             (earlier, now) => earlier.or(now),
         };
         note_evidence(app, peer, refusal);
-        if !is_worth_retry(refusal.code) {
+        if !is_worth_retry(refusal.code) || decide(app, request, self).peer().is_none() {
             return None;
         }
         let next = app.retries.plan(app.board.now(), attempt);
         let details = format_args!(
-            "request={request} upstream={upstream} attempt={} code={} ran={} next={next:?}",
+            "request={} upstream={upstream} attempt={} code={} ran={} next={next:?}",
+            request.request,
             attempt.number,
             refusal.code.as_str(),
             refusal.ran.as_str(),
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -3,6 +3,8 @@
 use core::time;
 use std::collections;
 
+use bytes::BufMut as _;
+use bytes::BytesMut;
 use peargap_adapters::logs;
 use peargap_wire::agent as wire;
 use tokio::sync::mpsc;
@@ -21,6 +23,8 @@
 const PENDING_LIMIT: usize = 64;
 /// Newly written tokens that are acknowledged without waiting for the next heartbeat.
 const ACK_TOKENS: u64 = 64;
+/// A comment is sent after this much silence.
+const KEEP_ALIVE_PERIOD: time::Duration = time::Duration::from_secs(2);
 /// Time after the deadline that the agent has to say so itself.
 const DEADLINE_MARGIN: time::Duration = time::Duration::from_millis(250);
 
@@ -42,6 +46,8 @@
 pub(crate) struct Caller {
     acked: u64,
     audience: relay::Audience,
+    /// Text for a caller that takes it whole.
+    collected: BytesMut,
     deadline: clock::Instant,
     first_token: Option<clock::Instant>,
     last_token: clock::Instant,
@@ -49,18 +55,25 @@
     pieces: mpsc::Sender<relay::Piece>,
     pub(crate) progress: progress::Progress,
     started: clock::Instant,
+    /// When the caller's connection last had room.
+    taken_at: clock::Instant,
     written: progress::Written,
 }
 
 enum Next {
+    Link(link::Event),
+    Taken,
+    Tick,
+}
+
+/// What a look at the clock shows.
+enum Check {
     Deadline,
+    Go,
     Left,
-    Link(link::Event),
     Moved,
-    Ping,
     Silent,
     Stalled,
-    Taken,
 }
 
 impl Caller {
@@ -74,6 +87,7 @@
         Caller {
             acked: 0,
             audience,
+            collected: BytesMut::new(),
             deadline,
             first_token: None,
             last_token: started,
@@ -81,10 +95,19 @@
             pieces,
             progress: progress::Progress::default(),
             started,
+            taken_at: started,
             written,
         }
     }
 
+    /// Forgets what an earlier attempt brought.
+    pub(crate) fn start_over(&mut self) {
+        self.collected.clear();
+        self.progress = progress::Progress::default();
+        self.written.set(0);
+        self.acked = 0;
+    }
+
     /// Resolves when the caller has left.
     pub(crate) async fn left(&self) {
         self.pieces.closed().await;
@@ -102,9 +125,8 @@
 
     /// Returns the time left until the deadline, at least 1 ms.
     pub(crate) fn remaining_ms(&self) -> u32 {
-        let left = self
-            .deadline
-            .saturating_duration_since(clock::Instant::now());
+        let now = clock::Instant::now();
+        let left = self.deadline.saturating_duration_since(now);
         u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1)
     }
 
@@ -120,80 +142,120 @@
 
     /// Follows a link until it ends one way or another.
     pub(crate) async fn pump(&mut self, app: &app::App, mut link: link::Link) -> End {
-        let mut ping = clock::interval(link::PING_PERIOD);
-        ping.set_missed_tick_behavior(clock::MissedTickBehavior::Delay);
-        let mut taken_at = clock::Instant::now();
+        let mut timer = clock::interval(link::TICK_PERIOD);
+        timer.set_missed_tick_behavior(clock::MissedTickBehavior::Delay);
+        self.taken_at = clock::Instant::now();
         loop {
-            let stalled_at = taken_at + app.settings.limits.stalled_reader;
-            match self.await_next(app, &mut link, &mut ping, stalled_at).await {
-                Next::Deadline => {
-                    link.cancel();
-                    return End::Refused(self.refuse_deadline());
-                }
-                Next::Left => {
-                    self.end_left(app, link).await;
-                    return End::Done;
-                }
+            match self.await_next(&mut link, &mut timer).await {
                 Next::Link(event) => {
-                    if self.pending.is_empty() {
-                        taken_at = clock::Instant::now();
-                    }
                     if let Some(end) = self.take_event(app, event) {
                         return self.conclude(end, link).await;
                     }
+                    self.hand_on();
                     self.ack(&link, ACK_TOKENS);
                 }
-                Next::Moved => {
-                    self.give(relay::Piece::Moved).await;
-                    return End::Done;
-                }
-                Next::Ping => {
-                    link.ping();
-                    self.ack(&link, 1);
-                }
-                Next::Silent => return End::Lost("silent"),
-                Next::Stalled => {
-                    let offset = self.written.get();
-                    logs::emit(events::READER_STALLED, format_args!("written={offset}"));
-                    link.cancel();
-                    return End::Done;
-                }
                 Next::Taken => {
-                    taken_at = clock::Instant::now();
+                    self.taken_at = clock::Instant::now();
                     if self.pending.len() + 1 == PENDING_LIMIT {
                         link.excuse_silence();
                     }
                 }
+                Next::Tick => {
+                    link.tick();
+                    self.ack(&link, 1);
+                    match self.check(app, &link) {
+                        Check::Go => self.keep_alive(),
+                        over => return self.stop(app, link, over).await,
+                    }
+                }
             }
         }
     }
 
-    async fn await_next(
-        &mut self,
-        app: &app::App,
-        link: &mut link::Link,
-        ping: &mut clock::Interval,
-        stalled_at: clock::Instant,
-    ) -> Next {
+    /// Waits for a message, for room or for the clock; timers are few since every token passes.
+    async fn await_next(&mut self, link: &mut link::Link, timer: &mut clock::Interval) -> Next {
         let waiting = !self.pending.is_empty();
         let reading = self.pending.len() < PENDING_LIMIT;
-        let silent_at = link.silent_at();
-        let is_stream = self.audience != relay::Audience::Whole;
         tokio::select! {
             biased;
-            () = self.pieces.closed() => Next::Left,
-            permit = self.pieces.reserve(), if waiting => {
-                if let (Ok(permit), Some(piece)) = (permit, self.pending.pop_front()) {
+            _ = timer.tick() => Next::Tick,
+            Ok(permit) = self.pieces.reserve(), if waiting => {
+                if let Some(piece) = self.pending.pop_front() {
                     permit.send(piece);
                 }
                 Next::Taken
             }
-            _ = ping.tick() => Next::Ping,
             event = link.next(), if reading => Next::Link(event),
-            () = clock::sleep_until(silent_at), if reading => Next::Silent,
-            () = clock::sleep_until(self.deadline + DEADLINE_MARGIN) => Next::Deadline,
-            () = clock::sleep_until(stalled_at), if waiting => Next::Stalled,
-            () = app.streams_end.cancelled(), if is_stream => Next::Moved,
+        }
+    }
+
+    /// Hands on what the caller's connection has room for.
+    fn hand_on(&mut self) {
+        while let Some(piece) = self.pending.pop_front() {
+            match self.pieces.try_send(piece) {
+                Ok(()) => self.taken_at = self.last_token,
+                Err(mpsc::error::TrySendError::Full(piece)) => {
+                    self.pending.push_front(piece);
+                    return;
+                }
+                Err(mpsc::error::TrySendError::Closed(_)) => return,
+            }
+        }
+    }
+
+    fn check(&self, app: &app::App, link: &link::Link) -> Check {
+        let now = clock::Instant::now();
+        let waiting = !self.pending.is_empty();
+        let reading = self.pending.len() < PENDING_LIMIT;
+        if self.pieces.is_closed() {
+            return Check::Left;
+        }
+        if reading && now >= link.silent_at() {
+            return Check::Silent;
+        }
+        if now >= self.deadline + DEADLINE_MARGIN {
+            return Check::Deadline;
+        }
+        if waiting && now >= self.taken_at + app.settings.limits.stalled_reader {
+            return Check::Stalled;
+        }
+        if app.streams_end.is_cancelled() && self.audience != relay::Audience::Whole {
+            return Check::Moved;
+        }
+        Check::Go
+    }
+
+    async fn stop(&mut self, app: &app::App, link: link::Link, check: Check) -> End {
+        match check {
+            Check::Deadline => {
+                link.cancel();
+                End::Refused(self.refuse_deadline())
+            }
+            Check::Left => {
+                self.end_left(app, link).await;
+                End::Done
+            }
+            Check::Moved => {
+                self.give(relay::Piece::Moved).await;
+                End::Done
+            }
+            Check::Go | Check::Silent => End::Lost("silent"),
+            Check::Stalled => {
+                let offset = self.written.get();
+                logs::emit(events::READER_STALLED, format_args!("written={offset}"));
+                link.cancel();
+                End::Done
+            }
+        }
+    }
+
+    /// Lets the caller's connection say something when there was nothing to hand on.
+    fn keep_alive(&mut self) {
+        let quiet = self.taken_at.elapsed() >= KEEP_ALIVE_PERIOD;
+        if quiet && self.pending.is_empty() && self.audience != relay::Audience::Whole {
+            self.taken_at = clock::Instant::now();
+            self.pending.push_back(relay::Piece::Quiet);
+            self.hand_on();
         }
     }
 
@@ -204,6 +266,7 @@
             link::Event::Chunk(chunk) => self.take_chunk(app, chunk),
             link::Event::Failed(failed) => Some(End::Failed(failed)),
             link::Event::Finished(finished) => {
+                self.give_collected();
                 self.pending.push_back(relay::Piece::Finished(finished));
                 Some(End::Done)
             }
@@ -230,11 +293,16 @@
         match self.progress.take_chunk(chunk.offset, chunk.tokens) {
             progress::Step::Deliver { offset, tokens } => {
                 self.measure(app, tokens.len());
-                if self.audience != relay::Audience::Whole {
+                if self.audience == relay::Audience::Whole {
+                    tokens
+                        .iter()
+                        .for_each(|token| self.collected.put_slice(token));
+                    self.written.set(self.progress.next());
+                } else {
                     self.progress.set_delivered();
+                    let piece = relay::Piece::Tokens { offset, tokens };
+                    self.pending.push_back(piece);
                 }
-                let piece = relay::Piece::Tokens { offset, tokens };
-                self.pending.push_back(piece);
                 None
             }
             progress::Step::Gap => Some(End::Lost("gap")),
@@ -242,6 +310,15 @@
         }
     }
 
+    /// Queues the text of a caller that takes it whole.
+    fn give_collected(&mut self) {
+        if !self.collected.is_empty() {
+            let tokens = vec![self.collected.split().freeze()];
+            let piece = relay::Piece::Tokens { offset: 0, tokens };
+            self.pending.push_back(piece);
+        }
+    }
+
     fn measure(&mut self, app: &app::App, tokens: usize) {
         let now = clock::Instant::now();
         match self.first_token {
@@ -284,7 +361,7 @@
 
     /// Gives a piece while heartbeats go on; returns false when the caller has left.
     async fn give_waiting(&mut self, piece: relay::Piece, link: &mut link::Link) -> bool {
-        let mut ping = clock::interval(link::PING_PERIOD);
+        let mut timer = clock::interval(link::TICK_PERIOD);
         loop {
             tokio::select! {
                 permit = self.pieces.reserve() => {
@@ -292,7 +369,7 @@
                     permit.send(piece);
                     return true;
                 }
-                _ = ping.tick() => link.ping(),
+                _ = timer.tick() => link.tick(),
             }
         }
     }
@@ -307,14 +384,14 @@
         };
         let over = clock::sleep(grace);
         tokio::pin!(over);
-        let mut ping = clock::interval(link::PING_PERIOD);
+        let mut timer = clock::interval(link::TICK_PERIOD);
         loop {
             tokio::select! {
                 biased;
                 () = &mut over => return link.cancel(),
                 // The agent cancels what nobody resumes.
                 () = app.stop.cancelled(), if !grace.is_zero() => return,
-                _ = ping.tick() => link.ping(),
+                _ = timer.tick() => link.tick(),
                 event = link.next() => match event {
                     link::Event::Failed(_) | link::Event::Finished(_) | link::Event::Lost => return,
                     link::Event::Accepted(_) | link::Event::Chunk(_) => {}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -41,6 +41,8 @@
     Finished(wire::Finished),
     /// The entry stops; the caller may resume elsewhere.
     Moved,
+    /// Nothing has come for a while.
+    Quiet,
     /// Consecutive tokens, the first with this offset.
     Tokens { offset: u64, tokens: Vec<Bytes> },
 }
@@ -142,6 +144,7 @@
 
     async fn start(&mut self, start: wire::Start) -> Outcome {
         let mut history = place::History::default();
+        let id = self.job.request.clone();
         self.app.retries.earn();
         loop {
             if let Some(refusal) = self.app.refuse_stale() {
@@ -152,7 +155,7 @@
                 kind: control::Kind::Engine,
                 offer: &start.model,
                 prefix: &start.prefix,
-                request: &self.job.request,
+                request: &id,
                 tokens: start.prompt_tokens,
             };
             let peer = match place::pick_peer(&self.app, &request, &history) {
@@ -170,7 +173,7 @@
                 ran: refusal.ran.to_core(),
                 repeatable: deliverable,
             };
-            let next = history.plan(&self.app, &peer, &refusal, &attempt, &self.job.request);
+            let next = history.plan(&self.app, &peer, &refusal, &attempt, &request);
             let Some(pause) = next else {
                 return Outcome::Failed(history.conclude(refusal));
             };
@@ -193,7 +196,7 @@
         start.config_version = self.app.view.version();
         start.incarnation = peer.incarnation();
         self.app.board.record_sent(peer.key, start.prompt_tokens);
-        self.caller.progress = progress::Progress::default();
+        self.caller.start_over();
         let shared = peer.clone();
         let open = async move { link::open_link(&shared, up::Kind::Start(start)).await };
         let mut opening = Box::pin(open);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,7 +1,8 @@
 //! A caller's stream of server-sent events.
 
-use core::convert;
-use core::time;
+use core::pin;
+use core::task;
+use std::io;
 
 use axum::body;
 use axum::http;
@@ -10,16 +11,12 @@
 use bytes::BufMut as _;
 use bytes::Bytes;
 use bytes::BytesMut;
-use futures::stream;
 use tokio::sync::mpsc;
-use tokio::time as clock;
 
 use crate::progress;
 use crate::relay;
 use crate::render;
 
-/// A comment is sent after this much silence.
-const KEEP_ALIVE_PERIOD: time::Duration = time::Duration::from_secs(2);
 /// Pieces that wait are written together up to this many bytes.
 const BATCH_BYTES: usize = 32 << 10;
 
@@ -31,7 +28,7 @@
     pieces: mpsc::Receiver<relay::Piece>,
     written: progress::Written,
 ) -> response::Response {
-    let state = State {
+    let stream = Stream {
         events: resumed.map(|generation| style.events(generation).resumed()),
         first: Some(first),
         handed: written.get(),
@@ -41,11 +38,7 @@
         style,
         written,
     };
-    let chunks = stream::unfold(state, |mut state| async move {
-        let chunk = state.next_chunk().await?;
-        Some((Ok::<Bytes, convert::Infallible>(chunk), state))
-    });
-    let mut response = response::Response::new(body::Body::from_stream(chunks));
+    let mut response = response::Response::new(body::Body::new(stream));
     let headers = response.headers_mut();
     let kind = http::HeaderValue::from_static("text/event-stream; charset=utf-8");
     headers.insert(header::CONTENT_TYPE, kind);
@@ -54,10 +47,11 @@
     response
 }
 
-struct State {
+/// The body: pieces as events.
+struct Stream {
     events: Option<render::Events>,
     first: Option<relay::Piece>,
-    /// Offset below which tokens are in chunks that were handed out.
+    /// Offset below which tokens are in frames that were handed out.
     handed: u64,
     is_resumed: bool,
     over: bool,
@@ -66,32 +60,44 @@
     written: progress::Written,
 }
 
-impl State {
-    /// Returns the next bytes for the connection, which has taken all earlier ones.
-    async fn next_chunk(&mut self) -> Option<Bytes> {
+impl body::HttpBody for Stream {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<hyper::body::Frame<Bytes>, io::Error>>> {
+        // The connection asks for more when it has taken all earlier frames.
         self.written.set(self.handed);
         if self.over {
-            return None;
+            return task::Poll::Ready(None);
         }
-        let mut buffer = BytesMut::new();
-        let first = match self.first.take() {
+        let piece = match self.first.take() {
             Some(first) => Some(first),
-            None => match clock::timeout(KEEP_ALIVE_PERIOD, self.pieces.recv()).await {
-                Ok(piece) => Some(piece?),
-                Err(_) => None,
-            },
+            None => task::ready!(self.pieces.poll_recv(context)),
         };
-        match first {
-            Some(piece) => self.put_piece(&mut buffer, piece),
-            None => buffer.put_slice(b": keep-alive\n\n"),
-        }
+        let Some(piece) = piece else {
+            // Without an end the answer is not whole, which only a broken connection can tell.
+            return task::Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())));
+        };
+        let frame = hyper::body::Frame::data(self.build_chunk(piece));
+        task::Poll::Ready(Some(Ok(frame)))
+    }
+}
+
+impl Stream {
+    /// Returns the events of a piece and of those that wait behind it.
+    fn build_chunk(&mut self, first: relay::Piece) -> Bytes {
+        let mut buffer = BytesMut::new();
+        self.put_piece(&mut buffer, first);
         while buffer.len() < BATCH_BYTES && !self.over {
             let Ok(piece) = self.pieces.try_recv() else {
                 break;
             };
             self.put_piece(&mut buffer, piece);
         }
-        Some(buffer.freeze())
+        buffer.freeze()
     }
 
     fn put_piece(&mut self, buffer: &mut BytesMut, piece: relay::Piece) {
@@ -118,6 +124,7 @@
                 buffer.put_slice(b": resume with Last-Event-ID\nretry: 0\n\n");
                 self.over = true;
             }
+            relay::Piece::Quiet => buffer.put_slice(b": keep-alive\n\n"),
             relay::Piece::Tokens { offset, tokens } => {
                 if let Some(events) = &mut self.events {
                     events.put_tokens(buffer, offset, &tokens);
--- a/crates/entry/src/whole.rs
+++ b/crates/entry/src/whole.rs
@@ -8,7 +8,6 @@
 use axum::response;
 use tokio::sync::mpsc;
 
-use crate::progress;
 use crate::refusal;
 use crate::relay;
 use crate::render;
@@ -17,7 +16,6 @@
 pub(crate) async fn collect(
     style: &render::Style,
     mut pieces: mpsc::Receiver<relay::Piece>,
-    written: progress::Written,
 ) -> Result<response::Response, refusal::Refusal> {
     let mut generation = sync::Arc::<str>::from("");
     let mut text = Vec::new();
@@ -26,7 +24,6 @@
             relay::Piece::Accepted(accepted) => {
                 generation = accepted;
                 text.clear();
-                written.set(0);
             }
             relay::Piece::Failed(refusal) => return Err(refusal),
             relay::Piece::Finished(finished) => {
@@ -34,10 +31,8 @@
                 return Ok(respond(style.render_whole(&generation, &text, &finished)));
             }
             relay::Piece::Moved => break,
-            relay::Piece::Tokens { offset, tokens } => {
-                text.extend(tokens.iter().flatten());
-                written.set(offset + tokens.len() as u64);
-            }
+            relay::Piece::Quiet => {}
+            relay::Piece::Tokens { tokens, .. } => text.extend(tokens.iter().flatten()),
         }
     }
     Err(refuse_broken())
--- a/crates/entry/tests/api.rs
+++ b/crates/entry/tests/api.rs
@@ -189,31 +189,24 @@
     let bench = support::start_bench(2, "").await;
     let entry = bench.entry.callers;
     let send = || caller::Call::post(CHAT, chat(json!({}))).send(entry);
-    for _ in 0..10 {
-        assert_eq!(send().await.unwrap().status, 200);
-    }
     let busy = agent::Step::Fail(agent::fail(wire::Ran::No, wire::Reason::Busy, 500));
-    for agent in &bench.agents {
-        let plan = std::slice::from_ref(&busy);
-        agent.plan(&[plan, plan]);
+    let plans = [std::slice::from_ref(&busy); 40];
+    bench.agents.iter().for_each(|agent| agent.plan(&plans));
+    for _ in 0..40 {
+        assert_eq!(send().await.unwrap().status, 429);
     }
-    // Ten requests have earned one retry: it meets the other agent, which is busy as well.
-    assert_eq!(send().await.unwrap().status, 429);
-    assert_eq!(
-        bench
-            .entry
-            .read_counter("peargap_entry_retries_total")
-            .await,
-        1.0
-    );
-    assert_eq!(send().await.unwrap().status, 429);
-    assert_eq!(
-        bench
-            .entry
-            .read_counter("peargap_entry_retries_total")
-            .await,
-        1.0
-    );
+    // A fresh budget holds 3 retries and earns a tenth of one with each request.
+    let retries = bench
+        .entry
+        .read_counter("peargap_entry_retries_total")
+        .await;
+    assert!((6.0..=7.0).contains(&retries), "{retries}");
+    let starts: usize = bench
+        .agents
+        .iter()
+        .map(|agent| agent.seen().starts.len())
+        .sum();
+    assert_eq!(starts as f64, 40.0 + retries);
 }
 
 #[tokio::test]
