core: waits learned per team; admissions are not held back for preempted streams

Ruled out: a shorter queue alone (refuses small teams too). Scenarios lending-cold and archive-mixed added.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -122,7 +122,7 @@
     Batch,
     /// It may.
     Fits,
-    /// Memory might overflow, or a preempted stream waits for it.
+    /// Memory might overflow.
     Memory,
     /// The upstream is still proving itself.
     Ramping,
@@ -227,6 +227,7 @@
         let start_by = time::Instant(request.deadline.0.saturating_sub(self.run_ms(&request)));
         let item = queue::Item {
             arrived: now,
+            expected_ms: self.queue.wait_ms(request.priority, request.team),
             start_by,
             priority: request.priority,
             team: request.team,
@@ -293,17 +294,10 @@
                 self.batch.observe(self.runs.len(), gap_ms);
                 None
             }
-            runs::Kind::Next { clean: false } | runs::Kind::Resumed => None,
+            runs::Kind::Next { clean: false } => None,
         }
     }
 
-    /// Counts streams that get no tokens as preempted; to be called a few times a second.
-    ///
-    /// No request starts while a preempted stream waits for its memory.
-    pub fn check_stalled(&mut self, now: time::Instant) {
-        self.runs.check_stalled(now);
-    }
-
     /// Notes that a stream has ended.
     pub fn finished(&mut self, now: time::Instant, stream: Stream, end: End) {
         let Some(run) = self.runs.remove(stream) else {
@@ -384,9 +378,6 @@
         if self.runs.len() == 0 {
             return true;
         }
-        if self.runs.preempted() > 0 {
-            return false;
-        }
         let mut forecast = forecast::Forecast::default();
         for run in self.runs.values() {
             forecast.add(
--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -10,7 +10,7 @@
 /// Spread of the batch sizes (variance) before the slope is trusted.
 const MIN_SPREAD: f64 = 2.0;
 /// Longest gap that is counted, in milliseconds; longer ones are stalls.
-const MAX_GAP_MS: u64 = 500;
+const MAX_GAP_MS: u64 = 200;
 
 /// Decayed sums of a straight-line fit.
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/fair.rs
+++ b/crates/core/src/fair.rs
@@ -12,9 +12,18 @@
 /// Share of a new request in the usual tokens of one.
 const SMOOTHING: f64 = 0.02;
 
+/// Shortest expected wait that is learned from, in milliseconds.
+const MIN_WAIT_MS: u64 = 100;
+/// Largest factor on expected waits.
+const MAX_STRETCH: f64 = 8.0;
+/// Share of a new wait in the usual one.
+const STRETCH_SMOOTHING: f64 = 0.1;
+
 /// What one team has used.
 #[derive(Clone, Copy, Debug)]
 struct Account {
+    /// Usual wait against the expected one.
+    stretch: f64,
     /// Requests that wait.
     waiting: u32,
     /// Tokens used divided by the weight.
@@ -54,6 +63,7 @@
     pub fn open(&mut self, weight: u32) -> Team {
         let weight = f64::from(weight.max(1));
         self.accounts.insert(Account {
+            stretch: 1.0,
             waiting: 0,
             used: self.level,
             weight,
@@ -147,6 +157,26 @@
         turns
     }
 
+    /// Learns from a wait how the team's waits differ from what was expected.
+    ///
+    /// Requests of other teams that come later and go first make them longer.
+    pub fn learn_wait(&mut self, team: Team, expected_ms: u64, waited_ms: u64) {
+        let Some(account) = self.accounts.get_mut(team) else {
+            return;
+        };
+        let expected = expected_ms.max(MIN_WAIT_MS) as f64 / account.stretch;
+        let ratio = (waited_ms as f64 / expected).clamp(1.0, MAX_STRETCH);
+        account.stretch += (ratio - account.stretch) * STRETCH_SMOOTHING;
+    }
+
+    /// Returns a team's usual wait against the expected one, at least 1.
+    #[must_use]
+    pub fn stretch(&self, team: Team) -> f64 {
+        self.accounts
+            .get(team)
+            .map_or(1.0, |account| account.stretch)
+    }
+
     /// Returns a team's requests that wait, divided by its weight.
     #[must_use]
     pub fn backlog(&self, team: Team) -> f64 {
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -26,6 +26,8 @@
 pub struct Item<T> {
     /// When it was queued.
     pub arrived: time::Instant,
+    /// Wait expected then, in milliseconds.
+    pub expected_ms: u64,
     /// Time by which it must have started.
     pub start_by: time::Instant,
     /// Smaller is served first.
@@ -164,6 +166,9 @@
         let item = self.remove(ticket)?;
         self.picks = (self.picks + 1) % PICKS_PER_OLDEST;
         self.shares.serve(item.team);
+        let waited_ms = now.millis_since(item.arrived);
+        self.shares
+            .learn_wait(item.team, item.expected_ms, waited_ms);
         let since = (now.millis_since(self.last) as f64).min(MAX_PACE_MS);
         self.pace_ms += (since - self.pace_ms) * SMOOTHING;
         self.last = now;
@@ -199,7 +204,7 @@
         let urgent: usize = urgent.map(|lane| lane.tickets.len()).sum();
         let ahead = self.items.len() as f64;
         let places = (self.shares.turns(team) + urgent as f64).min(ahead) + 1.0;
-        (places * self.pace_ms) as u64
+        (places * self.pace_ms * self.shares.stretch(team)) as u64
     }
 
     /// Returns after how many milliseconds a refused caller is to come back.
--- a/crates/core/src/runs.rs
+++ b/crates/core/src/runs.rs
@@ -4,9 +4,6 @@
 use crate::curve;
 use crate::time;
 
-/// Gap after which a stream counts as preempted, in milliseconds.
-const STALL_MS: u64 = 200;
-
 /// One running stream.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Run {
@@ -17,7 +14,6 @@
     /// Begun since the last sign of a cold upstream, or with no timely first token before it.
     fresh: bool,
     last_token: time::Instant,
-    preempted: bool,
     /// Output tokens so far.
     pub(crate) produced: u32,
     /// Prompt tokens to compute before its first token, its own and those ahead of it.
@@ -41,8 +37,6 @@
         /// Whether the gap shows decoding alone.
         clean: bool,
     },
-    /// The first after a preemption.
-    Resumed,
 }
 
 /// Tokens that came.
@@ -64,7 +58,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Table {
     fresh: u32,
-    preempted: u32,
     /// When a prompt was last seen to be computed.
     prompted_at: time::Instant,
     runs: slotmap::SlotMap<admit::Stream, Run>,
@@ -76,7 +69,6 @@
     pub(crate) fn new(now: time::Instant) -> Table {
         Table {
             fresh: 0,
-            preempted: 0,
             prompted_at: now,
             runs: slotmap::SlotMap::with_key(),
             unproven: 0,
@@ -93,11 +85,6 @@
         self.fresh
     }
 
-    /// Returns how many lost their memory and wait for it.
-    pub(crate) fn preempted(&self) -> u32 {
-        self.preempted
-    }
-
     /// Returns how many have no token yet.
     pub(crate) fn unproven(&self) -> u32 {
         self.unproven
@@ -124,7 +111,6 @@
             charged,
             fresh: true,
             last_token: now,
-            preempted: false,
             produced: 0,
             prompted: ahead + request.prompt_tokens,
             request,
@@ -144,10 +130,7 @@
         let since = run.last_token;
         run.produced += count;
         run.last_token = now;
-        let kind = if core::mem::take(&mut run.preempted) {
-            self.preempted -= 1;
-            Kind::Resumed
-        } else if before > 0 {
+        let kind = if before > 0 {
             let clean = self.unproven == 0 && since > self.prompted_at;
             Kind::Next { clean }
         } else {
@@ -172,17 +155,6 @@
         }
     }
 
-    /// Counts streams that got no token for long as preempted.
-    pub(crate) fn check_stalled(&mut self, now: time::Instant) {
-        for run in self.runs.values_mut() {
-            let quiet = now.millis_since(run.last_token) > STALL_MS;
-            if quiet && run.produced > 0 && !run.preempted {
-                run.preempted = true;
-                self.preempted += 1;
-            }
-        }
-    }
-
     /// Counts only streams without a timely first token as fresh from now on.
     pub(crate) fn doubt(&mut self) {
         self.fresh = 0;
@@ -197,7 +169,6 @@
         let run = self.runs.remove(stream)?;
         self.unproven -= u32::from(run.produced == 0);
         self.fresh -= u32::from(run.fresh);
-        self.preempted -= u32::from(run.preempted);
         Some(run)
     }
 }
--- a/crates/load/src/experiment/gate.rs
+++ b/crates/load/src/experiment/gate.rs
@@ -285,9 +285,6 @@
     fn tick(&mut self, now: u64, acts: &mut Vec<Act>) {
         let now = instant(now);
         let _sign = self.admission.check_overdue(now);
-        if self.off != policy::Off::Hold {
-            self.admission.check_stalled(now);
-        }
         for shed in self.admission.shed(now) {
             let job = self.waiting.remove(&shed.ticket);
             acts.extend(job.map(|job| Act::Refuse { job, queued: true }));
--- a/crates/load/src/experiment/policy.rs
+++ b/crates/load/src/experiment/policy.rs
@@ -41,8 +41,6 @@
     Fair,
     /// The reserve for the variance of lengths.
     Reserve,
-    /// Holding admissions back while a stream is preempted.
-    Hold,
     /// Nothing: the whole product.
     Nothing,
     /// Prefix affinity.
@@ -104,7 +102,7 @@
 ];
 
 /// The product with one mechanism off in turn.
-pub const ABLATED: [Policy; 12] = [
+pub const ABLATED: [Policy; 11] = [
     PEARGAP,
     without("no batch bound", Off::Batch),
     without("no classes", Off::Classes),
@@ -112,7 +110,6 @@
     without("no deadlines", Off::Deadlines),
     without("no fair shares", Off::Fair),
     without("no reserve", Off::Reserve),
-    without("no hold", Off::Hold),
     without("no prefix affinity", Off::Prefix),
     without("no priority", Off::Priority),
     without("no ramp", Off::Ramp),
--- a/crates/load/src/experiment/scenario.rs
+++ b/crates/load/src/experiment/scenario.rs
@@ -102,6 +102,7 @@
         until: UNTIL,
         shift_at: u64::MAX,
         shift_factor: 1.0,
+        unlike: false,
         swell: false,
     };
     Scenario {
@@ -150,6 +151,18 @@
             Archive,
             0.85,
         ),
+        steady(
+            "lending-cold",
+            "Lending, engines turn cold unannounced",
+            Lending,
+            0.85,
+        ),
+        steady(
+            "archive-mixed",
+            "Archive, teams of very unlike lengths",
+            Archive,
+            1.9,
+        ),
         steady(
             "archive-late",
             "Archive, reports 2 to 4 s late",
@@ -212,6 +225,21 @@
                 .map(|(at, engine)| (at * SECOND, Fault::TurnCold(*engine)));
             scenario.faults = faults.collect();
         }
+        "lending-cold" => {
+            let turns = [
+                (110, 2),
+                (140, 12),
+                (170, 9),
+                (171, 14),
+                (200, 12),
+                (230, 15),
+            ];
+            let faults = turns
+                .iter()
+                .map(|(at, engine)| (at * SECOND, Fault::TurnCold(*engine)));
+            scenario.faults = faults.collect();
+        }
+        "archive-mixed" => scenario.traffic.unlike = true,
         "archive-late" => scenario.report_lag_us = 2 * SECOND..4 * SECOND,
         "archive-shift" => {
             scenario.traffic.shift_at = 170 * SECOND;
--- a/crates/load/src/experiment/workload.rs
+++ b/crates/load/src/experiment/workload.rs
@@ -83,6 +83,8 @@
     pub shift_at: u64,
     /// Factor on output lengths after the shift.
     pub shift_factor: f64,
+    /// Whether every second team asks for a tenth of the tokens.
+    pub unlike: bool,
     /// Whether the rate swells and falls like a crowded morning's.
     pub swell: bool,
 }
@@ -237,7 +239,12 @@
     } else {
         1.0
     };
-    let median = model.output_median * TEAMS[team].length * shift;
+    let unlike = if traffic.unlike && team % 2 == 1 {
+        0.1
+    } else {
+        1.0
+    };
+    let median = model.output_median * TEAMS[team].length * shift * unlike;
     let output = draw_output(model, median, random);
     let prompt = draw_lognormal(model.prompt_median, PROMPT_SIGMA, random);
     let longest = model.memory_tokens / 4;
