--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -4,9 +4,12 @@
 use std::sync;
 
 use peargap_adapters::follow;
+use peargap_core::cached;
 use peargap_core::generation;
 use peargap_core::time;
 use peargap_wire::agent as wire;
+use peargap_wire::control;
+use tokio::sync::watch;
 
 use crate::clock;
 use crate::engine;
@@ -28,6 +31,10 @@
 /// The agent; tasks share it by reference count.
 #[derive(Debug)]
 pub(crate) struct Agent {
+    /// What the control hosts are told of the upstream.
+    pub(crate) announcement: watch::Sender<Option<control::Announcement>>,
+    /// The engine's prefix cache as far as it is known.
+    pub(crate) cached: sync::Mutex<cached::Known>,
     pub(crate) claims: sync::Mutex<registry::Claims>,
     pub(crate) clock: clock::Clock,
     pub(crate) engine: engine::Client,
@@ -62,6 +69,10 @@
             let detail = "the upstream or its failure domain is out";
             return Some(refuse(wire::Reason::Draining, OUT_RETRY_MS, detail));
         }
+        if *self.view.replaced().borrow() {
+            let detail = "a newer process has taken the agent's name";
+            return Some(refuse(wire::Reason::Draining, LEAVING_RETRY_MS, detail));
+        }
         if !self.view.is_fresh() {
             let detail = "the freshness lease has lapsed";
             return Some(refuse(wire::Reason::Stale, STALE_RETRY_MS, detail));
@@ -113,6 +124,21 @@
         reported
     }
 
+    /// Announces the models loaded when they have changed.
+    pub(crate) fn announce(&self, models: &[String]) {
+        if models.is_empty() {
+            return;
+        }
+        self.announcement.send_if_modified(|announcement| {
+            let Some(announcement) = announcement else {
+                return false;
+            };
+            let changed = announcement.offers != models;
+            announcement.offers = models.to_vec();
+            changed
+        });
+    }
+
     /// Returns a name for the next generation.
     pub(crate) fn name_generation(&self) -> String {
         let id = generation::Id {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod batch;
 pub mod breaker;
+pub mod cached;
 pub mod changes;
 pub mod claims;
 pub mod clock;
@@ -13,6 +14,7 @@
 pub mod curve;
 pub mod fair;
 pub mod fences;
+pub mod fetch;
 pub mod follow;
 pub mod forecast;
 pub mod generation;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -20,8 +20,11 @@
 #[derive(Debug)]
 pub(crate) struct Metrics {
     active: sync::Arc<atomic::AtomicU64>,
+    /// Upstreams whose agent reports that it takes work.
+    pub(crate) upstreams: sync::Arc<atomic::AtomicU64>,
     between_tokens: otel::Histogram<f64>,
     first_token: otel::Histogram<f64>,
+    pub(crate) hedges: otel::Counter<u64>,
     pub(crate) links_replaced: otel::Counter<u64>,
     refusals: otel::Counter<u64>,
     pub(crate) retries: otel::Counter<u64>,
@@ -52,8 +55,16 @@
                 gauge.observe(observed.load(atomic::Ordering::Relaxed), &[]);
             })
             .build();
+        let upstreams = sync::Arc::new(atomic::AtomicU64::new(0));
+        let heard = upstreams.clone();
+        let _gauge = meter
+            .u64_observable_gauge("peargap_entry_upstreams")
+            .with_description("Upstreams whose agent reports that it takes work")
+            .with_callback(move |gauge| gauge.observe(heard.load(atomic::Ordering::Relaxed), &[]))
+            .build();
         Metrics {
             active,
+            upstreams,
             between_tokens: build_histogram(
                 &meter,
                 "peargap_entry_between_tokens_seconds",
@@ -64,6 +75,10 @@
                 "peargap_entry_first_token_seconds",
                 "Time from a request's arrival to its first token",
             ),
+            hedges: meter
+                .u64_counter("peargap_entry_hedges")
+                .with_description("Repeatable calls that were sent to a second upstream")
+                .build(),
             links_replaced: meter
                 .u64_counter("peargap_entry_links_replaced")
                 .with_description("Silent or lost links that were replaced")
