--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -30,8 +30,6 @@
 const STALLED_AFTER_MS: u64 = 250;
 /// When to come back to an upstream that does not answer.
 const LOST_RETRY_MS: u32 = 1_000;
-/// How long after a reported preemption streams that stand still count as preempted.
-const PREEMPTION_MEMORY_MS: u64 = 1_000;
 
 /// A request in the queue.
 struct Waiting {
@@ -55,8 +53,6 @@
     healthy: bool,
     messages: mpsc::UnboundedReceiver<gate::Message>,
     meters: meters::Meters,
-    /// When the engine last reported preemptions.
-    preempted_at: time::Instant,
     report: engine::Report,
     running: collections::HashMap<admit::Stream, Running>,
     sender: mpsc::UnboundedSender<gate::Message>,
@@ -85,7 +81,6 @@
             healthy: false,
             messages,
             meters,
-            preempted_at: time::Instant::default(),
             report: engine::Report::default(),
             running: collections::HashMap::new(),
             sender,
@@ -288,12 +283,6 @@
         for stream in streams {
             self.note_progress(stream);
         }
-        // A stream may also stand still because its caller reads slowly; only the engine's own
-        // report makes it a preempted one.
-        let recent = now.millis_since(self.preempted_at) < PREEMPTION_MEMORY_MS;
-        if self.report.preemptions > 0 && recent {
-            self.admission.check_stalled(now);
-        }
         if let Some(sign) = self.admission.check_overdue(now) {
             self.log_sign(sign);
         }
@@ -368,7 +357,6 @@
     /// Notes the preemptions that the engine reported, and how many streams stand still now.
     fn note_preemptions(&mut self, count: u64) {
         let now = self.clock.now();
-        self.preempted_at = now;
         let mut stalled = 0;
         for running in self.running.values() {
             if running.known > 0 && now.millis_since(running.last_token) > STALLED_AFTER_MS {
