--- a/crates/adapters/src/follow.rs
+++ b/crates/adapters/src/follow.rs
@@ -27,8 +27,8 @@
 
 /// Time between two reports on an idle link.
 const REPORT_PERIOD: time::Duration = time::Duration::from_millis(500);
-/// A link without any message for this long is replaced.
-const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(1_500);
+/// A link without any message for this long is replaced, in time for the next host's lease.
+const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(900);
 /// Wait before the next control host is tried.
 const RETRY_PERIOD: time::Duration = time::Duration::from_millis(100);
 /// Reports that may wait for a slow link.
@@ -223,7 +223,7 @@
         let applied_version = if self.refetch { 0 } else { self.view.version() };
         control::Report {
             node: first.then(|| self.options.node.clone()),
-            announcement: self.options.announcement.borrow_and_update().clone(),
+            announcement: self.take_announcement(first),
             applied_version,
             leaving: *self.view.leaving.borrow(),
             number,
@@ -231,6 +231,13 @@
         }
     }
 
+    /// Returns the announcement when the link is new or when it changed.
+    fn take_announcement(&mut self, first: bool) -> Option<control::Announcement> {
+        let changed = self.options.announcement.has_changed().unwrap_or(false);
+        let present = self.options.announcement.borrow_and_update().clone();
+        present.filter(|_| first || changed)
+    }
+
     /// Applies an update; returns whether a report is due at once.
     fn take_update(&mut self, update: control::Update) -> bool {
         let mut applied = false;
