Split what the replica keeps off its thread's loop

Ruled out: nothing. Change: persist.rs; a delivery's time grows with its size. Conclusion: cargo test -p peargap-control passes.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod operators;
 mod pace;
 mod peers;
+mod persist;
 mod place;
 mod proposal;
 mod record;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -9,6 +9,7 @@
 use peargap_adapters::logs;
 use peargap_core::log::message;
 use peargap_wire::peer as wire;
+use prost::Message as _;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tonic::transport;
@@ -26,6 +27,8 @@
 const MAX_MESSAGES: usize = 64;
 /// Messages that wait for one peer; further ones are lost, which the protocol outlasts.
 const QUEUE_MESSAGES: usize = 1024;
+/// Time that a large delivery may take beyond that of a small one.
+const TIME_PER_MEGABYTE: time::Duration = time::Duration::from_millis(500);
 const RECONNECT_DELAY: time::Duration = time::Duration::from_millis(20);
 
 type Client = wire::peer_client::PeerClient<transport::Channel>;
@@ -137,7 +140,9 @@
     }
 
     async fn deliver(&mut self, envelope: wire::Envelope) -> bool {
-        let deadline = tokio::time::Instant::now() + self.timeout;
+        let bytes = u32::try_from(envelope.encoded_len()).unwrap_or(u32::MAX);
+        let patience = self.timeout + TIME_PER_MEGABYTE * (bytes >> 20);
+        let deadline = tokio::time::Instant::now() + patience;
         if self.client.is_none() {
             let connected = tokio::time::timeout_at(deadline, connect(&self.endpoint)).await;
             self.client = connected.ok().and_then(Result::ok);
--- /dev/null
+++ b/crates/control/src/persist.rs
@@ -0,0 +1,117 @@
+//! What the replica's thread keeps on its disk.
+
+use std::path;
+
+use peargap_adapters::logs;
+use peargap_core::log::effect;
+use peargap_core::log::entry;
+use tokio::time;
+
+use crate::events;
+use crate::files;
+use crate::machine;
+use crate::worker;
+
+/// Bytes of the log after which a snapshot replaces it, also when the disk's limit is larger.
+const SNAPSHOT_BYTES: u64 = 64 << 20;
+/// Part of the disk's limit after which a snapshot replaces the log.
+const SNAPSHOT_SHARE: u64 = 4;
+/// Applied entries after which a snapshot replaces them.
+const SNAPSHOT_ENTRIES: u64 = 4096;
+/// Time between two tries to write to a full disk.
+const FULL_RETRY: time::Duration = time::Duration::from_millis(200);
+
+impl worker::Worker {
+    /// Stores what must be on disk; waits while the disk is entirely full.
+    pub(crate) async fn save_patiently(
+        &mut self,
+        effects: &[effect::Effect],
+    ) -> Result<(), files::Error> {
+        let mut done = 0;
+        while let Some(effect) = effects.get(done) {
+            match self.save_one(effect) {
+                Ok(()) => done += 1,
+                Err(files::Error::Full) => {
+                    logs::emit(events::DISK_FULL, format_args!("retry_ms=200"));
+                    time::sleep(FULL_RETRY).await;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) fn save(&mut self, effects: &[effect::Effect]) -> Result<(), files::Error> {
+        effects.iter().try_for_each(|effect| self.save_one(effect))
+    }
+
+    fn save_one(&mut self, effect: &effect::Effect) -> Result<(), files::Error> {
+        match effect {
+            effect::Effect::Adopt => self.disk.adopt(),
+            effect::Effect::SaveHard(hard) => self.disk.save_hard(hard),
+            effect::Effect::SaveSnapshot {
+                installed,
+                reset,
+                snapshot,
+            } => {
+                self.disk.save_snapshot(snapshot, *reset)?;
+                if *installed {
+                    self.install(snapshot)?;
+                }
+                Ok(())
+            }
+            effect::Effect::Store(entries) => self.disk.store(entries),
+            effect::Effect::Commit(_)
+            | effect::Effect::Confirm(_)
+            | effect::Effect::Heard
+            | effect::Effect::Proposed { .. }
+            | effect::Effect::Rejected(_)
+            | effect::Effect::Renounce
+            | effect::Effect::Send(_) => Ok(()),
+        }
+    }
+
+    fn install(&mut self, snapshot: &entry::Snapshot) -> Result<(), files::Error> {
+        self.machine = restore_machine(&self.settings.folder, snapshot)?;
+        self.applied = snapshot.position.index;
+        logs::emit(
+            events::SNAPSHOT_INSTALLED,
+            format_args!("index={}", self.applied),
+        );
+        Ok(())
+    }
+
+    /// Replaces applied entries by a snapshot once there are many.
+    pub(crate) async fn compact(&mut self) -> Result<(), files::Error> {
+        let taken = self.log.store().snapshot().position.index;
+        let limit = self.settings.disk_limits.bytes / SNAPSHOT_SHARE;
+        let is_large = self.disk.count_log() > limit.min(SNAPSHOT_BYTES) && self.applied > taken;
+        if self.applied < taken + SNAPSHOT_ENTRIES && !is_large {
+            return Ok(());
+        }
+        let data = self.machine.snapshot();
+        // The log forgets the entries, so the snapshot must not fail.
+        if !self.disk.can_hold(worker::count_bytes(&data)) {
+            return Ok(());
+        }
+        logs::emit(
+            events::SNAPSHOT_TAKEN,
+            format_args!("index={} bytes={}", self.applied, data.len()),
+        );
+        let index = self.applied;
+        let effects = self.log.handle(effect::Event::Compact { data, index });
+        self.save_patiently(&effects).await
+    }
+}
+
+/// Returns the state machine of a snapshot.
+pub(crate) fn restore_machine(
+    folder: &path::Path,
+    snapshot: &entry::Snapshot,
+) -> Result<machine::Machine, files::Error> {
+    if snapshot.position.index == 0 {
+        return Ok(machine::Machine::new());
+    }
+    let restored = machine::Machine::restore(&snapshot.data);
+    restored.map_err(|_error| files::corrupt(folder, "the snapshot cannot be restored"))
+}
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -21,6 +21,7 @@
 use crate::lease;
 use crate::machine;
 use crate::peers;
+use crate::persist;
 use crate::replica;
 use crate::report;
 use crate::settings;
@@ -33,14 +34,6 @@
 pub(crate) const QUEUE_INPUTS: usize = 4096;
 /// Largest command taken, in bytes; the disk's reserve holds one.
 const MAX_COMMAND_BYTES: usize = 2 << 20;
-/// Bytes of the log after which a snapshot replaces it, also when the disk's limit is larger.
-const SNAPSHOT_BYTES: u64 = 64 << 20;
-/// Part of the disk's limit after which a snapshot replaces the log.
-const SNAPSHOT_SHARE: u64 = 4;
-/// Applied entries after which a snapshot replaces them.
-const SNAPSHOT_ENTRIES: u64 = 4096;
-/// Time between two tries to write to a full disk.
-const FULL_RETRY: time::Duration = time::Duration::from_millis(200);
 
 /// Something for the replica's thread.
 #[derive(Debug)]
@@ -84,13 +77,13 @@
 /// Everything that the replica's thread owns.
 #[derive(Debug)]
 pub(crate) struct Worker {
-    applied: u64,
-    disk: disk::Disk,
+    pub(crate) applied: u64,
+    pub(crate) disk: disk::Disk,
     lease: lease::Lease,
-    log: log::Log,
-    machine: machine::Machine,
+    pub(crate) log: log::Log,
+    pub(crate) machine: machine::Machine,
     outputs: Outputs,
-    settings: sync::Arc<settings::Settings>,
+    pub(crate) settings: sync::Arc<settings::Settings>,
     timers: timers::Timers,
     waits: waits::Waits,
 }
@@ -112,7 +105,7 @@
             logs::emit(events::TAIL_CUT, format_args!("bytes={}", found.torn_bytes));
         }
         let snapshot = found.store.snapshot().clone();
-        let machine = restore_machine(&settings.folder, &snapshot)?;
+        let machine = persist::restore_machine(&settings.folder, &snapshot)?;
         logs::emit(
             events::STARTED,
             format_args!(
@@ -288,62 +281,6 @@
         self.disk.has_room(bytes)
     }
 
-    /// Stores what must be on disk; waits while the disk is entirely full.
-    async fn save_patiently(&mut self, effects: &[effect::Effect]) -> Result<(), files::Error> {
-        let mut done = 0;
-        while let Some(effect) = effects.get(done) {
-            match self.save_one(effect) {
-                Ok(()) => done += 1,
-                Err(files::Error::Full) => {
-                    logs::emit(events::DISK_FULL, format_args!("retry_ms=200"));
-                    time::sleep(FULL_RETRY).await;
-                }
-                Err(error) => return Err(error),
-            }
-        }
-        Ok(())
-    }
-
-    fn save(&mut self, effects: &[effect::Effect]) -> Result<(), files::Error> {
-        effects.iter().try_for_each(|effect| self.save_one(effect))
-    }
-
-    fn save_one(&mut self, effect: &effect::Effect) -> Result<(), files::Error> {
-        match effect {
-            effect::Effect::Adopt => self.disk.adopt(),
-            effect::Effect::SaveHard(hard) => self.disk.save_hard(hard),
-            effect::Effect::SaveSnapshot {
-                installed,
-                reset,
-                snapshot,
-            } => {
-                self.disk.save_snapshot(snapshot, *reset)?;
-                if *installed {
-                    self.install(snapshot)?;
-                }
-                Ok(())
-            }
-            effect::Effect::Store(entries) => self.disk.store(entries),
-            effect::Effect::Commit(_)
-            | effect::Effect::Confirm(_)
-            | effect::Effect::Heard
-            | effect::Effect::Proposed { .. }
-            | effect::Effect::Rejected(_)
-            | effect::Effect::Renounce
-            | effect::Effect::Send(_) => Ok(()),
-        }
-    }
-
-    fn install(&mut self, snapshot: &entry::Snapshot) -> Result<(), files::Error> {
-        self.machine = restore_machine(&self.settings.folder, snapshot)?;
-        self.applied = snapshot.position.index;
-        logs::emit(
-            events::SNAPSHOT_INSTALLED,
-            format_args!("index={}", self.applied),
-        );
-        Ok(())
-    }
-
     /// Carries out what follows once the disk is synced; returns whether the disk is renounced.
     fn act(&mut self, effects: Vec<effect::Effect>, now: time::Instant) -> bool {
         let mut renounced = false;
@@ -418,28 +355,6 @@
         self.waits.end();
     }
 
-    /// Replaces applied entries by a snapshot once there are many.
-    async fn compact(&mut self) -> Result<(), files::Error> {
-        let taken = self.log.store().snapshot().position.index;
-        let limit = self.settings.disk_limits.bytes / SNAPSHOT_SHARE;
-        let is_large = self.disk.count_log() > limit.min(SNAPSHOT_BYTES) && self.applied > taken;
-        if self.applied < taken + SNAPSHOT_ENTRIES && !is_large {
-            return Ok(());
-        }
-        let data = self.machine.snapshot();
-        // The log forgets the entries, so the snapshot must not fail.
-        if !self.disk.can_hold(count_bytes(&data)) {
-            return Ok(());
-        }
-        logs::emit(
-            events::SNAPSHOT_TAKEN,
-            format_args!("index={} bytes={}", self.applied, data.len()),
-        );
-        let index = self.applied;
-        let effects = self.log.handle(effect::Event::Compact { data, index });
-        self.save_patiently(&effects).await
-    }
-
     /// Sets the old disk aside and starts as a new member.
     fn start_over(mut self) -> Result<Worker, files::Error> {
         let me = self.log.me();
@@ -474,17 +389,7 @@
     term: u64,
 }
 
-fn count_bytes(bytes: &Bytes) -> u64 {
+/// Returns the length of a command or a state.
+pub(crate) fn count_bytes(bytes: &Bytes) -> u64 {
     u64::try_from(bytes.len()).unwrap_or(u64::MAX)
 }
-
-fn restore_machine(
-    folder: &std::path::Path,
-    snapshot: &entry::Snapshot,
-) -> Result<machine::Machine, files::Error> {
-    if snapshot.position.index == 0 {
-        return Ok(machine::Machine::new());
-    }
-    let restored = machine::Machine::restore(&snapshot.data);
-    restored.map_err(|_error| files::corrupt(folder, "the snapshot cannot be restored"))
-}
