Only an answer meant for this disk ends a founding

Cause: any greeting of a host that has a log kept a new deployment from forming its own; a stray one of another deployment on a reused port would do so for good. Seen once as a control host that never became ready in peargap-proof while other test runs shared the ports; not shown to be the cause. Ruled out: dropping the check (three fresh hosts would found a second log beside a fourth that has one). Change: hosts with a log answer a fresh host's greeting, naming its disk; the first roster is written one election timeout after the greeting.

--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -223,6 +223,7 @@
             pre: ballot.pre,
         }),
         message::Kind::Copied(copied) => Kind::Copied(*copied),
+        message::Kind::Founded => Kind::Founded(true),
         message::Kind::Fresh => Kind::Fresh(true),
         message::Kind::Hello(hello) => Kind::Hello(wire::Hello {
             fresh: hello.fresh,
@@ -285,6 +286,7 @@
             pre: ballot.pre,
         }),
         Kind::Copied(copied) => message::Kind::Copied(copied),
+        Kind::Founded(_) => message::Kind::Founded,
         Kind::Fresh(_) => message::Kind::Fresh,
         Kind::Hello(hello) => message::Kind::Hello(message::Hello {
             copied: hello.copied,
--- a/crates/core/src/log/join.rs
+++ b/crates/core/src/log/join.rs
@@ -28,15 +28,15 @@
     /// Tells a fresh host whether this one is fresh too, and one on a copied disk whether this
     /// one runs on a copy too.
     pub(crate) fn answer_hello(
-        &mut self,
+        &self,
         hello: message::Hello,
         from: &member::Member,
         effects: &mut effect::Effects,
     ) {
-        // Where one host has taken part there is a log already, also when all others are fresh.
-        self.founded |= !hello.fresh;
         if hello.fresh && self.is_fresh() {
             self.send(from.clone(), message::Kind::Fresh, effects);
+        } else if hello.fresh {
+            self.send(from.clone(), message::Kind::Founded, effects);
         }
         if hello.copied && self.is_voter() {
             self.send(from.clone(), message::Kind::Copied(self.copied), effects);
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Remembers that there is a log already, also when all hosts of the first roster are fresh.
+    ///
+    /// Such an answer names this disk, so that a stray greeting of another deployment does no harm.
+    pub(crate) fn note_founded(&mut self) {
+        self.founded = true;
+    }
+
     /// Remembers a host that has never taken part.
     pub(crate) fn note_fresh(&mut self, from: &member::Member) {
         if self.is_fresh() && self.settings.bootstrap.contains(&from.name) {
--- a/crates/core/src/log/message.rs
+++ b/crates/core/src/log/message.rs
@@ -33,6 +33,8 @@
     /// Whether the sender, a voter, runs on a copied disk as well; answers a [`Kind::Hello`] of a
     /// host that does.
     Copied(bool),
+    /// The sender has taken part: there is a log already; answers a fresh host's [`Kind::Hello`].
+    Founded,
     /// The sender has never taken part; answers a fresh host's [`Kind::Hello`].
     Fresh,
     /// The sender has started, or waits to be let in.
--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -183,10 +183,11 @@
     fn campaign(&mut self, effects: &mut effect::Effects) -> Step {
         effects.push(effect::Effect::Heard);
         if self.doubt.is_some() || !self.is_voter() {
-            self.announce(effects);
+            // Since the last greeting there was time for anyone to say that there is a log.
             if self.bootstrap(effects) {
                 return self.poll(effects);
             }
+            self.announce(effects);
             return Outcome::Transition(State::follower(None));
         }
         self.poll(effects)
@@ -228,6 +229,7 @@
             message::Kind::Appended(_)
             | message::Kind::Ballot(_)
             | message::Kind::Copied(_)
+            | message::Kind::Founded
             | message::Kind::Fresh
             | message::Kind::Hello(_)
             | message::Kind::Installed(_)
@@ -243,6 +245,7 @@
 fn is_greeting(kind: &message::Kind) -> bool {
     match kind {
         message::Kind::Copied(_)
+        | message::Kind::Founded
         | message::Kind::Fresh
         | message::Kind::Hello(_)
         | message::Kind::Refused(_) => true,
@@ -389,12 +392,8 @@
                     }
                     return self.follow(message, context);
                 }
-                message::Kind::Fresh => {
-                    self.note_fresh(&message.from);
-                    if self.bootstrap(context) {
-                        return self.poll(context);
-                    }
-                }
+                message::Kind::Founded => self.note_founded(),
+                message::Kind::Fresh => self.note_fresh(&message.from),
                 message::Kind::Copied(copied) => self.take_copied(*copied, &message.from, context),
                 message::Kind::Hello(hello) => self.answer_hello(*hello, &message.from, context),
                 message::Kind::Poll(_) => self.answer_poll(false, message, context),
--- a/crates/core/tests/model/mod.rs
+++ b/crates/core/tests/model/mod.rs
@@ -151,6 +151,8 @@
             world.take(Action::Restart(index));
         }
         world.settle();
+        world.take(Action::Campaign(0));
+        world.settle();
         world
     }
 
@@ -434,6 +436,7 @@
             message::Kind::Ballot(ballot) => ballot.pre,
             message::Kind::Poll(poll) => poll.pre,
             message::Kind::Copied(_)
+            | message::Kind::Founded
             | message::Kind::Fresh
             | message::Kind::Hello(_)
             | message::Kind::Refused(_) => self.instant,
--- a/crates/core/tests/model_log.rs
+++ b/crates/core/tests/model_log.rs
@@ -435,3 +435,21 @@
 fn conflicting_commands_keep_every_property() {
     assert_holds("conflict", prepare_conflict(Bug::None));
 }
+
+#[test]
+fn fresh_hosts_found_no_second_log_beside_one_that_has_one() {
+    let mut world = World::new(4, Bug::None);
+    world.heal();
+    assert!(world.is_repaired());
+    for index in 0..3 {
+        world.take(Action::LoseDisk(index));
+    }
+    for _round in 0..3 {
+        world.settle();
+        world.take(Action::Campaign(0));
+    }
+    world.settle();
+    let logs = world.hosts.iter().take(3).flat_map(|host| &host.log);
+    let lasts: Vec<u64> = logs.map(|log| log.store().last().index).collect();
+    assert_eq!(lasts, [0, 0, 0]);
+}
--- a/crates/wire/src/gen/peargap.peer.rs
+++ b/crates/wire/src/gen/peargap.peer.rs
@@ -105,7 +105,7 @@
     pub term: u64,
     #[prost(message, optional, tag = "4")]
     pub stamp: ::core::option::Option<Stamp>,
-    #[prost(oneof = "message::Kind", tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(oneof = "message::Kind", tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
     pub kind: ::core::option::Option<message::Kind>,
 }
 /// Nested message and enum types in `Message`.
@@ -138,6 +138,9 @@
         /// Whether the sender, a voter, runs on a copied disk as well.
         #[prost(bool, tag = "15")]
         Copied(bool),
+        /// The sender has taken part: there is a log already.
+        #[prost(bool, tag = "16")]
+        Founded(bool),
     }
 }
 /// The sender has started, or waits to be let in.
