--- a/crates/proof/tests/failures/fleet.rs
+++ b/crates/proof/tests/failures/fleet.rs
@@ -18,6 +18,7 @@
 
 /// How long a step may take before the test fails.
 pub(crate) const LIMIT: time::Duration = time::Duration::from_secs(20);
+const KEY_FILE: &str = "operator.key";
 /// Pause between two looks at a condition.
 const PERIOD: time::Duration = time::Duration::from_millis(20);
 
@@ -77,6 +78,9 @@
             relays: Vec::new(),
             services: Vec::new(),
         };
+        // Written once: a command that runs beside another must not see it half written.
+        let key = fleet.folder.path().join(KEY_FILE);
+        fs::write(key, settings::OPERATOR_KEY).expect("key written");
         fleet.start_controls(plan.controls);
         for index in 0..plan.engines {
             fleet.start_engine(index, &plan).await;
@@ -302,8 +306,7 @@
 
     /// Runs the operators' command line against all control hosts.
     pub(crate) async fn operate(&self, words: &[&str]) -> process::Output {
-        let key = self.folder.path().join("operator.key");
-        fs::write(&key, settings::OPERATOR_KEY).expect("key written");
+        let key = self.folder.path().join(KEY_FILE);
         let list: Vec<String> = self
             .controls
             .iter()
