--- a/crates/control/examples/spread/main.rs
+++ b/crates/control/examples/spread/main.rs
@@ -4,6 +4,7 @@
 //! `cargo build --release -p peargap-control`. The control hosts are real processes, the nodes are
 //! followers as entries and agents use them, behind relays that count bytes.
 
+mod claims;
 mod cluster;
 mod nodes;
 mod relay;
@@ -52,6 +53,7 @@
     tokio::time::sleep(SETTLE).await;
     report_idle(&options, &cluster, &relays, &bare).await;
     report_changes(&options, &mut operator, &views).await?;
+    report_claims(&options, &cluster).await?;
     cluster.stop();
     Ok(())
 }
@@ -117,6 +119,17 @@
     Ok(())
 }
 
+#[allow(clippy::cast_precision_loss)]
+async fn report_claims(
+    options: &Options,
+    cluster: &cluster::Cluster,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let times = claims::run(cluster.internals()).await?;
+    let rate = times.len() as f64 / claims::window().as_secs_f64();
+    report_times(options, &format!("claimed, at {rate:.0} calls/s"), times);
+    Ok(())
+}
+
 fn report_times(options: &Options, what: &str, mut times: Vec<time::Duration>) {
     times.sort();
     let at = |percent: usize| {
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -2,7 +2,7 @@
 //!
 //! A key is running, settled or free. Only a provable "did not run" makes it free again, under a
 //! new fence; a running one that nobody settles in time turns unknown and is never run again
-//! while it is retained.
+//! while it is retained. When memory is short the oldest answers are dropped, but not that they ran.
 
 use std::collections;
 
@@ -130,6 +130,8 @@
 /// Claimed keys.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct Claims {
+    /// Keys whose answer is kept.
+    answered: collections::BTreeSet<Due>,
     bytes: usize,
     dues: collections::BTreeSet<Due>,
     limits: Limits,
@@ -166,10 +168,14 @@
         self.remove(&key);
         self.bytes += measure(&key, &record);
         self.running += usize::from(is_running(&record));
-        self.dues.insert(Due {
+        let due = Due {
             at: record.due,
             key: key.clone(),
-        });
+        };
+        if let State::Answered(_) = record.state {
+            self.answered.insert(due.clone());
+        }
+        self.dues.insert(due);
         self.records.insert(key, record);
     }
 
@@ -258,7 +264,7 @@
 
     fn grant_new(&mut self, now: u64, fence: u64, request: Request) -> Grant {
         let cost = 2 * request.key.len() + request.attempt.len() + OVERHEAD_BYTES;
-        if self.bytes + cost > self.limits.memory_bytes {
+        if !self.make_room(cost) {
             let first = self.dues.first().map_or(now, |due| due.at);
             return Grant::Unavailable(wait_until(now, first));
         }
@@ -278,8 +284,8 @@
     }
 
     fn keep_answer(&mut self, now: u64, key: &str, answer: Bytes) {
-        let room = self.limits.memory_bytes.saturating_sub(self.bytes);
-        let state = if answer.len() <= room.min(self.limits.answer_bytes) {
+        let cost = answer.len() + key.len();
+        let state = if answer.len() <= self.limits.answer_bytes && self.make_room(cost) {
             State::Answered(answer)
         } else {
             State::Ran
@@ -287,6 +293,17 @@
         self.change(key, now + RETENTION_MS, state);
     }
 
+    /// Drops the oldest answers until there is room; returns whether there is.
+    fn make_room(&mut self, cost: usize) -> bool {
+        while self.bytes + cost > self.limits.memory_bytes {
+            let Some(oldest) = self.answered.first().cloned() else {
+                return false;
+            };
+            self.change(&oldest.key, oldest.at, State::Ran);
+        }
+        true
+    }
+
     fn change(&mut self, key: &str, due: u64, state: State) {
         if let Some(record) = self.remove(key) {
             let record = Record {
@@ -302,10 +319,12 @@
         let record = self.records.remove(key)?;
         self.bytes -= measure(key, &record);
         self.running -= usize::from(is_running(&record));
-        self.dues.remove(&Due {
+        let due = Due {
             at: record.due,
             key: key.to_owned(),
-        });
+        };
+        self.answered.remove(&due);
+        self.dues.remove(&due);
         Some(record)
     }
 }
@@ -326,7 +345,7 @@
 
 fn measure(key: &str, record: &Record) -> usize {
     let state = match &record.state {
-        State::Answered(answer) => answer.len(),
+        State::Answered(answer) => answer.len() + key.len(),
         State::Free(attempt) | State::Running(attempt) => attempt.len(),
         State::Ran | State::Unknown => 0,
     };
