Waiting for a change names a frozen node and ends with its lease

Change: a proof test; the fleet writes the key file once. Conclusion: exit codes 0 and 5 and the list of nodes are as documented.

--- a/crates/proof/tests/failures/configuration.rs
+++ b/crates/proof/tests/failures/configuration.rs
@@ -63,3 +63,24 @@
         "the resend took the domain out again: {text}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_frozen_node_is_named_until_its_lease_has_run_out() {
+    let fleet = fleet::Fleet::start(fleet::Plan::default()).await;
+    fleet.signal("agent-engine-0", rustix::process::Signal::STOP);
+    let hasty = fleet
+        .operate(&["--json", "domain", "out", "zone-0", "--wait", "0.2"])
+        .await;
+    assert_eq!(hasty.status.code(), Some(5), "{}", fleet::show(&hasty));
+    let told: serde_json::Value = serde_json::from_slice(&hasty.stdout).expect("JSON");
+    let missing = told["missing"].as_array().expect("a list");
+    assert!(missing.contains(&"agent-engine-0".into()), "{missing:?}");
+    let patient = fleet
+        .operate(&["--json", "domain", "out", "zone-1", "--wait", "7"])
+        .await;
+    assert_eq!(patient.status.code(), Some(0), "{}", fleet::show(&patient));
+    let told: serde_json::Value = serde_json::from_slice(&patient.stdout).expect("JSON");
+    assert_eq!(told["in_force"], serde_json::json!(true));
+    assert_eq!(told["lapsed"], serde_json::json!(["agent-engine-0"]));
+    fleet.signal("agent-engine-0", rustix::process::Signal::CONT);
+}
--- a/crates/proof/tests/failures/fleet.rs
+++ b/crates/proof/tests/failures/fleet.rs
@@ -303,7 +303,10 @@
     /// Runs the operators' command line against all control hosts.
     pub(crate) async fn operate(&self, words: &[&str]) -> process::Output {
         let key = self.folder.path().join("operator.key");
-        fs::write(&key, settings::OPERATOR_KEY).expect("key written");
+        // Written once: another command may be reading it.
+        if !key.exists() {
+            fs::write(&key, settings::OPERATOR_KEY).expect("key written");
+        }
         let list: Vec<String> = self
             .controls
             .iter()
