Models on real engines: a proof test; engines that did not load are ordered again

Cause: an engine that lost or never loaded its models stayed out of the plan. Ruled out: the same order again under its old fence (an agent that carried it out before would pass it over). Conclusion: the surplus engine loads the new model, the other keeps its own.

--- a/crates/core/src/assign.rs
+++ b/crates/core/src/assign.rs
@@ -66,7 +66,8 @@
 
 /// Returns the next placements, at most `loads` of them.
 ///
-/// Engines in `failed` did not carry out their last order and are left alone.
+/// Engines in `failed` did not carry out their last order: what they announced counts, and they may
+/// be ordered again.
 pub fn plan(
     config: &config::Config,
     failed: &collections::BTreeSet<String>,
@@ -111,10 +112,11 @@
         let upstream = &announcement.upstream;
         let is_engine = announcement.kind == members::Kind::Engine;
         let is_open = config.is_open(upstream, &member.node.domain);
-        if !is_engine || !is_open || failed.contains(upstream) {
+        if !is_engine || !is_open {
             continue;
         }
         let order = config.orders.get(upstream);
+        let order = order.filter(|_| !failed.contains(upstream));
         let models = order.map_or(&announcement.offers, |order| &order.models);
         engines.push(Engine {
             domain: &member.node.domain,
--- a/crates/core/src/fences.rs
+++ b/crates/core/src/fences.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
+use crate::assign;
 use crate::config;
 
 /// Refuses orders older than one already seen.
@@ -26,7 +27,8 @@
 
 /// Orders `upstream` to have `models` loaded, under `fence` from the log.
 ///
-/// Returns false, and leaves the former order and its fence, when it says the same already.
+/// Returns false, and leaves the former order and its fence, when it says the same already and the
+/// upstream has announced that it carried it out.
 pub fn give_order(
     config: &mut config::Config,
     upstream: &str,
@@ -34,7 +36,8 @@
     fence: u64,
 ) -> bool {
     let present = config.orders.get(upstream);
-    if present.is_some_and(|order| order.models == models) {
+    let is_same = present.is_some_and(|order| order.models == models);
+    if is_same && assign::count_loads(config, upstream, &models) == 0 {
         return false;
     }
     let order = config::Order {
--- a/crates/proof/tests/failures/main.rs
+++ b/crates/proof/tests/failures/main.rs
@@ -12,4 +12,5 @@
 mod domains;
 mod kills;
 mod path;
+mod placement;
 mod stops;
