Agent: what waits is turned away when the domain, upstream or lease goes

Cause: a request queued before its domain was taken out was still started on the engine afterwards, for as long as the queue held it (test failed: it ran). Ruled out: a message to admission (after a freeze a queued request could start before the message came). Change: enforcement in a module of its own; admission asks it before each start and turns away all that wait.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -16,8 +16,10 @@
 use tokio::sync::watch;
 use tokio_util::sync as cancel;
 
+use crate::agent;
 use crate::clock;
 use crate::decision;
+use crate::enforcement;
 use crate::engine;
 use crate::events;
 use crate::gate;
@@ -52,6 +54,7 @@
 pub(crate) struct Admission {
     admission: admit::Admission,
     clock: clock::Clock,
+    enforcement: enforcement::Enforcement,
     healthy: bool,
     messages: mpsc::UnboundedReceiver<gate::Message>,
     meters: meters::Meters,
@@ -69,6 +72,7 @@
     pub(crate) fn new(
         clock: clock::Clock,
         options: admit::Options,
+        enforcement: enforcement::Enforcement,
         meters: meters::Meters,
     ) -> (Admission, gate::Handle) {
         let (sender, messages) = mpsc::unbounded_channel();
@@ -82,6 +86,7 @@
         let task = Admission {
             admission,
             clock,
+            enforcement,
             healthy: false,
             messages,
             meters,
@@ -128,14 +133,15 @@
     }
 
     fn decide(&mut self, ask: gate::Ask, answer: mpsc::UnboundedSender<gate::Verdict>) {
-        if !self.healthy {
+        if let Some(closure) = self.find_closure() {
+            let load = self.admission.load();
             decision::refuse(
                 &self.meters,
-                &self.admission.load(),
+                &load,
                 &ask,
                 &answer,
-                wire::Reason::Upstream,
-                LOST_RETRY_MS,
+                closure.reason(),
+                closure.retry_after_ms,
             );
             return;
         }
@@ -164,6 +170,15 @@
         }
     }
 
+    /// Returns why nothing at all is admitted now, if so.
+    fn find_closure(&self) -> Option<wire::Failed> {
+        if self.healthy {
+            return self.enforcement.check();
+        }
+        let detail = "the upstream does not answer";
+        Some(agent::refuse(wire::Reason::Upstream, LOST_RETRY_MS, detail))
+    }
+
     fn build_request(&mut self, ask: &gate::Ask) -> admit::Request {
         admit::Request {
             cached_tokens: 0,
@@ -243,6 +258,11 @@
 
     /// Starts those whose turn has come and turns away those that cannot make it.
     fn start_waiting(&mut self) {
+        // What waits has not reached the upstream: it is new work like any other.
+        if let Some(failed) = self.enforcement.check() {
+            self.turn_all_away(failed.reason(), failed.retry_after_ms);
+            return;
+        }
         let now = self.clock.now();
         for shed in self.admission.shed(now) {
             self.turn_away(
@@ -362,10 +382,14 @@
             );
         }
         self.healthy = false;
+        self.turn_all_away(wire::Reason::Upstream, LOST_RETRY_MS);
+    }
+
+    fn turn_all_away(&mut self, reason: wire::Reason, retry_after_ms: u32) {
         let tickets: Vec<_> = self.waiting.keys().copied().collect();
         for ticket in tickets {
             self.admission.cancel(ticket);
-            self.turn_away(ticket, wire::Reason::Upstream, LOST_RETRY_MS);
+            self.turn_away(ticket, reason, retry_after_ms);
         }
     }
 
--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::enforcement;
 use crate::engine;
 use crate::gate;
 use crate::meters;
@@ -19,12 +20,6 @@
 use crate::settings;
 use crate::stream;
 
-/// When to come back to an agent that is leaving.
-const LEAVING_RETRY_MS: u32 = 1_000;
-/// When to come back to an upstream that operators took out.
-const OUT_RETRY_MS: u32 = 5_000;
-/// When to come back to an agent that waits for its lease.
-const STALE_RETRY_MS: u32 = 1_000;
 /// When to come back for a model that is not loaded here.
 const MODEL_RETRY_MS: u32 = 5_000;
 
@@ -37,12 +32,12 @@
     pub(crate) cached: sync::Mutex<cached::Known>,
     pub(crate) claims: sync::Mutex<registry::Claims>,
     pub(crate) clock: clock::Clock,
+    pub(crate) enforcement: enforcement::Enforcement,
     pub(crate) engine: engine::Client,
     pub(crate) gate: gate::Handle,
     pub(crate) generations: sync::Mutex<registry::Generations>,
     /// Fresh at each start of the agent.
     pub(crate) incarnation: String,
-    pub(crate) leaving: atomic::AtomicBool,
     pub(crate) meters: meters::Meters,
     pub(crate) numbers: atomic::AtomicU64,
     pub(crate) requests: sync::Mutex<registry::Requests>,
@@ -59,30 +54,9 @@
 }
 
 impl Agent {
-    /// Returns why no new work is taken, if it is not.
-    pub(crate) fn check_enforcement(&self) -> Option<wire::Failed> {
-        if self.is_leaving() {
-            let detail = "the upstream is leaving";
-            return Some(refuse(wire::Reason::Draining, LEAVING_RETRY_MS, detail));
-        }
-        if self.is_out() {
-            let detail = "the upstream or its failure domain is out";
-            return Some(refuse(wire::Reason::Draining, OUT_RETRY_MS, detail));
-        }
-        if *self.view.replaced().borrow() {
-            let detail = "a newer process has taken the agent's name";
-            return Some(refuse(wire::Reason::Draining, LEAVING_RETRY_MS, detail));
-        }
-        if !self.view.is_fresh() {
-            let detail = "the freshness lease has lapsed";
-            return Some(refuse(wire::Reason::Stale, STALE_RETRY_MS, detail));
-        }
-        None
-    }
-
     /// Returns why the request is not taken, if it is not; a request that is taken is remembered.
     pub(crate) fn check_request(&self, caller: Caller<'_>) -> Option<wire::Failed> {
-        if let Some(failed) = self.check_enforcement() {
+        if let Some(failed) = self.enforcement.check() {
             return Some(failed);
         }
         if !self.offers(caller.offer) {
@@ -102,19 +76,6 @@
         !incarnation.is_empty() && incarnation != self.incarnation
     }
 
-    /// Returns whether the process stops.
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(atomic::Ordering::Acquire)
-    }
-
-    /// Returns whether operators took the upstream or its failure domain out.
-    pub(crate) fn is_out(&self) -> bool {
-        let config = self.view.config();
-        let config = config.borrow();
-        config.domains_out.contains(&self.settings.domain)
-            || config.upstreams_out.contains(&self.settings.upstream.name)
-    }
-
     /// Returns the models loaded, or the services.
     pub(crate) fn list_offers(&self) -> Vec<String> {
         let reported = self.gate.watch().borrow().report.models.clone();
--- a/crates/agent/src/domain.rs
+++ b/crates/agent/src/domain.rs
@@ -29,7 +29,7 @@
 ///
 /// The limit falls back on the way out, so that it is low already when the upstream comes back.
 fn follow_state(agent: &agent::Agent, before: bool) -> bool {
-    let out = agent.is_out();
+    let out = agent.enforcement.is_out();
     let version = agent.view.version();
     match (before, out) {
         (false, true) => {
--- /dev/null
+++ b/crates/agent/src/enforcement.rs
@@ -0,0 +1,79 @@
+//! Whether new work is taken: leaving, failure domain, upstream, name and lease.
+
+use core::sync::atomic;
+use std::sync;
+
+use peargap_adapters::follow;
+use peargap_wire::agent as wire;
+
+use crate::agent;
+
+/// When to come back to an agent that is leaving.
+const LEAVING_RETRY_MS: u32 = 1_000;
+/// When to come back to an upstream that operators took out.
+const OUT_RETRY_MS: u32 = 5_000;
+/// When to come back to an agent that waits for its lease.
+const STALE_RETRY_MS: u32 = 1_000;
+
+/// Decides by the newest configuration of this process; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Enforcement {
+    domain: String,
+    leaving: sync::Arc<atomic::AtomicBool>,
+    upstream: String,
+    view: follow::View,
+}
+
+impl Enforcement {
+    /// Returns the enforcement for one upstream in one failure domain.
+    pub(crate) fn new(domain: String, upstream: String, view: follow::View) -> Enforcement {
+        Enforcement {
+            domain,
+            leaving: sync::Arc::default(),
+            upstream,
+            view,
+        }
+    }
+
+    /// Returns why no new work is taken, if it is not.
+    pub(crate) fn check(&self) -> Option<wire::Failed> {
+        if self.is_leaving() {
+            let detail = "the upstream is leaving";
+            return Some(refuse_draining(LEAVING_RETRY_MS, detail));
+        }
+        if self.is_out() {
+            let detail = "the upstream or its failure domain is out";
+            return Some(refuse_draining(OUT_RETRY_MS, detail));
+        }
+        if *self.view.replaced().borrow() {
+            let detail = "a newer process has taken the agent's name";
+            return Some(refuse_draining(LEAVING_RETRY_MS, detail));
+        }
+        if !self.view.is_fresh() {
+            let detail = "the freshness lease has lapsed";
+            return Some(agent::refuse(wire::Reason::Stale, STALE_RETRY_MS, detail));
+        }
+        None
+    }
+
+    /// Takes no new work from now on.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, atomic::Ordering::Release);
+    }
+
+    /// Returns whether the process stops.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(atomic::Ordering::Acquire)
+    }
+
+    /// Returns whether operators took the upstream or its failure domain out.
+    pub(crate) fn is_out(&self) -> bool {
+        let config = self.view.config();
+        let config = config.borrow();
+        config.domains_out.contains(&self.domain) || config.upstreams_out.contains(&self.upstream)
+    }
+}
+
+fn refuse_draining(retry_after_ms: u32, detail: &str) -> wire::Failed {
+    agent::refuse(wire::Reason::Draining, retry_after_ms, detail)
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 mod decision;
 mod domain;
 mod drive;
+mod enforcement;
 mod engine;
 mod events;
 mod gate;
--- a/crates/agent/src/observe.rs
+++ b/crates/agent/src/observe.rs
@@ -72,7 +72,7 @@
         queued: load.waiting,
         limit: load.limit,
         wait_ms: u32::try_from(load.wait_ms).unwrap_or(u32::MAX),
-        draining: agent.is_leaving() || agent.is_out(),
+        draining: agent.enforcement.is_leaving() || agent.enforcement.is_out(),
         healthy: snapshot.healthy && agent.view.is_fresh(),
         models: agent.list_offers(),
         prefixes: agent::lock(&agent.cached).list_prefixes(MAX_PREFIXES),
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -26,6 +26,7 @@
 use crate::agent;
 use crate::clock;
 use crate::domain;
+use crate::enforcement;
 use crate::engine;
 use crate::events;
 use crate::meters;
@@ -122,7 +123,7 @@
     let clock = clock::Clock::start();
     let incarnation = format!("{:016x}", rand::random::<u64>());
     let upstream = &settings.upstream;
-    let options = admit::Options {
+    let limits = admit::Options {
         block_tokens: BLOCK_TOKENS,
         max_running: upstream.max_running,
         max_stretch: admit::MAX_STRETCH,
@@ -132,21 +133,24 @@
         start_limit: ramp::START_LIMIT,
         unproven_limit: ramp::START_LIMIT,
     };
-    let (admission, handle) = admission::Admission::new(clock, options, meters.clone());
     let announcement = watch::Sender::new(Some(build_announcement(&settings)));
     let options = build_options(&settings, &incarnation, announcement.subscribe());
     let view = follow::spawn(options, stop);
+    let (domain, name) = (settings.domain.clone(), upstream.name.clone());
+    let enforcement = enforcement::Enforcement::new(domain, name, view.clone());
+    let (admission, handle) =
+        admission::Admission::new(clock, limits, enforcement.clone(), meters.clone());
     let engine = engine::Client::new(upstream.address, upstream.silent_after);
     let agent = agent::Agent {
         announcement,
         cached: sync::Mutex::default(),
         claims: sync::Mutex::default(),
         clock,
+        enforcement,
         engine,
         gate: handle,
         generations: sync::Mutex::new(registry::Generations::default()),
         incarnation,
-        leaving: atomic::AtomicBool::new(false),
         meters,
         numbers: atomic::AtomicU64::new(0),
         requests: sync::Mutex::default(),
@@ -238,7 +242,7 @@
 ) {
     loop {
         let healthy = agent.gate.watch().borrow().healthy;
-        readiness.set(healthy && agent.check_enforcement().is_none());
+        readiness.set(healthy && agent.enforcement.check().is_none());
         tokio::select! {
             () = asked.cancelled() => return,
             () = tokio::time::sleep(READINESS_PERIOD) => {}
@@ -248,7 +252,7 @@
 
 /// Takes no new work and waits until what runs is whole.
 async fn leave(agent: &agent::Agent, readiness: &health::Readiness, calls: &task::TaskTracker) {
-    agent.leaving.store(true, atomic::Ordering::Release);
+    agent.enforcement.leave();
     readiness.set(false);
     agent.view.set_leaving();
     logs::emit(
--- a/crates/agent/tests/queue.rs
+++ b/crates/agent/tests/queue.rs
@@ -11,15 +11,20 @@
 
 struct Rig {
     agent: process::Agent,
+    control: control::Control,
     engine: engine::Engine,
 }
 
 /// Starts an agent that has proven nothing yet: it runs two at once.
 async fn build_rig(more: &str) -> Rig {
-    let (_, control) = control::Control::start().await;
+    let (control, control_address) = control::Control::start().await;
     let (engine, address) = engine::Engine::start().await;
-    let agent = process::Agent::start("engine", control, address, more).await;
-    Rig { agent, engine }
+    let agent = process::Agent::start("engine", control_address, address, more).await;
+    Rig {
+        agent,
+        control,
+        engine,
+    }
 }
 
 fn start_with_deadline(request: &str, length: u64, deadline_ms: u32) -> wire::up::Kind {
@@ -142,3 +147,31 @@
         .find(|line| line.starts_with("peargap_agent_limit{"));
     assert!(limit.is_some_and(|line| !line.ends_with(" 2")), "{limit:?}");
 }
+
+#[tokio::test]
+async fn waiting_request_is_turned_away_when_its_domain_goes_out() {
+    let rig = build_rig("").await;
+    let mut running = fill(&rig, 150).await;
+    let mut third = support::open(rig.agent.address, support::start("r3", 10)).await;
+    let accepted = third.down.message().await.unwrap().unwrap().kind;
+    assert!(
+        matches!(accepted, Some(wire::down::Kind::Accepted(_))),
+        "{accepted:?}"
+    );
+    rig.control
+        .change(|config| config.domains_out.push("a".to_owned()));
+    let mut heard = support::Heard::default();
+    third.read_all(&mut heard).await;
+    let failed = heard.failed.expect("not refused");
+    assert_eq!(
+        (failed.ran(), failed.reason()),
+        (wire::Ran::No, wire::Reason::Draining)
+    );
+    assert!(failed.retry_after_ms > 0);
+    for link in &mut running {
+        let mut whole = support::Heard::default();
+        link.read_all(&mut whole).await;
+        assert_eq!(whole.text, support::whole_text(150));
+    }
+    assert_eq!(rig.engine.look(|state| state.starts), 2);
+}
