--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -80,6 +80,7 @@
     let traffic = runtime::Builder::new_multi_thread()
         .enable_all()
         .thread_name("traffic")
+        .worker_threads(settings.limits.traffic_threads)
         .build()
         .change_context(Error::Runtime)?;
     let control = start_control(&settings, traffic.handle().clone())?;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -57,6 +57,8 @@
     pub max_deadline: time::Duration,
     /// A caller that reads nothing for this long is given up.
     pub stalled_reader: time::Duration,
+    /// Threads that carry callers' traffic.
+    pub traffic_threads: usize,
 }
 
 /// Log format and level.
@@ -136,6 +138,7 @@
         max_connections: reader.ranged("limits", "max_connections", 10_000, 1..=1_000_000),
         max_deadline: read_millis(reader, "limits", "max_deadline_ms", 3_600_000, 1),
         stalled_reader: read_millis(reader, "limits", "stalled_reader_ms", 30_000, 100),
+        traffic_threads: reader.ranged("limits", "traffic_threads", 2, 1..=256),
     };
     if limits.default_deadline > limits.max_deadline {
         let problem = "is longer than max_deadline_ms; give at most that".to_owned();
