--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -17,14 +17,26 @@
 use peargap_wire::peer as wire;
 use prost::Message as _;
 
+use crate::birth;
 use crate::convert;
 use crate::files;
 use crate::record;
 use crate::replay;
 
+const BIRTH_FILE: &str = "birth";
 const HARD_FILE: &str = "hard";
 const LOCK_FILE: &str = "lock";
 const OLD_PREFIX: &str = "old-";
+/// Files of the folder whose sizes are known.
+const OWN_FILES: [&str; 6] = [
+    BIRTH_FILE,
+    HARD_FILE,
+    LOCK_FILE,
+    PROBE_FILE,
+    RESERVE_FILE,
+    SNAPSHOT_FILE,
+];
+const PROBE_FILE: &str = "probe";
 const RESERVE_FILE: &str = "reserve";
 const SEGMENT_BYTES: u64 = 8 << 20;
 const SNAPSHOT_FILE: &str = "snapshot";
@@ -41,6 +53,8 @@
 /// What was found in the folder.
 #[derive(Debug)]
 pub struct Found {
+    /// The files were copied since they were written, so they may be older than what was lost.
+    pub copied: bool,
     /// Hard state.
     pub hard: effect::Hard,
     /// This host and the id of its disk.
@@ -55,6 +69,8 @@
 #[derive(Debug)]
 pub struct Disk {
     folder: path::PathBuf,
+    /// Bytes of files that are not the log's own, such as disks set aside.
+    foreign_bytes: u64,
     full: bool,
     limits: Limits,
     // Holds the lock until it is dropped.
@@ -84,8 +100,10 @@
         let mut replay = replay::Replay::new(snapshot);
         let segments = replay.read_segments(folder)?;
         let number = segments.last().map_or(1, |segment| segment.number + 1);
+        let copied = !birth::is_original(&folder.join(BIRTH_FILE))?;
         let mut disk = Disk {
             folder: folder.to_owned(),
+            foreign_bytes: 0,
             full: false,
             limits,
             _lock: lock,
@@ -101,6 +119,7 @@
         });
         disk.take_reserve();
         let found = Found {
+            copied,
             hard,
             me,
             store: store::Store::new(replay.snapshot, replay.entries),
@@ -114,6 +133,12 @@
         self.full
     }
 
+    /// Takes copied files for the original from now on.
+    pub fn adopt(&mut self) -> Result<(), files::Error> {
+        birth::write_birth(&self.folder.join(BIRTH_FILE))?;
+        files::sync_folder(&self.folder)
+    }
+
     /// Stores the hard state.
     pub fn save_hard(&mut self, hard: &effect::Hard) -> Result<(), files::Error> {
         let payload = convert::write_hard(&self.me, hard).encode_to_vec();
@@ -172,6 +197,7 @@
 
     /// Takes changes again once there is room for the reserve; returns whether it does.
     pub fn take_reserve(&mut self) -> bool {
+        self.foreign_bytes = count_foreign(&self.folder);
         let path = self.folder.join(RESERVE_FILE);
         let bytes = self.limits.reserve_bytes;
         let room = self.count_used() + bytes <= self.limits.bytes;
@@ -183,9 +209,29 @@
         taken
     }
 
+    /// Returns whether this many bytes more would leave the reserve free.
+    pub fn has_room(&self, bytes: u64) -> bool {
+        !self.full && self.count_used() + bytes + self.limits.reserve_bytes <= self.limits.bytes
+    }
+
+    /// Returns whether a snapshot of this many bytes can be written, by writing as many.
+    pub fn can_hold(&self, bytes: u64) -> bool {
+        if self.count_used() + bytes > self.limits.bytes {
+            return false;
+        }
+        let path = self.folder.join(PROBE_FILE);
+        let held = write_filler(&path, bytes).is_ok();
+        let _ = fs::remove_file(&path);
+        held
+    }
+
+    /// Returns the bytes of the log's segments.
+    pub fn count_log(&self) -> u64 {
+        self.segments.iter().map(|segment| segment.bytes).sum()
+    }
+
     fn count_used(&self) -> u64 {
-        let segments: u64 = self.segments.iter().map(|segment| segment.bytes).sum();
-        segments + self.snapshot_bytes
+        self.count_log() + self.snapshot_bytes + self.foreign_bytes
     }
 
     fn append(&mut self, records: &[wire::Record], last: u64) -> Result<(), files::Error> {
@@ -317,6 +363,7 @@
     }
     let hard = effect::Hard::default();
     let payload = convert::write_hard(&me, &hard).encode_to_vec();
+    birth::write_birth(&folder.join(BIRTH_FILE))?;
     files::write_whole(folder, HARD_FILE, &payload)?;
     Ok((me, hard))
 }
@@ -331,11 +378,32 @@
     convert::read_snapshot(snapshot).map_err(|_error| files::corrupt(&path, "no snapshot"))
 }
 
-/// Writes real bytes, so that the space is taken on every file system.
+/// Returns the bytes of files and folders that the log does not know.
+fn count_foreign(folder: &path::Path) -> u64 {
+    let Ok(items) = fs::read_dir(folder) else {
+        return 0;
+    };
+    let foreign = items.flatten().filter(|item| {
+        let name = item.file_name().to_string_lossy().into_owned();
+        !OWN_FILES.contains(&name.as_str()) && !name.starts_with(replay::SEGMENT_PREFIX)
+    });
+    foreign
+        .map(|item| match item.file_type() {
+            Ok(kind) if kind.is_dir() => count_foreign(&item.path()),
+            Ok(_) | Err(_) => files::count_file(&item.path()),
+        })
+        .sum()
+}
+
 fn write_reserve(path: &path::Path, bytes: u64) -> io::Result<()> {
     if files::count_file(path) == bytes {
         return Ok(());
     }
+    write_filler(path, bytes)
+}
+
+/// Writes real bytes, so that the space is taken on every file system.
+fn write_filler(path: &path::Path, bytes: u64) -> io::Result<()> {
     let mut file = fs::File::create(path)?;
     io::copy(&mut io::Read::take(io::repeat(0x5a), bytes), &mut file)?;
     file.sync_all()
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,7 @@
 //! Control host: the durable configuration, members, fences and claims.
 
 mod attached;
+mod birth;
 mod claims;
 mod codec;
 pub mod convert;
@@ -15,13 +16,16 @@
 pub mod operators;
 mod pace;
 mod peers;
+mod place;
 mod proposal;
 mod record;
 mod replay;
 pub mod replica;
+mod report;
 pub mod service;
 pub mod settings;
 mod spread;
 mod timers;
+mod waits;
 mod watch;
 mod worker;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -19,10 +19,15 @@
 use crate::disk;
 
 const ADDRESS: &str = "an address such as 127.0.0.1:7000";
+const BATCH_ENTRIES: usize = 512;
+const CHUNK_BYTES: usize = 1 << 20;
 const DEFAULT_ELECTION_MS: u64 = 300;
 const DEFAULT_HEARTBEAT_MS: u64 = 50;
 const DEFAULT_LEASE_MS: u64 = 1500;
 const DEFAULT_LIMIT_MB: u64 = 1 << 20;
+const KEEP_BYTES: usize = 16 << 20;
+const KEEP_ENTRIES: u64 = 1024;
+const LEARNER_LAG_ENTRIES: u64 = 64;
 const MEGABYTE: u64 = 1 << 20;
 const RESERVE_BYTES: u64 = 4 * MEGABYTE;
 
@@ -57,6 +62,8 @@
     pub peers: collections::BTreeMap<String, net::SocketAddr>,
     /// Intervals.
     pub timing: Timing,
+    /// Take a copied data folder for the newest there is.
+    pub trust_copy: bool,
 }
 
 /// Intervals of the log's protocol.
@@ -92,6 +99,7 @@
     let health = reader.required("listen", "health", ADDRESS);
     let folder = reader.required("data", "folder", "a folder on a disk");
     let limit_mb = reader.ranged("data", "limit_mb", DEFAULT_LIMIT_MB, 16..=DEFAULT_LIMIT_MB);
+    let trust_copy = reader.optional("data", "trust_copy", false, "true or false");
     let operator_keys = read_keys(reader);
     let bootstrap = reader.list("bootstrap", "voters", "names of hosts");
     let level = logs::Level::Info;
@@ -119,6 +127,7 @@
         own_address,
         peers,
         timing,
+        trust_copy,
     })
 }
 
@@ -189,14 +198,10 @@
             bootstrap: names(&mut self.bootstrap.iter()),
             batch_entries: BATCH_ENTRIES,
             chunk_bytes: CHUNK_BYTES,
+            keep_bytes: KEEP_BYTES,
             keep_entries: KEEP_ENTRIES,
             learner_lag: LEARNER_LAG_ENTRIES,
             peers: names(&mut self.peers.keys()),
         }
     }
 }
-
-const BATCH_ENTRIES: usize = 512;
-const CHUNK_BYTES: usize = 1 << 20;
-const KEEP_ENTRIES: u64 = 1024;
-const LEARNER_LAG_ENTRIES: u64 = 64;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! perform the effects that its functions return.
 
 pub mod admit;
+pub mod assign;
 pub mod batch;
 pub mod breaker;
 pub mod cached;
@@ -14,6 +15,7 @@
 pub mod curve;
 pub mod fair;
 pub mod fences;
+pub mod fetch;
 pub mod follow;
 pub mod forecast;
 pub mod generation;
@@ -26,5 +28,6 @@
 pub mod ramp;
 pub mod replay;
 pub mod retry;
+mod runs;
 pub mod table;
 pub mod time;
--- a/crates/core/src/log/join.rs
+++ b/crates/core/src/log/join.rs
@@ -17,21 +17,64 @@
                 disk: member::ANY_DISK,
                 name: name.clone(),
             };
-            let hello = message::Kind::Hello(self.is_fresh());
+            let hello = message::Kind::Hello(message::Hello {
+                copied: self.doubt.is_some(),
+                fresh: self.is_fresh(),
+            });
             self.send(to, hello, effects);
         }
     }
 
-    /// Tells a fresh host that this one is fresh too.
+    /// Tells a fresh host whether this one is fresh too, and one on a copied disk whether this
+    /// one runs on a copy too.
     pub(crate) fn answer_hello(
-        &self,
-        fresh: bool,
+        &mut self,
+        hello: message::Hello,
         from: &member::Member,
         effects: &mut effect::Effects,
     ) {
-        if fresh && self.is_fresh() {
+        // Where one host has taken part there is a log already, also when all others are fresh.
+        self.founded |= !hello.fresh;
+        if hello.fresh && self.is_fresh() {
             self.send(from.clone(), message::Kind::Fresh, effects);
         }
+        if hello.copied && self.is_voter() {
+            self.send(from.clone(), message::Kind::Copied(self.copied), effects);
+        }
+    }
+
+    /// Decides what becomes of this copied disk.
+    ///
+    /// Where another voter kept its own disk, this one may have forgotten what it acknowledged:
+    /// it is renounced. Where every voter runs on a copy, the whole log was restored: it goes on.
+    pub(crate) fn take_copied(
+        &mut self,
+        copied: bool,
+        from: &member::Member,
+        effects: &mut effect::Effects,
+    ) {
+        let Some(copies) = &mut self.doubt else {
+            return;
+        };
+        if !copied {
+            effects.push(effect::Effect::Renounce);
+            return;
+        }
+        copies.insert(from.clone());
+        self.settle_doubt(effects);
+    }
+
+    /// Trusts the copied disk once every other voter is known to run on a copy.
+    pub(crate) fn settle_doubt(&mut self, effects: &mut effect::Effects) {
+        let Some(copies) = &self.doubt else {
+            return;
+        };
+        let voters = &self.store.roster().voters;
+        let mut others = voters.iter().filter(|voter| **voter != self.me);
+        if others.all(|voter| copies.contains(voter)) {
+            self.doubt = None;
+            effects.push(effect::Effect::Adopt);
+        }
     }
 
     /// Remembers a host that has never taken part.
@@ -45,11 +88,11 @@
     /// Writes the first roster once every host of it has said that it is fresh.
     ///
     /// Only the host with the smallest name does so, and a host that has ever taken part says
-    /// that it is not fresh; so a host that lost its disk cannot found a second log beside one
+    /// that it is not fresh, which ends it for this process; so a host that lost its disk cannot found a second log beside one
     /// that lives on.
     pub(crate) fn bootstrap(&mut self, effects: &mut effect::Effects) -> bool {
         let names = &self.settings.bootstrap;
-        if !self.is_fresh() || names.first() != Some(&self.me.name) {
+        if self.founded || !self.is_fresh() || names.first() != Some(&self.me.name) {
             return false;
         }
         let mut voters = self.fresh.clone();
