--- a/crates/entry/src/board.rs
+++ b/crates/entry/src/board.rs
@@ -101,6 +101,14 @@
         self.lock().failed(now, upstream);
     }
 
+    /// Returns how many of these upstreams take work.
+    pub(crate) fn count_open(&self, upstreams: impl Iterator<Item = table::Upstream>) -> u64 {
+        let now = self.now();
+        let table = self.lock();
+        let open = upstreams.filter(|upstream| table.view(now, *upstream).is_some());
+        open.count() as u64
+    }
+
     /// Picks an upstream that offers `offer`; `weighed` is filled for the log.
     pub(crate) fn pick<'a>(
         &self,
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -44,6 +44,11 @@
 }
 
 impl Fleet {
+    /// Returns the keys of all agents' upstreams.
+    pub(crate) fn list_keys(&self) -> impl Iterator<Item = table::Upstream> + '_ {
+        self.keys.keys().copied()
+    }
+
     /// Returns the agent with this key.
     pub(crate) fn find(&self, upstream: table::Upstream) -> Option<sync::Arc<peer::Peer>> {
         self.keys.get(&upstream).cloned()
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -7,6 +7,8 @@
 use opentelemetry::metrics as otel;
 use peargap_adapters::metrics;
 
+use crate::board;
+use crate::fleet;
 use crate::refusal;
 
 /// A gap between two tokens above this is a stall.
@@ -133,6 +135,23 @@
     }
 }
 
+/// Reports how many upstreams take work, as this entry sees them.
+pub(crate) fn observe_upstreams(
+    registry: &metrics::Registry,
+    board: sync::Arc<board::Board>,
+    fleet: fleet::Watch,
+) {
+    let _gauge = registry
+        .meter()
+        .u64_observable_gauge("peargap_entry_upstreams")
+        .with_description("Upstreams that take work, as this entry sees them")
+        .with_callback(move |gauge| {
+            let fleet = fleet.borrow().clone();
+            gauge.observe(board.count_open(fleet.list_keys()), &[]);
+        })
+        .build();
+}
+
 fn build_histogram(
     meter: &otel::Meter,
     name: &'static str,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -173,6 +173,7 @@
     let stop = signals::listen().change_context(Error::Signals)?;
     let callers = bind(settings.listen.callers).await?;
     let health = bind(settings.listen.health).await?;
+    instruments::observe_upstreams(&registry, control.board.clone(), control.fleet.clone());
     let app = sync::Arc::new(app::App {
         board: control.board.clone(),
         fleet: control.fleet.clone(),
--- a/crates/entry/tests/api.rs
+++ b/crates/entry/tests/api.rs
@@ -195,6 +195,8 @@
     for _ in 0..40 {
         assert_eq!(send().await.unwrap().status, 429);
     }
+    let upstreams = bench.entry.read_counter("peargap_entry_upstreams").await;
+    assert_eq!(upstreams, 2.0);
     // A fresh budget holds 3 retries and earns a tenth of one with each request.
     let retries = bench
         .entry
