--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -8,6 +8,7 @@
 use peargap_adapters::logs;
 use peargap_core::retry;
 use peargap_core::time::Instant;
+use tokio::time as clock;
 use tokio_util::sync as cancel;
 
 use crate::board;
@@ -117,6 +118,12 @@
     }
 }
 
+/// Returns the milliseconds left until a deadline, at least 1.
+pub(crate) fn millis_until(deadline: clock::Instant) -> u32 {
+    let left = deadline.saturating_duration_since(clock::Instant::now());
+    u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1)
+}
+
 /// Returns how long a request may take: what its header asks for, within the settings.
 pub(crate) fn read_timeout(
     limits: &settings::Limits,
--- a/crates/entry/src/board.rs
+++ b/crates/entry/src/board.rs
@@ -101,6 +101,11 @@
         self.lock().failed(now, upstream);
     }
 
+    /// Returns the key of the entry's own failure domain.
+    pub(crate) fn find_home(&self, domain: &str) -> table::Domain {
+        self.lock().domain(domain)
+    }
+
     /// Returns how many of these upstreams take work.
     pub(crate) fn count_open(&self, upstreams: impl Iterator<Item = table::Upstream>) -> u64 {
         let now = self.now();
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -96,11 +96,8 @@
     tag: &str,
 ) -> Result<wire::Response, refusal::Refusal> {
     let mut request = job.request.clone();
-    let left = job
-        .deadline
-        .saturating_duration_since(clock::Instant::now());
     request.config_version = app.view.version();
-    request.deadline_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1);
+    request.deadline_ms = app::millis_until(job.deadline);
     request.incarnation = peer.incarnation();
     request.request = format!("{}.{tag}", job.request.request);
     app.board.record_sent(peer.key, 0);
@@ -158,9 +155,7 @@
 
 fn refuse_broken(ran: refusal::Ran) -> refusal::Refusal {
     let message = "The connection to the upstream was lost before its answer.";
-    refusal::Refusal::not_run(refusal::Code::UpstreamFailed, message)
-        .with_ran(ran)
-        .with_retry(refusal::DEFAULT_RETRY_MS)
+    refusal::Refusal::failed(ran, message)
 }
 
 fn refuse_late(ran: refusal::Ran) -> refusal::Refusal {
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -156,13 +156,9 @@
     }
 
     fn build_claim(&self) -> control::ClaimRequest {
-        let left = self
-            .job
-            .deadline
-            .saturating_duration_since(clock::Instant::now());
         control::ClaimRequest {
             attempt: self.job.request.request.clone(),
-            deadline_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1),
+            deadline_ms: app::millis_until(self.job.deadline),
             digest: self.key.digest,
             key: self.key.text.clone(),
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod hedge;
 mod lane;
 pub mod latency;
+mod leave;
 mod link;
 mod metrics;
 mod peer;
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -17,6 +17,9 @@
 use crate::peer;
 use crate::refusal;
 
+/// Candidates whose costs differ by less, in milliseconds, are equals.
+const EQUAL_MS: f32 = 1.0;
+
 /// What a request needs of its upstream.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Request<'a> {
@@ -165,13 +168,41 @@
     let mut weighed = Vec::new();
     let board = &app.board;
     let choice = board.pick(request.kind, request.offer, fill, &mut weighed);
+    let home = board.find_home(&app.settings.node.domain);
     Decision {
-        choice,
+        choice: prefer_home(choice, &weighed, home),
         fleet: app.fleet(),
         weighed,
     }
 }
 
+/// Returns an equal choice in the entry's own failure domain, if there is one.
+fn prefer_home(
+    choice: place::Choice,
+    weighed: &[place::Candidate],
+    home: table::Domain,
+) -> place::Choice {
+    let place::Choice::Chosen { upstream, why } = choice else {
+        return choice;
+    };
+    let mut candidates = weighed.iter();
+    let Some(best) = candidates.find(|candidate| candidate.upstream == upstream) else {
+        return choice;
+    };
+    let mut equals = weighed.iter().filter(|candidate| {
+        candidate.domain == home
+            && candidate.matched_blocks >= best.matched_blocks
+            && candidate.cost_ms <= best.cost_ms + EQUAL_MS
+    });
+    match equals.next() {
+        Some(equal) if best.domain != home => place::Choice::Chosen {
+            upstream: equal.upstream,
+            why,
+        },
+        Some(_) | None => choice,
+    }
+}
+
 /// Returns the agent that gets the request, or why there is none.
 pub(crate) fn pick_peer(
     app: &app::App,
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -12,6 +12,7 @@
 
 use crate::app;
 use crate::events;
+use crate::leave;
 use crate::link;
 use crate::progress;
 use crate::refusal;
@@ -125,9 +126,7 @@
 
     /// Returns the time left until the deadline, at least 1 ms.
     pub(crate) fn remaining_ms(&self) -> u32 {
-        let now = clock::Instant::now();
-        let left = self.deadline.saturating_duration_since(now);
-        u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1)
+        app::millis_until(self.deadline)
     }
 
     /// Gives the caller the last piece, after those that still wait.
@@ -374,30 +373,15 @@
         }
     }
 
-    /// Cancels the generation of a caller that left, after the grace in which it may resume.
-    async fn end_left(&self, app: &app::App, mut link: link::Link) {
+    /// Sees to the generation of a caller that left.
+    async fn end_left(&self, app: &app::App, link: link::Link) {
         let offset = self.written.get();
         logs::emit(events::CALLER_LEFT, format_args!("written={offset}"));
         let grace = match self.audience {
             relay::Audience::Stream { grace } if self.progress.is_delivered() => grace,
             relay::Audience::Stream { .. } | relay::Audience::Whole => time::Duration::ZERO,
         };
-        let over = clock::sleep(grace);
-        tokio::pin!(over);
-        let mut timer = clock::interval(link::TICK_PERIOD);
-        loop {
-            tokio::select! {
-                biased;
-                () = &mut over => return link.cancel(),
-                // The agent cancels what nobody resumes.
-                () = app.stop.cancelled(), if !grace.is_zero() => return,
-                _ = timer.tick() => link.tick(),
-                event = link.next() => match event {
-                    link::Event::Failed(_) | link::Event::Finished(_) | link::Event::Lost => return,
-                    link::Event::Accepted(_) | link::Event::Chunk(_) => {}
-                },
-            }
-        }
+        leave::cancel_after(app, link, grace).await;
     }
 
     fn refuse_deadline(&self) -> refusal::Refusal {
@@ -412,7 +396,5 @@
 }
 
 fn refuse_broken() -> refusal::Refusal {
-    let message = "The upstream answered with another generation.";
-    refusal::Refusal::not_run(refusal::Code::UpstreamFailed, message)
-        .with_ran(refusal::Ran::Unknown)
+    refusal::Refusal::failed(refusal::Ran::Unknown, "The upstream broke the protocol.")
 }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -192,6 +192,13 @@
         refusal
     }
 
+    /// Returns a refusal because the upstream or the way to it failed.
+    pub(crate) fn failed(ran: Ran, message: &str) -> Refusal {
+        Refusal::not_run(Code::UpstreamFailed, message)
+            .with_ran(ran)
+            .with_retry(DEFAULT_RETRY_MS)
+    }
+
     /// Returns the refusal with whether the request ran.
     #[must_use]
     pub(crate) fn with_ran(mut self, ran: Ran) -> Refusal {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -326,10 +326,7 @@
         link::OpenError::NotSent(_) => refusal::Ran::No,
         link::OpenError::Sent(_) | link::OpenError::Silent => refusal::Ran::Unknown,
     };
-    let message = "The upstream cannot be reached.";
-    refusal::Refusal::not_run(refusal::Code::UpstreamFailed, message)
-        .with_ran(ran)
-        .with_retry(refusal::DEFAULT_RETRY_MS)
+    refusal::Refusal::failed(ran, "The upstream cannot be reached.")
 }
 
 fn refuse_gone() -> refusal::Refusal {
@@ -339,7 +336,5 @@
 
 fn refuse_lost() -> refusal::Refusal {
     let message = "The upstream that held the generation is gone.";
-    refusal::Refusal::not_run(refusal::Code::UpstreamFailed, message)
-        .with_ran(refusal::Ran::Unknown)
-        .with_retry(refusal::DEFAULT_RETRY_MS)
+    refusal::Refusal::failed(refusal::Ran::Unknown, message)
 }
--- a/crates/entry/src/whole.rs
+++ b/crates/entry/src/whole.rs
@@ -47,6 +47,5 @@
 
 fn refuse_broken() -> refusal::Refusal {
     let message = "The entry lost the answer.";
-    refusal::Refusal::not_run(refusal::Code::UpstreamFailed, message)
-        .with_ran(refusal::Ran::Unknown)
+    refusal::Refusal::failed(refusal::Ran::Unknown, message)
 }
--- a/crates/entry/tests/api.rs
+++ b/crates/entry/tests/api.rs
@@ -211,6 +211,26 @@
     assert_eq!(starts as f64, 40.0 + retries);
 }
 
+#[tokio::test]
+async fn prefers_its_own_domain_among_equals_and_passes_over_silent_agents() {
+    let mut bench = support::start_bench(2, "").await;
+    let entry = bench.entry.callers;
+    let send = || caller::Call::post(CHAT, chat(json!({}))).send(entry);
+    assert_eq!(send().await.unwrap().status, 200);
+    assert_eq!(bench.agents[0].seen().starts.len(), 1);
+    bench.agents[0].kill();
+    support::wait_until(|| async { bench.entry.read_log().contains("E3005") }).await;
+    assert_eq!(send().await.unwrap().status, 200);
+    assert_eq!(bench.agents[1].seen().starts.len(), 1);
+    assert_eq!(
+        bench
+            .entry
+            .read_counter("peargap_entry_retries_total")
+            .await,
+        0.0
+    );
+}
+
 #[tokio::test]
 async fn gives_no_work_to_a_domain_that_is_out_nor_takes_any_without_a_lease() {
     let bench = support::start_bench(1, "").await;
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -2,20 +2,16 @@
 
 use std::collections;
 use std::net;
-use std::pin;
 use std::sync;
-use std::time;
 
 use peargap_wire::agent as wire;
 use peargap_wire::agent::agent_server;
-use peargap_wire::agent::call_reply;
 use peargap_wire::agent::down;
 use peargap_wire::agent::up;
 use peargap_wire::control;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_stream::wrappers;
-use tokio_stream::StreamExt as _;
 
 /// One step of a generation.
 #[derive(Clone, Debug)]
@@ -64,22 +60,22 @@
 }
 
 #[derive(Default)]
-struct State {
+pub struct State {
     died: bool,
-    fates: collections::VecDeque<Fate>,
+    pub fates: collections::VecDeque<Fate>,
     generations: collections::HashMap<String, Generation>,
     links: u64,
     plans: collections::VecDeque<Vec<Step>>,
-    releases: u64,
-    seen: Seen,
+    pub releases: u64,
+    pub seen: Seen,
 }
 
 #[derive(Clone)]
-struct Shared {
+pub struct Shared {
     /// Changes with every change of the state.
     changes: watch::Sender<u64>,
     kind: &'static str,
-    name: String,
+    pub name: String,
     state: sync::Arc<sync::Mutex<State>>,
 }
 
@@ -129,7 +125,12 @@
             node: Some(control::Node {
                 name: format!("agent-{}", self.shared.name),
                 role: control::Role::Agent.into(),
-                domain: "d1".to_owned(),
+                domain: if self.shared.name.ends_with('1') {
+                    "d2"
+                } else {
+                    "d1"
+                }
+                .to_owned(),
                 address: self.address.to_string(),
                 incarnation: "i1".to_owned(),
             }),
@@ -199,19 +200,19 @@
 }
 
 impl Shared {
-    fn change(&self, change: impl FnOnce(&mut State)) {
+    pub fn change(&self, change: impl FnOnce(&mut State)) {
         change(&mut self.state.lock().unwrap());
         self.changes.send_modify(|number| *number += 1);
     }
 
-    async fn wait(&self, check: impl Fn(&State) -> bool) {
+    pub async fn wait(&self, check: impl Fn(&State) -> bool) {
         let mut changes = self.changes.subscribe();
         while !check(&self.state.lock().unwrap()) {
             changes.changed().await.unwrap();
         }
     }
 
-    fn offers(&self) -> Vec<String> {
+    pub fn offers(&self) -> Vec<String> {
         match self.kind {
             "engine" => vec!["m".to_owned()],
             _ => vec!["orders".to_owned(), "lookups".to_owned()],
@@ -289,7 +290,7 @@
         self.change(|state| state.generations.get_mut(id).unwrap().end = Some(end));
     }
 
-    async fn serve(self, mut ups: tonic::Streaming<wire::Up>, downs: Downs) {
+    pub async fn serve(self, mut ups: tonic::Streaming<wire::Up>, downs: Downs) {
         let Ok(Some(first)) = ups.message().await else {
             return;
         };
@@ -401,9 +402,7 @@
     }
 }
 
-type Downs = mpsc::Sender<Result<wire::Down, tonic::Status>>;
-type Stream<T> =
-    pin::Pin<Box<dyn tokio_stream::Stream<Item = Result<T, tonic::Status>> + Send + 'static>>;
+pub type Downs = mpsc::Sender<Result<wire::Down, tonic::Status>>;
 
 async fn send(downs: &Downs, kind: down::Kind) -> bool {
     let message = wire::Down { kind: Some(kind) };
@@ -419,97 +418,3 @@
         detail: String::new(),
     }
 }
-
-#[tonic::async_trait]
-impl agent_server::Agent for Shared {
-    type GenerateStream = Stream<wire::Down>;
-    type ObserveStream = Stream<wire::Load>;
-
-    async fn generate(
-        &self,
-        request: tonic::Request<tonic::Streaming<wire::Up>>,
-    ) -> Result<tonic::Response<Self::GenerateStream>, tonic::Status> {
-        let (sender, receiver) = mpsc::channel(4);
-        tokio::spawn(self.clone().serve(request.into_inner(), sender));
-        let stream = wrappers::ReceiverStream::new(receiver);
-        Ok(tonic::Response::new(Box::pin(stream)))
-    }
-
-    async fn call(
-        &self,
-        request: tonic::Request<wire::CallRequest>,
-    ) -> Result<tonic::Response<wire::CallReply>, tonic::Status> {
-        let request = request.into_inner();
-        let mut fate = Fate::Answer(200, "done");
-        let mut repeated = false;
-        self.change(|state| {
-            let calls = &mut state.seen.calls;
-            repeated = calls.iter().any(|call| call.request == request.request);
-            calls.push(request);
-            if !repeated {
-                fate = state.fates.pop_front().unwrap_or(fate.clone());
-            }
-            if !repeated && !matches!(fate, Fate::Fail(_)) {
-                state.seen.runs += 1;
-            }
-        });
-        let kind = match fate {
-            _ if repeated => {
-                call_reply::Kind::Failed(fail(wire::Ran::Unknown, wire::Reason::Repeated, 0))
-            }
-            Fate::Answer(status, body) => answer(status, body),
-            Fate::Fail(failed) => call_reply::Kind::Failed(failed),
-            Fate::LoseAnswer => return Err(tonic::Status::unavailable("lost")),
-            Fate::Wait => {
-                self.wait(|state| state.releases > 0).await;
-                answer(200, "late")
-            }
-        };
-        let kind = Some(kind);
-        Ok(tonic::Response::new(wire::CallReply { kind }))
-    }
-
-    async fn observe(
-        &self,
-        request: tonic::Request<tonic::Streaming<wire::Seen>>,
-    ) -> Result<tonic::Response<Self::ObserveStream>, tonic::Status> {
-        let shared = self.clone();
-        let mut seen = request.into_inner();
-        tokio::spawn(async move {
-            while let Ok(Some(seen)) = seen.message().await {
-                if seen.sequence > 0 {
-                    shared.change(|state| {
-                        state.seen.observed.insert(seen.entry);
-                    });
-                }
-            }
-        });
-        let load = wire::Load {
-            upstream: self.name.clone(),
-            incarnation: "i1".to_owned(),
-            memory_tokens: 100_000,
-            limit: 64,
-            healthy: true,
-            models: self.offers(),
-            ..wire::Load::default()
-        };
-        let timer = tokio::time::interval(time::Duration::from_millis(100));
-        let mut sequence = 0;
-        let loads = wrappers::IntervalStream::new(timer).map(move |_| {
-            sequence += 1;
-            Ok(wire::Load {
-                sequence,
-                ..load.clone()
-            })
-        });
-        Ok(tonic::Response::new(Box::pin(loads)))
-    }
-}
-
-fn answer(status: u32, body: &'static str) -> call_reply::Kind {
-    call_reply::Kind::Response(wire::Response {
-        status,
-        headers: Vec::new(),
-        body: body.into(),
-    })
-}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod caller;
 pub mod control;
+mod served;
 
 use std::fs;
 use std::net;
