--- a/crates/core/src/curve.rs
+++ b/crates/core/src/curve.rs
@@ -123,8 +123,24 @@
     /// Returns the chance that an output which has `produced` tokens gets `more` beyond them.
     #[must_use]
     pub fn conditional(&self, class: Class, produced: u32, more: u32) -> f32 {
+        self.tail(class, produced).chance(more)
+    }
+
+    /// Returns the curve of an output that has `produced` tokens.
+    #[must_use]
+    pub fn tail(&self, class: Class, produced: u32) -> Tail<'_> {
         let curve = self.curves.get(class).unwrap_or(&self.curves[self.root]);
-        curve.conditional(produced, more)
+        let reached = curve.at(produced);
+        let scale = if reached > f32::MIN_POSITIVE {
+            1.0 / reached
+        } else {
+            f32::INFINITY
+        };
+        Tail {
+            curve,
+            produced,
+            scale,
+        }
     }
 
     /// Returns the expected length in tokens, cut at `limit`.
@@ -193,6 +209,27 @@
     }
 }
 
+/// What is left of a curve beyond the tokens already produced.
+#[derive(Clone, Copy, Debug)]
+pub struct Tail<'a> {
+    curve: &'a Curve,
+    produced: u32,
+    /// Inverse of the chance to get as far as `produced`.
+    scale: f32,
+}
+
+impl Tail<'_> {
+    /// Returns the chance to get `more` tokens beyond those produced.
+    #[must_use]
+    pub fn chance(&self, more: u32) -> f32 {
+        if self.scale == f32::INFINITY {
+            return 1.0;
+        }
+        let length = self.produced.saturating_add(more);
+        (self.curve.at(length) * self.scale).min(1.0)
+    }
+}
+
 impl Bucket {
     fn observe(&mut self, ended: bool) {
         const KEEP: f32 = 1.0 - 1.0 / MEMORY_OBSERVATIONS;
@@ -218,14 +255,6 @@
         left + (right - left) * position.fraction
     }
 
-    fn conditional(&self, produced: u32, more: u32) -> f32 {
-        let reached = self.at(produced);
-        if reached <= f32::MIN_POSITIVE {
-            return 1.0;
-        }
-        (self.at(produced.saturating_add(more)) / reached).min(1.0)
-    }
-
     fn blend(&self, parent: Option<&Curve>) -> [f32; BUCKETS + 1] {
         let mut table = [1.0; BUCKETS + 1];
         for (bucket, counts) in self.buckets.iter().enumerate() {
--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -28,12 +28,13 @@
 impl Forecast {
     /// Adds one stream, ended by its horizon or not as its curve says.
     pub fn add(&mut self, curves: &curve::Curves, load: &Load) {
+        let tail = curves.tail(load.class, load.produced);
         for (index, horizon) in HORIZONS.iter().enumerate() {
             let length = load.produced.saturating_add(*horizon);
             if length > load.max_tokens {
                 break;
             }
-            let chance = curves.conditional(load.class, load.produced, *horizon);
+            let chance = tail.chance(*horizon);
             let memory = (load.used_tokens + horizon) as f32;
             self.mean[index] += chance * memory;
             self.variance[index] += chance * (1.0 - chance) * memory * memory;
