Only a node that closes its link has left

Cause: a draining node whose control host stopped or was cut off was taken out of the members while its streams ran on. Ruled out: a delay before the leave (a drain may take minutes). Change: a link that the host closes, or that fell silent, leaves nothing; the command line waits longer for an answer than a host does for its quorum. Conclusion: members go only by their own end.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -11,8 +11,8 @@
 
 /// Longest wait for one host's connection.
 const CONNECT_TIMEOUT: duration::Duration = duration::Duration::from_secs(1);
-/// Longest wait for one host's answer.
-const ANSWER_TIMEOUT: duration::Duration = duration::Duration::from_secs(3);
+/// Longest wait for one host's answer; longer than a host waits for its quorum.
+const ANSWER_TIMEOUT: duration::Duration = duration::Duration::from_secs(4);
 /// Pause after no host answered.
 const RETRY_PERIOD: duration::Duration = duration::Duration::from_millis(200);
 /// Largest answer in bytes.
--- a/crates/cli/tests/manifests.rs
+++ b/crates/cli/tests/manifests.rs
@@ -71,6 +71,26 @@
     assert_eq!(output.status.code(), Some(4), "{output:?}");
 }
 
+#[test]
+fn settings_name_control_hosts_key_and_operator() {
+    let folder = tempfile::tempdir().unwrap();
+    let key = folder.path().join("key");
+    std::fs::write(&key, "key\n").unwrap();
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let control = listener.local_addr().unwrap();
+    drop(listener);
+    let right = format!(
+        "[control]\naddresses={control}\n[operator]\nname=ada\nkey_file={}\n",
+        key.display()
+    );
+    for (text, code) in [(right.as_str(), 4), ("[control]\nadresses=x\n", 2)] {
+        let settings = folder.path().join("peargap.ini");
+        std::fs::write(&settings, text).unwrap();
+        let output = run(&["--config", settings.to_str().unwrap(), "status"]);
+        assert_eq!(output.status.code(), Some(code), "{output:?}");
+    }
+}
+
 #[test]
 fn a_difference_names_sections_and_values() {
     let old = "[model a]\npriority = 1\n[model b]\npriority = 2\n";
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -48,8 +48,12 @@
 }
 
 /// What comes after a step of the link.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Next {
     Continue,
+    /// The node closed the link.
+    Ended,
+    /// This host closes it; the node goes to another one.
     Stop,
 }
 
@@ -101,12 +105,13 @@
         let mut config = self.shared.handle.config();
         self.attach(&first);
         let mut next = self.take_report(first).await;
-        while let Next::Continue = next {
+        while next == Next::Continue {
             next = tokio::select! {
                 () = self.shared.token.cancelled() => Next::Stop,
                 report = time::timeout(SILENCE_LIMIT, reports.next()) => match report {
                     Ok(Some(Ok(report))) => self.take_report(report).await,
-                    Ok(Some(Err(_)) | None) | Err(_) => Next::Stop,
+                    Ok(Some(Err(_)) | None) => Next::Ended,
+                    Err(_) => Next::Stop,
                 },
                 changed = config.changed() => match changed {
                     Ok(()) => self.push(),
@@ -114,7 +119,7 @@
                 },
             };
         }
-        self.detach().await;
+        self.detach(next).await;
     }
 
     fn attach(&self, first: &control::Report) {
@@ -133,14 +138,16 @@
         );
     }
 
-    async fn detach(self) {
+    async fn detach(self, end: Next) {
         self.shared.nodes.remove(self.number);
         logs::emit(
             events::NODE_DETACHED,
             format_args!("node={} leaving={}", self.node.name, self.leaving),
         );
+        // A node that this host sent away may still finish its work.
+        let has_left = self.leaving && end == Next::Ended;
         match self.standing {
-            Standing::Recorded(_) if self.leaving => self.propose_leave().await,
+            Standing::Recorded(_) if has_left => self.propose_leave().await,
             Standing::Recorded(_) | Standing::Replaced | Standing::Unknown => {}
         }
     }
--- a/crates/control/tests/services.rs
+++ b/crates/control/tests/services.rs
@@ -310,3 +310,34 @@
     let ran = client.claim(repeat).await.unwrap().into_inner();
     assert_eq!(ran.kind, Some(control::claim_reply::Kind::Ran(true)));
 }
+
+#[tokio::test]
+async fn a_node_that_leaves_is_no_longer_listed() {
+    let host = start().await;
+    let mut entry = Node::attach(&host, "e1", "i1", control::Role::Entry).await;
+    entry.next().await;
+    let mut agent = Node::attach(&host, "a1", "i1", control::Role::Agent).await;
+    agent.next().await;
+    let leaving = control::Report {
+        leaving: true,
+        number: 2,
+        ..control::Report::default()
+    };
+    agent.reports.send(leaving).await.unwrap();
+    agent.next().await;
+    drop(agent);
+    let limit = time::Duration::from_secs(10);
+    let told = tokio::time::timeout(limit, hear_of_leave(&mut entry, "a1"));
+    told.await.expect("the entry is told");
+}
+
+async fn hear_of_leave(node: &mut Node, name: &str) {
+    let left = Some(control::change::Kind::Left(name.to_owned()));
+    loop {
+        let update = node.next().await;
+        let changes = update.delta.map_or_else(Vec::new, |delta| delta.changes);
+        if changes.iter().any(|change| change.kind == left) {
+            return;
+        }
+    }
+}
