Requests and claims seen: in core, exact at the bound

Cause: a claim that was forgotten could run again under its old fence; a repeated request could push its own id out at the bound (found by the new test). Ruled out: remembering without a bound.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -6,6 +6,7 @@
 use peargap_adapters::follow;
 use peargap_core::cached;
 use peargap_core::generation;
+use peargap_core::seen;
 use peargap_core::time;
 use peargap_wire::agent as wire;
 use peargap_wire::control;
@@ -30,7 +31,7 @@
     pub(crate) announcement: watch::Sender<Option<control::Announcement>>,
     /// The engine's prefix cache as far as it is known.
     pub(crate) cached: sync::Mutex<cached::Known>,
-    pub(crate) claims: sync::Mutex<registry::Claims>,
+    pub(crate) claims: sync::Mutex<seen::Claims>,
     pub(crate) clock: clock::Clock,
     pub(crate) enforcement: enforcement::Enforcement,
     pub(crate) engine: engine::Client,
@@ -40,7 +41,7 @@
     pub(crate) incarnation: String,
     pub(crate) meters: meters::Meters,
     pub(crate) numbers: atomic::AtomicU64,
-    pub(crate) requests: sync::Mutex<registry::Requests>,
+    pub(crate) requests: sync::Mutex<seen::Requests>,
     pub(crate) settings: settings::Settings,
     pub(crate) view: follow::View,
 }
--- a/crates/agent/src/registry.rs
+++ b/crates/agent/src/registry.rs
@@ -1,4 +1,4 @@
-//! Generations held here, and the requests and claims seen.
+//! Generations held here.
 
 use std::collections;
 use std::sync;
@@ -9,14 +9,8 @@
 
 use crate::stream;
 
-/// How long a request's id is remembered.
-const REQUEST_MEMORY: Duration = Duration::from_secs(600);
-/// Request ids remembered at most; the oldest goes first.
-const MAX_REQUESTS: usize = 200_000;
-/// How long a claim's newest fence is remembered.
-const CLAIM_MEMORY: Duration = Duration::from_secs(86_400);
-/// Claims remembered at most; the oldest goes first.
-const MAX_CLAIMS: usize = 200_000;
+/// Memory counted for a generation besides its tokens, in bytes.
+const GENERATION_OVERHEAD: usize = 1_024;
 
 /// Generations by name.
 #[derive(Debug, Default)]
@@ -80,7 +74,7 @@
         finished.sort_by_key(|one| core::cmp::Reverse(one.at));
         let mut held = 0;
         for one in finished {
-            held += one.kept_bytes;
+            held += one.kept_bytes + GENERATION_OVERHEAD;
             if held > bounds.retained_bytes || one.at + bounds.retention <= now {
                 self.by_id.remove(&one.id);
                 sweep.forgotten += 1;
@@ -103,79 +97,3 @@
         (Some(_), Some(since)) => !summary.told && now < since + grace,
     }
 }
-
-/// Request ids seen, each for a bounded time.
-#[derive(Debug, Default)]
-pub(crate) struct Requests {
-    order: collections::VecDeque<Seen>,
-    seen: collections::HashSet<String>,
-}
-
-#[derive(Debug)]
-struct Seen {
-    at: time::Instant,
-    name: String,
-}
-
-impl Requests {
-    /// Notes a request's id; returns false when it was seen before.
-    pub(crate) fn admit(&mut self, request: &str, now: time::Instant) -> bool {
-        self.expire(now);
-        if !self.seen.insert(request.to_owned()) {
-            return false;
-        }
-        self.order.push_back(Seen {
-            at: now,
-            name: request.to_owned(),
-        });
-        true
-    }
-
-    fn expire(&mut self, now: time::Instant) {
-        while let Some(oldest) = self.order.front() {
-            if self.order.len() < MAX_REQUESTS && now < oldest.at + REQUEST_MEMORY {
-                return;
-            }
-            if let Some(oldest) = self.order.pop_front() {
-                self.seen.remove(&oldest.name);
-            }
-        }
-    }
-}
-
-/// The newest fence of each claim seen, each for a bounded time.
-#[derive(Debug, Default)]
-pub(crate) struct Claims {
-    fences: collections::HashMap<String, u64>,
-    order: collections::VecDeque<Seen>,
-}
-
-impl Claims {
-    /// Notes a claim's fence; returns false unless it is larger than every one seen.
-    pub(crate) fn admit(&mut self, key: &str, fence: u64, now: time::Instant) -> bool {
-        self.expire(now);
-        let newest = self.fences.get(key).copied();
-        if newest.is_some_and(|newest| fence <= newest) {
-            return false;
-        }
-        self.fences.insert(key.to_owned(), fence);
-        if newest.is_none() {
-            self.order.push_back(Seen {
-                at: now,
-                name: key.to_owned(),
-            });
-        }
-        true
-    }
-
-    fn expire(&mut self, now: time::Instant) {
-        while let Some(oldest) = self.order.front() {
-            if self.order.len() < MAX_CLAIMS && now < oldest.at + CLAIM_MEMORY {
-                return;
-            }
-            if let Some(oldest) = self.order.pop_front() {
-                self.fences.remove(&oldest.name);
-            }
-        }
-    }
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod replay;
 pub mod retry;
 mod runs;
+pub mod seen;
 pub mod table;
 pub mod time;
--- /dev/null
+++ b/crates/core/tests/seen.rs
@@ -0,0 +1,62 @@
+//! What was seen is not run twice, within a bounded memory.
+
+use core::time::Duration;
+
+use peargap_core::seen;
+use peargap_core::time;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+#[test]
+fn request_is_admitted_once_while_it_is_remembered() {
+    let mut requests = seen::Requests::default();
+    let start = time::Instant(1_000);
+    assert!(requests.admit("a", start));
+    let late = start + (seen::REQUEST_MEMORY - Duration::from_millis(1));
+    assert!(!requests.admit("a", late));
+    assert!(requests.admit("a", start + seen::REQUEST_MEMORY));
+}
+
+#[test]
+fn requests_are_bounded() {
+    let mut requests = seen::Requests::default();
+    for number in 0..=seen::MAX_REQUESTS {
+        assert!(requests.admit(&number.to_string(), time::Instant(0)));
+    }
+    assert!(
+        !requests.admit("1", time::Instant(0)),
+        "a recent one was forgotten"
+    );
+    assert!(
+        requests.admit("0", time::Instant(0)),
+        "the oldest one is kept"
+    );
+}
+
+#[test]
+fn fence_of_a_claim_only_grows() {
+    for seed in 0..200 {
+        let mut random = Gen::from_size_and_seed(50, seed);
+        let mut claims = seen::Claims::default();
+        let mut newest = [0; 4];
+        for _ in 0..200 {
+            let key = u8::arbitrary(&mut random) % 4;
+            let fence = 1 + u64::from(u8::arbitrary(&mut random));
+            let admitted = claims.admit(&key.to_string(), fence, time::Instant(0));
+            let known = &mut newest[usize::from(key)];
+            assert_eq!(admitted, fence > *known);
+            *known = fence.max(*known);
+        }
+    }
+}
+
+#[test]
+fn fence_no_larger_than_a_forgotten_one_is_refused() {
+    let mut claims = seen::Claims::default();
+    assert!(claims.admit("a", 7, time::Instant(0)));
+    let later = time::Instant(0) + seen::CLAIM_MEMORY;
+    assert!(claims.admit("b", 9, later), "a newer one");
+    assert!(!claims.admit("a", 7, later), "forgotten, yet old");
+    assert!(!claims.admit("c", 6, later), "older than a forgotten one");
+    assert!(claims.admit("a", 10, later));
+}
