entry: HTTP/1.1 callers are told to reconnect elsewhere while the entry stops

Cause: a kept connection could be closed under a caller's next request. Ruled out: closing kept connections at once (that is the cut itself). Change: `Connection: close` on answers from SIGTERM on.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -3,6 +3,11 @@
 use core::time;
 use std::sync;
 
+use axum::extract;
+use axum::http;
+use axum::http::header;
+use axum::middleware;
+use axum::response;
 use axum::routing;
 use hyper_util::rt;
 use hyper_util::server::conn::auto;
@@ -46,9 +51,25 @@
         .route("/services/{service}/{*path}", call)
         .fallback(generations::refuse_path)
         .method_not_allowed_fallback(generations::refuse_method)
+        .layer(middleware::from_fn_with_state(app.clone(), announce_stop))
         .with_state(app)
 }
 
+/// Asks callers over HTTP/1.1 to use another connection next time while the entry stops.
+async fn announce_stop(
+    extract::State(app): extract::State<sync::Arc<app::App>>,
+    request: extract::Request,
+    next: middleware::Next,
+) -> response::Response {
+    let is_http1 = request.version() < http::Version::HTTP_2;
+    let mut response = next.run(request).await;
+    if is_http1 && app.stop.is_cancelled() {
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
 /// Serves callers until the entry stops, then lets running requests finish.
 pub(crate) async fn serve(app: sync::Arc<app::App>, listener: net::TcpListener) {
     let server = Server {
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -258,7 +258,11 @@
     support::wait_until(|| async { !bench.entry.is_ready().await }).await;
     let callers = bench.entry.callers;
     // New connections are still served for a moment, then refused.
-    assert_eq!(whole().send(callers).await.unwrap().status, 200);
+    let last = whole().send(callers).await.unwrap();
+    assert_eq!(
+        (last.status, last.headers["connection"].as_bytes()),
+        (200, &b"close"[..])
+    );
     support::wait_until(|| async { whole().send(callers).await.is_err() }).await;
     assert!(bench.entry.is_running());
     bench.agents[0].release();
