entry: tests with connections that go silent for good

Ruled out: dropping packets by the system (needs privileges). Change: a proxy in the tests that silences open connections while new ones work; a stream and a call that may not be repeated go through it. Conclusion: holds without a change to the entry.

--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -223,3 +223,14 @@
     assert!(bench.entry.read_counter("peargap_entry_hedges_total").await >= 1.0);
     assert!(bench.control.settles().is_empty());
 }
+
+#[tokio::test]
+async fn a_call_on_a_connection_that_is_silent_for_good_goes_over_a_fresh_one_and_runs_once() {
+    let (bench, proxy) = support::start_bench_behind_proxy("service").await;
+    let entry = bench.entry.callers;
+    assert_eq!(order("k1").send(entry).await.unwrap().status, 200);
+    proxy.silence();
+    assert_eq!(order("k2").send(entry).await.unwrap().status, 200);
+    assert_eq!(bench.agents[0].seen().runs, 2);
+    assert!(is_replayed(&order("k2").send(entry).await.unwrap()));
+}
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -72,6 +72,28 @@
     assert_eq!(bench.agents[0].seen().starts.len(), 1);
 }
 
+#[tokio::test]
+async fn a_connection_that_is_silent_for_good_is_replaced_and_the_stream_goes_on() {
+    let (bench, proxy) = support::start_bench_behind_proxy("engine").await;
+    bench.agents[0].plan(&[&[Step::Tokens(3), Step::Wait, Step::Tokens(3), Step::Finish]]);
+    let mut events = caller::Events::open(stream(), bench.entry.callers).await;
+    check_tokens(&events.take_tokens(3).await, "e0~i1~0", 0);
+    proxy.silence();
+    let seen = bench.agents[0]
+        .wait_for(|seen| !seen.resumes.is_empty())
+        .await;
+    assert_eq!(seen.resumes[0].offset, 3);
+    bench.agents[0].release();
+    let rest = events.collect().await;
+    check_tokens(&rest[..3], "e0~i1~0", 3);
+    assert!(is_done(&rest));
+    // New work comes over fresh connections as well.
+    support::wait_until(|| async {
+        whole().send(bench.entry.callers).await.unwrap().status == 200
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_caller_resumes_through_another_entry_after_its_own_died() {
     let bench = support::start_bench(2, "").await;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod caller;
 pub mod control;
+pub mod proxy;
 mod served;
 
 use std::fs;
@@ -148,6 +149,24 @@
     start_with(agents.collect(), more).await
 }
 
+/// Starts a bench with one agent of this kind behind a proxy.
+pub async fn start_bench_behind_proxy(kind: &'static str) -> (Bench, proxy::Proxy) {
+    let agents = vec![agent::Agent::start("e0", kind)];
+    let proxy = proxy::Proxy::start(agents[0].address).await;
+    let mut member = agents[0].member();
+    member.node.as_mut().unwrap().address = proxy.address.to_string();
+    let control = control::Control::start(&manifest());
+    control.add_member(member);
+    let entry = Entry::start("entry-a", &control, "").await;
+    agents[0].wait_observed("entry-a").await;
+    let bench = Bench {
+        agents,
+        control,
+        entry,
+    };
+    (bench, proxy)
+}
+
 async fn start_with(agents: Vec<agent::Agent>, more: &str) -> Bench {
     let control = control::Control::start(&manifest());
     for agent in &agents {
