load: sick engines, retry budget and breaker in the experiment; a queued request is no proof

Cause: retry and breaker had no figure; with engines that fail all new requests and report that all is well the breaker never opened, as each queued request counted as an answer. Ruled out: opening on a share of failures (slower on quiet upstreams). Change: scenario archive-sick, offers a request, agenda in a module of its own; table::Table::answered says that a queued request is no answer.

--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -217,6 +217,8 @@
     }
 
     /// Notes an answer of an upstream; one that it did not run takes the send back.
+    ///
+    /// That a request was queued is no answer: `ran` is for a first token or a reply.
     pub fn answered(&mut self, upstream: Upstream, ran: bool) {
         let Some(known) = self.upstreams.get_mut(upstream) else {
             return;
--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -13,12 +13,14 @@
 const HELP: &str = "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME)
   [--seeds N] [--load FACTOR] [--out DIR]";
 /// Scenarios in which the mechanisms are switched off in turn.
-const ABLATED: [&str; 6] = [
+const ABLATED: [&str; 8] = [
     "archive-steady",
     "lending-saturday",
     "archive-overload",
-    "archive-cold",
-    "archive-shift",
+    "lending-cold",
+    "archive-sick",
+    "archive-mixed",
+    "archive-late",
     "archive-prefix",
 ];
 
--- a/crates/load/src/experiment/entry.rs
+++ b/crates/load/src/experiment/entry.rs
@@ -122,6 +122,9 @@
             ran: retry::Ran::No,
             repeatable: true,
         };
+        if self.off == policy::Off::Budget {
+            self.budget = retry::Budget::new();
+        }
         retry::plan_retry(
             &mut self.budget,
             gate::instant(now),
@@ -142,8 +145,10 @@
 
     /// Notes that an engine failed a job.
     pub fn failed(&mut self, now: u64, engine: usize) {
-        self.table
-            .failed(gate::instant(now), self.upstreams[engine]);
+        if self.off != policy::Off::Breaker {
+            let upstream = self.upstreams[engine];
+            self.table.failed(gate::instant(now), upstream);
+        }
     }
 
     /// Takes an agent's report.
--- a/crates/load/src/experiment/measure.rs
+++ b/crates/load/src/experiment/measure.rs
@@ -46,6 +46,8 @@
     pub late: u64,
     /// Most streams on a cold engine at once.
     pub max_cold: u64,
+    /// Offers to agents and engines.
+    pub offers: u64,
     /// Streams that lost their memory.
     pub preemptions: u64,
     /// Refused when offered.
@@ -273,6 +275,7 @@
         _ => tally.late += 1,
     }
     figures.arrived += 1;
+    figures.offers += u64::from(job.attempts);
     figures.accepted += u64::from(job.accepted);
     match job.outcome {
         Some(job::Outcome::Died) => figures.died += 1,
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! The real decision code in front of small engine stand-ins under a virtual clock.
 
+mod agenda;
 pub mod cache;
 pub mod command;
 pub mod engine;
--- a/crates/load/src/experiment/node.rs
+++ b/crates/load/src/experiment/node.rs
@@ -29,6 +29,8 @@
     pub engine: engine::Engine,
     /// The agent's admission.
     pub gate: gate::Gate,
+    /// Until then its engine fails each new request, in microseconds.
+    pub sick_until: u64,
     /// A step is under way.
     pub stepping: bool,
     /// Blocks that the agent takes for cached.
@@ -48,6 +50,7 @@
             draining: false,
             engine: engine::Engine::new(model.memory_tokens, CACHE_BLOCKS),
             gate: gate::Gate::new(policy, model.memory_tokens),
+            sick_until: 0,
             stepping: false,
             known: collections::HashSet::new(),
             model,
--- a/crates/load/src/experiment/policy.rs
+++ b/crates/load/src/experiment/policy.rs
@@ -31,6 +31,10 @@
 pub enum Off {
     /// The bound on the batch.
     Batch,
+    /// The circuit breakers.
+    Breaker,
+    /// The budget of retries.
+    Budget,
     /// One curve for all models and teams.
     Classes,
     /// The correction of late reports by own sends.
@@ -102,9 +106,11 @@
 ];
 
 /// The product with one mechanism off in turn.
-pub const ABLATED: [Policy; 11] = [
+pub const ABLATED: [Policy; 13] = [
     PEARGAP,
     without("no batch bound", Off::Batch),
+    without("no breaker", Off::Breaker),
+    without("no retry budget", Off::Budget),
     without("no classes", Off::Classes),
     without("no correction", Off::Correction),
     without("no deadlines", Off::Deadlines),
--- a/crates/load/src/experiment/report.rs
+++ b/crates/load/src/experiment/report.rs
@@ -26,7 +26,7 @@
     }
 }
 
-const COLUMNS: [Column; 14] = [
+const COLUMNS: [Column; 15] = [
     column("stall s", 1, |f| f.stall_s),
     column("preemptions", 0, |f| f.preemptions as f64),
     column("gap p99 ms", 1, |f| f.gap_p99_ms),
@@ -37,6 +37,9 @@
         100.0 * f.refused as f64 / f.arrived as f64
     }),
     column("accepted lost %", 2, |f| 100.0 * f.lost_share()),
+    column("offers a request", 3, |f| {
+        f.offers as f64 / f.arrived as f64
+    }),
     column("died", 0, |f| f.died as f64),
     column("fell over", 1, |f| f.falls as f64),
     column("first p50 s", 2, |f| f.first_p50_ms / 1000.0),
--- a/crates/load/src/experiment/scenario.rs
+++ b/crates/load/src/experiment/scenario.rs
@@ -26,6 +26,13 @@
         /// Out or back.
         out: bool,
     },
+    /// An engine fails each new request for some time, and reports that all is well.
+    Sicken {
+        /// Which.
+        engine: usize,
+        /// End, in microseconds.
+        until: u64,
+    },
     /// An engine turns cold with no announcement.
     TurnCold(usize),
 }
@@ -163,6 +170,12 @@
             Archive,
             1.9,
         ),
+        steady(
+            "archive-sick",
+            "Archive, engines fail all new requests",
+            Archive,
+            0.85,
+        ),
         steady(
             "archive-late",
             "Archive, reports 2 to 4 s late",
@@ -239,6 +252,15 @@
                 .map(|(at, engine)| (at * SECOND, Fault::TurnCold(*engine)));
             scenario.faults = faults.collect();
         }
+        "archive-sick" => {
+            let until = 200 * SECOND;
+            let sick = [(110, 4), (120, 9), (121, 22)];
+            let faults = sick.iter().map(|(at, engine)| {
+                let engine = *engine;
+                (at * SECOND, Fault::Sicken { engine, until })
+            });
+            scenario.faults = faults.collect();
+        }
         "archive-mixed" => scenario.traffic.unlike = true,
         "archive-late" => scenario.report_lag_us = 2 * SECOND..4 * SECOND,
         "archive-shift" => {
--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -1,15 +1,13 @@
 //! The event loop: entries, agents and engines under a virtual clock in microseconds.
 
-use std::cmp;
-use std::collections;
-
 use peargap_core::admit;
 use peargap_core::ramp;
 use peargap_core::retry;
-use peargap_core::table;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 
+use crate::experiment::agenda;
+use crate::experiment::agenda::Event;
 use crate::experiment::engine;
 use crate::experiment::entry;
 use crate::experiment::gate;
@@ -33,72 +31,11 @@
 /// Time until a domain's state is known everywhere, in microseconds.
 const CONFIG_US: u64 = 1_000_000;
 
-#[derive(Debug)]
-enum Event {
-    Arrive(usize),
-    Deadline(usize),
-    Domain {
-        domain: usize,
-        out: bool,
-    },
-    Fault(scenario::Fault),
-    Offer {
-        job: usize,
-        engine: usize,
-    },
-    Refused {
-        job: usize,
-        engine: usize,
-        failed: bool,
-    },
-    Report {
-        engine: usize,
-        load: table::Report,
-        prefixes: Vec<u64>,
-    },
-    Restart(usize),
-    Retry(usize),
-    Sample(usize),
-    Step {
-        engine: usize,
-        incarnation: u32,
-    },
-    Tick,
-}
-
-#[derive(Debug)]
-struct Due {
-    at: u64,
-    event: Event,
-    number: u64,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Due) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Due) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Due) -> cmp::Ordering {
-        // Reversed: the heap yields the earliest.
-        (other.at, other.number).cmp(&(self.at, self.number))
-    }
-}
-
 /// One run of one policy in one scenario.
 #[derive(Debug)]
 pub struct World {
     acts: Vec<gate::Act>,
-    due: collections::BinaryHeap<Due>,
+    agenda: agenda::Agenda,
     entries: Vec<entry::Entry>,
     jobs: Vec<job::Job>,
     measure: measure::Measure,
@@ -106,7 +43,6 @@
     nodes: Vec<node::Node>,
     notes: Vec<engine::Note>,
     now: u64,
-    number: u64,
     random: rand::rngs::SmallRng,
     scenario: scenario::Scenario,
 }
@@ -142,7 +78,7 @@
             (0..ENTRIES as u64).map(|n| entry::Entry::new(policy, models, seed ^ (n + 1)));
         World {
             acts: Vec::new(),
-            due: collections::BinaryHeap::new(),
+            agenda: agenda::Agenda::default(),
             entries: entries.collect(),
             jobs,
             measure: measure::Measure::new(models),
@@ -150,7 +86,6 @@
             nodes,
             notes: Vec::new(),
             now: 0,
-            number: 0,
             random,
             scenario: scenario.clone(),
         }
@@ -168,22 +103,17 @@
             self.schedule(spread, Event::Sample(engine));
         }
         self.schedule(TICK_US, Event::Tick);
-        while let Some(due) = self.due.pop() {
-            if due.at > self.scenario.end {
+        while let Some((at, event)) = self.agenda.next() {
+            if at > self.scenario.end {
                 return;
             }
-            self.now = due.at;
-            self.handle(due.event);
+            self.now = at;
+            self.handle(event);
         }
     }
 
     fn schedule(&mut self, at: u64, event: Event) {
-        self.number += 1;
-        self.due.push(Due {
-            at,
-            event,
-            number: self.number,
-        });
+        self.agenda.schedule(at, event);
     }
 
     fn handle(&mut self, event: Event) {
@@ -292,7 +222,6 @@
     fn accept(&mut self, job: usize, engine: usize) {
         self.jobs[job].accepted = true;
         self.jobs[job].engine = Some(engine);
-        self.entries[self.jobs[job].entry].answered(engine, true);
     }
 
     fn submit(&mut self, job: usize, engine: usize) {
@@ -300,6 +229,21 @@
             return;
         }
         self.accept(job, engine);
+        if self.now < self.nodes[engine].sick_until {
+            let node = &mut self.nodes[engine];
+            node.gate.drop_job(self.now, job, admit::End::Failed);
+            let at = self.now + HOP_US;
+            let failed = true;
+            self.schedule(
+                at,
+                Event::Refused {
+                    job,
+                    engine,
+                    failed,
+                },
+            );
+            return;
+        }
         let request = &self.jobs[job].request;
         let submitted = self.nodes[engine].submit(self.now, job, request);
         self.measure
@@ -352,6 +296,9 @@
                 engine::Note::Preempted(_) => {}
                 engine::Note::Token(job) => {
                     let job = &mut self.jobs[*job];
+                    if job.delivered == 0 {
+                        self.entries[job.entry].answered(engine, true);
+                    }
                     self.measure.token(self.now, job, &self.scenario);
                 }
             }
@@ -459,6 +406,7 @@
             scenario::Fault::Domain { domain, out } => {
                 self.schedule(self.now + CONFIG_US, Event::Domain { domain, out });
             }
+            scenario::Fault::Sicken { engine, until } => self.nodes[engine].sick_until = until,
             scenario::Fault::TurnCold(engine) => self.nodes[engine].engine.turn_cold(self.now),
         }
     }
