core: plain services are bounded by their ramp, not by first tokens; each call is charged

Cause: reading decide() for plain calls: all running calls wait for their answer, so the bound on first tokens held them to 3 at once; a call cost 0 tokens, so the fair order fell to the order of the lanes; one slow call was taken for a cold service. Ruled out: a separate admission for plain services. Change: no bound on first tokens without engine memory; a call costs 1; at least three overdue answers and most of those waiting are the sign; an idle team's credit is one usual request; a sign that changes nothing is not reported again.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -18,6 +18,8 @@
 
 /// Time between tokens before any was seen, in milliseconds.
 const FIRST_GAP_MS: f64 = 30.0;
+/// Overdue answers of a plain service that may be a sign of a cold upstream.
+const PLAIN_OVERDUE: u32 = 3;
 /// Share of the time to a request's deadline that it is expected to wait, at most.
 const MAX_WAIT_SHARE: f64 = 0.25;
 /// Expected wait times this must leave time to run a request.
@@ -192,7 +194,11 @@
         let limits = ramp::Options {
             ceiling: options.max_running,
             start_limit: options.start_limit,
-            unproven_limit: options.unproven_limit,
+            // All running calls of a plain service wait for their answer: the ramp bounds them.
+            unproven_limit: match options.memory_tokens {
+                0 => options.max_running,
+                _ => options.unproven_limit,
+            },
         };
         Admission {
             batch: batch::Bound::new(options.max_running, options.max_stretch),
@@ -243,8 +249,7 @@
 
     /// Starts a request after [`Decision::Admit`].
     pub fn start(&mut self, now: time::Instant, request: Request) -> Stream {
-        let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
-        let charged = f64::from(uncached) + f64::from(self.mean(&request));
+        let charged = charge(&request, self.mean(&request));
         self.queue.shares().charge(request.team, charged);
         self.runs.start(now, request, charged)
     }
@@ -285,6 +290,8 @@
         match step.kind {
             runs::Kind::First { prompted } => {
                 let sign = self.ramp.first_token(step.waited_ms, prompted);
+                // One slow call of a plain service says little: calls differ.
+                let sign = sign.filter(|_| !self.is_plain());
                 self.runs.judge(stream, sign.is_none());
                 self.sign(now, sign?);
                 sign
@@ -303,14 +310,11 @@
         let Some(run) = self.runs.remove(stream) else {
             return;
         };
-        let request = &run.request;
-        let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
-        let tokens = f64::from(uncached) + f64::from(run.produced);
-        self.queue
-            .shares()
-            .settle(request.team, tokens - run.charged);
+        let tokens = charge(&run.request, run.produced as f32);
+        let beyond = tokens - run.charged;
+        self.queue.shares().settle(run.request.team, beyond);
         match end {
-            End::Whole => self.prove(&run),
+            End::Whole => self.prove(now, &run),
             End::Failed => self.sign(now, ramp::Sign::Failure),
             End::Cancelled => {}
         }
@@ -326,17 +330,29 @@
         }
     }
 
-    /// Falls back if a first token is overdue; to be called a few times a second.
+    /// Falls back if a first token, or most answers of a plain service, are overdue; to be called
+    /// a few times a second.
+    ///
+    /// Returns the sign unless the limit had fallen back already.
     pub fn check_overdue(&mut self, now: time::Instant) -> Option<ramp::Sign> {
-        let overdue = self.runs.values().any(|run| {
+        let mut waiting = 0;
+        let mut overdue = 0;
+        for run in self.runs.values().filter(|run| run.produced == 0) {
             let waited_ms = now.millis_since(run.begun);
-            run.produced == 0 && self.ramp.is_slow(waited_ms, run.prompted)
-        });
-        if !overdue {
+            waiting += 1;
+            overdue += u32::from(self.ramp.is_slow(waited_ms, run.prompted));
+        }
+        let enough = if self.is_plain() {
+            overdue >= PLAIN_OVERDUE && overdue * 2 > waiting
+        } else {
+            overdue > 0
+        };
+        if !enough {
             return None;
         }
+        let news = self.ramp.limit() > self.options.start_limit;
         self.sign(now, ramp::Sign::SlowFirstToken);
-        Some(ramp::Sign::SlowFirstToken)
+        news.then_some(ramp::Sign::SlowFirstToken)
     }
 
     /// Returns the load to report.
@@ -366,7 +382,7 @@
         if self.runs.len() >= self.batch.limit() {
             return Room::Batch;
         }
-        if self.options.memory_tokens > 0 && !self.has_memory(request) {
+        if !self.is_plain() && !self.has_memory(request) {
             return Room::Memory;
         }
         Room::Fits
@@ -408,6 +424,10 @@
         self.forecast_load(&run.request, run.produced).used_tokens
     }
 
+    fn is_plain(&self) -> bool {
+        self.options.memory_tokens == 0
+    }
+
     fn mean(&self, request: &Request) -> f32 {
         self.curves.mean(request.class, request.max_tokens)
     }
@@ -418,14 +438,24 @@
     }
 
     /// Learns from a whole answer.
-    fn prove(&mut self, run: &runs::Run) {
+    fn prove(&mut self, now: time::Instant, run: &runs::Run) {
         if run.produced < run.request.max_tokens {
             self.curves.ended(run.request.class, run.produced);
         }
+        if run.produced == 0 {
+            let waited_ms = now.millis_since(run.begun);
+            self.ramp.first_token(waited_ms, run.prompted);
+        }
         self.ramp.completed(run.begun);
     }
 }
 
+/// Returns the tokens that a request of so many output tokens costs its team; a plain call costs 1.
+fn charge(request: &Request, output: f32) -> f64 {
+    let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
+    (f64::from(uncached) + f64::from(output)).max(1.0)
+}
+
 /// Decides what to do with a new request.
 #[must_use]
 pub fn decide(admission: &Admission, now: time::Instant, request: &Request) -> Decision {
--- a/crates/core/src/fair.rs
+++ b/crates/core/src/fair.rs
@@ -5,8 +5,8 @@
     pub struct Team;
 }
 
-/// Tokens by weight that an idle team may save up.
-const MAX_CREDIT_TOKENS: f64 = 2000.0;
+/// Usual requests that an idle team may save up.
+const MAX_CREDIT_REQUESTS: f64 = 1.0;
 /// Tokens of a request before any was seen.
 const FIRST_REQUEST_TOKENS: f64 = 1000.0;
 /// Share of a new request in the usual tokens of one.
@@ -96,7 +96,7 @@
             return;
         };
         if account.waiting == 0 {
-            account.used = account.lift(self.level);
+            account.used = account.lift(self.level, self.typical);
         }
         account.waiting += 1;
     }
@@ -142,7 +142,7 @@
                 .sum();
         };
         let used = if own.waiting == 0 {
-            own.lift(self.level)
+            own.lift(self.level, self.typical)
         } else {
             own.used
         };
@@ -187,7 +187,8 @@
 
 impl Account {
     /// Returns the use at which an idle team comes back: a bounded credit below `level`.
-    fn lift(&self, level: f64) -> f64 {
-        self.used.max(level - MAX_CREDIT_TOKENS / self.weight)
+    fn lift(&self, level: f64, typical: f64) -> f64 {
+        self.used
+            .max(level - MAX_CREDIT_REQUESTS * typical / self.weight)
     }
 }
