--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -80,6 +80,7 @@
     let traffic = runtime::Builder::new_multi_thread()
         .enable_all()
         .thread_name("traffic")
+        .worker_threads(settings.limits.traffic_threads)
         .build()
         .change_context(Error::Runtime)?;
     let control = start_control(&settings, traffic.handle().clone())?;
@@ -172,6 +173,7 @@
     let stop = signals::listen().change_context(Error::Signals)?;
     let callers = bind(settings.listen.callers).await?;
     let health = bind(settings.listen.health).await?;
+    instruments::observe_upstreams(&registry, control.board.clone(), control.fleet.clone());
     let app = sync::Arc::new(app::App {
         board: control.board.clone(),
         fleet: control.fleet.clone(),
