entry: a call whose key may have run before is never called not run

Cause: a trial with control, agent and entry killed showed keys with an answer (200) whose repeat got 503 `not_run`: true of the attempt, but it invites a new key and so a second run. Ruled out: keeping `not_run` with a note in the message (clients read the word, not the note). Change: before the claim has answered, refusals of keyed calls say `unknown`.

--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -92,7 +92,8 @@
 impl Task {
     async fn run(mut self) {
         if let Some(refusal) = self.app.refuse_stale() {
-            return self.tell(Err(refusal));
+            // An earlier attempt with this key may have run.
+            return self.tell(Err(refusal.with_ran(refusal::Ran::Unknown)));
         }
         let give_up_at = (clock::Instant::now() + CLAIM_LIMIT).min(self.job.deadline);
         let reply = self.app.quorum.claim(self.build_claim(), give_up_at).await;
@@ -265,8 +266,11 @@
 }
 
 fn refuse_unavailable(retry_after_ms: u32) -> refusal::Refusal {
-    let message = "The call could not be claimed, so it was not run.";
-    refusal::Refusal::not_run(refusal::Code::NoUpstream, message).with_retry(retry_after_ms)
+    let message = "The call could not be claimed, so this attempt did not run. Whether an earlier \
+                   one with this `Idempotency-Key` did is not known: send it again with the same.";
+    refusal::Refusal::not_run(refusal::Code::NoUpstream, message)
+        .with_ran(refusal::Ran::Unknown)
+        .with_retry(retry_after_ms)
 }
 
 fn refuse_ran() -> refusal::Refusal {
