--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -358,10 +358,9 @@
     /// Returns the load to report.
     #[must_use]
     pub fn load(&self) -> Load {
-        let used = self
-            .runs
-            .values()
-            .map(|run| u64::from(self.used_tokens(run)));
+        let block_tokens = self.options.block_tokens;
+        let loads = self.runs.values().map(|run| run.load(block_tokens));
+        let used = loads.map(|load| u64::from(load.used_tokens));
         Load {
             limit: self.limit(),
             running: self.runs.len(),
@@ -398,32 +397,15 @@
         if self.runs.len() == 0 {
             return true;
         }
+        let block_tokens = self.options.block_tokens;
         let mut forecast = forecast::Forecast::default();
         for run in self.runs.values() {
-            forecast.add(
-                &self.curves,
-                &self.forecast_load(&run.request, run.produced),
-            );
+            forecast.add(&self.curves, &run.load(block_tokens));
         }
-        forecast.add(&self.curves, &self.forecast_load(request, 0));
+        forecast.add(&self.curves, &runs::load(request, 0, block_tokens));
         forecast.peak(self.deviations) <= self.options.memory_tokens as f32
     }
 
-    fn forecast_load(&self, request: &Request, produced: u32) -> forecast::Load {
-        let held = request.prompt_tokens + produced;
-        let used_tokens = held.next_multiple_of(self.options.block_tokens.max(1));
-        forecast::Load {
-            class: request.class,
-            max_tokens: request.max_tokens,
-            produced,
-            used_tokens,
-        }
-    }
-
-    fn used_tokens(&self, run: &runs::Run) -> u32 {
-        self.forecast_load(&run.request, run.produced).used_tokens
-    }
-
     fn is_plain(&self) -> bool {
         self.options.memory_tokens == 0
     }
--- a/crates/core/src/runs.rs
+++ b/crates/core/src/runs.rs
@@ -2,6 +2,7 @@
 
 use crate::admit;
 use crate::curve;
+use crate::forecast;
 use crate::time;
 
 /// One running stream.
@@ -24,6 +25,24 @@
     timely: bool,
 }
 
+impl Run {
+    /// Returns what a forecast needs to know of it.
+    pub(crate) fn load(&self, block_tokens: u32) -> forecast::Load {
+        load(&self.request, self.produced, block_tokens)
+    }
+}
+
+/// Returns what a forecast needs to know of a request with so many output tokens.
+pub(crate) fn load(request: &admit::Request, produced: u32, block_tokens: u32) -> forecast::Load {
+    let held = request.prompt_tokens + produced;
+    forecast::Load {
+        class: request.class,
+        max_tokens: request.max_tokens,
+        produced,
+        used_tokens: held.next_multiple_of(block_tokens.max(1)),
+    }
+}
+
 /// What kind of token came.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Kind {
