--- a/crates/core/src/curve.rs
+++ b/crates/core/src/curve.rs
@@ -131,15 +131,12 @@
     pub fn tail(&self, class: Class, produced: u32) -> Tail<'_> {
         let curve = self.curves.get(class).unwrap_or(&self.curves[self.root]);
         let reached = curve.at(produced);
-        let scale = if reached > f32::MIN_POSITIVE {
-            1.0 / reached
-        } else {
-            f32::INFINITY
-        };
+        let known = reached > f32::MIN_POSITIVE;
         Tail {
             curve,
+            floor: if known { 0.0 } else { 1.0 },
             produced,
-            scale,
+            scale: if known { 1.0 / reached } else { 0.0 },
         }
     }
 
@@ -213,8 +210,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Tail<'a> {
     curve: &'a Curve,
+    /// 1 where the curve says nothing, else 0.
+    floor: f32,
     produced: u32,
-    /// Inverse of the chance to get as far as `produced`.
+    /// Inverse of the chance to get as far as `produced`; 0 where the curve says nothing.
     scale: f32,
 }
 
@@ -222,11 +221,8 @@
     /// Returns the chance to get `more` tokens beyond those produced.
     #[must_use]
     pub fn chance(&self, more: u32) -> f32 {
-        if self.scale == f32::INFINITY {
-            return 1.0;
-        }
         let length = self.produced.saturating_add(more);
-        (self.curve.at(length) * self.scale).min(1.0)
+        (self.curve.at(length) * self.scale + self.floor).min(1.0)
     }
 }
 
