Load reports name cached prefixes only when they changed; a replaced reader ends nothing

Cause: a report carried up to 128 prefix hashes 2.5 times a second to each entry; and in the stand-in engine a reader dropped late marked a stream as lost that a newer reader was reading, so it ended 10 s later. Ruled out: fewer prefixes (placement by prefix would lose its long matches). Change: core::cached::Told, Load.prefixes_kept, at most one list each 2 s; the stand-in's readers are numbered. The stand-in's test takes 19 s, as the fault shows after 10 s only.

--- a/crates/agent/src/observe.rs
+++ b/crates/agent/src/observe.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 use std::sync;
 
+use peargap_core::cached;
 use peargap_wire::agent as wire;
 use tokio::sync::mpsc;
 use tokio_util::sync as cancel;
@@ -26,9 +27,10 @@
     let mut snapshots = agent.gate.watch();
     let mut heard = true;
     let mut sequence = 0;
+    let mut told = cached::Told::default();
     loop {
         sequence += 1;
-        let load = build_load(&agent, sequence);
+        let load = build_load(&agent, sequence, &mut told);
         tokio::select! {
             sent = loads.send(Ok(load)) => if sent.is_err() {
                 return;
@@ -57,10 +59,15 @@
     }
 }
 
-fn build_load(agent: &agent::Agent, sequence: u64) -> wire::Load {
+fn build_load(agent: &agent::Agent, sequence: u64, told: &mut cached::Told) -> wire::Load {
     let snapshots = agent.gate.watch();
     let snapshot = snapshots.borrow().clone();
     let load = snapshot.load;
+    let held = agent::lock(&agent.cached).list_prefixes(MAX_PREFIXES);
+    let (prefixes, prefixes_kept) = match told.name(agent.clock.now(), held) {
+        cached::Naming::Kept => (Vec::new(), true),
+        cached::Naming::Named(prefixes) => (prefixes, false),
+    };
     wire::Load {
         upstream: agent.settings.upstream.name.clone(),
         incarnation: agent.incarnation.clone(),
@@ -75,6 +82,7 @@
         draining: agent.enforcement.is_leaving() || agent.enforcement.is_out(),
         healthy: snapshot.healthy && agent.view.is_fresh(),
         models: agent.list_offers(),
-        prefixes: agent::lock(&agent.cached).list_prefixes(MAX_PREFIXES),
+        prefixes,
+        prefixes_kept,
     }
 }
--- a/crates/core/src/cached.rs
+++ b/crates/core/src/cached.rs
@@ -4,11 +4,49 @@
 
 use std::collections;
 
+use crate::time::Instant;
+
 /// Hashes remembered at most; the one stored first goes first.
 const MAX_HASHES: usize = 32_768;
 /// Prompts remembered at most; the one used last stays longest.
 const MAX_CHAINS: usize = 64;
 
+/// Shortest time between two lists of prefixes on one link, in milliseconds.
+pub const LIST_PERIOD_MS: u64 = 2_000;
+
+/// What a load report says of the prefixes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Naming {
+    /// They are those named last on the link.
+    Kept,
+    /// They are these.
+    Named(Vec<u64>),
+}
+
+/// What was named last on one link.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    named: Option<Instant>,
+    prefixes: Vec<u64>,
+}
+
+impl Told {
+    /// Returns what the next report says when `held` are the prefixes now.
+    ///
+    /// Lists are long, so one goes out only when it changed, and at most each [`LIST_PERIOD_MS`].
+    pub fn name(&mut self, now: Instant, held: Vec<u64>) -> Naming {
+        let early = self
+            .named
+            .is_some_and(|named| now.millis_since(named) < LIST_PERIOD_MS);
+        if self.named.is_some() && (early || held == self.prefixes) {
+            return Naming::Kept;
+        }
+        self.named = Some(now);
+        self.prefixes.clone_from(&held);
+        Naming::Named(held)
+    }
+}
+
 /// A change of the cache.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
--- a/crates/core/tests/cached.rs
+++ b/crates/core/tests/cached.rs
@@ -1,6 +1,7 @@
 //! What is known of a prefix cache.
 
 use peargap_core::cached;
+use peargap_core::time;
 
 #[test]
 fn lists_only_what_is_held_and_newest_first() {
@@ -31,3 +32,17 @@
     known.note_chain(&[0]);
     assert!(!known.list_prefixes(usize::MAX).contains(&0));
 }
+
+#[test]
+fn prefixes_are_named_when_they_change_and_not_too_often() {
+    let mut told = cached::Told::default();
+    let at = time::Instant;
+    assert_eq!(told.name(at(0), vec![1]), cached::Naming::Named(vec![1]));
+    assert_eq!(told.name(at(5_000), vec![1]), cached::Naming::Kept);
+    assert_eq!(
+        told.name(at(5_100), vec![1, 2]),
+        cached::Naming::Named(vec![1, 2])
+    );
+    assert_eq!(told.name(at(5_200), vec![]), cached::Naming::Kept);
+    assert_eq!(told.name(at(7_100), vec![]), cached::Naming::Named(vec![]));
+}
--- a/crates/entry/src/board.rs
+++ b/crates/entry/src/board.rs
@@ -74,7 +74,9 @@
             let groups = list_groups(&mut table, control::Kind::Engine, &load.models);
             table.set_groups(peer.key, &groups);
         }
-        table.set_prefixes(peer.key, &load.prefixes);
+        if !load.prefixes_kept {
+            table.set_prefixes(peer.key, &load.prefixes);
+        }
         table.report(now, peer.key, map_load(load));
     }
 
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -159,6 +159,7 @@
             progress,
             prompt_hash: stream::hash_prompt(&request.prompt),
             prompt_tokens: stream::count_tokens(&request.prompt),
+            reader: 0,
             reason: if length < drawn { "length" } else { "stop" },
             stalled_at: None,
             id: request.id,
--- a/crates/fake/src/page.rs
+++ b/crates/fake/src/page.rs
@@ -229,17 +229,19 @@
 }
 
 fn answer_stream(page: &Page, id: &str, offset: u64) -> response::Response {
-    let progress = {
+    let (number, progress) = {
         let mut state = page.engine.lock();
         let Some(stream) = state.streams.get_mut(id) else {
             return http::StatusCode::NOT_FOUND.into_response();
         };
         stream.lost_at = None;
-        stream.progress.subscribe()
+        stream.reader += 1;
+        (stream.reader, stream.progress.subscribe())
     };
     let reader = Reader {
         engine: page.engine.clone(),
         id: id.to_owned(),
+        number,
         offset,
         progress,
         stage: Stage::Tokens,
@@ -261,6 +263,7 @@
 struct Reader {
     engine: engine::Engine,
     id: String,
+    number: u64,
     offset: u64,
     progress: watch::Receiver<stream::Progress>,
     stage: Stage,
@@ -269,7 +272,9 @@
 impl Drop for Reader {
     fn drop(&mut self) {
         let mut state = self.engine.lock();
-        if let Some(stream) = state.streams.get_mut(&self.id) {
+        let stream = state.streams.get_mut(&self.id);
+        // A reader that was replaced does not leave the stream without one.
+        if let Some(stream) = stream.filter(|stream| stream.reader == self.number) {
             stream.lost_at = Some(tokio::time::Instant::now());
         }
     }
--- a/crates/fake/src/stream.rs
+++ b/crates/fake/src/stream.rs
@@ -46,6 +46,8 @@
     pub(crate) progress: watch::Sender<Progress>,
     pub(crate) prompt_hash: u32,
     pub(crate) prompt_tokens: u64,
+    /// Number of the reader that came last.
+    pub(crate) reader: u64,
     pub(crate) reason: &'static str,
     pub(crate) stalled_at: Option<tokio::time::Instant>,
 }
--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -127,3 +127,20 @@
         .expect("the first stream ends");
     assert!(!rest.contains("[DONE]"), "{rest}");
 }
+
+#[test]
+fn replaced_reader_does_not_end_the_stream() {
+    let engine = start(&["--step-us", "20000"]);
+    let body = "{\"model\":\"transcript\",\"prompt\":\"[[length=900]]\"}";
+    let id = format!("/v1/completions{}", body.len()).replace('/', "%2F");
+    let mut old = open(&engine, "POST", "/v1/completions", body);
+    let mut first = [0];
+    old.read_exact(&mut first).expect("the stream runs");
+    let path = format!("/v1/streams/{id}?offset=0");
+    let mut new = open(&engine, "GET", &path, "");
+    new.read_exact(&mut first).expect("the stream is resumed");
+    drop(old);
+    let mut rest = String::new();
+    new.read_to_string(&mut rest).expect("the stream ends");
+    assert!(rest.contains("[DONE]"), "{}", &rest[rest.len() - 200..]);
+}
--- a/crates/wire/src/gen/peargap.agent.rs
+++ b/crates/wire/src/gen/peargap.agent.rs
@@ -285,6 +285,9 @@
     /// Hashes of prompt prefixes known to be cached, newest first, bounded.
     #[prost(fixed64, repeated, tag = "14")]
     pub prefixes: ::prost::alloc::vec::Vec<u64>,
+    /// The prefixes are those of the last report on this link that named them.
+    #[prost(bool, tag = "15")]
+    pub prefixes_kept: bool,
 }
 /// The shape of the caller's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
