--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -15,7 +15,6 @@
 use peargap_adapters::metrics;
 use peargap_adapters::signals;
 use peargap_core::admit;
-use peargap_core::ramp;
 use peargap_wire::control;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -39,8 +38,6 @@
 
 /// Block size of engine memory in tokens.
 const BLOCK_TOKENS: u32 = 16;
-/// Chance that engine memory overflows, at most.
-const OVERFLOW_CHANCE: f32 = 0.01;
 /// Time between two looks at whether new work is taken.
 const READINESS_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two looks at what a stop still waits for.
@@ -123,16 +120,9 @@
     let clock = clock::Clock::start();
     let incarnation = format!("{:016x}", rand::random::<u64>());
     let upstream = &settings.upstream;
-    let limits = admit::Options {
-        block_tokens: BLOCK_TOKENS,
-        max_running: upstream.max_running,
-        max_stretch: admit::MAX_STRETCH,
-        max_waiting: settings.queue.max_queued as usize,
-        memory_tokens: upstream.memory_tokens,
-        overflow_chance: OVERFLOW_CHANCE,
-        start_limit: ramp::START_LIMIT,
-        unproven_limit: ramp::START_LIMIT,
-    };
+    let mut limits =
+        admit::Options::new(upstream.memory_tokens, BLOCK_TOKENS, upstream.max_running);
+    limits.max_waiting = settings.queue.max_queued as usize;
     let announcement = watch::Sender::new(Some(build_announcement(&settings)));
     let options = build_options(&settings, &incarnation, announcement.subscribe());
     let view = follow::spawn(options, stop);
