Processes demand the deployment's key of each other

Cause: control hosts and agents took any peer that reached their inter-process port. Change: [deployment] key_file; control and agents refuse requests without the key as unauthenticated; demo and failure tests run with one; a proof test.

--- a/crates/adapters/src/follow.rs
+++ b/crates/adapters/src/follow.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync as cancel;
 
 use crate::config;
+use crate::deployment;
 use crate::logs;
 
 const LINKED: logs::Event = logs::Event::info(1001, "control linked");
@@ -319,7 +320,7 @@
         .connect()
         .await
         .map_err(|error| tonic::Status::unavailable(error.to_string()))?;
-    let mut client = control::control_client::ControlClient::new(channel);
+    let mut client = control::control_client::ControlClient::new(deployment::sign_channel(channel));
     let answer = client
         .watch(wrappers::ReceiverStream::new(outgoing))
         .await?;
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod command;
 pub mod config;
+pub mod deployment;
 pub mod digest;
 pub mod follow;
 pub mod health;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -9,6 +9,7 @@
 use std::thread;
 
 use peargap_adapters::command;
+use peargap_adapters::deployment;
 use peargap_adapters::follow;
 use peargap_adapters::health;
 use peargap_adapters::logs;
@@ -56,6 +57,7 @@
         Ok(settings) => settings,
         Err(code) => return code,
     };
+    deployment::install_key(settings.deployment_key.clone());
     if let Err(error) = logs::init(&settings.name, settings.log_level, settings.log_format) {
         eprintln!("peargap-agent: {error}");
         return process::ExitCode::FAILURE;
--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -5,6 +5,7 @@
 use std::sync;
 
 use futures::Stream;
+use peargap_adapters::deployment;
 use peargap_wire::agent as wire;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers;
@@ -94,6 +95,9 @@
     let serving = tonic::transport::Server::builder()
         .http2_keepalive_interval(Some(KEEPALIVE_PERIOD))
         .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
+        .layer(tonic::service::InterceptorLayer::new(
+            deployment::check_request,
+        ))
         .add_service(server)
         .serve_with_incoming_shutdown(incoming, stop.clone().cancelled_owned());
     tokio::select! {
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path;
 use std::str;
 
+use peargap_adapters::deployment;
 use peargap_adapters::logs;
 use peargap_adapters::settings;
 
@@ -12,6 +13,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Settings {
     pub(crate) controls: Vec<net::SocketAddr>,
+    pub(crate) deployment_key: Option<deployment::Key>,
     pub(crate) domain: String,
     pub(crate) health: net::SocketAddr,
     pub(crate) internal: net::SocketAddr,
@@ -89,6 +91,7 @@
 }
 
 fn read(reader: &mut settings::Reader) -> Option<Settings> {
+    let deployment_key = deployment::read_key(reader);
     let name = reader.required("node", "name", "the agent's name");
     let domain = reader.required("node", "domain", "the name of its failure domain");
     let traffic_threads = reader.ranged("node", "traffic_threads", 1, 1..=64);
@@ -112,6 +115,7 @@
     let log_format = reader.optional("log", "format", logs::Format::Text, "text or json");
     Some(Settings {
         controls,
+        deployment_key,
         domain: domain?,
         health: health?,
         internal: internal?,
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time;
 
+use peargap_adapters::deployment;
 use peargap_adapters::health;
 use peargap_adapters::logs;
 use peargap_adapters::metrics;
@@ -203,6 +204,9 @@
         inputs: replica.inputs.clone(),
     });
     let server = tonic::transport::Server::builder()
+        .layer(tonic::service::InterceptorLayer::new(
+            deployment::check_request,
+        ))
         .add_service(peer)
         .add_service(control);
     let stop = token.clone().cancelled_owned();
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -3,6 +3,7 @@
 use std::process;
 
 use peargap_adapters::command;
+use peargap_adapters::deployment;
 use peargap_adapters::logs;
 use peargap_adapters::signals;
 use peargap_control::host;
@@ -26,6 +27,7 @@
 }
 
 fn run(settings: settings::Settings) -> Result<(), Box<dyn std::error::Error>> {
+    deployment::install_key(settings.deployment_key.clone());
     logs::init(PROGRAM, settings.log_level, settings.log_format)?;
     let runtime = tokio::runtime::Runtime::new()?;
     runtime.block_on(async {
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use bytes::Bytes;
+use peargap_adapters::deployment;
 use peargap_adapters::logs;
 use peargap_core::log::message;
 use peargap_wire::peer as wire;
@@ -31,7 +32,7 @@
 const TIME_PER_MEGABYTE: time::Duration = time::Duration::from_millis(500);
 const RECONNECT_DELAY: time::Duration = time::Duration::from_millis(20);
 
-type Client = wire::peer_client::PeerClient<transport::Channel>;
+type Client = wire::peer_client::PeerClient<deployment::Channel>;
 
 /// A message on its way, with the clocks that carry freshness.
 #[derive(Clone, Debug)]
@@ -85,7 +86,7 @@
 
 async fn connect(endpoint: &transport::Endpoint) -> Result<Client, transport::Error> {
     let channel = endpoint.connect().await?;
-    Ok(Client::new(channel)
+    Ok(Client::new(deployment::sign_channel(channel))
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES))
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -12,6 +12,7 @@
 use std::time;
 
 use bytes::Bytes;
+use peargap_adapters::deployment;
 use peargap_adapters::digest;
 use peargap_adapters::logs;
 use peargap_adapters::settings;
@@ -38,6 +39,8 @@
     pub bootstrap: Vec<String>,
     /// Size limits of the data folder.
     pub disk_limits: disk::Limits,
+    /// Key that processes demand of each other.
+    pub deployment_key: Option<deployment::Key>,
     /// Failure domain of this host.
     pub domain: String,
     /// Folder for everything that must survive.
@@ -92,6 +95,7 @@
 }
 
 fn read_all(reader: &mut settings::Reader) -> Option<Settings> {
+    let deployment_key = deployment::read_key(reader);
     let name = reader.required("node", "name", "this host's name");
     let domain = reader.required("node", "domain", "this host's failure domain");
     let internal = reader.required("listen", "internal", ADDRESS);
@@ -115,6 +119,7 @@
             bytes: limit_mb * MEGABYTE,
             reserve_bytes: RESERVE_BYTES,
         },
+        deployment_key,
         domain: domain?,
         folder: folder?,
         health: health?,
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -7,6 +7,7 @@
 use std::sync;
 
 use peargap_adapters::config;
+use peargap_adapters::deployment;
 use peargap_adapters::follow;
 use peargap_adapters::logs;
 use peargap_core::table;
@@ -259,7 +260,7 @@
             .connect()
             .await
             .map_err(|error| tonic::Status::unavailable(error.to_string()))?;
-        let mut client = agent_client::AgentClient::new(channel);
+        let mut client = agent_client::AgentClient::new(deployment::sign_channel(channel));
         let answer = client.observe(wrappers::ReceiverStream::new(seen)).await?;
         Ok(answer.into_inner())
     }
--- a/crates/entry/src/lane.rs
+++ b/crates/entry/src/lane.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic;
 
 use http_body_util::BodyExt as _;
+use peargap_adapters::deployment;
 use peargap_wire::agent::agent_client;
 use tonic::codegen;
 use tonic::transport;
@@ -143,12 +144,13 @@
 
     fn call(&mut self, request: http::Request<tonic::body::Body>) -> Self::Future {
         let mark = self.mark.clone();
-        let request = request.map(|body| {
+        let mut request = request.map(|body| {
             tonic::body::Body::new(body.map_frame(move |frame| {
                 mark.set();
                 frame
             }))
         });
+        deployment::sign_headers(request.headers_mut());
         self.channel.call(request)
     }
 }
--- a/crates/entry/src/quorum.rs
+++ b/crates/entry/src/quorum.rs
@@ -4,6 +4,7 @@
 use std::net;
 use std::sync::atomic;
 
+use peargap_adapters::deployment;
 use peargap_wire::control;
 use peargap_wire::control::claim_reply;
 use peargap_wire::control::control_client;
@@ -17,7 +18,7 @@
 /// Pause before the next control host.
 const NEXT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
-type Client = control_client::ControlClient<transport::Channel>;
+type Client = control_client::ControlClient<deployment::Channel>;
 
 /// The control hosts, the last that answered first.
 #[derive(Debug)]
@@ -49,7 +50,7 @@
         let mut unavailable = None;
         loop {
             let host = self.host();
-            let mut client = Client::new(self.channels[host].clone());
+            let mut client = self.client(host);
             let limit = (clock::Instant::now() + HOST_LIMIT).min(give_up_at);
             let answer = clock::timeout_at(limit, client.claim(request.clone())).await;
             let kind = match answer {
@@ -77,7 +78,7 @@
     ) -> bool {
         loop {
             let host = self.host();
-            let mut client = Client::new(self.channels[host].clone());
+            let mut client = self.client(host);
             let limit = (clock::Instant::now() + HOST_LIMIT).min(give_up_at);
             let answer = clock::timeout_at(limit, client.settle(request.clone())).await;
             // The committed state answered: what it does not record now it never will.
@@ -92,6 +93,10 @@
         }
     }
 
+    fn client(&self, host: usize) -> Client {
+        Client::new(deployment::sign_channel(self.channels[host].clone()))
+    }
+
     fn host(&self) -> usize {
         self.preferred.load(atomic::Ordering::Relaxed) % self.channels.len()
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -7,6 +7,7 @@
 use std::thread;
 
 use error_stack::ResultExt as _;
+use peargap_adapters::deployment;
 use peargap_adapters::follow;
 use peargap_adapters::health;
 use peargap_adapters::logs;
@@ -76,6 +77,7 @@
 
 fn try_run(settings: settings::Settings) -> Result<(), error_stack::Report<Error>> {
     let log = settings.log;
+    deployment::install_key(settings.deployment_key.clone());
     logs::init(&settings.node.name, log.level, log.format).change_context(Error::Logs)?;
     let traffic = runtime::Builder::new_multi_thread()
         .enable_all()
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net;
 use std::path;
 
+use peargap_adapters::deployment;
 use peargap_adapters::logs;
 use peargap_adapters::settings;
 
@@ -12,6 +13,8 @@
 pub struct Settings {
     /// Control hosts, in order of preference.
     pub controls: Vec<net::SocketAddr>,
+    /// Key that processes demand of each other.
+    pub deployment_key: Option<deployment::Key>,
     /// How a stop goes.
     pub drain: Drain,
     /// Listen addresses.
@@ -86,6 +89,7 @@
 
 /// Returns the settings or every finding.
 pub fn read(mut reader: settings::Reader) -> Result<Settings, settings::Findings> {
+    let deployment_key = deployment::read_key(&mut reader);
     let node = read_node(&mut reader);
     let listen = read_listen(&mut reader);
     let controls = read_controls(&mut reader);
@@ -94,6 +98,7 @@
     let log = read_log(&mut reader);
     let settings = node.zip(listen).map(|(node, listen)| Settings {
         controls,
+        deployment_key,
         drain,
         listen,
         limits,
--- a/crates/proof/tests/failures/fleet.rs
+++ b/crates/proof/tests/failures/fleet.rs
@@ -18,6 +18,7 @@
 
 /// How long a step may take before the test fails.
 pub(crate) const LIMIT: time::Duration = time::Duration::from_secs(20);
+const DEPLOYMENT_KEY_FILE: &str = "deployment.key";
 const KEY_FILE: &str = "operator.key";
 /// Pause between two looks at a condition.
 const PERIOD: time::Duration = time::Duration::from_millis(20);
@@ -81,6 +82,7 @@
         // Written once: a command that runs beside another must not see it half written.
         let key = fleet.folder.path().join(KEY_FILE);
         fs::write(key, settings::OPERATOR_KEY).expect("key written");
+        fleet.write_deployment_key("proof-deployment-key");
         fleet.start_controls(plan.controls);
         for index in 0..plan.engines {
             fleet.start_engine(index, &plan).await;
@@ -121,6 +123,12 @@
         }
     }
 
+    /// Writes the key that processes started from now on hold.
+    pub(crate) fn write_deployment_key(&self, key: &str) {
+        let path = self.folder.path().join(DEPLOYMENT_KEY_FILE);
+        fs::write(path, key).expect("key written");
+    }
+
     fn start_controls(&mut self, count: usize) {
         let found = ports::find_ports(count * 3).expect("free ports");
         self.controls = found
@@ -218,6 +226,8 @@
 
     fn start_configured(&mut self, name: &str, program: &'static str, text: &str) {
         let path = self.folder.path().join(format!("{name}.ini"));
+        let key = self.folder.path().join(DEPLOYMENT_KEY_FILE);
+        let text = format!("{text}\n[deployment]\nkey_file = {}\n", key.display());
         fs::write(&path, text).expect("settings written");
         let arguments = vec!["--config".to_owned(), path.display().to_string()];
         self.spawn(name, program, arguments);
--- a/crates/proof/tests/failures/main.rs
+++ b/crates/proof/tests/failures/main.rs
@@ -13,4 +13,5 @@
 mod kills;
 mod path;
 mod placement;
+mod security;
 mod stops;
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -8,6 +8,9 @@
 key_digest=$(printf %s "$key" | sha256sum | cut -d ' ' -f 1)
 operator_key=demo-operator-key
 operator_digest=$(printf %s "$operator_key" | sha256sum | cut -d ' ' -f 1)
+printf %s demo-deployment-key > "$data/deployment.key"
+deployment="[deployment]
+key_file = $data/deployment.key"
 pids=
 roster=
 
@@ -94,6 +97,7 @@
 [operators]
 key_sha256 = $operator_digest
 $peers
+$deployment
 END
         start control "control-$n" "$bin/peargap-control" --config "$data/control-$n.ini"
     done
@@ -128,6 +132,8 @@
 memory_tokens = 32768
 max_running = 64
 checks_fences = true
+
+$deployment
 END
     ready="$ready http://127.0.0.1:$health/readyz"
     start agent "agent-$upstream" "$bin/peargap-agent" --config "$data/agent-$upstream.ini"
@@ -165,6 +171,8 @@
 
 [control]
 addresses = $control_addresses
+
+$deployment
 END
         entries="$entries${entries:+,}http://$callers"
         ready="$ready http://$health/readyz"
