One reader of options with defaults; a script that sends load while things fail

Cause: the stand-ins and the load tool had the same function; service through faults on the real programs had no committed command. Ruled out: faults inside the load tool (a process starts and ends no other). Change: adapters::command::take_option; tools/faults.sh.

--- a/crates/adapters/src/command.rs
+++ b/crates/adapters/src/command.rs
@@ -1,5 +1,7 @@
 //! Command line of the long-running programs.
 
+use core::fmt;
+use core::str;
 use std::ffi;
 use std::path;
 use std::process;
@@ -49,6 +51,21 @@
     Ok(path::PathBuf::from(text))
 }
 
+/// Returns the value of an option, `default` when it is not given.
+///
+/// Fails when the value is malformed.
+pub fn take_option<T>(
+    arguments: &mut pico_args::Arguments,
+    key: &'static str,
+    default: T,
+) -> Result<T, pico_args::Error>
+where
+    T: str::FromStr,
+    T::Err: fmt::Display,
+{
+    Ok(arguments.opt_value_from_str(key)?.unwrap_or(default))
+}
+
 /// Returns the settings to run with, or the exit code when there is nothing to run.
 ///
 /// Prints help, version, the result of `--check` or the findings. Findings and wrong arguments
--- a/crates/fake/src/options.rs
+++ b/crates/fake/src/options.rs
@@ -1,9 +1,10 @@
 //! Command line of the stand-ins.
 
 use core::net;
-use core::str;
 use core::time;
 
+use peargap_adapters::command;
+
 const HELP: &str = "peargap-fake engine|service [--listen IP:PORT] [--name NAME]
   engine:
   --models A,B          models loaded at start
@@ -92,19 +93,19 @@
 }
 
 fn parse_engine(arguments: &mut pico_args::Arguments) -> Result<Engine, pico_args::Error> {
-    let models: String = take(arguments, "--models", "transcript".to_owned())?;
+    let models: String = command::take_option(arguments, "--models", "transcript".to_owned())?;
     Ok(Engine {
         checks_fences: arguments.contains("--checks-fences"),
         cold: take_time(arguments, "--cold-ms", 0, 1_000)?,
-        cold_limit: take(arguments, "--cold-limit", 2)?,
-        listen: take(arguments, "--listen", default_listen())?,
-        max_batch: take(arguments, "--max-batch", 64)?,
-        median_tokens: take(arguments, "--median-tokens", 120.0)?,
-        memory_tokens: take(arguments, "--memory-tokens", 32_768)?,
+        cold_limit: command::take_option(arguments, "--cold-limit", 2)?,
+        listen: command::take_option(arguments, "--listen", default_listen())?,
+        max_batch: command::take_option(arguments, "--max-batch", 64)?,
+        median_tokens: command::take_option(arguments, "--median-tokens", 120.0)?,
+        memory_tokens: command::take_option(arguments, "--memory-tokens", 32_768)?,
         models: models.split(',').map(str::to_owned).collect(),
-        name: take(arguments, "--name", "engine".to_owned())?,
+        name: command::take_option(arguments, "--name", "engine".to_owned())?,
         prefill: take_time(arguments, "--prefill-us", 20, 1)?,
-        seed: take(arguments, "--seed", 1)?,
+        seed: command::take_option(arguments, "--seed", 1)?,
         step: take_time(arguments, "--step-us", 5_000, 1)?,
         stream: take_time(arguments, "--stream-us", 200, 1)?,
     })
@@ -113,9 +114,9 @@
 fn parse_service(arguments: &mut pico_args::Arguments) -> Result<Service, pico_args::Error> {
     Ok(Service {
         cold: take_time(arguments, "--cold-ms", 0, 1_000)?,
-        cold_limit: take(arguments, "--cold-limit", 2)?,
-        listen: take(arguments, "--listen", default_listen())?,
-        name: take(arguments, "--name", "service".to_owned())?,
+        cold_limit: command::take_option(arguments, "--cold-limit", 2)?,
+        listen: command::take_option(arguments, "--listen", default_listen())?,
+        name: command::take_option(arguments, "--name", "service".to_owned())?,
     })
 }
 
@@ -123,18 +124,6 @@
     net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0))
 }
 
-fn take<T>(
-    arguments: &mut pico_args::Arguments,
-    key: &'static str,
-    default: T,
-) -> Result<T, pico_args::Error>
-where
-    T: str::FromStr,
-    T::Err: core::fmt::Display,
-{
-    Ok(arguments.opt_value_from_str(key)?.unwrap_or(default))
-}
-
 /// Returns the time given in units of `micros` microseconds.
 fn take_time(
     arguments: &mut pico_args::Arguments,
@@ -142,6 +131,6 @@
     default: u64,
     micros: u64,
 ) -> Result<time::Duration, pico_args::Error> {
-    let number: u64 = take(arguments, key, default)?;
+    let number: u64 = command::take_option(arguments, key, default)?;
     Ok(time::Duration::from_micros(number.saturating_mul(micros)))
 }
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -1,11 +1,12 @@
 //! Command line of the load tool, but for the experiment.
 
 use core::future;
-use core::str;
 use core::time;
 use std::fs;
 use std::process;
 
+use peargap_adapters::command;
+
 use crate::compare;
 use crate::ports;
 use crate::ready;
@@ -104,9 +105,9 @@
         entry_process: arguments.value_from_str("--entry-pid")?,
         key: arguments.value_from_str("--key")?,
         model: arguments.value_from_str("--model")?,
-        pairs: take(arguments, "--pairs", 100)?,
-        streams: take(arguments, "--streams", 64)?,
-        tokens: take(arguments, "--tokens", 200)?,
+        pairs: command::take_option(arguments, "--pairs", 100)?,
+        streams: command::take_option(arguments, "--streams", 64)?,
+        tokens: command::take_option(arguments, "--tokens", 200)?,
     })
 }
 
@@ -129,14 +130,14 @@
     Ok(run::Load {
         entries: parse_entries(arguments)?,
         key: arguments.value_from_str("--key")?,
-        max_tokens: take(arguments, "--max-tokens", 2_000)?,
+        max_tokens: command::take_option(arguments, "--max-tokens", 2_000)?,
         model: arguments.opt_value_from_str("--model")?,
-        prompt_words: take(arguments, "--prompt-words", 60)?,
-        rate: take(arguments, "--rate", 10.0)?,
-        seconds: take(arguments, "--seconds", 20)?,
-        seed: take(arguments, "--seed", 1)?,
+        prompt_words: command::take_option(arguments, "--prompt-words", 60)?,
+        rate: command::take_option(arguments, "--rate", 10.0)?,
+        seconds: command::take_option(arguments, "--seconds", 20)?,
+        seed: command::take_option(arguments, "--seed", 1)?,
         service: arguments.opt_value_from_str("--service")?,
-        service_share: take(arguments, "--service-share", 0.2)?,
+        service_share: command::take_option(arguments, "--service-share", 0.2)?,
     })
 }
 
@@ -145,18 +146,6 @@
     Ok(text.split(',').map(str::to_owned).collect())
 }
 
-fn take<T>(
-    arguments: &mut pico_args::Arguments,
-    key: &'static str,
-    default: T,
-) -> Result<T, pico_args::Error>
-where
-    T: str::FromStr,
-    T::Err: core::fmt::Display,
-{
-    Ok(arguments.opt_value_from_str(key)?.unwrap_or(default))
-}
-
 fn block_on(work: impl future::Future<Output = Result<(), String>>) -> process::ExitCode {
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
--- /dev/null
+++ b/tools/faults.sh
@@ -0,0 +1,51 @@
+#!/bin/sh
+# Sends a load to a small deployment while things fail, and prints the load tool's report.
+#
+#   sh tools/faults.sh domain    a failure domain is taken out and brought back
+#   sh tools/faults.sh kills     an engine, an agent and an entry are killed, one after the other
+#   sh tools/faults.sh none      nothing fails
+set -eu
+
+root=$(cd "$(dirname "$0")/.." && pwd)
+cd "$root"
+cargo build --quiet --release --workspace --locked >&2
+bin=${CARGO_TARGET_DIR:-$root/target}/release
+engines=4
+services=2
+engine_options='--median-tokens 120'
+. "$root/tools/fleet.sh"
+start_fleet >&2
+
+operate() {
+    "$bin/peargap" --control "$operator_addresses" --key-file "$data/operator.key" "$@" >&2
+}
+find_pid() {
+    printf '%s\n' "$roster" | awk -v name="$1" '$3 == name { print $4 }'
+}
+"$bin/peargap-load" run --entries "$entries" --key "$key" --model transcript --service loans \
+    --rate 20 --seconds 40 --max-tokens 1000 > "$data/report.json" 2> "$data/load.txt" &
+load=$!
+sleep 8
+case "${1:-none}" in
+domain)
+    operate domain out zone-1 --wait 7
+    sleep 12
+    operate domain back zone-1 --wait 7
+    ;;
+kills)
+    kill -KILL "$(find_pid engine-1)"
+    sleep 8
+    kill -KILL "$(find_pid agent-engine-2)"
+    sleep 8
+    kill -KILL "$(find_pid entry-2)"
+    ;;
+none) ;;
+*)
+    echo "faults: say domain, kills or none" >&2
+    kill -TERM "$load"
+    ;;
+esac
+wait "$load" || true
+cat "$data/report.json"
+stop_all 2> /dev/null || true
+rm -rf "$data"
