An upstream that says it is cold gets no more than the start limit

Cause: a restarted engine that carries two streams got three and fell over: each answer while it said it was cold gave a sign, and a sign counts streams with a timely first token as proven, which are not held against the limit. Ruled out: a late report (the limit rose over a second after the new incarnation was seen), several entries (one agent admits). Change: Admission::set_cold: all streams count against the limit, answers prove nothing, until the report says otherwise; the stand-in counts its falls.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -294,11 +294,6 @@
         self.note_progress(stream);
         self.running.remove(&stream);
         self.admission.finished(self.clock.now(), stream, end);
-        if self.report.cold {
-            // Answers of an upstream that says it is cold prove nothing.
-            self.admission
-                .sign(self.clock.now(), ramp::Sign::EmptyCache);
-        }
     }
 
     fn tick(&mut self) {
@@ -359,6 +354,7 @@
         } else if report.preemptions > self.report.preemptions {
             self.note_preemptions(report.preemptions - self.report.preemptions);
         }
+        self.admission.set_cold(report.cold);
         self.meters.set_report(&report);
         self.report = report;
     }
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -178,6 +178,8 @@
 #[derive(Clone, Debug)]
 pub struct Admission {
     batch: batch::Bound,
+    /// Whether the upstream says that it is cold.
+    cold: bool,
     curves: curve::Curves,
     deviations: f32,
     options: Options,
@@ -201,6 +203,7 @@
             },
         };
         Admission {
+            cold: false,
             batch: batch::Bound::new(options.max_running, options.max_stretch),
             curves: curve::Curves::new(),
             deviations: forecast::deviations(options.overflow_chance),
@@ -370,12 +373,22 @@
         }
     }
 
+    /// Notes whether the upstream says that it is cold.
+    ///
+    /// While it does, all its streams count against the start limit and no answer proves anything.
+    pub fn set_cold(&mut self, cold: bool) {
+        self.cold = cold;
+    }
+
     /// Returns whether a request may start now.
     #[must_use]
     pub fn room(&self, request: &Request) -> Room {
-        if self.runs.fresh() >= self.ramp.limit()
-            || self.runs.unproven() >= self.ramp.unproven_limit()
-        {
+        let doubtful = if self.cold {
+            self.runs.len()
+        } else {
+            self.runs.fresh()
+        };
+        if doubtful >= self.ramp.limit() || self.runs.unproven() >= self.ramp.unproven_limit() {
             return Room::Ramping;
         }
         if self.runs.len() >= self.batch.limit() {
@@ -389,6 +402,9 @@
 
     /// Returns how many streams or calls may run at once now.
     fn limit(&self) -> u32 {
+        if self.cold {
+            return self.ramp.limit().min(self.batch.limit());
+        }
         let proven = self.runs.len() - self.runs.fresh();
         (proven + self.ramp.limit()).min(self.batch.limit())
     }
@@ -428,7 +444,9 @@
             let waited_ms = now.millis_since(run.begun);
             self.ramp.first_token(waited_ms, run.prompted);
         }
-        self.ramp.completed(run.begun);
+        if !self.cold {
+            self.ramp.completed(run.begun);
+        }
     }
 }
 
--- a/crates/core/tests/policy_admit.rs
+++ b/crates/core/tests/policy_admit.rs
@@ -303,3 +303,30 @@
     let started = admission.next(now).expect("there is room for one");
     assert_eq!(started.ticket, ticket);
 }
+
+#[test]
+fn nothing_proves_an_upstream_that_says_it_is_cold() {
+    let mut admission = admission(0);
+    let mut now = prove_plain(&mut admission);
+    admission.set_cold(true);
+    admission.sign(now, ramp::Sign::NewIncarnation);
+    for _ in 0..50 {
+        let call = plain_call(&mut admission);
+        let mut streams = Vec::new();
+        while admission.room(&call) == admit::Room::Fits {
+            streams.push(admission.start(now, call));
+        }
+        assert_eq!(streams.len(), ramp::START_LIMIT as usize);
+        assert_eq!(admission.load().limit, ramp::START_LIMIT);
+        now = time::Instant(now.0 + 40);
+        admission.sign(now, ramp::Sign::EmptyCache);
+        for stream in streams {
+            admission.finished(now, stream, admit::End::Whole);
+        }
+    }
+    admission.set_cold(false);
+    let call = plain_call(&mut admission);
+    let stream = admission.start(now, call);
+    admission.finished(now, stream, admit::End::Whole);
+    assert_eq!(admission.load().limit, ramp::START_LIMIT + 1);
+}
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -24,6 +24,8 @@
 /// Totals for the load report.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Totals {
+    /// Times that it fell over.
+    pub(crate) falls: u64,
     pub(crate) preemptions: u64,
     pub(crate) stall: time::Duration,
     pub(crate) tokens: u64,
@@ -357,6 +359,7 @@
 }
 
 fn fall_over(state: &mut State) {
+    state.totals.falls += 1;
     for stream in state.streams.values() {
         stream.set_state(stream::State::Failed);
     }
--- a/crates/fake/src/report.rs
+++ b/crates/fake/src/report.rs
@@ -17,6 +17,7 @@
 pub(crate) struct Load {
     pub(crate) adapters: Vec<String>,
     pub(crate) cold: bool,
+    pub(crate) falls: u64,
     pub(crate) fence: u64,
     pub(crate) incarnation: String,
     pub(crate) memory_tokens: u64,
@@ -72,6 +73,7 @@
     Load {
         adapters: state.orders.adapters.clone(),
         cold: tokio::time::Instant::now() < state.cold_until,
+        falls: state.totals.falls,
         fence: state.orders.fence,
         incarnation: engine.incarnation.to_string(),
         memory_tokens: engine.options.memory_tokens / stream::BLOCK_TOKENS * stream::BLOCK_TOKENS,
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,11 +1,21 @@
-//! Load and experiment tool: `peargap-load experiment`, `peargap-load run`.
+//! Load and experiment tool; `peargap-load` alone lists its commands.
 
 use std::process;
 
 use peargap_load::command;
 use peargap_load::experiment;
 
-const HELP: &str = "usage: peargap-load experiment --all [--seeds N] [--out DIR]";
+const HELP: &str = "peargap-load COMMAND
+  experiment --all [--seeds N] [--out DIR]    the decisions before stand-ins on a virtual clock
+  experiment --scenario NAME | --ablate NAME  one scenario; its mechanisms off in turn
+  run --entries URL,.. --key KEY [--model M] [--service S] [--rate R] [--seconds S] [--json FILE]
+                                              open-loop load on real entries
+  compare --direct URL --entry URL --key KEY --model M --agent-pid P --entry-pid P
+                                              entry and agent against the engine asked directly
+  walk --entries URL,.. --key KEY --model M --service S --text FILE
+                                              the demo's requests
+  ready URL..                                 wait until each answers 200
+  ports COUNT                                 print free loopback ports";
 
 fn main() -> process::ExitCode {
     let mut arguments = pico_args::Arguments::from_env();
--- a/crates/proof/tests/failures/fleet.rs
+++ b/crates/proof/tests/failures/fleet.rs
@@ -21,7 +21,7 @@
 const DEPLOYMENT_KEY_FILE: &str = "deployment.key";
 const KEY_FILE: &str = "operator.key";
 /// Pause between two looks at a condition.
-const PERIOD: time::Duration = time::Duration::from_millis(20);
+pub(crate) const PERIOD: time::Duration = time::Duration::from_millis(20);
 
 /// What to start besides the control hosts.
 #[derive(Clone, Copy, Debug)]
--- a/crates/proof/tests/failures/main.rs
+++ b/crates/proof/tests/failures/main.rs
@@ -7,6 +7,7 @@
 mod relay;
 mod settings;
 
+mod cold;
 mod configuration;
 mod control;
 mod domains;
