Planned stops under load

Cause: stops were proved with one stream each, not under load. Ruled out: restarts by the load tool (a process starts no other).

--- a/tools/faults.sh
+++ b/tools/faults.sh
@@ -3,6 +3,7 @@
 #
 #   sh tools/faults.sh domain    a failure domain is taken out and brought back
 #   sh tools/faults.sh kills     an engine, an agent and an entry are killed, one after the other
+#   sh tools/faults.sh stops     control host, agent and entry are stopped and started in turn
 #   sh tools/faults.sh none      nothing fails
 set -eu
 
@@ -39,9 +40,19 @@
     sleep 8
     kill -KILL "$(find_pid entry-2)"
     ;;
+stops)
+    for name in control-1 agent-engine-1 entry-1; do
+        role=${name%%-*}
+        pid=$(find_pid "$name")
+        kill -TERM "$pid"
+        wait "$pid" || echo "faults: $name did not stop cleanly" >&2
+        start "$role" "$name" "$bin/peargap-$role" --config "$data/$name.ini"
+        sleep 4
+    done
+    ;;
 none) ;;
 *)
-    echo "faults: say domain, kills or none" >&2
+    echo "faults: say domain, kills, stops or none" >&2
     kill -TERM "$load"
     ;;
 esac
