Tests take addresses without a listener of their own

Cause: in a clean clone one agent test found its port in use (E4004): the listener that had found the port lived on, until exec, in a process that another thread forked. Ruled out: a wait that is too short (the agent had ended); another process (each agent has a loopback number of its own). Change: agents' tests use a fixed port on their own loopback number; peargap-load looks for ports by connecting. Conclusion: no listener is left to inherit.

--- a/crates/agent/tests/support/process.rs
+++ b/crates/agent/tests/support/process.rs
@@ -5,6 +5,9 @@
 use std::fs;
 use std::process;
 
+/// Port of every agent; their loopback numbers differ.
+const PORT: u16 = 7_000;
+
 /// A running agent; killed when dropped.
 pub(crate) struct Agent {
     pub(crate) address: net::SocketAddr,
@@ -100,13 +103,13 @@
     }
 }
 
-/// Returns a free address on a loopback number of this agent's own, so that nothing else takes it
-/// before the agent does.
+/// Returns an address on a loopback number of this agent's own, so that nothing else takes it.
+///
+/// It is not tried out: a listener made for that would live on for a moment in processes that
+/// other threads start, and the agent would find its address in use.
 fn find_address() -> net::SocketAddr {
     static AGENTS: atomic::AtomicU8 = atomic::AtomicU8::new(1);
     let [.., high, low] = process::id().to_be_bytes();
     let number = AGENTS.fetch_add(1, atomic::Ordering::Relaxed);
-    let host = net::Ipv4Addr::new(127, 128 | high, low, number);
-    let listener = std::net::TcpListener::bind((host, 0)).unwrap();
-    listener.local_addr().unwrap()
+    net::SocketAddr::from(([127, 128 | high, low, number], PORT))
 }
--- a/crates/load/src/ports.rs
+++ b/crates/load/src/ports.rs
@@ -35,7 +35,9 @@
         let first = process::id().wrapping_mul(PROCESS_STRIDE);
         let port = FIRST_PORT + first.wrapping_add(number) % PORTS;
         let port = u16::try_from(port).map_err(io::Error::other)?;
-        if net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, port)).is_ok() {
+        // A listener made to try it would live on for a moment in processes that other threads
+        // start, and the process that is to have the port would find it in use.
+        if net::TcpStream::connect((net::Ipv4Addr::LOCALHOST, port)).is_err() {
             return Ok(port);
         }
     }
