--- a/crates/agent/src/clock.rs
+++ b/crates/adapters/src/clock.rs
@@ -4,16 +4,16 @@
 
 /// Counts from the start of the process.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock(tokio::time::Instant);
+pub struct Clock(tokio::time::Instant);
 
 impl Clock {
     /// Returns a clock at zero.
-    pub(crate) fn start() -> Clock {
+    pub fn start() -> Clock {
         Clock(tokio::time::Instant::now())
     }
 
     /// Returns the time since the start.
-    pub(crate) fn now(&self) -> time::Instant {
+    pub fn now(&self) -> time::Instant {
         let elapsed = self.0.elapsed().as_millis();
         time::Instant(u64::try_from(elapsed).unwrap_or(u64::MAX))
     }
--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync as cancel;
 
 use crate::agent;
-use crate::clock;
+use peargap_adapters::clock;
 use crate::decision;
 use crate::enforcement;
 use crate::engine;
--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -12,7 +12,7 @@
 use peargap_wire::control;
 use tokio::sync::watch;
 
-use crate::clock;
+use peargap_adapters::clock;
 use crate::enforcement;
 use crate::engine;
 use crate::gate;
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,7 +4,6 @@
 mod agent;
 mod body;
 mod call;
-mod clock;
 mod decision;
 mod domain;
 mod drive;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -24,7 +24,7 @@
 
 use crate::admission;
 use crate::agent;
-use crate::clock;
+use peargap_adapters::clock;
 use crate::domain;
 use crate::enforcement;
 use crate::engine;
--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -9,6 +9,7 @@
 use peargap_core::config;
 use peargap_core::manifest;
 use peargap_core::members;
+use peargap_core::routing;
 use peargap_wire::control;
 use peargap_wire::operator;
 use peargap_wire::record;
@@ -357,3 +358,23 @@
         upstream: order.upstream,
     }
 }
+
+/// Returns the record of the routing state.
+pub(crate) fn encode_routing(routing: &routing::Routing) -> record::Routing {
+    record::Routing {
+        domains_out: routing.domains_out.iter().cloned().collect(),
+        revision: routing.revision,
+        text: routing.text.clone(),
+        version: routing.version,
+    }
+}
+
+/// Returns the routing state of a record.
+pub(crate) fn decode_routing(record: record::Routing) -> routing::Routing {
+    routing::Routing {
+        domains_out: record.domains_out.into_iter().collect(),
+        revision: record.revision,
+        text: record.text,
+        version: record.version,
+    }
+}
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -25,4 +25,14 @@
 pub(crate) const SNAPSHOT_TAKEN: logs::Event = logs::Event::info(2010, "snapshot taken");
 pub(crate) const TAIL_CUT: logs::Event = logs::Event::warn(2012, "torn tail cut");
 pub(crate) const MODEL_PLACED: logs::Event = logs::Event::info(2110, "model placed");
+pub(crate) const UPSTREAM_HEARD: logs::Event = logs::Event::info(2120, "upstream heard");
+pub(crate) const WORD_STALE: logs::Event = logs::Event::info(2121, "old heartbeat ignored");
+pub(crate) const SPREAD_LATE: logs::Event =
+    logs::Event::warn(2122, "gateways late with an upstream's leave");
+pub(crate) const GATEWAY_ATTACHED: logs::Event = logs::Event::info(2123, "gateway attached");
+pub(crate) const GATEWAY_DETACHED: logs::Event = logs::Event::info(2124, "gateway detached");
+pub(crate) const DOCUMENT_PUBLISHED: logs::Event = logs::Event::info(2125, "document published");
+pub(crate) const DOMAIN_SHIFTED: logs::Event = logs::Event::info(2126, "domain shifted");
+pub(crate) const ORDER_FAILED: logs::Event = logs::Event::warn(2127, "order not committed");
+pub(crate) const CALL_REJECTED: logs::Event = logs::Event::warn(2128, "platform call rejected");
 pub(crate) const LOAD_FAILED: logs::Event = logs::Event::warn(2111, "model not loaded in time");
--- /dev/null
+++ b/crates/control/src/gateways.rs
@@ -0,0 +1,231 @@
+//! The `Fleet` service: links from gateways.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use futures::StreamExt as _;
+use peargap_adapters::logs;
+use peargap_core::routing;
+use peargap_core::upstreams;
+use peargap_wire::fleet as wire;
+use peargap_wire::fleet::fleet_server;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_stream::wrappers;
+use tokio_util::sync::CancellationToken;
+
+use crate::events;
+use crate::fleet;
+use crate::replica;
+
+/// Updates that may wait for a slow link.
+const UPDATE_BUFFER: usize = 4;
+/// Time between sums of load to a gateway that reports its own.
+const LOAD_PERIOD: time::Duration = time::Duration::from_millis(250);
+
+/// Serves gateways.
+#[derive(Clone, Debug)]
+pub(crate) struct Gateways {
+    pub(crate) fleet: fleet::Fleet,
+    /// Ends all links.
+    pub(crate) token: CancellationToken,
+}
+
+/// One link as the sending side sees it.
+struct Sender {
+    fleet: fleet::Fleet,
+    key: fleet::LinkKey,
+    /// Change that each update brought to the gateway, until it says that it has it.
+    numbers: sync::Arc<sync::Mutex<collections::BTreeMap<u64, u64>>>,
+    sent: Sent,
+    updates: mpsc::Sender<Result<wire::Update, tonic::Status>>,
+}
+
+/// What a gateway was told.
+#[derive(Debug, Default)]
+struct Sent {
+    change: u64,
+    hosts: Vec<String>,
+    number: u64,
+    others: Option<fleet::Others>,
+    revision: u64,
+    shared_outage: bool,
+    version: u64,
+}
+
+#[tonic::async_trait]
+impl fleet_server::Fleet for Gateways {
+    type FollowStream = wrappers::ReceiverStream<Result<wire::Update, tonic::Status>>;
+
+    async fn follow(
+        &self,
+        request: tonic::Request<tonic::Streaming<wire::Report>>,
+    ) -> Result<tonic::Response<Self::FollowStream>, tonic::Status> {
+        let reports = request.into_inner();
+        let (updates, outgoing) = mpsc::channel(UPDATE_BUFFER);
+        let key = self.fleet.attach();
+        let numbers: sync::Arc<sync::Mutex<_>> = sync::Arc::default();
+        let sender = Sender {
+            fleet: self.fleet.clone(),
+            key,
+            numbers: numbers.clone(),
+            sent: Sent::default(),
+            updates,
+        };
+        let fleet = self.fleet.clone();
+        let token = self.token.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = token.cancelled() => {}
+                () = sender.run() => {}
+                () = receive(&fleet, key, reports, &numbers) => {}
+            }
+            fleet.detach(key);
+        });
+        Ok(tonic::Response::new(wrappers::ReceiverStream::new(
+            outgoing,
+        )))
+    }
+}
+
+/// Takes a gateway's reports until it ends them.
+async fn receive(
+    fleet: &fleet::Fleet,
+    key: fleet::LinkKey,
+    mut reports: tonic::Streaming<wire::Report>,
+    numbers: &sync::Mutex<collections::BTreeMap<u64, u64>>,
+) {
+    let mut name = String::new();
+    while let Some(Ok(report)) = reports.next().await {
+        if !report.gateway.is_empty() {
+            name = report.gateway;
+            logs::emit(events::GATEWAY_ATTACHED, format_args!("gateway={name}"));
+        }
+        if report.applied > 0 {
+            let change = take_number(numbers, report.applied);
+            fleet.note_applied(key, change);
+        }
+        if report.has_loads {
+            fleet.note_loads(key, report.loads);
+        }
+    }
+    logs::emit(events::GATEWAY_DETACHED, format_args!("gateway={name}"));
+}
+
+/// Returns the change that an update brought, and forgets it and those before.
+fn take_number(numbers: &sync::Mutex<collections::BTreeMap<u64, u64>>, number: u64) -> u64 {
+    let locked = numbers.lock();
+    let mut numbers = locked.unwrap_or_else(sync::PoisonError::into_inner);
+    let later = numbers.split_off(&(number + 1));
+    let change = numbers.last_key_value().map_or(0, |(_number, change)| *change);
+    *numbers = later;
+    change
+}
+
+impl Sender {
+    async fn run(mut self) {
+        let mut changes = self.fleet.changes();
+        let mut routing = self.fleet.handle.routing();
+        let mut status = self.fleet.handle.status();
+        let mut tick = tokio::time::interval(LOAD_PERIOD);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let update = self.build(&mut changes, &mut routing, &mut status);
+            if let Some(update) = update {
+                if self.updates.send(Ok(update)).await.is_err() {
+                    return;
+                }
+            }
+            tokio::select! {
+                result = changes.changed() => if result.is_err() { return },
+                result = routing.changed() => if result.is_err() { return },
+                _instant = tick.tick() => {}
+                () = self.updates.closed() => return,
+            }
+        }
+    }
+
+    /// Returns what the gateway has not been told, or nothing.
+    fn build(
+        &mut self,
+        changes: &mut watch::Receiver<u64>,
+        routing: &mut watch::Receiver<sync::Arc<routing::Routing>>,
+        status: &mut watch::Receiver<replica::Status>,
+    ) -> Option<wire::Update> {
+        changes.mark_unchanged();
+        let news = self.fleet.list_news(self.sent.change);
+        let routing = routing.borrow_and_update().clone();
+        let hosts = status.borrow_and_update().members.clone();
+        let others = self.fleet.sum_others(self.key);
+        let mut update = wire::Update {
+            document: self.build_document(&routing),
+            outage: self.build_outage(&routing),
+            upstreams: news.words.iter().map(encode_word).collect(),
+            ..wire::Update::default()
+        };
+        if hosts != self.sent.hosts {
+            update.hosts.clone_from(&hosts);
+            self.sent.hosts = hosts;
+        }
+        if others.gateways > 0 && self.sent.others.as_ref() != Some(&others) {
+            update.has_loads = true;
+            update.gateways = others.gateways;
+            update.loads.clone_from(&others.loads);
+            self.sent.others = Some(others);
+        }
+        if update == wire::Update::default() {
+            return None;
+        }
+        self.sent.change = news.change;
+        self.sent.number += 1;
+        update.number = self.sent.number;
+        let locked = self.numbers.lock();
+        let mut numbers = locked.unwrap_or_else(sync::PoisonError::into_inner);
+        numbers.insert(update.number, news.change);
+        Some(update)
+    }
+
+    fn build_document(&mut self, routing: &routing::Routing) -> Option<wire::Document> {
+        if routing.version == self.sent.version {
+            return None;
+        }
+        self.sent.version = routing.version;
+        Some(wire::Document {
+            text: routing.text.clone(),
+            version: routing.version,
+        })
+    }
+
+    fn build_outage(&mut self, routing: &routing::Routing) -> Option<wire::Outage> {
+        if self.sent.shared_outage && routing.revision == self.sent.revision {
+            return None;
+        }
+        self.sent.shared_outage = true;
+        self.sent.revision = routing.revision;
+        Some(wire::Outage {
+            domains: routing.domains_out.iter().cloned().collect(),
+            revision: routing.revision,
+        })
+    }
+}
+
+fn encode_word(word: &upstreams::Word) -> wire::Upstream {
+    let state = match word.state {
+        upstreams::State::Draining => wire::State::Draining,
+        upstreams::State::Left => wire::State::Left,
+        upstreams::State::Ready => wire::State::Ready,
+        upstreams::State::Silent => wire::State::Silent,
+    };
+    wire::Upstream {
+        address: word.address.clone(),
+        born_ms: word.edition.born_ms,
+        cold_ms: u32::try_from(word.cold_ms).unwrap_or(u32::MAX),
+        domain: word.domain.clone(),
+        name: word.name.clone(),
+        sequence: word.edition.sequence,
+        service: word.service.clone(),
+        slots: word.slots,
+        state: state.into(),
+    }
+}
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -1,5 +1,6 @@
 //! A control host as a whole: the replica's thread and the servers around it.
 
+use std::collections;
 use std::net;
 use std::sync;
 use std::thread;
@@ -10,6 +11,7 @@
 use peargap_adapters::logs;
 use peargap_adapters::metrics;
 use peargap_wire::control::control_server;
+use peargap_wire::fleet::fleet_server;
 use peargap_wire::operator::operator_server;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -17,8 +19,11 @@
 use tokio_util::sync::CancellationToken;
 use tonic::transport::server;
 
+use crate::desk;
 use crate::events;
 use crate::files;
+use crate::fleet;
+use crate::gateways;
 use crate::gauges;
 use crate::inbox;
 use crate::machine;
@@ -76,7 +81,9 @@
     let servers = token.child_token();
     let health = serve_health(&settings, readiness.clone(), registry, &servers).await?;
     let services = build_services(&settings, &replica, &servers);
-    let internal = serve_internal(&settings, &replica, services.control, &servers).await?;
+    let fleet = fleet::Fleet::spawn(replica.handle.clone(), servers.clone());
+    let internal = serve_internal(&settings, &replica, services.control, &fleet, &servers).await?;
+    let platform = serve_platform(&settings, &fleet, &servers).await?;
     let operators = serve_operators(&settings, services.operator, &servers).await?;
     tokio::spawn(follow_readiness(replica.handle.status(), readiness));
     let result = wait_for_end(&replica.inputs, replica.ended, &token).await;
@@ -85,6 +92,9 @@
     links.cancel();
     internal.abort();
     operators.abort();
+    if let Some(platform) = platform {
+        platform.abort();
+    }
     health.abort();
     logs::emit(events::STOPPED, format_args!("host={}", settings.name));
     result
@@ -119,13 +129,23 @@
     links: &CancellationToken,
 ) -> Result<Replica, Error> {
     let (config, config_seen) = watch::channel(machine::Machine::new().config());
+    let (routing, routing_seen) = watch::channel(sync::Arc::default());
     let (status, status_seen) = watch::channel(replica::Status::default());
     let (inputs, queue) = mpsc::channel(worker::QUEUE_INPUTS);
     let (end, ended) = oneshot::channel();
     let timeout = settings.timing.election;
     let outputs = worker::Outputs {
         config,
-        outboxes: peers::spawn_outboxes(&settings.name, &settings.peers, timeout, links),
+        outboxes: peers::Outboxes {
+            addresses: settings.addresses(),
+            inputs: inputs.clone(),
+            name: settings.name.clone(),
+            runtime: tokio::runtime::Handle::current(),
+            senders: collections::HashMap::new(),
+            timeout,
+            token: links.clone(),
+        },
+        routing,
         status,
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -147,8 +167,9 @@
     spawned.map_err(|error| Error::Setup(error.to_string()))?;
     let handle = replica::Handle {
         config: config_seen,
-        forwarder: peers::Forwarder::new(&settings.peers),
+        forwarder: peers::Forwarder::new(settings.addresses()),
         inputs: inputs.clone(),
+        routing: routing_seen,
         status: status_seen,
     };
     Ok(Replica {
@@ -195,6 +216,7 @@
     settings: &settings::Settings,
     replica: &Replica,
     control: control_server::ControlServer<service::Control>,
+    fleet: &fleet::Fleet,
     token: &CancellationToken,
 ) -> Result<tokio::task::JoinHandle<()>, Error> {
     let listener = bind(settings.internal).await?;
@@ -208,13 +230,37 @@
             deployment::check_request,
         ))
         .add_service(peer)
-        .add_service(control);
+        .add_service(control)
+        .add_service(fleet_server::FleetServer::new(gateways::Gateways {
+            fleet: fleet.clone(),
+            token: token.clone(),
+        }));
     let stop = token.clone().cancelled_owned();
     Ok(tokio::spawn(async move {
         let _ = server.serve_with_incoming_shutdown(incoming, stop).await;
     }))
 }
 
+/// Serves the platform's calls, where there is one.
+async fn serve_platform(
+    settings: &settings::Settings,
+    fleet: &fleet::Fleet,
+    token: &CancellationToken,
+) -> Result<Option<tokio::task::JoinHandle<()>>, Error> {
+    let Some(address) = settings.platform else {
+        return Ok(None);
+    };
+    let listener = bind(address).await?;
+    let router = peargap_platform::desk::build_router(desk::Desk {
+        fleet: fleet.clone(),
+    });
+    let stop = token.clone().cancelled_owned();
+    Ok(Some(tokio::spawn(async move {
+        let server = axum::serve(listener, router).with_graceful_shutdown(stop);
+        let _ = server.await;
+    })))
+}
+
 async fn serve_health(
     settings: &settings::Settings,
     readiness: health::Readiness,
--- a/crates/control/src/inbox.rs
+++ b/crates/control/src/inbox.rs
@@ -35,6 +35,10 @@
             lease_ms: envelope.lease_ms,
             received: tokio::time::Instant::now(),
         };
+        let is_greeting = |message: &wire::Message| {
+            matches!(message.kind, Some(wire::message::Kind::Hello(_)))
+        };
+        let greeted = envelope.messages.iter().any(is_greeting);
         for message in envelope.messages {
             let message = convert::read_message(message)
                 .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?;
@@ -43,7 +47,12 @@
             let sent = self.inputs.send(input).await;
             sent.map_err(|_error| tonic::Status::unavailable("stopping"))?;
         }
-        Ok(tonic::Response::new(wire::Receipt {}))
+        // A host that knows only a few others learns of the rest where it greets.
+        let members = match greeted {
+            true => self.handle.status.borrow().members.clone(),
+            false => Vec::new(),
+        };
+        Ok(tonic::Response::new(wire::Receipt { members }))
     }
 
     async fn propose(
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,14 +1,18 @@
 //! Control host: the durable configuration, members, fences and claims.
 
+pub mod addresses;
 mod attached;
 mod birth;
 mod claims;
 mod codec;
 pub mod convert;
+mod desk;
 pub mod disk;
 mod events;
 pub mod files;
 mod gauges;
+mod fleet;
+mod gateways;
 pub mod host;
 mod inbox;
 mod lease;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -12,6 +12,7 @@
 use peargap_core::config;
 use peargap_core::fences;
 use peargap_core::members;
+use peargap_core::routing;
 use peargap_wire::control;
 use peargap_wire::operator;
 use peargap_wire::record;
@@ -44,6 +45,7 @@
     /// Starts of loads within the last minute, oldest first.
     loads: collections::VecDeque<u64>,
     past: members::Past,
+    routing: sync::Arc<routing::Routing>,
 }
 
 impl Machine {
@@ -75,6 +77,7 @@
             config: Some(codec::encode_config(&self.config)),
             loads_ms: self.loads.iter().copied().collect(),
             past: past.map(codec::encode_past).collect(),
+            routing: Some(codec::encode_routing(&self.routing)),
             ticks: self.clock.ticks,
         };
         snapshot.encode_to_vec().into()
@@ -94,6 +97,7 @@
             config: sync::Arc::new(config),
             loads: snapshot.loads_ms.into(),
             past: restore_past(snapshot.past),
+            routing: sync::Arc::new(codec::decode_routing(snapshot.routing.unwrap_or_default())),
             ..Machine::default()
         };
         for change in snapshot.changes {
@@ -115,6 +119,11 @@
         self.config.clone()
     }
 
+    /// Returns the routing document and the domains out of service.
+    pub fn routing(&self) -> sync::Arc<routing::Routing> {
+        self.routing.clone()
+    }
+
     /// Returns the answered changes.
     pub fn changes(&self) -> &changes::Changes {
         &self.changes
@@ -137,12 +146,31 @@
             record::command::Kind::Claim(request) => self.claim(index, request),
             record::command::Kind::History(request) => self.list_history(&request),
             record::command::Kind::Leave(leave) => self.leave(&leave),
+            record::command::Kind::Publish(publish) => self.publish(publish),
+            record::command::Kind::ReadRouting(_) => {
+                record::reply::Kind::Routing(codec::encode_routing(&self.routing))
+            }
             record::command::Kind::Settle(request) => self.settle(request),
+            record::command::Kind::Shift(shift) => self.shift(index, &shift),
             record::command::Kind::Submit(request) => self.submit(request),
             record::command::Kind::Tick(tick) => self.tick(&tick),
         }
     }
 
+    fn publish(&mut self, publish: record::Publish) -> record::reply::Kind {
+        if publish.version > self.routing.version {
+            sync::Arc::make_mut(&mut self.routing).publish(publish.version, publish.text);
+        }
+        record::reply::Kind::Routed(true)
+    }
+
+    fn shift(&mut self, index: u64, shift: &record::Shift) -> record::reply::Kind {
+        if self.routing.domains_out.contains(&shift.domain) != shift.out {
+            sync::Arc::make_mut(&mut self.routing).shift(index, &shift.domain, shift.out);
+        }
+        record::reply::Kind::Routed(true)
+    }
+
     fn submit(&mut self, request: operator::SubmitRequest) -> record::reply::Kind {
         let answer = match codec::decode_request(request) {
             Some(request) => {
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -11,13 +11,16 @@
 use peargap_core::log::message;
 use peargap_wire::peer as wire;
 use prost::Message as _;
+use tokio::runtime;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tonic::transport;
 
+use crate::addresses;
 use crate::convert;
 use crate::events;
 use crate::replica;
+use crate::worker;
 
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_millis(500);
@@ -43,31 +46,54 @@
     pub(crate) message: message::Message,
 }
 
-/// Queues of messages to the other control hosts.
-pub(crate) type Outboxes = collections::HashMap<Bytes, mpsc::Sender<Outgoing>>;
+/// Queues of messages to the other control hosts, each with a sender that starts when needed.
+#[derive(Debug)]
+pub(crate) struct Outboxes {
+    pub(crate) addresses: addresses::Addresses,
+    /// Where names that peers mention go.
+    pub(crate) inputs: mpsc::Sender<worker::Input>,
+    /// Name of this host.
+    pub(crate) name: String,
+    /// Runs the senders.
+    pub(crate) runtime: runtime::Handle,
+    pub(crate) senders: collections::HashMap<Bytes, mpsc::Sender<Outgoing>>,
+    /// Bounds one delivery.
+    pub(crate) timeout: time::Duration,
+    /// Ends the senders.
+    pub(crate) token: CancellationToken,
+}
 
-/// Starts a sender for each peer; `timeout` bounds one delivery.
-pub(crate) fn spawn_outboxes(
-    name: &str,
-    peers: &collections::BTreeMap<String, net::SocketAddr>,
-    timeout: time::Duration,
-    token: &CancellationToken,
-) -> Outboxes {
-    let mut outboxes = Outboxes::new();
-    for (peer, address) in peers {
+impl Outboxes {
+    /// Queues a message; a full queue loses it, as a network may.
+    pub(crate) fn send(&mut self, outgoing: Outgoing) {
+        let name = outgoing.message.to.name.clone();
+        if !self.senders.contains_key(&name) {
+            let Some(sender) = self.spawn(&name) else {
+                return;
+            };
+            self.senders.insert(name.clone(), sender);
+        }
+        if let Some(sender) = self.senders.get(&name) {
+            let _ = sender.try_send(outgoing);
+        }
+    }
+
+    fn spawn(&self, peer: &Bytes) -> Option<mpsc::Sender<Outgoing>> {
+        let peer = convert::text(peer);
+        let address = self.addresses.find(&peer)?;
         let (sender, queue) = mpsc::channel(QUEUE_MESSAGES);
         let link = Link {
             client: None,
-            endpoint: build_endpoint(*address),
-            name: name.to_owned(),
-            peer: peer.clone(),
+            endpoint: build_endpoint(address),
+            inputs: self.inputs.clone(),
+            name: self.name.clone(),
+            peer,
             reached: true,
-            timeout,
+            timeout: self.timeout,
         };
-        tokio::spawn(link.run(queue, token.clone()));
-        outboxes.insert(Bytes::from(peer.clone()), sender);
+        self.runtime.spawn(link.run(queue, self.token.clone()));
+        Some(sender)
     }
-    outboxes
 }
 
 fn build_endpoint(address: net::SocketAddr) -> transport::Endpoint {
@@ -96,6 +122,7 @@
     client: Option<Client>,
     endpoint: transport::Endpoint,
     /// This host's name.
+    inputs: mpsc::Sender<worker::Input>,
     name: String,
     peer: String,
     reached: bool,
@@ -152,7 +179,16 @@
             return false;
         };
         let sent = tokio::time::timeout_at(deadline, client.deliver(envelope)).await;
-        matches!(sent, Ok(Ok(_receipt)))
+        let Ok(Ok(receipt)) = sent else {
+            return false;
+        };
+        let members = receipt.into_inner().members;
+        if !members.is_empty() {
+            let input = worker::Input::Meet(members.into_iter().map(Bytes::from).collect());
+            // A worker that has ended greets nobody.
+            let _ = self.inputs.send(input).await;
+        }
+        true
     }
 
     fn note(&mut self, delivered: bool) {
@@ -173,18 +209,15 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Forwarder {
     clients: sync::Arc<sync::Mutex<collections::HashMap<String, Client>>>,
-    endpoints: sync::Arc<collections::HashMap<String, transport::Endpoint>>,
+    addresses: addresses::Addresses,
 }
 
 impl Forwarder {
     /// Returns a forwarder that connects when needed.
-    pub(crate) fn new(peers: &collections::BTreeMap<String, net::SocketAddr>) -> Forwarder {
-        let endpoints = peers
-            .iter()
-            .map(|(peer, address)| (peer.clone(), build_endpoint(*address)));
+    pub(crate) fn new(addresses: addresses::Addresses) -> Forwarder {
         Forwarder {
+            addresses,
             clients: sync::Arc::default(),
-            endpoints: sync::Arc::new(endpoints.collect()),
         }
     }
 
@@ -217,7 +250,7 @@
         if known.is_some() {
             return known;
         }
-        let client = connect(self.endpoints.get(peer)?).await.ok()?;
+        let client = connect(&build_endpoint(self.addresses.find(peer)?)).await.ok()?;
         self.lock().insert(peer.to_owned(), client.clone());
         Some(client)
     }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,15 +1,16 @@
 //! The replicated log as the services of this process see it.
 
-use std::collections;
 use std::sync;
 
 use bytes::Bytes;
 use peargap_core::config;
+use peargap_core::routing;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::addresses;
 use crate::machine;
 use crate::peers;
 use crate::worker;
@@ -72,6 +73,8 @@
     pub leader: Option<String>,
     /// Hosts that are catching up, as `name/disk id`.
     pub learners: Vec<String>,
+    /// Names of the hosts that vote or are catching up.
+    pub members: Vec<String>,
     /// What this host does.
     pub role: Role,
     /// Current term.
@@ -94,6 +97,7 @@
     pub(crate) config: watch::Receiver<sync::Arc<config::Config>>,
     pub(crate) forwarder: peers::Forwarder,
     pub(crate) inputs: mpsc::Sender<worker::Input>,
+    pub(crate) routing: watch::Receiver<sync::Arc<routing::Routing>>,
     pub(crate) status: watch::Receiver<Status>,
 }
 
@@ -138,6 +142,11 @@
         self.config.clone()
     }
 
+    /// Returns the applied routing, updated when it changes.
+    pub fn routing(&self) -> watch::Receiver<sync::Arc<routing::Routing>> {
+        self.routing.clone()
+    }
+
     /// Returns the replica's state, updated when it changes.
     pub fn status(&self) -> watch::Receiver<Status> {
         self.status.clone()
@@ -147,6 +156,7 @@
 /// Starts a replica that is alone and keeps nothing; for tests of the services.
 pub fn spawn_volatile(mut machine: machine::Machine) -> Handle {
     let (config, config_seen) = watch::channel(machine.config());
+    let (routing, routing_seen) = watch::channel(machine.routing());
     let (status, status_seen) = watch::channel(Status::default());
     let (inputs, mut queue) = mpsc::channel(QUEUE_PROPOSALS);
     tokio::spawn(async move {
@@ -157,26 +167,25 @@
             };
             index += 1;
             let answer = machine.apply(index, &command);
-            config.send_if_modified(|seen| replace_config(seen, machine.config()));
+            config.send_if_modified(|seen| replace_shared(seen, machine.config()));
+            routing.send_if_modified(|seen| replace_shared(seen, machine.routing()));
             status.send_modify(|status| describe_alone(status, index));
             let _ = reply.send(Answer::Reply(answer));
         }
     });
     Handle {
         config: config_seen,
-        forwarder: peers::Forwarder::new(&collections::BTreeMap::new()),
+        forwarder: peers::Forwarder::new(addresses::Addresses::Listed(sync::Arc::default())),
         inputs,
+        routing: routing_seen,
         status: status_seen,
     }
 }
 
-/// Replaces the configuration when it is another one; returns whether it is.
-pub(crate) fn replace_config(
-    seen: &mut sync::Arc<config::Config>,
-    config: sync::Arc<config::Config>,
-) -> bool {
-    let changed = !sync::Arc::ptr_eq(seen, &config);
-    *seen = config;
+/// Replaces a shared value when it is another one; returns whether it is.
+pub(crate) fn replace_shared<T>(seen: &mut sync::Arc<T>, value: sync::Arc<T>) -> bool {
+    let changed = !sync::Arc::ptr_eq(seen, &value);
+    *seen = value;
     changed
 }
 
--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -24,6 +24,12 @@
         last: log.store().last().index,
         leader: log.leader().map(|leader| convert::text(&leader.name)),
         learners: roster.learners.iter().map(format_member).collect(),
+        members: roster
+            .voters
+            .iter()
+            .chain(&roster.learners)
+            .map(|member| convert::text(&member.name))
+            .collect(),
         role: match log.role() {
             log::Role::Candidate => replica::Role::Candidate,
             log::Role::Follower if is_member => replica::Role::Follower,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -9,6 +9,7 @@
 use std::collections;
 use std::net;
 use std::path;
+use std::sync;
 use std::time;
 
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use peargap_adapters::logs;
 use peargap_adapters::settings;
 
+use crate::addresses;
 use crate::disk;
 
 const ADDRESS: &str = "an address such as 127.0.0.1:7000";
@@ -53,6 +55,8 @@
     pub log_format: logs::Format,
     /// Least severity of log lines.
     pub log_level: logs::Level,
+    /// Who may take part in the log.
+    pub membership: Membership,
     /// Name of this host.
     pub name: String,
     /// SHA-256 digests of the operators' keys.
@@ -61,6 +65,8 @@
     pub operators: net::SocketAddr,
     /// Address in this host's own `[peer]` section, which may stand there for uniformity.
     pub own_address: Option<net::SocketAddr>,
+    /// Address for the platform's operators and upstreams; none where there is no platform.
+    pub platform: Option<net::SocketAddr>,
     /// Internal addresses of the other control hosts by name.
     pub peers: collections::BTreeMap<String, net::SocketAddr>,
     /// Intervals.
@@ -69,6 +75,20 @@
     pub trust_copy: bool,
 }
 
+/// Who may take part in the log, and where the others are.
+#[derive(Clone, Debug)]
+pub enum Membership {
+    /// The hosts with a section `[peer NAME]`.
+    Listed,
+    /// Any host of the deployment. Names are addresses; `seeds` are the ones to greet first.
+    Open {
+        /// Port that every host serves the others at.
+        port: u16,
+        /// Names of some hosts.
+        seeds: Vec<String>,
+    },
+}
+
 /// Intervals of the log's protocol.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
@@ -111,6 +131,8 @@
     let format = logs::Format::default();
     let log_format = reader.optional("log", "format", format, "text or json");
     let timing = read_timing(reader);
+    let membership = read_membership(reader);
+    let platform = reader.list("listen", "platform", ADDRESS).pop();
     let mut peers = read_peers(reader);
     let own_address = name.as_ref().and_then(|name: &String| peers.remove(name));
     Some(Settings {
@@ -126,11 +148,13 @@
         internal: internal?,
         log_format,
         log_level,
+        membership,
         name: name?,
         operator_keys,
         operators: operators?,
         own_address,
         peers,
+        platform,
         timing,
         trust_copy,
     })
@@ -160,6 +184,15 @@
     }
 }
 
+fn read_membership(reader: &mut settings::Reader) -> Membership {
+    let port = reader.optional("membership", "port", 0, "a port");
+    let seeds = reader.list("membership", "seeds", "names of hosts");
+    if port == 0 {
+        return Membership::Listed;
+    }
+    Membership::Open { port, seeds }
+}
+
 fn read_peers(reader: &mut settings::Reader) -> collections::BTreeMap<String, net::SocketAddr> {
     let mut peers = collections::BTreeMap::new();
     for name in reader.list_names("peer") {
@@ -186,6 +219,9 @@
         reader.report(&section, "address", problem);
     }
     for voter in &settings.bootstrap {
+        if matches!(settings.membership, Membership::Open { .. }) {
+            break;
+        }
         if *voter != settings.name && !settings.peers.contains_key(voter) {
             let problem = format!("{voter} has no section [peer {voter}]");
             reader.report("bootstrap", "voters", problem);
@@ -194,6 +230,14 @@
 }
 
 impl Settings {
+    /// Returns where the other control hosts are.
+    pub(crate) fn addresses(&self) -> addresses::Addresses {
+        match self.membership {
+            Membership::Listed => addresses::Addresses::Listed(sync::Arc::new(self.peers.clone())),
+            Membership::Open { port, .. } => addresses::Addresses::Named { port },
+        }
+    }
+
     /// Returns what the log needs of them.
     pub(crate) fn log_settings(&self) -> peargap_core::log::Settings {
         let names = |names: &mut dyn Iterator<Item = &String>| {
@@ -206,7 +250,13 @@
             keep_bytes: KEEP_BYTES,
             keep_entries: KEEP_ENTRIES,
             learner_lag: LEARNER_LAG_ENTRIES,
-            peers: names(&mut self.peers.keys()),
+            open: matches!(self.membership, Membership::Open { .. }),
+            peers: match &self.membership {
+                Membership::Listed => names(&mut self.peers.keys()),
+                Membership::Open { seeds, .. } => {
+                    names(&mut seeds.iter().filter(|seed| **seed != self.name))
+                }
+            },
         }
     }
 }
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -9,6 +9,7 @@
 use peargap_core::log::effect;
 use peargap_core::log::entry;
 use peargap_core::log::message;
+use peargap_core::routing;
 use rand::RngExt as _;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -43,6 +44,8 @@
         clocks: Clocks,
         message: Box<message::Message>,
     },
+    /// Another host named these hosts as members.
+    Meet(Vec<Bytes>),
     /// A command to be committed, if this host leads.
     Propose { command: Bytes, reply: waits::Reply },
     /// The process stops: hand over, then end.
@@ -63,6 +66,7 @@
 pub(crate) struct Outputs {
     pub(crate) config: watch::Sender<sync::Arc<config::Config>>,
     pub(crate) outboxes: peers::Outboxes,
+    pub(crate) routing: watch::Sender<sync::Arc<routing::Routing>>,
     pub(crate) status: watch::Sender<replica::Status>,
 }
 
@@ -148,6 +152,7 @@
             return worker.start_over();
         }
         worker.publish();
+        worker.show();
         Ok(worker)
     }
 
@@ -198,6 +203,9 @@
                     grants.extend(self.hear(clocks, &message));
                     effects.extend(self.log.handle(effect::Event::Message(*message)));
                 }
+                Input::Meet(names) => {
+                    effects.extend(self.log.handle(effect::Event::Meet(names)));
+                }
                 Input::Propose { command, reply } => {
                     let taken = self.take_proposal(command, reply, &mut pending);
                     proposals.extend(taken);
@@ -302,10 +310,7 @@
         renounced
     }
 
-    fn send(&self, message: message::Message, now: time::Instant) {
-        let Some(outbox) = self.outputs.outboxes.get(&message.to.name) else {
-            return;
-        };
+    fn send(&mut self, message: message::Message, now: time::Instant) {
         let is_leader = self.log.role() == log::Role::Leader && self.is_current();
         let grant = is_leader.then(|| self.lease.grant(&message.to.name));
         let (echo_ms, lease_ms) = grant.flatten().unwrap_or_default();
@@ -315,8 +320,7 @@
             lease_ms,
             message,
         };
-        // A full queue loses the message, as a network may.
-        let _ = outbox.try_send(outgoing);
+        self.outputs.outboxes.send(outgoing);
     }
 
     /// Returns whether this leader has committed an entry of its own term.
@@ -343,10 +347,19 @@
             self.applied = index;
             self.waits.answer(position, reply);
         }
+        self.show();
+    }
+
+    /// Shows the applied state to the services.
+    fn show(&self) {
         let config = self.machine.config();
         self.outputs
             .config
-            .send_if_modified(|seen| replica::replace_config(seen, config));
+            .send_if_modified(|seen| replica::replace_shared(seen, config));
+        let routing = self.machine.routing();
+        self.outputs
+            .routing
+            .send_if_modified(|seen| replica::replace_shared(seen, routing));
     }
 
     /// Ends the waits of a leader that no longer leads.
--- /dev/null
+++ b/crates/core/src/balance.rs
@@ -0,0 +1,155 @@
+//! Picks an upstream by what all gateways have sent to each.
+//!
+//! Load: many gateways place requests on the same upstreams and hear of each other's placements a
+//! few hundred milliseconds late, so the best ones are drawn from, not all taken in turn. For
+//! engines the memory that running generations and their copies hold counts before the number of
+//! requests: prompts and answers differ in size by a factor of ten.
+
+use rand::Rng;
+use rand::RngExt as _;
+
+/// Share of an engine's memory that running generations may hold by estimate. The rest is for
+/// answers that grow longer than estimated.
+const MEMORY_SHARE: f64 = 0.9;
+/// Share of an engine's memory up to which copies are added. Above it a copy would take the room
+/// of the next request.
+const COPY_SHARE: f64 = 0.8;
+/// Scores this close count as equal.
+const SCORE_MARGIN: f64 = 0.04;
+/// Weight of the requests that run against the memory that they hold.
+const RUNNING_WEIGHT: f64 = 0.4;
+/// What a candidate in another failure domain is behind by.
+const REMOTE_SCORE: f64 = 0.02;
+
+/// What is known of an upstream's load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Tokens that copies of generations elsewhere hold.
+    pub copied: u64,
+    /// Requests that run or wait there.
+    pub running: u32,
+    /// Tokens that running generations hold.
+    pub tokens: u64,
+}
+
+impl Load {
+    /// Returns both loads together.
+    #[must_use]
+    pub fn plus(self, other: Load) -> Load {
+        Load {
+            copied: self.copied + other.copied,
+            running: self.running + other.running,
+            tokens: self.tokens + other.tokens,
+        }
+    }
+}
+
+/// An upstream that may be picked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate<K> {
+    /// Whether it is in the failure domain asked for.
+    pub is_near: bool,
+    /// Who it is.
+    pub key: K,
+    /// What it has to do.
+    pub load: Load,
+    /// Tokens that it can hold; 0 for plain services.
+    pub memory: u64,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Choice<K> {
+    /// Every candidate is full.
+    Full,
+    /// There is no candidate.
+    Nobody,
+    /// Send it there.
+    Take(K),
+}
+
+/// Picks an engine for a generation that needs `tokens`.
+pub fn choose_engine<K: Copy, R: Rng + ?Sized>(
+    candidates: &[Candidate<K>],
+    tokens: u64,
+    random: &mut R,
+) -> Choice<K> {
+    if candidates.is_empty() {
+        return Choice::Nobody;
+    }
+    let fits = |candidate: &Candidate<K>| {
+        let held = candidate.load.tokens + tokens;
+        candidate.load.running < candidate.slots
+            && ratio(held, candidate.memory) <= MEMORY_SHARE
+    };
+    let score = |candidate: &Candidate<K>| {
+        let held = candidate.load.tokens + candidate.load.copied + tokens;
+        let running = f64::from(candidate.load.running) / f64::from(candidate.slots.max(1));
+        ratio(held, candidate.memory) + RUNNING_WEIGHT * running + remote_score(candidate)
+    };
+    choose_least(candidates.iter().filter(|candidate| fits(candidate)), score, random)
+}
+
+/// Picks an engine that receives a copy of a generation which holds `tokens`.
+pub fn choose_copy<K: Copy, R: Rng + ?Sized>(
+    candidates: &[Candidate<K>],
+    tokens: u64,
+    random: &mut R,
+) -> Choice<K> {
+    let fill = |candidate: &Candidate<K>| {
+        let held = candidate.load.tokens + candidate.load.copied + tokens;
+        ratio(held, candidate.memory)
+    };
+    let fits = |candidate: &Candidate<K>| fill(candidate) <= COPY_SHARE;
+    let score = |candidate: &Candidate<K>| fill(candidate) + remote_score(candidate);
+    choose_least(candidates.iter().filter(|candidate| fits(candidate)), score, random)
+}
+
+/// Picks an upstream of a plain service.
+pub fn choose_plain<K: Copy, R: Rng + ?Sized>(
+    candidates: &[Candidate<K>],
+    random: &mut R,
+) -> Choice<K> {
+    if candidates.is_empty() {
+        return Choice::Nobody;
+    }
+    let score = |candidate: &Candidate<K>| {
+        f64::from(candidate.load.running) / f64::from(candidate.slots.max(1))
+    };
+    choose_least(candidates.iter(), score, random)
+}
+
+/// Draws among the candidates whose score is close to the least.
+fn choose_least<'a, K: Copy + 'a, R: Rng + ?Sized>(
+    candidates: impl Iterator<Item = &'a Candidate<K>>,
+    score: impl Fn(&Candidate<K>) -> f64,
+    random: &mut R,
+) -> Choice<K> {
+    let scored: Vec<_> = candidates
+        .map(|candidate| (score(candidate), candidate.key))
+        .collect();
+    let least = scored.iter().map(|(score, _key)| *score).fold(f64::INFINITY, f64::min);
+    let close: Vec<K> = scored
+        .iter()
+        .filter(|(score, _key)| *score <= least + SCORE_MARGIN)
+        .map(|(_score, key)| *key)
+        .collect();
+    match close.len() {
+        0 => Choice::Full,
+        count => Choice::Take(close[random.random_range(0..count)]),
+    }
+}
+
+fn remote_score<K>(candidate: &Candidate<K>) -> f64 {
+    match candidate.is_near {
+        true => 0.0,
+        false => REMOTE_SCORE,
+    }
+}
+
+#[allow(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
+fn ratio(tokens: u64, memory: u64) -> f64 {
+    tokens as f64 / memory.max(1) as f64
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admit;
 pub mod assign;
+pub mod balance;
 pub mod batch;
 pub mod breaker;
 pub mod cached;
@@ -13,6 +14,7 @@
 pub mod clock;
 pub mod config;
 pub mod curve;
+pub mod event;
 pub mod fair;
 pub mod fences;
 pub mod fetch;
@@ -28,7 +30,10 @@
 pub mod ramp;
 pub mod replay;
 pub mod retry;
+pub mod routes;
+pub mod routing;
 mod runs;
 pub mod seen;
 pub mod table;
 pub mod time;
+pub mod upstreams;
--- a/crates/core/src/log/effect.rs
+++ b/crates/core/src/log/effect.rs
@@ -38,6 +38,8 @@
     },
     /// The process stops soon.
     HandOver,
+    /// Another host named these hosts as members.
+    Meet(Vec<Bytes>),
     /// A message arrived.
     Message(message::Message),
     /// Commands to be ordered.
--- a/crates/core/src/log/join.rs
+++ b/crates/core/src/log/join.rs
@@ -12,7 +12,7 @@
 impl replica::Replica {
     /// Tells every other host that this one has started, or waits to be let in.
     pub(crate) fn announce(&self, effects: &mut effect::Effects) {
-        for name in &self.settings.peers {
+        for name in &self.peers {
             let to = member::Member {
                 disk: member::ANY_DISK,
                 name: name.clone(),
@@ -25,6 +25,15 @@
         }
     }
 
+    /// Remembers hosts to greet, where any host may take part.
+    pub(crate) fn meet(&mut self, names: &[Bytes]) {
+        if !self.settings.open {
+            return;
+        }
+        let others = names.iter().filter(|name| **name != self.me.name);
+        self.peers.extend(others.cloned());
+    }
+
     /// Tells a fresh host whether this one is fresh too, and one on a copied disk whether this
     /// one runs on a copy too.
     pub(crate) fn answer_hello(
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -41,7 +41,9 @@
     pub keep_entries: u64,
     /// A learner that lags at most this many entries may vote.
     pub learner_lag: u64,
-    /// Names of the other hosts that may take part.
+    /// Any host that greets may take part, also one that `peers` does not name.
+    pub open: bool,
+    /// Names of the other hosts that are known at the start.
     pub peers: collections::BTreeSet<Bytes>,
 }
 
--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::sync;
 
+use bytes::Bytes;
 use statig::Outcome;
 
 use crate::log;
@@ -34,6 +35,8 @@
     /// Snapshot that is arriving.
     pub(crate) incoming: Option<message::Install>,
     pub(crate) me: member::Member,
+    /// Names of the other hosts to greet.
+    pub(crate) peers: collections::BTreeSet<Bytes>,
     pub(crate) run: u64,
     pub(crate) settings: sync::Arc<log::Settings>,
     pub(crate) store: store::Store,
@@ -70,6 +73,7 @@
             hard,
             incoming: None,
             me,
+            peers: settings.peers.clone(),
             run,
             settings,
             store,
@@ -384,6 +388,7 @@
         match event {
             effect::Event::Campaign => return self.campaign(context),
             effect::Event::Compact { data, index } => self.compact(*index, data, context),
+            effect::Event::Meet(names) => self.meet(names),
             effect::Event::Message(message) => match &message.kind {
                 message::Kind::Append(_) | message::Kind::Install(_) => {
                     if message.term < self.hard.term {
--- a/crates/core/src/log/roster.rs
+++ b/crates/core/src/log/roster.rs
@@ -68,7 +68,8 @@
     }
 
     fn may_join(&self, from: &member::Member) -> bool {
-        from.name != self.me.name && self.settings.peers.contains(&from.name)
+        let is_known = self.settings.open || self.settings.peers.contains(&from.name);
+        from.name != self.me.name && is_known
     }
 
     /// Returns whether the voter of this name has answered lately.
--- /dev/null
+++ b/crates/core/src/routes.rs
@@ -0,0 +1,384 @@
+//! Routes by host and path prefix, the services behind them and the teams that may use them.
+
+use std::collections;
+
+/// Place of a service in its [`Table`].
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ServiceKey(u32);
+
+/// Place of a route in its [`Table`].
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RouteKey(u32);
+
+/// Place of a team in its [`Table`].
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TeamKey(u32);
+
+/// How often a request may run, and what its answer is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// May run more than once.
+    Idempotent,
+    /// May run once at most.
+    Once,
+    /// May run once at most; the answer is a stream of events.
+    Stream,
+}
+
+/// A share of a route's requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share {
+    /// Where they go.
+    pub service: ServiceKey,
+    /// Weight against the route's other shares.
+    pub weight: f64,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Upstreams that one request may run on, at most.
+    pub attempts: u32,
+    /// Longest pause between two events that still counts as on time, in milliseconds.
+    pub gap_ms: Option<u64>,
+    /// Value of the `Host` header, in lower case.
+    pub host: String,
+    /// How often a request may run.
+    pub kind: Kind,
+    /// Name.
+    pub name: String,
+    /// Time in which an answer is on time, in milliseconds.
+    pub objective_ms: u64,
+    /// Path prefix; begins and ends with a slash.
+    pub prefix: String,
+    /// Whether requests need no key.
+    pub public: bool,
+    /// Importance; 0 is the highest.
+    pub rank: u32,
+    /// Services that the requests are split among.
+    pub shares: Vec<Share>,
+    /// Longest time that a request may wait for its whole answer, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+/// What a service's engines can do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Engine {
+    /// Keeps a second copy of a running generation's memory on another engine.
+    pub backs_up: bool,
+    /// Time that an unused copy is kept, in milliseconds.
+    pub copy_ms: u64,
+    /// Memory for running requests and cached prompts, in tokens.
+    pub memory_tokens: u64,
+    /// Copies a running generation's memory to another engine on demand.
+    pub moves: bool,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens in one event of a stream.
+    pub stride: u64,
+}
+
+/// A group of alike upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Requests a second that an upstream carries after its start; none when it has no cold start.
+    pub cold_per_s: Option<f64>,
+    /// Connections that one upstream accepts from all gateways together.
+    pub connections: u32,
+    /// Set for model engines.
+    pub engine: Option<Engine>,
+    /// Name.
+    pub name: String,
+}
+
+/// A team.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Team {
+    /// Keys that its requests carry.
+    pub keys: Vec<String>,
+    /// Name.
+    pub name: String,
+    /// Importance of its requests in place of the route's.
+    pub rank: Option<u32>,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Longest body in bytes.
+    pub body_bytes: u64,
+    /// Longest head in bytes.
+    pub head_bytes: u64,
+    /// Time for a request's head, in milliseconds.
+    pub head_ms: u64,
+    /// Time that a connection may be idle, in milliseconds.
+    pub idle_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            body_bytes: 4 << 20,
+            head_bytes: 16 << 10,
+            head_ms: 3000,
+            idle_ms: 15_000,
+        }
+    }
+}
+
+/// A share of a route as written: the service by its name.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NamedShare {
+    /// Name of the service.
+    pub service: String,
+    /// Weight against the route's other shares.
+    pub weight: f64,
+}
+
+/// A route as written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Draft {
+    /// The route; its shares are filled in by [`Table::build`].
+    pub route: Route,
+    /// Its shares.
+    pub shares: Vec<NamedShare>,
+}
+
+/// Everything a routing document says, before it is checked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Source {
+    /// What callers may send.
+    pub limits: Limits,
+    /// Routes.
+    pub routes: Vec<Draft>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Teams; none when requests need no keys.
+    pub teams: Option<Vec<Team>>,
+    /// Version.
+    pub version: u64,
+}
+
+/// One thing wrong in a routing document.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Finding {
+    /// Which part, such as `route r1`.
+    pub place: String,
+    /// What is wrong there.
+    pub problem: String,
+}
+
+impl core::fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        write!(formatter, "{}: {}", self.place, self.problem)
+    }
+}
+
+/// The answer to a request's host and path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Access {
+    /// The key belongs to no team, or is missing.
+    Denied,
+    /// The request may go on, for a team where it needs one.
+    Granted {
+        /// The route.
+        route: RouteKey,
+        /// The team.
+        team: Option<TeamKey>,
+    },
+    /// No route matches.
+    Unknown,
+}
+
+/// A checked routing document.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    /// Routes of each host, longest prefix first.
+    hosts: collections::HashMap<String, Vec<RouteKey>>,
+    keys: collections::HashMap<String, TeamKey>,
+    limits: Limits,
+    needs_keys: bool,
+    routes: Vec<Route>,
+    services: Vec<Service>,
+    teams: Vec<Team>,
+    version: u64,
+}
+
+impl Table {
+    /// Returns the table of a document, or everything that is wrong in it.
+    pub fn build(source: Source) -> Result<Table, Vec<Finding>> {
+        let mut findings = Vec::new();
+        let mut table = Table {
+            limits: source.limits,
+            needs_keys: source.teams.is_some(),
+            services: source.services,
+            teams: source.teams.unwrap_or_default(),
+            version: source.version,
+            ..Table::default()
+        };
+        table.index_keys(&mut findings);
+        for draft in source.routes {
+            table.add_route(draft, &mut findings);
+        }
+        table.sort_hosts();
+        match findings.is_empty() {
+            true => Ok(table),
+            false => Err(findings),
+        }
+    }
+
+    fn index_keys(&mut self, findings: &mut Vec<Finding>) {
+        for (index, team) in self.teams.iter().enumerate() {
+            for key in &team.keys {
+                let holder = TeamKey(count(index));
+                let former = self.keys.insert(key.clone(), holder);
+                if former.is_some_and(|former| former != holder) {
+                    findings.push(Finding {
+                        place: format!("team {}", team.name),
+                        problem: "holds a key of another team".to_owned(),
+                    });
+                }
+            }
+        }
+    }
+
+    fn add_route(&mut self, draft: Draft, findings: &mut Vec<Finding>) {
+        let Draft { mut route, shares } = draft;
+        let mut report = |problem: String| {
+            findings.push(Finding {
+                place: format!("route {}", route.name),
+                problem,
+            });
+        };
+        if route.timeout_ms == 0 {
+            report("has a timeout of 0".to_owned());
+        }
+        if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+            report(format!("prefix {:?} needs slashes at both ends", route.prefix));
+        }
+        let total: f64 = shares.iter().map(|share| share.weight).sum();
+        if total <= 0.0 || shares.iter().any(|share| share.weight < 0.0) {
+            report("has no share with a weight above 0".to_owned());
+        }
+        let same_host = self.hosts.entry(route.host.clone()).or_default();
+        let is_same = |key: &RouteKey| self.routes[key.index()].prefix == route.prefix;
+        if same_host.iter().any(is_same) {
+            report("has the host and prefix of another route".to_owned());
+        }
+        for share in shares {
+            let is_meant = |service: &Service| service.name == share.service;
+            match self.services.iter().position(is_meant) {
+                Some(index) => route.shares.push(Share {
+                    service: ServiceKey(count(index)),
+                    weight: share.weight,
+                }),
+                None => report(format!("service {:?} is unknown", share.service)),
+            }
+        }
+        same_host.push(RouteKey(count(self.routes.len())));
+        self.routes.push(route);
+    }
+
+    fn sort_hosts(&mut self) {
+        for keys in self.hosts.values_mut() {
+            let routes = &self.routes;
+            keys.sort_by_key(|key| core::cmp::Reverse(routes[key.index()].prefix.len()));
+        }
+    }
+
+    /// Returns the route with the longest prefix of the path, and the team of the key.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Access {
+        let host = host.to_ascii_lowercase();
+        let keys = self.hosts.get(&host).map_or(&[][..], Vec::as_slice);
+        let mut matching = keys.iter().copied();
+        let found = matching.find(|key| path.starts_with(&self.route(*key).prefix));
+        let Some(route) = found else {
+            return Access::Unknown;
+        };
+        if self.route(route).public || !self.needs_keys {
+            return Access::Granted { route, team: None };
+        }
+        match key.and_then(|key| self.keys.get(key)) {
+            Some(team) => Access::Granted {
+                route,
+                team: Some(*team),
+            },
+            None => Access::Denied,
+        }
+    }
+
+    /// Returns a service of the route; `draw` is a random number from 0 to 1.
+    #[must_use]
+    pub fn split(&self, route: RouteKey, draw: f64) -> ServiceKey {
+        let shares = &self.route(route).shares;
+        let total: f64 = shares.iter().map(|share| share.weight).sum();
+        let mut left = draw * total;
+        for share in shares {
+            left -= share.weight;
+            if left < 0.0 {
+                return share.service;
+            }
+        }
+        let heavy = shares.iter().rev().find(|share| share.weight > 0.0);
+        heavy.map_or(ServiceKey(0), |share| share.service)
+    }
+
+    /// Returns a route.
+    #[must_use]
+    pub fn route(&self, key: RouteKey) -> &Route {
+        &self.routes[key.index()]
+    }
+
+    /// Returns a service.
+    #[must_use]
+    pub fn service(&self, key: ServiceKey) -> &Service {
+        &self.services[key.index()]
+    }
+
+    /// Returns a service by its name.
+    #[must_use]
+    pub fn service_named(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == name)
+    }
+
+    /// Returns a team.
+    #[must_use]
+    pub fn team(&self, key: TeamKey) -> &Team {
+        &self.teams[key.index()]
+    }
+
+    /// Returns what callers may send.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Returns the document's version.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+}
+
+impl RouteKey {
+    fn index(self) -> usize {
+        usize::try_from(self.0).unwrap_or(usize::MAX)
+    }
+}
+
+impl ServiceKey {
+    fn index(self) -> usize {
+        usize::try_from(self.0).unwrap_or(usize::MAX)
+    }
+}
+
+impl TeamKey {
+    fn index(self) -> usize {
+        usize::try_from(self.0).unwrap_or(usize::MAX)
+    }
+}
+
+fn count(index: usize) -> u32 {
+    u32::try_from(index).unwrap_or(u32::MAX)
+}
--- a/crates/core/tests/model/mod.rs
+++ b/crates/core/tests/model/mod.rs
@@ -119,6 +119,7 @@
             keep_bytes: 0,
             keep_entries: 0,
             learner_lag: 0,
+            open: false,
             peers: names.iter().cloned().collect(),
         };
         let mut world = World {
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,23 @@
+//! Log events of a gateway; `docs/EVENTS.md` is their catalogue.
+
+use peargap_adapters::logs;
+
+pub(crate) const STARTED: logs::Event = logs::Event::info(6001, "gateway started");
+pub(crate) const STOPPING: logs::Event = logs::Event::info(6002, "gateway stopping");
+pub(crate) const STOPPED: logs::Event = logs::Event::info(6003, "gateway stopped");
+pub(crate) const CONTROL_LINKED: logs::Event = logs::Event::info(6004, "control host followed");
+pub(crate) const CONTROL_LOST: logs::Event = logs::Event::warn(6005, "control host lost");
+pub(crate) const DOCUMENT_APPLIED: logs::Event = logs::Event::info(6006, "document in force");
+pub(crate) const DOCUMENT_UNREADABLE: logs::Event =
+    logs::Event::error(6007, "document not readable");
+pub(crate) const OUTAGE_APPLIED: logs::Event = logs::Event::info(6008, "domains out in force");
+pub(crate) const UPSTREAM_CHANGED: logs::Event = logs::Event::info(6009, "upstream changed");
+pub(crate) const REQUEST_PLACED: logs::Event = logs::Event::info(6010, "request placed");
+pub(crate) const REQUEST_REFUSED: logs::Event = logs::Event::info(6011, "request refused");
+pub(crate) const REQUEST_ENDED: logs::Event = logs::Event::info(6012, "request ended");
+pub(crate) const ATTEMPT_FAILED: logs::Event = logs::Event::warn(6013, "attempt failed");
+pub(crate) const MOVE_STARTED: logs::Event = logs::Event::info(6014, "generation moves");
+pub(crate) const MOVE_FAILED: logs::Event = logs::Event::warn(6015, "move failed");
+pub(crate) const MOVE_DONE: logs::Event = logs::Event::info(6016, "generation moved");
+pub(crate) const CALLER_FAILED: logs::Event = logs::Event::debug(6017, "caller's connection ended");
+pub(crate) const ACCEPT_FAILED: logs::Event = logs::Event::warn(6018, "connection not accepted");
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,468 @@
+//! What a gateway knows: routes, domains out of service, upstreams and their load.
+
+use std::collections;
+use std::net;
+use std::sync;
+
+use peargap_adapters::clock;
+use peargap_adapters::logs;
+use peargap_core::balance;
+use peargap_core::breaker;
+use peargap_core::routes;
+use peargap_core::time;
+use peargap_core::upstreams;
+use peargap_wire::fleet as wire;
+use slotmap::SlotMap;
+use tokio::sync::watch;
+
+use crate::events;
+use crate::pool;
+
+slotmap::new_key_type! {
+    /// An upstream's place.
+    pub(crate) struct UpstreamKey;
+}
+
+/// Time after which an upstream that left or fell silent is forgotten.
+const FORGET_MS: u64 = 30_000;
+/// How much more than the announced rate a cold upstream is sent in a second, over all gateways.
+const COLD_SHARE: f64 = 1.0;
+
+/// What one gateway knows; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Fleet {
+    pub(crate) clock: clock::Clock,
+    changed: sync::Arc<watch::Sender<u64>>,
+    domain: sync::Arc<str>,
+    state: sync::Arc<sync::Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    domains_out: collections::BTreeSet<String>,
+    gateways: u32,
+    names: collections::HashMap<String, UpstreamKey>,
+    revision: u64,
+    table: Option<sync::Arc<routes::Table>>,
+    upstreams: SlotMap<UpstreamKey, Upstream>,
+    version: u64,
+}
+
+#[derive(Debug)]
+struct Upstream {
+    breaker: breaker::Breaker,
+    cold_until: time::Instant,
+    /// Start of the present second of the cold limit, and what was sent in it.
+    cold_second: time::Instant,
+    cold_sent: u32,
+    heard: time::Instant,
+    /// What the other gateways have sent.
+    others: balance::Load,
+    /// What this gateway has sent.
+    own: balance::Load,
+    pool: sync::Arc<pool::Pool>,
+    word: upstreams::Word,
+}
+
+/// An upstream that a request was placed on; what it holds there is given back on drop.
+#[derive(Debug)]
+pub(crate) struct Place {
+    /// IP address and port.
+    pub(crate) address: String,
+    fleet: Fleet,
+    pub(crate) key: UpstreamKey,
+    load: balance::Load,
+    /// Name of the upstream.
+    pub(crate) name: String,
+    pub(crate) pool: sync::Arc<pool::Pool>,
+}
+
+/// Why no upstream was picked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Miss {
+    /// All are full.
+    Full,
+    /// None takes new work.
+    Nobody,
+}
+
+/// What a request needs of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Need<'a> {
+    /// Upstreams that are not to be picked.
+    pub(crate) except: &'a [UpstreamKey],
+    pub(crate) service: &'a routes::Service,
+    /// Tokens that a generation holds, by estimate.
+    pub(crate) tokens: u64,
+}
+
+impl Fleet {
+    /// Returns an empty fleet as seen from a failure domain.
+    pub(crate) fn new(domain: &str) -> Fleet {
+        Fleet {
+            changed: sync::Arc::new(watch::Sender::new(0)),
+            clock: clock::Clock::start(),
+            domain: sync::Arc::from(domain),
+            state: sync::Arc::default(),
+        }
+    }
+
+    /// Returns the routes in force; none before the first document.
+    pub(crate) fn table(&self) -> Option<sync::Arc<routes::Table>> {
+        self.lock().table.clone()
+    }
+
+    /// Puts a routing table in force unless a newer one is.
+    pub(crate) fn apply_table(&self, table: routes::Table) {
+        let mut state = self.lock();
+        if table.version() <= state.version {
+            return;
+        }
+        state.version = table.version();
+        state.table = Some(sync::Arc::new(table));
+        logs::emit(
+            events::DOCUMENT_APPLIED,
+            format_args!("version={}", state.version),
+        );
+    }
+
+    /// Returns the version of the routes in force.
+    pub(crate) fn version(&self) -> u64 {
+        self.lock().version
+    }
+
+    /// Puts the domains out of service in force unless newer ones are.
+    pub(crate) fn apply_outage(&self, revision: u64, domains: Vec<String>) {
+        let mut state = self.lock();
+        if revision <= state.revision {
+            return;
+        }
+        state.revision = revision;
+        state.domains_out = domains.into_iter().collect();
+        logs::emit(
+            events::OUTAGE_APPLIED,
+            format_args!("revision={revision} domains={:?}", state.domains_out),
+        );
+        drop(state);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Takes an upstream's word.
+    pub(crate) fn hear(&self, word: upstreams::Word) {
+        let now = self.clock.now();
+        let outcome = self.lock().hear(now, word.clone());
+        if outcome == upstreams::Outcome::Changed {
+            logs::emit(
+                events::UPSTREAM_CHANGED,
+                format_args!(
+                    "upstream={} service={} address={} domain={} state={:?} cold_ms={} born_ms={} \
+                     sequence={}",
+                    word.name,
+                    word.service,
+                    word.address,
+                    word.domain,
+                    word.state,
+                    word.cold_ms,
+                    word.edition.born_ms,
+                    word.edition.sequence
+                ),
+            );
+            self.changed.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Takes what the other gateways have sent to each upstream.
+    pub(crate) fn hear_loads(&self, gateways: u32, loads: &[wire::Load]) {
+        let mut state = self.lock();
+        state.gateways = gateways;
+        for upstream in state.upstreams.values_mut() {
+            upstream.others = balance::Load::default();
+        }
+        for load in loads {
+            let Some(key) = state.names.get(&load.upstream).copied() else {
+                continue;
+            };
+            if let Some(upstream) = state.upstreams.get_mut(key) {
+                upstream.others = balance::Load {
+                    copied: u64::from(load.copied),
+                    running: load.running,
+                    tokens: u64::from(load.tokens),
+                };
+            }
+        }
+    }
+
+    /// Returns what this gateway has sent to each upstream.
+    pub(crate) fn list_loads(&self) -> Vec<wire::Load> {
+        let state = self.lock();
+        let loaded = state.upstreams.values();
+        let loaded = loaded.filter(|upstream| upstream.own != balance::Load::default());
+        let loads = loaded.map(|upstream| wire::Load {
+            copied: u32::try_from(upstream.own.copied).unwrap_or(u32::MAX),
+            running: upstream.own.running,
+            tokens: u32::try_from(upstream.own.tokens).unwrap_or(u32::MAX),
+            upstream: upstream.word.name.clone(),
+        });
+        loads.collect()
+    }
+
+    /// Returns a number that changes whenever an upstream or an outage does.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Returns whether an upstream is to be left.
+    pub(crate) fn is_leaving(&self, key: UpstreamKey) -> bool {
+        let state = self.lock();
+        let Some(upstream) = state.upstreams.get(key) else {
+            return true;
+        };
+        match upstream.word.state {
+            upstreams::State::Draining | upstreams::State::Left => true,
+            upstreams::State::Ready | upstreams::State::Silent => false,
+        }
+    }
+
+    /// Returns whether a copy at an upstream can be expected to be there.
+    pub(crate) fn is_steady(&self, key: UpstreamKey) -> bool {
+        let state = self.lock();
+        let upstream = state.upstreams.get(key);
+        upstream.is_some_and(|upstream| {
+            upstream.word.state == upstreams::State::Ready
+                && !state.domains_out.contains(&upstream.word.domain)
+        })
+    }
+
+    /// Picks an upstream for a plain call.
+    pub(crate) fn place_plain(&self, need: Need<'_>) -> Result<Place, Miss> {
+        let load = balance::Load {
+            copied: 0,
+            running: 1,
+            tokens: 0,
+        };
+        self.place(need, load, |candidates| {
+            balance::choose_plain(candidates, &mut rand::rng())
+        })
+    }
+
+    /// Picks an engine for a generation.
+    pub(crate) fn place_generation(&self, need: Need<'_>) -> Result<Place, Miss> {
+        let load = balance::Load {
+            copied: 0,
+            running: 1,
+            tokens: need.tokens,
+        };
+        self.place(need, load, |candidates| {
+            balance::choose_engine(candidates, need.tokens, &mut rand::rng())
+        })
+    }
+
+    /// Picks an engine for the copy of a generation.
+    pub(crate) fn place_copy(&self, need: Need<'_>) -> Result<Place, Miss> {
+        let load = balance::Load {
+            copied: need.tokens,
+            running: 0,
+            tokens: 0,
+        };
+        self.place(need, load, |candidates| {
+            balance::choose_copy(candidates, need.tokens, &mut rand::rng())
+        })
+    }
+
+    /// Places a generation on one engine, where its memory already lies.
+    pub(crate) fn place_at(&self, key: UpstreamKey, need: Need<'_>) -> Option<Place> {
+        let load = balance::Load {
+            copied: 0,
+            running: 1,
+            tokens: need.tokens,
+        };
+        let mut state = self.lock();
+        let upstream = state.upstreams.get_mut(key)?;
+        Some(upstream.take(self, key, load))
+    }
+
+    fn place(
+        &self,
+        need: Need<'_>,
+        load: balance::Load,
+        choose: impl FnOnce(&[balance::Candidate<UpstreamKey>]) -> balance::Choice<UpstreamKey>,
+    ) -> Result<Place, Miss> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let candidates = state.list_candidates(now, need, &self.domain);
+        let key = match choose(&candidates) {
+            balance::Choice::Full => return Err(Miss::Full),
+            balance::Choice::Nobody => return Err(Miss::Nobody),
+            balance::Choice::Take(key) => key,
+        };
+        let upstream = state.upstreams.get_mut(key).ok_or(Miss::Nobody)?;
+        if load.running > 0 {
+            upstream.count_cold(now);
+            if upstream.breaker.check(now) == breaker::Pass::Probe {
+                upstream.breaker.probed(now);
+            }
+        }
+        Ok(upstream.take(self, key, load))
+    }
+
+    /// Notes how a call to an upstream went.
+    pub(crate) fn note(&self, key: UpstreamKey, succeeded: bool) {
+        let now = self.clock.now();
+        if let Some(upstream) = self.lock().upstreams.get_mut(key) {
+            match succeeded {
+                true => upstream.breaker.succeeded(),
+                false => upstream.breaker.failed(now),
+            }
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        let locked = self.state.lock();
+        locked.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn hear(&mut self, now: time::Instant, word: upstreams::Word) -> upstreams::Outcome {
+        self.forget(now);
+        let Ok(address) = word.address.parse::<net::SocketAddr>() else {
+            return upstreams::Outcome::Stale;
+        };
+        let cold_until = now + core::time::Duration::from_millis(word.cold_ms);
+        let known = self.names.get(&word.name).copied();
+        let known = known.and_then(|key| self.upstreams.get_mut(key));
+        let Some(known) = known else {
+            let name = word.name.clone();
+            let key = self.upstreams.insert(Upstream {
+                breaker: breaker::Breaker::new(),
+                cold_second: now,
+                cold_sent: 0,
+                cold_until,
+                heard: now,
+                others: balance::Load::default(),
+                own: balance::Load::default(),
+                pool: sync::Arc::new(pool::Pool::new(address)),
+                word,
+            });
+            self.names.insert(name, key);
+            return upstreams::Outcome::Changed;
+        };
+        let outcome = upstreams::judge(&known.word, &word);
+        if outcome == upstreams::Outcome::Stale {
+            return outcome;
+        }
+        // Another start, or another address, has nothing of the old connections.
+        let is_same = known.word.edition.born_ms == word.edition.born_ms
+            && known.word.address == word.address;
+        if !is_same {
+            known.breaker = breaker::Breaker::new();
+            known.pool = sync::Arc::new(pool::Pool::new(address));
+        }
+        known.cold_until = cold_until;
+        known.heard = now;
+        known.word = word;
+        outcome
+    }
+
+    fn forget(&mut self, now: time::Instant) {
+        let names = &mut self.names;
+        self.upstreams.retain(|_key, upstream| {
+            let is_gone = match upstream.word.state {
+                upstreams::State::Left | upstreams::State::Silent => {
+                    upstream.own == balance::Load::default()
+                        && now.millis_since(upstream.heard) > FORGET_MS
+                }
+                upstreams::State::Draining | upstreams::State::Ready => false,
+            };
+            if is_gone {
+                names.remove(&upstream.word.name);
+            }
+            !is_gone
+        });
+    }
+
+    fn list_candidates(
+        &self,
+        now: time::Instant,
+        need: Need<'_>,
+        domain: &str,
+    ) -> Vec<balance::Candidate<UpstreamKey>> {
+        let share = f64::from(self.gateways.max(1));
+        let taken = self.upstreams.iter().filter(|(key, upstream)| {
+            upstream.word.service == need.service.name
+                && upstream.word.state == upstreams::State::Ready
+                && !self.domains_out.contains(&upstream.word.domain)
+                && !need.except.contains(key)
+                && !matches!(upstream.breaker.check(now), breaker::Pass::Shut { .. })
+                && upstream.has_cold_room(now, need.service.cold_per_s, share)
+        });
+        let candidates = taken.map(|(key, upstream)| balance::Candidate {
+            is_near: upstream.word.domain == domain,
+            key,
+            load: upstream.own.plus(upstream.others),
+            memory: need.service.engine.map_or(0, |engine| engine.memory_tokens),
+            slots: upstream.word.slots,
+        });
+        candidates.collect()
+    }
+}
+
+impl Upstream {
+    fn take(&mut self, fleet: &Fleet, key: UpstreamKey, load: balance::Load) -> Place {
+        self.own = self.own.plus(load);
+        Place {
+            address: self.word.address.clone(),
+            fleet: fleet.clone(),
+            key,
+            load,
+            name: self.word.name.clone(),
+            pool: self.pool.clone(),
+        }
+    }
+
+    /// Returns whether this gateway's share of what a cold upstream carries leaves room.
+    fn has_cold_room(&self, now: time::Instant, per_s: Option<f64>, gateways: f64) -> bool {
+        let Some(per_s) = per_s.filter(|_rate| now < self.cold_until) else {
+            return true;
+        };
+        let share = (per_s * COLD_SHARE / gateways).max(1.0);
+        now.millis_since(self.cold_second) >= 1000 || f64::from(self.cold_sent) + 1.0 <= share
+    }
+
+    fn count_cold(&mut self, now: time::Instant) {
+        if now.millis_since(self.cold_second) >= 1000 {
+            self.cold_second = now;
+            self.cold_sent = 0;
+        }
+        self.cold_sent += 1;
+    }
+}
+
+impl Place {
+    /// Notes how many tokens a generation holds by now.
+    pub(crate) fn grow(&mut self, tokens: u64) {
+        let state = self.fleet.state.lock();
+        let mut state = state.unwrap_or_else(sync::PoisonError::into_inner);
+        let Some(upstream) = state.upstreams.get_mut(self.key) else {
+            return;
+        };
+        if self.load.running > 0 {
+            upstream.own.tokens = upstream.own.tokens + tokens - self.load.tokens;
+            self.load.tokens = tokens;
+        } else {
+            upstream.own.copied = upstream.own.copied + tokens - self.load.copied;
+            self.load.copied = tokens;
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.fleet.lock();
+        if let Some(upstream) = state.upstreams.get_mut(self.key) {
+            upstream.own.copied -= self.load.copied;
+            upstream.own.running -= self.load.running;
+            upstream.own.tokens -= self.load.tokens;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,246 @@
+//! Links to the control hosts; a gateway follows all of them.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use futures::StreamExt as _;
+use peargap_adapters::logs;
+use peargap_core::upstreams;
+use peargap_platform::document;
+use peargap_wire::fleet as wire;
+use peargap_wire::fleet::fleet_client;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers;
+use tokio_util::sync::CancellationToken;
+use tonic::transport;
+
+use crate::events;
+use crate::fleet;
+
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Time between two tries to reach a control host.
+const RECONNECT_DELAY: time::Duration = time::Duration::from_millis(300);
+const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+const KEEPALIVE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Time between reports of load.
+const LOAD_PERIOD: time::Duration = time::Duration::from_millis(250);
+/// Reports that may wait for a slow link.
+const REPORT_BUFFER: usize = 16;
+/// Largest update taken, in bytes.
+const MAX_UPDATE_BYTES: usize = 16 << 20;
+
+/// What the links share.
+#[derive(Clone, Debug)]
+struct Shared {
+    fleet: fleet::Fleet,
+    gateway: String,
+    /// Names of control hosts, where links mention new ones.
+    hosts: mpsc::UnboundedSender<String>,
+    /// Control hosts that are followed now.
+    linked: sync::Arc<sync::Mutex<collections::BTreeSet<String>>>,
+    port: u16,
+    token: CancellationToken,
+}
+
+/// How to follow.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    /// Name of this gateway.
+    pub(crate) gateway: String,
+    /// Port that control hosts serve other processes at.
+    pub(crate) port: u16,
+    /// Names of some control hosts.
+    pub(crate) seeds: Vec<net::SocketAddr>,
+}
+
+/// Follows every control host that is named, until `token` is cancelled.
+pub(crate) async fn run(fleet: fleet::Fleet, options: Options, token: CancellationToken) {
+    let (hosts, mut named) = mpsc::unbounded_channel();
+    for seed in &options.seeds {
+        // The receiver is held right here.
+        let _ = hosts.send(seed.to_string());
+    }
+    let shared = Shared {
+        fleet,
+        gateway: options.gateway,
+        hosts,
+        linked: sync::Arc::default(),
+        port: options.port,
+        token: token.clone(),
+    };
+    let mut known = collections::HashSet::new();
+    loop {
+        let host = tokio::select! {
+            () = token.cancelled() => return,
+            host = named.recv() => host,
+        };
+        let Some(host) = host else {
+            return;
+        };
+        if known.insert(host.clone()) {
+            tokio::spawn(keep_link(shared.clone(), host));
+        }
+    }
+}
+
+/// Follows one control host, again and again.
+async fn keep_link(shared: Shared, host: String) {
+    let Ok(named) = host.parse::<net::SocketAddr>() else {
+        return;
+    };
+    let address = net::SocketAddr::new(named.ip(), shared.port);
+    loop {
+        let link = follow(&shared, &host, address);
+        let result = tokio::select! {
+            () = shared.token.cancelled() => return,
+            result = link => result,
+        };
+        if shared.lock().remove(&host) {
+            logs::emit(
+                events::CONTROL_LOST,
+                format_args!("control={host} why={result:?}"),
+            );
+        }
+        tokio::time::sleep(RECONNECT_DELAY).await;
+    }
+}
+
+/// Follows one control host until the link ends; returns why.
+async fn follow(shared: &Shared, host: &str, address: net::SocketAddr) -> Result<(), String> {
+    let endpoint = transport::Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|error| error.to_string())?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
+        .keep_alive_timeout(KEEPALIVE_TIMEOUT)
+        .keep_alive_while_idle(true)
+        .tcp_nodelay(true);
+    let channel = endpoint.connect().await.map_err(|error| error.to_string())?;
+    let mut client = fleet_client::FleetClient::new(channel)
+        .max_decoding_message_size(MAX_UPDATE_BYTES);
+    let (reports, outgoing) = mpsc::channel(REPORT_BUFFER);
+    let first = wire::Report {
+        gateway: shared.gateway.clone(),
+        ..wire::Report::default()
+    };
+    send(&reports, first).await?;
+    let stream = wrappers::ReceiverStream::new(outgoing);
+    let answer = client.follow(stream).await;
+    let mut updates = answer.map_err(|status| status.to_string())?.into_inner();
+    shared.lock().insert(host.to_owned());
+    logs::emit(events::CONTROL_LINKED, format_args!("control={host}"));
+    let mut tick = tokio::time::interval(LOAD_PERIOD);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut reported = Vec::new();
+    loop {
+        tokio::select! {
+            update = updates.next() => match update {
+                Some(Ok(update)) => apply(shared, host, update, &reports).await?,
+                Some(Err(status)) => return Err(status.to_string()),
+                None => return Err("ended".to_owned()),
+            },
+            _instant = tick.tick() => {
+                if !shared.reports_to(host) {
+                    continue;
+                }
+                let loads = shared.fleet.list_loads();
+                if loads == reported {
+                    continue;
+                }
+                reported.clone_from(&loads);
+                let report = wire::Report { has_loads: true, loads, ..wire::Report::default() };
+                send(&reports, report).await?;
+            }
+        }
+    }
+}
+
+async fn send(reports: &mpsc::Sender<wire::Report>, report: wire::Report) -> Result<(), String> {
+    let sent = reports.send(report).await;
+    sent.map_err(|_closed| "ended".to_owned())
+}
+
+/// Puts an update in force and says so.
+async fn apply(
+    shared: &Shared,
+    host: &str,
+    update: wire::Update,
+    reports: &mpsc::Sender<wire::Report>,
+) -> Result<(), String> {
+    if let Some(document) = update.document {
+        apply_document(&shared.fleet, &document);
+    }
+    if let Some(outage) = update.outage {
+        shared.fleet.apply_outage(outage.revision, outage.domains);
+    }
+    let has_words = !update.upstreams.is_empty();
+    for upstream in update.upstreams {
+        if let Some(word) = decode_word(upstream) {
+            shared.fleet.hear(word);
+        }
+    }
+    for host in update.hosts {
+        // Ends with the task that follows the hosts.
+        let _ = shared.hosts.send(host);
+    }
+    if update.has_loads && shared.reports_to(host) {
+        shared.fleet.hear_loads(update.gateways, &update.loads);
+    }
+    if !has_words {
+        return Ok(());
+    }
+    let report = wire::Report {
+        applied: update.number,
+        ..wire::Report::default()
+    };
+    send(reports, report).await
+}
+
+fn apply_document(fleet: &fleet::Fleet, document: &wire::Document) {
+    if document.version <= fleet.version() {
+        return;
+    }
+    match document::read_document(&document.text) {
+        Ok(table) => fleet.apply_table(table),
+        Err(findings) => logs::emit(
+            events::DOCUMENT_UNREADABLE,
+            format_args!("version={} why={findings:?}", document.version),
+        ),
+    }
+}
+
+fn decode_word(upstream: wire::Upstream) -> Option<upstreams::Word> {
+    let state = match upstream.state() {
+        wire::State::Draining => upstreams::State::Draining,
+        wire::State::Left => upstreams::State::Left,
+        wire::State::Ready => upstreams::State::Ready,
+        wire::State::Silent => upstreams::State::Silent,
+        wire::State::Unspecified => return None,
+    };
+    Some(upstreams::Word {
+        address: upstream.address,
+        cold_ms: u64::from(upstream.cold_ms),
+        domain: upstream.domain,
+        edition: upstreams::Edition {
+            born_ms: upstream.born_ms,
+            sequence: upstream.sequence,
+        },
+        name: upstream.name,
+        service: upstream.service,
+        slots: upstream.slots,
+        state,
+    })
+}
+
+impl Shared {
+    /// Returns whether this host sums up load: all gateways pick the first one that they follow.
+    fn reports_to(&self, host: &str) -> bool {
+        self.lock().first().is_some_and(|first| first == host)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, collections::BTreeSet<String>> {
+        let locked = self.linked.lock();
+        locked.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,111 @@
+//! A request's way through the gateway up to the choice of an upstream.
+
+use std::convert;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Limited;
+use hyper::body;
+use peargap_core::retry;
+use peargap_core::routes;
+use peargap_platform::head;
+use rand::RngExt as _;
+
+use crate::answer;
+use crate::call;
+use crate::fleet;
+use crate::generation;
+use crate::plain;
+
+/// Time that a caller without a limit of its own is given, in milliseconds.
+const DEFAULT_PATIENCE_MS: u64 = 60_000;
+
+/// What requests share.
+#[derive(Clone, Debug)]
+pub(crate) struct Gateway {
+    pub(crate) fleet: fleet::Fleet,
+    pub(crate) retries: sync::Arc<sync::Mutex<retry::Budget>>,
+}
+
+impl Gateway {
+    /// Takes one retry out of the budget, if it holds one.
+    pub(crate) fn spend_retry(&self) -> bool {
+        self.lock_retries().spend()
+    }
+
+    fn lock_retries(&self) -> sync::MutexGuard<'_, retry::Budget> {
+        let locked = self.retries.lock();
+        locked.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Answers one request.
+    pub(crate) async fn serve(
+        self,
+        request: http::Request<body::Incoming>,
+    ) -> Result<answer::Response, convert::Infallible> {
+        let (parts, body) = request.into_parts();
+        let head = head::read_request(&parts.headers);
+        let attempt = head.attempt.clone();
+        Ok(match self.serve_routed(head, parts, body).await {
+            Ok(response) => response,
+            Err(refusal) => answer::refuse(&attempt, refusal),
+        })
+    }
+
+    async fn serve_routed(
+        &self,
+        head: head::Request,
+        parts: http::request::Parts,
+        body: body::Incoming,
+    ) -> Result<answer::Response, answer::Refusal> {
+        let table = self.fleet.table().ok_or(answer::Refusal::NoRoutes)?;
+        let found = table.find(&head.host, parts.uri.path(), head.key.as_deref());
+        let (route, team) = match found {
+            routes::Access::Denied => return Err(answer::Refusal::KeyUnknown),
+            routes::Access::Granted { route, team } => (route, team),
+            routes::Access::Unknown => return Err(answer::Refusal::RouteUnknown),
+        };
+        let service = table.split(route, rand::rng().random());
+        let service = table.service(service);
+        let route = table.route(route);
+        let team = team.map(|team| table.team(team));
+        let patience = head.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
+        let patience = time::Duration::from_millis(patience.min(route.timeout_ms));
+        let deadline = tokio::time::Instant::now() + patience;
+        let read = read_body(body, table.limits().body_bytes);
+        let body = match tokio::time::timeout_at(deadline, read).await {
+            Ok(read) => read?,
+            Err(_elapsed) => return Err(answer::Refusal::TimedOutUnsent),
+        };
+        self.lock_retries().earn();
+        let rank = team.and_then(|team| team.rank).unwrap_or(route.rank);
+        let request = call::Request {
+            body,
+            deadline,
+            head,
+            parts,
+            rank: service.engine.is_some().then_some(rank),
+            team: team.map(|team| team.name.clone()),
+        };
+        Ok(match route.kind {
+            routes::Kind::Idempotent | routes::Kind::Once => {
+                plain::serve(self, &request, route, service).await
+            }
+            routes::Kind::Stream => generation::serve(self, request, route, service).await,
+        })
+    }
+}
+
+/// Reads a request's body of at most `limit` bytes.
+async fn read_body(body: body::Incoming, limit: u64) -> Result<Bytes, answer::Refusal> {
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(answer::Refusal::BodyTooLong)
+        }
+        Err(_broken) => Err(answer::Refusal::BodyBroken),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/host.rs
@@ -0,0 +1,96 @@
+//! A gateway as a whole.
+
+use std::net;
+use std::sync;
+
+use peargap_adapters::health;
+use peargap_adapters::logs;
+use peargap_adapters::metrics;
+use tokio_util::sync::CancellationToken;
+
+use crate::events;
+use crate::fleet;
+use crate::follow;
+use crate::gateway;
+use crate::server;
+use crate::settings;
+
+/// Time between looks whether the gateway can serve.
+const READINESS_PERIOD: core::time::Duration = core::time::Duration::from_millis(200);
+
+/// Why a gateway ends.
+#[derive(Debug)]
+pub enum Error {
+    /// An address cannot be listened on.
+    Listen(net::SocketAddr, std::io::Error),
+    /// A metric cannot be set up.
+    Setup(String),
+}
+
+impl core::fmt::Display for Error {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        match self {
+            Error::Listen(address, error) => write!(formatter, "{address}: {error}"),
+            Error::Setup(problem) => write!(formatter, "{problem}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Runs a gateway until `token` is cancelled and its callers are answered.
+pub async fn run(settings: settings::Settings, token: CancellationToken) -> Result<(), Error> {
+    let registry = metrics::Registry::new().map_err(|error| Error::Setup(error.to_string()))?;
+    let readiness = health::Readiness::default();
+    let callers = bind(settings.callers).await?;
+    let probes = bind(settings.health).await?;
+    let router = health::build_router(readiness.clone(), registry);
+    let health = tokio::spawn(async move {
+        // Ends with the process.
+        let _ = axum::serve(probes, router).await;
+    });
+    let fleet = fleet::Fleet::new(&settings.domain);
+    let links = CancellationToken::new();
+    let options = follow::Options {
+        gateway: settings.name.clone(),
+        port: settings.control_port,
+        seeds: settings.control_seeds.clone(),
+    };
+    tokio::spawn(follow::run(fleet.clone(), options, links.clone()));
+    tokio::spawn(follow_readiness(fleet.clone(), readiness, token.clone()));
+    logs::emit(
+        events::STARTED,
+        format_args!("gateway={} domain={}", settings.name, settings.domain),
+    );
+    let gateway = gateway::Gateway {
+        fleet,
+        retries: sync::Arc::default(),
+    };
+    server::run(callers, gateway, settings.grace, token).await;
+    links.cancel();
+    health.abort();
+    logs::emit(events::STOPPED, format_args!("gateway={}", settings.name));
+    Ok(())
+}
+
+async fn bind(address: net::SocketAddr) -> Result<tokio::net::TcpListener, Error> {
+    let bound = tokio::net::TcpListener::bind(address).await;
+    bound.map_err(|error| Error::Listen(address, error))
+}
+
+/// Keeps the gateway ready while it has routes and is not stopping.
+async fn follow_readiness(
+    fleet: fleet::Fleet,
+    readiness: health::Readiness,
+    token: CancellationToken,
+) {
+    loop {
+        readiness.set(fleet.version() > 0);
+        tokio::select! {
+            () = token.cancelled() => break,
+            () = tokio::time::sleep(READINESS_PERIOD) => {}
+        }
+    }
+    readiness.set(false);
+    logs::emit(events::STOPPING, format_args!("version={}", fleet.version()));
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,18 @@
+//! Gateway: takes callers' requests and passes them to upstreams that announce themselves.
+//!
+//! It follows every control host for routes, domains out of service and upstreams, and calls
+//! upstreams itself. Generations move to another engine when theirs leaves or breaks off.
+
+mod answer;
+mod call;
+mod events;
+mod fleet;
+mod follow;
+mod gateway;
+mod generation;
+pub mod host;
+mod migrate;
+mod plain;
+mod pool;
+mod server;
+pub mod settings;
--- /dev/null
+++ b/crates/gateway/src/plain.rs
@@ -0,0 +1,132 @@
+//! Requests whose answer is passed on whole.
+
+use peargap_adapters::logs;
+use peargap_core::routes;
+use peargap_platform::head;
+use tokio::time;
+
+use crate::answer;
+use crate::call;
+use crate::events;
+use crate::fleet;
+use crate::gateway;
+
+/// Upstreams that one request is offered to at most.
+const MAX_OFFERS: usize = 4;
+
+/// Serves a request by one upstream of a service, or by another where that is allowed.
+pub(crate) async fn serve(
+    gateway: &gateway::Gateway,
+    request: &call::Request,
+    route: &routes::Route,
+    service: &routes::Service,
+) -> answer::Response {
+    let served = serve_in_time(gateway, request, route, service);
+    match time::timeout_at(request.deadline, served).await {
+        Ok(response) => response,
+        Err(_elapsed) => answer::refuse(&request.head.attempt, answer::Refusal::TimedOut),
+    }
+}
+
+async fn serve_in_time(
+    gateway: &gateway::Gateway,
+    request: &call::Request,
+    route: &routes::Route,
+    service: &routes::Service,
+) -> answer::Response {
+    let mut tried = Vec::new();
+    let mut runs = 0;
+    // What the caller is told when no further upstream is asked.
+    let mut refusal = answer::Refusal::NotTaken;
+    let mut failed = None;
+    while tried.len() < MAX_OFFERS {
+        let need = fleet::Need {
+            except: &tried,
+            service,
+            tokens: 0,
+        };
+        let place = match gateway.fleet.place_plain(need) {
+            Ok(place) => place,
+            Err(_miss) if !tried.is_empty() => break,
+            Err(_miss) => return answer::refuse(&request.head.attempt, answer::Refusal::Nobody),
+        };
+        if !tried.is_empty() && !gateway.spend_retry() {
+            break;
+        }
+        tried.push(place.key);
+        match offer(gateway, request, &place).await {
+            Ok(whole) if is_failure(&whole) => {
+                runs += 1;
+                failed = Some(whole);
+            }
+            Ok(whole) => return pass_on(request, whole),
+            Err(call::Failure::NotRun(_why)) => {}
+            Err(call::Failure::Unknown(_why)) => {
+                runs += 1;
+                refusal = answer::Refusal::UpstreamFailed;
+            }
+        }
+        let may_repeat = route.kind == routes::Kind::Idempotent && runs < route.attempts;
+        if runs > 0 && !may_repeat {
+            break;
+        }
+    }
+    match failed {
+        // The upstream's own words say more than ours.
+        Some(whole) => pass_on(request, whole),
+        None => answer::refuse(&request.head.attempt, refusal),
+    }
+}
+
+/// An upstream's answer, read to its end.
+type Whole = (http::response::Parts, bytes::Bytes);
+
+fn is_failure(whole: &Whole) -> bool {
+    whole.0.status.is_server_error()
+}
+
+/// Sends a request to one upstream and reads its whole answer.
+async fn offer(
+    gateway: &gateway::Gateway,
+    request: &call::Request,
+    place: &fleet::Place,
+) -> Result<Whole, call::Failure> {
+    let attempt = answer::show(&request.head.attempt);
+    logs::emit(
+        events::REQUEST_PLACED,
+        format_args!("request={attempt} upstream={}", place.name),
+    );
+    let way = call::Way {
+        copy_to: None,
+        resume: None,
+    };
+    let result = match call::send(request, place, way).await {
+        Ok(answer) => call::read_whole(answer, &place.pool).await,
+        Err(failure) => Err(failure),
+    };
+    gateway.fleet.note(place.key, result.is_ok());
+    if let Err(failure) = &result {
+        logs::emit(
+            events::ATTEMPT_FAILED,
+            format_args!("request={attempt} upstream={} why={failure:?}", place.name),
+        );
+    }
+    result
+}
+
+fn pass_on(request: &call::Request, whole: Whole) -> answer::Response {
+    let (parts, body) = whole;
+    logs::emit(
+        events::REQUEST_ENDED,
+        format_args!(
+            "request={} status={} bytes={}",
+            answer::show(&request.head.attempt),
+            parts.status.as_u16(),
+            body.len()
+        ),
+    );
+    let mut response = http::Response::new(answer::whole(body));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = head::copy_headers(&parts.headers);
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,104 @@
+//! Callers' connections.
+
+use std::net;
+use std::time;
+
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use peargap_adapters::logs;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task;
+
+use crate::events;
+use crate::gateway;
+use crate::pool;
+
+/// Longest head of a request in bytes.
+const MAX_HEAD_BYTES: usize = 20 << 10;
+/// Most headers of a request.
+const MAX_HEADERS: usize = 64;
+/// Time without a request after which a caller's connection is closed. Callers reuse connections
+/// that were idle for up to four fifths of it.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+/// Time for the balancer to notice that a stopping gateway is not ready: two misses, one a second.
+const NOTICE: time::Duration = time::Duration::from_millis(2500);
+/// Pause after a connection could not be accepted, such as for want of descriptors.
+const ACCEPT_DELAY: time::Duration = time::Duration::from_millis(20);
+/// Time that is left for the process's end after the last answer.
+const END_MARGIN: time::Duration = time::Duration::from_millis(400);
+
+/// Serves callers until `stop` is cancelled and what they asked for is answered, or `grace` over.
+pub(crate) async fn run(
+    listener: tokio::net::TcpListener,
+    gateway: gateway::Gateway,
+    grace: time::Duration,
+    stop: CancellationToken,
+) {
+    let quiet = CancellationToken::new();
+    let connections = task::TaskTracker::new();
+    let accepting = accept(&listener, &gateway, &quiet, &connections);
+    let stopped = async {
+        stop.cancelled().await;
+        tokio::time::sleep(NOTICE).await;
+    };
+    tokio::select! {
+        () = accepting => {}
+        () = stopped => {}
+    }
+    quiet.cancel();
+    connections.close();
+    let left = grace.saturating_sub(NOTICE + END_MARGIN);
+    // What is not answered by then ends with the process.
+    let _ = tokio::time::timeout(left, connections.wait()).await;
+}
+
+async fn accept(
+    listener: &tokio::net::TcpListener,
+    gateway: &gateway::Gateway,
+    quiet: &CancellationToken,
+    connections: &task::TaskTracker,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let served = serve(stream, peer, gateway.clone(), quiet.clone());
+                connections.spawn(served);
+            }
+            Err(error) => {
+                logs::emit(events::ACCEPT_FAILED, format_args!("why={error}"));
+                tokio::time::sleep(ACCEPT_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve(
+    stream: tokio::net::TcpStream,
+    peer: net::SocketAddr,
+    gateway: gateway::Gateway,
+    quiet: CancellationToken,
+) {
+    if let Err(error) = pool::watch_silence(&stream) {
+        logs::emit(events::CALLER_FAILED, format_args!("peer={peer} why={error}"));
+        return;
+    }
+    let handler = service::service_fn(move |request| gateway.clone().serve(request));
+    let connection = http1::Builder::new()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS)
+        .serve_connection(rt::TokioIo::new(stream), handler);
+    let mut connection = core::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = quiet.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        logs::emit(events::CALLER_FAILED, format_args!("peer={peer} why={error}"));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,70 @@
+//! Settings of a gateway.
+
+use std::net;
+use std::path;
+use std::time;
+
+use peargap_adapters::logs;
+use peargap_adapters::settings;
+
+const ADDRESS: &str = "an address such as 127.0.0.1:7000";
+const DEFAULT_GRACE_MS: u64 = 8000;
+
+/// Everything a gateway is told.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address for callers.
+    pub callers: net::SocketAddr,
+    /// Port that control hosts serve other processes at.
+    pub control_port: u16,
+    /// Names of some control hosts, each an address.
+    pub control_seeds: Vec<net::SocketAddr>,
+    /// Failure domain of this host.
+    pub domain: String,
+    /// Time between SIGTERM and the end of the process.
+    pub grace: time::Duration,
+    /// Address of health and metrics.
+    pub health: net::SocketAddr,
+    /// Form of log lines.
+    pub log_format: logs::Format,
+    /// Least severity of log lines.
+    pub log_level: logs::Level,
+    /// Name of this host.
+    pub name: String,
+}
+
+/// Reads the settings file.
+pub fn load(path: &path::Path) -> Result<Settings, settings::Findings> {
+    read(settings::Reader::open(path))
+}
+
+/// Reads settings; all findings are reported together.
+pub fn read(mut reader: settings::Reader) -> Result<Settings, settings::Findings> {
+    let value = read_all(&mut reader);
+    reader.finish(value)
+}
+
+fn read_all(reader: &mut settings::Reader) -> Option<Settings> {
+    let name = reader.required("node", "name", "this host's name");
+    let domain = reader.required("node", "domain", "this host's failure domain");
+    let callers = reader.required("listen", "callers", ADDRESS);
+    let health = reader.required("listen", "health", ADDRESS);
+    let control_port = reader.required("control", "port", "a port");
+    let control_seeds = reader.list("control", "seeds", ADDRESS);
+    let grace_ms = reader.ranged("stop", "grace_ms", DEFAULT_GRACE_MS, 100..=600_000);
+    let level = logs::Level::Info;
+    let log_level = reader.optional("log", "level", level, "debug, info, warn or error");
+    let format = logs::Format::default();
+    let log_format = reader.optional("log", "format", format, "text or json");
+    Some(Settings {
+        callers: callers?,
+        control_port: control_port?,
+        control_seeds,
+        domain: domain?,
+        grace: time::Duration::from_millis(grace_ms),
+        health: health?,
+        log_format,
+        log_level,
+        name: name?,
+    })
+}
--- a/crates/wire/src/gen/peargap.peer.rs
+++ b/crates/wire/src/gen/peargap.peer.rs
@@ -224,8 +224,12 @@
     #[prost(uint64, tag = "4")]
     pub round: u64,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Receipt {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Receipt {
+    /// Names of the members that the receiver knows.
+    #[prost(string, repeated, tag = "1")]
+    pub members: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ProposeRequest {
     #[prost(bytes = "bytes", tag = "1")]
--- a/crates/wire/src/gen/peargap.record.rs
+++ b/crates/wire/src/gen/peargap.record.rs
@@ -2,7 +2,7 @@
 /// A command to the replicated state.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Command {
-    #[prost(oneof = "command::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "command::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub kind: ::core::option::Option<command::Kind>,
 }
 /// Nested message and enum types in `Command`.
@@ -26,12 +26,49 @@
         /// Reads the answered changes.
         #[prost(message, tag = "8")]
         History(super::super::operator::HistoryRequest),
+        #[prost(message, tag = "9")]
+        Publish(super::Publish),
+        #[prost(message, tag = "10")]
+        Shift(super::Shift),
+        /// Reads the routing.
+        #[prost(bool, tag = "11")]
+        ReadRouting(bool),
     }
 }
+/// A routing document that an operator sent.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Publish {
+    /// A document takes the place of one with a lower version only.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub text: ::prost::bytes::Bytes,
+}
+/// Takes a failure domain out of service or back.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Shift {
+    #[prost(string, tag = "1")]
+    pub domain: ::prost::alloc::string::String,
+    #[prost(bool, tag = "2")]
+    pub out: bool,
+}
+/// The routing document in force and the domains out of service.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Routing {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub text: ::prost::bytes::Bytes,
+    #[prost(string, repeated, tag = "3")]
+    pub domains_out: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Index in the log of the last change of `domains_out`.
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
+}
 /// What the state answers to a command.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Reply {
-    #[prost(oneof = "reply::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "reply::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: ::core::option::Option<reply::Kind>,
 }
 /// Nested message and enum types in `Reply`.
@@ -55,6 +92,11 @@
         Rejected(bool),
         #[prost(message, tag = "8")]
         History(super::super::operator::HistoryReply),
+        /// The routing is as asked, or newer.
+        #[prost(bool, tag = "9")]
+        Routed(bool),
+        #[prost(message, tag = "10")]
+        Routing(super::Routing),
     }
 }
 /// A node announced itself or changed what it announces.
@@ -140,6 +182,8 @@
     /// Starts of loads on the state's clock, oldest first.
     #[prost(uint64, repeated, tag = "7")]
     pub loads_ms: ::prost::alloc::vec::Vec<u64>,
+    #[prost(message, optional, tag = "8")]
+    pub routing: ::core::option::Option<Routing>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Past {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,11 @@
 #[rustfmt::skip]
 pub mod control;
 
+/// Gateways to control.
+#[path = "gen/peargap.fleet.rs"]
+#[rustfmt::skip]
+pub mod fleet;
+
 /// Operators to control.
 #[path = "gen/peargap.operator.rs"]
 #[rustfmt::skip]
--- a/tools/wire-gen/src/main.rs
+++ b/tools/wire-gen/src/main.rs
@@ -2,9 +2,10 @@
 //!
 //! Run from the repository's root: `cargo run --manifest-path tools/wire-gen/Cargo.toml`.
 
-const FILES: [&str; 5] = [
+const FILES: [&str; 6] = [
     "agent.proto",
     "control.proto",
+    "fleet.proto",
     "operator.proto",
     "peer.proto",
     "record.proto",
