Generations move on notice by a copy on demand, and go on there before the first run ends

Cause (story of lost generations by request id): a last copy with the run stopped queued behind others on the link and came after the engine had gone; copies kept for all pushed out running work. Change: unread prompts count in placement; backups up to half of the memory; on notice a copy while the run goes on, then the request resumes at it, then the first run is dropped.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -200,6 +200,7 @@
             sum.copied += load.copied;
             sum.running += load.running;
             sum.tokens += load.tokens;
+            sum.waiting += load.waiting;
         }
         let named = sums.into_iter().map(|(upstream, mut sum)| {
             sum.upstream = upstream.clone();
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -22,7 +22,7 @@
 /// Updates that may wait for a slow link.
 const UPDATE_BUFFER: usize = 4;
 /// Time between sums of load to a gateway that reports its own.
-const LOAD_PERIOD: time::Duration = time::Duration::from_millis(250);
+const LOAD_PERIOD: time::Duration = time::Duration::from_millis(100);
 
 /// Serves gateways.
 #[derive(Clone, Debug)]
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -11,15 +11,22 @@
 /// Share of an engine's memory that running generations may hold by estimate. The rest is for
 /// answers that grow longer than estimated.
 const MEMORY_SHARE: f64 = 0.9;
-/// Share of an engine's memory up to which copies are added. Above it a copy would take the room
-/// of the next request.
-const COPY_SHARE: f64 = 0.8;
-/// Scores this close count as equal.
-const SCORE_MARGIN: f64 = 0.04;
+/// Share of an engine's memory up to which copies are added while their generations run on. Above
+/// it a copy would take the room of the next request.
+const COPY_SHARE: f64 = 0.5;
+/// Share of an engine's memory up to which generations move in whose engine leaves.
+const MOVE_SHARE: f64 = 0.95;
+/// Scores this close count as equal. Wide, as many gateways see the same least loaded engine.
+const SCORE_MARGIN: f64 = 0.1;
 /// Weight of the requests that run against the memory that they hold.
-const RUNNING_WEIGHT: f64 = 0.4;
+const RUNNING_WEIGHT: f64 = 0.2;
+/// Tokens of unread prompts that count as much as a full memory. Prompts are read one after the
+/// other, so each of them delays the first token of all behind it.
+const WAITING_TOKENS: u64 = 6000;
 /// What a candidate in another failure domain is behind by.
 const REMOTE_SCORE: f64 = 0.02;
+/// The same for memory that is copied: it takes twice as long between failure domains.
+const REMOTE_COPY_SCORE: f64 = 0.3;
 
 /// What is known of an upstream's load.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -30,6 +37,8 @@
     pub running: u32,
     /// Tokens that running generations hold.
     pub tokens: u64,
+    /// Tokens of prompts that are not read yet.
+    pub waiting: u64,
 }
 
 impl Load {
@@ -40,6 +49,7 @@
             copied: self.copied + other.copied,
             running: self.running + other.running,
             tokens: self.tokens + other.tokens,
+            waiting: self.waiting + other.waiting,
         }
     }
 }
@@ -87,23 +97,44 @@
     let score = |candidate: &Candidate<K>| {
         let held = candidate.load.tokens + candidate.load.copied + tokens;
         let running = f64::from(candidate.load.running) / f64::from(candidate.slots.max(1));
-        ratio(held, candidate.memory) + RUNNING_WEIGHT * running + remote_score(candidate)
+        let waiting = ratio(candidate.load.waiting, WAITING_TOKENS);
+        ratio(held, candidate.memory) + waiting + RUNNING_WEIGHT * running + remote_score(candidate)
     };
     choose_least(candidates.iter().filter(|candidate| fits(candidate)), score, random)
 }
 
+/// Why memory is copied.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Purpose {
+    /// To go on there if the engine breaks off or leaves.
+    Backup,
+    /// To go on there right away.
+    Move,
+}
+
 /// Picks an engine that receives a copy of a generation which holds `tokens`.
 pub fn choose_copy<K: Copy, R: Rng + ?Sized>(
     candidates: &[Candidate<K>],
     tokens: u64,
+    purpose: Purpose,
     random: &mut R,
 ) -> Choice<K> {
+    let share = match purpose {
+        Purpose::Backup => COPY_SHARE,
+        Purpose::Move => MOVE_SHARE,
+    };
     let fill = |candidate: &Candidate<K>| {
         let held = candidate.load.tokens + candidate.load.copied + tokens;
         ratio(held, candidate.memory)
     };
-    let fits = |candidate: &Candidate<K>| fill(candidate) <= COPY_SHARE;
-    let score = |candidate: &Candidate<K>| fill(candidate) + remote_score(candidate);
+    let fits = |candidate: &Candidate<K>| fill(candidate) <= share;
+    let score = |candidate: &Candidate<K>| {
+        let remote = match candidate.is_near {
+            true => 0.0,
+            false => REMOTE_COPY_SCORE,
+        };
+        fill(candidate) + remote
+    };
     choose_least(candidates.iter().filter(|candidate| fits(candidate)), score, random)
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -91,6 +91,8 @@
 pub(crate) struct Need<'a> {
     /// Upstreams that are not to be picked.
     pub(crate) except: &'a [UpstreamKey],
+    /// An upstream in whose failure domain it had better be; without it, in the gateway's own.
+    pub(crate) near: Option<UpstreamKey>,
     pub(crate) service: &'a routes::Service,
     /// Tokens that a generation holds, by estimate.
     pub(crate) tokens: u64,
@@ -187,6 +189,7 @@
                     copied: u64::from(load.copied),
                     running: load.running,
                     tokens: u64::from(load.tokens),
+                    waiting: u64::from(load.waiting),
                 };
             }
         }
@@ -202,6 +205,7 @@
             running: upstream.own.running,
             tokens: u32::try_from(upstream.own.tokens).unwrap_or(u32::MAX),
             upstream: upstream.word.name.clone(),
+            waiting: u32::try_from(upstream.own.waiting).unwrap_or(u32::MAX),
         });
         loads.collect()
     }
@@ -236,9 +240,8 @@
     /// Picks an upstream for a plain call.
     pub(crate) fn place_plain(&self, need: Need<'_>) -> Result<Place, Miss> {
         let load = balance::Load {
-            copied: 0,
             running: 1,
-            tokens: 0,
+            ..balance::Load::default()
         };
         self.place(need, load, |candidates| {
             balance::choose_plain(candidates, &mut rand::rng())
@@ -248,9 +251,10 @@
     /// Picks an engine for a generation.
     pub(crate) fn place_generation(&self, need: Need<'_>) -> Result<Place, Miss> {
         let load = balance::Load {
-            copied: 0,
             running: 1,
             tokens: need.tokens,
+            waiting: need.tokens,
+            ..balance::Load::default()
         };
         self.place(need, load, |candidates| {
             balance::choose_engine(candidates, need.tokens, &mut rand::rng())
@@ -258,29 +262,20 @@
     }
 
     /// Picks an engine for the copy of a generation.
-    pub(crate) fn place_copy(&self, need: Need<'_>) -> Result<Place, Miss> {
+    pub(crate) fn place_copy(
+        &self,
+        need: Need<'_>,
+        purpose: balance::Purpose,
+    ) -> Result<Place, Miss> {
         let load = balance::Load {
             copied: need.tokens,
-            running: 0,
-            tokens: 0,
+            ..balance::Load::default()
         };
         self.place(need, load, |candidates| {
-            balance::choose_copy(candidates, need.tokens, &mut rand::rng())
+            balance::choose_copy(candidates, need.tokens, purpose, &mut rand::rng())
         })
     }
 
-    /// Places a generation on one engine, where its memory already lies.
-    pub(crate) fn place_at(&self, key: UpstreamKey, need: Need<'_>) -> Option<Place> {
-        let load = balance::Load {
-            copied: 0,
-            running: 1,
-            tokens: need.tokens,
-        };
-        let mut state = self.lock();
-        let upstream = state.upstreams.get_mut(key)?;
-        Some(upstream.take(self, key, load))
-    }
-
     fn place(
         &self,
         need: Need<'_>,
@@ -388,6 +383,8 @@
         domain: &str,
     ) -> Vec<balance::Candidate<UpstreamKey>> {
         let share = f64::from(self.gateways.max(1));
+        let near = need.near.and_then(|key| self.upstreams.get(key));
+        let domain = near.map_or(domain, |near| &near.word.domain);
         let taken = self.upstreams.iter().filter(|(key, upstream)| {
             upstream.word.service == need.service.name
                 && upstream.word.state == upstreams::State::Ready
@@ -439,6 +436,32 @@
 }
 
 impl Place {
+    /// Counts the copy as the running generation.
+    pub(crate) fn become_run(&mut self) {
+        let state = self.fleet.state.lock();
+        let mut state = state.unwrap_or_else(sync::PoisonError::into_inner);
+        let load = balance::Load {
+            running: 1,
+            tokens: self.load.copied,
+            ..balance::Load::default()
+        };
+        if let Some(upstream) = state.upstreams.get_mut(self.key) {
+            upstream.own = upstream.own.plus(load);
+            upstream.own.copied -= self.load.copied;
+            self.load = load;
+        }
+    }
+
+    /// Notes that the prompt has been read.
+    pub(crate) fn begin(&mut self) {
+        let state = self.fleet.state.lock();
+        let mut state = state.unwrap_or_else(sync::PoisonError::into_inner);
+        if let Some(upstream) = state.upstreams.get_mut(self.key) {
+            upstream.own.waiting -= self.load.waiting;
+            self.load.waiting = 0;
+        }
+    }
+
     /// Notes how many tokens a generation holds by now.
     pub(crate) fn grow(&mut self, tokens: u64) {
         let state = self.fleet.state.lock();
@@ -463,6 +486,7 @@
             upstream.own.copied -= self.load.copied;
             upstream.own.running -= self.load.running;
             upstream.own.tokens -= self.load.tokens;
+            upstream.own.waiting -= self.load.waiting;
         }
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -25,7 +25,7 @@
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 const KEEPALIVE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Time between reports of load.
-const LOAD_PERIOD: time::Duration = time::Duration::from_millis(250);
+const LOAD_PERIOD: time::Duration = time::Duration::from_millis(100);
 /// Reports that may wait for a slow link.
 const REPORT_BUFFER: usize = 16;
 /// Largest update taken, in bytes.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,5 +14,6 @@
 mod migrate;
 mod plain;
 mod pool;
+mod relay;
 mod server;
 pub mod settings;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -42,6 +42,7 @@
     while tried.len() < MAX_OFFERS {
         let need = fleet::Need {
             except: &tried,
+            near: None,
             service,
             tokens: 0,
         };
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -29,6 +29,9 @@
     /// Tokens that copies of generations running elsewhere hold in its memory, estimated.
     #[prost(uint32, tag = "4")]
     pub copied: u32,
+    /// Tokens of prompts that it has not read yet.
+    #[prost(uint32, tag = "5")]
+    pub waiting: u32,
 }
 /// What a control host tells a gateway.
 #[derive(Clone, PartialEq, ::prost::Message)]
