--- a/crates/adapters/src/signals.rs
+++ b/crates/adapters/src/signals.rs
@@ -1,4 +1,4 @@
-//! Graceful stop on SIGTERM and SIGINT.
+//! Graceful stop on SIGTERM and SIGINT, reload on SIGHUP.
 
 use std::io;
 
@@ -22,3 +22,23 @@
     });
     Ok(token)
 }
+
+/// Calls `reload` at each SIGHUP until `token` is cancelled.
+///
+/// Fails when the handler cannot be installed.
+pub fn on_hangup(
+    token: sync::CancellationToken,
+    mut reload: impl FnMut() + Send + 'static,
+) -> Result<(), io::Error> {
+    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                () = token.cancelled() => return,
+                received = hangup.recv() => if received.is_none() { return },
+            }
+            reload();
+        }
+    });
+    Ok(())
+}
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -35,4 +35,6 @@
 pub(crate) const DOMAIN_SHIFTED: logs::Event = logs::Event::info(2126, "domain shifted");
 pub(crate) const ORDER_FAILED: logs::Event = logs::Event::warn(2127, "order not committed");
 pub(crate) const CALL_REJECTED: logs::Event = logs::Event::warn(2128, "platform call rejected");
+pub(crate) const RELOADED: logs::Event = logs::Event::info(2129, "settings reloaded");
+pub(crate) const RELOAD_FAILED: logs::Event = logs::Event::error(2130, "settings not reloaded");
 pub(crate) const LOAD_FAILED: logs::Event = logs::Event::warn(2111, "model not loaded in time");
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -10,6 +10,7 @@
 use peargap_adapters::health;
 use peargap_adapters::logs;
 use peargap_adapters::metrics;
+use peargap_adapters::signals;
 use peargap_wire::control::control_server;
 use peargap_wire::fleet::fleet_server;
 use peargap_wire::operator::operator_server;
@@ -85,6 +86,7 @@
     let internal = serve_internal(&settings, &replica, services.control, &fleet, &servers).await?;
     let platform = serve_platform(&settings, &fleet, &servers).await?;
     let operators = serve_operators(&settings, services.operator, &servers).await?;
+    listen_reload(&settings, &replica, &servers)?;
     tokio::spawn(follow_readiness(replica.handle.status(), readiness));
     let result = wait_for_end(&replica.inputs, replica.ended, &token).await;
     servers.cancel();
@@ -179,6 +181,34 @@
     })
 }
 
+/// Greets the hosts that the settings file names after each SIGHUP.
+fn listen_reload(
+    settings: &settings::Settings,
+    replica: &Replica,
+    token: &CancellationToken,
+) -> Result<(), Error> {
+    let path = settings.path.clone();
+    let inputs = replica.inputs.clone();
+    let reload = move || {
+        let Some(path) = &path else {
+            return;
+        };
+        match settings::load(path) {
+            Ok(settings) => {
+                let seeds = settings.seeds();
+                logs::emit(events::RELOADED, format_args!("seeds={seeds:?}"));
+                // A full queue greets the hosts known so far; the next signal tries again.
+                let _ = inputs.try_send(worker::Input::Meet(seeds));
+            }
+            Err(findings) => {
+                logs::emit(events::RELOAD_FAILED, format_args!("why={findings}"));
+            }
+        }
+    };
+    let listening = signals::on_hangup(token.clone(), reload);
+    listening.map_err(|error| Error::Setup(error.to_string()))
+}
+
 async fn bind(address: net::SocketAddr) -> Result<tokio::net::TcpListener, Error> {
     let bound = tokio::net::TcpListener::bind(address).await;
     bound.map_err(|error| Error::Listen(address, error.to_string()))
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -65,6 +65,8 @@
     pub operators: net::SocketAddr,
     /// Address in this host's own `[peer]` section, which may stand there for uniformity.
     pub own_address: Option<net::SocketAddr>,
+    /// File that these were read from; none where they were not read from one.
+    pub path: Option<path::PathBuf>,
     /// Address for the platform's operators and upstreams; none where there is no platform.
     pub platform: Option<net::SocketAddr>,
     /// Internal addresses of the other control hosts by name.
@@ -102,7 +104,9 @@
 
 /// Reads the settings file.
 pub fn load(path: &path::Path) -> Result<Settings, settings::Findings> {
-    read(settings::Reader::open(path))
+    let mut settings = read(settings::Reader::open(path))?;
+    settings.path = Some(path.to_owned());
+    Ok(settings)
 }
 
 /// Reads settings; all findings are reported together.
@@ -153,6 +157,7 @@
         operator_keys,
         operators: operators?,
         own_address,
+        path: None,
         peers,
         platform,
         timing,
@@ -230,6 +235,14 @@
 }
 
 impl Settings {
+    /// Returns the names of the hosts to greet first, where any host may take part.
+    pub(crate) fn seeds(&self) -> Vec<Bytes> {
+        match &self.membership {
+            Membership::Listed => Vec::new(),
+            Membership::Open { seeds, .. } => seeds.iter().cloned().map(Bytes::from).collect(),
+        }
+    }
+
     /// Returns where the other control hosts are.
     pub(crate) fn addresses(&self) -> addresses::Addresses {
         match self.membership {
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -13,7 +13,7 @@
 const MEMORY_SHARE: f64 = 0.9;
 /// Share of an engine's memory up to which copies are added while their generations run on. Above
 /// it a copy would take the room of the next request.
-const COPY_SHARE: f64 = 0.5;
+const COPY_SHARE: f64 = 0.4;
 /// Share of an engine's memory up to which generations move in whose engine leaves.
 const MOVE_SHARE: f64 = 0.95;
 /// Scores this close count as equal. Wide, as many gateways see the same least loaded engine.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -23,3 +23,5 @@
 pub(crate) const CALLER_FAILED: logs::Event = logs::Event::debug(6017, "caller's connection ended");
 pub(crate) const ACCEPT_FAILED: logs::Event = logs::Event::warn(6018, "connection not accepted");
 pub(crate) const COPY_MADE: logs::Event = logs::Event::info(6020, "copy made");
+pub(crate) const RELOADED: logs::Event = logs::Event::info(6021, "settings reloaded");
+pub(crate) const RELOAD_FAILED: logs::Event = logs::Event::error(6022, "settings not reloaded");
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -31,13 +31,16 @@
 /// Largest update taken, in bytes.
 const MAX_UPDATE_BYTES: usize = 16 << 20;
 
+/// Takes the names of control hosts to follow.
+pub(crate) type Hosts = mpsc::UnboundedSender<String>;
+
 /// What the links share.
 #[derive(Clone, Debug)]
 struct Shared {
     fleet: fleet::Fleet,
     gateway: String,
     /// Names of control hosts, where links mention new ones.
-    hosts: mpsc::UnboundedSender<String>,
+    hosts: Hosts,
     /// Control hosts that are followed now.
     linked: sync::Arc<sync::Mutex<collections::BTreeSet<String>>>,
     port: u16,
@@ -51,17 +54,24 @@
     pub(crate) gateway: String,
     /// Port that control hosts serve other processes at.
     pub(crate) port: u16,
-    /// Names of some control hosts.
-    pub(crate) seeds: Vec<net::SocketAddr>,
 }
 
-/// Follows every control host that is named, until `token` is cancelled.
-pub(crate) async fn run(fleet: fleet::Fleet, options: Options, token: CancellationToken) {
-    let (hosts, mut named) = mpsc::unbounded_channel();
-    for seed in &options.seeds {
-        // The receiver is held right here.
+/// Names control hosts to follow.
+pub(crate) fn name_hosts(hosts: &Hosts, seeds: &[net::SocketAddr]) {
+    for seed in seeds {
+        // Ends with the task that follows the hosts.
         let _ = hosts.send(seed.to_string());
     }
+}
+
+/// Follows every control host that is named, until `token` is cancelled.
+pub(crate) async fn run(
+    fleet: fleet::Fleet,
+    options: Options,
+    hosts: Hosts,
+    mut named: mpsc::UnboundedReceiver<String>,
+    token: CancellationToken,
+) {
     let shared = Shared {
         fleet,
         gateway: options.gateway,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -6,6 +6,8 @@
 use peargap_adapters::health;
 use peargap_adapters::logs;
 use peargap_adapters::metrics;
+use peargap_adapters::signals;
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use crate::events;
@@ -54,9 +56,12 @@
     let options = follow::Options {
         gateway: settings.name.clone(),
         port: settings.control_port,
-        seeds: settings.control_seeds.clone(),
     };
-    tokio::spawn(follow::run(fleet.clone(), options, links.clone()));
+    let (hosts, named) = mpsc::unbounded_channel();
+    follow::name_hosts(&hosts, &settings.control_seeds);
+    let following = follow::run(fleet.clone(), options, hosts.clone(), named, links.clone());
+    tokio::spawn(following);
+    listen_reload(&settings, hosts, links.clone())?;
     tokio::spawn(follow_readiness(fleet.clone(), readiness, token.clone()));
     logs::emit(
         events::STARTED,
@@ -73,6 +78,31 @@
     Ok(())
 }
 
+/// Follows the control hosts that the settings file names after each SIGHUP.
+fn listen_reload(
+    settings: &settings::Settings,
+    hosts: follow::Hosts,
+    token: CancellationToken,
+) -> Result<(), Error> {
+    let path = settings.path.clone();
+    let reload = move || {
+        let Some(path) = &path else {
+            return;
+        };
+        match settings::load(path) {
+            Ok(settings) => {
+                let seeds = &settings.control_seeds;
+                logs::emit(events::RELOADED, format_args!("seeds={seeds:?}"));
+                follow::name_hosts(&hosts, seeds);
+            }
+            Err(findings) => {
+                logs::emit(events::RELOAD_FAILED, format_args!("why={findings}"));
+            }
+        }
+    };
+    signals::on_hangup(token, reload).map_err(|error| Error::Setup(error.to_string()))
+}
+
 async fn bind(address: net::SocketAddr) -> Result<tokio::net::TcpListener, Error> {
     let bound = tokio::net::TcpListener::bind(address).await;
     bound.map_err(|error| Error::Listen(address, error))
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -31,11 +31,15 @@
     pub log_level: logs::Level,
     /// Name of this host.
     pub name: String,
+    /// File that these were read from; none where they were not read from one.
+    pub path: Option<path::PathBuf>,
 }
 
 /// Reads the settings file.
 pub fn load(path: &path::Path) -> Result<Settings, settings::Findings> {
-    read(settings::Reader::open(path))
+    let mut settings = read(settings::Reader::open(path))?;
+    settings.path = Some(path.to_owned());
+    Ok(settings)
 }
 
 /// Reads settings; all findings are reported together.
@@ -66,5 +70,6 @@
         log_format,
         log_level,
         name: name?,
+        path: None,
     })
 }
