--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -1,6 +1,7 @@
 //! The edges that every peargap process shares: command line, settings, logs, metrics, health
 //! and signals.
 
+pub mod budget;
 pub mod clock;
 pub mod command;
 pub mod config;
--- a/crates/adapters/src/logs.rs
+++ b/crates/adapters/src/logs.rs
@@ -5,10 +5,13 @@
 use core::fmt;
 use std::str;
 use std::sync;
+use std::time;
 
 use spdlog::formatter;
 use spdlog::sink;
 
+use crate::budget;
+
 /// A kind of log line.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Event {
@@ -99,9 +102,13 @@
     }
 }
 
-/// Sends log lines of `level` and above to standard error; returns spdlog's error when it cannot.
+static BUDGET: sync::LazyLock<sync::Mutex<budget::Budget>> =
+    sync::LazyLock::new(sync::Mutex::default);
+static START: sync::LazyLock<time::Instant> = sync::LazyLock::new(time::Instant::now);
+
+/// Sends log lines of `level` and above to standard output; returns spdlog's error when it cannot.
 pub fn init(name: &str, level: Level, format: Format) -> Result<(), spdlog::Error> {
-    let mut builder = sink::StdStreamSink::builder().stderr();
+    let mut builder = sink::StdStreamSink::builder().stdout();
     builder = match format {
         Format::Json => builder.formatter(formatter::JsonFormatter::new()),
         Format::Text => builder.formatter(formatter::PatternFormatter::new(formatter::pattern!(
@@ -117,8 +124,31 @@
     Ok(())
 }
 
-/// Writes one line of `event` with its details as `key=value` words.
+/// Writes one line of `event` with its details as `key=value` words, within the event's budget.
 pub fn emit(event: Event, details: fmt::Arguments<'_>) {
+    match spend(event) {
+        budget::Verdict::Drop => return,
+        budget::Verdict::Write => {}
+        budget::Verdict::WriteAfter(count) => {
+            let number = event.number;
+            write(
+                budget::LINES_DROPPED,
+                format_args!("event=E{number} count={count}"),
+            );
+        }
+    }
+    write(event, details);
+}
+
+fn spend(event: Event) -> budget::Verdict {
+    let elapsed = START.elapsed().as_millis();
+    let now_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
+    let locked = BUDGET.lock();
+    let mut budget = locked.unwrap_or_else(sync::PoisonError::into_inner);
+    budget.take(now_ms, event.number)
+}
+
+fn write(event: Event, details: fmt::Arguments<'_>) {
     let level = map_level(event.level);
     spdlog::log!(level, "E{} {}: {}", event.number, event.name, details);
 }
--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -17,13 +17,13 @@
 use tokio_util::sync as cancel;
 
 use crate::agent;
-use peargap_adapters::clock;
 use crate::decision;
 use crate::enforcement;
 use crate::engine;
 use crate::events;
 use crate::gate;
 use crate::meters;
+use peargap_adapters::clock;
 
 /// Time between two looks at the progress of running streams.
 const TICK: Duration = Duration::from_millis(20);
--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -12,7 +12,6 @@
 use peargap_wire::control;
 use tokio::sync::watch;
 
-use peargap_adapters::clock;
 use crate::enforcement;
 use crate::engine;
 use crate::gate;
@@ -20,6 +19,7 @@
 use crate::registry;
 use crate::settings;
 use crate::stream;
+use peargap_adapters::clock;
 
 /// When to come back for a model that is not loaded here.
 const MODEL_RETRY_MS: u32 = 5_000;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -24,7 +24,6 @@
 
 use crate::admission;
 use crate::agent;
-use peargap_adapters::clock;
 use crate::domain;
 use crate::enforcement;
 use crate::engine;
@@ -36,6 +35,7 @@
 use crate::service;
 use crate::settings;
 use crate::sweep;
+use peargap_adapters::clock;
 
 /// Block size of engine memory in tokens.
 const BLOCK_TOKENS: u32 = 16;
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -183,9 +183,20 @@
 
     /// Takes a gateway's load.
     pub(crate) fn note_loads(&self, key: LinkKey, loads: Vec<wire::Load>) {
+        let was_summing = self.has_loads();
         if let Some(link) = self.lock().links.get_mut(&key) {
             link.loads = loads;
         }
+        if !was_summing {
+            // Wakes the links, which look after sums only where there are any.
+            self.changed.send_modify(|_change| {});
+        }
+    }
+
+    /// Returns whether gateways report their load to this host.
+    pub(crate) fn has_loads(&self) -> bool {
+        let state = self.lock();
+        state.links.values().any(|link| !link.loads.is_empty())
     }
 
     /// Returns the load of all gateways but the one on this link.
@@ -217,9 +228,15 @@
         let now = self.clock.now();
         let state = self.lock();
         let is_news = |word: &upstreams::Word| {
-            state.changes.get(&word.name).is_some_and(|change| *change > after)
+            state
+                .changes
+                .get(&word.name)
+                .is_some_and(|change| *change > after)
         };
-        let news = state.directory.entries().filter(|entry| is_news(&entry.word));
+        let news = state
+            .directory
+            .entries()
+            .filter(|entry| is_news(&entry.word));
         let words = news.map(|entry| {
             let mut word = entry.word.clone();
             word.cold_ms = word.cold_ms.saturating_sub(now.millis_since(entry.heard));
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -24,6 +24,9 @@
 /// Time between sums of load to a gateway that reports its own.
 const LOAD_PERIOD: time::Duration = time::Duration::from_millis(100);
 
+/// Time between looks for new control hosts.
+const HOSTS_PERIOD: time::Duration = time::Duration::from_secs(1);
+
 /// Serves gateways.
 #[derive(Clone, Debug)]
 pub(crate) struct Gateways {
@@ -118,7 +121,9 @@
     let locked = numbers.lock();
     let mut numbers = locked.unwrap_or_else(sync::PoisonError::into_inner);
     let later = numbers.split_off(&(number + 1));
-    let change = numbers.last_key_value().map_or(0, |(_number, change)| *change);
+    let change = numbers
+        .last_key_value()
+        .map_or(0, |(_number, change)| *change);
     *numbers = later;
     change
 }
@@ -128,8 +133,6 @@
         let mut changes = self.fleet.changes();
         let mut routing = self.fleet.handle.routing();
         let mut status = self.fleet.handle.status();
-        let mut tick = tokio::time::interval(LOAD_PERIOD);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             let update = self.build(&mut changes, &mut routing, &mut status);
             if let Some(update) = update {
@@ -137,10 +140,14 @@
                     return;
                 }
             }
+            let pause = match self.fleet.has_loads() {
+                true => LOAD_PERIOD,
+                false => HOSTS_PERIOD,
+            };
             tokio::select! {
                 result = changes.changed() => if result.is_err() { return },
                 result = routing.changed() => if result.is_err() { return },
-                _instant = tick.tick() => {}
+                () = tokio::time::sleep(pause) => {}
                 () = self.updates.closed() => return,
             }
         }
--- a/crates/control/src/inbox.rs
+++ b/crates/control/src/inbox.rs
@@ -35,9 +35,8 @@
             lease_ms: envelope.lease_ms,
             received: tokio::time::Instant::now(),
         };
-        let is_greeting = |message: &wire::Message| {
-            matches!(message.kind, Some(wire::message::Kind::Hello(_)))
-        };
+        let is_greeting =
+            |message: &wire::Message| matches!(message.kind, Some(wire::message::Kind::Hello(_)));
         let greeted = envelope.messages.iter().any(is_greeting);
         for message in envelope.messages {
             let message = convert::read_message(message)
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -250,7 +250,9 @@
         if known.is_some() {
             return known;
         }
-        let client = connect(&build_endpoint(self.addresses.find(peer)?)).await.ok()?;
+        let client = connect(&build_endpoint(self.addresses.find(peer)?))
+            .await
+            .ok()?;
         self.lock().insert(peer.to_owned(), client.clone());
         Some(client)
     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -73,6 +73,8 @@
     pub peers: collections::BTreeMap<String, net::SocketAddr>,
     /// Intervals.
     pub timing: Timing,
+    /// The data folder is lost with the process: the host follows the log and never votes.
+    pub volatile: bool,
     /// Take a copied data folder for the newest there is.
     pub trust_copy: bool,
 }
@@ -127,6 +129,7 @@
     let health = reader.required("listen", "health", ADDRESS);
     let folder = reader.required("data", "folder", "a folder on a disk");
     let limit_mb = reader.ranged("data", "limit_mb", DEFAULT_LIMIT_MB, 16..=DEFAULT_LIMIT_MB);
+    let volatile = reader.optional("data", "volatile", false, "true or false");
     let trust_copy = reader.optional("data", "trust_copy", false, "true or false");
     let operator_keys = read_keys(reader);
     let bootstrap = reader.list("bootstrap", "voters", "names of hosts");
@@ -162,6 +165,7 @@
         platform,
         timing,
         trust_copy,
+        volatile,
     })
 }
 
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -8,6 +8,7 @@
 use peargap_core::log;
 use peargap_core::log::effect;
 use peargap_core::log::entry;
+use peargap_core::log::member;
 use peargap_core::log::message;
 use peargap_core::routing;
 use rand::RngExt as _;
@@ -16,11 +17,11 @@
 use tokio::time;
 
 use crate::convert;
-use crate::disk;
 use crate::events;
 use crate::files;
 use crate::lease;
 use crate::machine;
+use crate::medium;
 use crate::peers;
 use crate::persist;
 use crate::replica;
@@ -82,7 +83,7 @@
 #[derive(Debug)]
 pub(crate) struct Worker {
     pub(crate) applied: u64,
-    pub(crate) disk: disk::Disk,
+    pub(crate) disk: medium::Medium,
     lease: lease::Lease,
     pub(crate) log: log::Log,
     pub(crate) machine: machine::Machine,
@@ -99,9 +100,8 @@
         outputs: Outputs,
     ) -> Result<Worker, files::Error> {
         let name = Bytes::from(settings.name.clone());
-        let disk_id = rand::rng().random_range(1..u64::MAX);
-        let opened = disk::Disk::open(&settings.folder, &name, disk_id, settings.disk_limits);
-        let (mut disk, found) = opened?;
+        let disk_id = rand::rng().random_range(1..member::VOLATILE);
+        let (mut disk, found) = medium::Medium::open(&settings, &name, disk_id)?;
         if found.copied && settings.trust_copy {
             disk.adopt()?;
         }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -183,6 +183,7 @@
         let child = process::Command::new(env!("CARGO_BIN_EXE_peargap-control"))
             .arg("--config")
             .arg(&self.settings)
+            .stdout(log.try_clone().expect("log file"))
             .stderr(log)
             .spawn()
             .expect("the program");
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -91,8 +91,7 @@
     }
     let fits = |candidate: &Candidate<K>| {
         let held = candidate.load.tokens + tokens;
-        candidate.load.running < candidate.slots
-            && ratio(held, candidate.memory) <= MEMORY_SHARE
+        candidate.load.running < candidate.slots && ratio(held, candidate.memory) <= MEMORY_SHARE
     };
     let score = |candidate: &Candidate<K>| {
         let held = candidate.load.tokens + candidate.load.copied + tokens;
@@ -100,7 +99,11 @@
         let waiting = ratio(candidate.load.waiting, WAITING_TOKENS);
         ratio(held, candidate.memory) + waiting + RUNNING_WEIGHT * running + remote_score(candidate)
     };
-    choose_least(candidates.iter().filter(|candidate| fits(candidate)), score, random)
+    choose_least(
+        candidates.iter().filter(|candidate| fits(candidate)),
+        score,
+        random,
+    )
 }
 
 /// Why memory is copied.
@@ -135,7 +138,11 @@
         };
         fill(candidate) + remote
     };
-    choose_least(candidates.iter().filter(|candidate| fits(candidate)), score, random)
+    choose_least(
+        candidates.iter().filter(|candidate| fits(candidate)),
+        score,
+        random,
+    )
 }
 
 /// Picks an upstream of a plain service.
@@ -161,7 +168,10 @@
     let scored: Vec<_> = candidates
         .map(|candidate| (score(candidate), candidate.key))
         .collect();
-    let least = scored.iter().map(|(score, _key)| *score).fold(f64::INFINITY, f64::min);
+    let least = scored
+        .iter()
+        .map(|(score, _key)| *score)
+        .fold(f64::INFINITY, f64::min);
     let close: Vec<K> = scored
         .iter()
         .filter(|(score, _key)| *score <= least + SCORE_MARGIN)
@@ -180,7 +190,10 @@
     }
 }
 
-#[allow(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
 fn ratio(tokens: u64, memory: u64) -> f64 {
     tokens as f64 / memory.max(1) as f64
 }
--- a/crates/core/src/log/join.rs
+++ b/crates/core/src/log/join.rs
@@ -109,12 +109,13 @@
 
     /// Writes the first roster once every host of it has said that it is fresh.
     ///
-    /// Only the host with the smallest name does so, and a host that has ever taken part says
+    /// Only the host with the smallest name that keeps its disk does so. Hosts whose data folder does
+    /// not last are asked, but do not vote. A host that has ever taken part says
     /// that it is not fresh, which ends it for this process; so a host that lost its disk cannot found a second log beside one
     /// that lives on.
     pub(crate) fn bootstrap(&mut self, effects: &mut effect::Effects) -> bool {
         let names = &self.settings.bootstrap;
-        if self.founded || !self.is_fresh() || names.first() != Some(&self.me.name) {
+        if self.founded || !self.is_fresh() || !names.contains(&self.me.name) {
             return false;
         }
         let mut voters = self.fresh.clone();
@@ -124,6 +125,11 @@
         if found != *names {
             return false;
         }
+        voters.retain(|voter| !voter.is_volatile());
+        let founder = voters.iter().map(|voter| &voter.name).min();
+        if founder != Some(&self.me.name) {
+            return false;
+        }
         let roster = member::Roster {
             learners: collections::BTreeSet::new(),
             voters,
--- a/crates/core/src/log/member.rs
+++ b/crates/core/src/log/member.rs
@@ -16,7 +16,17 @@
     pub disk: u64,
 }
 
+/// Bit of a disk's id that says that the data folder does not last.
+pub const VOLATILE: u64 = 1 << 63;
+
 impl Member {
+    /// Returns whether its data folder is lost with the process; such a host follows the log and
+    /// never votes.
+    #[must_use]
+    pub fn is_volatile(&self) -> bool {
+        self.disk & VOLATILE != 0
+    }
+
     /// Returns whether a message to `self` is meant for `member`.
     pub(crate) fn means(&self, member: &Member) -> bool {
         self.name == member.name && (self.disk == ANY_DISK || self.disk == member.disk)
--- a/crates/core/src/log/roster.rs
+++ b/crates/core/src/log/roster.rs
@@ -84,10 +84,11 @@
         let mut learners = self.store.roster().learners.iter();
         let ready = learners.find(|learner| {
             let progress = leading.progress.get(*learner);
-            progress.is_some_and(|progress| {
-                progress.round + RECENT_ROUNDS >= leading.round
-                    && progress.matched + self.settings.learner_lag >= self.commit
-            })
+            !learner.is_volatile()
+                && progress.is_some_and(|progress| {
+                    progress.round + RECENT_ROUNDS >= leading.round
+                        && progress.matched + self.settings.learner_lag >= self.commit
+                })
         });
         ready.cloned()
     }
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -254,7 +254,10 @@
             report("has a timeout of 0".to_owned());
         }
         if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-            report(format!("prefix {:?} needs slashes at both ends", route.prefix));
+            report(format!(
+                "prefix {:?} needs slashes at both ends",
+                route.prefix
+            ));
         }
         let total: f64 = shares.iter().map(|share| share.weight).sum();
         if total <= 0.0 || shares.iter().any(|share| share.weight < 0.0) {
--- /dev/null
+++ b/crates/core/tests/event.rs
@@ -0,0 +1,51 @@
+//! Scanning server-sent events out of arbitrary pieces.
+
+use peargap_core::event;
+use quickcheck::quickcheck;
+
+fn scan_all(mut bytes: &[u8]) -> Vec<event::Event> {
+    let mut events = Vec::new();
+    while let Some(event) = event::scan_event(bytes) {
+        bytes = &bytes[event.bytes..];
+        events.push(event);
+    }
+    events
+}
+
+#[test]
+fn an_event_ends_with_a_blank_line() {
+    assert_eq!(event::scan_event(b"id: 1\ndata: x\n"), None);
+    let found = event::scan_event(b"id: 1\ndata: x\n\nid: 2").expect("an event");
+    assert_eq!(found.id, Some(1));
+    assert_eq!(found.bytes, 15);
+}
+
+#[test]
+fn carriage_returns_and_missing_ids_are_taken() {
+    let found = event::scan_event(b"id:7\r\ndata: x\r\n\r\n").expect("an event");
+    assert_eq!(found.id, Some(7));
+    let found = event::scan_event(b"data: id: 3\n\n").expect("an event");
+    assert_eq!(found.id, None);
+}
+
+#[test]
+fn an_id_that_is_no_number_is_none() {
+    let found = event::scan_event(b"id: x1\n\n").expect("an event");
+    assert_eq!(found.id, None);
+}
+
+quickcheck! {
+    fn pieces_give_the_events_of_the_whole(ids: Vec<u16>, cut: usize) -> bool {
+        let text: String = ids.iter().map(|id| format!("id: {id}\ndata: {id}{id}\n\n")).collect();
+        let whole = scan_all(text.as_bytes());
+        let cut = cut.checked_rem(text.len() + 1).unwrap_or(0);
+        // What is not a whole event yet waits for the rest.
+        let first = scan_all(&text.as_bytes()[..cut]);
+        let used: usize = first.iter().map(|event| event.bytes).sum();
+        let rest = scan_all(&text.as_bytes()[used..]);
+        let pieces: Vec<_> = first.into_iter().chain(rest).collect();
+        let found: Vec<_> = whole.iter().map(|event| event.id).collect();
+        let sent: Vec<_> = ids.iter().map(|id| Some(u64::from(*id))).collect();
+        pieces == whole && found == sent
+    }
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -59,6 +59,7 @@
         let child = process::Command::new(env!("CARGO_BIN_EXE_peargap-entry"))
             .arg("--config")
             .arg(&file)
+            .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn()
             .unwrap();
--- /dev/null
+++ b/crates/fake/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins that run within a test.
+
+pub mod runner;
--- /dev/null
+++ b/crates/fake/src/runner.rs
@@ -0,0 +1,306 @@
+//! Stand-in for the platform's runners: plain calls, generations, copies of their memory.
+//!
+//! It speaks the platform's names and keeps what reached it, so that a test can compare what callers
+//! were told with what ran.
+
+use std::collections;
+use std::convert;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use axum::body;
+use axum::extract;
+use axum::response;
+use axum::response::IntoResponse as _;
+use bytes::Bytes;
+use futures::StreamExt as _;
+use http::HeaderMap;
+use http::StatusCode;
+
+/// How a runner treats the requests that reach it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Behaviour {
+    /// Runs them.
+    #[default]
+    Answer,
+    /// Runs them and fails with a 500 of its own.
+    Fail,
+    /// Runs them and closes the connection without an answer.
+    Reset,
+    /// Answers with the id of another attempt.
+    OtherAttempt,
+    /// Refuses them as not run.
+    Shed,
+    /// Answers without proof.
+    Unsigned,
+}
+
+/// A request that a runner ran.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Run {
+    /// Id of the attempt.
+    pub attempt: String,
+    /// The body that arrived.
+    pub body: Bytes,
+    /// Last event that the sender had, for a run that went on here.
+    pub after_event: Option<u64>,
+    /// Headers that arrived.
+    pub headers: HeaderMap,
+    /// Path and query that arrived.
+    pub path: String,
+}
+
+/// Runners that can copy memory to each other.
+#[derive(Clone, Debug, Default)]
+pub struct Rack(sync::Arc<sync::Mutex<collections::HashMap<String, Runner>>>);
+
+/// A stand-in runner; clones share it.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// Address that it serves.
+    pub address: net::SocketAddr,
+    /// Name of this start.
+    pub name: String,
+    inner: sync::Arc<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Streams begun with a lower number are broken off.
+    broken: atomic::AtomicU64,
+    rack: Rack,
+    running: atomic::AtomicUsize,
+    state: sync::Mutex<State>,
+    streams: atomic::AtomicU64,
+}
+
+#[derive(Debug)]
+struct State {
+    behaviour: Behaviour,
+    /// Copies that lie here, as a sender names them.
+    copies: collections::HashSet<String>,
+    /// Events of a generation.
+    events: u64,
+    /// Time between events.
+    pace: time::Duration,
+    runs: Vec<Run>,
+}
+
+impl Default for State {
+    fn default() -> State {
+        State {
+            behaviour: Behaviour::Answer,
+            copies: collections::HashSet::new(),
+            events: 5,
+            pace: time::Duration::from_millis(1),
+            runs: Vec::new(),
+        }
+    }
+}
+
+/// Counts a request as running until it is dropped.
+#[derive(Debug)]
+struct Running(Runner);
+
+impl Running {
+    fn new(runner: &Runner) -> Running {
+        runner.inner.running.fetch_add(1, atomic::Ordering::SeqCst);
+        Running(runner.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.inner.running.fetch_sub(1, atomic::Ordering::SeqCst);
+    }
+}
+
+impl Rack {
+    /// Starts a runner; it ends with the runtime.
+    ///
+    /// Fails when no port can be listened on.
+    pub async fn start(&self, name: &str) -> std::io::Result<Runner> {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let inner = Inner {
+            rack: self.clone(),
+            ..Inner::default()
+        };
+        let runner = Runner {
+            address,
+            inner: sync::Arc::new(inner),
+            name: name.to_owned(),
+        };
+        self.lock().insert(address.to_string(), runner.clone());
+        let router = axum::Router::new()
+            .route("/api/kv-move", axum::routing::post(copy))
+            .fallback(serve)
+            .with_state(runner.clone());
+        tokio::spawn(async move {
+            // Ends with the runtime.
+            let _ = axum::serve(listener, router).await;
+        });
+        Ok(runner)
+    }
+
+    fn find(&self, address: &str) -> Option<Runner> {
+        self.lock().get(address).cloned()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<String, Runner>> {
+        let locked = self.0.lock();
+        locked.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Runner {
+    /// Sets how it treats requests from now on.
+    pub fn behave(&self, behaviour: Behaviour) {
+        self.lock().behaviour = behaviour;
+    }
+
+    /// Sets how many events a generation has and the time between them.
+    pub fn set_events(&self, events: u64, pace: time::Duration) {
+        let mut state = self.lock();
+        state.events = events;
+        state.pace = pace;
+    }
+
+    /// Breaks off every stream that runs.
+    pub fn break_streams(&self) {
+        let begun = self.inner.streams.load(atomic::Ordering::SeqCst);
+        self.inner.broken.store(begun, atomic::Ordering::SeqCst);
+    }
+
+    /// Returns the requests that it ran, in order.
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    /// Returns how many requests run now.
+    pub fn count_running(&self) -> usize {
+        self.inner.running.load(atomic::Ordering::SeqCst)
+    }
+
+    fn take_copy(&self, handle: &str) -> bool {
+        self.lock().copies.remove(handle)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        let locked = self.inner.state.lock();
+        locked.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+fn read_text(headers: &HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+async fn serve(
+    extract::State(runner): extract::State<Runner>,
+    request: extract::Request,
+) -> response::Response {
+    let (parts, body) = request.into_parts();
+    let headers = parts.headers;
+    let body = body::to_bytes(body, usize::MAX).await.unwrap_or_default();
+    let attempt = read_text(&headers, "attempt-id").unwrap_or_default();
+    if read_text(&headers, "target-instance").is_some_and(|target| target != runner.name) {
+        return refuse(StatusCode::MISDIRECTED_REQUEST, &attempt);
+    }
+    let behaviour = runner.lock().behaviour;
+    if behaviour == Behaviour::Shed {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, &attempt);
+    }
+    let resumed = read_text(&headers, "kv-from");
+    if resumed.is_some_and(|handle| !runner.take_copy(&handle)) {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, &attempt);
+    }
+    let after_event = read_text(&headers, "last-event-id").and_then(|id| id.parse().ok());
+    runner.lock().runs.push(Run {
+        after_event,
+        attempt: attempt.clone(),
+        body: body.clone(),
+        headers: headers.clone(),
+        path: parts.uri.to_string(),
+    });
+    if let Some(target) = read_text(&headers, "kv-backup") {
+        if let Some(target) = runner.inner.rack.find(&target) {
+            let handle = format!("{}/{attempt}", target.address);
+            target.lock().copies.insert(handle);
+        }
+    }
+    match behaviour {
+        Behaviour::Fail => answer(StatusCode::INTERNAL_SERVER_ERROR, &attempt, body),
+        Behaviour::OtherAttempt => answer(StatusCode::OK, "other", body),
+        Behaviour::Reset => {
+            let broken = futures::stream::once(async { Err::<Bytes, _>(broken()) });
+            (StatusCode::OK, body::Body::from_stream(broken)).into_response()
+        }
+        Behaviour::Unsigned => (StatusCode::OK, body).into_response(),
+        Behaviour::Answer | Behaviour::Shed if headers.contains_key("token-usage") => {
+            stream(&runner, &attempt, after_event.unwrap_or(0))
+        }
+        Behaviour::Answer | Behaviour::Shed => answer(StatusCode::OK, &attempt, body),
+    }
+}
+
+fn refuse(status: StatusCode, attempt: &str) -> response::Response {
+    let headers = [("not-executed", "1"), ("attempt-id", attempt)];
+    (status, headers).into_response()
+}
+
+fn answer(status: StatusCode, attempt: &str, body: Bytes) -> response::Response {
+    let headers = [("server-signature", "proof"), ("attempt-id", attempt)];
+    (status, headers, body).into_response()
+}
+
+fn broken() -> std::io::Error {
+    std::io::Error::other("broken off")
+}
+
+/// Streams the events of a generation behind the one given.
+fn stream(runner: &Runner, attempt: &str, after: u64) -> response::Response {
+    let running = Running::new(runner);
+    let number = runner.inner.streams.fetch_add(1, atomic::Ordering::SeqCst) + 1;
+    let (events, pace) = {
+        let state = runner.lock();
+        (state.events, state.pace)
+    };
+    let pieces = futures::stream::iter(after + 1..=events).then(move |id| {
+        let runner = running.0.clone();
+        async move {
+            tokio::time::sleep(pace).await;
+            match runner.inner.broken.load(atomic::Ordering::SeqCst) >= number {
+                true => Err(broken()),
+                false => Ok::<_, std::io::Error>(Bytes::from(format!("id: {id}\ndata: t{id}\n\n"))),
+            }
+        }
+    });
+    // The closure holds `running` until the stream is dropped.
+    let headers = [
+        ("server-signature", "proof"),
+        ("attempt-id", attempt),
+        ("content-type", "text/event-stream"),
+    ];
+    (headers, body::Body::from_stream(pieces)).into_response()
+}
+
+async fn copy(
+    extract::State(runner): extract::State<Runner>,
+    extract::Json(order): extract::Json<serde_json::Value>,
+) -> Result<response::Response, convert::Infallible> {
+    let target = order["target"].as_str().unwrap_or_default();
+    let attempt = order["id"].as_str().unwrap_or_default();
+    let Some(target) = runner.inner.rack.find(target) else {
+        return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
+    };
+    let handle = format!("h-{attempt}");
+    target
+        .lock()
+        .copies
+        .insert(format!("{}/{handle}", runner.address));
+    let copied = serde_json::json!({"kvHandle": handle, "made": 0});
+    Ok(axum::Json(copied).into_response())
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -32,7 +32,9 @@
 impl Request {
     /// Returns the milliseconds until the deadline.
     pub(crate) fn left_ms(&self) -> u64 {
-        let left = self.deadline.saturating_duration_since(time::Instant::now());
+        let left = self
+            .deadline
+            .saturating_duration_since(time::Instant::now());
         u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
     }
 }
@@ -107,7 +109,9 @@
     let (head, body) = response.into_parts();
     let answer = head::read_answer(head.status, &head.headers, &request.head.attempt);
     if !answer.is_own {
-        return Err(Failure::Unknown("the answer is another request's".to_owned()));
+        return Err(Failure::Unknown(
+            "the answer is another request's".to_owned(),
+        ));
     }
     if answer.ran == head::Ran::No {
         return Err(Failure::NotRun(format!("upstream said {}", head.status)));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -12,6 +12,7 @@
 use peargap_wire::fleet as wire;
 use peargap_wire::fleet::fleet_client;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio_stream::wrappers;
 use tokio_util::sync::CancellationToken;
 use tonic::transport;
@@ -42,7 +43,7 @@
     /// Names of control hosts, where links mention new ones.
     hosts: Hosts,
     /// Control hosts that are followed now.
-    linked: sync::Arc<sync::Mutex<collections::BTreeSet<String>>>,
+    linked: sync::Arc<watch::Sender<collections::BTreeSet<String>>>,
     port: u16,
     token: CancellationToken,
 }
@@ -76,7 +77,7 @@
         fleet,
         gateway: options.gateway,
         hosts,
-        linked: sync::Arc::default(),
+        linked: sync::Arc::new(watch::Sender::new(collections::BTreeSet::new())),
         port: options.port,
         token: token.clone(),
     };
@@ -107,7 +108,7 @@
             () = shared.token.cancelled() => return,
             result = link => result,
         };
-        if shared.lock().remove(&host) {
+        if shared.unlink(&host) {
             logs::emit(
                 events::CONTROL_LOST,
                 format_args!("control={host} why={result:?}"),
@@ -126,9 +127,12 @@
         .keep_alive_timeout(KEEPALIVE_TIMEOUT)
         .keep_alive_while_idle(true)
         .tcp_nodelay(true);
-    let channel = endpoint.connect().await.map_err(|error| error.to_string())?;
-    let mut client = fleet_client::FleetClient::new(channel)
-        .max_decoding_message_size(MAX_UPDATE_BYTES);
+    let channel = endpoint
+        .connect()
+        .await
+        .map_err(|error| error.to_string())?;
+    let mut client =
+        fleet_client::FleetClient::new(channel).max_decoding_message_size(MAX_UPDATE_BYTES);
     let (reports, outgoing) = mpsc::channel(REPORT_BUFFER);
     let first = wire::Report {
         gateway: shared.gateway.clone(),
@@ -138,7 +142,10 @@
     let stream = wrappers::ReceiverStream::new(outgoing);
     let answer = client.follow(stream).await;
     let mut updates = answer.map_err(|status| status.to_string())?.into_inner();
-    shared.lock().insert(host.to_owned());
+    shared.linked.send_modify(|linked| {
+        linked.insert(host.to_owned());
+    });
+    let mut linked = shared.linked.subscribe();
     logs::emit(events::CONTROL_LINKED, format_args!("control={host}"));
     let mut tick = tokio::time::interval(LOAD_PERIOD);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -150,10 +157,9 @@
                 Some(Err(status)) => return Err(status.to_string()),
                 None => return Err("ended".to_owned()),
             },
-            _instant = tick.tick() => {
-                if !shared.reports_to(host) {
-                    continue;
-                }
+            // Another host may be the first one from now on.
+            result = linked.changed() => result.map_err(|_closed| "ended".to_owned())?,
+            _instant = tick.tick(), if shared.reports_to(host) => {
                 let loads = shared.fleet.list_loads();
                 if loads == reported {
                     continue;
@@ -246,11 +252,12 @@
 impl Shared {
     /// Returns whether this host sums up load: all gateways pick the first one that they follow.
     fn reports_to(&self, host: &str) -> bool {
-        self.lock().first().is_some_and(|first| first == host)
+        let linked = self.linked.borrow();
+        linked.first().is_some_and(|first| first == host)
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, collections::BTreeSet<String>> {
-        let locked = self.linked.lock();
-        locked.unwrap_or_else(sync::PoisonError::into_inner)
+    /// Notes that a host is not followed any more; returns whether it was.
+    fn unlink(&self, host: &str) -> bool {
+        self.linked.send_if_modified(|linked| linked.remove(host))
     }
 }
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -163,7 +163,7 @@
                     answer,
                     copy,
                     place,
-                })
+                });
             }
             Err(failure) => {
                 logs::emit(
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -122,5 +122,8 @@
         }
     }
     readiness.set(false);
-    logs::emit(events::STOPPING, format_args!("version={}", fleet.version()));
+    logs::emit(
+        events::STOPPING,
+        format_args!("version={}", fleet.version()),
+    );
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -71,7 +71,7 @@
     /// The stream broke, for this reason.
     Fault(String),
     /// A move ended.
-    Moved(Result<generation::Run, migrate::Failure>),
+    Moved(Result<Box<generation::Run>, migrate::Failure>),
     /// Something changed in the fleet, or it is time to look after the copy.
     Noticed,
     /// The deadline has passed.
@@ -152,7 +152,7 @@
             biased;
             () = self.sender.closed() => Step::CallerLeft,
             () = time::sleep_until(deadline) => Step::TimedOut,
-            result = wait_task(&mut self.moving) => Step::Moved(result),
+            result = wait_task(&mut self.moving) => Step::Moved(result.map(Box::new)),
             result = wait_task(&mut self.copying) => Step::Copied(result),
             step = self.source.read() => step,
             result = self.changes.changed() => match result {
@@ -336,7 +336,7 @@
         Next::GoOn
     }
 
-    fn take_move(&mut self, result: Result<generation::Run, migrate::Failure>) -> Next {
+    fn take_move(&mut self, result: Result<Box<generation::Run>, migrate::Failure>) -> Next {
         self.moving = None;
         match result {
             Ok(run) => {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -80,7 +80,10 @@
     quiet: CancellationToken,
 ) {
     if let Err(error) = pool::watch_silence(&stream) {
-        logs::emit(events::CALLER_FAILED, format_args!("peer={peer} why={error}"));
+        logs::emit(
+            events::CALLER_FAILED,
+            format_args!("peer={peer} why={error}"),
+        );
         return;
     }
     let handler = service::service_fn(move |request| gateway.clone().serve(request));
@@ -99,6 +102,9 @@
         }
     };
     if let Err(error) = result {
-        logs::emit(events::CALLER_FAILED, format_args!("peer={peer} why={error}"));
+        logs::emit(
+            events::CALLER_FAILED,
+            format_args!("peer={peer} why={error}"),
+        );
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,346 @@
+//! A gateway within the test, a stand-in control host and stand-in runners.
+
+#![allow(dead_code)]
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use futures::StreamExt as _;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt;
+use peargap_fake::runner;
+use peargap_gateway::host;
+use peargap_gateway::settings;
+use peargap_load::ports;
+use peargap_wire::fleet as wire;
+use peargap_wire::fleet::fleet_server;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers;
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for anything in these tests.
+const PATIENCE: time::Duration = time::Duration::from_secs(10);
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
+
+/// Routes: `/plain/` may repeat, `/once/` may not, `/stream/` generates, `/open/` needs no key.
+pub(crate) const DOCUMENT: &str = r#"{"version":3,"routes":[
+ {"name":"plain","host":"h.example","pathPrefix":"/plain/","routeType":"idempotent",
+  "timeoutMs":3000,"latencySloMs":150,"service":"desk","maxAttempts":2},
+ {"name":"once","host":"h.example","pathPrefix":"/once/","routeType":"non_idempotent",
+  "timeoutMs":3000,"latencySloMs":150,"service":"desk","maxAttempts":1},
+ {"name":"open","host":"h.example","pathPrefix":"/open/","routeType":"idempotent",
+  "timeoutMs":3000,"service":"desk","maxAttempts":1,"public":true},
+ {"name":"stream","host":"h.example","pathPrefix":"/stream/","routeType":"streaming",
+  "timeoutMs":9000,"latencySloMs":1800,"priority":1,"service":"pool","maxAttempts":1,
+  "itlTargetMs":180}],
+ "services":[{"name":"desk"},{"name":"pool","coldPerS":26.0,"engine":{"slots":24,
+  "kvCapacity":34471,"moves":true,"backups":true,"stride":4,"handleTtlS":5.0}}],
+ "limits":{"maxBodyBytes":1000},
+ "tenants":[{"name":"red","apiKeys":["k1"],"priority":0}]}"#;
+
+/// What the stand-in control host tells and was told.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Control {
+    applied: sync::Arc<sync::Mutex<Vec<u64>>>,
+    links: sync::Arc<sync::Mutex<Vec<Link>>>,
+    told: sync::Arc<sync::Mutex<Vec<wire::Update>>>,
+}
+
+type Link = mpsc::Sender<Result<wire::Update, tonic::Status>>;
+
+#[tonic::async_trait]
+impl fleet_server::Fleet for Control {
+    type FollowStream = wrappers::ReceiverStream<Result<wire::Update, tonic::Status>>;
+
+    async fn follow(
+        &self,
+        request: tonic::Request<tonic::Streaming<wire::Report>>,
+    ) -> Result<tonic::Response<Self::FollowStream>, tonic::Status> {
+        let mut reports = request.into_inner();
+        let (updates, outgoing) = mpsc::channel(1000);
+        for update in self.told.lock().expect("told").iter() {
+            updates.try_send(Ok(update.clone())).expect("a link");
+        }
+        self.links.lock().expect("links").push(updates);
+        let applied = self.applied.clone();
+        tokio::spawn(async move {
+            while let Some(Ok(report)) = reports.next().await {
+                if report.applied > 0 {
+                    applied.lock().expect("applied").push(report.applied);
+                }
+            }
+        });
+        Ok(tonic::Response::new(wrappers::ReceiverStream::new(
+            outgoing,
+        )))
+    }
+}
+
+impl Control {
+    /// Tells every gateway something and waits until it is in force.
+    pub(crate) async fn tell(&self, mut update: wire::Update) {
+        {
+            let mut told = self.told.lock().expect("told");
+            update.number = u64::try_from(told.len()).expect("few") + 1;
+            told.push(update.clone());
+        }
+        let links = self.links.lock().expect("links").clone();
+        let has_words = !update.upstreams.is_empty();
+        let number = update.number;
+        for link in links {
+            link.send(Ok(update.clone())).await.expect("a link");
+        }
+        if has_words {
+            let applied = self.applied.clone();
+            wait_for(move || applied.lock().expect("applied").contains(&number)).await;
+        }
+    }
+
+    /// Tells of a runner.
+    pub(crate) async fn announce(
+        &self,
+        runner: &runner::Runner,
+        service: &str,
+        state: wire::State,
+        sequence: u64,
+    ) {
+        let upstream = wire::Upstream {
+            address: runner.address.to_string(),
+            born_ms: 1,
+            cold_ms: 0,
+            domain: "a".to_owned(),
+            name: runner.name.clone(),
+            sequence,
+            service: service.to_owned(),
+            slots: 24,
+            state: state.into(),
+        };
+        self.tell(wire::Update {
+            upstreams: vec![upstream],
+            ..wire::Update::default()
+        })
+        .await;
+    }
+}
+
+/// A gateway with its surroundings.
+#[derive(Debug)]
+pub(crate) struct Site {
+    pub(crate) address: net::SocketAddr,
+    pub(crate) control: Control,
+    pub(crate) ended: tokio::task::JoinHandle<()>,
+    pub(crate) health: net::SocketAddr,
+    pub(crate) rack: runner::Rack,
+    pub(crate) runners: collections::BTreeMap<String, runner::Runner>,
+    pub(crate) stop: CancellationToken,
+}
+
+impl Site {
+    /// Starts a gateway that knows of no routes yet.
+    pub(crate) async fn start_empty() -> Site {
+        let ports = ports::find_ports(3).expect("ports");
+        let local = |port| net::SocketAddr::from(([127, 0, 0, 1], port));
+        let control = Control::default();
+        let service = fleet_server::FleetServer::new(control.clone());
+        let served = tonic::transport::Server::builder()
+            .add_service(service)
+            .serve(local(ports[0]));
+        tokio::spawn(served);
+        let stop = CancellationToken::new();
+        let settings = settings::Settings {
+            callers: local(ports[1]),
+            control_port: ports[0],
+            control_seeds: vec![local(ports[0])],
+            domain: "a".to_owned(),
+            grace: time::Duration::from_secs(8),
+            health: local(ports[2]),
+            log_format: peargap_adapters::logs::Format::Text,
+            log_level: peargap_adapters::logs::Level::Info,
+            name: "gateway-1".to_owned(),
+            path: None,
+        };
+        let token = stop.clone();
+        let ended = tokio::spawn(async move {
+            host::run(settings, token).await.expect("a gateway");
+        });
+        let links = control.links.clone();
+        wait_for(move || !links.lock().expect("links").is_empty()).await;
+        Site {
+            address: local(ports[1]),
+            control,
+            ended,
+            health: local(ports[2]),
+            rack: runner::Rack::default(),
+            runners: collections::BTreeMap::new(),
+            stop,
+        }
+    }
+
+    /// Starts a gateway with routes and runners: names that begin with `d` serve the desk.
+    pub(crate) async fn start(names: &[&str]) -> Site {
+        let mut site = Site::start_empty().await;
+        let document = wire::Document {
+            text: Bytes::from_static(DOCUMENT.as_bytes()),
+            version: 3,
+        };
+        site.control
+            .tell(wire::Update {
+                document: Some(document),
+                ..wire::Update::default()
+            })
+            .await;
+        for name in names {
+            site.add_runner(name).await;
+        }
+        site
+    }
+
+    /// Starts a runner and announces it.
+    pub(crate) async fn add_runner(&mut self, name: &str) {
+        let runner = self.rack.start(name).await.expect("a runner");
+        let service = service_of(name);
+        self.control
+            .announce(&runner, service, wire::State::Ready, 1)
+            .await;
+        self.runners.insert(name.to_owned(), runner);
+    }
+
+    /// Returns a runner.
+    pub(crate) fn runner(&self, name: &str) -> &runner::Runner {
+        &self.runners[name]
+    }
+
+    /// Says that a runner leaves.
+    pub(crate) async fn drain(&self, name: &str) {
+        let runner = self.runner(name);
+        self.control
+            .announce(runner, service_of(name), wire::State::Draining, 2)
+            .await;
+    }
+
+    /// Returns the runner that runs a generation.
+    pub(crate) async fn find_running(&self) -> runner::Runner {
+        let runners: Vec<_> = self.runners.values().cloned().collect();
+        let busy = runners.clone();
+        wait_for(move || busy.iter().any(|runner| runner.count_running() > 0)).await;
+        let mut runners = runners.into_iter();
+        let running = runners.find(|runner| runner.count_running() > 0);
+        running.expect("a runner that runs")
+    }
+
+    /// Opens a connection to the gateway.
+    pub(crate) async fn connect(&self) -> Caller {
+        let stream = tokio::net::TcpStream::connect(self.address).await;
+        let io = rt::TokioIo::new(stream.expect("a connection"));
+        let (sender, connection) = http1::handshake(io).await.expect("a connection");
+        let task = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Caller { sender, task }
+    }
+
+    /// Sends one request and returns its whole answer.
+    pub(crate) async fn call(&self, request: http::Request<Full<Bytes>>) -> Answer {
+        self.connect().await.call(request).await
+    }
+}
+
+fn service_of(name: &str) -> &'static str {
+    match name.starts_with('d') {
+        true => "desk",
+        false => "pool",
+    }
+}
+
+/// A caller's connection.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    pub(crate) sender: http1::SendRequest<Full<Bytes>>,
+    pub(crate) task: tokio::task::JoinHandle<()>,
+}
+
+/// An answer as a caller saw it.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) body: Bytes,
+    pub(crate) headers: http::HeaderMap,
+    /// Whether the body came to its end.
+    pub(crate) is_whole: bool,
+    pub(crate) status: u16,
+}
+
+impl Answer {
+    /// Returns the ids of the events.
+    pub(crate) fn ids(&self) -> Vec<u64> {
+        let text = String::from_utf8_lossy(&self.body).into_owned();
+        let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.map(|id| id.parse().expect("a number")).collect()
+    }
+}
+
+impl Caller {
+    /// Sends a request and returns its whole answer.
+    pub(crate) async fn call(&mut self, request: http::Request<Full<Bytes>>) -> Answer {
+        let sent = tokio::time::timeout(PATIENCE, self.sender.send_request(request)).await;
+        let (head, mut body) = sent.expect("in time").expect("an answer").into_parts();
+        let mut bytes = Vec::new();
+        let mut is_whole = true;
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => bytes.extend_from_slice(&frame.into_data().expect("data")),
+                Err(_broken) => {
+                    is_whole = false;
+                    break;
+                }
+            }
+        }
+        Answer {
+            body: bytes.into(),
+            headers: head.headers,
+            is_whole,
+            status: head.status.as_u16(),
+        }
+    }
+}
+
+/// Returns a request with a key that may wait 5 s.
+pub(crate) fn request(path: &str, body: &'static str) -> http::Request<Full<Bytes>> {
+    let mut request = http::Request::new(Full::new(Bytes::from_static(body.as_bytes())));
+    *request.method_mut() = http::Method::POST;
+    *request.uri_mut() = path.parse().expect("a path");
+    let headers = [
+        ("host", "h.example"),
+        ("attempt-id", "9c41"),
+        ("deadline-ms", "5000"),
+        ("x-api-key", "k1"),
+    ];
+    for (name, value) in headers {
+        let value = http::HeaderValue::from_static(value);
+        request.headers_mut().insert(name, value);
+    }
+    request
+}
+
+/// Returns a request for a generation.
+pub(crate) fn generation() -> http::Request<Full<Bytes>> {
+    let mut request = request("/stream/x?y=1", "prompt");
+    let usage = http::HeaderValue::from_static("900,400");
+    request.headers_mut().insert("token-usage", usage);
+    request
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn wait_for(condition: impl Fn() -> bool) {
+    let waited = async {
+        while !condition() {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, waited).await;
+    waited.expect("the condition holds in time");
+}
--- a/crates/proof/tests/failures/fleet.rs
+++ b/crates/proof/tests/failures/fleet.rs
@@ -241,7 +241,7 @@
             .expect("a log file");
         let child = process::Command::new(find_program(program))
             .args(&arguments)
-            .stdout(process::Stdio::null())
+            .stdout(log.try_clone().expect("a log file"))
             .stderr(log)
             .spawn()
             .expect("the program starts");
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -24,7 +24,7 @@
     role=$1
     name=$2
     shift 2
-    "$@" > "$data/$name.out" 2> "$data/$name.log" &
+    "$@" > "$data/$name.log" 2>&1 &
     pids="$pids $!"
     roster="$roster
 pid $role $name $!"
