An agent notices a restart of its upstream between two reads

Change: an idle connection closes with the process; nothing is admitted until the next read, which follows at once.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -120,6 +120,7 @@
     fn take_message(&mut self, message: gate::Message) {
         match message {
             gate::Message::Arrived(ask, answer) => self.decide(ask, answer),
+            gate::Message::Doubted => self.healthy = false,
             gate::Message::First(stream) => self.note_progress(stream),
             gate::Message::Left { end, stream } => self.leave(stream, end),
             gate::Message::Reported(report) => self.take_report(report),
@@ -253,6 +254,10 @@
 
     /// Starts those whose turn has come and turns away those that cannot make it.
     fn start_waiting(&mut self) {
+        // The next report tells whether the upstream is still the same.
+        if !self.healthy {
+            return;
+        }
         // What waits has not reached the upstream: it is new work like any other.
         if let Some(failed) = self.enforcement.check() {
             self.turn_all_away(failed.reason(), failed.retry_after_ms);
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -131,6 +131,12 @@
         Ok(())
     }
 
+    /// Opens a connection that carries nothing and returns once the upstream closes it, or when it
+    /// cannot be opened.
+    pub(crate) async fn wait_closed(&self) {
+        link::wait_closed(self.address).await;
+    }
+
     /// Reads the load report.
     pub(crate) async fn read_load(&self) -> Result<Report, link::Fault> {
         self.read("/load").await
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -98,6 +98,8 @@
 #[derive(Debug)]
 pub(crate) enum Message {
     Arrived(Ask, mpsc::UnboundedSender<Verdict>),
+    /// The upstream closed an idle connection: it may have ended, or started anew.
+    Doubted,
     First(admit::Stream),
     Left {
         end: admit::End,
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -83,6 +83,17 @@
     Ok(sender)
 }
 
+/// Opens a connection that carries nothing and returns once the other end closes it, or when it
+/// cannot be opened.
+pub(crate) async fn wait_closed(address: net::SocketAddr) {
+    let connecting = tokio::net::TcpStream::connect(address);
+    let Ok(Ok(socket)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await else {
+        return;
+    };
+    // Nothing was asked, so whatever comes is the end.
+    let _ = socket.readable().await;
+}
+
 /// Reads a whole body of at most `limit` bytes.
 pub(crate) async fn read_body(body: body::Incoming, limit: usize) -> Result<Bytes, Fault> {
     match http_body_util::Limited::new(body, limit).collect().await {
--- a/crates/agent/src/poll.rs
+++ b/crates/agent/src/poll.rs
@@ -1,4 +1,7 @@
 //! Reads the upstream's load and health.
+//!
+//! Between two reads an upstream can end and start anew, cold. An idle connection tells: it closes
+//! with the process, and nothing is admitted until the next read.
 
 use core::time::Duration;
 use std::sync;
@@ -24,6 +27,7 @@
     let mut silent = 0;
     let mut seen = 0;
     let mut reads = 0_u32;
+    let mut closed = Box::pin(wait_closed(&agent, Duration::ZERO));
     loop {
         match agent.engine.read_load().await {
             Ok(report) => {
@@ -47,10 +51,20 @@
         tokio::select! {
             () = token.cancelled() => return,
             () = tokio::time::sleep(PERIOD) => {}
+            () = &mut closed => {
+                agent.gate.tell(gate::Message::Doubted);
+                closed = Box::pin(wait_closed(&agent, PERIOD));
+            }
         }
     }
 }
 
+/// Opens an idle connection after a pause and waits until it closes.
+async fn wait_closed(agent: &agent::Agent, pause: Duration) {
+    tokio::time::sleep(pause).await;
+    agent.engine.wait_closed().await;
+}
+
 /// Notes the changes of the prefix cache after `seen`; returns the newest one seen.
 async fn follow_cache(agent: &agent::Agent, seen: u64) -> u64 {
     let Ok(events) = agent.engine.read_events(seen).await else {
