Documents are fetched once, loads told as changes, requests spread by unread prompts

And prompts piled up: 8 placements on one engine in half a second at a mean of 0.6, as all gateways took the emptiest engine; behind 9,000 unread tokens a first token took 1.6 s at the median. Change: hosts tell the version, one is asked for the text; loads go as changes each 50 ms; memory counts only beyond half of an engine.

--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use futures::StreamExt as _;
@@ -12,6 +13,7 @@
 use peargap_wire::fleet::fleet_server;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::sync::Notify;
 use tokio_stream::wrappers;
 use tokio_util::sync::CancellationToken;
 
@@ -22,7 +24,7 @@
 /// Updates that may wait for a slow link.
 const UPDATE_BUFFER: usize = 4;
 /// Time between sums of load to a gateway that reports its own.
-const LOAD_PERIOD: time::Duration = time::Duration::from_millis(100);
+const LOAD_PERIOD: time::Duration = time::Duration::from_millis(50);
 
 /// Time between looks for new control hosts.
 const HOSTS_PERIOD: time::Duration = time::Duration::from_secs(1);
@@ -37,12 +39,16 @@
 
 /// One link as the sending side sees it.
 struct Sender {
+    /// Tells that the gateway asked for the document.
+    asked: sync::Arc<Notify>,
     fleet: fleet::Fleet,
     key: fleet::LinkKey,
     /// Change that each update brought to the gateway, until it says that it has it.
     numbers: sync::Arc<sync::Mutex<collections::BTreeMap<u64, u64>>>,
     sent: Sent,
     updates: mpsc::Sender<Result<wire::Update, tonic::Status>>,
+    /// Version of the document that the gateway asked for; 0 for none.
+    wanted: sync::Arc<atomic::AtomicU64>,
 }
 
 /// What a gateway was told.
@@ -51,7 +57,7 @@
     change: u64,
     hosts: Vec<String>,
     number: u64,
-    others: Option<fleet::Others>,
+    loads: collections::BTreeMap<String, wire::Load>,
     revision: u64,
     shared_outage: bool,
     version: u64,
@@ -69,11 +75,15 @@
         let (updates, outgoing) = mpsc::channel(UPDATE_BUFFER);
         let key = self.fleet.attach();
         let numbers: sync::Arc<sync::Mutex<_>> = sync::Arc::default();
+        let wanted: sync::Arc<atomic::AtomicU64> = sync::Arc::default();
+        let asked: sync::Arc<Notify> = sync::Arc::default();
         let sender = Sender {
             fleet: self.fleet.clone(),
             key,
             numbers: numbers.clone(),
             sent: Sent::default(),
+            wanted: wanted.clone(),
+            asked: asked.clone(),
             updates,
         };
         let fleet = self.fleet.clone();
@@ -82,7 +92,7 @@
             tokio::select! {
                 () = token.cancelled() => {}
                 () = sender.run() => {}
-                () = receive(&fleet, key, reports, &numbers) => {}
+                () = receive(&fleet, key, reports, &numbers, &wanted, &asked) => {}
             }
             fleet.detach(key);
         });
@@ -98,6 +108,8 @@
     key: fleet::LinkKey,
     mut reports: tonic::Streaming<wire::Report>,
     numbers: &sync::Mutex<collections::BTreeMap<u64, u64>>,
+    wanted: &atomic::AtomicU64,
+    asked: &Notify,
 ) {
     let mut name = String::new();
     while let Some(Ok(report)) = reports.next().await {
@@ -109,6 +121,10 @@
             let change = take_number(numbers, report.applied);
             fleet.note_applied(key, change);
         }
+        if report.wanted > 0 {
+            wanted.store(report.wanted, atomic::Ordering::Relaxed);
+            asked.notify_one();
+        }
         if report.has_loads {
             fleet.note_loads(key, report.loads);
         }
@@ -147,6 +163,7 @@
             tokio::select! {
                 result = changes.changed() => if result.is_err() { return },
                 result = routing.changed() => if result.is_err() { return },
+                () = self.asked.notified() => {}
                 () = tokio::time::sleep(pause) => {}
                 () = self.updates.closed() => return,
             }
@@ -175,11 +192,17 @@
             update.hosts.clone_from(&hosts);
             self.sent.hosts = hosts;
         }
-        if others.gateways > 0 && self.sent.others.as_ref() != Some(&others) {
-            update.has_loads = true;
-            update.gateways = others.gateways;
-            update.loads.clone_from(&others.loads);
-            self.sent.others = Some(others);
+        if others.gateways > 0 {
+            update.loads = self.list_changes(&others.loads);
+            update.has_loads = !update.loads.is_empty();
+            update.gateways = match update.has_loads {
+                true => others.gateways,
+                false => 0,
+            };
+        }
+        if routing.version != self.sent.version {
+            self.sent.version = routing.version;
+            update.version = routing.version;
         }
         if update == wire::Update::default() {
             return None;
@@ -193,11 +216,34 @@
         Some(update)
     }
 
-    fn build_document(&mut self, routing: &routing::Routing) -> Option<wire::Document> {
-        if routing.version == self.sent.version {
+    /// Returns the sums that the gateway has not been told; upstreams without load by name only.
+    fn list_changes(&mut self, loads: &[wire::Load]) -> Vec<wire::Load> {
+        let sent = &mut self.sent.loads;
+        let now: collections::BTreeMap<_, _> = loads
+            .iter()
+            .map(|load| (load.upstream.clone(), load.clone()))
+            .collect();
+        let gone = sent.keys().filter(|name| !now.contains_key(*name));
+        let mut changes: Vec<wire::Load> = gone
+            .map(|name| wire::Load {
+                upstream: name.clone(),
+                ..wire::Load::default()
+            })
+            .collect();
+        let changed = loads
+            .iter()
+            .filter(|load| sent.get(&load.upstream) != Some(*load));
+        changes.extend(changed.cloned());
+        *sent = now;
+        changes
+    }
+
+    /// Returns the document where the gateway asked for this version or an older one.
+    fn build_document(&self, routing: &routing::Routing) -> Option<wire::Document> {
+        let wanted = self.wanted.swap(0, atomic::Ordering::Relaxed);
+        if wanted == 0 || routing.version < wanted {
             return None;
         }
-        self.sent.version = routing.version;
         Some(wire::Document {
             text: routing.text.clone(),
             version: routing.version,
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -18,8 +18,13 @@
 const MOVE_SHARE: f64 = 0.95;
 /// Scores this close count as equal. Wide, as many gateways see the same least loaded engine.
 const SCORE_MARGIN: f64 = 0.1;
-/// Weight of the requests that run against the memory that they hold.
-const RUNNING_WEIGHT: f64 = 0.2;
+/// Share of an engine's memory that does not count against it. Below it engines differ in their
+/// unread prompts only, so that gateways spread over many of them and not over the emptiest.
+const FREE_SHARE: f64 = 0.5;
+/// Weight of the memory beyond that share.
+const FILL_WEIGHT: f64 = 2.0;
+/// Weight of the requests that run, against the engine's slots.
+const RUNNING_WEIGHT: f64 = 0.1;
 /// Tokens of unread prompts that count as much as a full memory. Prompts are read one after the
 /// other, so each of them delays the first token of all behind it.
 const WAITING_TOKENS: u64 = 6000;
@@ -97,7 +102,8 @@
         let held = candidate.load.tokens + candidate.load.copied + tokens;
         let running = f64::from(candidate.load.running) / f64::from(candidate.slots.max(1));
         let waiting = ratio(candidate.load.waiting, WAITING_TOKENS);
-        ratio(held, candidate.memory) + waiting + RUNNING_WEIGHT * running + remote_score(candidate)
+        let fill = (ratio(held, candidate.memory) - FREE_SHARE).max(0.0);
+        FILL_WEIGHT * fill + waiting + RUNNING_WEIGHT * running + remote_score(candidate)
     };
     choose_least(
         candidates.iter().filter(|candidate| fits(candidate)),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -25,6 +25,8 @@
 
 /// Time after which an upstream that left or fell silent is forgotten.
 const FORGET_MS: u64 = 30_000;
+/// Loads are told in multiples of so many tokens, so that growing answers are not told each time.
+const TOLD_TOKENS: u64 = 256;
 /// How much more than the announced rate a cold upstream is sent in a second, over all gateways.
 const COLD_SHARE: f64 = 1.0;
 
@@ -40,6 +42,8 @@
 #[derive(Debug, Default)]
 struct State {
     domains_out: collections::BTreeSet<String>,
+    /// The document that was asked for last.
+    fetch: Option<Fetch>,
     gateways: u32,
     names: collections::HashMap<String, UpstreamKey>,
     revision: u64,
@@ -48,6 +52,13 @@
     version: u64,
 }
 
+/// A document that a control host was asked for.
+#[derive(Clone, Copy, Debug)]
+struct Fetch {
+    asked: time::Instant,
+    version: u64,
+}
+
 #[derive(Debug)]
 struct Upstream {
     breaker: breaker::Breaker,
@@ -128,6 +139,23 @@
         );
     }
 
+    /// Returns whether a document is to be asked for: nobody was asked for this version lately.
+    pub(crate) fn start_fetch(&self, version: u64, timeout: core::time::Duration) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let is_asked = state
+            .fetch
+            .is_some_and(|fetch| fetch.version >= version && now < fetch.asked + timeout);
+        if is_asked {
+            return false;
+        }
+        state.fetch = Some(Fetch {
+            asked: now,
+            version,
+        });
+        true
+    }
+
     /// Returns the version of the routes in force.
     pub(crate) fn version(&self) -> u64 {
         self.lock().version
@@ -173,13 +201,17 @@
         }
     }
 
-    /// Takes what the other gateways have sent to each upstream.
+    /// Forgets what the other gateways have sent, as another control host sums it up from now on.
+    pub(crate) fn clear_loads(&self) {
+        for upstream in self.lock().upstreams.values_mut() {
+            upstream.others = balance::Load::default();
+        }
+    }
+
+    /// Takes what the other gateways have sent to upstreams; what is not named has not changed.
     pub(crate) fn hear_loads(&self, gateways: u32, loads: &[wire::Load]) {
         let mut state = self.lock();
         state.gateways = gateways;
-        for upstream in state.upstreams.values_mut() {
-            upstream.others = balance::Load::default();
-        }
         for load in loads {
             let Some(key) = state.names.get(&load.upstream).copied() else {
                 continue;
@@ -201,9 +233,9 @@
         let loaded = state.upstreams.values();
         let loaded = loaded.filter(|upstream| upstream.own != balance::Load::default());
         let loads = loaded.map(|upstream| wire::Load {
-            copied: u32::try_from(upstream.own.copied).unwrap_or(u32::MAX),
+            copied: u32::try_from(round_up(upstream.own.copied)).unwrap_or(u32::MAX),
             running: upstream.own.running,
-            tokens: u32::try_from(upstream.own.tokens).unwrap_or(u32::MAX),
+            tokens: u32::try_from(round_up(upstream.own.tokens)).unwrap_or(u32::MAX),
             upstream: upstream.word.name.clone(),
             waiting: u32::try_from(upstream.own.waiting).unwrap_or(u32::MAX),
         });
@@ -317,6 +349,10 @@
     }
 }
 
+fn round_up(tokens: u64) -> u64 {
+    tokens.div_ceil(TOLD_TOKENS) * TOLD_TOKENS
+}
+
 impl State {
     fn hear(&mut self, now: time::Instant, word: upstreams::Word) -> upstreams::Outcome {
         self.forget(now);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -26,7 +26,9 @@
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 const KEEPALIVE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Time between reports of load.
-const LOAD_PERIOD: time::Duration = time::Duration::from_millis(100);
+const LOAD_PERIOD: time::Duration = time::Duration::from_millis(50);
+/// Time that a control host has to send a document before another one is asked.
+const DOCUMENT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Reports that may wait for a slow link.
 const REPORT_BUFFER: usize = 16;
 /// Largest update taken, in bytes.
@@ -150,15 +152,34 @@
     let mut tick = tokio::time::interval(LOAD_PERIOD);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut reported = Vec::new();
+    let mut offered = 0;
+    if shared.reports_to(host) {
+        shared.fleet.clear_loads();
+    }
     loop {
+        let is_behind = offered > shared.fleet.version();
+        if is_behind && shared.fleet.start_fetch(offered, DOCUMENT_TIMEOUT) {
+            let report = wire::Report {
+                wanted: offered,
+                ..wire::Report::default()
+            };
+            send(&reports, report).await?;
+        }
         tokio::select! {
+            () = tokio::time::sleep(DOCUMENT_TIMEOUT), if is_behind => {}
             update = updates.next() => match update {
-                Some(Ok(update)) => apply(shared, host, update, &reports).await?,
+                Some(Ok(update)) => {
+                    offered = offered.max(update.version);
+                    apply(shared, host, update, &reports).await?;
+                }
                 Some(Err(status)) => return Err(status.to_string()),
                 None => return Err("ended".to_owned()),
             },
             // Another host may be the first one from now on.
-            result = linked.changed() => result.map_err(|_closed| "ended".to_owned())?,
+            result = linked.changed() => {
+                result.map_err(|_closed| "ended".to_owned())?;
+                reported.clear();
+            }
             _instant = tick.tick(), if shared.reports_to(host) => {
                 let loads = shared.fleet.list_loads();
                 if loads == reported {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -66,10 +66,22 @@
         for update in self.told.lock().expect("told").iter() {
             updates.try_send(Ok(update.clone())).expect("a link");
         }
-        self.links.lock().expect("links").push(updates);
+        self.links.lock().expect("links").push(updates.clone());
         let applied = self.applied.clone();
+        let link = updates.clone();
         tokio::spawn(async move {
             while let Some(Ok(report)) = reports.next().await {
+                if report.wanted > 0 {
+                    let document = wire::Document {
+                        text: Bytes::from_static(DOCUMENT.as_bytes()),
+                        version: report.wanted,
+                    };
+                    let update = wire::Update {
+                        document: Some(document),
+                        ..wire::Update::default()
+                    };
+                    link.send(Ok(update)).await.expect("a link");
+                }
                 if report.applied > 0 {
                     applied.lock().expect("applied").push(report.applied);
                 }
@@ -184,22 +196,31 @@
     /// Starts a gateway with routes and runners: names that begin with `d` serve the desk.
     pub(crate) async fn start(names: &[&str]) -> Site {
         let mut site = Site::start_empty().await;
-        let document = wire::Document {
-            text: Bytes::from_static(DOCUMENT.as_bytes()),
-            version: 3,
-        };
         site.control
             .tell(wire::Update {
-                document: Some(document),
+                version: 3,
                 ..wire::Update::default()
             })
             .await;
+        site.wait_ready().await;
         for name in names {
             site.add_runner(name).await;
         }
         site
     }
 
+    /// Waits until the gateway has routes.
+    async fn wait_ready(&self) {
+        let ask = async {
+            while self.call(request("/nowhere/", "")).await.status == 503 {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, ask)
+            .await
+            .expect("routes in time");
+    }
+
     /// Starts a runner and announces it.
     pub(crate) async fn add_runner(&mut self, name: &str) {
         let runner = self.rack.start(name).await.expect("a runner");
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -13,6 +13,9 @@
     pub has_loads: bool,
     #[prost(message, repeated, tag = "4")]
     pub loads: ::prost::alloc::vec::Vec<Load>,
+    /// Version of the routing document that the gateway lacks and asks for.
+    #[prost(uint64, tag = "5")]
+    pub wanted: u64,
 }
 /// What is at one upstream.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -39,7 +42,7 @@
     /// Number within the call, from 1.
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    /// The routing document, when it is another than in the update before.
+    /// The routing document, when the gateway asked for it.
     #[prost(message, optional, tag = "2")]
     pub document: ::core::option::Option<Document>,
     /// The domains out of service, when they are others than in the update before.
@@ -51,7 +54,8 @@
     /// Names of the control hosts, when they are others than in the update before.
     #[prost(string, repeated, tag = "5")]
     pub hosts: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// Set when `loads` holds the sums over all gateways that report to this host.
+    /// Set when `loads` holds sums over the other gateways that report to this host: all of them the
+    /// first time, then those that changed.
     #[prost(bool, tag = "6")]
     pub has_loads: bool,
     #[prost(message, repeated, tag = "7")]
@@ -59,6 +63,9 @@
     /// Gateways that report their load to this host.
     #[prost(uint32, tag = "8")]
     pub gateways: u32,
+    /// Version of the routing document in force, when it is another than in the update before.
+    #[prost(uint64, tag = "9")]
+    pub version: u64,
 }
 /// The operators' routing document.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
