--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -1,23 +1,24 @@
 //! Picks an upstream by what all gateways have sent to each.
 //!
 //! Load: many gateways place requests on the same upstreams and hear of each other's placements a
-//! few hundred milliseconds late, so the best ones are drawn from, not all taken in turn. For
-//! engines the memory that running generations and their copies hold counts before the number of
-//! requests: prompts and answers differ in size by a factor of ten.
+//! hundred milliseconds late. Each compares two that it draws at random, so that they do not all
+//! take the same one. For engines the memory that running generations and their copies hold counts
+//! before the number of requests: prompts and answers differ in size by a factor of ten.
 
+use rand::seq::IteratorRandom as _;
 use rand::Rng;
-use rand::RngExt as _;
 
 /// Share of an engine's memory that running generations may hold by estimate. The rest is for
 /// answers that grow longer than estimated.
 const MEMORY_SHARE: f64 = 0.9;
 /// Share of an engine's memory up to which copies are added while their generations run on. Above
 /// it a copy would take the room of the next request.
-const COPY_SHARE: f64 = 0.4;
+const COPY_SHARE: f64 = 0.25;
 /// Share of an engine's memory up to which generations move in whose engine leaves.
 const MOVE_SHARE: f64 = 0.95;
-/// Scores this close count as equal. Wide, as many gateways see the same least loaded engine.
-const SCORE_MARGIN: f64 = 0.1;
+/// Candidates that are compared for a request. All gateways see the same least loaded one and hear
+/// of each other late; of a few drawn at random they see different ones.
+const DRAWN: usize = 2;
 /// Share of an engine's memory that does not count against it. Below it engines differ in their
 /// unread prompts only, so that gateways spread over many of them and not over the emptiest.
 const FREE_SHARE: f64 = 0.5;
@@ -28,11 +29,6 @@
 /// Tokens of unread prompts that count as much as a full memory. Prompts are read one after the
 /// other, so each of them delays the first token of all behind it.
 const WAITING_TOKENS: u64 = 6000;
-/// What a candidate in another failure domain is behind by.
-const REMOTE_SCORE: f64 = 0.02;
-/// The same for memory that is copied: it takes twice as long between failure domains.
-const REMOTE_COPY_SCORE: f64 = 0.3;
-
 /// What is known of an upstream's load.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -103,7 +99,7 @@
         let running = f64::from(candidate.load.running) / f64::from(candidate.slots.max(1));
         let waiting = ratio(candidate.load.waiting, WAITING_TOKENS);
         let fill = (ratio(held, candidate.memory) - FREE_SHARE).max(0.0);
-        FILL_WEIGHT * fill + waiting + RUNNING_WEIGHT * running + remote_score(candidate)
+        FILL_WEIGHT * fill + waiting + RUNNING_WEIGHT * running
     };
     choose_least(
         candidates.iter().filter(|candidate| fits(candidate)),
@@ -136,19 +132,15 @@
         let held = candidate.load.tokens + candidate.load.copied + tokens;
         ratio(held, candidate.memory)
     };
-    let fits = |candidate: &Candidate<K>| fill(candidate) <= share;
-    let score = |candidate: &Candidate<K>| {
-        let remote = match candidate.is_near {
-            true => 0.0,
-            false => REMOTE_COPY_SCORE,
-        };
-        fill(candidate) + remote
-    };
-    choose_least(
-        candidates.iter().filter(|candidate| fits(candidate)),
-        score,
-        random,
-    )
+    let fitting = candidates
+        .iter()
+        .filter(|candidate| fill(candidate) <= share);
+    // Memory takes twice as long to another failure domain.
+    let near = fitting.clone().filter(|candidate| candidate.is_near);
+    match choose_least(near, fill, random) {
+        Choice::Full => choose_least(fitting, fill, random),
+        choice => choice,
+    }
 }
 
 /// Picks an upstream of a plain service.
@@ -165,35 +157,16 @@
     choose_least(candidates.iter(), score, random)
 }
 
-/// Draws among the candidates whose score is close to the least.
+/// Draws a few candidates and takes the one with the least score.
 fn choose_least<'a, K: Copy + 'a, R: Rng + ?Sized>(
     candidates: impl Iterator<Item = &'a Candidate<K>>,
     score: impl Fn(&Candidate<K>) -> f64,
     random: &mut R,
 ) -> Choice<K> {
-    let scored: Vec<_> = candidates
-        .map(|candidate| (score(candidate), candidate.key))
-        .collect();
-    let least = scored
-        .iter()
-        .map(|(score, _key)| *score)
-        .fold(f64::INFINITY, f64::min);
-    let close: Vec<K> = scored
-        .iter()
-        .filter(|(score, _key)| *score <= least + SCORE_MARGIN)
-        .map(|(_score, key)| *key)
-        .collect();
-    match close.len() {
-        0 => Choice::Full,
-        count => Choice::Take(close[random.random_range(0..count)]),
-    }
-}
-
-fn remote_score<K>(candidate: &Candidate<K>) -> f64 {
-    match candidate.is_near {
-        true => 0.0,
-        false => REMOTE_SCORE,
-    }
+    let drawn = candidates.sample(random, DRAWN);
+    let scored = drawn.into_iter().map(|drawn| (score(drawn), drawn.key));
+    let least = scored.min_by(|(one, _), (other, _)| one.total_cmp(other));
+    least.map_or(Choice::Full, |(_score, key)| Choice::Take(key))
 }
 
 #[allow(
--- /dev/null
+++ b/crates/core/tests/policy_balance.rs
@@ -0,0 +1,186 @@
+//! Plays the load of many gateways that place prompts by loads that they hear of late.
+//!
+//! Engines read prompts one after the other. What counts for a caller is how long its prompt waits
+//! behind others.
+
+use peargap_core::balance;
+use rand::rngs::SmallRng;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+
+const GATEWAYS: usize = 25;
+const ENGINES: usize = 36;
+const MEMORY_TOKENS: u64 = 27_000;
+const SLOTS: u32 = 64;
+/// Prompt tokens that an engine reads in a millisecond.
+const READ_PER_MS: f64 = 12.0;
+/// Time after which gateways hear of each other's placements.
+const DELAY_MS: u64 = 150;
+/// Requests a second over all gateways.
+const REQUESTS_PER_S: f64 = 50.0;
+const LENGTH_MS: u64 = 60_000;
+
+#[derive(Clone, Copy)]
+struct Placed {
+    at_ms: u64,
+    engine: usize,
+    gateway: usize,
+    /// When the prompt is read.
+    read_ms: f64,
+    tokens: u64,
+}
+
+/// How a gateway picks.
+#[derive(Clone, Copy)]
+enum Policy {
+    Balance,
+    LeastRequests,
+    Random,
+}
+
+/// Returns how long each prompt took to be read, in milliseconds, shortest first.
+fn play(policy: Policy, seed: u64) -> Vec<f64> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut busy_until = [0.0_f64; ENGINES];
+    // Half of the memory is held by generations that run on.
+    let held: Vec<u64> = (0..ENGINES)
+        .map(|_engine| random.random_range(6_000..16_000))
+        .collect();
+    let mut placed: Vec<Placed> = Vec::new();
+    let mut waits = Vec::new();
+    for at_ms in 0..LENGTH_MS {
+        if random.random::<f64>() >= REQUESTS_PER_S / 1000.0 {
+            continue;
+        }
+        let gateway = random.random_range(0..GATEWAYS);
+        let tokens = random.random_range(800..4_800);
+        placed.retain(|placed| placed.read_ms + 1000.0 > to_float(at_ms));
+        let candidates = view(&placed, &held, gateway, at_ms);
+        let engine = match policy {
+            Policy::Balance => match balance::choose_engine(&candidates, tokens, &mut random) {
+                balance::Choice::Take(engine) => engine,
+                other => panic!("{other:?}"),
+            },
+            Policy::LeastRequests => {
+                let least = candidates.iter().min_by_key(|one| one.load.running);
+                least.expect("an engine").key
+            }
+            Policy::Random => random.random_range(0..ENGINES),
+        };
+        let start = busy_until[engine].max(to_float(at_ms));
+        let read_ms = start + to_float(tokens) / READ_PER_MS;
+        busy_until[engine] = read_ms;
+        waits.push(read_ms - to_float(at_ms));
+        placed.push(Placed {
+            at_ms,
+            engine,
+            gateway,
+            read_ms,
+            tokens,
+        });
+    }
+    waits.sort_by(f64::total_cmp);
+    waits
+}
+
+/// Returns the engines as one gateway sees them: its own placements now, the others' late.
+fn view(
+    placed: &[Placed],
+    held: &[u64],
+    gateway: usize,
+    now_ms: u64,
+) -> Vec<balance::Candidate<usize>> {
+    let mut candidates: Vec<_> = (0..ENGINES)
+        .map(|engine| balance::Candidate {
+            is_near: engine % 4 == gateway % 4,
+            key: engine,
+            load: balance::Load {
+                tokens: held[engine],
+                ..balance::Load::default()
+            },
+            memory: MEMORY_TOKENS,
+            slots: SLOTS,
+        })
+        .collect();
+    for placed in placed {
+        let seen_ms = match placed.gateway == gateway {
+            true => now_ms,
+            false => now_ms.saturating_sub(DELAY_MS),
+        };
+        if placed.at_ms > seen_ms || placed.read_ms <= to_float(seen_ms) {
+            continue;
+        }
+        let load = &mut candidates[placed.engine].load;
+        load.running += 1;
+        load.tokens += placed.tokens;
+        load.waiting += placed.tokens;
+    }
+    candidates
+}
+
+#[allow(clippy::cast_precision_loss, reason = "times and tokens are small")]
+fn to_float(number: u64) -> f64 {
+    number as f64
+}
+
+fn quantile(waits: &[f64], percent: usize) -> f64 {
+    waits[(waits.len() - 1) * percent / 100]
+}
+
+#[test]
+fn prompts_wait_less_than_under_the_baselines() {
+    for seed in 0..5 {
+        let balance = quantile(&play(Policy::Balance, seed), 95);
+        let least = quantile(&play(Policy::LeastRequests, seed), 95);
+        let random = quantile(&play(Policy::Random, seed), 95);
+        println!("seed {seed}: p95 {balance:.0} ms, least requests {least:.0}, random {random:.0}");
+        assert!(balance < least, "{balance} against {least}");
+        assert!(balance < random, "{balance} against {random}");
+    }
+}
+
+#[test]
+fn first_tokens_are_due_in_time() {
+    /// Share of callers' time to the first token that waiting may take.
+    const OBJECTIVE_MS: f64 = 1500.0;
+    for seed in 0..5 {
+        let waits = play(Policy::Balance, seed);
+        assert!(quantile(&waits, 99) < OBJECTIVE_MS);
+    }
+}
+
+fn candidate(key: usize, tokens: u64, running: u32) -> balance::Candidate<usize> {
+    balance::Candidate {
+        is_near: true,
+        key,
+        load: balance::Load {
+            running,
+            tokens,
+            ..balance::Load::default()
+        },
+        memory: 10_000,
+        slots: 4,
+    }
+}
+
+#[test]
+fn what_does_not_fit_is_refused() {
+    let mut random = SmallRng::seed_from_u64(1);
+    let full = [candidate(0, 8_000, 1), candidate(1, 0, 4)];
+    let chosen = balance::choose_engine(&full, 2_000, &mut random);
+    assert_eq!(chosen, balance::Choice::Full);
+    let chosen = balance::choose_engine(&full, 900, &mut random);
+    assert_eq!(chosen, balance::Choice::Take(0));
+    let chosen = balance::choose_engine::<usize, _>(&[], 900, &mut random);
+    assert_eq!(chosen, balance::Choice::Nobody);
+}
+
+#[test]
+fn a_backup_leaves_room_that_a_move_may_take() {
+    let mut random = SmallRng::seed_from_u64(1);
+    let half = [candidate(0, 5_000, 1)];
+    let chosen = balance::choose_copy(&half, 2_000, balance::Purpose::Backup, &mut random);
+    assert_eq!(chosen, balance::Choice::Full);
+    let chosen = balance::choose_copy(&half, 2_000, balance::Purpose::Move, &mut random);
+    assert_eq!(chosen, balance::Choice::Take(0));
+}
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -31,8 +31,12 @@
 const EVENT_BUFFER: usize = 32;
 /// Tokens that a generation without a declared size is counted as.
 const DEFAULT_TOKENS: u64 = 1000;
-/// Tokens of an answer that are counted before it has begun.
-const FIRST_TOKENS: u64 = 200;
+/// Tokens of an answer that are counted beyond those that have come.
+const NEXT_TOKENS: u64 = 200;
+/// Time between looks for an engine with room.
+const ROOM_PERIOD: time::Duration = time::Duration::from_millis(30);
+/// Part of the objective that a request may wait for room; then its caller is better off knowing.
+const ROOM_SHARE: u32 = 8;
 
 /// What a generation's relay and its moves share.
 #[derive(Debug)]
@@ -45,11 +49,11 @@
 }
 
 impl Generation {
-    /// Returns the tokens that it holds after so many events.
+    /// Returns the tokens that it is counted as after so many events.
     pub(crate) fn count_tokens(&self, events: u64) -> u64 {
         let usage = self.request.head.usage;
         let prompt = usage.map_or(DEFAULT_TOKENS, |usage| usage.prompt);
-        prompt + events * self.engine.stride + FIRST_TOKENS
+        prompt + events * self.engine.stride + NEXT_TOKENS
     }
 
     /// Returns the id of the last event that went to the caller.
@@ -88,7 +92,8 @@
         request,
         service: service.clone(),
     });
-    let started = start(gateway, &generation);
+    let objective = time::Duration::from_millis(route.objective_ms);
+    let started = start(gateway, &generation, objective);
     let run = match time::timeout_at(generation.request.deadline, started).await {
         Ok(Ok(run)) => run,
         Ok(Err(refusal)) => return answer::refuse(&attempt, refusal),
@@ -110,8 +115,10 @@
 async fn start(
     gateway: &gateway::Gateway,
     generation: &Generation,
+    objective: time::Duration,
 ) -> Result<Run, answer::Refusal> {
     let mut tried = Vec::new();
+    let no_room_after = time::Instant::now() + objective / ROOM_SHARE;
     while tried.len() < MAX_OFFERS {
         let tokens = generation.count_tokens(0);
         let need = fleet::Need {
@@ -123,6 +130,10 @@
         let mut place = match gateway.fleet.place_generation(need) {
             Ok(place) => place,
             Err(_miss) if !tried.is_empty() => break,
+            Err(fleet::Miss::Full) if time::Instant::now() < no_room_after => {
+                time::sleep(ROOM_PERIOD).await;
+                continue;
+            }
             Err(fleet::Miss::Full) => return Err(answer::Refusal::Full),
             Err(fleet::Miss::Nobody) => return Err(answer::Refusal::Nobody),
         };
