--- /dev/null
+++ b/crates/control/tests/platform.rs
@@ -0,0 +1,357 @@
+//! Control hosts on the platform: formed from seeds, called by operators and upstreams.
+
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::time;
+
+use bytes::Bytes;
+use futures::StreamExt as _;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt;
+use peargap_load::ports;
+use peargap_wire::fleet as wire;
+use peargap_wire::fleet::fleet_client;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers;
+
+const PATIENCE: time::Duration = time::Duration::from_secs(20);
+/// Time that the platform gives a host that comes back before the next one may be lost.
+const CATCH_UP: time::Duration = time::Duration::from_secs(4);
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// Control hosts on loopback addresses of their own; ends them on drop.
+struct Cluster {
+    children: Vec<Option<process::Child>>,
+    internal: u16,
+    platform: u16,
+    root: tempfile::TempDir,
+}
+
+impl Cluster {
+    /// Prepares `count` hosts of which the first three are the seeds; `volatile` keep no disk.
+    fn prepare(count: usize, volatile: &[usize]) -> Cluster {
+        let ports = ports::find_ports(4).expect("ports");
+        let cluster = Cluster {
+            children: (0..count).map(|_host| None).collect(),
+            internal: ports[0],
+            platform: ports[1],
+            root: tempfile::tempdir().expect("a folder"),
+        };
+        let seeds: Vec<String> = (0..3).map(|host| cluster.name(host)).collect();
+        let seeds = seeds.join(",");
+        for host in 0..count {
+            let ip = Cluster::ip(host);
+            let text = format!(
+                "[node]\nname = {name}\ndomain = d{host}\n[listen]\ninternal = {ip}:{internal}\n\
+                 operators = {ip}:{operators}\nhealth = {ip}:{health}\nplatform = {name}\n\
+                 [membership]\nport = {internal}\nseeds = {seeds}\n[bootstrap]\nvoters = {seeds}\n\
+                 [data]\nfolder = {folder}\nvolatile = {volatile}\n",
+                name = cluster.name(host),
+                internal = cluster.internal,
+                operators = ports[2],
+                health = ports[3],
+                folder = cluster.folder(host).display(),
+                volatile = volatile.contains(&host),
+            );
+            fs::write(cluster.settings(host), text).expect("settings");
+        }
+        cluster
+    }
+
+    fn ip(host: usize) -> net::Ipv4Addr {
+        net::Ipv4Addr::new(127, 0, 0, u8::try_from(host).expect("few hosts") + 1)
+    }
+
+    fn name(&self, host: usize) -> String {
+        format!("{}:{}", Cluster::ip(host), self.platform)
+    }
+
+    fn folder(&self, host: usize) -> path::PathBuf {
+        self.root.path().join(format!("data-{host}"))
+    }
+
+    fn settings(&self, host: usize) -> path::PathBuf {
+        self.root.path().join(format!("{host}.ini"))
+    }
+
+    fn start(&mut self, host: usize) {
+        let log = fs::File::create(self.root.path().join(format!("{host}.log"))).expect("a log");
+        let child = process::Command::new(env!("CARGO_BIN_EXE_peargap-control"))
+            .arg("--config")
+            .arg(self.settings(host))
+            .stdout(log)
+            .spawn()
+            .expect("the program");
+        self.children[host] = Some(child);
+    }
+
+    fn start_all(&mut self) {
+        for host in 0..self.children.len() {
+            self.start(host);
+        }
+    }
+
+    fn kill(&mut self, host: usize) {
+        if let Some(mut child) = self.children[host].take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Calls a host; none when it does not answer.
+    async fn try_call(
+        &self,
+        host: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, Bytes)> {
+        let address = net::SocketAddr::from((Cluster::ip(host), self.platform));
+        let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+        let shaken = http1::handshake(rt::TokioIo::new(stream)).await;
+        let (mut sender, connection) = shaken.ok()?;
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        let mut request = http::Request::new(Full::new(Bytes::copy_from_slice(body.as_bytes())));
+        *request.method_mut() = method.parse().expect("a method");
+        *request.uri_mut() = path.parse().expect("a path");
+        let host = http::HeaderValue::from_static("control");
+        request.headers_mut().insert("host", host);
+        let answer = sender.send_request(request).await.ok()?;
+        let status = answer.status().as_u16();
+        let body = answer.into_body().collect().await.ok()?;
+        Some((status, body.to_bytes()))
+    }
+
+    /// Calls a host until it answers with this status.
+    async fn call(&self, host: usize, status: u16, method: &str, path: &str, body: &str) -> Bytes {
+        let called = async {
+            loop {
+                match self.try_call(host, method, path, body).await {
+                    Some((found, body)) if found == status => return body,
+                    _ => tokio::time::sleep(POLL_INTERVAL).await,
+                }
+            }
+        };
+        let called = tokio::time::timeout(PATIENCE, called).await;
+        called.unwrap_or_else(|_elapsed| panic!("{method} {path} at {host}: never {status}"))
+    }
+
+    async fn follow(&self, host: usize) -> Follower {
+        let address = format!("http://{}:{}", Cluster::ip(host), self.internal);
+        let mut client = fleet_client::FleetClient::connect(address)
+            .await
+            .expect("a host");
+        let (reports, outgoing) = mpsc::channel(16);
+        let first = wire::Report {
+            gateway: "g".to_owned(),
+            ..wire::Report::default()
+        };
+        reports.send(first).await.expect("a link");
+        let followed = client.follow(wrappers::ReceiverStream::new(outgoing)).await;
+        Follower {
+            reports,
+            updates: followed.expect("a link").into_inner(),
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for host in 0..self.children.len() {
+            self.kill(host);
+        }
+    }
+}
+
+struct Follower {
+    reports: mpsc::Sender<wire::Report>,
+    updates: tonic::Streaming<wire::Update>,
+}
+
+impl Follower {
+    /// Returns the next update for which `wanted` holds.
+    async fn wait_for(&mut self, wanted: impl Fn(&wire::Update) -> bool) -> wire::Update {
+        let waiting = async {
+            loop {
+                let update = self.updates.next().await.expect("a link").expect("a link");
+                if wanted(&update) {
+                    return update;
+                }
+            }
+        };
+        let waited = tokio::time::timeout(PATIENCE, waiting).await;
+        waited.expect("the update in time")
+    }
+
+    async fn confirm(&self, number: u64) {
+        let report = wire::Report {
+            applied: number,
+            ..wire::Report::default()
+        };
+        self.reports.send(report).await.expect("a link");
+    }
+}
+
+fn document(version: u64, timeout_ms: u64) -> String {
+    format!(
+        r#"{{"version":{version},"routes":[{{"name":"r","host":"h","pathPrefix":"/r/",
+        "routeType":"idempotent","timeoutMs":{timeout_ms},"service":"s"}}],
+        "services":[{{"name":"s"}}]}}"#
+    )
+}
+
+fn heartbeat(state: &str, sequence: u64) -> String {
+    format!(
+        r#"{{"service":"s","address":"10.0.0.1:80","zone":"d0","version":"v1","slots":4,
+        "state":"{state}","coldLeftMs":0,"sequence":{sequence},"born":7}}"#
+    )
+}
+
+const CONFIG: &str = "/api/config";
+
+#[tokio::test]
+async fn documents_outlast_everything_and_never_revert() {
+    let mut cluster = Cluster::prepare(4, &[]);
+    cluster.start_all();
+    let first = document(3, 900);
+    cluster.call(3, 200, "PUT", CONFIG, &first).await;
+    let read = cluster.call(0, 200, "GET", CONFIG, "").await;
+    assert_eq!(read, first.as_bytes());
+    // Sent again, overtaken or with other content under its number: acknowledged, not in force.
+    cluster.call(1, 200, "PUT", CONFIG, &first).await;
+    cluster.call(1, 200, "PUT", CONFIG, &document(2, 100)).await;
+    cluster.call(2, 200, "PUT", CONFIG, &document(3, 100)).await;
+    let invalid = cluster.try_call(0, "PUT", CONFIG, &document(9, 0)).await;
+    assert_eq!(invalid.expect("an answer").0, 400);
+    for host in 0..4 {
+        cluster.kill(host);
+    }
+    cluster.start_all();
+    let read = cluster.call(2, 200, "GET", CONFIG, "").await;
+    assert_eq!(read, first.as_bytes());
+    // A host comes back without its disk, then the next one, once the first has had its time.
+    for host in [1, 2] {
+        cluster.kill(host);
+        fs::remove_dir_all(cluster.folder(host)).expect("a folder");
+        cluster.start(host);
+        tokio::time::sleep(CATCH_UP).await;
+        let read = cluster.call(host, 200, "GET", CONFIG, "").await;
+        assert_eq!(read, first.as_bytes());
+    }
+    cluster.call(1, 200, "PUT", CONFIG, &document(8, 700)).await;
+    let read = cluster.call(3, 200, "GET", CONFIG, "").await;
+    assert_eq!(read, document(8, 700).as_bytes());
+}
+
+#[tokio::test]
+async fn hosts_without_a_disk_serve_and_never_vote() {
+    let mut cluster = Cluster::prepare(4, &[3]);
+    cluster.start_all();
+    cluster.call(3, 200, "PUT", CONFIG, &document(3, 900)).await;
+    // Two of the three that vote are a quorum; with one more gone the fourth does not make one.
+    cluster.kill(0);
+    cluster.call(3, 200, "PUT", CONFIG, &document(5, 900)).await;
+    cluster.kill(1);
+    let body = document(7, 900);
+    let refused = cluster.try_call(3, "PUT", CONFIG, &body).await;
+    assert_eq!(refused.expect("an answer").0, 503);
+    let read = cluster.try_call(3, "GET", CONFIG, "").await;
+    assert_eq!(read.expect("an answer").0, 503);
+}
+
+#[tokio::test]
+async fn gateways_hear_of_upstreams_documents_and_domains() {
+    let mut cluster = Cluster::prepare(3, &[]);
+    cluster.start_all();
+    cluster.call(0, 200, "PUT", CONFIG, &document(3, 900)).await;
+    let mut follower = cluster.follow(1).await;
+    let path = "/api/instances/i-1";
+    cluster
+        .call(1, 200, "PUT", path, &heartbeat("ready", 1))
+        .await;
+    let update = follower
+        .wait_for(|update| !update.upstreams.is_empty())
+        .await;
+    assert_eq!(update.upstreams[0].name, "i-1");
+    follower.confirm(update.number).await;
+    let ask = wire::Report {
+        wanted: 3,
+        ..wire::Report::default()
+    };
+    follower.reports.send(ask).await.expect("a link");
+    let update = follower.wait_for(|update| update.document.is_some()).await;
+    let text = update.document.expect("a document").text;
+    assert_eq!(text, document(3, 900).as_bytes());
+    cluster
+        .call(2, 200, "POST", "/api/evacuations/d0", "")
+        .await;
+    let update = follower
+        .wait_for(|update| {
+            let outage = update.outage.as_ref();
+            outage.is_some_and(|outage| outage.domains == ["d0"])
+        })
+        .await;
+    assert!(update.outage.expect("an outage").revision > 0);
+}
+
+#[tokio::test]
+async fn a_leave_is_acknowledged_once_gateways_know() {
+    let mut cluster = Cluster::prepare(3, &[]);
+    cluster.start_all();
+    let path = "/api/instances/i-1";
+    cluster
+        .call(0, 200, "PUT", path, &heartbeat("ready", 1))
+        .await;
+    let mut follower = cluster.follow(0).await;
+    let update = follower
+        .wait_for(|update| !update.upstreams.is_empty())
+        .await;
+    follower.confirm(update.number).await;
+    let body = heartbeat("draining", 2);
+    let leaving = cluster.try_call(0, "PUT", path, &body);
+    let knowing = async {
+        let update = follower
+            .wait_for(|update| !update.upstreams.is_empty())
+            .await;
+        assert_eq!(update.upstreams[0].state(), wire::State::Draining);
+        tokio::time::sleep(time::Duration::from_millis(200)).await;
+        let confirmed = time::Instant::now();
+        follower.confirm(update.number).await;
+        confirmed
+    };
+    let answered = async {
+        let answer = leaving.await.expect("an answer");
+        (answer.0, time::Instant::now())
+    };
+    let ((status, answered), confirmed) = tokio::join!(answered, knowing);
+    assert_eq!(status, 200);
+    assert!(
+        answered >= confirmed,
+        "acknowledged before the gateway knew"
+    );
+}
+
+#[tokio::test]
+async fn what_cannot_be_read_is_refused_and_changes_nothing() {
+    let mut cluster = Cluster::prepare(3, &[]);
+    cluster.start_all();
+    let path = "/api/instances/i-1";
+    cluster
+        .call(0, 200, "PUT", path, &heartbeat("ready", 1))
+        .await;
+    let odd = cluster.try_call(0, "PUT", path, "{\"state\":1}").await;
+    assert_eq!(odd.expect("an answer").0, 400);
+    let mut follower = cluster.follow(0).await;
+    let update = follower
+        .wait_for(|update| !update.upstreams.is_empty())
+        .await;
+    assert_eq!(update.upstreams.len(), 1);
+    assert_eq!(update.upstreams[0].state(), wire::State::Ready);
+}
