--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -27,8 +27,6 @@
 const FORGET_MS: u64 = 30_000;
 /// Loads are told in multiples of so many tokens, so that growing answers are not told each time.
 const TOLD_TOKENS: u64 = 256;
-/// How much more than the announced rate a cold upstream is sent in a second, over all gateways.
-const COLD_SHARE: f64 = 1.0;
 
 /// What one gateway knows; clones share it.
 #[derive(Clone, Debug)]
@@ -458,7 +456,7 @@
         let Some(per_s) = per_s.filter(|_rate| now < self.cold_until) else {
             return true;
         };
-        let share = (per_s * COLD_SHARE / gateways).max(1.0);
+        let share = (per_s / gateways).max(1.0);
         now.millis_since(self.cold_second) >= 1000 || f64::from(self.cold_sent) + 1.0 <= share
     }
 
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -83,7 +83,7 @@
 ) -> answer::Response {
     let Some(engine) = service.engine else {
         // A stream of a plain service is relayed like any answer.
-        return plain_stream(gateway, request, route, service).await;
+        return plain::serve(gateway, &request, route, service).await;
     };
     let attempt = request.head.attempt.clone();
     let generation = sync::Arc::new(Generation {
@@ -102,15 +102,6 @@
     relay(gateway, generation, run).await
 }
 
-async fn plain_stream(
-    gateway: &gateway::Gateway,
-    request: call::Request,
-    route: &routes::Route,
-    service: &routes::Service,
-) -> answer::Response {
-    plain::serve(gateway, &request, route, service).await
-}
-
 /// Sends a generation to an engine; to another one where the first says that it has not run.
 async fn start(
     gateway: &gateway::Gateway,
