--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -21,6 +21,7 @@
   upstream drain NAME    give an upstream no new work
   upstream resume NAME   give it work again
   members                list the known nodes
+  explain REQUEST        tell a request's story from log lines on standard input
   status                 show every control host and the nodes attached to it
 
 Options
@@ -56,6 +57,8 @@
     DomainBack(String),
     /// Give a failure domain no new work.
     DomainOut(String),
+    /// Tell a request's story from log lines on standard input.
+    Explain(String),
     /// Print the help text.
     Help,
     /// Make a file the manifest.
@@ -152,6 +155,7 @@
         ["domain", "back", name] => Command::DomainBack((*name).to_owned()),
         ["upstream", "drain", name] => Command::UpstreamDrain((*name).to_owned()),
         ["upstream", "resume", name] => Command::UpstreamResume((*name).to_owned()),
+        ["explain", request] => Command::Explain((*request).to_owned()),
         ["members"] => Command::Members,
         ["status"] => Command::Status,
         [] => return Err("names no command".to_owned()),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,5 +9,6 @@
 mod options;
 mod page;
 mod run;
+pub mod story;
 
 pub use run::run;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -14,6 +14,7 @@
 use crate::exit;
 use crate::options;
 use crate::page;
+use crate::story;
 
 /// Carries out a command line.
 pub async fn run(arguments: Vec<ffi::OsString>) -> process::ExitCode {
@@ -34,6 +35,7 @@
             println!("peargap {}", env!("CARGO_PKG_VERSION"));
             exit::Code::Done
         }
+        command::Command::Explain(request) => explain(line.json, request),
         command::Command::ManifestCheck(file) => match read_manifest(file) {
             Ok(_) => page::report_correct(line.json, &file.display().to_string()),
             Err(findings) => page::report_invalid(line.json, &findings),
@@ -54,6 +56,20 @@
     }
 }
 
+/// Prints a request's story; finding none counts as a wrong argument.
+fn explain(json: bool, request: &str) -> exit::Code {
+    let log = match std::io::read_to_string(std::io::stdin()) {
+        Ok(log) => log,
+        Err(error) => return page::report_wrong(json, &format!("standard input: {error}")),
+    };
+    let lines = story::tell(&log, request);
+    if lines.is_empty() {
+        return page::report_wrong(json, &format!("no log line names request {request}"));
+    }
+    print!("{}", story::format_story(&lines));
+    exit::Code::Done
+}
+
 async fn ask(line: &command::Line, options: options::Options) -> exit::Code {
     let operator = options.operator.clone();
     let client = client::Client::new(options, line.timeout);
@@ -75,9 +91,10 @@
         command::Command::ManifestShow => return show(line, &client, page::report_manifest).await,
         command::Command::Members => return show(line, &client, page::report_members).await,
         command::Command::Status => return show_status(line, &client).await,
-        command::Command::Help | command::Command::ManifestCheck(_) | command::Command::Version => {
-            return exit::Code::Done
-        }
+        command::Command::Explain(_)
+        | command::Command::Help
+        | command::Command::ManifestCheck(_)
+        | command::Command::Version => return exit::Code::Done,
     };
     changes::submit(line, &client, &operator, change).await
 }
--- /dev/null
+++ b/crates/cli/src/story.rs
@@ -0,0 +1,88 @@
+//! One request's story, joined from the log lines of all processes.
+
+use std::collections;
+
+use serde::Deserialize;
+
+/// A log line as processes write it.
+#[derive(Debug, Deserialize)]
+struct Record {
+    logger: String,
+    payload: String,
+    /// Unix milliseconds.
+    timestamp: u64,
+}
+
+/// A line of a story.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Line {
+    /// When it was written, in Unix milliseconds.
+    pub at_ms: u64,
+    /// What stood before the record, such as the host's name.
+    pub host: String,
+    /// Program that wrote it.
+    pub program: String,
+    /// Event and details.
+    pub text: String,
+}
+
+/// Returns the line's record; none for lines that are no records in JSON.
+fn scan_line(line: &str) -> Option<Line> {
+    let start = line.find('{')?;
+    let record: Record = serde_json::from_str(line[start..].trim()).ok()?;
+    Some(Line {
+        at_ms: record.timestamp,
+        host: line[..start].trim().to_owned(),
+        program: record.logger,
+        text: record.payload,
+    })
+}
+
+/// Returns the value of `key=value` in a record's text.
+fn find_value<'a>(text: &'a str, key: &str) -> Option<&'a str> {
+    let mut words = text.split_whitespace();
+    words.find_map(|word| word.strip_prefix(key)?.strip_prefix('='))
+}
+
+/// Returns the lines that tell of a request, in order: its own, and what was heard of the upstreams
+/// that it was placed on while it ran.
+#[must_use]
+pub fn tell(log: &str, request: &str) -> Vec<Line> {
+    let lines: Vec<Line> = log.lines().filter_map(scan_line).collect();
+    let is_own = |line: &&Line| find_value(&line.text, "request") == Some(request);
+    let own: Vec<&Line> = lines.iter().filter(is_own).collect();
+    let first = own.iter().map(|line| line.at_ms).min();
+    let last = own.iter().map(|line| line.at_ms).max();
+    let (Some(first), Some(last)) = (first, last) else {
+        return Vec::new();
+    };
+    let mut upstreams = collections::BTreeSet::new();
+    for line in &own {
+        for key in ["copy", "from", "to", "upstream"] {
+            upstreams.extend(find_value(&line.text, key));
+        }
+    }
+    let is_related = |line: &&Line| {
+        let upstream = find_value(&line.text, "upstream");
+        (first..=last).contains(&line.at_ms)
+            && find_value(&line.text, "request").is_none()
+            && upstream.is_some_and(|upstream| upstreams.contains(upstream))
+    };
+    let related = lines.iter().filter(is_related);
+    let told: collections::BTreeSet<Line> = own.into_iter().chain(related).cloned().collect();
+    told.into_iter().collect()
+}
+
+/// Returns a story as text, with times counted from its first line.
+#[must_use]
+pub fn format_story(lines: &[Line]) -> String {
+    let start = lines.first().map_or(0, |line| line.at_ms);
+    let texts = lines.iter().map(|line| {
+        let after = line.at_ms - start;
+        format!(
+            "{after:>7} ms  {} {}  {}\n",
+            line.host, line.program, line.text
+        )
+    });
+    texts.collect()
+}
