--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -26,6 +26,14 @@
     pub text: String,
 }
 
+impl Line {
+    /// Returns the host's name, the last word before the record.
+    fn find_host(&self) -> &str {
+        let words = self.host.split_whitespace();
+        words.last().unwrap_or_default()
+    }
+}
+
 /// Returns the line's record; none for lines that are no records in JSON.
 fn scan_line(line: &str) -> Option<Line> {
     let start = line.find('{')?;
@@ -44,8 +52,8 @@
     words.find_map(|word| word.strip_prefix(key)?.strip_prefix('='))
 }
 
-/// Returns the lines that tell of a request, in order: its own, and what was heard of the upstreams
-/// that it was placed on while it ran.
+/// Returns the lines that tell of a request, in order: its own, and what its gateways heard meanwhile
+/// of domains out of service and of the upstreams that it was placed on.
 #[must_use]
 pub fn tell(log: &str, request: &str) -> Vec<Line> {
     let lines: Vec<Line> = log.lines().filter_map(scan_line).collect();
@@ -62,11 +70,14 @@
             upstreams.extend(find_value(&line.text, key));
         }
     }
+    let hosts: collections::BTreeSet<&str> = own.iter().map(|line| line.find_host()).collect();
     let is_related = |line: &&Line| {
         let upstream = find_value(&line.text, "upstream");
+        let is_outage = find_value(&line.text, "domains").is_some();
         (first..=last).contains(&line.at_ms)
+            && hosts.contains(line.find_host())
             && find_value(&line.text, "request").is_none()
-            && upstream.is_some_and(|upstream| upstreams.contains(upstream))
+            && (is_outage || upstream.is_some_and(|upstream| upstreams.contains(upstream)))
     };
     let related = lines.iter().filter(is_related);
     let told: collections::BTreeSet<Line> = own.into_iter().chain(related).cloned().collect();
--- a/crates/cli/tests/story.rs
+++ b/crates/cli/tests/story.rs
@@ -6,7 +6,9 @@
 edge-1 {"level":"info","timestamp":1400,"payload":"E6019 generation begun: request=ab upstream=i-1 waited_ms=400","logger":"peargap-gateway","tid":1}
 edge-2 {"level":"info","timestamp":1500,"payload":"E6010 request placed: request=abc upstream=i-1 copy=none tokens=9","logger":"peargap-gateway","tid":1}
 plain text that is no record
-edge-3 {"level":"info","timestamp":2000,"payload":"E2120 upstream heard: upstream=i-1 state=Draining","logger":"peargap-control","tid":1}
+edge-3 {"level":"info","timestamp":1900,"payload":"E6009 upstream changed: upstream=i-1 state=Draining","logger":"peargap-gateway","tid":1}
+edge-1 {"level":"info","timestamp":2000,"payload":"E6009 upstream changed: upstream=i-1 state=Draining","logger":"peargap-gateway","tid":1}
+edge-1 {"level":"info","timestamp":2100,"payload":"E6008 domains out in force: revision=4 domains={\"a\"}","logger":"peargap-gateway","tid":1}
 edge-3 {"level":"info","timestamp":9000,"payload":"E2120 upstream heard: upstream=i-1 state=Left","logger":"peargap-control","tid":1}
 edge-1 {"level":"info","timestamp":2300,"payload":"E6012 request ended: request=ab end=Broken(\"the engine broke off\") events=3 upstream=i-1","logger":"peargap-gateway","tid":1}
 "#;
@@ -15,9 +17,9 @@
 fn a_story_holds_the_request_and_its_upstreams_meanwhile() {
     let lines = story::tell(LOG, "ab");
     let events: Vec<&str> = lines.iter().map(|line| &line.text[..5]).collect();
-    assert_eq!(events, ["E6010", "E6019", "E2120", "E6012"]);
+    assert_eq!(events, ["E6010", "E6019", "E6009", "E6008", "E6012"]);
     let text = story::format_story(&lines);
-    assert!(text.contains("   1000 ms  edge-3 peargap-control  E2120"));
+    assert!(text.contains("   1000 ms  edge-1 peargap-gateway  E6009"));
     assert!(text
         .lines()
         .last()
