Two tests of the agent wait for what they rest on

(2) abandoned_generation_is_cancelled_after _the_grace silenced the link once a token had come; the agent expects further pings only once it has seen one, and the ping was at times still on its way (log: no ping seen, 10 s without E4023). It now waits for the answer to its ping. Ruled out: the idle connection of the agent (no E4041 or doubt in the failing logs).

--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -84,6 +84,7 @@
     let mut older = support::open(rig.front.address, support::start("r1", 100)).await;
     let mut heard = support::Heard::default();
     older.read(&mut heard, 10).await;
+    let read_by_older = heard.next;
     let first = support::resume(&heard.generation, heard.next);
     let mut newer = support::open(rig.front.address, first).await;
     newer.read(&mut heard, 11).await;
@@ -95,7 +96,7 @@
         })
         .await;
     let mut lost = support::Heard {
-        next: heard.next,
+        next: read_by_older,
         ..support::Heard::default()
     };
     older.read_all(&mut lost).await;
@@ -179,7 +180,8 @@
     link.read(&mut heard, 5).await;
     link.say(wire::up::Kind::Ping(wire::Ping { number: 1 }))
         .await;
-    link.read(&mut heard, 6).await;
+    // The agent expects more pings once it has seen one.
+    link.read_pong(&mut heard).await;
     // The link goes silent for good: no ping, no end.
     rig.front.silence();
     let engine = &rig.engine;
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -33,6 +33,8 @@
     pub(crate) text: String,
     /// Offset after the last token.
     pub(crate) next: u64,
+    /// Answers to pings.
+    pub(crate) pongs: u64,
 }
 
 /// Returns a client of the agent at `address`.
@@ -86,20 +88,36 @@
     /// Reads and acknowledges until `enough` tokens have come or the link ends.
     pub(crate) async fn read(&mut self, heard: &mut Heard, enough: u64) {
         while heard.next < enough {
-            let message = tokio::time::timeout(PATIENCE, self.down.message()).await;
-            let Ok(Some(message)) = message.expect("nothing came in time") else {
+            if !self.read_one(heard).await {
                 return;
-            };
-            match message.kind.unwrap() {
-                wire::down::Kind::Accepted(accepted) => heard.generation = accepted.generation,
-                wire::down::Kind::Chunk(chunk) => self.take_chunk(heard, chunk).await,
-                wire::down::Kind::Finished(finished) => heard.finished = Some(finished),
-                wire::down::Kind::Failed(failed) => heard.failed = Some(failed),
-                wire::down::Kind::Pong(_) => {}
             }
         }
     }
 
+    /// Reads and acknowledges until the answer to a ping has come.
+    pub(crate) async fn read_pong(&mut self, heard: &mut Heard) {
+        let pongs = heard.pongs;
+        while heard.pongs == pongs {
+            assert!(self.read_one(heard).await, "the link ended before a pong");
+        }
+    }
+
+    /// Reads one message; returns whether there was one.
+    async fn read_one(&mut self, heard: &mut Heard) -> bool {
+        let message = tokio::time::timeout(PATIENCE, self.down.message()).await;
+        let Ok(Some(message)) = message.expect("nothing came in time") else {
+            return false;
+        };
+        match message.kind.unwrap() {
+            wire::down::Kind::Accepted(accepted) => heard.generation = accepted.generation,
+            wire::down::Kind::Chunk(chunk) => self.take_chunk(heard, chunk).await,
+            wire::down::Kind::Finished(finished) => heard.finished = Some(finished),
+            wire::down::Kind::Failed(failed) => heard.failed = Some(failed),
+            wire::down::Kind::Pong(_) => heard.pongs += 1,
+        }
+        true
+    }
+
     /// Reads until the link ends.
     pub(crate) async fn read_all(&mut self, heard: &mut Heard) {
         self.read(heard, u64::MAX).await;
