--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -272,21 +272,7 @@
 }
 
 fn log_word(word: &upstreams::Word) {
-    logs::emit(
-        events::UPSTREAM_HEARD,
-        format_args!(
-            "upstream={} service={} address={} domain={} state={:?} cold_ms={} born_ms={} \
-             sequence={}",
-            word.name,
-            word.service,
-            word.address,
-            word.domain,
-            word.state,
-            word.cold_ms,
-            word.edition.born_ms,
-            word.edition.sequence
-        ),
-    );
+    logs::emit(events::UPSTREAM_HEARD, format_args!("{word}"));
 }
 
 /// Marks upstreams silent that stopped their heartbeats.
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -61,6 +61,24 @@
     }
 }
 
+impl core::fmt::Display for Word {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        write!(
+            formatter,
+            "upstream={} service={} address={} domain={} state={:?} cold_ms={} born_ms={} \
+             sequence={}",
+            self.name,
+            self.service,
+            self.address,
+            self.domain,
+            self.state,
+            self.cold_ms,
+            self.edition.born_ms,
+            self.edition.sequence
+        )
+    }
+}
+
 /// What became of a word that was heard.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -107,6 +107,14 @@
     response
 }
 
+/// Returns an upstream's own answer, read to its end.
+pub(crate) fn pass_on(parts: &http::response::Parts, body: Bytes) -> Response {
+    let mut response = http::Response::new(whole(body));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = head::copy_headers(&parts.headers);
+    response
+}
+
 /// Returns a body that is there already.
 pub(crate) fn whole(bytes: Bytes) -> Body {
     let body = Full::new(bytes);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -17,6 +17,7 @@
 
 use crate::events;
 use crate::pool;
+use crate::upstream;
 
 slotmap::new_key_type! {
     /// An upstream's place.
@@ -46,7 +47,7 @@
     names: collections::HashMap<String, UpstreamKey>,
     revision: u64,
     table: Option<sync::Arc<routes::Table>>,
-    upstreams: SlotMap<UpstreamKey, Upstream>,
+    upstreams: SlotMap<UpstreamKey, upstream::Upstream>,
     version: u64,
 }
 
@@ -57,22 +58,6 @@
     version: u64,
 }
 
-#[derive(Debug)]
-struct Upstream {
-    breaker: breaker::Breaker,
-    cold_until: time::Instant,
-    /// Start of the present second of the cold limit, and what was sent in it.
-    cold_second: time::Instant,
-    cold_sent: u32,
-    heard: time::Instant,
-    /// What the other gateways have sent.
-    others: balance::Load,
-    /// What this gateway has sent.
-    own: balance::Load,
-    pool: sync::Arc<pool::Pool>,
-    word: upstreams::Word,
-}
-
 /// An upstream that a request was placed on; what it holds there is given back on drop.
 #[derive(Debug)]
 pub(crate) struct Place {
@@ -180,21 +165,7 @@
         let now = self.clock.now();
         let outcome = self.lock().hear(now, word.clone());
         if outcome == upstreams::Outcome::Changed {
-            logs::emit(
-                events::UPSTREAM_CHANGED,
-                format_args!(
-                    "upstream={} service={} address={} domain={} state={:?} cold_ms={} born_ms={} \
-                     sequence={}",
-                    word.name,
-                    word.service,
-                    word.address,
-                    word.domain,
-                    word.state,
-                    word.cold_ms,
-                    word.edition.born_ms,
-                    word.edition.sequence
-                ),
-            );
+            logs::emit(events::UPSTREAM_CHANGED, format_args!("{word}"));
             self.changed.send_modify(|count| *count += 1);
         }
     }
@@ -327,7 +298,7 @@
                 upstream.breaker.probed(now);
             }
         }
-        Ok(upstream.take(self, key, load))
+        Ok(take(upstream, self, key, load))
     }
 
     /// Notes how a call to an upstream went.
@@ -362,7 +333,7 @@
         let known = known.and_then(|key| self.upstreams.get_mut(key));
         let Some(known) = known else {
             let name = word.name.clone();
-            let key = self.upstreams.insert(Upstream {
+            let key = self.upstreams.insert(upstream::Upstream {
                 breaker: breaker::Breaker::new(),
                 cold_second: now,
                 cold_sent: 0,
@@ -438,42 +409,28 @@
     }
 }
 
-impl Upstream {
-    fn take(&mut self, fleet: &Fleet, key: UpstreamKey, load: balance::Load) -> Place {
-        self.own = self.own.plus(load);
-        Place {
-            address: self.word.address.clone(),
-            fleet: fleet.clone(),
-            key,
-            load,
-            name: self.word.name.clone(),
-            pool: self.pool.clone(),
-        }
-    }
-
-    /// Returns whether this gateway's share of what a cold upstream carries leaves room.
-    fn has_cold_room(&self, now: time::Instant, per_s: Option<f64>, gateways: f64) -> bool {
-        let Some(per_s) = per_s.filter(|_rate| now < self.cold_until) else {
-            return true;
-        };
-        let share = (per_s / gateways).max(1.0);
-        now.millis_since(self.cold_second) >= 1000 || f64::from(self.cold_sent) + 1.0 <= share
-    }
-
-    fn count_cold(&mut self, now: time::Instant) {
-        if now.millis_since(self.cold_second) >= 1000 {
-            self.cold_second = now;
-            self.cold_sent = 0;
-        }
-        self.cold_sent += 1;
+/// Counts a load at an upstream.
+fn take(
+    upstream: &mut upstream::Upstream,
+    fleet: &Fleet,
+    key: UpstreamKey,
+    load: balance::Load,
+) -> Place {
+    upstream.own = upstream.own.plus(load);
+    Place {
+        address: upstream.word.address.clone(),
+        fleet: fleet.clone(),
+        key,
+        load,
+        name: upstream.word.name.clone(),
+        pool: upstream.pool.clone(),
     }
 }
 
 impl Place {
     /// Counts the copy as the running generation.
     pub(crate) fn become_run(&mut self) {
-        let state = self.fleet.state.lock();
-        let mut state = state.unwrap_or_else(sync::PoisonError::into_inner);
+        let mut state = self.fleet.lock();
         let load = balance::Load {
             running: 1,
             tokens: self.load.copied,
@@ -488,8 +445,7 @@
 
     /// Notes that the prompt has been read.
     pub(crate) fn begin(&mut self) {
-        let state = self.fleet.state.lock();
-        let mut state = state.unwrap_or_else(sync::PoisonError::into_inner);
+        let mut state = self.fleet.lock();
         if let Some(upstream) = state.upstreams.get_mut(self.key) {
             upstream.own.waiting -= self.load.waiting;
             self.load.waiting = 0;
@@ -498,8 +454,7 @@
 
     /// Notes how many tokens a generation holds by now.
     pub(crate) fn grow(&mut self, tokens: u64) {
-        let state = self.fleet.state.lock();
-        let mut state = state.unwrap_or_else(sync::PoisonError::into_inner);
+        let mut state = self.fleet.lock();
         let Some(upstream) = state.upstreams.get_mut(self.key) else {
             return;
         };
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -250,10 +250,7 @@
                     run.place.name
                 ),
             );
-            let mut response = http::Response::new(answer::whole(body));
-            *response.status_mut() = parts.status;
-            *response.headers_mut() = head::copy_headers(&parts.headers);
-            response
+            answer::pass_on(&parts, body)
         }
         Err(_failure) => answer::refuse(attempt, answer::Refusal::UpstreamFailed),
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,3 +17,4 @@
 mod relay;
 mod server;
 pub mod settings;
+mod upstream;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -2,7 +2,6 @@
 
 use peargap_adapters::logs;
 use peargap_core::routes;
-use peargap_platform::head;
 use tokio::time;
 
 use crate::answer;
@@ -126,8 +125,5 @@
             body.len()
         ),
     );
-    let mut response = http::Response::new(answer::whole(body));
-    *response.status_mut() = parts.status;
-    *response.headers_mut() = head::copy_headers(&parts.headers);
-    response
+    answer::pass_on(&parts, body)
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -246,16 +246,14 @@
         if matches!(self.source, Source::Stopped) {
             return self.leave(migrate::Reason::Broken);
         }
-        if fleet.is_leaving(self.place.key) {
-            if !self.copy.as_ref().is_some_and(is_sound) {
-                self.copy = None;
-            }
-            return self.leave(migrate::Reason::Leaving);
-        }
+        let leaves = fleet.is_leaving(self.place.key);
         if !self.copy.as_ref().is_some_and(is_sound) {
             self.copy = None;
         }
-        Next::GoOn
+        match leaves {
+            true => self.leave(migrate::Reason::Leaving),
+            false => Next::GoOn,
+        }
     }
 
     /// Goes on elsewhere, once there is a copy.
