Replace voters that are gone for good

Cause: a host of another name joined as a further voter and the one that it replaced stayed.

Ruled out: the wiped host's own way back, which needs only a quorum; the addresses, as both new hosts had joined and voted.

Change: the leader counts reviews without an answer. A learner that is ready takes the place of a voter that missed the last one; without a learner a voter is removed after eight. 2 * lost_hosts + 1 voters stay. A removed voter that still runs polls, and is greeted.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -33,6 +33,8 @@
 const LEARNER_LAG_ENTRIES: u64 = 64;
 const MEGABYTE: u64 = 1 << 20;
 const RESERVE_BYTES: u64 = 4 * MEGABYTE;
+/// A review comes each `election_ms`; a host that restarts is back before.
+const SILENT_REVIEWS: u32 = 8;
 
 /// Everything a control host is told.
 #[derive(Clone, Debug)]
@@ -86,6 +88,8 @@
     Listed,
     /// Any host of the deployment. Names are addresses; `seeds` are the ones to greet first.
     Open {
+        /// Hosts that may lose their disks at once.
+        lost_hosts: usize,
         /// Port that every host serves the others at.
         port: u16,
         /// Names of some hosts.
@@ -199,7 +203,12 @@
     if port == 0 {
         return Membership::Listed;
     }
-    Membership::Open { port, seeds }
+    let lost_hosts = reader.optional("membership", "lost_hosts", 1, "a number of hosts");
+    Membership::Open {
+        lost_hosts,
+        port,
+        seeds,
+    }
 }
 
 fn read_peers(reader: &mut settings::Reader) -> collections::BTreeMap<String, net::SocketAddr> {
@@ -247,6 +256,18 @@
         }
     }
 
+    /// Returns how the roster follows the hosts, where any host may take part.
+    fn find_open(&self) -> Option<peargap_core::log::Open> {
+        let Membership::Open { lost_hosts, .. } = self.membership else {
+            return None;
+        };
+        Some(peargap_core::log::Open {
+            // Of these a majority stays when `lost_hosts` lose their disks.
+            least_voters: 2 * lost_hosts + 1,
+            silent_reviews: SILENT_REVIEWS,
+        })
+    }
+
     /// Returns where the other control hosts are.
     pub(crate) fn addresses(&self) -> addresses::Addresses {
         match self.membership {
@@ -267,7 +288,7 @@
             keep_bytes: KEEP_BYTES,
             keep_entries: KEEP_ENTRIES,
             learner_lag: LEARNER_LAG_ENTRIES,
-            open: matches!(self.membership, Membership::Open { .. }),
+            open: self.find_open(),
             peers: match &self.membership {
                 Membership::Listed => names(&mut self.peers.keys()),
                 Membership::Open { seeds, .. } => {
--- a/crates/core/src/log/join.rs
+++ b/crates/core/src/log/join.rs
@@ -27,7 +27,7 @@
 
     /// Remembers hosts to greet, where any host may take part.
     pub(crate) fn meet(&mut self, names: &[Bytes]) {
-        if !self.settings.open {
+        if self.settings.open.is_none() {
             return;
         }
         let others = names.iter().filter(|name| **name != self.me.name);
--- a/crates/core/src/log/lead.rs
+++ b/crates/core/src/log/lead.rs
@@ -33,6 +33,8 @@
     pub(crate) next: u64,
     /// Last round answered.
     pub(crate) round: u64,
+    /// Reviews in a row without an answer; counted where any host may take part.
+    pub(crate) silent: u32,
 }
 
 /// A snapshot on its way.
@@ -307,11 +309,20 @@
     pub(crate) fn review(&self, leading: &mut Leading) -> bool {
         let active = self.find_quorum(leading, 1, |progress| u64::from(progress.active));
         for progress in leading.progress.values_mut() {
+            progress.silent = self.count_silent(*progress);
             progress.active = false;
         }
         active > 0
     }
 
+    /// Returns in how many reviews in a row a member has not answered, as far as that matters.
+    fn count_silent(&self, progress: Progress) -> u32 {
+        match self.settings.open {
+            Some(open) if !progress.active => (progress.silent + 1).min(open.silent_reviews),
+            _ => 0,
+        }
+    }
+
     /// Asks the most advanced voter to take over.
     pub(crate) fn hand_over(&self, leading: &Leading, effects: &mut effect::Effects) {
         let voters = &self.store.roster().voters;
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -41,12 +41,23 @@
     pub keep_entries: u64,
     /// A learner that lags at most this many entries may vote.
     pub learner_lag: u64,
-    /// Any host that greets may take part, also one that `peers` does not name.
-    pub open: bool,
+    /// Set where any host that greets may take part, also one that `peers` does not name.
+    pub open: Option<Open>,
     /// Names of the other hosts that are known at the start.
     pub peers: collections::BTreeSet<Bytes>,
 }
 
+/// How the roster follows the hosts where any host may take part.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Open {
+    /// Voters that stay when a silent one is removed: as many as let the log outlive the disks
+    /// that may be lost at once.
+    pub least_voters: usize,
+    /// Reviews after which a voter that answered in none of them is removed. It is let in again
+    /// when it comes back.
+    pub silent_reviews: u32,
+}
+
 /// What a process found on its disk, and who it is.
 #[derive(Clone, Debug)]
 pub struct Start {
--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -368,7 +368,10 @@
                 message::Kind::Installed(installed) => {
                     self.take_installed(leading, message, *installed, context);
                 }
-                message::Kind::Poll(_) => self.answer_poll(true, message, context),
+                message::Kind::Poll(_) => {
+                    self.answer_poll(true, message, context);
+                    self.greet_former(leading, &message.from, context);
+                }
                 _ => return Outcome::Super,
             },
             effect::Event::Propose(proposals) => self.propose(leading, proposals, context),
--- a/crates/core/src/log/roster.rs
+++ b/crates/core/src/log/roster.rs
@@ -34,7 +34,8 @@
         self.change(leading, roster, effects);
     }
 
-    /// Takes the next step of a change: removes a lost disk, or lets a learner vote.
+    /// Takes the next step of a change: removes a lost disk or a host that is gone, or lets a
+    /// learner vote.
     pub(crate) fn change_roster(
         &mut self,
         leading: &mut lead::Leading,
@@ -43,22 +44,62 @@
         if !self.may_change() {
             return;
         }
-        let Some(learner) = self.find_ready(leading) else {
+        let Some(roster) = self.plan_change(leading) else {
             return;
         };
+        self.change(leading, roster, effects);
+    }
+
+    fn plan_change(&self, leading: &lead::Leading) -> Option<member::Roster> {
         let mut roster = self.store.roster().clone();
+        let Some(learner) = self.find_ready(leading) else {
+            let limit = self.settings.open?.silent_reviews;
+            roster.voters.remove(&self.find_silent(leading, limit)?);
+            return Some(roster);
+        };
         match roster.find_voter(&learner.name).cloned() {
             // Its former disk still answers: two processes share the name.
-            Some(_) if self.is_held(leading, &learner.name) => return,
+            Some(_) if self.is_held(leading, &learner.name) => return None,
             Some(lost) => {
                 roster.voters.remove(&lost);
             }
-            None => {
-                roster.learners.remove(&learner);
-                roster.voters.insert(learner);
-            }
+            None => match self.find_silent(leading, 1) {
+                // The learner takes its place in the next change.
+                Some(silent) => {
+                    roster.voters.remove(&silent);
+                }
+                None => {
+                    roster.learners.remove(&learner);
+                    roster.voters.insert(learner);
+                }
+            },
+        }
+        Some(roster)
+    }
+
+    /// Returns a voter that has not answered for `reviews` reviews, if enough voters stay.
+    fn find_silent(&self, leading: &lead::Leading, reviews: u32) -> Option<member::Member> {
+        let voters = &self.store.roster().voters;
+        if voters.len() <= self.settings.open?.least_voters {
+            return None;
+        }
+        let silent = voters.iter().find(|voter| {
+            let progress = leading.progress.get(*voter);
+            progress.is_some_and(|progress| !progress.active && progress.silent >= reviews)
+        });
+        silent.cloned()
+    }
+
+    /// Lets a former voter in again that does not know of its removal.
+    pub(crate) fn greet_former(
+        &mut self,
+        leading: &mut lead::Leading,
+        from: &member::Member,
+        effects: &mut effect::Effects,
+    ) {
+        if self.settings.open.is_some() && !self.store.roster().contains(from) {
+            self.greet(leading, from, effects);
         }
-        self.change(leading, roster, effects);
     }
 
     /// Returns whether the last change is committed and this leader has committed in its term.
@@ -68,7 +109,7 @@
     }
 
     fn may_join(&self, from: &member::Member) -> bool {
-        let is_known = self.settings.open || self.settings.peers.contains(&from.name);
+        let is_known = self.settings.open.is_some() || self.settings.peers.contains(&from.name);
         from.name != self.me.name && is_known
     }
 
--- a/crates/core/tests/model/mod.rs
+++ b/crates/core/tests/model/mod.rs
@@ -108,6 +108,19 @@
 impl World {
     /// Returns a world of `count` hosts, of which the first three have formed a log.
     pub(crate) fn new(count: usize, bug: Bug) -> World {
+        World::form(count, bug, None)
+    }
+
+    /// Returns such a world in which any host may take part and the silent are removed.
+    pub(crate) fn new_open(count: usize, bug: Bug) -> World {
+        let open = log::Open {
+            least_voters: FIRST_VOTERS,
+            silent_reviews: 1,
+        };
+        World::form(count, bug, Some(open))
+    }
+
+    fn form(count: usize, bug: Bug, open: Option<log::Open>) -> World {
         let names: Vec<Bytes> = ["a", "b", "c", "d"][..count]
             .iter()
             .map(|name| Bytes::from_static(name.as_bytes()))
@@ -119,7 +132,7 @@
             keep_bytes: 0,
             keep_entries: 0,
             learner_lag: 0,
-            open: false,
+            open,
             peers: names.iter().cloned().collect(),
         };
         let mut world = World {
--- a/crates/core/tests/model_log.rs
+++ b/crates/core/tests/model_log.rs
@@ -227,6 +227,47 @@
     )
 }
 
+/// Host `c` is gone for good and `d` has taken its place, while `a` and `b` may crash.
+fn prepare_replacement(bug: Bug) -> World {
+    let mut world = World::new_open(4, bug);
+    world.crash(2);
+    world.take(Action::Campaign(3));
+    world.settle();
+    world.slow().bound(
+        MAX_MESSAGES,
+        Budget {
+            beats: 3,
+            campaigns: 1,
+            crashes: 1,
+            proposals: 1,
+            reviews: 2,
+            ..Budget::default()
+        },
+    )
+}
+
+/// `d` has taken the place of `c` and has stored a command with `a` alone; `d` has crashed since.
+fn prepare_replaced(bug: Bug) -> World {
+    let mut world = World::new_open(4, bug);
+    world.crash(2);
+    world.take(Action::Campaign(3));
+    world.settle();
+    notice_silence(&mut world);
+    let budget = Budget {
+        beats: 1,
+        campaigns: 1,
+        ..Budget::default()
+    };
+    world = world.slow().bound(MAX_MESSAGES, budget);
+    world.take(Action::Propose(0));
+    world.pass(0, 3);
+    world.pass(3, 0);
+    world.crash(3);
+    // The rest is lost.
+    world.net.clear();
+    world
+}
+
 /// A host that lags gets a snapshot in parts while the leader may change.
 fn prepare_snapshot(bug: Bug) -> World {
     let mut world = World::new(3, bug);
@@ -370,6 +411,68 @@
     assert_holds("join", prepare_join(Bug::None));
 }
 
+#[test]
+fn a_replaced_host_keeps_every_property() {
+    assert_holds("replacement", prepare_replacement(Bug::None));
+    assert_holds("replaced", prepare_replaced(Bug::None));
+}
+
+/// Returns the names of the voters that a host knows.
+fn list_voters(world: &World, index: usize) -> Vec<String> {
+    let log = world.hosts[index].log.as_ref().expect("a running host");
+    let voters = log.store().roster().voters.iter();
+    voters
+        .map(|voter| String::from_utf8_lossy(&voter.name).into_owned())
+        .collect()
+}
+
+/// Lets the leader `a` notice who is silent, and change the members as often as needed.
+fn notice_silence(world: &mut World) {
+    for _round in 0..4 {
+        world.take(Action::Review(0));
+        world.settle();
+        world.take(Action::Beat(0));
+        world.settle();
+    }
+}
+
+#[test]
+fn a_new_host_takes_the_place_of_one_that_is_gone() {
+    let mut world = World::new_open(4, Bug::None);
+    world.crash(2);
+    world.take(Action::Campaign(3));
+    world.settle();
+    notice_silence(&mut world);
+    assert_eq!(list_voters(&world, 0), ["a", "b", "d"]);
+    assert_eq!(list_voters(&world, 3), ["a", "b", "d"]);
+}
+
+#[test]
+fn a_silent_voter_stays_while_too_few_others_would() {
+    let mut world = World::new_open(3, Bug::None);
+    world.crash(2);
+    notice_silence(&mut world);
+    assert_eq!(list_voters(&world, 0), ["a", "b", "c"]);
+}
+
+#[test]
+fn a_removed_voter_that_runs_on_is_let_in_again() {
+    let mut world = World::new_open(4, Bug::None);
+    world.take(Action::Campaign(3));
+    world.settle();
+    notice_silence(&mut world);
+    assert_eq!(list_voters(&world, 0), ["a", "b", "c", "d"]);
+    world.crash(2);
+    notice_silence(&mut world);
+    assert_eq!(list_voters(&world, 0), ["a", "b", "d"]);
+    world.take(Action::Restart(2));
+    world.net.clear();
+    world.take(Action::Campaign(2));
+    world.settle();
+    notice_silence(&mut world);
+    assert_eq!(list_voters(&world, 0), ["a", "b", "c", "d"]);
+}
+
 #[test]
 fn snapshots_keep_every_property() {
     assert_holds("snapshot", prepare_snapshot(Bug::None));
@@ -403,6 +506,12 @@
     assert_found("former id", start, "a leader holds everything committed");
 }
 
+#[test]
+fn a_replacing_host_that_forgets_is_found() {
+    let start = prepare_replaced(Bug::ForgetEntries);
+    assert_found("forgetful", start, "a leader holds everything committed");
+}
+
 #[test]
 fn a_trusted_old_copy_is_found() {
     let start = prepare_copy(Bug::TrustCopy);
