Take over from a leaving engine without making events twice; share out engines

A resume on a copy took 108 ms at the median of those; the former run went on meanwhile, so the next engine first made again what the caller had already: twice the wait. 3 to 6 % had a late first token behind more than 6000 unread prompt tokens, while other engines had none.

Ruled out: resumes at backups (no pause over the target among 24); refused resumes (2 in 100 moves), which answer within a round trip.

Change: 30 ms after a resume was sent and not refused the former run is ended. Gateways measure first events, pauses, copies, moves, refusals, retries; the end of a generation is logged with its pace; 'peargap account' counts fates.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -21,6 +21,7 @@
   upstream drain NAME    give an upstream no new work
   upstream resume NAME   give it work again
   members                list the known nodes
+  account                count what became of generations, from log lines on standard input
   explain REQUEST        tell a request's story from log lines on standard input
   status                 show every control host and the nodes attached to it
 
@@ -53,6 +54,8 @@
 /// What to do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Command {
+    /// Count what became of generations, from log lines on standard input.
+    Account,
     /// Give a failure domain work again.
     DomainBack(String),
     /// Give a failure domain no new work.
@@ -155,6 +158,7 @@
         ["domain", "back", name] => Command::DomainBack((*name).to_owned()),
         ["upstream", "drain", name] => Command::UpstreamDrain((*name).to_owned()),
         ["upstream", "resume", name] => Command::UpstreamResume((*name).to_owned()),
+        ["account"] => Command::Account,
         ["explain", request] => Command::Explain((*request).to_owned()),
         ["members"] => Command::Members,
         ["status"] => Command::Status,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,5 +1,6 @@
 //! Operators' command line: manifests, failure domains, upstreams, members, status.
 
+pub mod account;
 mod changes;
 mod client;
 pub mod command;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -7,6 +7,7 @@
 use peargap_adapters::manifest;
 use peargap_wire::operator::submit_request;
 
+use crate::account;
 use crate::changes;
 use crate::client;
 use crate::command;
@@ -35,6 +36,7 @@
             println!("peargap {}", env!("CARGO_PKG_VERSION"));
             exit::Code::Done
         }
+        command::Command::Account => account(line.json),
         command::Command::Explain(request) => explain(line.json, request),
         command::Command::ManifestCheck(file) => match read_manifest(file) {
             Ok(_) => page::report_correct(line.json, &file.display().to_string()),
@@ -56,11 +58,26 @@
     }
 }
 
+fn read_log(json: bool) -> Result<String, exit::Code> {
+    let read = std::io::read_to_string(std::io::stdin());
+    read.map_err(|error| page::report_wrong(json, &format!("standard input: {error}")))
+}
+
+/// Prints what became of generations.
+fn account(json: bool) -> exit::Code {
+    let log = match read_log(json) {
+        Ok(log) => log,
+        Err(code) => return code,
+    };
+    print!("{}", account::format_table(&account::count(&log)));
+    exit::Code::Done
+}
+
 /// Prints a request's story; finding none counts as a wrong argument.
 fn explain(json: bool, request: &str) -> exit::Code {
-    let log = match std::io::read_to_string(std::io::stdin()) {
+    let log = match read_log(json) {
         Ok(log) => log,
-        Err(error) => return page::report_wrong(json, &format!("standard input: {error}")),
+        Err(code) => return code,
     };
     let lines = story::tell(&log, request);
     if lines.is_empty() {
@@ -91,7 +108,8 @@
         command::Command::ManifestShow => return show(line, &client, page::report_manifest).await,
         command::Command::Members => return show(line, &client, page::report_members).await,
         command::Command::Status => return show_status(line, &client).await,
-        command::Command::Explain(_)
+        command::Command::Account
+        | command::Command::Explain(_)
         | command::Command::Help
         | command::Command::ManifestCheck(_)
         | command::Command::Version => return exit::Code::Done,
--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -35,7 +35,7 @@
 }
 
 /// Returns the line's record; none for lines that are no records in JSON.
-fn scan_line(line: &str) -> Option<Line> {
+pub(crate) fn scan_line(line: &str) -> Option<Line> {
     let start = line.find('{')?;
     let record: Record = serde_json::from_str(line[start..].trim()).ok()?;
     Some(Line {
@@ -47,7 +47,7 @@
 }
 
 /// Returns the value of `key=value` in a record's text.
-fn find_value<'a>(text: &'a str, key: &str) -> Option<&'a str> {
+pub(crate) fn find_value<'a>(text: &'a str, key: &str) -> Option<&'a str> {
     let mut words = text.split_whitespace();
     words.find_map(|word| word.strip_prefix(key)?.strip_prefix('='))
 }
--- /dev/null
+++ b/crates/cli/tests/account.rs
@@ -0,0 +1,72 @@
+//! Generations counted by fate, from recorded log lines.
+
+use peargap_cli::account;
+
+fn write_log(payloads: &[&str]) -> String {
+    let lines = payloads.iter().map(|payload| {
+        let payload = serde_json::to_string(payload).expect("text");
+        format!("edge-1 {{\"timestamp\":1,\"payload\":{payload},\"logger\":\"peargap-gateway\"}}\n")
+    });
+    lines.collect()
+}
+
+const BROKEN: account::Fate = account::Fate::Broken {
+    leaving: false,
+    refused: None,
+    why: String::new(),
+};
+
+#[test]
+fn ends_are_counted_by_fate() {
+    let log = write_log(&[
+        "E6012 request ended: request=a end=Complete pace=OnTime events=3 moves=0 prompt=100 output=20",
+        "E6012 request ended: request=b end=Complete pace=OnTime events=3 moves=1 prompt=100 output=30",
+        "E6012 request ended: request=c end=Complete pace=Paused events=3 pause_by_move=true moves=1 prompt=1 output=1",
+        "E6012 request ended: request=d status=200 bytes=800",
+        "E6011 request refused: request=e why=Full",
+    ]);
+    let rows = account::count(&log);
+    assert_eq!(rows.len(), 3);
+    let on_time = rows.get(&account::Fate::OnTime).expect("on time");
+    assert_eq!((on_time.count, on_time.tokens), (2, 700));
+    let paused = account::Fate::Paused {
+        by_move: true,
+        moved: true,
+    };
+    assert_eq!(rows.get(&paused).map(|row| row.tokens), Some(11));
+    let refused = account::Fate::Refused("Full".to_owned());
+    assert_eq!(rows.get(&refused).map(|row| row.count), Some(1));
+}
+
+#[test]
+fn a_broken_generation_shows_what_its_engine_said() {
+    let log = write_log(&[
+        "E6015 move failed: request=a from=i-1 why=NotCopied(\"engine said 503\")",
+        "E6012 request ended: request=a end=Broken(\"the engine broke off\") leaving=true events=3",
+        "E6012 request ended: request=b end=Broken(\"time is over\") leaving=false events=3",
+    ]);
+    let rows = account::count(&log);
+    let refused = account::Fate::Broken {
+        leaving: true,
+        refused: Some("NotCopied(\"engine said 503\")".to_owned()),
+        why: "the engine broke off".to_owned(),
+    };
+    assert!(rows.contains_key(&refused), "{rows:?}");
+    let late = account::Fate::Broken {
+        why: "time is over".to_owned(),
+        ..BROKEN
+    };
+    assert!(rows.contains_key(&late), "{rows:?}");
+}
+
+#[test]
+fn the_table_names_the_largest_row_first() {
+    let log = write_log(&[
+        "E6012 request ended: request=a end=Left pace=LateFirst events=0 prompt=10 output=0",
+        "E6012 request ended: request=b end=Complete pace=OnTime events=3 prompt=30 output=0",
+    ]);
+    let table = account::format_table(&account::count(&log));
+    let lines: Vec<&str> = table.lines().collect();
+    assert_eq!(lines[1], "      1           75.0 %  OnTime");
+    assert_eq!(lines[2], "      1           25.0 %  CallerLeft");
+}
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -52,7 +52,7 @@
     changes: collections::HashMap<String, u64>,
     directory: upstreams::Directory,
     last_link: u64,
-    links: collections::HashMap<LinkKey, Link>,
+    links: collections::BTreeMap<LinkKey, Link>,
 }
 
 #[derive(Debug, Default)]
@@ -71,12 +71,13 @@
     pub(crate) words: Vec<upstreams::Word>,
 }
 
-/// Load of all gateways but one.
-#[derive(Debug, PartialEq)]
-pub(crate) struct Others {
-    /// Gateways that report their load, the one included.
+/// A gateway's place among those that follow this host.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Rank {
+    /// How many they are.
     pub(crate) gateways: u32,
-    pub(crate) loads: Vec<wire::Load>,
+    /// Its place, from 1.
+    pub(crate) position: u32,
 }
 
 impl Fleet {
@@ -200,11 +201,9 @@
     }
 
     /// Returns the load of all gateways but the one on this link.
-    pub(crate) fn sum_others(&self, key: LinkKey) -> Others {
+    pub(crate) fn sum_others(&self, key: LinkKey) -> Vec<wire::Load> {
         let state = self.lock();
         let mut sums: collections::BTreeMap<&String, wire::Load> = collections::BTreeMap::new();
-        let reporting = state.links.values().filter(|link| !link.loads.is_empty());
-        let gateways = u32::try_from(reporting.count()).unwrap_or(u32::MAX);
         let others = state.links.iter().filter(|(other, _link)| **other != key);
         for load in others.flat_map(|(_key, link)| &link.loads) {
             let sum = sums.entry(&load.upstream).or_default();
@@ -217,9 +216,16 @@
             sum.upstream = upstream.clone();
             sum
         });
-        Others {
-            gateways,
-            loads: named.collect(),
+        named.collect()
+    }
+
+    /// Returns the place of the gateway on this link.
+    pub(crate) fn find_rank(&self, key: LinkKey) -> Rank {
+        let state = self.lock();
+        let before = state.links.range(..=key).count();
+        Rank {
+            gateways: u32::try_from(state.links.len()).unwrap_or(u32::MAX),
+            position: u32::try_from(before).unwrap_or(u32::MAX),
         }
     }
 
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -58,6 +58,7 @@
     hosts: Vec<String>,
     number: u64,
     loads: collections::BTreeMap<String, wire::Load>,
+    rank: fleet::Rank,
     revision: u64,
     shared_outage: bool,
     version: u64,
@@ -192,13 +193,13 @@
             update.hosts.clone_from(&hosts);
             self.sent.hosts = hosts;
         }
-        if others.gateways > 0 {
-            update.loads = self.list_changes(&others.loads);
-            update.has_loads = !update.loads.is_empty();
-            update.gateways = match update.has_loads {
-                true => others.gateways,
-                false => 0,
-            };
+        update.loads = self.list_changes(&others);
+        update.has_loads = !update.loads.is_empty();
+        let rank = self.fleet.find_rank(self.key);
+        if rank != self.sent.rank {
+            self.sent.rank = rank;
+            update.gateways = rank.gateways;
+            update.position = rank.position;
         }
         if routing.version != self.sent.version {
             self.sent.version = routing.version;
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -29,6 +29,10 @@
 /// Tokens of unread prompts that count as much as a full memory. Prompts are read one after the
 /// other, so each of them delays the first token of all behind it.
 const WAITING_TOKENS: u64 = 6000;
+/// Score up to which an own engine is taken without a look at others: little waits there and half
+/// of its memory is free.
+const OWN_SCORE: f64 = 0.4;
+
 /// What is known of an upstream's load.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -60,6 +64,9 @@
 pub struct Candidate<K> {
     /// Whether it is in the failure domain asked for.
     pub is_near: bool,
+    /// Whether the gateway is the one that places requests there first. Others do so only where
+    /// theirs are busy, so that what they hear late seldom misleads them.
+    pub is_own: bool,
     /// Who it is.
     pub key: K,
     /// What it has to do.
@@ -101,11 +108,14 @@
         let fill = (ratio(held, candidate.memory) - FREE_SHARE).max(0.0);
         FILL_WEIGHT * fill + waiting + RUNNING_WEIGHT * running
     };
-    choose_least(
-        candidates.iter().filter(|candidate| fits(candidate)),
-        score,
-        random,
-    )
+    let fitting = candidates.iter().filter(|candidate| fits(candidate));
+    let idle = fitting
+        .clone()
+        .filter(|candidate| candidate.is_own && score(candidate) < OWN_SCORE);
+    match choose_least(idle, score, random) {
+        Choice::Take(key) => Choice::Take(key),
+        Choice::Full | Choice::Nobody => choose_least(fitting, score, random),
+    }
 }
 
 /// Why memory is copied.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod log;
 pub mod manifest;
 pub mod members;
+pub mod pace;
 pub mod place;
 pub mod prefix;
 pub mod queue;
--- a/crates/core/tests/policy_balance.rs
+++ b/crates/core/tests/policy_balance.rs
@@ -93,6 +93,7 @@
     let mut candidates: Vec<_> = (0..ENGINES)
         .map(|engine| balance::Candidate {
             is_near: engine % 4 == gateway % 4,
+            is_own: engine % GATEWAYS == gateway,
             key: engine,
             load: balance::Load {
                 tokens: held[engine],
@@ -152,6 +153,7 @@
 fn candidate(key: usize, tokens: u64, running: u32) -> balance::Candidate<usize> {
     balance::Candidate {
         is_near: true,
+        is_own: false,
         key,
         load: balance::Load {
             running,
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -58,6 +58,23 @@
 }
 
 impl Refusal {
+    /// Returns its name in metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Refusal::BodyBroken => "body_broken",
+            Refusal::BodyTooLong => "body_too_long",
+            Refusal::Full => "full",
+            Refusal::KeyUnknown => "key_unknown",
+            Refusal::NoRoutes => "no_routes",
+            Refusal::Nobody => "nobody",
+            Refusal::NotTaken => "not_taken",
+            Refusal::RouteUnknown => "route_unknown",
+            Refusal::TimedOut => "timed_out",
+            Refusal::TimedOutUnsent => "timed_out_unsent",
+            Refusal::UpstreamFailed => "upstream_failed",
+        }
+    }
+
     fn status(self) -> StatusCode {
         match self {
             Refusal::BodyBroken => StatusCode::BAD_REQUEST,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -15,6 +15,8 @@
 /// A caller's request, read whole.
 #[derive(Debug)]
 pub(crate) struct Request {
+    /// When its head had arrived.
+    pub(crate) arrived: peargap_core::time::Instant,
     /// When it counts as failed.
     pub(crate) deadline: time::Instant,
     /// Its body.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -43,14 +43,23 @@
     domains_out: collections::BTreeSet<String>,
     /// The document that was asked for last.
     fetch: Option<Fetch>,
-    gateways: u32,
-    names: collections::HashMap<String, UpstreamKey>,
+    names: collections::BTreeMap<String, UpstreamKey>,
+    rank: Rank,
     revision: u64,
     table: Option<sync::Arc<routes::Table>>,
     upstreams: SlotMap<UpstreamKey, upstream::Upstream>,
     version: u64,
 }
 
+/// This gateway's place among those that follow the same control hosts.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Rank {
+    /// How many they are; 0 before a control host has said so.
+    pub(crate) gateways: u32,
+    /// Its place, from 1.
+    pub(crate) position: u32,
+}
+
 /// A document that a control host was asked for.
 #[derive(Clone, Copy, Debug)]
 struct Fetch {
@@ -177,10 +186,14 @@
         }
     }
 
+    /// Takes this gateway's place among all.
+    pub(crate) fn hear_rank(&self, rank: Rank) {
+        self.lock().rank = rank;
+    }
+
     /// Takes what the other gateways have sent to upstreams; what is not named has not changed.
-    pub(crate) fn hear_loads(&self, gateways: u32, loads: &[wire::Load]) {
+    pub(crate) fn hear_loads(&self, loads: &[wire::Load]) {
         let mut state = self.lock();
-        state.gateways = gateways;
         for load in loads {
             let Some(key) = state.names.get(&load.upstream).copied() else {
                 continue;
@@ -387,19 +400,25 @@
         need: Need<'_>,
         domain: &str,
     ) -> Vec<balance::Candidate<UpstreamKey>> {
-        let share = f64::from(self.gateways.max(1));
+        let share = f64::from(self.rank.gateways.max(1));
         let near = need.near.and_then(|key| self.upstreams.get(key));
         let domain = near.map_or(domain, |near| &near.word.domain);
-        let taken = self.upstreams.iter().filter(|(key, upstream)| {
+        // All gateways count in the order of names, so that they share out the upstreams alike.
+        let keys = self.names.values().copied();
+        let known = keys.filter_map(|key| Some((key, self.upstreams.get(key)?)));
+        let ready = known.filter(|(_key, upstream)| {
             upstream.word.service == need.service.name
                 && upstream.word.state == upstreams::State::Ready
                 && !self.domains_out.contains(&upstream.word.domain)
-                && !need.except.contains(key)
+        });
+        let taken = ready.enumerate().filter(|(_place, (key, upstream))| {
+            !need.except.contains(key)
                 && !matches!(upstream.breaker.check(now), breaker::Pass::Shut { .. })
                 && upstream.has_cold_room(now, need.service.cold_per_s, share)
         });
-        let candidates = taken.map(|(key, upstream)| balance::Candidate {
+        let candidates = taken.map(|(place, (key, upstream))| balance::Candidate {
             is_near: upstream.word.domain == domain,
+            is_own: self.rank.owns(place),
             key,
             load: upstream.own.plus(upstream.others),
             memory: need.service.engine.map_or(0, |engine| engine.memory_tokens),
@@ -409,6 +428,15 @@
     }
 }
 
+impl Rank {
+    /// Returns whether the upstream at a place in their order is this gateway's own.
+    fn owns(self, place: usize) -> bool {
+        let gateways = usize::try_from(self.gateways).unwrap_or(usize::MAX);
+        let position = usize::try_from(self.position).unwrap_or(usize::MAX);
+        gateways > 0 && place % gateways + 1 == position
+    }
+}
+
 /// Counts a load at an upstream.
 fn take(
     upstream: &mut upstream::Upstream,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -153,6 +153,7 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut reported = Vec::new();
     let mut offered = 0;
+    let mut rank = fleet::Rank::default();
     if shared.reports_to(host) {
         shared.fleet.clear_loads();
     }
@@ -170,6 +171,7 @@
             update = updates.next() => match update {
                 Some(Ok(update)) => {
                     offered = offered.max(update.version);
+                    rank = read_rank(&update).unwrap_or(rank);
                     apply(shared, host, update, &reports).await?;
                 }
                 Some(Err(status)) => return Err(status.to_string()),
@@ -181,6 +183,7 @@
                 reported.clear();
             }
             _instant = tick.tick(), if shared.reports_to(host) => {
+                shared.fleet.hear_rank(rank);
                 let loads = shared.fleet.list_loads();
                 if loads == reported {
                     continue;
@@ -222,7 +225,7 @@
         let _ = shared.hosts.send(host);
     }
     if update.has_loads && shared.reports_to(host) {
-        shared.fleet.hear_loads(update.gateways, &update.loads);
+        shared.fleet.hear_loads(&update.loads);
     }
     if !has_words {
         return Ok(());
@@ -234,6 +237,14 @@
     send(reports, report).await
 }
 
+/// Returns the gateway's place, when the update brings one.
+fn read_rank(update: &wire::Update) -> Option<fleet::Rank> {
+    (update.gateways > 0).then_some(fleet::Rank {
+        gateways: update.gateways,
+        position: update.position,
+    })
+}
+
 fn apply_document(fleet: &fleet::Fleet, document: &wire::Document) {
     if document.version <= fleet.version() {
         return;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::call;
 use crate::fleet;
 use crate::generation;
+use crate::meters;
 use crate::plain;
 
 /// Time that a caller without a limit of its own is given, in milliseconds.
@@ -26,13 +27,24 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Gateway {
     pub(crate) fleet: fleet::Fleet,
+    pub(crate) meters: meters::Meters,
     pub(crate) retries: sync::Arc<sync::Mutex<retry::Budget>>,
 }
 
 impl Gateway {
     /// Takes one retry out of the budget, if it holds one.
     pub(crate) fn spend_retry(&self) -> bool {
-        self.lock_retries().spend()
+        let is_allowed = self.lock_retries().spend();
+        if is_allowed {
+            self.meters.count_retry();
+        }
+        is_allowed
+    }
+
+    /// Refuses a request.
+    pub(crate) fn refuse(&self, attempt: &Bytes, refusal: answer::Refusal) -> answer::Response {
+        self.meters.count_refusal(refusal);
+        answer::refuse(attempt, refusal)
     }
 
     fn lock_retries(&self) -> sync::MutexGuard<'_, retry::Budget> {
@@ -50,7 +62,7 @@
         let attempt = head.attempt.clone();
         Ok(match self.serve_routed(head, parts, body).await {
             Ok(response) => response,
-            Err(refusal) => answer::refuse(&attempt, refusal),
+            Err(refusal) => self.refuse(&attempt, refusal),
         })
     }
 
@@ -73,6 +85,7 @@
         let team = team.map(|team| table.team(team));
         let patience = head.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
         let patience = time::Duration::from_millis(patience.min(route.timeout_ms));
+        let arrived = self.fleet.clock.now();
         let deadline = tokio::time::Instant::now() + patience;
         let read = read_body(body, table.limits().body_bytes);
         let body = match tokio::time::timeout_at(deadline, read).await {
@@ -82,6 +95,7 @@
         self.lock_retries().earn();
         let rank = team.and_then(|team| team.rank).unwrap_or(route.rank);
         let request = call::Request {
+            arrived,
             body,
             deadline,
             head,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -10,6 +10,7 @@
 use hyper::body;
 use peargap_adapters::logs;
 use peargap_core::balance;
+use peargap_core::pace;
 use peargap_core::routes;
 use peargap_platform::head;
 use tokio::sync::mpsc;
@@ -44,6 +45,7 @@
     pub(crate) engine: routes::Engine,
     /// Id of the last event that went to the caller; 0 before the first.
     pub(crate) last_event: atomic::AtomicU64,
+    pub(crate) promise: pace::Promise,
     pub(crate) request: call::Request,
     pub(crate) service: routes::Service,
 }
@@ -89,6 +91,10 @@
     let generation = sync::Arc::new(Generation {
         engine,
         last_event: atomic::AtomicU64::new(0),
+        promise: pace::Promise {
+            first_ms: route.objective_ms,
+            gap_ms: route.gap_ms,
+        },
         request,
         service: service.clone(),
     });
@@ -96,8 +102,8 @@
     let started = start(gateway, &generation, objective);
     let run = match time::timeout_at(generation.request.deadline, started).await {
         Ok(Ok(run)) => run,
-        Ok(Err(refusal)) => return answer::refuse(&attempt, refusal),
-        Err(_elapsed) => return answer::refuse(&attempt, answer::Refusal::TimedOut),
+        Ok(Err(refusal)) => return gateway.refuse(&attempt, refusal),
+        Err(_elapsed) => return gateway.refuse(&attempt, answer::Refusal::TimedOut),
     };
     relay(gateway, generation, run).await
 }
@@ -109,7 +115,8 @@
     objective: time::Duration,
 ) -> Result<Run, answer::Refusal> {
     let mut tried = Vec::new();
-    let no_room_after = time::Instant::now() + objective / ROOM_SHARE;
+    let begun = time::Instant::now();
+    let no_room_after = begun + objective / ROOM_SHARE;
     while tried.len() < MAX_OFFERS {
         let tokens = generation.count_tokens(0);
         let need = fleet::Need {
@@ -128,7 +135,9 @@
             Err(fleet::Miss::Full) => return Err(answer::Refusal::Full),
             Err(fleet::Miss::Nobody) => return Err(answer::Refusal::Nobody),
         };
-        if !tried.is_empty() && !gateway.spend_retry() {
+        if tried.is_empty() {
+            gateway.meters.record_wait(begun.elapsed());
+        } else if !gateway.spend_retry() {
             break;
         }
         tried.push(place.key);
@@ -223,7 +232,7 @@
     let status = run.answer.head.status;
     let headers = head::copy_headers(&run.answer.head.headers);
     if !status.is_success() {
-        return pass_failure(&generation, run).await;
+        return pass_failure(gateway, &generation, run).await;
     }
     let (sender, events) = mpsc::channel(EVENT_BUFFER);
     let relay = relay::Relay::new(gateway.clone(), generation, run, sender);
@@ -237,7 +246,11 @@
 }
 
 /// Passes on an engine's own failure.
-async fn pass_failure(generation: &Generation, run: Run) -> answer::Response {
+async fn pass_failure(
+    gateway: &gateway::Gateway,
+    generation: &Generation,
+    run: Run,
+) -> answer::Response {
     let attempt = &generation.request.head.attempt;
     match call::read_whole(run.answer, &run.place.pool).await {
         Ok((parts, body)) => {
@@ -252,6 +265,6 @@
             );
             answer::pass_on(&parts, body)
         }
-        Err(_failure) => answer::refuse(attempt, answer::Refusal::UpstreamFailed),
+        Err(_failure) => gateway.refuse(attempt, answer::Refusal::UpstreamFailed),
     }
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -14,6 +14,7 @@
 use crate::fleet;
 use crate::follow;
 use crate::gateway;
+use crate::meters;
 use crate::server;
 use crate::settings;
 
@@ -46,6 +47,7 @@
     let readiness = health::Readiness::default();
     let callers = bind(settings.callers).await?;
     let probes = bind(settings.health).await?;
+    let meters = meters::Meters::new(&registry);
     let router = health::build_router(readiness.clone(), registry);
     let health = tokio::spawn(async move {
         // Ends with the process.
@@ -69,6 +71,7 @@
     );
     let gateway = gateway::Gateway {
         fleet,
+        meters,
         retries: sync::Arc::default(),
     };
     server::run(callers, gateway, settings.grace, token).await;
--- /dev/null
+++ b/crates/gateway/src/meters.rs
@@ -0,0 +1,165 @@
+//! What a gateway measures.
+
+use opentelemetry::metrics as otel;
+use peargap_adapters::metrics;
+use peargap_core::pace;
+
+use crate::answer;
+
+/// Bounds of the time histograms in seconds.
+const BOUNDS: [f64; 14] = [
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 1.5, 2.0, 4.0, 10.0,
+];
+const MILLISECOND: f64 = 0.001;
+
+/// How a copy or a move ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Outcome {
+    /// As wished.
+    Done,
+    /// Not at all.
+    Failed,
+}
+
+/// The instruments; clones share them.
+#[derive(Clone, Debug)]
+pub(crate) struct Meters {
+    answers: otel::Counter<u64>,
+    between_events: otel::Histogram<f64>,
+    copies: otel::Counter<u64>,
+    first_event: otel::Histogram<f64>,
+    generations: otel::Counter<u64>,
+    moves: otel::Counter<u64>,
+    refusals: otel::Counter<u64>,
+    retries: otel::Counter<u64>,
+    waited_for_room: otel::Histogram<f64>,
+}
+
+impl Meters {
+    /// Returns the instruments of `registry`.
+    pub(crate) fn new(registry: &metrics::Registry) -> Meters {
+        let meter = registry.meter();
+        let counter = |name, description| {
+            let builder = meter.u64_counter(name).with_description(description);
+            builder.build()
+        };
+        let histogram = |name, description| {
+            let builder = meter.f64_histogram(name).with_description(description);
+            builder.with_boundaries(BOUNDS.to_vec()).build()
+        };
+        Meters {
+            answers: counter(
+                "peargap_gateway_answers",
+                "Answers of plain calls passed on whole, by status class",
+            ),
+            between_events: histogram(
+                "peargap_gateway_between_events_seconds",
+                "Time between two events to a caller",
+            ),
+            copies: counter(
+                "peargap_gateway_copies",
+                "Copies of a generation's memory made on demand, by outcome",
+            ),
+            first_event: histogram(
+                "peargap_gateway_first_event_seconds",
+                "Time from a generation's arrival to its first event",
+            ),
+            generations: counter(
+                "peargap_gateway_generations",
+                "Generations that ended, by whether they were complete and on time",
+            ),
+            moves: counter(
+                "peargap_gateway_moves",
+                "Generations that were to go on at another engine, by outcome",
+            ),
+            refusals: counter(
+                "peargap_gateway_refusals",
+                "Requests answered by the gateway itself, by reason",
+            ),
+            retries: counter(
+                "peargap_gateway_retries",
+                "Requests offered to a further upstream",
+            ),
+            waited_for_room: histogram(
+                "peargap_gateway_waited_for_room_seconds",
+                "Time that generations waited for an engine with room",
+            ),
+        }
+    }
+
+    /// Counts an answer passed on.
+    pub(crate) fn count_answer(&self, status: http::StatusCode) {
+        let class = match status.as_u16() / 100 {
+            2 => "2xx",
+            4 => "4xx",
+            5 => "5xx",
+            _ => "other",
+        };
+        let labels = [opentelemetry::KeyValue::new("status", class)];
+        self.answers.add(1, &labels);
+    }
+
+    /// Records an event to a caller.
+    pub(crate) fn record_event(&self, arrival: pace::Arrival) {
+        match arrival {
+            pace::Arrival::First(millis) => self.first_event.record(seconds(millis), &[]),
+            pace::Arrival::Next(millis) => self.between_events.record(seconds(millis), &[]),
+        }
+    }
+
+    /// Counts a generation's end.
+    pub(crate) fn count_generation(&self, end: &'static str, verdict: pace::Verdict) {
+        let pace = match verdict {
+            pace::Verdict::LateFirst => "late_first",
+            pace::Verdict::OnTime => "on_time",
+            pace::Verdict::Paused => "paused",
+        };
+        let labels = [
+            opentelemetry::KeyValue::new("end", end),
+            opentelemetry::KeyValue::new("pace", pace),
+        ];
+        self.generations.add(1, &labels);
+    }
+
+    /// Counts a copy made on demand.
+    pub(crate) fn count_copy(&self, outcome: Outcome) {
+        self.copies.add(1, &[label_outcome(outcome)]);
+    }
+
+    /// Counts a move to another engine.
+    pub(crate) fn count_move(&self, outcome: Outcome) {
+        self.moves.add(1, &[label_outcome(outcome)]);
+    }
+
+    /// Counts an answer of the gateway's own.
+    pub(crate) fn count_refusal(&self, refusal: answer::Refusal) {
+        let labels = [opentelemetry::KeyValue::new("reason", refusal.as_str())];
+        self.refusals.add(1, &labels);
+    }
+
+    /// Counts an offer beyond a request's first.
+    pub(crate) fn count_retry(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    /// Records how long a generation waited for room.
+    pub(crate) fn record_wait(&self, waited: core::time::Duration) {
+        self.waited_for_room.record(waited.as_secs_f64(), &[]);
+    }
+}
+
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "milliseconds of a request are far below 2^52"
+)]
+fn seconds(millis: u64) -> f64 {
+    millis as f64 * MILLISECOND
+}
+
+fn label_outcome(outcome: Outcome) -> opentelemetry::KeyValue {
+    let outcome = match outcome {
+        Outcome::Done => "done",
+        Outcome::Failed => "failed",
+    };
+    opentelemetry::KeyValue::new("outcome", outcome)
+}
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -10,6 +10,7 @@
 use peargap_platform::head;
 use rand::RngExt as _;
 use tokio::sync::oneshot;
+use tokio::sync::Notify;
 use tokio::time;
 
 use crate::answer;
@@ -28,6 +29,9 @@
 const MAX_TRIES: u32 = 3;
 /// Time that an engine has to say that it goes on.
 const RESUME_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+/// Time after which an engine that has not refused to go on is taken to be at work on it: a
+/// refusal takes one round trip.
+const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(30);
 /// Time that a copy of the memory may take.
 const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
 
@@ -73,18 +77,34 @@
 /// Work beside a relay; dropped, it ends.
 #[derive(Debug)]
 pub(crate) struct Task<T> {
+    /// Told once the other engine can be taken to be at work.
+    accepted: sync::Arc<Notify>,
     result: oneshot::Receiver<Result<T, Failure>>,
     task: tokio::task::JoinHandle<()>,
 }
 
 impl<T: Send + 'static> Task<T> {
-    fn spawn(work: impl future::Future<Output = Result<T, Failure>> + Send + 'static) -> Task<T> {
+    fn spawn<F>(work: impl FnOnce(sync::Arc<Notify>) -> F) -> Task<T>
+    where
+        F: future::Future<Output = Result<T, Failure>> + Send + 'static,
+    {
+        let accepted: sync::Arc<Notify> = sync::Arc::default();
+        let work = work(accepted.clone());
         let (sender, result) = oneshot::channel();
         let task = tokio::spawn(async move {
             // The relay may have ended meanwhile.
             let _ = sender.send(work.await);
         });
-        Task { result, task }
+        Task {
+            accepted,
+            result,
+            task,
+        }
+    }
+
+    /// Returns what tells that the other engine can be taken to be at work.
+    pub(crate) fn accepted(&self) -> sync::Arc<Notify> {
+        self.accepted.clone()
     }
 
     /// Waits for its end.
@@ -104,7 +124,7 @@
 pub(crate) fn copy(attempt: Bytes, from: &fleet::Place, place: fleet::Place) -> Task<Copy> {
     let pool = from.pool.clone();
     let from = from.address.clone();
-    Task::spawn(async move {
+    Task::spawn(|_accepted| async move {
         let attempt = answer::show(&attempt).into_owned();
         let request = engine::build_move(&attempt, &place.address, false);
         let called = time::timeout(COPY_TIMEOUT, call_engine(&pool, request)).await;
@@ -145,7 +165,7 @@
     copy: Copy,
     reason: Reason,
 ) -> Task<generation::Run> {
-    Task::spawn(async move {
+    Task::spawn(|accepted| async move {
         if reason == Reason::Leaving && copy.origin == Origin::Backup {
             let delay = rand::rng().random_range(SPREAD_MS);
             time::sleep(time::Duration::from_millis(delay)).await;
@@ -154,7 +174,7 @@
         place.become_run();
         let mut failure = String::new();
         for _try in 0..MAX_TRIES {
-            match resume(&gateway, &generation, &origin, &place).await {
+            match resume(&gateway, &generation, &origin, &place, &accepted).await {
                 Ok((answer, copy)) => {
                     return Ok(generation::Run {
                         answer,
@@ -175,6 +195,7 @@
     generation: &generation::Generation,
     origin: &Origin,
     place: &fleet::Place,
+    accepted: &Notify,
 ) -> Result<(call::Answer, Option<Copy>), String> {
     let last_event = generation.last_event();
     let copy = generation::place_copy(gateway, generation, place, last_event.unwrap_or(0));
@@ -192,10 +213,24 @@
         }),
     };
     let sent = call::send(&generation.request, place, way);
-    match time::timeout(RESUME_TIMEOUT, sent).await {
+    let result = wait_answer(sent, accepted).await;
+    match result {
         Ok(Ok(answer)) if answer.head.status.is_success() => Ok((answer, copy)),
         Ok(Ok(answer)) => Err(format!("engine said {}", answer.head.status)),
         Ok(Err(failure)) => Err(format!("{failure:?}")),
         Err(_elapsed) => Err("no answer in time".to_owned()),
     }
 }
+
+/// Waits for an engine's answer to a resume, and tells once it has not refused.
+async fn wait_answer<T>(
+    sent: impl future::Future<Output = T>,
+    accepted: &Notify,
+) -> Result<T, time::error::Elapsed> {
+    let mut sent = core::pin::pin!(sent);
+    if let Ok(result) = time::timeout(REFUSAL_TIMEOUT, &mut sent).await {
+        return Ok(result);
+    }
+    accepted.notify_one();
+    time::timeout(RESUME_TIMEOUT, sent).await
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -23,7 +23,7 @@
     let served = serve_in_time(gateway, request, route, service);
     match time::timeout_at(request.deadline, served).await {
         Ok(response) => response,
-        Err(_elapsed) => answer::refuse(&request.head.attempt, answer::Refusal::TimedOut),
+        Err(_elapsed) => gateway.refuse(&request.head.attempt, answer::Refusal::TimedOut),
     }
 }
 
@@ -48,7 +48,7 @@
         let place = match gateway.fleet.place_plain(need) {
             Ok(place) => place,
             Err(_miss) if !tried.is_empty() => break,
-            Err(_miss) => return answer::refuse(&request.head.attempt, answer::Refusal::Nobody),
+            Err(_miss) => return gateway.refuse(&request.head.attempt, answer::Refusal::Nobody),
         };
         if !tried.is_empty() && !gateway.spend_retry() {
             break;
@@ -59,7 +59,7 @@
                 runs += 1;
                 failed = Some(whole);
             }
-            Ok(whole) => return pass_on(request, whole),
+            Ok(whole) => return pass_on(gateway, request, whole),
             Err(call::Failure::NotRun(_why)) => {}
             Err(call::Failure::Unknown(_why)) => {
                 runs += 1;
@@ -73,8 +73,8 @@
     }
     match failed {
         // The upstream's own words say more than ours.
-        Some(whole) => pass_on(request, whole),
-        None => answer::refuse(&request.head.attempt, refusal),
+        Some(whole) => pass_on(gateway, request, whole),
+        None => gateway.refuse(&request.head.attempt, refusal),
     }
 }
 
@@ -114,8 +114,9 @@
     result
 }
 
-fn pass_on(request: &call::Request, whole: Whole) -> answer::Response {
+fn pass_on(gateway: &gateway::Gateway, request: &call::Request, whole: Whole) -> answer::Response {
     let (parts, body) = whole;
+    gateway.meters.count_answer(parts.status);
     logs::emit(
         events::REQUEST_ENDED,
         format_args!(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,23 +5,23 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use http_body_util::BodyExt as _;
-use hyper::body;
 use peargap_adapters::logs;
 use peargap_core::balance;
 use peargap_core::event;
+use peargap_core::pace;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::sync::Notify;
 use tokio::time;
 
 use crate::answer;
-use crate::call;
 use crate::events;
 use crate::fleet;
 use crate::gateway;
 use crate::generation;
+use crate::meters;
 use crate::migrate;
-use crate::pool;
+use crate::source;
 
 /// Time between tries to get a copy for a generation whose engine leaves.
 const COPY_RETRY: time::Duration = time::Duration::from_millis(60);
@@ -35,41 +35,32 @@
     events: u64,
     gateway: gateway::Gateway,
     generation: sync::Arc<generation::Generation>,
+    /// Engine that sent the last event.
+    last_from: fleet::UpstreamKey,
+    moves: u32,
     moving: Option<migrate::Task<generation::Run>>,
+    pace: pace::Pace,
+    /// The engine after the longest pause was another one than before it.
+    paused_by_move: bool,
     place: fleet::Place,
     sender: mpsc::Sender<Result<Bytes, answer::Broken>>,
-    source: Source,
+    source: source::Source,
     /// When to look after the copy again.
     wake: Option<time::Instant>,
 }
 
-/// Where events come from.
-enum Source {
-    /// The present engine.
-    Engine(Box<Stream>),
-    /// The present engine has broken off.
-    Stopped,
-}
-
-/// An engine's answer.
-struct Stream {
-    body: body::Incoming,
-    keep_s: Option<u64>,
-    sender: pool::Sender,
-}
-
 /// What happened to a relay.
 enum Step {
+    /// The engine that a move goes to is at work.
+    Accepted,
     /// The caller has left.
     CallerLeft,
     /// A copy ended.
     Copied(Result<migrate::Copy, migrate::Failure>),
-    /// Bytes arrived.
-    Data(Bytes),
-    /// The engine says that the answer is complete.
-    End,
-    /// The stream broke, for this reason.
-    Fault(String),
+    /// The gateway ends.
+    Ended,
+    /// The engine was heard.
+    Heard(source::Read),
     /// A move ended.
     Moved(Result<Box<generation::Run>, migrate::Failure>),
     /// Something changed in the fleet, or it is time to look after the copy.
@@ -91,6 +82,18 @@
     Left,
 }
 
+impl Next {
+    /// Returns its name in metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            Next::Broken(_why) => "broken",
+            Next::Complete => "complete",
+            Next::GoOn => "running",
+            Next::Left => "caller_left",
+        }
+    }
+}
+
 impl Relay {
     /// Returns the relay of a run to a caller.
     pub(crate) fn new(
@@ -102,6 +105,7 @@
         let mut changes = gateway.fleet.changes();
         // The engine may have begun to leave before its first token.
         changes.mark_changed();
+        let pace = pace::Pace::start(generation.request.arrived, generation.promise);
         Relay {
             buffer: BytesMut::new(),
             changes,
@@ -110,10 +114,14 @@
             events: 0,
             gateway,
             generation,
+            last_from: run.place.key,
+            moves: 0,
             moving: None,
+            pace,
+            paused_by_move: false,
             place: run.place,
             sender,
-            source: Source::from_answer(run.answer),
+            source: source::Source::from_answer(run.answer),
             wake: None,
         }
     }
@@ -131,33 +139,61 @@
             // A caller that has left needs no word.
             let _ = self.sender.send(Err(answer::Broken)).await;
         }
+        self.tell_end(end);
+    }
+
+    fn tell_end(&self, end: Next) {
+        let verdict = self.pace.judge();
+        self.gateway.meters.count_generation(end.as_str(), verdict);
+        let usage = self.generation.request.head.usage;
         logs::emit(
             events::REQUEST_ENDED,
             format_args!(
-                "request={} end={end:?} events={} upstream={}",
+                "request={} end={end:?} pace={verdict:?} events={} upstream={} leaving={} \
+                 first_ms={} pause_ms={} pause_by_move={} moves={} prompt={} output={}",
                 self.attempt(),
                 self.events,
-                self.place.name
+                self.place.name,
+                self.gateway.fleet.is_leaving(self.place.key),
+                self.pace.first_ms().unwrap_or_default(),
+                self.pace.longest_ms(),
+                self.paused_by_move,
+                self.moves,
+                usage.map_or(0, |usage| usage.prompt),
+                usage.map_or(0, |usage| usage.most),
             ),
         );
     }
 
+    /// Notes an event that went to the caller.
+    fn note_event(&mut self) {
+        let longest_ms = self.pace.longest_ms();
+        let arrival = self.pace.note_event(self.gateway.fleet.clock.now());
+        self.gateway.meters.record_event(arrival);
+        if self.pace.longest_ms() > longest_ms {
+            self.paused_by_move = self.last_from != self.place.key;
+        }
+        self.last_from = self.place.key;
+    }
+
     fn attempt(&self) -> std::borrow::Cow<'_, str> {
         answer::show(&self.generation.request.head.attempt)
     }
 
     async fn wait(&mut self) -> Step {
         let deadline = self.generation.request.deadline;
+        let accepted = self.moving.as_ref().map(migrate::Task::accepted);
         tokio::select! {
             biased;
             () = self.sender.closed() => Step::CallerLeft,
             () = time::sleep_until(deadline) => Step::TimedOut,
             result = wait_task(&mut self.moving) => Step::Moved(result.map(Box::new)),
             result = wait_task(&mut self.copying) => Step::Copied(result),
-            step = self.source.read() => step,
+            () = wait_accepted(accepted) => Step::Accepted,
+            read = self.source.read() => Step::Heard(read),
             result = self.changes.changed() => match result {
                 Ok(()) => Step::Noticed,
-                Err(_closed) => Step::Fault("the gateway ends".to_owned()),
+                Err(_closed) => Step::Ended,
             },
             () = wait_until(self.wake) => Step::Noticed,
         }
@@ -165,11 +201,13 @@
 
     async fn handle(&mut self, step: Step) -> Next {
         match step {
+            Step::Accepted => self.stop_former(),
             Step::CallerLeft => Next::Left,
             Step::Copied(result) => self.take_copy(result),
-            Step::Data(data) => self.pass_on(&data).await,
-            Step::End => self.end(),
-            Step::Fault(why) => self.stop(&why),
+            Step::Ended => self.stop("the gateway ends"),
+            Step::Heard(source::Read::Data(data)) => self.pass_on(&data).await,
+            Step::Heard(source::Read::End) => self.end(),
+            Step::Heard(source::Read::Fault(why)) => self.stop(&why),
             Step::Moved(result) => self.take_move(result),
             Step::Noticed => self.advance(),
             Step::TimedOut => Next::Broken("time is over"),
@@ -189,6 +227,7 @@
                 return Next::Left;
             }
             self.events += 1;
+            self.note_event();
             if let Some(id) = event.id {
                 self.generation
                     .last_event
@@ -207,17 +246,28 @@
         if !self.buffer.is_empty() {
             return self.stop("the stream ended within an event");
         }
-        let source = core::mem::replace(&mut self.source, Source::Stopped);
-        if let Source::Engine(engine) = source {
+        let source = core::mem::replace(&mut self.source, source::Source::Stopped);
+        if let source::Source::Engine(engine) = source {
             self.place.pool.release(engine.sender, engine.keep_s);
         }
         self.gateway.fleet.note(self.place.key, true);
         Next::Complete
     }
 
+    /// Ends the run at the former engine while the next one takes over.
+    ///
+    /// The next engine goes on behind the event that it was told of. Whatever the former one added
+    /// meanwhile would be made again there before the caller gets anything new, which would pause
+    /// the caller twice as long.
+    fn stop_former(&mut self) -> Next {
+        self.source = source::Source::Stopped;
+        self.buffer.clear();
+        Next::GoOn
+    }
+
     /// Notes that the present engine broke off.
     fn stop(&mut self, why: &str) -> Next {
-        self.source = Source::Stopped;
+        self.source = source::Source::Stopped;
         self.buffer.clear();
         self.copying = None;
         logs::emit(
@@ -243,7 +293,7 @@
         }
         let fleet = &self.gateway.fleet;
         let is_sound = |copy: &migrate::Copy| fleet.is_steady(copy.place.key);
-        if matches!(self.source, Source::Stopped) {
+        if matches!(self.source, source::Source::Stopped) {
             return self.leave(migrate::Reason::Broken);
         }
         let leaves = fleet.is_leaving(self.place.key);
@@ -323,10 +373,12 @@
                         copy.place.name
                     ),
                 );
+                self.gateway.meters.count_copy(meters::Outcome::Done);
                 self.copy = Some(copy);
                 return self.advance();
             }
             Err(failure) => {
+                self.gateway.meters.count_copy(meters::Outcome::Failed);
                 self.log_failure(&failure);
                 self.wake = Some(time::Instant::now() + COPY_RETRY);
             }
@@ -348,12 +400,17 @@
                         self.events
                     ),
                 );
+                self.gateway.meters.count_move(meters::Outcome::Done);
+                self.moves += 1;
                 self.buffer.clear();
-                self.source = Source::from_answer(run.answer);
+                self.source = source::Source::from_answer(run.answer);
                 self.place = run.place;
                 self.copy = run.copy;
             }
-            Err(failure) => self.log_failure(&failure),
+            Err(failure) => {
+                self.gateway.meters.count_move(meters::Outcome::Failed);
+                self.log_failure(&failure);
+            }
         }
         self.advance()
     }
@@ -379,36 +436,16 @@
     }
 }
 
-async fn wait_until(instant: Option<time::Instant>) {
-    match instant {
-        Some(instant) => time::sleep_until(instant).await,
+async fn wait_accepted(accepted: Option<sync::Arc<Notify>>) {
+    match accepted {
+        Some(accepted) => accepted.notified().await,
         None => core::future::pending().await,
     }
 }
 
-impl Source {
-    fn from_answer(answer: call::Answer) -> Source {
-        Source::Engine(Box::new(Stream {
-            body: answer.body,
-            keep_s: answer.keep_s,
-            sender: answer.sender,
-        }))
-    }
-
-    async fn read(&mut self) -> Step {
-        let Source::Engine(engine) = self else {
-            return core::future::pending().await;
-        };
-        loop {
-            match engine.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Step::Data(data);
-                    }
-                }
-                Some(Err(error)) => return Step::Fault(error.to_string()),
-                None => return Step::End,
-            }
-        }
+async fn wait_until(instant: Option<time::Instant>) {
+    match instant {
+        Some(instant) => time::sleep_until(instant).await,
+        None => core::future::pending().await,
     }
 }
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -60,12 +60,15 @@
     pub has_loads: bool,
     #[prost(message, repeated, tag = "7")]
     pub loads: ::prost::alloc::vec::Vec<Load>,
-    /// Gateways that report their load to this host.
+    /// Gateways that follow this host, when they are others than in the update before.
     #[prost(uint32, tag = "8")]
     pub gateways: u32,
     /// Version of the routing document in force, when it is another than in the update before.
     #[prost(uint64, tag = "9")]
     pub version: u64,
+    /// Place of this gateway among them, from 1; comes with `gateways`.
+    #[prost(uint32, tag = "10")]
+    pub position: u32,
 }
 /// The operators' routing document.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
