Soak of gateways and control hosts under seeded faults

Real processes, runners behind relays, relays between gateways and control hosts; signals, lost disks, silent, one-way, delayed and reset links, odd and leaving runners. Callers, an operator and the runners' own records are compared: answers whole and one's own, at most once, 'not run' true, acknowledged documents kept and never shown older, service after the faults.

--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -68,6 +68,8 @@
 
 #[derive(Debug, Default)]
 struct Inner {
+    /// Address that others know it by, when that is not its own.
+    announced: sync::OnceLock<net::SocketAddr>,
     /// Streams begun with a lower number are broken off.
     broken: atomic::AtomicU64,
     /// Events of generations made so far.
@@ -161,6 +163,19 @@
 }
 
 impl Runner {
+    /// Makes it known to other runners by the address of a relay.
+    pub fn announce_behind(&self, relay: net::SocketAddr) {
+        // The first announcement holds.
+        let _ = self.inner.announced.set(relay);
+        let rack = &self.inner.rack;
+        rack.lock().insert(relay.to_string(), self.clone());
+    }
+
+    fn announced(&self) -> net::SocketAddr {
+        let announced = self.inner.announced.get();
+        announced.copied().unwrap_or(self.address)
+    }
+
     /// Sets how it treats requests from now on.
     pub fn behave(&self, behaviour: Behaviour) {
         self.lock().behaviour = behaviour;
@@ -243,7 +258,7 @@
     });
     if let Some(target) = read_text(&headers, "kv-backup") {
         if let Some(target) = runner.inner.rack.find(&target) {
-            let handle = format!("{}/{attempt}", target.address);
+            let handle = format!("{}/{attempt}", target.announced());
             target.lock().copies.insert(handle);
         }
     }
@@ -321,7 +336,7 @@
     target
         .lock()
         .copies
-        .insert(format!("{}/{handle}", runner.address));
+        .insert(format!("{}/{handle}", runner.announced()));
     let copied = serde_json::json!({"kvHandle": handle, "made": 0});
     Ok(axum::Json(copied).into_response())
 }
--- /dev/null
+++ b/crates/proof/tests/soak/caller.rs
@@ -0,0 +1,198 @@
+//! Callers: one request after the other, over connections that they keep.
+
+use std::net;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt;
+use rand::rngs::SmallRng;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+
+use crate::ledger;
+use crate::site;
+
+/// Events of a whole generation.
+const EVENTS: u64 = 60;
+/// Time beyond its route's that a request may take at a gateway that runs.
+const SLACK: time::Duration = time::Duration::from_millis(1500);
+/// Pause after a request that was not served.
+const PAUSE: time::Duration = time::Duration::from_millis(50);
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    /// With a whole answer.
+    Answered(u16),
+    /// With none, or part of one.
+    Broken,
+}
+
+/// Starts a caller; it ends with the ledger's stop.
+pub(crate) fn spawn(
+    number: u64,
+    seed: u64,
+    site: &site::Site,
+    ledger: ledger::Ledger,
+) -> tokio::task::JoinHandle<()> {
+    let ports = site.gateway_ports.clone();
+    tokio::spawn(async move {
+        let mut random = SmallRng::seed_from_u64(seed * 1000 + number);
+        let mut kept = None;
+        let mut count = 0;
+        while !ledger.is_stopped() {
+            count += 1;
+            let kind = match random.random_range(0..3) {
+                0 => ledger::Kind::Idempotent,
+                1 => ledger::Kind::Once,
+                _ => ledger::Kind::Stream,
+            };
+            let port = ports[random.random_range(0..ports.len())];
+            let attempt = format!("{number:x}{count:08x}");
+            let sender = match kept.take() {
+                Some(sender) => Some(sender),
+                None => connect(port).await,
+            };
+            let Some(sender) = sender else {
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            };
+            let (end, sender) = ask(sender, &attempt, kind, &ledger).await;
+            kept = sender.filter(|_sender| random.random_bool(0.8));
+            if end != End::Answered(200) {
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    })
+}
+
+/// Checks that every gateway serves each kind once the faults have ended.
+pub(crate) async fn check_served(site: &site::Site, ledger: &ledger::Ledger) {
+    let kinds = [
+        ledger::Kind::Idempotent,
+        ledger::Kind::Once,
+        ledger::Kind::Stream,
+    ];
+    for (gateway, port) in site.gateway_ports.iter().enumerate() {
+        for kind in kinds {
+            let until = time::Instant::now() + site::PATIENCE;
+            let mut tries = 0;
+            loop {
+                tries += 1;
+                let attempt = format!("f{gateway}{kind:?}{tries}");
+                let ended = match connect(*port).await {
+                    Some(sender) => ask(sender, &attempt, kind, ledger).await.0,
+                    None => End::Broken,
+                };
+                if ended == End::Answered(200) {
+                    break;
+                }
+                if time::Instant::now() > until {
+                    ledger.find(format!("gateway {gateway} serves no {kind:?}: {ended:?}"));
+                    break;
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connect(port: u16) -> Option<Sender> {
+    let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
+    let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+    let (sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        // Its end shows in the answer.
+        let _ = connection.await;
+    });
+    Some(sender)
+}
+
+/// Sends one request and checks its answer; returns the connection where it can be used again.
+async fn ask(
+    mut sender: Sender,
+    attempt: &str,
+    kind: ledger::Kind,
+    ledger: &ledger::Ledger,
+) -> (End, Option<Sender>) {
+    let (path, limit_ms) = match kind {
+        ledger::Kind::Idempotent => ("/plain/x?y=1", 2000),
+        ledger::Kind::Once => ("/once/x", 2000),
+        ledger::Kind::Stream => ("/stream/x", 6000),
+    };
+    let limit = time::Duration::from_millis(limit_ms);
+    let mut request = http::Request::post(path)
+        .header("host", "h")
+        .header("attempt-id", attempt)
+        .header("deadline-ms", limit_ms);
+    if kind == ledger::Kind::Stream {
+        request = request.header("token-usage", "900,400");
+    }
+    let body = Bytes::from(format!("body of {attempt}"));
+    let request = request.body(Full::new(body.clone())).expect("a request");
+    ledger.ask(attempt, kind);
+    let answered = tokio::time::timeout(limit + SLACK, read(&mut sender, request)).await;
+    let Ok(answered) = answered else {
+        // A gateway that was stopped or killed says nothing; its caller gives up.
+        return (End::Broken, None);
+    };
+    let Some((head, bytes)) = answered else {
+        return (End::Broken, None);
+    };
+    let status = head.status.as_u16();
+    let told = match status {
+        200 => ledger::Told::Whole,
+        408 | 421 | 429 | 503 => ledger::Told::NotRun,
+        _ => ledger::Told::Unknown,
+    };
+    ledger.tell(attempt, told);
+    if status == 200 && !is_right(kind, attempt, &body, &head, &bytes) {
+        ledger.find(format!(
+            "{attempt} ({kind:?}) got another answer: {bytes:?}"
+        ));
+    }
+    if matches!(status, 400..=407 | 409..=420) {
+        ledger.find(format!("{attempt} ({kind:?}) was denied with {status}"));
+    }
+    (End::Answered(status), Some(sender))
+}
+
+async fn read(
+    sender: &mut Sender,
+    request: http::Request<Full<Bytes>>,
+) -> Option<(http::response::Parts, Bytes)> {
+    sender.ready().await.ok()?;
+    let response = sender.send_request(request).await.ok()?;
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.ok()?;
+    Some((head, body.to_bytes()))
+}
+
+fn is_right(
+    kind: ledger::Kind,
+    attempt: &str,
+    sent: &Bytes,
+    head: &http::response::Parts,
+    bytes: &Bytes,
+) -> bool {
+    let is_own = head
+        .headers
+        .get("attempt-id")
+        .is_some_and(|id| id == attempt);
+    let is_signed = head.headers.contains_key("server-signature");
+    let is_whole = match kind {
+        ledger::Kind::Idempotent | ledger::Kind::Once => bytes == sent,
+        ledger::Kind::Stream => {
+            let text = String::from_utf8_lossy(bytes);
+            let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+            let ids: Vec<u64> = ids.filter_map(|id| id.parse().ok()).collect();
+            ids == (1..=EVENTS).collect::<Vec<u64>>()
+        }
+    };
+    is_own && is_signed && is_whole
+}
--- /dev/null
+++ b/crates/proof/tests/soak/operator.rs
@@ -0,0 +1,174 @@
+//! The operator: documents that change all the time, and reads of them.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt;
+
+use crate::ledger;
+use crate::site;
+
+/// Time that a call may take.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Time between two changes.
+const PERIOD: time::Duration = time::Duration::from_millis(250);
+/// Time within which an acknowledged version is in force everywhere.
+const APPLY: time::Duration = time::Duration::from_secs(2);
+
+/// Sends documents until it is finished.
+#[derive(Debug)]
+pub(crate) struct Operator {
+    changes: Option<tokio::task::JoinHandle<()>>,
+    ledger: ledger::Ledger,
+    versions: sync::Arc<atomic::AtomicU64>,
+}
+
+/// Returns the document of a version.
+fn write_document(version: u64) -> String {
+    format!(
+        r#"{{"version":{version},"routes":[
+ {{"name":"plain","host":"h","pathPrefix":"/plain/","routeType":"idempotent","timeoutMs":2000,
+  "latencySloMs":150,"service":"desk","maxAttempts":2,"public":true}},
+ {{"name":"once","host":"h","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":2000,
+  "latencySloMs":150,"service":"desk","maxAttempts":1,"public":true}},
+ {{"name":"stream","host":"h","pathPrefix":"/stream/","routeType":"streaming","timeoutMs":6000,
+  "latencySloMs":1800,"service":"pool","maxAttempts":1,"public":true,"itlTargetMs":180}}],
+ "services":[{{"name":"desk"}},{{"name":"pool","engine":{{"slots":24,"kvCapacity":34471,
+  "moves":true,"backups":true,"stride":4,"handleTtlS":5.0}}}}],
+ "limits":{{"maxBodyBytes":1000}}}}"#
+    )
+}
+
+/// Calls a host once; none where there is no whole answer in time.
+pub(crate) async fn call(
+    address: net::SocketAddr,
+    method: &str,
+    path: &str,
+    body: String,
+) -> Option<(u16, Bytes)> {
+    let called = async {
+        let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+        let shaken = http1::handshake(rt::TokioIo::new(stream)).await;
+        let (mut sender, connection) = shaken.ok()?;
+        let task = tokio::spawn(async move {
+            // Its end shows in the answer.
+            let _ = connection.await;
+        });
+        let request = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "h")
+            .body(Full::new(Bytes::from(body)))
+            .expect("a request");
+        let response = sender.send_request(request).await.ok()?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        task.abort();
+        Some((status, body))
+    };
+    tokio::time::timeout(CALL_TIMEOUT, called).await.ok()?
+}
+
+fn address_of(site: &site::Site, host: usize) -> net::SocketAddr {
+    net::SocketAddr::from((site::control_ip(host), site.platform_port))
+}
+
+impl Operator {
+    /// Puts the first document in force, then goes on with others.
+    pub(crate) async fn start(site: &site::Site, ledger: ledger::Ledger) -> Operator {
+        let hosts: Vec<_> = (0..site::CONTROLS)
+            .map(|host| address_of(site, host))
+            .collect();
+        let until = time::Instant::now() + site::PATIENCE;
+        while !send(&hosts, 0, 1, &ledger).await {
+            assert!(time::Instant::now() < until, "no first document");
+        }
+        let versions = sync::Arc::new(atomic::AtomicU64::new(1));
+        let changes = tokio::spawn(change(hosts, ledger.clone(), versions.clone()));
+        Operator {
+            changes: Some(changes),
+            ledger,
+            versions,
+        }
+    }
+
+    /// Checks that the newest acknowledged document, or a later one, can be read everywhere.
+    pub(crate) async fn finish(&mut self, site: &site::Site) {
+        if let Some(changes) = self.changes.take() {
+            changes.await.expect("the operator");
+        }
+        let acknowledged = self.ledger.acknowledged();
+        let sent = self.versions.load(atomic::Ordering::SeqCst);
+        for host in 0..site::CONTROLS {
+            let until = time::Instant::now() + site::PATIENCE;
+            let body = loop {
+                let answer = call(address_of(site, host), "GET", "/api/config", String::new());
+                if let Some((200, body)) = answer.await {
+                    break body;
+                }
+                if time::Instant::now() > until {
+                    self.ledger.find(format!("host {host} tells no document"));
+                    return;
+                }
+            };
+            let held = (acknowledged..=sent).any(|version| body == write_document(version));
+            if !held {
+                let text = format!("host {host} lost version {acknowledged}: {body:?}");
+                self.ledger.find(text);
+            }
+        }
+    }
+}
+
+/// Sends a version to one host after the other until one acknowledges it.
+async fn send(
+    hosts: &[net::SocketAddr],
+    first: usize,
+    version: u64,
+    ledger: &ledger::Ledger,
+) -> bool {
+    for offset in 0..hosts.len() {
+        let host = hosts[(first + offset) % hosts.len()];
+        let answer = call(host, "PUT", "/api/config", write_document(version)).await;
+        match answer {
+            Some((200, _body)) => {
+                ledger.acknowledge(version);
+                return true;
+            }
+            Some((status @ 400..=499, body)) => {
+                ledger.find(format!("version {version} refused: {status} {body:?}"));
+            }
+            _ => {}
+        }
+    }
+    false
+}
+
+async fn change(
+    hosts: Vec<net::SocketAddr>,
+    ledger: ledger::Ledger,
+    versions: sync::Arc<atomic::AtomicU64>,
+) {
+    let mut turn = 0;
+    while !ledger.is_stopped() {
+        turn += 1;
+        let version = versions.fetch_add(1, atomic::Ordering::SeqCst) + 1;
+        send(&hosts, turn, version, &ledger).await;
+        let host = hosts[turn % hosts.len()];
+        // A read never shows an older state than one acknowledged some time before.
+        let least = ledger.acknowledged_before(time::Instant::now() - APPLY);
+        if let Some((200, body)) = call(host, "GET", "/api/config", String::new()).await {
+            let sent = versions.load(atomic::Ordering::SeqCst);
+            if !(least..=sent).any(|version| body == write_document(version)) {
+                ledger.find(format!("a read is older than version {least}: {body:?}"));
+            }
+        }
+        tokio::time::sleep(PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/proof/tests/soak/site.rs
@@ -0,0 +1,297 @@
+//! The processes, relays and runners of one run.
+
+use std::env;
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::sync;
+use std::time;
+
+use peargap_fake::runner;
+use rustix::process as unix;
+
+use crate::operator;
+use crate::relay;
+
+pub(crate) const CONTROLS: usize = 3;
+pub(crate) const GATEWAYS: usize = 2;
+/// Longest wait for anything once the faults have ended.
+pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(20);
+/// Time between a runner's heartbeats.
+const HEARTBEAT: time::Duration = time::Duration::from_millis(300);
+
+/// A process that may be down.
+#[derive(Debug)]
+pub(crate) struct Process {
+    child: Option<process::Child>,
+    log: path::PathBuf,
+    program: &'static str,
+    settings: path::PathBuf,
+    stopped: bool,
+}
+
+/// A runner behind its relay.
+#[derive(Clone, Debug)]
+pub(crate) struct Upstream {
+    pub(crate) address: net::SocketAddr,
+    pub(crate) relay: sync::Arc<relay::Relay>,
+    pub(crate) runner: runner::Runner,
+    pub(crate) service: &'static str,
+    /// What its heartbeats say; none once it sends none.
+    pub(crate) state: sync::Arc<sync::Mutex<Option<&'static str>>>,
+}
+
+/// Everything that runs.
+#[derive(Debug)]
+pub(crate) struct Site {
+    pub(crate) controls: Vec<Process>,
+    /// Relays that gateways reach control hosts through.
+    pub(crate) control_relays: Vec<relay::Relay>,
+    folder: tempfile::TempDir,
+    pub(crate) gateway_ports: Vec<u16>,
+    pub(crate) gateways: Vec<Process>,
+    pub(crate) platform_port: u16,
+    pub(crate) rack: runner::Rack,
+    started: usize,
+    pub(crate) upstreams: Vec<Upstream>,
+}
+
+/// Returns the loopback address of a control host.
+pub(crate) fn control_ip(host: usize) -> net::Ipv4Addr {
+    net::Ipv4Addr::new(127, 0, 0, u8::try_from(host).expect("few hosts") + 1)
+}
+
+impl Process {
+    fn new(program: &'static str, folder: &path::Path, name: &str, settings: &str) -> Process {
+        let file = folder.join(format!("{name}.ini"));
+        fs::write(&file, settings).expect("settings");
+        Process {
+            child: None,
+            log: folder.join(format!("{name}.log")),
+            program,
+            settings: file,
+            stopped: false,
+        }
+    }
+
+    pub(crate) fn start(&mut self) {
+        if self.child.is_some() {
+            return;
+        }
+        let test = env::current_exe().expect("the test's own path");
+        let folder = test.parent().and_then(path::Path::parent);
+        let mut options = fs::OpenOptions::new();
+        let log = options.append(true).create(true).open(&self.log);
+        let child = process::Command::new(folder.expect("a folder").join(self.program))
+            .arg("--config")
+            .arg(&self.settings)
+            .stdout(log.expect("a log"))
+            .spawn();
+        self.child = Some(child.expect("the program"));
+        self.stopped = false;
+    }
+
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal to the process if it runs.
+    pub(crate) fn signal(&mut self, signal: unix::Signal) {
+        let Some(child) = &self.child else {
+            return;
+        };
+        let id = i32::try_from(child.id()).expect("a process id");
+        let pid = unix::Pid::from_raw(id).expect("a process id");
+        unix::kill_process(pid, signal).expect("the signal is sent");
+        self.stopped = signal == unix::Signal::STOP;
+    }
+
+    /// Waits until the process has ended after SIGTERM; returns whether it did so in time.
+    pub(crate) async fn wait_end(&mut self, patience: time::Duration) -> bool {
+        let Some(mut child) = self.child.take() else {
+            return true;
+        };
+        let until = time::Instant::now() + patience;
+        while time::Instant::now() < until {
+            if child.try_wait().expect("a child").is_some() {
+                return true;
+            }
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        self.child = Some(child);
+        false
+    }
+
+    pub(crate) fn is_up(&self) -> bool {
+        self.child.is_some() && !self.stopped
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Site {
+    /// Starts all processes and four runners: two of each service.
+    pub(crate) async fn start() -> Site {
+        let ports = peargap_load::ports::find_ports(4 + 2 * GATEWAYS).expect("ports");
+        let (internal, platform, relayed) = (ports[0], ports[1], ports[2]);
+        let folder = tempfile::tempdir().expect("a folder");
+        let name = |host: usize| format!("{}:{platform}", control_ip(host));
+        let seeds: Vec<String> = (0..CONTROLS).map(name).collect();
+        let seeds = seeds.join(",");
+        let controls = (0..CONTROLS).map(|host| {
+            let ip = control_ip(host);
+            let text = format!(
+                "[node]\nname = {name}\ndomain = d{host}\n[listen]\ninternal = {ip}:{internal}\n\
+                 operators = {ip}:{operators}\nhealth = {ip}:{health}\nplatform = {name}\n\
+                 [membership]\nport = {internal}\nseeds = {seeds}\n[bootstrap]\nvoters = {seeds}\n\
+                 [data]\nfolder = {folder}\n",
+                name = name(host),
+                operators = ports[3],
+                health = ports[4],
+                folder = folder.path().join(format!("data-{host}")).display(),
+            );
+            let name = format!("control-{host}");
+            Process::new("peargap-control", folder.path(), &name, &text)
+        });
+        let controls = controls.collect();
+        let gateway_ports: Vec<u16> = (0..GATEWAYS).map(|gateway| ports[5 + gateway]).collect();
+        let gateways = (0..GATEWAYS).map(|gateway| {
+            let text = format!(
+                "[node]\nname = gateway-{gateway}\ndomain = d{gateway}\n[listen]\n\
+                 callers = 127.0.0.1:{}\nhealth = {}:{}\n[control]\nseeds = {seeds}\n\
+                 port = {relayed}\n[stop]\ngrace_ms = 3000\n",
+                gateway_ports[gateway],
+                net::Ipv4Addr::new(127, 0, 0, 100 + u8::try_from(gateway).expect("few")),
+                ports[4],
+            );
+            let name = format!("gateway-{gateway}");
+            Process::new("peargap-gateway", folder.path(), &name, &text)
+        });
+        let gateways = gateways.collect();
+        let mut control_relays = Vec::new();
+        for host in 0..CONTROLS {
+            let at = |port| net::SocketAddr::from((control_ip(host), port));
+            control_relays.push(relay::Relay::start_at(at(relayed), at(internal)).await);
+        }
+        let mut site = Site {
+            control_relays,
+            controls,
+            folder,
+            gateway_ports,
+            gateways,
+            platform_port: platform,
+            rack: runner::Rack::default(),
+            started: 0,
+            upstreams: Vec::new(),
+        };
+        site.start_processes();
+        for service in ["pool", "desk", "pool", "desk"] {
+            site.add_upstream(service).await;
+        }
+        site
+    }
+
+    fn start_processes(&mut self) {
+        for process in self.controls.iter_mut().chain(&mut self.gateways) {
+            process.start();
+        }
+    }
+
+    /// Starts a runner behind a relay, with heartbeats.
+    pub(crate) async fn add_upstream(&mut self, service: &'static str) {
+        self.started += 1;
+        let name = format!("u{}", self.started);
+        let runner = self.rack.start(&name).await.expect("a runner");
+        runner.set_events(60, time::Duration::from_millis(10));
+        let relay = relay::Relay::start(runner.address.port()).await;
+        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, relay.port));
+        runner.announce_behind(address);
+        let upstream = Upstream {
+            address,
+            relay: sync::Arc::new(relay),
+            runner,
+            service,
+            state: sync::Arc::new(sync::Mutex::new(Some("ready"))),
+        };
+        tokio::spawn(announce(upstream.clone(), self.platform_port));
+        self.upstreams.push(upstream);
+    }
+
+    /// Loses a control host's disk.
+    pub(crate) fn wipe(&mut self, host: usize) {
+        self.controls[host].kill();
+        let folder = self.folder.path().join(format!("data-{host}"));
+        fs::remove_dir_all(folder).expect("a data folder");
+    }
+
+    /// Ends all faults and waits until every gateway has routes.
+    pub(crate) async fn heal(&mut self) {
+        for process in self.controls.iter_mut().chain(&mut self.gateways) {
+            process.signal(unix::Signal::CONT);
+            process.start();
+        }
+        for upstream in &self.upstreams {
+            upstream.relay.delay(time::Duration::ZERO);
+            upstream.runner.behave(runner::Behaviour::Answer);
+        }
+        for relay in &self.control_relays {
+            relay.delay(time::Duration::ZERO);
+        }
+        // Silent links are noticed by then.
+        tokio::time::sleep(time::Duration::from_secs(3)).await;
+    }
+
+    /// Keeps the processes' logs of a run that found something.
+    pub(crate) fn keep_logs(&self, seed: u64) -> path::PathBuf {
+        let kept = env::temp_dir().join(format!("peargap-soak-{seed}"));
+        fs::create_dir_all(&kept).expect("a folder");
+        for process in self.controls.iter().chain(&self.gateways) {
+            let name = process.log.file_name().expect("a name");
+            fs::copy(&process.log, kept.join(name)).expect("a log");
+        }
+        kept
+    }
+}
+
+/// Sends a runner's heartbeats to whichever control host takes them.
+async fn announce(upstream: Upstream, port: u16) {
+    let mut sequence = 0;
+    let mut host = 0;
+    loop {
+        let state = *upstream.state.lock().expect("a state");
+        let Some(state) = state else {
+            return;
+        };
+        sequence += 1;
+        let body = format!(
+            r#"{{"service":"{}","address":"{}","zone":"d0","version":"v1","slots":24,
+            "state":"{state}","coldLeftMs":0,"sequence":{sequence},"born":7}}"#,
+            upstream.service, upstream.address
+        );
+        let path = format!("/api/instances/{}", upstream.runner.name);
+        let address = net::SocketAddr::from((control_ip(host), port));
+        let answered = operator::call(address, "PUT", &path, body).await;
+        if answered.is_none_or(|(status, _body)| status != 200) {
+            host = (host + 1) % CONTROLS;
+            continue;
+        }
+        if state == "draining" {
+            // It serves on a little, then it is gone.
+            tokio::time::sleep(time::Duration::from_millis(1500)).await;
+            upstream.relay.reset();
+            upstream.runner.break_streams();
+            *upstream.state.lock().expect("a state") = None;
+            return;
+        }
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
