Wait for a copy as long as its engine may stay

Ruled out: late notices (copies began within 10 ms of them); no room (503) only before the first copy began.

'peargap account' also counts generations whose end no line tells.

--- a/crates/cli/src/account.rs
+++ b/crates/cli/src/account.rs
@@ -6,6 +6,8 @@
 
 /// Output tokens cost an engine as much time as so many prompt tokens.
 const OUTPUT_WEIGHT: u64 = 10;
+/// Event of a generation that an engine has begun.
+const BEGUN: &str = "E6019";
 /// Event of a request's end.
 const ENDED: &str = "E6012";
 /// Event of an answer of the gateway's own.
@@ -40,6 +42,8 @@
     },
     /// Answered by the gateway itself, for this reason.
     Refused(String),
+    /// Begun, and no line tells of its end: its gateway was killed, or the lines were dropped.
+    Untold,
 }
 
 /// Generations with one fate.
@@ -65,6 +69,19 @@
         }
     }
     let mut rows = collections::BTreeMap::new();
+    let mut untold = collections::HashSet::new();
+    for line in &lines {
+        let request = story::find_value(&line.text, "request").unwrap_or_default();
+        if line.text.starts_with(BEGUN) {
+            untold.insert(request);
+        } else if line.text.starts_with(ENDED) || line.text.starts_with(REFUSED) {
+            untold.remove(request);
+        }
+    }
+    if !untold.is_empty() {
+        let count = u64::try_from(untold.len()).unwrap_or(u64::MAX);
+        rows.insert(Fate::Untold, Row { count, tokens: 0 });
+    }
     for line in &lines {
         let Some(fate) = read_fate(&line.text, &failures) else {
             continue;
--- a/crates/cli/tests/account.rs
+++ b/crates/cli/tests/account.rs
@@ -54,6 +54,18 @@
     assert!(rows.contains_key(&late), "{rows:?}");
 }
 
+#[test]
+fn a_generation_whose_end_no_line_tells_is_counted() {
+    let log = write_log(&[
+        "E6019 generation begun: request=a upstream=i-1 waited_ms=3",
+        "E6019 generation begun: request=b upstream=i-1 waited_ms=3",
+        "E6012 request ended: request=b end=Complete pace=OnTime events=3 prompt=30 output=0",
+    ]);
+    let rows = account::count(&log);
+    let untold = rows.get(&account::Fate::Untold).expect("a row");
+    assert_eq!(untold.count, 1);
+}
+
 #[test]
 fn the_table_names_the_largest_row_first() {
     let log = write_log(&[
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -32,8 +32,9 @@
 /// Time after which an engine that has not refused to go on is taken to be at work on it: a
 /// refusal takes one round trip.
 const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(30);
-/// Time that a copy of the memory may take.
-const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
+/// Time that a copy of the memory may take. Copies wait for each other on the engines' links, and an
+/// engine refuses to begin another one before; so this is longer than engines stay after a notice.
+const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(6000);
 
 /// Why a generation moves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
