--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -5,6 +5,7 @@
 use peargap_wire::control;
 use peargap_wire::record;
 
+use crate::answer;
 use crate::events;
 use crate::proposal;
 use crate::replica;
@@ -63,11 +64,11 @@
     }
 }
 
-pub(crate) fn describe_refusal(refusal: replica::Refusal) -> tonic::Status {
+pub(crate) fn describe_refusal(refusal: answer::Refusal) -> tonic::Status {
     match refusal {
-        replica::Refusal::DiskFull => tonic::Status::resource_exhausted("the disk is full"),
-        replica::Refusal::NoQuorum => tonic::Status::unavailable("no quorum; not recorded"),
-        replica::Refusal::Unknown => tonic::Status::unavailable("not known whether recorded"),
+        answer::Refusal::DiskFull => tonic::Status::resource_exhausted("the disk is full"),
+        answer::Refusal::NoQuorum => tonic::Status::unavailable("no quorum; not recorded"),
+        answer::Refusal::Unknown => tonic::Status::unavailable("not known whether recorded"),
     }
 }
 
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -19,7 +19,7 @@
 
 use crate::events;
 use crate::fleet;
-use crate::replica;
+use crate::status;
 
 /// Updates that may wait for a slow link.
 const UPDATE_BUFFER: usize = 4;
@@ -176,7 +176,7 @@
         &mut self,
         changes: &mut watch::Receiver<u64>,
         routing: &mut watch::Receiver<sync::Arc<routing::Routing>>,
-        status: &mut watch::Receiver<replica::Status>,
+        status: &mut watch::Receiver<status::Status>,
     ) -> Option<wire::Update> {
         changes.mark_unchanged();
         let news = self.fleet.list_news(self.sent.change);
--- a/crates/control/src/gauges.rs
+++ b/crates/control/src/gauges.rs
@@ -4,12 +4,12 @@
 use peargap_adapters::metrics;
 use tokio::sync::watch;
 
-use crate::replica;
+use crate::status;
 
 /// Registers the metrics of a replica.
 pub(crate) fn observe_replica(
     registry: &metrics::Registry,
-    status: &watch::Receiver<replica::Status>,
+    status: &watch::Receiver<status::Status>,
 ) {
     let meter = registry.meter();
     observe(
@@ -24,7 +24,7 @@
         status,
         "peargap_log_leader",
         "1 when this host leads",
-        |status| u64::from(status.role == replica::Role::Leader),
+        |status| u64::from(status.role == status::Role::Leader),
     );
     observe(
         &meter,
@@ -72,10 +72,10 @@
 
 fn observe(
     meter: &otel::Meter,
-    status: &watch::Receiver<replica::Status>,
+    status: &watch::Receiver<status::Status>,
     name: &'static str,
     description: &'static str,
-    read: fn(&replica::Status) -> u64,
+    read: fn(&status::Status) -> u64,
 ) {
     let status = status.clone();
     let _gauge = meter
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -27,12 +27,14 @@
 use crate::gateways;
 use crate::gauges;
 use crate::inbox;
+use crate::input;
 use crate::machine;
 use crate::operators;
 use crate::peers;
 use crate::replica;
 use crate::service;
 use crate::settings;
+use crate::status;
 use crate::worker;
 
 /// Time that a stopping host gives its last messages to leave.
@@ -68,7 +70,7 @@
     pub ended: oneshot::Receiver<Result<(), files::Error>>,
     /// Handle for the services.
     pub handle: replica::Handle,
-    inputs: mpsc::Sender<worker::Input>,
+    inputs: mpsc::Sender<input::Input>,
 }
 
 /// Runs a control host until `token` is cancelled.
@@ -103,7 +105,7 @@
 }
 
 async fn wait_for_end(
-    inputs: &mpsc::Sender<worker::Input>,
+    inputs: &mpsc::Sender<input::Input>,
     mut ended: oneshot::Receiver<Result<(), files::Error>>,
     token: &CancellationToken,
 ) -> Result<(), Error> {
@@ -111,7 +113,7 @@
         () = token.cancelled() => {}
         result = &mut ended => return read_end(result),
     }
-    let _ = inputs.send(worker::Input::Stop).await;
+    let _ = inputs.send(input::Input::Stop).await;
     read_end(ended.await)
 }
 
@@ -132,7 +134,7 @@
 ) -> Result<Replica, Error> {
     let (config, config_seen) = watch::channel(machine::Machine::new().config());
     let (routing, routing_seen) = watch::channel(sync::Arc::default());
-    let (status, status_seen) = watch::channel(replica::Status::default());
+    let (status, status_seen) = watch::channel(status::Status::default());
     let (inputs, queue) = mpsc::channel(worker::QUEUE_INPUTS);
     let (end, ended) = oneshot::channel();
     let timeout = settings.timing.election;
@@ -198,7 +200,7 @@
                 let seeds = settings.seeds();
                 logs::emit(events::RELOADED, format_args!("seeds={seeds:?}"));
                 // A full queue greets the hosts known so far; the next signal tries again.
-                let _ = inputs.try_send(worker::Input::Meet(seeds));
+                let _ = inputs.try_send(input::Input::Meet(seeds));
             }
             Err(findings) => {
                 logs::emit(events::RELOAD_FAILED, format_args!("why={findings}"));
@@ -308,7 +310,7 @@
 
 /// Keeps the host ready while it knows a leader.
 async fn follow_readiness(
-    mut status: watch::Receiver<replica::Status>,
+    mut status: watch::Receiver<status::Status>,
     readiness: health::Readiness,
 ) {
     loop {
--- a/crates/control/src/inbox.rs
+++ b/crates/control/src/inbox.rs
@@ -3,16 +3,17 @@
 use peargap_wire::peer as wire;
 use tokio::sync::mpsc;
 
+use crate::answer;
 use crate::convert;
+use crate::input;
 use crate::peers;
 use crate::replica;
-use crate::worker;
 
 /// Answers the other control hosts.
 #[derive(Clone, Debug)]
 pub(crate) struct Inbox {
     pub(crate) handle: replica::Handle,
-    pub(crate) inputs: mpsc::Sender<worker::Input>,
+    pub(crate) inputs: mpsc::Sender<input::Input>,
 }
 
 /// Returns the service for a server.
@@ -29,7 +30,7 @@
         request: tonic::Request<wire::Envelope>,
     ) -> Result<tonic::Response<wire::Receipt>, tonic::Status> {
         let envelope = request.into_inner();
-        let clocks = worker::Clocks {
+        let clocks = input::Clocks {
             clock_ms: envelope.clock_ms,
             echo_ms: envelope.echo_ms,
             lease_ms: envelope.lease_ms,
@@ -42,7 +43,7 @@
             let message = convert::read_message(message)
                 .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?;
             let message = Box::new(message);
-            let input = worker::Input::Message { clocks, message };
+            let input = input::Input::Message { clocks, message };
             let sent = self.inputs.send(input).await;
             sent.map_err(|_error| tonic::Status::unavailable("stopping"))?;
         }
@@ -61,11 +62,11 @@
         use wire::propose_reply::Kind;
         let command = request.into_inner().command;
         let kind = match self.handle.propose_here(command).await {
-            replica::Answer::NotLeader(leader) => Kind::NotLeader(leader.unwrap_or_default()),
-            replica::Answer::Refused(replica::Refusal::DiskFull) => Kind::DiskFull(true),
-            replica::Answer::Refused(replica::Refusal::NoQuorum) => Kind::NotLeader(String::new()),
-            replica::Answer::Refused(replica::Refusal::Unknown) => Kind::Unknown(true),
-            replica::Answer::Reply(reply) => Kind::Reply(reply),
+            answer::Answer::NotLeader(leader) => Kind::NotLeader(leader.unwrap_or_default()),
+            answer::Answer::Refused(answer::Refusal::DiskFull) => Kind::DiskFull(true),
+            answer::Answer::Refused(answer::Refusal::NoQuorum) => Kind::NotLeader(String::new()),
+            answer::Answer::Refused(answer::Refusal::Unknown) => Kind::Unknown(true),
+            answer::Answer::Reply(reply) => Kind::Reply(reply),
         };
         let kind = Some(kind);
         Ok(tonic::Response::new(wire::ProposeReply { kind }))
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,7 @@
 //! Control host: the durable configuration, members, fences and claims.
 
 pub mod addresses;
+pub mod answer;
 mod attached;
 mod birth;
 mod claims;
@@ -15,6 +16,7 @@
 mod gauges;
 pub mod host;
 mod inbox;
+mod input;
 mod lease;
 pub mod machine;
 mod medium;
@@ -31,6 +33,7 @@
 pub mod service;
 pub mod settings;
 mod spread;
+pub mod status;
 mod timers;
 mod waits;
 mod watch;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -11,12 +11,14 @@
 use peargap_wire::operator::operator_server;
 use peargap_wire::record;
 
+use crate::answer;
 use crate::attached;
 use crate::claims;
 use crate::codec;
 use crate::events;
 use crate::proposal;
 use crate::replica;
+use crate::status;
 
 /// Header that carries the operator's key.
 const AUTHORIZATION: &str = "authorization";
@@ -141,9 +143,9 @@
     let why = match proposal::propose(handle, kind).await {
         Ok(record::reply::Kind::Submit(reply)) => return reply,
         Ok(_) => "unexpected reply of the state".to_owned(),
-        Err(replica::Refusal::DiskFull) => "the disk is full; not accepted".to_owned(),
-        Err(replica::Refusal::NoQuorum) => "no quorum; not accepted".to_owned(),
-        Err(replica::Refusal::Unknown) => {
+        Err(answer::Refusal::DiskFull) => "the disk is full; not accepted".to_owned(),
+        Err(answer::Refusal::NoQuorum) => "no quorum; not accepted".to_owned(),
+        Err(answer::Refusal::Unknown) => {
             "not known whether accepted; send the same id again".to_owned()
         }
     };
@@ -197,12 +199,12 @@
     }
 }
 
-fn name_replica(role: replica::Role) -> &'static str {
+fn name_replica(role: status::Role) -> &'static str {
     match role {
-        replica::Role::Candidate => "candidate",
-        replica::Role::Follower => "follower",
-        replica::Role::Leader => "leader",
-        replica::Role::Outsider => "outsider",
+        status::Role::Candidate => "candidate",
+        status::Role::Follower => "follower",
+        status::Role::Leader => "leader",
+        status::Role::Outsider => "outsider",
     }
 }
 
--- a/crates/control/src/pace.rs
+++ b/crates/control/src/pace.rs
@@ -8,6 +8,7 @@
 
 use crate::proposal;
 use crate::replica;
+use crate::status;
 
 /// Time between ticks while an attempt waits for its deadline.
 const BUSY_PERIOD: duration::Duration = duration::Duration::from_secs(1);
@@ -33,7 +34,7 @@
             () = time::sleep(period) => {}
         }
         let role = handle.status().borrow().role;
-        if role != replica::Role::Leader {
+        if role != status::Role::Leader {
             applied = None;
             continue;
         }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -17,10 +17,10 @@
 use tonic::transport;
 
 use crate::addresses;
+use crate::answer;
 use crate::convert;
 use crate::events;
-use crate::replica;
-use crate::worker;
+use crate::input;
 
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_millis(500);
@@ -51,7 +51,7 @@
 pub(crate) struct Outboxes {
     pub(crate) addresses: addresses::Addresses,
     /// Where names that peers mention go.
-    pub(crate) inputs: mpsc::Sender<worker::Input>,
+    pub(crate) inputs: mpsc::Sender<input::Input>,
     /// Name of this host.
     pub(crate) name: String,
     /// Runs the senders.
@@ -122,7 +122,7 @@
     client: Option<Client>,
     endpoint: transport::Endpoint,
     /// This host's name.
-    inputs: mpsc::Sender<worker::Input>,
+    inputs: mpsc::Sender<input::Input>,
     name: String,
     peer: String,
     reached: bool,
@@ -184,7 +184,7 @@
         };
         let members = receipt.into_inner().members;
         if !members.is_empty() {
-            let input = worker::Input::Meet(members.into_iter().map(Bytes::from).collect());
+            let input = input::Input::Meet(members.into_iter().map(Bytes::from).collect());
             // A worker that has ended greets nobody.
             let _ = self.inputs.send(input).await;
         }
@@ -222,25 +222,25 @@
     }
 
     /// Proposes a command to a peer.
-    pub(crate) async fn propose(&self, peer: &str, command: Bytes) -> replica::Answer {
+    pub(crate) async fn propose(&self, peer: &str, command: Bytes) -> answer::Answer {
         let Some(mut client) = self.find_client(peer).await else {
-            return replica::Answer::NotLeader(None);
+            return answer::Answer::NotLeader(None);
         };
         let reply = client.propose(wire::ProposeRequest { command }).await;
         let Ok(reply) = reply else {
             self.lock().remove(peer);
-            return replica::Answer::Refused(replica::Refusal::Unknown);
+            return answer::Answer::Refused(answer::Refusal::Unknown);
         };
         match reply.into_inner().kind {
-            Some(wire::propose_reply::Kind::Reply(reply)) => replica::Answer::Reply(reply),
+            Some(wire::propose_reply::Kind::Reply(reply)) => answer::Answer::Reply(reply),
             Some(wire::propose_reply::Kind::NotLeader(leader)) => {
-                replica::Answer::NotLeader(Some(leader).filter(|leader| !leader.is_empty()))
+                answer::Answer::NotLeader(Some(leader).filter(|leader| !leader.is_empty()))
             }
             Some(wire::propose_reply::Kind::DiskFull(_)) => {
-                replica::Answer::Refused(replica::Refusal::DiskFull)
+                answer::Answer::Refused(answer::Refusal::DiskFull)
             }
             Some(wire::propose_reply::Kind::Unknown(_)) | None => {
-                replica::Answer::Refused(replica::Refusal::Unknown)
+                answer::Answer::Refused(answer::Refusal::Unknown)
             }
         }
     }
--- a/crates/control/src/place.rs
+++ b/crates/control/src/place.rs
@@ -14,6 +14,7 @@
 use crate::events;
 use crate::proposal;
 use crate::replica;
+use crate::status;
 
 /// Time between two looks.
 const LOOK_PERIOD: duration::Duration = duration::Duration::from_secs(2);
@@ -51,7 +52,7 @@
             () = time::sleep(LOOK_PERIOD) => {}
         }
         let config = handle.config().borrow().clone();
-        let leads = handle.status().borrow().role == replica::Role::Leader;
+        let leads = handle.status().borrow().role == status::Role::Leader;
         if let (true, Some(placements)) = (leads, planner.look(&config)) {
             propose(&handle, &config, placements).await;
         }
--- a/crates/control/src/proposal.rs
+++ b/crates/control/src/proposal.rs
@@ -3,16 +3,17 @@
 use peargap_wire::record;
 use prost::Message as _;
 
+use crate::answer;
 use crate::replica;
 
 /// Commits a command and returns the state's answer.
 pub(crate) async fn propose(
     handle: &replica::Handle,
     kind: record::command::Kind,
-) -> Result<record::reply::Kind, replica::Refusal> {
+) -> Result<record::reply::Kind, answer::Refusal> {
     let command = record::Command { kind: Some(kind) };
     let reply = handle.propose(command.encode_to_vec().into()).await?;
     let reply = record::Reply::decode(reply).ok();
     let kind = reply.and_then(|reply| reply.kind);
-    kind.ok_or(replica::Refusal::Unknown)
+    kind.ok_or(answer::Refusal::Unknown)
 }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -11,9 +11,11 @@
 use tokio::time;
 
 use crate::addresses;
+use crate::answer;
+use crate::input;
 use crate::machine;
 use crate::peers;
-use crate::worker;
+use crate::status;
 
 /// Proposals that may wait for a volatile replica.
 const QUEUE_PROPOSALS: usize = 1024;
@@ -22,118 +24,49 @@
 /// Time between two looks for a leader.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
-/// Why a command was not answered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Refusal {
-    /// The leader's disk is full; the command will never be committed.
-    DiskFull,
-    /// There is no leader with a quorum; the command will never be committed.
-    NoQuorum,
-    /// The command may or may not be committed; propose it again under the same id.
-    Unknown,
-}
-
-/// What a control host does in the log's protocol.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Role {
-    /// Asks for votes.
-    Candidate,
-    /// Follows a leader, or waits for one.
-    Follower,
-    /// Orders the commands.
-    Leader,
-    /// Knows of no membership yet.
-    #[default]
-    Outsider,
-}
-
-/// What one host says to a proposal.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) enum Answer {
-    /// It is not the leader; the leader's name when known.
-    NotLeader(Option<String>),
-    /// It refuses.
-    Refused(Refusal),
-    /// The state machine's reply.
-    Reply(Bytes),
-}
-
-/// State of this host's replica.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Status {
-    /// Last index applied to the state machine.
-    pub applied: u64,
-    /// Last index known to be committed.
-    pub committed: u64,
-    /// Until when this host may grant freshness leases.
-    pub fresh_until: Option<time::Instant>,
-    /// Last index stored here.
-    pub last: u64,
-    /// Name of the leader, when known.
-    pub leader: Option<String>,
-    /// Hosts that are catching up, as `name/disk id`.
-    pub learners: Vec<String>,
-    /// Names of the hosts that vote or are catching up.
-    pub members: Vec<String>,
-    /// What this host does.
-    pub role: Role,
-    /// Current term.
-    pub term: u64,
-    /// Hosts that vote, as `name/disk id`.
-    pub voters: Vec<String>,
-}
-
-impl Status {
-    /// Returns whether this host may grant freshness leases now.
-    pub fn is_fresh(&self) -> bool {
-        self.fresh_until
-            .is_some_and(|until| time::Instant::now() < until)
-    }
-}
-
 /// Access to the replica's thread; clones share it.
 #[derive(Clone, Debug)]
 pub struct Handle {
     pub(crate) config: watch::Receiver<sync::Arc<config::Config>>,
     pub(crate) forwarder: peers::Forwarder,
-    pub(crate) inputs: mpsc::Sender<worker::Input>,
+    pub(crate) inputs: mpsc::Sender<input::Input>,
     pub(crate) routing: watch::Receiver<sync::Arc<routing::Routing>>,
-    pub(crate) status: watch::Receiver<Status>,
+    pub(crate) status: watch::Receiver<status::Status>,
 }
 
 impl Handle {
     /// Commits a command, through the leader wherever it is, and returns the machine's reply.
-    pub async fn propose(&self, command: Bytes) -> Result<Bytes, Refusal> {
+    pub async fn propose(&self, command: Bytes) -> Result<Bytes, answer::Refusal> {
         let deadline = time::Instant::now() + PROPOSE_TIMEOUT;
         while time::Instant::now() < deadline {
             let tried = time::timeout_at(deadline, self.propose_once(command.clone())).await;
             match tried {
-                Ok(Answer::NotLeader(_)) => time::sleep(RETRY_DELAY).await,
-                Ok(Answer::Refused(refusal)) => return Err(refusal),
-                Ok(Answer::Reply(reply)) => return Ok(reply),
-                Err(_elapsed) => return Err(Refusal::Unknown),
+                Ok(answer::Answer::NotLeader(_)) => time::sleep(RETRY_DELAY).await,
+                Ok(answer::Answer::Refused(refusal)) => return Err(refusal),
+                Ok(answer::Answer::Reply(reply)) => return Ok(reply),
+                Err(_elapsed) => return Err(answer::Refusal::Unknown),
             }
         }
-        Err(Refusal::NoQuorum)
+        Err(answer::Refusal::NoQuorum)
     }
 
     /// Tries this host, then the leader that it knows.
-    async fn propose_once(&self, command: Bytes) -> Answer {
+    async fn propose_once(&self, command: Bytes) -> answer::Answer {
         let leader = match self.propose_here(command.clone()).await {
-            Answer::NotLeader(Some(leader)) => leader,
+            answer::Answer::NotLeader(Some(leader)) => leader,
             answer => return answer,
         };
         self.forwarder.propose(&leader, command).await
     }
 
     /// Proposes a command to this host only.
-    pub(crate) async fn propose_here(&self, command: Bytes) -> Answer {
+    pub(crate) async fn propose_here(&self, command: Bytes) -> answer::Answer {
         let (reply, answer) = oneshot::channel();
-        let input = worker::Input::Propose { command, reply };
+        let input = input::Input::Propose { command, reply };
         if self.inputs.send(input).await.is_err() {
-            return Answer::NotLeader(None);
+            return answer::Answer::NotLeader(None);
         }
-        let unknown = Answer::Refused(Refusal::Unknown);
+        let unknown = answer::Answer::Refused(answer::Refusal::Unknown);
         answer.await.unwrap_or(unknown)
     }
 
@@ -148,7 +81,7 @@
     }
 
     /// Returns the replica's state, updated when it changes.
-    pub fn status(&self) -> watch::Receiver<Status> {
+    pub fn status(&self) -> watch::Receiver<status::Status> {
         self.status.clone()
     }
 }
@@ -157,12 +90,12 @@
 pub fn spawn_volatile(mut machine: machine::Machine) -> Handle {
     let (config, config_seen) = watch::channel(machine.config());
     let (routing, routing_seen) = watch::channel(machine.routing());
-    let (status, status_seen) = watch::channel(Status::default());
+    let (status, status_seen) = watch::channel(status::Status::default());
     let (inputs, mut queue) = mpsc::channel(QUEUE_PROPOSALS);
     tokio::spawn(async move {
         let mut index = 0;
         while let Some(input) = queue.recv().await {
-            let worker::Input::Propose { command, reply } = input else {
+            let input::Input::Propose { command, reply } = input else {
                 continue;
             };
             index += 1;
@@ -170,7 +103,7 @@
             config.send_if_modified(|seen| replace_shared(seen, machine.config()));
             routing.send_if_modified(|seen| replace_shared(seen, machine.routing()));
             status.send_modify(|status| describe_alone(status, index));
-            let _ = reply.send(Answer::Reply(answer));
+            let _ = reply.send(answer::Answer::Reply(answer));
         }
     });
     Handle {
@@ -189,11 +122,11 @@
     changed
 }
 
-fn describe_alone(status: &mut Status, index: u64) {
+fn describe_alone(status: &mut status::Status, index: u64) {
     status.applied = index;
     status.committed = index;
     status.last = index;
-    status.role = Role::Leader;
+    status.role = status::Role::Leader;
     status.term = 1;
     status.fresh_until = Some(time::Instant::now() + time::Duration::from_secs(3600));
 }
--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -7,17 +7,17 @@
 
 use crate::convert;
 use crate::events;
-use crate::replica;
+use crate::status;
 
 /// Describes a replica.
 pub(crate) fn describe(
     log: &log::Log,
     applied: u64,
     fresh_until: Option<time::Instant>,
-) -> replica::Status {
+) -> status::Status {
     let roster = log.store().roster();
     let is_member = roster.contains(log.me());
-    replica::Status {
+    status::Status {
         applied,
         committed: log.commit(),
         fresh_until,
@@ -31,10 +31,10 @@
             .map(|member| convert::text(&member.name))
             .collect(),
         role: match log.role() {
-            log::Role::Candidate => replica::Role::Candidate,
-            log::Role::Follower if is_member => replica::Role::Follower,
-            log::Role::Follower => replica::Role::Outsider,
-            log::Role::Leader => replica::Role::Leader,
+            log::Role::Candidate => status::Role::Candidate,
+            log::Role::Follower if is_member => status::Role::Follower,
+            log::Role::Follower => status::Role::Outsider,
+            log::Role::Leader => status::Role::Leader,
         },
         term: log.hard().term,
         voters: roster.voters.iter().map(format_member).collect(),
@@ -46,7 +46,7 @@
 }
 
 /// Logs what changed of role, leader and members.
-pub(crate) fn log_changes(seen: &replica::Status, status: &replica::Status) {
+pub(crate) fn log_changes(seen: &status::Status, status: &status::Status) {
     if seen.role != status.role || seen.leader != status.leader {
         logs::emit(
             events::ROLE_CHANGED,
--- a/crates/control/src/waits.rs
+++ b/crates/control/src/waits.rs
@@ -6,10 +6,10 @@
 use peargap_core::log::entry;
 use tokio::sync::oneshot;
 
-use crate::replica;
+use crate::answer;
 
 /// Where an outcome goes.
-pub(crate) type Reply = oneshot::Sender<replica::Answer>;
+pub(crate) type Reply = oneshot::Sender<answer::Answer>;
 
 /// A proposal that waits for its position to be committed.
 #[derive(Debug)]
@@ -47,7 +47,7 @@
     /// Answers a proposal that the log did not take.
     pub(crate) fn reject(&mut self, token: u64, leader: Option<String>) {
         if let Some(reply) = self.proposed.remove(&token) {
-            let _ = reply.send(replica::Answer::NotLeader(leader));
+            let _ = reply.send(answer::Answer::NotLeader(leader));
         }
     }
 
@@ -57,8 +57,8 @@
             return;
         };
         let answer = match reply {
-            Some(reply) if waiting.term == position.term => replica::Answer::Reply(reply),
-            Some(_) | None => replica::Answer::Refused(replica::Refusal::Unknown),
+            Some(reply) if waiting.term == position.term => answer::Answer::Reply(reply),
+            Some(_) | None => answer::Answer::Refused(answer::Refusal::Unknown),
         };
         let _ = waiting.reply.send(answer);
     }
@@ -66,7 +66,7 @@
     /// Ends every wait: this host no longer learns the outcome.
     pub(crate) fn end(&mut self) {
         for (_index, waiting) in std::mem::take(&mut self.placed) {
-            let unknown = replica::Answer::Refused(replica::Refusal::Unknown);
+            let unknown = answer::Answer::Refused(answer::Refusal::Unknown);
             let _ = waiting.reply.send(unknown);
         }
     }
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -16,9 +16,11 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::answer;
 use crate::convert;
 use crate::events;
 use crate::files;
+use crate::input;
 use crate::lease;
 use crate::machine;
 use crate::medium;
@@ -27,6 +29,7 @@
 use crate::replica;
 use crate::report;
 use crate::settings;
+use crate::status;
 use crate::timers;
 use crate::waits;
 
@@ -37,38 +40,13 @@
 /// Largest command taken, in bytes; the disk's reserve holds one.
 const MAX_COMMAND_BYTES: usize = 2 << 20;
 
-/// Something for the replica's thread.
-#[derive(Debug)]
-pub(crate) enum Input {
-    /// A message of the log's protocol.
-    Message {
-        clocks: Clocks,
-        message: Box<message::Message>,
-    },
-    /// Another host named these hosts as members.
-    Meet(Vec<Bytes>),
-    /// A command to be committed, if this host leads.
-    Propose { command: Bytes, reply: waits::Reply },
-    /// The process stops: hand over, then end.
-    Stop,
-}
-
-/// Clocks of the envelope that a message came in.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Clocks {
-    pub(crate) clock_ms: u64,
-    pub(crate) echo_ms: u64,
-    pub(crate) lease_ms: u32,
-    pub(crate) received: time::Instant,
-}
-
 /// Where the thread's results go.
 #[derive(Debug)]
 pub(crate) struct Outputs {
     pub(crate) config: watch::Sender<sync::Arc<config::Config>>,
     pub(crate) outboxes: peers::Outboxes,
     pub(crate) routing: watch::Sender<sync::Arc<routing::Routing>>,
-    pub(crate) status: watch::Sender<replica::Status>,
+    pub(crate) status: watch::Sender<status::Status>,
 }
 
 /// Whether the thread goes on.
@@ -159,7 +137,7 @@
     /// Runs until the process stops; an error means that the disk cannot be trusted.
     pub(crate) async fn run(
         mut self,
-        mut inputs: mpsc::Receiver<Input>,
+        mut inputs: mpsc::Receiver<input::Input>,
     ) -> Result<(), files::Error> {
         let mut batch = Vec::new();
         loop {
@@ -185,7 +163,7 @@
     async fn turn(
         &mut self,
         event: Option<effect::Event>,
-        batch: &mut Vec<Input>,
+        batch: &mut Vec<input::Input>,
     ) -> Result<Next, files::Error> {
         let now = time::Instant::now();
         let was_leader = self.log.role() == log::Role::Leader;
@@ -199,18 +177,18 @@
         }
         for input in batch.drain(..) {
             match input {
-                Input::Message { clocks, message } => {
+                input::Input::Message { clocks, message } => {
                     grants.extend(self.hear(clocks, &message));
                     effects.extend(self.log.handle(effect::Event::Message(*message)));
                 }
-                Input::Meet(names) => {
+                input::Input::Meet(names) => {
                     effects.extend(self.log.handle(effect::Event::Meet(names)));
                 }
-                Input::Propose { command, reply } => {
+                input::Input::Propose { command, reply } => {
                     let taken = self.take_proposal(command, reply, &mut pending);
                     proposals.extend(taken);
                 }
-                Input::Stop => {
+                input::Input::Stop => {
                     effects.extend(self.log.handle(effect::Event::HandOver));
                     next = Next::Stop;
                 }
@@ -236,7 +214,7 @@
     }
 
     /// Notes a sender's clock; returns its grant, when it has one.
-    fn hear(&mut self, clocks: Clocks, message: &message::Message) -> Option<Grant> {
+    fn hear(&mut self, clocks: input::Clocks, message: &message::Message) -> Option<Grant> {
         if clocks.clock_ms > 0 {
             let name = &message.from.name;
             self.lease.hear(name, clocks.clock_ms, clocks.received);
@@ -273,7 +251,7 @@
     ) -> Option<effect::Proposal> {
         let bytes = *pending + count_bytes(&command);
         if command.len() > MAX_COMMAND_BYTES || !self.find_room(bytes) {
-            let refused = replica::Answer::Refused(replica::Refusal::DiskFull);
+            let refused = answer::Answer::Refused(answer::Refusal::DiskFull);
             let _ = reply.send(refused);
             return None;
         }
@@ -396,7 +374,7 @@
 /// A leader's grant of freshness, with what it had committed.
 #[derive(Clone, Debug)]
 struct Grant {
-    clocks: Clocks,
+    clocks: input::Clocks,
     commit: u64,
     leader: Bytes,
     term: u64,
--- a/crates/core/src/log/lead.rs
+++ b/crates/core/src/log/lead.rs
@@ -1,52 +1,21 @@
 //! What a leader does: replication, commit, heartbeats.
 
-use std::collections;
-
 use bytes::Bytes;
 
 use crate::log::effect;
 use crate::log::entry;
 use crate::log::member;
 use crate::log::message;
+use crate::log::progress;
 use crate::log::replica;
 
-/// State of a leader.
-#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
-pub(crate) struct Leading {
-    /// Last round that a quorum answered.
-    pub(crate) confirmed: u64,
-    pub(crate) progress: collections::BTreeMap<member::Member, Progress>,
-    /// Last round begun.
-    pub(crate) round: u64,
-}
-
-/// How far a member has come.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
-pub(crate) struct Progress {
-    /// Answered since the last review.
-    pub(crate) active: bool,
-    /// Next byte of the snapshot at a position, while one is sent.
-    pub(crate) install: Option<Transfer>,
-    /// Last index stored there and equal to this log.
-    pub(crate) matched: u64,
-    /// Next index to send.
-    pub(crate) next: u64,
-    /// Last round answered.
-    pub(crate) round: u64,
-    /// Reviews in a row without an answer; counted where any host may take part.
-    pub(crate) silent: u32,
-}
-
-/// A snapshot on its way.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub(crate) struct Transfer {
-    offset: u64,
-    position: entry::Position,
-}
-
 impl replica::Replica {
     /// Begins to lead with an entry of its own term, which commits what came before.
-    pub(crate) fn begin_lead(&mut self, leading: &mut Leading, effects: &mut effect::Effects) {
+    pub(crate) fn begin_lead(
+        &mut self,
+        leading: &mut progress::Leading,
+        effects: &mut effect::Effects,
+    ) {
         self.fit_progress(leading);
         // The votes were heard just now.
         for progress in leading.progress.values_mut() {
@@ -59,16 +28,16 @@
     }
 
     /// Makes the members of the progress table those of the roster.
-    pub(crate) fn fit_progress(&self, leading: &mut Leading) {
+    pub(crate) fn fit_progress(&self, leading: &mut progress::Leading) {
         let roster = self.store.roster();
         leading
             .progress
             .retain(|member, _progress| roster.contains(member));
         let next = self.store.last().index + 1;
         for member in roster.others(&self.me) {
-            let fresh = Progress {
+            let fresh = progress::Progress {
                 next,
-                ..Progress::default()
+                ..progress::Progress::default()
             };
             leading.progress.entry(member.clone()).or_insert(fresh);
         }
@@ -98,7 +67,7 @@
     /// Orders commands and sends them on.
     pub(crate) fn propose(
         &mut self,
-        leading: &mut Leading,
+        leading: &mut progress::Leading,
         proposals: &[effect::Proposal],
         effects: &mut effect::Effects,
     ) {
@@ -119,7 +88,7 @@
     }
 
     /// Begins a heartbeat round.
-    pub(crate) fn beat(&mut self, leading: &mut Leading, effects: &mut effect::Effects) {
+    pub(crate) fn beat(&mut self, leading: &mut progress::Leading, effects: &mut effect::Effects) {
         leading.round += 1;
         self.confirm_round(leading, effects);
         self.change_roster(leading, effects);
@@ -128,7 +97,11 @@
     }
 
     /// Sends every member what it lacks, or a heartbeat.
-    pub(crate) fn replicate_all(&self, leading: &mut Leading, effects: &mut effect::Effects) {
+    pub(crate) fn replicate_all(
+        &self,
+        leading: &mut progress::Leading,
+        effects: &mut effect::Effects,
+    ) {
         let round = leading.round;
         for (member, progress) in &mut leading.progress {
             self.replicate(round, member, progress, effects);
@@ -140,7 +113,7 @@
         &self,
         round: u64,
         member: &member::Member,
-        progress: &mut Progress,
+        progress: &mut progress::Progress,
         effects: &mut effect::Effects,
     ) {
         if progress.install.is_some() || progress.next <= self.store.base().index {
@@ -167,14 +140,14 @@
         &self,
         round: u64,
         member: &member::Member,
-        progress: &mut Progress,
+        progress: &mut progress::Progress,
         effects: &mut effect::Effects,
     ) {
         let snapshot = self.store.snapshot();
         let started = progress
             .install
             .filter(|transfer| transfer.position == snapshot.position);
-        let transfer = started.unwrap_or(Transfer {
+        let transfer = started.unwrap_or(progress::Transfer {
             offset: 0,
             position: snapshot.position,
         });
@@ -193,7 +166,7 @@
     /// Takes a member's answer to entries or a heartbeat.
     pub(crate) fn take_appended(
         &mut self,
-        leading: &mut Leading,
+        leading: &mut progress::Leading,
         message: &message::Message,
         appended: message::Appended,
         effects: &mut effect::Effects,
@@ -222,7 +195,7 @@
     /// Takes a member's answer to a part of the snapshot.
     pub(crate) fn take_installed(
         &mut self,
-        leading: &mut Leading,
+        leading: &mut progress::Leading,
         message: &message::Message,
         installed: message::Installed,
         effects: &mut effect::Effects,
@@ -242,7 +215,7 @@
             }
             self.replicate(round, &message.from, progress, effects);
         } else if current {
-            progress.install = Some(Transfer {
+            progress.install = Some(progress::Transfer {
                 offset: installed.offset,
                 position: installed.position,
             });
@@ -255,10 +228,10 @@
     /// Returns the sender's progress after noting that it answered in this term.
     fn find_progress<'a>(
         &self,
-        leading: &'a mut Leading,
+        leading: &'a mut progress::Leading,
         message: &message::Message,
         round: u64,
-    ) -> Option<&'a mut Progress> {
+    ) -> Option<&'a mut progress::Progress> {
         if message.term != self.hard.term {
             return None;
         }
@@ -269,7 +242,7 @@
     }
 
     /// Tells when a quorum has answered a later round.
-    fn confirm_round(&self, leading: &mut Leading, effects: &mut effect::Effects) {
+    fn confirm_round(&self, leading: &mut progress::Leading, effects: &mut effect::Effects) {
         let own = leading.round;
         let confirmed = self.find_quorum(leading, own, |progress| progress.round);
         if confirmed > leading.confirmed {
@@ -279,7 +252,11 @@
     }
 
     /// Commits what a quorum has stored, once that includes an entry of this term.
-    pub(crate) fn advance_commit(&mut self, leading: &mut Leading, effects: &mut effect::Effects) {
+    pub(crate) fn advance_commit(
+        &mut self,
+        leading: &mut progress::Leading,
+        effects: &mut effect::Effects,
+    ) {
         let own = self.store.last().index;
         let commit = self.find_quorum(leading, own, |progress| progress.matched);
         if commit <= self.commit || self.store.term(commit) != Some(self.hard.term) {
@@ -290,7 +267,12 @@
     }
 
     /// Returns the largest value that a quorum of voters has reached.
-    fn find_quorum(&self, leading: &Leading, own: u64, read: fn(&Progress) -> u64) -> u64 {
+    fn find_quorum(
+        &self,
+        leading: &progress::Leading,
+        own: u64,
+        read: fn(&progress::Progress) -> u64,
+    ) -> u64 {
         let roster = self.store.roster();
         let mut values: Vec<u64> = roster
             .voters
@@ -306,7 +288,7 @@
     }
 
     /// Returns whether a quorum answered since the last review, and begins the next.
-    pub(crate) fn review(&self, leading: &mut Leading) -> bool {
+    pub(crate) fn review(&self, leading: &mut progress::Leading) -> bool {
         let active = self.find_quorum(leading, 1, |progress| u64::from(progress.active));
         for progress in leading.progress.values_mut() {
             progress.silent = self.count_silent(*progress);
@@ -316,7 +298,7 @@
     }
 
     /// Returns in how many reviews in a row a member has not answered, as far as that matters.
-    fn count_silent(&self, progress: Progress) -> u32 {
+    fn count_silent(&self, progress: progress::Progress) -> u32 {
         match self.settings.open {
             Some(open) if !progress.active => (progress.silent + 1).min(open.silent_reviews),
             _ => 0,
@@ -324,7 +306,7 @@
     }
 
     /// Asks the most advanced voter to take over.
-    pub(crate) fn hand_over(&self, leading: &Leading, effects: &mut effect::Effects) {
+    pub(crate) fn hand_over(&self, leading: &progress::Leading, effects: &mut effect::Effects) {
         let voters = &self.store.roster().voters;
         let ready = leading
             .progress
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -13,6 +13,7 @@
 pub mod mark;
 pub mod member;
 pub mod message;
+mod progress;
 mod replica;
 mod roster;
 pub mod store;
--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -8,10 +8,10 @@
 
 use crate::log;
 use crate::log::effect;
-use crate::log::lead;
 use crate::log::mark;
 use crate::log::member;
 use crate::log::message;
+use crate::log::progress;
 use crate::log::store;
 
 /// What a replica keeps in every role.
@@ -221,7 +221,7 @@
     }
 
     fn take_lead(&mut self, effects: &mut effect::Effects) -> Step {
-        let mut leading = lead::Leading::default();
+        let mut leading = progress::Leading::default();
         self.begin_lead(&mut leading, effects);
         Outcome::Transition(State::leader(leading))
     }
@@ -349,7 +349,7 @@
     #[state(superstate = "member")]
     fn leader(
         &mut self,
-        leading: &mut lead::Leading,
+        leading: &mut progress::Leading,
         event: &effect::Event,
         context: &mut effect::Effects,
     ) -> Step {
--- a/crates/core/src/log/roster.rs
+++ b/crates/core/src/log/roster.rs
@@ -4,8 +4,8 @@
 
 use crate::log::effect;
 use crate::log::entry;
-use crate::log::lead;
 use crate::log::member;
+use crate::log::progress;
 use crate::log::replica;
 
 /// A learner that answered one of so many rounds may vote; a vote of a dead host only does harm.
@@ -15,7 +15,7 @@
     /// Answers a host that started or wants to be let in.
     pub(crate) fn greet(
         &mut self,
-        leading: &mut lead::Leading,
+        leading: &mut progress::Leading,
         from: &member::Member,
         effects: &mut effect::Effects,
     ) {
@@ -38,7 +38,7 @@
     /// learner vote.
     pub(crate) fn change_roster(
         &mut self,
-        leading: &mut lead::Leading,
+        leading: &mut progress::Leading,
         effects: &mut effect::Effects,
     ) {
         if !self.may_change() {
@@ -50,7 +50,7 @@
         self.change(leading, roster, effects);
     }
 
-    fn plan_change(&self, leading: &lead::Leading) -> Option<member::Roster> {
+    fn plan_change(&self, leading: &progress::Leading) -> Option<member::Roster> {
         let mut roster = self.store.roster().clone();
         let Some(learner) = self.find_ready(leading) else {
             let limit = self.settings.open?.silent_reviews;
@@ -78,7 +78,7 @@
     }
 
     /// Returns a voter that has not answered for `reviews` reviews, if enough voters stay.
-    fn find_silent(&self, leading: &lead::Leading, reviews: u32) -> Option<member::Member> {
+    fn find_silent(&self, leading: &progress::Leading, reviews: u32) -> Option<member::Member> {
         let voters = &self.store.roster().voters;
         if voters.len() <= self.settings.open?.least_voters {
             return None;
@@ -93,7 +93,7 @@
     /// Lets a former voter in again that does not know of its removal.
     pub(crate) fn greet_former(
         &mut self,
-        leading: &mut lead::Leading,
+        leading: &mut progress::Leading,
         from: &member::Member,
         effects: &mut effect::Effects,
     ) {
@@ -114,14 +114,14 @@
     }
 
     /// Returns whether the voter of this name has answered lately.
-    fn is_held(&self, leading: &lead::Leading, name: &Bytes) -> bool {
+    fn is_held(&self, leading: &progress::Leading, name: &Bytes) -> bool {
         let voter = self.store.roster().find_voter(name);
         let progress = voter.and_then(|voter| leading.progress.get(voter));
         progress.is_some_and(|progress| progress.active)
     }
 
     /// Returns a learner that has caught up and has just answered.
-    fn find_ready(&self, leading: &lead::Leading) -> Option<member::Member> {
+    fn find_ready(&self, leading: &progress::Leading) -> Option<member::Member> {
         let mut learners = self.store.roster().learners.iter();
         let ready = learners.find(|learner| {
             let progress = leading.progress.get(*learner);
@@ -136,7 +136,7 @@
 
     fn change(
         &mut self,
-        leading: &mut lead::Leading,
+        leading: &mut progress::Leading,
         roster: member::Roster,
         effects: &mut effect::Effects,
     ) {
--- a/crates/entry/src/generations.rs
+++ b/crates/entry/src/generations.rs
@@ -17,6 +17,7 @@
 
 use crate::app;
 use crate::auth;
+use crate::piece;
 use crate::prompt;
 use crate::refusal;
 use crate::relay;
@@ -235,9 +236,9 @@
     })
 }
 
-fn read_audience(headers: &http::HeaderMap, prompt: &prompt::Prompt) -> relay::Audience {
+fn read_audience(headers: &http::HeaderMap, prompt: &prompt::Prompt) -> piece::Audience {
     if !prompt.stream {
-        return relay::Audience::Whole;
+        return piece::Audience::Whole;
     }
     let leaves = headers
         .get("x-on-disconnect")
@@ -246,7 +247,7 @@
         Some(b"cancel") => time::Duration::ZERO,
         Some(_) | None => RESUME_GRACE,
     };
-    relay::Audience::Stream { grace }
+    piece::Audience::Stream { grace }
 }
 
 async fn run(app: sync::Arc<app::App>, call: Call) -> response::Response {
@@ -257,13 +258,13 @@
     };
     let audience = call.job.audience;
     let (mut pieces, written) = relay::spawn(app, call.job);
-    if audience == relay::Audience::Whole {
+    if audience == piece::Audience::Whole {
         let whole = whole::collect(&style, pieces).await;
         return whole.unwrap_or_else(refusal::Refusal::into_response);
     }
     // The status line waits for the first piece, so that a refusal has a status of its own.
     match pieces.recv().await {
-        Some(relay::Piece::Failed(refusal)) => refusal.into_response(),
+        Some(piece::Piece::Failed(refusal)) => refusal.into_response(),
         Some(first) => stream::respond(style, resumed.as_deref(), first, pieces, written),
         None => http::StatusCode::INTERNAL_SERVER_ERROR.into_response(),
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod link;
 mod metrics;
 mod peer;
+mod piece;
 mod place;
 pub mod progress;
 pub mod prompt;
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -14,9 +14,9 @@
 use crate::events;
 use crate::leave;
 use crate::link;
+use crate::piece;
 use crate::progress;
 use crate::refusal;
-use crate::relay;
 
 /// Pieces that may wait for the caller's connection.
 pub(crate) const PIECES_BUFFER: usize = 16;
@@ -46,14 +46,14 @@
 #[derive(Debug)]
 pub(crate) struct Caller {
     acked: u64,
-    audience: relay::Audience,
+    audience: piece::Audience,
     /// Text for a caller that takes it whole.
     collected: BytesMut,
     deadline: clock::Instant,
     first_token: Option<clock::Instant>,
     last_token: clock::Instant,
-    pending: collections::VecDeque<relay::Piece>,
-    pieces: mpsc::Sender<relay::Piece>,
+    pending: collections::VecDeque<piece::Piece>,
+    pieces: mpsc::Sender<piece::Piece>,
     pub(crate) progress: progress::Progress,
     started: clock::Instant,
     /// When the caller's connection last had room.
@@ -79,9 +79,9 @@
 
 impl Caller {
     pub(crate) fn new(
-        audience: relay::Audience,
+        audience: piece::Audience,
         deadline: clock::Instant,
-        pieces: mpsc::Sender<relay::Piece>,
+        pieces: mpsc::Sender<piece::Piece>,
         written: progress::Written,
     ) -> Caller {
         let started = clock::Instant::now();
@@ -130,7 +130,7 @@
     }
 
     /// Gives the caller the last piece, after those that still wait.
-    pub(crate) async fn give(&mut self, piece: relay::Piece) {
+    pub(crate) async fn give(&mut self, piece: piece::Piece) {
         self.pending.push_back(piece);
         while let Some(piece) = self.pending.pop_front() {
             if self.pieces.send(piece).await.is_err() {
@@ -218,7 +218,7 @@
         if waiting && now >= self.taken_at + app.settings.limits.stalled_reader {
             return Check::Stalled;
         }
-        if app.streams_end.is_cancelled() && self.audience != relay::Audience::Whole {
+        if app.streams_end.is_cancelled() && self.audience != piece::Audience::Whole {
             return Check::Moved;
         }
         Check::Go
@@ -235,7 +235,7 @@
                 End::Done
             }
             Check::Moved => {
-                self.give(relay::Piece::Moved).await;
+                self.give(piece::Piece::Moved).await;
                 End::Done
             }
             Check::Go | Check::Silent => End::Lost("silent"),
@@ -251,9 +251,9 @@
     /// Lets the caller's connection say something when there was nothing to hand on.
     fn keep_alive(&mut self) {
         let quiet = self.taken_at.elapsed() >= KEEP_ALIVE_PERIOD;
-        if quiet && self.pending.is_empty() && self.audience != relay::Audience::Whole {
+        if quiet && self.pending.is_empty() && self.audience != piece::Audience::Whole {
             self.taken_at = clock::Instant::now();
-            self.pending.push_back(relay::Piece::Quiet);
+            self.pending.push_back(piece::Piece::Quiet);
             self.hand_on();
         }
     }
@@ -266,7 +266,7 @@
             link::Event::Failed(failed) => Some(End::Failed(failed)),
             link::Event::Finished(finished) => {
                 self.give_collected();
-                self.pending.push_back(relay::Piece::Finished(finished));
+                self.pending.push_back(piece::Piece::Finished(finished));
                 Some(End::Done)
             }
             link::Event::Lost => Some(End::Lost("closed")),
@@ -277,7 +277,7 @@
         match self.progress.take_name(generation) {
             progress::Naming::New => {
                 let generation = self.progress.generation()?;
-                self.pending.push_back(relay::Piece::Accepted(generation));
+                self.pending.push_back(piece::Piece::Accepted(generation));
                 None
             }
             progress::Naming::Other => Some(End::Refused(refuse_broken())),
@@ -292,14 +292,14 @@
         match self.progress.take_chunk(chunk.offset, chunk.tokens) {
             progress::Step::Deliver { offset, tokens } => {
                 self.measure(app, tokens.len());
-                if self.audience == relay::Audience::Whole {
+                if self.audience == piece::Audience::Whole {
                     tokens
                         .iter()
                         .for_each(|token| self.collected.put_slice(token));
                     self.written.set(self.progress.next());
                 } else {
                     self.progress.set_delivered();
-                    let piece = relay::Piece::Tokens { offset, tokens };
+                    let piece = piece::Piece::Tokens { offset, tokens };
                     self.pending.push_back(piece);
                 }
                 None
@@ -313,7 +313,7 @@
     fn give_collected(&mut self) {
         if !self.collected.is_empty() {
             let tokens = vec![self.collected.split().freeze()];
-            let piece = relay::Piece::Tokens { offset: 0, tokens };
+            let piece = piece::Piece::Tokens { offset: 0, tokens };
             self.pending.push_back(piece);
         }
     }
@@ -359,7 +359,7 @@
     }
 
     /// Gives a piece while heartbeats go on; returns false when the caller has left.
-    async fn give_waiting(&mut self, piece: relay::Piece, link: &mut link::Link) -> bool {
+    async fn give_waiting(&mut self, piece: piece::Piece, link: &mut link::Link) -> bool {
         let mut timer = clock::interval(link::TICK_PERIOD);
         loop {
             tokio::select! {
@@ -378,8 +378,8 @@
         let offset = self.written.get();
         logs::emit(events::CALLER_LEFT, format_args!("written={offset}"));
         let grace = match self.audience {
-            relay::Audience::Stream { grace } if self.progress.is_delivered() => grace,
-            relay::Audience::Stream { .. } | relay::Audience::Whole => time::Duration::ZERO,
+            piece::Audience::Stream { grace } if self.progress.is_delivered() => grace,
+            piece::Audience::Stream { .. } | piece::Audience::Whole => time::Duration::ZERO,
         };
         leave::cancel_after(app, link, grace).await;
     }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -7,7 +7,6 @@
 use core::time;
 use std::sync;
 
-use bytes::Bytes;
 use peargap_adapters::logs;
 use peargap_core::retry;
 use peargap_wire::agent as wire;
@@ -20,6 +19,7 @@
 use crate::events;
 use crate::link;
 use crate::peer;
+use crate::piece;
 use crate::place;
 use crate::progress;
 use crate::pump;
@@ -30,32 +30,6 @@
 /// Pause between two fresh links.
 const RELINK_PAUSE: time::Duration = time::Duration::from_millis(50);
 
-/// What the caller gets next.
-#[derive(Clone, Debug)]
-pub(crate) enum Piece {
-    /// A generation was accepted; what an earlier one brought is void.
-    Accepted(sync::Arc<str>),
-    /// The generation ends without a whole answer.
-    Failed(refusal::Refusal),
-    /// The generation is complete.
-    Finished(wire::Finished),
-    /// The entry stops; the caller may resume elsewhere.
-    Moved,
-    /// Nothing has come for a while.
-    Quiet,
-    /// Consecutive tokens, the first with this offset.
-    Tokens { offset: u64, tokens: Vec<Bytes> },
-}
-
-/// How the caller takes the answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Audience {
-    /// Token by token; a caller that left may come back within `grace`.
-    Stream { grace: time::Duration },
-    /// Whole, at the end.
-    Whole,
-}
-
 /// What the caller asked for.
 #[derive(Clone, Debug)]
 pub(crate) enum Order {
@@ -68,7 +42,7 @@
 /// One request for a generation.
 #[derive(Debug)]
 pub(crate) struct Job {
-    pub(crate) audience: Audience,
+    pub(crate) audience: piece::Audience,
     pub(crate) deadline: clock::Instant,
     pub(crate) order: Order,
     pub(crate) request: String,
@@ -88,7 +62,7 @@
 pub(crate) fn spawn(
     app: sync::Arc<app::App>,
     job: Job,
-) -> (mpsc::Receiver<Piece>, progress::Written) {
+) -> (mpsc::Receiver<piece::Piece>, progress::Written) {
     let (pieces, receiver) = mpsc::channel(pump::PIECES_BUFFER);
     let written = progress::Written::default();
     let caller = pump::Caller::new(job.audience, job.deadline, pieces, written.clone());
@@ -139,7 +113,7 @@
     async fn give_up(&mut self, refusal: refusal::Refusal) {
         self.app
             .log_refusal(&self.job.request, &self.job.team, &refusal);
-        self.caller.give(Piece::Failed(refusal)).await;
+        self.caller.give(piece::Piece::Failed(refusal)).await;
     }
 
     async fn start(&mut self, start: wire::Start) -> Outcome {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -13,8 +13,8 @@
 use bytes::BytesMut;
 use tokio::sync::mpsc;
 
+use crate::piece;
 use crate::progress;
-use crate::relay;
 use crate::render;
 
 /// Pieces that wait are written together up to this many bytes.
@@ -24,8 +24,8 @@
 pub(crate) fn respond(
     style: render::Style,
     resumed: Option<&str>,
-    first: relay::Piece,
-    pieces: mpsc::Receiver<relay::Piece>,
+    first: piece::Piece,
+    pieces: mpsc::Receiver<piece::Piece>,
     written: progress::Written,
 ) -> response::Response {
     let stream = Stream {
@@ -50,12 +50,12 @@
 /// The body: pieces as events.
 struct Stream {
     events: Option<render::Events>,
-    first: Option<relay::Piece>,
+    first: Option<piece::Piece>,
     /// Offset below which tokens are in frames that were handed out.
     handed: u64,
     is_resumed: bool,
     over: bool,
-    pieces: mpsc::Receiver<relay::Piece>,
+    pieces: mpsc::Receiver<piece::Piece>,
     style: render::Style,
     written: progress::Written,
 }
@@ -88,7 +88,7 @@
 
 impl Stream {
     /// Returns the events of a piece and of those that wait behind it.
-    fn build_chunk(&mut self, first: relay::Piece) -> Bytes {
+    fn build_chunk(&mut self, first: piece::Piece) -> Bytes {
         let mut buffer = BytesMut::new();
         self.put_piece(&mut buffer, first);
         while buffer.len() < BATCH_BYTES && !self.over {
@@ -100,32 +100,32 @@
         buffer.freeze()
     }
 
-    fn put_piece(&mut self, buffer: &mut BytesMut, piece: relay::Piece) {
+    fn put_piece(&mut self, buffer: &mut BytesMut, piece: piece::Piece) {
         match piece {
-            relay::Piece::Accepted(generation) => {
+            piece::Piece::Accepted(generation) => {
                 if !self.is_resumed {
                     self.events = Some(self.style.events(&generation));
                 }
                 buffer.put_slice(b": accepted\n\n");
             }
-            relay::Piece::Failed(refusal) => {
+            piece::Piece::Failed(refusal) => {
                 buffer.put_slice(b"data: ");
                 buffer.put_slice(refusal.to_json().as_bytes());
                 buffer.put_slice(b"\n\n");
                 self.over = true;
             }
-            relay::Piece::Finished(finished) => {
+            piece::Piece::Finished(finished) => {
                 if let Some(events) = &mut self.events {
                     events.put_finish(buffer, &finished);
                 }
                 self.over = true;
             }
-            relay::Piece::Moved => {
+            piece::Piece::Moved => {
                 buffer.put_slice(b": resume with Last-Event-ID\nretry: 0\n\n");
                 self.over = true;
             }
-            relay::Piece::Quiet => buffer.put_slice(b": keep-alive\n\n"),
-            relay::Piece::Tokens { offset, tokens } => {
+            piece::Piece::Quiet => buffer.put_slice(b": keep-alive\n\n"),
+            piece::Piece::Tokens { offset, tokens } => {
                 if let Some(events) = &mut self.events {
                     events.put_tokens(buffer, offset, &tokens);
                 }
--- a/crates/entry/src/whole.rs
+++ b/crates/entry/src/whole.rs
@@ -8,31 +8,31 @@
 use axum::response;
 use tokio::sync::mpsc;
 
+use crate::piece;
 use crate::refusal;
-use crate::relay;
 use crate::render;
 
 /// Collects the pieces of one generation; those of an earlier one are dropped.
 pub(crate) async fn collect(
     style: &render::Style,
-    mut pieces: mpsc::Receiver<relay::Piece>,
+    mut pieces: mpsc::Receiver<piece::Piece>,
 ) -> Result<response::Response, refusal::Refusal> {
     let mut generation = sync::Arc::<str>::from("");
     let mut text = Vec::new();
     while let Some(piece) = pieces.recv().await {
         match piece {
-            relay::Piece::Accepted(accepted) => {
+            piece::Piece::Accepted(accepted) => {
                 generation = accepted;
                 text.clear();
             }
-            relay::Piece::Failed(refusal) => return Err(refusal),
-            relay::Piece::Finished(finished) => {
+            piece::Piece::Failed(refusal) => return Err(refusal),
+            piece::Piece::Finished(finished) => {
                 let text = String::from_utf8_lossy(&text);
                 return Ok(respond(style.render_whole(&generation, &text, &finished)));
             }
-            relay::Piece::Moved => break,
-            relay::Piece::Quiet => {}
-            relay::Piece::Tokens { tokens, .. } => text.extend(tokens.iter().flatten()),
+            piece::Piece::Moved => break,
+            piece::Piece::Quiet => {}
+            piece::Piece::Tokens { tokens, .. } => text.extend(tokens.iter().flatten()),
         }
     }
     Err(refuse_broken())
