Hold callers to the document's head length and idle time

Cause: the gateway used constants (20 KiB, 15 s) whatever the document said. The HTTP library's buffer bound alone let a head of 10,000 bytes pass under a limit of 9,000, as it is checked between reads only.

Change: the head is counted against the document in force and refused with 431; idle connections end after its idle time.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -39,6 +39,8 @@
     BodyBroken,
     /// Every upstream is full; it has not run.
     Full,
+    /// Its head is longer than allowed.
+    HeadTooLong,
     /// The caller's key belongs to no team.
     KeyUnknown,
     /// No upstream takes work; it has not run.
@@ -64,6 +66,7 @@
             Refusal::BodyBroken => "body_broken",
             Refusal::BodyTooLong => "body_too_long",
             Refusal::Full => "full",
+            Refusal::HeadTooLong => "head_too_long",
             Refusal::KeyUnknown => "key_unknown",
             Refusal::NoRoutes => "no_routes",
             Refusal::Nobody => "nobody",
@@ -84,6 +87,7 @@
             | Refusal::Nobody
             | Refusal::NotTaken
             | Refusal::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Refusal::KeyUnknown => StatusCode::UNAUTHORIZED,
             Refusal::RouteUnknown => StatusCode::NOT_FOUND,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -99,6 +103,7 @@
             Refusal::NotTaken => Some("0.3"),
             Refusal::BodyBroken
             | Refusal::BodyTooLong
+            | Refusal::HeadTooLong
             | Refusal::KeyUnknown
             | Refusal::RouteUnknown
             | Refusal::TimedOut
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -73,6 +73,9 @@
         body: body::Incoming,
     ) -> Result<answer::Response, answer::Refusal> {
         let table = self.fleet.table().ok_or(answer::Refusal::NoRoutes)?;
+        if count_head_bytes(&parts) > table.limits().head_bytes {
+            return Err(answer::Refusal::HeadTooLong);
+        }
         let found = table.find(&head.host, parts.uri.path(), head.key.as_deref());
         let (route, team) = match found {
             routes::Access::Denied => return Err(answer::Refusal::KeyUnknown),
@@ -112,6 +115,18 @@
     }
 }
 
+/// Returns the length of a request's head as it came, but for its first line's fixed words.
+fn count_head_bytes(parts: &http::request::Parts) -> u64 {
+    /// Colon, space and line end of a header.
+    const HEADER_MARKS: usize = 4;
+    let path = parts.uri.path_and_query();
+    let path = path.map_or(0, |path| path.as_str().len());
+    let headers = parts.headers.iter();
+    let lengths = headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_MARKS);
+    let bytes = path + lengths.sum::<usize>();
+    u64::try_from(bytes).unwrap_or(u64::MAX)
+}
+
 /// Reads a request's body of at most `limit` bytes.
 async fn read_body(body: body::Incoming, limit: u64) -> Result<Bytes, answer::Refusal> {
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -14,13 +14,10 @@
 use crate::gateway;
 use crate::pool;
 
-/// Longest head of a request in bytes.
-const MAX_HEAD_BYTES: usize = 20 << 10;
+/// Least buffer that the library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// Most headers of a request.
 const MAX_HEADERS: usize = 64;
-/// Time without a request after which a caller's connection is closed. Callers reuse connections
-/// that were idle for up to four fifths of it.
-const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(15);
 /// Time for the balancer to notice that a stopping gateway is not ready: two misses, one a second.
 const NOTICE: time::Duration = time::Duration::from_millis(2500);
 /// Pause after a connection could not be accepted, such as for want of descriptors.
@@ -86,11 +83,15 @@
         );
         return;
     }
+    // Those of the document that is in force when the connection opens.
+    let limits = gateway.fleet.table().map(|table| table.limits());
+    let limits = limits.unwrap_or_default();
+    let head_bytes = usize::try_from(limits.head_bytes).unwrap_or(usize::MAX);
     let handler = service::service_fn(move |request| gateway.clone().serve(request));
     let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(IDLE_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES)
+        .header_read_timeout(time::Duration::from_millis(limits.idle_ms))
+        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
         .serve_connection(rt::TokioIo::new(stream), handler);
     let mut connection = core::pin::pin!(connection);
--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -189,3 +189,31 @@
     assert_eq!(answer.ids().len(), 100);
     site.ended.await.expect("the gateway ends");
 }
+
+#[tokio::test]
+async fn a_head_longer_than_the_document_allows_is_refused() {
+    let site = Site::start(&["d1"]).await;
+    let mut long = request("/plain/x", "body");
+    let filler = http::HeaderValue::from_str(&"x".repeat(10_000)).expect("a value");
+    long.headers_mut().insert("filler", filler);
+    let answer = site.call(long).await;
+    assert_eq!(answer.status, 431);
+    assert!(site.runner("d1").runs().is_empty());
+    let mut short = request("/plain/x", "body");
+    let filler = http::HeaderValue::from_str(&"x".repeat(7_000)).expect("a value");
+    short.headers_mut().insert("filler", filler);
+    assert_eq!(site.call(short).await.status, 200);
+}
+
+#[tokio::test]
+async fn a_connection_idle_for_longer_than_the_document_allows_is_closed() {
+    /// The document's limit, of which callers use up to four fifths.
+    const IDLE: time::Duration = time::Duration::from_secs(2);
+    let site = Site::start(&["d1"]).await;
+    let mut caller = site.connect().await;
+    assert_eq!(caller.call(request("/plain/x", "body")).await.status, 200);
+    tokio::time::sleep(IDLE * 4 / 5).await;
+    assert_eq!(caller.call(request("/plain/x", "body")).await.status, 200);
+    let closed = tokio::time::timeout(IDLE * 2, caller.task).await;
+    assert!(closed.is_ok(), "open after {IDLE:?} and as much again");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -40,7 +40,7 @@
   "itlTargetMs":180}],
  "services":[{"name":"desk"},{"name":"pool","coldPerS":26.0,"engine":{"slots":24,
   "kvCapacity":34471,"moves":true,"backups":true,"stride":4,"handleTtlS":5.0}}],
- "limits":{"maxBodyBytes":1000},
+ "limits":{"maxBodyBytes":1000,"maxHeaderBytes":9000,"idleTimeoutMs":2000},
  "tenants":[{"name":"red","apiKeys":["k1"],"priority":0}]}"#;
 
 /// What the stand-in control host tells and was told.
