Say at a generation's end how long its engine had been silent

Cause: a generation that ends as 'time is over' did not show whether its engine had stopped sending or was slow. Ruled out: the last E6019 or E6016, which tell only where it ran. A log field; no decision changes.

--- a/crates/core/src/log/roster.rs
+++ b/crates/core/src/log/roster.rs
@@ -50,6 +50,7 @@
         self.change(leading, roster, effects);
     }
 
+    /// Returns the members after the next step of a change, when one is due.
     fn plan_change(&self, leading: &progress::Leading) -> Option<member::Roster> {
         let mut roster = self.store.roster().clone();
         let Some(learner) = self.find_ready(leading) else {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -150,7 +150,7 @@
             events::REQUEST_ENDED,
             format_args!(
                 "request={} end={end:?} pace={verdict:?} events={} upstream={} leaving={} \
-                 first_ms={} pause_ms={} pause_by_move={} moves={} prompt={} output={}",
+                 first_ms={} pause_ms={} pause_by_move={} silent_ms={} moves={} prompt={} output={}",
                 self.attempt(),
                 self.events,
                 self.place.name,
@@ -158,6 +158,7 @@
                 self.pace.first_ms().unwrap_or_default(),
                 self.pace.longest_ms(),
                 self.paused_by_move,
+                self.pace.silent_ms(self.gateway.fleet.clock.now()),
                 self.moves,
                 usage.map_or(0, |usage| usage.prompt),
                 usage.map_or(0, |usage| usage.most),
