A place has its own module and one way to replace its load

Now each states the load that is to stand, and Fleet::replace_load takes the former one out and puts it in. Ruled out: sharing it with the control host's sums, which add whole loads and never replace one.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -61,6 +61,17 @@
             waiting: self.waiting + other.waiting,
         }
     }
+
+    /// Returns this load without a part of it.
+    #[must_use]
+    pub fn less(self, part: Load) -> Load {
+        Load {
+            copied: self.copied - part.copied,
+            running: self.running - part.running,
+            tokens: self.tokens - part.tokens,
+            waiting: self.waiting - part.waiting,
+        }
+    }
 }
 
 /// An upstream that may be picked.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,7 +9,7 @@
 use peargap_platform::head;
 use tokio::time;
 
-use crate::fleet;
+use crate::place;
 use crate::pool;
 
 /// A caller's request, read whole.
@@ -71,7 +71,7 @@
 /// Sends a request and returns the head of its answer.
 pub(crate) async fn send(
     request: &Request,
-    place: &fleet::Place,
+    place: &place::Place,
     way: Way<'_>,
 ) -> Result<Answer, Failure> {
     loop {
@@ -88,7 +88,7 @@
 async fn send_on(
     mut sender: pool::Sender,
     request: &Request,
-    place: &fleet::Place,
+    place: &place::Place,
     way: Way<'_>,
 ) -> Result<Answer, Failure> {
     let passage = head::Passage {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 
 use crate::events;
+use crate::place;
 use crate::pool;
 use crate::upstream;
 
@@ -67,19 +68,6 @@
     version: u64,
 }
 
-/// An upstream that a request was placed on; what it holds there is given back on drop.
-#[derive(Debug)]
-pub(crate) struct Place {
-    /// IP address and port.
-    pub(crate) address: String,
-    fleet: Fleet,
-    pub(crate) key: UpstreamKey,
-    load: balance::Load,
-    /// Name of the upstream.
-    pub(crate) name: String,
-    pub(crate) pool: sync::Arc<pool::Pool>,
-}
-
 /// Why no upstream was picked.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Miss {
@@ -252,7 +240,7 @@
     }
 
     /// Picks an upstream for a plain call.
-    pub(crate) fn place_plain(&self, need: Need<'_>) -> Result<Place, Miss> {
+    pub(crate) fn place_plain(&self, need: Need<'_>) -> Result<place::Place, Miss> {
         let load = balance::Load {
             running: 1,
             ..balance::Load::default()
@@ -263,7 +251,7 @@
     }
 
     /// Picks an engine for a generation.
-    pub(crate) fn place_generation(&self, need: Need<'_>) -> Result<Place, Miss> {
+    pub(crate) fn place_generation(&self, need: Need<'_>) -> Result<place::Place, Miss> {
         let load = balance::Load {
             running: 1,
             tokens: need.tokens,
@@ -280,7 +268,7 @@
         &self,
         need: Need<'_>,
         purpose: balance::Purpose,
-    ) -> Result<Place, Miss> {
+    ) -> Result<place::Place, Miss> {
         let load = balance::Load {
             copied: need.tokens,
             ..balance::Load::default()
@@ -295,7 +283,7 @@
         need: Need<'_>,
         load: balance::Load,
         choose: impl FnOnce(&[balance::Candidate<UpstreamKey>]) -> balance::Choice<UpstreamKey>,
-    ) -> Result<Place, Miss> {
+    ) -> Result<place::Place, Miss> {
         let now = self.clock.now();
         let mut state = self.lock();
         let candidates = state.list_candidates(now, need, &self.domain);
@@ -311,7 +299,7 @@
                 upstream.breaker.probed(now);
             }
         }
-        Ok(take(upstream, self, key, load))
+        Ok(place::Place::take(self, key, upstream, load))
     }
 
     /// Notes how a call to an upstream went.
@@ -325,6 +313,23 @@
         }
     }
 
+    /// Replaces a part of what this gateway has sent to an upstream by another load; returns whether
+    /// the upstream is still known.
+    pub(crate) fn replace_load(
+        &self,
+        key: UpstreamKey,
+        former: balance::Load,
+        load: balance::Load,
+    ) -> bool {
+        match self.lock().upstreams.get_mut(key) {
+            Some(upstream) => {
+                upstream.own = upstream.own.less(former).plus(load);
+                true
+            }
+            None => false,
+        }
+    }
+
     fn lock(&self) -> sync::MutexGuard<'_, State> {
         let locked = self.state.lock();
         locked.unwrap_or_else(sync::PoisonError::into_inner)
@@ -436,74 +441,3 @@
         gateways > 0 && place % gateways + 1 == position
     }
 }
-
-/// Counts a load at an upstream.
-fn take(
-    upstream: &mut upstream::Upstream,
-    fleet: &Fleet,
-    key: UpstreamKey,
-    load: balance::Load,
-) -> Place {
-    upstream.own = upstream.own.plus(load);
-    Place {
-        address: upstream.word.address.clone(),
-        fleet: fleet.clone(),
-        key,
-        load,
-        name: upstream.word.name.clone(),
-        pool: upstream.pool.clone(),
-    }
-}
-
-impl Place {
-    /// Counts the copy as the running generation.
-    pub(crate) fn become_run(&mut self) {
-        let mut state = self.fleet.lock();
-        let load = balance::Load {
-            running: 1,
-            tokens: self.load.copied,
-            ..balance::Load::default()
-        };
-        if let Some(upstream) = state.upstreams.get_mut(self.key) {
-            upstream.own = upstream.own.plus(load);
-            upstream.own.copied -= self.load.copied;
-            self.load = load;
-        }
-    }
-
-    /// Notes that the prompt has been read.
-    pub(crate) fn begin(&mut self) {
-        let mut state = self.fleet.lock();
-        if let Some(upstream) = state.upstreams.get_mut(self.key) {
-            upstream.own.waiting -= self.load.waiting;
-            self.load.waiting = 0;
-        }
-    }
-
-    /// Notes how many tokens a generation holds by now.
-    pub(crate) fn grow(&mut self, tokens: u64) {
-        let mut state = self.fleet.lock();
-        let Some(upstream) = state.upstreams.get_mut(self.key) else {
-            return;
-        };
-        if self.load.running > 0 {
-            upstream.own.tokens = upstream.own.tokens + tokens - self.load.tokens;
-            self.load.tokens = tokens;
-        } else {
-            upstream.own.copied = upstream.own.copied + tokens - self.load.copied;
-            self.load.copied = tokens;
-        }
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        let mut state = self.fleet.lock();
-        if let Some(upstream) = state.upstreams.get_mut(self.key) {
-            upstream.own.copied -= self.load.copied;
-            upstream.own.running -= self.load.running;
-            upstream.own.tokens -= self.load.tokens;
-            upstream.own.waiting -= self.load.waiting;
-        }
-    }
-}
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -23,6 +23,7 @@
 use crate::fleet;
 use crate::gateway;
 use crate::migrate;
+use crate::place;
 use crate::plain;
 use crate::relay;
 
@@ -73,7 +74,7 @@
     pub(crate) answer: call::Answer,
     /// Copy of its memory.
     pub(crate) copy: Option<migrate::Copy>,
-    pub(crate) place: fleet::Place,
+    pub(crate) place: place::Place,
 }
 
 /// Serves a request by one engine.
@@ -194,7 +195,7 @@
 pub(crate) fn place_copy(
     gateway: &gateway::Gateway,
     generation: &Generation,
-    place: &fleet::Place,
+    place: &place::Place,
     events: u64,
 ) -> Option<migrate::Copy> {
     if !generation.engine.backs_up {
@@ -210,10 +211,10 @@
 pub(crate) fn find_room(
     gateway: &gateway::Gateway,
     generation: &Generation,
-    place: &fleet::Place,
+    place: &place::Place,
     events: u64,
     purpose: balance::Purpose,
-) -> Option<fleet::Place> {
+) -> Option<place::Place> {
     let need = fleet::Need {
         except: &[place.key],
         near: Some(place.key),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod host;
 mod meters;
 mod migrate;
+mod place;
 mod plain;
 mod pool;
 mod relay;
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -15,9 +15,9 @@
 
 use crate::answer;
 use crate::call;
-use crate::fleet;
 use crate::gateway;
 use crate::generation;
+use crate::place;
 use crate::pool;
 
 /// Time after a notice within which generations with a copy begin to move, spread so that they do
@@ -72,7 +72,7 @@
 #[derive(Debug)]
 pub(crate) struct Copy {
     pub(crate) origin: Origin,
-    pub(crate) place: fleet::Place,
+    pub(crate) place: place::Place,
 }
 
 /// Work beside a relay; dropped, it ends.
@@ -122,7 +122,7 @@
 }
 
 /// Copies the memory of a generation at `from` to the engine at `place`, or what is new of it.
-pub(crate) fn copy(attempt: Bytes, from: &fleet::Place, place: fleet::Place) -> Task<Copy> {
+pub(crate) fn copy(attempt: Bytes, from: &place::Place, place: place::Place) -> Task<Copy> {
     let pool = from.pool.clone();
     let from = from.address.clone();
     Task::spawn(|_accepted| async move {
@@ -195,7 +195,7 @@
     gateway: &gateway::Gateway,
     generation: &generation::Generation,
     origin: &Origin,
-    place: &fleet::Place,
+    place: &place::Place,
     accepted: &Notify,
 ) -> Result<(call::Answer, Option<Copy>), String> {
     let last_event = generation.last_event();
--- /dev/null
+++ b/crates/gateway/src/place.rs
@@ -0,0 +1,81 @@
+//! Where a request was placed, and what it holds there.
+
+use std::sync;
+
+use peargap_core::balance;
+
+use crate::fleet;
+use crate::pool;
+use crate::upstream;
+
+/// An upstream that a request was placed on; what it holds there is given back on drop.
+#[derive(Debug)]
+pub(crate) struct Place {
+    /// IP address and port.
+    pub(crate) address: String,
+    fleet: fleet::Fleet,
+    pub(crate) key: fleet::UpstreamKey,
+    load: balance::Load,
+    /// Name of the upstream.
+    pub(crate) name: String,
+    pub(crate) pool: sync::Arc<pool::Pool>,
+}
+
+impl Place {
+    /// Counts a load at an upstream.
+    pub(crate) fn take(
+        fleet: &fleet::Fleet,
+        key: fleet::UpstreamKey,
+        upstream: &mut upstream::Upstream,
+        load: balance::Load,
+    ) -> Place {
+        upstream.own = upstream.own.plus(load);
+        Place {
+            address: upstream.word.address.clone(),
+            fleet: fleet.clone(),
+            key,
+            load,
+            name: upstream.word.name.clone(),
+            pool: upstream.pool.clone(),
+        }
+    }
+
+    /// Counts the copy as the running generation.
+    pub(crate) fn become_run(&mut self) {
+        self.replace(balance::Load {
+            running: 1,
+            tokens: self.load.copied,
+            ..balance::Load::default()
+        });
+    }
+
+    /// Notes that the prompt has been read.
+    pub(crate) fn begin(&mut self) {
+        self.replace(balance::Load {
+            waiting: 0,
+            ..self.load
+        });
+    }
+
+    /// Notes how many tokens a generation holds by now.
+    pub(crate) fn grow(&mut self, tokens: u64) {
+        let mut load = self.load;
+        match load.running {
+            0 => load.copied = tokens,
+            _ => load.tokens = tokens,
+        }
+        self.replace(load);
+    }
+
+    fn replace(&mut self, load: balance::Load) {
+        if self.fleet.replace_load(self.key, self.load, load) {
+            self.load = load;
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.replace(balance::Load::default());
+    }
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -9,6 +9,7 @@
 use crate::events;
 use crate::fleet;
 use crate::gateway;
+use crate::place;
 
 /// Upstreams that one request is offered to at most.
 const MAX_OFFERS: usize = 4;
@@ -89,7 +90,7 @@
 async fn offer(
     gateway: &gateway::Gateway,
     request: &call::Request,
-    place: &fleet::Place,
+    place: &place::Place,
 ) -> Result<Whole, call::Failure> {
     let attempt = answer::show(&request.head.attempt);
     logs::emit(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::generation;
 use crate::meters;
 use crate::migrate;
+use crate::place;
 use crate::source;
 
 /// Time between tries to get a copy for a generation whose engine leaves.
@@ -42,7 +43,7 @@
     pace: pace::Pace,
     /// The engine after the longest pause was another one than before it.
     paused_by_move: bool,
-    place: fleet::Place,
+    place: place::Place,
     sender: mpsc::Sender<Result<Bytes, answer::Broken>>,
     source: source::Source,
     /// When to look after the copy again.
@@ -356,7 +357,7 @@
         true
     }
 
-    fn copy_to(&self, place: fleet::Place) -> migrate::Task<migrate::Copy> {
+    fn copy_to(&self, place: place::Place) -> migrate::Task<migrate::Copy> {
         let attempt = self.generation.request.head.attempt.clone();
         migrate::copy(attempt, &self.place, place)
     }
