--- a/crates/adapters/src/command.rs
+++ b/crates/adapters/src/command.rs
@@ -114,3 +114,25 @@
          --version      print the version"
     )
 }
+
+/// Runs a program with the settings that its arguments name; returns its exit code.
+///
+/// What [`load`] prints is printed, and why the program could not go on.
+pub fn run<T>(
+    program: &str,
+    default: &str,
+    load_settings: fn(&path::Path) -> Result<T, crate::settings::Findings>,
+    run_settings: fn(T) -> Result<(), Box<dyn std::error::Error>>,
+) -> process::ExitCode {
+    let settings = match load(program, default, load_settings) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    match run_settings(settings) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{program}: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -13,17 +13,7 @@
 const PROGRAM: &str = "peargap-control";
 
 fn main() -> process::ExitCode {
-    let settings = match command::load(PROGRAM, DEFAULT_SETTINGS, settings::load) {
-        Ok(settings) => settings,
-        Err(code) => return code,
-    };
-    match run(settings) {
-        Ok(()) => process::ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{PROGRAM}: {error}");
-            process::ExitCode::FAILURE
-        }
-    }
+    command::run(PROGRAM, DEFAULT_SETTINGS, settings::load, run)
 }
 
 fn run(settings: settings::Settings) -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/control/tests/platform.rs
+++ b/crates/control/tests/platform.rs
@@ -190,6 +190,11 @@
         waited.expect("the update in time")
     }
 
+    /// Waits for an update that tells of upstreams.
+    async fn wait_upstreams(&mut self) -> wire::Update {
+        self.wait_for(|update| !update.upstreams.is_empty()).await
+    }
+
     async fn confirm(&self, number: u64) {
         let report = wire::Report {
             applied: number,
@@ -298,9 +303,7 @@
     cluster
         .call(1, 200, "PUT", path, &heartbeat("ready", 1))
         .await;
-    let update = follower
-        .wait_for(|update| !update.upstreams.is_empty())
-        .await;
+    let update = follower.wait_upstreams().await;
     assert_eq!(update.upstreams[0].name, "i-1");
     follower.confirm(update.number).await;
     let ask = wire::Report {
@@ -332,16 +335,12 @@
         .call(0, 200, "PUT", path, &heartbeat("ready", 1))
         .await;
     let mut follower = cluster.follow(0).await;
-    let update = follower
-        .wait_for(|update| !update.upstreams.is_empty())
-        .await;
+    let update = follower.wait_upstreams().await;
     follower.confirm(update.number).await;
     let body = heartbeat("draining", 2);
     let leaving = cluster.try_call(0, "PUT", path, &body);
     let knowing = async {
-        let update = follower
-            .wait_for(|update| !update.upstreams.is_empty())
-            .await;
+        let update = follower.wait_upstreams().await;
         assert_eq!(update.upstreams[0].state(), wire::State::Draining);
         tokio::time::sleep(time::Duration::from_millis(200)).await;
         let confirmed = time::Instant::now();
@@ -371,9 +370,7 @@
     let odd = cluster.try_call(0, "PUT", path, "{\"state\":1}").await;
     assert_eq!(odd.expect("an answer").0, 400);
     let mut follower = cluster.follow(0).await;
-    let update = follower
-        .wait_for(|update| !update.upstreams.is_empty())
-        .await;
+    let update = follower.wait_upstreams().await;
     assert_eq!(update.upstreams.len(), 1);
     assert_eq!(update.upstreams[0].state(), wire::State::Ready);
 }
--- a/crates/gateway/tests/generations.rs
+++ b/crates/gateway/tests/generations.rs
@@ -7,6 +7,7 @@
 use peargap_fake::runner;
 use support::generation;
 use support::wait_for;
+use support::Answer;
 use support::Site;
 
 const PACE: time::Duration = time::Duration::from_millis(10);
@@ -19,6 +20,14 @@
     site
 }
 
+/// Asks for a generation; returns the call and the runner that has begun it.
+async fn begin(site: &Site) -> (tokio::task::JoinHandle<Answer>, runner::Runner) {
+    let mut caller = site.connect().await;
+    let calling = tokio::spawn(async move { caller.call(generation()).await });
+    let first = site.find_running().await;
+    (calling, first)
+}
+
 fn all(events: u64) -> Vec<u64> {
     (1..=events).collect()
 }
@@ -36,9 +45,7 @@
 #[tokio::test]
 async fn a_notice_moves_the_generation_without_losing_an_event() {
     let site = start_slow(&["p1", "p2", "p3"], 150).await;
-    let mut caller = site.connect().await;
-    let calling = tokio::spawn(async move { caller.call(generation()).await });
-    let first = site.find_running().await;
+    let (calling, first) = begin(&site).await;
     tokio::time::sleep(PACE * 10).await;
     site.drain(&first.name).await;
     let answer = calling.await.expect("an answer");
@@ -66,9 +73,7 @@
         site.runner(name)
             .delay_resumes(time::Duration::from_millis(400));
     }
-    let mut caller = site.connect().await;
-    let calling = tokio::spawn(async move { caller.call(generation()).await });
-    let first = site.find_running().await;
+    let (calling, first) = begin(&site).await;
     tokio::time::sleep(PACE * 10).await;
     site.drain(&first.name).await;
     let answer = calling.await.expect("an answer");
@@ -82,9 +87,7 @@
 #[tokio::test]
 async fn two_notices_in_a_row_move_it_twice() {
     let site = start_slow(&["p1", "p2", "p3", "p4"], 250).await;
-    let mut caller = site.connect().await;
-    let calling = tokio::spawn(async move { caller.call(generation()).await });
-    let first = site.find_running().await;
+    let (calling, first) = begin(&site).await;
     site.drain(&first.name).await;
     wait_for(|| first.count_running() == 0).await;
     let second = site.find_running().await;
@@ -98,9 +101,7 @@
 #[tokio::test]
 async fn a_crash_goes_on_at_the_copy() {
     let site = start_slow(&["p1", "p2"], 100).await;
-    let mut caller = site.connect().await;
-    let calling = tokio::spawn(async move { caller.call(generation()).await });
-    let first = site.find_running().await;
+    let (calling, first) = begin(&site).await;
     tokio::time::sleep(PACE * 10).await;
     first.break_streams();
     let answer = calling.await.expect("an answer");
@@ -111,9 +112,7 @@
 #[tokio::test]
 async fn a_crash_without_a_copy_is_seen_as_incomplete() {
     let site = start_slow(&["p1"], 100).await;
-    let mut caller = site.connect().await;
-    let calling = tokio::spawn(async move { caller.call(generation()).await });
-    let first = site.find_running().await;
+    let (calling, first) = begin(&site).await;
     tokio::time::sleep(PACE * 10).await;
     first.break_streams();
     let answer = calling.await.expect("an answer");
