--- a/crates/core/tests/model/mod.rs
+++ b/crates/core/tests/model/mod.rs
@@ -8,6 +8,7 @@
 mod bug;
 mod check;
 mod heal;
+pub(crate) mod scenario;
 mod shared;
 
 use std::collections;
--- a/crates/core/tests/model_log.rs
+++ b/crates/core/tests/model_log.rs
@@ -7,6 +7,7 @@
 
 use std::time;
 
+use model::scenario;
 use model::Action;
 use model::Budget;
 use model::Bug;
@@ -18,8 +19,6 @@
 
 /// States of one scenario at most.
 const MAX_STATES: usize = 30_000;
-/// Messages on their way at most.
-const MAX_MESSAGES: usize = 5;
 
 /// Part of a random run's steps that deliver a message.
 const DELIVERED_SHARE: f64 = 0.8;
@@ -59,242 +58,6 @@
     Outcome { broken }
 }
 
-/// Two candidates in one term.
-fn prepare_ballots(bug: Bug) -> World {
-    let mut world = World::new(3, bug);
-    world.crash(0);
-    world.take(Action::Restart(0));
-    world.net.clear();
-    world = world.bound(MAX_MESSAGES, Budget::default());
-    world.take(Action::Campaign(1));
-    world.take(Action::Campaign(2));
-    world
-}
-
-/// A command that `a` and `b` have stored; `b` has crashed since.
-fn prepare_crash(bug: Bug) -> World {
-    let budget = Budget {
-        beats: 1,
-        campaigns: 1,
-        ..Budget::default()
-    };
-    let mut world = World::new(3, bug).slow().bound(MAX_MESSAGES, budget);
-    world.take(Action::Propose(0));
-    world.pass(0, 1);
-    world.pass(1, 0);
-    world.crash(1);
-    // The rest is lost.
-    world.net.clear();
-    world
-}
-
-/// An election between two commands.
-fn prepare_conflict(bug: Bug) -> World {
-    World::new(3, bug).bound(
-        MAX_MESSAGES,
-        Budget {
-            campaigns: 1,
-            proposals: 2,
-            ..Budget::default()
-        },
-    )
-}
-
-/// Two elections beside a leader, a command, and messages that arrive twice.
-fn prepare_election(bug: Bug) -> World {
-    World::new(3, bug).bound(
-        MAX_MESSAGES,
-        Budget {
-            campaigns: 2,
-            proposals: 1,
-            repeats: 1,
-            ..Budget::default()
-        },
-    )
-}
-
-/// Two elections and a crash at any moment.
-fn prepare_vote(bug: Bug) -> World {
-    World::new(3, bug).bound(
-        MAX_MESSAGES,
-        Budget {
-            campaigns: 2,
-            crashes: 1,
-            ..Budget::default()
-        },
-    )
-}
-
-/// A command, a crash at any moment, an election.
-fn prepare_commit(bug: Bug) -> World {
-    World::new(3, bug).slow().bound(
-        MAX_MESSAGES,
-        Budget {
-            campaigns: 1,
-            crashes: 1,
-            proposals: 1,
-            ..Budget::default()
-        },
-    )
-}
-
-/// A command committed by `a` and `c` only; then `c` starts on a copy made before it.
-fn prepare_copy(bug: Bug) -> World {
-    let mut world = World::new(3, bug);
-    world.copy_disk(2);
-    commit_without(&mut world, 1);
-    world.slow().bound(
-        MAX_MESSAGES,
-        Budget {
-            beats: 1,
-            campaigns: 2,
-            restores: 1,
-            ..Budget::default()
-        },
-    )
-}
-
-/// The same with a copy that nothing on the host tells; `b` has seen a later start of `c`.
-fn prepare_unseen_copy(bug: Bug) -> World {
-    let mut world = World::new(3, bug);
-    world.copy_disk(2);
-    world.crash(2);
-    world.take(Action::Restart(2));
-    world.settle();
-    commit_without(&mut world, 1);
-    world.unseen().slow().bound(
-        MAX_MESSAGES,
-        Budget {
-            campaigns: 2,
-            restores: 1,
-            ..Budget::default()
-        },
-    )
-}
-
-/// A command committed by `a` and `c` only; then one host loses its disk.
-fn prepare_loss(bug: Bug) -> World {
-    let mut world = World::new(3, bug);
-    commit_without(&mut world, 1);
-    world.slow().bound(
-        MAX_MESSAGES,
-        Budget {
-            beats: 1,
-            campaigns: 2,
-            losses: 1,
-            reviews: 1,
-            ..Budget::default()
-        },
-    )
-}
-
-/// A lost disk is being replaced; a second one is lost as soon as that is done.
-fn prepare_second_loss(bug: Bug) -> World {
-    let mut world = World::new(3, bug);
-    commit_without(&mut world, 1);
-    world.take(Action::LoseDisk(2));
-    world.settle();
-    // The leader notices that the former disk is silent, then lets the new one in.
-    world.take(Action::Review(0));
-    world.take(Action::Beat(0));
-    world.settle();
-    world.take(Action::Campaign(2));
-    world.settle();
-    world.bound(
-        MAX_MESSAGES,
-        Budget {
-            beats: 2,
-            campaigns: 1,
-            losses: 1,
-            ..Budget::default()
-        },
-    )
-}
-
-/// A fourth host joins while the leader may change.
-fn prepare_join(bug: Bug) -> World {
-    let mut world = World::new(4, bug);
-    world.take(Action::Campaign(3));
-    world.settle();
-    world.bound(
-        MAX_MESSAGES,
-        Budget {
-            beats: 2,
-            campaigns: 2,
-            proposals: 1,
-            ..Budget::default()
-        },
-    )
-}
-
-/// Host `c` is gone for good and `d` has taken its place, while `a` and `b` may crash.
-fn prepare_replacement(bug: Bug) -> World {
-    let mut world = World::new_open(4, bug);
-    world.crash(2);
-    world.take(Action::Campaign(3));
-    world.settle();
-    world.slow().bound(
-        MAX_MESSAGES,
-        Budget {
-            beats: 3,
-            campaigns: 1,
-            crashes: 1,
-            proposals: 1,
-            reviews: 2,
-            ..Budget::default()
-        },
-    )
-}
-
-/// `d` has taken the place of `c` and has stored a command with `a` alone; `d` has crashed since.
-fn prepare_replaced(bug: Bug) -> World {
-    let mut world = World::new_open(4, bug);
-    world.crash(2);
-    world.take(Action::Campaign(3));
-    world.settle();
-    notice_silence(&mut world);
-    let budget = Budget {
-        beats: 1,
-        campaigns: 1,
-        ..Budget::default()
-    };
-    world = world.slow().bound(MAX_MESSAGES, budget);
-    world.take(Action::Propose(0));
-    world.pass(0, 3);
-    world.pass(3, 0);
-    world.crash(3);
-    // The rest is lost.
-    world.net.clear();
-    world
-}
-
-/// A host that lags gets a snapshot in parts while the leader may change.
-fn prepare_snapshot(bug: Bug) -> World {
-    let mut world = World::new(3, bug);
-    commit_without(&mut world, 1);
-    world.take(Action::Compact(0));
-    world.bound(
-        MAX_MESSAGES,
-        Budget {
-            beats: 2,
-            campaigns: 1,
-            compactions: 1,
-            crashes: 1,
-            repeats: 1,
-            ..Budget::default()
-        },
-    )
-}
-
-/// Commits a command while one host is down, and starts that host again.
-fn commit_without(world: &mut World, index: usize) {
-    world.crash(index);
-    world.take(Action::Propose(0));
-    world.settle();
-    assert_eq!(world.ghost.committed.len(), 3, "roster, no-op and command");
-    world.take(Action::Restart(index));
-}
-
 /// What may happen in one stretch of a random run.
 const STRETCH: Budget = Budget {
     beats: 12,
@@ -373,48 +136,48 @@
 
 #[test]
 fn elections_keep_every_property() {
-    assert_holds("election", prepare_election(Bug::None));
+    assert_holds("election", scenario::prepare_election(Bug::None));
 }
 
 #[test]
 fn crashes_in_elections_keep_every_property() {
-    assert_holds("vote", prepare_vote(Bug::None));
+    assert_holds("vote", scenario::prepare_vote(Bug::None));
 }
 
 #[test]
 fn crashes_in_commits_keep_every_property() {
-    assert_holds("commit", prepare_commit(Bug::None));
+    assert_holds("commit", scenario::prepare_commit(Bug::None));
 }
 
 #[test]
 fn an_old_copy_keeps_every_property() {
-    assert_holds("old copy", prepare_copy(Bug::None));
+    assert_holds("old copy", scenario::prepare_copy(Bug::None));
 }
 
 #[test]
 fn an_unseen_old_copy_keeps_every_property() {
-    assert_holds("unseen copy", prepare_unseen_copy(Bug::None));
+    assert_holds("unseen copy", scenario::prepare_unseen_copy(Bug::None));
 }
 
 #[test]
 fn a_lost_disk_keeps_every_property() {
-    assert_holds("lost disk", prepare_loss(Bug::None));
+    assert_holds("lost disk", scenario::prepare_loss(Bug::None));
 }
 
 #[test]
 fn a_second_loss_after_a_repair_keeps_every_property() {
-    assert_holds("second loss", prepare_second_loss(Bug::None));
+    assert_holds("second loss", scenario::prepare_second_loss(Bug::None));
 }
 
 #[test]
 fn a_fourth_host_keeps_every_property() {
-    assert_holds("join", prepare_join(Bug::None));
+    assert_holds("join", scenario::prepare_join(Bug::None));
 }
 
 #[test]
 fn a_replaced_host_keeps_every_property() {
-    assert_holds("replacement", prepare_replacement(Bug::None));
-    assert_holds("replaced", prepare_replaced(Bug::None));
+    assert_holds("replacement", scenario::prepare_replacement(Bug::None));
+    assert_holds("replaced", scenario::prepare_replaced(Bug::None));
 }
 
 /// Returns the names of the voters that a host knows.
@@ -426,23 +189,13 @@
         .collect()
 }
 
-/// Lets the leader `a` notice who is silent, and change the members as often as needed.
-fn notice_silence(world: &mut World) {
-    for _round in 0..4 {
-        world.take(Action::Review(0));
-        world.settle();
-        world.take(Action::Beat(0));
-        world.settle();
-    }
-}
-
 #[test]
 fn a_new_host_takes_the_place_of_one_that_is_gone() {
     let mut world = World::new_open(4, Bug::None);
     world.crash(2);
     world.take(Action::Campaign(3));
     world.settle();
-    notice_silence(&mut world);
+    scenario::notice_silence(&mut world);
     assert_eq!(list_voters(&world, 0), ["a", "b", "d"]);
     assert_eq!(list_voters(&world, 3), ["a", "b", "d"]);
 }
@@ -451,7 +204,7 @@
 fn a_silent_voter_stays_while_too_few_others_would() {
     let mut world = World::new_open(3, Bug::None);
     world.crash(2);
-    notice_silence(&mut world);
+    scenario::notice_silence(&mut world);
     assert_eq!(list_voters(&world, 0), ["a", "b", "c"]);
 }
 
@@ -460,39 +213,39 @@
     let mut world = World::new_open(4, Bug::None);
     world.take(Action::Campaign(3));
     world.settle();
-    notice_silence(&mut world);
+    scenario::notice_silence(&mut world);
     assert_eq!(list_voters(&world, 0), ["a", "b", "c", "d"]);
     world.crash(2);
-    notice_silence(&mut world);
+    scenario::notice_silence(&mut world);
     assert_eq!(list_voters(&world, 0), ["a", "b", "d"]);
     world.take(Action::Restart(2));
     world.net.clear();
     world.take(Action::Campaign(2));
     world.settle();
-    notice_silence(&mut world);
+    scenario::notice_silence(&mut world);
     assert_eq!(list_voters(&world, 0), ["a", "b", "c", "d"]);
 }
 
 #[test]
 fn snapshots_keep_every_property() {
-    assert_holds("snapshot", prepare_snapshot(Bug::None));
+    assert_holds("snapshot", scenario::prepare_snapshot(Bug::None));
 }
 
 #[test]
 fn an_unsynced_vote_is_found() {
-    let start = prepare_vote(Bug::ForgetHard);
+    let start = scenario::prepare_vote(Bug::ForgetHard);
     assert_found("unsynced vote", start, "a member votes once a term");
 }
 
 #[test]
 fn a_vote_counted_twice_is_found() {
-    let start = prepare_ballots(Bug::CountTwice);
+    let start = scenario::prepare_ballots(Bug::CountTwice);
     assert_found("vote counted twice", start, "a term has one leader");
 }
 
 #[test]
 fn unsynced_entries_are_found() {
-    let start = prepare_commit(Bug::ForgetEntries);
+    let start = scenario::prepare_commit(Bug::ForgetEntries);
     assert_found(
         "unsynced entries",
         start,
@@ -502,47 +255,47 @@
 
 #[test]
 fn a_lost_disk_under_its_former_id_is_found() {
-    let start = prepare_loss(Bug::KeepIdentity);
+    let start = scenario::prepare_loss(Bug::KeepIdentity);
     assert_found("former id", start, "a leader holds everything committed");
 }
 
 #[test]
 fn a_replacing_host_that_forgets_is_found() {
-    let start = prepare_replaced(Bug::ForgetEntries);
+    let start = scenario::prepare_replaced(Bug::ForgetEntries);
     assert_found("forgetful", start, "a leader holds everything committed");
 }
 
 #[test]
 fn a_trusted_old_copy_is_found() {
-    let start = prepare_copy(Bug::TrustCopy);
+    let start = scenario::prepare_copy(Bug::TrustCopy);
     assert_found("trusted copy", start, "a leader holds everything committed");
 }
 
 #[test]
 fn entries_that_follow_others_are_found() {
-    let start = prepare_conflict(Bug::MixTerms);
+    let start = scenario::prepare_conflict(Bug::MixTerms);
     assert_found("mixed terms", start, "logs match");
 }
 
 #[test]
 fn a_changed_entry_is_found() {
-    let start = prepare_crash(Bug::ForgetEntries);
+    let start = scenario::prepare_crash(Bug::ForgetEntries);
     assert_found("changed entry", start, "a committed entry never changes");
 }
 
 #[test]
 fn two_candidates_keep_every_property() {
-    assert_holds("ballots", prepare_ballots(Bug::None));
+    assert_holds("ballots", scenario::prepare_ballots(Bug::None));
 }
 
 #[test]
 fn a_crash_after_a_commit_keeps_every_property() {
-    assert_holds("crash", prepare_crash(Bug::None));
+    assert_holds("crash", scenario::prepare_crash(Bug::None));
 }
 
 #[test]
 fn conflicting_commands_keep_every_property() {
-    assert_holds("conflict", prepare_conflict(Bug::None));
+    assert_holds("conflict", scenario::prepare_conflict(Bug::None));
 }
 
 #[test]
--- a/crates/proof/tests/failures/fleet.rs
+++ b/crates/proof/tests/failures/fleet.rs
@@ -2,9 +2,7 @@
 
 use core::time;
 use std::collections;
-use std::env;
 use std::fs;
-use std::path;
 use std::process;
 
 use bytes::Bytes;
@@ -13,6 +11,7 @@
 use peargap_load::ready;
 use rustix::process as unix;
 
+use crate::program;
 use crate::relay;
 use crate::settings;
 
@@ -239,7 +238,7 @@
             .create(true)
             .open(self.folder.path().join(format!("{name}.log")))
             .expect("a log file");
-        let child = process::Command::new(find_program(program))
+        let child = process::Command::new(program::find_program(program))
             .args(&arguments)
             .stdout(log.try_clone().expect("a log file"))
             .stderr(log)
@@ -257,9 +256,7 @@
 
     /// Sends a signal to a process.
     pub(crate) fn signal(&self, name: &str, signal: unix::Signal) {
-        let id = self.processes[name].child.id();
-        let pid = unix::Pid::from_raw(id.cast_signed()).expect("a process id");
-        unix::kill_process(pid, signal).expect("the signal is sent");
+        program::send_signal(&self.processes[name].child, signal);
     }
 
     /// Kills a process and waits for its end.
@@ -322,7 +319,7 @@
             .iter()
             .map(|control| format!("127.0.0.1:{}", control.operators))
             .collect();
-        let mut command = process::Command::new(find_program("peargap"));
+        let mut command = process::Command::new(program::find_program("peargap"));
         command
             .args(["--control", &list.join(",")])
             .arg("--key-file")
@@ -391,13 +388,3 @@
         String::from_utf8_lossy(&output.stderr)
     )
 }
-
-/// Returns the path of a program that `cargo test --workspace` has built.
-fn find_program(name: &str) -> path::PathBuf {
-    let test = env::current_exe().expect("the test's own path");
-    let folder = test
-        .parent()
-        .and_then(path::Path::parent)
-        .expect("a target folder");
-    folder.join(name)
-}
--- a/crates/proof/tests/failures/main.rs
+++ b/crates/proof/tests/failures/main.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod fleet;
+mod program;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod relay;
 mod settings;
--- a/crates/proof/tests/soak/main.rs
+++ b/crates/proof/tests/soak/main.rs
@@ -6,6 +6,8 @@
 //!
 //!     PEARGAP_SOAK_SEEDS=100..150 cargo test -p peargap-proof --test soak -- --nocapture
 
+#[path = "../failures/program.rs"]
+mod program;
 #[path = "../failures/relay.rs"]
 #[allow(dead_code, reason = "the failure tests use the rest of it")]
 mod relay;
--- a/crates/proof/tests/soak/operator.rs
+++ b/crates/proof/tests/soak/operator.rs
@@ -6,10 +6,7 @@
 use std::time;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
-use http_body_util::Full;
-use hyper::client::conn::http1;
-use hyper_util::rt;
+use peargap_load::client;
 
 use crate::ledger;
 use crate::site;
@@ -52,27 +49,13 @@
     path: &str,
     body: String,
 ) -> Option<(u16, Bytes)> {
-    let called = async {
-        let stream = tokio::net::TcpStream::connect(address).await.ok()?;
-        let shaken = http1::handshake(rt::TokioIo::new(stream)).await;
-        let (mut sender, connection) = shaken.ok()?;
-        let task = tokio::spawn(async move {
-            // Its end shows in the answer.
-            let _ = connection.await;
-        });
-        let request = http::Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", "h")
-            .body(Full::new(Bytes::from(body)))
-            .expect("a request");
-        let response = sender.send_request(request).await.ok()?;
-        let status = response.status().as_u16();
-        let body = response.into_body().collect().await.ok()?.to_bytes();
-        task.abort();
-        Some((status, body))
-    };
-    tokio::time::timeout(CALL_TIMEOUT, called).await.ok()?
+    let url = format!("http://{address}{path}");
+    let request = http::Request::builder().method(method).uri(url);
+    // A client of its own, so that no connection outlives what it was opened to.
+    let client = client::Client::new("");
+    let called = tokio::time::timeout(CALL_TIMEOUT, client.call(request, body.into()));
+    let answer = called.await.ok()?.ok()?;
+    Some((answer.status.as_u16(), answer.body))
 }
 
 fn address_of(site: &site::Site, host: usize) -> net::SocketAddr {
--- a/crates/proof/tests/soak/site.rs
+++ b/crates/proof/tests/soak/site.rs
@@ -12,6 +12,7 @@
 use rustix::process as unix;
 
 use crate::operator;
+use crate::program;
 use crate::relay;
 
 pub(crate) const CONTROLS: usize = 3;
@@ -79,11 +80,9 @@
         if self.child.is_some() {
             return;
         }
-        let test = env::current_exe().expect("the test's own path");
-        let folder = test.parent().and_then(path::Path::parent);
         let mut options = fs::OpenOptions::new();
         let log = options.append(true).create(true).open(&self.log);
-        let child = process::Command::new(folder.expect("a folder").join(self.program))
+        let child = process::Command::new(program::find_program(self.program))
             .arg("--config")
             .arg(&self.settings)
             .stdout(log.expect("a log"))
@@ -105,9 +104,7 @@
         let Some(child) = &self.child else {
             return;
         };
-        let id = i32::try_from(child.id()).expect("a process id");
-        let pid = unix::Pid::from_raw(id).expect("a process id");
-        unix::kill_process(pid, signal).expect("the signal is sent");
+        program::send_signal(child, signal);
         self.stopped = signal == unix::Signal::STOP;
     }
 
