log: a host called by a member under its former disk asks that member to join

Cause: after a restart with a new disk (hosts without a disk have one at each start) a host knows only the seeds of its settings. Where those are hosts that restarted the same way, none of them is a member, so nobody answers its hello. The leader goes on replicating to the former disk; these messages were dropped without a look at their sender. Such hosts stayed outside the log, and gateways that know only them never got a document.

Change: a message to a former disk of this host adds the sender to the known hosts, where any host may join, and is answered with one hello; later hellos follow the election timer as for all known hosts.

Ruled out: that gateways must be told of hosts that an outsider has only heard of. With the host back in the log they learn all members from it.

Tests, failing before, passing after: control/tests/platform restarted_learners_find_the_members_when_they_are_the_only_seeds (real programs), model_log a_host_that_lost_its_disk_joins_through_a_member_that_it_did_not_know.

--- a/crates/control/tests/platform.rs
+++ b/crates/control/tests/platform.rs
@@ -3,6 +3,7 @@
 
 use std::fs;
 use std::net;
+use std::ops;
 use std::path;
 use std::process;
 use std::time;
@@ -43,14 +44,11 @@
             platform: ports[1],
             root: tempfile::tempdir().expect("a folder"),
         };
-        let seeds: Vec<String> = (0..3).map(|host| cluster.name(host)).collect();
-        let seeds = seeds.join(",");
         for host in 0..count {
             let ip = Cluster::ip(host);
             let text = format!(
                 "[node]\nname = {name}\ndomain = d{host}\n[listen]\ninternal = {ip}:{internal}\n\
                  operators = {ip}:{operators}\nhealth = {ip}:{health}\nplatform = {name}\n\
-                 [membership]\nport = {internal}\nseeds = {seeds}\n[bootstrap]\nvoters = {seeds}\n\
                  [data]\nfolder = {folder}\nvolatile = {volatile}\n",
                 name = cluster.name(host),
                 internal = cluster.internal,
@@ -59,11 +57,25 @@
                 folder = cluster.folder(host).display(),
                 volatile = volatile.contains(&host),
             );
-            fs::write(cluster.settings(host), text).expect("settings");
+            fs::write(cluster.node_settings(host), text).expect("settings");
+            cluster.set_seeds(host, 0..3, true);
         }
         cluster
     }
 
+    /// Names the seeds in a host's settings; `bootstrap` makes them the first voters.
+    fn set_seeds(&self, host: usize, seeds: ops::Range<usize>, bootstrap: bool) {
+        let seeds: Vec<String> = seeds.map(|seed| self.name(seed)).collect();
+        let seeds = seeds.join(",");
+        let mut text = fs::read_to_string(self.node_settings(host)).expect("settings");
+        let port = self.internal;
+        text.push_str(&format!("[membership]\nport = {port}\nseeds = {seeds}\n"));
+        if bootstrap {
+            text.push_str(&format!("[bootstrap]\nvoters = {seeds}\n"));
+        }
+        fs::write(self.settings(host), text).expect("settings");
+    }
+
     fn ip(host: usize) -> net::Ipv4Addr {
         net::Ipv4Addr::new(127, 0, 0, u8::try_from(host).expect("few hosts") + 1)
     }
@@ -76,6 +88,11 @@
         self.root.path().join(format!("data-{host}"))
     }
 
+    /// Path of the part of a host's settings that does not change.
+    fn node_settings(&self, host: usize) -> path::PathBuf {
+        self.root.path().join(format!("{host}.node"))
+    }
+
     fn settings(&self, host: usize) -> path::PathBuf {
         self.root.path().join(format!("{host}.ini"))
     }
@@ -297,6 +314,36 @@
     assert_eq!(read.expect("an answer").0, 503);
 }
 
+/// The seeds of a deployment may be exchanged for hosts without a disk. After such hosts restart,
+/// their settings name only each other, and their former disks are gone.
+#[tokio::test]
+async fn restarted_learners_find_the_members_when_they_are_the_only_seeds() {
+    let learners = 3..6;
+    let mut cluster = Cluster::prepare(6, &[3, 4, 5]);
+    cluster.start_all();
+    let document = document(3, 900);
+    cluster.call(0, 200, "PUT", CONFIG, &document).await;
+    for host in learners.clone() {
+        cluster.call(host, 200, "GET", CONFIG, "").await;
+    }
+    for host in learners.clone() {
+        cluster.set_seeds(host, learners.clone(), false);
+        cluster.kill(host);
+    }
+    for host in learners.clone() {
+        cluster.start(host);
+    }
+    for host in learners {
+        let read = cluster.call(host, 200, "GET", CONFIG, "").await;
+        assert_eq!(read, document.as_bytes());
+    }
+    // A gateway that knows only these seeds receives the document and the voters' names.
+    let voter = cluster.name(0);
+    let mut follower = cluster.follow(3).await;
+    let update = follower.wait_for(|update| update.version == 3).await;
+    assert!(update.hosts.contains(&voter), "{:?}", update.hosts);
+}
+
 #[tokio::test]
 async fn gateways_receive_upstreams_documents_and_outages() {
     let mut cluster = Cluster::prepare(3, &[]);
--- a/crates/core/src/log/join.rs
+++ b/crates/core/src/log/join.rs
@@ -13,15 +13,40 @@
     /// Sends a hello to every other known host after startup, or to ask to join.
     pub(crate) fn send_hellos(&self, effects: &mut effect::Effects) {
         for name in &self.peers {
-            let to = member::Member {
-                disk: member::ANY_DISK,
-                name: name.clone(),
-            };
-            let hello = message::Kind::Hello(message::Hello {
-                copied: self.untrusted_copies.is_some(),
-                fresh: self.is_fresh(),
-            });
-            self.send(to, hello, effects);
+            self.send_hello(name, effects);
+        }
+    }
+
+    fn send_hello(&self, name: &Bytes, effects: &mut effect::Effects) {
+        let to = member::Member {
+            disk: member::ANY_DISK,
+            name: name.clone(),
+        };
+        let hello = message::Kind::Hello(message::Hello {
+            copied: self.untrusted_copies.is_some(),
+            fresh: self.is_fresh(),
+        });
+        self.send(to, hello, effects);
+    }
+
+    /// Sends a hello to the sender of a message that was addressed to a former disk of this host.
+    ///
+    /// The sender is a member, possibly the only one that this host ever hears from: after a restart
+    /// without its disk, this host's seeds may all be outside the log as well. Only the first such
+    /// message is answered at once; hellos to known hosts are repeated with each election timeout.
+    pub(crate) fn ask_to_join(
+        &mut self,
+        message: &message::Message,
+        effects: &mut effect::Effects,
+    ) {
+        let sender = &message.from.name;
+        let is_for_former_disk = message.to.name == self.me.name;
+        if !is_for_former_disk || self.peers.contains(sender) {
+            return;
+        }
+        self.add_peers(core::slice::from_ref(sender));
+        if self.peers.contains(sender) {
+            self.send_hello(sender, effects);
         }
     }
 
--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -86,7 +86,11 @@
         message: &message::Message,
         effects: &mut effect::Effects,
     ) -> effect::Disposition {
-        if !message.to.matches(&self.me) || message.from == self.me {
+        if message.from == self.me {
+            return effect::Disposition::Drop;
+        }
+        if !message.to.matches(&self.me) {
+            self.ask_to_join(message, effects);
             return effect::Disposition::Drop;
         }
         // Accept refusals without checking the sender's stamp, and never answer one with another.
--- a/crates/core/tests/model/mod.rs
+++ b/crates/core/tests/model/mod.rs
@@ -181,6 +181,13 @@
         self
     }
 
+    /// Leaves no known hosts in the settings of the processes that start from now on.
+    pub(crate) fn forget_peers(&mut self) {
+        let mut settings = log::Settings::clone(&self.settings);
+        settings.peers.clear();
+        self.settings = sync::Arc::new(settings);
+    }
+
     /// Checks only one property.
     pub(crate) fn check_only(mut self, property: &'static str) -> Model {
         self.checked_property = Some(property);
--- a/crates/core/tests/model_log.rs
+++ b/crates/core/tests/model_log.rs
@@ -229,6 +229,23 @@
     assert_eq!(list_voters(&model, 0), ["a", "b", "c", "d"]);
 }
 
+#[test]
+fn a_host_that_lost_its_disk_joins_through_a_member_that_it_did_not_know() {
+    let mut model = Model::new_open(4, Bug::None);
+    model.perform(Action::Campaign(3));
+    model.deliver_all();
+    scenario::detect_silent_voters(&mut model);
+    assert_eq!(list_voters(&model, 0), ["a", "b", "c", "d"]);
+    model.forget_peers();
+    model.perform(Action::LoseDisk(3));
+    scenario::detect_silent_voters(&mut model);
+    model.perform(Action::Campaign(3));
+    model.deliver_all();
+    scenario::detect_silent_voters(&mut model);
+    let log = model.hosts[3].log.as_ref().expect("a running host");
+    assert!(log.store().roster().voters.contains(log.me()));
+}
+
 #[test]
 fn snapshots_keep_every_property() {
     assert_holds("snapshot", scenario::prepare_snapshot(Bug::None));
