adapters: a node whose lease is about to end reports each 100 ms

After a leader fails, the host that the node turns to can grant only what was left of the leader's last confirmation, up to 1.4 s after the failure. If the election ends after the node's report at about 1.0 s, the next report at 1.5 s comes up to 100 ms after the lease has ended, though the host could have extended it long before. An election takes that long after a split vote.

Change: core::config_follower says when the next report is due; 100 ms after the last one where the lease ends within 600 ms. With a leader a lease has 900 ms left at the next report, so the rate stays as it was.

Ruled out: a longer lease (an operator's change would be in force later everywhere). What remains: an election of more than 1.3 s (two split votes in a row) still lets leases lapse, as it must.

--- a/crates/adapters/src/follow.rs
+++ b/crates/adapters/src/follow.rs
@@ -27,8 +27,6 @@
 const REJECTED: logs::Event = logs::Event::error(1004, "configuration not readable");
 const REPLACED: logs::Event = logs::Event::error(1005, "name taken by a newer process");
 
-/// Time between two reports on an idle link.
-const REPORT_PERIOD: time::Duration = time::Duration::from_millis(500);
 /// A link without a message for this long is replaced, in time to get a lease from the next host.
 const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(900);
 /// Wait before the next control host is tried.
@@ -186,11 +184,12 @@
         logs::emit(LINKED, format_args!("control={host}"));
         self.sent.clear();
         let mut number = 0;
-        let mut timer = tokio::time::interval(REPORT_PERIOD);
+        let mut last_report = None;
         let mut leaving = self.view.leaving.subscribe();
         let mut announcement = self.options.announcement.clone();
         let mut last_received = tokio::time::Instant::now();
         loop {
+            let report_due = self.next_report(last_report);
             let is_report_due = tokio::select! {
                 () = token.cancelled() => return End::Stopped,
                 () = tokio::time::sleep_until(last_received + SILENCE_LIMIT) => return End::Silent,
@@ -202,18 +201,25 @@
                         None => return End::Failed(tonic::Status::unavailable("closed")),
                     }
                 }
-                _ = timer.tick() => true,
+                () = tokio::time::sleep_until(report_due) => true,
                 Ok(()) = leaving.changed() => true,
                 Ok(()) = announcement.changed() => true,
             };
             if is_report_due {
                 number += 1;
+                last_report = Some(tokio::time::Instant::now());
                 // The buffer is full only if the link stalls; SILENCE_LIMIT then ends the link.
                 let _ = reports.try_send(self.build_report(number));
             }
         }
     }
 
+    /// Returns when the next report is due; the first one on a link is due at once.
+    fn next_report(&self, last: Option<tokio::time::Instant>) -> tokio::time::Instant {
+        let interval = self.view.lock().report_interval(self.view.now());
+        last.map_or_else(tokio::time::Instant::now, |last| last + interval)
+    }
+
     fn build_report(&mut self, number: u64) -> control::Report {
         let first = number == 1;
         self.sent.push(SentReport {
--- a/crates/core/src/config_follower.rs
+++ b/crates/core/src/config_follower.rs
@@ -4,6 +4,14 @@
 
 use crate::time::Instant;
 
+/// Time between two reports of a node whose lease is not about to end.
+pub const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Time between two reports of a node whose lease is about to end or has ended: the control host
+/// may be able to extend it only after an election.
+pub const RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// A lease is about to end when it would not outlast the regular interval and one renewal.
+const RENEWAL_MARGIN: time::Duration = time::Duration::from_millis(600);
+
 /// What to do with a received configuration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -62,6 +70,16 @@
         self.fresh_until = self.fresh_until.max(until);
     }
 
+    /// Returns the time between the last report and the next one.
+    #[must_use]
+    pub fn report_interval(&self, now: Instant) -> time::Duration {
+        if self.is_fresh(now + RENEWAL_MARGIN) {
+            REPORT_INTERVAL
+        } else {
+            RENEWAL_INTERVAL
+        }
+    }
+
     /// Returns whether new work may be accepted: a version is applied and the lease is valid.
     #[must_use]
     pub fn is_fresh(&self, now: Instant) -> bool {
