gateway: an engine that is gone is out at the first sign of it

Change: - a refused connection, a 421 or the status of a later start at the same address opens the breaker at once, for 2 s at first; a restart of the same name replaces the breaker as before. The loops of plain calls and generations share attempts.rs.

Tests, failing before, passing after: gateway/tests/plain refused_connections_cost_callers_nothing, an_upstream_whose_address_another_process_has_is_tried_once, a_later_start_at_an_address_displaces_the_former_upstream; core: breaker and upstreams.

--- a/crates/core/src/breaker.rs
+++ b/crates/core/src/breaker.rs
@@ -6,6 +6,9 @@
 const FAILURES_TO_OPEN: u32 = 3;
 /// How long the breaker stays open the first time.
 const FIRST_OPEN_MS: u64 = 500;
+/// How long the breaker stays open after a sign that no process of the upstream is at its address.
+/// A restarted process announces itself, which replaces the breaker.
+const ABSENT_OPEN_MS: u64 = 2000;
 /// Upper bound of the open time, which doubles with each further failure.
 const MAX_OPEN_MS: u64 = 10_000;
 
@@ -41,6 +44,12 @@
         Breaker::default()
     }
 
+    /// Returns whether the breaker is open or waits for the result of a probe.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.open_until.is_some()
+    }
+
     /// Returns whether a request may be sent now.
     #[must_use]
     pub fn check(&self, now: time::Instant) -> Decision {
@@ -77,7 +86,19 @@
         if self.failures < FAILURES_TO_OPEN {
             return;
         }
-        self.open_ms = (self.open_ms * 2).clamp(FIRST_OPEN_MS, MAX_OPEN_MS);
+        self.open(now, FIRST_OPEN_MS);
+    }
+
+    /// Records a sign that the upstream's process is not at its address: a refused connection, or
+    /// another process there. One such sign opens the breaker.
+    pub fn record_absence(&mut self, now: time::Instant) {
+        self.failures = self.failures.saturating_add(1).max(FAILURES_TO_OPEN);
+        self.probe_sent = None;
+        self.open(now, ABSENT_OPEN_MS);
+    }
+
+    fn open(&mut self, now: time::Instant, shortest_ms: u64) {
+        self.open_ms = (self.open_ms * 2).clamp(shortest_ms, MAX_OPEN_MS);
         self.open_until = Some(now + core::time::Duration::from_millis(self.open_ms));
     }
 }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -92,6 +92,12 @@
         self.retries = (self.retries + RETRIES_PER_ATTEMPT).min(MAX_SAVED_RETRIES);
     }
 
+    /// Returns the retries that it holds.
+    #[must_use]
+    pub fn left(&self) -> f64 {
+        self.retries
+    }
+
     /// Takes one retry or hedged request from the budget; returns false if it holds none.
     pub fn try_withdraw(&mut self) -> bool {
         // Ten times 0.1 adds up to slightly less than 1 in floating point.
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -162,6 +162,15 @@
     }
 }
 
+/// Returns whether `other` is of a process that has ended: `status` is of another one that started
+/// later at the same address.
+#[must_use]
+pub fn is_displaced(other: &Status, status: &Status) -> bool {
+    other.address == status.address
+        && other.name != status.name
+        && other.edition.born_ms < status.edition.born_ms
+}
+
 /// Compares a received status with the known one of the same name.
 #[must_use]
 pub fn compare(known: &Status, status: &Status) -> Outcome {
--- a/crates/core/tests/policy_retry.rs
+++ b/crates/core/tests/policy_retry.rs
@@ -97,6 +97,22 @@
     );
 }
 
+#[test]
+fn a_breaker_opens_on_one_sign_of_absence_and_closes_on_an_answer() {
+    let mut breaker = breaker::Breaker::new();
+    let now = time::Instant(0);
+    breaker.record_absence(now);
+    let breaker::Decision::Reject { retry_after_ms } = breaker.check(now) else {
+        panic!("{breaker:?}");
+    };
+    let later = time::Instant(retry_after_ms);
+    assert_eq!(breaker.check(later), breaker::Decision::Probe);
+    assert!(breaker.is_open());
+    breaker.record_success();
+    assert_eq!(breaker.check(later), breaker::Decision::Allow);
+    assert!(!breaker.is_open());
+}
+
 #[test]
 fn a_breaker_opens_on_failures_and_lets_one_probe_pass() {
     let mut breaker = breaker::Breaker::new();
--- a/crates/core/tests/upstreams.rs
+++ b/crates/core/tests/upstreams.rs
@@ -109,6 +109,18 @@
     );
 }
 
+#[test]
+fn a_later_start_at_the_same_address_displaces_an_upstream() {
+    let former = status(5, 9, upstreams::State::Ready);
+    let mut later = status(6, 1, upstreams::State::Ready);
+    assert!(!upstreams::is_displaced(&former, &later), "a restart");
+    "i-2".clone_into(&mut later.name);
+    assert!(upstreams::is_displaced(&former, &later));
+    assert!(!upstreams::is_displaced(&later, &former));
+    "10.0.0.2:80".clone_into(&mut later.address);
+    assert!(!upstreams::is_displaced(&former, &later));
+}
+
 #[test]
 fn upstreams_are_forgotten_after_a_while() {
     let mut directory = upstreams::Directory::default();
--- /dev/null
+++ b/crates/gateway/src/attempts.rs
@@ -0,0 +1,54 @@
+//! Attempts to send one request, and whether another one is allowed.
+
+use crate::call;
+use crate::fleet;
+use crate::pool;
+
+/// Attempts that reach an upstream, or wait for one that does not answer.
+const MAX_ATTEMPTS: usize = 3;
+
+/// Attempts to send one request.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    /// Attempts that reached an upstream.
+    arrived: usize,
+    /// Attempts that ended without an answer to the opening of a connection.
+    unanswered: usize,
+    tried: Vec<fleet::UpstreamKey>,
+}
+
+impl Attempts {
+    /// Returns the upstreams tried so far.
+    pub(crate) fn tried(&self) -> &[fleet::UpstreamKey] {
+        &self.tried
+    }
+
+    /// Returns whether the request has reached an upstream, so that another attempt draws on the
+    /// retry budget.
+    pub(crate) fn has_arrived(&self) -> bool {
+        self.arrived > 0
+    }
+
+    /// Returns whether the limit of attempts is reached. A refused connection costs next to no time
+    /// and does not count.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.arrived + self.unanswered >= MAX_ATTEMPTS
+    }
+
+    /// Records the choice of an upstream.
+    pub(crate) fn record_choice(&mut self, key: fleet::UpstreamKey) {
+        self.tried.push(key);
+    }
+
+    /// Records the result of an attempt.
+    pub(crate) fn record<T>(&mut self, result: &Result<T, call::Failure>) {
+        match result {
+            Err(call::Failure::Unreachable(pool::Error::Refused)) => {}
+            Err(call::Failure::Unreachable(_)) => self.unanswered += 1,
+            Err(
+                call::Failure::Displaced | call::Failure::NotRun(_) | call::Failure::Unknown(_),
+            )
+            | Ok(_) => self.arrived += 1,
+        }
+    }
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,6 +9,7 @@
 use peargap_platform::head;
 use tokio::time;
 
+use crate::fleet;
 use crate::placement;
 use crate::pool;
 
@@ -62,10 +63,27 @@
 /// Why a request got no valid response from an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Failure {
+    /// Another process is at the upstream's address; the request has not run.
+    Displaced,
     /// The request has not run, for this reason.
     NotRun(String),
     /// The request may have run; the error.
     Unknown(String),
+    /// No connection could be opened, for this reason; nothing was sent.
+    Unreachable(pool::Error),
+}
+
+/// Returns what the result of a call says about the upstream.
+pub(crate) fn classify<T>(result: &Result<T, Failure>) -> fleet::Outcome {
+    match result {
+        Ok(_response) => fleet::Outcome::Succeeded,
+        Err(Failure::Displaced | Failure::Unreachable(pool::Error::Refused)) => {
+            fleet::Outcome::Absent
+        }
+        Err(Failure::NotRun(_) | Failure::Unknown(_) | Failure::Unreachable(_)) => {
+            fleet::Outcome::Failed
+        }
+    }
 }
 
 /// Sends a request and returns the head of the response.
@@ -75,7 +93,8 @@
     options: Options<'_>,
 ) -> Result<Response, Failure> {
     loop {
-        let connection = placement.pool.acquire().await.map_err(Failure::NotRun)?;
+        let connection = placement.pool.acquire().await;
+        let connection = connection.map_err(Failure::Unreachable)?;
         let is_reused = connection.is_reused;
         match send_on(connection.sender, request, placement, options).await {
             // The upstream closed an idle connection before the request reached it; try another
@@ -116,6 +135,9 @@
             "response belongs to another request".to_owned(),
         ));
     }
+    if parsed.ran == head::Ran::OtherInstance {
+        return Err(Failure::Displaced);
+    }
     if parsed.ran == head::Ran::No {
         return Err(Failure::NotRun(format!(
             "upstream answered {}",
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -81,6 +81,17 @@
     NoUpstream,
 }
 
+/// What the result of a call says about an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Outcome {
+    /// Its process is not at its address.
+    Absent,
+    /// It refused the request or failed.
+    Failed,
+    /// It answered.
+    Succeeded,
+}
+
 /// Requirements for the choice of an upstream.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Criteria<'a> {
@@ -244,6 +255,7 @@
         let upstream = state.upstreams.get(key);
         upstream.is_some_and(|upstream| {
             upstream.status.state == upstreams::State::Ready
+                && !upstream.breaker.is_open()
                 && !state.domains_out.contains(&upstream.status.domain)
         })
     }
@@ -321,12 +333,13 @@
     }
 
     /// Records the outcome of a call in the upstream's circuit breaker.
-    pub(crate) fn record_outcome(&self, key: UpstreamKey, succeeded: bool) {
+    pub(crate) fn record_outcome(&self, key: UpstreamKey, outcome: Outcome) {
         let now = self.clock.now();
         if let Some(upstream) = self.lock().upstreams.get_mut(key) {
-            match succeeded {
-                true => upstream.breaker.record_success(),
-                false => upstream.breaker.record_failure(now),
+            match outcome {
+                Outcome::Absent => upstream.breaker.record_absence(now),
+                Outcome::Failed => upstream.breaker.record_failure(now),
+                Outcome::Succeeded => upstream.breaker.record_success(),
             }
         }
     }
@@ -367,6 +380,46 @@
         let Ok(address) = status.address.parse::<net::SocketAddr>() else {
             return upstreams::Outcome::Stale;
         };
+        let name = status.name.clone();
+        let outcome = self.merge_known_address(now, address, status);
+        if outcome == upstreams::Outcome::Changed {
+            self.mark_displaced(now, &name);
+        }
+        outcome
+    }
+
+    /// Marks the upstreams as absent at whose address a later process has started, among them the
+    /// named one. The breaker admits probes, as the clock of an upstream's host may have been set
+    /// back between two starts.
+    fn mark_displaced(&mut self, now: time::Instant, name: &str) {
+        let Some(key) = self.names.get(name).copied() else {
+            return;
+        };
+        let Some(status) = self
+            .upstreams
+            .get(key)
+            .map(|upstream| upstream.status.clone())
+        else {
+            return;
+        };
+        let statuses = self.upstreams.values().map(|upstream| &upstream.status);
+        let is_displaced = statuses
+            .clone()
+            .any(|other| upstreams::is_displaced(&status, other));
+        for upstream in self.upstreams.values_mut() {
+            let is_named = upstream.status.name == status.name;
+            if is_named && is_displaced || upstreams::is_displaced(&upstream.status, &status) {
+                upstream.breaker.record_absence(now);
+            }
+        }
+    }
+
+    fn merge_known_address(
+        &mut self,
+        now: time::Instant,
+        address: net::SocketAddr,
+        status: upstreams::Status,
+    ) -> upstreams::Outcome {
         let cold_until = now + core::time::Duration::from_millis(status.cold_ms);
         let known = self.names.get(&status.name).copied();
         let known = known.and_then(|key| self.upstreams.get_mut(key));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,12 +8,14 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
 use hyper::body;
+use peargap_adapters::logs;
 use peargap_core::retry;
 use peargap_core::routes;
 use peargap_platform::head;
 use rand::RngExt as _;
 
 use crate::call;
+use crate::events;
 use crate::fleet;
 use crate::generation;
 use crate::meters;
@@ -33,10 +35,21 @@
 
 impl Gateway {
     /// Withdraws one retry from the budget; returns false if the budget is exhausted.
-    pub(crate) fn try_withdraw_retry(&self) -> bool {
-        let is_allowed = self.lock_retry_budget().try_withdraw();
+    pub(crate) fn try_withdraw_retry(&self, attempt: &Bytes) -> bool {
+        let mut budget = self.lock_retry_budget();
+        let is_allowed = budget.try_withdraw();
+        let left = budget.left();
+        drop(budget);
         if is_allowed {
             self.meters.count_retry();
+        } else {
+            logs::emit(
+                events::RETRY_DENIED,
+                format_args!(
+                    "request={} budget={left:.2}",
+                    response::attempt_text(attempt)
+                ),
+            );
         }
         is_allowed
     }
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -17,6 +17,7 @@
 use tokio::time;
 use tokio_stream::wrappers;
 
+use crate::attempts;
 use crate::call;
 use crate::events;
 use crate::fleet;
@@ -27,8 +28,6 @@
 use crate::relay;
 use crate::response;
 
-/// Maximum number of engines that a request is sent to.
-const MAX_ATTEMPTS: usize = 3;
 /// Events buffered for a slow caller.
 const EVENT_BUFFER: usize = 32;
 /// Assumed prompt length of a request that declares none, in tokens.
@@ -116,20 +115,20 @@
     generation: &Generation,
     objective: time::Duration,
 ) -> Result<Run, response::Refusal> {
-    let mut tried = Vec::new();
+    let mut attempts = attempts::Attempts::default();
     let waiting_since = time::Instant::now();
     let capacity_deadline = waiting_since + objective / CAPACITY_WAIT_DIVISOR;
-    while tried.len() < MAX_ATTEMPTS {
+    while !attempts.is_exhausted() {
         let tokens = generation.estimate_tokens(0);
         let criteria = fleet::Criteria {
-            exclude: &tried,
+            exclude: attempts.tried(),
             near: None,
             service: &generation.service,
             tokens,
         };
         let mut placement = match gateway.fleet.place_generation(criteria) {
             Ok(placement) => placement,
-            Err(_error) if !tried.is_empty() => break,
+            Err(_error) if attempts.has_arrived() => break,
             Err(fleet::PlacementError::Full) if time::Instant::now() < capacity_deadline => {
                 time::sleep(CAPACITY_POLL_INTERVAL).await;
                 continue;
@@ -137,12 +136,13 @@
             Err(fleet::PlacementError::Full) => return Err(response::Refusal::Full),
             Err(fleet::PlacementError::NoUpstream) => return Err(response::Refusal::Nobody),
         };
-        if tried.is_empty() {
+        if attempts.tried().is_empty() {
             gateway.meters.record_wait(waiting_since.elapsed());
-        } else if !gateway.try_withdraw_retry() {
+        }
+        if attempts.has_arrived() && !gateway.try_withdraw_retry(&generation.request.head.attempt) {
             break;
         }
-        tried.push(placement.key);
+        attempts.record_choice(placement.key);
         let sent_at = time::Instant::now();
         let copy = place_backup(gateway, generation, &placement, 0);
         let attempt = response::attempt_text(&generation.request.head.attempt);
@@ -160,7 +160,10 @@
             resume: None,
         };
         let sent = call::send(&generation.request, &placement, options).await;
-        gateway.fleet.record_outcome(placement.key, sent.is_ok());
+        gateway
+            .fleet
+            .record_outcome(placement.key, call::classify(&sent));
+        attempts.record(&sent);
         match sent {
             Ok(response) => {
                 placement.finish_prompt();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! requests go directly to the upstreams. A generation continues at another engine when its own
 //! engine leaves or fails.
 
+mod attempts;
 mod call;
 mod events;
 mod fleet;
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -158,7 +158,8 @@
     pool: &sync::Arc<pool::Pool>,
     request: http::Request<Bytes>,
 ) -> Result<Bytes, String> {
-    let mut sender = pool.acquire().await?.sender;
+    let connection = pool.acquire().await;
+    let mut sender = connection.map_err(|error| error.to_string())?.sender;
     let sent = sender.send_request(request.map(Full::new)).await;
     let (head, body) = sent.map_err(|error| error.to_string())?.into_parts();
     let body = body.collect().await.map_err(|error| error.to_string())?;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -4,6 +4,7 @@
 use peargap_core::routes;
 use tokio::time;
 
+use crate::attempts;
 use crate::call;
 use crate::events;
 use crate::fleet;
@@ -11,9 +12,6 @@
 use crate::placement;
 use crate::response;
 
-/// Maximum number of upstreams that a request is sent to.
-const MAX_ATTEMPTS: usize = 4;
-
 /// Serves a request by an upstream of a service. It is retried at another upstream if it has not
 /// run, or if its route is idempotent and allows another attempt.
 pub(crate) async fn serve(
@@ -35,34 +33,38 @@
     route: &routes::Route,
     service: &routes::Service,
 ) -> response::Response {
-    let mut tried = Vec::new();
+    let mut attempts = attempts::Attempts::default();
     let mut possible_runs = 0;
     // Response to the caller if no other upstream is tried.
     let mut refusal = response::Refusal::NotTaken;
     let mut error_response = None;
-    while tried.len() < MAX_ATTEMPTS {
+    while !attempts.is_exhausted() {
         let criteria = fleet::Criteria {
-            exclude: &tried,
+            exclude: attempts.tried(),
             near: None,
             service,
             tokens: 0,
         };
         let placement = match gateway.fleet.place_plain(criteria) {
             Ok(placement) => placement,
-            Err(_error) if !tried.is_empty() => break,
+            Err(_error) if attempts.has_arrived() => break,
             Err(_error) => return gateway.refuse(&request.head.attempt, response::Refusal::Nobody),
         };
-        if !tried.is_empty() && !gateway.try_withdraw_retry() {
+        if attempts.has_arrived() && !gateway.try_withdraw_retry(&request.head.attempt) {
             break;
         }
-        tried.push(placement.key);
-        match try_upstream(gateway, request, &placement).await {
+        attempts.record_choice(placement.key);
+        let result = try_upstream(gateway, request, &placement).await;
+        attempts.record(&result);
+        match result {
             Ok(response) if is_server_error(&response) => {
                 possible_runs += 1;
                 error_response = Some(response);
             }
             Ok(response) => return forward(gateway, request, response),
-            Err(call::Failure::NotRun(_why)) => {}
+            Err(
+                call::Failure::Displaced | call::Failure::NotRun(_) | call::Failure::Unreachable(_),
+            ) => {}
             Err(call::Failure::Unknown(_why)) => {
                 possible_runs += 1;
                 refusal = response::Refusal::UpstreamFailed;
@@ -106,7 +108,9 @@
         Ok(response) => call::read_to_end(response, &placement.pool).await,
         Err(failure) => Err(failure),
     };
-    gateway.fleet.record_outcome(placement.key, result.is_ok());
+    gateway
+        .fleet
+        .record_outcome(placement.key, call::classify(&result));
     if let Err(failure) = &result {
         logs::emit(
             events::ATTEMPT_FAILED,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,5 +1,6 @@
 //! Connection pool of one upstream.
 
+use std::io;
 use std::net;
 use std::sync;
 use std::time;
@@ -48,6 +49,36 @@
     pub(crate) sender: Sender,
 }
 
+/// Why no connection could be opened.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Error {
+    /// Another error, as reported by the system.
+    Other(String),
+    /// No process listens at the address.
+    Refused,
+    /// The upstream did not answer in time.
+    TimedOut,
+}
+
+impl core::fmt::Display for Error {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        match self {
+            Error::Other(error) => formatter.write_str(error),
+            Error::Refused => formatter.write_str("connection refused"),
+            Error::TimedOut => formatter.write_str("connection attempt timed out"),
+        }
+    }
+}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Error {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Error::Refused,
+            _ => Error::Other(error.to_string()),
+        }
+    }
+}
+
 impl Pool {
     /// Returns an empty pool.
     pub(crate) fn new(address: net::SocketAddr) -> Pool {
@@ -58,7 +89,7 @@
     }
 
     /// Returns an idle connection, or opens one.
-    pub(crate) async fn acquire(&self) -> Result<Connection, String> {
+    pub(crate) async fn acquire(&self) -> Result<Connection, Error> {
         if let Some(sender) = self.take_idle() {
             return Ok(Connection {
                 is_reused: true,
@@ -71,7 +102,7 @@
                 sender,
             }),
             Ok(Err(error)) => Err(error),
-            Err(_elapsed) => Err("connection attempt timed out".to_owned()),
+            Err(_elapsed) => Err(Error::TimedOut),
         }
     }
 
@@ -86,12 +117,11 @@
         None
     }
 
-    async fn connect(&self) -> Result<Sender, String> {
-        let stream = tokio::net::TcpStream::connect(self.address).await;
-        let stream = stream.map_err(|error| error.to_string())?;
-        set_tcp_options(&stream).map_err(|error| error.to_string())?;
-        let handshake_result = http1::handshake(rt::TokioIo::new(stream)).await;
-        let (sender, connection) = handshake_result.map_err(|error| error.to_string())?;
+    async fn connect(&self) -> Result<Sender, Error> {
+        let stream = tokio::net::TcpStream::connect(self.address).await?;
+        set_tcp_options(&stream)?;
+        let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| Error::Other(error.to_string()))?;
         // Errors are reported to the request on this connection.
         tokio::spawn(async move {
             let _ = connection.await;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -256,7 +256,9 @@
                 .pool
                 .release(engine.sender, engine.keep_alive_s);
         }
-        self.gateway.fleet.record_outcome(self.placement.key, true);
+        self.gateway
+            .fleet
+            .record_outcome(self.placement.key, fleet::Outcome::Succeeded);
         Next::Complete
     }
 
@@ -286,7 +288,10 @@
             ),
         );
         if !self.gateway.fleet.is_leaving(self.placement.key) {
-            self.gateway.fleet.record_outcome(self.placement.key, false);
+            let outcome = fleet::Outcome::Failed;
+            self.gateway
+                .fleet
+                .record_outcome(self.placement.key, outcome);
         }
         self.check_engine()
     }
--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use peargap_fake::runner;
+use peargap_load::ports;
 use peargap_wire::fleet as wire;
 use support::request;
 use support::Fixture;
@@ -184,6 +185,77 @@
     assert_eq!(count_runs(&fixture), 0);
 }
 
+/// Announces upstreams at an address with no process, more than the retry budget would allow for.
+async fn announce_absent(fixture: &Fixture, service: &str) {
+    for port in ports::find_ports(12).expect("ports") {
+        let upstream = wire::Upstream {
+            address: format!("127.0.0.1:{port}"),
+            name: format!("absent-{port}"),
+            service: service.to_owned(),
+            ..support::new_upstream()
+        };
+        fixture.control.announce_upstream(upstream).await;
+    }
+}
+
+#[tokio::test]
+async fn refused_connections_cost_callers_nothing() {
+    let fixture = Fixture::start(&["d1", "p1"]).await;
+    announce_absent(&fixture, "desk").await;
+    announce_absent(&fixture, "pool").await;
+    for _call in 0..10 {
+        assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+        assert_eq!(fixture.call(support::generation()).await.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn an_upstream_whose_address_another_process_has_is_tried_once() {
+    let fixture = Fixture::start(&["d1"]).await;
+    let address = fixture.runner("d1").address.to_string();
+    for index in 0..3 {
+        let upstream = wire::Upstream {
+            address: address.clone(),
+            name: format!("former-{index}"),
+            ..support::new_upstream()
+        };
+        fixture.control.announce_upstream(upstream).await;
+    }
+    for _call in 0..20 {
+        assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn a_later_start_at_an_address_displaces_the_former_upstream() {
+    let fixture = Fixture::start(&["d1"]).await;
+    let address = fixture.runner("d1").address.to_string();
+    // More than the retry budget would allow for; some are heard of before the later start, some
+    // after it, from a control host that does not know of it.
+    for born_ms in 2..14 {
+        if born_ms == 8 {
+            let upstream = wire::Upstream {
+                address: address.clone(),
+                born_ms: 20,
+                name: "d1".to_owned(),
+                ..support::new_upstream()
+            };
+            fixture.control.announce_upstream(upstream).await;
+        }
+        let upstream = wire::Upstream {
+            address: address.clone(),
+            born_ms,
+            name: format!("former-{born_ms}"),
+            ..support::new_upstream()
+        };
+        fixture.control.announce_upstream(upstream).await;
+    }
+    for _call in 0..10 {
+        assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+    }
+    assert_eq!(count_runs(&fixture), 10);
+}
+
 #[tokio::test]
 async fn a_stopping_gateway_completes_running_requests() {
     let fixture = Fixture::start(&["p1", "p2"]).await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -128,17 +128,19 @@
         state: wire::State,
         sequence: u64,
     ) {
-        let upstream = wire::Upstream {
+        self.announce_upstream(wire::Upstream {
             address: runner.address.to_string(),
-            born_ms: 1,
-            cold_ms: 0,
-            domain: "a".to_owned(),
             name: runner.name.clone(),
             sequence,
             service: service.to_owned(),
-            slots: 24,
             state: state.into(),
-        };
+            ..new_upstream()
+        })
+        .await;
+    }
+
+    /// Sends the status of an upstream.
+    pub(crate) async fn announce_upstream(&self, upstream: wire::Upstream) {
         self.send(wire::Update {
             upstreams: vec![upstream],
             ..wire::Update::default()
@@ -147,6 +149,21 @@
     }
 }
 
+/// Returns the status of an upstream of the plain service that has no address yet.
+pub(crate) fn new_upstream() -> wire::Upstream {
+    wire::Upstream {
+        address: String::new(),
+        born_ms: 1,
+        cold_ms: 0,
+        domain: "a".to_owned(),
+        name: String::new(),
+        sequence: 1,
+        service: "desk".to_owned(),
+        slots: 24,
+        state: wire::State::Ready.into(),
+    }
+}
+
 /// A gateway with its control host and runners.
 #[derive(Debug)]
 pub(crate) struct Fixture {
