control, gateway: sums of load come from a voter, and none waits in a link

Gateways knew 0.5k waiting tokens where there were 7k, and chose the same engines.

Change: - core::aggregator: gateways report to the first voter by name; a host that sends nothing for 0.6 s is left until it is heard again (E6024). Hosts send an update at least each 0.2 s on links that report load; - a link that reports load says when it starts and stops, and only such links get sums; the first ones are complete; - a gateway confirms sums, and a host sends none beyond three unconfirmed updates: what a link cannot carry is left out, not queued; - core::load_totals: sums are kept up to date with each report. Each link took the sum over all links anew each 50 ms; - E6010 names the load that decided the choice, and its age.

Ruled out: lost statuses of new engines (all gateways had the same number), blocked senders at the host, gateways that report elsewhere.

Tests: core/tests/aggregator, load_totals (against a sum over all reports, random); control/tests/platform sums_do_not_queue_for_a_gateway_that_is_behind.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -9,8 +9,8 @@
 
 use peargap_adapters::clock;
 use peargap_adapters::logs;
+use peargap_core::load_totals;
 use peargap_core::upstreams;
-use peargap_wire::fleet as wire;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -55,14 +55,22 @@
     directory: upstreams::Directory,
     last_link: u64,
     links: collections::BTreeMap<LinkKey, Link>,
+    /// Sums of the loads on all links.
+    totals: load_totals::Totals,
 }
 
 #[derive(Debug, Default)]
 struct Link {
     /// Last change that the gateway has applied.
     applied: u64,
+    /// Number of the last update that the gateway has applied.
+    applied_number: u64,
     /// Loads in the gateway's last report of them.
-    loads: Vec<wire::Load>,
+    loads: load_totals::Loads,
+    /// Whether the gateway reports its load to this host.
+    reports_load: bool,
+    /// Whether the gateway has no sums from this host yet.
+    needs_sums: bool,
 }
 
 /// Statuses that changed since a given change.
@@ -73,6 +81,16 @@
     pub(crate) statuses: Vec<upstreams::Status>,
 }
 
+/// Load of the other gateways, for a link whose gateway reports its own.
+#[derive(Clone, Debug)]
+pub(crate) struct Sums {
+    /// Number of the last update that the gateway has applied.
+    pub(crate) applied_number: u64,
+    /// Whether the gateway has no sums from this host yet.
+    pub(crate) is_first: bool,
+    pub(crate) others: load_totals::Loads,
+}
+
 /// Position of a gateway among those that follow this host.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Rank {
@@ -178,53 +196,66 @@
 
     /// Removes a link.
     pub(crate) fn detach(&self, key: LinkKey) {
-        self.lock().links.remove(&key);
+        let mut state = self.lock();
+        state.replace_loads(key, load_totals::Loads::default());
+        state.links.remove(&key);
+        drop(state);
         self.link_events.send_modify(|count| *count += 1);
     }
 
-    /// Records that a gateway has applied every change up to `change`.
-    pub(crate) fn record_applied(&self, key: LinkKey, change: u64) {
+    /// Records that a gateway has applied the update `number` and every change up to `change`.
+    pub(crate) fn record_applied(&self, key: LinkKey, number: u64, change: u64) {
         if let Some(link) = self.lock().links.get_mut(&key) {
             link.applied = link.applied.max(change);
+            link.applied_number = link.applied_number.max(number);
         }
         self.link_events.send_modify(|count| *count += 1);
     }
 
-    /// Records the loads that a gateway reported.
-    pub(crate) fn record_loads(&self, key: LinkKey, loads: Vec<wire::Load>) {
-        let had_loads = self.has_loads();
-        if let Some(link) = self.lock().links.get_mut(&key) {
-            link.loads = loads;
-        }
-        if !had_loads {
-            // Wakes the links: they poll for sums only while some gateway reports its load.
+    /// Records the loads that a gateway reported. `starts` is set if the gateway has just chosen
+    /// this host to report to.
+    pub(crate) fn record_loads(&self, key: LinkKey, loads: load_totals::Loads, starts: bool) {
+        let mut state = self.lock();
+        state.replace_loads(key, loads);
+        let Some(link) = state.links.get_mut(&key) else {
+            return;
+        };
+        link.needs_sums |= starts;
+        let has_started = !core::mem::replace(&mut link.reports_load, true);
+        drop(state);
+        if has_started {
+            // Wakes the links: they poll for sums only while their gateway reports its load.
             self.last_change.send_modify(|_change| {});
         }
     }
 
-    /// Returns whether any gateway has reported its load on an open link.
-    pub(crate) fn has_loads(&self) -> bool {
-        let state = self.lock();
-        state.links.values().any(|link| !link.loads.is_empty())
+    /// Records that a gateway reports its load to another host from now on.
+    pub(crate) fn stop_loads(&self, key: LinkKey) {
+        let mut state = self.lock();
+        state.replace_loads(key, load_totals::Loads::default());
+        if let Some(link) = state.links.get_mut(&key) {
+            link.reports_load = false;
+        }
+    }
+
+    /// Returns what the link of a gateway that reports its load needs, or `None` for other links.
+    pub(crate) fn read_sums(&self, key: LinkKey) -> Option<Sums> {
+        let mut state = self.lock();
+        let link = state.links.get_mut(&key).filter(|link| link.reports_load)?;
+        let is_first = core::mem::take(&mut link.needs_sums);
+        let applied_number = link.applied_number;
+        let link = state.links.get(&key)?;
+        Some(Sums {
+            applied_number,
+            is_first,
+            others: state.totals.without(&link.loads),
+        })
     }
 
-    /// Returns the summed load of all gateways but this link's, by upstream.
-    pub(crate) fn sum_other_loads(&self, key: LinkKey) -> Vec<wire::Load> {
+    /// Returns whether the gateway reports its load to this host.
+    pub(crate) fn reports_load(&self, key: LinkKey) -> bool {
         let state = self.lock();
-        let mut sums: collections::BTreeMap<&String, wire::Load> = collections::BTreeMap::new();
-        let others = state.links.iter().filter(|(other, _link)| **other != key);
-        for load in others.flat_map(|(_key, link)| &link.loads) {
-            let sum = sums.entry(&load.upstream).or_default();
-            sum.copied += load.copied;
-            sum.running += load.running;
-            sum.tokens += load.tokens;
-            sum.waiting += load.waiting;
-        }
-        let loads = sums.into_iter().map(|(upstream, mut sum)| {
-            sum.upstream = upstream.clone();
-            sum
-        });
-        loads.collect()
+        state.links.get(&key).is_some_and(|link| link.reports_load)
     }
 
     /// Returns the position of this link's gateway.
@@ -274,6 +305,13 @@
 }
 
 impl State {
+    fn replace_loads(&mut self, key: LinkKey, loads: load_totals::Loads) {
+        if let Some(link) = self.links.get_mut(&key) {
+            self.totals.replace(&link.loads, &loads);
+            link.loads = loads;
+        }
+    }
+
     fn record_change(&mut self, name: String) -> u64 {
         self.last_change += 1;
         self.changes_by_upstream.insert(name, self.last_change);
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -7,6 +7,9 @@
 
 use futures::StreamExt as _;
 use peargap_adapters::logs;
+use peargap_core::aggregator;
+use peargap_core::balance;
+use peargap_core::load_totals;
 use peargap_core::routing;
 use peargap_core::upstreams;
 use peargap_wire::fleet as wire;
@@ -26,7 +29,10 @@
 /// Time between updates of the summed loads while any gateway reports its load.
 const LOAD_PERIOD: time::Duration = time::Duration::from_millis(50);
 
-/// Time between checks for changed control hosts while no gateway reports its load.
+/// Updates with loads that a gateway may be behind. Sums that wait in a full link would be out of
+/// date when they arrive; the next update has newer ones.
+const MAX_UNCONFIRMED_LOADS: usize = 3;
+/// Time between checks for changed control hosts on links that do not report load.
 const HOSTS_PERIOD: time::Duration = time::Duration::from_secs(1);
 
 /// Implementation of the `Fleet` service.
@@ -51,13 +57,22 @@
     wanted_version: sync::Arc<atomic::AtomicU64>,
 }
 
+/// Names of the control hosts.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+struct Hosts {
+    members: Vec<String>,
+    voters: Vec<String>,
+}
+
 /// State that was last sent to the gateway.
 #[derive(Debug, Default)]
 struct Sent {
     change: u64,
-    hosts: Vec<String>,
+    hosts: Hosts,
     number: u64,
-    loads: collections::BTreeMap<String, wire::Load>,
+    loads: load_totals::Loads,
+    /// Numbers of the updates with loads that the gateway may not have applied yet.
+    unconfirmed_loads: collections::VecDeque<u64>,
     rank: fleet::Rank,
     revision: u64,
     outage_sent: bool,
@@ -127,14 +142,18 @@
         }
         if report.applied > 0 {
             let change = confirm_update(unconfirmed, report.applied);
-            fleet.record_applied(key, change);
+            fleet.record_applied(key, report.applied, change);
         }
         if report.wanted > 0 {
             wanted_version.store(report.wanted, atomic::Ordering::Relaxed);
             document_requested.notify_one();
         }
         if report.has_loads {
-            fleet.record_loads(key, report.loads);
+            let loads = report.loads.into_iter().map(decode_load).collect();
+            fleet.record_loads(key, loads, report.starts_loads);
+        }
+        if report.stops_loads {
+            fleet.stop_loads(key);
         }
     }
     logs::emit(events::GATEWAY_DETACHED, format_args!("gateway={name}"));
@@ -157,14 +176,18 @@
         let mut changes = self.fleet.watch_changes();
         let mut routing = self.fleet.handle.routing();
         let mut status = self.fleet.handle.status();
+        let mut last_sent = tokio::time::Instant::now();
         loop {
-            let update = self.build_update(&mut changes, &mut routing, &mut status);
+            let reports_load = self.fleet.reports_load(self.key);
+            let is_due = reports_load && last_sent.elapsed() >= aggregator::UPDATE_INTERVAL;
+            let update = self.build_update(&mut changes, &mut routing, &mut status, is_due);
             if let Some(update) = update {
+                last_sent = tokio::time::Instant::now();
                 if self.updates.send(Ok(update)).await.is_err() {
                     return;
                 }
             }
-            let poll_interval = match self.fleet.has_loads() {
+            let poll_interval = match reports_load {
                 true => LOAD_PERIOD,
                 false => HOSTS_PERIOD,
             };
@@ -179,18 +202,23 @@
     }
 
     /// Returns an update with everything that changed since the last one, or `None` without
-    /// changes.
+    /// changes unless one is due.
     fn build_update(
         &mut self,
         changes: &mut watch::Receiver<u64>,
         routing: &mut watch::Receiver<sync::Arc<routing::Routing>>,
         status: &mut watch::Receiver<status::Status>,
+        is_due: bool,
     ) -> Option<wire::Update> {
         changes.mark_unchanged();
         let changed = self.fleet.list_changes(self.sent.change);
         let routing = routing.borrow_and_update().clone();
-        let hosts = status.borrow_and_update().members.clone();
-        let others = self.fleet.sum_other_loads(self.key);
+        let status = status.borrow_and_update();
+        let hosts = Hosts {
+            members: status.members.clone(),
+            voters: status.voter_names.clone(),
+        };
+        drop(status);
         let mut update = wire::Update {
             document: self.build_document(&routing),
             outage: self.build_outage(&routing),
@@ -198,11 +226,11 @@
             ..wire::Update::default()
         };
         if hosts != self.sent.hosts {
-            update.hosts.clone_from(&hosts);
+            update.hosts.clone_from(&hosts.members);
+            update.voters.clone_from(&hosts.voters);
             self.sent.hosts = hosts;
         }
-        update.loads = self.diff_loads(&others);
-        update.has_loads = !update.loads.is_empty();
+        self.add_loads(&mut update);
         let rank = self.fleet.find_rank(self.key);
         if rank != self.sent.rank {
             self.sent.rank = rank;
@@ -213,39 +241,39 @@
             self.sent.version = routing.version;
             update.version = routing.version;
         }
-        if update == wire::Update::default() {
+        if update == wire::Update::default() && !is_due {
             return None;
         }
         self.sent.change = changed.last_change;
         self.sent.number += 1;
         update.number = self.sent.number;
+        if update.has_loads {
+            self.sent.unconfirmed_loads.push_back(update.number);
+        }
         let locked = self.unconfirmed.lock();
         let mut unconfirmed = locked.unwrap_or_else(sync::PoisonError::into_inner);
         unconfirmed.insert(update.number, changed.last_change);
         Some(update)
     }
 
-    /// Returns the sums that changed since the last update; an upstream that no longer has any load
-    /// is listed by name with zeros.
-    fn diff_loads(&mut self, loads: &[wire::Load]) -> Vec<wire::Load> {
-        let sent = &mut self.sent.loads;
-        let now: collections::BTreeMap<_, _> = loads
-            .iter()
-            .map(|load| (load.upstream.clone(), load.clone()))
-            .collect();
-        let gone = sent.keys().filter(|name| !now.contains_key(*name));
-        let mut changes: Vec<wire::Load> = gone
-            .map(|name| wire::Load {
-                upstream: name.clone(),
-                ..wire::Load::default()
-            })
-            .collect();
-        let changed = loads
-            .iter()
-            .filter(|load| sent.get(&load.upstream) != Some(*load));
-        changes.extend(changed.cloned());
-        *sent = now;
-        changes
+    /// Adds the sums that changed since the last update; an upstream that no longer has any load is
+    /// listed by name with zeros. Adds none while the gateway is behind with earlier sums.
+    fn add_loads(&mut self, update: &mut wire::Update) {
+        let Some(sums) = self.fleet.read_sums(self.key) else {
+            return;
+        };
+        let unconfirmed = &mut self.sent.unconfirmed_loads;
+        unconfirmed.retain(|number| *number > sums.applied_number);
+        if sums.is_first {
+            self.sent.loads = load_totals::Loads::default();
+        } else if unconfirmed.len() >= MAX_UNCONFIRMED_LOADS {
+            return;
+        }
+        let changes = sums.others.diff(&self.sent.loads);
+        self.sent.loads = sums.others;
+        update.loads = changes.iter().map(encode_load).collect();
+        update.all_loads = sums.is_first;
+        update.has_loads = sums.is_first || !update.loads.is_empty();
     }
 
     /// Returns the document if the gateway asked for this version or an older one.
@@ -273,6 +301,27 @@
     }
 }
 
+fn decode_load(load: wire::Load) -> (String, balance::Load) {
+    let decoded = balance::Load {
+        copied: u64::from(load.copied),
+        running: load.running,
+        tokens: u64::from(load.tokens),
+        waiting: u64::from(load.waiting),
+    };
+    (load.upstream, decoded)
+}
+
+fn encode_load((name, load): (&String, balance::Load)) -> wire::Load {
+    let narrow = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
+    wire::Load {
+        copied: narrow(load.copied),
+        running: load.running,
+        tokens: narrow(load.tokens),
+        upstream: name.clone(),
+        waiting: narrow(load.waiting),
+    }
+}
+
 fn encode_status(status: &upstreams::Status) -> wire::Upstream {
     let state = match status.state {
         upstreams::State::Draining => wire::State::Draining,
--- a/crates/control/src/replica_status.rs
+++ b/crates/control/src/replica_status.rs
@@ -40,6 +40,11 @@
         },
         term: log.hard().term,
         voters: roster.voters.iter().map(format_member).collect(),
+        voter_names: roster
+            .voters
+            .iter()
+            .map(|voter| log_codec::format_name(&voter.name))
+            .collect(),
     }
 }
 
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -39,6 +39,8 @@
     pub term: u64,
     /// Hosts that vote, as `name/disk id`.
     pub voters: Vec<String>,
+    /// Names of the hosts that vote.
+    pub voter_names: Vec<String>,
 }
 
 impl Status {
--- a/crates/control/tests/platform.rs
+++ b/crates/control/tests/platform.rs
@@ -214,6 +214,38 @@
         self.wait_for(|update| !update.upstreams.is_empty()).await
     }
 
+    /// Reports that this gateway has `running` requests at an upstream.
+    async fn report_load(&self, running: u32, starts_loads: bool) {
+        let load = wire::Load {
+            running,
+            upstream: "i-1".to_owned(),
+            ..wire::Load::default()
+        };
+        let report = wire::Report {
+            has_loads: true,
+            loads: vec![load],
+            starts_loads,
+            ..wire::Report::default()
+        };
+        self.reports.send(report).await.expect("a link");
+    }
+
+    /// Returns the requests in all updates with loads that come within `limit`, and the number of
+    /// the last update.
+    async fn collect_running(&mut self, limit: time::Duration) -> (Vec<u32>, u64) {
+        let mut running = Vec::new();
+        let mut number = 0;
+        let collecting = async {
+            loop {
+                let update = self.updates.next().await.expect("a link").expect("a link");
+                number = update.number;
+                running.extend(update.loads.iter().map(|load| load.running));
+            }
+        };
+        let _ = tokio::time::timeout(limit, collecting).await;
+        (running, number)
+    }
+
     async fn confirm(&self, number: u64) {
         let report = wire::Report {
             applied: number,
@@ -377,6 +409,32 @@
     assert!(update.outage.expect("an outage").revision > 0);
 }
 
+/// A gateway that does not confirm stands for one behind a link that cannot carry all updates.
+#[tokio::test]
+async fn sums_do_not_queue_for_a_gateway_that_is_behind() {
+    const CHANGES: u32 = 20;
+    const CHANGE_INTERVAL: time::Duration = time::Duration::from_millis(60);
+    const SETTLE_TIME: time::Duration = time::Duration::from_millis(300);
+    let mut cluster = Cluster::prepare(3, &[]);
+    cluster.start_all();
+    cluster.call(0, 200, "PUT", CONFIG, &document(3, 900)).await;
+    let busy = cluster.follow(1).await;
+    let mut behind = cluster.follow(1).await;
+    let mut elsewhere = cluster.follow(1).await;
+    behind.report_load(0, true).await;
+    for running in 1..=CHANGES {
+        busy.report_load(running, running == 1).await;
+        tokio::time::sleep(CHANGE_INTERVAL).await;
+    }
+    let (running, number) = behind.collect_running(SETTLE_TIME).await;
+    assert!((1..=3).contains(&running.len()), "{running:?}");
+    behind.confirm(number).await;
+    let (running, _number) = behind.collect_running(SETTLE_TIME).await;
+    assert_eq!(running, [CHANGES], "the sum as it is now");
+    let (running, _number) = elsewhere.collect_running(SETTLE_TIME).await;
+    assert!(running.is_empty(), "it reports no load to this host");
+}
+
 #[tokio::test]
 async fn a_leave_is_acknowledged_after_gateways_confirm() {
     let mut cluster = Cluster::prepare(3, &[]);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! functions return.
 
 pub mod admit;
+pub mod aggregator;
 pub mod balance;
 pub mod batch;
 pub mod breaker;
@@ -20,6 +21,7 @@
 pub mod fetch;
 pub mod forecast;
 pub mod generation;
+pub mod load_totals;
 pub mod log;
 pub mod manifest;
 pub mod members;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -50,6 +50,8 @@
     /// Keys of the upstreams by name.
     names: collections::BTreeMap<String, UpstreamKey>,
     gateway_position: GatewayPosition,
+    /// When the load from other gateways was last received.
+    remote_loads_at: time::Instant,
     /// Revision of `domains_out`.
     revision: u64,
     table: Option<sync::Arc<routes::Table>>,
@@ -228,7 +230,9 @@
 
     /// Updates the load from other gateways; upstreams that are not listed are unchanged.
     pub(crate) fn update_remote_loads(&self, loads: &[wire::Load]) {
+        let now = self.clock.now();
         let mut state = self.lock();
+        state.remote_loads_at = now;
         for load in loads {
             let Some(key) = state.names.get(&load.upstream).copied() else {
                 continue;
@@ -349,6 +353,14 @@
             balance::Choice::NoCandidates => return Err(PlacementError::NoUpstream),
             balance::Choice::Take(key) => key,
         };
+        let view = placement::View {
+            load_age_ms: now.millis_since(state.remote_loads_at),
+            load: candidates
+                .iter()
+                .find(|candidate| candidate.key == key)
+                .map(|candidate| candidate.load)
+                .unwrap_or_default(),
+        };
         let upstream = state
             .upstreams
             .get_mut(key)
@@ -359,7 +371,9 @@
                 upstream.breaker.record_probe(now);
             }
         }
-        Ok(placement::Placement::reserve(self, key, upstream, load))
+        Ok(placement::Placement::reserve(
+            self, key, upstream, load, view,
+        ))
     }
 
     /// Records the outcome of a call in the upstream's circuit breaker.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,7 +7,9 @@
 
 use futures::StreamExt as _;
 use peargap_adapters::logs;
+use peargap_core::aggregator;
 use peargap_core::reconnect;
+use peargap_core::time::Instant;
 use peargap_core::upstreams;
 use peargap_platform::document;
 use peargap_wire::fleet as wire;
@@ -20,6 +22,7 @@
 
 use crate::events;
 use crate::fleet;
+use crate::load_reporter;
 
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 const KEEPALIVE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -42,8 +45,8 @@
     gateway: String,
     /// Receives the names of control hosts from updates.
     hosts: HostSender,
-    /// Names of the control hosts that are connected.
-    connected: sync::Arc<watch::Sender<collections::BTreeSet<String>>>,
+    /// Connected control hosts, of which one sums up the load of all gateways.
+    known: sync::Arc<watch::Sender<aggregator::Hosts>>,
     port: u16,
     token: CancellationToken,
 }
@@ -77,7 +80,7 @@
         fleet,
         gateway: options.gateway,
         hosts,
-        connected: sync::Arc::new(watch::Sender::new(collections::BTreeSet::new())),
+        known: sync::Arc::default(),
         port: options.port,
         token: token.clone(),
     };
@@ -151,19 +154,14 @@
     let stream = wrappers::ReceiverStream::new(outgoing);
     let response = client.follow(stream).await;
     let mut updates = response.map_err(|status| status.to_string())?.into_inner();
-    shared.connected.send_modify(|connected| {
-        connected.insert(host.to_owned());
-    });
-    let mut connected = shared.connected.subscribe();
+    shared.mark_connected(host);
     logs::emit(events::CONTROL_CONNECTED, format_args!("control={host}"));
+    let mut known = shared.known.subscribe();
     let mut tick = tokio::time::interval(LOAD_REPORT_INTERVAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut reported = Vec::new();
+    let mut load_reporter = load_reporter::LoadReporter::default();
     let mut offered_version = 0;
     let mut position = fleet::GatewayPosition::default();
-    if shared.reports_to(host) {
-        shared.fleet.clear_remote_loads();
-    }
     loop {
         let is_behind = offered_version > shared.fleet.version();
         if is_behind && shared.fleet.start_fetch(offered_version, DOCUMENT_TIMEOUT) {
@@ -177,27 +175,30 @@
             () = tokio::time::sleep(DOCUMENT_TIMEOUT), if is_behind => {}
             update = updates.next() => match update {
                 Some(Ok(update)) => {
+                    shared.record_update(host);
                     offered_version = offered_version.max(update.version);
                     position = read_position(&update).unwrap_or(position);
+                    load_reporter.record_update(&update);
                     apply(shared, host, update, &reports).await?;
                 }
                 Some(Err(status)) => return Err(status.to_string()),
                 None => return Err("control host closed the stream".to_owned()),
             },
-            // Load reports may go to this host from now on, which lacks the earlier ones.
-            result = connected.changed() => {
+            result = known.changed() => {
                 result.map_err(|_closed| "list of connected control hosts closed".to_owned())?;
-                reported.clear();
+                if !shared.reports_to(host) {
+                    if let Some(report) = load_reporter.stop() {
+                        send(&reports, report).await?;
+                    }
+                }
             }
             _instant = tick.tick(), if shared.reports_to(host) => {
+                load_reporter.start(shared.fleet.clock.now());
                 shared.fleet.set_position(position);
-                let loads = shared.fleet.list_local_loads();
-                if loads == reported {
-                    continue;
+                shared.check_silence(host, load_reporter.since());
+                if let Some(report) = load_reporter.build_report(shared.fleet.list_local_loads()) {
+                    send(&reports, report).await?;
                 }
-                reported.clone_from(&loads);
-                let report = wire::Report { has_loads: true, loads, ..wire::Report::default() };
-                send(&reports, report).await?;
             }
         }
     }
@@ -227,11 +228,17 @@
             shared.fleet.merge_status(status);
         }
     }
+    if !update.hosts.is_empty() {
+        shared.set_voters(update.voters);
+    }
     for host in update.hosts {
         // Fails only after `run` has ended.
         let _ = shared.hosts.send(host);
     }
     if update.has_loads && shared.reports_to(host) {
+        if update.all_loads {
+            shared.fleet.clear_remote_loads();
+        }
         shared.fleet.update_remote_loads(&update.loads);
     }
     if !has_upstreams {
@@ -289,16 +296,43 @@
 }
 
 impl Shared {
-    /// Returns whether load reports go to this host. Each gateway reports to the first of its
-    /// connected hosts by name, so that one host sums up the load of all.
+    /// Returns whether load reports go to this host.
     fn reports_to(&self, host: &str) -> bool {
-        let connected = self.connected.borrow();
-        connected.first().is_some_and(|first| first == host)
+        self.known.borrow().choose() == Some(host)
+    }
+
+    fn mark_connected(&self, host: &str) {
+        let now = self.fleet.clock.now();
+        self.known.send_modify(|known| known.connect(now, host));
     }
 
     /// Marks a host as disconnected; returns whether it was connected.
     fn mark_disconnected(&self, host: &str) -> bool {
-        self.connected
-            .send_if_modified(|connected| connected.remove(host))
+        self.known.send_if_modified(|known| known.disconnect(host))
+    }
+
+    fn record_update(&self, host: &str) {
+        let now = self.fleet.clock.now();
+        self.known
+            .send_if_modified(|known| known.record_update(now, host));
+    }
+
+    fn set_voters(&self, voters: Vec<String>) {
+        self.known.send_if_modified(|known| {
+            let former = known.clone();
+            known.set_voters(voters);
+            *known != former
+        });
+    }
+
+    /// Leaves a host that has been silent since `reporting_since` for another one.
+    fn check_silence(&self, host: &str, reporting_since: Instant) {
+        let now = self.fleet.clock.now();
+        let is_silent = self
+            .known
+            .send_if_modified(|known| known.check_silence(now, host, reporting_since));
+        if is_silent {
+            logs::emit(events::CONTROL_SILENT, format_args!("control={host}"));
+        }
     }
 }
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -152,10 +152,10 @@
         logs::emit(
             events::REQUEST_PLACED,
             format_args!(
-                "request={attempt} upstream={} copy={} tokens={}",
+                "request={attempt} upstream={} copy={} tokens={tokens} {}",
                 placement.name,
                 copy.as_ref().map_or("none", |copy| &copy.placement.name),
-                tokens
+                placement.view
             ),
         );
         let options = call::Options {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod follow;
 mod gateway;
 mod generation;
+mod load_reporter;
 mod meters;
 mod migrate;
 mod placement;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -8,6 +8,29 @@
 use crate::pool;
 use crate::upstream;
 
+/// What the gateway knew of the upstream's load when it chose it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct View {
+    /// Load from all gateways.
+    pub(crate) load: balance::Load,
+    /// Time since the load from the other gateways was received, in milliseconds.
+    pub(crate) load_age_ms: u64,
+}
+
+impl core::fmt::Display for View {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        write!(
+            formatter,
+            "running={} held={} copied={} waiting={} age_ms={}",
+            self.load.running,
+            self.load.tokens,
+            self.load.copied,
+            self.load.waiting,
+            self.load_age_ms
+        )
+    }
+}
+
 /// An upstream that a request was placed on. Its load there is released on drop.
 #[derive(Debug)]
 pub(crate) struct Placement {
@@ -19,6 +42,7 @@
     /// Name of the upstream.
     pub(crate) name: String,
     pub(crate) pool: sync::Arc<pool::Pool>,
+    pub(crate) view: View,
 }
 
 impl Placement {
@@ -28,6 +52,7 @@
         key: fleet::UpstreamKey,
         upstream: &mut upstream::Upstream,
         load: balance::Load,
+        view: View,
     ) -> Placement {
         upstream.local_load = upstream.local_load.plus(load);
         Placement {
@@ -37,6 +62,7 @@
             load,
             name: upstream.status.name.clone(),
             pool: upstream.pool.clone(),
+            view,
         }
     }
 
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -16,6 +16,13 @@
     /// Version of the routing document that the gateway requests because it does not have it.
     #[prost(uint64, tag = "5")]
     pub wanted: u64,
+    /// Set in the first report of load after the gateway has chosen this host to sum up all loads:
+    /// the next update with loads holds every upstream.
+    #[prost(bool, tag = "6")]
+    pub starts_loads: bool,
+    /// Set when the gateway reports its load to another host from now on.
+    #[prost(bool, tag = "7")]
+    pub stops_loads: bool,
 }
 /// Load on one upstream.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -55,7 +62,7 @@
     #[prost(string, repeated, tag = "5")]
     pub hosts: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// Set when `loads` holds, per upstream, the summed load of the other gateways that report to this
-    /// host: every upstream the first time, then only those whose sum changed.
+    /// host: only those whose sum changed, unless `all_loads` is set.
     #[prost(bool, tag = "6")]
     pub has_loads: bool,
     #[prost(message, repeated, tag = "7")]
@@ -69,6 +76,12 @@
     /// Rank of this gateway among them, starting at 1; set together with `gateways`.
     #[prost(uint32, tag = "10")]
     pub position: u32,
+    /// Names of the control hosts that vote; set together with `hosts`.
+    #[prost(string, repeated, tag = "11")]
+    pub voters: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Set when `loads` holds every upstream with load: others have none.
+    #[prost(bool, tag = "12")]
+    pub all_loads: bool,
 }
 /// The operators' routing document.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
