gateway: one broken request opens the breaker, and all gateways hear of it

Change: - a connection that the upstream breaks before a valid answer opens the breaker at once, as does one that cannot be opened or is lost in the network; - load reports say which upstreams fail by their own fault (gone, or breaking requests); one that fails at two gateways or more is chosen only if there is no other. Failures of the network are not told: they concern one side of a partition.

Tests, failing before: gateway/tests/generations an_engine_that_fails_at_other_gateways_gets_no_generation, core/tests/ policy_balance an_engine_that_fails_at_other_gateways_gets_no_request; new besides: a_resumable_generation_is_repeated_at_another_engine, an_engine_that_breaks_each_request_costs_one_generation, breaker tests. With the mend taken out these two still passed with one gateway, as an engine that fails once is left to the other one by its load: they guard, and are no proof of the mend.

--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -304,6 +304,7 @@
 fn decode_load(load: wire::Load) -> (String, balance::Load) {
     let decoded = balance::Load {
         copied: u64::from(load.copied),
+        failing: load.failing,
         running: load.running,
         tokens: u64::from(load.tokens),
         waiting: u64::from(load.waiting),
@@ -315,6 +316,7 @@
     let narrow = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
     wire::Load {
         copied: narrow(load.copied),
+        failing: load.failing,
         running: load.running,
         tokens: narrow(load.tokens),
         upstream: name.clone(),
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -39,11 +39,17 @@
 /// and prompts that are processed late are often processed in vain.
 const MAX_WAITING_TOKENS: u64 = 6000;
 
+/// Number of gateways with an open circuit breaker from which on an upstream is suspect for the
+/// others. The requests of one gateway may fail for reasons of its own.
+const SUSPECT_GATEWAYS: u32 = 2;
+
 /// Load of an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     /// Tokens held by copies of generations that run elsewhere.
     pub copied: u64,
+    /// Gateways whose circuit breaker for the upstream is open.
+    pub failing: u32,
     /// Requests that run or wait.
     pub running: u32,
     /// Tokens held by running generations.
@@ -58,6 +64,7 @@
     pub fn plus(self, other: Load) -> Load {
         Load {
             copied: self.copied + other.copied,
+            failing: self.failing + other.failing,
             running: self.running + other.running,
             tokens: self.tokens + other.tokens,
             waiting: self.waiting + other.waiting,
@@ -69,6 +76,7 @@
     pub fn minus(self, part: Load) -> Load {
         Load {
             copied: self.copied - part.copied,
+            failing: self.failing - part.failing,
             running: self.running - part.running,
             tokens: self.tokens - part.tokens,
             waiting: self.waiting - part.waiting,
@@ -94,6 +102,25 @@
     pub slots: u32,
 }
 
+impl<K> Candidate<K> {
+    /// Returns whether other gateways have found that the upstream fails.
+    fn is_suspect(&self) -> bool {
+        self.load.failing >= SUSPECT_GATEWAYS
+    }
+}
+
+/// Returns the candidates that are not suspect, or all if there are no others.
+fn exclude_suspects<K: Copy>(candidates: &[Candidate<K>]) -> Vec<Candidate<K>> {
+    let sound = candidates
+        .iter()
+        .filter(|candidate| !candidate.is_suspect());
+    let sound: Vec<Candidate<K>> = sound.copied().collect();
+    match sound.is_empty() {
+        true => candidates.to_vec(),
+        false => sound,
+    }
+}
+
 /// Result of a choice between candidates.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice<K> {
@@ -114,6 +141,7 @@
     if candidates.is_empty() {
         return Choice::NoCandidates;
     }
+    let candidates = exclude_suspects(candidates);
     let fits = |candidate: &Candidate<K>| {
         let held = candidate.load.tokens + candidate.load.copied + tokens;
         candidate.load.running < candidate.slots
@@ -153,6 +181,7 @@
     purpose: Purpose,
     random: &mut R,
 ) -> Choice<K> {
+    let candidates = exclude_suspects(candidates);
     let share = match purpose {
         Purpose::Backup => MAX_BACKUP_MEMORY_SHARE,
         Purpose::Move => MAX_MOVE_MEMORY_SHARE,
@@ -180,6 +209,7 @@
     if candidates.is_empty() {
         return Choice::NoCandidates;
     }
+    let candidates = exclude_suspects(candidates);
     let score = |candidate: &Candidate<K>| {
         f64::from(candidate.load.running) / f64::from(candidate.slots.max(1))
     };
--- a/crates/core/src/breaker.rs
+++ b/crates/core/src/breaker.rs
@@ -30,6 +30,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Breaker {
     failures: u32,
+    /// Whether the upstream's process itself caused the last failure, not the network.
+    is_at_fault: bool,
     open_ms: u64,
     /// End of the open time; none while closed.
     open_until: Option<time::Instant>,
@@ -44,6 +46,13 @@
         Breaker::default()
     }
 
+    /// Returns whether the breaker is open because the upstream's process is gone or breaks
+    /// requests, which holds for all gateways. A failure of the network may concern only one.
+    #[must_use]
+    pub fn is_upstream_failing(&self) -> bool {
+        self.is_open() && self.is_at_fault
+    }
+
     /// Returns whether the breaker is open or waits for the result of a probe.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -79,9 +88,23 @@
         *self = Breaker::default();
     }
 
-    /// Records a broken connection, a timeout or an engine failure.
+    /// Records a connection that the upstream broke before a valid answer. One such event opens the
+    /// breaker: the request is lost if it must not be sent again.
+    pub fn record_break(&mut self, now: time::Instant) {
+        self.is_at_fault = true;
+        self.trip(now, FIRST_OPEN_MS);
+    }
+
+    /// Records that the upstream could not be reached. One such event opens the breaker.
+    pub fn record_unreachable(&mut self, now: time::Instant) {
+        self.is_at_fault = false;
+        self.trip(now, FIRST_OPEN_MS);
+    }
+
+    /// Records a refusal or an engine failure.
     pub fn record_failure(&mut self, now: time::Instant) {
         self.failures += 1;
+        self.is_at_fault = false;
         self.probe_sent = None;
         if self.failures < FAILURES_TO_OPEN {
             return;
@@ -92,9 +115,14 @@
     /// Records a sign that the upstream's process is not at its address: a refused connection, or
     /// another process there. One such sign opens the breaker.
     pub fn record_absence(&mut self, now: time::Instant) {
+        self.is_at_fault = true;
+        self.trip(now, ABSENT_OPEN_MS);
+    }
+
+    fn trip(&mut self, now: time::Instant, shortest_ms: u64) {
         self.failures = self.failures.saturating_add(1).max(FAILURES_TO_OPEN);
         self.probe_sent = None;
-        self.open(now, ABSENT_OPEN_MS);
+        self.open(now, shortest_ms);
     }
 
     fn open(&mut self, now: time::Instant, shortest_ms: u64) {
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -39,6 +39,8 @@
 pub struct Route {
     /// Maximum number of upstreams that one request may be tried on.
     pub attempts: u32,
+    /// Whether a generation may be run again from its last event, or from its start.
+    pub is_resumable: bool,
     /// Longest gap between two events that counts as on time, in milliseconds.
     pub gap_ms: Option<u64>,
     /// Value of the `Host` header, in lower case.
--- a/crates/core/tests/load_totals.rs
+++ b/crates/core/tests/load_totals.rs
@@ -8,6 +8,7 @@
 fn load(amount: u32) -> balance::Load {
     balance::Load {
         copied: u64::from(amount) * 3,
+        failing: amount / 2,
         running: amount,
         tokens: u64::from(amount) * 7,
         waiting: u64::from(amount % 2),
--- a/crates/core/tests/policy_balance.rs
+++ b/crates/core/tests/policy_balance.rs
@@ -249,3 +249,48 @@
     let chosen = balance::choose_copy(&half, 2_000, balance::Purpose::Move, &mut random);
     assert_eq!(chosen, balance::Choice::Take(0));
 }
+
+/// Returns candidates of which those in `failing` fail at as many other gateways as given.
+fn candidates_with_failures(failing: [u32; 4]) -> Vec<balance::Candidate<usize>> {
+    let failing = failing.into_iter().enumerate();
+    failing
+        .map(|(key, failing)| balance::Candidate {
+            is_near: true,
+            is_own: false,
+            key,
+            load: balance::Load {
+                failing,
+                ..balance::Load::default()
+            },
+            memory: MEMORY_TOKENS,
+            slots: SLOTS,
+        })
+        .collect()
+}
+
+/// An engine that breaks each request looks idle. Without word from the other gateways each would
+/// lose requests there until it has seen for itself.
+#[test]
+fn an_engine_that_fails_at_other_gateways_gets_no_request() {
+    let mut random = SmallRng::seed_from_u64(3);
+    let candidates = candidates_with_failures([0, 2, 1, 7]);
+    for _choice in 0..200 {
+        let choices = [
+            balance::choose_engine(&candidates, 900, &mut random),
+            balance::choose_copy(&candidates, 900, balance::Purpose::Move, &mut random),
+            balance::choose_plain(&candidates, &mut random),
+        ];
+        for choice in choices {
+            let is_sound = matches!(choice, balance::Choice::Take(0 | 2));
+            assert!(is_sound, "{choice:?}");
+        }
+    }
+}
+
+#[test]
+fn if_every_engine_fails_elsewhere_one_is_chosen() {
+    let mut random = SmallRng::seed_from_u64(3);
+    let candidates = candidates_with_failures([3; 4]);
+    let choice = balance::choose_engine(&candidates, 900, &mut random);
+    assert!(matches!(choice, balance::Choice::Take(_)), "{choice:?}");
+}
--- a/crates/core/tests/policy_retry.rs
+++ b/crates/core/tests/policy_retry.rs
@@ -97,6 +97,28 @@
     );
 }
 
+#[test]
+fn a_breaker_opens_on_one_broken_connection() {
+    let mut breaker = breaker::Breaker::new();
+    let now = time::Instant(0);
+    breaker.record_break(now);
+    assert!(matches!(
+        breaker.check(now),
+        breaker::Decision::Reject { .. }
+    ));
+    assert!(breaker.is_upstream_failing());
+}
+
+/// A partition of the network concerns some gateways only, so the others must not hear of it as a
+/// failure of the upstream.
+#[test]
+fn an_unreachable_upstream_is_not_reported_as_failing() {
+    let mut breaker = breaker::Breaker::new();
+    breaker.record_unreachable(time::Instant(0));
+    assert!(breaker.is_open());
+    assert!(!breaker.is_upstream_failing());
+}
+
 #[test]
 fn a_breaker_opens_on_one_sign_of_absence_and_closes_on_an_answer() {
     let mut breaker = breaker::Breaker::new();
--- a/crates/core/tests/routes.rs
+++ b/crates/core/tests/routes.rs
@@ -19,6 +19,7 @@
     routes::Draft {
         route: routes::Route {
             attempts: 1,
+            is_resumable: false,
             gap_ms: None,
             host: host.to_owned(),
             kind: routes::Kind::Once,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -46,7 +46,10 @@
             Err(call::Failure::Unreachable(pool::Error::Refused)) => {}
             Err(call::Failure::Unreachable(_)) => self.unanswered += 1,
             Err(
-                call::Failure::Displaced | call::Failure::NotRun(_) | call::Failure::Unknown(_),
+                call::Failure::Displaced
+                | call::Failure::Lost(_)
+                | call::Failure::NotRun(_)
+                | call::Failure::Unknown(_),
             )
             | Ok(_) => self.arrived += 1,
         }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,5 +1,6 @@
 //! Forwarding of one request to one upstream.
 
+use std::io;
 use std::sync;
 
 use bytes::Bytes;
@@ -65,6 +66,8 @@
 pub(crate) enum Failure {
     /// Another process is at the upstream's address; the request has not run.
     Displaced,
+    /// The connection was lost in the network; the request may have run.
+    Lost(String),
     /// The request has not run, for this reason.
     NotRun(String),
     /// The request may have run; the error.
@@ -73,6 +76,16 @@
     Unreachable(pool::Error),
 }
 
+impl Failure {
+    /// Returns whether the request may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        match self {
+            Failure::Lost(_) | Failure::Unknown(_) => true,
+            Failure::Displaced | Failure::NotRun(_) | Failure::Unreachable(_) => false,
+        }
+    }
+}
+
 /// Returns what the result of a call says about the upstream.
 pub(crate) fn classify<T>(result: &Result<T, Failure>) -> fleet::Outcome {
     match result {
@@ -80,9 +93,9 @@
         Err(Failure::Displaced | Failure::Unreachable(pool::Error::Refused)) => {
             fleet::Outcome::Absent
         }
-        Err(Failure::NotRun(_) | Failure::Unknown(_) | Failure::Unreachable(_)) => {
-            fleet::Outcome::Failed
-        }
+        Err(Failure::Unknown(_)) => fleet::Outcome::Broken,
+        Err(Failure::Lost(_) | Failure::Unreachable(_)) => fleet::Outcome::Unreachable,
+        Err(Failure::NotRun(_)) => fleet::Outcome::Failed,
     }
 }
 
@@ -124,10 +137,7 @@
     *outgoing.uri_mut() = request.parts.uri.clone();
     *outgoing.headers_mut() = head::write_request(&request.parts.headers, &forwarding);
     let sent = sender.send_request(outgoing).await;
-    let response = sent.map_err(|error| match error.is_canceled() {
-        true => Failure::NotRun(error.to_string()),
-        false => Failure::Unknown(error.to_string()),
-    })?;
+    let response = sent.map_err(classify_error)?;
     let (head, body) = response.into_parts();
     let parsed = head::read_response(head.status, &head.headers, &request.head.attempt);
     if !parsed.is_for_attempt {
@@ -155,6 +165,21 @@
     })
 }
 
+/// Returns what an error says of a request that was handed to a connection.
+fn classify_error(error: hyper::Error) -> Failure {
+    if error.is_canceled() {
+        return Failure::NotRun(error.to_string());
+    }
+    let cause = std::error::Error::source(&error);
+    let cause = cause.and_then(|cause| cause.downcast_ref::<io::Error>());
+    match cause.map(io::Error::kind) {
+        Some(io::ErrorKind::TimedOut | io::ErrorKind::HostUnreachable) => {
+            Failure::Lost(error.to_string())
+        }
+        _ => Failure::Unknown(error.to_string()),
+    }
+}
+
 /// Reads the body of a response and returns its connection to the pool.
 pub(crate) async fn read_to_end(
     response: Response,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -90,10 +90,14 @@
 pub(crate) enum Outcome {
     /// Its process is not at its address.
     Absent,
+    /// It broke the connection before a valid answer.
+    Broken,
     /// It refused the request or failed.
     Failed,
     /// It answered.
     Succeeded,
+    /// The network did not deliver the request or its answer.
+    Unreachable,
 }
 
 /// Requirements for the choice of an upstream.
@@ -240,6 +244,7 @@
             if let Some(upstream) = state.upstreams.get_mut(key) {
                 upstream.remote_load = balance::Load {
                     copied: u64::from(load.copied),
+                    failing: load.failing,
                     running: load.running,
                     tokens: u64::from(load.tokens),
                     waiting: u64::from(load.waiting),
@@ -251,11 +256,13 @@
     /// Returns the load from this gateway on each upstream that has any.
     pub(crate) fn list_local_loads(&self) -> Vec<wire::Load> {
         let state = self.lock();
-        let with_load = state.upstreams.values();
-        let with_load =
-            with_load.filter(|upstream| upstream.local_load != balance::Load::default());
+        let with_load = state.upstreams.values().filter(|upstream| {
+            upstream.local_load != balance::Load::default()
+                || upstream.breaker.is_upstream_failing()
+        });
         let loads = with_load.map(|upstream| wire::Load {
             copied: u32::try_from(round_up(upstream.local_load.copied)).unwrap_or(u32::MAX),
+            failing: u32::from(upstream.breaker.is_upstream_failing()),
             running: upstream.local_load.running,
             tokens: u32::try_from(round_up(upstream.local_load.tokens)).unwrap_or(u32::MAX),
             upstream: upstream.status.name.clone(),
@@ -382,8 +389,10 @@
         if let Some(upstream) = self.lock().upstreams.get_mut(key) {
             match outcome {
                 Outcome::Absent => upstream.breaker.record_absence(now),
+                Outcome::Broken => upstream.breaker.record_break(now),
                 Outcome::Failed => upstream.breaker.record_failure(now),
                 Outcome::Succeeded => upstream.breaker.record_success(),
+                Outcome::Unreachable => upstream.breaker.record_unreachable(now),
             }
         }
     }
@@ -535,14 +544,24 @@
                 && upstream.status.state == upstreams::State::Ready
                 && !self.domains_out.contains(&upstream.status.domain)
         });
-        let available = ready.enumerate().filter(|(_index, (key, upstream))| {
+        let untried = ready.enumerate().filter(|(_index, (key, upstream))| {
             !criteria.exclude.contains(key)
-                && !matches!(
-                    upstream.breaker.check(now),
-                    breaker::Decision::Reject { .. }
-                )
                 && upstream.allows_cold_request(now, criteria.service.cold_per_s, gateways)
         });
+        let untried: Vec<_> = untried.collect();
+        let is_rejected = |upstream: &upstream::Upstream| {
+            matches!(
+                upstream.breaker.check(now),
+                breaker::Decision::Reject { .. }
+            )
+        };
+        // If every upstream fails, each may still serve some requests.
+        let are_all_rejected = untried
+            .iter()
+            .all(|(_index, (_key, upstream))| is_rejected(upstream));
+        let available = untried
+            .into_iter()
+            .filter(|(_index, (_key, upstream))| are_all_rejected || !is_rejected(upstream));
         let candidates = available.map(|(index, (key, upstream))| balance::Candidate {
             is_near: upstream.status.domain == domain,
             is_own: self.gateway_position.owns(index),
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -99,7 +99,11 @@
         service: service.clone(),
     });
     let objective = time::Duration::from_millis(route.objective_ms);
-    let started = start(gateway, &generation, objective);
+    let repeats = match route.is_resumable {
+        true => route.attempts.saturating_sub(1),
+        false => 0,
+    };
+    let started = start(gateway, &generation, objective, repeats);
     let run = match time::timeout_at(generation.request.deadline, started).await {
         Ok(Ok(run)) => run,
         Ok(Err(refusal)) => return gateway.refuse(&attempt, refusal),
@@ -108,12 +112,14 @@
     relay(gateway, generation, run).await
 }
 
-/// Starts a generation at an engine. Another engine is tried only if the first reports that the
-/// request has not run.
+/// Starts a generation at an engine. Another engine is tried if the request has not run at the first
+/// one. If it may have run there, it continues at its copy, if there is one, or is repeated up to
+/// `repeats` times.
 async fn start(
     gateway: &gateway::Gateway,
-    generation: &Generation,
+    generation: &sync::Arc<Generation>,
     objective: time::Duration,
+    mut repeats: u32,
 ) -> Result<Run, response::Refusal> {
     let mut attempts = attempts::Attempts::default();
     let waiting_since = time::Instant::now();
@@ -192,15 +198,52 @@
                         placement.name
                     ),
                 );
-                if matches!(failure, call::Failure::Unknown(_)) {
+                if !failure.may_have_run() {
+                    continue;
+                }
+                if let Some(run) = resume_at_copy(gateway, generation, copy).await {
+                    return Ok(run);
+                }
+                if repeats == 0 {
                     return Err(response::Refusal::UpstreamFailed);
                 }
+                repeats -= 1;
             }
         }
     }
     Err(response::Refusal::NotTaken)
 }
 
+/// Continues a generation at its copy after its engine failed without a response.
+async fn resume_at_copy(
+    gateway: &gateway::Gateway,
+    generation: &sync::Arc<Generation>,
+    copy: Option<migrate::Copy>,
+) -> Option<Run> {
+    let reason = migrate::Reason::Broken;
+    let mut resuming = migrate::resume(gateway.clone(), generation.clone(), copy?, reason);
+    let attempt = response::attempt_text(&generation.request.head.attempt);
+    match resuming.wait().await {
+        Ok(run) => {
+            logs::emit(
+                events::MOVE_COMPLETED,
+                format_args!(
+                    "request={attempt} from=none to={} events=0",
+                    run.placement.name
+                ),
+            );
+            Some(run)
+        }
+        Err(failure) => {
+            logs::emit(
+                events::MOVE_FAILED,
+                format_args!("request={attempt} from=none why={failure:?}"),
+            );
+            None
+        }
+    }
+}
+
 /// Returns whether an engine may become available while the request waits.
 fn may_have_capacity_soon(gateway: &gateway::Gateway, error: fleet::PlacementError) -> bool {
     match error {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -65,7 +65,7 @@
             Err(
                 call::Failure::Displaced | call::Failure::NotRun(_) | call::Failure::Unreachable(_),
             ) => {}
-            Err(call::Failure::Unknown(_why)) => {
+            Err(call::Failure::Lost(_) | call::Failure::Unknown(_)) => {
                 possible_runs += 1;
                 refusal = response::Refusal::UpstreamFailed;
             }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -12,7 +12,7 @@
 
 /// Time limit for opening a connection. TCP retransmits a lost SYN only after a second; by then
 /// another upstream would have responded.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 /// How long a connection is kept idle if the upstream sends no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: time::Duration = time::Duration::from_secs(2);
 /// How long before the upstream's keep-alive timeout an idle connection is dropped, so that a
--- a/crates/gateway/tests/generations.rs
+++ b/crates/gateway/tests/generations.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use peargap_fake::runner;
+use peargap_wire::fleet as wire;
 use support::generation;
 use support::wait_for;
 use support::Fixture;
@@ -171,3 +172,52 @@
     assert_eq!(run.headers["request-priority"], "0");
     assert_ne!(run.headers["kv-backup"], "10.9.9.9:1");
 }
+
+#[tokio::test]
+async fn an_engine_that_breaks_each_request_costs_one_generation() {
+    let fixture = start_fixture(&["p1", "p2"], 5).await;
+    let broken = fixture.runner("p1");
+    broken.set_behaviour(runner::Behaviour::OtherAttempt);
+    let mut lost = 0;
+    for _call in 0..20 {
+        let response = fixture.call(generation()).await;
+        lost += usize::from(response.status != 200 || !response.is_complete);
+    }
+    assert!(lost <= 1, "{lost} lost");
+}
+
+#[tokio::test]
+async fn a_resumable_generation_is_repeated_at_another_engine() {
+    let fixture = start_fixture(&["p1", "p2"], 5).await;
+    fixture
+        .runner("p1")
+        .set_behaviour(runner::Behaviour::OtherAttempt);
+    for _call in 0..10 {
+        let response = fixture.call(support::resumable_generation()).await;
+        assert_eq!(response.status, 200);
+        assert_eq!(response.ids(), ids_up_to(5));
+    }
+}
+
+#[tokio::test]
+async fn an_engine_that_fails_at_other_gateways_gets_no_generation() {
+    let fixture = start_fixture(&["p1", "p2"], 5).await;
+    let failing = wire::Load {
+        failing: 2,
+        upstream: "p1".to_owned(),
+        ..wire::Load::default()
+    };
+    let update = wire::Update {
+        all_loads: true,
+        has_loads: true,
+        loads: vec![failing],
+        ..wire::Update::default()
+    };
+    fixture.control.send(update).await;
+    // The gateway acknowledges sums only now and then, so the effect is waited for.
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    for _call in 0..10 {
+        assert_eq!(fixture.call(generation()).await.status, 200);
+    }
+    assert!(fixture.runner("p1").runs().is_empty());
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -27,8 +27,8 @@
 const TIMEOUT: time::Duration = time::Duration::from_secs(10);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
-/// Routing document: `/plain/` is idempotent, `/once/` is not, `/stream/` serves generations and
-/// `/open/` needs no key.
+/// Routing document: `/plain/` is idempotent, `/once/` is not, `/stream/` and `/resumable/` serve
+/// generations and `/open/` needs no key.
 pub(crate) const DOCUMENT: &str = r#"{"version":3,"routes":[
  {"name":"plain","host":"h.example","pathPrefix":"/plain/","routeType":"idempotent",
   "timeoutMs":3000,"latencySloMs":150,"service":"desk","maxAttempts":2},
@@ -38,7 +38,10 @@
   "timeoutMs":3000,"service":"desk","maxAttempts":1,"public":true},
  {"name":"stream","host":"h.example","pathPrefix":"/stream/","routeType":"streaming",
   "timeoutMs":9000,"latencySloMs":1800,"priority":1,"service":"pool","maxAttempts":1,
-  "itlTargetMs":180}],
+  "itlTargetMs":180},
+ {"name":"resumable","host":"h.example","pathPrefix":"/resumable/","routeType":"streaming",
+  "timeoutMs":9000,"latencySloMs":1800,"priority":1,"service":"pool","maxAttempts":2,
+  "itlTargetMs":180,"resumable":true}],
  "services":[{"name":"desk"},{"name":"pool","coldPerS":26.0,"engine":{"slots":24,
   "kvCapacity":34471,"moves":true,"backups":true,"stride":4,"handleTtlS":5.0}}],
  "limits":{"maxBodyBytes":1000,"maxHeaderBytes":9000,"idleTimeoutMs":2000},
@@ -375,7 +378,16 @@
 
 /// Returns a request for a generation.
 pub(crate) fn generation() -> http::Request<Full<Bytes>> {
-    let mut request = request("/stream/x?y=1", "prompt");
+    generation_at("/stream/x?y=1")
+}
+
+/// Returns a request for a generation that may be repeated.
+pub(crate) fn resumable_generation() -> http::Request<Full<Bytes>> {
+    generation_at("/resumable/x")
+}
+
+fn generation_at(path: &str) -> http::Request<Full<Bytes>> {
+    let mut request = request(path, "prompt");
     let usage = http::HeaderValue::from_static("900,400");
     request.headers_mut().insert("token-usage", usage);
     request
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -42,6 +42,9 @@
     /// Prompt tokens that it has not processed yet.
     #[prost(uint32, tag = "5")]
     pub waiting: u32,
+    /// Gateways whose requests to it fail.
+    #[prost(uint32, tag = "6")]
+    pub failing: u32,
 }
 /// Control host to gateway.
 #[derive(Clone, PartialEq, ::prost::Message)]
