--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,7 +26,7 @@
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
 
 /// Time for which a request waits for the first routing document after the start of the gateway.
-const ROUTES_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+const ROUTES_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 
 /// State shared by all requests.
 #[derive(Clone, Debug)]
--- a/crates/gateway/tests/generations.rs
+++ b/crates/gateway/tests/generations.rs
@@ -221,3 +221,20 @@
     }
     assert!(fixture.runner("p1").runs().is_empty());
 }
+
+/// A generation that is too large for a backup copy is copied once its engine is about to leave.
+#[tokio::test]
+async fn a_generation_without_a_backup_moves_from_a_draining_engine() {
+    let fixture = start_fixture(&["p1", "p2"], 150).await;
+    let mut caller = fixture.connect().await;
+    let calling = tokio::spawn(async move { caller.call(support::large_generation()).await });
+    let first = fixture.wait_for_running().await;
+    tokio::time::sleep(EVENT_INTERVAL * 10).await;
+    fixture.drain(&first.name).await;
+    let response = calling.await.expect("a response");
+    assert!(response.is_complete);
+    assert_eq!(response.ids(), ids_up_to(150));
+    let mut others = fixture.runners.values();
+    let second = others.find(|runner| runner.name != first.name);
+    assert_eq!(second.expect("a second runner").runs().len(), 1);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -381,6 +381,14 @@
     generation_at("/stream/x?y=1")
 }
 
+/// Returns a request for a generation that is too large for a backup copy.
+pub(crate) fn large_generation() -> http::Request<Full<Bytes>> {
+    let mut request = generation();
+    let usage = http::HeaderValue::from_static("20000,400");
+    request.headers_mut().insert("token-usage", usage);
+    request
+}
+
 /// Returns a request for a generation that may be repeated.
 pub(crate) fn resumable_generation() -> http::Request<Full<Bytes>> {
     generation_at("/resumable/x")
