gateway: after a start, a request waits for the first upstream of its service

Generations waited an eighth of their objective, plain calls not at all.

Change: within 3 s of the gateway's start a request waits for routes and for the first upstream of its service, 600 ms for both together. This replaces the wait within the placement of generations.

Test, failing before: gateway/tests/plain a_call_right_after_the_start_waits_for_the_first_upstream.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -135,23 +135,46 @@
     }
 
     /// Returns the current routing table. If the process has started recently, waits for the first
-    /// document, for at most `limit`.
+    /// document, until `deadline` at most.
     pub(crate) async fn wait_for_table(
         &self,
-        limit: core::time::Duration,
+        deadline: tokio::time::Instant,
     ) -> Option<sync::Arc<routes::Table>> {
+        let found = self.wait_at_start(|fleet| fleet.table());
+        tokio::time::timeout_at(deadline, found)
+            .await
+            .ok()
+            .flatten()
+    }
+
+    /// If the process has started recently, waits for the first upstream of a service, until
+    /// `deadline` at most.
+    pub(crate) async fn wait_for_upstream(&self, service: &str, deadline: tokio::time::Instant) {
+        let found = self.wait_at_start(|fleet| fleet.has_upstream(service).then_some(()));
+        // Without an upstream the request is refused when it is placed.
+        let _ = tokio::time::timeout_at(deadline, found).await;
+    }
+
+    /// Returns what `find` finds. If the process has started recently, waits until it finds
+    /// something.
+    async fn wait_at_start<T>(&self, find: impl Fn(&Fleet) -> Option<T>) -> Option<T> {
         let mut changes = self.changes();
-        let found = async {
-            loop {
-                if let Some(table) = self.table() {
-                    return Some(table);
-                }
-                if !self.is_starting() || changes.changed().await.is_err() {
-                    return None;
-                }
+        loop {
+            if let Some(found) = find(self) {
+                return Some(found);
             }
-        };
-        tokio::time::timeout(limit, found).await.ok().flatten()
+            if !self.is_starting() || changes.changed().await.is_err() {
+                return None;
+            }
+        }
+    }
+
+    fn has_upstream(&self, service: &str) -> bool {
+        let state = self.lock();
+        let mut upstreams = state.upstreams.values();
+        upstreams.any(|upstream| {
+            upstream.status.service == service && upstream.status.state == upstreams::State::Ready
+        })
     }
 
     /// Replaces the routing table unless the current one is at least as new.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,8 +25,9 @@
 /// Time limit of a request that names none, in milliseconds; the route's timeout still applies.
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
 
-/// Time for which a request waits for the first routing document after the start of the gateway.
-const ROUTES_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+/// Time for which a request waits for the first routing document and for the first upstream of its
+/// service after the start of the gateway.
+const STARTUP_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 
 /// State shared by all requests.
 #[derive(Clone, Debug)]
@@ -88,7 +89,8 @@
         parts: http::request::Parts,
         body: body::Incoming,
     ) -> Result<response::Response, response::Refusal> {
-        let table = self.fleet.wait_for_table(ROUTES_TIMEOUT).await;
+        let startup_end = tokio::time::Instant::now() + STARTUP_TIMEOUT;
+        let table = self.fleet.wait_for_table(startup_end).await;
         let table = table.ok_or(response::Refusal::NoRoutes)?;
         if count_head_bytes(&parts) > table.limits().head_bytes {
             return Err(response::Refusal::HeadTooLong);
@@ -112,6 +114,9 @@
             Ok(read) => read?,
             Err(_elapsed) => return Err(response::Refusal::TimedOutUnsent),
         };
+        self.fleet
+            .wait_for_upstream(&service.name, startup_end)
+            .await;
         self.lock_retry_budget().deposit();
         let priority = team.and_then(|team| team.rank).unwrap_or(route.rank);
         let request = call::Request {
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -135,10 +135,7 @@
         let mut placement = match gateway.fleet.place_generation(criteria) {
             Ok(placement) => placement,
             Err(_error) if attempts.has_arrived() => break,
-            Err(error)
-                if may_have_capacity_soon(gateway, error)
-                    && time::Instant::now() < capacity_deadline =>
-            {
+            Err(fleet::PlacementError::Full) if time::Instant::now() < capacity_deadline => {
                 time::sleep(CAPACITY_POLL_INTERVAL).await;
                 continue;
             }
@@ -244,15 +241,6 @@
     }
 }
 
-/// Returns whether an engine may become available while the request waits.
-fn may_have_capacity_soon(gateway: &gateway::Gateway, error: fleet::PlacementError) -> bool {
-    match error {
-        fleet::PlacementError::Full => true,
-        // Engines announce themselves at intervals of about a second.
-        fleet::PlacementError::NoUpstream => gateway.fleet.is_starting(),
-    }
-}
-
 /// Picks an engine for the backup copy, if the service keeps one and an engine has the capacity.
 pub(crate) fn place_backup(
     gateway: &gateway::Gateway,
--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -86,6 +86,17 @@
     assert_eq!(calling.await.expect("a response").status, 404);
 }
 
+#[tokio::test]
+async fn a_call_right_after_the_start_waits_for_the_first_upstream() {
+    let mut fixture = Fixture::start(&[]).await;
+    let mut caller = fixture.connect().await;
+    let calling = tokio::spawn(async move { caller.call(request("/once/", "")).await });
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    assert!(!calling.is_finished());
+    fixture.start_runner("d1").await;
+    assert_eq!(calling.await.expect("a response").status, 200);
+}
+
 #[tokio::test]
 async fn a_refused_call_is_retried_at_another_upstream() {
     let fixture = Fixture::start(&["d1", "d2"]).await;
