gateway: fleet.rs split by job; entry: two gauges no longer share a name

State and merging of statuses are now in fleet_state.rs, waits after a start in startup.rs, loads in load_exchange.rs. Behaviour as it was.

entry: peargap_entry_upstreams was registered twice with different descriptions and values. The one that counts agents which report that they take work is peargap_entry_agents_accepting now; tests/api reads both.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -60,7 +60,7 @@
         let upstreams = sync::Arc::new(atomic::AtomicU64::new(0));
         let count = upstreams.clone();
         let _gauge = meter
-            .u64_observable_gauge("peargap_entry_upstreams")
+            .u64_observable_gauge("peargap_entry_agents_accepting")
             .with_description("Upstreams whose agent reports that it takes work")
             .with_callback(move |gauge| gauge.observe(count.load(atomic::Ordering::Relaxed), &[]))
             .build();
--- a/crates/entry/tests/api.rs
+++ b/crates/entry/tests/api.rs
@@ -197,6 +197,8 @@
     }
     let upstreams = bench.entry.read_counter("peargap_entry_upstreams").await;
     assert_eq!(upstreams, 2.0);
+    let accepting = bench.entry.read_counter("peargap_entry_agents_accepting");
+    assert_eq!(accepting.await, 2.0);
     // A new budget holds 3 retries; each request adds a tenth of a retry.
     let retries = bench
         .entry
--- /dev/null
+++ b/crates/gateway/src/fleet_state.rs
@@ -0,0 +1,220 @@
+//! What a gateway knows of upstreams and of its position among all gateways.
+
+use std::collections;
+use std::net;
+use std::sync;
+
+use peargap_core::balance;
+use peargap_core::breaker;
+use peargap_core::routes;
+use peargap_core::time;
+use peargap_core::upstreams;
+use slotmap::SlotMap;
+
+use crate::fleet;
+use crate::pool;
+use crate::upstream;
+
+/// Time after which an upstream that has left or is silent is removed, in milliseconds.
+const FORGET_MS: u64 = 30_000;
+
+/// State that is shared by all clones of a [`fleet::Fleet`].
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) domains_out: collections::BTreeSet<String>,
+    /// Latest request for a routing document.
+    pub(crate) fetch: Option<Fetch>,
+    /// Keys of the upstreams by name.
+    pub(crate) names: collections::BTreeMap<String, fleet::UpstreamKey>,
+    pub(crate) gateway_position: GatewayPosition,
+    /// When the load from other gateways was last received.
+    pub(crate) remote_loads_at: time::Instant,
+    /// Revision of `domains_out`.
+    pub(crate) revision: u64,
+    pub(crate) table: Option<sync::Arc<routes::Table>>,
+    pub(crate) upstreams: SlotMap<fleet::UpstreamKey, upstream::Upstream>,
+    /// Version of `table`; 0 without one.
+    pub(crate) version: u64,
+}
+
+/// Position of this gateway among all gateways.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct GatewayPosition {
+    /// Number of gateways; 0 until a control host has sent it.
+    pub(crate) gateways: u32,
+    /// Position of this gateway, from 1.
+    pub(crate) position: u32,
+}
+
+/// A routing document that was requested from a control host.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Fetch {
+    pub(crate) requested_at: time::Instant,
+    pub(crate) version: u64,
+}
+
+impl State {
+    /// Merges a received status; one without a valid address is ignored.
+    pub(crate) fn merge_status(
+        &mut self,
+        now: time::Instant,
+        status: upstreams::Status,
+    ) -> upstreams::Outcome {
+        self.forget(now);
+        let Ok(address) = status.address.parse::<net::SocketAddr>() else {
+            return upstreams::Outcome::Stale;
+        };
+        let name = status.name.clone();
+        let outcome = self.merge_at_address(now, address, status);
+        if outcome == upstreams::Outcome::Changed {
+            self.mark_displaced(now, &name);
+        }
+        outcome
+    }
+
+    /// Marks the upstreams as absent at whose address a later process has started, among them the
+    /// named one. The breaker admits probes, as the clock of an upstream's host may have been set
+    /// back between two starts.
+    fn mark_displaced(&mut self, now: time::Instant, name: &str) {
+        let Some(key) = self.names.get(name).copied() else {
+            return;
+        };
+        let Some(status) = self
+            .upstreams
+            .get(key)
+            .map(|upstream| upstream.status.clone())
+        else {
+            return;
+        };
+        let statuses = self.upstreams.values().map(|upstream| &upstream.status);
+        let is_displaced = statuses
+            .clone()
+            .any(|other| upstreams::is_displaced(&status, other));
+        for upstream in self.upstreams.values_mut() {
+            let is_named = upstream.status.name == status.name;
+            if is_named && is_displaced || upstreams::is_displaced(&upstream.status, &status) {
+                upstream.breaker.record_absence(now);
+            }
+        }
+    }
+
+    fn merge_at_address(
+        &mut self,
+        now: time::Instant,
+        address: net::SocketAddr,
+        status: upstreams::Status,
+    ) -> upstreams::Outcome {
+        let cold_until = now + core::time::Duration::from_millis(status.cold_ms);
+        let known = self.names.get(&status.name).copied();
+        let known = known.and_then(|key| self.upstreams.get_mut(key));
+        let Some(known) = known else {
+            let name = status.name.clone();
+            let key = self.upstreams.insert(upstream::Upstream {
+                breaker: breaker::Breaker::new(),
+                cold_window_start: now,
+                cold_window_requests: 0,
+                cold_until,
+                last_heard: now,
+                remote_load: balance::Load::default(),
+                local_load: balance::Load::default(),
+                pool: sync::Arc::new(pool::Pool::new(address)),
+                status,
+            });
+            self.names.insert(name, key);
+            return upstreams::Outcome::Changed;
+        };
+        let outcome = upstreams::compare(&known.status, &status);
+        if outcome == upstreams::Outcome::Stale {
+            return outcome;
+        }
+        // A restarted process or another address invalidates connections and failure history.
+        let is_same_process = known.status.edition.born_ms == status.edition.born_ms
+            && known.status.address == status.address;
+        if !is_same_process {
+            known.breaker = breaker::Breaker::new();
+            known.pool = sync::Arc::new(pool::Pool::new(address));
+        }
+        known.cold_until = cold_until;
+        known.last_heard = now;
+        known.status = status;
+        outcome
+    }
+
+    fn forget(&mut self, now: time::Instant) {
+        let names = &mut self.names;
+        self.upstreams.retain(|_key, upstream| {
+            let is_gone = match upstream.status.state {
+                upstreams::State::Left | upstreams::State::Silent => {
+                    upstream.local_load == balance::Load::default()
+                        && now.millis_since(upstream.last_heard) > FORGET_MS
+                }
+                upstreams::State::Draining | upstreams::State::Ready => false,
+            };
+            if is_gone {
+                names.remove(&upstream.status.name);
+            }
+            !is_gone
+        });
+    }
+
+    /// Returns the upstreams that may be chosen. Those in the failure domain of `criteria.near`, or
+    /// else in `domain`, are near.
+    pub(crate) fn list_candidates(
+        &self,
+        now: time::Instant,
+        criteria: fleet::Criteria<'_>,
+        domain: &str,
+    ) -> Vec<balance::Candidate<fleet::UpstreamKey>> {
+        let gateways = f64::from(self.gateway_position.gateways.max(1));
+        let near = criteria.near.and_then(|key| self.upstreams.get(key));
+        let domain = near.map_or(domain, |near| &near.status.domain);
+        // All gateways number the upstreams in the order of their names, so that each gateway gets
+        // other upstreams as its own.
+        let keys = self.names.values().copied();
+        let known = keys.filter_map(|key| Some((key, self.upstreams.get(key)?)));
+        let ready = known.filter(|(_key, upstream)| {
+            upstream.status.service == criteria.service.name
+                && upstream.status.state == upstreams::State::Ready
+                && !self.domains_out.contains(&upstream.status.domain)
+        });
+        let untried = ready.enumerate().filter(|(_index, (key, upstream))| {
+            !criteria.exclude.contains(key)
+                && upstream.allows_cold_request(now, criteria.service.cold_per_s, gateways)
+        });
+        let untried: Vec<_> = untried.collect();
+        let is_rejected = |upstream: &upstream::Upstream| {
+            matches!(
+                upstream.breaker.check(now),
+                breaker::Decision::Reject { .. }
+            )
+        };
+        // If every upstream fails, each may still serve some requests.
+        let are_all_rejected = untried
+            .iter()
+            .all(|(_index, (_key, upstream))| is_rejected(upstream));
+        let available = untried
+            .into_iter()
+            .filter(|(_index, (_key, upstream))| are_all_rejected || !is_rejected(upstream));
+        let candidates = available.map(|(index, (key, upstream))| balance::Candidate {
+            is_near: upstream.status.domain == domain,
+            is_own: self.gateway_position.owns(index),
+            key,
+            load: upstream.local_load.plus(upstream.remote_load),
+            memory: criteria
+                .service
+                .engine
+                .map_or(0, |engine| engine.memory_tokens),
+            slots: upstream.status.slots,
+        });
+        candidates.collect()
+    }
+}
+
+impl GatewayPosition {
+    /// Returns whether the upstream at this index belongs to this gateway.
+    fn owns(self, index: usize) -> bool {
+        let gateways = usize::try_from(self.gateways).unwrap_or(usize::MAX);
+        let position = usize::try_from(self.position).unwrap_or(usize::MAX);
+        gateways > 0 && index % gateways + 1 == position
+    }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -22,6 +22,7 @@
 
 use crate::events;
 use crate::fleet;
+use crate::fleet_state;
 use crate::load_reporter;
 
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -161,7 +162,7 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut load_reporter = load_reporter::LoadReporter::default();
     let mut offered_version = 0;
-    let mut position = fleet::GatewayPosition::default();
+    let mut position = fleet_state::GatewayPosition::default();
     loop {
         let is_behind = offered_version > shared.fleet.version();
         if is_behind && shared.fleet.start_fetch(offered_version, DOCUMENT_TIMEOUT) {
@@ -252,8 +253,8 @@
 }
 
 /// Returns the gateway's position, if the update contains it.
-fn read_position(update: &wire::Update) -> Option<fleet::GatewayPosition> {
-    (update.gateways > 0).then_some(fleet::GatewayPosition {
+fn read_position(update: &wire::Update) -> Option<fleet_state::GatewayPosition> {
+    (update.gateways > 0).then_some(fleet_state::GatewayPosition {
         gateways: update.gateways,
         position: update.position,
     })
--- /dev/null
+++ b/crates/gateway/src/load_exchange.rs
@@ -0,0 +1,68 @@
+//! Load of this gateway and of the others on the upstreams.
+
+use peargap_core::balance;
+use peargap_wire::fleet as wire;
+
+use crate::fleet;
+use crate::fleet_state;
+
+/// Reported token counts are rounded up to a multiple of this, so that growing generations do not
+/// change the report with each event.
+const REPORTED_TOKENS_STEP: u64 = 256;
+
+impl fleet::Fleet {
+    /// Clears the load from other gateways, as another control host reports it from now on.
+    pub(crate) fn clear_remote_loads(&self) {
+        for upstream in self.lock().upstreams.values_mut() {
+            upstream.remote_load = balance::Load::default();
+        }
+    }
+
+    /// Sets the position of this gateway.
+    pub(crate) fn set_position(&self, position: fleet_state::GatewayPosition) {
+        self.lock().gateway_position = position;
+    }
+
+    /// Updates the load from other gateways; upstreams that are not listed are unchanged.
+    pub(crate) fn update_remote_loads(&self, loads: &[wire::Load]) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.remote_loads_at = now;
+        for load in loads {
+            let Some(key) = state.names.get(&load.upstream).copied() else {
+                continue;
+            };
+            if let Some(upstream) = state.upstreams.get_mut(key) {
+                upstream.remote_load = balance::Load {
+                    copied: u64::from(load.copied),
+                    failing: load.failing,
+                    running: load.running,
+                    tokens: u64::from(load.tokens),
+                    waiting: u64::from(load.waiting),
+                };
+            }
+        }
+    }
+
+    /// Returns the load from this gateway on each upstream that has any.
+    pub(crate) fn list_local_loads(&self) -> Vec<wire::Load> {
+        let state = self.lock();
+        let with_load = state.upstreams.values().filter(|upstream| {
+            upstream.local_load != balance::Load::default()
+                || upstream.breaker.is_upstream_failing()
+        });
+        let loads = with_load.map(|upstream| wire::Load {
+            copied: u32::try_from(round_up(upstream.local_load.copied)).unwrap_or(u32::MAX),
+            failing: u32::from(upstream.breaker.is_upstream_failing()),
+            running: upstream.local_load.running,
+            tokens: u32::try_from(round_up(upstream.local_load.tokens)).unwrap_or(u32::MAX),
+            upstream: upstream.status.name.clone(),
+            waiting: u32::try_from(upstream.local_load.waiting).unwrap_or(u32::MAX),
+        });
+        loads.collect()
+    }
+}
+
+fn round_up(tokens: u64) -> u64 {
+    tokens.div_ceil(REPORTED_TOKENS_STEP) * REPORTED_TOKENS_STEP
+}
