cli: account names generations of dead gateways, and counts by window

`peargap account` had no row for generations that were placed and not begun when their gateway died, and none by time.

The test of Untold now asks for the begun row and that there is no other: as strict as before, the variant has a field. Two new tests.

--- a/crates/cli/src/account.rs
+++ b/crates/cli/src/account.rs
@@ -6,6 +6,8 @@
 
 /// Weight of an output token in prompt tokens, by the engine time that each of them takes.
 const OUTPUT_WEIGHT: u64 = 10;
+/// Event logged when an upstream is chosen; for generations the line names their tokens.
+const REQUEST_PLACED: &str = "E6010";
 /// Event logged when an engine starts a generation.
 const GENERATION_STARTED: &str = "E6019";
 /// Event logged when a request ends.
@@ -42,8 +44,11 @@
     },
     /// Rejected by the gateway itself, for this reason.
     Refused(String),
-    /// Started, but no line reports its end: the gateway was killed, or log lines were dropped.
-    Untold,
+    /// Placed, but no line reports its end: the gateway was killed, or log lines were dropped.
+    Untold {
+        /// Whether its engine had started it.
+        begun: bool,
+    },
 }
 
 /// Totals of the generations with one outcome.
@@ -51,7 +56,8 @@
 pub struct Totals {
     /// Number of generations.
     pub count: u64,
-    /// Sum of the declared prompt tokens and ten times the declared output tokens.
+    /// Sum of the declared prompt tokens and ten times the declared output tokens. Lines of
+    /// generations without an end do not name their output.
     pub tokens: u64,
 }
 
@@ -70,18 +76,13 @@
         }
     }
     let mut rows = collections::BTreeMap::new();
-    let mut unfinished = collections::HashSet::new();
-    for line in &lines {
-        let request = timeline::find_value(&line.text, "request").unwrap_or_default();
-        if line.text.starts_with(GENERATION_STARTED) {
-            unfinished.insert(request);
-        } else if line.text.starts_with(REQUEST_ENDED) || line.text.starts_with(REQUEST_REFUSED) {
-            unfinished.remove(request);
-        }
-    }
-    if !unfinished.is_empty() {
-        let count = u64::try_from(unfinished.len()).unwrap_or(u64::MAX);
-        rows.insert(Outcome::Untold, Totals { count, tokens: 0 });
+    for unfinished in find_unfinished(&lines).values() {
+        let outcome = Outcome::Untold {
+            begun: unfinished.begun,
+        };
+        let row: &mut Totals = rows.entry(outcome).or_default();
+        row.count += 1;
+        row.tokens += unfinished.tokens;
     }
     for line in &lines {
         let Some(outcome) = parse_outcome(&line.text, &failures) else {
@@ -95,6 +96,31 @@
     rows
 }
 
+/// A generation whose end no line reports.
+#[derive(Clone, Copy, Debug, Default)]
+struct Unfinished {
+    begun: bool,
+    tokens: u64,
+}
+
+fn find_unfinished(lines: &[timeline::Line]) -> collections::HashMap<&str, Unfinished> {
+    let mut unfinished: collections::HashMap<&str, Unfinished> = collections::HashMap::new();
+    let mut ended = collections::HashSet::new();
+    for line in lines {
+        let request = timeline::find_value(&line.text, "request").unwrap_or_default();
+        let tokens = timeline::find_value(&line.text, "tokens");
+        if line.text.starts_with(REQUEST_PLACED) && tokens.is_some() {
+            unfinished.entry(request).or_default().tokens = parse_number(&line.text, "tokens");
+        } else if line.text.starts_with(GENERATION_STARTED) {
+            unfinished.entry(request).or_default().begun = true;
+        } else if line.text.starts_with(REQUEST_ENDED) || line.text.starts_with(REQUEST_REFUSED) {
+            ended.insert(request);
+        }
+    }
+    unfinished.retain(|request, _unfinished| !ended.contains(request));
+    unfinished
+}
+
 /// Formats the totals as a table, largest number of tokens first.
 #[must_use]
 pub fn format_table(rows: &collections::BTreeMap<Outcome, Totals>) -> String {
@@ -109,7 +135,12 @@
     text
 }
 
-fn parse_outcome(text: &str, failures: &collections::HashMap<String, String>) -> Option<Outcome> {
+/// Returns the outcome that a line reports; `failures` holds the reason of the last failed copy or
+/// move by request.
+pub(crate) fn parse_outcome(
+    text: &str,
+    failures: &collections::HashMap<String, String>,
+) -> Option<Outcome> {
     if text.starts_with(REQUEST_REFUSED) {
         let why = timeline::find_value(text, "why")?;
         return Some(Outcome::Refused(why.to_owned()));
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -36,6 +36,7 @@
   --wait SECONDS         wait until the change is in force everywhere
   --timeout SECONDS      time to wait for a response (default 10)
   --limit NUMBER         number of changes listed by `manifest history` (default 50)
+  --window SECONDS       `account` counts by the time of the request, in windows of this length
   --json                 print JSON
   --help, --version
 
@@ -111,6 +112,8 @@
     pub timeout: time::Duration,
     /// Longest wait until the change is in force everywhere; `None` not to wait.
     pub wait: Option<time::Duration>,
+    /// Length of the windows by which `account` counts; `None` counts by outcome.
+    pub window: Option<time::Duration>,
 }
 
 /// Parses the command line; the error says which argument is invalid.
@@ -130,6 +133,7 @@
         operator: take_value(&mut arguments, "--operator")?,
         timeout: take_seconds(&mut arguments, "--timeout")?.unwrap_or(DEFAULT_TIMEOUT),
         wait: take_seconds(&mut arguments, "--wait")?,
+        window: take_seconds(&mut arguments, "--window")?,
     };
     if help {
         return Ok(line);
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! Command line for operators: manifests, failure domains, upstreams, members, status, log analysis.
 
 pub mod account;
+pub mod account_windows;
 mod changes;
 mod client;
 pub mod command;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -3,11 +3,13 @@
 use std::ffi;
 use std::path;
 use std::process;
+use std::time;
 
 use peargap_adapters::manifest;
 use peargap_wire::operator::submit_request;
 
 use crate::account;
+use crate::account_windows;
 use crate::changes;
 use crate::client;
 use crate::command;
@@ -36,7 +38,7 @@
             println!("peargap {}", env!("CARGO_PKG_VERSION"));
             exit::Code::Done
         }
-        command::Command::Account => account(line.json),
+        command::Command::Account => account(line.json, line.window),
         command::Command::Explain(request) => explain(line.json, request),
         command::Command::ManifestCheck(file) => match read_manifest(file) {
             Ok(_) => output::report_valid_manifest(line.json, &file.display().to_string()),
@@ -63,13 +65,19 @@
     read.map_err(|error| output::report_invalid_input(json, &format!("standard input: {error}")))
 }
 
-/// Prints generations by outcome.
-fn account(json: bool) -> exit::Code {
+/// Prints generations by outcome, or by window if their length is given.
+fn account(json: bool, window: Option<time::Duration>) -> exit::Code {
     let log = match read_log(json) {
         Ok(log) => log,
         Err(code) => return code,
     };
-    print!("{}", account::format_table(&account::count_outcomes(&log)));
+    let table = match window {
+        Some(length) => {
+            account_windows::format_table(&account_windows::count_windows(&log, length))
+        }
+        None => account::format_table(&account::count_outcomes(&log)),
+    };
+    print!("{table}");
     exit::Code::Done
 }
 
--- a/crates/cli/tests/account.rs
+++ b/crates/cli/tests/account.rs
@@ -1,6 +1,7 @@
 //! Counts generations by outcome in sample log lines.
 
 use peargap_cli::account;
+use peargap_cli::account_windows;
 
 fn write_log(payloads: &[&str]) -> String {
     let lines = payloads.iter().map(|payload| {
@@ -62,8 +63,63 @@
         "E6012 request ended: request=b end=Complete pace=OnTime events=3 prompt=30 output=0",
     ]);
     let rows = account::count_outcomes(&log);
-    let untold = rows.get(&account::Outcome::Untold).expect("a row");
-    assert_eq!(untold.count, 1);
+    let untold = rows.get(&account::Outcome::Untold { begun: true });
+    assert_eq!(untold.expect("a row").count, 1);
+    assert_eq!(rows.len(), 2);
+}
+
+#[test]
+fn a_generation_that_was_only_placed_is_counted_as_untold_with_its_tokens() {
+    let log = write_log(&[
+        "E6010 request placed: request=a upstream=i-1 copy=none tokens=900 running=0",
+        "E6010 request placed: request=b upstream=i-1 copy=none tokens=800 running=0",
+        "E6011 request refused: request=b why=UpstreamFailed",
+        "E6010 request placed: request=c upstream=d-1",
+    ]);
+    let rows = account::count_outcomes(&log);
+    let untold = rows.get(&account::Outcome::Untold { begun: false });
+    let untold = untold.expect("a row");
+    assert_eq!((untold.count, untold.tokens), (1, 900));
+    assert_eq!(rows.len(), 2);
+}
+
+#[test]
+fn outcomes_count_in_the_window_of_the_request() {
+    let lines = [
+        (
+            1_000,
+            "E6010 request placed: request=a upstream=i-1 tokens=9",
+        ),
+        (
+            1_100,
+            "E6010 request placed: request=b upstream=i-1 tokens=9",
+        ),
+        (
+            3_200,
+            "E6012 request ended: request=a end=Complete pace=LateFirst events=3",
+        ),
+        (3_300, "E6011 request refused: request=c why=Full"),
+        (3_400, "E6011 request refused: request=d why=RouteUnknown"),
+    ];
+    let lines = lines.map(|(at_ms, payload)| {
+        let payload = serde_json::to_string(payload).expect("text");
+        format!("e {{\"timestamp\":{at_ms},\"payload\":{payload},\"logger\":\"g\"}}\n")
+    });
+    let length = std::time::Duration::from_secs(2);
+    let windows = account_windows::count_windows(&lines.concat(), length);
+    let first = account_windows::Window {
+        late: 1,
+        lost: 1,
+        ..account_windows::Window::default()
+    };
+    let second = account_windows::Window {
+        refused: 1,
+        ..account_windows::Window::default()
+    };
+    assert_eq!(
+        windows.into_iter().collect::<Vec<_>>(),
+        [(0, first), (2_000, second)]
+    );
 }
 
 #[test]
