gateway: a repeated generation that is then refused is not said not to have run

It is a 502 now.

Plain calls may reach four upstreams again; the shared count had made it three.

Test, failing before: gateway/tests/generations a_repeated_generation_that_is_then_refused_may_have_run.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -4,20 +4,29 @@
 use crate::fleet;
 use crate::pool;
 
-/// Attempts that reach an upstream, or wait for one that does not answer.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Attempts to send one request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Attempts {
     /// Attempts that reached an upstream.
     arrived: usize,
+    /// Limit of the attempts that reach an upstream or wait for one that does not answer.
+    limit: usize,
     /// Attempts that ended without an answer to the opening of a connection.
     unanswered: usize,
     tried: Vec<fleet::UpstreamKey>,
 }
 
 impl Attempts {
+    /// Returns no attempts so far.
+    pub(crate) fn new(limit: usize) -> Attempts {
+        Attempts {
+            arrived: 0,
+            limit,
+            tried: Vec::new(),
+            unanswered: 0,
+        }
+    }
+
     /// Returns the upstreams tried so far.
     pub(crate) fn tried(&self) -> &[fleet::UpstreamKey] {
         &self.tried
@@ -32,7 +41,7 @@
     /// Returns whether the limit of attempts is reached. A refused connection costs next to no time
     /// and does not count.
     pub(crate) fn is_exhausted(&self) -> bool {
-        self.arrived + self.unanswered >= MAX_ATTEMPTS
+        self.arrived + self.unanswered >= self.limit
     }
 
     /// Records the choice of an upstream.
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -28,6 +28,8 @@
 use crate::relay;
 use crate::response;
 
+/// Maximum number of engines that a request is sent to.
+const MAX_ATTEMPTS: usize = 3;
 /// Events buffered for a slow caller.
 const EVENT_BUFFER: usize = 32;
 /// Assumed prompt length of a request that declares none, in tokens.
@@ -121,7 +123,9 @@
     objective: time::Duration,
     mut repeats: u32,
 ) -> Result<Run, response::Refusal> {
-    let mut attempts = attempts::Attempts::default();
+    let mut attempts = attempts::Attempts::new(MAX_ATTEMPTS);
+    // Refusal if no other engine is tried.
+    let mut refusal = response::Refusal::NotTaken;
     let waiting_since = time::Instant::now();
     let capacity_deadline = waiting_since + objective / CAPACITY_WAIT_DIVISOR;
     while !attempts.is_exhausted() {
@@ -205,10 +209,11 @@
                     return Err(response::Refusal::UpstreamFailed);
                 }
                 repeats -= 1;
+                refusal = response::Refusal::UpstreamFailed;
             }
         }
     }
-    Err(response::Refusal::NotTaken)
+    Err(refusal)
 }
 
 /// Continues a generation at its copy after its engine failed without a response.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -12,6 +12,9 @@
 use crate::placement;
 use crate::response;
 
+/// Maximum number of upstreams that a request is sent to.
+const MAX_ATTEMPTS: usize = 4;
+
 /// Serves a request by an upstream of a service. It is retried at another upstream if it has not
 /// run, or if its route is idempotent and allows another attempt.
 pub(crate) async fn serve(
@@ -33,7 +36,7 @@
     route: &routes::Route,
     service: &routes::Service,
 ) -> response::Response {
-    let mut attempts = attempts::Attempts::default();
+    let mut attempts = attempts::Attempts::new(MAX_ATTEMPTS);
     let mut possible_runs = 0;
     // Response to the caller if no other upstream is tried.
     let mut refusal = response::Refusal::NotTaken;
--- a/crates/gateway/tests/generations.rs
+++ b/crates/gateway/tests/generations.rs
@@ -238,3 +238,21 @@
     let second = others.find(|runner| runner.name != first.name);
     assert_eq!(second.expect("a second runner").runs().len(), 1);
 }
+
+#[tokio::test]
+async fn a_repeated_generation_that_is_then_refused_may_have_run() {
+    let fixture = start_fixture(&["p1", "p2"], 5).await;
+    // One engine may have run the request, the other one refuses it.
+    fixture
+        .runner("p1")
+        .set_behaviour(runner::Behaviour::OtherAttempt);
+    fixture.runner("p2").set_behaviour(runner::Behaviour::Shed);
+    for _call in 0..6 {
+        let before = fixture.runner("p1").runs().len();
+        let response = fixture.call(support::resumable_generation()).await;
+        let has_run = fixture.runner("p1").runs().len() > before;
+        let expected = if has_run { 502 } else { 503 };
+        assert_eq!(response.status, expected);
+    }
+    assert!(!fixture.runner("p1").runs().is_empty());
+}
