gateway: a resume that may have run is not sent again

A resume at the copy there was sent three times, as any answer but a success was tried again; each 500 is a run.

Change: only a resume that has not run is sent again (a refusal, no connection). After another status, a broken connection or a timeout it is given up.

The stand-in used up the copy before it failed a request, so it refused the second resume; it keeps it now, as the platform's engines do.

Test, failing before (3 runs in place of 1): gateway/tests/generations a_resume_that_an_engine_ran_and_failed_is_not_sent_again.

--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -25,7 +25,7 @@
     /// Runs the request and responds with 200.
     #[default]
     Answer,
-    /// Runs the request and responds with 500.
+    /// Runs the request and responds with 500; keeps the copy that it should resume from.
     Fail,
     /// Runs the request and breaks off the connection within the response body.
     Reset,
@@ -247,8 +247,11 @@
     }
     let source_handle = header_text(&headers, "kv-from");
     let is_resumed = source_handle.is_some();
-    if source_handle.is_some_and(|handle| !runner.remove_copy(&handle)) {
-        return reject(StatusCode::SERVICE_UNAVAILABLE, &attempt);
+    // A runner that fails requests does so before it uses the copy, which it keeps.
+    if let Some(handle) = source_handle.filter(|_handle| behaviour != Behaviour::Fail) {
+        if !runner.remove_copy(&handle) {
+            return reject(StatusCode::SERVICE_UNAVAILABLE, &attempt);
+        }
     }
     let last_event_id = header_text(&headers, "last-event-id").and_then(|id| id.parse().ok());
     runner.lock().runs.push(Run {
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -197,7 +197,8 @@
                         placement,
                     })
                 }
-                Err(why) => failure = why,
+                Err(ResumeError::NotRun(why)) => failure = why,
+                Err(ResumeError::MayHaveRun(why)) => return Err(Failure::NotResumed(why)),
             }
             time::sleep(RETRY_DELAY).await;
         }
@@ -205,13 +206,22 @@
     })
 }
 
+/// Why an attempt to resume failed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum ResumeError {
+    /// The engine may have run the generation, so it must not get it again.
+    MayHaveRun(String),
+    /// The engine has not run the generation.
+    NotRun(String),
+}
+
 async fn try_resume(
     gateway: &gateway::Gateway,
     generation: &generation::Generation,
     origin: &Origin,
     placement: &placement::Placement,
     accepted: &Notify,
-) -> Result<(call::Response, Option<Copy>), String> {
+) -> Result<(call::Response, Option<Copy>), ResumeError> {
     let last_event = generation.last_event();
     let copy = generation::place_backup(gateway, generation, placement, last_event.unwrap_or(0));
     let attempt = response::attempt_text(&generation.request.head.attempt);
@@ -231,9 +241,15 @@
     let result = wait_for_response(sent, accepted).await;
     match result {
         Ok(Ok(response)) if response.head.status.is_success() => Ok((response, copy)),
-        Ok(Ok(response)) => Err(format!("engine answered {}", response.head.status)),
-        Ok(Err(failure)) => Err(format!("{failure:?}")),
-        Err(_elapsed) => Err("resume timed out".to_owned()),
+        Ok(Ok(response)) => {
+            let why = format!("engine answered {}", response.head.status);
+            Err(ResumeError::MayHaveRun(why))
+        }
+        Ok(Err(failure)) if failure.may_have_run() => {
+            Err(ResumeError::MayHaveRun(format!("{failure:?}")))
+        }
+        Ok(Err(failure)) => Err(ResumeError::NotRun(format!("{failure:?}"))),
+        Err(_elapsed) => Err(ResumeError::MayHaveRun("resume timed out".to_owned())),
     }
 }
 
--- a/crates/gateway/tests/generations.rs
+++ b/crates/gateway/tests/generations.rs
@@ -256,3 +256,18 @@
     }
     assert!(!fixture.runner("p1").runs().is_empty());
 }
+
+#[tokio::test]
+async fn a_resume_that_an_engine_ran_and_failed_is_not_sent_again() {
+    let fixture = start_fixture(&["p1", "p2"], 150).await;
+    let (calling, first) = start_generation(&fixture).await;
+    tokio::time::sleep(EVENT_INTERVAL * 10).await;
+    let mut others = fixture.runners.values();
+    let second = others.find(|runner| runner.name != first.name);
+    let second = second.expect("a second runner");
+    second.set_behaviour(runner::Behaviour::Fail);
+    first.interrupt_streams();
+    let response = calling.await.expect("a response");
+    assert!(!response.is_complete);
+    assert_eq!(second.runs().len(), 1);
+}
