gateway: logs tell repeated sends, and the age of a routing document, apart

Cause: no line showed a request that went to one upstream more than once, nor the document by which a request was refused, nor when a version was heard of and asked for. So the hypotheses of the incident of repeated sends could not be told apart by logs. Change: E6025 (document requested, from whom) and E6026 (sent again on another connection) are new; E6011 names the version in force, E6006 the time since the version was first offered.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,12 +7,15 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::body;
+use peargap_adapters::logs;
 use peargap_platform::head;
 use tokio::time;
 
+use crate::events;
 use crate::fleet;
 use crate::placement;
 use crate::pool;
+use crate::response;
 
 /// A caller's request, with its complete body.
 #[derive(Debug)]
@@ -112,7 +115,14 @@
         match send_on(connection.sender, request, placement, options).await {
             // The upstream closed an idle connection before the request reached it; try another
             // one.
-            Err(Failure::NotRun(_why)) if is_reused => {}
+            Err(Failure::NotRun(why)) if is_reused => logs::emit(
+                events::SENT_AGAIN,
+                format_args!(
+                    "request={} upstream={} why={why}",
+                    response::attempt_text(&request.head.attempt),
+                    placement.name
+                ),
+            ),
             result => return result,
         }
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -29,5 +29,9 @@
 pub(crate) const COPY_COMPLETED: logs::Event = logs::Event::info(6020, "generation memory copied");
 pub(crate) const CONTROL_SILENT: logs::Event = logs::Event::warn(6024, "control host silent");
 pub(crate) const RETRY_DENIED: logs::Event = logs::Event::warn(6023, "retry not allowed");
+pub(crate) const DOCUMENT_REQUESTED: logs::Event =
+    logs::Event::info(6025, "routing document requested");
+pub(crate) const SENT_AGAIN: logs::Event =
+    logs::Event::info(6026, "request sent again on another connection");
 pub(crate) const RELOADED: logs::Event = logs::Event::info(6021, "settings reloaded");
 pub(crate) const RELOAD_FAILED: logs::Event = logs::Event::error(6022, "settings not reloaded");
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -88,14 +88,29 @@
         }
         state.version = table.version();
         state.table = Some(sync::Arc::new(table));
+        let offered_at = state.offer.map(|offer| offer.first_heard);
+        let offered_ms = offered_at.map_or(0, |heard| self.clock.now().millis_since(heard));
         logs::emit(
             events::DOCUMENT_APPLIED,
-            format_args!("version={}", state.version),
+            format_args!("version={} offered_ms={offered_ms}", state.version),
         );
         drop(state);
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Notes that a control host has a document of this version.
+    pub(crate) fn record_offer(&self, version: u64) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let known = state.offer.map_or(0, |offer| offer.version);
+        if version > known.max(state.version) {
+            state.offer = Some(fleet_state::Offer {
+                first_heard: now,
+                version,
+            });
+        }
+    }
+
     /// Returns whether to request a document, and notes the request: false if this version or a
     /// newer one was requested within `timeout`.
     pub(crate) fn start_fetch(&self, version: u64, timeout: core::time::Duration) -> bool {
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -27,6 +27,8 @@
     /// Keys of the upstreams by name.
     pub(crate) names: collections::BTreeMap<String, fleet::UpstreamKey>,
     pub(crate) gateway_position: GatewayPosition,
+    /// Newest routing document that a control host has offered.
+    pub(crate) offer: Option<Offer>,
     /// When the load from other gateways was last received.
     pub(crate) remote_loads_at: time::Instant,
     /// Revision of `domains_out`.
@@ -46,6 +48,13 @@
     pub(crate) position: u32,
 }
 
+/// A routing document that a control host has.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Offer {
+    pub(crate) first_heard: time::Instant,
+    pub(crate) version: u64,
+}
+
 /// A routing document that was requested from a control host.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Fetch {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -166,6 +166,10 @@
     loop {
         let is_behind = offered_version > shared.fleet.version();
         if is_behind && shared.fleet.start_fetch(offered_version, DOCUMENT_TIMEOUT) {
+            logs::emit(
+                events::DOCUMENT_REQUESTED,
+                format_args!("version={offered_version} control={host}"),
+            );
             let report = wire::Report {
                 wanted: offered_version,
                 ..wire::Report::default()
@@ -178,6 +182,7 @@
                 Some(Ok(update)) => {
                     shared.record_update(host);
                     offered_version = offered_version.max(update.version);
+                    shared.fleet.record_offer(update.version);
                     position = read_position(&update).unwrap_or(position);
                     load_reporter.record_update(&update);
                     apply(shared, host, update, &reports).await?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -61,7 +61,7 @@
     /// Counts a refusal and returns the response for it.
     pub(crate) fn refuse(&self, attempt: &Bytes, refusal: response::Refusal) -> response::Response {
         self.meters.count_refusal(refusal);
-        response::refuse(attempt, refusal)
+        response::refuse(attempt, refusal, self.fleet.version())
     }
 
     fn lock_retry_budget(&self) -> sync::MutexGuard<'_, retry::Budget> {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -114,11 +114,14 @@
     }
 }
 
-/// Returns the response that refuses a request.
-pub(crate) fn refuse(attempt: &Bytes, refusal: Refusal) -> Response {
+/// Returns the response that refuses a request; `version` is that of the routing document in force.
+pub(crate) fn refuse(attempt: &Bytes, refusal: Refusal, version: u64) -> Response {
     logs::emit(
         events::REQUEST_REFUSED,
-        format_args!("request={} why={refusal:?}", attempt_text(attempt)),
+        format_args!(
+            "request={} why={refusal:?} version={version}",
+            attempt_text(attempt)
+        ),
     );
     let mut response = http::Response::new(full_body(Bytes::new()));
     *response.status_mut() = refusal.status();
