gateway: a refused request is not sent again on another connection of the same upstream

What callers saw: while a plain service refuses requests, refusals came later, and the service got several times the requests that callers sent. Cause: call::send takes another connection when a reused one fails with NotRun. That was meant for a connection that closed before the request was written, but a complete 503 is NotRun as well. So a refused request went to the same upstream once for each idle connection, without a draw on the retry budget. Evidence: the test fails before (6 arrivals of one request at an upstream with 5 idle connections; 1 is right). Change: NotSent is a failure of its own: the connection closed before the request was written. Only that one is tried on another connection, and it does not count as an arrival. Ruled out: callers' own retries, which are new requests. Class of fault: one error value for two causes that need different reactions.

--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -82,6 +82,10 @@
 
 #[derive(Debug)]
 struct State {
+    /// Delay before the response to a request that is not a generation.
+    answer_delay: time::Duration,
+    /// Attempt ids of the requests that arrived, also of those that were rejected.
+    arrivals: Vec<String>,
     behaviour: Behaviour,
     /// Handles of the generation copies that this runner holds.
     copies: collections::HashSet<String>,
@@ -97,6 +101,8 @@
 impl Default for State {
     fn default() -> State {
         State {
+            answer_delay: time::Duration::ZERO,
+            arrivals: Vec::new(),
             behaviour: Behaviour::Answer,
             copies: collections::HashSet::new(),
             events: 5,
@@ -107,6 +113,14 @@
     }
 }
 
+impl State {
+    /// Records that a request arrived; returns how it is handled.
+    fn record_arrival(&mut self, attempt: &str) -> Behaviour {
+        self.arrivals.push(attempt.to_owned());
+        self.behaviour
+    }
+}
+
 /// Counts a generation as running until it is dropped.
 #[derive(Debug)]
 struct RunningGuard(Runner);
@@ -181,6 +195,11 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Sets the delay before the response to a request that is not a generation.
+    pub fn set_answer_delay(&self, delay: time::Duration) {
+        self.lock().answer_delay = delay;
+    }
+
     /// Sets the number of events in a generation and the time between them.
     pub fn set_events(&self, events: u64, event_interval: time::Duration) {
         let mut state = self.lock();
@@ -211,6 +230,12 @@
         self.lock().runs.clone()
     }
 
+    /// Returns the attempt ids of the requests that arrived, in order, also of those that were
+    /// rejected.
+    pub fn arrivals(&self) -> Vec<String> {
+        self.lock().arrivals.clone()
+    }
+
     /// Returns the number of generations that are streaming.
     pub fn count_running(&self) -> usize {
         self.inner.running.load(atomic::Ordering::SeqCst)
@@ -241,7 +266,7 @@
     if header_text(&headers, "target-instance").is_some_and(|target| target != runner.name) {
         return reject(StatusCode::MISDIRECTED_REQUEST, &attempt);
     }
-    let behaviour = runner.lock().behaviour;
+    let behaviour = runner.lock().record_arrival(&attempt);
     if behaviour == Behaviour::Shed {
         return reject(StatusCode::SERVICE_UNAVAILABLE, &attempt);
     }
@@ -282,7 +307,11 @@
         Behaviour::Answer | Behaviour::Shed if headers.contains_key("token-usage") => {
             stream_events(&runner, &attempt, last_event_id.unwrap_or(0))
         }
-        Behaviour::Answer | Behaviour::Shed => respond(StatusCode::OK, &attempt, body),
+        Behaviour::Answer | Behaviour::Shed => {
+            let delay = runner.lock().answer_delay;
+            tokio::time::sleep(delay).await;
+            respond(StatusCode::OK, &attempt, body)
+        }
     }
 }
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,7 +11,7 @@
     arrived: usize,
     /// Limit of the attempts that reach an upstream or wait for one that does not answer.
     limit: usize,
-    /// Attempts that ended without an answer to the opening of a connection.
+    /// Attempts that ended before the request was sent, other than by a refused connection.
     unanswered: usize,
     tried: Vec<fleet::UpstreamKey>,
 }
@@ -53,7 +53,9 @@
     pub(crate) fn record<T>(&mut self, result: &Result<T, call::Failure>) {
         match result {
             Err(call::Failure::Unreachable(pool::Error::Refused)) => {}
-            Err(call::Failure::Unreachable(_)) => self.unanswered += 1,
+            Err(call::Failure::NotSent(_) | call::Failure::Unreachable(_)) => {
+                self.unanswered += 1;
+            }
             Err(
                 call::Failure::Displaced
                 | call::Failure::Lost(_)
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -71,8 +71,10 @@
     Displaced,
     /// The connection was lost in the network; the request may have run.
     Lost(String),
-    /// The request has not run, for this reason.
+    /// The upstream refused the request, for this reason; it has not run.
     NotRun(String),
+    /// The connection closed before the request was written to it; the error.
+    NotSent(String),
     /// The request may have run; the error.
     Unknown(String),
     /// No connection could be opened, for this reason; nothing was sent.
@@ -84,7 +86,10 @@
     pub(crate) fn may_have_run(&self) -> bool {
         match self {
             Failure::Lost(_) | Failure::Unknown(_) => true,
-            Failure::Displaced | Failure::NotRun(_) | Failure::Unreachable(_) => false,
+            Failure::Displaced
+            | Failure::NotRun(_)
+            | Failure::NotSent(_)
+            | Failure::Unreachable(_) => false,
         }
     }
 }
@@ -98,7 +103,7 @@
         }
         Err(Failure::Unknown(_)) => fleet::Outcome::Broken,
         Err(Failure::Lost(_) | Failure::Unreachable(_)) => fleet::Outcome::Unreachable,
-        Err(Failure::NotRun(_)) => fleet::Outcome::Failed,
+        Err(Failure::NotRun(_) | Failure::NotSent(_)) => fleet::Outcome::Failed,
     }
 }
 
@@ -113,9 +118,8 @@
         let connection = connection.map_err(Failure::Unreachable)?;
         let is_reused = connection.is_reused;
         match send_on(connection.sender, request, placement, options).await {
-            // The upstream closed an idle connection before the request reached it; try another
-            // one.
-            Err(Failure::NotRun(why)) if is_reused => logs::emit(
+            // The upstream has closed an idle connection; another one may be open.
+            Err(Failure::NotSent(why)) if is_reused => logs::emit(
                 events::SENT_AGAIN,
                 format_args!(
                     "request={} upstream={} why={why}",
@@ -178,7 +182,7 @@
 /// Returns what an error says of a request that was handed to a connection.
 fn classify_error(error: hyper::Error) -> Failure {
     if error.is_canceled() {
-        return Failure::NotRun(error.to_string());
+        return Failure::NotSent(error.to_string());
     }
     let cause = std::error::Error::source(&error);
     let cause = cause.and_then(|cause| cause.downcast_ref::<io::Error>());
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -66,7 +66,10 @@
             }
             Ok(response) => return forward(gateway, request, response),
             Err(
-                call::Failure::Displaced | call::Failure::NotRun(_) | call::Failure::Unreachable(_),
+                call::Failure::Displaced
+                | call::Failure::NotRun(_)
+                | call::Failure::NotSent(_)
+                | call::Failure::Unreachable(_),
             ) => {}
             Err(call::Failure::Lost(_) | call::Failure::Unknown(_)) => {
                 possible_runs += 1;
--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -107,6 +107,33 @@
     assert_eq!(fixture.runner("d2").runs().len(), 6);
 }
 
+/// Leaves several idle connections from the gateway to an upstream.
+async fn open_idle_connections(fixture: &Fixture, name: &str) {
+    let runner = fixture.runner(name);
+    runner.set_answer_delay(time::Duration::from_millis(100));
+    let mut calls = Vec::new();
+    for _call in 0..5 {
+        let mut caller = fixture.connect().await;
+        calls.push(tokio::spawn(async move {
+            caller.call(request("/plain/", "")).await.status
+        }));
+    }
+    for call in calls {
+        assert_eq!(call.await.expect("a response"), 200);
+    }
+    runner.set_answer_delay(time::Duration::ZERO);
+}
+
+#[tokio::test]
+async fn a_refused_call_does_not_arrive_again_on_other_idle_connections() {
+    let fixture = Fixture::start(&["d1"]).await;
+    open_idle_connections(&fixture, "d1").await;
+    let before = fixture.runner("d1").arrivals().len();
+    fixture.runner("d1").set_behaviour(runner::Behaviour::Shed);
+    assert_eq!(fixture.call(request("/once/", "")).await.status, 503);
+    assert_eq!(fixture.runner("d1").arrivals().len() - before, 1);
+}
+
 #[tokio::test]
 async fn a_call_that_all_upstreams_refuse_may_be_retried_and_has_not_run() {
     let fixture = Fixture::start(&["d1", "d2"]).await;
