gateway: a document that one control host does not send is requested from another one

What callers saw: refusals by an older document (401, 404), long after a newer one had been acknowledged. Cause: a request for a document holds for 250 ms, then any link may ask again. But each link's timer starts when it hears of the version, so the link that asked first also wakes first and asks the same host again, each 250 ms, for as long as that host's announcements arrive and requests to it are lost (a cut in one direction). After such a cut the lost request waits for TCP's backed-off retransmission, up to as long again as the cut, so the gateway is out of date when it counts as connected again. Change: core::document_fetch decides for all links.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 use peargap_adapters::logs;
 use peargap_core::balance;
 use peargap_core::breaker;
+use peargap_core::document_fetch;
 use peargap_core::routes;
 use peargap_core::upstreams;
 use tokio::sync::watch;
@@ -88,8 +89,7 @@
         }
         state.version = table.version();
         state.table = Some(sync::Arc::new(table));
-        let offered_at = state.offer.map(|offer| offer.first_heard);
-        let offered_ms = offered_at.map_or(0, |heard| self.clock.now().millis_since(heard));
+        let offered_ms = state.fetch.millis_since_offer(self.clock.now());
         logs::emit(
             events::DOCUMENT_APPLIED,
             format_args!("version={} offered_ms={offered_ms}", state.version),
@@ -98,35 +98,35 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    /// Notes that a control host has a document of this version.
-    pub(crate) fn record_offer(&self, version: u64) {
+    /// Records that a control host has a document of this version.
+    pub(crate) fn record_offer(&self, host: &str, version: u64) {
         let now = self.clock.now();
-        let mut state = self.lock();
-        let known = state.offer.map_or(0, |offer| offer.version);
-        if version > known.max(state.version) {
-            state.offer = Some(fleet_state::Offer {
-                first_heard: now,
-                version,
-            });
-        }
+        self.lock().fetch.record_offer(now, host, version);
+    }
+
+    /// Records that a control host has sent a document.
+    pub(crate) fn record_document(&self, host: &str) {
+        self.lock().fetch.record_answer(host);
+    }
+
+    /// Forgets what a control host has offered, as its link has ended.
+    pub(crate) fn forget_offer(&self, host: &str) {
+        self.lock().fetch.forget(host);
     }
 
-    /// Returns whether to request a document, and notes the request: false if this version or a
-    /// newer one was requested within `timeout`.
-    pub(crate) fn start_fetch(&self, version: u64, timeout: core::time::Duration) -> bool {
+    /// Returns whether a control host has a newer document than this gateway.
+    pub(crate) fn is_behind(&self, host: &str) -> bool {
+        let state = self.lock();
+        state.fetch.is_behind(host, state.version)
+    }
+
+    /// Returns whether to request a document on the link to a control host, and records the
+    /// request.
+    pub(crate) fn next_fetch(&self, host: &str) -> document_fetch::Next {
         let now = self.clock.now();
         let mut state = self.lock();
-        let is_pending = state
-            .fetch
-            .is_some_and(|fetch| fetch.version >= version && now < fetch.requested_at + timeout);
-        if is_pending {
-            return false;
-        }
-        state.fetch = Some(fleet_state::Fetch {
-            requested_at: now,
-            version,
-        });
-        true
+        let version = state.version;
+        state.fetch.next(now, host, version)
     }
 
     /// Returns the version of the current routing table; 0 without one.
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -6,6 +6,7 @@
 
 use peargap_core::balance;
 use peargap_core::breaker;
+use peargap_core::document_fetch;
 use peargap_core::routes;
 use peargap_core::time;
 use peargap_core::upstreams;
@@ -22,13 +23,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct State {
     pub(crate) domains_out: collections::BTreeSet<String>,
-    /// Latest request for a routing document.
-    pub(crate) fetch: Option<Fetch>,
+    /// Offers and requests of routing documents.
+    pub(crate) fetch: document_fetch::Fetch,
     /// Keys of the upstreams by name.
     pub(crate) names: collections::BTreeMap<String, fleet::UpstreamKey>,
     pub(crate) gateway_position: GatewayPosition,
-    /// Newest routing document that a control host has offered.
-    pub(crate) offer: Option<Offer>,
     /// When the load from other gateways was last received.
     pub(crate) remote_loads_at: time::Instant,
     /// Revision of `domains_out`.
@@ -48,20 +47,6 @@
     pub(crate) position: u32,
 }
 
-/// A routing document that a control host has.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Offer {
-    pub(crate) first_heard: time::Instant,
-    pub(crate) version: u64,
-}
-
-/// A routing document that was requested from a control host.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Fetch {
-    pub(crate) requested_at: time::Instant,
-    pub(crate) version: u64,
-}
-
 impl State {
     /// Merges a received status; one without a valid address is ignored.
     pub(crate) fn merge_status(
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,6 +8,7 @@
 use futures::StreamExt as _;
 use peargap_adapters::logs;
 use peargap_core::aggregator;
+use peargap_core::document_fetch;
 use peargap_core::reconnect;
 use peargap_core::time::Instant;
 use peargap_core::upstreams;
@@ -29,8 +30,6 @@
 const KEEPALIVE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Interval of load reports.
 const LOAD_REPORT_INTERVAL: time::Duration = time::Duration::from_millis(50);
-/// Time that a control host has to send a document before it is requested again, from any host.
-const DOCUMENT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Reports buffered for a slow connection.
 const REPORT_BUFFER: usize = 16;
 /// Maximum size of an update, in bytes.
@@ -117,6 +116,7 @@
         failures += 1;
         if shared.mark_disconnected(&host) {
             failures = 0;
+            shared.fleet.forget_offer(&host);
             logs::emit(
                 events::CONTROL_DISCONNECTED,
                 format_args!("control={host} why={result:?}"),
@@ -161,28 +161,28 @@
     let mut tick = tokio::time::interval(LOAD_REPORT_INTERVAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut load_reporter = load_reporter::LoadReporter::default();
-    let mut offered_version = 0;
     let mut position = fleet_state::GatewayPosition::default();
     loop {
-        let is_behind = offered_version > shared.fleet.version();
-        if is_behind && shared.fleet.start_fetch(offered_version, DOCUMENT_TIMEOUT) {
+        if let document_fetch::Next::Request(version) = shared.fleet.next_fetch(host) {
             logs::emit(
                 events::DOCUMENT_REQUESTED,
-                format_args!("version={offered_version} control={host}"),
+                format_args!("version={version} control={host}"),
             );
             let report = wire::Report {
-                wanted: offered_version,
+                wanted: version,
                 ..wire::Report::default()
             };
             send(&reports, report).await?;
         }
+        let is_behind = shared.fleet.is_behind(host);
         tokio::select! {
-            () = tokio::time::sleep(DOCUMENT_TIMEOUT), if is_behind => {}
+            () = tokio::time::sleep(document_fetch::TIMEOUT), if is_behind => {}
             update = updates.next() => match update {
                 Some(Ok(update)) => {
                     shared.record_update(host);
-                    offered_version = offered_version.max(update.version);
-                    shared.fleet.record_offer(update.version);
+                    if update.version > 0 {
+                        shared.fleet.record_offer(host, update.version);
+                    }
                     position = read_position(&update).unwrap_or(position);
                     load_reporter.record_update(&update);
                     apply(shared, host, update, &reports).await?;
@@ -223,6 +223,7 @@
     reports: &mpsc::Sender<wire::Report>,
 ) -> Result<(), String> {
     if let Some(document) = update.document {
+        shared.fleet.record_document(host);
         apply_document(&shared.fleet, &document);
     }
     if let Some(outage) = update.outage {
--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -86,6 +86,23 @@
     assert_eq!(calling.await.expect("a response").status, 404);
 }
 
+#[tokio::test]
+async fn a_document_is_taken_from_another_host_if_the_first_does_not_send_it() {
+    /// Well below the two seconds in which a document must be in force.
+    const LIMIT: time::Duration = time::Duration::from_secs(1);
+    let mute = support::Control::new_mute();
+    let fixture = Fixture::start_with_hosts(std::slice::from_ref(&mute)).await;
+    let offer = wire::Update {
+        version: 3,
+        ..wire::Update::default()
+    };
+    mute.send(offer.clone()).await;
+    tokio::time::sleep(time::Duration::from_millis(20)).await;
+    fixture.control.send(offer).await;
+    let routed = tokio::time::timeout(LIMIT, fixture.wait_until_routed()).await;
+    assert!(routed.is_ok(), "no document after {LIMIT:?}");
+}
+
 #[tokio::test]
 async fn a_call_right_after_the_start_waits_for_the_first_upstream() {
     let mut fixture = Fixture::start(&[]).await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Control {
     applied: sync::Arc<sync::Mutex<Vec<u64>>>,
     connections: sync::Arc<sync::Mutex<Vec<UpdateSender>>>,
+    /// Whether it sends no documents.
+    is_mute: bool,
     sent_updates: sync::Arc<sync::Mutex<Vec<wire::Update>>>,
 }
 
@@ -75,10 +77,11 @@
             .expect("connections")
             .push(updates.clone());
         let applied = self.applied.clone();
+        let is_mute = self.is_mute;
         let connection = updates.clone();
         tokio::spawn(async move {
             while let Some(Ok(report)) = reports.next().await {
-                if report.wanted > 0 {
+                if report.wanted > 0 && !is_mute {
                     let document = wire::Document {
                         text: Bytes::from_static(DOCUMENT.as_bytes()),
                         version: report.wanted,
@@ -101,6 +104,28 @@
 }
 
 impl Control {
+    /// Returns a control host that announces documents but does not send them.
+    pub(crate) fn new_mute() -> Control {
+        Control {
+            is_mute: true,
+            ..Control::default()
+        }
+    }
+
+    /// Starts to serve gateways at an address.
+    fn serve(&self, address: net::SocketAddr) {
+        let service = fleet_server::FleetServer::new(self.clone());
+        let served = tonic::transport::Server::builder()
+            .add_service(service)
+            .serve(address);
+        tokio::spawn(served);
+    }
+
+    async fn wait_until_connected(&self) {
+        let connections = self.connections.clone();
+        wait_for(move || !connections.lock().expect("connections").is_empty()).await;
+    }
+
     /// Sends an update to every gateway and waits until its upstreams, if any, are applied.
     pub(crate) async fn send(&self, mut update: wire::Update) {
         {
@@ -182,19 +207,26 @@
 impl Fixture {
     /// Starts a gateway without routes.
     pub(crate) async fn start_empty() -> Fixture {
+        Fixture::start_with_hosts(&[]).await
+    }
+
+    /// Starts a gateway without routes that follows the fixture's control host and these others.
+    pub(crate) async fn start_with_hosts(others: &[Control]) -> Fixture {
         let ports = ports::find_ports(3).expect("ports");
         let local = |port| net::SocketAddr::from(([127, 0, 0, 1], port));
         let control = Control::default();
-        let service = fleet_server::FleetServer::new(control.clone());
-        let served = tonic::transport::Server::builder()
-            .add_service(service)
-            .serve(local(ports[0]));
-        tokio::spawn(served);
+        control.serve(local(ports[0]));
+        let mut control_seeds = vec![local(ports[0])];
+        for (number, other) in (2..).zip(others) {
+            let address = net::SocketAddr::from(([127, 0, 0, number], ports[0]));
+            other.serve(address);
+            control_seeds.push(address);
+        }
         let stop = CancellationToken::new();
         let settings = settings::Settings {
             callers: local(ports[1]),
             control_port: ports[0],
-            control_seeds: vec![local(ports[0])],
+            control_seeds,
             domain: "a".to_owned(),
             grace: time::Duration::from_secs(8),
             health: local(ports[2]),
@@ -207,8 +239,10 @@
         let ended = tokio::spawn(async move {
             run::run(settings, token).await.expect("a gateway");
         });
-        let connections = control.connections.clone();
-        wait_for(move || !connections.lock().expect("connections").is_empty()).await;
+        control.wait_until_connected().await;
+        for other in others {
+            other.wait_until_connected().await;
+        }
         Fixture {
             address: local(ports[1]),
             control,
@@ -239,7 +273,7 @@
     }
 
     /// Waits until the gateway has routes.
-    async fn wait_until_routed(&self) {
+    pub(crate) async fn wait_until_routed(&self) {
         let poll = async {
             while self.call(request("/nowhere/", "")).await.status == 503 {
                 tokio::time::sleep(POLL_INTERVAL).await;
