core, gateway: retries are bounded for each service, over all gateways together

What callers saw: while a service refuses requests it got more repeats than the document's bounds allow: the developers counted 425 of 424, 479 of 451 and 919 of 840 with repeats on idle connections taken out. Cause: the budget belonged to a gateway, for all services: 3 retries at each start and up to 20 saved, so 500 for 25 gateways and 2,100 for 105, while the bounds give a service 0.2 of its requests and one burst. Restarts filled it anew. Class of fault: a bound of the fleet kept by each process for itself. Change: core::retry_budget has a sliding window for each service. A gateway spends half of the ratio on its own requests and an equal part of half of the burst; a smaller count of gateways holds only after a window; the part grows from nothing over a window after a start, so that restarts spend no more than a process that runs on. A service more than half of whose upstreams refused their last request gets no repeats. The bounds come from the deploy template, [retries] in the settings. E6023 and the metric name the service. The new gateway test fails without the rule for refusing services (160 arrivals of 40 calls, at most 43 allowed). Equal parts lose where traffic is uneven: an idle gateway's part is not spent; the ratio follows traffic. The first requests of a new gateway are not repeated: ten requests earn one retry until the part has grown.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod reconnect;
 pub mod replay_buffer;
 pub mod retry;
+pub mod retry_budget;
 pub mod routes;
 pub mod routing;
 mod running;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,6 +7,7 @@
 use peargap_core::balance;
 use peargap_core::breaker;
 use peargap_core::document_fetch;
+use peargap_core::retry_budget;
 use peargap_core::routes;
 use peargap_core::upstreams;
 use tokio::sync::watch;
@@ -277,6 +278,7 @@
     pub(crate) fn record_outcome(&self, key: UpstreamKey, outcome: Outcome) {
         let now = self.clock.now();
         if let Some(upstream) = self.lock().upstreams.get_mut(key) {
+            upstream.record_refusal(now, outcome == Outcome::Failed);
             match outcome {
                 Outcome::Absent => upstream.breaker.record_absence(now),
                 Outcome::Broken => upstream.breaker.record_break(now),
@@ -287,6 +289,17 @@
         }
     }
 
+    /// Returns the number of gateways; 0 if it is not known yet.
+    pub(crate) fn count_gateways(&self) -> u32 {
+        self.lock().gateway_position.gateways
+    }
+
+    /// Returns how many upstreams of a service take work, and how many of them refuse requests.
+    pub(crate) fn count_refusing(&self, service: &str) -> retry_budget::Upstreams {
+        let now = self.clock.now();
+        self.lock().count_refusing(now, service)
+    }
+
     /// Replaces a part of the load from this gateway; returns whether the upstream is still known.
     pub(crate) fn replace_load(
         &self,
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -7,6 +7,7 @@
 use peargap_core::balance;
 use peargap_core::breaker;
 use peargap_core::document_fetch;
+use peargap_core::retry_budget;
 use peargap_core::routes;
 use peargap_core::time;
 use peargap_core::upstreams;
@@ -109,6 +110,7 @@
                 cold_window_requests: 0,
                 cold_until,
                 last_heard: now,
+                refused_at: None,
                 remote_load: balance::Load::default(),
                 local_load: balance::Load::default(),
                 pool: sync::Arc::new(pool::Pool::new(address)),
@@ -151,6 +153,24 @@
         });
     }
 
+    /// Returns how many upstreams of a service take work, and how many of them refuse requests.
+    pub(crate) fn count_refusing(
+        &self,
+        now: time::Instant,
+        service: &str,
+    ) -> retry_budget::Upstreams {
+        let upstreams = self.upstreams.values();
+        let ready = upstreams.filter(|upstream| {
+            upstream.status.service == service && upstream.status.state == upstreams::State::Ready
+        });
+        ready.fold(retry_budget::Upstreams::default(), |counted, upstream| {
+            retry_budget::Upstreams {
+                ready: counted.ready + 1,
+                refusing: counted.refusing + u32::from(upstream.is_refusing(now)),
+            }
+        })
+    }
+
     /// Returns the upstreams that may be chosen. Those in the failure domain of `criteria.near`, or
     /// else in `domain`, are near.
     pub(crate) fn list_candidates(
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -195,6 +195,9 @@
                         shared.fleet.record_offer(host, update.version);
                     }
                     position = read_position(&update).unwrap_or(position);
+                    if shared.reports_to(host) {
+                        shared.fleet.set_position(position);
+                    }
                     load_reporter.record_update(&update);
                     apply(shared, host, update, &reports).await?;
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,26 +1,23 @@
 //! Routing of a request, up to the choice of an upstream.
 
 use std::convert;
-use std::sync;
 use std::time;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
 use hyper::body;
-use peargap_adapters::logs;
-use peargap_core::retry;
 use peargap_core::routes;
 use peargap_platform::head;
 use rand::RngExt as _;
 
 use crate::call;
-use crate::events;
 use crate::fleet;
 use crate::generation;
 use crate::meters;
 use crate::plain;
 use crate::response;
+use crate::retries;
 
 /// Time limit of a request that names none, in milliseconds; the route's timeout still applies.
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
@@ -34,41 +31,16 @@
 pub(crate) struct Gateway {
     pub(crate) fleet: fleet::Fleet,
     pub(crate) meters: meters::Meters,
-    pub(crate) retry_budget: sync::Arc<sync::Mutex<retry::Budget>>,
+    pub(crate) retries: retries::Retries,
 }
 
 impl Gateway {
-    /// Withdraws one retry from the budget; returns false if the budget is exhausted.
-    pub(crate) fn try_withdraw_retry(&self, attempt: &Bytes) -> bool {
-        let mut budget = self.lock_retry_budget();
-        let is_allowed = budget.try_withdraw();
-        let left = budget.left();
-        drop(budget);
-        if is_allowed {
-            self.meters.count_retry();
-        } else {
-            logs::emit(
-                events::RETRY_DENIED,
-                format_args!(
-                    "request={} budget={left:.2}",
-                    response::attempt_text(attempt)
-                ),
-            );
-        }
-        is_allowed
-    }
-
     /// Counts a refusal and returns the response for it.
     pub(crate) fn refuse(&self, attempt: &Bytes, refusal: response::Refusal) -> response::Response {
         self.meters.count_refusal(refusal);
         response::refuse(attempt, refusal, self.fleet.version())
     }
 
-    fn lock_retry_budget(&self) -> sync::MutexGuard<'_, retry::Budget> {
-        let locked = self.retry_budget.lock();
-        locked.unwrap_or_else(sync::PoisonError::into_inner)
-    }
-
     /// Serves one request.
     pub(crate) async fn serve(
         self,
@@ -117,7 +89,7 @@
         self.fleet
             .wait_for_upstream(&service.name, startup_end)
             .await;
-        self.lock_retry_budget().deposit();
+        self.retries.record_request(&service.name);
         let priority = team.and_then(|team| team.rank).unwrap_or(route.rank);
         let request = call::Request {
             arrived,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -149,7 +149,11 @@
         if attempts.tried().is_empty() {
             gateway.meters.record_wait(waiting_since.elapsed());
         }
-        if attempts.has_arrived() && !gateway.try_withdraw_retry(&generation.request.head.attempt) {
+        if attempts.has_arrived()
+            && !gateway
+                .retries
+                .try_withdraw(&generation.request, &generation.service.name)
+        {
             break;
         }
         attempts.record_choice(placement.key);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod pool;
 mod relay;
 mod response;
+mod retries;
 pub mod run;
 mod server;
 pub mod settings;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -3,6 +3,7 @@
 use opentelemetry::metrics as otel;
 use peargap_adapters::metrics;
 use peargap_core::event_timing;
+use peargap_core::retry_budget;
 
 use crate::response;
 
@@ -78,7 +79,7 @@
             ),
             retries: counter(
                 "peargap_gateway_retries",
-                "Requests offered to a further upstream",
+                "Requests that reached an upstream and might go to another one, by decision",
             ),
             waited_for_room: histogram(
                 "peargap_gateway_waited_for_room_seconds",
@@ -137,9 +138,18 @@
         self.refusals.add(1, &labels);
     }
 
-    /// Counts a retry of a request at another upstream.
-    pub(crate) fn count_retry(&self) {
-        self.retries.add(1, &[]);
+    /// Counts a decision on the retry of a request at another upstream.
+    pub(crate) fn count_retry(&self, service: &str, decision: retry_budget::Decision) {
+        let decision = match decision {
+            retry_budget::Decision::Allow => "sent",
+            retry_budget::Decision::Exhausted => "exhausted",
+            retry_budget::Decision::Overloaded => "overloaded",
+        };
+        let labels = [
+            opentelemetry::KeyValue::new("decision", decision),
+            opentelemetry::KeyValue::new("service", service.to_owned()),
+        ];
+        self.retries.add(1, &labels);
     }
 
     /// Records how long a generation waited for an engine with free capacity.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -53,7 +53,7 @@
             Err(_error) if attempts.has_arrived() => break,
             Err(_error) => return gateway.refuse(&request.head.attempt, response::Refusal::Nobody),
         };
-        if attempts.has_arrived() && !gateway.try_withdraw_retry(&request.head.attempt) {
+        if attempts.has_arrived() && !gateway.retries.try_withdraw(request, &service.name) {
             break;
         }
         attempts.record_choice(placement.key);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,7 +1,6 @@
 //! Start, run and shutdown of a gateway process.
 
 use std::net;
-use std::sync;
 
 use peargap_adapters::health;
 use peargap_adapters::logs;
@@ -15,6 +14,7 @@
 use crate::follow;
 use crate::gateway;
 use crate::meters;
+use crate::retries;
 use crate::server;
 use crate::settings;
 
@@ -75,10 +75,11 @@
         events::STARTED,
         format_args!("gateway={} domain={}", settings.name, settings.domain),
     );
+    let retries = retries::Retries::new(fleet.clone(), settings.retry_limits, meters.clone());
     let gateway = gateway::Gateway {
         fleet,
         meters,
-        retry_budget: sync::Arc::default(),
+        retries,
     };
     server::run(callers, gateway, settings.grace, token).await;
     follow_token.cancel();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,7 @@
 
 use peargap_adapters::logs;
 use peargap_adapters::settings;
+use peargap_core::retry_budget;
 
 const ADDRESS_HINT: &str = "an address such as 127.0.0.1:7000";
 const DEFAULT_GRACE_MS: u64 = 8000;
@@ -31,6 +32,8 @@
     pub log_level: logs::Level,
     /// Name of this host.
     pub name: String,
+    /// Bounds of the retries to one service, for all gateways together.
+    pub retry_limits: retry_budget::Limits,
     /// File that the settings were read from, if any; it is read again on SIGHUP.
     pub path: Option<path::PathBuf>,
 }
@@ -56,6 +59,7 @@
     let control_port = reader.required("control", "port", "a port");
     let control_seeds = reader.list("control", "seeds", ADDRESS_HINT);
     let grace_ms = reader.ranged("stop", "grace_ms", DEFAULT_GRACE_MS, 100..=600_000);
+    let retry_limits = read_retry_limits(reader);
     let level = logs::Level::Info;
     let log_level = reader.optional("log", "level", level, "debug, info, warn or error");
     let format = logs::Format::default();
@@ -71,5 +75,21 @@
         log_level,
         name: name?,
         path: None,
+        retry_limits,
     })
 }
+
+fn read_retry_limits(reader: &mut settings::Reader) -> retry_budget::Limits {
+    let default = retry_budget::Limits::default();
+    let window_s = reader.ranged(
+        "retries",
+        "window_s",
+        default.window.as_secs_f64(),
+        1.0..=600.0,
+    );
+    retry_budget::Limits {
+        burst: reader.ranged("retries", "burst", default.burst, 0.0..=1e6),
+        ratio: reader.ranged("retries", "ratio", default.ratio, 0.0..=1.0),
+        window: time::Duration::try_from_secs_f64(window_s).unwrap_or(default.window),
+    }
+}
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,5 +1,6 @@
 //! State of one upstream at a gateway.
 
+use core::time::Duration;
 use std::sync;
 
 use peargap_core::balance;
@@ -19,6 +20,8 @@
     pub(crate) cold_window_start: time::Instant,
     pub(crate) cold_window_requests: u32,
     pub(crate) last_heard: time::Instant,
+    /// When it last refused a request or failed, if it has not answered one since.
+    pub(crate) refused_at: Option<time::Instant>,
     /// Load from the other gateways.
     pub(crate) remote_load: balance::Load,
     /// Load from this gateway.
@@ -27,7 +30,21 @@
     pub(crate) status: upstreams::Status,
 }
 
+/// Time for which a refusal counts as a sign that the upstream refuses other requests too.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+
 impl Upstream {
+    /// Records whether the upstream refused a request or failed.
+    pub(crate) fn record_refusal(&mut self, now: time::Instant, is_refused: bool) {
+        self.refused_at = is_refused.then_some(now);
+    }
+
+    /// Returns whether the upstream has refused the last request, a short time ago.
+    pub(crate) fn is_refusing(&self, now: time::Instant) -> bool {
+        self.refused_at
+            .is_some_and(|refused| now < refused + REFUSAL_TIME)
+    }
+
     /// Returns whether a request fits into this gateway's share of the rate limit of a cold
     /// upstream. The share is at least one request per second.
     pub(crate) fn allows_cold_request(
--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -151,6 +151,24 @@
     assert_eq!(fixture.runner("d1").arrivals().len() - before, 1);
 }
 
+#[tokio::test]
+async fn a_service_that_refuses_everything_gets_no_repeats() {
+    const CALLS: usize = 40;
+    /// Until more than half of the four upstreams are known to refuse.
+    const MAX_REPEATS: usize = 3;
+    let names = ["d1", "d2", "d3", "d4"];
+    let fixture = Fixture::start(&names).await;
+    for name in names {
+        fixture.runner(name).set_behaviour(runner::Behaviour::Shed);
+    }
+    for _call in 0..CALLS {
+        assert_eq!(fixture.call(request("/once/", "")).await.status, 503);
+    }
+    let arrivals = names.map(|name| fixture.runner(name).arrivals().len());
+    let arrivals: usize = arrivals.iter().sum();
+    assert!(arrivals <= CALLS + MAX_REPEATS, "{arrivals} arrivals");
+}
+
 #[tokio::test]
 async fn a_call_that_all_upstreams_refuse_may_be_retried_and_has_not_run() {
     let fixture = Fixture::start(&["d1", "d2"]).await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt;
+use peargap_core::retry_budget;
 use peargap_fake::runner;
 use peargap_gateway::run;
 use peargap_gateway::settings;
@@ -234,6 +235,10 @@
             log_level: peargap_adapters::logs::Level::Info,
             name: "gateway-1".to_owned(),
             path: None,
+            retry_limits: retry_budget::Limits {
+                burst: 1e6,
+                ..retry_budget::Limits::default()
+            },
         };
         let token = stop.clone();
         let ended = tokio::spawn(async move {
@@ -261,6 +266,8 @@
         fixture
             .control
             .send(wire::Update {
+                gateways: 1,
+                position: 1,
                 version: 3,
                 ..wire::Update::default()
             })
