gateway: upstreams' pauses and departures, as their responses tell them

What users asked for: a leaving upstream says so in all its answers, and one that refuses a request may ask for quiet. Until now both were ignored: refusals were followed by further requests, and a leaving engine got work until a heartbeat had told of it. Change: platform/head decodes both into a Notice. core::pause bounds a pause (60 s; 1 s if it cannot be read), spreads its end over gateways and computes when callers may return; the breaker lets one request go first after it. Requests, repeats, resumes and copy orders all respect it; callers are refused at once with the time at which the first pause ends. A departure counts as draining for that start: relays move their generations, later heartbeats of the start are stale (core::upstreams orders Ready, Draining, Left), control hosts are told by every gateway and tell the others. Draining upstreams no longer turn silent, which would have undone it, and gateways forget them like those that have left. Tests: nine with the gateway and fake runners, one with real control hosts, core and platform tests. They fail on the code before, which knows neither header. On the way a pause of 0.2 s lasted 1 s, as the refusal itself opened the breaker for longer: shown by the test of the first request after a pause.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -142,6 +142,19 @@
         self.wait_until_applied(change).await;
     }
 
+    /// Records that one start of an upstream is leaving, as it told a gateway.
+    pub(crate) fn record_departure(&self, name: &str, born_ms: u64) {
+        let change = {
+            let mut state = self.lock();
+            let Some(status) = state.directory.drain(name, born_ms) else {
+                return;
+            };
+            log_status(&status);
+            state.record_change(status.name)
+        };
+        self.last_change.send_replace(change);
+    }
+
     fn merge_status(&self, status: upstreams::Status) -> Option<u64> {
         let now = self.clock.now();
         let change = {
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -152,6 +152,9 @@
             let loads = report.loads.into_iter().map(decode_load).collect();
             fleet.record_loads(key, loads, report.starts_loads);
         }
+        for departure in report.departures {
+            fleet.record_departure(&departure.upstream, departure.born_ms);
+        }
         if report.stops_loads {
             fleet.stop_loads(key);
         }
--- a/crates/core/src/breaker.rs
+++ b/crates/core/src/breaker.rs
@@ -32,6 +32,8 @@
     failures: u32,
     /// Whether the upstream's process itself caused the last failure, not the network.
     is_at_fault: bool,
+    /// Whether the upstream has not answered since it asked for a pause.
+    is_pausing: bool,
     open_ms: u64,
     /// End of the open time; none while closed.
     open_until: Option<time::Instant>,
@@ -101,8 +103,11 @@
         self.trip(now, FIRST_OPEN_MS);
     }
 
-    /// Records a refusal or an engine failure.
+    /// Records a refusal or an engine failure. It does not extend a pause.
     pub fn record_failure(&mut self, now: time::Instant) {
+        if self.is_pausing && self.open_until.is_some_and(|end| now < end) {
+            return;
+        }
         self.failures += 1;
         self.is_at_fault = false;
         self.probe_sent = None;
@@ -119,6 +124,21 @@
         self.trip(now, ABSENT_OPEN_MS);
     }
 
+    /// Returns whether the upstream has not answered since it asked for a pause.
+    #[must_use]
+    pub fn is_pausing(&self) -> bool {
+        self.is_pausing
+    }
+
+    /// Records that the upstream asked for a pause until `end`. A single request follows it.
+    pub fn record_pause(&mut self, end: time::Instant) {
+        self.failures = self.failures.max(FAILURES_TO_OPEN);
+        self.is_pausing = true;
+        self.open_ms = self.open_ms.max(FIRST_OPEN_MS);
+        self.open_until = Some(self.open_until.map_or(end, |former| former.max(end)));
+        self.probe_sent = None;
+    }
+
     fn trip(&mut self, now: time::Instant, shortest_ms: u64) {
         self.failures = self.failures.saturating_add(1).max(FAILURES_TO_OPEN);
         self.probe_sent = None;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod log;
 pub mod manifest;
 pub mod members;
+pub mod pause;
 pub mod placement;
 pub mod prefix;
 pub mod prefix_cache;
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -21,6 +21,17 @@
     Silent,
 }
 
+impl State {
+    /// Returns how far the instance has come on its way out.
+    fn stage(self) -> u8 {
+        match self {
+            State::Ready | State::Silent => 0,
+            State::Draining => 1,
+            State::Left => 2,
+        }
+    }
+}
+
 /// Version of an upstream's status, ordered by process start, then by heartbeat.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Edition {
@@ -135,6 +146,17 @@
         Some(known.status.clone())
     }
 
+    /// Marks one start of an upstream as draining; returns its status unless it takes no new work
+    /// already.
+    pub fn drain(&mut self, name: &str, born_ms: u64) -> Option<Status> {
+        let status = &mut self.entries.get_mut(name)?.status;
+        if status.edition.born_ms != born_ms || status.state.stage() > 0 {
+            return None;
+        }
+        status.state = State::Draining;
+        Some(status.clone())
+    }
+
     /// Marks as silent the upstreams last heard from more than `silence_ms` ago.
     ///
     /// Returns the statuses of those that were not silent before.
@@ -142,7 +164,7 @@
         let mut expired = Vec::new();
         for entry in self.entries.values_mut() {
             let is_overdue = now.millis_since(entry.heard) > silence_ms;
-            if is_overdue && entry.status.state != State::Silent {
+            if is_overdue && entry.status.state == State::Ready {
                 entry.status.state = State::Silent;
                 expired.push(entry.status.clone());
             }
@@ -178,8 +200,9 @@
         return Outcome::Stale;
     }
     let is_same_start = status.edition.born_ms == known.edition.born_ms;
-    // Once an instance has left it takes no work again, so late heartbeats of that start are stale.
-    if is_same_start && known.state == State::Left && status.state != State::Left {
+    // An instance that takes no new work takes none again before its next start, so heartbeats that
+    // say otherwise are late.
+    if is_same_start && known.state.stage() > status.state.stage() {
         return Outcome::Stale;
     }
     // `Silent` only says that one receiver missed heartbeats, which another one may have received.
--- a/crates/core/tests/policy_retry.rs
+++ b/crates/core/tests/policy_retry.rs
@@ -135,6 +135,25 @@
     assert!(!breaker.is_open());
 }
 
+#[test]
+fn a_pause_ends_when_it_was_asked_to_and_one_request_follows() {
+    let mut breaker = breaker::Breaker::new();
+    breaker.record_pause(time::Instant(300));
+    for now in [10, 20, 30, 40] {
+        breaker.record_failure(time::Instant(now));
+    }
+    let before = breaker.check(time::Instant(299));
+    assert!(matches!(before, breaker::Decision::Reject { .. }));
+    let end = time::Instant(300);
+    assert_eq!(breaker.check(end), breaker::Decision::Probe);
+    breaker.record_probe(end);
+    let probing = breaker.check(end);
+    assert!(matches!(probing, breaker::Decision::Reject { .. }));
+    assert!(breaker.is_pausing());
+    breaker.record_success();
+    assert_eq!(breaker.check(end), breaker::Decision::Allow);
+}
+
 #[test]
 fn a_breaker_opens_on_failures_and_lets_one_probe_pass() {
     let mut breaker = breaker::Breaker::new();
--- a/crates/core/tests/upstreams.rs
+++ b/crates/core/tests/upstreams.rs
@@ -65,6 +65,23 @@
     assert_eq!(directory.merge(NOW, restarted), upstreams::Outcome::Changed);
 }
 
+#[test]
+fn draining_is_final_for_that_start() {
+    let mut directory = upstreams::Directory::default();
+    directory.merge(NOW, status(5, 1, upstreams::State::Ready));
+    assert!(directory.drain("i-1", 4).is_none());
+    assert!(directory.drain("i-1", 5).is_some());
+    assert!(directory.drain("i-1", 5).is_none());
+    for late in [upstreams::State::Ready, upstreams::State::Silent] {
+        let outcome = directory.merge(NOW, status(5, 2, late));
+        assert_eq!(outcome, upstreams::Outcome::Stale, "{late:?}");
+    }
+    assert!(directory.expire(time::Instant(60_000), 6000).is_empty());
+    assert_eq!(state(&directory), upstreams::State::Draining);
+    let restarted = status(6, 1, upstreams::State::Ready);
+    assert_eq!(directory.merge(NOW, restarted), upstreams::Outcome::Changed);
+}
+
 #[test]
 fn leaving_of_an_unknown_upstream_is_ignored() {
     let mut directory = upstreams::Directory::default();
--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -12,6 +12,7 @@
 
 use axum::body;
 use axum::extract;
+use axum::middleware;
 use axum::response;
 use axum::response::IntoResponse as _;
 use bytes::Bytes;
@@ -91,6 +92,10 @@
     copies: collections::HashSet<String>,
     /// Number of events in a generation.
     events: u64,
+    /// Whether all responses say that the runner is leaving.
+    is_leaving: bool,
+    /// `Retry-After` value of the responses that reject a request.
+    retry_after: Option<&'static str>,
     /// Time between events.
     event_interval: time::Duration,
     /// Delay before the response to a resumed generation.
@@ -106,6 +111,8 @@
             behaviour: Behaviour::Answer,
             copies: collections::HashSet::new(),
             events: 5,
+            is_leaving: false,
+            retry_after: None,
             event_interval: time::Duration::from_millis(1),
             resume_delay: time::Duration::ZERO,
             runs: Vec::new(),
@@ -158,6 +165,7 @@
         let router = axum::Router::new()
             .route("/api/kv-move", axum::routing::post(handle_copy))
             .fallback(handle_request)
+            .layer(middleware::from_fn_with_state(runner.clone(), add_notices))
             .with_state(runner.clone());
         tokio::spawn(async move {
             // Ends with the runtime.
@@ -195,6 +203,18 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Makes all further responses say that the runner is leaving.
+    pub fn announce_leaving(&self) {
+        self.lock().is_leaving = true;
+    }
+
+    /// Rejects all further requests with this `Retry-After` value.
+    pub fn reject_with_retry_after(&self, value: &'static str) {
+        let mut state = self.lock();
+        state.behaviour = Behaviour::Shed;
+        state.retry_after = Some(value);
+    }
+
     /// Sets the delay before the response to a request that is not a generation.
     pub fn set_answer_delay(&self, delay: time::Duration) {
         self.lock().answer_delay = delay;
@@ -255,6 +275,29 @@
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
 
+/// Adds what the runner says of itself to its responses.
+async fn add_notices(
+    extract::State(runner): extract::State<Runner>,
+    request: extract::Request,
+    next: middleware::Next,
+) -> response::Response {
+    let mut response = next.run(request).await;
+    let (is_leaving, retry_after) = {
+        let state = runner.lock();
+        (state.is_leaving, state.retry_after)
+    };
+    if is_leaving {
+        let value = http::HeaderValue::from_static("1");
+        response.headers_mut().insert("server-leaving", value);
+    }
+    let rejects = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    if let Some(retry_after) = retry_after.filter(|_value| rejects) {
+        let value = http::HeaderValue::from_static(retry_after);
+        response.headers_mut().insert("retry-after", value);
+    }
+    response
+}
+
 async fn handle_request(
     extract::State(runner): extract::State<Runner>,
     request: extract::Request,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -154,14 +154,15 @@
     let response = sent.map_err(classify_error)?;
     let (head, body) = response.into_parts();
     let parsed = head::read_response(head.status, &head.headers, &request.head.attempt);
+    if parsed.ran == head::Ran::OtherInstance {
+        return Err(Failure::Displaced);
+    }
+    placement.notices.record(parsed.notice);
     if !parsed.is_for_attempt {
         return Err(Failure::Unknown(
             "response belongs to another request".to_owned(),
         ));
     }
-    if parsed.ran == head::Ran::OtherInstance {
-        return Err(Failure::Displaced);
-    }
     if parsed.ran == head::Ran::No {
         return Err(Failure::NotRun(format!(
             "upstream answered {}",
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -33,5 +33,8 @@
     logs::Event::info(6025, "routing document requested");
 pub(crate) const SENT_AGAIN: logs::Event =
     logs::Event::info(6026, "request sent again on another connection");
+pub(crate) const PAUSE_STARTED: logs::Event = logs::Event::info(6027, "upstream pause started");
+pub(crate) const UPSTREAM_LEAVING: logs::Event =
+    logs::Event::info(6028, "upstream leaving, by its own response");
 pub(crate) const RELOADED: logs::Event = logs::Event::info(6021, "settings reloaded");
 pub(crate) const RELOAD_FAILED: logs::Event = logs::Event::error(6022, "settings not reloaded");
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -26,6 +26,8 @@
 pub(crate) struct Fleet {
     pub(crate) clock: clock::Clock,
     changed: sync::Arc<watch::Sender<u64>>,
+    /// Counter that increases with each upstream that says that it is leaving.
+    pub(crate) departed: sync::Arc<watch::Sender<u64>>,
     domain: sync::Arc<str>,
     state: sync::Arc<sync::Mutex<fleet_state::State>>,
 }
@@ -37,6 +39,11 @@
     Full,
     /// No upstream takes new work.
     NoUpstream,
+    /// All upstreams that take new work have asked for a pause.
+    Paused {
+        /// Time after which a caller may try again, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
 /// What the result of a call says about an upstream.
@@ -72,6 +79,7 @@
         Fleet {
             changed: sync::Arc::new(watch::Sender::new(0)),
             clock: clock::Clock::start(),
+            departed: sync::Arc::new(watch::Sender::new(0)),
             domain: sync::Arc::from(domain),
             state: sync::Arc::default(),
         }
@@ -96,7 +104,7 @@
             format_args!("version={} offered_ms={offered_ms}", state.version),
         );
         drop(state);
-        self.changed.send_modify(|count| *count += 1);
+        self.notify_changed();
     }
 
     /// Records that a control host has a document of this version.
@@ -149,7 +157,7 @@
             format_args!("revision={revision} domains={:?}", state.domains_out),
         );
         drop(state);
-        self.changed.send_modify(|count| *count += 1);
+        self.notify_changed();
     }
 
     /// Merges a received upstream status.
@@ -158,10 +166,15 @@
         let outcome = self.lock().merge_status(now, status.clone());
         if outcome == upstreams::Outcome::Changed {
             logs::emit(events::UPSTREAM_CHANGED, format_args!("{status}"));
-            self.changed.send_modify(|count| *count += 1);
+            self.notify_changed();
         }
     }
 
+    /// Wakes those who wait for changes.
+    pub(crate) fn notify_changed(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
     /// Subscribes to a counter that increases when the routing table, an upstream or the domains out
     /// of service change.
     pub(crate) fn changes(&self) -> watch::Receiver<u64> {
@@ -248,7 +261,7 @@
         let candidates = state.list_candidates(now, criteria, &self.domain);
         let key = match choose(&candidates) {
             balance::Choice::Full => return Err(PlacementError::Full),
-            balance::Choice::NoCandidates => return Err(PlacementError::NoUpstream),
+            balance::Choice::NoCandidates => return Err(state.explain_no_candidates(now, criteria)),
             balance::Choice::Take(key) => key,
         };
         let view = placement::View {
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -7,22 +7,28 @@
 use peargap_core::balance;
 use peargap_core::breaker;
 use peargap_core::document_fetch;
+use peargap_core::pause;
 use peargap_core::retry_budget;
 use peargap_core::routes;
 use peargap_core::time;
 use peargap_core::upstreams;
+use peargap_wire::fleet as wire;
 use slotmap::SlotMap;
 
 use crate::fleet;
 use crate::pool;
 use crate::upstream;
 
-/// Time after which an upstream that has left or is silent is removed, in milliseconds.
+/// Time after which an upstream that takes no work and is no longer heard of is removed, in milliseconds.
 const FORGET_MS: u64 = 30_000;
 
 /// State that is shared by all clones of a [`fleet::Fleet`].
 #[derive(Debug, Default)]
 pub(crate) struct State {
+    /// Upstreams that said in a response that they are leaving, oldest first.
+    pub(crate) departures: Vec<wire::Departure>,
+    /// Departures that were removed from the front of `departures`.
+    pub(crate) departures_dropped: usize,
     pub(crate) domains_out: collections::BTreeSet<String>,
     /// Offers and requests of routing documents.
     pub(crate) fetch: document_fetch::Fetch,
@@ -110,6 +116,7 @@
                 cold_window_requests: 0,
                 cold_until,
                 last_heard: now,
+                pause_end: None,
                 refused_at: None,
                 remote_load: balance::Load::default(),
                 local_load: balance::Load::default(),
@@ -128,6 +135,8 @@
             && known.status.address == status.address;
         if !is_same_process {
             known.breaker = breaker::Breaker::new();
+            known.pause_end = None;
+            known.refused_at = None;
             known.pool = sync::Arc::new(pool::Pool::new(address));
         }
         known.cold_until = cold_until;
@@ -140,11 +149,11 @@
         let names = &mut self.names;
         self.upstreams.retain(|_key, upstream| {
             let is_gone = match upstream.status.state {
-                upstreams::State::Left | upstreams::State::Silent => {
+                upstreams::State::Draining | upstreams::State::Left | upstreams::State::Silent => {
                     upstream.local_load == balance::Load::default()
                         && now.millis_since(upstream.last_heard) > FORGET_MS
                 }
-                upstreams::State::Draining | upstreams::State::Ready => false,
+                upstreams::State::Ready => false,
             };
             if is_gone {
                 names.remove(&upstream.status.name);
@@ -171,6 +180,34 @@
         })
     }
 
+    /// Returns the upstreams of a service that take new work, in the order of their names.
+    fn list_ready<'a>(
+        &'a self,
+        service: &'a routes::Service,
+    ) -> impl Iterator<Item = (fleet::UpstreamKey, &'a upstream::Upstream)> {
+        let keys = self.names.values().copied();
+        let known = keys.filter_map(|key| Some((key, self.upstreams.get(key)?)));
+        known.filter(|(_key, upstream)| {
+            upstream.status.service == service.name
+                && upstream.status.state == upstreams::State::Ready
+                && !self.domains_out.contains(&upstream.status.domain)
+        })
+    }
+
+    /// Returns why there are no candidates.
+    pub(crate) fn explain_no_candidates(
+        &self,
+        now: time::Instant,
+        criteria: fleet::Criteria<'_>,
+    ) -> fleet::PlacementError {
+        let ready = self.list_ready(criteria.service);
+        let ends = ready.filter_map(|(_key, upstream)| upstream.paused_until(now));
+        match pause::retry_after_ms(now, ends, &mut rand::rng()) {
+            Some(retry_after_ms) => fleet::PlacementError::Paused { retry_after_ms },
+            None => fleet::PlacementError::NoUpstream,
+        }
+    }
+
     /// Returns the upstreams that may be chosen. Those in the failure domain of `criteria.near`, or
     /// else in `domain`, are near.
     pub(crate) fn list_candidates(
@@ -184,15 +221,10 @@
         let domain = near.map_or(domain, |near| &near.status.domain);
         // All gateways number the upstreams in the order of their names, so that each gateway gets
         // other upstreams as its own.
-        let keys = self.names.values().copied();
-        let known = keys.filter_map(|key| Some((key, self.upstreams.get(key)?)));
-        let ready = known.filter(|(_key, upstream)| {
-            upstream.status.service == criteria.service.name
-                && upstream.status.state == upstreams::State::Ready
-                && !self.domains_out.contains(&upstream.status.domain)
-        });
+        let ready = self.list_ready(criteria.service);
         let untried = ready.enumerate().filter(|(_index, (key, upstream))| {
             !criteria.exclude.contains(key)
+                && upstream.paused_until(now).is_none()
                 && upstream.allows_cold_request(now, criteria.service.cold_per_s, gateways)
         });
         let untried: Vec<_> = untried.collect();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -169,10 +169,12 @@
     shared.mark_connected(host);
     logs::emit(events::CONTROL_CONNECTED, format_args!("control={host}"));
     let mut known = shared.known.subscribe();
+    let mut departed = shared.fleet.departed.subscribe();
     let mut tick = tokio::time::interval(LOAD_REPORT_INTERVAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut load_reporter = load_reporter::LoadReporter::default();
     let mut position = fleet_state::GatewayPosition::default();
+    let mut sent_departures = 0;
     loop {
         if let document_fetch::Next::Request(version) = shared.fleet.next_fetch(host) {
             logs::emit(
@@ -185,6 +187,15 @@
             };
             send(&reports, report).await?;
         }
+        let departures = shared.fleet.list_departures(sent_departures);
+        sent_departures = departures.total;
+        if !departures.new.is_empty() {
+            let report = wire::Report {
+                departures: departures.new,
+                ..wire::Report::default()
+            };
+            send(&reports, report).await?;
+        }
         let is_behind = shared.fleet.is_behind(host);
         tokio::select! {
             () = tokio::time::sleep(document_fetch::TIMEOUT), if is_behind => {}
@@ -204,6 +215,8 @@
                 Some(Err(status)) => return Err(status.to_string()),
                 None => return Err("control host closed the stream".to_owned()),
             },
+            // The sender lives as long as `shared`.
+            Ok(()) = departed.changed() => {}
             result = known.changed() => {
                 result.map_err(|_closed| "list of connected control hosts closed".to_owned())?;
                 if !shared.reports_to(host) {
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -138,13 +138,20 @@
         };
         let mut placement = match gateway.fleet.place_generation(criteria) {
             Ok(placement) => placement,
+            Err(fleet::PlacementError::Paused { retry_after_ms })
+                if refusal == response::Refusal::NotTaken =>
+            {
+                return Err(response::Refusal::Paused { retry_after_ms });
+            }
             Err(_error) if attempts.has_arrived() => break,
             Err(fleet::PlacementError::Full) if time::Instant::now() < capacity_deadline => {
                 time::sleep(CAPACITY_POLL_INTERVAL).await;
                 continue;
             }
             Err(fleet::PlacementError::Full) => return Err(response::Refusal::Full),
-            Err(fleet::PlacementError::NoUpstream) => return Err(response::Refusal::Nobody),
+            Err(fleet::PlacementError::NoUpstream | fleet::PlacementError::Paused { .. }) => {
+                return Err(response::Refusal::Nobody);
+            }
         };
         if attempts.tried().is_empty() {
             gateway.meters.record_wait(waiting_since.elapsed());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod load_reporter;
 mod meters;
 mod migrate;
+mod notice;
 mod placement;
 mod plain;
 mod pool;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet;
 use crate::fleet_state;
+use crate::upstream;
 
 /// Reported token counts are rounded up to a multiple of this, so that growing generations do not
 /// change the report with each event.
@@ -46,14 +47,17 @@
 
     /// Returns the load from this gateway on each upstream that has any.
     pub(crate) fn list_local_loads(&self) -> Vec<wire::Load> {
+        let now = self.clock.now();
         let state = self.lock();
+        let is_failing = |upstream: &upstream::Upstream| {
+            upstream.breaker.is_upstream_failing() || upstream.paused_until(now).is_some()
+        };
         let with_load = state.upstreams.values().filter(|upstream| {
-            upstream.local_load != balance::Load::default()
-                || upstream.breaker.is_upstream_failing()
+            upstream.local_load != balance::Load::default() || is_failing(upstream)
         });
         let loads = with_load.map(|upstream| wire::Load {
             copied: u32::try_from(round_up(upstream.local_load.copied)).unwrap_or(u32::MAX),
-            failing: u32::from(upstream.breaker.is_upstream_failing()),
+            failing: u32::from(is_failing(upstream)),
             running: upstream.local_load.running,
             tokens: u32::try_from(round_up(upstream.local_load.tokens)).unwrap_or(u32::MAX),
             upstream: upstream.status.name.clone(),
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -16,6 +16,7 @@
 use crate::call;
 use crate::gateway;
 use crate::generation;
+use crate::notice;
 use crate::placement;
 use crate::pool;
 use crate::response;
@@ -27,6 +28,8 @@
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
 /// Maximum number of attempts to resume at the engine with the copy.
 const MAX_ATTEMPTS: u32 = 3;
+/// Longest pause of an engine that a generation waits for before it resumes there.
+const MAX_PAUSE: time::Duration = time::Duration::from_secs(1);
 /// Time limit for the response to a resume, counted from [`REFUSAL_TIMEOUT`].
 const RESUME_TIMEOUT: time::Duration = time::Duration::from_millis(900);
 /// Time after which an engine that has not refused a resume is assumed to have accepted it: a
@@ -134,11 +137,15 @@
     placement: placement::Placement,
 ) -> Task<Copy> {
     let pool = from.pool.clone();
+    let notices = from.notices.clone();
     let from = from.address.clone();
     Task::spawn(|_accepted| async move {
+        if notices.pause_left().is_some() {
+            return Err(Failure::NotCopied("engine asked for a pause".to_owned()));
+        }
         let attempt = response::attempt_text(&attempt).into_owned();
         let request = engine::build_move(&attempt, &placement.address, false);
-        let called = time::timeout(COPY_TIMEOUT, call_engine(&pool, request)).await;
+        let called = time::timeout(COPY_TIMEOUT, call_engine(&pool, &notices, request)).await;
         let copied = match called {
             Ok(Ok(body)) => engine::read_copy(&body),
             Ok(Err(why)) => return Err(Failure::NotCopied(why)),
@@ -156,17 +163,19 @@
 /// Calls an engine's own API and returns the body of a successful response.
 async fn call_engine(
     pool: &sync::Arc<pool::Pool>,
+    notices: &notice::Recorder,
     request: http::Request<Bytes>,
 ) -> Result<Bytes, String> {
     let connection = pool.acquire().await;
     let mut sender = connection.map_err(|error| error.to_string())?.sender;
     let sent = sender.send_request(request.map(Full::new)).await;
-    let (head, body) = sent.map_err(|error| error.to_string())?.into_parts();
+    let (parts, body) = sent.map_err(|error| error.to_string())?.into_parts();
+    notices.record(head::read_notice(parts.status, &parts.headers));
     let body = body.collect().await.map_err(|error| error.to_string())?;
     pool.release(sender, None);
-    match head.status.is_success() {
+    match parts.status.is_success() {
         true => Ok(body.to_bytes()),
-        false => Err(format!("engine answered {}", head.status)),
+        false => Err(format!("engine answered {}", parts.status)),
     }
 }
 
@@ -189,6 +198,7 @@
         placement.promote_copy();
         let mut failure = String::new();
         for _attempt in 0..MAX_ATTEMPTS {
+            wait_for_pause(&placement).await?;
             match try_resume(&gateway, &generation, &origin, &placement, &accepted).await {
                 Ok((response, copy)) => {
                     return Ok(generation::Run {
@@ -206,6 +216,20 @@
     })
 }
 
+/// Waits until the engine with the copy accepts requests again; fails if its pause is long.
+async fn wait_for_pause(placement: &placement::Placement) -> Result<(), Failure> {
+    match placement.notices.pause_left() {
+        None => Ok(()),
+        Some(left) if left <= MAX_PAUSE => {
+            time::sleep(left).await;
+            Ok(())
+        }
+        Some(left) => Err(Failure::NotResumed(format!(
+            "engine asked for a pause, {left:?} are left"
+        ))),
+    }
+}
+
 /// Why an attempt to resume failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum ResumeError {
--- /dev/null
+++ b/crates/gateway/src/notice.rs
@@ -0,0 +1,128 @@
+//! What upstreams say of themselves in their responses: that they are leaving, or want a pause.
+
+use core::time::Duration;
+
+use peargap_adapters::logs;
+use peargap_core::pause;
+use peargap_core::upstreams;
+use peargap_platform::head;
+use peargap_wire::fleet as wire;
+
+use crate::events;
+use crate::fleet;
+
+/// Departures that are kept for control hosts whose links open later.
+const MAX_DEPARTURES: usize = 256;
+
+/// Upstreams that said that they are leaving.
+#[derive(Debug)]
+pub(crate) struct Departures {
+    pub(crate) new: Vec<wire::Departure>,
+    /// Number of departures since the start of the process.
+    pub(crate) total: usize,
+}
+
+/// Records what one start of an upstream says of itself.
+#[derive(Clone, Debug)]
+pub(crate) struct Recorder {
+    born_ms: u64,
+    fleet: fleet::Fleet,
+    key: fleet::UpstreamKey,
+}
+
+impl Recorder {
+    /// Returns a recorder for the start of an upstream that has this start time.
+    pub(crate) fn new(fleet: &fleet::Fleet, key: fleet::UpstreamKey, born_ms: u64) -> Recorder {
+        Recorder {
+            born_ms,
+            fleet: fleet.clone(),
+            key,
+        }
+    }
+
+    /// Records the notice in a response.
+    pub(crate) fn record(&self, notice: head::Notice) {
+        if let Some(request) = notice.pause {
+            self.fleet.record_pause(self.key, self.born_ms, request);
+        }
+        if notice.is_leaving {
+            self.fleet.record_departure(self.key, self.born_ms);
+        }
+    }
+
+    /// Returns the time left of the upstream's pause; `None` outside of pauses.
+    pub(crate) fn pause_left(&self) -> Option<Duration> {
+        self.fleet.pause_left(self.key)
+    }
+}
+
+impl fleet::Fleet {
+    /// Starts a pause that an upstream asks for, or extends it.
+    fn record_pause(&self, key: fleet::UpstreamKey, born_ms: u64, request: pause::Request) {
+        let now = self.clock.now();
+        let length = pause::bound(request);
+        let end = pause::end(now, length, &mut rand::rng());
+        let mut state = self.lock();
+        let upstream = state.upstreams.get_mut(key);
+        let Some(upstream) = upstream.filter(|upstream| upstream.is_start(born_ms)) else {
+            return;
+        };
+        upstream.pause_until(end);
+        let name = upstream.status.name.clone();
+        drop(state);
+        logs::emit(
+            events::PAUSE_STARTED,
+            format_args!(
+                "upstream={name} asked={request:?} kept={length:?} ends_in_ms={}",
+                end.millis_since(now)
+            ),
+        );
+    }
+
+    /// Returns the time left of an upstream's pause; `None` outside of pauses.
+    fn pause_left(&self, key: fleet::UpstreamKey) -> Option<Duration> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let end = state.upstreams.get(key)?.paused_until(now)?;
+        Some(Duration::from_millis(end.millis_since(now)))
+    }
+
+    /// Marks a start of an upstream as draining, and notes it for the control hosts.
+    fn record_departure(&self, key: fleet::UpstreamKey, born_ms: u64) {
+        let mut state = self.lock();
+        let upstream = state.upstreams.get_mut(key);
+        let Some(upstream) = upstream.filter(|upstream| upstream.is_start(born_ms)) else {
+            return;
+        };
+        match upstream.status.state {
+            upstreams::State::Draining | upstreams::State::Left => return,
+            upstreams::State::Ready | upstreams::State::Silent => {}
+        }
+        upstream.status.state = upstreams::State::Draining;
+        let name = upstream.status.name.clone();
+        state.departures.push(wire::Departure {
+            born_ms,
+            upstream: name.clone(),
+        });
+        let excess = state.departures.len().saturating_sub(MAX_DEPARTURES);
+        state.departures.drain(..excess);
+        state.departures_dropped += excess;
+        drop(state);
+        logs::emit(
+            events::UPSTREAM_LEAVING,
+            format_args!("upstream={name} born_ms={born_ms}"),
+        );
+        self.notify_changed();
+        self.departed.send_modify(|count| *count += 1);
+    }
+
+    /// Returns the departures after the first `known` ones since the start of the process.
+    pub(crate) fn list_departures(&self, known: usize) -> Departures {
+        let state = self.lock();
+        let skipped = known.saturating_sub(state.departures_dropped);
+        Departures {
+            new: state.departures.iter().skip(skipped).cloned().collect(),
+            total: state.departures_dropped + state.departures.len(),
+        }
+    }
+}
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -5,6 +5,7 @@
 use peargap_core::balance;
 
 use crate::fleet;
+use crate::notice;
 use crate::pool;
 use crate::upstream;
 
@@ -41,6 +42,8 @@
     load: balance::Load,
     /// Name of the upstream.
     pub(crate) name: String,
+    /// Records what the upstream says of itself.
+    pub(crate) notices: notice::Recorder,
     pub(crate) pool: sync::Arc<pool::Pool>,
     pub(crate) view: View,
 }
@@ -61,6 +64,7 @@
             key,
             load,
             name: upstream.status.name.clone(),
+            notices: notice::Recorder::new(fleet, key, upstream.status.edition.born_ms),
             pool: upstream.pool.clone(),
             view,
         }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -50,6 +50,10 @@
         };
         let placement = match gateway.fleet.place_plain(criteria) {
             Ok(placement) => placement,
+            Err(fleet::PlacementError::Paused { retry_after_ms }) if possible_runs == 0 => {
+                refusal = response::Refusal::Paused { retry_after_ms };
+                break;
+            }
             Err(_error) if attempts.has_arrived() => break,
             Err(_error) => return gateway.refuse(&request.head.attempt, response::Refusal::Nobody),
         };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -58,7 +58,7 @@
     /// The caller has left.
     CallerLeft,
     /// A copy has completed or failed.
-    Copied(Result<migrate::Copy, migrate::Failure>),
+    Copied(Result<Box<migrate::Copy>, migrate::Failure>),
     /// The gateway is shutting down.
     Shutdown,
     /// A read from the engine has ended.
@@ -191,7 +191,7 @@
             () = self.sender.closed() => Input::CallerLeft,
             () = time::sleep_until(deadline) => Input::TimedOut,
             result = wait_task(&mut self.moving) => Input::Moved(result.map(Box::new)),
-            result = wait_task(&mut self.copying) => Input::Copied(result),
+            result = wait_task(&mut self.copying) => Input::Copied(result.map(Box::new)),
             () = wait_accepted(accepted) => Input::Accepted,
             read = self.source.read() => Input::Read(read),
             result = self.changes.changed() => match result {
@@ -372,7 +372,7 @@
         migrate::copy(attempt, &self.placement, placement)
     }
 
-    fn finish_copy(&mut self, result: Result<migrate::Copy, migrate::Failure>) -> Next {
+    fn finish_copy(&mut self, result: Result<Box<migrate::Copy>, migrate::Failure>) -> Next {
         self.copying = None;
         match result {
             Ok(copy) => {
@@ -386,7 +386,7 @@
                     ),
                 );
                 self.gateway.meters.count_copy(meters::Outcome::Done);
-                self.copy = Some(copy);
+                self.copy = Some(*copy);
                 return self.check_engine();
             }
             Err(failure) => {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -49,6 +49,11 @@
     NoRoutes,
     /// Each upstream that was tried refused the request or was unreachable; it has not run.
     NotTaken,
+    /// All upstreams have asked for a pause; the request has not run.
+    Paused {
+        /// Time after which the caller may try again, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// No route matches.
     RouteUnknown,
     /// An upstream failed or sent an invalid response; the request may have run.
@@ -71,6 +76,7 @@
             Refusal::NoRoutes => "no_routes",
             Refusal::Nobody => "nobody",
             Refusal::NotTaken => "not_taken",
+            Refusal::Paused { .. } => "paused",
             Refusal::RouteUnknown => "route_unknown",
             Refusal::TimedOut => "timed_out",
             Refusal::TimedOutUnsent => "timed_out_unsent",
@@ -86,6 +92,7 @@
             | Refusal::NoRoutes
             | Refusal::Nobody
             | Refusal::NotTaken
+            | Refusal::Paused { .. }
             | Refusal::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Refusal::KeyUnknown => StatusCode::UNAUTHORIZED,
@@ -95,13 +102,14 @@
         }
     }
 
-    /// Returns the `Retry-After` value, in seconds, for a request that has not run.
-    fn retry_after(self) -> Option<&'static str> {
+    /// Returns the time after which the caller may try again, in milliseconds, for a request that has
+    /// not run.
+    fn retry_after_ms(self) -> Option<u64> {
         match self {
-            Refusal::Full => Some("1"),
-            Refusal::Nobody => Some("1"),
-            Refusal::NoRoutes => Some("0.6"),
-            Refusal::NotTaken => Some("0.3"),
+            Refusal::Full | Refusal::Nobody => Some(1000),
+            Refusal::NoRoutes => Some(600),
+            Refusal::NotTaken => Some(300),
+            Refusal::Paused { retry_after_ms } => Some(retry_after_ms),
             Refusal::BodyBroken
             | Refusal::BodyTooLong
             | Refusal::HeadTooLong
@@ -114,6 +122,12 @@
     }
 }
 
+/// Formats a time in milliseconds as a `Retry-After` value, in seconds.
+fn format_retry_after(millis: u64) -> Option<HeaderValue> {
+    let text = format!("{}.{:03}", millis / 1000, millis % 1000);
+    HeaderValue::from_str(&text).ok()
+}
+
 /// Returns the response that refuses a request; `version` is that of the routing document in force.
 pub(crate) fn refuse(attempt: &Bytes, refusal: Refusal, version: u64) -> Response {
     logs::emit(
@@ -125,8 +139,7 @@
     );
     let mut response = http::Response::new(full_body(Bytes::new()));
     *response.status_mut() = refusal.status();
-    if let Some(seconds) = refusal.retry_after() {
-        let seconds = HeaderValue::from_static(seconds);
+    if let Some(seconds) = refusal.retry_after_ms().and_then(format_retry_after) {
         response.headers_mut().insert(header::RETRY_AFTER, seconds);
     }
     head::write_attempt(response.headers_mut(), attempt);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -20,6 +20,8 @@
     pub(crate) cold_window_start: time::Instant,
     pub(crate) cold_window_requests: u32,
     pub(crate) last_heard: time::Instant,
+    /// End of the last pause that it asked for.
+    pub(crate) pause_end: Option<time::Instant>,
     /// When it last refused a request or failed, if it has not answered one since.
     pub(crate) refused_at: Option<time::Instant>,
     /// Load from the other gateways.
@@ -34,6 +36,32 @@
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
 impl Upstream {
+    /// Returns whether this is the start of the upstream that has this start time.
+    pub(crate) fn is_start(&self, born_ms: u64) -> bool {
+        self.status.edition.born_ms == born_ms
+    }
+
+    /// Sends nothing to the upstream until `end`, and a single request first after it.
+    pub(crate) fn pause_until(&mut self, end: time::Instant) {
+        let end = self.pause_end.map_or(end, |former| former.max(end));
+        self.pause_end = Some(end);
+        self.breaker.record_pause(end);
+    }
+
+    /// Returns the end of the pause that the upstream is in, or of the wait for the answer to the
+    /// first request after it; `None` if requests may be sent.
+    pub(crate) fn paused_until(&self, now: time::Instant) -> Option<time::Instant> {
+        let pause_end = self.pause_end.filter(|end| now < *end);
+        pause_end.or_else(|| match self.breaker.check(now) {
+            breaker::Decision::Reject { retry_after_ms } if self.breaker.is_pausing() => {
+                Some(now + Duration::from_millis(retry_after_ms))
+            }
+            breaker::Decision::Allow
+            | breaker::Decision::Probe
+            | breaker::Decision::Reject { .. } => None,
+        })
+    }
+
     /// Records whether the upstream refused a request or failed.
     pub(crate) fn record_refusal(&mut self, now: time::Instant, is_refused: bool) {
         self.refused_at = is_refused.then_some(now);
--- /dev/null
+++ b/crates/gateway/tests/notices.rs
@@ -0,0 +1,214 @@
+//! What upstreams say of themselves in their responses: a pause they ask for, or that they leave.
+
+mod support;
+
+use std::time;
+
+use peargap_fake::runner;
+use peargap_wire::fleet as wire;
+use support::generation;
+use support::request;
+use support::wait_for;
+use support::Fixture;
+
+const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(10);
+
+async fn sleep_ms(millis: u64) {
+    tokio::time::sleep(time::Duration::from_millis(millis)).await;
+}
+
+/// Calls until the upstream has refused once.
+async fn call_until_refused(fixture: &Fixture, name: &str) {
+    while fixture.runner(name).arrivals().is_empty() {
+        fixture.call(request("/plain/", "")).await;
+    }
+}
+
+fn retry_after(response: &support::Response) -> f64 {
+    let text = response.headers["retry-after"].to_str().expect("text");
+    text.parse().expect("seconds")
+}
+
+#[tokio::test]
+async fn an_upstream_in_a_pause_gets_nothing_until_it_is_over() {
+    let fixture = Fixture::start(&["d1", "d2"]).await;
+    let paused = fixture.runner("d1");
+    paused.reject_with_retry_after("0.8");
+    call_until_refused(&fixture, "d1").await;
+    for _call in 0..30 {
+        assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+        sleep_ms(20).await;
+    }
+    assert_eq!(paused.arrivals().len(), 1);
+    paused.set_behaviour(runner::Behaviour::Answer);
+    while paused.arrivals().len() < 3 {
+        assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn callers_are_told_when_the_first_pause_ends() {
+    let fixture = Fixture::start(&["d1", "d2"]).await;
+    fixture.runner("d1").reject_with_retry_after("3");
+    fixture.runner("d2").reject_with_retry_after("1.5");
+    for name in ["d1", "d2"] {
+        call_until_refused(&fixture, name).await;
+    }
+    let response = fixture.call(request("/once/", "")).await;
+    assert_eq!(response.status, 503);
+    let after = retry_after(&response);
+    assert!((1.0..=2.2).contains(&after), "{after}");
+    for name in ["d1", "d2"] {
+        assert_eq!(fixture.runner(name).arrivals().len(), 1);
+    }
+}
+
+#[tokio::test]
+async fn pauses_out_of_bounds_are_limited() {
+    for (value, range) in [
+        ("3600", 50.0..=90.0),
+        ("soon", 0.5..=1.6),
+        ("-1", 0.5..=1.6),
+    ] {
+        let fixture = Fixture::start(&["d1"]).await;
+        fixture.runner("d1").reject_with_retry_after(value);
+        call_until_refused(&fixture, "d1").await;
+        let response = fixture.call(request("/once/", "")).await;
+        assert_eq!(response.status, 503);
+        let after = retry_after(&response);
+        assert!(range.contains(&after), "{value}: {after}");
+    }
+}
+
+#[tokio::test]
+async fn after_a_pause_one_request_goes_first() {
+    let fixture = Fixture::start(&["d1"]).await;
+    let paused = fixture.runner("d1");
+    paused.reject_with_retry_after("0.2");
+    call_until_refused(&fixture, "d1").await;
+    sleep_ms(300).await;
+    paused.set_behaviour(runner::Behaviour::Answer);
+    paused.set_answer_delay(time::Duration::from_millis(200));
+    let mut calls = Vec::new();
+    for _call in 0..8 {
+        let mut caller = fixture.connect().await;
+        calls.push(tokio::spawn(async move {
+            caller.call(request("/once/", "")).await.status
+        }));
+    }
+    sleep_ms(100).await;
+    assert_eq!(paused.arrivals().len(), 2);
+    for call in calls {
+        call.await.expect("a response");
+    }
+    assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+}
+
+#[tokio::test]
+async fn a_resume_waits_for_the_end_of_a_pause() {
+    let fixture = Fixture::start(&["p1", "p2"]).await;
+    for name in ["p1", "p2"] {
+        fixture.runner(name).set_events(100, EVENT_INTERVAL);
+    }
+    let mut caller = fixture.connect().await;
+    let calling = tokio::spawn(async move { caller.call(generation()).await });
+    let first = fixture.wait_for_running().await;
+    let others = fixture.runners.values();
+    let second = others
+        .clone()
+        .find(|runner| runner.name != first.name)
+        .expect("another runner");
+    sleep_ms(100).await;
+    second.reject_with_retry_after("0.4");
+    first.interrupt_streams();
+    let refused = second.clone();
+    wait_for(move || refused.arrivals().len() == 1).await;
+    second.set_behaviour(runner::Behaviour::Answer);
+    let response = calling.await.expect("a response");
+    assert!(response.is_complete);
+    assert_eq!(response.ids(), (1..=100).collect::<Vec<u64>>());
+    assert_eq!(second.arrivals().len(), 2);
+}
+
+/// Announces a start of the upstream `d1` as ready.
+async fn announce_ready(fixture: &Fixture, born_ms: u64, sequence: u64) {
+    let upstream = wire::Upstream {
+        address: fixture.runner("d1").address.to_string(),
+        born_ms,
+        name: "d1".to_owned(),
+        sequence,
+        ..support::new_upstream()
+    };
+    fixture.control.announce_upstream(upstream).await;
+}
+
+#[tokio::test]
+async fn an_upstream_that_says_that_it_leaves_gets_nothing_more_from_that_start() {
+    let fixture = Fixture::start(&["d1", "d2"]).await;
+    let leaving = fixture.runner("d1");
+    leaving.announce_leaving();
+    while leaving.arrivals().is_empty() {
+        assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+    }
+    // A status that was sent before, or from a host that has not heard of it.
+    announce_ready(&fixture, 1, 7).await;
+    for _call in 0..20 {
+        assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+    }
+    assert_eq!(leaving.arrivals().len(), 1);
+    announce_ready(&fixture, 2, 1).await;
+    while leaving.arrivals().len() < 2 {
+        assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_of_a_leaving_upstream_counts_too() {
+    let fixture = Fixture::start(&["d1", "d2"]).await;
+    let leaving = fixture.runner("d1");
+    leaving.set_behaviour(runner::Behaviour::Shed);
+    leaving.announce_leaving();
+    call_until_refused(&fixture, "d1").await;
+    sleep_ms(1_500).await;
+    for _call in 0..20 {
+        assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+    }
+    assert_eq!(leaving.arrivals().len(), 1);
+}
+
+#[tokio::test]
+async fn a_generation_moves_from_an_engine_that_says_that_it_leaves() {
+    let fixture = Fixture::start(&["p1", "p2", "p3"]).await;
+    for runner in fixture.runners.values() {
+        runner.set_events(100, EVENT_INTERVAL);
+    }
+    let mut caller = fixture.connect().await;
+    let calling = tokio::spawn(async move { caller.call(generation()).await });
+    let first = fixture.wait_for_running().await;
+    first.announce_leaving();
+    // The head of another stream is the response that says so.
+    while first.arrivals().len() < 2 {
+        let mut other = fixture.connect().await;
+        tokio::spawn(async move { other.call(generation()).await });
+        sleep_ms(20).await;
+    }
+    let moved = first.clone();
+    wait_for(move || moved.count_running() == 0).await;
+    let response = calling.await.expect("a response");
+    assert!(response.is_complete);
+    assert_eq!(response.ids(), (1..=100).collect::<Vec<u64>>());
+}
+
+#[tokio::test]
+async fn control_hosts_are_told_of_a_departure() {
+    let fixture = Fixture::start(&["d1"]).await;
+    fixture.runner("d1").announce_leaving();
+    assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+    let control = fixture.control.clone();
+    wait_for(move || !control.departures().is_empty()).await;
+    let expected = wire::Departure {
+        born_ms: 1,
+        upstream: "d1".to_owned(),
+    };
+    assert_eq!(fixture.control.departures(), [expected]);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -53,6 +53,7 @@
 pub(crate) struct Control {
     applied: sync::Arc<sync::Mutex<Vec<u64>>>,
     connections: sync::Arc<sync::Mutex<Vec<UpdateSender>>>,
+    departures: sync::Arc<sync::Mutex<Vec<wire::Departure>>>,
     /// Whether it sends no documents.
     is_mute: bool,
     sent_updates: sync::Arc<sync::Mutex<Vec<wire::Update>>>,
@@ -78,6 +79,7 @@
             .expect("connections")
             .push(updates.clone());
         let applied = self.applied.clone();
+        let departures = self.departures.clone();
         let is_mute = self.is_mute;
         let connection = updates.clone();
         tokio::spawn(async move {
@@ -93,6 +95,10 @@
                     };
                     connection.send(Ok(update)).await.expect("a connection");
                 }
+                departures
+                    .lock()
+                    .expect("departures")
+                    .extend(report.departures);
                 if report.applied > 0 {
                     applied.lock().expect("applied").push(report.applied);
                 }
@@ -122,6 +128,11 @@
         tokio::spawn(served);
     }
 
+    /// Returns the departures that gateways reported.
+    pub(crate) fn departures(&self) -> Vec<wire::Departure> {
+        self.departures.lock().expect("departures").clone()
+    }
+
     async fn wait_until_connected(&self) {
         let connections = self.connections.clone();
         wait_for(move || !connections.lock().expect("connections").is_empty()).await;
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -23,6 +23,19 @@
     /// Set when the gateway reports its load to another host from now on.
     #[prost(bool, tag = "7")]
     pub stops_loads: bool,
+    /// Upstreams that said in a response that they are leaving, since the previous report.
+    #[prost(message, repeated, tag = "8")]
+    pub departures: ::prost::alloc::vec::Vec<Departure>,
+}
+/// One start of an upstream that is leaving.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Departure {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// Start time of the process by its own clock, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub born_ms: u64,
 }
 /// Load on one upstream.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
