proof: the soak has runners that ask for pauses and that say in responses that they leave

Change: two more faults, RunnerPauses (503 with Retry-After 1.5 for up to 0.7 s) and RunnerSaysItLeaves (all responses say so, heartbeats say ready for 3.5 s more). The fake runner records arrivals with their time and what was answered. Checked after each run, by gateway: at most two requests between half a second after a refusal and the end of the pause, none later than 2 s after a response of a leaving runner has reached a caller; a kill, stop or pause of the gateway in between excuses both. A caller's kept connection is now counted for the gateway that it leads to.

--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -53,6 +53,19 @@
     pub path: String,
 }
 
+/// A request that arrived at a runner, also if it was rejected.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Arrival {
+    /// When it arrived.
+    pub at: time::Instant,
+    /// Value of the `attempt-id` header.
+    pub attempt: String,
+    /// Whether the response says that the runner is leaving.
+    pub leaving: bool,
+    /// `Retry-After` value of the response, if the request was rejected with one.
+    pub retry_after: Option<&'static str>,
+}
+
 /// Group of runners that can copy KV memory to each other; clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct RunnerGroup(sync::Arc<sync::Mutex<collections::HashMap<String, Runner>>>);
@@ -85,8 +98,7 @@
 struct State {
     /// Delay before the response to a request that is not a generation.
     answer_delay: time::Duration,
-    /// Attempt ids of the requests that arrived, also of those that were rejected.
-    arrivals: Vec<String>,
+    arrivals: Vec<Arrival>,
     behaviour: Behaviour,
     /// Handles of the generation copies that this runner holds.
     copies: collections::HashSet<String>,
@@ -123,7 +135,13 @@
 impl State {
     /// Records that a request arrived; returns how it is handled.
     fn record_arrival(&mut self, attempt: &str) -> Behaviour {
-        self.arrivals.push(attempt.to_owned());
+        let is_rejected = self.behaviour == Behaviour::Shed;
+        self.arrivals.push(Arrival {
+            at: time::Instant::now(),
+            attempt: attempt.to_owned(),
+            leaving: self.is_leaving,
+            retry_after: self.retry_after.filter(|_value| is_rejected),
+        });
         self.behaviour
     }
 }
@@ -250,9 +268,8 @@
         self.lock().runs.clone()
     }
 
-    /// Returns the attempt ids of the requests that arrived, in order, also of those that were
-    /// rejected.
-    pub fn arrivals(&self) -> Vec<String> {
+    /// Returns the requests that arrived, in order, also those that were rejected.
+    pub fn arrivals(&self) -> Vec<Arrival> {
         self.lock().arrivals.clone()
     }
 
--- a/crates/proof/tests/soak/caller.rs
+++ b/crates/proof/tests/soak/caller.rs
@@ -24,6 +24,13 @@
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// A connection to a gateway.
+#[derive(Debug)]
+struct Connection {
+    gateway: usize,
+    sender: Sender,
+}
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum End {
@@ -52,18 +59,18 @@
                 1 => ledger::Kind::Once,
                 _ => ledger::Kind::Stream,
             };
-            let port = ports[random.random_range(0..ports.len())];
+            let gateway = random.random_range(0..ports.len());
             let attempt = format!("{number:x}{count:08x}");
-            let sender = match reusable.take() {
-                Some(sender) => Some(sender),
-                None => connect(port).await,
+            let connection = match reusable.take() {
+                Some(connection) => Some(connection),
+                None => connect(gateway, ports[gateway]).await,
             };
-            let Some(sender) = sender else {
+            let Some(connection) = connection else {
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
             };
-            let (end, sender) = send_request(sender, &attempt, kind, &ledger).await;
-            reusable = sender.filter(|_sender| random.random_bool(0.8));
+            let (end, connection) = send_request(connection, &attempt, kind, &ledger).await;
+            reusable = connection.filter(|_connection| random.random_bool(0.8));
             if end != End::Responded(200) {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
@@ -85,8 +92,8 @@
             loop {
                 tries += 1;
                 let attempt = format!("f{gateway}{kind:?}{tries}");
-                let ended = match connect(*port).await {
-                    Some(sender) => send_request(sender, &attempt, kind, ledger).await.0,
+                let ended = match connect(gateway, *port).await {
+                    Some(connection) => send_request(connection, &attempt, kind, ledger).await.0,
                     None => End::Broken,
                 };
                 if ended == End::Responded(200) {
@@ -104,7 +111,7 @@
     }
 }
 
-async fn connect(port: u16) -> Option<Sender> {
+async fn connect(gateway: usize, port: u16) -> Option<Connection> {
     let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
     let stream = tokio::net::TcpStream::connect(address).await.ok()?;
     let (sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await.ok()?;
@@ -112,16 +119,16 @@
         // An error of the connection also fails the request, which reports it.
         let _ = connection.await;
     });
-    Some(sender)
+    Some(Connection { gateway, sender })
 }
 
 /// Sends one request and checks its response; returns the connection if it can be reused.
 async fn send_request(
-    mut sender: Sender,
+    mut connection: Connection,
     attempt: &str,
     kind: ledger::Kind,
     ledger: &ledger::Ledger,
-) -> (End, Option<Sender>) {
+) -> (End, Option<Connection>) {
     let (path, limit_ms) = match kind {
         ledger::Kind::Idempotent => ("/plain/x?y=1", 2000),
         ledger::Kind::Once => ("/once/x", 2000),
@@ -137,9 +144,9 @@
     }
     let body = Bytes::from(format!("body of {attempt}"));
     let request = request.body(Full::new(body.clone())).expect("a request");
-    ledger.record_request(attempt, kind);
-    let answered =
-        tokio::time::timeout(limit + RESPONSE_MARGIN, read_response(&mut sender, request)).await;
+    ledger.record_request(attempt, kind, connection.gateway);
+    let response = read_response(&mut connection.sender, request);
+    let answered = tokio::time::timeout(limit + RESPONSE_MARGIN, response).await;
     let Ok(answered) = answered else {
         // A gateway that is stopped, paused or killed may not respond; the caller gives up.
         return (End::Broken, None);
@@ -162,7 +169,7 @@
     if matches!(status, 400..=407 | 409..=420) {
         ledger.record_violation(format!("{attempt} ({kind:?}) was rejected with {status}"));
     }
-    (End::Responded(status), Some(sender))
+    (End::Responded(status), Some(connection))
 }
 
 async fn read_response(
--- a/crates/proof/tests/soak/faults.rs
+++ b/crates/proof/tests/soak/faults.rs
@@ -10,12 +10,17 @@
 
 use crate::deployment;
 use crate::ledger;
+use crate::notices;
 
 /// Time that a control host needs to catch up after its data folder was deleted.
 const CATCH_UP: time::Duration = time::Duration::from_secs(3);
 /// Time within which a gateway exits after SIGTERM: its grace period of 3 s and a margin.
 const STOP_TIMEOUT: time::Duration = time::Duration::from_millis(4500);
 
+/// Time for which the heartbeats of a runner say that it is ready although its responses say that it
+/// leaves.
+const SILENT_LEAVE_TIME: time::Duration = time::Duration::from_millis(3500);
+
 /// A fault that can be injected.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -32,12 +37,14 @@
     LinkSilent,
     RunnerLeaves,
     RunnerMisbehaves,
+    RunnerPauses,
+    RunnerSaysItLeaves,
     UpstreamDelayed,
     UpstreamReset,
     UpstreamSilent,
 }
 
-const FAULTS: [Fault; 16] = [
+const FAULTS: [Fault; 18] = [
     Fault::ControlKilled,
     Fault::ControlPaused,
     Fault::ControlWiped,
@@ -51,6 +58,8 @@
     Fault::LinkSilent,
     Fault::RunnerLeaves,
     Fault::RunnerMisbehaves,
+    Fault::RunnerPauses,
+    Fault::RunnerSaysItLeaves,
     Fault::UpstreamDelayed,
     Fault::UpstreamReset,
     Fault::UpstreamSilent,
@@ -112,11 +121,13 @@
                 .for_each(deployment::Process::start);
         }
         Fault::GatewayKilled => {
+            ledger.record_disturbance(gateway);
             deployment.gateways[gateway].kill();
             tokio::time::sleep(duration).await;
             deployment.gateways[gateway].start();
         }
         Fault::GatewayStopped => {
+            ledger.record_disturbance(gateway);
             deployment.gateways[gateway].signal(unix::Signal::TERM);
             if !deployment.gateways[gateway].wait_exit(STOP_TIMEOUT).await {
                 ledger.record_violation(format!(
@@ -127,9 +138,11 @@
             deployment.gateways[gateway].start();
         }
         Fault::GatewayPaused => {
+            ledger.record_disturbance(gateway);
             deployment.gateways[gateway].signal(unix::Signal::STOP);
             tokio::time::sleep(duration).await;
             deployment.gateways[gateway].signal(unix::Signal::CONT);
+            ledger.record_disturbance(gateway);
         }
         Fault::LinkDelayed => deployment.control_relays[host].delay(duration / 4),
         Fault::LinkOneWay => deployment.control_relays[host].drop_responses(),
@@ -156,6 +169,23 @@
                 .runner
                 .set_behaviour(runner::Behaviour::Answer);
         }
+        Fault::RunnerPauses => {
+            let runner = deployment.upstreams[upstream].runner.clone();
+            runner.reject_with_retry_after(notices::PAUSE_TEXT);
+            tokio::time::sleep(duration).await;
+            runner.set_behaviour(runner::Behaviour::Answer);
+        }
+        Fault::RunnerSaysItLeaves => {
+            let leaving = deployment.upstreams[upstream].clone();
+            leaving.runner.announce_leaving();
+            let service = leaving.service;
+            tokio::spawn(async move {
+                tokio::time::sleep(SILENT_LEAVE_TIME).await;
+                let mut state = leaving.state.lock().expect("a state");
+                *state = state.map(|_state| "draining");
+            });
+            deployment.add_upstream(service).await;
+        }
         Fault::UpstreamDelayed => deployment.upstreams[upstream].relay.delay(duration / 4),
         Fault::UpstreamReset => deployment.upstreams[upstream].relay.reset(),
         Fault::UpstreamSilent => deployment.upstreams[upstream].relay.silence(),
--- a/crates/proof/tests/soak/ledger.rs
+++ b/crates/proof/tests/soak/ledger.rs
@@ -1,6 +1,7 @@
 //! Record of the responses that callers and the operator received, compared with what ran.
 
 use std::collections;
+use std::ops;
 use std::sync;
 use std::time;
 
@@ -25,6 +26,13 @@
     Complete,
 }
 
+/// A moment at which a gateway was killed, stopped, paused or continued.
+#[derive(Clone, Copy, Debug)]
+struct Disturbance {
+    at: time::Instant,
+    gateway: usize,
+}
+
 /// Record of all requests, documents and violations of one run; clones share it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Ledger(sync::Arc<sync::Mutex<State>>);
@@ -34,6 +42,10 @@
     acknowledged: Vec<(time::Instant, u64)>,
     violations: Vec<String>,
     is_stopped: bool,
+    /// Times at which a gateway was killed, stopped, paused or continued.
+    disturbances: Vec<Disturbance>,
+    /// Gateways that requests were sent to, by attempt.
+    gateways: collections::HashMap<String, usize>,
     requests: collections::HashMap<String, (Kind, Outcome)>,
     fault_count: usize,
 }
@@ -53,9 +65,35 @@
         self.lock().violations.clone()
     }
 
+    /// Records that a gateway is killed, stopped, paused or continued.
+    pub(crate) fn record_disturbance(&self, gateway: usize) {
+        let at = time::Instant::now();
+        self.lock().disturbances.push(Disturbance { at, gateway });
+    }
+
+    /// Returns whether a gateway was disturbed within a range of time.
+    pub(crate) fn is_disturbed(&self, gateway: usize, range: ops::Range<time::Instant>) -> bool {
+        let state = self.lock();
+        let mut disturbances = state.disturbances.iter();
+        disturbances.any(|one| one.gateway == gateway && range.contains(&one.at))
+    }
+
+    /// Returns the gateway that an attempt was sent to.
+    pub(crate) fn gateway_of(&self, attempt: &str) -> Option<usize> {
+        self.lock().gateways.get(attempt).copied()
+    }
+
+    /// Returns whether the caller got a complete response to an attempt.
+    pub(crate) fn is_complete(&self, attempt: &str) -> bool {
+        let state = self.lock();
+        let request = state.requests.get(attempt);
+        request.is_some_and(|(_kind, outcome)| *outcome == Outcome::Complete)
+    }
+
     /// Records a request before it is sent, with an unknown outcome.
-    pub(crate) fn record_request(&self, attempt: &str, kind: Kind) {
+    pub(crate) fn record_request(&self, attempt: &str, kind: Kind, gateway: usize) {
         let mut state = self.lock();
+        state.gateways.insert(attempt.to_owned(), gateway);
         state
             .requests
             .insert(attempt.to_owned(), (kind, Outcome::Unknown));
--- a/crates/proof/tests/soak/main.rs
+++ b/crates/proof/tests/soak/main.rs
@@ -17,6 +17,7 @@
 mod deployment;
 mod faults;
 mod ledger;
+mod notices;
 mod operator;
 
 use std::time;
@@ -60,6 +61,7 @@
     operator.finish(&deployment).await;
     caller::check_served(&deployment, &ledger).await;
     ledger.check_runs(&deployment);
+    notices::check(&deployment, &ledger);
     let violations = ledger.violations();
     println!(
         "seed {seed}: {}, {} findings",
