core, load: gateways tell each other of refusals; an experiment with a service that refuses requests

Cause: the rule that a service most of whose upstreams refuse gets no repeats rests on what one gateway has seen. With many gateways each sees little: with 105 of them before four upstreams that all refuse, the service still gets 1.2 arrivals a request (model, three quarters of the bound to spend). So the former rule breaks the bound from 25 gateways on. Tests: the new gateway test fails without the others' reports (3 arrivals, 1 allowed).

--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -308,6 +308,7 @@
     let decoded = balance::Load {
         copied: u64::from(load.copied),
         failing: load.failing,
+        refusing: load.refusing,
         running: load.running,
         tokens: u64::from(load.tokens),
         waiting: u64::from(load.waiting),
@@ -320,6 +321,7 @@
     wire::Load {
         copied: narrow(load.copied),
         failing: load.failing,
+        refusing: load.refusing,
         running: load.running,
         tokens: narrow(load.tokens),
         upstream: name.clone(),
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -43,6 +43,9 @@
 /// others. The requests of one gateway may fail for reasons of its own.
 const SUSPECT_GATEWAYS: u32 = 2;
 
+/// Number of other gateways whose requests an upstream refuses from which on it counts as refusing.
+const REFUSED_GATEWAYS: u32 = 2;
+
 /// Load of an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -50,6 +53,8 @@
     pub copied: u64,
     /// Gateways whose circuit breaker for the upstream is open.
     pub failing: u32,
+    /// Gateways whose last request it has refused, a short time ago.
+    pub refusing: u32,
     /// Requests that run or wait.
     pub running: u32,
     /// Tokens held by running generations.
@@ -59,12 +64,19 @@
 }
 
 impl Load {
+    /// Returns whether the upstream refuses requests, by what other gateways report.
+    #[must_use]
+    pub fn is_refusing(&self) -> bool {
+        self.refusing >= REFUSED_GATEWAYS
+    }
+
     /// Returns the sum of both loads.
     #[must_use]
     pub fn plus(self, other: Load) -> Load {
         Load {
             copied: self.copied + other.copied,
             failing: self.failing + other.failing,
+            refusing: self.refusing + other.refusing,
             running: self.running + other.running,
             tokens: self.tokens + other.tokens,
             waiting: self.waiting + other.waiting,
@@ -77,6 +89,7 @@
         Load {
             copied: self.copied - part.copied,
             failing: self.failing - part.failing,
+            refusing: self.refusing - part.refusing,
             running: self.running - part.running,
             tokens: self.tokens - part.tokens,
             waiting: self.waiting - part.waiting,
--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -14,7 +14,7 @@
 /// Slots into which a window is divided.
 const SLOTS: u32 = 10;
 /// Part of the ratio and of the burst that gateways spend.
-const SPENT_PART: f64 = 0.5;
+const SPENT_PART: f64 = 0.75;
 
 /// Bounds of the retries to one service, for the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/core/tests/load_totals.rs
+++ b/crates/core/tests/load_totals.rs
@@ -9,6 +9,7 @@
     balance::Load {
         copied: u64::from(amount) * 3,
         failing: amount / 2,
+        refusing: amount / 3,
         running: amount,
         tokens: u64::from(amount) * 7,
         waiting: u64::from(amount % 2),
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -175,7 +175,8 @@
         ready.fold(retry_budget::Upstreams::default(), |counted, upstream| {
             retry_budget::Upstreams {
                 ready: counted.ready + 1,
-                refusing: counted.refusing + u32::from(upstream.is_refusing(now)),
+                refusing: counted.refusing
+                    + u32::from(upstream.is_refusing(now) || upstream.remote_load.is_refusing()),
             }
         })
     }
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -37,6 +37,7 @@
                 upstream.remote_load = balance::Load {
                     copied: u64::from(load.copied),
                     failing: load.failing,
+                    refusing: load.refusing,
                     running: load.running,
                     tokens: u64::from(load.tokens),
                     waiting: u64::from(load.waiting),
@@ -53,11 +54,14 @@
             upstream.breaker.is_upstream_failing() || upstream.paused_until(now).is_some()
         };
         let with_load = state.upstreams.values().filter(|upstream| {
-            upstream.local_load != balance::Load::default() || is_failing(upstream)
+            upstream.local_load != balance::Load::default()
+                || is_failing(upstream)
+                || upstream.is_refusing(now)
         });
         let loads = with_load.map(|upstream| wire::Load {
             copied: u32::try_from(round_up(upstream.local_load.copied)).unwrap_or(u32::MAX),
             failing: u32::from(is_failing(upstream)),
+            refusing: u32::from(upstream.is_refusing(now)),
             running: upstream.local_load.running,
             tokens: u32::try_from(round_up(upstream.local_load.tokens)).unwrap_or(u32::MAX),
             upstream: upstream.status.name.clone(),
--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -169,6 +169,30 @@
     assert!(arrivals <= CALLS + MAX_REPEATS, "{arrivals} arrivals");
 }
 
+#[tokio::test]
+async fn refusals_that_other_gateways_report_count_too() {
+    let names = ["d1", "d2", "d3", "d4"];
+    let fixture = Fixture::start(&names).await;
+    let loads = names.map(|name| wire::Load {
+        refusing: 2,
+        upstream: name.to_owned(),
+        ..wire::Load::default()
+    });
+    let update = wire::Update {
+        has_loads: true,
+        loads: loads.into(),
+        ..wire::Update::default()
+    };
+    fixture.control.send(update).await;
+    tokio::time::sleep(time::Duration::from_millis(200)).await;
+    for name in names {
+        fixture.runner(name).set_behaviour(runner::Behaviour::Shed);
+    }
+    assert_eq!(fixture.call(request("/once/", "")).await.status, 503);
+    let arrivals = names.map(|name| fixture.runner(name).arrivals().len());
+    assert_eq!(arrivals.iter().sum::<usize>(), 1);
+}
+
 #[tokio::test]
 async fn a_call_that_all_upstreams_refuse_may_be_retried_and_has_not_run() {
     let fixture = Fixture::start(&["d1", "d2"]).await;
--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -8,9 +8,11 @@
 use crate::experiment::policy;
 use crate::experiment::report;
 use crate::experiment::scenario;
+use crate::experiment::shedding;
 use crate::experiment::suite;
 
-const HELP: &str = "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME)
+const HELP: &str =
+    "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --shedding)
   [--seeds N] [--load FACTOR] [--out DIR]";
 /// Scenarios that `--all` also runs with each mechanism disabled in turn.
 const ABLATED: [&str; 8] = [
@@ -31,6 +33,8 @@
     compare: Vec<scenario::Scenario>,
     out: Option<path::PathBuf>,
     seeds: u64,
+    /// Whether to compare rules for repeats at a service that refuses requests.
+    shedding: bool,
 }
 
 /// Runs the scenarios that the arguments select.
@@ -48,6 +52,7 @@
 
 fn parse_options(mut arguments: pico_args::Arguments) -> Result<Options, String> {
     let all = arguments.contains("--all");
+    let shedding = arguments.contains("--shedding");
     let one: Option<String> = parse(&mut arguments, "--scenario")?;
     let ablate: Option<String> = parse(&mut arguments, "--ablate")?;
     let load: Option<f64> = parse(&mut arguments, "--load")?;
@@ -61,6 +66,7 @@
         compare: Vec::new(),
         out: out.map(Into::into),
         seeds,
+        shedding,
     };
     if all {
         options.compare = scenario::list_scenarios();
@@ -78,8 +84,8 @@
     for scenario in options.compare.iter_mut().chain(&mut options.ablate) {
         scenario.traffic.load = load.unwrap_or(scenario.traffic.load);
     }
-    if options.compare.is_empty() && options.ablate.is_empty() {
-        return Err("no scenario given: use --all, --scenario or --ablate".to_owned());
+    if options.compare.is_empty() && options.ablate.is_empty() && !shedding {
+        return Err("no scenario given: use --all, --scenario, --ablate or --shedding".to_owned());
     }
     Ok(options)
 }
@@ -102,6 +108,9 @@
 
 fn run_options(options: &Options) -> Result<(), String> {
     let mut text = String::new();
+    if options.shedding {
+        (0..options.seeds).for_each(|seed| text.push_str(&shedding::report(seed)));
+    }
     for scenario in &options.compare {
         eprintln!("{}", scenario.name);
         let table = suite::run_scenario(scenario, &policy::COMPARED, options.seeds);
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -15,6 +15,7 @@
 pub mod policy;
 pub mod report;
 pub mod scenario;
+pub mod shedding;
 pub mod simulation;
 pub mod suite;
 pub mod target;
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -58,6 +58,9 @@
     /// Gateways whose requests to it fail.
     #[prost(uint32, tag = "6")]
     pub failing: u32,
+    /// Gateways whose last request it has refused, a short time ago.
+    #[prost(uint32, tag = "7")]
+    pub refusing: u32,
 }
 /// Control host to gateway.
 #[derive(Clone, PartialEq, ::prost::Message)]
