--- /dev/null
+++ b/crates/adapters/src/load.rs
@@ -0,0 +1,33 @@
+//! Loads of upstreams in the messages between gateways and control hosts.
+
+use peargap_core::balance;
+use peargap_wire::fleet as wire;
+
+/// Returns the load in a message.
+#[must_use]
+pub fn decode(load: &wire::Load) -> balance::Load {
+    balance::Load {
+        copied: u64::from(load.copied),
+        failing: load.failing,
+        refusing: load.refusing,
+        running: load.running,
+        tokens: u64::from(load.tokens),
+        waiting: u64::from(load.waiting),
+    }
+}
+
+/// Returns the message for the load of an upstream. Numbers of tokens that do not fit become the
+/// largest that do.
+#[must_use]
+pub fn encode(upstream: &str, load: balance::Load) -> wire::Load {
+    let narrow = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
+    wire::Load {
+        copied: narrow(load.copied),
+        failing: load.failing,
+        refusing: load.refusing,
+        running: load.running,
+        tokens: narrow(load.tokens),
+        upstream: upstream.to_owned(),
+        waiting: narrow(load.waiting),
+    }
+}
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -6,9 +6,9 @@
 use std::time;
 
 use futures::StreamExt as _;
+use peargap_adapters::load;
 use peargap_adapters::logs;
 use peargap_core::aggregator;
-use peargap_core::balance;
 use peargap_core::load_totals;
 use peargap_core::routing;
 use peargap_core::upstreams;
@@ -149,7 +149,9 @@
             document_requested.notify_one();
         }
         if report.has_loads {
-            let loads = report.loads.into_iter().map(decode_load).collect();
+            let loads = report.loads.iter();
+            let loads = loads.map(|one| (one.upstream.clone(), load::decode(one)));
+            let loads = loads.collect();
             fleet.record_loads(key, loads, report.starts_loads);
         }
         for departure in report.departures {
@@ -274,7 +276,8 @@
         }
         let changes = sums.others.diff(&self.sent.loads);
         self.sent.loads = sums.others;
-        update.loads = changes.iter().map(encode_load).collect();
+        let loads = changes.iter();
+        update.loads = loads.map(|(name, one)| load::encode(name, one)).collect();
         update.all_loads = sums.is_first;
         update.has_loads = sums.is_first || !update.loads.is_empty();
     }
@@ -304,31 +307,6 @@
     }
 }
 
-fn decode_load(load: wire::Load) -> (String, balance::Load) {
-    let decoded = balance::Load {
-        copied: u64::from(load.copied),
-        failing: load.failing,
-        refusing: load.refusing,
-        running: load.running,
-        tokens: u64::from(load.tokens),
-        waiting: u64::from(load.waiting),
-    };
-    (load.upstream, decoded)
-}
-
-fn encode_load((name, load): (&String, balance::Load)) -> wire::Load {
-    let narrow = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
-    wire::Load {
-        copied: narrow(load.copied),
-        failing: load.failing,
-        refusing: load.refusing,
-        running: load.running,
-        tokens: narrow(load.tokens),
-        upstream: name.clone(),
-        waiting: narrow(load.waiting),
-    }
-}
-
 fn encode_status(status: &upstreams::Status) -> wire::Upstream {
     let state = match status.state {
         upstreams::State::Draining => wire::State::Draining,
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -1,5 +1,6 @@
 //! Load of this gateway and of the others on the upstreams.
 
+use peargap_adapters::load;
 use peargap_core::balance;
 use peargap_wire::fleet as wire;
 
@@ -29,19 +30,12 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.remote_loads_at = now;
-        for load in loads {
-            let Some(key) = state.names.get(&load.upstream).copied() else {
+        for reported in loads {
+            let Some(key) = state.names.get(&reported.upstream).copied() else {
                 continue;
             };
             if let Some(upstream) = state.upstreams.get_mut(key) {
-                upstream.remote_load = balance::Load {
-                    copied: u64::from(load.copied),
-                    failing: load.failing,
-                    refusing: load.refusing,
-                    running: load.running,
-                    tokens: u64::from(load.tokens),
-                    waiting: u64::from(load.waiting),
-                };
+                upstream.remote_load = load::decode(reported);
             }
         }
     }
@@ -58,14 +52,15 @@
                 || is_failing(upstream)
                 || upstream.is_refusing(now)
         });
-        let loads = with_load.map(|upstream| wire::Load {
-            copied: u32::try_from(round_up(upstream.local_load.copied)).unwrap_or(u32::MAX),
-            failing: u32::from(is_failing(upstream)),
-            refusing: u32::from(upstream.is_refusing(now)),
-            running: upstream.local_load.running,
-            tokens: u32::try_from(round_up(upstream.local_load.tokens)).unwrap_or(u32::MAX),
-            upstream: upstream.status.name.clone(),
-            waiting: u32::try_from(upstream.local_load.waiting).unwrap_or(u32::MAX),
+        let loads = with_load.map(|upstream| {
+            let local = balance::Load {
+                copied: round_up(upstream.local_load.copied),
+                failing: u32::from(is_failing(upstream)),
+                refusing: u32::from(upstream.is_refusing(now)),
+                tokens: round_up(upstream.local_load.tokens),
+                ..upstream.local_load
+            };
+            load::encode(&upstream.status.name, local)
         });
         loads.collect()
     }
