gateway: requests that waited for the first upstreams after a start go one after the other

Change: core::balance::may_send_at_start. Tests: the new gateway test fails without the rule (the fourth of ten calls arrives before the first has ended); a core test counts what 1 to 105 gateways send together.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -43,6 +43,10 @@
 /// others. The requests of one gateway may fail for reasons of its own.
 const SUSPECT_GATEWAYS: u32 = 2;
 
+/// Requests for each slot of a service that all gateways together send at their start: one runs, the
+/// others wait at the upstream.
+const STARTUP_REQUESTS_PER_SLOT: u32 = 3;
+
 /// Number of other gateways whose requests an upstream refuses from which on it counts as refusing.
 const REFUSED_GATEWAYS: u32 = 2;
 
@@ -178,6 +182,15 @@
     }
 }
 
+/// Returns whether a gateway that has just started may send another request to a service, while it
+/// has `running` there. Requests have gathered at all gateways until the first upstreams are known,
+/// whose `slots` they share; sent all at once, most would be refused.
+#[must_use]
+pub fn may_send_at_start(running: u32, slots: u32, gateways: u32) -> bool {
+    let share = slots.saturating_mul(STARTUP_REQUESTS_PER_SLOT) / gateways.max(1);
+    running < share.max(1)
+}
+
 /// Why a generation is copied to another engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Purpose {
--- a/crates/core/tests/policy_balance.rs
+++ b/crates/core/tests/policy_balance.rs
@@ -294,3 +294,18 @@
     let choice = balance::choose_engine(&candidates, 900, &mut random);
     assert!(matches!(choice, balance::Choice::Take(_)), "{choice:?}");
 }
+
+#[test]
+fn gateways_that_start_together_do_not_fill_the_first_upstreams() {
+    // Four upstreams with 6 slots each; what fits beside the running requests may wait there.
+    for gateways in [1, 6, 23, 105] {
+        let fits = |running: &u32| balance::may_send_at_start(*running, 24, gateways);
+        let most = (0..1000).take_while(fits).count();
+        let gateways = usize::try_from(gateways).expect("few");
+        assert!(
+            most >= 1 && most * gateways <= gateways.max(72),
+            "{gateways}: {most}"
+        );
+    }
+    assert!(balance::may_send_at_start(0, 24, 0));
+}
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -182,7 +182,7 @@
     }
 
     /// Returns the upstreams of a service that take new work, in the order of their names.
-    fn list_ready<'a>(
+    pub(crate) fn list_ready<'a>(
         &'a self,
         service: &'a routes::Service,
     ) -> impl Iterator<Item = (fleet::UpstreamKey, &'a upstream::Upstream)> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -86,9 +86,7 @@
             Ok(read) => read?,
             Err(_elapsed) => return Err(response::Refusal::TimedOutUnsent),
         };
-        self.fleet
-            .wait_for_upstream(&service.name, startup_end)
-            .await;
+        self.fleet.wait_for_upstream(service, startup_end).await;
         self.retries.record_request(&service.name);
         let priority = team.and_then(|team| team.rank).unwrap_or(route.rank);
         let request = call::Request {
--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -114,6 +114,34 @@
     assert_eq!(calling.await.expect("a response").status, 200);
 }
 
+#[tokio::test]
+async fn calls_that_waited_for_the_first_upstream_do_not_reach_it_all_at_once() {
+    const WORK: time::Duration = time::Duration::from_millis(100);
+    let fixture = Fixture::start(&[]).await;
+    let mut calls = Vec::new();
+    for _call in 0..10 {
+        let mut caller = fixture.connect().await;
+        calls.push(tokio::spawn(async move {
+            caller.call(request("/once/", "")).await.status
+        }));
+    }
+    let runner = fixture.rack.start("d1").await.expect("a runner");
+    runner.set_answer_delay(WORK);
+    let upstream = wire::Upstream {
+        address: runner.address.to_string(),
+        name: "d1".to_owned(),
+        slots: 1,
+        ..support::new_upstream()
+    };
+    fixture.control.announce_upstream(upstream).await;
+    for call in calls {
+        assert_eq!(call.await.expect("a response"), 200);
+    }
+    // Three fit at a time: the fourth comes when the first has ended.
+    let arrivals = runner.arrivals();
+    assert!(arrivals[3].at - arrivals[0].at >= WORK, "{arrivals:?}");
+}
+
 #[tokio::test]
 async fn a_refused_call_is_retried_at_another_upstream() {
     let fixture = Fixture::start(&["d1", "d2"]).await;
