--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -4,6 +4,9 @@
 //! An upstream is either an engine, which streams tokens and has a token memory, or a plain
 //! service, whose calls have one answer and no tokens.
 
+mod decision;
+mod options;
+
 use std::collections;
 
 use crate::batch;
@@ -15,6 +18,12 @@
 use crate::running;
 use crate::time;
 
+pub use decision::decide;
+pub use options::Options;
+pub use options::MAX_GAP_RATIO;
+pub use options::MAX_OVERFLOW_PROBABILITY;
+pub use options::MAX_WAITING;
+
 slotmap::new_key_type! {
     /// Key of a running stream or call.
     pub struct Stream;
@@ -24,55 +33,6 @@
 const DEFAULT_GAP_MS: f64 = 30.0;
 /// Minimum number of overdue calls of a plain service that count as a sign of a cold upstream.
 const MIN_OVERDUE_CALLS: u32 = 3;
-/// Largest share of the time to its deadline that a request may be expected to spend in the queue.
-const MAX_WAIT_SHARE: f64 = 0.25;
-/// Safety factor on the expected wait when checking that a request can finish by its deadline.
-const WAIT_SAFETY_FACTOR: f64 = 1.5;
-/// Default limit on queued requests.
-pub const MAX_WAITING: usize = 256;
-/// Default limit on the probability that engine memory overflows.
-pub const MAX_OVERFLOW_PROBABILITY: f32 = 0.03;
-/// Default limit on the ratio of the gap between tokens to that of a stream running alone.
-pub const MAX_GAP_RATIO: f64 = 1.24;
-
-/// Capacity and limits of an upstream, as configured at its agent.
-#[derive(Clone, Copy, Debug)]
-pub struct Options {
-    /// Size of a memory block in tokens.
-    pub block_tokens: u32,
-    /// Upper bound on concurrent streams or calls.
-    pub max_running: u32,
-    /// Limit on the ratio of the gap between tokens to that of a stream running alone; see
-    /// [`MAX_GAP_RATIO`].
-    pub max_gap_ratio: f64,
-    /// Limit on queued requests.
-    pub max_waiting: usize,
-    /// Token slots of engine memory; 0 for a plain service, which only the ramp limits.
-    pub memory_tokens: u64,
-    /// Limit on the probability that engine memory overflows.
-    pub max_overflow_probability: f32,
-    /// Concurrent streams or calls allowed before any has completed; see [`ramp::START_LIMIT`].
-    pub start_limit: u32,
-    /// Limit on concurrent streams or calls without a first token or answer.
-    pub unanswered_limit: u32,
-}
-
-impl Options {
-    /// Returns the default options of an upstream; `memory_tokens` is 0 for a plain service.
-    #[must_use]
-    pub fn new(memory_tokens: u64, block_tokens: u32, max_running: u32) -> Options {
-        Options {
-            block_tokens,
-            max_running,
-            max_gap_ratio: MAX_GAP_RATIO,
-            max_waiting: MAX_WAITING,
-            memory_tokens,
-            max_overflow_probability: MAX_OVERFLOW_PROBABILITY,
-            start_limit: ramp::START_LIMIT,
-            unanswered_limit: ramp::UNANSWERED_LIMIT,
-        }
-    }
-}
 
 /// A request for a generation or call.
 #[derive(Clone, Copy, Debug)]
@@ -485,46 +445,3 @@
     let uncached = request.prompt_tokens.saturating_sub(request.cached_tokens);
     (f64::from(uncached) + f64::from(output)).max(1.0)
 }
-
-/// Decides whether a new request starts, waits or is refused.
-#[must_use]
-pub fn decide(admission: &Admission, now: time::Instant, request: &Request) -> Decision {
-    let options = &admission.options;
-    let prompt = u64::from(request.prompt_tokens);
-    if options.memory_tokens > 0 && prompt + 1 > options.memory_tokens {
-        return Decision::Refuse {
-            reason: Reason::TooLarge,
-            retry_after_ms: 0,
-        };
-    }
-    let queue = &admission.queue;
-    let room = admission.room(request);
-    if queue.is_empty() && room == Room::Fits {
-        return Decision::Admit;
-    }
-    let wait_ms = queue.wait_ms(request.priority, request.team);
-    let retry_after_ms = queue.retry_after_ms(request.priority, request.team);
-    let run_ms = admission.run_ms(request);
-    let total_ms = (wait_ms as f64 * WAIT_SAFETY_FACTOR) as u64 + run_ms;
-    if now.0 + total_ms > request.deadline.0 {
-        let reason = Reason::Deadline;
-        return Decision::Refuse {
-            reason,
-            retry_after_ms,
-        };
-    }
-    let max_wait_ms = request.deadline.millis_since(now) as f64 * MAX_WAIT_SHARE;
-    if wait_ms as f64 > max_wait_ms {
-        let ramping = room == Room::Ramping && admission.ramp.is_ramping();
-        let reason = if ramping {
-            Reason::Ramping
-        } else {
-            Reason::Busy
-        };
-        return Decision::Refuse {
-            reason,
-            retry_after_ms,
-        };
-    }
-    Decision::Wait
-}
