--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -1,10 +1,10 @@
 //! Retries of all gateways together, bounded for each service.
 //!
 //! The bound holds for a fleet: in any window, a service may get a share of the requests for it, and
-//! a burst, as retries. Gateways do not ask each other. Each spends half of the ratio on the
-//! requests that it has itself received, and an equal part of half of the burst, which grows from
-//! nothing while it is new. The other halves cover the borders of windows, and gateways that come, go
-//! or have an old count of the others.
+//! a burst, as retries. Gateways do not ask each other. Each spends a part of the ratio on the
+//! requests that it has itself received, and an equal part of the burst, which grows from nothing
+//! while the gateway is new. What is not spent covers the borders of windows, and gateways that come,
+//! go or have an old count of the others.
 
 use core::time::Duration;
 use std::collections;
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -19,7 +19,8 @@
 use crate::pool;
 use crate::upstream;
 
-/// Time after which an upstream that takes no work and is no longer heard of is removed, in milliseconds.
+/// Time after which an upstream that takes no work and is no longer heard of is removed, in
+/// milliseconds.
 const FORGET_MS: u64 = 30_000;
 
 /// State that is shared by all clones of a [`fleet::Fleet`].
