core, gateway: a departure is remembered longer than the upstream that it is of

Found on reading the diff: an upstream that takes no work is forgotten 30 s after its last change of status, which may be long before it says that it leaves. Its entry could go at once, and a control host that has not heard of the departure, because it was out of reach, would bring it back as ready: requests would reach a runner that had said that it leaves (DRAIN). Change: core::departures keeps the latest 256 departures and corrects every status that arrives.

--- /dev/null
+++ b/crates/core/src/departures.rs
@@ -0,0 +1,63 @@
+//! Upstreams that said in a response that they are leaving, as one gateway was told.
+//!
+//! The list outlives what the gateway knows of the upstreams themselves: a control host that has not
+//! heard of a departure may announce the upstream as ready at any time.
+
+use std::collections;
+
+use crate::upstreams;
+
+/// Departures that are kept.
+const MAX_ENTRIES: usize = 256;
+
+/// One start of an upstream that is leaving.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Departure {
+    /// Start time of the process by its own clock, in Unix milliseconds.
+    pub born_ms: u64,
+    /// Name of the upstream.
+    pub upstream: String,
+}
+
+/// The latest departures, oldest first.
+#[derive(Clone, Debug, Default)]
+pub struct Departures {
+    dropped: usize,
+    entries: collections::VecDeque<Departure>,
+}
+
+impl Departures {
+    /// Adds a departure; the oldest is dropped if there are too many.
+    pub fn push(&mut self, departure: Departure) {
+        self.entries.push_back(departure);
+        if self.entries.len() > MAX_ENTRIES {
+            self.entries.pop_front();
+            self.dropped += 1;
+        }
+    }
+
+    /// Returns the number of departures so far.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.dropped + self.entries.len()
+    }
+
+    /// Returns the departures after the first `known` ones, without those that were dropped.
+    pub fn list_after(&self, known: usize) -> impl Iterator<Item = &Departure> {
+        self.entries.iter().skip(known.saturating_sub(self.dropped))
+    }
+
+    /// Makes a status that says that a leaving upstream takes work say that it is draining.
+    pub fn correct(&self, status: &mut upstreams::Status) {
+        let takes_work = match status.state {
+            upstreams::State::Ready | upstreams::State::Silent => true,
+            upstreams::State::Draining | upstreams::State::Left => false,
+        };
+        let has_departed = self.entries.iter().any(|departure| {
+            departure.upstream == status.name && departure.born_ms == status.edition.born_ms
+        });
+        if takes_work && has_departed {
+            status.state = upstreams::State::Draining;
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod config_follower;
 pub mod curve;
+pub mod departures;
 pub mod document_fetch;
 pub mod event_timing;
 pub mod fair;
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -6,13 +6,13 @@
 
 use peargap_core::balance;
 use peargap_core::breaker;
+use peargap_core::departures;
 use peargap_core::document_fetch;
 use peargap_core::pause;
 use peargap_core::retry_budget;
 use peargap_core::routes;
 use peargap_core::time;
 use peargap_core::upstreams;
-use peargap_wire::fleet as wire;
 use slotmap::SlotMap;
 
 use crate::fleet;
@@ -26,10 +26,8 @@
 /// State that is shared by all clones of a [`fleet::Fleet`].
 #[derive(Debug, Default)]
 pub(crate) struct State {
-    /// Upstreams that said in a response that they are leaving, oldest first.
-    pub(crate) departures: Vec<wire::Departure>,
-    /// Departures that were removed from the front of `departures`.
-    pub(crate) departures_dropped: usize,
+    /// Upstreams that said in a response that they are leaving.
+    pub(crate) departures: departures::Departures,
     pub(crate) domains_out: collections::BTreeSet<String>,
     /// Offers and requests of routing documents.
     pub(crate) fetch: document_fetch::Fetch,
@@ -60,9 +58,10 @@
     pub(crate) fn merge_status(
         &mut self,
         now: time::Instant,
-        status: upstreams::Status,
+        mut status: upstreams::Status,
     ) -> upstreams::Outcome {
         self.forget(now);
+        self.departures.correct(&mut status);
         let Ok(address) = status.address.parse::<net::SocketAddr>() else {
             return upstreams::Outcome::Stale;
         };
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 
 use peargap_adapters::logs;
+use peargap_core::departures;
 use peargap_core::pause;
 use peargap_core::upstreams;
 use peargap_platform::head;
@@ -11,9 +12,6 @@
 use crate::events;
 use crate::fleet;
 
-/// Departures that are kept for control hosts whose links open later.
-const MAX_DEPARTURES: usize = 256;
-
 /// Upstreams that said that they are leaving.
 #[derive(Debug)]
 pub(crate) struct Departures {
@@ -100,13 +98,10 @@
         }
         upstream.status.state = upstreams::State::Draining;
         let name = upstream.status.name.clone();
-        state.departures.push(wire::Departure {
+        state.departures.push(departures::Departure {
             born_ms,
             upstream: name.clone(),
         });
-        let excess = state.departures.len().saturating_sub(MAX_DEPARTURES);
-        state.departures.drain(..excess);
-        state.departures_dropped += excess;
         drop(state);
         logs::emit(
             events::UPSTREAM_LEAVING,
@@ -119,10 +114,14 @@
     /// Returns the departures after the first `known` ones since the start of the process.
     pub(crate) fn list_departures(&self, known: usize) -> Departures {
         let state = self.lock();
-        let skipped = known.saturating_sub(state.departures_dropped);
+        let new = state.departures.list_after(known);
+        let new = new.map(|departure| wire::Departure {
+            born_ms: departure.born_ms,
+            upstream: departure.upstream.clone(),
+        });
         Departures {
-            new: state.departures.iter().skip(skipped).cloned().collect(),
-            total: state.departures_dropped + state.departures.len(),
+            new: new.collect(),
+            total: state.departures.count(),
         }
     }
 }
