core, gateway: the rate limit of a cold upstream holds over all gateways and in every second

Found by looking for the class of the incident's second cause, a bound of the fleet that each process keeps for itself. Two faults by reading: with more gateways than requests a second each sent at least one, so 105 gateways may send 105 requests a second to an upstream that bears 26 to 36; and the counts began anew each second, so twice the share may arrive within one. Change: core::cold_rate counts in slots of 200 ms over each second, and lets only some of the gateways send to an upstream if there are more of them than its rate; the gateway that it is assigned to is one of them. One that does not know the others sends one a second. Tests: 1 to 400 gateways that all press stay within the rate in every second; without the choice of senders 105 of 26 are counted. The share rounds down, so that a part of the rate is not used (25 gateways, 34 a second: 25).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod changes;
 pub mod claims;
 pub mod clock;
+pub mod cold_rate;
 pub mod config;
 pub mod config_follower;
 pub mod curve;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -277,7 +277,7 @@
             .get_mut(key)
             .ok_or(PlacementError::NoUpstream)?;
         if load.running > 0 {
-            upstream.count_cold_request(now);
+            upstream.cold_requests.record(now);
             if upstream.breaker.check(now) == breaker::Decision::Probe {
                 upstream.breaker.record_probe(now);
             }
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -6,6 +6,7 @@
 
 use peargap_core::balance;
 use peargap_core::breaker;
+use peargap_core::cold_rate;
 use peargap_core::departures;
 use peargap_core::document_fetch;
 use peargap_core::pause;
@@ -112,8 +113,7 @@
             let name = status.name.clone();
             let key = self.upstreams.insert(upstream::Upstream {
                 breaker: breaker::Breaker::new(),
-                cold_window_start: now,
-                cold_window_requests: 0,
+                cold_requests: cold_rate::Counter::default(),
                 cold_until,
                 last_heard: now,
                 pause_end: None,
@@ -217,16 +217,24 @@
         criteria: fleet::Criteria<'_>,
         domain: &str,
     ) -> Vec<balance::Candidate<fleet::UpstreamKey>> {
-        let gateways = f64::from(self.gateway_position.gateways.max(1));
         let near = criteria.near.and_then(|key| self.upstreams.get(key));
         let domain = near.map_or(domain, |near| &near.status.domain);
         // All gateways number the upstreams in the order of their names, so that each gateway gets
         // other upstreams as its own.
         let ready = self.list_ready(criteria.service);
-        let untried = ready.enumerate().filter(|(_index, (key, upstream))| {
+        let cold_rate = |upstream_index| {
+            let per_s = criteria.service.cold_per_s?;
+            Some(cold_rate::Rate {
+                gateways: self.gateway_position.gateways,
+                per_s,
+                position: self.gateway_position.position,
+                upstream_index,
+            })
+        };
+        let untried = ready.enumerate().filter(|(index, (key, upstream))| {
             !criteria.exclude.contains(key)
                 && upstream.paused_until(now).is_none()
-                && upstream.allows_cold_request(now, criteria.service.cold_per_s, gateways)
+                && upstream.allows_cold_request(now, cold_rate(*index))
         });
         let untried: Vec<_> = untried.collect();
         let is_rejected = |upstream: &upstream::Upstream| {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -5,6 +5,7 @@
 
 use peargap_core::balance;
 use peargap_core::breaker;
+use peargap_core::cold_rate;
 use peargap_core::time;
 use peargap_core::upstreams;
 
@@ -15,10 +16,8 @@
 pub(crate) struct Upstream {
     pub(crate) breaker: breaker::Breaker,
     pub(crate) cold_until: time::Instant,
-    /// Start of the current one-second window of the cold-start rate limit, and the number of
-    /// requests sent in it.
-    pub(crate) cold_window_start: time::Instant,
-    pub(crate) cold_window_requests: u32,
+    /// Requests sent to it, for the rate limit of its cold start.
+    pub(crate) cold_requests: cold_rate::Counter,
     pub(crate) last_heard: time::Instant,
     /// End of the last pause that it asked for.
     pub(crate) pause_end: Option<time::Instant>,
@@ -73,28 +72,14 @@
             .is_some_and(|refused| now < refused + REFUSAL_TIME)
     }
 
-    /// Returns whether a request fits into this gateway's share of the rate limit of a cold
-    /// upstream. The share is at least one request per second.
+    /// Returns whether a request stays within this gateway's share of the rate limit of a cold
+    /// upstream; always true for a warm one.
     pub(crate) fn allows_cold_request(
         &self,
         now: time::Instant,
-        per_s: Option<f64>,
-        gateways: f64,
+        rate: Option<cold_rate::Rate>,
     ) -> bool {
-        let Some(per_s) = per_s.filter(|_rate| now < self.cold_until) else {
-            return true;
-        };
-        let share = (per_s / gateways).max(1.0);
-        now.millis_since(self.cold_window_start) >= 1000
-            || f64::from(self.cold_window_requests) + 1.0 <= share
-    }
-
-    /// Counts a request against the rate limit of a cold upstream.
-    pub(crate) fn count_cold_request(&mut self, now: time::Instant) {
-        if now.millis_since(self.cold_window_start) >= 1000 {
-            self.cold_window_start = now;
-            self.cold_window_requests = 0;
-        }
-        self.cold_window_requests += 1;
+        let rate = rate.filter(|_rate| now < self.cold_until);
+        rate.is_none_or(|rate| self.cold_requests.may_send(now, &rate))
     }
 }
