--- a/crates/core/src/cold_rate.rs
+++ b/crates/core/src/cold_rate.rs
@@ -38,7 +38,8 @@
         }
         let gateways_per_sender = whole((f64::from(self.gateways) / self.per_s).ceil()).max(1);
         let index = u32::try_from(self.upstream_index).unwrap_or(u32::MAX);
-        // The gateway that the upstream is assigned to is among its senders.
+        // If there are no more upstreams than gateways, the one that an upstream is assigned to is
+        // among its senders.
         let position = self.position.saturating_sub(1);
         u32::from(position % gateways_per_sender == index % gateways_per_sender)
     }
