--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -440,3 +440,18 @@
     let closed = tokio::time::timeout(IDLE * 2, caller.task).await;
     assert!(closed.is_ok(), "open after {IDLE:?} and as much again");
 }
+
+#[tokio::test]
+async fn a_stopping_gateway_refuses_generations_that_outlast_its_grace_period() {
+    let fixture = Fixture::start(&["p1", "p2"]).await;
+    for name in ["p1", "p2"] {
+        let pace = time::Duration::from_millis(40);
+        fixture.runner(name).set_events(1000, pace);
+    }
+    fixture.stop.cancel();
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    let mut long = support::generation();
+    let usage = http::HeaderValue::from_static("900,4000");
+    long.headers_mut().insert("token-usage", usage);
+    assert_eq!(fixture.call(long).await.status, 503);
+}
