control: a gateway's request for a document that the host does not have yet is kept

Cause: the document was acknowledged by one host, the follower asked another one that had not applied it yet (backtrace: the wait of main.rs:155); build_document took the request off and dropped it, as its version was lower, and nobody asked again. A gateway asks only hosts that have announced the version, so it was not hit. Change: the request is kept until the host can serve it. Test: asked for before it is published; fails before (no document within 20 s), passes after.

--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -282,12 +282,18 @@
         update.has_loads = sums.is_first || !update.loads.is_empty();
     }
 
-    /// Returns the document if the gateway asked for this version or an older one.
+    /// Returns the document if the gateway asked for this version or an older one. A request for a
+    /// newer one is kept.
     fn build_document(&self, routing: &routing::Routing) -> Option<wire::Document> {
-        let wanted = self.wanted_version.swap(0, atomic::Ordering::Relaxed);
+        let wanted = self.wanted_version.load(atomic::Ordering::Relaxed);
         if wanted == 0 || routing.version < wanted {
             return None;
         }
+        let relaxed = atomic::Ordering::Relaxed;
+        // Fails if the gateway has just asked for another version, which is kept as well.
+        let _ = self
+            .wanted_version
+            .compare_exchange(wanted, 0, relaxed, relaxed);
         Some(wire::Document {
             text: routing.text.clone(),
             version: routing.version,
--- a/crates/control/tests/platform/main.rs
+++ b/crates/control/tests/platform/main.rs
@@ -167,6 +167,30 @@
     assert!(update.outage.expect("an outage").revision > 0);
 }
 
+#[tokio::test]
+async fn a_document_that_a_gateway_asks_for_early_is_sent_once_it_is_there() {
+    let mut cluster = Cluster::prepare(3, &[]);
+    cluster.start_all();
+    cluster.call(0, 200, "PUT", CONFIG, &document(3, 900)).await;
+    let mut follower = cluster.follow(1).await;
+    let ask = wire::Report {
+        wanted: 5,
+        ..wire::Report::default()
+    };
+    follower.reports.send(ask).await.expect("a link");
+    // Two updates later the host has read the report.
+    let path = "/api/instances/i-1";
+    for state in ["ready", "draining"] {
+        let sequence = if state == "ready" { 1 } else { 2 };
+        let heartbeat = heartbeat(state, sequence);
+        cluster.call(1, 200, "PUT", path, &heartbeat).await;
+        follower.wait_upstreams().await;
+    }
+    cluster.call(0, 200, "PUT", CONFIG, &document(5, 900)).await;
+    let update = follower.wait_for(|update| update.document.is_some()).await;
+    assert_eq!(update.document.expect("a document").version, 5);
+}
+
 /// A gateway that does not confirm stands for one behind a link that cannot carry all updates.
 #[tokio::test]
 async fn sums_do_not_queue_for_a_gateway_that_is_behind() {
