platform, gateway: logs show the limits that upstreams name

Change: the header is decoded in platform/ and bounded in core; E6029 says which limit a gateway has read and when. Together with E6010 this shows what each gateway sends after it has heard of a limit. Nothing acts on it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod fetch;
 pub mod forecast;
 pub mod generation;
+pub mod limit;
 pub mod load_totals;
 pub mod log;
 pub mod manifest;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -38,3 +38,4 @@
     logs::Event::info(6028, "upstream leaving, by its own response");
 pub(crate) const RELOADED: logs::Event = logs::Event::info(6021, "settings reloaded");
 pub(crate) const RELOAD_FAILED: logs::Event = logs::Event::error(6022, "settings not reloaded");
+pub(crate) const LIMIT_CHANGED: logs::Event = logs::Event::info(6029, "upstream limit changed");
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -116,6 +116,7 @@
                 cold_requests: cold_rate::Counter::default(),
                 cold_until,
                 last_heard: now,
+                limit_per_s: None,
                 pause_end: None,
                 refused_at: None,
                 remote_load: balance::Load::default(),
@@ -135,6 +136,7 @@
             && known.status.address == status.address;
         if !is_same_process {
             known.breaker = breaker::Breaker::new();
+            known.limit_per_s = None;
             known.pause_end = None;
             known.refused_at = None;
             known.pool = sync::Arc::new(pool::Pool::new(address));
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -4,6 +4,7 @@
 
 use peargap_adapters::logs;
 use peargap_core::departures;
+use peargap_core::limit;
 use peargap_core::pause;
 use peargap_core::upstreams;
 use peargap_platform::head;
@@ -43,6 +44,8 @@
         if let Some(request) = notice.pause {
             self.fleet.record_pause(self.key, self.born_ms, request);
         }
+        self.fleet
+            .record_limit(self.key, self.born_ms, notice.limit);
         if notice.is_leaving {
             self.fleet.record_departure(self.key, self.born_ms);
         }
@@ -77,6 +80,26 @@
         );
     }
 
+    /// Records the limit that an upstream names in a response, or that it names none.
+    fn record_limit(&self, key: fleet::UpstreamKey, born_ms: u64, named: Option<limit::Named>) {
+        let mut state = self.lock();
+        let upstream = state.upstreams.get_mut(key);
+        let Some(upstream) = upstream.filter(|upstream| upstream.is_start(born_ms)) else {
+            return;
+        };
+        let kept = named.map(limit::bound);
+        if upstream.limit_per_s == kept {
+            return;
+        }
+        upstream.limit_per_s = kept;
+        let name = upstream.status.name.clone();
+        drop(state);
+        logs::emit(
+            events::LIMIT_CHANGED,
+            format_args!("upstream={name} named={named:?} kept_per_s={kept:?}"),
+        );
+    }
+
     /// Returns the time left of an upstream's pause; `None` outside of pauses.
     fn pause_left(&self, key: fleet::UpstreamKey) -> Option<Duration> {
         let now = self.clock.now();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -19,6 +19,8 @@
     /// Requests sent to it, for the rate limit of its cold start.
     pub(crate) cold_requests: cold_rate::Counter,
     pub(crate) last_heard: time::Instant,
+    /// Requests a second that it takes from all gateways, if it names a limit.
+    pub(crate) limit_per_s: Option<f64>,
     /// End of the last pause that it asked for.
     pub(crate) pause_end: Option<time::Instant>,
     /// When it last refused a request or failed, if it has not answered one since.
