--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -62,6 +62,8 @@
     pub attempt: String,
     /// Whether the response says that the runner is leaving.
     pub leaving: bool,
+    /// Limit that the response names.
+    pub limit: Option<&'static str>,
     /// `Retry-After` value of the response, if the request was rejected with one.
     pub retry_after: Option<&'static str>,
 }
@@ -106,6 +108,8 @@
     events: u64,
     /// Whether all responses say that the runner is leaving.
     is_leaving: bool,
+    /// Limit that all responses name.
+    limit: Option<&'static str>,
     /// `Retry-After` value of the responses that reject a request.
     retry_after: Option<&'static str>,
     /// Time between events.
@@ -124,6 +128,7 @@
             copies: collections::HashSet::new(),
             events: 5,
             is_leaving: false,
+            limit: None,
             retry_after: None,
             event_interval: time::Duration::from_millis(1),
             resume_delay: time::Duration::ZERO,
@@ -140,6 +145,7 @@
             at: time::Instant::now(),
             attempt: attempt.to_owned(),
             leaving: self.is_leaving,
+            limit: self.limit,
             retry_after: self.retry_after.filter(|_value| is_rejected),
         });
         self.behaviour
@@ -226,6 +232,11 @@
         self.lock().is_leaving = true;
     }
 
+    /// Makes all further responses name this limit, or none.
+    pub fn set_limit(&self, value: Option<&'static str>) {
+        self.lock().limit = value;
+    }
+
     /// Rejects all further requests with this `Retry-After` value.
     pub fn reject_with_retry_after(&self, value: &'static str) {
         let mut state = self.lock();
@@ -299,14 +310,18 @@
     next: middleware::Next,
 ) -> response::Response {
     let mut response = next.run(request).await;
-    let (is_leaving, retry_after) = {
+    let (is_leaving, limit, retry_after) = {
         let state = runner.lock();
-        (state.is_leaving, state.retry_after)
+        (state.is_leaving, state.limit, state.retry_after)
     };
     if is_leaving {
         let value = http::HeaderValue::from_static("1");
         response.headers_mut().insert("server-leaving", value);
     }
+    if let Some(limit) = limit {
+        let value = http::HeaderValue::from_static(limit);
+        response.headers_mut().insert("server-limit", value);
+    }
     let rejects = response.status() == StatusCode::SERVICE_UNAVAILABLE;
     if let Some(retry_after) = retry_after.filter(|_value| rejects) {
         let value = http::HeaderValue::from_static(retry_after);
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use peargap_fake::runner;
+use peargap_fake::runner::Arrival;
 use peargap_wire::fleet as wire;
 use support::generation;
 use support::request;
@@ -212,3 +213,50 @@
     };
     assert_eq!(fixture.control.departures(), [expected]);
 }
+
+/// Calls an upstream's service for this long, with a new request each 10 ms.
+async fn press(fixture: &Fixture, length: time::Duration) -> Vec<support::Response> {
+    let end = time::Instant::now() + length;
+    let mut calls = Vec::new();
+    while time::Instant::now() < end {
+        let mut caller = fixture.connect().await;
+        calls.push(tokio::spawn(async move {
+            caller.call(request("/once/", "")).await
+        }));
+        sleep_ms(10).await;
+    }
+    let mut responses = Vec::new();
+    for call in calls {
+        responses.push(call.await.expect("a response"));
+    }
+    responses
+}
+
+/// Returns the most requests in any 4 s, from half a second after the first one.
+fn count_busiest_window(arrivals: &[Arrival]) -> usize {
+    let first = arrivals[0].at + time::Duration::from_millis(500);
+    let counted: Vec<_> = arrivals.iter().filter(|one| one.at >= first).collect();
+    let windows = counted.iter().map(|start| {
+        let end = start.at + time::Duration::from_secs(4);
+        let in_window = counted
+            .iter()
+            .filter(|one| (start.at..end).contains(&one.at));
+        in_window.count()
+    });
+    windows.max().unwrap_or(0)
+}
+
+#[tokio::test]
+async fn an_upstream_gets_no_more_requests_than_the_limit_that_it_names() {
+    let fixture = Fixture::start(&["d1"]).await;
+    fixture.runner("d1").set_limit(Some("2.5"));
+    let responses = press(&fixture, time::Duration::from_secs(6)).await;
+    let arrivals = fixture.runner("d1").arrivals();
+    let most = count_busiest_window(&arrivals);
+    assert!(most <= 15, "{most} requests in 4 s");
+    assert!(arrivals.len() >= 10, "{} requests", arrivals.len());
+    for response in responses.iter().filter(|response| response.status != 200) {
+        assert_eq!(response.status, 503);
+        assert!(retry_after(response) > 0.0);
+    }
+}
