core: one kind of window and one share of a fleet's bounds

The retry budget and the cold rate each counted in slots in their own way, and each worked out its part of a bound of the fleet by itself; a limit that an upstream names would have been the third. `window` counts events, `fleet_share` holds the number of gateways and the equal part of one of them; the gateway's position moves there.

--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -7,9 +7,10 @@
 //! go or have an old count of the others.
 
 use core::time::Duration;
-use std::collections;
 
+use crate::fleet_share;
 use crate::time::Instant;
+use crate::window;
 
 /// Slots into which a window is divided.
 const SLOTS: u32 = 10;
@@ -27,6 +28,15 @@
     pub window: Duration,
 }
 
+impl Limits {
+    fn window(&self) -> window::Window {
+        window::Window {
+            length: self.window,
+            slots: SLOTS,
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
@@ -37,33 +47,6 @@
     }
 }
 
-/// Number of gateways that share the burst. A smaller number holds only after a window without a
-/// larger one: a control host that was restarted or cut off knows few gateways.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Sharers {
-    largest: u32,
-    /// When `largest` was last confirmed.
-    largest_at: Instant,
-}
-
-impl Sharers {
-    /// Updates the number of gateways; `window` is that of the limits.
-    pub fn update(&mut self, now: Instant, gateways: u32, window: Duration) {
-        if gateways >= self.largest || now >= self.largest_at + window {
-            self.largest = gateways;
-            self.largest_at = now;
-        }
-    }
-
-    /// Returns this gateway's part of a burst; none while the number of gateways is unknown.
-    fn part_of(&self, burst: f64) -> f64 {
-        match self.largest {
-            0 => 0.0,
-            gateways => burst / f64::from(gateways),
-        }
-    }
-}
-
 /// What a gateway knows of a service's upstreams when it decides on a retry.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Upstreams {
@@ -105,23 +88,17 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Slot {
-    number: u64,
-    requests: u32,
-    retries: u32,
-}
-
 /// Requests and retries of one gateway to one service in the current window.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
-    slots: collections::VecDeque<Slot>,
+    requests: window::Counter,
+    retries: window::Counter,
 }
 
 impl Budget {
     /// Counts a caller's request for the service.
     pub fn record_request(&mut self, now: Instant, limits: &Limits) {
-        self.slot(now, limits).requests += 1;
+        self.requests.record(now, &limits.window());
     }
 
     /// Decides whether a request may be sent again, and counts the retry if it may.
@@ -129,7 +106,7 @@
         &mut self,
         now: Instant,
         limits: &Limits,
-        sharers: &Sharers,
+        sharers: &fleet_share::Sharers,
         upstreams: Upstreams,
     ) -> Decision {
         if upstreams.refusing * 2 > upstreams.ready {
@@ -139,55 +116,21 @@
         if f64::from(usage.retries) + 1.0 > usage.allowed {
             return Decision::Exhausted;
         }
-        self.slot(now, limits).retries += 1;
+        self.retries.record(now, &limits.window());
         Decision::Allow
     }
 
-    /// Returns the figures of the current window. `now` counts from the start of the gateway.
+    /// Returns the figures of the current window. `now` counts from the start of the gateway: a
+    /// process that restarts again and again spends no more than one that runs on.
     #[must_use]
-    pub fn usage(&self, now: Instant, limits: &Limits, sharers: &Sharers) -> Usage {
-        let number = slot_number(now, limits);
-        let oldest = number.saturating_sub(u64::from(SLOTS));
-        let recent = self.slots.iter().filter(|slot| slot.number >= oldest);
-        let (requests, retries) = recent.fold((0, 0), |(requests, retries), slot| {
-            (requests + slot.requests, retries + slot.retries)
-        });
-        let burst = sharers.part_of(limits.burst * SPENT_PART) * uptime_part(now, limits);
+    pub fn usage(&self, now: Instant, limits: &Limits, sharers: &fleet_share::Sharers) -> Usage {
+        let window = limits.window();
+        let requests = self.requests.count(now, &window);
+        let burst = sharers.part_of(limits.burst * SPENT_PART) * window.elapsed_part(now);
         Usage {
             allowed: burst + limits.ratio * SPENT_PART * f64::from(requests),
             requests,
-            retries,
+            retries: self.retries.count(now, &window),
         }
     }
-
-    fn slot(&mut self, now: Instant, limits: &Limits) -> &mut Slot {
-        let number = slot_number(now, limits);
-        let oldest = number.saturating_sub(u64::from(SLOTS));
-        while self.slots.front().is_some_and(|slot| slot.number < oldest) {
-            self.slots.pop_front();
-        }
-        if self.slots.back().is_none_or(|slot| slot.number < number) {
-            self.slots.push_back(Slot {
-                number,
-                requests: 0,
-                retries: 0,
-            });
-        }
-        let last = self.slots.len() - 1;
-        &mut self.slots[last]
-    }
-}
-
-fn slot_number(now: Instant, limits: &Limits) -> u64 {
-    let slot = limits.window / SLOTS;
-    let millis = u64::try_from(slot.as_millis()).unwrap_or(u64::MAX);
-    now.0 / millis.max(1)
-}
-
-/// Returns the part of a window, up to 1, for which the gateway has run. A process that restarts
-/// again and again spends no more than one that runs on.
-fn uptime_part(now: Instant, limits: &Limits) -> f64 {
-    let uptime = Duration::from_millis(now.0);
-    let window = limits.window.max(Duration::from_millis(1));
-    (uptime.as_secs_f64() / window.as_secs_f64()).min(1.0)
 }
--- a/crates/core/tests/cold_rate.rs
+++ b/crates/core/tests/cold_rate.rs
@@ -1,6 +1,7 @@
 //! Gateways that all press on one cold upstream stay within its rate together.
 
 use peargap_core::cold_rate;
+use peargap_core::fleet_share;
 use peargap_core::time::Instant;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -15,9 +16,8 @@
     for now in (0..RUN_MS).step_by(10) {
         for (counter, position) in counters.iter_mut().zip(1..) {
             let rate = cold_rate::Rate {
-                gateways,
                 per_s,
-                position,
+                position: fleet_share::Position { gateways, position },
                 upstream_index: 3,
             };
             let presses = random.random_bool(0.7);
@@ -55,9 +55,11 @@
     for position in 1..=105 {
         let shares = (0..144).map(|upstream_index| {
             let rate = cold_rate::Rate {
-                gateways: 105,
                 per_s: 34.0,
-                position,
+                position: fleet_share::Position {
+                    gateways: 105,
+                    position,
+                },
                 upstream_index,
             };
             rate.share()
@@ -69,9 +71,8 @@
 #[test]
 fn a_gateway_that_does_not_know_the_others_is_cautious() {
     let rate = cold_rate::Rate {
-        gateways: 0,
         per_s: 34.0,
-        position: 0,
+        position: fleet_share::Position::default(),
         upstream_index: 0,
     };
     assert_eq!(rate.share(), 1);
--- a/crates/core/tests/model_retry_budget.rs
+++ b/crates/core/tests/model_retry_budget.rs
@@ -3,6 +3,7 @@
 
 use core::time::Duration;
 
+use peargap_core::fleet_share;
 use peargap_core::retry_budget;
 use peargap_core::time::Instant;
 use quickcheck::Arbitrary;
@@ -49,7 +50,7 @@
 #[derive(Clone, Debug, Default)]
 struct Gateway {
     budget: retry_budget::Budget,
-    sharers: retry_budget::Sharers,
+    sharers: fleet_share::Sharers,
     started_step: usize,
 }
 
@@ -206,7 +207,7 @@
 #[test]
 fn a_service_that_mostly_refuses_gets_no_retries() {
     let limits = retry_budget::Limits::default();
-    let mut sharers = retry_budget::Sharers::default();
+    let mut sharers = fleet_share::Sharers::default();
     sharers.update(Instant(0), 1, limits.window);
     let mut budget = retry_budget::Budget::default();
     let mut decide = |refusing| {
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -9,6 +9,7 @@
 use peargap_core::cold_rate;
 use peargap_core::departures;
 use peargap_core::document_fetch;
+use peargap_core::fleet_share;
 use peargap_core::pause;
 use peargap_core::retry_budget;
 use peargap_core::routes;
@@ -34,7 +35,7 @@
     pub(crate) fetch: document_fetch::Fetch,
     /// Keys of the upstreams by name.
     pub(crate) names: collections::BTreeMap<String, fleet::UpstreamKey>,
-    pub(crate) gateway_position: GatewayPosition,
+    pub(crate) gateway_position: fleet_share::Position,
     /// When the load from other gateways was last received.
     pub(crate) remote_loads_at: time::Instant,
     /// Revision of `domains_out`.
@@ -45,15 +46,6 @@
     pub(crate) version: u64,
 }
 
-/// Position of this gateway among all gateways.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(crate) struct GatewayPosition {
-    /// Number of gateways; 0 until a control host has sent it.
-    pub(crate) gateways: u32,
-    /// Position of this gateway, from 1.
-    pub(crate) position: u32,
-}
-
 impl State {
     /// Merges a received status; one without a valid address is ignored.
     pub(crate) fn merge_status(
@@ -227,9 +219,8 @@
         let cold_rate = |upstream_index| {
             let per_s = criteria.service.cold_per_s?;
             Some(cold_rate::Rate {
-                gateways: self.gateway_position.gateways,
                 per_s,
-                position: self.gateway_position.position,
+                position: self.gateway_position,
                 upstream_index,
             })
         };
@@ -266,12 +257,3 @@
         candidates.collect()
     }
 }
-
-impl GatewayPosition {
-    /// Returns whether the upstream at this index belongs to this gateway.
-    fn owns(self, index: usize) -> bool {
-        let gateways = usize::try_from(self.gateways).unwrap_or(usize::MAX);
-        let position = usize::try_from(self.position).unwrap_or(usize::MAX);
-        gateways > 0 && index % gateways + 1 == position
-    }
-}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,6 +10,7 @@
 use peargap_adapters::logs;
 use peargap_core::aggregator;
 use peargap_core::document_fetch;
+use peargap_core::fleet_share;
 use peargap_core::reconnect;
 use peargap_core::time::Instant;
 use peargap_core::upstreams;
@@ -24,7 +25,6 @@
 
 use crate::events;
 use crate::fleet;
-use crate::fleet_state;
 use crate::load_reporter;
 use crate::pool;
 
@@ -173,7 +173,7 @@
     let mut tick = tokio::time::interval(LOAD_REPORT_INTERVAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut load_reporter = load_reporter::LoadReporter::default();
-    let mut position = fleet_state::GatewayPosition::default();
+    let mut position = fleet_share::Position::default();
     let mut sent_departures = 0;
     loop {
         if let document_fetch::Next::Request(version) = shared.fleet.next_fetch(host) {
@@ -286,8 +286,8 @@
 }
 
 /// Returns the gateway's position, if the update contains it.
-fn read_position(update: &wire::Update) -> Option<fleet_state::GatewayPosition> {
-    (update.gateways > 0).then_some(fleet_state::GatewayPosition {
+fn read_position(update: &wire::Update) -> Option<fleet_share::Position> {
+    (update.gateways > 0).then_some(fleet_share::Position {
         gateways: update.gateways,
         position: update.position,
     })
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -2,10 +2,10 @@
 
 use peargap_adapters::load;
 use peargap_core::balance;
+use peargap_core::fleet_share;
 use peargap_wire::fleet as wire;
 
 use crate::fleet;
-use crate::fleet_state;
 use crate::upstream;
 
 /// Reported token counts are rounded up to a multiple of this, so that growing generations do not
@@ -21,7 +21,7 @@
     }
 
     /// Sets the position of this gateway.
-    pub(crate) fn set_position(&self, position: fleet_state::GatewayPosition) {
+    pub(crate) fn set_position(&self, position: fleet_share::Position) {
         self.lock().gateway_position = position;
     }
 
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use peargap_adapters::logs;
+use peargap_core::fleet_share;
 use peargap_core::retry_budget;
 
 use crate::call;
@@ -25,7 +26,7 @@
 struct State {
     /// Budgets by name of the service.
     budgets: collections::BTreeMap<String, retry_budget::Budget>,
-    sharers: retry_budget::Sharers,
+    sharers: fleet_share::Sharers,
 }
 
 impl Retries {
--- a/crates/load/src/experiment/shedding.rs
+++ b/crates/load/src/experiment/shedding.rs
@@ -7,6 +7,7 @@
 
 use peargap_core::balance;
 use peargap_core::breaker;
+use peargap_core::fleet_share;
 use peargap_core::retry;
 use peargap_core::retry_budget;
 use peargap_core::time::Instant;
@@ -88,7 +89,7 @@
     by_gateway: retry::Budget,
     by_service: retry_budget::Budget,
     refused_ms: [Option<u64>; UPSTREAMS],
-    sharers: retry_budget::Sharers,
+    sharers: fleet_share::Sharers,
 }
 
 impl Gateway {
