--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -4,6 +4,7 @@
 use std::path;
 use std::process;
 
+use crate::experiment::named_limits;
 use crate::experiment::plot;
 use crate::experiment::policy;
 use crate::experiment::report;
@@ -12,7 +13,7 @@
 use crate::experiment::suite;
 
 const HELP: &str =
-    "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --shedding)
+    "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --limits | --shedding)
   [--seeds N] [--load FACTOR] [--out DIR]";
 /// Scenarios that `--all` also runs with each mechanism disabled in turn.
 const ABLATED: [&str; 8] = [
@@ -34,6 +35,7 @@
     out: Option<path::PathBuf>,
     seeds: u64,
     /// Whether to compare rules for repeats at a service that refuses requests.
+    limits: bool,
     shedding: bool,
 }
 
@@ -52,6 +54,7 @@
 
 fn parse_options(mut arguments: pico_args::Arguments) -> Result<Options, String> {
     let all = arguments.contains("--all");
+    let limits = arguments.contains("--limits");
     let shedding = arguments.contains("--shedding");
     let one: Option<String> = parse(&mut arguments, "--scenario")?;
     let ablate: Option<String> = parse(&mut arguments, "--ablate")?;
@@ -65,6 +68,7 @@
         ablate: Vec::new(),
         compare: Vec::new(),
         out: out.map(Into::into),
+        limits,
         seeds,
         shedding,
     };
@@ -84,8 +88,10 @@
     for scenario in options.compare.iter_mut().chain(&mut options.ablate) {
         scenario.traffic.load = load.unwrap_or(scenario.traffic.load);
     }
-    if options.compare.is_empty() && options.ablate.is_empty() && !shedding {
-        return Err("no scenario given: use --all, --scenario, --ablate or --shedding".to_owned());
+    if options.compare.is_empty() && options.ablate.is_empty() && !limits && !shedding {
+        return Err(
+            "no scenario given: use --all, --scenario, --ablate, --limits or --shedding".to_owned(),
+        );
     }
     Ok(options)
 }
@@ -108,6 +114,9 @@
 
 fn run_options(options: &Options) -> Result<(), String> {
     let mut text = String::new();
+    if options.limits {
+        (0..options.seeds).for_each(|seed| text.push_str(&named_limits::report(seed)));
+    }
     if options.shedding {
         (0..options.seeds).for_each(|seed| text.push_str(&shedding::report(seed)));
     }
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -10,6 +10,7 @@
 mod event_queue;
 pub mod job;
 pub mod measure;
+pub mod named_limits;
 pub mod node;
 pub mod plot;
 pub mod policy;
