gateway, control: the limit that an upstream names holds over all gateways

Class: an instruction of an upstream that is ignored; and, had each gateway kept it by itself, a bound of the fleet enforced locally, as retries and cold starts were. Change: a limit is told to all gateways by the control hosts as soon as one has read it; it belongs to one start of the upstream and ends when the answer to a later request names none. Reports of load carry what `core::rate_limit` needs. First sends, repeats, resumes and calls for copies count; copies leave half of the limit to the others, repeats a tenth. A request that no upstream has room for is refused at once, not run, with the time after which the limits have worked off the present demand, spread; generations wait for room as they do for memory. E6010 shows the figures, E6029 and E2131 the news.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod digest;
 pub mod follow;
 pub mod health;
+pub mod limit;
 pub mod load;
 pub mod logs;
 pub mod manifest;
--- a/crates/adapters/src/load.rs
+++ b/crates/adapters/src/load.rs
@@ -1,6 +1,7 @@
 //! Loads of upstreams in the messages between gateways and control hosts.
 
 use peargap_core::balance;
+use peargap_core::rate_limit;
 use peargap_wire::fleet as wire;
 
 /// Returns the load in a message.
@@ -9,6 +10,11 @@
     balance::Load {
         copied: u64::from(load.copied),
         failing: load.failing,
+        limited: rate_limit::Others {
+            known_by: load.limit_known_by,
+            sent_units: load.limit_sent,
+            wanted: load.limit_wanted,
+        },
         refusing: load.refusing,
         running: load.running,
         tokens: u64::from(load.tokens),
@@ -24,6 +30,9 @@
     wire::Load {
         copied: narrow(load.copied),
         failing: load.failing,
+        limit_known_by: load.limited.known_by,
+        limit_sent: load.limited.sent_units,
+        limit_wanted: load.limited.wanted,
         refusing: load.refusing,
         running: load.running,
         tokens: narrow(load.tokens),
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -41,3 +41,4 @@
 pub(crate) const RELOADED: logs::Event = logs::Event::info(2129, "settings reloaded");
 pub(crate) const RELOAD_FAILED: logs::Event = logs::Event::error(2130, "settings not reloaded");
 pub(crate) const LOAD_FAILED: logs::Event = logs::Event::warn(2111, "model not loaded in time");
+pub(crate) const LIMIT_CHANGED: logs::Event = logs::Event::info(2131, "upstream limit changed");
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -10,6 +10,7 @@
 use peargap_adapters::clock;
 use peargap_adapters::logs;
 use peargap_core::load_totals;
+use peargap_core::named_limits;
 use peargap_core::upstreams;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -54,6 +55,8 @@
     changes_by_upstream: collections::HashMap<String, u64>,
     directory: upstreams::Directory,
     last_link: u64,
+    /// Limits that upstreams named to gateways.
+    limits: named_limits::Table,
     links: collections::BTreeMap<LinkKey, Link>,
     /// Sums of the loads on all links.
     totals: load_totals::Totals,
@@ -81,6 +84,14 @@
     pub(crate) statuses: Vec<upstreams::Status>,
 }
 
+/// News of limits.
+#[derive(Debug)]
+pub(crate) struct Limits {
+    /// Number of the last change that the news includes.
+    pub(crate) last_change: u64,
+    pub(crate) news: Vec<named_limits::News>,
+}
+
 /// Load of the other gateways, for a link whose gateway reports its own.
 #[derive(Clone, Debug)]
 pub(crate) struct Sums {
@@ -155,6 +166,29 @@
         self.last_change.send_replace(change);
     }
 
+    /// Records news of an upstream's limit, as it named it to a gateway, and tells all gateways.
+    pub(crate) fn record_limit(&self, news: named_limits::News) {
+        let upstream = news.upstream.clone();
+        let per_s = news.per_s;
+        if !self.lock().limits.merge(news) {
+            return;
+        }
+        logs::emit(
+            events::LIMIT_CHANGED,
+            format_args!("upstream={upstream} per_s={per_s:?}"),
+        );
+        self.last_change.send_modify(|_change| {});
+    }
+
+    /// Returns the news of limits that came after `change`.
+    pub(crate) fn list_limits(&self, change: u64) -> Limits {
+        let state = self.lock();
+        Limits {
+            last_change: state.limits.last_change(),
+            news: state.limits.list_after(change).cloned().collect(),
+        }
+    }
+
     fn merge_status(&self, status: upstreams::Status) -> Option<u64> {
         let now = self.clock.now();
         let change = {
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use futures::StreamExt as _;
+use peargap_adapters::limit;
 use peargap_adapters::load;
 use peargap_adapters::logs;
 use peargap_core::aggregator;
@@ -69,6 +70,8 @@
 struct Sent {
     change: u64,
     hosts: Hosts,
+    /// Number of the last change of a limit.
+    limit_change: u64,
     number: u64,
     loads: load_totals::Loads,
     /// Numbers of the updates with loads that the gateway may not have applied yet.
@@ -154,6 +157,9 @@
             let loads = loads.collect();
             fleet.record_loads(key, loads, report.starts_loads);
         }
+        for news in report.limits {
+            fleet.record_limit(limit::decode(news));
+        }
         for departure in report.departures {
             fleet.record_departure(&departure.upstream, departure.born_ms);
         }
@@ -217,6 +223,7 @@
     ) -> Option<wire::Update> {
         changes.mark_unchanged();
         let changed = self.fleet.list_changes(self.sent.change);
+        let limits = self.fleet.list_limits(self.sent.limit_change);
         let routing = routing.borrow_and_update().clone();
         let status = status.borrow_and_update();
         let hosts = Hosts {
@@ -227,6 +234,7 @@
         let mut update = wire::Update {
             document: self.build_document(&routing),
             outage: self.build_outage(&routing),
+            limits: limits.news.iter().map(limit::encode).collect(),
             upstreams: changed.statuses.iter().map(encode_status).collect(),
             ..wire::Update::default()
         };
@@ -250,6 +258,7 @@
             return None;
         }
         self.sent.change = changed.last_change;
+        self.sent.limit_change = limits.last_change;
         self.sent.number += 1;
         update.number = self.sent.number;
         if update.has_loads {
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -8,6 +8,8 @@
 use rand::seq::IteratorRandom as _;
 use rand::Rng;
 
+use crate::rate_limit;
+
 /// Share of an engine's memory that generations and copies may hold by estimate. It is a little
 /// above 1 because some of them end before the request's prompt is processed.
 const MAX_MEMORY_SHARE: f64 = 1.05;
@@ -57,6 +59,8 @@
     pub copied: u64,
     /// Gateways whose circuit breaker for the upstream is open.
     pub failing: u32,
+    /// What gateways tell each other of requests to an upstream that names a limit.
+    pub limited: rate_limit::Others,
     /// Gateways whose last request it has refused, a short time ago.
     pub refusing: u32,
     /// Requests that run or wait.
@@ -80,6 +84,7 @@
         Load {
             copied: self.copied + other.copied,
             failing: self.failing + other.failing,
+            limited: self.limited.plus(other.limited),
             refusing: self.refusing + other.refusing,
             running: self.running + other.running,
             tokens: self.tokens + other.tokens,
@@ -93,6 +98,7 @@
         Load {
             copied: self.copied - part.copied,
             failing: self.failing - part.failing,
+            limited: self.limited.minus(part.limited),
             refusing: self.refusing - part.refusing,
             running: self.running - part.running,
             tokens: self.tokens - part.tokens,
--- a/crates/core/tests/load_totals.rs
+++ b/crates/core/tests/load_totals.rs
@@ -2,6 +2,7 @@
 
 use peargap_core::balance;
 use peargap_core::load_totals;
+use peargap_core::rate_limit;
 
 const UPSTREAMS: [&str; 4] = ["a", "b", "c", "d"];
 
@@ -9,6 +10,11 @@
     balance::Load {
         copied: u64::from(amount) * 3,
         failing: amount / 2,
+        limited: rate_limit::Others {
+            known_by: amount % 3,
+            sent_units: amount * 5,
+            wanted: amount,
+        },
         refusing: amount / 3,
         running: amount,
         tokens: u64::from(amount) * 7,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,5 +1,7 @@
 //! Attempts to send one request, and whether another one is allowed.
 
+use peargap_core::rate_limit;
+
 use crate::call;
 use crate::fleet;
 use crate::pool;
@@ -38,6 +40,14 @@
         self.arrived > 0
     }
 
+    /// Returns what the next attempt is for.
+    pub(crate) fn purpose(&self) -> rate_limit::Purpose {
+        match self.has_arrived() {
+            true => rate_limit::Purpose::Repeat,
+            false => rate_limit::Purpose::First,
+        }
+    }
+
     /// Returns whether the limit of attempts is reached. A refused connection costs next to no time
     /// and does not count.
     pub(crate) fn is_exhausted(&self) -> bool {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -150,6 +150,7 @@
     *outgoing.method_mut() = request.parts.method.clone();
     *outgoing.uri_mut() = request.parts.uri.clone();
     *outgoing.headers_mut() = head::write_request(&request.parts.headers, &forwarding);
+    let sent_at = placement.notices.now();
     let sent = sender.send_request(outgoing).await;
     let response = sent.map_err(classify_error)?;
     let (head, body) = response.into_parts();
@@ -163,6 +164,10 @@
             "response belongs to another request".to_owned(),
         ));
     }
+    let is_answer = parsed.is_signed || parsed.ran == head::Ran::No;
+    if is_answer && parsed.notice.limit.is_none() {
+        placement.notices.record_no_limit(sent_at);
+    }
     if parsed.ran == head::Ran::No {
         return Err(Failure::NotRun(format!(
             "upstream answered {}",
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,6 +7,7 @@
 use peargap_core::balance;
 use peargap_core::breaker;
 use peargap_core::document_fetch;
+use peargap_core::rate_limit;
 use peargap_core::retry_budget;
 use peargap_core::routes;
 use peargap_core::upstreams;
@@ -29,6 +30,8 @@
     /// Counter that increases with each upstream that says that it is leaving.
     pub(crate) departed: sync::Arc<watch::Sender<u64>>,
     domain: sync::Arc<str>,
+    /// Counter that increases with each limit that an upstream names anew.
+    pub(crate) limit_named: sync::Arc<watch::Sender<u64>>,
     state: sync::Arc<sync::Mutex<fleet_state::State>>,
 }
 
@@ -39,6 +42,11 @@
     Full,
     /// No upstream takes new work.
     NoUpstream,
+    /// The upstreams that take new work get as many requests as the limits that they name allow.
+    Limited {
+        /// Time after which a caller may try again, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// All upstreams that take new work have asked for a pause.
     Paused {
         /// Time after which a caller may try again, in milliseconds.
@@ -68,6 +76,7 @@
     pub(crate) exclude: &'a [UpstreamKey],
     /// Upstream whose failure domain is preferred; `None` prefers the gateway's own domain.
     pub(crate) near: Option<UpstreamKey>,
+    pub(crate) purpose: rate_limit::Purpose,
     pub(crate) service: &'a routes::Service,
     /// Estimated tokens that a generation holds.
     pub(crate) tokens: u64,
@@ -81,6 +90,7 @@
             clock: clock::Clock::start(),
             departed: sync::Arc::new(watch::Sender::new(0)),
             domain: sync::Arc::from(domain),
+            limit_named: sync::Arc::new(watch::Sender::new(0)),
             state: sync::Arc::default(),
         }
     }
@@ -258,6 +268,7 @@
     ) -> Result<placement::Placement, PlacementError> {
         let now = self.clock.now();
         let mut state = self.lock();
+        state.record_wanted(now, &criteria);
         let candidates = state.list_candidates(now, criteria, &self.domain);
         let key = match choose(&candidates) {
             balance::Choice::Full => return Err(PlacementError::Full),
@@ -265,6 +276,7 @@
             balance::Choice::Take(key) => key,
         };
         let view = placement::View {
+            limit: state.explain_limit(now, criteria.service, key),
             load_age_ms: now.millis_since(state.remote_loads_at),
             load: candidates
                 .iter()
@@ -278,6 +290,7 @@
             .ok_or(PlacementError::NoUpstream)?;
         if load.running > 0 {
             upstream.cold_requests.record(now);
+            upstream.limiter.record_sent(now);
             if upstream.breaker.check(now) == breaker::Decision::Probe {
                 upstream.breaker.record_probe(now);
             }
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -10,7 +10,9 @@
 use peargap_core::departures;
 use peargap_core::document_fetch;
 use peargap_core::fleet_share;
+use peargap_core::named_limits;
 use peargap_core::pause;
+use peargap_core::rate_limit;
 use peargap_core::retry_budget;
 use peargap_core::routes;
 use peargap_core::time;
@@ -18,6 +20,7 @@
 use slotmap::SlotMap;
 
 use crate::fleet;
+use crate::limits;
 use crate::pool;
 use crate::upstream;
 
@@ -36,10 +39,15 @@
     /// Keys of the upstreams by name.
     pub(crate) names: collections::BTreeMap<String, fleet::UpstreamKey>,
     pub(crate) gateway_position: fleet_share::Position,
+    /// Limits that upstreams name.
+    pub(crate) limits: named_limits::Table,
     /// When the load from other gateways was last received.
     pub(crate) remote_loads_at: time::Instant,
     /// Revision of `domains_out`.
     pub(crate) revision: u64,
+    /// Number of gateways that share the limits.
+    pub(crate) sharers: fleet_share::Sharers,
+    pub(crate) sums: limits::Sums,
     pub(crate) table: Option<sync::Arc<routes::Table>>,
     pub(crate) upstreams: SlotMap<fleet::UpstreamKey, upstream::Upstream>,
     /// Version of `table`; 0 without one.
@@ -108,7 +116,9 @@
                 cold_requests: cold_rate::Counter::default(),
                 cold_until,
                 last_heard: now,
-                limit_per_s: None,
+                limit_known_at: now,
+                limit_per_s: self.limits.get(&name, status.edition.born_ms),
+                limiter: rate_limit::Limiter::default(),
                 pause_end: None,
                 refused_at: None,
                 remote_load: balance::Load::default(),
@@ -128,7 +138,9 @@
             && known.status.address == status.address;
         if !is_same_process {
             known.breaker = breaker::Breaker::new();
-            known.limit_per_s = None;
+            known.limit_known_at = now;
+            known.limit_per_s = self.limits.get(&status.name, status.edition.born_ms);
+            known.limiter = rate_limit::Limiter::default();
             known.pause_end = None;
             known.refused_at = None;
             known.pool = sync::Arc::new(pool::Pool::new(address));
@@ -195,9 +207,14 @@
         now: time::Instant,
         criteria: fleet::Criteria<'_>,
     ) -> fleet::PlacementError {
+        let mut random = rand::rng();
+        let limited = self.limited_retry_after_ms(now, &criteria, &mut random);
+        if let Some(retry_after_ms) = limited {
+            return fleet::PlacementError::Limited { retry_after_ms };
+        }
         let ready = self.list_ready(criteria.service);
         let ends = ready.filter_map(|(_key, upstream)| upstream.paused_until(now));
-        match pause::retry_after_ms(now, ends, &mut rand::rng()) {
+        match pause::retry_after_ms(now, ends, &mut random) {
             Some(retry_after_ms) => fleet::PlacementError::Paused { retry_after_ms },
             None => fleet::PlacementError::NoUpstream,
         }
@@ -243,6 +260,10 @@
         let available = untried
             .into_iter()
             .filter(|(_index, (_key, upstream))| are_all_rejected || !is_rejected(upstream));
+        let mut random = rand::rng();
+        let available = available.filter(|(index, (_key, upstream))| {
+            self.is_within_limit(now, upstream, *index, criteria.purpose, &mut random)
+        });
         let candidates = available.map(|(index, (key, upstream))| balance::Candidate {
             is_near: upstream.status.domain == domain,
             is_own: self.gateway_position.owns(index),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -170,11 +170,13 @@
     logs::emit(events::CONTROL_CONNECTED, format_args!("control={host}"));
     let mut known = shared.known.subscribe();
     let mut departed = shared.fleet.departed.subscribe();
+    let mut limit_named = shared.fleet.limit_named.subscribe();
     let mut tick = tokio::time::interval(LOAD_REPORT_INTERVAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut load_reporter = load_reporter::LoadReporter::default();
     let mut position = fleet_share::Position::default();
     let mut sent_departures = 0;
+    let mut sent_limits = 0;
     loop {
         if let document_fetch::Next::Request(version) = shared.fleet.next_fetch(host) {
             logs::emit(
@@ -196,6 +198,15 @@
             };
             send(&reports, report).await?;
         }
+        let limits = shared.fleet.list_limit_news(sent_limits);
+        sent_limits = limits.last_change;
+        if !limits.new.is_empty() {
+            let report = wire::Report {
+                limits: limits.new,
+                ..wire::Report::default()
+            };
+            send(&reports, report).await?;
+        }
         let is_behind = shared.fleet.is_behind(host);
         tokio::select! {
             () = tokio::time::sleep(document_fetch::TIMEOUT), if is_behind => {}
@@ -217,6 +228,7 @@
             },
             // The sender lives as long as `shared`.
             Ok(()) = departed.changed() => {}
+            Ok(()) = limit_named.changed() => {}
             result = known.changed() => {
                 result.map_err(|_closed| "list of connected control hosts closed".to_owned())?;
                 if !shared.reports_to(host) {
@@ -226,7 +238,9 @@
                 }
             }
             _instant = tick.tick(), if shared.reports_to(host) => {
-                load_reporter.start(shared.fleet.clock.now());
+                if load_reporter.start(shared.fleet.clock.now()) {
+                    shared.fleet.await_sums();
+                }
                 shared.fleet.set_position(position);
                 shared.check_silence(host, load_reporter.since());
                 if let Some(report) = load_reporter.build_report(shared.fleet.list_local_loads()) {
@@ -269,11 +283,15 @@
         // Fails only after `run` has ended.
         let _ = shared.hosts.send(host);
     }
-    if update.has_loads && shared.reports_to(host) {
+    shared.fleet.apply_limits(update.limits);
+    if shared.reports_to(host) {
         if update.all_loads {
             shared.fleet.clear_remote_loads();
         }
-        shared.fleet.update_remote_loads(&update.loads);
+        if update.has_loads {
+            shared.fleet.update_remote_loads(&update.loads);
+        }
+        shared.fleet.record_sums(update.all_loads);
     }
     if !has_upstreams {
         return Ok(());
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -11,6 +11,7 @@
 use peargap_adapters::logs;
 use peargap_core::balance;
 use peargap_core::event_timing;
+use peargap_core::rate_limit;
 use peargap_core::routes;
 use peargap_platform::head;
 use tokio::sync::mpsc;
@@ -133,6 +134,7 @@
         let criteria = fleet::Criteria {
             exclude: attempts.tried(),
             near: None,
+            purpose: attempts.purpose(),
             service: &generation.service,
             tokens,
         };
@@ -144,11 +146,17 @@
                 return Err(response::Refusal::Paused { retry_after_ms });
             }
             Err(_error) if attempts.has_arrived() => break,
-            Err(fleet::PlacementError::Full) if time::Instant::now() < capacity_deadline => {
+            Err(fleet::PlacementError::Full | fleet::PlacementError::Limited { .. })
+                if time::Instant::now() < capacity_deadline =>
+            {
                 time::sleep(CAPACITY_POLL_INTERVAL).await;
                 continue;
             }
             Err(fleet::PlacementError::Full) => return Err(response::Refusal::Full),
+            Err(fleet::PlacementError::Limited { retry_after_ms }) => {
+                gateway.meters.count_limited(&generation.service.name);
+                return Err(response::Refusal::Limited { retry_after_ms });
+            }
             Err(fleet::PlacementError::NoUpstream | fleet::PlacementError::Paused { .. }) => {
                 return Err(response::Refusal::Nobody);
             }
@@ -284,6 +292,7 @@
     let criteria = fleet::Criteria {
         exclude: &[placement.key],
         near: Some(placement.key),
+        purpose: rate_limit::Purpose::Copy,
         service: &generation.service,
         tokens: generation.estimate_tokens(events),
     };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod gateway;
 mod generation;
+mod limits;
 mod load_exchange;
 mod load_reporter;
 mod meters;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -3,6 +3,7 @@
 use peargap_adapters::load;
 use peargap_core::balance;
 use peargap_core::fleet_share;
+use peargap_core::rate_limit;
 use peargap_wire::fleet as wire;
 
 use crate::fleet;
@@ -22,7 +23,11 @@
 
     /// Sets the position of this gateway.
     pub(crate) fn set_position(&self, position: fleet_share::Position) {
-        self.lock().gateway_position = position;
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.gateway_position = position;
+        let sharers = &mut state.sharers;
+        sharers.update(now, position.gateways, rate_limit::COUNT_TIME);
     }
 
     /// Updates the load from other gateways; upstreams that are not listed are unchanged.
@@ -50,12 +55,18 @@
         let with_load = state.upstreams.values().filter(|upstream| {
             upstream.local_load != balance::Load::default()
                 || is_failing(upstream)
+                || upstream.limit_per_s.is_some()
                 || upstream.is_refusing(now)
         });
+        let gateways = state.sharers.count();
         let loads = with_load.map(|upstream| {
+            let limited = upstream
+                .limit_per_s
+                .map(|per_s| upstream.limiter.report(now, per_s, gateways));
             let local = balance::Load {
                 copied: round_up(upstream.local_load.copied),
                 failing: u32::from(is_failing(upstream)),
+                limited: limited.unwrap_or_default(),
                 refusing: u32::from(upstream.is_refusing(now)),
                 tokens: round_up(upstream.local_load.tokens),
                 ..upstream.local_load
--- a/crates/gateway/src/load_reporter.rs
+++ b/crates/gateway/src/load_reporter.rs
@@ -28,12 +28,14 @@
         self.unconfirmed += u32::from(update.has_loads);
     }
 
-    /// Starts to report to this host, unless that has started before.
-    pub(crate) fn start(&mut self, now: Instant) {
-        if self.since.is_none() {
-            self.since = Some(now);
-            self.is_first = true;
+    /// Starts to report to this host, unless that has started before; returns whether it starts.
+    pub(crate) fn start(&mut self, now: Instant) -> bool {
+        if self.since.is_some() {
+            return false;
         }
+        self.since = Some(now);
+        self.is_first = true;
+        true
     }
 
     /// Returns the time since which the host is reported to.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -30,6 +30,7 @@
     copies: otel::Counter<u64>,
     first_event: otel::Histogram<f64>,
     generations: otel::Counter<u64>,
+    limited: otel::Counter<u64>,
     moves: otel::Counter<u64>,
     refusals: otel::Counter<u64>,
     retries: otel::Counter<u64>,
@@ -69,6 +70,10 @@
                 "peargap_gateway_generations",
                 "Generations that ended, by whether they were complete and on time",
             ),
+            limited: counter(
+                "peargap_gateway_limited",
+                "Requests refused because of the limits that upstreams name, by service",
+            ),
             moves: counter(
                 "peargap_gateway_moves",
                 "Generations that were to go on at another engine, by outcome",
@@ -152,6 +157,12 @@
         self.retries.add(1, &labels);
     }
 
+    /// Counts a request that the limits of a service's upstreams leave no room for.
+    pub(crate) fn count_limited(&self, service: &str) {
+        let service = opentelemetry::KeyValue::new("service", service.to_owned());
+        self.limited.add(1, &[service]);
+    }
+
     /// Records how long a generation waited for an engine with free capacity.
     pub(crate) fn record_wait(&self, duration: core::time::Duration) {
         self.waited_for_room.record(duration.as_secs_f64(), &[]);
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -168,6 +168,7 @@
 ) -> Result<Bytes, String> {
     let connection = pool.acquire().await;
     let mut sender = connection.map_err(|error| error.to_string())?.sender;
+    notices.record_sent();
     let sent = sender.send_request(request.map(Full::new)).await;
     let (parts, body) = sent.map_err(|error| error.to_string())?.into_parts();
     notices.record(head::read_notice(parts.status, &parts.headers));
@@ -261,6 +262,7 @@
             last_event,
         }),
     };
+    placement.notices.record_sent();
     let sent = call::send(&generation.request, placement, options);
     let result = wait_for_response(sent, accepted).await;
     match result {
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -4,8 +4,8 @@
 
 use peargap_adapters::logs;
 use peargap_core::departures;
-use peargap_core::limit;
 use peargap_core::pause;
+use peargap_core::time::Instant;
 use peargap_core::upstreams;
 use peargap_platform::head;
 use peargap_wire::fleet as wire;
@@ -44,13 +44,29 @@
         if let Some(request) = notice.pause {
             self.fleet.record_pause(self.key, self.born_ms, request);
         }
-        self.fleet
-            .record_limit(self.key, self.born_ms, notice.limit);
+        if let Some(named) = notice.limit {
+            self.fleet.record_limit(self.key, self.born_ms, named);
+        }
         if notice.is_leaving {
             self.fleet.record_departure(self.key, self.born_ms);
         }
     }
 
+    /// Records that a response names no limit; its request was sent at `sent_at`.
+    pub(crate) fn record_no_limit(&self, sent_at: Instant) {
+        self.fleet.record_no_limit(self.key, self.born_ms, sent_at);
+    }
+
+    /// Counts a request beside the one that the upstream was chosen for.
+    pub(crate) fn record_sent(&self) {
+        self.fleet.record_sent(self.key);
+    }
+
+    /// Returns the current time.
+    pub(crate) fn now(&self) -> Instant {
+        self.fleet.clock.now()
+    }
+
     /// Returns the time left of the upstream's pause; `None` outside of pauses.
     pub(crate) fn pause_left(&self) -> Option<Duration> {
         self.fleet.pause_left(self.key)
@@ -80,26 +96,6 @@
         );
     }
 
-    /// Records the limit that an upstream names in a response, or that it names none.
-    fn record_limit(&self, key: fleet::UpstreamKey, born_ms: u64, named: Option<limit::Named>) {
-        let mut state = self.lock();
-        let upstream = state.upstreams.get_mut(key);
-        let Some(upstream) = upstream.filter(|upstream| upstream.is_start(born_ms)) else {
-            return;
-        };
-        let kept = named.map(limit::bound);
-        if upstream.limit_per_s == kept {
-            return;
-        }
-        upstream.limit_per_s = kept;
-        let name = upstream.status.name.clone();
-        drop(state);
-        logs::emit(
-            events::LIMIT_CHANGED,
-            format_args!("upstream={name} named={named:?} kept_per_s={kept:?}"),
-        );
-    }
-
     /// Returns the time left of an upstream's pause; `None` outside of pauses.
     fn pause_left(&self, key: fleet::UpstreamKey) -> Option<Duration> {
         let now = self.clock.now();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use peargap_core::balance;
+use peargap_core::rate_limit;
 
 use crate::fleet;
 use crate::notice;
@@ -14,6 +15,8 @@
 pub(crate) struct View {
     /// Load from all gateways.
     pub(crate) load: balance::Load,
+    /// Figures of the limit that the upstream names.
+    pub(crate) limit: Option<rate_limit::Usage>,
     /// Time since the load from the other gateways was received, in milliseconds.
     pub(crate) load_age_ms: u64,
 }
@@ -28,7 +31,21 @@
             self.load.copied,
             self.load.waiting,
             self.load_age_ms
-        )
+        )?;
+        LimitText(self.limit).fmt(formatter)
+    }
+}
+
+/// Text on the figures of a limit for a log line; empty without a limit.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LimitText(pub(crate) Option<rate_limit::Usage>);
+
+impl core::fmt::Display for LimitText {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        match self.0 {
+            None => Ok(()),
+            Some(usage) => write!(formatter, " limit: {usage}"),
+        }
     }
 }
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -45,6 +45,7 @@
         let criteria = fleet::Criteria {
             exclude: attempts.tried(),
             near: None,
+            purpose: attempts.purpose(),
             service,
             tokens: 0,
         };
@@ -54,6 +55,11 @@
                 refusal = response::Refusal::Paused { retry_after_ms };
                 break;
             }
+            Err(fleet::PlacementError::Limited { retry_after_ms }) if possible_runs == 0 => {
+                gateway.meters.count_limited(&service.name);
+                refusal = response::Refusal::Limited { retry_after_ms };
+                break;
+            }
             Err(_error) if attempts.has_arrived() => break,
             Err(_error) => return gateway.refuse(&request.head.attempt, response::Refusal::Nobody),
         };
@@ -108,7 +114,11 @@
     let attempt = response::attempt_text(&request.head.attempt);
     logs::emit(
         events::REQUEST_PLACED,
-        format_args!("request={attempt} upstream={}", placement.name),
+        format_args!(
+            "request={attempt} upstream={}{}",
+            placement.name,
+            placement::LimitText(placement.view.limit)
+        ),
     );
     let options = call::Options {
         copy_to: None,
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -43,6 +43,12 @@
     HeadTooLong,
     /// The caller's key belongs to no team.
     KeyUnknown,
+    /// The upstreams get as many requests as the limits that they name allow; the request has not
+    /// run.
+    Limited {
+        /// Time after which the caller may try again, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// No upstream of the service takes new work; the request has not run.
     Nobody,
     /// The gateway has no routing table yet; the request has not run.
@@ -73,6 +79,7 @@
             Refusal::Full => "full",
             Refusal::HeadTooLong => "head_too_long",
             Refusal::KeyUnknown => "key_unknown",
+            Refusal::Limited { .. } => "limited",
             Refusal::NoRoutes => "no_routes",
             Refusal::Nobody => "nobody",
             Refusal::NotTaken => "not_taken",
@@ -89,6 +96,7 @@
             Refusal::BodyBroken => StatusCode::BAD_REQUEST,
             Refusal::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Full
+            | Refusal::Limited { .. }
             | Refusal::NoRoutes
             | Refusal::Nobody
             | Refusal::NotTaken
@@ -109,7 +117,9 @@
             Refusal::Full | Refusal::Nobody => Some(1000),
             Refusal::NoRoutes => Some(600),
             Refusal::NotTaken => Some(300),
-            Refusal::Paused { retry_after_ms } => Some(retry_after_ms),
+            Refusal::Limited { retry_after_ms } | Refusal::Paused { retry_after_ms } => {
+                Some(retry_after_ms)
+            }
             Refusal::BodyBroken
             | Refusal::BodyTooLong
             | Refusal::HeadTooLong
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,6 +6,7 @@
 use peargap_core::balance;
 use peargap_core::breaker;
 use peargap_core::cold_rate;
+use peargap_core::rate_limit;
 use peargap_core::time;
 use peargap_core::upstreams;
 
@@ -19,8 +20,12 @@
     /// Requests sent to it, for the rate limit of its cold start.
     pub(crate) cold_requests: cold_rate::Counter,
     pub(crate) last_heard: time::Instant,
+    /// When its limit was last named or changed.
+    pub(crate) limit_known_at: time::Instant,
     /// Requests a second that it takes from all gateways, if it names a limit.
     pub(crate) limit_per_s: Option<f64>,
+    /// Requests sent to it, for its limit.
+    pub(crate) limiter: rate_limit::Limiter,
     /// End of the last pause that it asked for.
     pub(crate) pause_end: Option<time::Instant>,
     /// When it last refused a request or failed, if it has not answered one since.
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -260,3 +260,50 @@
         assert!(retry_after(response) > 0.0);
     }
 }
+
+/// Tells the gateway of the limit of the upstream `d1`.
+async fn tell_limit(fixture: &Fixture, sequence: u64, thousandths_per_s: u32) {
+    let limit = wire::Limit {
+        born_ms: 1,
+        sequence,
+        thousandths_per_s,
+        upstream: "d1".to_owned(),
+    };
+    let update = wire::Update {
+        limits: vec![limit],
+        ..wire::Update::default()
+    };
+    fixture.control.send(update).await;
+}
+
+#[tokio::test]
+async fn a_limit_that_another_gateway_was_told_holds_at_once() {
+    let fixture = Fixture::start(&["d1"]).await;
+    tell_limit(&fixture, 1, 500).await;
+    sleep_ms(50).await;
+    fixture.runner("d1").set_limit(Some("0.5"));
+    let responses = press(&fixture, time::Duration::from_secs(1)).await;
+    assert!(fixture.runner("d1").arrivals().len() <= 2);
+    let refused = responses.iter().filter(|response| response.status == 503);
+    assert!(refused.count() >= 50);
+}
+
+#[tokio::test]
+async fn an_upstream_that_names_no_limit_any_longer_gets_all_requests_again() {
+    let fixture = Fixture::start(&["d1"]).await;
+    tell_limit(&fixture, 1, 1000).await;
+    press(&fixture, time::Duration::from_secs(6)).await;
+    let arrivals = fixture.runner("d1").arrivals().len();
+    assert!(arrivals > 300, "{arrivals}");
+    assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
+}
+
+#[tokio::test]
+async fn requests_go_to_the_upstream_without_a_limit() {
+    let fixture = Fixture::start(&["d1", "d2"]).await;
+    fixture.runner("d1").set_limit(Some("0.5"));
+    let responses = press(&fixture, time::Duration::from_secs(5)).await;
+    assert!(responses.iter().all(|response| response.status == 200));
+    let limited = count_busiest_window(&fixture.runner("d1").arrivals());
+    assert!(limited <= 7, "{limited} requests in 4 s");
+}
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -26,6 +26,25 @@
     /// Upstreams that said in a response that they are leaving, since the previous report.
     #[prost(message, repeated, tag = "8")]
     pub departures: ::prost::alloc::vec::Vec<Departure>,
+    /// News of limits that upstreams named to this gateway, since the previous report.
+    #[prost(message, repeated, tag = "9")]
+    pub limits: ::prost::alloc::vec::Vec<Limit>,
+}
+/// News of the limit that one start of an upstream names.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Limit {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// Start time of the process by its own clock, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub born_ms: u64,
+    /// Orders the news of one start: a higher number is later.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Thousandths of a request a second, from all gateways together; 0 if it no longer names a limit.
+    #[prost(uint32, tag = "4")]
+    pub thousandths_per_s: u32,
 }
 /// One start of an upstream that is leaving.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -61,6 +80,15 @@
     /// Gateways whose last request it has refused, a short time ago.
     #[prost(uint32, tag = "7")]
     pub refusing: u32,
+    /// Gateways that know the limit that it names.
+    #[prost(uint32, tag = "8")]
+    pub limit_known_by: u32,
+    /// Thousandths of requests that these gateways sent in the window of the limit.
+    #[prost(uint32, tag = "9")]
+    pub limit_sent: u32,
+    /// Requests that these gateways would have sent in the last second.
+    #[prost(uint32, tag = "10")]
+    pub limit_wanted: u32,
 }
 /// Control host to gateway.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -101,6 +129,9 @@
     /// Set when `loads` holds every upstream with load: others have none.
     #[prost(bool, tag = "12")]
     pub all_loads: bool,
+    /// News of limits that upstreams name, since the previous update.
+    #[prost(message, repeated, tag = "13")]
+    pub limits: ::prost::alloc::vec::Vec<Limit>,
 }
 /// The operators' routing document.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
