adapters, gateway: a response's head has an end, with all before it

Cause: the HTTP client drops informational responses and counts none. Class: the length of what an upstream sends was trusted. Change: reads of a connection draw on a budget of 256 KiB from a request to the end of the response's head; beyond it the connection fails and closes, E6030 says so. A head without end was cut off before too.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod manifest;
 pub mod metrics;
 pub mod rate_limit;
+pub mod read_budget;
 pub mod settings;
 pub mod signals;
--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -102,6 +102,8 @@
     answer_delay: time::Duration,
     arrivals: Vec<Arrival>,
     behaviour: Behaviour,
+    /// Length of the body of a response to a plain call; `None` returns the body of the request.
+    body_bytes: Option<usize>,
     /// Handles of the generation copies that this runner holds.
     copies: collections::HashSet<String>,
     /// Number of events in a generation.
@@ -125,6 +127,7 @@
             answer_delay: time::Duration::ZERO,
             arrivals: Vec::new(),
             behaviour: Behaviour::Answer,
+            body_bytes: None,
             copies: collections::HashSet::new(),
             events: 5,
             is_leaving: false,
@@ -244,6 +247,11 @@
         state.retry_after = Some(value);
     }
 
+    /// Sets the length of the body of the responses to plain calls.
+    pub fn set_body_bytes(&self, bytes: usize) {
+        self.lock().body_bytes = Some(bytes);
+    }
+
     /// Sets the delay before the response to a request that is not a generation.
     pub fn set_answer_delay(&self, delay: time::Duration) {
         self.lock().answer_delay = delay;
@@ -383,8 +391,12 @@
             stream_events(&runner, &attempt, last_event_id.unwrap_or(0))
         }
         Behaviour::Answer | Behaviour::Shed => {
-            let delay = runner.lock().answer_delay;
+            let (delay, body_bytes) = {
+                let state = runner.lock();
+                (state.answer_delay, state.body_bytes)
+            };
             tokio::time::sleep(delay).await;
+            let body = body_bytes.map_or(body, |bytes| vec![b'x'; bytes].into());
             respond(StatusCode::OK, &attempt, body)
         }
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -39,3 +39,5 @@
 pub(crate) const RELOADED: logs::Event = logs::Event::info(6021, "settings reloaded");
 pub(crate) const RELOAD_FAILED: logs::Event = logs::Event::error(6022, "settings not reloaded");
 pub(crate) const LIMIT_CHANGED: logs::Event = logs::Event::info(6029, "upstream limit changed");
+pub(crate) const RESPONSE_TOO_LONG: logs::Event =
+    logs::Event::warn(6030, "upstream response cut off, too long");
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -7,8 +7,13 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body;
 use hyper::client::conn::http1;
 use hyper_util::rt;
+use peargap_adapters::logs;
+use peargap_adapters::read_budget;
+
+use crate::events;
 
 /// Time limit for opening a connection. TCP retransmits a lost SYN only after a second; by then
 /// another upstream would have responded.
@@ -25,8 +30,49 @@
 /// Number of unanswered keep-alive probes after which a connection is closed.
 const MAX_PROBES: u32 = 2;
 
+/// Bytes of a head that are read at once at most.
+const MAX_READ_BYTES: usize = 64 << 10;
+/// Bytes that an upstream may send from a request up to the end of the response's head, with all
+/// informational responses before it. A read may take some of the body with the head.
+const MAX_HEAD_BYTES: usize = 4 * MAX_READ_BYTES;
+
 /// Sender of requests on one connection.
-pub(crate) type Sender = http1::SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub(crate) struct Sender {
+    address: net::SocketAddr,
+    /// Bytes that the upstream may send before a response.
+    budget: read_budget::Budget,
+    inner: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Sender {
+    /// Sends a request and returns the head of the response, with its unread body.
+    pub(crate) async fn send_request(
+        &mut self,
+        request: http::Request<Full<Bytes>>,
+    ) -> hyper::Result<http::Response<body::Incoming>> {
+        self.budget.set(MAX_HEAD_BYTES);
+        let result = self.inner.send_request(request).await;
+        if result.is_err() && self.budget.is_spent() {
+            logs::emit(
+                events::RESPONSE_TOO_LONG,
+                format_args!("part=head address={} limit={MAX_HEAD_BYTES}", self.address),
+            );
+        }
+        if result.is_ok() {
+            self.budget.lift();
+        }
+        result
+    }
+
+    fn is_ready(&self) -> bool {
+        self.inner.is_ready()
+    }
+
+    fn is_closed(&self) -> bool {
+        self.inner.is_closed()
+    }
+}
 
 #[derive(Debug)]
 struct IdleConnection {
@@ -120,13 +166,22 @@
     async fn connect(&self) -> Result<Sender, Error> {
         let stream = tokio::net::TcpStream::connect(self.address).await?;
         set_tcp_options(&stream)?;
-        let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|error| Error::Other(error.to_string()))?;
+        let budget = read_budget::Budget::new(MAX_HEAD_BYTES);
+        let stream = read_budget::Stream::new(stream, budget.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_READ_BYTES)
+            .handshake(rt::TokioIo::new(stream))
+            .await;
+        let (inner, connection) = handshake.map_err(|error| Error::Other(error.to_string()))?;
         // Errors are reported to the request on this connection.
         tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(Sender {
+            address: self.address,
+            budget,
+            inner,
+        })
     }
 
     /// Returns a connection to the pool after its last response was read completely.
