gateway: bodies of responses are read within bounds of memory

One request is enough, and a node has 110 MB. Cause: `call::read_to_end` and `migrate::call_engine` collected whatever came. Class: the length of what an upstream sends was trusted. Change: a body has at most `[responses] body_bytes` (4 MiB); beyond that the connection is closed and the request fails as at a broken upstream. Above 256 KiB at most four bodies are read at the same time, so that many long ones do not fill the memory together; a body below the bound is never cut. Replies of an engine's own API have at most 64 KiB.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,6 @@
 use std::sync;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::body;
 use peargap_adapters::logs;
@@ -16,6 +15,7 @@
 use crate::placement;
 use crate::pool;
 use crate::response;
+use crate::response_body;
 
 /// A caller's request, with its complete body.
 #[derive(Debug)]
@@ -204,6 +204,7 @@
 pub(crate) async fn read_to_end(
     response: Response,
     pool: &sync::Arc<pool::Pool>,
+    bodies: &response_body::Reader,
 ) -> Result<(http::response::Parts, Bytes), Failure> {
     let Response {
         body,
@@ -211,8 +212,8 @@
         keep_alive_s,
         sender,
     } = response;
-    let collected = body.collect().await;
-    let collected = collected.map_err(|error| Failure::Unknown(error.to_string()))?;
+    let read = bodies.read(body).await;
+    let bytes = read.map_err(|error| Failure::Unknown(error.to_string()))?;
     pool.release(sender, keep_alive_s);
-    Ok((head, collected.to_bytes()))
+    Ok((head, bytes))
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::meters;
 use crate::plain;
 use crate::response;
+use crate::response_body;
 use crate::retries;
 
 /// Time limit of a request that names none, in milliseconds; the route's timeout still applies.
@@ -29,6 +30,8 @@
 /// State shared by all requests.
 #[derive(Clone, Debug)]
 pub(crate) struct Gateway {
+    /// Reads bodies of responses.
+    pub(crate) bodies: response_body::Reader,
     pub(crate) fleet: fleet::Fleet,
     pub(crate) meters: meters::Meters,
     pub(crate) retries: retries::Retries,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -329,7 +329,7 @@
     run: Run,
 ) -> response::Response {
     let attempt = &generation.request.head.attempt;
-    match call::read_to_end(run.response, &run.placement.pool).await {
+    match call::read_to_end(run.response, &run.placement.pool, &gateway.bodies).await {
         Ok((parts, body)) => {
             logs::emit(
                 events::REQUEST_ENDED,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod pool;
 mod relay;
 mod response;
+mod response_body;
 mod retries;
 pub mod run;
 mod server;
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use http_body_util::Limited;
 use peargap_platform::engine;
 use peargap_platform::head;
 use rand::RngExt as _;
@@ -40,6 +41,9 @@
 /// after it has announced that it leaves.
 const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(6000);
 
+/// Bytes of a response of an engine's own API at most.
+const MAX_REPLY_BYTES: usize = 64 << 10;
+
 /// Why a generation moves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Reason {
@@ -172,7 +176,8 @@
     let sent = sender.send_request(request.map(Full::new)).await;
     let (parts, body) = sent.map_err(|error| error.to_string())?.into_parts();
     notices.record(head::read_notice(parts.status, &parts.headers));
-    let body = body.collect().await.map_err(|error| error.to_string())?;
+    let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
+    let body = body.map_err(|error| error.to_string())?;
     pool.release(sender, None);
     match parts.status.is_success() {
         true => Ok(body.to_bytes()),
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -125,7 +125,7 @@
         resume: None,
     };
     let result = match call::send(request, placement, options).await {
-        Ok(response) => call::read_to_end(response, &placement.pool).await,
+        Ok(response) => call::read_to_end(response, &placement.pool, &gateway.bodies).await,
         Err(failure) => Err(failure),
     };
     gateway
--- /dev/null
+++ b/crates/gateway/src/response_body.rs
@@ -0,0 +1,83 @@
+//! Bodies of responses that are read whole before they are forwarded.
+
+use std::sync;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt as _;
+use hyper::body;
+use peargap_adapters::logs;
+use tokio::sync::Semaphore;
+
+use crate::events;
+use crate::settings;
+
+/// Bytes of a body from which on it counts as large.
+const LARGE_BODY_BYTES: usize = 256 << 10;
+/// Large bodies that are read at the same time; further ones wait.
+const MAX_LARGE_BODIES: usize = 4;
+
+/// Why a body was not read to its end.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Error {
+    /// The connection failed, for this reason.
+    Broken(String),
+    /// The body is longer than allowed.
+    TooLong,
+}
+
+impl core::fmt::Display for Error {
+    fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        match self {
+            Error::Broken(why) => formatter.write_str(why),
+            Error::TooLong => formatter.write_str("response body longer than allowed"),
+        }
+    }
+}
+
+/// Reads bodies within bounds of memory, which all clones share.
+#[derive(Clone, Debug)]
+pub(crate) struct Reader {
+    large: sync::Arc<Semaphore>,
+    limits: settings::ResponseLimits,
+}
+
+impl Reader {
+    /// Returns a reader with these bounds.
+    pub(crate) fn new(limits: settings::ResponseLimits) -> Reader {
+        Reader {
+            large: sync::Arc::new(Semaphore::new(MAX_LARGE_BODIES)),
+            limits,
+        }
+    }
+
+    /// Returns the bounds of a response.
+    pub(crate) fn limits(&self) -> settings::ResponseLimits {
+        self.limits
+    }
+
+    /// Reads a body to its end.
+    pub(crate) async fn read(&self, mut body: body::Incoming) -> Result<Bytes, Error> {
+        let mut bytes = BytesMut::new();
+        let mut permit = None;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| Error::Broken(error.to_string()))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            bytes.extend_from_slice(&data);
+            if bytes.len() > self.limits.body_bytes {
+                logs::emit(
+                    events::RESPONSE_TOO_LONG,
+                    format_args!("part=body limit={}", self.limits.body_bytes),
+                );
+                return Err(Error::TooLong);
+            }
+            if bytes.len() > LARGE_BODY_BYTES && permit.is_none() {
+                let acquired = self.large.acquire().await;
+                permit = Some(acquired.map_err(|error| Error::Broken(error.to_string()))?);
+            }
+        }
+        Ok(bytes.freeze())
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,6 +14,7 @@
 use crate::follow;
 use crate::gateway;
 use crate::meters;
+use crate::response_body;
 use crate::retries;
 use crate::server;
 use crate::settings;
@@ -77,6 +78,7 @@
     );
     let retries = retries::Retries::new(fleet.clone(), settings.retry_limits, meters.clone());
     let gateway = gateway::Gateway {
+        bodies: response_body::Reader::new(settings.response_limits),
         fleet,
         meters,
         retries,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,12 +32,32 @@
     pub log_level: logs::Level,
     /// Name of this host.
     pub name: String,
+    /// Bounds of what upstreams send in a response.
+    pub response_limits: ResponseLimits,
     /// Bounds of the retries to one service, for all gateways together.
     pub retry_limits: retry_budget::Limits,
     /// File that the settings were read from, if any; it is read again on SIGHUP.
     pub path: Option<path::PathBuf>,
 }
 
+/// Bounds of what an upstream sends in a response; a longer one is cut off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ResponseLimits {
+    /// Bytes of a body that is read whole before it is forwarded.
+    pub body_bytes: usize,
+    /// Bytes of one event of a stream.
+    pub event_bytes: usize,
+}
+
+impl Default for ResponseLimits {
+    fn default() -> ResponseLimits {
+        ResponseLimits {
+            body_bytes: 4 << 20,
+            event_bytes: 128 << 10,
+        }
+    }
+}
+
 /// Reads the settings file.
 pub fn load(path: &path::Path) -> Result<Settings, settings::Findings> {
     let mut settings = read(settings::Reader::open(path))?;
@@ -59,6 +79,7 @@
     let control_port = reader.required("control", "port", "a port");
     let control_seeds = reader.list("control", "seeds", ADDRESS_HINT);
     let grace_ms = reader.ranged("stop", "grace_ms", DEFAULT_GRACE_MS, 100..=600_000);
+    let response_limits = read_response_limits(reader);
     let retry_limits = read_retry_limits(reader);
     let level = logs::Level::Info;
     let log_level = reader.optional("log", "level", level, "debug, info, warn or error");
@@ -75,10 +96,20 @@
         log_level,
         name: name?,
         path: None,
+        response_limits,
         retry_limits,
     })
 }
 
+fn read_response_limits(reader: &mut settings::Reader) -> ResponseLimits {
+    let default = ResponseLimits::default();
+    let bytes = 1024..=256 << 20;
+    ResponseLimits {
+        body_bytes: reader.ranged("responses", "body_bytes", default.body_bytes, bytes.clone()),
+        event_bytes: reader.ranged("responses", "event_bytes", default.event_bytes, bytes),
+    }
+}
+
 fn read_retry_limits(reader: &mut settings::Reader) -> retry_budget::Limits {
     let default = retry_budget::Limits::default();
     let window_s = reader.ranged(
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -30,3 +30,15 @@
         assert!(read(line).is_err(), "{line}");
     }
 }
+
+#[test]
+fn bounds_of_responses_are_read_and_checked() {
+    let read = |responses: &str| read(&format!("[responses]\n{responses}"));
+    let default = settings::ResponseLimits::default();
+    assert_eq!(read("").expect("settings").response_limits, default);
+    let limits = read("body_bytes = 2048\n")
+        .expect("settings")
+        .response_limits;
+    assert_eq!(limits.body_bytes, 2048);
+    assert!(read("event_bytes = 0\n").is_err());
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -246,6 +246,7 @@
             log_level: peargap_adapters::logs::Level::Info,
             name: "gateway-1".to_owned(),
             path: None,
+            response_limits: settings::ResponseLimits::default(),
             retry_limits: retry_budget::Limits {
                 burst: 1e6,
                 ..retry_budget::Limits::default()
