core, gateway: an event of a stream has an end, and is scanned once

What happened: an event without end was buffered until the deadline and scanned from its start with each piece that came: 24 MB in 5 s, most of the time spent scanning. Change: `sse::Buffer` keeps the place up to which it has scanned; an event has at most `[responses] event_bytes` (128 KiB), beyond which the stream fails as if its engine had broken it off, so that a copy goes on.

--- a/crates/core/src/sse.rs
+++ b/crates/core/src/sse.rs
@@ -1,31 +1,84 @@
 //! Incremental scanner for server-sent events that leaves the bytes as they are.
 
-/// A complete event at the start of the input.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// A complete event.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Event {
-    /// Length in bytes, including the terminating blank line.
-    pub bytes: usize,
+    /// Its bytes, including the terminating blank line.
+    pub bytes: Bytes,
     /// Value of its `id` field.
     pub id: Option<u64>,
 }
 
-/// Returns the first complete event, or `None` if the input does not contain its terminating
-/// blank line yet.
-#[must_use]
-pub fn scan_event(bytes: &[u8]) -> Option<Event> {
-    let mut id = None;
-    let mut start = 0;
-    while let Some(length) = bytes[start..].iter().position(|byte| *byte == b'\n') {
-        let line = bytes[start..start + length].trim_ascii_end();
-        start += length + 1;
-        if line.is_empty() {
-            return Some(Event { bytes: start, id });
+/// Bytes of a stream that are not yet taken as events. Each byte is scanned once.
+#[derive(Debug, Default)]
+pub struct Buffer {
+    bytes: BytesMut,
+    /// Value of the `id` field of the event that has begun.
+    id: Option<u64>,
+    /// Start of the line that is not complete yet.
+    line_start: usize,
+    /// Bytes that have been scanned.
+    scanned: usize,
+}
+
+impl Buffer {
+    /// Adds bytes that have arrived.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Drops all bytes.
+    pub fn clear(&mut self) {
+        *self = Buffer::default();
+    }
+
+    /// Returns whether an event has begun that is not complete.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Returns the length of the event that is not complete, in bytes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Takes the first complete event, or returns `None` if its terminating blank line has not
+    /// arrived yet.
+    pub fn take_event(&mut self) -> Option<Event> {
+        while let Some(length) = find_newline(&self.bytes[self.scanned..]) {
+            let line_end = self.scanned + length;
+            let line = self.bytes[self.line_start..line_end].trim_ascii_end();
+            let id = scan_id(line);
+            let is_end = line.is_empty();
+            self.line_start = line_end + 1;
+            self.scanned = self.line_start;
+            if is_end {
+                return Some(self.split_event());
+            }
+            self.id = id.or(self.id);
         }
-        if let Some(value) = scan_id(line) {
-            id = Some(value);
+        self.scanned = self.bytes.len();
+        None
+    }
+
+    fn split_event(&mut self) -> Event {
+        let bytes = self.bytes.split_to(self.scanned).freeze();
+        self.line_start = 0;
+        self.scanned = 0;
+        Event {
+            bytes,
+            id: self.id.take(),
         }
     }
-    None
+}
+
+fn find_newline(bytes: &[u8]) -> Option<usize> {
+    bytes.iter().position(|byte| *byte == b'\n')
 }
 
 /// Parses the number from an `id: N` line.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use peargap_adapters::logs;
 use peargap_core::balance;
 use peargap_core::event_timing;
@@ -29,7 +28,7 @@
 
 /// Relays a generation's events to the caller until its end.
 pub(crate) struct Relay {
-    buffer: BytesMut,
+    buffer: sse::Buffer,
     changes: watch::Receiver<u64>,
     copy: Option<migrate::Copy>,
     copying: Option<migrate::Task<migrate::Copy>>,
@@ -109,7 +108,7 @@
         changes.mark_changed();
         let pace = event_timing::EventTiming::start(generation.request.arrived, generation.targets);
         Relay {
-            buffer: BytesMut::new(),
+            buffer: sse::Buffer::default(),
             changes,
             copy: run.copy,
             copying: None,
@@ -220,14 +219,13 @@
     /// Sends the complete events that have arrived to the caller, without those that it already
     /// has.
     async fn forward(&mut self, data: &[u8]) -> Next {
-        self.buffer.extend_from_slice(data);
-        while let Some(event) = sse::scan_event(&self.buffer) {
-            let bytes = self.buffer.split_to(event.bytes).freeze();
+        self.buffer.push(data);
+        while let Some(event) = self.buffer.take_event() {
             let last = self.generation.last_event.load(atomic::Ordering::Relaxed);
             if event.id.is_some_and(|id| id <= last && self.events > 0) {
                 continue;
             }
-            if self.sender.send(Ok(bytes)).await.is_err() {
+            if self.sender.send(Ok(event.bytes)).await.is_err() {
                 return Next::Left;
             }
             self.events += 1;
@@ -238,6 +236,14 @@
                     .store(id, atomic::Ordering::Relaxed);
             }
         }
+        let limit = self.gateway.bodies.limits().event_bytes;
+        if self.buffer.len() > limit {
+            logs::emit(
+                events::RESPONSE_TOO_LONG,
+                format_args!("part=event upstream={} limit={limit}", self.placement.name),
+            );
+            return self.handle_stream_failure("event longer than allowed");
+        }
         let tokens = self.generation.estimate_tokens(self.events);
         self.placement.set_tokens(tokens);
         if let Some(copy) = &mut self.copy {
--- /dev/null
+++ b/crates/gateway/tests/endless.rs
@@ -0,0 +1,90 @@
+//! Upstreams that send without end: the connection is closed, and other requests go on.
+
+mod support;
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use peargap_fake::endless;
+use peargap_wire::fleet as wire;
+use support::request;
+use support::Fixture;
+
+/// Bytes that a peer can send into buffers of the system after the last read.
+const SOCKET_BUFFER_BYTES: u64 = 8 << 20;
+
+/// Starts a gateway with an upstream of the service that sends without end.
+async fn start(service: &str, part: endless::Part) -> (Fixture, endless::Upstream) {
+    let fixture = Fixture::start(&[]).await;
+    let upstream = endless::Upstream::start(part).await.expect("an upstream");
+    let status = wire::Upstream {
+        address: upstream.address.to_string(),
+        name: "endless".to_owned(),
+        service: service.to_owned(),
+        ..support::new_upstream()
+    };
+    fixture.control.announce_upstream(status).await;
+    (fixture, upstream)
+}
+
+async fn assert_closed(upstream: &endless::Upstream, bytes: u64) {
+    let closed = upstream.clone();
+    support::wait_for(move || closed.count_closed() > 0).await;
+    let sent = upstream.sent_bytes();
+    assert!(sent < bytes + SOCKET_BUFFER_BYTES, "{sent} bytes were sent");
+}
+
+#[tokio::test]
+async fn a_body_without_end_is_cut_off() {
+    let (fixture, upstream) = start("desk", endless::Part::Body).await;
+    let begun = time::Instant::now();
+    assert_eq!(fixture.call(request("/once/", "")).await.status, 502);
+    assert!(begun.elapsed() < time::Duration::from_secs(2));
+    assert_closed(&upstream, 4 << 20).await;
+}
+
+#[tokio::test]
+async fn informational_responses_without_end_are_cut_off() {
+    let (fixture, upstream) = start("desk", endless::Part::Informational).await;
+    assert_eq!(fixture.call(request("/once/", "")).await.status, 502);
+    assert_closed(&upstream, 256 << 10).await;
+}
+
+#[tokio::test]
+async fn a_head_without_end_is_cut_off() {
+    let (fixture, upstream) = start("desk", endless::Part::Head).await;
+    assert_eq!(fixture.call(request("/once/", "")).await.status, 502);
+    assert_closed(&upstream, 256 << 10).await;
+}
+
+#[tokio::test]
+async fn an_event_without_end_is_cut_off() {
+    let (fixture, upstream) = start("pool", endless::Part::Event).await;
+    let response = fixture.call(support::generation()).await;
+    assert!(!response.is_complete);
+    assert_closed(&upstream, 128 << 10).await;
+}
+
+#[tokio::test]
+async fn a_whole_body_below_the_bound_is_forwarded() {
+    let mut fixture = Fixture::start(&[]).await;
+    fixture.start_runner("d1").await;
+    fixture.runner("d1").set_body_bytes(4 << 20);
+    let fixture = sync::Arc::new(fixture);
+    let served = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let mut calls = Vec::new();
+    for _call in 0..12 {
+        let fixture = fixture.clone();
+        let served = served.clone();
+        calls.push(tokio::spawn(async move {
+            let response = fixture.call(request("/once/", "")).await;
+            assert_eq!((response.status, response.body.len()), (200, 4 << 20));
+            served.fetch_add(1, atomic::Ordering::Relaxed);
+        }));
+    }
+    for call in calls {
+        call.await.expect("a response");
+    }
+    assert_eq!(served.load(atomic::Ordering::Relaxed), 12);
+}
