agent: an engine that sends without end is cut off

The same fault in the agent: its engine's informational responses and events had no bound (bodies had). Heads have 256 KiB as at the gateway, an event 1 MiB; a generation whose event is longer fails, as the engine would send the same again after a resume. A first try ended the link only, and the agent resumed again and again, every 0.4 s. The test fails without the bounds, with an engine behind a relay that leads elsewhere.

--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -14,10 +14,17 @@
 use hyper::body;
 use hyper::client::conn::http1;
 use hyper_util::rt;
+use peargap_adapters::read_budget;
 
 /// Timeout of connecting to the upstream.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
+/// Bytes of a head that are read at once at most.
+const MAX_READ_BYTES: usize = 64 << 10;
+/// Bytes that the upstream may send up to the end of the response's head, with all informational
+/// responses before it. A read may take some of the body with the head.
+const MAX_HEAD_BYTES: usize = 4 * MAX_READ_BYTES;
+
 /// Request body.
 pub(crate) type Body = http_body_util::Full<Bytes>;
 
@@ -52,15 +59,22 @@
     request: http::Request<Body>,
     timeout: time::Duration,
 ) -> Result<http::Response<body::Incoming>, Fault> {
-    let mut sender = connect(address).await?;
+    let budget = read_budget::Budget::new(MAX_HEAD_BYTES);
+    let mut sender = connect(address, budget.clone()).await?;
     match tokio::time::timeout(timeout, sender.send_request(request)).await {
         Err(_) => Err(Fault::Silent),
         Ok(Err(error)) => Err(Fault::Lost(error.to_string())),
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => {
+            budget.lift();
+            Ok(response)
+        }
     }
 }
 
-async fn connect(address: net::SocketAddr) -> Result<http1::SendRequest<Body>, Fault> {
+async fn connect(
+    address: net::SocketAddr,
+    budget: read_budget::Budget,
+) -> Result<http1::SendRequest<Body>, Fault> {
     let connecting = tokio::net::TcpStream::connect(address);
     let socket = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Err(_) => return Err(Fault::Unreachable("connect timeout".to_owned())),
@@ -73,7 +87,10 @@
     socket
         .set_nodelay(true)
         .map_err(|error| Fault::Unreachable(error.to_string()))?;
-    let (mut sender, connection) = http1::handshake(rt::TokioIo::new(socket))
+    let socket = read_budget::Stream::new(socket, budget);
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BYTES)
+        .handshake(rt::TokioIo::new(socket))
         .await
         .map_err(|error| Fault::Unreachable(error.to_string()))?;
     tokio::spawn(connection);
--- a/crates/agent/src/tokens.rs
+++ b/crates/agent/src/tokens.rs
@@ -1,5 +1,6 @@
 //! Parses the engine's SSE response into tokens.
 
+use core::future;
 use core::pin;
 use core::time;
 use std::sync;
@@ -14,12 +15,24 @@
 const DONE: &str = "[DONE]";
 
 type Frames = pin::Pin<Box<dyn futures::Stream<Item = Result<Bytes, hyper::Error>> + Send>>;
+type Error = eventsource_stream::EventStreamError<hyper::Error>;
 type Events = pin::Pin<Box<eventsource_stream::EventStream<Frames>>>;
 
+/// Bytes that may arrive without a complete event.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// What has arrived of a response.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    /// Bytes since the last complete event.
+    bytes: usize,
+    last_frame_at: tokio::time::Instant,
+}
+
 /// Reader of the events of one response.
 pub(crate) struct Reader {
+    arrival: sync::Arc<sync::Mutex<Arrival>>,
     events: Events,
-    last_frame_at: sync::Arc<sync::Mutex<tokio::time::Instant>>,
     silent_after: time::Duration,
 }
 
@@ -34,7 +47,7 @@
 pub(crate) enum Item {
     /// The response is complete.
     Done,
-    /// The engine reported an error.
+    /// The engine reported an error, or its event is too long.
     Failed(String),
     /// The connection broke or the event is malformed.
     Lost(String),
@@ -96,15 +109,22 @@
 impl Reader {
     /// Returns a reader of a response's body.
     pub(crate) fn new(body: body::Incoming, silent_after: time::Duration) -> Reader {
-        let last_frame_at = sync::Arc::new(sync::Mutex::new(tokio::time::Instant::now()));
-        let shared = sync::Arc::clone(&last_frame_at);
+        let arrival = sync::Arc::new(sync::Mutex::new(Arrival {
+            bytes: 0,
+            last_frame_at: tokio::time::Instant::now(),
+        }));
+        let shared = sync::Arc::clone(&arrival);
         let frames = http_body_util::BodyDataStream::new(body);
         // The event parser drops SSE comments, which still show that the engine is alive; so the
         // arrival of each frame is recorded.
-        let frames: Frames = Box::pin(frames.inspect(move |_| record_arrival(&shared)));
+        let frames = frames.take_while(move |frame| {
+            let length = frame.as_ref().map_or(0, Bytes::len);
+            future::ready(record_arrival(&shared, length))
+        });
+        let frames: Frames = Box::pin(frames);
         Reader {
+            arrival,
             events: Box::pin(frames.eventsource()),
-            last_frame_at,
             silent_after,
         }
     }
@@ -116,33 +136,48 @@
     pub(crate) async fn next(&mut self) -> Item {
         let called = tokio::time::Instant::now();
         loop {
-            let last_frame_at = *lock(&self.last_frame_at);
+            let last_frame_at = lock(&self.arrival).last_frame_at;
             let until = last_frame_at.max(called) + self.silent_after;
             match tokio::time::timeout_at(until, self.events.next()).await {
-                Ok(Some(Ok(event))) => return parse(&event),
-                Ok(Some(Err(error))) => return Item::Lost(error.to_string()),
-                Ok(None) => return Item::Lost("closed".to_owned()),
-                Err(_) if *lock(&self.last_frame_at) > last_frame_at => {}
+                Ok(event) => return self.take(event),
+                Err(_) if lock(&self.arrival).last_frame_at > last_frame_at => {}
                 Err(_) => return Item::Silent,
             }
         }
     }
 
+    /// Returns the item of an event, or of the end of the response.
+    fn take(&self, event: Option<Result<eventsource_stream::Event, Error>>) -> Item {
+        match event {
+            Some(Ok(event)) => {
+                lock(&self.arrival).bytes = 0;
+                parse(&event)
+            }
+            Some(Err(error)) => Item::Lost(error.to_string()),
+            None if lock(&self.arrival).bytes > MAX_EVENT_BYTES => {
+                Item::Failed(format!("event longer than {MAX_EVENT_BYTES} bytes"))
+            }
+            None => Item::Lost("closed".to_owned()),
+        }
+    }
+
     /// Returns the next item if it has already arrived.
     pub(crate) fn poll_ready(&mut self) -> Option<Item> {
         let waker = futures::task::noop_waker();
         let mut context = core::task::Context::from_waker(&waker);
         match self.events.as_mut().poll_next(&mut context) {
-            core::task::Poll::Ready(Some(Ok(event))) => Some(parse(&event)),
-            core::task::Poll::Ready(Some(Err(error))) => Some(Item::Lost(error.to_string())),
-            core::task::Poll::Ready(None) => Some(Item::Lost("closed".to_owned())),
+            core::task::Poll::Ready(event) => Some(self.take(event)),
             core::task::Poll::Pending => None,
         }
     }
 }
 
-fn record_arrival(shared: &sync::Mutex<tokio::time::Instant>) {
-    *lock(shared) = tokio::time::Instant::now();
+/// Records bytes of the response; returns whether the event that they belong to is not too long.
+fn record_arrival(shared: &sync::Mutex<Arrival>, length: usize) -> bool {
+    let mut arrival = lock(shared);
+    arrival.last_frame_at = tokio::time::Instant::now();
+    arrival.bytes += length;
+    arrival.bytes <= MAX_EVENT_BYTES
 }
 
 fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -4,6 +4,7 @@
 
 use core::time;
 
+use peargap_fake::endless;
 use peargap_wire::agent as wire;
 use support::control;
 use support::engine;
@@ -186,6 +187,24 @@
     assert_eq!(fixture.engine.inspect(|state| state.starts), 0);
 }
 
+#[tokio::test]
+async fn engine_that_sends_without_end_is_cut_off() {
+    for part in [endless::Part::Event, endless::Part::Informational] {
+        let fixture = start_fixture("").await;
+        let engine = endless::Upstream::start(part).await.expect("an engine");
+        fixture.engine_relay.redirect(engine.address);
+        let start = support::start_request("r1", 5);
+        let mut link = support::open(fixture.entry_relay.address, start).await;
+        let mut received = support::Received::default();
+        link.read_all(&mut received).await;
+        assert!(received.failed.is_some(), "{part:?}");
+        support::wait_until("closed", || engine.count_closed() > 0).await;
+        // One event and what fits into buffers of the system.
+        let sent = engine.sent_bytes();
+        assert!(sent < 9 << 20, "{part:?}: {sent} bytes");
+    }
+}
+
 #[tokio::test]
 async fn cancelled_generation_frees_the_engine_at_once() {
     let fixture = start_fixture("").await;
--- a/crates/agent/tests/support/relay.rs
+++ b/crates/agent/tests/support/relay.rs
@@ -20,6 +20,7 @@
     pub(crate) address: net::SocketAddr,
     accepting: tokio::task::JoinHandle<()>,
     modes: sync::Arc<sync::Mutex<watch::Sender<Mode>>>,
+    target: sync::Arc<sync::Mutex<net::SocketAddr>>,
 }
 
 impl Relay {
@@ -29,9 +30,12 @@
         let address = listener.local_addr().unwrap();
         let modes = sync::Arc::new(sync::Mutex::new(watch::Sender::new(Mode::Live)));
         let shared = sync::Arc::clone(&modes);
+        let target = sync::Arc::new(sync::Mutex::new(target));
+        let current = sync::Arc::clone(&target);
         let accepting = tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 let mode = shared.lock().unwrap().subscribe();
+                let target = *current.lock().unwrap();
                 tokio::spawn(relay(client, target, mode));
             }
         });
@@ -39,6 +43,7 @@
             address,
             accepting,
             modes,
+            target,
         }
     }
 
@@ -47,6 +52,11 @@
         self.replace(Mode::Closed);
     }
 
+    /// Leads new connections to another address.
+    pub(crate) fn redirect(&self, target: net::SocketAddr) {
+        *self.target.lock().unwrap() = target;
+    }
+
     /// Stalls the existing connections but leaves them open; new ones work.
     pub(crate) fn stall(&self) {
         self.replace(Mode::Stalled);
