core, gateway: a stopping gateway refuses generations that would outlast it

Cause: nothing on the way of a request knew that the process stops. Change: `core::drain` estimates the length of a generation from what its request declares and from the mean time between events at this gateway; one that is likely to end after the process is refused at once as not run, with `Retry-After: 0`, as other gateways are not affected. Short generations are still served while the load balancer takes the gateway out.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod curve;
 pub mod departures;
 pub mod document_fetch;
+pub mod drain;
 pub mod event_timing;
 pub mod fair;
 pub mod fences;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::response;
 use crate::response_body;
 use crate::retries;
+use crate::stop;
 
 /// Time limit of a request that names none, in milliseconds; the route's timeout still applies.
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
@@ -35,6 +36,7 @@
     pub(crate) fleet: fleet::Fleet,
     pub(crate) meters: meters::Meters,
     pub(crate) retries: retries::Retries,
+    pub(crate) stop: stop::Stop,
 }
 
 impl Gateway {
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -101,6 +101,9 @@
         request,
         service: service.clone(),
     });
+    if gateway.stop.would_cut_off(&generation) {
+        return gateway.refuse(&attempt, response::Refusal::Stopping);
+    }
     let objective = time::Duration::from_millis(route.objective_ms);
     let repeats = match route.is_resumable {
         true => route.attempts.saturating_sub(1),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod settings;
 mod source;
 mod startup;
+mod stop;
 mod upstream;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -172,6 +172,9 @@
         let longest_ms = self.pace.longest_gap_ms();
         let arrival = self.pace.record_event(self.gateway.fleet.clock.now());
         self.gateway.meters.record_event(arrival);
+        if let event_timing::Arrival::Next(gap_ms) = arrival {
+            self.gateway.stop.record_gap(gap_ms);
+        }
         if self.pace.longest_gap_ms() > longest_ms {
             self.paused_by_move = self.last_event_engine != self.placement.key;
         }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -62,6 +62,8 @@
     },
     /// No route matches.
     RouteUnknown,
+    /// The gateway is stopping, and the request would outlast it; it has not run.
+    Stopping,
     /// An upstream failed or sent an invalid response; the request may have run.
     UpstreamFailed,
     /// The deadline has passed; the request may have run.
@@ -85,6 +87,7 @@
             Refusal::NotTaken => "not_taken",
             Refusal::Paused { .. } => "paused",
             Refusal::RouteUnknown => "route_unknown",
+            Refusal::Stopping => "stopping",
             Refusal::TimedOut => "timed_out",
             Refusal::TimedOutUnsent => "timed_out_unsent",
             Refusal::UpstreamFailed => "upstream_failed",
@@ -101,6 +104,7 @@
             | Refusal::Nobody
             | Refusal::NotTaken
             | Refusal::Paused { .. }
+            | Refusal::Stopping
             | Refusal::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Refusal::KeyUnknown => StatusCode::UNAUTHORIZED,
@@ -117,6 +121,8 @@
             Refusal::Full | Refusal::Nobody => Some(1000),
             Refusal::NoRoutes => Some(600),
             Refusal::NotTaken => Some(300),
+            // Other gateways are not affected.
+            Refusal::Stopping => Some(0),
             Refusal::Limited { retry_after_ms } | Refusal::Paused { retry_after_ms } => {
                 Some(retry_after_ms)
             }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,6 +18,7 @@
 use crate::retries;
 use crate::server;
 use crate::settings;
+use crate::stop;
 
 /// Interval at which readiness is updated.
 const READINESS_PERIOD: core::time::Duration = core::time::Duration::from_millis(200);
@@ -82,6 +83,7 @@
         fleet,
         meters,
         retries,
+        stop: stop::Stop::default(),
     };
     server::run(callers, gateway, settings.grace, token).await;
     follow_token.cancel();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -38,6 +38,8 @@
     let accepting = accept(&listener, &gateway, &shutdown, &connections);
     let stopped = async {
         stop.cancelled().await;
+        let ends_at = tokio::time::Instant::now() + grace.saturating_sub(EXIT_MARGIN);
+        gateway.stop.begin(ends_at);
         tokio::time::sleep(DRAIN_DELAY).await;
     };
     tokio::select! {
