proof: retries to a shedding service while gateways and control restart

The test plays it as real processes: six gateways, three control hosts, four upstreams that refuse everything for 14 s, thirty callers; a gateway is killed and started each 250 ms, a control host each 1.25 s.

--- /dev/null
+++ b/crates/proof/tests/shedding/main.rs
@@ -0,0 +1,123 @@
+//! Retries to a service that refuses requests stay within the bound of the fleet, while gateways and
+//! control hosts are killed and started again and again.
+
+#![allow(
+    dead_code,
+    reason = "the soak test uses the rest of the shared modules"
+)]
+
+#[path = "../soak/caller.rs"]
+mod caller;
+#[path = "../soak/deployment.rs"]
+mod deployment;
+#[path = "../soak/ledger.rs"]
+mod ledger;
+#[path = "../soak/operator.rs"]
+mod operator;
+#[path = "../failures/program.rs"]
+mod program;
+#[path = "../failures/relay.rs"]
+mod relay;
+
+use std::collections;
+use std::time;
+
+use peargap_fake::runner;
+
+const GATEWAYS: usize = 6;
+const CALLERS: u64 = 30;
+/// Time for which the upstreams refuse requests.
+const SHEDDING_TIME: time::Duration = time::Duration::from_secs(14);
+/// Time between two restarts of gateways.
+const RESTART_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Restarts of gateways for each one of a control host.
+const CONTROL_INTERVAL: usize = 5;
+/// Bounds of the retries, as the gateways have them by default.
+const RATIO: f64 = 0.2;
+const BURST: f64 = 64.0;
+const WINDOW: time::Duration = time::Duration::from_secs(10);
+
+/// Restarts gateways, and now and then a control host, until `end`.
+async fn restart_in_turn(deployment: &mut deployment::Deployment, end: time::Instant) {
+    let mut count = 0;
+    while time::Instant::now() < end {
+        let gateway = count % GATEWAYS;
+        deployment.gateways[gateway].kill();
+        deployment.gateways[gateway].start();
+        if count % CONTROL_INTERVAL == 0 {
+            let host = count / CONTROL_INTERVAL % deployment::CONTROLS;
+            deployment.controls[host].kill();
+            deployment.controls[host].start();
+        }
+        count += 1;
+        tokio::time::sleep(RESTART_INTERVAL).await;
+    }
+}
+
+/// Returns when each attempt arrived at an upstream of the plain service, in order.
+fn list_arrivals(deployment: &deployment::Deployment) -> Vec<runner::Arrival> {
+    let desks = deployment.upstreams.iter();
+    let desks = desks.filter(|upstream| upstream.service == "desk");
+    let mut arrivals: Vec<_> = desks.flat_map(|desk| desk.runner.arrivals()).collect();
+    arrivals.sort_by_key(|arrival| arrival.at);
+    arrivals
+}
+
+/// Returns the largest part of the bound that a window spends, and a line on the totals.
+fn measure(arrivals: &[runner::Arrival]) -> (f64, String) {
+    let mut seen = collections::HashSet::new();
+    let mut requests = Vec::new();
+    let mut retries = Vec::new();
+    for arrival in arrivals {
+        match seen.insert(arrival.attempt.as_str()) {
+            true => requests.push(arrival.at),
+            false => retries.push(arrival.at),
+        }
+    }
+    let spent = retries.iter().map(|end| {
+        // Requests that never arrived only raise the bound, and are left out.
+        let start = end.checked_sub(WINDOW).unwrap_or(*end);
+        let within = |at: &&time::Instant| **at > start && **at <= *end;
+        let allowed = RATIO * as_number(requests.iter().filter(within).count()) + BURST;
+        as_number(retries.iter().filter(within).count()) / allowed
+    });
+    let worst = spent.fold(0.0, f64::max);
+    let text = format!(
+        "{} requests arrived, {} retries, {worst:.2} of the bound",
+        requests.len(),
+        retries.len()
+    );
+    (worst, text)
+}
+
+fn as_number(count: usize) -> f64 {
+    f64::from(u32::try_from(count).expect("few"))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn retries_stay_within_the_bound_while_gateways_restart() {
+    let mut deployment = deployment::Deployment::start(GATEWAYS).await;
+    for _upstream in 0..2 {
+        deployment.add_upstream("desk").await;
+    }
+    let ledger = ledger::Ledger::default();
+    let operator = operator::Operator::start(&deployment, ledger.clone()).await;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| caller::spawn(number, 1, &deployment, ledger.clone()))
+        .collect();
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    for upstream in &deployment.upstreams {
+        if upstream.service == "desk" {
+            upstream.runner.set_behaviour(runner::Behaviour::Shed);
+        }
+    }
+    restart_in_turn(&mut deployment, time::Instant::now() + SHEDDING_TIME).await;
+    ledger.stop();
+    for caller in callers {
+        caller.await.expect("a caller");
+    }
+    drop(operator);
+    let (worst, text) = measure(&list_arrivals(&deployment));
+    println!("{text}; {}", ledger.summary());
+    assert!(worst <= 1.0, "{text}");
+}
--- a/crates/proof/tests/soak/deployment.rs
+++ b/crates/proof/tests/soak/deployment.rs
@@ -137,8 +137,8 @@
 
 impl Deployment {
     /// Starts all processes and four runners, two of each service.
-    pub(crate) async fn start() -> Deployment {
-        let ports = peargap_load::ports::find_ports(4 + 2 * GATEWAYS).expect("ports");
+    pub(crate) async fn start(gateway_count: usize) -> Deployment {
+        let ports = peargap_load::ports::find_ports(5 + gateway_count).expect("ports");
         let (internal, platform, relayed) = (ports[0], ports[1], ports[2]);
         let folder = tempfile::tempdir().expect("a folder");
         let name = |host: usize| format!("{}:{platform}", control_ip(host));
@@ -160,8 +160,10 @@
             Process::new("peargap-control", folder.path(), &name, &text)
         });
         let controls = controls.collect();
-        let gateway_ports: Vec<u16> = (0..GATEWAYS).map(|gateway| ports[5 + gateway]).collect();
-        let gateways = (0..GATEWAYS).map(|gateway| {
+        let gateway_ports: Vec<u16> = (0..gateway_count)
+            .map(|gateway| ports[5 + gateway])
+            .collect();
+        let gateways = (0..gateway_count).map(|gateway| {
             let text = format!(
                 "[node]\nname = gateway-{gateway}\ndomain = d{gateway}\n[listen]\n\
                  callers = 127.0.0.1:{}\nhealth = {}:{}\n[control]\nseeds = {seeds}\n\
--- a/crates/proof/tests/soak/main.rs
+++ b/crates/proof/tests/soak/main.rs
@@ -42,7 +42,7 @@
 
 /// Runs the test with one seed; returns the violated guarantees.
 async fn run_seed(seed: u64) -> Vec<String> {
-    let mut deployment = deployment::Deployment::start().await;
+    let mut deployment = deployment::Deployment::start(deployment::GATEWAYS).await;
     let ledger = ledger::Ledger::default();
     let mut operator = operator::Operator::start(&deployment, ledger.clone()).await;
     let callers: Vec<_> = (0..CALLER_COUNT)
