--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -20,12 +20,17 @@
 use http::HeaderMap;
 use http::StatusCode;
 
+/// Bytes that a runner sends at once of a body without end.
+const ENDLESS_PIECE_BYTES: usize = 16 << 10;
+
 /// How a runner handles requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Behaviour {
     /// Runs the request and responds with 200.
     #[default]
     Answer,
+    /// Runs the request and sends a response body without end.
+    Endless,
     /// Runs the request and responds with 500; keeps the copy that it should resume from.
     Fail,
     /// Runs the request and breaks off the connection within the response body.
@@ -380,6 +385,13 @@
         tokio::time::sleep(resume_delay).await;
     }
     match behaviour {
+        Behaviour::Endless => {
+            let piece = Bytes::from_static(&[b'x'; ENDLESS_PIECE_BYTES]);
+            let pieces =
+                futures::stream::repeat_with(move || Ok::<_, std::io::Error>(piece.clone()));
+            let headers = [("server-signature", "proof"), ("attempt-id", &attempt)];
+            (StatusCode::OK, headers, body::Body::from_stream(pieces)).into_response()
+        }
         Behaviour::Fail => respond(StatusCode::INTERNAL_SERVER_ERROR, &attempt, body),
         Behaviour::OtherAttempt => respond(StatusCode::OK, "other", body),
         Behaviour::Reset => {
--- a/crates/proof/tests/shedding/main.rs
+++ b/crates/proof/tests/bounds/main.rs
@@ -1,5 +1,5 @@
-//! Retries to a service that refuses requests stay within the bound of the fleet, while gateways and
-//! control hosts are killed and started again and again.
+//! Bounds that hold for all gateways together: retries to a service that refuses requests, while
+//! gateways and control hosts restart again and again, and the limits that upstreams name.
 
 #![allow(
     dead_code,
@@ -20,6 +20,7 @@
 mod relay;
 
 use std::collections;
+use std::ops;
 use std::time;
 
 use peargap_fake::runner;
@@ -37,6 +38,17 @@
 const BURST: f64 = 64.0;
 const WINDOW: time::Duration = time::Duration::from_secs(10);
 
+/// Time for which the upstreams name a limit.
+const LIMITED_TIME: time::Duration = time::Duration::from_secs(12);
+/// Limit that each upstream names, in requests a second, as sent.
+const LIMIT: &str = "3.0";
+const LIMIT_PER_S: f64 = 3.0;
+const LIMIT_WINDOW: time::Duration = time::Duration::from_secs(4);
+/// Requests beyond the limit that are allowed in a window.
+const LIMIT_TOLERANCE: f64 = 5.0;
+/// Time in which all gateways learn of a limit.
+const NEWS_TIME: time::Duration = time::Duration::from_millis(500);
+
 /// Restarts gateways, and now and then a control host, until `end`.
 async fn restart_in_turn(deployment: &mut deployment::Deployment, end: time::Instant) {
     let mut count = 0;
@@ -121,3 +133,58 @@
     println!("{text}; {}", ledger.summary());
     assert!(worst <= 1.0, "{text}");
 }
+
+/// Returns the most requests in any window of a range of time.
+fn count_busiest(arrivals: &[runner::Arrival], range: &ops::Range<time::Instant>) -> usize {
+    let counted = arrivals.iter().filter(|one| range.contains(&one.at));
+    let counted: Vec<_> = counted.map(|one| one.at).collect();
+    let windows = counted.iter().map(|start| {
+        let window = *start..*start + LIMIT_WINDOW;
+        counted.iter().filter(|at| window.contains(*at)).count()
+    });
+    windows.max().unwrap_or(0)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_limit_that_an_upstream_names_holds_over_all_gateways() {
+    let deployment = deployment::Deployment::start(GATEWAYS).await;
+    let ledger = ledger::Ledger::default();
+    let operator = operator::Operator::start(&deployment, ledger.clone()).await;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| caller::spawn(number, 2, &deployment, ledger.clone()))
+        .collect();
+    tokio::time::sleep(time::Duration::from_secs(5)).await;
+    let desks = deployment.upstreams.iter();
+    let desks: Vec<_> = desks.filter(|one| one.service == "desk").collect();
+    for desk in &desks {
+        desk.runner.set_limit(Some(LIMIT));
+    }
+    let begun = time::Instant::now();
+    tokio::time::sleep(LIMITED_TIME).await;
+    let ended = time::Instant::now();
+    for desk in &desks {
+        desk.runner.set_limit(None);
+    }
+    tokio::time::sleep(time::Duration::from_secs(3)).await;
+    ledger.stop();
+    for caller in callers {
+        caller.await.expect("a caller");
+    }
+    drop(operator);
+    for desk in desks {
+        let name = &desk.runner.name;
+        let arrivals = desk.runner.arrivals();
+        let busiest = count_busiest(&arrivals, &(begun + NEWS_TIME..ended));
+        let bound = LIMIT_PER_S * LIMIT_WINDOW.as_secs_f64() + LIMIT_TOLERANCE;
+        let limited = arrivals.iter().filter(|one| one.limit.is_some()).count();
+        let after = arrivals.iter().filter(|one| one.at > ended).count();
+        println!("{name}: busiest window {busiest}, {limited} limited, {after} after");
+        assert!(
+            as_number(busiest) <= bound,
+            "{name}: {busiest} requests in 4 s"
+        );
+        let wanted = LIMIT_PER_S * LIMITED_TIME.as_secs_f64() * 0.6;
+        assert!(as_number(limited) >= wanted, "{name}: {limited} requests");
+        assert!(after >= limited, "{name}: {after} requests after the limit");
+    }
+}
--- a/crates/proof/tests/soak/deployment.rs
+++ b/crates/proof/tests/soak/deployment.rs
@@ -241,6 +241,7 @@
         for upstream in &self.upstreams {
             upstream.relay.delay(time::Duration::ZERO);
             upstream.runner.set_behaviour(runner::Behaviour::Answer);
+            upstream.runner.set_limit(None);
         }
         for relay in &self.control_relays {
             relay.delay(time::Duration::ZERO);
--- a/crates/proof/tests/soak/faults.rs
+++ b/crates/proof/tests/soak/faults.rs
@@ -37,14 +37,16 @@
     LinkSilent,
     RunnerLeaves,
     RunnerMisbehaves,
+    RunnerNamesLimit,
     RunnerPauses,
     RunnerSaysItLeaves,
+    RunnerSendsWithoutEnd,
     UpstreamDelayed,
     UpstreamReset,
     UpstreamSilent,
 }
 
-const FAULTS: [Fault; 18] = [
+const FAULTS: [Fault; 20] = [
     Fault::ControlKilled,
     Fault::ControlPaused,
     Fault::ControlWiped,
@@ -58,8 +60,10 @@
     Fault::LinkSilent,
     Fault::RunnerLeaves,
     Fault::RunnerMisbehaves,
+    Fault::RunnerNamesLimit,
     Fault::RunnerPauses,
     Fault::RunnerSaysItLeaves,
+    Fault::RunnerSendsWithoutEnd,
     Fault::UpstreamDelayed,
     Fault::UpstreamReset,
     Fault::UpstreamSilent,
@@ -169,6 +173,15 @@
                 .runner
                 .set_behaviour(runner::Behaviour::Answer);
         }
+        // The limit lasts while other faults follow.
+        Fault::RunnerNamesLimit => {
+            let runner = deployment.upstreams[upstream].runner.clone();
+            runner.set_limit(Some(notices::LIMIT_TEXT));
+            tokio::spawn(async move {
+                tokio::time::sleep(notices::LIMIT_TIME).await;
+                runner.set_limit(None);
+            });
+        }
         Fault::RunnerPauses => {
             let runner = deployment.upstreams[upstream].runner.clone();
             runner.reject_with_retry_after(notices::PAUSE_TEXT);
@@ -186,6 +199,12 @@
             });
             deployment.add_upstream(service).await;
         }
+        Fault::RunnerSendsWithoutEnd => {
+            let runner = deployment.upstreams[upstream].runner.clone();
+            runner.set_behaviour(runner::Behaviour::Endless);
+            tokio::time::sleep(duration).await;
+            runner.set_behaviour(runner::Behaviour::Answer);
+        }
         Fault::UpstreamDelayed => deployment.upstreams[upstream].relay.delay(duration / 4),
         Fault::UpstreamReset => deployment.upstreams[upstream].relay.reset(),
         Fault::UpstreamSilent => deployment.upstreams[upstream].relay.silence(),
