core, gateway: a stopping gateway takes only generations that surely end before it

Estimates are often far off, and the costs differ: a refused caller goes elsewhere at once, a cut one loses all. Now the upper bound of the output decides, after a second for the first event. The estimate is no longer read there.

--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -1,4 +1,6 @@
-//! Whether a stopping gateway takes a generation: only one that is likely to end before the process.
+//! Whether a stopping gateway takes a generation: only one that ends before the process, even if its
+//! output is as long as it may be. A refused caller goes to another gateway at once, while a generation
+//! that is cut off is lost.
 
 use core::time::Duration;
 
@@ -8,29 +10,8 @@
 const GAP_WEIGHT: f64 = 0.02;
 /// Longest gap that counts; longer ones are pauses of single generations.
 const MAX_GAP_MS: f64 = 1000.0;
-/// Factor by which an output may be longer than its estimate.
-const ESTIMATE_MARGIN: f64 = 1.5;
-
-/// Output of a generation as its request declares it, in tokens.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Output {
-    /// The caller's estimate.
-    pub estimate: Option<u64>,
-    /// Upper bound.
-    pub max: Option<u64>,
-}
-
-impl Output {
-    /// Returns the tokens to expect; `None` if nothing is declared.
-    fn expected_tokens(self) -> Option<f64> {
-        let estimate = self.estimate.map(|tokens| number(tokens) * ESTIMATE_MARGIN);
-        let max = self.max.map(number);
-        match (estimate, max) {
-            (Some(estimate), Some(max)) => Some(estimate.min(max)),
-            (estimate, max) => estimate.or(max),
-        }
-    }
-}
+/// Time to the first event that is reckoned with.
+const FIRST_EVENT: Duration = Duration::from_secs(1);
 
 /// Mean time between the events of generations at this gateway.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -53,14 +34,15 @@
         self.gap_ms += GAP_WEIGHT * (gap_ms - self.gap_ms);
     }
 
-    /// Returns whether a generation is likely to end within `left`, if its engine puts `stride`
-    /// tokens into an event. One of unknown length is not.
+    /// Returns whether a generation of at most `max_output` tokens ends within `left`, if its engine
+    /// puts `stride` tokens into an event. One of unknown length may not.
     #[must_use]
-    pub fn may_end_within(&self, left: Duration, output: Output, stride: u64) -> bool {
-        let Some(tokens) = output.expected_tokens() else {
+    pub fn ends_within(&self, left: Duration, max_output: Option<u64>, stride: u64) -> bool {
+        let Some(tokens) = max_output else {
             return false;
         };
-        let events = tokens / number(stride.max(1));
+        let events = number(tokens) / number(stride.max(1));
+        let left = left.saturating_sub(FIRST_EVENT);
         events * self.gap_ms <= left.as_secs_f64() * 1000.0
     }
 }
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -101,7 +101,7 @@
         request,
         service: service.clone(),
     });
-    if gateway.stop.would_cut_off(&generation) {
+    if gateway.stop.may_cut_off(&generation) {
         return gateway.refuse(&attempt, response::Refusal::Stopping);
     }
     let objective = time::Duration::from_millis(route.objective_ms);
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -62,7 +62,7 @@
     },
     /// No route matches.
     RouteUnknown,
-    /// The gateway is stopping, and the request would outlast it; it has not run.
+    /// The gateway is stopping, and the request may outlast it; it has not run.
     Stopping,
     /// An upstream failed or sent an invalid response; the request may have run.
     UpstreamFailed,
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -27,19 +27,16 @@
         self.lock().record(gap_ms);
     }
 
-    /// Returns whether a generation is likely to be cut off by the stop of the process.
-    pub(crate) fn would_cut_off(&self, generation: &generation::Generation) -> bool {
+    /// Returns whether the stop of the process may cut off a generation.
+    pub(crate) fn may_cut_off(&self, generation: &generation::Generation) -> bool {
         let Some(ends_at) = self.ends_at.get() else {
             return false;
         };
         let left = ends_at.saturating_duration_since(time::Instant::now());
-        let head = &generation.request.head;
-        let output = drain::Output {
-            estimate: head.length_hint,
-            max: head.usage.map(|usage| usage.max_output),
-        };
+        let usage = generation.request.head.usage;
+        let max_output = usage.map(|usage| usage.max_output);
         let stride = generation.engine.stride;
-        !self.lock().may_end_within(left, output, stride)
+        !self.lock().ends_within(left, max_output, stride)
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, drain::Pace> {
