gateway: generations that continue at their copies keep the limit too

If an engine breaks off and its copies are at one that names a limit, all resume there at once: in the test 44 small generations at two engines, of which those of one go on at the other: 49 arrivals where the users' rule allows 11. Now a resume at an upstream with a limit waits for a random part of half a second, so that the gateways hear of each other, and then for room, a second at most; it may use a quarter of the limit beyond what new requests use. Copies go to engines without a limit if there is one.

--- a/crates/core/src/rate_limit.rs
+++ b/crates/core/src/rate_limit.rs
@@ -34,6 +34,8 @@
 pub const COUNT_TIME: Duration = Duration::from_secs(30);
 /// Part of the window that is kept free for requests that have not been sent before.
 const REPEAT_RESERVE: f64 = 0.1;
+/// Part of the window by which generations that continue may exceed it.
+const RESUME_EXCESS: f64 = 0.25;
 /// Part of the window that is kept free for all requests other than copies.
 const COPY_RESERVE: f64 = 0.5;
 /// Shortest time after which a caller may try again.
@@ -55,15 +57,18 @@
     First,
     /// A request that has reached another upstream before.
     Repeat,
+    /// A generation that continues at its copy there; it is lost if it may not.
+    Resume,
 }
 
 impl Purpose {
-    /// Returns the part of the limit that is kept free for more urgent requests.
-    fn reserve(self) -> f64 {
+    /// Returns the part of the limit that requests for this purpose may use.
+    fn usable_part(self) -> f64 {
         match self {
-            Purpose::Copy => COPY_RESERVE,
-            Purpose::First => 0.0,
-            Purpose::Repeat => REPEAT_RESERVE,
+            Purpose::Copy => 1.0 - COPY_RESERVE,
+            Purpose::First => 1.0,
+            Purpose::Repeat => 1.0 - REPEAT_RESERVE,
+            Purpose::Resume => 1.0 + RESUME_EXCESS,
         }
     }
 }
@@ -230,8 +235,8 @@
         random: &mut R,
     ) -> bool {
         let usage = self.usage(now, limit_per_s, view);
-        let room = usage.allowed * (1.0 - purpose.reserve()) - usage.sent;
-        if !usage.is_shared {
+        let room = usage.allowed * purpose.usable_part() - usage.sent;
+        if !usage.is_shared || purpose == Purpose::Resume {
             return room >= 1.0;
         }
         if room <= 0.0 {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -276,7 +276,7 @@
             balance::Choice::Take(key) => key,
         };
         let view = placement::View {
-            limit: state.explain_limit(now, criteria.service, key),
+            limit: state.explain_limit(now, key),
             load_age_ms: now.millis_since(state.remote_loads_at),
             load: candidates
                 .iter()
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -190,12 +190,12 @@
     /// Returns the upstreams of a service that take new work, in the order of their names.
     pub(crate) fn list_ready<'a>(
         &'a self,
-        service: &'a routes::Service,
+        service: &'a str,
     ) -> impl Iterator<Item = (fleet::UpstreamKey, &'a upstream::Upstream)> {
         let keys = self.names.values().copied();
         let known = keys.filter_map(|key| Some((key, self.upstreams.get(key)?)));
-        known.filter(|(_key, upstream)| {
-            upstream.status.service == service.name
+        known.filter(move |(_key, upstream)| {
+            upstream.status.service == service
                 && upstream.status.state == upstreams::State::Ready
                 && !self.domains_out.contains(&upstream.status.domain)
         })
@@ -212,7 +212,7 @@
         if let Some(retry_after_ms) = limited {
             return fleet::PlacementError::Limited { retry_after_ms };
         }
-        let ready = self.list_ready(criteria.service);
+        let ready = self.list_ready(&criteria.service.name);
         let ends = ready.filter_map(|(_key, upstream)| upstream.paused_until(now));
         match pause::retry_after_ms(now, ends, &mut random) {
             Some(retry_after_ms) => fleet::PlacementError::Paused { retry_after_ms },
@@ -232,7 +232,7 @@
         let domain = near.map_or(domain, |near| &near.status.domain);
         // All gateways number the upstreams in the order of their names, so that each gateway gets
         // other upstreams as its own.
-        let ready = self.list_ready(criteria.service);
+        let ready = self.list_ready(&criteria.service.name);
         let cold_rate = |upstream_index| {
             let per_s = criteria.service.cold_per_s?;
             Some(cold_rate::Rate {
@@ -264,6 +264,16 @@
         let available = available.filter(|(index, (_key, upstream))| {
             self.is_within_limit(now, upstream, *index, criteria.purpose, &mut random)
         });
+        let available: Vec<_> = available.collect();
+        // An engine that names a limit is in need; copies go there only if all do.
+        let has_limit = |upstream: &upstream::Upstream| upstream.limit_per_s.is_some();
+        let avoids_limits = criteria.purpose == rate_limit::Purpose::Copy
+            && !available
+                .iter()
+                .all(|(_index, (_key, upstream))| has_limit(upstream));
+        let available = available
+            .into_iter()
+            .filter(|(_index, (_key, upstream))| !(avoids_limits && has_limit(upstream)));
         let candidates = available.map(|(index, (key, upstream))| balance::Candidate {
             is_near: upstream.status.domain == domain,
             is_own: self.gateway_position.owns(index),
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -7,7 +7,6 @@
 use peargap_core::aggregator;
 use peargap_core::limit;
 use peargap_core::rate_limit;
-use peargap_core::routes;
 use peargap_core::time::Instant;
 use peargap_wire::fleet as wire;
 use rand::Rng;
@@ -144,6 +143,13 @@
         self.lock().sums.reset();
     }
 
+    /// Returns whether a generation may continue at its copy by the limit that the upstream names;
+    /// `None` without a limit.
+    pub(crate) fn may_resume(&self, key: fleet::UpstreamKey) -> Option<bool> {
+        let now = self.clock.now();
+        self.lock().may_resume(now, key)
+    }
+
     /// Counts a request that is sent to an upstream for a generation placed there before.
     pub(crate) fn record_sent(&self, key: fleet::UpstreamKey) {
         let now = self.clock.now();
@@ -161,7 +167,12 @@
             return;
         };
         let born_ms = upstream.status.edition.born_ms;
-        upstream.limit_per_s = self.limits.get(name, born_ms);
+        let limit_per_s = self.limits.get(name, born_ms);
+        if upstream.limit_per_s.is_none() && limit_per_s.is_some() {
+            // The limit does not hold for what was sent before it was known.
+            upstream.limiter = rate_limit::Limiter::default();
+        }
+        upstream.limit_per_s = limit_per_s;
         upstream.limit_known_at = now;
     }
 
@@ -184,13 +195,13 @@
     /// Counts a request for which each upstream of its service with a limit could be chosen.
     pub(crate) fn record_wanted(&mut self, now: Instant, criteria: &fleet::Criteria<'_>) {
         let counts = match criteria.purpose {
-            rate_limit::Purpose::Copy => false,
+            rate_limit::Purpose::Copy | rate_limit::Purpose::Resume => false,
             rate_limit::Purpose::First | rate_limit::Purpose::Repeat => true,
         };
         if !counts {
             return;
         }
-        let limited = self.list_ready(criteria.service);
+        let limited = self.list_ready(&criteria.service.name);
         let limited = limited.filter(|(key, upstream)| {
             upstream.limit_per_s.is_some() && !criteria.exclude.contains(key)
         });
@@ -228,7 +239,7 @@
         criteria: &fleet::Criteria<'_>,
         random: &mut R,
     ) -> Option<u64> {
-        let ready = self.list_ready(criteria.service).enumerate();
+        let ready = self.list_ready(&criteria.service.name).enumerate();
         let usable = ready.filter(|(_index, (key, upstream))| {
             !criteria.exclude.contains(key) && upstream.paused_until(now).is_none()
         });
@@ -250,13 +261,29 @@
     pub(crate) fn explain_limit(
         &self,
         now: Instant,
-        service: &routes::Service,
         key: fleet::UpstreamKey,
     ) -> Option<rate_limit::Usage> {
-        let limit_per_s = self.upstreams.get(key)?.limit_per_s?;
-        let mut ready = self.list_ready(service).enumerate();
-        let (index, (_key, upstream)) = ready.find(|(_index, (ready, _))| *ready == key)?;
-        let view = self.view_of(now, upstream, index);
+        let upstream = self.upstreams.get(key)?;
+        let limit_per_s = upstream.limit_per_s?;
+        let view = self.view_of(now, upstream, self.index_of(key, upstream));
         Some(upstream.limiter.usage(now, limit_per_s, &view))
     }
+
+    /// Returns the index of an upstream among those of its service that take work; 0 for others.
+    fn index_of(&self, key: fleet::UpstreamKey, upstream: &upstream::Upstream) -> usize {
+        let mut ready = self.list_ready(&upstream.status.service);
+        let index = ready.position(|(ready, _upstream)| ready == key);
+        index.unwrap_or_default()
+    }
+
+    /// Returns whether a generation may continue at its copy by the limit that the upstream names;
+    /// `None` without a limit.
+    fn may_resume(&self, now: Instant, key: fleet::UpstreamKey) -> Option<bool> {
+        let upstream = self.upstreams.get(key)?;
+        upstream.limit_per_s?;
+        let index = self.index_of(key, upstream);
+        let purpose = rate_limit::Purpose::Resume;
+        let random = &mut rand::rng();
+        Some(self.is_within_limit(now, upstream, index, purpose, random))
+    }
 }
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -25,11 +25,14 @@
 /// Range of the random delay, in milliseconds, before a generation with a backup copy moves away
 /// from a leaving engine, so that its generations do not all arrive elsewhere at once.
 const MOVE_DELAY_MS: core::ops::Range<u64> = 20..300;
+/// Range of the random delay, in milliseconds, before a generation continues at an engine that names
+/// a limit.
+const LIMIT_DELAY_MS: core::ops::Range<u64> = 0..500;
 /// Delay between attempts to resume.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
 /// Maximum number of attempts to resume at the engine with the copy.
 const MAX_ATTEMPTS: u32 = 3;
-/// Longest pause of an engine that a generation waits for before it resumes there.
+/// Longest time for which a generation waits for an engine's pause or limit before it resumes there.
 const MAX_PAUSE: time::Duration = time::Duration::from_secs(1);
 /// Time limit for the response to a resume, counted from [`REFUSAL_TIMEOUT`].
 const RESUME_TIMEOUT: time::Duration = time::Duration::from_millis(900);
@@ -205,6 +208,7 @@
         let mut failure = String::new();
         for _attempt in 0..MAX_ATTEMPTS {
             wait_for_pause(&placement).await?;
+            wait_for_limit(&placement).await?;
             match try_resume(&gateway, &generation, &origin, &placement, &accepted).await {
                 Ok((response, copy)) => {
                     return Ok(generation::Run {
@@ -236,6 +240,25 @@
     }
 }
 
+/// If the engine with the copy names a limit, waits until it leaves room; fails if that takes long.
+async fn wait_for_limit(placement: &placement::Placement) -> Result<(), Failure> {
+    if placement.notices.may_resume().is_none() {
+        return Ok(());
+    }
+    // Generations of many gateways continue there at the same moment, of which none has heard yet.
+    let delay = rand::rng().random_range(LIMIT_DELAY_MS);
+    time::sleep(time::Duration::from_millis(delay)).await;
+    let deadline = time::Instant::now() + MAX_PAUSE;
+    while placement.notices.may_resume() == Some(false) {
+        if time::Instant::now() >= deadline {
+            let why = "the limit of the engine leaves no room".to_owned();
+            return Err(Failure::NotResumed(why));
+        }
+        time::sleep(RETRY_DELAY).await;
+    }
+    Ok(())
+}
+
 /// Why an attempt to resume failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum ResumeError {
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -62,6 +62,12 @@
         self.fleet.record_sent(self.key);
     }
 
+    /// Returns whether a generation may continue at its copy by the limit that the upstream names;
+    /// `None` without a limit.
+    pub(crate) fn may_resume(&self) -> Option<bool> {
+        self.fleet.may_resume(self.key)
+    }
+
     /// Returns the current time.
     pub(crate) fn now(&self) -> Instant {
         self.fleet.clock.now()
--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -68,7 +68,7 @@
 
     fn may_send_at_start(&self, service: &routes::Service) -> bool {
         let state = self.lock();
-        let ready = state.list_ready(service);
+        let ready = state.list_ready(&service.name);
         let totals = ready.fold((0, 0), |(running, slots), (_key, upstream)| {
             let slots = u32::saturating_add(slots, upstream.status.slots);
             (running + upstream.local_load.running, slots)
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -307,3 +307,47 @@
     let limited = count_busiest_window(&fixture.runner("d1").arrivals());
     assert!(limited <= 7, "{limited} requests in 4 s");
 }
+
+#[tokio::test]
+async fn generations_that_continue_at_their_copies_keep_the_limit() {
+    const GENERATIONS: usize = 44;
+    let mut fixture = Fixture::start(&["p1", "p2"]).await;
+    for name in ["p1", "p2"] {
+        fixture.runner(name).set_events(400, EVENT_INTERVAL);
+    }
+    let mut calls = Vec::new();
+    for _generation in 0..GENERATIONS {
+        let mut caller = fixture.connect().await;
+        let mut small = generation();
+        let usage = http::HeaderValue::from_static("50,400");
+        small.headers_mut().insert("token-usage", usage);
+        calls.push(tokio::spawn(async move { caller.call(small).await }));
+    }
+    sleep_ms(300).await;
+    let limited = fixture.runner("p2").clone();
+    limited.set_limit(Some("1.0"));
+    let before = limited.arrivals().len();
+    let limit = wire::Limit {
+        born_ms: 1,
+        sequence: 1,
+        thousandths_per_s: 1000,
+        upstream: "p2".to_owned(),
+    };
+    let update = wire::Update {
+        limits: vec![limit],
+        ..wire::Update::default()
+    };
+    fixture.control.send(update).await;
+    sleep_ms(50).await;
+    fixture.runner("p1").interrupt_streams();
+    fixture.runners.remove("p1");
+    for call in calls {
+        call.await.expect("a response");
+    }
+    let resumed = limited.arrivals().len() - before;
+    // One and a half times the limit and five, as the users' pages allow.
+    assert!(
+        (3..=11).contains(&resumed),
+        "{resumed} of {GENERATIONS} continued"
+    );
+}
