gateway, control: one place for "may a request go there now", one report a turn

`candidates` answers in one enum what the pause, the cold rate, the circuit breaker and the limit say of an upstream; the order of the checks is as before. `news` gathers under one lock what a link tells next (document, departures, limits: three locks and three messages before). `count_refusing` goes by `list_ready`, so it no longer counts upstreams of a failure domain out of service. `record_leave` and `record_departure` of a control host share `publish`. The pause still stands in the breaker and beside it.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -141,29 +141,31 @@
     /// Records that an upstream leaves. Returns once the gateways have applied it or did not in
     /// time.
     pub(crate) async fn record_leave(&self, name: &str) {
-        let change = {
-            let mut state = self.lock();
-            let Some(status) = state.directory.leave(self.clock.now(), name) else {
-                return;
-            };
-            log_status(&status);
-            state.record_change(status.name)
+        let now = self.clock.now();
+        let Some(change) = self.publish(|directory| directory.leave(now, name)) else {
+            return;
         };
-        self.last_change.send_replace(change);
         self.wait_until_applied(change).await;
     }
 
     /// Records that one start of an upstream is leaving, as it told a gateway.
     pub(crate) fn record_departure(&self, name: &str, born_ms: u64) {
-        let change = {
+        self.publish(|directory| directory.drain(name, born_ms));
+    }
+
+    /// Changes the status of an upstream and tells the gateways; returns the number of the change.
+    fn publish(
+        &self,
+        change: impl FnOnce(&mut upstreams::Directory) -> Option<upstreams::Status>,
+    ) -> Option<u64> {
+        let number = {
             let mut state = self.lock();
-            let Some(status) = state.directory.drain(name, born_ms) else {
-                return;
-            };
+            let status = change(&mut state.directory)?;
             log_status(&status);
             state.record_change(status.name)
         };
-        self.last_change.send_replace(change);
+        self.last_change.send_replace(number);
+        Some(number)
     }
 
     /// Records news of an upstream's limit, as it named it to a gateway, and tells all gateways.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,7 +6,6 @@
 use peargap_adapters::logs;
 use peargap_core::balance;
 use peargap_core::breaker;
-use peargap_core::document_fetch;
 use peargap_core::rate_limit;
 use peargap_core::retry_budget;
 use peargap_core::routes;
@@ -27,11 +26,9 @@
 pub(crate) struct Fleet {
     pub(crate) clock: clock::Clock,
     changed: sync::Arc<watch::Sender<u64>>,
-    /// Counter that increases with each upstream that says that it is leaving.
-    pub(crate) departed: sync::Arc<watch::Sender<u64>>,
     domain: sync::Arc<str>,
-    /// Counter that increases with each limit that an upstream names anew.
-    pub(crate) limit_named: sync::Arc<watch::Sender<u64>>,
+    /// Counter that increases with each departure and each change of a limit that an upstream tells.
+    pub(crate) news: sync::Arc<watch::Sender<u64>>,
     state: sync::Arc<sync::Mutex<fleet_state::State>>,
 }
 
@@ -88,9 +85,8 @@
         Fleet {
             changed: sync::Arc::new(watch::Sender::new(0)),
             clock: clock::Clock::start(),
-            departed: sync::Arc::new(watch::Sender::new(0)),
             domain: sync::Arc::from(domain),
-            limit_named: sync::Arc::new(watch::Sender::new(0)),
+            news: sync::Arc::new(watch::Sender::new(0)),
             state: sync::Arc::default(),
         }
     }
@@ -133,21 +129,6 @@
         self.lock().fetch.forget(host);
     }
 
-    /// Returns whether a control host has a newer document than this gateway.
-    pub(crate) fn is_behind(&self, host: &str) -> bool {
-        let state = self.lock();
-        state.fetch.is_behind(host, state.version)
-    }
-
-    /// Returns whether to request a document on the link to a control host, and records the
-    /// request.
-    pub(crate) fn next_fetch(&self, host: &str) -> document_fetch::Next {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let version = state.version;
-        state.fetch.next(now, host, version)
-    }
-
     /// Returns the version of the current routing table; 0 without one.
     pub(crate) fn version(&self) -> u64 {
         self.lock().version
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -174,10 +174,7 @@
         now: time::Instant,
         service: &str,
     ) -> retry_budget::Upstreams {
-        let upstreams = self.upstreams.values();
-        let ready = upstreams.filter(|upstream| {
-            upstream.status.service == service && upstream.status.state == upstreams::State::Ready
-        });
+        let ready = self.list_ready(service).map(|(_key, upstream)| upstream);
         ready.fold(retry_budget::Upstreams::default(), |counted, upstream| {
             retry_budget::Upstreams {
                 ready: counted.ready + 1,
@@ -219,72 +216,4 @@
             None => fleet::PlacementError::NoUpstream,
         }
     }
-
-    /// Returns the upstreams that may be chosen. Those in the failure domain of `criteria.near`, or
-    /// else in `domain`, are near.
-    pub(crate) fn list_candidates(
-        &self,
-        now: time::Instant,
-        criteria: fleet::Criteria<'_>,
-        domain: &str,
-    ) -> Vec<balance::Candidate<fleet::UpstreamKey>> {
-        let near = criteria.near.and_then(|key| self.upstreams.get(key));
-        let domain = near.map_or(domain, |near| &near.status.domain);
-        // All gateways number the upstreams in the order of their names, so that each gateway gets
-        // other upstreams as its own.
-        let ready = self.list_ready(&criteria.service.name);
-        let cold_rate = |upstream_index| {
-            let per_s = criteria.service.cold_per_s?;
-            Some(cold_rate::Rate {
-                per_s,
-                position: self.gateway_position,
-                upstream_index,
-            })
-        };
-        let untried = ready.enumerate().filter(|(index, (key, upstream))| {
-            !criteria.exclude.contains(key)
-                && upstream.paused_until(now).is_none()
-                && upstream.allows_cold_request(now, cold_rate(*index))
-        });
-        let untried: Vec<_> = untried.collect();
-        let is_rejected = |upstream: &upstream::Upstream| {
-            matches!(
-                upstream.breaker.check(now),
-                breaker::Decision::Reject { .. }
-            )
-        };
-        // If every upstream fails, each may still serve some requests.
-        let are_all_rejected = untried
-            .iter()
-            .all(|(_index, (_key, upstream))| is_rejected(upstream));
-        let available = untried
-            .into_iter()
-            .filter(|(_index, (_key, upstream))| are_all_rejected || !is_rejected(upstream));
-        let mut random = rand::rng();
-        let available = available.filter(|(index, (_key, upstream))| {
-            self.is_within_limit(now, upstream, *index, criteria.purpose, &mut random)
-        });
-        let available: Vec<_> = available.collect();
-        // An engine that names a limit is in need; copies go there only if all do.
-        let has_limit = |upstream: &upstream::Upstream| upstream.limit_per_s.is_some();
-        let avoids_limits = criteria.purpose == rate_limit::Purpose::Copy
-            && !available
-                .iter()
-                .all(|(_index, (_key, upstream))| has_limit(upstream));
-        let available = available
-            .into_iter()
-            .filter(|(_index, (_key, upstream))| !(avoids_limits && has_limit(upstream)));
-        let candidates = available.map(|(index, (key, upstream))| balance::Candidate {
-            is_near: upstream.status.domain == domain,
-            is_own: self.gateway_position.owns(index),
-            key,
-            load: upstream.local_load.plus(upstream.remote_load),
-            memory: criteria
-                .service
-                .engine
-                .map_or(0, |engine| engine.memory_tokens),
-            slots: upstream.status.slots,
-        });
-        candidates.collect()
-    }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -26,6 +26,7 @@
 use crate::events;
 use crate::fleet;
 use crate::load_reporter;
+use crate::news;
 use crate::pool;
 
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -169,47 +170,19 @@
     shared.mark_connected(host);
     logs::emit(events::CONTROL_CONNECTED, format_args!("control={host}"));
     let mut known = shared.known.subscribe();
-    let mut departed = shared.fleet.departed.subscribe();
-    let mut limit_named = shared.fleet.limit_named.subscribe();
+    let mut news = shared.fleet.news.subscribe();
     let mut tick = tokio::time::interval(LOAD_REPORT_INTERVAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut load_reporter = load_reporter::LoadReporter::default();
     let mut position = fleet_share::Position::default();
-    let mut sent_departures = 0;
-    let mut sent_limits = 0;
+    let mut told = news::Told::default();
     loop {
-        if let document_fetch::Next::Request(version) = shared.fleet.next_fetch(host) {
-            logs::emit(
-                events::DOCUMENT_REQUESTED,
-                format_args!("version={version} control={host}"),
-            );
-            let report = wire::Report {
-                wanted: version,
-                ..wire::Report::default()
-            };
-            send(&reports, report).await?;
-        }
-        let departures = shared.fleet.list_departures(sent_departures);
-        sent_departures = departures.total;
-        if !departures.new.is_empty() {
-            let report = wire::Report {
-                departures: departures.new,
-                ..wire::Report::default()
-            };
-            send(&reports, report).await?;
-        }
-        let limits = shared.fleet.list_limit_news(sent_limits);
-        sent_limits = limits.last_change;
-        if !limits.new.is_empty() {
-            let report = wire::Report {
-                limits: limits.new,
-                ..wire::Report::default()
-            };
+        let turn = shared.fleet.next_turn(host, &mut told);
+        if let Some(report) = turn.report {
             send(&reports, report).await?;
         }
-        let is_behind = shared.fleet.is_behind(host);
         tokio::select! {
-            () = tokio::time::sleep(document_fetch::TIMEOUT), if is_behind => {}
+            () = tokio::time::sleep(document_fetch::TIMEOUT), if turn.is_behind => {}
             update = updates.next() => match update {
                 Some(Ok(update)) => {
                     shared.record_update(host);
@@ -227,8 +200,7 @@
                 None => return Err("control host closed the stream".to_owned()),
             },
             // The sender lives as long as `shared`.
-            Ok(()) = departed.changed() => {}
-            Ok(()) = limit_named.changed() => {}
+            Ok(()) = news.changed() => {}
             result = known.changed() => {
                 result.map_err(|_closed| "list of connected control hosts closed".to_owned())?;
                 if !shared.reports_to(host) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempts;
 mod call;
+mod candidates;
 mod events;
 mod fleet;
 mod fleet_state;
@@ -17,6 +18,7 @@
 mod load_reporter;
 mod meters;
 mod migrate;
+mod news;
 mod notice;
 mod placement;
 mod plain;
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -16,13 +16,6 @@
 use crate::fleet_state;
 use crate::upstream;
 
-/// News of limits that upstreams named to this gateway.
-#[derive(Debug)]
-pub(crate) struct News {
-    pub(crate) last_change: u64,
-    pub(crate) new: Vec<wire::Limit>,
-}
-
 /// When the sums over the other gateways were last current.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Sums {
@@ -79,7 +72,7 @@
             events::LIMIT_CHANGED,
             format_args!("upstream={name} source=response named={named:?} kept_per_s={per_s}"),
         );
-        self.limit_named.send_modify(|count| *count += 1);
+        self.news.send_modify(|count| *count += 1);
     }
 
     /// Records that an upstream names no limit in the response to a request sent at this time. If the
@@ -102,7 +95,7 @@
             events::LIMIT_CHANGED,
             format_args!("upstream={name} source=response named=none"),
         );
-        self.limit_named.send_modify(|count| *count += 1);
+        self.news.send_modify(|count| *count += 1);
     }
 
     /// Applies news of limits from a control host.
@@ -122,16 +115,6 @@
         }
     }
 
-    /// Returns the news after `change` of limits that upstreams named to this gateway.
-    pub(crate) fn list_limit_news(&self, change: u64) -> News {
-        let state = self.lock();
-        let new = state.limits.list_own_after(change);
-        News {
-            last_change: state.limits.last_change(),
-            new: new.map(wire_limit::encode).collect(),
-        }
-    }
-
     /// Records an update from the host that sums up the gateways' load.
     pub(crate) fn record_sums(&self, has_all: bool) {
         let now = self.clock.now();
--- /dev/null
+++ b/crates/gateway/src/news.rs
@@ -0,0 +1,66 @@
+//! What a gateway tells a control host on each link, beside its load.
+
+use peargap_adapters::limit as wire_limit;
+use peargap_adapters::logs;
+use peargap_core::document_fetch;
+use peargap_wire::fleet as wire;
+
+use crate::events;
+use crate::fleet;
+
+/// What has been told on one link.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Told {
+    /// Number of departures.
+    departures: usize,
+    /// Number of the last change of a limit.
+    limits: u64,
+}
+
+/// What to do next on a link.
+#[derive(Debug)]
+pub(crate) struct Turn {
+    /// Whether the control host has a newer document than this gateway.
+    pub(crate) is_behind: bool,
+    /// Report to send.
+    pub(crate) report: Option<wire::Report>,
+}
+
+impl fleet::Fleet {
+    /// Returns what to do next on the link to a control host, and records it as done.
+    pub(crate) fn next_turn(&self, host: &str, told: &mut Told) -> Turn {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let version = state.version;
+        let fetch = state.fetch.next(now, host, version);
+        let departures = state.departures.list_after(told.departures);
+        let departures = departures.map(|departure| wire::Departure {
+            born_ms: departure.born_ms,
+            upstream: departure.upstream.clone(),
+        });
+        let limits = state.limits.list_own_after(told.limits);
+        let report = wire::Report {
+            departures: departures.collect(),
+            limits: limits.map(wire_limit::encode).collect(),
+            wanted: match fetch {
+                document_fetch::Next::Request(version) => version,
+                _ => 0,
+            },
+            ..wire::Report::default()
+        };
+        told.departures = state.departures.count();
+        told.limits = state.limits.last_change();
+        let is_behind = state.fetch.is_behind(host, version);
+        drop(state);
+        if report.wanted > 0 {
+            logs::emit(
+                events::DOCUMENT_REQUESTED,
+                format_args!("version={} control={host}", report.wanted),
+            );
+        }
+        Turn {
+            is_behind,
+            report: (report != wire::Report::default()).then_some(report),
+        }
+    }
+}
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -8,19 +8,10 @@
 use peargap_core::time::Instant;
 use peargap_core::upstreams;
 use peargap_platform::head;
-use peargap_wire::fleet as wire;
 
 use crate::events;
 use crate::fleet;
 
-/// Upstreams that said that they are leaving.
-#[derive(Debug)]
-pub(crate) struct Departures {
-    pub(crate) new: Vec<wire::Departure>,
-    /// Number of departures since the start of the process.
-    pub(crate) total: usize,
-}
-
 /// Records what one start of an upstream says of itself.
 #[derive(Clone, Debug)]
 pub(crate) struct Recorder {
@@ -133,20 +124,6 @@
             format_args!("upstream={name} born_ms={born_ms}"),
         );
         self.notify_changed();
-        self.departed.send_modify(|count| *count += 1);
-    }
-
-    /// Returns the departures after the first `known` ones since the start of the process.
-    pub(crate) fn list_departures(&self, known: usize) -> Departures {
-        let state = self.lock();
-        let new = state.departures.list_after(known);
-        let new = new.map(|departure| wire::Departure {
-            born_ms: departure.born_ms,
-            upstream: departure.upstream.clone(),
-        });
-        Departures {
-            new: new.collect(),
-            total: state.departures.count(),
-        }
+        self.news.send_modify(|count| *count += 1);
     }
 }
