gateway: a limit that ends and is named again does not begin anew

Found on reading: what was sent is forgotten when a limit becomes known, so an upstream whose limit ends and is named again within seconds (one response without the header is enough) would have let a whole window through each time. It is forgotten only if no limit was known for a window.

--- a/crates/adapters/src/load.rs
+++ b/crates/adapters/src/load.rs
@@ -10,7 +10,7 @@
     balance::Load {
         copied: u64::from(load.copied),
         failing: load.failing,
-        limited: rate_limit::Others {
+        limited: rate_limit::Counts {
             known_by: load.limit_known_by,
             sent_units: load.limit_sent,
             wanted: load.limit_wanted,
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -60,7 +60,7 @@
     /// Gateways whose circuit breaker for the upstream is open.
     pub failing: u32,
     /// What gateways tell each other of requests to an upstream that names a limit.
-    pub limited: rate_limit::Others,
+    pub limited: rate_limit::Counts,
     /// Gateways whose last request it has refused, a short time ago.
     pub refusing: u32,
     /// Requests that run or wait.
--- a/crates/core/src/named_limits.rs
+++ b/crates/core/src/named_limits.rs
@@ -49,6 +49,12 @@
 }
 
 impl Table {
+    /// Returns whether no upstream ever named a limit.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Returns the limit of one start of an upstream, in requests a second.
     #[must_use]
     pub fn get(&self, upstream: &str, born_ms: u64) -> Option<f64> {
--- a/crates/core/src/rate_limit.rs
+++ b/crates/core/src/rate_limit.rs
@@ -73,9 +73,9 @@
     }
 }
 
-/// Sums over the other gateways that know of the limit.
+/// Requests of gateways that know of the limit.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Others {
+pub struct Counts {
     /// Number of these gateways.
     pub known_by: u32,
     /// Requests that they sent in the last window, in units of [`SENT_UNIT`].
@@ -84,11 +84,11 @@
     pub wanted: u32,
 }
 
-impl Others {
+impl Counts {
     /// Returns the sum of both.
     #[must_use]
-    pub fn plus(self, other: Others) -> Others {
-        Others {
+    pub fn plus(self, other: Counts) -> Counts {
+        Counts {
             known_by: self.known_by + other.known_by,
             sent_units: self.sent_units + other.sent_units,
             wanted: self.wanted + other.wanted,
@@ -97,8 +97,8 @@
 
     /// Returns this sum without `part`, which must be contained in it.
     #[must_use]
-    pub fn minus(self, part: Others) -> Others {
-        Others {
+    pub fn minus(self, part: Counts) -> Counts {
+        Counts {
             known_by: self.known_by - part.known_by,
             sent_units: self.sent_units - part.sent_units,
             wanted: self.wanted - part.wanted,
@@ -114,7 +114,7 @@
     /// Number of gateways; 0 if unknown.
     pub gateways: u32,
     /// Sums over the others; `None` if they are not current.
-    pub others: Option<Others>,
+    pub others: Option<Counts>,
     /// Position of this gateway.
     pub position: fleet_share::Position,
     /// Index of the upstream among those of its service.
@@ -193,8 +193,8 @@
 
     /// Returns what this gateway tells the others of its requests.
     #[must_use]
-    pub fn report(&self, now: Instant, limit_per_s: f64, gateways: u32) -> Others {
-        Others {
+    pub fn report(&self, now: Instant, limit_per_s: f64, gateways: u32) -> Counts {
+        Counts {
             known_by: 1,
             sent_units: whole(self.count_sent(now, limit_per_s, gateways) / SENT_UNIT),
             wanted: self.wanted.count(now, &DEMAND_WINDOW),
--- a/crates/core/tests/load_totals.rs
+++ b/crates/core/tests/load_totals.rs
@@ -10,7 +10,7 @@
     balance::Load {
         copied: u64::from(amount) * 3,
         failing: amount / 2,
-        limited: rate_limit::Others {
+        limited: rate_limit::Counts {
             known_by: amount % 3,
             sent_units: amount * 5,
             wanted: amount,
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -116,7 +116,7 @@
                 cold_requests: cold_rate::Counter::default(),
                 cold_until,
                 last_heard: now,
-                limit_known_at: now,
+                limit_known_at: None,
                 limit_per_s: self.limits.get(&name, status.edition.born_ms),
                 limiter: rate_limit::Limiter::default(),
                 pause_end: None,
@@ -138,7 +138,7 @@
             && known.status.address == status.address;
         if !is_same_process {
             known.breaker = breaker::Breaker::new();
-            known.limit_known_at = now;
+            known.limit_known_at = None;
             known.limit_per_s = self.limits.get(&status.name, status.edition.born_ms);
             known.limiter = rate_limit::Limiter::default();
             known.pause_end = None;
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -60,14 +60,14 @@
         if !upstream.is_start(born_ms) {
             return;
         }
-        upstream.limit_known_at = now;
         let name = upstream.status.name.clone();
         let per_s = limit::bound(named);
-        if !state.limits.name(&name, born_ms, Some(per_s)) {
-            return;
-        }
+        let is_news = state.limits.name(&name, born_ms, Some(per_s));
         state.refresh_limit(now, &name);
         drop(state);
+        if !is_news {
+            return;
+        }
         logs::emit(
             events::LIMIT_CHANGED,
             format_args!("upstream={name} source=response named={named:?} kept_per_s={per_s}"),
@@ -83,7 +83,7 @@
         let Some(upstream) = state.upstreams.get_mut(key) else {
             return;
         };
-        let is_later = sent_at > upstream.limit_known_at;
+        let is_later = upstream.limit_known_at.is_none_or(|known| sent_at > known);
         if upstream.limit_per_s.is_none() || !upstream.is_start(born_ms) || !is_later {
             return;
         }
@@ -151,12 +151,13 @@
         };
         let born_ms = upstream.status.edition.born_ms;
         let limit_per_s = self.limits.get(name, born_ms);
-        if upstream.limit_per_s.is_none() && limit_per_s.is_some() {
+        let is_in_window = |known| now < known + rate_limit::WINDOW.length;
+        if limit_per_s.is_some() && !upstream.limit_known_at.is_some_and(is_in_window) {
             // The limit does not hold for what was sent before it was known.
             upstream.limiter = rate_limit::Limiter::default();
         }
         upstream.limit_per_s = limit_per_s;
-        upstream.limit_known_at = now;
+        upstream.limit_known_at = Some(now);
     }
 
     fn view_of(
@@ -181,7 +182,7 @@
             rate_limit::Purpose::Copy | rate_limit::Purpose::Resume => false,
             rate_limit::Purpose::First | rate_limit::Purpose::Repeat => true,
         };
-        if !counts {
+        if !counts || self.limits.is_empty() {
             return;
         }
         let limited = self.list_ready(&criteria.service.name);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -20,8 +20,8 @@
     /// Requests sent to it, for the rate limit of its cold start.
     pub(crate) cold_requests: cold_rate::Counter,
     pub(crate) last_heard: time::Instant,
-    /// When its limit was last named or changed.
-    pub(crate) limit_known_at: time::Instant,
+    /// When its limit was last named or changed; `None` if it never named one.
+    pub(crate) limit_known_at: Option<time::Instant>,
     /// Requests a second that it takes from all gateways, if it names a limit.
     pub(crate) limit_per_s: Option<f64>,
     /// Requests sent to it, for its limit.
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -351,3 +351,18 @@
         "{resumed} of {GENERATIONS} continued"
     );
 }
+
+#[tokio::test]
+async fn a_limit_that_ends_and_is_named_again_does_not_begin_anew() {
+    let fixture = Fixture::start(&["d1"]).await;
+    fixture.runner("d1").set_limit(Some("1.0"));
+    for turn in 0..4 {
+        tell_limit(&fixture, 2 * turn + 1, 1000).await;
+        press(&fixture, time::Duration::from_millis(700)).await;
+        tell_limit(&fixture, 2 * turn + 2, 0).await;
+    }
+    let arrivals = fixture.runner("d1").arrivals();
+    // The limit and five; each of the three ends lets a request through that is answered with it.
+    let most = count_busiest_window(&arrivals);
+    assert!(most <= 12, "{most} requests in 4 s");
+}
--- a/crates/load/src/experiment/named_limits.rs
+++ b/crates/load/src/experiment/named_limits.rs
@@ -113,7 +113,7 @@
 }
 
 /// What the gateways reported at one time.
-type Reports = Vec<rate_limit::Others>;
+type Reports = Vec<rate_limit::Counts>;
 
 struct Fleet {
     gateways: Vec<Gateway>,
@@ -164,7 +164,7 @@
                 if let Some(gateway) = self.gateways.get_mut(index).filter(is_new) {
                     *gateway = fresh;
                     for reports in &mut self.reports {
-                        reports[index] = rate_limit::Others::default();
+                        reports[index] = rate_limit::Counts::default();
                     }
                 }
             }
@@ -189,8 +189,8 @@
         &self,
         index: usize,
         now_ms: u64,
-        sums: &[rate_limit::Others],
-    ) -> Option<rate_limit::Others> {
+        sums: &[rate_limit::Counts],
+    ) -> Option<rate_limit::Counts> {
         let is_away = self.situation == Situation::ControlAway && Fleet::is_during_fault(now_ms);
         if self.rule == Rule::Equal || is_away {
             return None;
@@ -201,13 +201,13 @@
     }
 
     /// Returns the sum over all gateways, and each gateway's part after it.
-    fn sum_up(&self) -> Vec<rate_limit::Others> {
+    fn sum_up(&self) -> Vec<rate_limit::Counts> {
         let newest = self.reports.len().checked_sub(SUMS_LAG + 1);
         let Some(reports) = newest.and_then(|newest| self.reports.get(newest)) else {
             return Vec::new();
         };
-        let none = rate_limit::Others::default();
-        let sum = reports.iter().copied().fold(none, rate_limit::Others::plus);
+        let none = rate_limit::Counts::default();
+        let sum = reports.iter().copied().fold(none, rate_limit::Counts::plus);
         core::iter::once(sum)
             .chain(reports.iter().copied())
             .collect()
@@ -218,7 +218,7 @@
         &mut self,
         index: usize,
         now_ms: u64,
-        sums: &[rate_limit::Others],
+        sums: &[rate_limit::Counts],
         random: &mut R,
     ) -> bool {
         let others = self.find_others(index, now_ms, sums);
