--- a/crates/core/src/fleet_share.rs
+++ b/crates/core/src/fleet_share.rs
@@ -80,11 +80,12 @@
     }
 }
 
+/// Returns the whole part of a number, within the range of the type.
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     reason = "a float to integer cast saturates"
 )]
-fn whole(number: f64) -> u32 {
+pub(crate) fn whole(number: f64) -> u32 {
     number as u32
 }
--- a/crates/core/src/rate_limit.rs
+++ b/crates/core/src/rate_limit.rs
@@ -196,7 +196,7 @@
     pub fn report(&self, now: Instant, limit_per_s: f64, gateways: u32) -> Counts {
         Counts {
             known_by: 1,
-            sent_units: whole(self.count_sent(now, limit_per_s, gateways) / SENT_UNIT),
+            sent_units: fleet_share::whole(self.count_sent(now, limit_per_s, gateways) / SENT_UNIT),
             wanted: self.wanted.count(now, &DEMAND_WINDOW),
         }
     }
@@ -270,12 +270,3 @@
     let spread = turn.mul_f64(random.random_range(RETRY_SPREAD));
     u64::try_from(spread.as_millis()).unwrap_or(u64::MAX)
 }
-
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a float to integer cast saturates"
-)]
-fn whole(number: f64) -> u32 {
-    number as u32
-}
