fake: a body without end ends after 64 MiB

The gateway logged its stop 2.6 s after SIGTERM, within the 4.5 s that the soak allows; the soak started it again 17 s after the signal. Cause: a relay that the soak silences reads and drops what the runner sends, and goes on when the gateway has closed; with a body without end that never ends, one busy loop more for each such fault, in the process of the test itself, whose timers then run late. The body ends after 64 MiB now, which is more than any bound of the gateway. Programs other than the stand-in are unchanged.

--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -22,6 +22,8 @@
 
 /// Bytes that a runner sends at once of a body without end.
 const ENDLESS_PIECE_BYTES: usize = 16 << 10;
+/// Pieces after which such a body ends all the same, so that a relay that drops them is done some time.
+const ENDLESS_PIECES: usize = 4096;
 
 /// How a runner handles requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -389,6 +391,7 @@
             let piece = Bytes::from_static(&[b'x'; ENDLESS_PIECE_BYTES]);
             let pieces =
                 futures::stream::repeat_with(move || Ok::<_, std::io::Error>(piece.clone()));
+            let pieces = pieces.take(ENDLESS_PIECES);
             let headers = [("server-signature", "proof"), ("attempt-id", &attempt)];
             (StatusCode::OK, headers, body::Body::from_stream(pieces)).into_response()
         }
