gateway, platform: the parts of prompts, and what ended, when a generation breaks as it begins

Callers saw engines crash one after the other, and no line could tell whether a request caused it. Prompts' parts are decoded (core::prompt, never the last part, by model) and named in E6019; E6031 names them for a stream that breaks before its second event, with what a new connection says: the process has ended, runs, or cannot be reached. Behaviour is otherwise unchanged.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod placement;
 pub mod prefix;
 pub mod prefix_cache;
+pub mod prompt;
 pub mod queue;
 pub mod ramp;
 pub mod rate_limit;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -41,3 +41,5 @@
 pub(crate) const LIMIT_CHANGED: logs::Event = logs::Event::info(6029, "upstream limit changed");
 pub(crate) const RESPONSE_TOO_LONG: logs::Event =
     logs::Event::warn(6030, "upstream response cut off, too long");
+pub(crate) const BROKEN_AT_BEGIN: logs::Event =
+    logs::Event::warn(6031, "stream broken as the generation began");
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -202,9 +202,10 @@
                 logs::emit(
                     events::GENERATION_BEGUN,
                     format_args!(
-                        "request={attempt} upstream={} waited_ms={}",
+                        "request={attempt} upstream={} waited_ms={} parts={}",
                         placement.name,
-                        sent_at.elapsed().as_millis()
+                        sent_at.elapsed().as_millis(),
+                        generation.request.head.prompt
                     ),
                 );
                 return Ok(Run {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod call;
 mod candidates;
+mod crash;
 mod events;
 mod fleet;
 mod fleet_state;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -106,6 +106,17 @@
     TimedOut,
 }
 
+/// What a new connection to an upstream's address says of its process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Process {
+    /// No process listens at the address.
+    Ended,
+    /// A process listens there.
+    Running,
+    /// The network did not answer.
+    Unknown,
+}
+
 impl core::fmt::Display for Error {
     fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
         match self {
@@ -152,6 +163,18 @@
         }
     }
 
+    /// Opens a connection to find out whether the upstream's process has ended.
+    pub(crate) async fn examine_process(&self) -> Process {
+        match tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await {
+            Ok(Ok(sender)) => {
+                self.release(sender, None);
+                Process::Running
+            }
+            Ok(Err(Error::Refused)) => Process::Ended,
+            Ok(Err(Error::Other(_) | Error::TimedOut)) | Err(_) => Process::Unknown,
+        }
+    }
+
     fn take_idle(&self) -> Option<Sender> {
         let now = time::Instant::now();
         let mut idle = self.lock();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time;
 
+use crate::crash;
 use crate::events;
 use crate::fleet;
 use crate::gateway;
@@ -301,6 +302,10 @@
             self.gateway
                 .fleet
                 .record_outcome(self.placement.key, outcome);
+            if crash::is_beginning(self.events) {
+                let broken = crash::Broken::new(&self.generation, &self.placement, self.events);
+                tokio::spawn(broken.examine());
+            }
         }
         self.check_engine()
     }
