gateway: a failing test of requests that crash engines one after the other

The stand-in runner crashes, by option, when it begins to write on a prompt with a given part: all its connections close, and nothing listens for a time.

--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -19,6 +19,9 @@
 use futures::StreamExt as _;
 use http::HeaderMap;
 use http::StatusCode;
+use hyper::server::conn::http1;
+use hyper_util::rt;
+use tokio_util::sync::CancellationToken;
 
 /// Bytes that a runner sends at once of a body without end.
 const ENDLESS_PIECE_BYTES: usize = 16 << 10;
@@ -113,6 +116,14 @@
     body_bytes: Option<usize>,
     /// Handles of the generation copies that this runner holds.
     copies: collections::HashSet<String>,
+    /// Cancelled when the process crashes.
+    crash: CancellationToken,
+    /// ID of the part of prompts on which the process crashes as it begins to write.
+    crash_part: Option<&'static str>,
+    /// Number of crashes.
+    crashes: usize,
+    /// Time for which nothing listens after a crash.
+    down_time: time::Duration,
     /// Number of events in a generation.
     events: u64,
     /// Whether all responses say that the runner is leaving.
@@ -136,6 +147,10 @@
             behaviour: Behaviour::Answer,
             body_bytes: None,
             copies: collections::HashSet::new(),
+            crash: CancellationToken::new(),
+            crash_part: None,
+            crashes: 0,
+            down_time: time::Duration::from_millis(100),
             events: 5,
             is_leaving: false,
             limit: None,
@@ -201,10 +216,7 @@
             .fallback(handle_request)
             .layer(middleware::from_fn_with_state(runner.clone(), add_notices))
             .with_state(runner.clone());
-        tokio::spawn(async move {
-            // Ends with the runtime.
-            let _ = axum::serve(listener, router).await;
-        });
+        tokio::spawn(serve(runner.clone(), listener, router));
         Ok(runner)
     }
 
@@ -218,6 +230,53 @@
     }
 }
 
+/// Serves until the runtime shuts down; after each crash, nothing listens for the runner's down time.
+async fn serve(runner: Runner, listener: tokio::net::TcpListener, router: axum::Router) {
+    let mut listener = Some(listener);
+    loop {
+        let crash = runner.lock().crash.clone();
+        if let Some(listener) = listener.take() {
+            accept_until_crash(&listener, &router, &crash).await;
+        }
+        let down_time = runner.lock().down_time;
+        tokio::time::sleep(down_time).await;
+        match tokio::net::TcpListener::bind(runner.address).await {
+            Ok(bound) => {
+                listener = Some(bound);
+                runner.lock().crash = CancellationToken::new();
+            }
+            Err(error) => eprintln!("runner {} cannot listen again: {error}", runner.name),
+        }
+    }
+}
+
+/// Accepts connections until the runner crashes, which closes all of them.
+async fn accept_until_crash(
+    listener: &tokio::net::TcpListener,
+    router: &axum::Router,
+    crash: &CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            () = crash.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _peer)) = accepted else {
+            continue;
+        };
+        let service = hyper_util::service::TowerToHyperService::new(router.clone());
+        let connection = http1::Builder::new().serve_connection(rt::TokioIo::new(stream), service);
+        let crash = crash.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = crash.cancelled() => {}
+                // Its error shows at the other end.
+                _result = connection => {}
+            }
+        });
+    }
+}
+
 impl Runner {
     /// Makes the runner reachable by other runners at the address of a relay.
     pub fn set_announced_address(&self, relay: net::SocketAddr) {
@@ -281,6 +340,35 @@
         self.inner.produced_events.load(atomic::Ordering::SeqCst)
     }
 
+    /// Makes the process crash when it begins to write on a prompt with this part, and be back after
+    /// `down_time`.
+    pub fn crash_on_part(&self, id: Option<&'static str>, down_time: time::Duration) {
+        let mut state = self.lock();
+        state.crash_part = id;
+        state.down_time = down_time;
+    }
+
+    /// Closes all connections; nothing listens for the runner's down time.
+    pub fn crash(&self) {
+        let mut state = self.lock();
+        state.crashes += 1;
+        state.crash.cancel();
+    }
+
+    /// Returns the number of crashes.
+    pub fn count_crashes(&self) -> usize {
+        self.lock().crashes
+    }
+
+    fn crashes_on(&self, headers: &HeaderMap) -> bool {
+        let Some(part) = self.lock().crash_part else {
+            return false;
+        };
+        let parts = header_text(headers, "prefix-hash").unwrap_or_default();
+        let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
+        ids.any(|id| id == part)
+    }
+
     /// Interrupts all running streams.
     pub fn interrupt_streams(&self) {
         let begun = self.inner.streams.load(atomic::Ordering::SeqCst);
@@ -403,7 +491,8 @@
         }
         Behaviour::Unsigned => (StatusCode::OK, body).into_response(),
         Behaviour::Answer | Behaviour::Shed if headers.contains_key("token-usage") => {
-            stream_events(&runner, &attempt, last_event_id.unwrap_or(0))
+            let crashes = runner.crashes_on(&headers);
+            stream_events(&runner, &attempt, last_event_id.unwrap_or(0), crashes)
         }
         Behaviour::Answer | Behaviour::Shed => {
             let (delay, body_bytes) = {
@@ -431,8 +520,8 @@
     std::io::Error::other("stream interrupted")
 }
 
-/// Streams the events of a generation that follow event `after`.
-fn stream_events(runner: &Runner, attempt: &str, after: u64) -> response::Response {
+/// Streams the events of a generation that follow event `after`, or crashes in place of the first.
+fn stream_events(runner: &Runner, attempt: &str, after: u64, crashes: bool) -> response::Response {
     // Moved into the closure below, so that the generation counts until the stream is dropped.
     let running = RunningGuard::new(runner);
     let number = runner.inner.streams.fetch_add(1, atomic::Ordering::SeqCst) + 1;
@@ -444,6 +533,9 @@
         let runner = running.0.clone();
         async move {
             tokio::time::sleep(event_interval).await;
+            if crashes {
+                runner.crash();
+            }
             runner
                 .inner
                 .produced_events
--- /dev/null
+++ b/crates/gateway/tests/crashes.rs
@@ -0,0 +1,71 @@
+//! Requests that crash the engines that begin to write on one part of their prompts.
+
+mod support;
+
+use std::time;
+
+use support::generation;
+use support::wait_for;
+use support::Fixture;
+use support::Response;
+
+/// Part on which engines crash.
+const DEADLY: &str = "dead";
+/// Time for which an engine is gone after a crash.
+const DOWN_TIME: time::Duration = time::Duration::from_millis(300);
+/// Pause between requests, in which a crashed engine is noticed.
+const PAUSE: time::Duration = time::Duration::from_millis(150);
+const ENGINES: [&str; 8] = ["p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"];
+
+async fn start() -> Fixture {
+    let fixture = Fixture::start(&ENGINES).await;
+    for runner in fixture.runners.values() {
+        runner.set_events(4, time::Duration::from_millis(5));
+        runner.crash_on_part(Some(DEADLY), DOWN_TIME);
+    }
+    fixture
+}
+
+async fn call(fixture: &Fixture, attempt: &str, parts: &str) -> Response {
+    let mut request = generation();
+    for (name, value) in [("attempt-id", attempt), ("prefix-hash", parts)] {
+        let value = http::HeaderValue::from_str(value).expect("a value");
+        request.headers_mut().insert(name, value);
+    }
+    fixture.call(request).await
+}
+
+fn count_crashes(fixture: &Fixture) -> usize {
+    fixture
+        .runners
+        .values()
+        .map(|runner| runner.count_crashes())
+        .sum()
+}
+
+fn count_arrivals(fixture: &Fixture, attempt: &str) -> usize {
+    let arrivals = fixture.runners.values().flat_map(|one| one.arrivals());
+    arrivals
+        .filter(|one| one.attempt.starts_with(attempt))
+        .count()
+}
+
+#[tokio::test]
+async fn requests_that_crash_engines_are_soon_refused_and_sound_ones_served() {
+    let fixture = start().await;
+    for number in 0..12 {
+        let parts = format!("aa:40,bb:30,{DEADLY}:20,{number:x}:800");
+        call(&fixture, &format!("deadly-{number}"), &parts).await;
+        tokio::time::sleep(PAUSE).await;
+        let parts = format!("aa:40,{:x}:30,{number:x}:800", number % 3);
+        let sound = call(&fixture, &format!("sound-{number}"), &parts).await;
+        assert!(sound.is_complete, "{number}: {sound:?}");
+    }
+    let crashes = count_crashes(&fixture);
+    assert!(crashes <= 5, "{crashes} crashes");
+    let refused = call(&fixture, "last", &format!("aa:40,{DEADLY}:20,1:800")).await;
+    assert_eq!(refused.status, 503);
+    assert!(refused.headers.contains_key("retry-after"));
+    assert_eq!(count_arrivals(&fixture, "last"), 0);
+    wait_for(|| count_crashes(&fixture) == crashes).await;
+}
