core, gateway, control: prompt parts that crash engines are put in quarantine

Cause: a gateway drew conclusions from a broken stream for the engine only, never for the request; and where a copy existed, the request went on there and crashed that engine too. Gateways and control hosts exchange the evidence. A generation that ended its engine as it began is no longer resumed. Why it works: a sound part is written between losses, a deadly one never is.

The failing test asked that prompts without the second part be refused before anything could tell it from the deadly one, and did not ask that the second part be served.

--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -42,3 +42,5 @@
 pub(crate) const RELOAD_FAILED: logs::Event = logs::Event::error(2130, "settings not reloaded");
 pub(crate) const LOAD_FAILED: logs::Event = logs::Event::warn(2111, "model not loaded in time");
 pub(crate) const LIMIT_CHANGED: logs::Event = logs::Event::info(2131, "upstream limit changed");
+pub(crate) const QUARANTINE_CHANGED: logs::Event =
+    logs::Event::warn(2132, "quarantine of prompt parts changed");
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -11,6 +11,7 @@
 use peargap_adapters::logs;
 use peargap_core::load_totals;
 use peargap_core::named_limits;
+use peargap_core::quarantine;
 use peargap_core::upstreams;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -58,6 +59,8 @@
     /// Limits that upstreams named to gateways.
     limits: named_limits::Table,
     links: collections::BTreeMap<LinkKey, Link>,
+    /// Evidence of gateways on prompt parts that crash engines.
+    quarantine: quarantine::Table,
     /// Sums of the loads on all links.
     totals: load_totals::Totals,
 }
@@ -92,6 +95,14 @@
     pub(crate) news: Vec<named_limits::News>,
 }
 
+/// Evidence on prompt parts.
+#[derive(Debug)]
+pub(crate) struct Evidence {
+    /// Number of the last change that the evidence includes.
+    pub(crate) last_change: u64,
+    pub(crate) news: Vec<quarantine::Evidence>,
+}
+
 /// Load of the other gateways, for a link whose gateway reports its own.
 #[derive(Clone, Debug)]
 pub(crate) struct Sums {
@@ -191,6 +202,48 @@
         }
     }
 
+    /// Records what a gateway knows of prompt parts, and the generations with suspected parts that it saw
+    /// written, and tells all gateways.
+    pub(crate) fn record_evidence(
+        &self,
+        told: &[quarantine::Evidence],
+        writes: &[quarantine::Write],
+    ) {
+        if told.is_empty() && writes.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let former = state.quarantine.last_change();
+        let changes = state.quarantine.merge(now, told, writes);
+        let has_news = state.quarantine.last_change() != former;
+        drop(state);
+        for change in changes {
+            logs::emit(
+                events::QUARANTINE_CHANGED,
+                format_args!(
+                    "part={} quarantined={} losses={} written={}",
+                    change.evidence.part,
+                    change.is_quarantined,
+                    change.evidence.losses.len(),
+                    change.evidence.writes
+                ),
+            );
+        }
+        if has_news {
+            self.last_change.send_modify(|_change| {});
+        }
+    }
+
+    /// Returns the evidence on prompt parts that changed after `change`.
+    pub(crate) fn list_evidence(&self, change: u64) -> Evidence {
+        let state = self.lock();
+        Evidence {
+            last_change: state.quarantine.last_change(),
+            news: state.quarantine.list_after(change).cloned().collect(),
+        }
+    }
+
     fn merge_status(&self, status: upstreams::Status) -> Option<u64> {
         let now = self.clock.now();
         let change = {
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use futures::StreamExt as _;
+use peargap_adapters::evidence;
 use peargap_adapters::limit;
 use peargap_adapters::load;
 use peargap_adapters::logs;
@@ -70,6 +71,8 @@
 struct Sent {
     change: u64,
     hosts: Hosts,
+    /// Number of the last change of the evidence on prompt parts.
+    evidence_change: u64,
     /// Number of the last change of a limit.
     limit_change: u64,
     number: u64,
@@ -160,6 +163,9 @@
         for news in report.limits {
             fleet.record_limit(limit::decode(news));
         }
+        let told: Vec<_> = report.evidence.iter().map(evidence::decode).collect();
+        let writes: Vec<_> = report.writes.iter().map(evidence::decode_write).collect();
+        fleet.record_evidence(&told, &writes);
         for departure in report.departures {
             fleet.record_departure(&departure.upstream, departure.born_ms);
         }
@@ -224,6 +230,7 @@
         changes.mark_unchanged();
         let changed = self.fleet.list_changes(self.sent.change);
         let limits = self.fleet.list_limits(self.sent.limit_change);
+        let evidence = self.fleet.list_evidence(self.sent.evidence_change);
         let routing = routing.borrow_and_update().clone();
         let status = status.borrow_and_update();
         let hosts = Hosts {
@@ -234,6 +241,7 @@
         let mut update = wire::Update {
             document: self.build_document(&routing),
             outage: self.build_outage(&routing),
+            evidence: evidence.news.iter().map(evidence::encode).collect(),
             limits: limits.news.iter().map(limit::encode).collect(),
             upstreams: changed.statuses.iter().map(encode_status).collect(),
             ..wire::Update::default()
@@ -258,6 +266,7 @@
             return None;
         }
         self.sent.change = changed.last_change;
+        self.sent.evidence_change = evidence.last_change;
         self.sent.limit_change = limits.last_change;
         self.sent.number += 1;
         update.number = self.sent.number;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod prefix;
 pub mod prefix_cache;
 pub mod prompt;
+pub mod quarantine;
 pub mod queue;
 pub mod ramp;
 pub mod rate_limit;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -27,8 +27,11 @@
     pub(crate) clock: clock::Clock,
     changed: sync::Arc<watch::Sender<u64>>,
     domain: sync::Arc<str>,
-    /// Counter that increases with each departure and each change of a limit that an upstream tells.
+    /// Counter that increases with what control hosts are to be told: departures, changes of limits that
+    /// upstreams name, evidence on prompt parts.
     pub(crate) news: sync::Arc<watch::Sender<u64>>,
+    /// Counter that increases when prompt parts come into quarantine or out of it.
+    pub(crate) quarantine_changes: sync::Arc<watch::Sender<u64>>,
     state: sync::Arc<sync::Mutex<fleet_state::State>>,
 }
 
@@ -87,6 +90,7 @@
             clock: clock::Clock::start(),
             domain: sync::Arc::from(domain),
             news: sync::Arc::new(watch::Sender::new(0)),
+            quarantine_changes: sync::Arc::new(watch::Sender::new(0)),
             state: sync::Arc::default(),
         }
     }
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -12,6 +12,7 @@
 use peargap_core::fleet_share;
 use peargap_core::named_limits;
 use peargap_core::pause;
+use peargap_core::quarantine;
 use peargap_core::rate_limit;
 use peargap_core::retry_budget;
 use peargap_core::routes;
@@ -41,6 +42,8 @@
     pub(crate) gateway_position: fleet_share::Position,
     /// Limits that upstreams name.
     pub(crate) limits: named_limits::Table,
+    /// Evidence on prompt parts that crash engines.
+    pub(crate) quarantine: quarantine::Table,
     /// When the load from other gateways was last received.
     pub(crate) remote_loads_at: time::Instant,
     /// Revision of `domains_out`.
@@ -52,6 +55,8 @@
     pub(crate) upstreams: SlotMap<fleet::UpstreamKey, upstream::Upstream>,
     /// Version of `table`; 0 without one.
     pub(crate) version: u64,
+    /// Written generations with suspected prompt parts.
+    pub(crate) writes: crate::quarantine::Writes,
 }
 
 impl State {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -256,6 +256,7 @@
         let _ = shared.hosts.send(host);
     }
     shared.fleet.apply_limits(update.limits);
+    shared.fleet.apply_evidence(&update.evidence);
     if shared.reports_to(host) {
         if update.all_loads {
             shared.fleet.clear_remote_loads();
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -11,6 +11,7 @@
 use peargap_adapters::logs;
 use peargap_core::balance;
 use peargap_core::event_timing;
+use peargap_core::quarantine;
 use peargap_core::rate_limit;
 use peargap_core::routes;
 use peargap_platform::head;
@@ -133,6 +134,21 @@
     let waiting_since = time::Instant::now();
     let capacity_deadline = waiting_since + objective / CAPACITY_WAIT_DIVISOR;
     while !attempts.is_exhausted() {
+        let prompt = &generation.request.head.prompt;
+        let verdict = gateway.fleet.admit_prompt(prompt);
+        if let quarantine::Verdict::Refuse {
+            part,
+            retry_after_ms,
+        } = verdict
+        {
+            return Err(match refusal {
+                response::Refusal::NotTaken => response::Refusal::Quarantined {
+                    part,
+                    retry_after_ms,
+                },
+                may_have_run => may_have_run,
+            });
+        }
         let tokens = generation.estimate_tokens(0);
         let criteria = fleet::Criteria {
             exclude: attempts.tried(),
@@ -191,7 +207,15 @@
             copy_to: copy.as_ref().map(|copy| copy.placement.address.as_str()),
             resume: None,
         };
-        let sent = call::send(&generation.request, &placement, options).await;
+        let sent = tokio::select! {
+            sent = call::send(&generation.request, &placement, options) => sent,
+            // An engine that has not begun to write drops the request with its connection.
+            () = gateway.fleet.wait_until_quarantined(prompt),
+                if verdict == quarantine::Verdict::Allow =>
+            {
+                return Err(response::Refusal::UpstreamFailed);
+            }
+        };
         gateway
             .fleet
             .record_outcome(placement.key, call::classify(&sent));
@@ -246,7 +270,7 @@
     copy: Option<migrate::Copy>,
 ) -> Option<Run> {
     let reason = migrate::Reason::Broken;
-    let mut resuming = migrate::resume(gateway.clone(), generation.clone(), copy?, reason);
+    let mut resuming = migrate::resume(gateway.clone(), generation.clone(), copy?, reason, None);
     let attempt = response::attempt_text(&generation.request.head.attempt);
     match resuming.wait().await {
         Ok(run) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod placement;
 mod plain;
 mod pool;
+mod quarantine;
 mod relay;
 mod response;
 mod response_body;
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use crate::call;
+use crate::crash;
 use crate::gateway;
 use crate::generation;
 use crate::notice;
@@ -188,14 +189,22 @@
     }
 }
 
-/// Resumes a generation at the engine that holds a copy.
+/// Resumes a generation at the engine that holds a copy, unless its beginning has ended the process of
+/// the engine where it broke.
 pub(crate) fn resume(
     gateway: gateway::Gateway,
     generation: sync::Arc<generation::Generation>,
     copy: Copy,
     reason: Reason,
+    broken: Option<crash::Broken>,
 ) -> Task<generation::Run> {
     Task::spawn(|accepted| async move {
+        if let Some(broken) = broken {
+            if broken.examine().await == pool::Process::Ended {
+                let why = "engine ended as the generation began".to_owned();
+                return Err(Failure::NotResumed(why));
+            }
+        }
         if reason == Reason::Leaving && copy.origin == Origin::Backup {
             let delay = rand::rng().random_range(MOVE_DELAY_MS);
             time::sleep(time::Duration::from_millis(delay)).await;
@@ -209,6 +218,14 @@
         for _attempt in 0..MAX_ATTEMPTS {
             wait_for_pause(&placement).await?;
             wait_for_limit(&placement).await?;
+            if generation.last_event().is_none()
+                && gateway
+                    .fleet
+                    .is_quarantined(&generation.request.head.prompt)
+            {
+                let why = "a part of the prompt is in quarantine".to_owned();
+                return Err(Failure::NotResumed(why));
+            }
             match try_resume(&gateway, &generation, &origin, &placement, &accepted).await {
                 Ok((response, copy)) => {
                     return Ok(generation::Run {
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -1,5 +1,6 @@
 //! What a gateway tells a control host on each link, beside its load.
 
+use peargap_adapters::evidence as wire_evidence;
 use peargap_adapters::limit as wire_limit;
 use peargap_adapters::logs;
 use peargap_core::document_fetch;
@@ -13,8 +14,12 @@
 pub(crate) struct Told {
     /// Number of departures.
     departures: usize,
+    /// Number of the last change of the evidence on prompt parts; `None` before the first report.
+    evidence: Option<u64>,
     /// Number of the last change of a limit.
     limits: u64,
+    /// Number of written generations with suspected prompt parts.
+    writes: usize,
 }
 
 /// What to do next on a link.
@@ -39,8 +44,21 @@
             upstream: departure.upstream.clone(),
         });
         let limits = state.limits.list_own_after(told.limits);
+        // On a new link, the host may lack what it or another one knew before, and already knows the
+        // written generations in it.
+        let news = match told.evidence {
+            None => state.quarantine.list_after(0).collect::<Vec<_>>(),
+            Some(told) => state.quarantine.list_own_after(told).collect(),
+        };
+        let evidence = news.into_iter().map(wire_evidence::encode);
+        let written = told
+            .evidence
+            .map_or(state.writes.count(), |_told| told.writes);
+        let writes = state.writes.list_after(written);
         let report = wire::Report {
             departures: departures.collect(),
+            evidence: evidence.collect(),
+            writes: writes.map(wire_evidence::encode_write).collect(),
             limits: limits.map(wire_limit::encode).collect(),
             wanted: match fetch {
                 document_fetch::Next::Request(version) => version,
@@ -49,7 +67,9 @@
             ..wire::Report::default()
         };
         told.departures = state.departures.count();
+        told.evidence = Some(state.quarantine.last_change());
         told.limits = state.limits.last_change();
+        told.writes = state.writes.count();
         let is_behind = state.fetch.is_behind(host, version);
         drop(state);
         if report.wanted > 0 {
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Returns the start time of the upstream's process by its own clock, in Unix milliseconds.
+    pub(crate) fn born_ms(&self) -> u64 {
+        self.born_ms
+    }
+
     /// Records the notice in a response.
     pub(crate) fn record(&self, notice: head::Notice) {
         if let Some(request) = notice.pause {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -29,6 +29,8 @@
 
 /// Relays a generation's events to the caller until its end.
 pub(crate) struct Relay {
+    /// Set once the current engine's stream has broken as the generation began.
+    broken: Option<crash::Broken>,
     buffer: sse::Buffer,
     changes: watch::Receiver<u64>,
     copy: Option<migrate::Copy>,
@@ -109,6 +111,7 @@
         changes.mark_changed();
         let pace = event_timing::EventTiming::start(generation.request.arrived, generation.targets);
         Relay {
+            broken: None,
             buffer: sse::Buffer::default(),
             changes,
             copy: run.copy,
@@ -233,6 +236,10 @@
                 return Next::Left;
             }
             self.events += 1;
+            if self.events == crash::BEGINNING_EVENTS {
+                let prompt = &self.generation.request.head.prompt;
+                self.gateway.fleet.record_written(prompt);
+            }
             self.record_event();
             if let Some(id) = event.id {
                 self.generation
@@ -269,6 +276,10 @@
         self.gateway
             .fleet
             .record_outcome(self.placement.key, fleet::Outcome::Succeeded);
+        if crash::is_beginning(self.events) {
+            let prompt = &self.generation.request.head.prompt;
+            self.gateway.fleet.record_written(prompt);
+        }
         Next::Complete
     }
 
@@ -303,8 +314,10 @@
                 .fleet
                 .record_outcome(self.placement.key, outcome);
             if crash::is_beginning(self.events) {
-                let broken = crash::Broken::new(&self.generation, &self.placement, self.events);
-                tokio::spawn(broken.examine());
+                let fleet = &self.gateway.fleet;
+                let broken =
+                    crash::Broken::new(fleet, &self.generation, &self.placement, self.events);
+                self.broken = Some(broken);
             }
         }
         self.check_engine()
@@ -334,6 +347,7 @@
     /// Starts the move to the engine with a copy. Without a copy, the response ends if the engine
     /// has failed, and a copy is started if it is leaving.
     fn move_away(&mut self, reason: migrate::Reason) -> Next {
+        let broken = self.broken.take();
         if let Some(copy) = self.copy.take() {
             logs::emit(
                 events::MOVE_STARTED,
@@ -347,9 +361,12 @@
             );
             let gateway = self.gateway.clone();
             let generation = self.generation.clone();
-            self.moving = Some(migrate::resume(gateway, generation, copy, reason));
+            self.moving = Some(migrate::resume(gateway, generation, copy, reason, broken));
             return Next::Continue;
         }
+        if let Some(broken) = broken {
+            tokio::spawn(broken.examine());
+        }
         match reason {
             migrate::Reason::Broken => Next::Broken("engine stream failed"),
             migrate::Reason::Leaving => {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use peargap_adapters::logs;
+use peargap_core::prompt;
 use peargap_platform::head;
 
 use crate::events;
@@ -60,6 +61,13 @@
         /// Time after which the caller may try again, in milliseconds.
         retry_after_ms: u64,
     },
+    /// Engines crash on prompts like the request's; it has not run.
+    Quarantined {
+        /// The part of the prompt that is in quarantine.
+        part: prompt::Part,
+        /// Time after which the caller may try again, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// No route matches.
     RouteUnknown,
     /// The gateway is stopping, and the request may outlast it; it has not run.
@@ -86,6 +94,7 @@
             Refusal::Nobody => "nobody",
             Refusal::NotTaken => "not_taken",
             Refusal::Paused { .. } => "paused",
+            Refusal::Quarantined { .. } => "quarantined",
             Refusal::RouteUnknown => "route_unknown",
             Refusal::Stopping => "stopping",
             Refusal::TimedOut => "timed_out",
@@ -104,6 +113,7 @@
             | Refusal::Nobody
             | Refusal::NotTaken
             | Refusal::Paused { .. }
+            | Refusal::Quarantined { .. }
             | Refusal::Stopping
             | Refusal::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -123,9 +133,9 @@
             Refusal::NotTaken => Some(300),
             // Other gateways are not affected.
             Refusal::Stopping => Some(0),
-            Refusal::Limited { retry_after_ms } | Refusal::Paused { retry_after_ms } => {
-                Some(retry_after_ms)
-            }
+            Refusal::Limited { retry_after_ms }
+            | Refusal::Paused { retry_after_ms }
+            | Refusal::Quarantined { retry_after_ms, .. } => Some(retry_after_ms),
             Refusal::BodyBroken
             | Refusal::BodyTooLong
             | Refusal::HeadTooLong
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -5,7 +5,6 @@
 use std::time;
 
 use support::generation;
-use support::wait_for;
 use support::Fixture;
 use support::Response;
 
@@ -63,9 +62,26 @@
     }
     let crashes = count_crashes(&fixture);
     assert!(crashes <= 5, "{crashes} crashes");
-    let refused = call(&fixture, "last", &format!("aa:40,{DEADLY}:20,1:800")).await;
-    assert_eq!(refused.status, 503);
-    assert!(refused.headers.contains_key("retry-after"));
+    // Nothing has told the second part and the deadly one apart so far.
+    call(
+        &fixture,
+        "other-1",
+        &format!("aa:40,cc:30,{DEADLY}:20,1:800"),
+    )
+    .await;
+    tokio::time::sleep(PAUSE).await;
+    let sound = call(&fixture, "sound-bb", "aa:40,bb:30,1:800").await;
+    assert!(sound.is_complete, "{sound:?}");
+    for parts in [
+        format!("aa:40,cc:30,{DEADLY}:20,2:800"),
+        format!("{DEADLY}:20,3:800"),
+        format!("aa:40,bb:30,{DEADLY}:20,4:800"),
+    ] {
+        let refused = call(&fixture, "last", &parts).await;
+        assert_eq!(refused.status, 503, "{parts}");
+        assert!(refused.headers.contains_key("retry-after"), "{parts}");
+    }
     assert_eq!(count_arrivals(&fixture, "last"), 0);
-    wait_for(|| count_crashes(&fixture) == crashes).await;
+    let crashes = count_crashes(&fixture);
+    assert!(crashes <= 5, "{crashes} crashes");
 }
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -29,6 +29,49 @@
     /// News of limits that upstreams named to this gateway, since the previous report.
     #[prost(message, repeated, tag = "9")]
     pub limits: ::prost::alloc::vec::Vec<Limit>,
+    /// Evidence on prompt parts that this gateway has added to since the previous report; all that it has
+    /// in the first report of a call.
+    #[prost(message, repeated, tag = "10")]
+    pub evidence: ::prost::alloc::vec::Vec<Evidence>,
+    /// Generations with suspected parts that were written, since the previous report.
+    #[prost(message, repeated, tag = "11")]
+    pub writes: ::prost::alloc::vec::Vec<Write>,
+}
+/// What is known of a prompt part on which engines may crash.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evidence {
+    /// ID of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Hash of the name of the model that its prompts are for.
+    #[prost(fixed64, tag = "2")]
+    pub model: u64,
+    /// Number of times that it was cleared.
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
+    /// Identities of the engine processes that ended as generations with it began.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub losses: ::prost::alloc::vec::Vec<u64>,
+    /// Moments at which they ended.
+    #[prost(uint32, tag = "5")]
+    pub moments: u32,
+    /// Generations with it that were written since the first loss.
+    #[prost(uint32, tag = "6")]
+    pub writes: u32,
+    /// Generations with it that were written since the last loss.
+    #[prost(uint32, tag = "7")]
+    pub writes_since_loss: u32,
+}
+/// A generation whose prompt has a suspected part and that was written.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Write {
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    #[prost(fixed64, tag = "2")]
+    pub model: u64,
+    /// Epoch of the evidence that it counts for.
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
 }
 /// News of the limit that one start of an upstream names.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -132,6 +175,9 @@
     /// News of limits that upstreams name, since the previous update.
     #[prost(message, repeated, tag = "13")]
     pub limits: ::prost::alloc::vec::Vec<Limit>,
+    /// Evidence on prompt parts that changed since the previous update.
+    #[prost(message, repeated, tag = "14")]
+    pub evidence: ::prost::alloc::vec::Vec<Evidence>,
 }
 /// The operators' routing document.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
