control: a grant to a former start of a host makes it not fresh

A host that restarts could take itself for fresh by a leader's grant that echoed the clock of its former process: after 100 s of uptime, for up to 100 s, in which nodes would have been granted leases by a host that may be cut off. Cause: apply_grant took any echo; each start's clock began at 1. Now a start's clock begins at a random number, an echo outside of the time since then is ignored (E2133), and no grant extends freshness beyond a lease from now, which a leader's own freshness never does.

--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -44,3 +44,4 @@
 pub(crate) const LIMIT_CHANGED: logs::Event = logs::Event::info(2131, "upstream limit changed");
 pub(crate) const QUARANTINE_CHANGED: logs::Event =
     logs::Event::warn(2132, "quarantine of prompt parts changed");
+pub(crate) const GRANT_IGNORED: logs::Event = logs::Event::info(2133, "freshness grant ignored");
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,7 +14,7 @@
 mod gauges;
 pub mod host;
 mod input;
-mod lease;
+pub mod lease;
 pub mod log_codec;
 mod node_link;
 pub mod operators;
--- a/crates/control/src/replica_thread.rs
+++ b/crates/control/src/replica_thread.rs
@@ -37,6 +37,8 @@
 const MAX_BATCH_INPUTS: usize = 256;
 /// Capacity of the thread's queue of inputs.
 pub(crate) const QUEUE_CAPACITY: usize = 4096;
+/// The clock of a start begins below this, far from the end of its range.
+const MAX_ORIGIN_MS: u64 = 1 << 48;
 /// Largest command accepted; the reserve of the disk can hold one.
 const MAX_COMMAND_BYTES: usize = 2 << 20;
 
@@ -120,7 +122,10 @@
         let mut thread = ReplicaThread {
             applied: snapshot.position.index,
             storage,
-            lease: lease::Lease::new(settings.timing.lease),
+            lease: lease::Lease::new(
+                settings.timing.lease,
+                rand::rng().random_range(..MAX_ORIGIN_MS),
+            ),
             log,
             machine,
             outputs,
@@ -245,7 +250,16 @@
             let is_leader = leader == Some(&grant.leader) && grant.term == self.log.hard().term;
             if is_leader && self.applied >= grant.commit {
                 let clocks = grant.clocks;
-                self.lease.apply_grant(clocks.echo_ms, clocks.lease_ms);
+                let now = time::Instant::now();
+                if !self.lease.apply_grant(now, clocks.echo_ms, clocks.lease_ms) {
+                    logs::emit(
+                        events::GRANT_IGNORED,
+                        format_args!(
+                            "leader={:?} echo_ms={} lease_ms={}",
+                            grant.leader, clocks.echo_ms, clocks.lease_ms
+                        ),
+                    );
+                }
             }
         }
     }
