gateway: an upstream's Keep-Alive cannot end a caller's connection

Callers saw: their connection closed without the answer, which had run. One header of an upstream, Keep-Alive: timeout=, made the sum of now and the time overflow, and the panic ended the task of the caller's connection after the answer had been read. The time is bounded to 600 s before it is added. Looked through for the same: all other times from headers, documents and heartbeats are milliseconds in 64 bits, which a clock of seconds in 64 bits can add.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -20,6 +20,8 @@
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 /// How long a connection is kept idle if the upstream sends no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: time::Duration = time::Duration::from_secs(2);
+/// Longest time for which a connection is kept idle, whatever the upstream allows.
+const MAX_KEEP_ALIVE: time::Duration = time::Duration::from_secs(600);
 /// How long before the upstream's keep-alive timeout an idle connection is dropped, so that a
 /// request does not meet the upstream's close.
 const KEEP_ALIVE_MARGIN: time::Duration = time::Duration::from_millis(700);
@@ -210,6 +212,7 @@
     /// Returns a connection to the pool after its last response was read completely.
     pub(crate) fn release(&self, sender: Sender, keep_alive_s: Option<u64>) {
         let keep_alive = keep_alive_s.map_or(DEFAULT_KEEP_ALIVE, time::Duration::from_secs);
+        let keep_alive = keep_alive.min(MAX_KEEP_ALIVE);
         let keep_alive = keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
         if keep_alive.is_zero() || sender.is_closed() {
             return;
