gateway: a request whose time is over reaches no upstream

A generation with Deadline-Ms: 0 was sent to an engine, which was told that no time was left, and its answer was passed on with 200; a plain request got 504, which promises nothing, though it had not run. Cause: the deadline was only polled beside the first send. Below a millisecond such a request is now refused before it is counted or placed, as not run (503). The test fails before (200 for 503) and passes with the change.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,9 @@
 /// service after the start of the gateway.
 const STARTUP_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 
+/// Time left below which a request is not sent, as an upstream would be told that there is none.
+const MIN_TIME_LEFT: time::Duration = time::Duration::from_millis(1);
+
 /// State shared by all requests.
 #[derive(Clone, Debug)]
 pub(crate) struct Gateway {
@@ -92,6 +95,10 @@
             Err(_elapsed) => return Err(response::Refusal::TimedOutUnsent),
         };
         self.fleet.wait_for_upstream(service, startup_end).await;
+        let left = deadline.saturating_duration_since(tokio::time::Instant::now());
+        if left < MIN_TIME_LEFT {
+            return Err(response::Refusal::TimedOutUnsent);
+        }
         self.retries.record_request(&service.name);
         let priority = team.and_then(|team| team.rank).unwrap_or(route.rank);
         let request = call::Request {
--- a/crates/gateway/tests/extremes.rs
+++ b/crates/gateway/tests/extremes.rs
@@ -4,7 +4,10 @@
 
 use std::net;
 
+use bytes::Bytes;
+use http_body_util::Full;
 use peargap_wire::fleet as wire;
+use support::generation;
 use support::request;
 use support::Fixture;
 use tokio::io::AsyncReadExt as _;
@@ -55,3 +58,27 @@
         }
     }
 }
+
+fn with_deadline(
+    mut request: http::Request<Full<Bytes>>,
+    value: &str,
+) -> http::Request<Full<Bytes>> {
+    let value = http::HeaderValue::from_str(value).expect("a value");
+    request.headers_mut().insert("deadline-ms", value);
+    request
+}
+
+#[tokio::test]
+async fn a_request_whose_time_is_over_reaches_no_upstream() {
+    let fixture = Fixture::start(&["d1", "p1"]).await;
+    for value in ["0", "0.4"] {
+        for request in [generation(), request("/once/", ""), request("/plain/", "")] {
+            let response = fixture.call(with_deadline(request, value)).await;
+            assert_eq!(response.status, 503, "{value}");
+        }
+    }
+    assert!(fixture
+        .runners
+        .values()
+        .all(|one| one.arrivals().is_empty()));
+}
