gateway: a request that two upstreams broke off is sent to no other

Callers of other requests saw upstreams crash one after the other wherever a route allows many attempts: a plain call has no parts to put in quarantine, and went on to each upstream that its route's attempts allow (four of four in the test). The number of upstreams that broke a request off without a valid response is bounded to two now, for plain calls and for repeats of generations alike. Losses in the network and refusals do not count. The test fails before (4 arrivals, 2 wanted) and passes.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -6,11 +6,16 @@
 use crate::fleet;
 use crate::pool;
 
+/// Upstreams that may break a request off before it is sent to no other: the request may be the cause.
+const MAX_BROKEN: usize = 2;
+
 /// Attempts to send one request.
 #[derive(Debug)]
 pub(crate) struct Attempts {
     /// Attempts that reached an upstream.
     arrived: usize,
+    /// Attempts that an upstream broke off without a valid response.
+    broken: usize,
     /// Limit of the attempts that reach an upstream or wait for one that does not answer.
     limit: usize,
     /// Attempts that ended before the request was sent, other than by a refused connection.
@@ -23,6 +28,7 @@
     pub(crate) fn new(limit: usize) -> Attempts {
         Attempts {
             arrived: 0,
+            broken: 0,
             limit,
             tried: Vec::new(),
             unanswered: 0,
@@ -48,10 +54,10 @@
         }
     }
 
-    /// Returns whether the limit of attempts is reached. A refused connection costs next to no time
+    /// Returns whether a limit of attempts is reached. A refused connection costs next to no time
     /// and does not count.
     pub(crate) fn is_exhausted(&self) -> bool {
-        self.arrived + self.unanswered >= self.limit
+        self.arrived + self.unanswered >= self.limit || self.broken >= MAX_BROKEN
     }
 
     /// Records the choice of an upstream.
@@ -66,12 +72,11 @@
             Err(call::Failure::NotSent(_) | call::Failure::Unreachable(_)) => {
                 self.unanswered += 1;
             }
-            Err(
-                call::Failure::Displaced
-                | call::Failure::Lost(_)
-                | call::Failure::NotRun(_)
-                | call::Failure::Unknown(_),
-            )
+            Err(call::Failure::Unknown(_)) => {
+                self.arrived += 1;
+                self.broken += 1;
+            }
+            Err(call::Failure::Displaced | call::Failure::Lost(_) | call::Failure::NotRun(_))
             | Ok(_) => self.arrived += 1,
         }
     }
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -4,7 +4,9 @@
 
 use std::time;
 
+use peargap_fake::runner;
 use support::generation;
+use support::request;
 use support::Fixture;
 use support::Response;
 
@@ -85,3 +87,14 @@
     let crashes = count_crashes(&fixture);
     assert!(crashes <= 5, "{crashes} crashes");
 }
+
+#[tokio::test]
+async fn a_call_that_two_upstreams_broke_off_is_not_sent_to_a_third() {
+    let fixture = Fixture::start(&["d1", "d2", "d3", "d4"]).await;
+    for runner in fixture.runners.values() {
+        runner.set_behaviour(runner::Behaviour::Reset);
+    }
+    let response = fixture.call(request("/patient/", "")).await;
+    assert_eq!(response.status, 502);
+    assert_eq!(count_arrivals(&fixture, "9c41"), 2);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -28,11 +28,13 @@
 const TIMEOUT: time::Duration = time::Duration::from_secs(10);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
-/// Routing document: `/plain/` is idempotent, `/once/` is not, `/stream/` and `/resumable/` serve
-/// generations and `/open/` needs no key.
+/// Routing document: `/plain/` and `/patient/` are idempotent, `/once/` is not, `/stream/` and
+/// `/resumable/` serve generations and `/open/` needs no key.
 pub(crate) const DOCUMENT: &str = r#"{"version":3,"routes":[
  {"name":"plain","host":"h.example","pathPrefix":"/plain/","routeType":"idempotent",
   "timeoutMs":3000,"latencySloMs":150,"service":"desk","maxAttempts":2},
+ {"name":"patient","host":"h.example","pathPrefix":"/patient/","routeType":"idempotent",
+  "timeoutMs":3000,"latencySloMs":150,"service":"desk","maxAttempts":4},
  {"name":"once","host":"h.example","pathPrefix":"/once/","routeType":"non_idempotent",
   "timeoutMs":3000,"latencySloMs":150,"service":"desk","maxAttempts":1},
  {"name":"open","host":"h.example","pathPrefix":"/open/","routeType":"idempotent",
