core: losses in quick succession count, and one generation more or less blames no part

Two parts are now told apart by two generations written or two losses, before they are refused only together. The price is one crash more where prompts with a deadly part come with different other parts only after the third crash. Tried and dropped: to let only the first loss have another cause (it may come last as well), and to tell parts apart by weight alone.

--- a/crates/core/src/quarantine/group.rs
+++ b/crates/core/src/quarantine/group.rs
@@ -8,6 +8,12 @@
 /// Parts that the evidence cannot tell apart. A prompt that has all of them is refused.
 pub(super) type Group = Vec<prompt::Part>;
 
+/// Losses with one of two parts alone, from which they are told apart: a single one may have another
+/// cause, and to refuse a sound part by itself would refuse many sound prompts.
+const DISTINCT_LOSSES: usize = 2;
+/// Generations written with one of two parts that were lost together, from which they are told apart.
+const DISTINCT_WRITES: u32 = 2;
+
 /// Evidence on one part, with the losses that no group explains yet.
 struct Suspect<'a> {
     evidence: &'a evidence::Evidence,
@@ -23,6 +29,12 @@
         u32::try_from(unexplained).unwrap_or(u32::MAX)
     }
 
+    /// Returns whether this part may as well be the cause of what the worst one explains.
+    fn may_explain(&self, worst: &Suspect<'_>) -> bool {
+        let lacking = worst.unexplained.difference(&self.unexplained).count();
+        lacking < DISTINCT_LOSSES && self.evidence.writes < worst.evidence.writes + DISTINCT_WRITES
+    }
+
     fn weight(&self) -> f64 {
         self.evidence.weight(self.moments())
     }
@@ -43,11 +55,7 @@
         .collect();
     let mut groups = Vec::new();
     while let Some(worst) = take_worst(&mut suspects) {
-        let is_same = |suspect: &mut Suspect<'_>| {
-            suspect.unexplained == worst.unexplained
-                && suspect.evidence.writes == worst.evidence.writes
-        };
-        let tied = suspects.extract_if(.., is_same);
+        let tied = suspects.extract_if(.., |suspect| suspect.may_explain(&worst));
         let mut group: Group = tied.map(|suspect| suspect.evidence.part).collect();
         group.push(worst.evidence.part);
         group.sort_unstable();
--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -10,8 +10,8 @@
 
 /// Parts of which evidence is kept.
 const MAX_ENTRIES: usize = 4096;
-/// Losses of engines within this time may have a cause in common.
-const MOMENT: Duration = Duration::from_millis(100);
+/// Losses of engines within this time of the first of them may have a cause in common.
+const MOMENT: Duration = Duration::from_millis(50);
 /// Time without news after which a part that is not in quarantine is forgotten.
 const SUSPECT_TIME: Duration = Duration::from_secs(3600);
 /// Time without news after which a part in quarantine is forgotten.
@@ -63,6 +63,8 @@
     evidence: evidence::Evidence,
     last_loss: Instant,
     last_trial: Option<Instant>,
+    /// When the first engine of the last moment was lost.
+    moment: Instant,
     /// Number of the last change that this process observed itself; 0 for none.
     own_change: u64,
 }
@@ -86,7 +88,7 @@
         self.forget(now);
         for part in parts {
             let entry = self.entry(now, *part);
-            let is_new_moment = now >= entry.last_loss + MOMENT;
+            let is_new_moment = now >= entry.moment + MOMENT;
             let news = entry.evidence.record_loss(loss, is_new_moment);
             self.record_news(now, *part, news, true);
         }
@@ -201,6 +203,7 @@
             evidence: evidence::Evidence::new(part),
             last_loss: Instant::default(),
             last_trial: None,
+            moment: Instant::default(),
             own_change: 0,
         })
     }
@@ -210,7 +213,7 @@
             return;
         }
         let entry = self.entry(now, told.part);
-        let is_new_moment = now >= entry.last_loss + MOMENT;
+        let is_new_moment = now >= entry.moment + MOMENT;
         let news = entry.evidence.merge(told, is_new_moment);
         self.record_news(now, told.part, news, false);
     }
@@ -249,6 +252,9 @@
         }
         if news == evidence::News::Loss {
             entry.last_loss = now;
+            if now >= entry.moment + MOMENT {
+                entry.moment = now;
+            }
         }
     }
 
