--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -4,6 +4,7 @@
 use std::path;
 use std::process;
 
+use crate::experiment::deadly_parts;
 use crate::experiment::named_limits;
 use crate::experiment::plot;
 use crate::experiment::policy;
@@ -13,7 +14,7 @@
 use crate::experiment::suite;
 
 const HELP: &str =
-    "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --limits | --shedding)
+    "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --limits | --shedding | --tainted)
   [--seeds N] [--load FACTOR] [--out DIR]";
 /// Scenarios that `--all` also runs with each mechanism disabled in turn.
 const ABLATED: [&str; 8] = [
@@ -37,6 +38,8 @@
     /// Whether to compare rules for repeats at a service that refuses requests.
     limits: bool,
     shedding: bool,
+    /// Whether to play prompts that crash engines.
+    tainted: bool,
 }
 
 /// Runs the scenarios that the arguments select.
@@ -56,6 +59,7 @@
     let all = arguments.contains("--all");
     let limits = arguments.contains("--limits");
     let shedding = arguments.contains("--shedding");
+    let tainted = arguments.contains("--tainted");
     let one: Option<String> = parse(&mut arguments, "--scenario")?;
     let ablate: Option<String> = parse(&mut arguments, "--ablate")?;
     let load: Option<f64> = parse(&mut arguments, "--load")?;
@@ -71,6 +75,7 @@
         limits,
         seeds,
         shedding,
+        tainted,
     };
     if all {
         options.compare = scenario::list_scenarios();
@@ -88,9 +93,11 @@
     for scenario in options.compare.iter_mut().chain(&mut options.ablate) {
         scenario.traffic.load = load.unwrap_or(scenario.traffic.load);
     }
-    if options.compare.is_empty() && options.ablate.is_empty() && !limits && !shedding {
+    let has_scenarios = !options.compare.is_empty() || !options.ablate.is_empty();
+    if !has_scenarios && !limits && !shedding && !tainted {
         return Err(
-            "no scenario given: use --all, --scenario, --ablate, --limits or --shedding".to_owned(),
+            "no scenario given: use --all, --scenario, --ablate, --limits, --shedding or --tainted"
+                .to_owned(),
         );
     }
     Ok(options)
@@ -120,6 +127,9 @@
     if options.shedding {
         (0..options.seeds).for_each(|seed| text.push_str(&shedding::report(seed)));
     }
+    if options.tainted {
+        text.push_str(&deadly_parts::report(options.seeds));
+    }
     for scenario in &options.compare {
         eprintln!("{}", scenario.name);
         let table = suite::run_scenario(scenario, &policy::COMPARED, options.seeds);
--- /dev/null
+++ b/crates/load/src/experiment/deadly_parts.rs
@@ -0,0 +1,515 @@
+//! Experiment: prompts with some parts crash the engines that begin to write on them.
+//!
+//! It plays a fleet of gateways with the quarantine of `peargap_core`: how many engines crash until the
+//! parts are in quarantine everywhere, and what that costs requests with sound prompts.
+
+use core::cmp;
+use core::fmt;
+use core::time::Duration;
+use std::collections;
+
+use peargap_core::prompt;
+use peargap_core::quarantine;
+use peargap_core::time::Instant;
+use rand::rngs::SmallRng;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+
+/// Time of a run.
+const RUN: Duration = Duration::from_secs(30);
+/// When prompts with the deadly parts begin to come.
+const BEGIN: Duration = Duration::from_secs(4);
+/// Engines for each gateway.
+const ENGINES_PER_GATEWAY: f64 = 1.4;
+const MIN_ENGINES: usize = 12;
+/// Range of the time that a generation waits at its engine, in milliseconds.
+const WAIT_MS: core::ops::Range<u64> = 100..600;
+/// Time from a generation's begin to its second event, or to the crash.
+const BEGINNING: Duration = Duration::from_millis(60);
+/// Time for which an engine is gone after a crash.
+const DOWN: Duration = Duration::from_secs(3);
+/// Time in which news pass between a gateway and a control host.
+const NEWS: Duration = Duration::from_millis(25);
+/// Time for which the control hosts are away, from [`BEGIN`] on.
+const AWAY: Duration = Duration::from_secs(4);
+/// Time between two restarts of gateways.
+const RESTART_INTERVAL: Duration = Duration::from_millis(500);
+/// Crash from which on the bound counts, and time after it.
+const COUNTED_CRASH: usize = 5;
+const CONTACT: Duration = Duration::from_secs(3);
+/// First part of deadly prompts that all have the same other parts.
+const DEADLY_FIRST_ID: u64 = 0;
+/// Different second parts of prompts, and where their IDs begin.
+const SECOND_PARTS: u64 = 200;
+const SECOND_ID: u64 = 1 << 16;
+/// IDs of deadly parts begin here.
+const DEADLY_ID: u64 = 1 << 32;
+
+/// What happens in a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Setup {
+    /// Whether the control hosts are away when the first engines crash.
+    pub control_away: bool,
+    /// Number of deadly parts.
+    pub deadly_parts: u64,
+    /// Different first parts of prompts.
+    pub first_parts: u64,
+    /// Number of gateways.
+    pub gateways: usize,
+    /// Crashes by other causes, a second.
+    pub other_crashes_per_s: f64,
+    /// Part of the engines that end in each of these crashes; at least one.
+    pub other_crash_part: f64,
+    /// Whether gateways restart one after the other.
+    pub restarts: bool,
+    /// Whether all deadly prompts have the same other parts.
+    pub same_companions: bool,
+    /// Part of the requests whose prompts have a deadly part.
+    pub share: f64,
+    /// Generations that begin at an engine, a second.
+    pub starts_per_engine_s: f64,
+}
+
+impl Setup {
+    fn count_engines(&self) -> usize {
+        whole(ENGINES_PER_GATEWAY * number(self.gateways)).max(MIN_ENGINES)
+    }
+
+    /// Returns the requests with a deadly part, a second.
+    #[must_use]
+    pub fn deadly_per_s(&self) -> f64 {
+        self.share * self.starts_per_engine_s * number(self.count_engines())
+    }
+}
+
+/// Result of a run.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Figures {
+    /// Most engines that one deadly part crashed.
+    pub crashes: usize,
+    /// Requests with a deadly part that reach engines later than [`CONTACT`] after its fifth crash, at
+    /// most for one part.
+    pub late: usize,
+    /// Requests with sound prompts.
+    pub sound: usize,
+    /// Requests with sound prompts that were refused.
+    pub sound_refused: usize,
+    /// Requests with sound prompts that have the first part of the deadly ones.
+    pub sound_alike: usize,
+    /// Those of them that were refused.
+    pub sound_alike_refused: usize,
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} crashes, {} late, {} of {} sound refused",
+            self.crashes, self.late, self.sound_refused, self.sound
+        )
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Generation {
+    /// Index of the deadly part in its prompt.
+    deadly: Option<usize>,
+    engine: usize,
+    /// Start of the engine that it was sent to.
+    engine_start: u64,
+    gateway: usize,
+    prompt: Vec<prompt::Part>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    /// A request arrives.
+    Arrive,
+    /// A generation begins to be written.
+    Begin(usize),
+    /// An engine crashes by another cause.
+    Crash,
+    /// A generation has sent its second event, or crashes its engine.
+    Written(usize),
+    /// A gateway restarts.
+    Restart,
+    /// A control host tells all gateways.
+    Spread,
+    /// A gateway tells the control hosts.
+    Tell(usize),
+}
+
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    beginning: Vec<usize>,
+    down_until: Instant,
+    /// Number of starts.
+    start: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Gateway {
+    /// Change of its own that the control hosts know.
+    told: u64,
+    /// Change of the control hosts that it knows.
+    known: u64,
+    is_telling: bool,
+    table: quarantine::Table,
+    /// Generations written that the control hosts do not know of.
+    writes: Vec<quarantine::Write>,
+}
+
+struct Fleet {
+    control: quarantine::Table,
+    /// Crashes by deadly part.
+    crashes: Vec<Vec<Instant>>,
+    engines: Vec<Engine>,
+    figures: Figures,
+    gateways: Vec<Gateway>,
+    generations: Vec<Generation>,
+    is_spreading: bool,
+    late: Vec<usize>,
+    next_restart: usize,
+    queue: collections::BinaryHeap<cmp::Reverse<(Instant, usize, Event)>>,
+    queued: usize,
+    random: SmallRng,
+    setup: Setup,
+}
+
+/// Plays a run.
+#[must_use]
+pub fn play(setup: Setup, seed: u64) -> Figures {
+    let mut fleet = Fleet::new(setup, seed);
+    while let Some(cmp::Reverse((now, _number, event))) = fleet.queue.pop() {
+        if now >= Instant::default() + RUN {
+            break;
+        }
+        fleet.handle(now, event);
+    }
+    let most = fleet.crashes.iter().map(Vec::len).max();
+    fleet.figures.crashes = most.unwrap_or_default();
+    fleet.figures.late = fleet.late.iter().copied().max().unwrap_or_default();
+    fleet.figures
+}
+
+impl Fleet {
+    fn new(setup: Setup, seed: u64) -> Fleet {
+        let count = setup.count_engines();
+        let parts = usize::try_from(setup.deadly_parts).unwrap_or_default();
+        let mut fleet = Fleet {
+            control: quarantine::Table::default(),
+            crashes: vec![Vec::new(); parts],
+            engines: vec![Engine::default(); count],
+            figures: Figures::default(),
+            gateways: vec![Gateway::default(); setup.gateways],
+            generations: Vec::new(),
+            is_spreading: false,
+            late: vec![0; parts],
+            next_restart: 0,
+            queue: collections::BinaryHeap::new(),
+            queued: 0,
+            random: SmallRng::seed_from_u64(seed),
+            setup,
+        };
+        fleet.push(Instant(1), Event::Arrive);
+        if setup.other_crashes_per_s > 0.0 {
+            fleet.push(Instant(1), Event::Crash);
+        }
+        if setup.restarts {
+            fleet.push(Instant::default() + BEGIN, Event::Restart);
+        }
+        fleet
+    }
+
+    fn push(&mut self, at: Instant, event: Event) {
+        self.queued += 1;
+        self.queue.push(cmp::Reverse((at, self.queued, event)));
+    }
+
+    fn handle(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Arrive => {
+                let per_s = self.setup.starts_per_engine_s * number(self.engines.len());
+                self.push_after(now, per_s, Event::Arrive);
+                self.arrive(now);
+            }
+            Event::Begin(index) => self.begin(now, index),
+            Event::Crash => {
+                self.push_after(now, self.setup.other_crashes_per_s, Event::Crash);
+                let count = self.engines.len();
+                let part = whole(number(count) * self.setup.other_crash_part);
+                let first = self.random.random_range(0..count);
+                for engine in first..first + part.max(1) {
+                    self.crash(now, engine % count);
+                }
+            }
+            Event::Written(index) => self.finish_beginning(now, index),
+            Event::Restart => {
+                self.push(now + RESTART_INTERVAL, Event::Restart);
+                let gateway = self.next_restart % self.gateways.len();
+                self.next_restart += 1;
+                self.gateways[gateway] = Gateway::default();
+                self.schedule_spread(now);
+            }
+            Event::Spread => self.spread(now),
+            Event::Tell(index) => self.tell(now, index),
+        }
+    }
+
+    /// Schedules the next of events that come at random.
+    fn push_after(&mut self, now: Instant, per_s: f64, event: Event) {
+        let wait = -(1.0 - self.random.random_range(0.0..1.0_f64)).ln() / per_s;
+        let millis = u64::try_from(whole(wait * 1000.0)).unwrap_or(u64::MAX);
+        self.push(now + Duration::from_millis(millis), event);
+    }
+
+    /// Draws a prompt; the index of its deadly part, if it has one.
+    fn draw_prompt(&mut self, now: Instant) -> (Vec<prompt::Part>, Option<usize>) {
+        let has_begun = now >= Instant::default() + BEGIN;
+        let is_deadly =
+            self.setup.deadly_parts > 0 && has_begun && self.random.random_bool(self.setup.share);
+        let (first, second) = match is_deadly && self.setup.same_companions {
+            true => (DEADLY_FIRST_ID, SECOND_ID),
+            false => (
+                self.random.random_range(0..self.setup.first_parts),
+                SECOND_ID + self.random.random_range(0..SECOND_PARTS),
+            ),
+        };
+        let mut ids = vec![first, second];
+        let deadly = is_deadly.then(|| self.random.random_range(0..self.setup.deadly_parts));
+        ids.extend(deadly.map(|index| DEADLY_ID + index));
+        let parts = ids.into_iter().map(|id| prompt::Part::new(b"m", id));
+        let deadly = deadly.and_then(|index| usize::try_from(index).ok());
+        (parts.collect(), deadly)
+    }
+
+    fn arrive(&mut self, now: Instant) {
+        let (prompt, deadly) = self.draw_prompt(now);
+        let gateway = self.random.random_range(0..self.gateways.len());
+        let is_sound = deadly.is_none();
+        let is_alike = is_sound && prompt[0].id == DEADLY_FIRST_ID;
+        self.figures.sound += usize::from(is_sound);
+        self.figures.sound_alike += usize::from(is_alike);
+        let verdict = self.gateways[gateway].table.admit(now, &prompt, false);
+        if verdict != quarantine::Verdict::Allow {
+            self.figures.sound_refused += usize::from(is_sound);
+            self.figures.sound_alike_refused += usize::from(is_alike);
+            return;
+        }
+        let up: Vec<usize> = (0..self.engines.len())
+            .filter(|engine| now >= self.engines[*engine].down_until)
+            .collect();
+        if up.is_empty() {
+            return;
+        }
+        let engine = up[self.random.random_range(0..up.len())];
+        if let Some(part) = deadly {
+            let fifth = self.crashes[part].get(COUNTED_CRASH - 1);
+            self.late[part] += usize::from(fifth.is_some_and(|fifth| now > *fifth + CONTACT));
+        }
+        let wait = Duration::from_millis(self.random.random_range(WAIT_MS));
+        self.push(now + wait, Event::Begin(self.generations.len()));
+        self.generations.push(Generation {
+            deadly,
+            engine,
+            engine_start: self.engines[engine].start,
+            gateway,
+            prompt,
+        });
+    }
+
+    fn begin(&mut self, now: Instant, index: usize) {
+        let generation = &self.generations[index];
+        let engine = &mut self.engines[generation.engine];
+        let table = &self.gateways[generation.gateway].table;
+        let is_withdrawn = table.find_quarantined(&generation.prompt).is_some();
+        if engine.start == generation.engine_start && !is_withdrawn {
+            engine.beginning.push(index);
+            self.push(now + BEGINNING, Event::Written(index));
+        }
+    }
+
+    fn finish_beginning(&mut self, now: Instant, index: usize) {
+        let generation = self.generations[index].clone();
+        let engine = &mut self.engines[generation.engine];
+        if engine.start != generation.engine_start {
+            return;
+        }
+        if let Some(part) = generation.deadly {
+            self.crashes[part].push(now);
+            self.crash(now, generation.engine);
+            return;
+        }
+        engine.beginning.retain(|other| *other != index);
+        let gateway = &mut self.gateways[generation.gateway];
+        let (writes, _changes) = gateway.table.record_write(now, &generation.prompt);
+        if !writes.is_empty() {
+            gateway.writes.extend(writes);
+            self.schedule_tell(now, generation.gateway);
+        }
+    }
+
+    fn crash(&mut self, now: Instant, index: usize) {
+        let engine = &mut self.engines[index];
+        if now < engine.down_until {
+            return;
+        }
+        let loss = quarantine::Loss::new(&format!("e{index}"), engine.start);
+        engine.start += 1;
+        engine.down_until = now + DOWN;
+        for lost in core::mem::take(&mut engine.beginning) {
+            let generation = &self.generations[lost];
+            let (gateway, prompt) = (generation.gateway, generation.prompt.clone());
+            self.gateways[gateway].table.record_loss(now, &prompt, loss);
+            self.schedule_tell(now, gateway);
+        }
+    }
+
+    fn is_away(&self, now: Instant) -> bool {
+        let begin = Instant::default() + BEGIN;
+        self.setup.control_away && now >= begin && now < begin + AWAY
+    }
+
+    fn schedule_tell(&mut self, now: Instant, gateway: usize) {
+        if !core::mem::replace(&mut self.gateways[gateway].is_telling, true) {
+            self.push(now + NEWS, Event::Tell(gateway));
+        }
+    }
+
+    fn schedule_spread(&mut self, now: Instant) {
+        if !core::mem::replace(&mut self.is_spreading, true) {
+            self.push(now + NEWS, Event::Spread);
+        }
+    }
+
+    fn tell(&mut self, now: Instant, index: usize) {
+        if self.is_away(now) {
+            return self.push(now + NEWS, Event::Tell(index));
+        }
+        let gateway = &mut self.gateways[index];
+        gateway.is_telling = false;
+        let told: Vec<_> = gateway
+            .table
+            .list_own_after(gateway.told)
+            .cloned()
+            .collect();
+        gateway.told = gateway.table.last_change();
+        let writes = core::mem::take(&mut gateway.writes);
+        self.control.merge(now, &told, &writes);
+        self.schedule_spread(now);
+    }
+
+    fn spread(&mut self, now: Instant) {
+        if self.is_away(now) {
+            return self.push(now + NEWS, Event::Spread);
+        }
+        self.is_spreading = false;
+        for gateway in &mut self.gateways {
+            let told: Vec<_> = self.control.list_after(gateway.known).cloned().collect();
+            gateway.known = self.control.last_change();
+            gateway.table.merge(now, &told, &[]);
+        }
+    }
+}
+
+/// Returns setups without deadly parts, in which engines crash by other causes, alone or a sixth at once.
+#[must_use]
+pub fn list_sound_setups() -> Vec<Setup> {
+    let mut setups = Vec::new();
+    for gateways in [8, 25, 105, 370] {
+        for first_parts in [1, 12] {
+            for other_crash_part in [0.0, 1.0 / 6.0] {
+                setups.push(Setup {
+                    control_away: false,
+                    deadly_parts: 0,
+                    first_parts,
+                    gateways,
+                    other_crash_part,
+                    other_crashes_per_s: 1.0,
+                    restarts: false,
+                    same_companions: false,
+                    share: 0.0,
+                    starts_per_engine_s: 1.0,
+                });
+            }
+        }
+    }
+    setups
+}
+
+/// Returns setups with deadly parts.
+#[must_use]
+pub fn list_setups() -> Vec<Setup> {
+    let mut setups = Vec::new();
+    for gateways in [8, 25, 105, 370] {
+        for share in [0.01, 0.05, 0.3] {
+            for other_crashes_per_s in [0.0, 1.0] {
+                for (deadly_parts, same_companions) in [(1, true), (1, false), (3, true)] {
+                    setups.push(Setup {
+                        control_away: false,
+                        deadly_parts,
+                        first_parts: 12,
+                        gateways,
+                        other_crash_part: 0.0,
+                        other_crashes_per_s,
+                        restarts: false,
+                        same_companions,
+                        share,
+                        starts_per_engine_s: 1.0,
+                    });
+                }
+            }
+        }
+    }
+    let disturbed: Vec<_> = setups
+        .iter()
+        .filter(|setup| setup.share == 0.05)
+        .map(|setup| Setup {
+            control_away: true,
+            restarts: true,
+            ..*setup
+        })
+        .collect();
+    setups.extend(disturbed);
+    setups
+}
+
+/// Returns a table of all setups, with the median and the most of `seeds` runs.
+#[must_use]
+pub fn report(seeds: u64) -> String {
+    let mut text = String::new();
+    for setup in list_setups().into_iter().chain(list_sound_setups()) {
+        let runs: Vec<_> = (0..seeds).map(|seed| play(setup, seed)).collect();
+        let mut crashes: Vec<_> = runs.iter().map(|run| run.crashes).collect();
+        crashes.sort_unstable();
+        let late = runs.iter().map(|run| run.late).max().unwrap_or_default();
+        let sound: usize = runs.iter().map(|run| run.sound).sum();
+        let refused: usize = runs.iter().map(|run| run.sound_refused).sum();
+        let alike: usize = runs.iter().map(|run| run.sound_alike).sum();
+        let alike_refused: usize = runs.iter().map(|run| run.sound_alike_refused).sum();
+        let median = crashes.get(crashes.len() / 2).copied().unwrap_or_default();
+        let most = crashes.last().copied().unwrap_or_default();
+        text.push_str(&format!(
+            "{setup:?}: crashes {median} by the median, {most} at most; late {late} at most; \
+             {refused} of {sound} sound requests refused, {alike_refused} of {alike} alike\n"
+        ));
+    }
+    text
+}
+
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "counts of a run are far below 2^52"
+)]
+fn number(count: usize) -> f64 {
+    count as f64
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float to integer cast saturates"
+)]
+fn whole(number: f64) -> usize {
+    number as usize
+}
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -5,6 +5,7 @@
 pub mod baseline;
 pub mod cache;
 pub mod command;
+pub mod deadly_parts;
 pub mod engine;
 pub mod entry;
 mod event_queue;
