--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -45,3 +45,5 @@
 pub(crate) const QUARANTINE_CHANGED: logs::Event =
     logs::Event::warn(2132, "quarantine of prompt parts changed");
 pub(crate) const GRANT_IGNORED: logs::Event = logs::Event::info(2133, "freshness grant ignored");
+pub(crate) const PEER_MESSAGE_REJECTED: logs::Event =
+    logs::Event::error(2134, "message of another control host rejected");
--- a/crates/control/src/log_codec.rs
+++ b/crates/control/src/log_codec.rs
@@ -10,13 +10,21 @@
 use peargap_core::log::message;
 use peargap_wire::peer as wire;
 
-/// A message lacks a required field; carries the field's name.
+/// Why a message cannot be used.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Malformed(&'static str);
+pub enum Malformed {
+    /// It lacks the required field of this name.
+    Missing(&'static str),
+    /// No member that keeps to the protocol sends it.
+    Unsound,
+}
 
 impl core::fmt::Display for Malformed {
     fn fmt(&self, formatter: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
-        write!(formatter, "{} is missing", self.0)
+        match self {
+            Malformed::Missing(field) => write!(formatter, "{field} is missing"),
+            Malformed::Unsound => write!(formatter, "numbers or entries are out of order or range"),
+        }
     }
 }
 
@@ -37,7 +45,7 @@
 
 /// Converts a message to a member.
 pub fn decode_member(member: Option<wire::Member>) -> Result<member::Member, Malformed> {
-    let member = member.ok_or(Malformed("member"))?;
+    let member = member.ok_or(Malformed::Missing("member"))?;
     Ok(member::Member {
         disk: member.disk,
         name: Bytes::from(member.name),
@@ -52,7 +60,7 @@
 }
 
 fn decode_position(position: Option<wire::Position>) -> Result<entry::Position, Malformed> {
-    let position = position.ok_or(Malformed("position"))?;
+    let position = position.ok_or(Malformed::Missing("position"))?;
     Ok(entry::Position {
         term: position.term,
         index: position.index,
@@ -67,7 +75,7 @@
 }
 
 fn decode_roster(roster: Option<wire::Roster>) -> Result<member::Roster, Malformed> {
-    let roster = roster.ok_or(Malformed("roster"))?;
+    let roster = roster.ok_or(Malformed::Missing("roster"))?;
     Ok(member::Roster {
         learners: decode_members(roster.learners)?,
         voters: decode_members(roster.voters)?,
@@ -96,7 +104,7 @@
 
 /// Converts a message to a log entry.
 pub fn decode_entry(entry: wire::Entry) -> Result<entry::Entry, Malformed> {
-    let payload = match entry.payload.ok_or(Malformed("payload"))? {
+    let payload = match entry.payload.ok_or(Malformed::Missing("payload"))? {
         wire::entry::Payload::Command(command) => entry::Payload::Command(command),
         wire::entry::Payload::Noop(_) => entry::Payload::Noop,
         wire::entry::Payload::Roster(roster) => {
@@ -119,7 +127,7 @@
 }
 
 fn decode_mark(mark: Option<wire::Mark>) -> Result<mark::Mark, Malformed> {
-    let mark = mark.ok_or(Malformed("mark"))?;
+    let mark = mark.ok_or(Malformed::Missing("mark"))?;
     Ok(mark::Mark {
         generation: mark.generation,
         index: mark.index,
@@ -137,7 +145,7 @@
 }
 
 fn decode_stamp(stamp: Option<wire::Stamp>) -> Result<mark::Stamp, Malformed> {
-    let stamp = stamp.ok_or(Malformed("stamp"))?;
+    let stamp = stamp.ok_or(Malformed::Missing("stamp"))?;
     Ok(mark::Stamp {
         found: decode_mark(stamp.found)?,
         now: decode_mark(stamp.now)?,
@@ -259,13 +267,17 @@
 
 /// Converts a wire message to a protocol message.
 pub fn decode_message(message: wire::Message) -> Result<message::Message, Malformed> {
-    Ok(message::Message {
+    let message = message::Message {
         from: decode_member(message.from)?,
-        kind: decode_kind(message.kind.ok_or(Malformed("kind"))?)?,
+        kind: decode_kind(message.kind.ok_or(Malformed::Missing("kind"))?)?,
         stamp: decode_stamp(message.stamp)?,
         term: message.term,
         to: decode_member(message.to)?,
-    })
+    };
+    match message.is_sound() {
+        true => Ok(message),
+        false => Err(Malformed::Unsound),
+    }
 }
 
 fn decode_kind(kind: wire::message::Kind) -> Result<message::Kind, Malformed> {
--- a/crates/control/src/peer_service.rs
+++ b/crates/control/src/peer_service.rs
@@ -1,9 +1,11 @@
 //! The `Peer` service, which receives messages and proposals from the other control hosts.
 
+use peargap_adapters::logs;
 use peargap_wire::peer as wire;
 use tokio::sync::mpsc;
 
 use crate::answer;
+use crate::events;
 use crate::input;
 use crate::log_codec;
 use crate::peers;
@@ -40,8 +42,13 @@
             |message: &wire::Message| matches!(message.kind, Some(wire::message::Kind::Hello(_)));
         let has_hello = envelope.messages.iter().any(is_hello);
         for message in envelope.messages {
-            let message = log_codec::decode_message(message)
-                .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?;
+            let message = log_codec::decode_message(message).map_err(|error| {
+                logs::emit(
+                    events::PEER_MESSAGE_REJECTED,
+                    format_args!("peer={} why={error}", envelope.from),
+                );
+                tonic::Status::invalid_argument(error.to_string())
+            })?;
             let message = Box::new(message);
             let input = input::Input::Message { clocks, message };
             let sent = self.inputs.send(input).await;
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -6,6 +6,7 @@
 //! contact with its quorum steps down. The membership changes by one member at a time, and a member
 //! is a host together with one particular disk.
 
+mod bounds;
 pub mod effect;
 pub mod entry;
 mod follow;
--- a/crates/core/tests/model/mod.rs
+++ b/crates/core/tests/model/mod.rs
@@ -445,6 +445,7 @@
 
     fn send(&mut self, message: message::Message) {
         let is_set_up = self.message_limit != usize::MAX;
+        assert!(message.is_sound(), "{message:?}");
         if is_set_up && self.is_immediate(&message.kind) {
             self.deliver(&message, usize::MAX);
             return;
