gateway: tests of odd answers, from operators' reports

Answers and streams that end with their connection (whole, reset, inside an event), a second copy of an answer that comes at once, 20 or 200 ms late on a kept connection, a slow but sound stream, and a stalled one that sends a byte now and then. The raw upstream of the tests stands once, in support.

--- /dev/null
+++ b/crates/gateway/tests/odd_answers.rs
@@ -0,0 +1,151 @@
+//! Answers that end with their connection, come twice, come slowly or never end.
+
+mod support;
+
+use std::time;
+
+use support::generation;
+use support::raw;
+use support::raw::Step;
+use support::request;
+use support::Fixture;
+use support::Response;
+
+const STREAM: &str = "content-type: text/event-stream\r\n";
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: t{id}\n\n")
+}
+
+fn with(
+    mut request: http::Request<http_body_util::Full<bytes::Bytes>>,
+    name: &'static str,
+    value: &str,
+) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+    let value = http::HeaderValue::from_str(value).expect("a value");
+    request.headers_mut().insert(name, value);
+    request
+}
+
+/// Calls an upstream whose answer is this text, after a head with neither a length nor chunks, and
+/// ends with this step.
+async fn call_until(end: Step, text: String, is_stream: bool) -> Response {
+    let upstream = move |_number, attempt: &str| {
+        let headers = if is_stream { STREAM } else { "" };
+        let wait = Step::Wait(time::Duration::from_millis(50));
+        vec![
+            raw::head(attempt, headers),
+            raw::send(&text),
+            wait,
+            end.clone(),
+        ]
+    };
+    let address = raw::start(upstream).await;
+    match is_stream {
+        true => {
+            Fixture::start_at(address, "pool")
+                .await
+                .call(generation())
+                .await
+        }
+        false => {
+            Fixture::start_at(address, "desk")
+                .await
+                .call(request("/once/", ""))
+                .await
+        }
+    }
+}
+
+#[tokio::test]
+async fn answers_that_end_with_their_connection_are_whole_unless_it_is_reset() {
+    let whole = call_until(Step::Close, "all of it".to_owned(), false).await;
+    assert_eq!((whole.status, &whole.body[..]), (200, &b"all of it"[..]));
+    assert!(whole.is_complete);
+    let reset = call_until(Step::Reset, "half of".to_owned(), false).await;
+    assert_eq!(reset.status, 502);
+}
+
+#[tokio::test]
+async fn streams_that_end_with_their_connection_are_whole_unless_inside_an_event() {
+    let text = event(1) + &event(2);
+    let whole = call_until(Step::Close, text.clone(), true).await;
+    assert!(whole.is_complete);
+    assert_eq!(whole.ids(), [1, 2]);
+    for cut in ["id: 3\n", "id: 3\ndata: t3\n", "id"] {
+        let broken = call_until(Step::Close, text.clone() + cut, true).await;
+        assert!(!broken.is_complete, "{cut:?}");
+        assert_eq!(broken.ids(), [1, 2], "{cut:?}");
+    }
+    let reset = call_until(Step::Reset, text, true).await;
+    assert!(!reset.is_complete);
+}
+
+/// A second copy of an answer may come before or after the next request on its connection.
+#[tokio::test]
+async fn a_second_copy_of_an_answer_never_reaches_the_next_caller() {
+    for late_ms in [0, 20, 200] {
+        let upstream = move |number: usize, attempt: &str| {
+            let answer = |attempt: &str, text: &str| {
+                let length = format!("content-length: {}\r\n", text.len());
+                [raw::head(attempt, &length), raw::send(text)]
+            };
+            match number {
+                0 => {
+                    let wait = Step::Wait(time::Duration::from_millis(late_ms));
+                    let twice = [answer(attempt, "first"), answer(attempt, "first")];
+                    let [first, second] = twice;
+                    first.into_iter().chain([wait]).chain(second).collect()
+                }
+                _ => answer(attempt, "other").to_vec(),
+            }
+        };
+        let fixture = Fixture::start_at(raw::start(upstream).await, "desk").await;
+        let mut caller = fixture.connect().await;
+        for attempt in ["one", "two", "three"] {
+            let sent = with(request("/plain/", ""), "attempt-id", attempt);
+            let response = caller.call(sent).await;
+            if response.status == 200 {
+                assert_eq!(response.headers["attempt-id"], attempt, "{late_ms} ms late");
+            }
+            tokio::time::sleep(time::Duration::from_millis(100)).await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_slow_stream_is_delivered_to_its_end() {
+    let upstream = |_number, attempt: &str| {
+        let mut steps = vec![raw::head(attempt, STREAM)];
+        for id in 1..=3 {
+            steps.push(Step::Wait(time::Duration::from_millis(900)));
+            steps.push(raw::send(&event(id)));
+        }
+        steps.push(Step::Close);
+        steps
+    };
+    let fixture = Fixture::start_at(raw::start(upstream).await, "pool").await;
+    let response = fixture.call(generation()).await;
+    assert!(response.is_complete);
+    assert_eq!(response.ids(), [1, 2, 3]);
+}
+
+#[tokio::test]
+async fn a_stalled_stream_that_sends_a_byte_now_and_then_ends_at_its_deadline() {
+    let upstream = |_number, attempt: &str| {
+        let mut steps = vec![raw::head(attempt, STREAM), raw::send(&event(1))];
+        for _byte in 0..200 {
+            steps.push(Step::Wait(time::Duration::from_millis(50)));
+            steps.push(raw::send(":"));
+        }
+        steps
+    };
+    let fixture = Fixture::start_at(raw::start(upstream).await, "pool").await;
+    let begun = time::Instant::now();
+    let response = fixture
+        .call(with(generation(), "deadline-ms", "1500"))
+        .await;
+    assert!(!response.is_complete);
+    assert!(begun.elapsed() < time::Duration::from_millis(2500));
+    assert_eq!(response.ids(), [1]);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod raw;
+
 use std::collections;
 use std::net;
 use std::sync;
@@ -355,6 +357,21 @@
     }
 }
 
+impl Fixture {
+    /// Starts a gateway with one upstream of a service, at an address.
+    pub(crate) async fn start_at(address: net::SocketAddr, service: &str) -> Fixture {
+        let fixture = Fixture::start(&[]).await;
+        let upstream = wire::Upstream {
+            address: address.to_string(),
+            name: "raw".to_owned(),
+            service: service.to_owned(),
+            ..new_upstream()
+        };
+        fixture.control.announce_upstream(upstream).await;
+        fixture
+    }
+}
+
 fn service_name(name: &str) -> &'static str {
     match name.starts_with('d') {
         true => "desk",
