--- a/crates/proof/tests/soak/caller.rs
+++ b/crates/proof/tests/soak/caller.rs
@@ -22,6 +22,11 @@
 /// Pause after a request that was not served.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
 
+/// Part of prompts on which runners crash now and then.
+pub(crate) const DEADLY_PART: &str = "dead";
+/// Generations for each one whose prompt has that part.
+const DEADLY_INTERVAL: u32 = 9;
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// A connection to a gateway.
@@ -140,7 +145,10 @@
         .header("attempt-id", attempt)
         .header("deadline-ms", limit_ms);
     if kind == ledger::Kind::Stream {
-        request = request.header("token-usage", "900,400");
+        request = request
+            .header("token-usage", "900,400")
+            .header("model", "m")
+            .header("prefix-hash", write_parts(attempt));
     }
     let body = Bytes::from(format!("body of {attempt}"));
     let request = request.body(Full::new(body.clone())).expect("a request");
@@ -172,6 +180,19 @@
     (End::Responded(status), Some(connection))
 }
 
+/// Returns the parts of a generation's prompt; some have the part on which runners may crash.
+fn write_parts(attempt: &str) -> String {
+    let number = attempt
+        .bytes()
+        .fold(0_u32, |sum, byte| sum + u32::from(byte));
+    let shared = format!("aa:40,{:x}:30", number % 4);
+    let is_deadly = !attempt.starts_with('f') && number.is_multiple_of(DEADLY_INTERVAL);
+    match is_deadly {
+        true => format!("{shared},{DEADLY_PART}:20,{number:x}:800"),
+        false => format!("{shared},{number:x}:800"),
+    }
+}
+
 async fn read_response(
     sender: &mut Sender,
     request: http::Request<Full<Bytes>>,
--- a/crates/proof/tests/soak/deployment.rs
+++ b/crates/proof/tests/soak/deployment.rs
@@ -207,12 +207,25 @@
 
     /// Starts a runner behind a relay, and its heartbeats.
     pub(crate) async fn add_upstream(&mut self, service: &'static str) {
+        self.start_upstream(service, false).await;
+    }
+
+    /// Starts a runner that gateways reach without a relay, so that they see its crashes, and its
+    /// heartbeats.
+    pub(crate) async fn add_direct_upstream(&mut self, service: &'static str) {
+        self.start_upstream(service, true).await;
+    }
+
+    async fn start_upstream(&mut self, service: &'static str, is_direct: bool) {
         self.started_upstreams += 1;
         let name = format!("u{}", self.started_upstreams);
         let runner = self.rack.start(&name).await.expect("a runner");
         runner.set_events(60, time::Duration::from_millis(10));
         let relay = relay::Relay::start(runner.address.port()).await;
-        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, relay.port));
+        let address = match is_direct {
+            true => runner.address,
+            false => net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, relay.port)),
+        };
         runner.set_announced_address(address);
         let upstream = Upstream {
             address,
@@ -242,6 +255,7 @@
             upstream.relay.delay(time::Duration::ZERO);
             upstream.runner.set_behaviour(runner::Behaviour::Answer);
             upstream.runner.set_limit(None);
+            upstream.runner.crash_on_part(None, time::Duration::ZERO);
         }
         for relay in &self.control_relays {
             relay.delay(time::Duration::ZERO);
@@ -273,9 +287,11 @@
             return;
         };
         sequence += 1;
+        // Each start is later than the one before it.
+        let born = 7 + upstream.runner.count_crashes();
         let body = format!(
             r#"{{"service":"{}","address":"{}","zone":"d0","version":"v1","slots":24,
-            "state":"{state}","coldLeftMs":0,"sequence":{sequence},"born":7}}"#,
+            "state":"{state}","coldLeftMs":0,"sequence":{sequence},"born":{born}}}"#,
             upstream.service, upstream.address
         );
         let path = format!("/api/instances/{}", upstream.runner.name);
--- a/crates/proof/tests/soak/faults.rs
+++ b/crates/proof/tests/soak/faults.rs
@@ -8,6 +8,7 @@
 use rand::RngExt as _;
 use rustix::process as unix;
 
+use crate::caller;
 use crate::deployment;
 use crate::ledger;
 use crate::notices;
@@ -21,6 +22,9 @@
 /// leaves.
 const SILENT_LEAVE_TIME: time::Duration = time::Duration::from_millis(3500);
 
+/// Time for which runners crash on a part of prompts.
+const DEADLY_TIME: time::Duration = time::Duration::from_millis(2500);
+
 /// A fault that can be injected.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -35,18 +39,20 @@
     LinkOneWay,
     LinkReset,
     LinkSilent,
+    RunnerCrashes,
     RunnerLeaves,
     RunnerMisbehaves,
     RunnerNamesLimit,
     RunnerPauses,
     RunnerSaysItLeaves,
     RunnerSendsWithoutEnd,
+    RunnersCrashOnPart,
     UpstreamDelayed,
     UpstreamReset,
     UpstreamSilent,
 }
 
-const FAULTS: [Fault; 20] = [
+const FAULTS: [Fault; 22] = [
     Fault::ControlKilled,
     Fault::ControlPaused,
     Fault::ControlWiped,
@@ -58,12 +64,14 @@
     Fault::LinkOneWay,
     Fault::LinkReset,
     Fault::LinkSilent,
+    Fault::RunnerCrashes,
     Fault::RunnerLeaves,
     Fault::RunnerMisbehaves,
     Fault::RunnerNamesLimit,
     Fault::RunnerPauses,
     Fault::RunnerSaysItLeaves,
     Fault::RunnerSendsWithoutEnd,
+    Fault::RunnersCrashOnPart,
     Fault::UpstreamDelayed,
     Fault::UpstreamReset,
     Fault::UpstreamSilent,
@@ -152,6 +160,11 @@
         Fault::LinkOneWay => deployment.control_relays[host].drop_responses(),
         Fault::LinkReset => deployment.control_relays[host].reset(),
         Fault::LinkSilent => deployment.control_relays[host].silence(),
+        Fault::RunnerCrashes => {
+            let runner = &deployment.upstreams[upstream].runner;
+            runner.crash_on_part(None, duration);
+            runner.crash();
+        }
         Fault::RunnerLeaves => {
             let leaving = &deployment.upstreams[upstream];
             *leaving.state.lock().expect("a state") = Some("draining");
@@ -205,6 +218,20 @@
             tokio::time::sleep(duration).await;
             runner.set_behaviour(runner::Behaviour::Answer);
         }
+        // Lasts while other faults follow.
+        Fault::RunnersCrashOnPart => {
+            let upstreams = deployment.upstreams.iter();
+            let runners: Vec<_> = upstreams.map(|upstream| upstream.runner.clone()).collect();
+            for runner in &runners {
+                runner.crash_on_part(Some(caller::DEADLY_PART), duration);
+            }
+            tokio::spawn(async move {
+                tokio::time::sleep(DEADLY_TIME).await;
+                for runner in &runners {
+                    runner.crash_on_part(None, duration);
+                }
+            });
+        }
         Fault::UpstreamDelayed => deployment.upstreams[upstream].relay.delay(duration / 4),
         Fault::UpstreamReset => deployment.upstreams[upstream].relay.reset(),
         Fault::UpstreamSilent => deployment.upstreams[upstream].relay.silence(),
