control, cli: operators list quarantined prompt parts and release them

peargap quarantine list shows what the control hosts know of prompt parts, quarantine release ID clears a part and all that was lost with it on all gateways and control hosts (E2135 with the operator's name). A part that an engine's mend has made sound waited for its trials, up to an hour. The release has a higher epoch than the evidence, so that no late news brings it back; like the evidence it is kept by the running processes, not on disk. Tests: core, the operators' service with a key and without, the exchange through a control host. The fleet's state is built with the services, as both ports need it.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -65,6 +65,33 @@
         self.call_any(|host| self.history_from(host, limit)).await
     }
 
+    /// Returns the prompt parts on which engines may crash, from the first host that responds.
+    pub(crate) async fn quarantine(&self) -> Result<operator::QuarantineReply, Error> {
+        self.call_any(|host| async move {
+            let mut grpc = connect(host).await?;
+            let request = self.authorize(operator::QuarantineRequest {});
+            await_reply(grpc.quarantine(request)).await
+        })
+        .await
+    }
+
+    /// Clears a prompt part at the first host that responds, which tells all others.
+    pub(crate) async fn release(
+        &self,
+        part: u64,
+        operator: &str,
+    ) -> Result<operator::ReleaseReply, Error> {
+        self.call_any(|host| async move {
+            let mut grpc = connect(host).await?;
+            let request = self.authorize(operator::ReleaseRequest {
+                operator: operator.to_owned(),
+                part,
+            });
+            await_reply(grpc.release(request)).await
+        })
+        .await
+    }
+
     /// Returns the status of one host, without trying others.
     pub(crate) async fn status_of(
         &self,
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -301,3 +301,53 @@
         ));
     }
 }
+
+/// Prints the prompt parts on which engines crash or may crash.
+pub(crate) fn report_quarantine(json: bool, reply: &operator::QuarantineReply) -> exit::Code {
+    let describe = |part: &operator::PartRow| {
+        json!({
+            "losses": part.losses,
+            "model": format_part(part.model),
+            "moments": part.moments,
+            "part": format_part(part.part),
+            "quarantined": part.quarantined,
+            "together": part.together.iter().copied().map(format_part).collect::<Vec<_>>(),
+            "written": part.written,
+        })
+    };
+    let value: Vec<serde_json::Value> = reply.parts.iter().map(describe).collect();
+    let lines = reply.parts.iter().map(|part| {
+        let state = match part.quarantined {
+            true => "quarantined",
+            false => "suspected",
+        };
+        let together: Vec<String> = part.together.iter().copied().map(format_part).collect();
+        format!(
+            "{} {state} losses {} at {} moments written {} together with {}",
+            format_part(part.part),
+            part.losses,
+            part.moments,
+            part.written,
+            together.join(",")
+        )
+    });
+    let lines: Vec<String> = lines.collect();
+    print(json, &json!({ "parts": value }), &lines);
+    exit::Code::Done
+}
+
+/// Prints the prompt parts that a release has cleared; a part that is not known is an invalid argument.
+pub(crate) fn report_release(json: bool, part: u64, reply: &operator::ReleaseReply) -> exit::Code {
+    if reply.cleared.is_empty() {
+        let part = format_part(part);
+        return report_invalid_input(json, &format!("nothing is known against part {part}"));
+    }
+    let cleared: Vec<String> = reply.cleared.iter().copied().map(format_part).collect();
+    let line = format!("cleared {}", cleared.join(","));
+    print(json, &json!({ "cleared": cleared }), &[line]);
+    exit::Code::Done
+}
+
+fn format_part(part: u64) -> String {
+    format!("{part:08x}")
+}
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -51,6 +51,8 @@
         | command::Command::ManifestHistory
         | command::Command::ManifestShow
         | command::Command::Members
+        | command::Command::QuarantineList
+        | command::Command::QuarantineRelease(_)
         | command::Command::Status
         | command::Command::UpstreamDrain(_)
         | command::Command::UpstreamResume(_) => match options::resolve(line) {
@@ -120,6 +122,10 @@
             return show_with(line, &client, output::report_manifest).await
         }
         command::Command::Members => return show_with(line, &client, output::report_members).await,
+        command::Command::QuarantineList => return show_quarantine(line, &client).await,
+        command::Command::QuarantineRelease(part) => {
+            return release_part(line, &client, *part, &operator).await
+        }
         command::Command::Status => return show_status(line, &client).await,
         command::Command::Account
         | command::Command::Explain(_)
@@ -176,6 +182,25 @@
     }
 }
 
+async fn show_quarantine(line: &command::CommandLine, client: &client::Client) -> exit::Code {
+    match client.quarantine().await {
+        Ok(reply) => output::report_quarantine(line.json, &reply),
+        Err(error) => output::report_error(line.json, &error),
+    }
+}
+
+async fn release_part(
+    line: &command::CommandLine,
+    client: &client::Client,
+    part: u64,
+    operator: &str,
+) -> exit::Code {
+    match client.release(part, operator).await {
+        Ok(reply) => output::report_release(line.json, part, &reply),
+        Err(error) => output::report_error(line.json, &error),
+    }
+}
+
 async fn show_status(line: &command::CommandLine, client: &client::Client) -> exit::Code {
     let calls = client.controls().iter().map(|host| async {
         output::HostStatus {
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -47,3 +47,5 @@
 pub(crate) const GRANT_IGNORED: logs::Event = logs::Event::info(2133, "freshness grant ignored");
 pub(crate) const PEER_MESSAGE_REJECTED: logs::Event =
     logs::Event::error(2134, "message of another control host rejected");
+pub(crate) const PART_RELEASED: logs::Event =
+    logs::Event::info(2135, "prompt part released by an operator");
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -11,8 +11,10 @@
 use peargap_adapters::logs;
 use peargap_core::load_totals;
 use peargap_core::named_limits;
+use peargap_core::prompt;
 use peargap_core::quarantine;
 use peargap_core::upstreams;
+use peargap_wire::operator;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -218,23 +220,45 @@
         let changes = state.quarantine.merge(now, told, writes);
         let has_news = state.quarantine.last_change() != former;
         drop(state);
-        for change in changes {
-            logs::emit(
-                events::QUARANTINE_CHANGED,
-                format_args!(
-                    "part={} quarantined={} losses={} written={}",
-                    change.evidence.part,
-                    change.is_quarantined,
-                    change.evidence.losses.len(),
-                    change.evidence.writes
-                ),
-            );
-        }
+        log_quarantine(&changes);
         if has_news {
             self.last_change.send_modify(|_change| {});
         }
     }
 
+    /// Clears a prompt part, as an operator wishes, and tells all gateways; returns the cleared parts.
+    pub(crate) fn release_part(&self, id: u64, operator: &str) -> Vec<prompt::Part> {
+        let now = self.clock.now();
+        let (parts, changes) = self.lock().quarantine.release(now, id);
+        logs::emit(
+            events::PART_RELEASED,
+            format_args!("part={id:08x} operator={operator:?} cleared={parts:?}"),
+        );
+        log_quarantine(&changes);
+        self.last_change.send_modify(|_change| {});
+        parts
+    }
+
+    /// Returns what is known of prompt parts on which engines may crash.
+    pub(crate) fn list_suspects(&self) -> Vec<operator::PartRow> {
+        let state = self.lock();
+        let suspects = state.quarantine.list_suspects();
+        let rows = suspects.map(|(evidence, group)| operator::PartRow {
+            losses: u32::try_from(evidence.losses.len()).unwrap_or(u32::MAX),
+            model: evidence.part.model,
+            moments: evidence.moments,
+            part: evidence.part.id,
+            quarantined: group.is_some(),
+            together: group
+                .unwrap_or_default()
+                .iter()
+                .map(|part| part.id)
+                .collect(),
+            written: evidence.writes,
+        });
+        rows.collect()
+    }
+
     /// Returns the evidence on prompt parts that changed after `change`.
     pub(crate) fn list_evidence(&self, change: u64) -> Evidence {
         let state = self.lock();
@@ -425,6 +449,21 @@
     }
 }
 
+fn log_quarantine(changes: &[quarantine::Change]) {
+    for change in changes {
+        logs::emit(
+            events::QUARANTINE_CHANGED,
+            format_args!(
+                "part={} quarantined={} losses={} written={}",
+                change.evidence.part,
+                change.is_quarantined,
+                change.evidence.losses.len(),
+                change.evidence.writes
+            ),
+        );
+    }
+}
+
 fn log_status(status: &upstreams::Status) {
     logs::emit(events::UPSTREAM_CHANGED, format_args!("{status}"));
 }
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -84,7 +84,7 @@
     let servers = token.child_token();
     let health = serve_health(&settings, readiness.clone(), registry, &servers).await?;
     let services = build_services(&settings, &replica, &servers);
-    let fleet = fleet::Fleet::spawn(replica.handle.clone(), servers.clone());
+    let fleet = services.fleet;
     let internal = serve_internal(&settings, &replica, services.control, &fleet, &servers).await?;
     let platform = serve_platform(&settings, &fleet, &servers).await?;
     let operators = serve_operators(&settings, services.operator, &servers).await?;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -15,6 +15,7 @@
 use crate::attached;
 use crate::claims;
 use crate::events;
+use crate::fleet;
 use crate::proposal;
 use crate::replica;
 use crate::state_codec;
@@ -28,6 +29,7 @@
 /// Implementation of the `Operator` service.
 #[derive(Clone, Debug)]
 pub struct Operators {
+    pub(crate) fleet: fleet::Fleet,
     pub(crate) handle: replica::Handle,
     pub(crate) keys: sync::Arc<[[u8; 32]]>,
     /// Longest lease that is granted to nodes.
@@ -104,6 +106,26 @@
         }
     }
 
+    async fn quarantine(
+        &self,
+        request: tonic::Request<operator::QuarantineRequest>,
+    ) -> Result<tonic::Response<operator::QuarantineReply>, tonic::Status> {
+        self.authorize(&request)?;
+        let parts = self.fleet.list_suspects();
+        Ok(tonic::Response::new(operator::QuarantineReply { parts }))
+    }
+
+    async fn release(
+        &self,
+        request: tonic::Request<operator::ReleaseRequest>,
+    ) -> Result<tonic::Response<operator::ReleaseReply>, tonic::Status> {
+        self.authorize(&request)?;
+        let request = request.into_inner();
+        let cleared = self.fleet.release_part(request.part, &request.operator);
+        let cleared = cleared.into_iter().map(|part| part.id).collect();
+        Ok(tonic::Response::new(operator::ReleaseReply { cleared }))
+    }
+
     async fn status(
         &self,
         request: tonic::Request<operator::StatusRequest>,
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -15,6 +15,7 @@
 use crate::attached;
 use crate::claims;
 use crate::config_history;
+use crate::fleet;
 use crate::node_link;
 use crate::operators;
 use crate::placement;
@@ -44,6 +45,8 @@
 pub struct Services {
     /// For entries and agents, on the inter-process port.
     pub control: control_server::ControlServer<Control>,
+    /// Upstreams and gateways.
+    pub(crate) fleet: fleet::Fleet,
     /// For operators, on their own port.
     pub operator: operator_server::OperatorServer<operators::Operators>,
 }
@@ -54,6 +57,7 @@
     let nodes = attached::Nodes::default();
     tokio::spawn(ticks::run(options.handle.clone(), token.clone()));
     tokio::spawn(placement::run(options.handle.clone(), token.clone()));
+    let fleet = fleet::Fleet::spawn(options.handle.clone(), token.clone());
     let control = Control {
         next_link: sync::Arc::default(),
         shared: node_link::Shared {
@@ -65,6 +69,7 @@
         },
     };
     let operators = operators::Operators {
+        fleet: fleet.clone(),
         handle: options.handle,
         keys: options.operator_keys.into(),
         lease: options.lease,
@@ -74,6 +79,7 @@
     Services {
         control: control_server::ControlServer::new(control)
             .max_decoding_message_size(MAX_MESSAGE_BYTES),
+        fleet,
         operator: operator_server::OperatorServer::new(operators)
             .max_decoding_message_size(MAX_MESSAGE_BYTES),
     }
--- a/crates/control/tests/operators.rs
+++ b/crates/control/tests/operators.rs
@@ -2,12 +2,17 @@
 
 mod support;
 
+use futures::StreamExt as _;
 use peargap_adapters::digest;
 use peargap_wire::control;
 use peargap_wire::control::control_client;
+use peargap_wire::fleet;
+use peargap_wire::fleet::fleet_client;
 use peargap_wire::operator;
 use peargap_wire::operator::operator_client;
 use peargap_wire::operator::submit_request;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers;
 
 const KEY: &str = "operators-example-key";
 const MANIFEST: &str = "[deployment]\nname=d\n[domain a]\nregion=r\n[domain b]\nregion=r\n";
@@ -208,3 +213,71 @@
     let answer = control::claim_reply::Kind::Answer("done".into());
     assert_eq!(claim_until_answered(&cluster.hosts[0], "c"), answer);
 }
+
+/// Tells a host, as a gateway does, of a part on which three engines ended; returns the link.
+async fn tell_evidence(host: &support::Host) -> mpsc::Sender<fleet::Report> {
+    let address = format!("http://{}", host.internal);
+    let mut client = fleet_client::FleetClient::connect(address)
+        .await
+        .expect("a host");
+    let (reports, outgoing) = mpsc::channel(4);
+    let report = fleet::Report {
+        evidence: vec![fleet::Evidence {
+            losses: vec![1, 2, 3],
+            moments: 3,
+            part: 0xdead,
+            ..fleet::Evidence::default()
+        }],
+        gateway: "g".to_owned(),
+        ..fleet::Report::default()
+    };
+    reports.send(report).await.expect("a link");
+    let updates = client.follow(wrappers::ReceiverStream::new(outgoing)).await;
+    let mut updates = updates.expect("a link").into_inner();
+    let told = async {
+        while let Some(Ok(update)) = updates.next().await {
+            if !update.evidence.is_empty() {
+                return;
+            }
+        }
+    };
+    let told = tokio::time::timeout(core::time::Duration::from_secs(10), told).await;
+    told.expect("the evidence comes back");
+    reports
+}
+
+#[tokio::test]
+async fn an_operator_lists_a_quarantined_part_and_releases_it() {
+    let cluster = start();
+    let host = &cluster.hosts[0];
+    let _link = tell_evidence(host).await;
+    let address = format!("http://{}", host.operators);
+    let client = operator_client::OperatorClient::connect(address).await;
+    let mut client = client.expect("a host");
+    let refused = client.quarantine(operator::QuarantineRequest {}).await;
+    assert_eq!(
+        refused.expect_err("no key").code(),
+        tonic::Code::Unauthenticated
+    );
+    let listed = client
+        .quarantine(add_key(operator::QuarantineRequest {}))
+        .await;
+    let parts = listed.expect("an answer").into_inner().parts;
+    assert_eq!(parts.len(), 1);
+    assert!(parts[0].quarantined);
+    assert_eq!((parts[0].part, parts[0].losses), (0xdead, 3));
+    let release = |part| {
+        add_key(operator::ReleaseRequest {
+            operator: "ana".to_owned(),
+            part,
+        })
+    };
+    let unknown = client.release(release(7)).await.expect("an answer");
+    assert!(unknown.into_inner().cleared.is_empty());
+    let released = client.release(release(0xdead)).await.expect("an answer");
+    assert_eq!(released.into_inner().cleared, [0xdead]);
+    let listed = client
+        .quarantine(add_key(operator::QuarantineRequest {}))
+        .await;
+    assert!(listed.expect("an answer").into_inner().parts.is_empty());
+}
--- a/crates/control/tests/platform/main.rs
+++ b/crates/control/tests/platform/main.rs
@@ -297,3 +297,46 @@
     assert_eq!(told.upstreams[0].born_ms, 8);
     assert_eq!(told.upstreams[0].state(), wire::State::Ready);
 }
+
+/// Evidence that three engines ended as generations with a part began.
+fn deadly_evidence() -> wire::Evidence {
+    wire::Evidence {
+        losses: vec![1, 2, 3],
+        model: 5,
+        moments: 3,
+        part: 0xdead,
+        ..wire::Evidence::default()
+    }
+}
+
+#[tokio::test]
+async fn evidence_on_prompt_parts_reaches_gateways_that_are_there_and_those_that_come() {
+    let mut cluster = Cluster::prepare(3, &[]);
+    cluster.start_all();
+    cluster.call(0, 200, "PUT", CONFIG, &document(3, 900)).await;
+    let reporting = cluster.follow(0).await;
+    let mut other = cluster.follow(0).await;
+    let report = wire::Report {
+        evidence: vec![deadly_evidence()],
+        ..wire::Report::default()
+    };
+    reporting.reports.send(report).await.expect("a link");
+    let told = other.wait_for(|update| !update.evidence.is_empty()).await;
+    assert_eq!(told.evidence, [deadly_evidence()]);
+    let mut later = cluster.follow(0).await;
+    let told = later.wait_for(|update| !update.evidence.is_empty()).await;
+    assert_eq!(told.evidence, [deadly_evidence()]);
+    // A generation that was written counts once, and is told on.
+    let write = wire::Write {
+        epoch: 0,
+        model: 5,
+        part: 0xdead,
+    };
+    let report = wire::Report {
+        writes: vec![write],
+        ..wire::Report::default()
+    };
+    reporting.reports.send(report).await.expect("a link");
+    let told = other.wait_for(|update| !update.evidence.is_empty()).await;
+    assert_eq!(told.evidence[0].writes, 1);
+}
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -117,14 +117,19 @@
         self.writes = self.writes.saturating_add(1);
         self.writes_since_loss = self.writes_since_loss.saturating_add(1);
         if self.writes_since_loss >= CLEAR_WRITES {
-            let epoch = self.epoch.saturating_add(1);
-            *self = Evidence {
-                epoch,
-                ..Evidence::new(self.part)
-            };
+            self.clear();
         }
     }
 
+    /// Makes nothing speak against the part any longer.
+    pub(super) fn clear(&mut self) {
+        let epoch = self.epoch.saturating_add(1);
+        *self = Evidence {
+            epoch,
+            ..Evidence::new(self.part)
+        };
+    }
+
     /// Merges what another process knows.
     pub(super) fn merge(&mut self, told: &Evidence, is_new_moment: bool) -> News {
         if told.epoch != self.epoch {
--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -170,6 +170,43 @@
         group.first().copied()
     }
 
+    /// Clears a part, for all models, and all parts that were lost together with it, as an operator
+    /// wishes; returns the cleared parts, and what that changed.
+    pub fn release(&mut self, now: Instant, id: u64) -> (Vec<prompt::Part>, Vec<Change>) {
+        let named = self
+            .entries
+            .values()
+            .filter(|one| one.evidence.part.id == id);
+        let losses: collections::BTreeSet<evidence::Loss> = named
+            .flat_map(|one| one.evidence.losses.iter().copied())
+            .collect();
+        let is_lost = |one: &&Entry| !one.evidence.losses.is_disjoint(&losses);
+        let parts = self.entries.values().filter(is_lost);
+        let parts: Vec<_> = parts.map(|one| one.evidence.part).collect();
+        for part in &parts {
+            if let Some(entry) = self.entries.get_mut(part) {
+                entry.evidence.clear();
+            }
+            self.record_news(now, *part, evidence::News::Other, true);
+        }
+        let changes = self.refresh();
+        (parts, changes)
+    }
+
+    /// Returns the parts that something speaks against, each with the group of parts that is in
+    /// quarantine with it, if one is.
+    pub fn list_suspects(
+        &self,
+    ) -> impl Iterator<Item = (&evidence::Evidence, Option<&[prompt::Part]>)> {
+        let evidence = self.entries.values().map(|entry| &entry.evidence);
+        let suspects = evidence.filter(|evidence| !evidence.is_clear());
+        suspects.map(|evidence| {
+            let mut groups = self.groups.iter();
+            let group = groups.find(|group| group.contains(&evidence.part));
+            (evidence, group.map(Vec::as_slice))
+        })
+    }
+
     /// Returns the number of parts, or groups of them, that are in quarantine.
     #[must_use]
     pub fn count_quarantined(&self) -> usize {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -228,6 +228,25 @@
     assert_eq!(table.admit(now, &prompt, false), Verdict::Allow);
 }
 
+#[test]
+fn a_release_clears_all_that_was_lost_together_and_holds_everywhere() {
+    let mut table = Table::default();
+    let now = lose(&mut table, &[&[1, 9], &[1, 9], &[1, 9], &[7]]);
+    let mut other = table.clone();
+    let (cleared, changes) = table.release(now, 9);
+    assert_eq!(cleared, parts(&[1, 9]));
+    assert_eq!(changes.len(), 1);
+    assert!(!is_quarantined(&table, &[1, 9]));
+    assert_eq!(table.list_suspects().count(), 1);
+    let told: Vec<_> = table.list_after(0).cloned().collect();
+    let former: Vec<_> = other.list_after(0).cloned().collect();
+    other.merge(now, &told, &[]);
+    table.merge(now, &former, &[]);
+    assert!(!is_quarantined(&other, &[1, 9]));
+    assert!(!is_quarantined(&table, &[1, 9]));
+    assert!(table.release(now, 5).0.is_empty());
+}
+
 #[test]
 fn many_suspects_do_not_push_out_what_is_in_quarantine() {
     let mut table = Table::default();
