gateway: the start of a generation is small functions of its own module

generation::start had grown to 130 lines; it is starting::Starting now, whose steps return what to do next. News of a link names the wait for a document in its match.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -1,4 +1,4 @@
-//! Start of a generation at an engine, and its response to the caller.
+//! A generation, and its response to the caller.
 
 use std::sync;
 use std::sync::atomic;
@@ -11,7 +11,6 @@
 use peargap_adapters::logs;
 use peargap_core::balance;
 use peargap_core::event_timing;
-use peargap_core::quarantine;
 use peargap_core::rate_limit;
 use peargap_core::routes;
 use peargap_platform::head;
@@ -19,7 +18,6 @@
 use tokio::time;
 use tokio_stream::wrappers;
 
-use crate::attempts;
 use crate::call;
 use crate::events;
 use crate::fleet;
@@ -29,20 +27,14 @@
 use crate::plain;
 use crate::relay;
 use crate::response;
+use crate::starting;
 
-/// Maximum number of engines that a request is sent to.
-const MAX_ATTEMPTS: usize = 3;
 /// Events buffered for a slow caller.
 const EVENT_BUFFER: usize = 32;
 /// Assumed prompt length of a request that declares none, in tokens.
 const DEFAULT_PROMPT_TOKENS: u64 = 1000;
 /// Output tokens reserved beyond those received so far.
 const RESERVED_OUTPUT_TOKENS: u64 = 200;
-/// Interval at which a waiting generation looks for an engine with free capacity.
-const CAPACITY_POLL_INTERVAL: time::Duration = time::Duration::from_millis(30);
-/// A request waits for free capacity for at most the latency objective divided by this. After that
-/// it is refused, so that its caller learns early that there is none.
-const CAPACITY_WAIT_DIVISOR: u32 = 8;
 
 /// State of a generation that its relay and its moves share.
 #[derive(Debug)]
@@ -110,7 +102,7 @@
         true => route.attempts.saturating_sub(1),
         false => 0,
     };
-    let started = start(gateway, &generation, objective, repeats);
+    let started = starting::Starting::new(gateway, &generation, objective, repeats).run();
     let run = match time::timeout_at(generation.request.deadline, started).await {
         Ok(Ok(run)) => run,
         Ok(Err(refusal)) => return gateway.refuse(&attempt, refusal),
@@ -119,180 +111,6 @@
     relay(gateway, generation, run).await
 }
 
-/// Starts a generation at an engine. Another engine is tried if the request has not run at the first
-/// one. If it may have run there, it continues at its copy, if there is one, or is repeated up to
-/// `repeats` times.
-async fn start(
-    gateway: &gateway::Gateway,
-    generation: &sync::Arc<Generation>,
-    objective: time::Duration,
-    mut repeats: u32,
-) -> Result<Run, response::Refusal> {
-    let mut attempts = attempts::Attempts::new(MAX_ATTEMPTS);
-    // Refusal if no other engine is tried.
-    let mut refusal = response::Refusal::NotTaken;
-    let waiting_since = time::Instant::now();
-    let capacity_deadline = waiting_since + objective / CAPACITY_WAIT_DIVISOR;
-    while !attempts.is_exhausted() {
-        let prompt = &generation.request.head.prompt;
-        let verdict = gateway.fleet.admit_prompt(prompt);
-        if let quarantine::Verdict::Refuse {
-            part,
-            retry_after_ms,
-        } = verdict
-        {
-            return Err(match refusal {
-                response::Refusal::NotTaken => response::Refusal::Quarantined {
-                    part,
-                    retry_after_ms,
-                },
-                may_have_run => may_have_run,
-            });
-        }
-        let tokens = generation.estimate_tokens(0);
-        let criteria = fleet::Criteria {
-            exclude: attempts.tried(),
-            near: None,
-            purpose: attempts.purpose(),
-            service: &generation.service,
-            tokens,
-        };
-        let mut placement = match gateway.fleet.place_generation(criteria) {
-            Ok(placement) => placement,
-            Err(fleet::PlacementError::Paused { retry_after_ms })
-                if refusal == response::Refusal::NotTaken =>
-            {
-                return Err(response::Refusal::Paused { retry_after_ms });
-            }
-            Err(_error) if attempts.has_arrived() => break,
-            Err(fleet::PlacementError::Full | fleet::PlacementError::Limited { .. })
-                if time::Instant::now() < capacity_deadline =>
-            {
-                time::sleep(CAPACITY_POLL_INTERVAL).await;
-                continue;
-            }
-            Err(fleet::PlacementError::Full) => return Err(response::Refusal::Full),
-            Err(fleet::PlacementError::Limited { retry_after_ms }) => {
-                gateway.meters.count_limited(&generation.service.name);
-                return Err(response::Refusal::Limited { retry_after_ms });
-            }
-            Err(fleet::PlacementError::NoUpstream | fleet::PlacementError::Paused { .. }) => {
-                return Err(response::Refusal::Nobody);
-            }
-        };
-        if attempts.tried().is_empty() {
-            gateway.meters.record_wait(waiting_since.elapsed());
-        }
-        if attempts.has_arrived()
-            && !gateway
-                .retries
-                .try_withdraw(&generation.request, &generation.service.name)
-        {
-            break;
-        }
-        attempts.record_choice(placement.key);
-        let sent_at = time::Instant::now();
-        let copy = place_backup(gateway, generation, &placement, 0);
-        let attempt = response::attempt_text(&generation.request.head.attempt);
-        logs::emit(
-            events::REQUEST_PLACED,
-            format_args!(
-                "request={attempt} upstream={} copy={} tokens={tokens} {}",
-                placement.name,
-                copy.as_ref().map_or("none", |copy| &copy.placement.name),
-                placement.view
-            ),
-        );
-        let options = call::Options {
-            copy_to: copy.as_ref().map(|copy| copy.placement.address.as_str()),
-            resume: None,
-        };
-        let sent = tokio::select! {
-            sent = call::send(&generation.request, &placement, options) => sent,
-            // An engine that has not begun to write drops the request with its connection.
-            () = gateway.fleet.wait_until_quarantined(prompt),
-                if verdict == quarantine::Verdict::Allow =>
-            {
-                return Err(response::Refusal::UpstreamFailed);
-            }
-        };
-        gateway
-            .fleet
-            .record_outcome(placement.key, call::classify(&sent));
-        attempts.record(&sent);
-        match sent {
-            Ok(response) => {
-                placement.finish_prompt();
-                logs::emit(
-                    events::GENERATION_BEGUN,
-                    format_args!(
-                        "request={attempt} upstream={} waited_ms={} parts={}",
-                        placement.name,
-                        sent_at.elapsed().as_millis(),
-                        generation.request.head.prompt
-                    ),
-                );
-                return Ok(Run {
-                    response,
-                    copy,
-                    placement,
-                });
-            }
-            Err(failure) => {
-                logs::emit(
-                    events::ATTEMPT_FAILED,
-                    format_args!(
-                        "request={attempt} upstream={} why={failure:?}",
-                        placement.name
-                    ),
-                );
-                if !failure.may_have_run() {
-                    continue;
-                }
-                if let Some(run) = resume_at_copy(gateway, generation, copy).await {
-                    return Ok(run);
-                }
-                if repeats == 0 {
-                    return Err(response::Refusal::UpstreamFailed);
-                }
-                repeats -= 1;
-                refusal = response::Refusal::UpstreamFailed;
-            }
-        }
-    }
-    Err(refusal)
-}
-
-/// Continues a generation at its copy after its engine failed without a response.
-async fn resume_at_copy(
-    gateway: &gateway::Gateway,
-    generation: &sync::Arc<Generation>,
-    copy: Option<migrate::Copy>,
-) -> Option<Run> {
-    let reason = migrate::Reason::Broken;
-    let mut resuming = migrate::resume(gateway.clone(), generation.clone(), copy?, reason, None);
-    let attempt = response::attempt_text(&generation.request.head.attempt);
-    match resuming.wait().await {
-        Ok(run) => {
-            logs::emit(
-                events::MOVE_COMPLETED,
-                format_args!(
-                    "request={attempt} from=none to={} events=0",
-                    run.placement.name
-                ),
-            );
-            Some(run)
-        }
-        Err(failure) => {
-            logs::emit(
-                events::MOVE_FAILED,
-                format_args!("request={attempt} from=none why={failure:?}"),
-            );
-            None
-        }
-    }
-}
-
 /// Picks an engine for the backup copy, if the service keeps one and an engine has the capacity.
 pub(crate) fn place_backup(
     gateway: &gateway::Gateway,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod server;
 pub mod settings;
 mod source;
+mod starting;
 mod startup;
 mod stop;
 mod upstream;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -62,7 +62,7 @@
             limits: limits.map(wire_limit::encode).collect(),
             wanted: match fetch {
                 document_fetch::Next::Request(version) => version,
-                _ => 0,
+                document_fetch::Next::Wait => 0,
             },
             ..wire::Report::default()
         };
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use peargap_fake::runner;
+use peargap_wire::fleet as wire;
 use support::generation;
 use support::request;
 use support::Fixture;
@@ -44,6 +45,21 @@
         .sum()
 }
 
+/// Waits until a crash is noticed, and announces the engines that have started again.
+async fn wait_for_restarts(fixture: &Fixture) {
+    tokio::time::sleep(PAUSE).await;
+    for runner in fixture.runners.values() {
+        let upstream = wire::Upstream {
+            address: runner.address.to_string(),
+            born_ms: 1 + u64::try_from(runner.count_crashes()).expect("few"),
+            name: runner.name.clone(),
+            service: "pool".to_owned(),
+            ..support::new_upstream()
+        };
+        fixture.control.announce_upstream(upstream).await;
+    }
+}
+
 fn count_arrivals(fixture: &Fixture, attempt: &str) -> usize {
     let arrivals = fixture.runners.values().flat_map(|one| one.arrivals());
     arrivals
@@ -57,7 +73,7 @@
     for number in 0..12 {
         let parts = format!("aa:40,bb:30,{DEADLY}:20,{number:x}:800");
         call(&fixture, &format!("deadly-{number}"), &parts).await;
-        tokio::time::sleep(PAUSE).await;
+        wait_for_restarts(&fixture).await;
         let parts = format!("aa:40,{:x}:30,{number:x}:800", number % 3);
         let sound = call(&fixture, &format!("sound-{number}"), &parts).await;
         assert!(sound.is_complete, "{number}: {sound:?}");
@@ -68,7 +84,7 @@
     for number in 0..2 {
         let parts = format!("aa:40,cc:30,{DEADLY}:20,{number}:800");
         call(&fixture, "other", &parts).await;
-        tokio::time::sleep(PAUSE).await;
+        wait_for_restarts(&fixture).await;
     }
     let sound = call(&fixture, "sound-bb", "aa:40,bb:30,1:800").await;
     assert!(sound.is_complete, "{sound:?}");
