--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -5,6 +5,7 @@
 use peargap_core::event_timing;
 use peargap_core::retry_budget;
 
+use crate::fleet;
 use crate::response;
 
 /// Bucket boundaries of the time histograms, in seconds.
@@ -22,6 +23,17 @@
     Failed,
 }
 
+/// Registers the gauge of prompt parts, or groups of them, that are in quarantine.
+pub(crate) fn observe_quarantine(registry: &metrics::Registry, fleet: &fleet::Fleet) {
+    let fleet = fleet.clone();
+    let _gauge = registry
+        .meter()
+        .u64_observable_gauge("peargap_gateway_quarantined")
+        .with_description("Groups of prompt parts in quarantine, as engines crash on them")
+        .with_callback(move |gauge| gauge.observe(fleet.count_quarantined(), &[]))
+        .build();
+}
+
 /// The gateway's instruments, shared by all clones.
 #[derive(Clone, Debug)]
 pub(crate) struct Meters {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -96,6 +96,12 @@
         verdict
     }
 
+    /// Returns the number of groups of prompt parts in quarantine.
+    pub(crate) fn count_quarantined(&self) -> u64 {
+        let count = self.lock().quarantine.count_quarantined();
+        u64::try_from(count).unwrap_or(u64::MAX)
+    }
+
     /// Returns whether a prompt is in quarantine.
     pub(crate) fn is_quarantined(&self, prompt: &prompt::Prompt) -> bool {
         let state = self.lock();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -50,12 +50,13 @@
     let callers = bind(settings.callers).await?;
     let health_listener = bind(settings.health).await?;
     let meters = meters::Meters::new(&registry);
+    let fleet = fleet::Fleet::new(&settings.domain);
+    meters::observe_quarantine(&registry, &fleet);
     let router = health::build_router(readiness.clone(), registry);
     let health = tokio::spawn(async move {
         // Runs until the process exits.
         let _ = axum::serve(health_listener, router).await;
     });
-    let fleet = fleet::Fleet::new(&settings.domain);
     let follow_token = CancellationToken::new();
     let options = follow::Options {
         gateway: settings.name.clone(),
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -97,6 +97,11 @@
         assert_eq!(refused.status, 503, "{parts}");
         assert!(refused.headers.contains_key("retry-after"), "{parts}");
     }
+    let metrics = fixture.read_metrics().await;
+    assert!(
+        metrics.contains("peargap_gateway_quarantined{"),
+        "{metrics}"
+    );
     assert_eq!(count_arrivals(&fixture, "last"), 0);
     let crashes = count_crashes(&fixture);
     assert!(crashes <= 5, "{crashes} crashes");
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -340,6 +340,19 @@
         running.expect("a runner that runs")
     }
 
+    /// Returns the gateway's metrics.
+    pub(crate) async fn read_metrics(&self) -> String {
+        let stream = tokio::net::TcpStream::connect(self.health).await;
+        let io = rt::TokioIo::new(stream.expect("a connection"));
+        let (mut sender, connection) = http1::handshake(io).await.expect("a connection");
+        tokio::spawn(async move { drop(connection.await) });
+        let request = http::Request::get("/metrics").header("host", "h");
+        let request = request.body(Full::new(Bytes::new())).expect("a request");
+        let response = sender.send_request(request).await.expect("a response");
+        let body = response.into_body().collect().await.expect("a body");
+        String::from_utf8_lossy(&body.to_bytes()).into_owned()
+    }
+
     /// Opens a connection to the gateway.
     pub(crate) async fn connect(&self) -> Caller {
         let stream = tokio::net::TcpStream::connect(self.address).await;
