--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -98,10 +98,9 @@
         assert!(refused.headers.contains_key("retry-after"), "{parts}");
     }
     let metrics = fixture.read_metrics().await;
-    assert!(
-        metrics.contains("peargap_gateway_quarantined{"),
-        "{metrics}"
-    );
+    let is_one =
+        |line: &str| line.starts_with("peargap_gateway_quarantined") && line.ends_with(" 1");
+    assert!(metrics.lines().any(is_one), "{metrics}");
     assert_eq!(count_arrivals(&fixture, "last"), 0);
     let crashes = count_crashes(&fixture);
     assert!(crashes <= 5, "{crashes} crashes");
--- a/crates/load/src/experiment/deadly_parts.rs
+++ b/crates/load/src/experiment/deadly_parts/fleet.rs
@@ -1,10 +1,6 @@
-//! Experiment: prompts with some parts crash the engines that begin to write on them.
-//!
-//! It plays a fleet of gateways with the quarantine of `peargap_core`: how many engines crash until the
-//! parts are in quarantine everywhere, and what that costs requests with sound prompts.
+//! The simulated fleet.
 
 use core::cmp;
-use core::fmt;
 use core::time::Duration;
 use std::collections;
 
@@ -15,13 +11,14 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 
+use crate::experiment::deadly_parts;
+use crate::experiment::deadly_parts::setup;
+use crate::experiment::numbers;
+
 /// Time of a run.
 const RUN: Duration = Duration::from_secs(30);
 /// When prompts with the deadly parts begin to come.
 const BEGIN: Duration = Duration::from_secs(4);
-/// Engines for each gateway.
-const ENGINES_PER_GATEWAY: f64 = 1.4;
-const MIN_ENGINES: usize = 12;
 /// Range of the time that a generation waits at its engine, in milliseconds.
 const WAIT_MS: core::ops::Range<u64> = 100..600;
 /// Time from a generation's begin to its second event, or to the crash.
@@ -45,71 +42,6 @@
 /// IDs of deadly parts begin here.
 const DEADLY_ID: u64 = 1 << 32;
 
-/// What happens in a run.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Setup {
-    /// Whether the control hosts are away when the first engines crash.
-    pub control_away: bool,
-    /// Number of deadly parts.
-    pub deadly_parts: u64,
-    /// Different first parts of prompts.
-    pub first_parts: u64,
-    /// Number of gateways.
-    pub gateways: usize,
-    /// Crashes by other causes, a second.
-    pub other_crashes_per_s: f64,
-    /// Part of the engines that end in each of these crashes; at least one.
-    pub other_crash_part: f64,
-    /// Whether gateways restart one after the other.
-    pub restarts: bool,
-    /// Whether all deadly prompts have the same other parts.
-    pub same_companions: bool,
-    /// Part of the requests whose prompts have a deadly part.
-    pub share: f64,
-    /// Generations that begin at an engine, a second.
-    pub starts_per_engine_s: f64,
-}
-
-impl Setup {
-    fn count_engines(&self) -> usize {
-        whole(ENGINES_PER_GATEWAY * number(self.gateways)).max(MIN_ENGINES)
-    }
-
-    /// Returns the requests with a deadly part, a second.
-    #[must_use]
-    pub fn deadly_per_s(&self) -> f64 {
-        self.share * self.starts_per_engine_s * number(self.count_engines())
-    }
-}
-
-/// Result of a run.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Figures {
-    /// Most engines that one deadly part crashed.
-    pub crashes: usize,
-    /// Requests with a deadly part that reach engines later than [`CONTACT`] after its fifth crash, at
-    /// most for one part.
-    pub late: usize,
-    /// Requests with sound prompts.
-    pub sound: usize,
-    /// Requests with sound prompts that were refused.
-    pub sound_refused: usize,
-    /// Requests with sound prompts that have the first part of the deadly ones.
-    pub sound_alike: usize,
-    /// Those of them that were refused.
-    pub sound_alike_refused: usize,
-}
-
-impl fmt::Display for Figures {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "{} crashes, {} late, {} of {} sound refused",
-            self.crashes, self.late, self.sound_refused, self.sound
-        )
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Generation {
     /// Index of the deadly part in its prompt.
@@ -159,12 +91,12 @@
     writes: Vec<quarantine::Write>,
 }
 
-struct Fleet {
+pub(super) struct Fleet {
     control: quarantine::Table,
     /// Crashes by deadly part.
     crashes: Vec<Vec<Instant>>,
     engines: Vec<Engine>,
-    figures: Figures,
+    figures: deadly_parts::Figures,
     gateways: Vec<Gateway>,
     generations: Vec<Generation>,
     is_spreading: bool,
@@ -173,34 +105,18 @@
     queue: collections::BinaryHeap<cmp::Reverse<(Instant, usize, Event)>>,
     queued: usize,
     random: SmallRng,
-    setup: Setup,
-}
-
-/// Plays a run.
-#[must_use]
-pub fn play(setup: Setup, seed: u64) -> Figures {
-    let mut fleet = Fleet::new(setup, seed);
-    while let Some(cmp::Reverse((now, _number, event))) = fleet.queue.pop() {
-        if now >= Instant::default() + RUN {
-            break;
-        }
-        fleet.handle(now, event);
-    }
-    let most = fleet.crashes.iter().map(Vec::len).max();
-    fleet.figures.crashes = most.unwrap_or_default();
-    fleet.figures.late = fleet.late.iter().copied().max().unwrap_or_default();
-    fleet.figures
+    setup: setup::Setup,
 }
 
 impl Fleet {
-    fn new(setup: Setup, seed: u64) -> Fleet {
+    pub(super) fn new(setup: setup::Setup, seed: u64) -> Fleet {
         let count = setup.count_engines();
         let parts = usize::try_from(setup.deadly_parts).unwrap_or_default();
         let mut fleet = Fleet {
             control: quarantine::Table::default(),
             crashes: vec![Vec::new(); parts],
             engines: vec![Engine::default(); count],
-            figures: Figures::default(),
+            figures: deadly_parts::Figures::default(),
             gateways: vec![Gateway::default(); setup.gateways],
             generations: Vec::new(),
             is_spreading: false,
@@ -221,6 +137,20 @@
         fleet
     }
 
+    /// Plays until the end of the run.
+    pub(super) fn play(mut self) -> deadly_parts::Figures {
+        while let Some(cmp::Reverse((now, _number, event))) = self.queue.pop() {
+            if now >= Instant::default() + RUN {
+                break;
+            }
+            self.handle(now, event);
+        }
+        let most = self.crashes.iter().map(Vec::len).max();
+        self.figures.crashes = most.unwrap_or_default();
+        self.figures.late = self.late.iter().copied().max().unwrap_or_default();
+        self.figures
+    }
+
     fn push(&mut self, at: Instant, event: Event) {
         self.queued += 1;
         self.queue.push(cmp::Reverse((at, self.queued, event)));
@@ -229,7 +159,7 @@
     fn handle(&mut self, now: Instant, event: Event) {
         match event {
             Event::Arrive => {
-                let per_s = self.setup.starts_per_engine_s * number(self.engines.len());
+                let per_s = self.setup.starts_per_engine_s * numbers::number(self.engines.len());
                 self.push_after(now, per_s, Event::Arrive);
                 self.arrive(now);
             }
@@ -237,7 +167,7 @@
             Event::Crash => {
                 self.push_after(now, self.setup.other_crashes_per_s, Event::Crash);
                 let count = self.engines.len();
-                let part = whole(number(count) * self.setup.other_crash_part);
+                let part = numbers::whole(numbers::number(count) * self.setup.other_crash_part);
                 let first = self.random.random_range(0..count);
                 for engine in first..first + part.max(1) {
                     self.crash(now, engine % count);
@@ -259,7 +189,7 @@
     /// Schedules the next of events that come at random.
     fn push_after(&mut self, now: Instant, per_s: f64, event: Event) {
         let wait = -(1.0 - self.random.random_range(0.0..1.0_f64)).ln() / per_s;
-        let millis = u64::try_from(whole(wait * 1000.0)).unwrap_or(u64::MAX);
+        let millis = u64::try_from(numbers::whole(wait * 1000.0)).unwrap_or(u64::MAX);
         self.push(now + Duration::from_millis(millis), event);
     }
 
@@ -411,105 +341,3 @@
         }
     }
 }
-
-/// Returns setups without deadly parts, in which engines crash by other causes, alone or a sixth at once.
-#[must_use]
-pub fn list_sound_setups() -> Vec<Setup> {
-    let mut setups = Vec::new();
-    for gateways in [8, 25, 105, 370] {
-        for first_parts in [1, 12] {
-            for other_crash_part in [0.0, 1.0 / 6.0] {
-                setups.push(Setup {
-                    control_away: false,
-                    deadly_parts: 0,
-                    first_parts,
-                    gateways,
-                    other_crash_part,
-                    other_crashes_per_s: 1.0,
-                    restarts: false,
-                    same_companions: false,
-                    share: 0.0,
-                    starts_per_engine_s: 1.0,
-                });
-            }
-        }
-    }
-    setups
-}
-
-/// Returns setups with deadly parts.
-#[must_use]
-pub fn list_setups() -> Vec<Setup> {
-    let mut setups = Vec::new();
-    for gateways in [8, 25, 105, 370] {
-        for share in [0.01, 0.05, 0.3] {
-            for other_crashes_per_s in [0.0, 1.0] {
-                for (deadly_parts, same_companions) in [(1, true), (1, false), (3, true)] {
-                    setups.push(Setup {
-                        control_away: false,
-                        deadly_parts,
-                        first_parts: 12,
-                        gateways,
-                        other_crash_part: 0.0,
-                        other_crashes_per_s,
-                        restarts: false,
-                        same_companions,
-                        share,
-                        starts_per_engine_s: 1.0,
-                    });
-                }
-            }
-        }
-    }
-    let disturbed: Vec<_> = setups
-        .iter()
-        .filter(|setup| setup.share == 0.05)
-        .map(|setup| Setup {
-            control_away: true,
-            restarts: true,
-            ..*setup
-        })
-        .collect();
-    setups.extend(disturbed);
-    setups
-}
-
-/// Returns a table of all setups, with the median and the most of `seeds` runs.
-#[must_use]
-pub fn report(seeds: u64) -> String {
-    let mut text = String::new();
-    for setup in list_setups().into_iter().chain(list_sound_setups()) {
-        let runs: Vec<_> = (0..seeds).map(|seed| play(setup, seed)).collect();
-        let mut crashes: Vec<_> = runs.iter().map(|run| run.crashes).collect();
-        crashes.sort_unstable();
-        let late = runs.iter().map(|run| run.late).max().unwrap_or_default();
-        let sound: usize = runs.iter().map(|run| run.sound).sum();
-        let refused: usize = runs.iter().map(|run| run.sound_refused).sum();
-        let alike: usize = runs.iter().map(|run| run.sound_alike).sum();
-        let alike_refused: usize = runs.iter().map(|run| run.sound_alike_refused).sum();
-        let median = crashes.get(crashes.len() / 2).copied().unwrap_or_default();
-        let most = crashes.last().copied().unwrap_or_default();
-        text.push_str(&format!(
-            "{setup:?}: crashes {median} by the median, {most} at most; late {late} at most; \
-             {refused} of {sound} sound requests refused, {alike_refused} of {alike} alike\n"
-        ));
-    }
-    text
-}
-
-#[allow(
-    clippy::cast_precision_loss,
-    reason = "counts of a run are far below 2^52"
-)]
-fn number(count: usize) -> f64 {
-    count as f64
-}
-
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a float to integer cast saturates"
-)]
-fn whole(number: f64) -> usize {
-    number as usize
-}
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -13,6 +13,7 @@
 pub mod measure;
 pub mod named_limits;
 pub mod node;
+mod numbers;
 pub mod plot;
 pub mod policy;
 pub mod report;
--- a/crates/load/src/experiment/named_limits.rs
+++ b/crates/load/src/experiment/named_limits.rs
@@ -11,6 +11,8 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 
+use crate::experiment::numbers;
+
 /// Time between two steps of the simulation, in milliseconds.
 const STEP_MS: u64 = 10;
 /// Steps between two reports of a gateway.
@@ -263,7 +265,7 @@
         // Inverse of the distribution whose weight falls as one over the rank.
         let count = u32::try_from(gateways).unwrap_or(u32::MAX);
         let rank = f64::from(count + 1).powf(random.random_range(0.0..1.0));
-        whole(rank).min(gateways) - 1
+        numbers::whole(rank).min(gateways) - 1
     };
     match situation {
         Situation::One => 0,
@@ -351,12 +353,3 @@
 fn seconds(millis: u64) -> f64 {
     millis as f64 / 1000.0
 }
-
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a float to integer cast saturates"
-)]
-fn whole(number: f64) -> usize {
-    number as usize
-}
