--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -3,31 +3,20 @@
 //! It uses the platform's header and route names and records each request that it runs, so that a
 //! test can compare the responses that callers received with the requests that ran.
 
+mod answer;
+mod process;
+
 use std::collections;
-use std::convert;
 use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::time;
 
-use axum::body;
-use axum::extract;
 use axum::middleware;
-use axum::response;
-use axum::response::IntoResponse as _;
 use bytes::Bytes;
-use futures::StreamExt as _;
 use http::HeaderMap;
-use http::StatusCode;
-use hyper::server::conn::http1;
-use hyper_util::rt;
 use tokio_util::sync::CancellationToken;
 
-/// Bytes that a runner sends at once of a body without end.
-const ENDLESS_PIECE_BYTES: usize = 16 << 10;
-/// Pieces after which such a body ends all the same, so that a relay that drops them is done some time.
-const ENDLESS_PIECES: usize = 4096;
-
 /// How a runner handles requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Behaviour {
@@ -212,11 +201,14 @@
         };
         self.lock().insert(address.to_string(), runner.clone());
         let router = axum::Router::new()
-            .route("/api/kv-move", axum::routing::post(handle_copy))
-            .fallback(handle_request)
-            .layer(middleware::from_fn_with_state(runner.clone(), add_notices))
+            .route("/api/kv-move", axum::routing::post(answer::handle_copy))
+            .fallback(answer::handle_request)
+            .layer(middleware::from_fn_with_state(
+                runner.clone(),
+                answer::add_notices,
+            ))
             .with_state(runner.clone());
-        tokio::spawn(serve(runner.clone(), listener, router));
+        tokio::spawn(process::serve(runner.clone(), listener, router));
         Ok(runner)
     }
 
@@ -230,53 +222,6 @@
     }
 }
 
-/// Serves until the runtime shuts down; after each crash, nothing listens for the runner's down time.
-async fn serve(runner: Runner, listener: tokio::net::TcpListener, router: axum::Router) {
-    let mut listener = Some(listener);
-    loop {
-        let crash = runner.lock().crash.clone();
-        if let Some(listener) = listener.take() {
-            accept_until_crash(&listener, &router, &crash).await;
-        }
-        let down_time = runner.lock().down_time;
-        tokio::time::sleep(down_time).await;
-        match tokio::net::TcpListener::bind(runner.address).await {
-            Ok(bound) => {
-                listener = Some(bound);
-                runner.lock().crash = CancellationToken::new();
-            }
-            Err(error) => eprintln!("runner {} cannot listen again: {error}", runner.name),
-        }
-    }
-}
-
-/// Accepts connections until the runner crashes, which closes all of them.
-async fn accept_until_crash(
-    listener: &tokio::net::TcpListener,
-    router: &axum::Router,
-    crash: &CancellationToken,
-) {
-    loop {
-        let accepted = tokio::select! {
-            () = crash.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _peer)) = accepted else {
-            continue;
-        };
-        let service = hyper_util::service::TowerToHyperService::new(router.clone());
-        let connection = http1::Builder::new().serve_connection(rt::TokioIo::new(stream), service);
-        let crash = crash.clone();
-        tokio::spawn(async move {
-            tokio::select! {
-                () = crash.cancelled() => {}
-                // Its error shows at the other end.
-                _result = connection => {}
-            }
-        });
-    }
-}
-
 impl Runner {
     /// Makes the runner reachable by other runners at the address of a relay.
     pub fn set_announced_address(&self, relay: net::SocketAddr) {
@@ -364,7 +309,7 @@
         let Some(part) = self.lock().crash_part else {
             return false;
         };
-        let parts = header_text(headers, "prefix-hash").unwrap_or_default();
+        let parts = answer::header_text(headers, "prefix-hash").unwrap_or_default();
         let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
         ids.any(|id| id == part)
     }
@@ -401,178 +346,3 @@
         locked.unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
-
-fn header_text(headers: &HeaderMap, name: &str) -> Option<String> {
-    Some(headers.get(name)?.to_str().ok()?.to_owned())
-}
-
-/// Adds what the runner says of itself to its responses.
-async fn add_notices(
-    extract::State(runner): extract::State<Runner>,
-    request: extract::Request,
-    next: middleware::Next,
-) -> response::Response {
-    let mut response = next.run(request).await;
-    let (is_leaving, limit, retry_after) = {
-        let state = runner.lock();
-        (state.is_leaving, state.limit, state.retry_after)
-    };
-    if is_leaving {
-        let value = http::HeaderValue::from_static("1");
-        response.headers_mut().insert("server-leaving", value);
-    }
-    if let Some(limit) = limit {
-        let value = http::HeaderValue::from_static(limit);
-        response.headers_mut().insert("server-limit", value);
-    }
-    let rejects = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-    if let Some(retry_after) = retry_after.filter(|_value| rejects) {
-        let value = http::HeaderValue::from_static(retry_after);
-        response.headers_mut().insert("retry-after", value);
-    }
-    response
-}
-
-async fn handle_request(
-    extract::State(runner): extract::State<Runner>,
-    request: extract::Request,
-) -> response::Response {
-    let (parts, body) = request.into_parts();
-    let headers = parts.headers;
-    let body = body::to_bytes(body, usize::MAX).await.unwrap_or_default();
-    let attempt = header_text(&headers, "attempt-id").unwrap_or_default();
-    if header_text(&headers, "target-instance").is_some_and(|target| target != runner.name) {
-        return reject(StatusCode::MISDIRECTED_REQUEST, &attempt);
-    }
-    let behaviour = runner.lock().record_arrival(&attempt);
-    if behaviour == Behaviour::Shed {
-        return reject(StatusCode::SERVICE_UNAVAILABLE, &attempt);
-    }
-    let source_handle = header_text(&headers, "kv-from");
-    let is_resumed = source_handle.is_some();
-    // A runner that fails requests does so before it uses the copy, which it keeps.
-    if let Some(handle) = source_handle.filter(|_handle| behaviour != Behaviour::Fail) {
-        if !runner.remove_copy(&handle) {
-            return reject(StatusCode::SERVICE_UNAVAILABLE, &attempt);
-        }
-    }
-    let last_event_id = header_text(&headers, "last-event-id").and_then(|id| id.parse().ok());
-    runner.lock().runs.push(Run {
-        last_event_id,
-        attempt: attempt.clone(),
-        body: body.clone(),
-        headers: headers.clone(),
-        path: parts.uri.to_string(),
-    });
-    if let Some(target) = header_text(&headers, "kv-backup") {
-        if let Some(target) = runner.inner.group.find(&target) {
-            let handle = format!("{}/{attempt}", target.announced_address());
-            target.lock().copies.insert(handle);
-        }
-    }
-    let resume_delay = runner.lock().resume_delay;
-    if is_resumed {
-        tokio::time::sleep(resume_delay).await;
-    }
-    match behaviour {
-        Behaviour::Endless => {
-            let piece = Bytes::from_static(&[b'x'; ENDLESS_PIECE_BYTES]);
-            let pieces =
-                futures::stream::repeat_with(move || Ok::<_, std::io::Error>(piece.clone()));
-            let pieces = pieces.take(ENDLESS_PIECES);
-            let headers = [("server-signature", "proof"), ("attempt-id", &attempt)];
-            (StatusCode::OK, headers, body::Body::from_stream(pieces)).into_response()
-        }
-        Behaviour::Fail => respond(StatusCode::INTERNAL_SERVER_ERROR, &attempt, body),
-        Behaviour::OtherAttempt => respond(StatusCode::OK, "other", body),
-        Behaviour::Reset => {
-            let interrupted = futures::stream::once(async { Err::<Bytes, _>(interrupted_error()) });
-            (StatusCode::OK, body::Body::from_stream(interrupted)).into_response()
-        }
-        Behaviour::Unsigned => (StatusCode::OK, body).into_response(),
-        Behaviour::Answer | Behaviour::Shed if headers.contains_key("token-usage") => {
-            let crashes = runner.crashes_on(&headers);
-            stream_events(&runner, &attempt, last_event_id.unwrap_or(0), crashes)
-        }
-        Behaviour::Answer | Behaviour::Shed => {
-            let (delay, body_bytes) = {
-                let state = runner.lock();
-                (state.answer_delay, state.body_bytes)
-            };
-            tokio::time::sleep(delay).await;
-            let body = body_bytes.map_or(body, |bytes| vec![b'x'; bytes].into());
-            respond(StatusCode::OK, &attempt, body)
-        }
-    }
-}
-
-fn reject(status: StatusCode, attempt: &str) -> response::Response {
-    let headers = [("not-executed", "1"), ("attempt-id", attempt)];
-    (status, headers).into_response()
-}
-
-fn respond(status: StatusCode, attempt: &str, body: Bytes) -> response::Response {
-    let headers = [("server-signature", "proof"), ("attempt-id", attempt)];
-    (status, headers, body).into_response()
-}
-
-fn interrupted_error() -> std::io::Error {
-    std::io::Error::other("stream interrupted")
-}
-
-/// Streams the events of a generation that follow event `after`, or crashes in place of the first.
-fn stream_events(runner: &Runner, attempt: &str, after: u64, crashes: bool) -> response::Response {
-    // Moved into the closure below, so that the generation counts until the stream is dropped.
-    let running = RunningGuard::new(runner);
-    let number = runner.inner.streams.fetch_add(1, atomic::Ordering::SeqCst) + 1;
-    let (events, event_interval) = {
-        let state = runner.lock();
-        (state.events, state.event_interval)
-    };
-    let pieces = futures::stream::iter(after + 1..=events).then(move |id| {
-        let runner = running.0.clone();
-        async move {
-            tokio::time::sleep(event_interval).await;
-            if crashes {
-                runner.crash();
-            }
-            runner
-                .inner
-                .produced_events
-                .fetch_add(1, atomic::Ordering::SeqCst);
-            match runner
-                .inner
-                .interrupted_streams
-                .load(atomic::Ordering::SeqCst)
-                >= number
-            {
-                true => Err(interrupted_error()),
-                false => Ok::<_, std::io::Error>(Bytes::from(format!("id: {id}\ndata: t{id}\n\n"))),
-            }
-        }
-    });
-    let headers = [
-        ("server-signature", "proof"),
-        ("attempt-id", attempt),
-        ("content-type", "text/event-stream"),
-    ];
-    (headers, body::Body::from_stream(pieces)).into_response()
-}
-
-async fn handle_copy(
-    extract::State(runner): extract::State<Runner>,
-    extract::Json(order): extract::Json<serde_json::Value>,
-) -> Result<response::Response, convert::Infallible> {
-    let target = order["target"].as_str().unwrap_or_default();
-    let attempt = order["id"].as_str().unwrap_or_default();
-    let Some(target) = runner.inner.group.find(target) else {
-        return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
-    };
-    let handle = format!("h-{attempt}");
-    target
-        .lock()
-        .copies
-        .insert(format!("{}/{handle}", runner.announced_address()));
-    let copied = serde_json::json!({"kvHandle": handle, "made": 0});
-    Ok(axum::Json(copied).into_response())
-}
