core: extreme evidence of a peer makes no sum overflow

Found on reading the diff: the writes of the worst part plus two overflowed if a peer told the largest number (a panic in builds with checks; the test of extreme evidence shows it with losses in common, and passes now).

--- a/crates/core/src/quarantine/group.rs
+++ b/crates/core/src/quarantine/group.rs
@@ -32,7 +32,8 @@
     /// Returns whether this part may as well be the cause of what the worst one explains.
     fn may_explain(&self, worst: &Suspect<'_>) -> bool {
         let lacking = worst.unexplained.difference(&self.unexplained).count();
-        lacking < DISTINCT_LOSSES && self.evidence.writes < worst.evidence.writes + DISTINCT_WRITES
+        let more_writes = self.evidence.writes.saturating_sub(worst.evidence.writes);
+        lacking < DISTINCT_LOSSES && more_writes < DISTINCT_WRITES
     }
 
     fn weight(&self) -> f64 {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -283,7 +283,13 @@
         writes_since_loss: u32::MAX,
         ..quarantine::Evidence::new(part(9))
     };
+    let others = [1, 2].map(|id| quarantine::Evidence {
+        losses: [loss(1), loss(2)].into(),
+        part: part(id),
+        ..extreme.clone()
+    });
     table.merge(now, &[extreme], &[]);
+    table.merge(now, &others, &[]);
     table.record_write(now, &parts(&[9]));
     for number in 0..100 {
         table.record_loss(now, &parts(&[9]), loss(number));
