core: a part that a prompt names twice counts once

A caller could name a suspected part again and again in one prompt, so that the generation counted as as many written and cleared the part.

--- a/crates/core/src/prompt.rs
+++ b/crates/core/src/prompt.rs
@@ -52,10 +52,16 @@
 pub struct Prompt(Vec<Part>);
 
 impl Prompt {
-    /// Returns the prompt with these parts; at most [`MAX_PARTS`] are kept.
+    /// Returns the prompt with these parts, each of them once; at most [`MAX_PARTS`] are kept.
     #[must_use]
     pub fn new(parts: impl IntoIterator<Item = Part>) -> Prompt {
-        Prompt(parts.into_iter().take(MAX_PARTS).collect())
+        let mut kept = Vec::new();
+        for part in parts.into_iter().take(MAX_PARTS) {
+            if !kept.contains(&part) {
+                kept.push(part);
+            }
+        }
+        Prompt(kept)
     }
 
     /// Returns the parts.
