core: callers of a quarantined prompt are not told to come back at once

While a trial was due, each gateway but the one that runs it refused with Retry-After: 0, and callers came back at once to the same refusal. They are told the time between two trials now. Found on reading the diff; the test fails before (0 ms) and passes.

--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -38,7 +38,7 @@
     Refuse {
         /// The part because of which it may not.
         part: prompt::Part,
-        /// Time to the next trial, in milliseconds.
+        /// Time to the next trial, in milliseconds; while trials are due elsewhere, the time between two.
         retry_after_ms: u64,
     },
 }
@@ -156,9 +156,10 @@
             entry.last_trial = Some(now);
             return Verdict::Trial;
         }
+        let retry_at = if now < due { due } else { now + TRIAL_INTERVAL };
         Verdict::Refuse {
             part,
-            retry_after_ms: due.millis_since(now),
+            retry_after_ms: retry_at.millis_since(now),
         }
     }
 
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -228,6 +228,17 @@
     assert_eq!(table.admit(now, &prompt, false), Verdict::Allow);
 }
 
+#[test]
+fn while_trials_are_due_elsewhere_callers_are_not_told_to_come_back_at_once() {
+    let mut table = Table::default();
+    lose(&mut table, &[&[9], &[9], &[9]]);
+    let later = Instant::default() + SECOND * 300;
+    let Verdict::Refuse { retry_after_ms, .. } = table.admit(later, &parts(&[9]), false) else {
+        panic!("another process runs the trials");
+    };
+    assert!(retry_after_ms >= 1000, "{retry_after_ms} ms");
+}
+
 #[test]
 fn a_release_clears_all_that_was_lost_together_and_holds_everywhere() {
     let mut table = Table::default();
