--- a/crates/proof/tests/bounds/main.rs
+++ b/crates/proof/tests/bounds/main.rs
@@ -1,5 +1,6 @@
 //! Bounds that hold for all gateways together: retries to a service that refuses requests, while
-//! gateways and control hosts restart again and again, and the limits that upstreams name.
+//! gateways and control hosts restart again and again, the limits that upstreams name, and prompts
+//! that crash engines.
 
 #![allow(
     dead_code,
@@ -8,6 +9,7 @@
 
 #[path = "../soak/caller.rs"]
 mod caller;
+mod deadly;
 #[path = "../soak/deployment.rs"]
 mod deployment;
 #[path = "../soak/ledger.rs"]
@@ -20,11 +22,9 @@
 mod relay;
 
 use std::collections;
-use std::net;
 use std::ops;
 use std::time;
 
-use http_body_util::BodyExt as _;
 use peargap_fake::runner;
 
 const GATEWAYS: usize = 6;
@@ -199,129 +199,3 @@
         assert!(after >= limited, "{name}: {after} requests after the limit");
     }
 }
-
-/// Part of prompts on which the engines crash, and time for which they are gone.
-const DEADLY: &str = "dead";
-const DOWN_TIME: time::Duration = time::Duration::from_millis(1500);
-const ENGINES: usize = 8;
-/// Time for which generations are sent, and the time between two of each sort.
-const DEADLY_TIME: time::Duration = time::Duration::from_secs(12);
-const DEADLY_INTERVAL: time::Duration = time::Duration::from_millis(200);
-const SOUND_INTERVAL: time::Duration = time::Duration::from_millis(40);
-/// Crash from which on deadly generations count, the time after it, and how many may arrive.
-const COUNTED_CRASH: usize = 5;
-const CONTACT: time::Duration = time::Duration::from_secs(3);
-const MAX_LATE: usize = 3;
-/// Part of the sound generations that is to be served once the counted crashes are over.
-const MIN_SERVED: f64 = 0.95;
-
-/// Sends a generation to a gateway; returns whether it was served to its end.
-async fn send_generation(port: u16, attempt: String, parts: String) -> bool {
-    let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
-    let Ok(stream) = tokio::net::TcpStream::connect(address).await else {
-        return false;
-    };
-    let io = hyper_util::rt::TokioIo::new(stream);
-    let Ok((mut sender, connection)) = hyper::client::conn::http1::handshake(io).await else {
-        return false;
-    };
-    // Its errors fail the request, too.
-    tokio::spawn(async move { drop(connection.await) });
-    let request = http::Request::post("/stream/x")
-        .header("host", "h")
-        .header("attempt-id", attempt)
-        .header("deadline-ms", 4000)
-        .header("token-usage", "900,400")
-        .header("model", "m")
-        .header("prefix-hash", parts);
-    let body = http_body_util::Full::new(bytes::Bytes::from_static(b"prompt"));
-    let request = request.body(body).expect("a request");
-    let Ok(response) = sender.send_request(request).await else {
-        return false;
-    };
-    let is_success = response.status().is_success();
-    is_success && response.into_body().collect().await.is_ok()
-}
-
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn prompts_that_crash_engines_are_refused_by_all_gateways_and_sound_ones_are_served() {
-    let mut deployment = deployment::Deployment::start(GATEWAYS).await;
-    for _engine in 0..ENGINES {
-        deployment.add_direct_upstream("pool").await;
-    }
-    // Relays accept connections for an engine that has crashed.
-    for relayed in &deployment.upstreams {
-        if relayed.service == "pool" && relayed.address != relayed.runner.address {
-            *relayed.state.lock().expect("a state") = Some("draining");
-        }
-    }
-    let engines = deployment.upstreams.iter();
-    let engines = engines.filter(|one| one.address == one.runner.address);
-    let runners: Vec<_> = engines.map(|engine| engine.runner.clone()).collect();
-    for runner in &runners {
-        runner.set_events(6, time::Duration::from_millis(10));
-        runner.crash_on_part(Some(DEADLY), DOWN_TIME);
-    }
-    let ledger = ledger::Ledger::default();
-    let operator = operator::Operator::start(&deployment, ledger.clone()).await;
-    tokio::time::sleep(time::Duration::from_secs(3)).await;
-    let begun = time::Instant::now();
-    let ports = deployment.gateway_ports.clone();
-    let send_all = |name: &'static str, interval: time::Duration| {
-        let ports = ports.clone();
-        tokio::spawn(async move {
-            let mut sent = Vec::new();
-            for number in 0.. {
-                if begun.elapsed() >= DEADLY_TIME {
-                    break;
-                }
-                let middle = match name {
-                    DEADLY => DEADLY.to_owned(),
-                    _sound => format!("{:x}", number % 5),
-                };
-                let parts = format!("aa:40,{middle}:30,{number:x}:800");
-                let port = ports[number % ports.len()];
-                let attempt = format!("{name}-{number}");
-                let sent_at = time::Instant::now();
-                let sending = tokio::spawn(send_generation(port, attempt, parts));
-                sent.push((sent_at, sending));
-                tokio::time::sleep(interval).await;
-            }
-            sent
-        })
-    };
-    let deadly = send_all(DEADLY, DEADLY_INTERVAL);
-    let sound = send_all("sound", SOUND_INTERVAL);
-    let mut counted_from = None;
-    while begun.elapsed() < DEADLY_TIME {
-        let crashes: usize = runners.iter().map(|one| one.count_crashes()).sum();
-        if crashes >= COUNTED_CRASH && counted_from.is_none() {
-            counted_from = Some(time::Instant::now() + CONTACT);
-        }
-        tokio::time::sleep(time::Duration::from_millis(5)).await;
-    }
-    let mut served = 0;
-    let mut settled = 0;
-    for (sent_at, sending) in sound.await.expect("sound generations") {
-        let is_served = sending.await.expect("a generation");
-        if sent_at >= begun + DEADLY_TIME / 2 {
-            settled += 1;
-            served += usize::from(is_served);
-        }
-    }
-    for (_sent_at, sending) in deadly.await.expect("deadly generations") {
-        assert!(!sending.await.expect("a generation"));
-    }
-    drop(operator);
-    let crashes: usize = runners.iter().map(|one| one.count_crashes()).sum();
-    let arrivals: Vec<_> = runners.iter().flat_map(|one| one.arrivals()).collect();
-    let deadly = arrivals
-        .iter()
-        .filter(|one| one.attempt.starts_with(DEADLY));
-    let late = deadly.filter(|one| counted_from.is_some_and(|from| one.at > from));
-    let late = late.count();
-    println!("{crashes} crashes, {late} late, {served} of {settled} sound generations served");
-    assert!(crashes > 0, "no engine crashed");
-    assert!(late <= MAX_LATE, "{late} deadly generations arrived");
-    assert!(as_number(served) >= MIN_SERVED * as_number(settled));
-}
