--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -129,7 +129,7 @@
         told: &[evidence::Evidence],
         writes: &[evidence::Write],
     ) -> Vec<Change> {
-        self.forget(now);
+        let has_forgotten = self.forget(now);
         let former = self.last_change;
         for evidence in told {
             self.merge_evidence(now, evidence);
@@ -137,9 +137,9 @@
         for write in writes {
             self.add_write(now, write, false);
         }
-        match self.last_change == former {
-            true => Vec::new(),
-            false => self.refresh(),
+        match has_forgotten || self.last_change != former {
+            true => self.refresh(),
+            false => Vec::new(),
         }
     }
 
@@ -317,8 +317,10 @@
         changes.collect()
     }
 
-    /// Forgets what has had no news for long, and the least suspected parts if there are too many.
-    fn forget(&mut self, now: Instant) {
+    /// Forgets what has had no news for long, and the least suspected parts if there are too many;
+    /// returns whether it forgot any.
+    fn forget(&mut self, now: Instant) -> bool {
+        let former = self.entries.len();
         let groups = &self.groups;
         self.entries.retain(|part, entry| {
             let is_quarantined = groups.iter().any(|group| group.contains(part));
@@ -335,10 +337,11 @@
                 (is_quarantined, entry.evidence.moments, entry.change)
             });
             let Some(part) = least.map(|(part, _entry)| *part) else {
-                return;
+                break;
             };
             self.entries.remove(&part);
         }
+        self.entries.len() < former
     }
 }
 
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -283,6 +283,16 @@
     assert!(!is_quarantined(&table, &[9]));
 }
 
+#[test]
+fn a_forgotten_part_is_no_longer_in_quarantine() {
+    let mut table = Table::default();
+    lose(&mut table, &[&[9], &[9], &[9]]);
+    let next_day = Instant::default() + SECOND * 100_000;
+    table.merge(next_day, &[], &[]);
+    assert_eq!(table.admit(next_day, &parts(&[9]), false), Verdict::Allow);
+    assert!(!is_quarantined(&table, &[9]));
+}
+
 #[test]
 fn extreme_evidence_of_another_process_does_no_harm() {
     let mut table = Table::default();
