gateway: E6031 also for plain calls, with a digest that all repeats of a request share

The hypotheses of the incident could not be told apart: no line said whether the process of an upstream that broke off a plain call had ended, or what the calls lost in several crashes have in common. E6031 has both now; the digest covers method, host, path, caller and body, and is computed only for a request that was broken off.

Ruled out as the cause: our own second send (the call that is sent once at most ends as many), load after a restart (no crash without the digest).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod rate_limit;
 pub mod reconnect;
 pub mod replay_buffer;
+pub mod request;
 pub mod retry;
 pub mod retry_budget;
 pub mod routes;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body;
+use peargap_adapters::digest;
 use peargap_adapters::logs;
+use peargap_core::request;
 use peargap_platform::head;
 use tokio::time;
 
@@ -26,6 +28,8 @@
     pub(crate) deadline: time::Instant,
     /// Its body.
     pub(crate) body: Bytes,
+    /// Its identity, once it has been computed.
+    pub(crate) digest: sync::OnceLock<request::Digest>,
     /// Values parsed from its headers.
     pub(crate) head: head::Request,
     /// Method, URI and headers as received.
@@ -37,6 +41,20 @@
 }
 
 impl Request {
+    /// Returns the identity of the request, which its repeats have as well. The first call computes it.
+    pub(crate) fn digest(&self) -> request::Digest {
+        *self.digest.get_or_init(|| {
+            let path = self.parts.uri.path_and_query();
+            digest::hash_request(digest::Request {
+                body: &self.body,
+                caller: self.team.as_deref().unwrap_or_default(),
+                host: &self.head.host,
+                method: self.parts.method.as_str(),
+                path: path.map_or("", |path| path.as_str()),
+            })
+        })
+    }
+
     /// Returns the milliseconds until the deadline.
     pub(crate) fn remaining_ms(&self) -> u64 {
         let remaining = self
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -45,5 +45,5 @@
     logs::Event::warn(6032, "quarantine of prompt parts changed");
 pub(crate) const QUARANTINE_TRIAL: logs::Event =
     logs::Event::info(6033, "trial of a prompt in quarantine");
-pub(crate) const BROKEN_AT_BEGIN: logs::Event =
-    logs::Event::warn(6031, "stream broken as the generation began");
+pub(crate) const REQUEST_BROKEN_OFF: logs::Event =
+    logs::Event::warn(6031, "request broken off by its upstream");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! Routing of a request, up to the choice of an upstream.
 
 use std::convert;
+use std::sync;
 use std::time;
 
 use bytes::Bytes;
@@ -105,6 +106,7 @@
             arrived,
             body,
             deadline,
+            digest: sync::OnceLock::new(),
             head,
             parts,
             priority: service.engine.is_some().then_some(priority),
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -6,6 +6,7 @@
 
 use crate::attempts;
 use crate::call;
+use crate::crash;
 use crate::events;
 use crate::fleet;
 use crate::gateway;
@@ -139,6 +140,10 @@
                 placement.name
             ),
         );
+        if matches!(failure, call::Failure::Unknown(_)) {
+            let broken = crash::Broken::new(&gateway.fleet, request, placement, 0);
+            tokio::spawn(broken.examine());
+        }
     }
     result
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -315,8 +315,8 @@
                 .record_outcome(self.placement.key, outcome);
             if crash::is_beginning(self.events) {
                 let fleet = &self.gateway.fleet;
-                let broken =
-                    crash::Broken::new(fleet, &self.generation, &self.placement, self.events);
+                let request = &self.generation.request;
+                let broken = crash::Broken::new(fleet, request, &self.placement, self.events);
                 self.broken = Some(broken);
             }
         }
