--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -37,6 +37,15 @@
     Unsigned,
 }
 
+/// Requests that crash the process that begins to write an answer to them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trigger {
+    /// Those with this body.
+    Body(&'static str),
+    /// Those whose prompt has the part with this ID.
+    Part(&'static str),
+}
+
 /// A request that a runner has run.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Run {
@@ -107,8 +116,8 @@
     copies: collections::HashSet<String>,
     /// Cancelled when the process crashes.
     crash: CancellationToken,
-    /// ID of the part of prompts on which the process crashes as it begins to write.
-    crash_part: Option<&'static str>,
+    /// Requests that crash the process.
+    crash_trigger: Option<Trigger>,
     /// Number of crashes.
     crashes: usize,
     /// Time for which nothing listens after a crash.
@@ -137,7 +146,7 @@
             body_bytes: None,
             copies: collections::HashSet::new(),
             crash: CancellationToken::new(),
-            crash_part: None,
+            crash_trigger: None,
             crashes: 0,
             down_time: time::Duration::from_millis(100),
             events: 5,
@@ -285,11 +294,10 @@
         self.inner.produced_events.load(atomic::Ordering::SeqCst)
     }
 
-    /// Makes the process crash when it begins to write on a prompt with this part, and be back after
-    /// `down_time`.
-    pub fn crash_on_part(&self, id: Option<&'static str>, down_time: time::Duration) {
+    /// Makes these requests crash the process, which is back after `down_time`.
+    pub fn crash_on(&self, trigger: Option<Trigger>, down_time: time::Duration) {
         let mut state = self.lock();
-        state.crash_part = id;
+        state.crash_trigger = trigger;
         state.down_time = down_time;
     }
 
@@ -305,13 +313,16 @@
         self.lock().crashes
     }
 
-    fn crashes_on(&self, headers: &HeaderMap) -> bool {
-        let Some(part) = self.lock().crash_part else {
-            return false;
-        };
-        let parts = answer::header_text(headers, "prefix-hash").unwrap_or_default();
-        let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
-        ids.any(|id| id == part)
+    fn crashes_on(&self, headers: &HeaderMap, body: &Bytes) -> bool {
+        match self.lock().crash_trigger {
+            None => false,
+            Some(Trigger::Body(deadly)) => body == deadly,
+            Some(Trigger::Part(part)) => {
+                let parts = answer::header_text(headers, "prefix-hash").unwrap_or_default();
+                let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
+                ids.any(|id| id == part)
+            }
+        }
     }
 
     /// Interrupts all running streams.
--- a/crates/fake/src/runner/answer.rs
+++ b/crates/fake/src/runner/answer.rs
@@ -111,7 +111,7 @@
         runner::Behaviour::Answer | runner::Behaviour::Shed
             if headers.contains_key("token-usage") =>
         {
-            let crashes = runner.crashes_on(&headers);
+            let crashes = runner.crashes_on(&headers, &body);
             stream_events(&runner, &attempt, last_event_id.unwrap_or(0), crashes)
         }
         runner::Behaviour::Answer | runner::Behaviour::Shed => {
@@ -120,6 +120,11 @@
                 (state.answer_delay, state.body_bytes)
             };
             tokio::time::sleep(delay).await;
+            if runner.crashes_on(&headers, &body) {
+                runner.crash();
+                // The crash closes the connection.
+                core::future::pending::<()>().await;
+            }
             let body = body_bytes.map_or(body, |bytes| vec![b'x'; bytes].into());
             respond(StatusCode::OK, &attempt, body)
         }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -385,7 +385,8 @@
     }
 }
 
-fn service_name(name: &str) -> &'static str {
+/// Returns the service of a runner with this name.
+pub(crate) fn service_name(name: &str) -> &'static str {
     match name.starts_with('d') {
         true => "desk",
         false => "pool",
--- a/crates/proof/tests/bounds/deadly.rs
+++ b/crates/proof/tests/bounds/deadly.rs
@@ -108,7 +108,7 @@
     let runners: Vec<_> = direct.iter().map(|engine| engine.runner.clone()).collect();
     for runner in &runners {
         runner.set_events(6, time::Duration::from_millis(10));
-        runner.crash_on_part(Some(DEADLY), DOWN_TIME);
+        runner.crash_on(Some(runner::Trigger::Part(DEADLY)), DOWN_TIME);
     }
     runners
 }
--- a/crates/proof/tests/soak/deployment.rs
+++ b/crates/proof/tests/soak/deployment.rs
@@ -255,7 +255,7 @@
             upstream.relay.delay(time::Duration::ZERO);
             upstream.runner.set_behaviour(runner::Behaviour::Answer);
             upstream.runner.set_limit(None);
-            upstream.runner.crash_on_part(None, time::Duration::ZERO);
+            upstream.runner.crash_on(None, time::Duration::ZERO);
         }
         for relay in &self.control_relays {
             relay.delay(time::Duration::ZERO);
--- a/crates/proof/tests/soak/faults.rs
+++ b/crates/proof/tests/soak/faults.rs
@@ -162,7 +162,7 @@
         Fault::LinkSilent => deployment.control_relays[host].silence(),
         Fault::RunnerCrashes => {
             let runner = &deployment.upstreams[upstream].runner;
-            runner.crash_on_part(None, duration);
+            runner.crash_on(None, duration);
             runner.crash();
         }
         Fault::RunnerLeaves => {
@@ -223,12 +223,12 @@
             let upstreams = deployment.upstreams.iter();
             let runners: Vec<_> = upstreams.map(|upstream| upstream.runner.clone()).collect();
             for runner in &runners {
-                runner.crash_on_part(Some(caller::DEADLY_PART), duration);
+                runner.crash_on(Some(runner::Trigger::Part(caller::DEADLY_PART)), duration);
             }
             tokio::spawn(async move {
                 tokio::time::sleep(DEADLY_TIME).await;
                 for runner in &runners {
-                    runner.crash_on_part(None, duration);
+                    runner.crash_on(None, duration);
                 }
             });
         }
