--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -65,7 +65,8 @@
         self.call_any(|host| self.history_from(host, limit)).await
     }
 
-    /// Returns the prompt parts on which engines may crash, from the first host that responds.
+    /// Returns the prompt parts and requests on which upstreams may crash, from the first host that
+    /// responds.
     pub(crate) async fn quarantine(&self) -> Result<operator::QuarantineReply, Error> {
         self.call_any(|host| async move {
             let mut grpc = connect(host).await?;
@@ -75,17 +76,17 @@
         .await
     }
 
-    /// Clears a prompt part at the first host that responds, which tells all others.
+    /// Clears a prompt part or a request at the first host that responds, which tells all others.
     pub(crate) async fn release(
         &self,
-        part: u64,
+        name: &operator::Name,
         operator: &str,
     ) -> Result<operator::ReleaseReply, Error> {
         self.call_any(|host| async move {
             let mut grpc = connect(host).await?;
             let request = self.authorize(operator::ReleaseRequest {
+                name: Some(name.clone()),
                 operator: operator.to_owned(),
-                part,
             });
             await_reply(grpc.release(request)).await
         })
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -6,6 +6,10 @@
 use std::ffi;
 use std::path;
 
+use peargap_wire::operator;
+
+use crate::suspect;
+
 /// Text of `--help`.
 pub const HELP: &str = "\
 peargap [OPTIONS] COMMAND
@@ -21,8 +25,8 @@
   upstream drain NAME    stop placing new work on an upstream
   upstream resume NAME   place new work on it again
   members                list the known nodes
-  quarantine list        list prompt parts on which engines crash or may crash
-  quarantine release ID  serve prompts with a part again; ID is hexadecimal
+  quarantine list        list prompt parts and requests on which upstreams crash or may crash
+  quarantine release ID  serve a request again (request:HEX), or prompts with a part (part:HEX)
   account                count generations by outcome, from log lines on standard input
   explain REQUEST        print a request's timeline from log lines on standard input
   status                 show every control host and the nodes connected to it
@@ -79,10 +83,10 @@
     ManifestShow,
     /// List the known nodes.
     Members,
-    /// List the prompt parts on which engines may crash.
+    /// List the prompt parts and requests on which upstreams may crash.
     QuarantineList,
-    /// Serve prompts with a part again.
-    QuarantineRelease(u64),
+    /// Serve a request, or prompts with a part, again.
+    QuarantineRelease(operator::Name),
     /// Show the control hosts and the nodes connected to them.
     Status,
     /// Stop placing new work on an upstream.
@@ -171,7 +175,7 @@
         ["account"] => Command::Account,
         ["explain", request] => Command::Explain((*request).to_owned()),
         ["quarantine", "list"] => Command::QuarantineList,
-        ["quarantine", "release", id] => Command::QuarantineRelease(parse_part(id)?),
+        ["quarantine", "release", id] => Command::QuarantineRelease(suspect::parse(id)?),
         ["members"] => Command::Members,
         ["status"] => Command::Status,
         [] => return Err("missing command".to_owned()),
@@ -180,10 +184,6 @@
     Ok(command)
 }
 
-fn parse_part(text: &str) -> Result<u64, String> {
-    u64::from_str_radix(text, 16).map_err(|_error| format!("part {text:?} is not hexadecimal"))
-}
-
 fn take_value<T>(
     arguments: &mut pico_args::Arguments,
     name: &'static str,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,7 @@
 mod output;
 mod rollout;
 mod run;
+pub mod suspect;
 pub mod timeline;
 
 pub use run::run;
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -7,6 +7,7 @@
 use crate::diff;
 use crate::exit;
 use crate::rollout;
+use crate::suspect;
 
 /// Result of waiting until a change is in force.
 pub(crate) enum Wait {
@@ -302,52 +303,59 @@
     }
 }
 
-/// Prints the prompt parts on which engines crash or may crash.
+/// Prints the prompt parts and requests on which upstreams crash or may crash.
 pub(crate) fn report_quarantine(json: bool, reply: &operator::QuarantineReply) -> exit::Code {
-    let describe = |part: &operator::PartRow| {
+    let describe = |one: &operator::Suspect| {
         json!({
-            "losses": part.losses,
-            "model": format_part(part.model),
-            "moments": part.moments,
-            "part": format_part(part.part),
-            "quarantined": part.quarantined,
-            "together": part.together.iter().copied().map(format_part).collect::<Vec<_>>(),
-            "written": part.written,
+            "answered": one.successes,
+            "losses": one.losses,
+            "model": format!("{:08x}", one.model),
+            "moments": one.moments,
+            "name": format_name(one.name.as_ref()),
+            "quarantined": one.quarantined,
+            "together": one.together.iter().map(suspect::format).collect::<Vec<_>>(),
+            "trials": one.trials,
         })
     };
-    let value: Vec<serde_json::Value> = reply.parts.iter().map(describe).collect();
-    let lines = reply.parts.iter().map(|part| {
-        let state = match part.quarantined {
-            true => "quarantined",
-            false => "suspected",
-        };
-        let together: Vec<String> = part.together.iter().copied().map(format_part).collect();
-        format!(
-            "{} {state} losses {} at {} moments written {} together with {}",
-            format_part(part.part),
-            part.losses,
-            part.moments,
-            part.written,
-            together.join(",")
-        )
-    });
-    let lines: Vec<String> = lines.collect();
-    print(json, &json!({ "parts": value }), &lines);
+    let value: Vec<serde_json::Value> = reply.suspects.iter().map(describe).collect();
+    let lines: Vec<String> = reply.suspects.iter().map(format_suspect).collect();
+    print(json, &json!({ "suspects": value }), &lines);
     exit::Code::Done
 }
 
-/// Prints the prompt parts that a release has cleared; a part that is not known is an invalid argument.
-pub(crate) fn report_release(json: bool, part: u64, reply: &operator::ReleaseReply) -> exit::Code {
+fn format_suspect(one: &operator::Suspect) -> String {
+    let state = match one.quarantined {
+        true => "quarantined",
+        false => "suspected",
+    };
+    let together: Vec<String> = one.together.iter().map(suspect::format).collect();
+    format!(
+        "{} {state} losses {} at {} moments answered {} trials {} together with {}",
+        format_name(one.name.as_ref()),
+        one.losses,
+        one.moments,
+        one.successes,
+        one.trials,
+        together.join(",")
+    )
+}
+
+/// Prints what a release has cleared; what is not known is an invalid argument.
+pub(crate) fn report_release(
+    json: bool,
+    name: &operator::Name,
+    reply: &operator::ReleaseReply,
+) -> exit::Code {
     if reply.cleared.is_empty() {
-        let part = format_part(part);
-        return report_invalid_input(json, &format!("nothing is known against part {part}"));
+        let name = suspect::format(name);
+        return report_invalid_input(json, &format!("nothing is known against {name}"));
     }
-    let cleared: Vec<String> = reply.cleared.iter().copied().map(format_part).collect();
+    let cleared: Vec<String> = reply.cleared.iter().map(suspect::format).collect();
     let line = format!("cleared {}", cleared.join(","));
     print(json, &json!({ "cleared": cleared }), &[line]);
     exit::Code::Done
 }
 
-fn format_part(part: u64) -> String {
-    format!("{part:08x}")
+fn format_name(name: Option<&operator::Name>) -> String {
+    name.map_or_else(String::new, suspect::format)
 }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use peargap_adapters::manifest;
+use peargap_wire::operator;
 use peargap_wire::operator::submit_request;
 
 use crate::account;
@@ -123,8 +124,8 @@
         }
         command::Command::Members => return show_with(line, &client, output::report_members).await,
         command::Command::QuarantineList => return show_quarantine(line, &client).await,
-        command::Command::QuarantineRelease(part) => {
-            return release_part(line, &client, *part, &operator).await
+        command::Command::QuarantineRelease(name) => {
+            return release(line, &client, name, &operator).await
         }
         command::Command::Status => return show_status(line, &client).await,
         command::Command::Account
@@ -189,14 +190,14 @@
     }
 }
 
-async fn release_part(
+async fn release(
     line: &command::CommandLine,
     client: &client::Client,
-    part: u64,
+    name: &operator::Name,
     operator: &str,
 ) -> exit::Code {
-    match client.release(part, operator).await {
-        Ok(reply) => output::report_release(line.json, part, &reply),
+    match client.release(name, operator).await {
+        Ok(reply) => output::report_release(line.json, name, &reply),
         Err(error) => output::report_error(line.json, &error),
     }
 }
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -42,10 +42,9 @@
 pub(crate) const RELOAD_FAILED: logs::Event = logs::Event::error(2130, "settings not reloaded");
 pub(crate) const LOAD_FAILED: logs::Event = logs::Event::warn(2111, "model not loaded in time");
 pub(crate) const LIMIT_CHANGED: logs::Event = logs::Event::info(2131, "upstream limit changed");
-pub(crate) const QUARANTINE_CHANGED: logs::Event =
-    logs::Event::warn(2132, "quarantine of prompt parts changed");
+pub(crate) const QUARANTINE_CHANGED: logs::Event = logs::Event::warn(2132, "quarantine changed");
 pub(crate) const GRANT_IGNORED: logs::Event = logs::Event::info(2133, "freshness grant ignored");
 pub(crate) const PEER_MESSAGE_REJECTED: logs::Event =
     logs::Event::error(2134, "message of another control host rejected");
-pub(crate) const PART_RELEASED: logs::Event =
-    logs::Event::info(2135, "prompt part released by an operator");
+pub(crate) const QUARANTINE_RELEASED: logs::Event =
+    logs::Event::info(2135, "quarantine ended by an operator");
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -11,7 +11,6 @@
 use peargap_adapters::logs;
 use peargap_core::load_totals;
 use peargap_core::named_limits;
-use peargap_core::prompt;
 use peargap_core::quarantine;
 use peargap_core::upstreams;
 use peargap_wire::operator;
@@ -20,6 +19,7 @@
 
 use crate::events;
 use crate::replica;
+use crate::suspect;
 
 /// Time between checks for silent upstreams.
 const EXPIRY_PERIOD: time::Duration = time::Duration::from_millis(500);
@@ -61,7 +61,7 @@
     /// Limits that upstreams named to gateways.
     limits: named_limits::Table,
     links: collections::BTreeMap<LinkKey, Link>,
-    /// Evidence of gateways on prompt parts that crash engines.
+    /// Evidence of gateways on what crashes upstreams.
     quarantine: quarantine::Table,
     /// Sums of the loads on all links.
     totals: load_totals::Totals,
@@ -97,7 +97,7 @@
     pub(crate) news: Vec<named_limits::News>,
 }
 
-/// Evidence on prompt parts.
+/// Evidence on what crashes upstreams.
 #[derive(Debug)]
 pub(crate) struct Evidence {
     /// Number of the last change that the evidence includes.
@@ -204,20 +204,20 @@
         }
     }
 
-    /// Records what a gateway knows of prompt parts, and the generations with suspected parts that it saw
-    /// written, and tells all gateways.
+    /// Records what a gateway knows of what crashes upstreams, and the requests with suspected subjects that
+    /// it saw answered, and tells all gateways.
     pub(crate) fn record_evidence(
         &self,
         told: &[quarantine::Evidence],
-        writes: &[quarantine::Write],
+        successes: &[quarantine::Success],
     ) {
-        if told.is_empty() && writes.is_empty() {
+        if told.is_empty() && successes.is_empty() {
             return;
         }
         let now = self.clock.now();
         let mut state = self.lock();
         let former = state.quarantine.last_change();
-        let changes = state.quarantine.merge(now, told, writes);
+        let changes = state.quarantine.merge(now, told, successes);
         let has_news = state.quarantine.last_change() != former;
         drop(state);
         log_quarantine(&changes);
@@ -226,40 +226,36 @@
         }
     }
 
-    /// Clears a prompt part, as an operator wishes, and tells all gateways; returns the cleared parts.
-    pub(crate) fn release_part(&self, id: u64, operator: &str) -> Vec<prompt::Part> {
+    /// Clears a prompt part or a request, as an operator wishes, and tells all gateways; returns what was
+    /// cleared.
+    pub(crate) fn release(
+        &self,
+        name: quarantine::Name,
+        operator: &str,
+    ) -> Vec<quarantine::Subject> {
         let now = self.clock.now();
-        let (parts, changes) = self.lock().quarantine.release(now, id);
+        let (subjects, changes) = self.lock().quarantine.release(now, name);
         logs::emit(
-            events::PART_RELEASED,
-            format_args!("part={id:08x} operator={operator:?} cleared={parts:?}"),
+            events::QUARANTINE_RELEASED,
+            format_args!(
+                "subject={name} operator={operator:?} cleared={}",
+                quarantine::List(&subjects)
+            ),
         );
         log_quarantine(&changes);
         self.last_change.send_modify(|_change| {});
-        parts
+        subjects
     }
 
-    /// Returns what is known of prompt parts on which engines may crash.
-    pub(crate) fn list_suspects(&self) -> Vec<operator::PartRow> {
+    /// Returns what is known of the prompt parts and requests on which upstreams may crash.
+    pub(crate) fn list_suspects(&self) -> Vec<operator::Suspect> {
         let state = self.lock();
         let suspects = state.quarantine.list_suspects();
-        let rows = suspects.map(|(evidence, group)| operator::PartRow {
-            losses: u32::try_from(evidence.losses.len()).unwrap_or(u32::MAX),
-            model: evidence.part.model,
-            moments: evidence.moments,
-            part: evidence.part.id,
-            quarantined: group.is_some(),
-            together: group
-                .unwrap_or_default()
-                .iter()
-                .map(|part| part.id)
-                .collect(),
-            written: evidence.writes,
-        });
+        let rows = suspects.map(|(evidence, group)| suspect::encode(evidence, group));
         rows.collect()
     }
 
-    /// Returns the evidence on prompt parts that changed after `change`.
+    /// Returns the evidence on what crashes upstreams that changed after `change`.
     pub(crate) fn list_evidence(&self, change: u64) -> Evidence {
         let state = self.lock();
         Evidence {
@@ -454,11 +450,12 @@
         logs::emit(
             events::QUARANTINE_CHANGED,
             format_args!(
-                "part={} quarantined={} losses={} written={}",
-                change.evidence.part,
+                "subject={} quarantined={} losses={} answered={} trials={}",
+                change.evidence.subject,
                 change.is_quarantined,
                 change.evidence.losses.len(),
-                change.evidence.writes
+                change.evidence.successes,
+                change.evidence.trials
             ),
         );
     }
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -71,7 +71,7 @@
 struct Sent {
     change: u64,
     hosts: Hosts,
-    /// Number of the last change of the evidence on prompt parts.
+    /// Number of the last change of the evidence on what crashes upstreams.
     evidence_change: u64,
     /// Number of the last change of a limit.
     limit_change: u64,
@@ -163,9 +163,9 @@
         for news in report.limits {
             fleet.record_limit(limit::decode(news));
         }
-        let told: Vec<_> = report.evidence.iter().map(evidence::decode).collect();
-        let writes: Vec<_> = report.writes.iter().map(evidence::decode_write).collect();
-        fleet.record_evidence(&told, &writes);
+        let told = evidence::decode_all(&report.evidence);
+        let successes = evidence::decode_successes(&report.successes);
+        fleet.record_evidence(&told, &successes);
         for departure in report.departures {
             fleet.record_departure(&departure.upstream, departure.born_ms);
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -36,5 +36,6 @@
 pub mod state_machine;
 pub mod status;
 mod storage;
+mod suspect;
 mod ticks;
 mod timers;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -20,6 +20,7 @@
 use crate::replica;
 use crate::state_codec;
 use crate::status;
+use crate::suspect;
 
 /// Header that carries the operator's key.
 const AUTHORIZATION: &str = "authorization";
@@ -111,8 +112,8 @@
         request: tonic::Request<operator::QuarantineRequest>,
     ) -> Result<tonic::Response<operator::QuarantineReply>, tonic::Status> {
         self.authorize(&request)?;
-        let parts = self.fleet.list_suspects();
-        Ok(tonic::Response::new(operator::QuarantineReply { parts }))
+        let suspects = self.fleet.list_suspects();
+        Ok(tonic::Response::new(operator::QuarantineReply { suspects }))
     }
 
     async fn release(
@@ -121,8 +122,13 @@
     ) -> Result<tonic::Response<operator::ReleaseReply>, tonic::Status> {
         self.authorize(&request)?;
         let request = request.into_inner();
-        let cleared = self.fleet.release_part(request.part, &request.operator);
-        let cleared = cleared.into_iter().map(|part| part.id).collect();
+        let Some(name) = suspect::decode_name(request.name) else {
+            return Err(tonic::Status::invalid_argument(
+                "neither a prompt part nor a request is named",
+            ));
+        };
+        let cleared = self.fleet.release(name, &request.operator);
+        let cleared = cleared.into_iter().map(suspect::encode_name).collect();
         Ok(tonic::Response::new(operator::ReleaseReply { cleared }))
     }
 
--- a/crates/control/tests/operators.rs
+++ b/crates/control/tests/operators.rs
@@ -214,6 +214,12 @@
     assert_eq!(claim_until_answered(&cluster.hosts[0], "c"), answer);
 }
 
+fn part_name(part: u64) -> operator::Name {
+    operator::Name {
+        kind: Some(operator::name::Kind::Part(part)),
+    }
+}
+
 /// Tells a host, as a gateway does, of a part on which three engines ended; returns the link.
 async fn tell_evidence(host: &support::Host) -> mpsc::Sender<fleet::Report> {
     let address = format!("http://{}", host.internal);
@@ -225,7 +231,12 @@
         evidence: vec![fleet::Evidence {
             losses: vec![1, 2, 3],
             moments: 3,
-            part: 0xdead,
+            subject: Some(fleet::Subject {
+                kind: Some(fleet::subject::Kind::Part(fleet::Part {
+                    id: 0xdead,
+                    model: 5,
+                })),
+            }),
             ..fleet::Evidence::default()
         }],
         gateway: "g".to_owned(),
@@ -262,22 +273,26 @@
     let listed = client
         .quarantine(add_key(operator::QuarantineRequest {}))
         .await;
-    let parts = listed.expect("an answer").into_inner().parts;
-    assert_eq!(parts.len(), 1);
-    assert!(parts[0].quarantined);
-    assert_eq!((parts[0].part, parts[0].losses), (0xdead, 3));
+    let suspects = listed.expect("an answer").into_inner().suspects;
+    assert_eq!(suspects.len(), 1);
+    assert!(suspects[0].quarantined);
+    assert_eq!(suspects[0].name, Some(part_name(0xdead)));
+    assert_eq!((suspects[0].model, suspects[0].losses), (5, 3));
     let release = |part| {
         add_key(operator::ReleaseRequest {
+            name: Some(part_name(part)),
             operator: "ana".to_owned(),
-            part,
         })
     };
+    let nothing = add_key(operator::ReleaseRequest::default());
+    let refused = client.release(nothing).await.expect_err("no name");
+    assert_eq!(refused.code(), tonic::Code::InvalidArgument);
     let unknown = client.release(release(7)).await.expect("an answer");
     assert!(unknown.into_inner().cleared.is_empty());
     let released = client.release(release(0xdead)).await.expect("an answer");
-    assert_eq!(released.into_inner().cleared, [0xdead]);
+    assert_eq!(released.into_inner().cleared, [part_name(0xdead)]);
     let listed = client
         .quarantine(add_key(operator::QuarantineRequest {}))
         .await;
-    assert!(listed.expect("an answer").into_inner().parts.is_empty());
+    assert!(listed.expect("an answer").into_inner().suspects.is_empty());
 }
--- a/crates/control/tests/platform/main.rs
+++ b/crates/control/tests/platform/main.rs
@@ -298,13 +298,21 @@
     assert_eq!(told.upstreams[0].state(), wire::State::Ready);
 }
 
+fn deadly_part() -> wire::Subject {
+    wire::Subject {
+        kind: Some(wire::subject::Kind::Part(wire::Part {
+            id: 0xdead,
+            model: 5,
+        })),
+    }
+}
+
 /// Evidence that three engines ended as generations with a part began.
 fn deadly_evidence() -> wire::Evidence {
     wire::Evidence {
         losses: vec![1, 2, 3],
-        model: 5,
         moments: 3,
-        part: 0xdead,
+        subject: Some(deadly_part()),
         ..wire::Evidence::default()
     }
 }
@@ -327,16 +335,15 @@
     let told = later.wait_for(|update| !update.evidence.is_empty()).await;
     assert_eq!(told.evidence, [deadly_evidence()]);
     // A generation that was written counts once, and is told on.
-    let write = wire::Write {
+    let success = wire::Success {
         epoch: 0,
-        model: 5,
-        part: 0xdead,
+        subject: Some(deadly_part()),
     };
     let report = wire::Report {
-        writes: vec![write],
+        successes: vec![success],
         ..wire::Report::default()
     };
     reporting.reports.send(report).await.expect("a link");
     let told = other.wait_for(|update| !update.evidence.is_empty()).await;
-    assert_eq!(told.evidence[0].writes, 1);
+    assert_eq!(told.evidence[0].successes, 1);
 }
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -1,60 +1,90 @@
-//! Evidence on one part of prompts.
+//! Evidence on one subject.
 
+use core::cmp;
 use std::collections;
 
 use xxhash_rust::xxh3;
 
-use crate::prompt;
+use crate::quarantine::subject;
 
-/// Logarithm of how much likelier an engine ends as a generation begins if the part crashes every
-/// second engine (0.5) than if it is sound (0.05).
-const LOSS_WEIGHT: f64 = 2.303;
-/// Logarithm of how much likelier a generation is written if the part is sound (0.95) than if it
-/// crashes every second engine (0.5).
-const WRITE_WEIGHT: f64 = 0.642;
-/// Weight from which a part is put in quarantine: that of three losses, with one generation written.
+/// Weight from which a subject is put in quarantine: that of three losses, with one success.
 const QUARANTINE_WEIGHT: f64 = 6.0;
-/// Generations written in a row that clear a part.
-const CLEAR_WRITES: u32 = 4;
 /// Losses that are told apart; later ones only count.
 const MAX_LOSSES: usize = 32;
 
-/// Identity of the end of one process of an engine.
+/// Weights of what is observed of a subject.
+struct Odds {
+    /// Successes in a row that clear it.
+    clear_successes: u32,
+    /// Logarithm of how much likelier an upstream ends if the subject is the cause than if it is sound.
+    loss: f64,
+    /// Logarithm of how much likelier a request is answered if the subject is sound than if it crashes
+    /// upstreams.
+    success: f64,
+}
+
+/// Other requests with the part may be answered: an upstream ends with probability 0.5 if the part is the
+/// cause and with 0.05 if it is sound.
+const PART_ODDS: Odds = Odds {
+    clear_successes: 4,
+    loss: 2.303,
+    success: 0.642,
+};
+
+/// Repeats of one request mostly end alike: the probabilities are 0.8 and 0.05.
+const REQUEST_ODDS: Odds = Odds {
+    clear_successes: 3,
+    loss: 2.773,
+    success: 1.558,
+};
+
+impl Odds {
+    fn of(subject: subject::Subject) -> &'static Odds {
+        match subject {
+            subject::Subject::Part(_) => &PART_ODDS,
+            subject::Subject::Request(_) => &REQUEST_ODDS,
+        }
+    }
+}
+
+/// Identity of the end of one process of an upstream.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Loss(pub u64);
 
 impl Loss {
-    /// Returns the end of the process of an engine that started at `born_ms`, in Unix milliseconds.
+    /// Returns the end of the process of an upstream that started at `born_ms`, in Unix milliseconds.
     #[must_use]
     pub fn new(upstream: &str, born_ms: u64) -> Loss {
         Loss(xxh3::xxh3_64_with_seed(upstream.as_bytes(), born_ms))
     }
 }
 
-/// A generation whose prompt has a suspected part and that was written.
+/// An answered request that has a suspected subject.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Write {
+pub struct Success {
     /// Epoch of the evidence that it counts for.
     pub epoch: u64,
-    /// The suspected part.
-    pub part: prompt::Part,
+    /// The suspected subject.
+    pub subject: subject::Subject,
 }
 
-/// What is known of one part. It holds no losses once the part is cleared.
+/// What is known of one subject. It holds no losses once the subject is cleared.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Evidence {
-    /// Number of times that the part was cleared.
+    /// Number of times that the subject was cleared.
     pub epoch: u64,
-    /// Engines that ended as generations with the part began.
+    /// Upstreams that ended while they ran requests with the subject.
     pub losses: collections::BTreeSet<Loss>,
-    /// Moments at which engines ended: those that end together may have a cause in common.
+    /// Moments at which upstreams ended: those that end together may have a cause in common.
     pub moments: u32,
-    /// The part.
-    pub part: prompt::Part,
-    /// Generations with the part that were written since the first loss.
-    pub writes: u32,
-    /// Generations with the part that were written since the last loss.
-    pub writes_since_loss: u32,
+    /// The subject.
+    pub subject: subject::Subject,
+    /// Requests with the subject that were answered since the first loss.
+    pub successes: u32,
+    /// Requests with the subject that were answered since the last loss.
+    pub successes_since_loss: u32,
+    /// Trials since the last success.
+    pub trials: u32,
 }
 
 /// What a change of the evidence was.
@@ -62,27 +92,28 @@
 pub(super) enum News {
     /// Nothing changed.
     None,
-    /// An engine was lost.
+    /// An upstream was lost.
     Loss,
     /// Other figures changed.
     Other,
 }
 
 impl Evidence {
-    /// Returns the evidence on a part of which nothing is known.
+    /// Returns the evidence on a subject of which nothing is known.
     #[must_use]
-    pub fn new(part: prompt::Part) -> Evidence {
+    pub fn new(subject: subject::Subject) -> Evidence {
         Evidence {
             epoch: 0,
             losses: collections::BTreeSet::new(),
             moments: 0,
-            part,
-            writes: 0,
-            writes_since_loss: 0,
+            subject,
+            successes: 0,
+            successes_since_loss: 0,
+            trials: 0,
         }
     }
 
-    /// Returns whether nothing speaks against the part.
+    /// Returns whether nothing speaks against the subject.
     #[must_use]
     pub fn is_clear(&self) -> bool {
         self.moments == 0
@@ -95,10 +126,11 @@
     }
 
     pub(super) fn weight(&self, moments: u32) -> f64 {
-        f64::from(moments) * LOSS_WEIGHT - f64::from(self.writes) * WRITE_WEIGHT
+        let odds = Odds::of(self.subject);
+        f64::from(moments) * odds.loss - f64::from(self.successes) * odds.success
     }
 
-    /// Records the end of an engine, in a moment of its own or in that of the loss before.
+    /// Records the end of an upstream, in a moment of its own or in that of the loss before.
     pub(super) fn record_loss(&mut self, loss: Loss, is_new_moment: bool) -> News {
         if self.losses.contains(&loss) {
             return News::None;
@@ -108,25 +140,34 @@
         }
         let is_new_moment = is_new_moment || self.moments == 0;
         self.moments = self.moments.saturating_add(u32::from(is_new_moment));
-        self.writes_since_loss = 0;
+        self.successes_since_loss = 0;
         News::Loss
     }
 
-    /// Records a generation that was written; enough of them in a row clear the part.
-    pub(super) fn record_write(&mut self) {
-        self.writes = self.writes.saturating_add(1);
-        self.writes_since_loss = self.writes_since_loss.saturating_add(1);
-        if self.writes_since_loss >= CLEAR_WRITES {
+    /// Records that a request was answered. Enough of them in a row clear the subject; a request in
+    /// quarantine is cleared by one, as each of its repeats would end the same way.
+    pub(super) fn record_success(&mut self, is_quarantined: bool) {
+        self.successes = self.successes.saturating_add(1);
+        self.successes_since_loss = self.successes_since_loss.saturating_add(1);
+        self.trials = 0;
+        let is_request = matches!(self.subject, subject::Subject::Request(_));
+        let is_enough = self.successes_since_loss >= Odds::of(self.subject).clear_successes;
+        if is_enough || is_request && is_quarantined {
             self.clear();
         }
     }
 
-    /// Makes nothing speak against the part any longer.
+    /// Records that a request is sent to show whether upstreams still end with it.
+    pub(super) fn record_trial(&mut self) {
+        self.trials = self.trials.saturating_add(1);
+    }
+
+    /// Makes nothing speak against the subject any longer.
     pub(super) fn clear(&mut self) {
         let epoch = self.epoch.saturating_add(1);
         *self = Evidence {
             epoch,
-            ..Evidence::new(self.part)
+            ..Evidence::new(self.subject)
         };
     }
 
@@ -154,11 +195,16 @@
             .moments
             .saturating_add(u32::from(has_new && is_new_moment));
         self.moments = counted.max(told.moments);
-        self.writes = self.writes.max(told.writes);
-        self.writes_since_loss = match (has_new, lacks) {
-            (false, false) => self.writes_since_loss.max(told.writes_since_loss),
-            (false, true) => self.writes_since_loss,
-            (true, false) => told.writes_since_loss,
+        self.trials = match self.successes.cmp(&told.successes) {
+            cmp::Ordering::Less => told.trials,
+            cmp::Ordering::Equal => self.trials.max(told.trials),
+            cmp::Ordering::Greater => self.trials,
+        };
+        self.successes = self.successes.max(told.successes);
+        self.successes_since_loss = match (has_new, lacks) {
+            (false, false) => self.successes_since_loss.max(told.successes_since_loss),
+            (false, true) => self.successes_since_loss,
+            (true, false) => told.successes_since_loss,
             (true, true) => 0,
         };
         if self.losses != former.losses || self.moments != former.moments {
--- a/crates/core/src/quarantine/group.rs
+++ b/crates/core/src/quarantine/group.rs
@@ -1,20 +1,21 @@
-//! Groups of parts that explain the losses of engines.
+//! Groups of subjects that explain the losses of upstreams.
 
 use std::collections;
 
-use crate::prompt;
 use crate::quarantine::evidence;
+use crate::quarantine::subject;
 
-/// Parts that the evidence cannot tell apart. A prompt that has all of them is refused.
-pub(super) type Group = Vec<prompt::Part>;
+/// Subjects that the evidence cannot tell apart: several parts, or a single request. A request that has
+/// all of them is refused.
+pub(super) type Group = Vec<subject::Subject>;
 
 /// Losses with one of two parts alone, from which they are told apart: a single one may have another
 /// cause, and to refuse a sound part by itself would refuse many sound prompts.
 const DISTINCT_LOSSES: usize = 2;
-/// Generations written with one of two parts that were lost together, from which they are told apart.
-const DISTINCT_WRITES: u32 = 2;
+/// Successes with one of two subjects that were lost together, from which they are told apart.
+const DISTINCT_SUCCESSES: u32 = 2;
 
-/// Evidence on one part, with the losses that no group explains yet.
+/// Evidence on one subject, with the losses that no group explains yet.
 struct Suspect<'a> {
     evidence: &'a evidence::Evidence,
     unexplained: collections::BTreeSet<evidence::Loss>,
@@ -29,11 +30,21 @@
         u32::try_from(unexplained).unwrap_or(u32::MAX)
     }
 
-    /// Returns whether this part may as well be the cause of what the worst one explains.
+    fn is_request(&self) -> bool {
+        matches!(self.evidence.subject, subject::Subject::Request(_))
+    }
+
+    /// Returns whether this subject may as well be the cause of what the worst one explains.
     fn may_explain(&self, worst: &Suspect<'_>) -> bool {
+        if self.is_request() && worst.is_request() {
+            // One more loss with one of two requests is enough to tell them apart: neither is refused
+            // in place of many others.
+            return self.unexplained == worst.unexplained;
+        }
         let lacking = worst.unexplained.difference(&self.unexplained).count();
-        let more_writes = self.evidence.writes.saturating_sub(worst.evidence.writes);
-        lacking < DISTINCT_LOSSES && more_writes < DISTINCT_WRITES
+        let successes = self.evidence.successes;
+        let more_successes = successes.saturating_sub(worst.evidence.successes);
+        lacking < DISTINCT_LOSSES && more_successes < DISTINCT_SUCCESSES
     }
 
     fn weight(&self) -> f64 {
@@ -57,10 +68,9 @@
     let mut groups = Vec::new();
     while let Some(worst) = take_worst(&mut suspects) {
         let tied = suspects.extract_if(.., |suspect| suspect.may_explain(&worst));
-        let mut group: Group = tied.map(|suspect| suspect.evidence.part).collect();
-        group.push(worst.evidence.part);
-        group.sort_unstable();
-        groups.push(group);
+        let mut tied: Vec<_> = tied.map(|suspect| suspect.evidence.subject).collect();
+        tied.push(worst.evidence.subject);
+        groups.extend(group(tied));
         for suspect in &mut suspects {
             suspect
                 .unexplained
@@ -77,3 +87,15 @@
     let is_enough = suspects.get(index).is_some_and(Suspect::is_enough);
     is_enough.then(|| suspects.swap_remove(index))
 }
+
+/// Returns the groups of subjects that nothing tells apart. A whole request is refused in place of the
+/// parts of its prompt, as that refuses least.
+fn group(mut tied: Vec<subject::Subject>) -> Vec<Group> {
+    tied.sort_unstable();
+    let is_request = |subject: &subject::Subject| matches!(subject, subject::Subject::Request(_));
+    if !tied.iter().any(is_request) {
+        return vec![tied];
+    }
+    let requests = tied.into_iter().filter(is_request);
+    requests.map(|request| vec![request]).collect()
+}
--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -1,57 +1,62 @@
-//! Evidence on all suspected parts, and the verdicts on prompts.
+//! Evidence on all suspects, and the verdicts on requests.
 
 use core::time::Duration;
 use std::collections;
 
-use crate::prompt;
 use crate::quarantine::evidence;
 use crate::quarantine::group;
+use crate::quarantine::subject;
 use crate::time::Instant;
 
-/// Parts of which evidence is kept.
+/// Subjects of which evidence is kept.
 const MAX_ENTRIES: usize = 4096;
-/// Losses of engines within this time of the first of them may have a cause in common.
+/// Losses of upstreams within this time of the first of them may have a cause in common.
 const MOMENT: Duration = Duration::from_millis(50);
-/// Time without news after which a part that is not in quarantine is forgotten.
+/// Time without news after which a subject that is not in quarantine is forgotten.
 const SUSPECT_TIME: Duration = Duration::from_secs(3600);
-/// Time without news after which a part in quarantine is forgotten.
+/// Time without news after which a subject in quarantine is forgotten.
 const QUARANTINE_TIME: Duration = Duration::from_secs(24 * 3600);
-/// Time from the third loss of an engine to the first trial; each further loss multiplies it by four.
+/// Time from the third loss of an upstream to the first trial; each further loss multiplies it by four.
 const FIRST_TRIAL: Duration = Duration::from_secs(60);
-/// Longest time from a loss of an engine to the next trial.
+/// Longest time from a loss of an upstream to the next trial.
 const MAX_TRIAL: Duration = Duration::from_secs(3600);
 /// Time between two trials without a loss.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
+/// Losses from which a request that was never answered is the likely cause.
+const LIKELY_LOSSES: u32 = 2;
+/// Trials without a success after which only an operator ends a quarantine, or the time without news.
+const MAX_TRIALS: u32 = 3;
 /// Losses after which the first trial comes after [`FIRST_TRIAL`].
 const FIRST_TRIAL_LOSSES: u32 = 3;
 /// Binary logarithm of the growth of the time to a trial with each loss.
 const TRIAL_GROWTH_BITS: u32 = 2;
 
-/// Whether a generation may be sent to an engine.
+/// Whether a request may be sent to an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
     /// It may.
     Allow,
-    /// It may, although its prompt is in quarantine: it shows whether engines still crash on it.
+    /// It may, although it is in quarantine: it shows whether upstreams still crash on it.
     Trial,
     /// It may not.
     Refuse {
-        /// The part because of which it may not.
-        part: prompt::Part,
-        /// Time to the next trial, in milliseconds; while trials are due elsewhere, the time between two.
+        /// The subject because of which it may not.
+        subject: subject::Subject,
+        /// Time to the next trial, or to the end of the quarantine without one, in milliseconds; while
+        /// trials are due elsewhere, the time between two.
         retry_after_ms: u64,
     },
 }
 
-/// A part that came into quarantine or out of it.
+/// A subject that came into quarantine or out of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Change {
-    /// What is known of the part.
+    /// What is known of the subject.
     pub evidence: evidence::Evidence,
     /// Whether it is in quarantine.
     pub is_quarantined: bool,
-    /// Parts that are in quarantine only together with it, itself among them.
-    pub together: Vec<prompt::Part>,
+    /// Subjects that are in quarantine only together with it, itself among them.
+    pub together: Vec<subject::Subject>,
 }
 
 #[derive(Clone, Debug)]
@@ -63,79 +68,82 @@
     evidence: evidence::Evidence,
     last_loss: Instant,
     last_trial: Option<Instant>,
-    /// When the first engine of the last moment was lost.
+    /// When the first upstream of the last moment was lost.
     moment: Instant,
     /// Number of the last change that this process observed itself; 0 for none.
     own_change: u64,
 }
 
-/// Evidence on all suspected parts.
+/// Evidence on all suspects.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-    entries: collections::BTreeMap<prompt::Part, Entry>,
+    entries: collections::BTreeMap<subject::Subject, Entry>,
     groups: Vec<group::Group>,
     last_change: u64,
+    /// Requests that something speaks against.
+    suspected_requests: usize,
 }
 
 impl Table {
-    /// Records that an engine ended as a generation with these parts began; returns what that changed.
+    /// Records that an upstream ended while it ran a request with these subjects; returns what that
+    /// changed.
     pub fn record_loss(
         &mut self,
         now: Instant,
-        parts: &[prompt::Part],
+        subjects: &[subject::Subject],
         loss: evidence::Loss,
     ) -> Vec<Change> {
         self.forget(now);
-        for part in parts {
-            let entry = self.entry(now, *part);
+        for subject in subjects {
+            let entry = self.entry(now, *subject);
             let is_new_moment = now >= entry.moment + MOMENT;
             let news = entry.evidence.record_loss(loss, is_new_moment);
-            self.record_news(now, *part, news, true);
+            self.record_news(now, *subject, news, true);
         }
         self.refresh()
     }
 
-    /// Records that a generation with these parts was written. Returns what to tell other processes,
-    /// and what it changed.
-    pub fn record_write(
+    /// Records that a request with these subjects was answered. Returns what to tell other processes, and
+    /// what it changed.
+    pub fn record_success(
         &mut self,
         now: Instant,
-        parts: &[prompt::Part],
-    ) -> (Vec<evidence::Write>, Vec<Change>) {
-        let mut writes = Vec::new();
-        for part in parts {
-            let entry = self.entries.get(part);
+        subjects: &[subject::Subject],
+    ) -> (Vec<evidence::Success>, Vec<Change>) {
+        let mut successes = Vec::new();
+        for subject in subjects {
+            let entry = self.entries.get(subject);
             if let Some(entry) = entry.filter(|entry| !entry.evidence.is_clear()) {
-                writes.push(evidence::Write {
+                successes.push(evidence::Success {
                     epoch: entry.evidence.epoch,
-                    part: *part,
+                    subject: *subject,
                 });
             }
         }
-        for write in &writes {
-            self.add_write(now, write, true);
+        for success in &successes {
+            self.add_success(now, success, true);
         }
-        match writes.is_empty() {
-            true => (writes, Vec::new()),
-            false => (writes, self.refresh()),
+        match successes.is_empty() {
+            true => (successes, Vec::new()),
+            false => (successes, self.refresh()),
         }
     }
 
-    /// Merges what another process knows, and the generations that it saw written; returns what that
+    /// Merges what another process knows, and the requests that it saw answered; returns what that
     /// changed.
     pub fn merge(
         &mut self,
         now: Instant,
         told: &[evidence::Evidence],
-        writes: &[evidence::Write],
+        successes: &[evidence::Success],
     ) -> Vec<Change> {
         let has_forgotten = self.forget(now);
         let former = self.last_change;
         for evidence in told {
             self.merge_evidence(now, evidence);
         }
-        for write in writes {
-            self.add_write(now, write, false);
+        for success in successes {
+            self.add_success(now, success, false);
         }
         match has_forgotten || self.last_change != former {
             true => self.refresh(),
@@ -143,72 +151,101 @@
         }
     }
 
-    /// Returns the verdict on a prompt with these parts. Only one process may run trials for it.
-    pub fn admit(&mut self, now: Instant, parts: &[prompt::Part], runs_trials: bool) -> Verdict {
-        let Some(part) = self.find_quarantined(parts) else {
+    /// Returns the verdict on a request with these subjects. Only one process may run trials for it.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        subjects: &[subject::Subject],
+        runs_trials: bool,
+    ) -> Verdict {
+        let Some(subject) = self.find_quarantined(subjects) else {
             return Verdict::Allow;
         };
-        let Some(entry) = self.entries.get_mut(&part) else {
+        let Some(entry) = self.entries.get_mut(&subject) else {
             return Verdict::Allow;
         };
         let due = entry.next_trial();
-        if runs_trials && now >= due {
+        if runs_trials && entry.has_trials() && now >= due {
             entry.last_trial = Some(now);
+            entry.evidence.record_trial();
+            self.record_news(now, subject, evidence::News::Other, true);
             return Verdict::Trial;
         }
         let retry_at = if now < due { due } else { now + TRIAL_INTERVAL };
         Verdict::Refuse {
-            part,
+            subject,
             retry_after_ms: retry_at.millis_since(now),
         }
     }
 
-    /// Returns the part because of which prompts with these parts are in quarantine, if they are.
+    /// Returns the subject because of which requests with these subjects are in quarantine, if they are.
     #[must_use]
-    pub fn find_quarantined(&self, parts: &[prompt::Part]) -> Option<prompt::Part> {
+    pub fn find_quarantined(&self, subjects: &[subject::Subject]) -> Option<subject::Subject> {
         let mut groups = self.groups.iter();
-        let group = groups.find(|group| group.iter().all(|part| parts.contains(part)))?;
+        let group = groups.find(|group| group.iter().all(|one| subjects.contains(one)))?;
         group.first().copied()
     }
 
-    /// Clears a part, for all models, and all parts that were lost together with it, as an operator
-    /// wishes; returns the cleared parts, and what that changed.
-    pub fn release(&mut self, now: Instant, id: u64) -> (Vec<prompt::Part>, Vec<Change>) {
-        let named = self
-            .entries
-            .values()
-            .filter(|one| one.evidence.part.id == id);
+    /// Returns whether a request with these subjects may be sent to another upstream after one ended
+    /// with it. Once two have ended with all that was sent of a request, it is the likely cause.
+    #[must_use]
+    pub fn may_repeat(&self, subjects: &[subject::Subject]) -> bool {
+        let known = subjects
+            .iter()
+            .filter_map(|subject| self.entries.get(subject));
+        let mut requests = known.filter(|entry| entry.is_request());
+        requests.all(|entry| {
+            entry.evidence.moments < LIKELY_LOSSES || entry.evidence.successes_since_loss > 0
+        })
+    }
+
+    /// Returns whether something speaks against any whole request. Only then are the digests of requests
+    /// needed.
+    #[must_use]
+    pub fn suspects_requests(&self) -> bool {
+        self.suspected_requests > 0
+    }
+
+    /// Clears the subjects of a name, and all that were lost together with them, as an operator wishes;
+    /// returns the cleared subjects, and what that changed.
+    pub fn release(
+        &mut self,
+        now: Instant,
+        name: subject::Name,
+    ) -> (Vec<subject::Subject>, Vec<Change>) {
+        let entries = self.entries.values();
+        let named = entries.filter(|one| one.evidence.subject.has_name(name));
         let losses: collections::BTreeSet<evidence::Loss> = named
             .flat_map(|one| one.evidence.losses.iter().copied())
             .collect();
         let is_lost = |one: &&Entry| !one.evidence.losses.is_disjoint(&losses);
-        let parts = self.entries.values().filter(is_lost);
-        let parts: Vec<_> = parts.map(|one| one.evidence.part).collect();
-        for part in &parts {
-            if let Some(entry) = self.entries.get_mut(part) {
+        let lost = self.entries.values().filter(is_lost);
+        let subjects: Vec<_> = lost.map(|one| one.evidence.subject).collect();
+        for subject in &subjects {
+            if let Some(entry) = self.entries.get_mut(subject) {
                 entry.evidence.clear();
             }
-            self.record_news(now, *part, evidence::News::Other, true);
+            self.record_news(now, *subject, evidence::News::Other, true);
         }
         let changes = self.refresh();
-        (parts, changes)
+        (subjects, changes)
     }
 
-    /// Returns the parts that something speaks against, each with the group of parts that is in
-    /// quarantine with it, if one is.
+    /// Returns the subjects that something speaks against, each with the group that is in quarantine
+    /// with it, if one is.
     pub fn list_suspects(
         &self,
-    ) -> impl Iterator<Item = (&evidence::Evidence, Option<&[prompt::Part]>)> {
+    ) -> impl Iterator<Item = (&evidence::Evidence, Option<&[subject::Subject]>)> {
         let evidence = self.entries.values().map(|entry| &entry.evidence);
         let suspects = evidence.filter(|evidence| !evidence.is_clear());
         suspects.map(|evidence| {
             let mut groups = self.groups.iter();
-            let group = groups.find(|group| group.contains(&evidence.part));
+            let group = groups.find(|group| group.contains(&evidence.subject));
             (evidence, group.map(Vec::as_slice))
         })
     }
 
-    /// Returns the number of parts, or groups of them, that are in quarantine.
+    /// Returns the number of requests, parts and groups of parts that are in quarantine.
     #[must_use]
     pub fn count_quarantined(&self) -> usize {
         self.groups.len()
@@ -234,11 +271,11 @@
         later.map(|entry| &entry.evidence)
     }
 
-    fn entry(&mut self, now: Instant, part: prompt::Part) -> &mut Entry {
-        self.entries.entry(part).or_insert_with(|| Entry {
+    fn entry(&mut self, now: Instant, subject: subject::Subject) -> &mut Entry {
+        self.entries.entry(subject).or_insert_with(|| Entry {
             change: 0,
             changed_at: now,
-            evidence: evidence::Evidence::new(part),
+            evidence: evidence::Evidence::new(subject),
             last_loss: Instant::default(),
             last_trial: None,
             moment: Instant::default(),
@@ -247,32 +284,38 @@
     }
 
     fn merge_evidence(&mut self, now: Instant, told: &evidence::Evidence) {
-        if told.is_clear() && !self.entries.contains_key(&told.part) {
+        if told.is_clear() && !self.entries.contains_key(&told.subject) {
             return;
         }
-        let entry = self.entry(now, told.part);
+        let entry = self.entry(now, told.subject);
         let is_new_moment = now >= entry.moment + MOMENT;
         let news = entry.evidence.merge(told, is_new_moment);
-        self.record_news(now, told.part, news, false);
+        self.record_news(now, told.subject, news, false);
     }
 
-    fn add_write(&mut self, now: Instant, write: &evidence::Write, is_own: bool) {
-        let Some(entry) = self.entries.get_mut(&write.part) else {
+    fn add_success(&mut self, now: Instant, success: &evidence::Success, is_own: bool) {
+        let is_quarantined = self.is_in_group(&success.subject);
+        let Some(entry) = self.entries.get_mut(&success.subject) else {
             return;
         };
-        if entry.evidence.epoch != write.epoch || entry.evidence.is_clear() {
+        if entry.evidence.epoch != success.epoch || entry.evidence.is_clear() {
             return;
         }
-        entry.evidence.record_write();
-        // Others count the writes that they are told, but may have missed some.
+        entry.evidence.record_success(is_quarantined);
+        // Others count the successes that they are told, but may have missed some.
         let is_cleared = entry.evidence.is_clear();
-        self.record_news(now, write.part, evidence::News::Other, is_own && is_cleared);
+        let is_own = is_own && is_cleared;
+        self.record_news(now, success.subject, evidence::News::Other, is_own);
+    }
+
+    fn is_in_group(&self, subject: &subject::Subject) -> bool {
+        self.groups.iter().any(|group| group.contains(subject))
     }
 
     fn record_news(
         &mut self,
         now: Instant,
-        part: prompt::Part,
+        subject: subject::Subject,
         news: evidence::News,
         is_own: bool,
     ) {
@@ -280,7 +323,7 @@
             return;
         }
         self.last_change += 1;
-        let Some(entry) = self.entries.get_mut(&part) else {
+        let Some(entry) = self.entries.get_mut(&subject) else {
             return;
         };
         entry.change = self.last_change;
@@ -296,8 +339,13 @@
         }
     }
 
-    /// Finds the groups anew; returns the parts that came into quarantine or out of it.
+    /// Finds the groups anew; returns the subjects that came into quarantine or out of it.
     fn refresh(&mut self) -> Vec<Change> {
+        let suspects = self
+            .entries
+            .values()
+            .filter(|entry| !entry.evidence.is_clear());
+        self.suspected_requests = suspects.filter(|entry| entry.is_request()).count();
         let evidence = self.entries.values().map(|entry| &entry.evidence);
         let former = core::mem::replace(&mut self.groups, group::find(evidence));
         let added = self.groups.iter().filter(|group| !former.contains(group));
@@ -305,11 +353,11 @@
         let added = added.map(|group| (group, true));
         let removed = removed.map(|group| (group, false));
         let changes = removed.chain(added).filter_map(|(group, is_quarantined)| {
-            let part = group.first()?;
-            let known = self.entries.get(part);
+            let subject = group.first()?;
+            let known = self.entries.get(subject);
             let evidence = known.map(|entry| entry.evidence.clone());
             Some(Change {
-                evidence: evidence.unwrap_or_else(|| evidence::Evidence::new(*part)),
+                evidence: evidence.unwrap_or_else(|| evidence::Evidence::new(*subject)),
                 is_quarantined,
                 together: group.clone(),
             })
@@ -317,13 +365,13 @@
         changes.collect()
     }
 
-    /// Forgets what has had no news for long, and the least suspected parts if there are too many;
+    /// Forgets what has had no news for long, and the least suspected if there are too many;
     /// returns whether it forgot any.
     fn forget(&mut self, now: Instant) -> bool {
         let former = self.entries.len();
         let groups = &self.groups;
-        self.entries.retain(|part, entry| {
-            let is_quarantined = groups.iter().any(|group| group.contains(part));
+        self.entries.retain(|subject, entry| {
+            let is_quarantined = groups.iter().any(|group| group.contains(subject));
             let kept_for = if is_quarantined {
                 QUARANTINE_TIME
             } else {
@@ -332,21 +380,33 @@
             now < entry.changed_at + kept_for
         });
         while self.entries.len() >= MAX_ENTRIES {
-            let least = self.entries.iter().min_by_key(|(part, entry)| {
-                let is_quarantined = groups.iter().any(|group| group.contains(part));
+            let least = self.entries.iter().min_by_key(|(subject, entry)| {
+                let is_quarantined = groups.iter().any(|group| group.contains(subject));
                 (is_quarantined, entry.evidence.moments, entry.change)
             });
-            let Some(part) = least.map(|(part, _entry)| *part) else {
+            let Some(subject) = least.map(|(subject, _entry)| *subject) else {
                 break;
             };
-            self.entries.remove(&part);
+            self.entries.remove(&subject);
         }
         self.entries.len() < former
     }
 }
 
 impl Entry {
+    fn is_request(&self) -> bool {
+        matches!(self.evidence.subject, subject::Subject::Request(_))
+    }
+
+    fn has_trials(&self) -> bool {
+        self.evidence.trials < MAX_TRIALS
+    }
+
+    /// Returns when the next trial is due; without another one, when the quarantine ends.
     fn next_trial(&self) -> Instant {
+        if !self.has_trials() {
+            return self.changed_at + QUARANTINE_TIME;
+        }
         let further = self.evidence.moments.saturating_sub(FIRST_TRIAL_LOSSES);
         let growth = 1_u32.checked_shl(further.saturating_mul(TRIAL_GROWTH_BITS));
         let wait = FIRST_TRIAL.saturating_mul(growth.unwrap_or(u32::MAX));
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -4,6 +4,8 @@
 
 use peargap_core::prompt::Part;
 use peargap_core::quarantine;
+use peargap_core::quarantine::Name;
+use peargap_core::quarantine::Subject;
 use peargap_core::quarantine::Table;
 use peargap_core::quarantine::Verdict;
 use peargap_core::time::Instant;
@@ -11,11 +13,11 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn part(id: u64) -> Part {
-    Part::new(b"m", id)
+fn part(id: u64) -> Subject {
+    Subject::Part(Part::new(b"m", id))
 }
 
-fn parts(ids: &[u64]) -> Vec<Part> {
+fn parts(ids: &[u64]) -> Vec<Subject> {
     ids.iter().copied().map(part).collect()
 }
 
@@ -83,8 +85,8 @@
 fn a_sound_part_that_all_deadly_prompts_have_is_not_refused() {
     let mut table = Table::default();
     let now = lose(&mut table, &[&[1, 9], &[1, 9]]);
-    table.record_write(now, &parts(&[1, 5]));
-    table.record_write(now, &parts(&[1, 5]));
+    table.record_success(now, &parts(&[1, 5]));
+    table.record_success(now, &parts(&[1, 5]));
     table.record_loss(now + SECOND, &parts(&[1, 9]), loss(3));
     assert!(is_quarantined(&table, &[1, 9]));
     assert!(is_quarantined(&table, &[2, 9]));
@@ -115,7 +117,7 @@
 fn one_generation_written_does_not_put_the_blame_on_another_part() {
     let mut table = Table::default();
     let now = lose(&mut table, &[&[1, 2, 8], &[1, 2, 8], &[1, 2, 8]]);
-    table.record_write(now, &parts(&[4, 2]));
+    table.record_success(now, &parts(&[4, 2]));
     assert!(is_quarantined(&table, &[1, 2, 8]));
     assert!(!is_quarantined(&table, &[1, 5]));
     assert!(!is_quarantined(&table, &[1, 2, 5]));
@@ -153,7 +155,7 @@
     let mut table = Table::default();
     let now = lose(&mut table, &[&[9], &[9]]);
     for _generation in 0..4 {
-        table.record_write(now, &parts(&[9]));
+        table.record_success(now, &parts(&[9]));
     }
     // What was lost before no longer counts.
     table.record_loss(now + SECOND, &parts(&[9]), loss(3));
@@ -169,7 +171,7 @@
     for number in 1..=5 {
         let now = Instant::default() + SECOND * number;
         table.record_loss(now, &parts(&[9]), loss(u64::from(number)));
-        table.record_write(now, &parts(&[9]));
+        table.record_success(now, &parts(&[9]));
     }
     assert!(is_quarantined(&table, &[9]));
 }
@@ -178,7 +180,10 @@
 fn a_part_for_another_model_is_another_part() {
     let mut table = Table::default();
     lose(&mut table, &[&[9], &[9], &[9]]);
-    assert_eq!(table.find_quarantined(&[Part::new(b"n", 9)]), None);
+    assert_eq!(
+        table.find_quarantined(&[Subject::Part(Part::new(b"n", 9))]),
+        None
+    );
 }
 
 #[test]
@@ -222,7 +227,7 @@
     let mut now = due + Duration::from_millis(later);
     for _trial in 0..4 {
         assert_eq!(table.admit(now, &prompt, true), Verdict::Trial);
-        table.record_write(now, &prompt);
+        table.record_success(now, &prompt);
         now = now + SECOND * 5;
     }
     assert_eq!(table.admit(now, &prompt, false), Verdict::Allow);
@@ -244,7 +249,7 @@
     let mut table = Table::default();
     let now = lose(&mut table, &[&[1, 9], &[1, 9], &[1, 9], &[7]]);
     let mut other = table.clone();
-    let (cleared, changes) = table.release(now, 9);
+    let (cleared, changes) = table.release(now, Name::Part(9));
     assert_eq!(cleared, parts(&[1, 9]));
     assert_eq!(changes.len(), 1);
     assert!(!is_quarantined(&table, &[1, 9]));
@@ -255,7 +260,7 @@
     table.merge(now, &former, &[]);
     assert!(!is_quarantined(&other, &[1, 9]));
     assert!(!is_quarantined(&table, &[1, 9]));
-    assert!(table.release(now, 5).0.is_empty());
+    assert!(table.release(now, Name::Part(5)).0.is_empty());
 }
 
 #[test]
@@ -276,8 +281,8 @@
     lose(&mut table, &[&[9], &[9], &[9], &[8]]);
     let later = Instant::default() + SECOND * 4000;
     table.record_loss(later, &parts(&[7]), loss(9));
-    let known: Vec<u64> = table.list_after(0).map(|one| one.part.id).collect();
-    assert_eq!(known, [7, 9]);
+    let known: Vec<_> = table.list_after(0).map(|one| one.subject).collect();
+    assert_eq!(known, parts(&[7, 9]));
     let next_day = Instant::default() + SECOND * 100_000;
     table.record_loss(next_day, &parts(&[7]), loss(10));
     assert!(!is_quarantined(&table, &[9]));
@@ -300,18 +305,19 @@
     let extreme = quarantine::Evidence {
         epoch: u64::MAX,
         moments: u32::MAX,
-        writes: u32::MAX,
-        writes_since_loss: u32::MAX,
+        successes: u32::MAX,
+        successes_since_loss: u32::MAX,
+        trials: u32::MAX,
         ..quarantine::Evidence::new(part(9))
     };
     let others = [1, 2].map(|id| quarantine::Evidence {
         losses: [loss(1), loss(2)].into(),
-        part: part(id),
+        subject: part(id),
         ..extreme.clone()
     });
     table.merge(now, &[extreme], &[]);
     table.merge(now, &others, &[]);
-    table.record_write(now, &parts(&[9]));
+    table.record_success(now, &parts(&[9]));
     for number in 0..100 {
         table.record_loss(now, &parts(&[9]), loss(number));
         table.admit(now, &parts(&[9]), true);
@@ -329,7 +335,7 @@
             tables[actor].record_loss(now, &parts(&ids), loss(number));
         }
         1 => {
-            tables[actor].record_write(now, &parts(&ids));
+            tables[actor].record_success(now, &parts(&ids));
         }
         _ => {
             let told: Vec<_> = tables[other].list_after(0).cloned().collect();
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -4,8 +4,7 @@
 
 use bytes::Bytes;
 use peargap_adapters::logs;
-use peargap_core::prompt;
-use peargap_core::request;
+use peargap_core::quarantine;
 
 use crate::call;
 use crate::events;
@@ -29,11 +28,10 @@
     attempt: Bytes,
     /// Start time of the upstream's process by its own clock, in Unix milliseconds.
     born_ms: u64,
-    digest: request::Digest,
     events: u64,
     fleet: fleet::Fleet,
     pool: sync::Arc<pool::Pool>,
-    prompt: prompt::Prompt,
+    subjects: Vec<quarantine::Subject>,
     /// Name of the upstream.
     upstream: String,
 }
@@ -49,34 +47,59 @@
         Broken {
             attempt: request.head.attempt.clone(),
             born_ms: placement.notices.born_ms(),
-            digest: request.digest(),
             events,
             fleet: fleet.clone(),
             pool: placement.pool.clone(),
-            prompt: request.head.prompt.clone(),
+            subjects: crate::quarantine::list_subjects(request, true),
             upstream: placement.name.clone(),
         }
     }
 
+    /// Returns the request if the upstream at `placement` broke it off before any response, and not the
+    /// network.
+    pub(crate) fn of(
+        fleet: &fleet::Fleet,
+        failure: &call::Failure,
+        request: &call::Request,
+        placement: &placement::Placement,
+    ) -> Option<Broken> {
+        match failure {
+            call::Failure::Unknown(_) => Some(Broken::new(fleet, request, placement, 0)),
+            call::Failure::Displaced
+            | call::Failure::Lost(_)
+            | call::Failure::NotRun(_)
+            | call::Failure::NotSent(_)
+            | call::Failure::Unreachable(_) => None,
+        }
+    }
+
     /// Finds out whether the upstream's process has ended, or only the connection to it. The end of a
-    /// process is evidence against the parts of the prompt.
+    /// process is evidence against the request and the parts of its prompt.
     pub(crate) async fn examine(self) -> pool::Process {
         let process = self.pool.examine_process().await;
         logs::emit(
             events::REQUEST_BROKEN_OFF,
             format_args!(
-                "request={} upstream={} process={process:?} events={} digest={} parts={}",
+                "request={} upstream={} process={process:?} events={} subjects={}",
                 response::attempt_text(&self.attempt),
                 self.upstream,
                 self.events,
-                self.digest,
-                self.prompt
+                quarantine::List(&self.subjects)
             ),
         );
-        if process == pool::Process::Ended && !self.prompt.parts().is_empty() {
+        if process == pool::Process::Ended {
             self.fleet
-                .record_crash(&self.prompt, &self.upstream, self.born_ms);
+                .record_crash(&self.subjects, &self.upstream, self.born_ms);
         }
         process
     }
 }
+
+/// Examines a request that was broken off, if there is one. What it finds is recorded even if the caller
+/// leaves in the meantime.
+pub(crate) async fn examine(broken: Option<Broken>) {
+    if let Some(broken) = broken {
+        // Fails only if the runtime shuts down.
+        let _ = tokio::spawn(broken.examine()).await;
+    }
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -41,9 +41,8 @@
 pub(crate) const LIMIT_CHANGED: logs::Event = logs::Event::info(6029, "upstream limit changed");
 pub(crate) const RESPONSE_TOO_LONG: logs::Event =
     logs::Event::warn(6030, "upstream response cut off, too long");
-pub(crate) const QUARANTINE_CHANGED: logs::Event =
-    logs::Event::warn(6032, "quarantine of prompt parts changed");
+pub(crate) const QUARANTINE_CHANGED: logs::Event = logs::Event::warn(6032, "quarantine changed");
 pub(crate) const QUARANTINE_TRIAL: logs::Event =
-    logs::Event::info(6033, "trial of a prompt in quarantine");
+    logs::Event::info(6033, "trial of a request in quarantine");
 pub(crate) const REQUEST_BROKEN_OFF: logs::Event =
     logs::Event::warn(6031, "request broken off by its upstream");
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -28,9 +28,9 @@
     changed: sync::Arc<watch::Sender<u64>>,
     domain: sync::Arc<str>,
     /// Counter that increases with what control hosts are to be told: departures, changes of limits that
-    /// upstreams name, evidence on prompt parts.
+    /// upstreams name, evidence on what crashes upstreams.
     pub(crate) news: sync::Arc<watch::Sender<u64>>,
-    /// Counter that increases when prompt parts come into quarantine or out of it.
+    /// Counter that increases when something comes into quarantine or out of it.
     pub(crate) quarantine_changes: sync::Arc<watch::Sender<u64>>,
     state: sync::Arc<sync::Mutex<fleet_state::State>>,
 }
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -42,7 +42,7 @@
     pub(crate) gateway_position: fleet_share::Position,
     /// Limits that upstreams name.
     pub(crate) limits: named_limits::Table,
-    /// Evidence on prompt parts that crash engines.
+    /// Evidence on what crashes upstreams.
     pub(crate) quarantine: quarantine::Table,
     /// When the load from other gateways was last received.
     pub(crate) remote_loads_at: time::Instant,
@@ -50,13 +50,13 @@
     pub(crate) revision: u64,
     /// Number of gateways that share the limits.
     pub(crate) sharers: fleet_share::Sharers,
+    /// Answered requests with suspected subjects.
+    pub(crate) successes: crate::quarantine::Successes,
     pub(crate) sums: limits::Sums,
     pub(crate) table: Option<sync::Arc<routes::Table>>,
     pub(crate) upstreams: SlotMap<fleet::UpstreamKey, upstream::Upstream>,
     /// Version of `table`; 0 without one.
     pub(crate) version: u64,
-    /// Written generations with suspected prompt parts.
-    pub(crate) writes: crate::quarantine::Writes,
 }
 
 impl State {
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -23,13 +23,15 @@
     Failed,
 }
 
-/// Registers the gauge of prompt parts, or groups of them, that are in quarantine.
+/// Registers the gauge of requests, prompt parts and groups of these that are in quarantine.
 pub(crate) fn observe_quarantine(registry: &metrics::Registry, fleet: &fleet::Fleet) {
     let fleet = fleet.clone();
     let _gauge = registry
         .meter()
         .u64_observable_gauge("peargap_gateway_quarantined")
-        .with_description("Groups of prompt parts in quarantine, as engines crash on them")
+        .with_description(
+            "Requests and groups of prompt parts in quarantine, as upstreams crash on them",
+        )
         .with_callback(move |gauge| gauge.observe(fleet.count_quarantined(), &[]))
         .build();
 }
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -219,11 +219,9 @@
             wait_for_pause(&placement).await?;
             wait_for_limit(&placement).await?;
             if generation.last_event().is_none()
-                && gateway
-                    .fleet
-                    .is_quarantined(&generation.request.head.prompt)
+                && gateway.fleet.is_quarantined(&generation.request)
             {
-                let why = "a part of the prompt is in quarantine".to_owned();
+                let why = "the request is in quarantine".to_owned();
                 return Err(Failure::NotResumed(why));
             }
             match try_resume(&gateway, &generation, &origin, &placement, &accepted).await {
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -14,12 +14,12 @@
 pub(crate) struct Told {
     /// Number of departures.
     departures: usize,
-    /// Number of the last change of the evidence on prompt parts; `None` before the first report.
+    /// Number of the last change of the evidence on what crashes upstreams; `None` before the first report.
     evidence: Option<u64>,
     /// Number of the last change of a limit.
     limits: u64,
-    /// Number of written generations with suspected prompt parts.
-    writes: usize,
+    /// Number of answered requests with suspected subjects.
+    successes: usize,
 }
 
 /// What to do next on a link.
@@ -45,21 +45,21 @@
         });
         let limits = state.limits.list_own_after(told.limits);
         // On a new link, the host may lack what it or another one knew before, and already knows the
-        // written generations in it.
+        // answered requests in it.
         let news = match told.evidence {
             None => state.quarantine.list_after(0).collect::<Vec<_>>(),
             Some(told) => state.quarantine.list_own_after(told).collect(),
         };
         let evidence = news.into_iter().map(wire_evidence::encode);
-        let written = told
+        let answered = told
             .evidence
-            .map_or(state.writes.count(), |_told| told.writes);
-        let writes = state.writes.list_after(written);
+            .map_or(state.successes.count(), |_told| told.successes);
+        let successes = state.successes.list_after(answered);
         let report = wire::Report {
             departures: departures.collect(),
             evidence: evidence.collect(),
-            writes: writes.map(wire_evidence::encode_write).collect(),
             limits: limits.map(wire_limit::encode).collect(),
+            successes: successes.map(wire_evidence::encode_success).collect(),
             wanted: match fetch {
                 document_fetch::Next::Request(version) => version,
                 document_fetch::Next::Wait => 0,
@@ -69,7 +69,7 @@
         told.departures = state.departures.count();
         told.evidence = Some(state.quarantine.last_change());
         told.limits = state.limits.last_change();
-        told.writes = state.writes.count();
+        told.successes = state.successes.count();
         let is_behind = state.fetch.is_behind(host, version);
         drop(state);
         if report.wanted > 0 {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,6 +1,7 @@
 //! Plain calls: requests whose response is read completely before it is forwarded.
 
 use peargap_adapters::logs;
+use peargap_core::quarantine;
 use peargap_core::routes;
 use tokio::time;
 
@@ -37,6 +38,20 @@
     route: &routes::Route,
     service: &routes::Service,
 ) -> response::Response {
+    let is_trial = match gateway.fleet.admit(request) {
+        quarantine::Verdict::Allow => false,
+        quarantine::Verdict::Trial => true,
+        quarantine::Verdict::Refuse {
+            subject,
+            retry_after_ms,
+        } => {
+            let refusal = response::Refusal::Quarantined {
+                subject,
+                retry_after_ms,
+            };
+            return gateway.refuse(&request.head.attempt, refusal);
+        }
+    };
     let mut attempts = attempts::Attempts::new(MAX_ATTEMPTS);
     let mut possible_runs = 0;
     // Response to the caller if no other upstream is tried.
@@ -87,8 +102,12 @@
                 refusal = response::Refusal::UpstreamFailed;
             }
         }
-        let may_repeat = route.kind == routes::Kind::Idempotent && possible_runs < route.attempts;
-        if possible_runs > 0 && !may_repeat {
+        if possible_runs == 0 {
+            continue;
+        }
+        let may_run_again =
+            route.kind == routes::Kind::Idempotent && possible_runs < route.attempts;
+        if is_trial || !may_run_again || !gateway.fleet.may_repeat(request) {
             break;
         }
     }
@@ -132,6 +151,10 @@
     gateway
         .fleet
         .record_outcome(placement.key, call::classify(&result));
+    if result.is_ok() {
+        // An error response, too, shows that the upstream lives on.
+        gateway.fleet.record_answered(request);
+    }
     if let Err(failure) = &result {
         logs::emit(
             events::ATTEMPT_FAILED,
@@ -140,10 +163,8 @@
                 placement.name
             ),
         );
-        if matches!(failure, call::Failure::Unknown(_)) {
-            let broken = crash::Broken::new(&gateway.fleet, request, placement, 0);
-            tokio::spawn(broken.examine());
-        }
+        let broken = crash::Broken::of(&gateway.fleet, failure, request, placement);
+        crash::examine(broken).await;
     }
     result
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,117 +1,160 @@
-//! Quarantine of the prompt parts that crash engines, as this gateway applies it.
+//! Quarantine of what crashes upstreams, as this gateway applies it.
 
 use std::collections;
 
 use peargap_adapters::evidence;
 use peargap_adapters::logs;
-use peargap_core::prompt;
 use peargap_core::quarantine;
 use peargap_wire::fleet as wire;
 
+use crate::call;
 use crate::events;
 use crate::fleet;
+use crate::response;
 
-/// Written generations that are kept for links that have not told them yet.
-const MAX_WRITES: usize = 1024;
+/// Answered requests that are kept for links that have not told them yet.
+const MAX_SUCCESSES: usize = 1024;
 
-/// Written generations with suspected parts, for the control hosts; oldest first.
+/// Answered requests with suspected subjects, for the control hosts; oldest first.
 #[derive(Debug, Default)]
-pub(crate) struct Writes {
+pub(crate) struct Successes {
     dropped: usize,
-    kept: collections::VecDeque<quarantine::Write>,
+    kept: collections::VecDeque<quarantine::Success>,
 }
 
-impl Writes {
-    fn extend(&mut self, writes: Vec<quarantine::Write>) {
-        self.kept.extend(writes);
-        while self.kept.len() > MAX_WRITES {
+impl Successes {
+    fn extend(&mut self, successes: Vec<quarantine::Success>) {
+        self.kept.extend(successes);
+        while self.kept.len() > MAX_SUCCESSES {
             self.kept.pop_front();
             self.dropped += 1;
         }
     }
 
-    /// Returns the number of writes so far.
+    /// Returns the number of successes so far.
     pub(crate) fn count(&self) -> usize {
         self.dropped + self.kept.len()
     }
 
-    /// Returns the writes after the first `known` ones, without those that were dropped.
-    pub(crate) fn list_after(&self, known: usize) -> impl Iterator<Item = &quarantine::Write> {
+    /// Returns the successes after the first `known` ones, without those that were dropped.
+    pub(crate) fn list_after(&self, known: usize) -> impl Iterator<Item = &quarantine::Success> {
         self.kept.iter().skip(known.saturating_sub(self.dropped))
     }
 }
 
+/// Returns what a request may have in common with others that crash upstreams. `needs_digest` is set if
+/// evidence on whole requests exists or arises.
+pub(crate) fn list_subjects(
+    request: &call::Request,
+    needs_digest: bool,
+) -> Vec<quarantine::Subject> {
+    let parts = request.head.prompt.parts().iter();
+    let mut subjects: Vec<_> = parts.copied().map(quarantine::Subject::Part).collect();
+    if needs_digest {
+        subjects.push(quarantine::Subject::Request(request.digest()));
+    }
+    subjects
+}
+
 impl fleet::Fleet {
-    /// Records that an engine ended as a generation with this prompt began.
-    pub(crate) fn record_crash(&self, prompt: &prompt::Prompt, upstream: &str, born_ms: u64) {
+    /// Records that an upstream ended while it ran a request with these subjects.
+    pub(crate) fn record_crash(
+        &self,
+        subjects: &[quarantine::Subject],
+        upstream: &str,
+        born_ms: u64,
+    ) {
         let now = self.clock.now();
         let loss = quarantine::Loss::new(upstream, born_ms);
-        let mut state = self.lock();
-        let changes = state.quarantine.record_loss(now, prompt.parts(), loss);
-        drop(state);
+        let changes = self.lock().quarantine.record_loss(now, subjects, loss);
         self.handle_changes(&changes);
         self.news.send_modify(|count| *count += 1);
     }
 
-    /// Records that a generation with this prompt is being written.
-    pub(crate) fn record_written(&self, prompt: &prompt::Prompt) {
+    /// Records that a request was answered, or that a generation is being written.
+    pub(crate) fn record_answered(&self, request: &call::Request) {
         let now = self.clock.now();
+        let subjects = self.list_known_subjects(request);
+        if subjects.is_empty() {
+            return;
+        }
         let mut state = self.lock();
-        let (writes, changes) = state.quarantine.record_write(now, prompt.parts());
-        if writes.is_empty() {
+        let (successes, changes) = state.quarantine.record_success(now, &subjects);
+        if successes.is_empty() {
             return;
         }
-        state.writes.extend(writes);
+        state.successes.extend(successes);
         drop(state);
         self.handle_changes(&changes);
         self.news.send_modify(|count| *count += 1);
     }
 
+    /// Returns the subjects of a request that there may be evidence on. The lock is not held while the
+    /// body is hashed.
+    fn list_known_subjects(&self, request: &call::Request) -> Vec<quarantine::Subject> {
+        let needs_digest = self.lock().quarantine.suspects_requests();
+        list_subjects(request, needs_digest)
+    }
+
     /// Applies evidence from a control host.
     pub(crate) fn apply_evidence(&self, told: &[wire::Evidence]) {
         if told.is_empty() {
             return;
         }
         let now = self.clock.now();
-        let told: Vec<_> = told.iter().map(evidence::decode).collect();
+        let told = evidence::decode_all(told);
         let changes = self.lock().quarantine.merge(now, &told, &[]);
         self.handle_changes(&changes);
     }
 
-    /// Returns whether a generation with this prompt may be sent to an engine. One gateway of all runs
-    /// the trials of a part.
-    pub(crate) fn admit_prompt(&self, prompt: &prompt::Prompt) -> quarantine::Verdict {
+    /// Returns whether a request may be sent to an upstream. One gateway of all runs the trials of a
+    /// subject.
+    pub(crate) fn admit(&self, request: &call::Request) -> quarantine::Verdict {
         let now = self.clock.now();
+        let subjects = self.list_known_subjects(request);
         let mut state = self.lock();
-        let Some(part) = state.quarantine.find_quarantined(prompt.parts()) else {
+        let Some(subject) = state.quarantine.find_quarantined(&subjects) else {
             return quarantine::Verdict::Allow;
         };
-        let index = usize::try_from(part.id).unwrap_or(usize::MAX);
-        let runs_trials = state.gateway_position.owns(index);
-        let verdict = state.quarantine.admit(now, prompt.parts(), runs_trials);
+        let runs_trials = state.gateway_position.owns(subject.index());
+        let verdict = state.quarantine.admit(now, &subjects, runs_trials);
         drop(state);
         if verdict == quarantine::Verdict::Trial {
-            logs::emit(events::QUARANTINE_TRIAL, format_args!("part={part}"));
+            logs::emit(
+                events::QUARANTINE_TRIAL,
+                format_args!(
+                    "request={} subject={subject}",
+                    response::attempt_text(&request.head.attempt)
+                ),
+            );
+            self.news.send_modify(|count| *count += 1);
         }
         verdict
     }
 
-    /// Returns the number of groups of prompt parts in quarantine.
+    /// Returns whether a request may be sent to another upstream after one ended with it.
+    pub(crate) fn may_repeat(&self, request: &call::Request) -> bool {
+        let subjects = self.list_known_subjects(request);
+        self.lock().quarantine.may_repeat(&subjects)
+    }
+
+    /// Returns the number of requests, prompt parts and groups of these in quarantine.
     pub(crate) fn count_quarantined(&self) -> u64 {
         let count = self.lock().quarantine.count_quarantined();
         u64::try_from(count).unwrap_or(u64::MAX)
     }
 
-    /// Returns whether a prompt is in quarantine.
-    pub(crate) fn is_quarantined(&self, prompt: &prompt::Prompt) -> bool {
+    /// Returns whether a request is in quarantine.
+    pub(crate) fn is_quarantined(&self, request: &call::Request) -> bool {
+        let subjects = self.list_known_subjects(request);
         let state = self.lock();
-        state.quarantine.find_quarantined(prompt.parts()).is_some()
+        state.quarantine.find_quarantined(&subjects).is_some()
     }
 
-    /// Waits until a prompt is in quarantine.
-    pub(crate) async fn wait_until_quarantined(&self, prompt: &prompt::Prompt) {
+    /// Waits until a request is in quarantine.
+    pub(crate) async fn wait_until_quarantined(&self, request: &call::Request) {
         let mut changes = self.quarantine_changes.subscribe();
-        while !self.is_quarantined(prompt) {
+        while !self.is_quarantined(request) {
             if changes.changed().await.is_err() {
                 // The sender lives as long as the fleet.
                 return core::future::pending().await;
@@ -125,13 +168,15 @@
             logs::emit(
                 events::QUARANTINE_CHANGED,
                 format_args!(
-                    "part={} quarantined={} together={:?} losses={} moments={} written={} cleared={}",
-                    evidence.part,
+                    "subject={} quarantined={} together={} losses={} moments={} answered={} \
+                     trials={} cleared={}",
+                    evidence.subject,
                     change.is_quarantined,
-                    change.together,
+                    quarantine::List(&change.together),
                     evidence.losses.len(),
                     evidence.moments,
-                    evidence.writes,
+                    evidence.successes,
+                    evidence.trials,
                     evidence.epoch
                 ),
             );
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -237,8 +237,7 @@
             }
             self.events += 1;
             if self.events == crash::BEGINNING_EVENTS {
-                let prompt = &self.generation.request.head.prompt;
-                self.gateway.fleet.record_written(prompt);
+                self.gateway.fleet.record_answered(&self.generation.request);
             }
             self.record_event();
             if let Some(id) = event.id {
@@ -277,8 +276,7 @@
             .fleet
             .record_outcome(self.placement.key, fleet::Outcome::Succeeded);
         if crash::is_beginning(self.events) {
-            let prompt = &self.generation.request.head.prompt;
-            self.gateway.fleet.record_written(prompt);
+            self.gateway.fleet.record_answered(&self.generation.request);
         }
         Next::Complete
     }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use peargap_adapters::logs;
-use peargap_core::prompt;
+use peargap_core::quarantine;
 use peargap_platform::head;
 
 use crate::events;
@@ -61,10 +61,10 @@
         /// Time after which the caller may try again, in milliseconds.
         retry_after_ms: u64,
     },
-    /// Engines crash on prompts like the request's; it has not run.
+    /// Upstreams crash on the request, or on a part of its prompt; it has not run.
     Quarantined {
-        /// The part of the prompt that is in quarantine.
-        part: prompt::Part,
+        /// What is in quarantine.
+        subject: quarantine::Subject,
         /// Time after which the caller may try again, in milliseconds.
         retry_after_ms: u64,
     },
--- a/crates/gateway/src/starting.rs
+++ b/crates/gateway/src/starting.rs
@@ -8,6 +8,7 @@
 
 use crate::attempts;
 use crate::call;
+use crate::crash;
 use crate::events;
 use crate::fleet;
 use crate::gateway;
@@ -32,7 +33,7 @@
     capacity_deadline: time::Instant,
     gateway: &'a gateway::Gateway,
     generation: &'a sync::Arc<generation::Generation>,
-    /// Whether it shows if engines still crash on its prompt.
+    /// Whether it shows if engines still crash on it.
     is_trial: bool,
     /// Refusal if no other engine is tried.
     refusal: response::Refusal,
@@ -91,7 +92,7 @@
     }
 
     async fn try_engine(&mut self) -> Next {
-        if let Some(refusal) = self.check_prompt() {
+        if let Some(refusal) = self.check_quarantine() {
             return Next::Refuse(refusal);
         }
         let placement = match self.choose() {
@@ -108,24 +109,23 @@
         self.send(placement).await
     }
 
-    /// Returns the refusal of a request whose prompt is in quarantine.
-    fn check_prompt(&mut self) -> Option<response::Refusal> {
+    /// Returns the refusal of a request that is in quarantine.
+    fn check_quarantine(&mut self) -> Option<response::Refusal> {
         if self.is_trial {
             return None;
         }
-        let prompt = &self.generation.request.head.prompt;
-        match self.gateway.fleet.admit_prompt(prompt) {
+        match self.gateway.fleet.admit(&self.generation.request) {
             quarantine::Verdict::Allow => None,
             quarantine::Verdict::Trial => {
                 self.is_trial = true;
                 None
             }
             quarantine::Verdict::Refuse {
-                part,
+                subject,
                 retry_after_ms,
             } => Some(match self.refusal {
                 response::Refusal::NotTaken => response::Refusal::Quarantined {
-                    part,
+                    subject,
                     retry_after_ms,
                 },
                 may_have_run => may_have_run,
@@ -133,6 +133,10 @@
         }
     }
 
+    fn request(&self) -> &'a call::Request {
+        &self.generation.request
+    }
+
     fn choose(&self) -> Result<placement::Placement, fleet::PlacementError> {
         self.gateway.fleet.place_generation(fleet::Criteria {
             exclude: self.attempts.tried(),
@@ -194,11 +198,10 @@
             copy_to: copy.as_ref().map(|copy| copy.placement.address.as_str()),
             resume: None,
         };
-        let prompt = &generation.request.head.prompt;
         let sent = tokio::select! {
             sent = call::send(&generation.request, &placement, options) => sent,
             // An engine that has not begun to write drops the request with its connection.
-            () = self.gateway.fleet.wait_until_quarantined(prompt), if !self.is_trial => {
+            () = self.gateway.fleet.wait_until_quarantined(&generation.request), if !self.is_trial => {
                 return Next::Refuse(response::Refusal::UpstreamFailed);
             }
         };
@@ -212,9 +215,10 @@
                 logs::emit(
                     events::GENERATION_BEGUN,
                     format_args!(
-                        "request={attempt} upstream={} waited_ms={} parts={prompt}",
+                        "request={attempt} upstream={} waited_ms={} parts={}",
                         placement.name,
-                        sent_at.elapsed().as_millis()
+                        sent_at.elapsed().as_millis(),
+                        generation.request.head.prompt
                     ),
                 );
                 return Next::Begin(Box::new(generation::Run {
@@ -233,7 +237,7 @@
             ),
         );
         // Its load counts until what follows from the failure is decided.
-        let next = self.handle_failure(&failure, copy).await;
+        let next = self.handle_failure(&failure, copy, &placement).await;
         drop(placement);
         next
     }
@@ -242,15 +246,24 @@
         &mut self,
         failure: &call::Failure,
         copy: Option<migrate::Copy>,
+        placement: &placement::Placement,
     ) -> Next {
         if !failure.may_have_run() {
             return Next::TryAgain;
         }
-        if let Some(run) = resume_at_copy(self.gateway, self.generation, copy).await {
+        let broken = crash::Broken::of(&self.gateway.fleet, failure, self.request(), placement);
+        let resumed = match copy {
+            Some(copy) => resume_at_copy(self.gateway, self.generation, copy, broken).await,
+            None => {
+                crash::examine(broken).await;
+                None
+            }
+        };
+        if let Some(run) = resumed {
             return Next::Begin(Box::new(run));
         }
         self.refusal = response::Refusal::UpstreamFailed;
-        if self.repeats == 0 {
+        if self.repeats == 0 || !self.gateway.fleet.may_repeat(self.request()) {
             return Next::Refuse(self.refusal);
         }
         self.repeats -= 1;
@@ -262,10 +275,11 @@
 async fn resume_at_copy(
     gateway: &gateway::Gateway,
     generation: &sync::Arc<generation::Generation>,
-    copy: Option<migrate::Copy>,
+    copy: migrate::Copy,
+    broken: Option<crash::Broken>,
 ) -> Option<generation::Run> {
     let reason = migrate::Reason::Broken;
-    let mut resuming = migrate::resume(gateway.clone(), generation.clone(), copy?, reason, None);
+    let mut resuming = migrate::resume(gateway.clone(), generation.clone(), copy, reason, broken);
     let attempt = response::attempt_text(&generation.request.head.attempt);
     match resuming.wait().await {
         Ok(run) => {
--- a/crates/load/src/experiment/deadly_parts/fleet.rs
+++ b/crates/load/src/experiment/deadly_parts/fleet.rs
@@ -50,7 +50,7 @@
     /// Start of the engine that it was sent to.
     engine_start: u64,
     gateway: usize,
-    prompt: Vec<prompt::Part>,
+    prompt: Vec<quarantine::Subject>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -88,7 +88,7 @@
     is_telling: bool,
     table: quarantine::Table,
     /// Generations written that the control hosts do not know of.
-    writes: Vec<quarantine::Write>,
+    successes: Vec<quarantine::Success>,
 }
 
 pub(super) struct Fleet {
@@ -194,7 +194,7 @@
     }
 
     /// Draws a prompt; the index of its deadly part, if it has one.
-    fn draw_prompt(&mut self, now: Instant) -> (Vec<prompt::Part>, Option<usize>) {
+    fn draw_prompt(&mut self, now: Instant) -> (Vec<quarantine::Subject>, Option<usize>) {
         let has_begun = now >= Instant::default() + BEGIN;
         let is_deadly =
             self.setup.deadly_parts > 0 && has_begun && self.random.random_bool(self.setup.share);
@@ -209,6 +209,7 @@
         let deadly = is_deadly.then(|| self.random.random_range(0..self.setup.deadly_parts));
         ids.extend(deadly.map(|index| DEADLY_ID + index));
         let parts = ids.into_iter().map(|id| prompt::Part::new(b"m", id));
+        let parts = parts.map(quarantine::Subject::Part);
         let deadly = deadly.and_then(|index| usize::try_from(index).ok());
         (parts.collect(), deadly)
     }
@@ -217,7 +218,8 @@
         let (prompt, deadly) = self.draw_prompt(now);
         let gateway = self.random.random_range(0..self.gateways.len());
         let is_sound = deadly.is_none();
-        let is_alike = is_sound && prompt[0].id == DEADLY_FIRST_ID;
+        let deadly_first = prompt::Part::new(b"m", DEADLY_FIRST_ID);
+        let is_alike = is_sound && prompt[0] == quarantine::Subject::Part(deadly_first);
         self.figures.sound += usize::from(is_sound);
         self.figures.sound_alike += usize::from(is_alike);
         let verdict = self.gateways[gateway].table.admit(now, &prompt, false);
@@ -272,9 +274,9 @@
         }
         engine.beginning.retain(|other| *other != index);
         let gateway = &mut self.gateways[generation.gateway];
-        let (writes, _changes) = gateway.table.record_write(now, &generation.prompt);
-        if !writes.is_empty() {
-            gateway.writes.extend(writes);
+        let (successes, _changes) = gateway.table.record_success(now, &generation.prompt);
+        if !successes.is_empty() {
+            gateway.successes.extend(successes);
             self.schedule_tell(now, generation.gateway);
         }
     }
@@ -324,8 +326,8 @@
             .cloned()
             .collect();
         gateway.told = gateway.table.last_change();
-        let writes = core::mem::take(&mut gateway.writes);
-        self.control.merge(now, &told, &writes);
+        let successes = core::mem::take(&mut gateway.successes);
+        self.control.merge(now, &told, &successes);
         self.schedule_spread(now);
     }
 
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -29,48 +29,72 @@
     /// News of limits that upstreams named to this gateway, since the previous report.
     #[prost(message, repeated, tag = "9")]
     pub limits: ::prost::alloc::vec::Vec<Limit>,
-    /// Evidence on prompt parts that this gateway has added to since the previous report; all that it has
+    /// Evidence on what crashes upstreams that this gateway has added to since the previous report; all that it has
     /// in the first report of a call.
     #[prost(message, repeated, tag = "10")]
     pub evidence: ::prost::alloc::vec::Vec<Evidence>,
-    /// Generations with suspected parts that were written, since the previous report.
+    /// Answered requests with suspected subjects, since the previous report.
     #[prost(message, repeated, tag = "11")]
-    pub writes: ::prost::alloc::vec::Vec<Write>,
+    pub successes: ::prost::alloc::vec::Vec<Success>,
 }
-/// What is known of a prompt part on which engines may crash.
+/// What requests have in common by which they may crash upstreams.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Evidence {
-    /// ID of the part.
+pub struct Subject {
+    #[prost(oneof = "subject::Kind", tags = "1, 2")]
+    pub kind: ::core::option::Option<subject::Kind>,
+}
+/// Nested message and enum types in `Subject`.
+pub mod subject {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Kind {
+        /// A part of prompts.
+        #[prost(message, tag = "1")]
+        Part(super::Part),
+        /// Digest of a whole request, 16 bytes; its repeats have the same.
+        #[prost(bytes, tag = "2")]
+        Request(::prost::bytes::Bytes),
+    }
+}
+/// A part of prompts for one model.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Part {
     #[prost(fixed64, tag = "1")]
-    pub part: u64,
-    /// Hash of the name of the model that its prompts are for.
+    pub id: u64,
+    /// Hash of the model's name.
     #[prost(fixed64, tag = "2")]
     pub model: u64,
+}
+/// What is known of a subject on which upstreams may crash.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evidence {
+    #[prost(message, optional, tag = "1")]
+    pub subject: ::core::option::Option<Subject>,
     /// Number of times that it was cleared.
-    #[prost(uint64, tag = "3")]
+    #[prost(uint64, tag = "2")]
     pub epoch: u64,
-    /// Identities of the engine processes that ended as generations with it began.
-    #[prost(fixed64, repeated, tag = "4")]
+    /// Identities of the upstreams' processes that ended while they ran requests with it.
+    #[prost(fixed64, repeated, tag = "3")]
     pub losses: ::prost::alloc::vec::Vec<u64>,
     /// Moments at which they ended.
-    #[prost(uint32, tag = "5")]
+    #[prost(uint32, tag = "4")]
     pub moments: u32,
-    /// Generations with it that were written since the first loss.
+    /// Requests with it that were answered since the first loss.
+    #[prost(uint32, tag = "5")]
+    pub successes: u32,
+    /// Requests with it that were answered since the last loss.
     #[prost(uint32, tag = "6")]
-    pub writes: u32,
-    /// Generations with it that were written since the last loss.
+    pub successes_since_loss: u32,
+    /// Trials since the last success.
     #[prost(uint32, tag = "7")]
-    pub writes_since_loss: u32,
+    pub trials: u32,
 }
-/// A generation whose prompt has a suspected part and that was written.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Write {
-    #[prost(fixed64, tag = "1")]
-    pub part: u64,
-    #[prost(fixed64, tag = "2")]
-    pub model: u64,
+/// An answered request that has a suspected subject.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Success {
+    #[prost(message, optional, tag = "1")]
+    pub subject: ::core::option::Option<Subject>,
     /// Epoch of the evidence that it counts for.
-    #[prost(uint64, tag = "3")]
+    #[prost(uint64, tag = "2")]
     pub epoch: u64,
 }
 /// News of the limit that one start of an upstream names.
@@ -175,7 +199,7 @@
     /// News of limits that upstreams name, since the previous update.
     #[prost(message, repeated, tag = "13")]
     pub limits: ::prost::alloc::vec::Vec<Limit>,
-    /// Evidence on prompt parts that changed since the previous update.
+    /// Evidence on what crashes upstreams that changed since the previous update.
     #[prost(message, repeated, tag = "14")]
     pub evidence: ::prost::alloc::vec::Vec<Evidence>,
 }
--- a/crates/wire/src/gen/peargap.operator.rs
+++ b/crates/wire/src/gen/peargap.operator.rs
@@ -4,42 +4,63 @@
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct QuarantineReply {
     #[prost(message, repeated, tag = "1")]
-    pub parts: ::prost::alloc::vec::Vec<PartRow>,
+    pub suspects: ::prost::alloc::vec::Vec<Suspect>,
 }
-/// What is known of a prompt part.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct PartRow {
-    #[prost(fixed64, tag = "1")]
-    pub part: u64,
-    /// Hash of the model's name.
+/// What is known of a prompt part or of a whole request.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Suspect {
+    #[prost(message, optional, tag = "1")]
+    pub name: ::core::option::Option<Name>,
+    /// Hash of the model's name; 0 for a request.
     #[prost(fixed64, tag = "2")]
     pub model: u64,
-    /// Whether prompts with this part, and all others in `together`, are refused.
+    /// Whether requests with this, and all others in `together`, are refused.
     #[prost(bool, tag = "3")]
     pub quarantined: bool,
-    #[prost(fixed64, repeated, tag = "4")]
-    pub together: ::prost::alloc::vec::Vec<u64>,
-    /// Engines that ended as generations with the part began, and at how many moments.
+    #[prost(message, repeated, tag = "4")]
+    pub together: ::prost::alloc::vec::Vec<Name>,
+    /// Upstreams that ended while they ran requests with it, and at how many moments.
     #[prost(uint32, tag = "5")]
     pub losses: u32,
     #[prost(uint32, tag = "6")]
     pub moments: u32,
-    /// Generations with it that were written since the first loss.
+    /// Requests with it that were answered since the first loss.
     #[prost(uint32, tag = "7")]
-    pub written: u32,
+    pub successes: u32,
+    /// Trials since the last success.
+    #[prost(uint32, tag = "8")]
+    pub trials: u32,
+}
+/// How operators name what may crash upstreams.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Name {
+    #[prost(oneof = "name::Kind", tags = "1, 2")]
+    pub kind: ::core::option::Option<name::Kind>,
+}
+/// Nested message and enum types in `Name`.
+pub mod name {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Kind {
+        /// ID of a prompt part, for all models.
+        #[prost(fixed64, tag = "1")]
+        Part(u64),
+        /// Digest of a request, 16 bytes.
+        #[prost(bytes, tag = "2")]
+        Request(::prost::bytes::Bytes),
+    }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReleaseRequest {
-    #[prost(fixed64, tag = "1")]
-    pub part: u64,
+    #[prost(message, optional, tag = "1")]
+    pub name: ::core::option::Option<Name>,
     #[prost(string, tag = "2")]
     pub operator: ::prost::alloc::string::String,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ReleaseReply {
-    /// Parts that were cleared.
-    #[prost(fixed64, repeated, tag = "1")]
-    pub cleared: ::prost::alloc::vec::Vec<u64>,
+    /// What was cleared.
+    #[prost(message, repeated, tag = "1")]
+    pub cleared: ::prost::alloc::vec::Vec<Name>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SubmitRequest {
@@ -403,7 +424,7 @@
                 .insert(GrpcMethod::new("peargap.operator.Operator", "Status"));
             self.inner.unary(req, path, codec).await
         }
-        /// Returns what this control host knows of prompt parts on which engines may crash.
+        /// Returns what this control host knows of the prompt parts and requests on which upstreams may crash.
         pub async fn quarantine(
             &mut self,
             request: impl tonic::IntoRequest<super::QuarantineRequest>,
@@ -428,7 +449,7 @@
                 .insert(GrpcMethod::new("peargap.operator.Operator", "Quarantine"));
             self.inner.unary(req, path, codec).await
         }
-        /// Clears a part, and all that was lost together with it. All gateways and control hosts hear of it.
+        /// Clears a part or a request, and all that was lost together with it. All gateways and control hosts hear of it.
         pub async fn release(
             &mut self,
             request: impl tonic::IntoRequest<super::ReleaseRequest>,
@@ -485,12 +506,12 @@
             &self,
             request: tonic::Request<super::StatusRequest>,
         ) -> std::result::Result<tonic::Response<super::StatusReply>, tonic::Status>;
-        /// Returns what this control host knows of prompt parts on which engines may crash.
+        /// Returns what this control host knows of the prompt parts and requests on which upstreams may crash.
         async fn quarantine(
             &self,
             request: tonic::Request<super::QuarantineRequest>,
         ) -> std::result::Result<tonic::Response<super::QuarantineReply>, tonic::Status>;
-        /// Clears a part, and all that was lost together with it. All gateways and control hosts hear of it.
+        /// Clears a part or a request, and all that was lost together with it. All gateways and control hosts hear of it.
         async fn release(
             &self,
             request: tonic::Request<super::ReleaseRequest>,
