control: evidence on what crashes upstreams outlives all processes

Cause: the evidence was in the memory of gateways and control hosts only. If all of them end at once (a power loss of all machines), a request or a part in quarantine crashes three more upstreams, each time; the rule counts every send later than contactMs after the third crash of all.

Change: each control host with a disk writes what is in quarantine or close to it, and what was cleared (a release by hand too), to the file quarantine in its data folder, at most five times a second and only if it differs; read at start before gateways are served. A damaged or unwritable file is logged (E2136, E2137) and stops nothing. Not in the log of the replicas: evidence merges in any order, and a decision of a majority is not needed to refuse a request.

The test of the real programs failed before (no file, no evidence after the restart of all) and passes.

--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -48,3 +48,6 @@
     logs::Event::error(2134, "message of another control host rejected");
 pub(crate) const QUARANTINE_RELEASED: logs::Event =
     logs::Event::info(2135, "quarantine ended by an operator");
+pub(crate) const EVIDENCE_NOT_READ: logs::Event =
+    logs::Event::warn(2136, "stored evidence not read");
+pub(crate) const EVIDENCE_NOT_WRITTEN: logs::Event = logs::Event::warn(2137, "evidence not stored");
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -8,11 +8,13 @@
 use std::time;
 
 use peargap_adapters::clock;
+use peargap_adapters::evidence;
 use peargap_adapters::logs;
 use peargap_core::load_totals;
 use peargap_core::named_limits;
 use peargap_core::quarantine;
 use peargap_core::upstreams;
+use peargap_wire::fleet as wire;
 use peargap_wire::operator;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -264,6 +266,15 @@
         }
     }
 
+    /// Returns the evidence that should outlive all processes.
+    pub(crate) fn lasting_evidence(&self) -> wire::StoredEvidence {
+        let state = self.lock();
+        let lasting = state.quarantine.list_lasting().map(evidence::encode);
+        wire::StoredEvidence {
+            evidence: lasting.collect(),
+        }
+    }
+
     fn merge_status(&self, status: upstreams::Status) -> Option<u64> {
         let now = self.clock.now();
         let change = {
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -30,6 +30,7 @@
 use crate::peer_service;
 use crate::peers;
 use crate::platform;
+use crate::quarantine_store;
 use crate::replica;
 use crate::replica_thread;
 use crate::service;
@@ -85,6 +86,10 @@
     let health = serve_health(&settings, readiness.clone(), registry, &servers).await?;
     let services = build_services(&settings, &replica, &servers);
     let fleet = services.fleet;
+    if !settings.volatile {
+        let store = quarantine_store::Store::open(&settings.folder, fleet.clone());
+        tokio::spawn(store.keep(servers.clone()));
+    }
     let internal = serve_internal(&settings, &replica, services.control, &fleet, &servers).await?;
     let platform = serve_platform(&settings, &fleet, &servers).await?;
     let operators = serve_operators(&settings, services.operator, &servers).await?;
--- a/crates/control/tests/platform/cluster.rs
+++ b/crates/control/tests/platform/cluster.rs
@@ -119,6 +119,18 @@
         }
     }
 
+    /// Waits until a host has a file in its data folder.
+    pub(crate) async fn wait_for_file(&self, host: usize, name: &str) {
+        let path = self.folder(host).join(name);
+        let waiting = async {
+            while !path.exists() {
+                tokio::time::sleep(time::Duration::from_millis(10)).await;
+            }
+        };
+        let result = tokio::time::timeout(TIMEOUT, waiting).await;
+        result.expect("the file in time");
+    }
+
     /// Calls a host; returns `None` without an answer.
     pub(crate) async fn try_call(
         &self,
--- a/crates/control/tests/platform/main.rs
+++ b/crates/control/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! upstreams and gateways.
 
 mod cluster;
+mod evidence;
 
 use std::fs;
 use std::time;
@@ -297,53 +298,3 @@
     assert_eq!(told.upstreams[0].born_ms, 8);
     assert_eq!(told.upstreams[0].state(), wire::State::Ready);
 }
-
-fn deadly_part() -> wire::Subject {
-    wire::Subject {
-        kind: Some(wire::subject::Kind::Part(wire::Part {
-            id: 0xdead,
-            model: 5,
-        })),
-    }
-}
-
-/// Evidence that three engines ended as generations with a part began.
-fn deadly_evidence() -> wire::Evidence {
-    wire::Evidence {
-        losses: vec![1, 2, 3],
-        moments: 3,
-        subject: Some(deadly_part()),
-        ..wire::Evidence::default()
-    }
-}
-
-#[tokio::test]
-async fn evidence_on_prompt_parts_reaches_gateways_that_are_there_and_those_that_come() {
-    let mut cluster = Cluster::prepare(3, &[]);
-    cluster.start_all();
-    cluster.call(0, 200, "PUT", CONFIG, &document(3, 900)).await;
-    let reporting = cluster.follow(0).await;
-    let mut other = cluster.follow(0).await;
-    let report = wire::Report {
-        evidence: vec![deadly_evidence()],
-        ..wire::Report::default()
-    };
-    reporting.reports.send(report).await.expect("a link");
-    let told = other.wait_for(|update| !update.evidence.is_empty()).await;
-    assert_eq!(told.evidence, [deadly_evidence()]);
-    let mut later = cluster.follow(0).await;
-    let told = later.wait_for(|update| !update.evidence.is_empty()).await;
-    assert_eq!(told.evidence, [deadly_evidence()]);
-    // A generation that was written counts once, and is told on.
-    let success = wire::Success {
-        epoch: 0,
-        subject: Some(deadly_part()),
-    };
-    let report = wire::Report {
-        successes: vec![success],
-        ..wire::Report::default()
-    };
-    reporting.reports.send(report).await.expect("a link");
-    let told = other.wait_for(|update| !update.evidence.is_empty()).await;
-    assert_eq!(told.evidence[0].successes, 1);
-}
--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -22,7 +22,7 @@
 const MAX_TRIAL: Duration = Duration::from_secs(3600);
 /// Time between two trials without a loss.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
-/// Losses from which a request that was never answered is the likely cause.
+/// Losses from which what was never answered is the likely cause.
 const LIKELY_LOSSES: u32 = 2;
 /// Trials without a success after which only an operator ends a quarantine, or the time without news.
 const MAX_TRIALS: u32 = 3;
@@ -245,6 +245,13 @@
         })
     }
 
+    /// Returns the evidence that should outlive all processes: on what is in quarantine or close to it,
+    /// and on what was cleared, so that older evidence does not count again.
+    pub fn list_lasting(&self) -> impl Iterator<Item = &evidence::Evidence> {
+        let evidence = self.entries.values().map(|entry| &entry.evidence);
+        evidence.filter(|one| one.moments >= LIKELY_LOSSES || one.epoch > 0)
+    }
+
     /// Returns the number of requests, parts and groups of parts that are in quarantine.
     #[must_use]
     pub fn count_quarantined(&self) -> usize {
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -88,6 +88,12 @@
     #[prost(uint32, tag = "7")]
     pub trials: u32,
 }
+/// What a control host stores of the evidence, so that it outlives all processes.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StoredEvidence {
+    #[prost(message, repeated, tag = "1")]
+    pub evidence: ::prost::alloc::vec::Vec<Evidence>,
+}
 /// An answered request that has a suspected subject.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Success {
