core: a request that crashes upstreams in quick succession, or with another one, is found in time

Change: losses with one request count as one moment only within 10 ms, for parts within 50 ms as before; a loss that another request explains counts half. A request that was answered between its losses may be a sound one that comes often: its first trial comes after 5 s, not 60.

Tried and left out: the rate of other ends as a measure of the odds, since several deadly requests are each other's other ends.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -121,13 +121,13 @@
 
     /// Returns whether the evidence, with `moments` in place of all of its moments, is enough for a
     /// quarantine.
-    pub(super) fn is_enough(&self, moments: u32) -> bool {
+    pub(super) fn is_enough(&self, moments: f64) -> bool {
         self.weight(moments) >= QUARANTINE_WEIGHT
     }
 
-    pub(super) fn weight(&self, moments: u32) -> f64 {
+    pub(super) fn weight(&self, moments: f64) -> f64 {
         let odds = Odds::of(self.subject);
-        f64::from(moments) * odds.loss - f64::from(self.successes) * odds.success
+        moments * odds.loss - f64::from(self.successes) * odds.success
     }
 
     /// Records the end of an upstream, in a moment of its own or in that of the loss before.
--- a/crates/core/src/quarantine/group.rs
+++ b/crates/core/src/quarantine/group.rs
@@ -15,6 +15,10 @@
 /// Successes with one of two subjects that were lost together, from which they are told apart.
 const DISTINCT_SUCCESSES: u32 = 2;
 
+/// How much a loss counts against a request that another one explains as well: two deadly requests may
+/// be lost together again and again.
+const EXPLAINED_REQUEST_PART: f64 = 0.5;
+
 /// Evidence on one subject, with the losses that no group explains yet.
 struct Suspect<'a> {
     evidence: &'a evidence::Evidence,
@@ -22,12 +26,17 @@
 }
 
 impl Suspect<'_> {
-    /// Returns the moments of the unexplained losses: their part of all moments.
-    fn moments(&self) -> u32 {
-        let all = self.evidence.losses.len().max(1);
-        let moments = usize::try_from(self.evidence.moments).unwrap_or(usize::MAX);
-        let unexplained = moments.saturating_mul(self.unexplained.len()) / all;
-        u32::try_from(unexplained).unwrap_or(u32::MAX)
+    /// Returns the moments that speak against the subject: the part of the unexplained losses in all, and
+    /// some of the others.
+    fn moments(&self) -> f64 {
+        let unexplained = count(self.unexplained.len());
+        let all = count(self.evidence.losses.len()).max(1.0);
+        let explained_part = match self.evidence.subject {
+            subject::Subject::Part(_) => 0.0,
+            subject::Subject::Request(_) => EXPLAINED_REQUEST_PART,
+        };
+        let counted = unexplained + explained_part * (all - unexplained);
+        f64::from(self.evidence.moments) * counted / all
     }
 
     fn is_request(&self) -> bool {
@@ -58,7 +67,7 @@
 
 /// Returns the groups that the evidence puts in quarantine, the one that it speaks against most first.
 pub(super) fn find<'a>(all: impl Iterator<Item = &'a evidence::Evidence>) -> Vec<Group> {
-    let enough = all.filter(|evidence| evidence.is_enough(evidence.moments));
+    let enough = all.filter(|evidence| evidence.is_enough(f64::from(evidence.moments)));
     let mut suspects: Vec<_> = enough
         .map(|evidence| Suspect {
             evidence,
@@ -99,3 +108,7 @@
     let requests = tied.into_iter().filter(is_request);
     requests.map(|request| vec![request]).collect()
 }
+
+fn count(losses: usize) -> f64 {
+    u32::try_from(losses).map_or(f64::MAX, f64::from)
+}
--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -10,14 +10,20 @@
 
 /// Subjects of which evidence is kept.
 const MAX_ENTRIES: usize = 4096;
-/// Losses of upstreams within this time of the first of them may have a cause in common.
-const MOMENT: Duration = Duration::from_millis(50);
+/// Losses of upstreams with one part of prompts within this time of the first of them may have a cause in
+/// common.
+const PART_MOMENT: Duration = Duration::from_millis(50);
+/// The same for losses with one request: few of its repeats run at a time, so that upstreams that end with
+/// it one after the other seldom do so by another cause.
+const REQUEST_MOMENT: Duration = Duration::from_millis(10);
 /// Time without news after which a subject that is not in quarantine is forgotten.
 const SUSPECT_TIME: Duration = Duration::from_secs(3600);
 /// Time without news after which a subject in quarantine is forgotten.
 const QUARANTINE_TIME: Duration = Duration::from_secs(24 * 3600);
 /// Time from the third loss of an upstream to the first trial; each further loss multiplies it by four.
 const FIRST_TRIAL: Duration = Duration::from_secs(60);
+/// The same for a request that was answered between the losses: it may be a sound one that comes often.
+const FIRST_DOUBTFUL_TRIAL: Duration = Duration::from_secs(5);
 /// Longest time from a loss of an upstream to the next trial.
 const MAX_TRIAL: Duration = Duration::from_secs(3600);
 /// Time between two trials without a loss.
@@ -96,7 +102,7 @@
         self.forget(now);
         for subject in subjects {
             let entry = self.entry(now, *subject);
-            let is_new_moment = now >= entry.moment + MOMENT;
+            let is_new_moment = entry.is_new_moment(now);
             let news = entry.evidence.record_loss(loss, is_new_moment);
             self.record_news(now, *subject, news, true);
         }
@@ -295,7 +301,7 @@
             return;
         }
         let entry = self.entry(now, told.subject);
-        let is_new_moment = now >= entry.moment + MOMENT;
+        let is_new_moment = entry.is_new_moment(now);
         let news = entry.evidence.merge(told, is_new_moment);
         self.record_news(now, told.subject, news, false);
     }
@@ -340,7 +346,7 @@
         }
         if news == evidence::News::Loss {
             entry.last_loss = now;
-            if now >= entry.moment + MOMENT {
+            if entry.is_new_moment(now) {
                 entry.moment = now;
             }
         }
@@ -405,6 +411,15 @@
         matches!(self.evidence.subject, subject::Subject::Request(_))
     }
 
+    /// Returns whether a loss at this time has no cause in common with the former ones.
+    fn is_new_moment(&self, now: Instant) -> bool {
+        let moment = match self.evidence.subject {
+            subject::Subject::Part(_) => PART_MOMENT,
+            subject::Subject::Request(_) => REQUEST_MOMENT,
+        };
+        now >= self.moment + moment
+    }
+
     fn has_trials(&self) -> bool {
         self.evidence.trials < MAX_TRIALS
     }
@@ -416,7 +431,11 @@
         }
         let further = self.evidence.moments.saturating_sub(FIRST_TRIAL_LOSSES);
         let growth = 1_u32.checked_shl(further.saturating_mul(TRIAL_GROWTH_BITS));
-        let wait = FIRST_TRIAL.saturating_mul(growth.unwrap_or(u32::MAX));
+        let first = match self.is_request() && self.evidence.successes > 0 {
+            true => FIRST_DOUBTFUL_TRIAL,
+            false => FIRST_TRIAL,
+        };
+        let wait = first.saturating_mul(growth.unwrap_or(u32::MAX));
         let due = self.last_loss + wait.min(MAX_TRIAL);
         let after_trial = self.last_trial.map(|trial| trial + TRIAL_INTERVAL);
         after_trial.map_or(due, |after| after.max(due))
--- a/crates/core/tests/quarantine_requests.rs
+++ b/crates/core/tests/quarantine_requests.rs
@@ -243,3 +243,34 @@
     assert_eq!(changes.len(), 1);
     assert!(!is_quarantined(&table, 9));
 }
+
+#[test]
+fn upstreams_that_end_one_after_the_other_within_moments_count_each() {
+    let mut table = Table::default();
+    for number in 1..=3 {
+        let now = Instant(1000 + 20 * number);
+        table.record_loss(now, &[request(9)], loss(number));
+    }
+    assert!(is_quarantined(&table, 9));
+}
+
+#[test]
+fn a_deadly_request_that_is_lost_with_another_one_is_found_after_five_ends() {
+    let mut table = Table::default();
+    lose(&mut table, &[&[8], &[8, 9], &[8, 9], &[8, 9]]);
+    assert!(!is_quarantined(&table, 9));
+    lose(&mut table, &[&[8], &[8, 9], &[8, 9], &[8, 9], &[9], &[9]]);
+    assert!(is_quarantined(&table, 8));
+    assert!(is_quarantined(&table, 9));
+}
+
+#[test]
+fn a_request_that_was_answered_between_its_losses_gets_a_trial_soon() {
+    let mut table = Table::default();
+    let now = lose(&mut table, &[&[9], &[9]]);
+    table.record_success(now, &[request(9)]);
+    table.record_loss(now + SECOND, &[request(9)], loss(3));
+    assert!(is_quarantined(&table, 9));
+    let soon = now + SECOND * 7;
+    assert_eq!(table.admit(soon, &[request(9)], true), Verdict::Trial);
+}
