load: an experiment of plain calls that crash upstreams

deadly_requests plays 1 to 370 gateways and 3 to 500 upstreams: 1 to 20 deadly requests that come 0.2 to 20 times a second, other ends, a crash loop, losses of power of a quarter, restarts of gateways, a popular sound request. It shares the exchange of evidence with deadly_parts, which was moved out.

--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -5,6 +5,7 @@
 use std::process;
 
 use crate::experiment::deadly_parts;
+use crate::experiment::deadly_requests;
 use crate::experiment::named_limits;
 use crate::experiment::plot;
 use crate::experiment::policy;
@@ -129,6 +130,7 @@
     }
     if options.tainted {
         text.push_str(&deadly_parts::report(options.seeds));
+        text.push_str(&deadly_requests::report(options.seeds));
     }
     for scenario in &options.compare {
         eprintln!("{}", scenario.name);
--- a/crates/load/src/experiment/deadly_parts/fleet.rs
+++ b/crates/load/src/experiment/deadly_parts/fleet.rs
@@ -13,6 +13,7 @@
 
 use crate::experiment::deadly_parts;
 use crate::experiment::deadly_parts::setup;
+use crate::experiment::exchange;
 use crate::experiment::numbers;
 
 /// Time of a run.
@@ -25,8 +26,6 @@
 const BEGINNING: Duration = Duration::from_millis(60);
 /// Time for which an engine is gone after a crash.
 const DOWN: Duration = Duration::from_secs(3);
-/// Time in which news pass between a gateway and a control host.
-const NEWS: Duration = Duration::from_millis(25);
 /// Time for which the control hosts are away, from [`BEGIN`] on.
 const AWAY: Duration = Duration::from_secs(4);
 /// Time between two restarts of gateways.
@@ -63,12 +62,10 @@
     Crash,
     /// A generation has sent its second event, or crashes its engine.
     Written(usize),
+    /// Evidence arrives.
+    Deliver(exchange::Message),
     /// A gateway restarts.
     Restart,
-    /// A control host tells all gateways.
-    Spread,
-    /// A gateway tells the control hosts.
-    Tell(usize),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -79,27 +76,13 @@
     start: u64,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Gateway {
-    /// Change of its own that the control hosts know.
-    told: u64,
-    /// Change of the control hosts that it knows.
-    known: u64,
-    is_telling: bool,
-    table: quarantine::Table,
-    /// Generations written that the control hosts do not know of.
-    successes: Vec<quarantine::Success>,
-}
-
 pub(super) struct Fleet {
-    control: quarantine::Table,
     /// Crashes by deadly part.
     crashes: Vec<Vec<Instant>>,
     engines: Vec<Engine>,
     figures: deadly_parts::Figures,
-    gateways: Vec<Gateway>,
+    exchange: exchange::Exchange,
     generations: Vec<Generation>,
-    is_spreading: bool,
     late: Vec<usize>,
     next_restart: usize,
     queue: collections::BinaryHeap<cmp::Reverse<(Instant, usize, Event)>>,
@@ -113,13 +96,11 @@
         let count = setup.count_engines();
         let parts = usize::try_from(setup.deadly_parts).unwrap_or_default();
         let mut fleet = Fleet {
-            control: quarantine::Table::default(),
             crashes: vec![Vec::new(); parts],
             engines: vec![Engine::default(); count],
             figures: deadly_parts::Figures::default(),
-            gateways: vec![Gateway::default(); setup.gateways],
+            exchange: exchange::Exchange::new(setup.gateways),
             generations: Vec::new(),
-            is_spreading: false,
             late: vec![0; parts],
             next_restart: 0,
             queue: collections::BinaryHeap::new(),
@@ -176,13 +157,12 @@
             Event::Written(index) => self.finish_beginning(now, index),
             Event::Restart => {
                 self.push(now + RESTART_INTERVAL, Event::Restart);
-                let gateway = self.next_restart % self.gateways.len();
+                let gateway = self.next_restart % self.setup.gateways;
                 self.next_restart += 1;
-                self.gateways[gateway] = Gateway::default();
-                self.schedule_spread(now);
+                let message = self.exchange.restart(gateway);
+                self.send(now, message);
             }
-            Event::Spread => self.spread(now),
-            Event::Tell(index) => self.tell(now, index),
+            Event::Deliver(message) => self.deliver(now, message),
         }
     }
 
@@ -216,13 +196,13 @@
 
     fn arrive(&mut self, now: Instant) {
         let (prompt, deadly) = self.draw_prompt(now);
-        let gateway = self.random.random_range(0..self.gateways.len());
+        let gateway = self.random.random_range(0..self.setup.gateways);
         let is_sound = deadly.is_none();
         let deadly_first = prompt::Part::new(b"m", DEADLY_FIRST_ID);
         let is_alike = is_sound && prompt[0] == quarantine::Subject::Part(deadly_first);
         self.figures.sound += usize::from(is_sound);
         self.figures.sound_alike += usize::from(is_alike);
-        let verdict = self.gateways[gateway].table.admit(now, &prompt, false);
+        let verdict = self.exchange.table(gateway).admit(now, &prompt, false);
         if verdict != quarantine::Verdict::Allow {
             self.figures.sound_refused += usize::from(is_sound);
             self.figures.sound_alike_refused += usize::from(is_alike);
@@ -253,7 +233,7 @@
     fn begin(&mut self, now: Instant, index: usize) {
         let generation = &self.generations[index];
         let engine = &mut self.engines[generation.engine];
-        let table = &self.gateways[generation.gateway].table;
+        let table = self.exchange.table(generation.gateway);
         let is_withdrawn = table.find_quarantined(&generation.prompt).is_some();
         if engine.start == generation.engine_start && !is_withdrawn {
             engine.beginning.push(index);
@@ -273,12 +253,9 @@
             return;
         }
         engine.beginning.retain(|other| *other != index);
-        let gateway = &mut self.gateways[generation.gateway];
-        let (successes, _changes) = gateway.table.record_success(now, &generation.prompt);
-        if !successes.is_empty() {
-            gateway.successes.extend(successes);
-            self.schedule_tell(now, generation.gateway);
-        }
+        let (gateway, prompt) = (generation.gateway, &generation.prompt);
+        let message = self.exchange.record_success(now, gateway, prompt);
+        self.send(now, message);
     }
 
     fn crash(&mut self, now: Instant, index: usize) {
@@ -292,8 +269,8 @@
         for lost in core::mem::take(&mut engine.beginning) {
             let generation = &self.generations[lost];
             let (gateway, prompt) = (generation.gateway, generation.prompt.clone());
-            self.gateways[gateway].table.record_loss(now, &prompt, loss);
-            self.schedule_tell(now, gateway);
+            let message = self.exchange.record_loss(now, gateway, &prompt, loss);
+            self.send(now, message);
         }
     }
 
@@ -302,44 +279,17 @@
         self.setup.control_away && now >= begin && now < begin + AWAY
     }
 
-    fn schedule_tell(&mut self, now: Instant, gateway: usize) {
-        if !core::mem::replace(&mut self.gateways[gateway].is_telling, true) {
-            self.push(now + NEWS, Event::Tell(gateway));
-        }
-    }
-
-    fn schedule_spread(&mut self, now: Instant) {
-        if !core::mem::replace(&mut self.is_spreading, true) {
-            self.push(now + NEWS, Event::Spread);
+    fn send(&mut self, now: Instant, message: Option<exchange::Message>) {
+        if let Some(message) = message {
+            self.push(now + exchange::NEWS, Event::Deliver(message));
         }
     }
 
-    fn tell(&mut self, now: Instant, index: usize) {
-        if self.is_away(now) {
-            return self.push(now + NEWS, Event::Tell(index));
-        }
-        let gateway = &mut self.gateways[index];
-        gateway.is_telling = false;
-        let told: Vec<_> = gateway
-            .table
-            .list_own_after(gateway.told)
-            .cloned()
-            .collect();
-        gateway.told = gateway.table.last_change();
-        let successes = core::mem::take(&mut gateway.successes);
-        self.control.merge(now, &told, &successes);
-        self.schedule_spread(now);
-    }
-
-    fn spread(&mut self, now: Instant) {
-        if self.is_away(now) {
-            return self.push(now + NEWS, Event::Spread);
-        }
-        self.is_spreading = false;
-        for gateway in &mut self.gateways {
-            let told: Vec<_> = self.control.list_after(gateway.known).cloned().collect();
-            gateway.known = self.control.last_change();
-            gateway.table.merge(now, &told, &[]);
-        }
+    fn deliver(&mut self, now: Instant, message: exchange::Message) {
+        let next = match self.is_away(now) {
+            true => Some(message),
+            false => self.exchange.deliver(now, message),
+        };
+        self.send(now, next);
     }
 }
