--- a/crates/proof/tests/soak/caller.rs
+++ b/crates/proof/tests/soak/caller.rs
@@ -24,7 +24,9 @@
 
 /// Part of prompts on which runners crash now and then.
 pub(crate) const DEADLY_PART: &str = "dead";
-/// Generations for each one whose prompt has that part.
+/// Body of the plain calls on which runners crash now and then; all of them are the same request.
+pub(crate) const DEADLY_BODY: &str = "deadly body";
+/// Requests for each one that is deadly.
 const DEADLY_INTERVAL: u32 = 9;
 
 type Sender = http1::SendRequest<Full<Bytes>>;
@@ -150,7 +152,12 @@
             .header("model", "m")
             .header("prefix-hash", write_parts(attempt));
     }
-    let body = Bytes::from(format!("body of {attempt}"));
+    let body = match kind {
+        ledger::Kind::Idempotent | ledger::Kind::Once if is_deadly(attempt) => {
+            Bytes::from_static(DEADLY_BODY.as_bytes())
+        }
+        _ => Bytes::from(format!("body of {attempt}")),
+    };
     let request = request.body(Full::new(body.clone())).expect("a request");
     ledger.record_request(attempt, kind, connection.gateway);
     let response = read_response(&mut connection.sender, request);
@@ -182,17 +189,23 @@
 
 /// Returns the parts of a generation's prompt; some have the part on which runners may crash.
 fn write_parts(attempt: &str) -> String {
-    let number = attempt
-        .bytes()
-        .fold(0_u32, |sum, byte| sum + u32::from(byte));
+    let number = sum_bytes(attempt);
     let shared = format!("aa:40,{:x}:30", number % 4);
-    let is_deadly = !attempt.starts_with('f') && number.is_multiple_of(DEADLY_INTERVAL);
-    match is_deadly {
+    match is_deadly(attempt) {
         true => format!("{shared},{DEADLY_PART}:20,{number:x}:800"),
         false => format!("{shared},{number:x}:800"),
     }
 }
 
+/// Returns whether runners may crash on a request; never on those sent after the faults.
+fn is_deadly(attempt: &str) -> bool {
+    !attempt.starts_with('f') && sum_bytes(attempt).is_multiple_of(DEADLY_INTERVAL)
+}
+
+fn sum_bytes(attempt: &str) -> u32 {
+    attempt.bytes().map(u32::from).sum()
+}
+
 async fn read_response(
     sender: &mut Sender,
     request: http::Request<Full<Bytes>>,
--- a/crates/proof/tests/soak/faults.rs
+++ b/crates/proof/tests/soak/faults.rs
@@ -22,7 +22,7 @@
 /// leaves.
 const SILENT_LEAVE_TIME: time::Duration = time::Duration::from_millis(3500);
 
-/// Time for which runners crash on a part of prompts.
+/// Time for which runners crash on a part of prompts or on a plain call.
 const DEADLY_TIME: time::Duration = time::Duration::from_millis(2500);
 
 /// A fault that can be injected.
@@ -46,7 +46,7 @@
     RunnerPauses,
     RunnerSaysItLeaves,
     RunnerSendsWithoutEnd,
-    RunnersCrashOnPart,
+    RunnersCrashOnRequests,
     UpstreamDelayed,
     UpstreamReset,
     UpstreamSilent,
@@ -71,7 +71,7 @@
     Fault::RunnerPauses,
     Fault::RunnerSaysItLeaves,
     Fault::RunnerSendsWithoutEnd,
-    Fault::RunnersCrashOnPart,
+    Fault::RunnersCrashOnRequests,
     Fault::UpstreamDelayed,
     Fault::UpstreamReset,
     Fault::UpstreamSilent,
@@ -219,11 +219,15 @@
             runner.set_behaviour(runner::Behaviour::Answer);
         }
         // Lasts while other faults follow.
-        Fault::RunnersCrashOnPart => {
+        Fault::RunnersCrashOnRequests => {
             let upstreams = deployment.upstreams.iter();
             let runners: Vec<_> = upstreams.map(|upstream| upstream.runner.clone()).collect();
-            for runner in &runners {
-                runner.crash_on(Some(runner::Trigger::Part(caller::DEADLY_PART)), duration);
+            for upstream in &deployment.upstreams {
+                let trigger = match upstream.service {
+                    "pool" => runner::Trigger::Part(caller::DEADLY_PART),
+                    _ => runner::Trigger::Body(caller::DEADLY_BODY),
+                };
+                upstream.runner.crash_on(Some(trigger), duration);
             }
             tokio::spawn(async move {
                 tokio::time::sleep(DEADLY_TIME).await;
--- a/crates/proof/tests/soak/main.rs
+++ b/crates/proof/tests/soak/main.rs
@@ -32,8 +32,8 @@
 /// Concurrent callers, each of which sends one request at a time.
 const CALLER_COUNT: u64 = 8;
 
-/// Engines that gateways reach without a relay.
-const DIRECT_ENGINES: usize = 2;
+/// Upstreams of each service that gateways reach without a relay.
+const DIRECT_UPSTREAMS: usize = 2;
 
 fn read_seeds() -> core::ops::Range<u64> {
     let Ok(text) = std::env::var("PEARGAP_SOAK_SEEDS") else {
@@ -46,9 +46,10 @@
 /// Runs the test with one seed; returns the violated guarantees.
 async fn run_seed(seed: u64) -> Vec<String> {
     let mut deployment = deployment::Deployment::start(deployment::GATEWAYS).await;
-    // Gateways see the crashes of engines that have no relay before them.
-    for _engine in 0..DIRECT_ENGINES {
+    // Gateways see the crashes of upstreams that have no relay before them.
+    for _upstream in 0..DIRECT_UPSTREAMS {
         deployment.add_direct_upstream("pool").await;
+        deployment.add_direct_upstream("desk").await;
     }
     let ledger = ledger::Ledger::default();
     let mut operator = operator::Operator::start(&deployment, ledger.clone()).await;
