core, gateway, control: one backlog for news on links, evidence of control hosts in a module of its own

Successes and departures of a gateway were two rings; they share core::backlog now. A change of the quarantine is printed the same way by gateways and control hosts. The group of a request is found once where it is admitted.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -8,20 +8,16 @@
 use std::time;
 
 use peargap_adapters::clock;
-use peargap_adapters::evidence;
 use peargap_adapters::logs;
 use peargap_core::load_totals;
 use peargap_core::named_limits;
 use peargap_core::quarantine;
 use peargap_core::upstreams;
-use peargap_wire::fleet as wire;
-use peargap_wire::operator;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::events;
 use crate::replica;
-use crate::suspect;
 
 /// Time between checks for silent upstreams.
 const EXPIRY_PERIOD: time::Duration = time::Duration::from_millis(500);
@@ -43,9 +39,9 @@
 /// Statuses of upstreams and links of gateways; clones share them.
 #[derive(Clone, Debug)]
 pub(crate) struct Fleet {
-    clock: clock::Clock,
+    pub(crate) clock: clock::Clock,
     /// Number of the last change; links wait on it.
-    last_change: sync::Arc<watch::Sender<u64>>,
+    pub(crate) last_change: sync::Arc<watch::Sender<u64>>,
     pub(crate) handle: replica::Handle,
     state: sync::Arc<sync::Mutex<State>>,
     /// Incremented when a gateway has applied a change or a link is removed.
@@ -53,7 +49,7 @@
 }
 
 #[derive(Debug, Default)]
-struct State {
+pub(crate) struct State {
     /// Number of the last change.
     last_change: u64,
     /// Number of the last change of each upstream's status, by upstream.
@@ -64,7 +60,7 @@
     limits: named_limits::Table,
     links: collections::BTreeMap<LinkKey, Link>,
     /// Evidence of gateways on what crashes upstreams.
-    quarantine: quarantine::Table,
+    pub(crate) quarantine: quarantine::Table,
     /// Sums of the loads on all links.
     totals: load_totals::Totals,
 }
@@ -99,14 +95,6 @@
     pub(crate) news: Vec<named_limits::News>,
 }
 
-/// Evidence on what crashes upstreams.
-#[derive(Debug)]
-pub(crate) struct Evidence {
-    /// Number of the last change that the evidence includes.
-    pub(crate) last_change: u64,
-    pub(crate) news: Vec<quarantine::Evidence>,
-}
-
 /// Load of the other gateways, for a link whose gateway reports its own.
 #[derive(Clone, Debug)]
 pub(crate) struct Sums {
@@ -206,75 +194,6 @@
         }
     }
 
-    /// Records what a gateway knows of what crashes upstreams, and the requests with suspected subjects that
-    /// it saw answered, and tells all gateways.
-    pub(crate) fn record_evidence(
-        &self,
-        told: &[quarantine::Evidence],
-        successes: &[quarantine::Success],
-    ) {
-        if told.is_empty() && successes.is_empty() {
-            return;
-        }
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let former = state.quarantine.last_change();
-        let changes = state.quarantine.merge(now, told, successes);
-        let has_news = state.quarantine.last_change() != former;
-        drop(state);
-        log_quarantine(&changes);
-        if has_news {
-            self.last_change.send_modify(|_change| {});
-        }
-    }
-
-    /// Clears a prompt part or a request, as an operator wishes, and tells all gateways; returns what was
-    /// cleared.
-    pub(crate) fn release(
-        &self,
-        name: quarantine::Name,
-        operator: &str,
-    ) -> Vec<quarantine::Subject> {
-        let now = self.clock.now();
-        let (subjects, changes) = self.lock().quarantine.release(now, name);
-        logs::emit(
-            events::QUARANTINE_RELEASED,
-            format_args!(
-                "subject={name} operator={operator:?} cleared={}",
-                quarantine::List(&subjects)
-            ),
-        );
-        log_quarantine(&changes);
-        self.last_change.send_modify(|_change| {});
-        subjects
-    }
-
-    /// Returns what is known of the prompt parts and requests on which upstreams may crash.
-    pub(crate) fn list_suspects(&self) -> Vec<operator::Suspect> {
-        let state = self.lock();
-        let suspects = state.quarantine.list_suspects();
-        let rows = suspects.map(|(evidence, group)| suspect::encode(evidence, group));
-        rows.collect()
-    }
-
-    /// Returns the evidence on what crashes upstreams that changed after `change`.
-    pub(crate) fn list_evidence(&self, change: u64) -> Evidence {
-        let state = self.lock();
-        Evidence {
-            last_change: state.quarantine.last_change(),
-            news: state.quarantine.list_after(change).cloned().collect(),
-        }
-    }
-
-    /// Returns the evidence that should outlive all processes.
-    pub(crate) fn lasting_evidence(&self) -> wire::StoredEvidence {
-        let state = self.lock();
-        let lasting = state.quarantine.list_lasting().map(evidence::encode);
-        wire::StoredEvidence {
-            evidence: lasting.collect(),
-        }
-    }
-
     fn merge_status(&self, status: upstreams::Status) -> Option<u64> {
         let now = self.clock.now();
         let change = {
@@ -431,7 +350,7 @@
         self.last_change.subscribe()
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> sync::MutexGuard<'_, State> {
         let locked = self.state.lock();
         locked.unwrap_or_else(sync::PoisonError::into_inner)
     }
@@ -456,22 +375,6 @@
     }
 }
 
-fn log_quarantine(changes: &[quarantine::Change]) {
-    for change in changes {
-        logs::emit(
-            events::QUARANTINE_CHANGED,
-            format_args!(
-                "subject={} quarantined={} losses={} answered={} trials={}",
-                change.evidence.subject,
-                change.is_quarantined,
-                change.evidence.losses.len(),
-                change.evidence.successes,
-                change.evidence.trials
-            ),
-        );
-    }
-}
-
 fn log_status(status: &upstreams::Status) {
     logs::emit(events::UPSTREAM_CHANGED, format_args!("{status}"));
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -25,6 +25,7 @@
 mod placement;
 mod platform;
 mod proposal;
+mod quarantine;
 mod quarantine_store;
 mod record;
 mod replay;
--- a/crates/core/src/departures.rs
+++ b/crates/core/src/departures.rs
@@ -3,8 +3,7 @@
 //! The list outlives what the gateway knows of the upstreams themselves: a control host that has not
 //! heard of a departure may announce the upstream as ready at any time.
 
-use std::collections;
-
+use crate::backlog;
 use crate::upstreams;
 
 /// Departures that are kept.
@@ -20,31 +19,30 @@
 }
 
 /// The latest departures, oldest first.
-#[derive(Clone, Debug, Default)]
-pub struct Departures {
-    dropped: usize,
-    entries: collections::VecDeque<Departure>,
+#[derive(Clone, Debug)]
+pub struct Departures(backlog::Backlog<Departure>);
+
+impl Default for Departures {
+    fn default() -> Departures {
+        Departures(backlog::Backlog::new(MAX_ENTRIES))
+    }
 }
 
 impl Departures {
     /// Adds a departure; the oldest is dropped if there are too many.
     pub fn push(&mut self, departure: Departure) {
-        self.entries.push_back(departure);
-        if self.entries.len() > MAX_ENTRIES {
-            self.entries.pop_front();
-            self.dropped += 1;
-        }
+        self.0.push(departure);
     }
 
     /// Returns the number of departures so far.
     #[must_use]
     pub fn count(&self) -> usize {
-        self.dropped + self.entries.len()
+        self.0.count()
     }
 
     /// Returns the departures after the first `known` ones, without those that were dropped.
     pub fn list_after(&self, known: usize) -> impl Iterator<Item = &Departure> {
-        self.entries.iter().skip(known.saturating_sub(self.dropped))
+        self.0.list_after(known)
     }
 
     /// Makes a status that says that a leaving upstream takes work say that it is draining.
@@ -53,7 +51,7 @@
             upstreams::State::Ready | upstreams::State::Silent => true,
             upstreams::State::Draining | upstreams::State::Left => false,
         };
-        let has_departed = self.entries.iter().any(|departure| {
+        let has_departed = self.0.iter().any(|departure| {
             departure.upstream == status.name && departure.born_ms == status.edition.born_ms
         });
         if takes_work && has_departed {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admit;
 pub mod aggregator;
+pub mod backlog;
 pub mod balance;
 pub mod batch;
 pub mod breaker;
--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -1,5 +1,6 @@
 //! Evidence on all suspects, and the verdicts on requests.
 
+use core::fmt;
 use core::time::Duration;
 use std::collections;
 
@@ -42,8 +43,8 @@
 pub enum Verdict {
     /// It may.
     Allow,
-    /// It may, although it is in quarantine: it shows whether upstreams still crash on it.
-    Trial,
+    /// It may, although this subject is in quarantine: it shows whether upstreams still crash on it.
+    Trial(subject::Subject),
     /// It may not.
     Refuse {
         /// The subject because of which it may not.
@@ -65,6 +66,25 @@
     pub together: Vec<subject::Subject>,
 }
 
+impl fmt::Display for Change {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let evidence = &self.evidence;
+        write!(
+            formatter,
+            "subject={} quarantined={} together={} losses={} moments={} answered={} trials={} \
+             cleared={}",
+            evidence.subject,
+            self.is_quarantined,
+            subject::List(&self.together),
+            evidence.losses.len(),
+            evidence.moments,
+            evidence.successes,
+            evidence.trials,
+            evidence.epoch
+        )
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     /// Number of the last change.
@@ -157,12 +177,13 @@
         }
     }
 
-    /// Returns the verdict on a request with these subjects. Only one process may run trials for it.
+    /// Returns the verdict on a request with these subjects. `runs_trials` returns whether this process
+    /// runs the trials of a subject; only one may.
     pub fn admit(
         &mut self,
         now: Instant,
         subjects: &[subject::Subject],
-        runs_trials: bool,
+        runs_trials: impl FnOnce(subject::Subject) -> bool,
     ) -> Verdict {
         let Some(subject) = self.find_quarantined(subjects) else {
             return Verdict::Allow;
@@ -171,11 +192,11 @@
             return Verdict::Allow;
         };
         let due = entry.next_trial();
-        if runs_trials && entry.has_trials() && now >= due {
+        if entry.has_trials() && now >= due && runs_trials(subject) {
             entry.last_trial = Some(now);
             entry.evidence.record_trial();
             self.record_news(now, subject, evidence::News::Other, true);
-            return Verdict::Trial;
+            return Verdict::Trial(subject);
         }
         let retry_at = if now < due { due } else { now + TRIAL_INTERVAL };
         Verdict::Refuse {
@@ -382,19 +403,17 @@
     /// returns whether it forgot any.
     fn forget(&mut self, now: Instant) -> bool {
         let former = self.entries.len();
-        let groups = &self.groups;
+        let quarantined: collections::BTreeSet<_> = self.groups.iter().flatten().copied().collect();
         self.entries.retain(|subject, entry| {
-            let is_quarantined = groups.iter().any(|group| group.contains(subject));
-            let kept_for = if is_quarantined {
-                QUARANTINE_TIME
-            } else {
-                SUSPECT_TIME
+            let kept_for = match quarantined.contains(subject) {
+                true => QUARANTINE_TIME,
+                false => SUSPECT_TIME,
             };
             now < entry.changed_at + kept_for
         });
         while self.entries.len() >= MAX_ENTRIES {
             let least = self.entries.iter().min_by_key(|(subject, entry)| {
-                let is_quarantined = groups.iter().any(|group| group.contains(subject));
+                let is_quarantined = quarantined.contains(subject);
                 (is_quarantined, entry.evidence.moments, entry.change)
             });
             let Some(subject) = least.map(|(subject, _entry)| *subject) else {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -191,32 +191,32 @@
     let mut table = Table::default();
     let prompt = parts(&[9]);
     let now = lose(&mut table, &[&[9], &[9], &[9]]);
-    let Verdict::Refuse { retry_after_ms, .. } = table.admit(now, &prompt, true) else {
+    let Verdict::Refuse { retry_after_ms, .. } = table.admit(now, &prompt, |_| true) else {
         panic!("no trial is due");
     };
     let due = now + Duration::from_millis(retry_after_ms);
     let before = Instant(due.0 - 1);
     assert!(matches!(
-        table.admit(before, &prompt, true),
+        table.admit(before, &prompt, |_| true),
         Verdict::Refuse {
             retry_after_ms: 1,
             ..
         }
     ));
     assert!(matches!(
-        table.admit(due, &prompt, false),
+        table.admit(due, &prompt, |_| false),
         Verdict::Refuse { .. }
     ));
-    assert_eq!(table.admit(due, &prompt, true), Verdict::Trial);
+    assert_eq!(table.admit(due, &prompt, |_| true), Verdict::Trial(part(9)));
     assert!(matches!(
-        table.admit(due, &prompt, true),
+        table.admit(due, &prompt, |_| true),
         Verdict::Refuse { .. }
     ));
     table.record_loss(due, &prompt, loss(4));
     let Verdict::Refuse {
         retry_after_ms: later,
         ..
-    } = table.admit(due, &prompt, true)
+    } = table.admit(due, &prompt, |_| true)
     else {
         panic!("no trial is due");
     };
@@ -226,11 +226,11 @@
     );
     let mut now = due + Duration::from_millis(later);
     for _trial in 0..4 {
-        assert_eq!(table.admit(now, &prompt, true), Verdict::Trial);
+        assert_eq!(table.admit(now, &prompt, |_| true), Verdict::Trial(part(9)));
         table.record_success(now, &prompt);
         now = now + SECOND * 5;
     }
-    assert_eq!(table.admit(now, &prompt, false), Verdict::Allow);
+    assert_eq!(table.admit(now, &prompt, |_| false), Verdict::Allow);
 }
 
 #[test]
@@ -238,7 +238,7 @@
     let mut table = Table::default();
     lose(&mut table, &[&[9], &[9], &[9]]);
     let later = Instant::default() + SECOND * 300;
-    let Verdict::Refuse { retry_after_ms, .. } = table.admit(later, &parts(&[9]), false) else {
+    let Verdict::Refuse { retry_after_ms, .. } = table.admit(later, &parts(&[9]), |_| false) else {
         panic!("another process runs the trials");
     };
     assert!(retry_after_ms >= 1000, "{retry_after_ms} ms");
@@ -294,7 +294,10 @@
     lose(&mut table, &[&[9], &[9], &[9]]);
     let next_day = Instant::default() + SECOND * 100_000;
     table.merge(next_day, &[], &[]);
-    assert_eq!(table.admit(next_day, &parts(&[9]), false), Verdict::Allow);
+    assert_eq!(
+        table.admit(next_day, &parts(&[9]), |_| false),
+        Verdict::Allow
+    );
     assert!(!is_quarantined(&table, &[9]));
 }
 
@@ -320,7 +323,7 @@
     table.record_success(now, &parts(&[9]));
     for number in 0..100 {
         table.record_loss(now, &parts(&[9]), loss(number));
-        table.admit(now, &parts(&[9]), true);
+        table.admit(now, &parts(&[9]), |_| true);
     }
 }
 
--- a/crates/core/tests/quarantine_requests.rs
+++ b/crates/core/tests/quarantine_requests.rs
@@ -176,7 +176,7 @@
     let mut trials = 0;
     for minute in 1..600 {
         let now = now + MINUTE * minute;
-        if table.admit(now, &[request(9)], true) == Verdict::Trial {
+        if table.admit(now, &[request(9)], |_| true) == Verdict::Trial(request(9)) {
             trials += 1;
             table.record_loss(now, &[request(9)], loss(3 + trials));
         }
@@ -197,7 +197,7 @@
             0 => (&mut table, &mut other),
             _ => (&mut other, &mut table),
         };
-        trials += u32::from(runs.admit(now, &[request(9)], true) == Verdict::Trial);
+        trials += u32::from(runs.admit(now, &[request(9)], |_| true) == Verdict::Trial(request(9)));
         let told: Vec<_> = runs.list_after(0).cloned().collect();
         hears.merge(now, &told, &[]);
     }
@@ -210,9 +210,12 @@
     let now = lose(&mut table, &[&[9], &[9], &[9], &[9]]);
     let mut other = table.clone();
     let later = now + MINUTE * 5;
-    assert_eq!(table.admit(later, &[request(9)], true), Verdict::Trial);
+    assert_eq!(
+        table.admit(later, &[request(9)], |_| true),
+        Verdict::Trial(request(9))
+    );
     table.record_success(later, &[request(9)]);
-    assert_eq!(table.admit(later, &[request(9)], false), Verdict::Allow);
+    assert_eq!(table.admit(later, &[request(9)], |_| false), Verdict::Allow);
     let told: Vec<_> = table.list_own_after(0).cloned().collect();
     other.merge(later, &told, &[]);
     assert!(!is_quarantined(&other, 9));
@@ -272,5 +275,8 @@
     table.record_loss(now + SECOND, &[request(9)], loss(3));
     assert!(is_quarantined(&table, 9));
     let soon = now + SECOND * 7;
-    assert_eq!(table.admit(soon, &[request(9)], true), Verdict::Trial);
+    assert_eq!(
+        table.admit(soon, &[request(9)], |_| true),
+        Verdict::Trial(request(9))
+    );
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -40,7 +40,7 @@
 ) -> response::Response {
     let is_trial = match gateway.fleet.admit(request) {
         quarantine::Verdict::Allow => false,
-        quarantine::Verdict::Trial => true,
+        quarantine::Verdict::Trial(_) => true,
         quarantine::Verdict::Refuse {
             subject,
             retry_after_ms,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,9 +1,8 @@
 //! Quarantine of what crashes upstreams, as this gateway applies it.
 
-use std::collections;
-
 use peargap_adapters::evidence;
 use peargap_adapters::logs;
+use peargap_core::backlog;
 use peargap_core::quarantine;
 use peargap_wire::fleet as wire;
 
@@ -16,29 +15,24 @@
 const MAX_SUCCESSES: usize = 1024;
 
 /// Answered requests with suspected subjects, for the control hosts; oldest first.
-#[derive(Debug, Default)]
-pub(crate) struct Successes {
-    dropped: usize,
-    kept: collections::VecDeque<quarantine::Success>,
-}
+#[derive(Debug)]
+pub(crate) struct Successes(backlog::Backlog<quarantine::Success>);
 
-impl Successes {
-    fn extend(&mut self, successes: Vec<quarantine::Success>) {
-        self.kept.extend(successes);
-        while self.kept.len() > MAX_SUCCESSES {
-            self.kept.pop_front();
-            self.dropped += 1;
-        }
+impl Default for Successes {
+    fn default() -> Successes {
+        Successes(backlog::Backlog::new(MAX_SUCCESSES))
     }
+}
 
+impl Successes {
     /// Returns the number of successes so far.
     pub(crate) fn count(&self) -> usize {
-        self.dropped + self.kept.len()
+        self.0.count()
     }
 
     /// Returns the successes after the first `known` ones, without those that were dropped.
     pub(crate) fn list_after(&self, known: usize) -> impl Iterator<Item = &quarantine::Success> {
-        self.kept.iter().skip(known.saturating_sub(self.dropped))
+        self.0.list_after(known)
     }
 }
 
@@ -83,7 +77,9 @@
         if successes.is_empty() {
             return;
         }
-        state.successes.extend(successes);
+        for success in successes {
+            state.successes.0.push(success);
+        }
         drop(state);
         self.handle_changes(&changes);
         self.news.send_modify(|count| *count += 1);
@@ -113,13 +109,12 @@
         let now = self.clock.now();
         let subjects = self.list_known_subjects(request);
         let mut state = self.lock();
-        let Some(subject) = state.quarantine.find_quarantined(&subjects) else {
-            return quarantine::Verdict::Allow;
-        };
-        let runs_trials = state.gateway_position.owns(subject.index());
-        let verdict = state.quarantine.admit(now, &subjects, runs_trials);
+        let position = state.gateway_position;
+        let verdict = state
+            .quarantine
+            .admit(now, &subjects, |subject| position.owns(subject.index()));
         drop(state);
-        if verdict == quarantine::Verdict::Trial {
+        if let quarantine::Verdict::Trial(subject) = verdict {
             logs::emit(
                 events::QUARANTINE_TRIAL,
                 format_args!(
@@ -164,22 +159,7 @@
 
     fn handle_changes(&self, changes: &[quarantine::Change]) {
         for change in changes {
-            let evidence = &change.evidence;
-            logs::emit(
-                events::QUARANTINE_CHANGED,
-                format_args!(
-                    "subject={} quarantined={} together={} losses={} moments={} answered={} \
-                     trials={} cleared={}",
-                    evidence.subject,
-                    change.is_quarantined,
-                    quarantine::List(&change.together),
-                    evidence.losses.len(),
-                    evidence.moments,
-                    evidence.successes,
-                    evidence.trials,
-                    evidence.epoch
-                ),
-            );
+            logs::emit(events::QUARANTINE_CHANGED, format_args!("{change}"));
         }
         if !changes.is_empty() {
             self.quarantine_changes.send_modify(|count| *count += 1);
--- a/crates/gateway/src/starting.rs
+++ b/crates/gateway/src/starting.rs
@@ -116,7 +116,7 @@
         }
         match self.gateway.fleet.admit(&self.generation.request) {
             quarantine::Verdict::Allow => None,
-            quarantine::Verdict::Trial => {
+            quarantine::Verdict::Trial(_) => {
                 self.is_trial = true;
                 None
             }
--- a/crates/load/src/experiment/deadly_parts/fleet.rs
+++ b/crates/load/src/experiment/deadly_parts/fleet.rs
@@ -202,7 +202,7 @@
         let is_alike = is_sound && prompt[0] == quarantine::Subject::Part(deadly_first);
         self.figures.sound += usize::from(is_sound);
         self.figures.sound_alike += usize::from(is_alike);
-        let verdict = self.exchange.table(gateway).admit(now, &prompt, false);
+        let verdict = self.exchange.table(gateway).admit(now, &prompt, |_| false);
         if verdict != quarantine::Verdict::Allow {
             self.figures.sound_refused += usize::from(is_sound);
             self.figures.sound_alike_refused += usize::from(is_alike);
--- a/crates/load/src/experiment/deadly_requests/fleet.rs
+++ b/crates/load/src/experiment/deadly_requests/fleet.rs
@@ -241,7 +241,7 @@
         }
         let runs_trials = call.subject.index() % self.setup.gateways == call.gateway;
         let table = self.exchange.table(call.gateway);
-        let verdict = table.admit(now, &[call.subject], runs_trials);
+        let verdict = table.admit(now, &[call.subject], |_| runs_trials);
         let is_refused = matches!(verdict, quarantine::Verdict::Refuse { .. });
         self.count(kind, is_refused);
         if !is_refused {
