adapters, gateway: a panic is logged and counted, and ends only its own request

Change: each process logs panics (E1008) and counts them (peargap_panics_total). A gateway answers the request 500 with why=Internal and its id; a generation's stream is broken off visibly. No panic is known. The catch and the count have a test; the relay's branch has none, as no input is known to panic it.

--- a/crates/adapters/src/logs.rs
+++ b/crates/adapters/src/logs.rs
@@ -10,6 +10,7 @@
 use spdlog::formatter;
 use spdlog::sink;
 
+use crate::panics;
 use crate::rate_limit;
 
 /// A kind of log line.
@@ -106,7 +107,7 @@
     sync::LazyLock::new(sync::Mutex::default);
 static START: sync::LazyLock<time::Instant> = sync::LazyLock::new(time::Instant::now);
 
-/// Writes log lines of `level` and above to standard output; fails with spdlog's error.
+/// Writes log lines of `level` and above to standard output, panics among them; fails with spdlog's error.
 pub fn init(name: &str, level: Level, format: Format) -> Result<(), spdlog::Error> {
     let mut builder = sink::StdStreamSink::builder().stdout();
     builder = match format {
@@ -121,6 +122,7 @@
         .level_filter(spdlog::LevelFilter::MoreSevereEqual(map_level(level)))
         .build()?;
     spdlog::set_default_logger(sync::Arc::new(logger));
+    panics::install();
     Ok(())
 }
 
--- a/crates/adapters/src/metrics.rs
+++ b/crates/adapters/src/metrics.rs
@@ -7,6 +7,8 @@
 use opentelemetry_sdk::metrics as sdk;
 use prometheus::Encoder as _;
 
+use crate::panics;
+
 /// Clock ticks per second in `/proc/self/stat`.
 const TICKS_PER_SECOND: f64 = 100.0;
 const PAGE_BYTES: f64 = 4096.0;
@@ -62,6 +64,11 @@
                 }
             })
             .build();
+        let _panics = meter
+            .u64_observable_counter("peargap_panics")
+            .with_description("Panics of this process, each of which ended one piece of work")
+            .with_callback(|counter| counter.observe(panics::count(), &[]))
+            .build();
         let _memory = meter
             .f64_observable_gauge("peargap_process_resident_bytes")
             .with_description("Resident memory of this process")
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
 use hyper::body;
+use peargap_adapters::panics;
 use peargap_core::routes;
 use peargap_platform::head;
 use rand::RngExt as _;
@@ -58,10 +59,13 @@
         let (parts, body) = request.into_parts();
         let head = head::read_request(&parts.headers);
         let attempt = head.attempt.clone();
-        Ok(match self.serve_routed(head, parts, body).await {
-            Ok(response) => response,
-            Err(refusal) => self.refuse(&attempt, refusal),
-        })
+        Ok(
+            match panics::catch(self.serve_routed(head, parts, body)).await {
+                Ok(Ok(response)) => response,
+                Ok(Err(refusal)) => self.refuse(&attempt, refusal),
+                Err(panics::Panicked) => self.refuse(&attempt, response::Refusal::Internal),
+            },
+        )
     }
 
     async fn serve_routed(
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -9,6 +9,7 @@
 use http_body_util::StreamBody;
 use hyper::body;
 use peargap_adapters::logs;
+use peargap_adapters::panics;
 use peargap_core::balance;
 use peargap_core::event_timing;
 use peargap_core::rate_limit;
@@ -157,8 +158,13 @@
         return forward_error(gateway, &generation, run).await;
     }
     let (sender, events) = mpsc::channel(EVENT_BUFFER);
-    let relay = relay::Relay::new(gateway.clone(), generation, run, sender);
-    tokio::spawn(relay.run());
+    let relay = relay::Relay::new(gateway.clone(), generation, run, sender.clone());
+    tokio::spawn(async move {
+        if panics::catch(relay.run()).await.is_err() {
+            // Without it, the response would look complete. Fails if the caller has left.
+            let _ = sender.send(Err(response::Interrupted)).await;
+        }
+    });
     let frames = wrappers::ReceiverStream::new(events);
     let frames =
         frames.map(|event: Result<Bytes, response::Interrupted>| event.map(body::Frame::data));
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -42,6 +42,8 @@
     Full,
     /// The request's head is longer than allowed.
     HeadTooLong,
+    /// The gateway has a fault; the request may have run.
+    Internal,
     /// The caller's key belongs to no team.
     KeyUnknown,
     /// The upstreams get as many requests as the limits that they name allow; the request has not
@@ -88,6 +90,7 @@
             Refusal::BodyTooLong => "body_too_long",
             Refusal::Full => "full",
             Refusal::HeadTooLong => "head_too_long",
+            Refusal::Internal => "internal",
             Refusal::KeyUnknown => "key_unknown",
             Refusal::Limited { .. } => "limited",
             Refusal::NoRoutes => "no_routes",
@@ -117,6 +120,7 @@
             | Refusal::Stopping
             | Refusal::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Refusal::Internal => StatusCode::INTERNAL_SERVER_ERROR,
             Refusal::KeyUnknown => StatusCode::UNAUTHORIZED,
             Refusal::RouteUnknown => StatusCode::NOT_FOUND,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -139,6 +143,7 @@
             Refusal::BodyBroken
             | Refusal::BodyTooLong
             | Refusal::HeadTooLong
+            | Refusal::Internal
             | Refusal::KeyUnknown
             | Refusal::RouteUnknown
             | Refusal::TimedOut
