core, gateway: a trial counts when it is sent

It counts when it is sent now, and each send counts. The test of three trials (admit alone gave three in 600 minutes) shows the former behaviour; the new test asks ten times without a send and gets ten. Besides: a call that came into quarantine while it was refused elsewhere is sent to no other upstream, and an engine's error response speaks for the request as any complete one does.

--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -194,8 +194,6 @@
         let due = entry.next_trial();
         if entry.has_trials() && now >= due && runs_trials(subject) {
             entry.last_trial = Some(now);
-            entry.evidence.record_trial();
-            self.record_news(now, subject, evidence::News::Other, true);
             return Verdict::Trial(subject);
         }
         let retry_at = if now < due { due } else { now + TRIAL_INTERVAL };
@@ -205,6 +203,14 @@
         }
     }
 
+    /// Records that a trial of a subject is sent to an upstream.
+    pub fn record_trial(&mut self, now: Instant, subject: subject::Subject) {
+        if let Some(entry) = self.entries.get_mut(&subject) {
+            entry.evidence.record_trial();
+            self.record_news(now, subject, evidence::News::Other, true);
+        }
+    }
+
     /// Returns the subject because of which requests with these subjects are in quarantine, if they are.
     #[must_use]
     pub fn find_quarantined(&self, subjects: &[subject::Subject]) -> Option<subject::Subject> {
--- a/crates/core/tests/quarantine_requests.rs
+++ b/crates/core/tests/quarantine_requests.rs
@@ -178,6 +178,7 @@
         let now = now + MINUTE * minute;
         if table.admit(now, &[request(9)], |_| true) == Verdict::Trial(request(9)) {
             trials += 1;
+            table.record_trial(now, request(9));
             table.record_loss(now, &[request(9)], loss(3 + trials));
         }
     }
@@ -197,7 +198,10 @@
             0 => (&mut table, &mut other),
             _ => (&mut other, &mut table),
         };
-        trials += u32::from(runs.admit(now, &[request(9)], |_| true) == Verdict::Trial(request(9)));
+        if runs.admit(now, &[request(9)], |_| true) == Verdict::Trial(request(9)) {
+            trials += 1;
+            runs.record_trial(now, request(9));
+        }
         let told: Vec<_> = runs.list_after(0).cloned().collect();
         hears.merge(now, &told, &[]);
     }
@@ -280,3 +284,16 @@
         Verdict::Trial(request(9))
     );
 }
+
+#[test]
+fn a_trial_that_reaches_no_upstream_does_not_count() {
+    let mut table = Table::default();
+    let mut now = lose(&mut table, &[&[9], &[9], &[9]]);
+    let mut trials = 0;
+    for _minute in 0..10 {
+        now = now + MINUTE;
+        let verdict = table.admit(now, &[request(9)], |_| true);
+        trials += u32::from(verdict == Verdict::Trial(request(9)));
+    }
+    assert_eq!(trials, 10);
+}
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -183,6 +183,7 @@
     let attempt = &generation.request.head.attempt;
     match call::read_to_end(run.response, &run.placement.pool, &gateway.bodies).await {
         Ok((parts, body)) => {
+            gateway.fleet.record_answered(&generation.request);
             logs::emit(
                 events::REQUEST_ENDED,
                 format_args!(
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -38,9 +38,9 @@
     route: &routes::Route,
     service: &routes::Service,
 ) -> response::Response {
-    let is_trial = match gateway.fleet.admit(request) {
-        quarantine::Verdict::Allow => false,
-        quarantine::Verdict::Trial(_) => true,
+    let trial = match gateway.fleet.admit(request) {
+        quarantine::Verdict::Allow => None,
+        quarantine::Verdict::Trial(subject) => Some(subject),
         quarantine::Verdict::Refuse {
             subject,
             retry_after_ms,
@@ -58,6 +58,9 @@
     let mut refusal = response::Refusal::NotTaken;
     let mut error_response = None;
     while !attempts.is_exhausted() {
+        if attempts.has_arrived() && trial.is_none() && gateway.fleet.is_quarantined(request) {
+            break;
+        }
         let criteria = fleet::Criteria {
             exclude: attempts.tried(),
             near: None,
@@ -83,6 +86,9 @@
             break;
         }
         attempts.record_choice(placement.key);
+        if let Some(subject) = trial {
+            gateway.fleet.record_trial(request, subject);
+        }
         let result = try_upstream(gateway, request, &placement).await;
         attempts.record(&result);
         match result {
@@ -107,7 +113,7 @@
         }
         let may_run_again =
             route.kind == routes::Kind::Idempotent && possible_runs < route.attempts;
-        if is_trial || !may_run_again || !gateway.fleet.may_repeat(request) {
+        if trial.is_some() || !may_run_again || !gateway.fleet.may_repeat(request) {
             break;
         }
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -110,21 +110,23 @@
         let subjects = self.list_known_subjects(request);
         let mut state = self.lock();
         let position = state.gateway_position;
-        let verdict = state
+        state
             .quarantine
-            .admit(now, &subjects, |subject| position.owns(subject.index()));
-        drop(state);
-        if let quarantine::Verdict::Trial(subject) = verdict {
-            logs::emit(
-                events::QUARANTINE_TRIAL,
-                format_args!(
-                    "request={} subject={subject}",
-                    response::attempt_text(&request.head.attempt)
-                ),
-            );
-            self.news.send_modify(|count| *count += 1);
-        }
-        verdict
+            .admit(now, &subjects, |subject| position.owns(subject.index()))
+    }
+
+    /// Records that a request is sent to an upstream as a trial of a subject.
+    pub(crate) fn record_trial(&self, request: &call::Request, subject: quarantine::Subject) {
+        let now = self.clock.now();
+        self.lock().quarantine.record_trial(now, subject);
+        logs::emit(
+            events::QUARANTINE_TRIAL,
+            format_args!(
+                "request={} subject={subject}",
+                response::attempt_text(&request.head.attempt)
+            ),
+        );
+        self.news.send_modify(|count| *count += 1);
     }
 
     /// Returns whether a request may be sent to another upstream after one ended with it.
--- a/crates/gateway/src/starting.rs
+++ b/crates/gateway/src/starting.rs
@@ -33,13 +33,13 @@
     capacity_deadline: time::Instant,
     gateway: &'a gateway::Gateway,
     generation: &'a sync::Arc<generation::Generation>,
-    /// Whether it shows if engines still crash on it.
-    is_trial: bool,
     /// Refusal if no other engine is tried.
     refusal: response::Refusal,
     /// How often it may still be repeated after it may have run.
     repeats: u32,
     since: time::Instant,
+    /// Subject in quarantine of which it shows whether engines still crash on it.
+    trial: Option<quarantine::Subject>,
 }
 
 /// What to do next.
@@ -70,10 +70,10 @@
             capacity_deadline: since + objective / CAPACITY_WAIT_DIVISOR,
             gateway,
             generation,
-            is_trial: false,
             refusal: response::Refusal::NotTaken,
             repeats,
             since,
+            trial: None,
         }
     }
 
@@ -111,13 +111,13 @@
 
     /// Returns the refusal of a request that is in quarantine.
     fn check_quarantine(&mut self) -> Option<response::Refusal> {
-        if self.is_trial {
+        if self.trial.is_some() {
             return None;
         }
         match self.gateway.fleet.admit(&self.generation.request) {
             quarantine::Verdict::Allow => None,
-            quarantine::Verdict::Trial(_) => {
-                self.is_trial = true;
+            quarantine::Verdict::Trial(subject) => {
+                self.trial = Some(subject);
                 None
             }
             quarantine::Verdict::Refuse {
@@ -194,6 +194,9 @@
                 placement.view
             ),
         );
+        if let Some(subject) = self.trial {
+            self.gateway.fleet.record_trial(self.request(), subject);
+        }
         let options = call::Options {
             copy_to: copy.as_ref().map(|copy| copy.placement.address.as_str()),
             resume: None,
@@ -201,7 +204,7 @@
         let sent = tokio::select! {
             sent = call::send(&generation.request, &placement, options) => sent,
             // An engine that has not begun to write drops the request with its connection.
-            () = self.gateway.fleet.wait_until_quarantined(&generation.request), if !self.is_trial => {
+            () = self.gateway.fleet.wait_until_quarantined(&generation.request), if self.trial.is_none() => {
                 return Next::Refuse(response::Refusal::UpstreamFailed);
             }
         };
--- a/crates/load/src/experiment/deadly_requests/fleet.rs
+++ b/crates/load/src/experiment/deadly_requests/fleet.rs
@@ -242,6 +242,9 @@
         let runs_trials = call.subject.index() % self.setup.gateways == call.gateway;
         let table = self.exchange.table(call.gateway);
         let verdict = table.admit(now, &[call.subject], |_| runs_trials);
+        if let quarantine::Verdict::Trial(subject) = verdict {
+            table.record_trial(now, subject);
+        }
         let is_refused = matches!(verdict, quarantine::Verdict::Refuse { .. });
         self.count(kind, is_refused);
         if !is_refused {
