core: evidence of a process that started after a subject was cleared counts

Found on reading the diff. A process that is told of a cleared subject that it does not know forgot its epoch; what it observed later was of epoch 0, and processes that know the clearing ignore that. So a gateway that started after a release, or after four answers had cleared a part, gave no evidence on that subject for an hour, and a host that read a release from its disk dropped it. A cleared subject is kept now. The test fails before (three losses, nothing in quarantine at the control host) and passes.

Subject::is_request in place of four matches.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -150,9 +150,8 @@
         self.successes = self.successes.saturating_add(1);
         self.successes_since_loss = self.successes_since_loss.saturating_add(1);
         self.trials = 0;
-        let is_request = matches!(self.subject, subject::Subject::Request(_));
         let is_enough = self.successes_since_loss >= Odds::of(self.subject).clear_successes;
-        if is_enough || is_request && is_quarantined {
+        if is_enough || is_quarantined && self.subject.is_request() {
             self.clear();
         }
     }
--- a/crates/core/src/quarantine/group.rs
+++ b/crates/core/src/quarantine/group.rs
@@ -39,13 +39,9 @@
         f64::from(self.evidence.moments) * counted / all
     }
 
-    fn is_request(&self) -> bool {
-        matches!(self.evidence.subject, subject::Subject::Request(_))
-    }
-
     /// Returns whether this subject may as well be the cause of what the worst one explains.
     fn may_explain(&self, worst: &Suspect<'_>) -> bool {
-        if self.is_request() && worst.is_request() {
+        if self.evidence.subject.is_request() && worst.evidence.subject.is_request() {
             // One more loss with one of two requests is enough to tell them apart: neither is refused
             // in place of many others.
             return self.unexplained == worst.unexplained;
@@ -101,11 +97,10 @@
 /// parts of its prompt, as that refuses least.
 fn group(mut tied: Vec<subject::Subject>) -> Vec<Group> {
     tied.sort_unstable();
-    let is_request = |subject: &subject::Subject| matches!(subject, subject::Subject::Request(_));
-    if !tied.iter().any(is_request) {
+    if !tied.iter().any(subject::Subject::is_request) {
         return vec![tied];
     }
-    let requests = tied.into_iter().filter(is_request);
+    let requests = tied.into_iter().filter(subject::Subject::is_request);
     requests.map(|request| vec![request]).collect()
 }
 
--- a/crates/core/src/quarantine/subject.rs
+++ b/crates/core/src/quarantine/subject.rs
@@ -25,6 +25,12 @@
         }
     }
 
+    /// Returns whether this is a whole request.
+    #[must_use]
+    pub fn is_request(&self) -> bool {
+        matches!(self, Subject::Request(_))
+    }
+
     /// Returns a number that is evenly distributed over subjects.
     #[must_use]
     pub fn index(&self) -> usize {
--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -226,7 +226,7 @@
         let known = subjects
             .iter()
             .filter_map(|subject| self.entries.get(subject));
-        let mut requests = known.filter(|entry| entry.is_request());
+        let mut requests = known.filter(|entry| entry.evidence.subject.is_request());
         requests.all(|entry| {
             entry.evidence.moments < LIKELY_LOSSES || entry.evidence.successes_since_loss > 0
         })
@@ -324,7 +324,8 @@
     }
 
     fn merge_evidence(&mut self, now: Instant, told: &evidence::Evidence) {
-        if told.is_clear() && !self.entries.contains_key(&told.subject) {
+        let is_empty = told.is_clear() && told.epoch == 0;
+        if is_empty && !self.entries.contains_key(&told.subject) {
             return;
         }
         let entry = self.entry(now, told.subject);
@@ -385,7 +386,9 @@
             .entries
             .values()
             .filter(|entry| !entry.evidence.is_clear());
-        self.suspected_requests = suspects.filter(|entry| entry.is_request()).count();
+        self.suspected_requests = suspects
+            .filter(|entry| entry.evidence.subject.is_request())
+            .count();
         let evidence = self.entries.values().map(|entry| &entry.evidence);
         let former = core::mem::replace(&mut self.groups, group::find(evidence));
         let added = self.groups.iter().filter(|group| !former.contains(group));
@@ -432,10 +435,6 @@
 }
 
 impl Entry {
-    fn is_request(&self) -> bool {
-        matches!(self.evidence.subject, subject::Subject::Request(_))
-    }
-
     /// Returns whether a loss at this time has no cause in common with the former ones.
     fn is_new_moment(&self, now: Instant) -> bool {
         let moment = match self.evidence.subject {
@@ -456,7 +455,7 @@
         }
         let further = self.evidence.moments.saturating_sub(FIRST_TRIAL_LOSSES);
         let growth = 1_u32.checked_shl(further.saturating_mul(TRIAL_GROWTH_BITS));
-        let first = match self.is_request() && self.evidence.successes > 0 {
+        let first = match self.evidence.subject.is_request() && self.evidence.successes > 0 {
             true => FIRST_DOUBTFUL_TRIAL,
             false => FIRST_TRIAL,
         };
--- a/crates/core/tests/quarantine_requests.rs
+++ b/crates/core/tests/quarantine_requests.rs
@@ -297,3 +297,21 @@
     }
     assert_eq!(trials, 10);
 }
+
+#[test]
+fn evidence_of_a_process_that_started_after_a_subject_was_cleared_counts() {
+    let mut control = Table::default();
+    let now = lose(&mut control, &[&[9], &[9], &[9]]);
+    control.release(now, Name::Request(Digest(9)));
+    let mut gateway = Table::default();
+    let told: Vec<_> = control.list_after(0).cloned().collect();
+    gateway.merge(now, &told, &[]);
+    for number in 4..=6 {
+        let now = now + SECOND * number;
+        gateway.record_loss(now, &[request(9)], loss(u64::from(number)));
+        let told: Vec<_> = gateway.list_own_after(0).cloned().collect();
+        control.merge(now, &told, &[]);
+    }
+    assert!(is_quarantined(&gateway, 9));
+    assert!(is_quarantined(&control, 9));
+}
