load: the two experiments of crashes share one schedule of events

deadly_parts and deadly_requests each had a queue of timed events with its own numbering, its end of the run and the same draw of a random wait; both are experiment::schedule now. Only the load tool changes.

--- a/crates/load/src/experiment/deadly_parts/fleet.rs
+++ b/crates/load/src/experiment/deadly_parts/fleet.rs
@@ -1,8 +1,6 @@
 //! The simulated fleet.
 
-use core::cmp;
 use core::time::Duration;
-use std::collections;
 
 use peargap_core::prompt;
 use peargap_core::quarantine;
@@ -15,6 +13,7 @@
 use crate::experiment::deadly_parts::setup;
 use crate::experiment::exchange;
 use crate::experiment::numbers;
+use crate::experiment::schedule;
 
 /// Time of a run.
 const RUN: Duration = Duration::from_secs(30);
@@ -85,9 +84,8 @@
     generations: Vec<Generation>,
     late: Vec<usize>,
     next_restart: usize,
-    queue: collections::BinaryHeap<cmp::Reverse<(Instant, usize, Event)>>,
-    queued: usize,
     random: SmallRng,
+    schedule: schedule::Schedule<Event>,
     setup: setup::Setup,
 }
 
@@ -103,27 +101,26 @@
             generations: Vec::new(),
             late: vec![0; parts],
             next_restart: 0,
-            queue: collections::BinaryHeap::new(),
-            queued: 0,
             random: SmallRng::seed_from_u64(seed),
+            schedule: schedule::Schedule::new(),
             setup,
         };
-        fleet.push(Instant(1), Event::Arrive);
+        fleet.schedule.push(Instant(1), Event::Arrive);
         if setup.other_crashes_per_s > 0.0 {
-            fleet.push(Instant(1), Event::Crash);
+            fleet.schedule.push(Instant(1), Event::Crash);
         }
         if setup.restarts {
-            fleet.push(Instant::default() + BEGIN, Event::Restart);
+            fleet
+                .schedule
+                .push(Instant::default() + BEGIN, Event::Restart);
         }
         fleet
     }
 
     /// Plays until the end of the run.
     pub(super) fn play(mut self) -> deadly_parts::Figures {
-        while let Some(cmp::Reverse((now, _number, event))) = self.queue.pop() {
-            if now >= Instant::default() + RUN {
-                break;
-            }
+        let end = Instant::default() + RUN;
+        while let Some((now, event)) = self.schedule.pop_before(end) {
             self.handle(now, event);
         }
         let most = self.crashes.iter().map(Vec::len).max();
@@ -132,11 +129,6 @@
         self.figures
     }
 
-    fn push(&mut self, at: Instant, event: Event) {
-        self.queued += 1;
-        self.queue.push(cmp::Reverse((at, self.queued, event)));
-    }
-
     fn handle(&mut self, now: Instant, event: Event) {
         match event {
             Event::Arrive => {
@@ -156,7 +148,7 @@
             }
             Event::Written(index) => self.finish_beginning(now, index),
             Event::Restart => {
-                self.push(now + RESTART_INTERVAL, Event::Restart);
+                self.schedule.push(now + RESTART_INTERVAL, Event::Restart);
                 let gateway = self.next_restart % self.setup.gateways;
                 self.next_restart += 1;
                 let message = self.exchange.restart(gateway);
@@ -168,9 +160,8 @@
 
     /// Schedules the next of events that come at random.
     fn push_after(&mut self, now: Instant, per_s: f64, event: Event) {
-        let wait = -(1.0 - self.random.random_range(0.0..1.0_f64)).ln() / per_s;
-        let millis = u64::try_from(numbers::whole(wait * 1000.0)).unwrap_or(u64::MAX);
-        self.push(now + Duration::from_millis(millis), event);
+        let wait = schedule::draw_wait(&mut self.random, per_s);
+        self.schedule.push(now + wait, event);
     }
 
     /// Draws a prompt; the index of its deadly part, if it has one.
@@ -220,7 +211,8 @@
             self.late[part] += usize::from(fifth.is_some_and(|fifth| now > *fifth + CONTACT));
         }
         let wait = Duration::from_millis(self.random.random_range(WAIT_MS));
-        self.push(now + wait, Event::Begin(self.generations.len()));
+        self.schedule
+            .push(now + wait, Event::Begin(self.generations.len()));
         self.generations.push(Generation {
             deadly,
             engine,
@@ -237,7 +229,7 @@
         let is_withdrawn = table.find_quarantined(&generation.prompt).is_some();
         if engine.start == generation.engine_start && !is_withdrawn {
             engine.beginning.push(index);
-            self.push(now + BEGINNING, Event::Written(index));
+            self.schedule.push(now + BEGINNING, Event::Written(index));
         }
     }
 
@@ -281,7 +273,8 @@
 
     fn send(&mut self, now: Instant, message: Option<exchange::Message>) {
         if let Some(message) = message {
-            self.push(now + exchange::NEWS, Event::Deliver(message));
+            self.schedule
+                .push(now + exchange::NEWS, Event::Deliver(message));
         }
     }
 
--- a/crates/load/src/experiment/deadly_requests/fleet.rs
+++ b/crates/load/src/experiment/deadly_requests/fleet.rs
@@ -1,8 +1,6 @@
 //! The simulated fleet.
 
-use core::cmp;
 use core::time::Duration;
-use std::collections;
 
 use peargap_core::quarantine;
 use peargap_core::request;
@@ -15,6 +13,7 @@
 use crate::experiment::deadly_requests::setup;
 use crate::experiment::exchange;
 use crate::experiment::numbers;
+use crate::experiment::schedule;
 
 /// Time of a run.
 const RUN: Duration = Duration::from_secs(40);
@@ -96,9 +95,8 @@
     figures: deadly_requests::Figures,
     late: Vec<usize>,
     next_restart: usize,
-    queue: collections::BinaryHeap<cmp::Reverse<(Instant, usize, Event)>>,
-    queued: usize,
     random: SmallRng,
+    schedule: schedule::Schedule<Event>,
     setup: setup::Setup,
     upstreams: Vec<Upstream>,
 }
@@ -112,14 +110,13 @@
             figures: deadly_requests::Figures::default(),
             late: vec![0; setup.deadly],
             next_restart: 0,
-            queue: collections::BinaryHeap::new(),
-            queued: 0,
             random: SmallRng::seed_from_u64(seed),
+            schedule: schedule::Schedule::new(),
             setup,
             upstreams: vec![Upstream::default(); setup.upstreams],
         };
         let begin = Instant::default() + BEGIN;
-        fleet.push(Instant(1), Event::ArriveSound);
+        fleet.schedule.push(Instant(1), Event::ArriveSound);
         for index in 0..setup.deadly {
             fleet.push_after(begin, setup.deadly_per_s, Event::ArriveDeadly(index));
         }
@@ -130,7 +127,7 @@
             (setup.restarts, Event::Restart),
         ] {
             if happens {
-                fleet.push(begin, event);
+                fleet.schedule.push(begin, event);
             }
         }
         fleet
@@ -138,10 +135,8 @@
 
     /// Plays until the end of the run.
     pub(super) fn play(mut self) -> deadly_requests::Figures {
-        while let Some(cmp::Reverse((now, _number, event))) = self.queue.pop() {
-            if now >= Instant::default() + RUN {
-                break;
-            }
+        let end = Instant::default() + RUN;
+        while let Some((now, event)) = self.schedule.pop_before(end) {
             self.handle(now, event);
         }
         let most = self.crashes.iter().map(Vec::len).max();
@@ -150,21 +145,16 @@
         self.figures
     }
 
-    fn push(&mut self, at: Instant, event: Event) {
-        self.queued += 1;
-        self.queue.push(cmp::Reverse((at, self.queued, event)));
-    }
-
     /// Schedules the next of events that come at random.
     fn push_after(&mut self, now: Instant, per_s: f64, event: Event) {
-        let wait = -(1.0 - self.random.random_range(0.0..1.0_f64)).ln() / per_s;
-        let millis = u64::try_from(numbers::whole(wait * 1000.0)).unwrap_or(u64::MAX);
-        self.push(now + Duration::from_millis(millis), event);
+        let wait = schedule::draw_wait(&mut self.random, per_s);
+        self.schedule.push(now + wait, event);
     }
 
     fn send(&mut self, now: Instant, message: Option<exchange::Message>) {
         if let Some(message) = message {
-            self.push(now + exchange::NEWS, Event::Deliver(message));
+            self.schedule
+                .push(now + exchange::NEWS, Event::Deliver(message));
         }
     }
 
@@ -199,11 +189,11 @@
             Event::End(call) => self.end(now, call),
             Event::Examined(call, loss) => self.examine(now, call, loss),
             Event::Loop => {
-                self.push(now + DOWN + LOOP_INTERVAL, event);
+                self.schedule.push(now + DOWN + LOOP_INTERVAL, event);
                 self.crash(now, 0);
             }
             Event::PowerLoss => {
-                self.push(now + POWER_INTERVAL, event);
+                self.schedule.push(now + POWER_INTERVAL, event);
                 let count = self.upstreams.len();
                 let part = numbers::whole(numbers::number(count) * POWER_PART);
                 let first = self.random.random_range(0..count);
@@ -212,7 +202,7 @@
                 }
             }
             Event::Restart => {
-                self.push(now + RESTART_INTERVAL, event);
+                self.schedule.push(now + RESTART_INTERVAL, event);
                 let message = self
                     .exchange
                     .restart(self.next_restart % self.setup.gateways);
@@ -286,7 +276,7 @@
         }
         self.upstreams[upstream].running.push(index);
         let work = Duration::from_millis(self.random.random_range(WORK_MS));
-        self.push(now + work, Event::End(index));
+        self.schedule.push(now + work, Event::End(index));
     }
 
     fn end(&mut self, now: Instant, index: usize) {
@@ -316,7 +306,8 @@
         upstream.down_until = now + DOWN;
         for call in core::mem::take(&mut upstream.running) {
             let examined = Duration::from_millis(self.random.random_range(EXAMINE_MS));
-            self.push(now + examined, Event::Examined(call, loss));
+            self.schedule
+                .push(now + examined, Event::Examined(call, loss));
         }
     }
 
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -20,6 +20,7 @@
 pub mod policy;
 pub mod report;
 pub mod scenario;
+mod schedule;
 pub mod shedding;
 pub mod simulation;
 pub mod suite;
