gateway, control: routing documents as differences, one transfer at a time

Cause: a gateway asked for the whole text of each version and, as a text takes longer than 250 ms on a thin link, asked the next host for the same text again and again.

Change: a gateway names the version and digest of its text and gets what differs from it, compressed by flate2, in pieces of 4 KB that it asks for one after the other, so a piece confirms the one before. While a transfer arrives nothing else is requested; another host goes on with the rest when a piece is late by what pieces took lately, whatever the size of the text. A transfer that has begun is finished, then only the newest version is requested. An unknown base, or a digest that differs, brings the whole text, compressed. Hosts and gateways of the former release get and send whole texts as before.

Ruled out: a longer timeout (a lost host would cost as long), a dictionary compressor (the pure-Rust one has a window of 32 KB), differences by route (two truths beside the operators' text), switching to a newer version halfway (a link slower than the changes would never finish one).

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod deployment;
 pub mod digest;
+pub mod document;
 pub mod evidence;
 pub mod follow;
 pub mod health;
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -51,3 +51,7 @@
 pub(crate) const EVIDENCE_NOT_READ: logs::Event =
     logs::Event::warn(2136, "stored evidence not read");
 pub(crate) const EVIDENCE_NOT_WRITTEN: logs::Event = logs::Event::warn(2137, "evidence not stored");
+pub(crate) const TRANSFER_MADE: logs::Event =
+    logs::Event::info(2138, "transfer of a routing document made");
+pub(crate) const TRANSFER_NOT_MADE: logs::Event =
+    logs::Event::error(2139, "transfer of a routing document not made");
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::documents;
 use crate::events;
 use crate::replica;
 
@@ -40,6 +41,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Fleet {
     pub(crate) clock: clock::Clock,
+    pub(crate) documents: documents::Documents,
     /// Number of the last change; links wait on it.
     pub(crate) last_change: sync::Arc<watch::Sender<u64>>,
     pub(crate) handle: replica::Handle,
@@ -121,6 +123,7 @@
         let fleet = Fleet {
             last_change: sync::Arc::new(watch::Sender::new(0)),
             clock: clock::Clock::start(),
+            documents: documents::Documents::default(),
             handle,
             link_events: sync::Arc::new(watch::Sender::new(0)),
             state: sync::Arc::default(),
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -2,7 +2,6 @@
 
 use std::collections;
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use futures::StreamExt as _;
@@ -22,6 +21,7 @@
 use tokio_stream::wrappers;
 use tokio_util::sync::CancellationToken;
 
+use crate::documents;
 use crate::events;
 use crate::fleet;
 use crate::status;
@@ -55,8 +55,8 @@
     unconfirmed: sync::Arc<sync::Mutex<collections::BTreeMap<u64, u64>>>,
     sent: Sent,
     updates: mpsc::Sender<Result<wire::Update, tonic::Status>>,
-    /// Version of the document that the gateway asked for; 0 when it asked for none.
-    wanted_version: sync::Arc<atomic::AtomicU64>,
+    /// The gateway's request for the document.
+    wanted: documents::Pending,
 }
 
 /// Names of the control hosts.
@@ -97,14 +97,14 @@
         let (updates, outgoing) = mpsc::channel(UPDATE_BUFFER);
         let key = self.fleet.attach();
         let unconfirmed: sync::Arc<sync::Mutex<_>> = sync::Arc::default();
-        let wanted_version: sync::Arc<atomic::AtomicU64> = sync::Arc::default();
+        let wanted = documents::Pending::default();
         let document_requested: sync::Arc<Notify> = sync::Arc::default();
         let sender = Sender {
             fleet: self.fleet.clone(),
             key,
             unconfirmed: unconfirmed.clone(),
             sent: Sent::default(),
-            wanted_version: wanted_version.clone(),
+            wanted: wanted.clone(),
             document_requested: document_requested.clone(),
             updates,
         };
@@ -119,7 +119,7 @@
                     key,
                     reports,
                     &unconfirmed,
-                    &wanted_version,
+                    &wanted,
                     &document_requested,
                 ) => {}
             }
@@ -137,11 +137,12 @@
     key: fleet::LinkKey,
     mut reports: tonic::Streaming<wire::Report>,
     unconfirmed: &sync::Mutex<collections::BTreeMap<u64, u64>>,
-    wanted_version: &atomic::AtomicU64,
+    wanted: &documents::Pending,
     document_requested: &Notify,
 ) {
     let mut name = String::new();
     while let Some(Ok(report)) = reports.next().await {
+        let request = documents::Request::read(&report);
         if !report.gateway.is_empty() {
             name = report.gateway;
             logs::emit(events::GATEWAY_ATTACHED, format_args!("gateway={name}"));
@@ -150,8 +151,8 @@
             let change = confirm_update(unconfirmed, report.applied);
             fleet.record_applied(key, report.applied, change);
         }
-        if report.wanted > 0 {
-            wanted_version.store(report.wanted, atomic::Ordering::Relaxed);
+        if let Some(request) = request {
+            wanted.record(request);
             document_requested.notify_one();
         }
         if report.has_loads {
@@ -238,8 +239,13 @@
             voters: status.voter_names.clone(),
         };
         drop(status);
+        self.fleet.documents.record(&routing);
+        let request = self.wanted.take(routing.version);
+        let answer = request.map(|request| self.fleet.documents.answer(&routing, request));
+        let answer = answer.unwrap_or_default();
         let mut update = wire::Update {
-            document: self.build_document(&routing),
+            document: answer.document,
+            piece: answer.piece,
             outage: self.build_outage(&routing),
             evidence: evidence.news.iter().map(evidence::encode).collect(),
             limits: limits.news.iter().map(limit::encode).collect(),
@@ -300,24 +306,6 @@
         update.has_loads = sums.is_first || !update.loads.is_empty();
     }
 
-    /// Returns the document if the gateway asked for this version or an older one. A request for a
-    /// newer one is kept.
-    fn build_document(&self, routing: &routing::Routing) -> Option<wire::Document> {
-        let wanted = self.wanted_version.load(atomic::Ordering::Relaxed);
-        if wanted == 0 || routing.version < wanted {
-            return None;
-        }
-        let relaxed = atomic::Ordering::Relaxed;
-        // Fails if the gateway has just asked for another version, which is kept as well.
-        let _ = self
-            .wanted_version
-            .compare_exchange(wanted, 0, relaxed, relaxed);
-        Some(wire::Document {
-            text: routing.text.clone(),
-            version: routing.version,
-        })
-    }
-
     fn build_outage(&mut self, routing: &routing::Routing) -> Option<wire::Outage> {
         if self.sent.outage_sent && routing.revision == self.sent.revision {
             return None;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod config_history;
 mod copy_detection;
 pub mod disk;
+mod documents;
 mod events;
 pub mod files;
 mod fleet;
--- a/crates/core/src/document_fetch.rs
+++ b/crates/core/src/document_fetch.rs
@@ -1,16 +1,23 @@
-//! Which control host a gateway requests a routing document from.
+//! Which control host a gateway requests a routing document from, and when again.
 //!
-//! Every control host announces the versions that it has; the text is requested from one of them at
-//! a time. A host may be unable to answer although its announcements still arrive, so a host that
-//! has not answered in time is requested again only if no other one has the document.
+//! Every control host announces the versions that it has. One of them is asked for the newest one,
+//! piece by piece; nothing else is requested meanwhile, so that a thin link carries each byte once.
+//! A host may be unable to answer although its announcements still arrive: when no piece has come for
+//! a while, which grows with the time that pieces take, another host is asked for the rest.
 
 use core::time::Duration;
 use std::collections;
 
+use crate::document_transfer;
 use crate::time::Instant;
 
-/// Time that a host has to send a document before another one is asked for it.
+/// Time that a host has to send the next piece before another one is asked for it, unless pieces take
+/// long.
 pub const TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time that a host has to send the next piece.
+const MAX_TIMEOUT: Duration = Duration::from_secs(1);
+/// The time that a host has, as a multiple of the time that recent pieces took.
+const TIMEOUT_PER_PIECE_TIME: u32 = 4;
 /// Time after which a host that has not answered may be asked again although there are others:
 /// their links may be blocked.
 const SECOND_TIMEOUT: Duration = Duration::from_millis(500);
@@ -19,6 +26,8 @@
 #[derive(Clone, Debug)]
 struct Request {
     host: String,
+    /// Whether the next piece has yet to be asked for.
+    is_due: bool,
     sent_at: Instant,
     version: u64,
 }
@@ -26,24 +35,59 @@
 /// What the link to a host should do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
-    /// Request this version, or a newer one, from the host.
+    /// Request the next piece of this version, or of a newer one, from the host.
     Request(u64),
-    /// Wait: the document is up to date, or requested from another host.
+    /// Wait: the document is up to date, arriving, or left to another host.
     Wait,
 }
 
+/// What has come of a piece.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The transfer is complete.
+    Complete(document_transfer::Transfer),
+    /// It is of no use: known, or not the next one.
+    Ignored,
+    /// The next piece is to be requested.
+    More,
+}
+
+/// A host that has not sent the next piece in time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Stall {
+    /// The host.
+    pub host: String,
+    /// Bytes of the transfer that have arrived, from any host.
+    pub received: usize,
+    /// Requested version.
+    pub version: u64,
+}
+
 /// Offers and requests of documents, over all control hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Fetch {
+    /// The transfer that is arriving.
+    arrival: Option<document_transfer::Arrival>,
     /// Newest version that each connected host has.
     offers: collections::BTreeMap<String, u64>,
     pending: Option<Request>,
+    /// Time that recent pieces took.
+    piece_time: Duration,
+    /// Newest version whose text has arrived, whether the gateway can use it or not.
+    settled: u64,
     /// When the last request was sent.
     requested_at: Instant,
     /// When the newest version was first offered.
     offered_at: Instant,
+    /// Nothing is requested before.
+    retry_at: Instant,
+    stall: Option<Stall>,
     /// Hosts that have not answered their last request in time.
     unanswered: collections::BTreeSet<String>,
+    /// When the piece that is awaited was first requested.
+    wait_since: Option<Instant>,
+    /// Whether a difference did not give the text that it should have.
+    wants_whole: bool,
 }
 
 impl Fetch {
@@ -57,15 +101,68 @@
         *offer = version.max(*offer);
     }
 
-    /// Records that a host has sent a document.
+    /// Records that a host has sent a whole document in one message.
     pub fn record_answer(&mut self, host: &str) {
         self.unanswered.remove(host);
+        self.pending.take_if(|request| request.host == host);
+    }
+
+    /// Records a piece from a host, if the gateway has version `current`.
+    pub fn record_piece(
+        &mut self,
+        now: Instant,
+        host: &str,
+        current: u64,
+        piece: &document_transfer::Piece,
+    ) -> Outcome {
+        self.unanswered.remove(host);
+        if piece.header.version <= current.max(self.settled) || !self.add(host, piece) {
+            return Outcome::Ignored;
+        }
+        self.measure_piece(now);
+        let complete = self.arrival.take_if(|arrival| arrival.is_complete());
+        if let Some(arrival) = complete {
+            self.pending = None;
+            return Outcome::Complete(arrival.finish());
+        }
+        // The host that sends is asked for the next piece, also if another one was asked meanwhile.
+        self.pending = Some(Request {
+            host: host.to_owned(),
+            is_due: true,
+            sent_at: now,
+            version: piece.header.version,
+        });
+        Outcome::More
+    }
+
+    /// Records that what a host sent does not give the text that it should. After a difference, the
+    /// whole text is requested; after that, another attempt is made later.
+    pub fn record_damage(&mut self, now: Instant, host: &str) {
+        self.unanswered.insert(host.to_owned());
+        if core::mem::replace(&mut self.wants_whole, true) {
+            self.retry_at = now + MAX_TIMEOUT;
+        }
+    }
+
+    /// Records that a version is in force.
+    pub fn record_applied(&mut self, version: u64) {
+        self.wants_whole = false;
+        self.wait_since = None;
+        self.arrival
+            .take_if(|arrival| arrival.header().version <= version);
+    }
+
+    /// Records that the text of a version has arrived whole. It is not requested again, also if the
+    /// gateway cannot use it.
+    pub fn record_settled(&mut self, version: u64) {
+        self.settled = self.settled.max(version);
     }
 
     /// Forgets a host whose link has ended.
     pub fn forget(&mut self, host: &str) {
         self.offers.remove(host);
         self.unanswered.remove(host);
+        self.pending.take_if(|request| request.host == host);
     }
 
     /// Returns the time since the newest version was first offered.
@@ -77,51 +174,127 @@
     /// Returns whether a host has a newer version than `current`.
     #[must_use]
     pub fn is_behind(&self, host: &str, current: u64) -> bool {
-        self.offers
-            .get(host)
-            .is_some_and(|version| *version > current)
+        let known = current.max(self.settled);
+        let offer = self.offers.get(host);
+        offer.is_some_and(|version| *version > known)
+    }
+
+    /// Returns whether only a whole text is of use, as a difference did not apply.
+    #[must_use]
+    pub fn wants_whole(&self) -> bool {
+        self.wants_whole
+    }
+
+    /// Returns the transfer that is arriving.
+    #[must_use]
+    pub fn arrival(&self) -> Option<&document_transfer::Arrival> {
+        self.arrival.as_ref()
+    }
+
+    /// Returns the host that was last found not to answer, once.
+    pub fn take_stall(&mut self) -> Option<Stall> {
+        self.stall.take()
     }
 
     /// Returns what to do on the link to a host if the gateway has version `current`, and records
     /// the request.
     pub fn next(&mut self, now: Instant, host: &str, current: u64) -> Next {
-        let offered = self.offers.get(host).copied().unwrap_or(0);
-        if offered <= current || self.is_requested(now, offered) {
+        self.end_request(now, current);
+        if let Some(request) = &mut self.pending {
+            if request.host != host || !core::mem::take(&mut request.is_due) {
+                return Next::Wait;
+            }
+            self.wait_since = Some(now);
+            return Next::Request(request.version);
+        }
+        if now < self.retry_at {
             return Next::Wait;
         }
-        self.record_timeout(now, current);
-        if self.should_leave_to_others(now, host, current) {
+        if !self.is_behind(host, current) || self.should_leave_to_others(now, host, current) {
             return Next::Wait;
         }
+        let version = self.offers.get(host).copied().unwrap_or(0);
+        self.wait_since.get_or_insert(now);
         self.requested_at = now;
         self.pending = Some(Request {
             host: host.to_owned(),
+            is_due: false,
             sent_at: now,
-            version: offered,
+            version,
         });
-        Next::Request(offered)
+        Next::Request(version)
     }
 
-    fn is_requested(&self, now: Instant, version: u64) -> bool {
-        self.pending
+    /// Adds a piece to what has arrived; returns whether it is the next one.
+    fn add(&mut self, host: &str, piece: &document_transfer::Piece) -> bool {
+        let is_next = self
+            .arrival
+            .as_mut()
+            .is_some_and(|arrival| arrival.add(piece));
+        if is_next {
+            return true;
+        }
+        // A host that does not know the transfer any more starts another one.
+        let is_asked = self
+            .pending
             .as_ref()
-            .is_some_and(|request| request.version >= version && now < request.sent_at + TIMEOUT)
+            .is_some_and(|request| request.host == host);
+        let is_known = self
+            .arrival
+            .as_ref()
+            .is_some_and(|arrival| arrival.header() == piece.header || !is_asked);
+        if is_known && !piece.is_whole() {
+            return false;
+        }
+        let Some(arrival) = document_transfer::Arrival::start(piece) else {
+            return false;
+        };
+        self.arrival = Some(arrival);
+        true
+    }
+
+    /// Measures the time that a piece took, from its first request to any host.
+    fn measure_piece(&mut self, now: Instant) {
+        let since = self.wait_since.take().unwrap_or(now);
+        let time = Duration::from_millis(now.millis_since(since));
+        self.piece_time = time.max(self.piece_time / 2);
+    }
+
+    fn timeout(&self) -> Duration {
+        let timeout = self.piece_time.saturating_mul(TIMEOUT_PER_PIECE_TIME);
+        timeout.clamp(TIMEOUT, MAX_TIMEOUT)
     }
 
-    fn record_timeout(&mut self, now: Instant, current: u64) {
+    /// Ends the request if its version is in force, or no piece has come for too long.
+    fn end_request(&mut self, now: Instant, current: u64) {
+        self.pending.take_if(|request| request.version <= current);
+        let timeout = self.timeout();
         let overdue = self
             .pending
-            .take_if(|request| request.version > current && now >= request.sent_at + TIMEOUT);
-        if let Some(request) = overdue {
-            self.unanswered.insert(request.host);
-        }
+            .take_if(|request| now >= request.sent_at + timeout);
+        let Some(request) = overdue else {
+            return;
+        };
+        self.unanswered.insert(request.host.clone());
+        let arrival = self.arrival.as_ref();
+        self.stall = Some(Stall {
+            host: request.host,
+            received: arrival.map_or(0, document_transfer::Arrival::received),
+            version: request.version,
+        });
     }
 
     fn should_leave_to_others(&self, now: Instant, host: &str, current: u64) -> bool {
-        let mut offers = self.offers.iter();
-        let has_other = offers.any(|(other, version)| {
-            other != host && *version > current && !self.unanswered.contains(other)
-        });
+        let offer = self.offers.get(host).copied().unwrap_or(0);
+        let mut others = self
+            .offers
+            .iter()
+            .filter(|(other, _version)| *other != host && !self.unanswered.contains(*other));
+        // Only the newest version is of use.
+        if others.clone().any(|(_other, version)| *version > offer) {
+            return true;
+        }
+        let has_other = others.any(|(_other, version)| *version > current);
         let is_recent = now < self.requested_at.max(self.offered_at) + SECOND_TIMEOUT;
         self.unanswered.contains(host) && has_other && is_recent
     }
--- /dev/null
+++ b/crates/gateway/src/documents.rs
@@ -0,0 +1,139 @@
+//! Routing documents as they arrive from the control hosts.
+
+use std::sync;
+
+use peargap_adapters::document as transfer;
+use peargap_adapters::logs;
+use peargap_core::document_fetch;
+use peargap_core::document_history;
+use peargap_core::document_transfer;
+use peargap_core::routes;
+use peargap_platform::document;
+use peargap_wire::fleet as wire;
+
+use crate::events;
+use crate::fleet;
+use crate::fleet_state;
+
+impl fleet::Fleet {
+    /// Applies a document that a control host has sent whole, in one message.
+    pub(crate) fn receive_document(&self, host: &str, document: wire::Document) {
+        self.lock().fetch.record_answer(host);
+        if document.version > self.version() {
+            let text = document_history::Text::new(document.version, document.text);
+            self.apply_text(text);
+        }
+    }
+
+    /// Records a piece of a document, and applies the document if it is complete.
+    pub(crate) fn receive_piece(&self, host: &str, piece: wire::Piece) {
+        let Some(piece) = transfer::decode_piece(piece) else {
+            return;
+        };
+        let now = self.clock.now();
+        let (outcome, held) = {
+            let mut state = self.lock();
+            let version = state.version;
+            let outcome = state.fetch.record_piece(now, host, version, &piece);
+            (outcome, state.document.clone())
+        };
+        let received = match outcome {
+            document_fetch::Outcome::Complete(received) => received,
+            document_fetch::Outcome::Ignored | document_fetch::Outcome::More => return,
+        };
+        log_received(host, received.header);
+        match transfer::decode(&received, held.as_deref()) {
+            Ok(text) => self.apply_text(text),
+            Err(error) => self.record_damage(host, received.header, &error),
+        }
+    }
+
+    /// Applies a text and keeps it as the base of the next difference.
+    fn apply_text(&self, text: document_history::Text) {
+        let version = text.version;
+        match document::read_document(&text.bytes) {
+            Ok(table) => self.apply_table(table, text),
+            Err(findings) => logs::emit(
+                events::DOCUMENT_REJECTED,
+                format_args!("version={version} why={findings:?}"),
+            ),
+        }
+        self.lock().fetch.record_settled(version);
+        // Links whose hosts have a newer document wait for this one to end.
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    /// Replaces the routing table unless the current one is at least as new.
+    fn apply_table(&self, table: routes::Table, text: document_history::Text) {
+        let mut state = self.lock();
+        if table.version() <= state.version {
+            return;
+        }
+        state.version = table.version();
+        state.table = Some(sync::Arc::new(table));
+        let version = state.version;
+        state.fetch.record_applied(version);
+        state.document = Some(sync::Arc::new(text));
+        let offered_ms = state.fetch.millis_since_offer(self.clock.now());
+        logs::emit(
+            events::DOCUMENT_APPLIED,
+            format_args!("version={version} offered_ms={offered_ms}"),
+        );
+        drop(state);
+        self.notify_changed();
+    }
+
+    fn record_damage(
+        &self,
+        host: &str,
+        header: document_transfer::Header,
+        error: &transfer::Error,
+    ) {
+        logs::emit(
+            events::TRANSFER_DAMAGED,
+            format_args!(
+                "version={} base={} control={host} why={error}",
+                header.version, header.base
+            ),
+        );
+        let now = self.clock.now();
+        self.lock().fetch.record_damage(now, host);
+        self.news.send_modify(|count| *count += 1);
+    }
+}
+
+impl fleet_state::State {
+    /// Returns what a control host is to be told of the document that this gateway has.
+    pub(crate) fn describe_held(&self) -> document_history::Held {
+        let arrival = self.fetch.arrival();
+        let usable = self.document.as_ref();
+        let usable = usable.filter(|_text| !self.fetch.wants_whole());
+        document_history::Held {
+            digest: usable.map_or(0, |text| text.digest),
+            received: arrival.map_or(0, document_transfer::Arrival::received),
+            transfer: arrival.map(document_transfer::Arrival::header),
+            version: usable.map_or(0, |text| text.version),
+        }
+    }
+}
+
+/// Logs a host that has not sent the next piece in time.
+pub(crate) fn log_stall(stall: &document_fetch::Stall) {
+    logs::emit(
+        events::TRANSFER_STALLED,
+        format_args!(
+            "version={} received={} control={}",
+            stall.version, stall.received, stall.host
+        ),
+    );
+}
+
+fn log_received(host: &str, header: document_transfer::Header) {
+    logs::emit(
+        events::TRANSFER_RECEIVED,
+        format_args!(
+            "version={} base={} bytes={} control={host}",
+            header.version, header.base, header.total
+        ),
+    );
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -46,3 +46,9 @@
     logs::Event::info(6033, "trial of a request in quarantine");
 pub(crate) const REQUEST_BROKEN_OFF: logs::Event =
     logs::Event::warn(6031, "request broken off by its upstream");
+pub(crate) const TRANSFER_RECEIVED: logs::Event =
+    logs::Event::info(6034, "transfer of a routing document received");
+pub(crate) const TRANSFER_STALLED: logs::Event =
+    logs::Event::warn(6035, "transfer of a routing document stalled");
+pub(crate) const TRANSFER_DAMAGED: logs::Event =
+    logs::Event::error(6036, "transfer of a routing document damaged");
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -100,34 +100,12 @@
         self.lock().table.clone()
     }
 
-    /// Replaces the routing table unless the current one is at least as new.
-    pub(crate) fn apply_table(&self, table: routes::Table) {
-        let mut state = self.lock();
-        if table.version() <= state.version {
-            return;
-        }
-        state.version = table.version();
-        state.table = Some(sync::Arc::new(table));
-        let offered_ms = state.fetch.millis_since_offer(self.clock.now());
-        logs::emit(
-            events::DOCUMENT_APPLIED,
-            format_args!("version={} offered_ms={offered_ms}", state.version),
-        );
-        drop(state);
-        self.notify_changed();
-    }
-
     /// Records that a control host has a document of this version.
     pub(crate) fn record_offer(&self, host: &str, version: u64) {
         let now = self.clock.now();
         self.lock().fetch.record_offer(now, host, version);
     }
 
-    /// Records that a control host has sent a document.
-    pub(crate) fn record_document(&self, host: &str) {
-        self.lock().fetch.record_answer(host);
-    }
-
     /// Forgets what a control host has offered, as its link has ended.
     pub(crate) fn forget_offer(&self, host: &str) {
         self.lock().fetch.forget(host);
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -9,6 +9,7 @@
 use peargap_core::cold_rate;
 use peargap_core::departures;
 use peargap_core::document_fetch;
+use peargap_core::document_history;
 use peargap_core::fleet_share;
 use peargap_core::named_limits;
 use peargap_core::pause;
@@ -34,6 +35,8 @@
 pub(crate) struct State {
     /// Upstreams that said in a response that they are leaving.
     pub(crate) departures: departures::Departures,
+    /// The routing document in force, from which the next one may differ.
+    pub(crate) document: Option<sync::Arc<document_history::Text>>,
     pub(crate) domains_out: collections::BTreeSet<String>,
     /// Offers and requests of routing documents.
     pub(crate) fetch: document_fetch::Fetch,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,7 +14,6 @@
 use peargap_core::reconnect;
 use peargap_core::time::Instant;
 use peargap_core::upstreams;
-use peargap_platform::document;
 use peargap_wire::fleet as wire;
 use peargap_wire::fleet::fleet_client;
 use tokio::sync::mpsc;
@@ -236,8 +235,10 @@
     reports: &mpsc::Sender<wire::Report>,
 ) -> Result<(), String> {
     if let Some(document) = update.document {
-        shared.fleet.record_document(host);
-        apply_document(&shared.fleet, &document);
+        shared.fleet.receive_document(host, document);
+    }
+    if let Some(piece) = update.piece {
+        shared.fleet.receive_piece(host, piece);
     }
     if let Some(outage) = update.outage {
         shared.fleet.apply_outage(outage.revision, outage.domains);
@@ -284,19 +285,6 @@
     })
 }
 
-fn apply_document(fleet: &fleet::Fleet, document: &wire::Document) {
-    if document.version <= fleet.version() {
-        return;
-    }
-    match document::read_document(&document.text) {
-        Ok(table) => fleet.apply_table(table),
-        Err(findings) => logs::emit(
-            events::DOCUMENT_REJECTED,
-            format_args!("version={} why={findings:?}", document.version),
-        ),
-    }
-}
-
 fn decode_status(upstream: wire::Upstream) -> Option<upstreams::Status> {
     let state = match upstream.state() {
         wire::State::Draining => upstreams::State::Draining,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod call;
 mod candidates;
 mod crash;
+mod documents;
 mod events;
 mod fleet;
 mod fleet_state;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -1,11 +1,13 @@
 //! What a gateway tells a control host on each link, beside its load.
 
+use peargap_adapters::document;
 use peargap_adapters::evidence as wire_evidence;
 use peargap_adapters::limit as wire_limit;
 use peargap_adapters::logs;
 use peargap_core::document_fetch;
 use peargap_wire::fleet as wire;
 
+use crate::documents;
 use crate::events;
 use crate::fleet;
 
@@ -37,7 +39,12 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let version = state.version;
-        let fetch = state.fetch.next(now, host, version);
+        let wanted = match state.fetch.next(now, host, version) {
+            document_fetch::Next::Request(version) => version,
+            document_fetch::Next::Wait => 0,
+        };
+        let stall = state.fetch.take_stall();
+        let held = (wanted > 0).then(|| document::encode_held(&state.describe_held()));
         let departures = state.departures.list_after(told.departures);
         let departures = departures.map(|departure| wire::Departure {
             born_ms: departure.born_ms,
@@ -60,10 +67,8 @@
             evidence: evidence.collect(),
             limits: limits.map(wire_limit::encode).collect(),
             successes: successes.map(wire_evidence::encode_success).collect(),
-            wanted: match fetch {
-                document_fetch::Next::Request(version) => version,
-                document_fetch::Next::Wait => 0,
-            },
+            wanted,
+            held,
             ..wire::Report::default()
         };
         told.departures = state.departures.count();
@@ -72,10 +77,14 @@
         told.successes = state.successes.count();
         let is_behind = state.fetch.is_behind(host, version);
         drop(state);
-        if report.wanted > 0 {
+        if let Some(stall) = stall {
+            documents::log_stall(&stall);
+        }
+        let held = report.held.as_ref();
+        if held.is_some_and(|held| held.received == 0) {
             logs::emit(
                 events::DOCUMENT_REQUESTED,
-                format_args!("version={} control={host}", report.wanted),
+                format_args!("version={wanted} control={host}"),
             );
         }
         Turn {
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -36,6 +36,71 @@
     /// Answered requests with suspected subjects, since the previous report.
     #[prost(message, repeated, tag = "11")]
     pub successes: ::prost::alloc::vec::Vec<Success>,
+    /// What the gateway has of the routing document; set together with `wanted`. Without it, the
+    /// document is sent whole in `Update.document`.
+    #[prost(message, optional, tag = "12")]
+    pub held: ::core::option::Option<Held>,
+}
+/// What a gateway has of the routing document.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Held {
+    /// Version whose text it has, from which it takes a difference; 0 without one.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Digest of this text.
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+    /// The transfer that the gateway goes on with; not set for a new one.
+    #[prost(message, optional, tag = "3")]
+    pub transfer: ::core::option::Option<Transfer>,
+    /// Bytes of this transfer that it has.
+    #[prost(uint32, tag = "4")]
+    pub received: u32,
+}
+/// A transfer of the routing document: compressed, the whole text or what differs from a base.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Transfer {
+    /// Version of the text that results.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Version that the difference applies to; 0 for the whole text.
+    #[prost(uint64, tag = "2")]
+    pub base: u64,
+    /// Digest of the text that results.
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
+    /// Bytes of the transfer.
+    #[prost(uint32, tag = "4")]
+    pub total: u32,
+}
+/// A piece of a transfer. A gateway asks for the next one when it has this one.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Piece {
+    #[prost(message, optional, tag = "1")]
+    pub transfer: ::core::option::Option<Transfer>,
+    /// Bytes of the transfer before this piece.
+    #[prost(uint32, tag = "2")]
+    pub offset: u32,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub data: ::prost::bytes::Bytes,
+}
+/// What makes a text out of another one.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Difference {
+    #[prost(message, repeated, tag = "1")]
+    pub steps: ::prost::alloc::vec::Vec<Step>,
+}
+/// The next bytes of a text.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Step {
+    /// Bytes to copy from the base; 0 if `inserted` holds the bytes.
+    #[prost(uint32, tag = "1")]
+    pub length: u32,
+    /// Where they begin in the base.
+    #[prost(uint32, tag = "2")]
+    pub offset: u32,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub inserted: ::prost::bytes::Bytes,
 }
 /// What requests have in common by which they may crash upstreams.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -208,6 +273,9 @@
     /// Evidence on what crashes upstreams that changed since the previous update.
     #[prost(message, repeated, tag = "14")]
     pub evidence: ::prost::alloc::vec::Vec<Evidence>,
+    /// A piece of the routing document that the gateway asked for.
+    #[prost(message, optional, tag = "15")]
+    pub piece: ::core::option::Option<Piece>,
 }
 /// The operators' routing document.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
