--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -8,6 +8,7 @@
 use rand::seq::IteratorRandom as _;
 use rand::Rng;
 
+use crate::pace;
 use crate::rate_limit;
 
 /// Share of an engine's memory that generations and copies may hold by estimate. It is a little
@@ -41,6 +42,11 @@
 /// and prompts that are processed late are often processed in vain.
 const MAX_WAITING_TOKENS: u64 = 6000;
 
+/// A short generation goes to an engine that does not suit long ones if its first event is expected
+/// there within the latency objective divided by this. What the expectation leaves out, such as
+/// prompts that other gateways have just sent, has room in the rest.
+const SHORT_OBJECTIVE_DIVISOR: u64 = 2;
+
 /// Number of gateways with an open circuit breaker from which on an upstream is suspect for the
 /// others. The requests of one gateway may fail for reasons of its own.
 const SUSPECT_GATEWAYS: u32 = 2;
@@ -110,6 +116,10 @@
 /// An upstream that may be picked.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate<K> {
+    /// What the request may expect there; `None` if nothing is known of the service's upstreams.
+    pub expected: Option<pace::Expectation>,
+    /// Which generations keep their bound on pauses there.
+    pub fit: pace::Fit,
     /// Whether it is in the requested failure domain.
     pub is_near: bool,
     /// Whether this gateway prefers the upstream. Other gateways choose it only when their own are
@@ -121,6 +131,8 @@
     pub load: Load,
     /// Memory in tokens; 0 for plain services.
     pub memory: u64,
+    /// Factor by which its answers take longer than in the middle of its service.
+    pub pace: f64,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
 }
@@ -130,6 +142,20 @@
     fn is_suspect(&self) -> bool {
         self.load.failing >= SUSPECT_GATEWAYS
     }
+
+    /// Returns whether the first event is expected within this time, in milliseconds.
+    fn begins_within(&self, millis: u64) -> bool {
+        self.expected
+            .is_none_or(|expected| u64::from(expected.first_event_ms) <= millis)
+    }
+
+    /// Returns the part of [`WAITING_TOKENS_SCALE`] that the prompts waiting there amount to at its
+    /// pace, with the difference that the pace makes to a further prompt of `tokens` tokens.
+    fn paced_waiting(&self, tokens: u64) -> f64 {
+        let waiting = ratio(self.load.waiting, WAITING_TOKENS_SCALE);
+        let own = ratio(tokens, WAITING_TOKENS_SCALE);
+        waiting * self.pace + own * (self.pace - 1.0)
+    }
 }
 
 /// Returns the candidates that are not suspect, or all if there are no others.
@@ -174,7 +200,7 @@
     let score = |candidate: &Candidate<K>| {
         let held = candidate.load.tokens + candidate.load.copied + tokens;
         let running = f64::from(candidate.load.running) / f64::from(candidate.slots.max(1));
-        let waiting = ratio(candidate.load.waiting, WAITING_TOKENS_SCALE);
+        let waiting = candidate.paced_waiting(tokens);
         let fill = (ratio(held, candidate.memory) - FREE_MEMORY_SHARE).max(0.0);
         MEMORY_WEIGHT * fill + waiting + RUNNING_WEIGHT * running
     };
@@ -188,6 +214,37 @@
     }
 }
 
+/// Picks an engine for a generation that needs memory for `tokens` tokens, by what the engines' paces
+/// let it expect. One with many events goes where none of its pauses is expected to be too long. One
+/// with a few leaves those engines to others, if it is in time elsewhere.
+pub fn choose_engine_by_pace<K: Copy, R: Rng + ?Sized>(
+    candidates: &[Candidate<K>],
+    tokens: u64,
+    need: &pace::Need,
+    random: &mut R,
+) -> Choice<K> {
+    let prefers = |candidate: &&Candidate<K>| match need.span {
+        pace::Span::Long => candidate.fit == pace::Fit::Long,
+        pace::Span::Short => {
+            candidate.fit == pace::Fit::Short
+                && candidate.begins_within(need.objective_ms / SHORT_OBJECTIVE_DIVISOR)
+        }
+    };
+    let accepts = |candidate: &&Candidate<K>| {
+        candidate.fit != pace::Fit::Unfit && candidate.begins_within(need.objective_ms)
+    };
+    let sound = exclude_suspects(candidates);
+    let preferred: Vec<_> = sound.iter().filter(prefers).copied().collect();
+    if let Choice::Take(key) = choose_engine(&preferred, tokens, random) {
+        return Choice::Take(key);
+    }
+    let accepted: Vec<_> = sound.iter().filter(accepts).copied().collect();
+    match choose_engine(&accepted, tokens, random) {
+        Choice::Take(key) => Choice::Take(key),
+        Choice::Full | Choice::NoCandidates => choose_engine(candidates, tokens, random),
+    }
+}
+
 /// Returns whether a gateway that has just started may send another request to a service, while it
 /// has `running` there. Requests have gathered at all gateways until the first upstreams are known,
 /// whose `slots` they share; sent all at once, most would be refused.
@@ -242,8 +299,10 @@
         return Choice::NoCandidates;
     }
     let candidates = exclude_suspects(candidates);
+    // Expected time of one more call, in times of a call that runs alone in the middle of the service.
     let score = |candidate: &Candidate<K>| {
-        f64::from(candidate.load.running) / f64::from(candidate.slots.max(1))
+        let beside = f64::from(candidate.load.running) / f64::from(candidate.slots.max(1));
+        (beside + 1.0) * candidate.pace
     };
     choose_least(candidates.iter(), score, random)
 }
--- a/crates/core/tests/policy_balance.rs
+++ b/crates/core/tests/policy_balance.rs
@@ -4,6 +4,7 @@
 //! is processed, including its wait behind others.
 
 use peargap_core::balance;
+use peargap_core::pace;
 use rand::rngs::SmallRng;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -106,6 +107,8 @@
 ) -> Vec<balance::Candidate<usize>> {
     let mut candidates: Vec<_> = (0..ENGINES)
         .map(|engine| balance::Candidate {
+            expected: None,
+            fit: pace::Fit::Long,
             is_near: engine % 4 == gateway % 4,
             is_own: engine % GATEWAYS == gateway,
             key: engine,
@@ -114,6 +117,7 @@
                 ..balance::Load::default()
             },
             memory: MEMORY_TOKENS,
+            pace: 1.0,
             slots: SLOTS,
         })
         .collect();
@@ -185,6 +189,8 @@
 
 fn candidate(key: usize, tokens: u64, running: u32) -> balance::Candidate<usize> {
     balance::Candidate {
+        expected: None,
+        fit: pace::Fit::Long,
         is_near: true,
         is_own: false,
         key,
@@ -194,6 +200,7 @@
             ..balance::Load::default()
         },
         memory: 10_000,
+        pace: 1.0,
         slots: 4,
     }
 }
@@ -255,6 +262,8 @@
     let failing = failing.into_iter().enumerate();
     failing
         .map(|(key, failing)| balance::Candidate {
+            expected: None,
+            fit: pace::Fit::Long,
             is_near: true,
             is_own: false,
             key,
@@ -263,6 +272,7 @@
                 ..balance::Load::default()
             },
             memory: MEMORY_TOKENS,
+            pace: 1.0,
             slots: SLOTS,
         })
         .collect()
