--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod logs;
 pub mod manifest;
 pub mod metrics;
+pub mod pace;
 pub mod panics;
 pub mod rate_limit;
 pub mod read_budget;
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -51,3 +51,4 @@
 pub(crate) const EVIDENCE_NOT_READ: logs::Event =
     logs::Event::warn(2136, "stored evidence not read");
 pub(crate) const EVIDENCE_NOT_WRITTEN: logs::Event = logs::Event::warn(2137, "evidence not stored");
+pub(crate) const PACES_CHANGED: logs::Event = logs::Event::debug(2147, "upstream paces changed");
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -11,6 +11,7 @@
 use peargap_adapters::logs;
 use peargap_core::load_totals;
 use peargap_core::named_limits;
+use peargap_core::pace_table;
 use peargap_core::quarantine;
 use peargap_core::upstreams;
 use tokio::sync::watch;
@@ -59,6 +60,8 @@
     /// Limits that upstreams named to gateways.
     limits: named_limits::Table,
     links: collections::BTreeMap<LinkKey, Link>,
+    /// Paces of upstreams, from what gateways observe.
+    pub(crate) paces: pace_table::Table,
     /// Evidence of gateways on what crashes upstreams.
     pub(crate) quarantine: quarantine::Table,
     /// Sums of the loads on all links.
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -76,6 +76,8 @@
     /// Number of the last change of a limit.
     limit_change: u64,
     number: u64,
+    /// Number of the last change of a pace.
+    pace_change: u64,
     loads: load_totals::Loads,
     /// Numbers of the updates with loads that the gateway may not have applied yet.
     unconfirmed_loads: collections::VecDeque<u64>,
@@ -163,6 +165,7 @@
         for news in report.limits {
             fleet.record_limit(limit::decode(news));
         }
+        fleet.record_observations(report.observations);
         let told = evidence::decode_all(&report.evidence);
         let successes = evidence::decode_successes(&report.successes);
         fleet.record_evidence(&told, &successes);
@@ -231,6 +234,7 @@
         let changed = self.fleet.list_changes(self.sent.change);
         let limits = self.fleet.list_limits(self.sent.limit_change);
         let evidence = self.fleet.list_evidence(self.sent.evidence_change);
+        let paces = self.fleet.list_paces(self.sent.pace_change);
         let routing = routing.borrow_and_update().clone();
         let status = status.borrow_and_update();
         let hosts = Hosts {
@@ -243,6 +247,7 @@
             outage: self.build_outage(&routing),
             evidence: evidence.news.iter().map(evidence::encode).collect(),
             limits: limits.news.iter().map(limit::encode).collect(),
+            paces: paces.news,
             upstreams: changed.statuses.iter().map(encode_status).collect(),
             ..wire::Update::default()
         };
@@ -268,6 +273,7 @@
         self.sent.change = changed.last_change;
         self.sent.evidence_change = evidence.last_change;
         self.sent.limit_change = limits.last_change;
+        self.sent.pace_change = paces.last_change;
         self.sent.number += 1;
         update.number = self.sent.number;
         if update.has_loads {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod log_codec;
 mod node_link;
 pub mod operators;
+mod paces;
 mod peer_service;
 mod peers;
 mod pending;
--- a/crates/core/src/pace_table.rs
+++ b/crates/core/src/pace_table.rs
@@ -20,7 +20,7 @@
 const ENOUGH: u32 = 4;
 /// Relative difference up to which another pace is no news.
 const SAME_PACE: f64 = 0.08;
-/// Observations from which on more of them are no news.
+/// Observations from which on twice as many are no news.
 const SETTLED: u32 = 8;
 
 /// Pace of one start of an upstream.
@@ -152,9 +152,9 @@
 /// Returns whether a pace differs so much from the one that was told that it is to be told.
 fn is_news(told: &pace::Pace, pace: &pace::Pace) -> bool {
     let differs = |told: pace::Ratio, now: pace::Ratio| {
-        let is_settled = told.count.min(now.count) >= SETTLED;
         let difference = (now.value - told.value).abs();
-        difference > SAME_PACE * told.value || !is_settled && told.count != now.count
+        let is_surer = told.count < SETTLED && now.count >= told.count * 2;
+        difference > SAME_PACE * told.value || is_surer && now.count > told.count
     };
     differs(told.first, pace.first)
         || differs(told.gap, pace.gap)
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -3,6 +3,7 @@
 use peargap_core::balance;
 use peargap_core::breaker;
 use peargap_core::cold_rate;
+use peargap_core::pace;
 use peargap_core::rate_limit;
 use peargap_core::time::Instant;
 use rand::Rng;
@@ -83,19 +84,30 @@
         if criteria.purpose == rate_limit::Purpose::Copy {
             prefer_unlimited(&mut allowed);
         }
-        let candidates = allowed
-            .into_iter()
-            .map(|(index, key, upstream)| balance::Candidate {
+        let middle = self.middles.get(&criteria.service.name).copied();
+        let middle = middle.unwrap_or_default();
+        let engine = criteria.service.engine;
+        let candidates = allowed.into_iter().map(|(index, key, upstream)| {
+            let load = upstream.local_load.plus(upstream.remote_load);
+            let pace = middle.factor(&upstream.pace);
+            let need = &criteria.need;
+            let tokens = criteria.tokens;
+            balance::Candidate {
+                expected: engine.and_then(|engine| {
+                    middle.expect(pace, &load, engine.stride, tokens, need.span)
+                }),
+                fit: engine.map_or(pace::Fit::Long, |engine| {
+                    middle.fit(pace, &load, engine.stride, need.gap_ms)
+                }),
                 is_near: upstream.status.domain == domain,
                 is_own: self.gateway_position.owns(index),
                 key,
-                load: upstream.local_load.plus(upstream.remote_load),
-                memory: criteria
-                    .service
-                    .engine
-                    .map_or(0, |engine| engine.memory_tokens),
+                load,
+                memory: engine.map_or(0, |engine| engine.memory_tokens),
+                pace,
                 slots: upstream.status.slots,
-            });
+            }
+        });
         candidates.collect()
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 use peargap_adapters::logs;
 use peargap_core::balance;
 use peargap_core::breaker;
+use peargap_core::pace;
 use peargap_core::rate_limit;
 use peargap_core::retry_budget;
 use peargap_core::routes;
@@ -76,6 +77,8 @@
     pub(crate) exclude: &'a [UpstreamKey],
     /// Upstream whose failure domain is preferred; `None` prefers the gateway's own domain.
     pub(crate) near: Option<UpstreamKey>,
+    /// What a generation needs.
+    pub(crate) need: pace::Need,
     pub(crate) purpose: rate_limit::Purpose,
     pub(crate) service: &'a routes::Service,
     /// Estimated tokens that a generation holds.
@@ -226,7 +229,8 @@
             ..balance::Load::default()
         };
         self.place(criteria, load, |candidates| {
-            balance::choose_engine(candidates, criteria.tokens, &mut rand::rng())
+            let random = &mut rand::rng();
+            balance::choose_engine_by_pace(candidates, criteria.tokens, &criteria.need, random)
         })
     }
 
@@ -260,14 +264,13 @@
             balance::Choice::NoCandidates => return Err(state.explain_no_candidates(now, criteria)),
             balance::Choice::Take(key) => key,
         };
+        let chosen = candidates.iter().find(|candidate| candidate.key == key);
         let view = placement::View {
+            expected: chosen.and_then(|chosen| chosen.expected),
             limit: state.explain_limit(now, key),
+            load: chosen.map(|chosen| chosen.load).unwrap_or_default(),
             load_age_ms: now.millis_since(state.remote_loads_at),
-            load: candidates
-                .iter()
-                .find(|candidate| candidate.key == key)
-                .map(|candidate| candidate.load)
-                .unwrap_or_default(),
+            pace: chosen.map_or(1.0, |chosen| chosen.pace),
         };
         let upstream = state
             .upstreams
@@ -280,9 +283,10 @@
                 upstream.breaker.record_probe(now);
             }
         }
-        Ok(placement::Placement::reserve(
-            self, key, upstream, load, view,
-        ))
+        let stride = criteria.service.engine.map(|engine| engine.stride);
+        let timing = placement::Timing::start(now, stride);
+        let placement = placement::Placement::reserve(self, key, upstream, load, view, timing);
+        Ok(placement)
     }
 
     /// Records the outcome of a call in the upstream's circuit breaker.
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -11,6 +11,7 @@
 use peargap_core::document_fetch;
 use peargap_core::fleet_share;
 use peargap_core::named_limits;
+use peargap_core::pace;
 use peargap_core::pause;
 use peargap_core::quarantine;
 use peargap_core::rate_limit;
@@ -42,6 +43,10 @@
     pub(crate) gateway_position: fleet_share::Position,
     /// Limits that upstreams name.
     pub(crate) limits: named_limits::Table,
+    /// Middle of the paces of each service's upstreams.
+    pub(crate) middles: collections::BTreeMap<String, pace::Middle>,
+    /// When the next report of observed times is due.
+    pub(crate) observations_due: time::Instant,
     /// Evidence on what crashes upstreams.
     pub(crate) quarantine: quarantine::Table,
     /// When the load from other gateways was last received.
@@ -125,6 +130,8 @@
                 limit_since: now,
                 limit_per_s: self.limits.get(&name, status.edition.born_ms),
                 limiter: rate_limit::Limiter::default(),
+                observed: pace::Samples::default(),
+                pace: pace::Pace::default(),
                 pause_end: None,
                 refused_at: None,
                 remote_load: balance::Load::default(),
@@ -148,6 +155,8 @@
             known.limit_since = now;
             known.limit_per_s = self.limits.get(&status.name, status.edition.born_ms);
             known.limiter = rate_limit::Limiter::default();
+            known.observed = pace::Samples::default();
+            known.pace = pace::Pace::default();
             known.pause_end = None;
             known.refused_at = None;
             known.pool = sync::Arc::new(pool::Pool::new(address));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -218,6 +218,9 @@
                 if let Some(report) = load_reporter.build_report(shared.fleet.list_local_loads()) {
                     send(&reports, report).await?;
                 }
+                if let Some(report) = shared.fleet.take_observations() {
+                    send(&reports, report).await?;
+                }
             }
         }
     }
@@ -256,6 +259,9 @@
         let _ = shared.hosts.send(host);
     }
     shared.fleet.apply_limits(update.limits);
+    if shared.reports_to(host) {
+        shared.fleet.apply_paces(update.paces);
+    }
     shared.fleet.apply_evidence(&update.evidence);
     if shared.reports_to(host) {
         if update.all_loads {
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -12,6 +12,7 @@
 use peargap_adapters::panics;
 use peargap_core::balance;
 use peargap_core::event_timing;
+use peargap_core::pace;
 use peargap_core::rate_limit;
 use peargap_core::routes;
 use peargap_platform::head;
@@ -56,6 +57,21 @@
         prompt + events * self.engine.stride + RESERVED_OUTPUT_TOKENS
     }
 
+    /// Returns what it needs of an engine. Without a declared output it counts as long.
+    pub(crate) fn need(&self) -> pace::Need {
+        let head = &self.request.head;
+        let declared = head.usage.map(|usage| usage.max_output);
+        let output = head.length_hint.or(declared);
+        let stride = self.engine.stride;
+        pace::Need {
+            gap_ms: self.targets.gap_ms,
+            objective_ms: self.targets.first_ms,
+            span: output.map_or(pace::Span::Long, |output| {
+                pace::Span::of_output(output, stride)
+            }),
+        }
+    }
+
     /// Returns the ID of the last event sent to the caller.
     pub(crate) fn last_event(&self) -> Option<u64> {
         match self.last_event.load(atomic::Ordering::Relaxed) {
@@ -139,6 +155,7 @@
     let criteria = fleet::Criteria {
         exclude: &[placement.key],
         near: Some(placement.key),
+        need: generation.need(),
         purpose: rate_limit::Purpose::Copy,
         service: &generation.service,
         tokens: generation.estimate_tokens(events),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod migrate;
 mod news;
 mod notice;
+mod paces;
 mod placement;
 mod plain;
 mod pool;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,6 +1,7 @@
 //! Plain calls: requests whose response is read completely before it is forwarded.
 
 use peargap_adapters::logs;
+use peargap_core::pace;
 use peargap_core::quarantine;
 use peargap_core::routes;
 use tokio::time;
@@ -64,6 +65,7 @@
         let criteria = fleet::Criteria {
             exclude: attempts.tried(),
             near: None,
+            need: pace::Need::default(),
             purpose: attempts.purpose(),
             service,
             tokens: 0,
@@ -157,6 +159,9 @@
     gateway
         .fleet
         .record_outcome(placement.key, call::classify(&result));
+    if matches!(&result, Ok(response) if response.0.status.is_success()) {
+        placement.record_first();
+    }
     if result.is_ok() {
         // An error response, too, shows that the upstream lives on.
         gateway.fleet.record_answered(request);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -178,6 +178,9 @@
         self.gateway.meters.record_event(arrival);
         if let event_timing::Arrival::Next(gap_ms) = arrival {
             self.gateway.stop.record_gap(gap_ms);
+            if self.last_event_engine == self.placement.key {
+                self.placement.record_gap(gap_ms);
+            }
         }
         if self.pace.longest_gap_ms() > longest_ms {
             self.paused_by_move = self.last_event_engine != self.placement.key;
--- a/crates/gateway/src/starting.rs
+++ b/crates/gateway/src/starting.rs
@@ -141,6 +141,7 @@
         self.gateway.fleet.place_generation(fleet::Criteria {
             exclude: self.attempts.tried(),
             near: None,
+            need: self.generation.need(),
             purpose: self.attempts.purpose(),
             service: &self.generation.service,
             tokens: self.generation.estimate_tokens(0),
@@ -214,6 +215,9 @@
         self.attempts.record(&sent);
         let failure = match sent {
             Ok(response) => {
+                if response.head.status.is_success() {
+                    placement.record_first();
+                }
                 placement.finish_prompt();
                 logs::emit(
                     events::GENERATION_BEGUN,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,6 +6,7 @@
 use peargap_core::balance;
 use peargap_core::breaker;
 use peargap_core::cold_rate;
+use peargap_core::pace;
 use peargap_core::rate_limit;
 use peargap_core::time;
 use peargap_core::upstreams;
@@ -28,6 +29,10 @@
     pub(crate) limit_per_s: Option<f64>,
     /// Requests sent to it, for its limit.
     pub(crate) limiter: rate_limit::Limiter,
+    /// Times of its answers that have not been reported yet.
+    pub(crate) observed: pace::Samples,
+    /// Its pace, from the observations of all gateways.
+    pub(crate) pace: pace::Pace,
     /// End of the last pause that it asked for.
     pub(crate) pause_end: Option<time::Instant>,
     /// When it last refused a request or failed, if it has not answered one since.
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -36,6 +36,57 @@
     /// Answered requests with suspected subjects, since the previous report.
     #[prost(message, repeated, tag = "11")]
     pub successes: ::prost::alloc::vec::Vec<Success>,
+    /// Times of answers that this gateway has observed since the previous report.
+    #[prost(message, repeated, tag = "13")]
+    pub observations: ::prost::alloc::vec::Vec<Observation>,
+}
+/// Times of answers of one start of an upstream, each as a ratio to a reference time. A number is a count in its
+/// lower 16 bits, and the class of the ratio above them.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Observation {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// Start time of the process by its own clock, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub born_ms: u64,
+    /// Times to first events, or of plain calls.
+    #[prost(uint32, repeated, tag = "3")]
+    pub first: ::prost::alloc::vec::Vec<u32>,
+    /// Usual times between events.
+    #[prost(uint32, repeated, tag = "4")]
+    pub gap: ::prost::alloc::vec::Vec<u32>,
+    /// Longest times between events.
+    #[prost(uint32, repeated, tag = "5")]
+    pub longest: ::prost::alloc::vec::Vec<u32>,
+}
+/// Pace of one start of an upstream, from the observations of all gateways.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Pace {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// Start time of the process by its own clock, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub born_ms: u64,
+    /// Times to first events, or of plain calls.
+    #[prost(message, optional, tag = "3")]
+    pub first: ::core::option::Option<Ratio>,
+    /// Usual times between events.
+    #[prost(message, optional, tag = "4")]
+    pub gap: ::core::option::Option<Ratio>,
+    /// Longest times between events.
+    #[prost(message, optional, tag = "5")]
+    pub longest: ::core::option::Option<Ratio>,
+}
+/// Typical ratio between observed and reference times.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Ratio {
+    /// Observations behind it.
+    #[prost(uint32, tag = "1")]
+    pub count: u32,
+    #[prost(uint32, tag = "2")]
+    pub thousandths: u32,
 }
 /// What requests have in common by which they may crash upstreams.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -208,6 +259,9 @@
     /// Evidence on what crashes upstreams that changed since the previous update.
     #[prost(message, repeated, tag = "14")]
     pub evidence: ::prost::alloc::vec::Vec<Evidence>,
+    /// Paces of upstreams that changed since the previous update.
+    #[prost(message, repeated, tag = "16")]
+    pub paces: ::prost::alloc::vec::Vec<Pace>,
 }
 /// The operators' routing document.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
