--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -42,10 +42,10 @@
 /// and prompts that are processed late are often processed in vain.
 const MAX_WAITING_TOKENS: u64 = 6000;
 
-/// A short generation goes to an engine that does not suit long ones if its first event is expected
-/// there within the latency objective divided by this. What the expectation leaves out, such as
-/// prompts that other gateways have just sent, has room in the rest.
-const SHORT_OBJECTIVE_DIVISOR: u64 = 2;
+/// An engine is preferred for what suits it if the first event is expected there within the latency
+/// objective divided by this. What the expectation leaves out, such as prompts that other gateways
+/// have just sent, has room in the rest.
+const EARLY_OBJECTIVE_DIVISOR: u64 = 2;
 
 /// Number of gateways with an open circuit breaker from which on an upstream is suspect for the
 /// others. The requests of one gateway may fail for reasons of its own.
@@ -216,22 +216,28 @@
 
 /// Picks an engine for a generation that needs memory for `tokens` tokens, by what the engines' paces
 /// let it expect. One with many events goes where none of its pauses is expected to be too long. One
-/// with a few leaves those engines to others, if it is in time elsewhere.
+/// with a few leaves those engines to others, if it is in time elsewhere, and tries those that are
+/// not known yet.
 pub fn choose_engine_by_pace<K: Copy, R: Rng + ?Sized>(
     candidates: &[Candidate<K>],
     tokens: u64,
     need: &pace::Need,
     random: &mut R,
 ) -> Choice<K> {
-    let prefers = |candidate: &&Candidate<K>| match need.span {
-        pace::Span::Long => candidate.fit == pace::Fit::Long,
-        pace::Span::Short => {
-            candidate.fit == pace::Fit::Short
-                && candidate.begins_within(need.objective_ms / SHORT_OBJECTIVE_DIVISOR)
-        }
+    let early_ms = need.objective_ms / EARLY_OBJECTIVE_DIVISOR;
+    let prefers = |candidate: &&Candidate<K>| {
+        let suits = match need.span {
+            pace::Span::Long => candidate.fit == pace::Fit::Long,
+            pace::Span::Short => matches!(candidate.fit, pace::Fit::Short | pace::Fit::Unknown),
+        };
+        suits && candidate.begins_within(early_ms)
     };
     let accepts = |candidate: &&Candidate<K>| {
-        candidate.fit != pace::Fit::Unfit && candidate.begins_within(need.objective_ms)
+        let suits = match need.span {
+            pace::Span::Long => matches!(candidate.fit, pace::Fit::Long | pace::Fit::Unknown),
+            pace::Span::Short => candidate.fit != pace::Fit::Unfit,
+        };
+        suits && candidate.begins_within(need.objective_ms)
     };
     let sound = exclude_suspects(candidates);
     let preferred: Vec<_> = sound.iter().filter(prefers).copied().collect();
@@ -264,7 +270,7 @@
 }
 
 /// Picks an engine that receives a copy of a generation of `tokens` tokens.
-pub fn choose_copy<K: Copy, R: Rng + ?Sized>(
+pub fn choose_copy<K: Copy + PartialEq, R: Rng + ?Sized>(
     candidates: &[Candidate<K>],
     tokens: u64,
     purpose: Purpose,
@@ -282,12 +288,22 @@
     let fitting = candidates
         .iter()
         .filter(|candidate| fill(candidate) <= share);
-    // Copying memory to another failure domain takes twice as long.
-    let near = fitting.clone().filter(|candidate| candidate.is_near);
-    match choose_least(near, fill, random) {
-        Choice::Full => choose_least(fitting, fill, random),
-        choice => choice,
+    // A generation that continues where its pauses are too long is late for good. Copying memory to
+    // another failure domain takes twice as long.
+    let suits = |candidate: &&Candidate<K>| candidate.fit == pace::Fit::Long;
+    let suitable = fitting.clone().filter(suits);
+    let near = |candidate: &&Candidate<K>| candidate.is_near;
+    let mut choice = choose_least(suitable.clone().filter(near), fill, random);
+    if choice == Choice::Full {
+        choice = choose_least(suitable, fill, random);
+    }
+    if choice == Choice::Full {
+        choice = choose_least(fitting.clone().filter(near), fill, random);
+    }
+    if choice == Choice::Full {
+        choice = choose_least(fitting, fill, random);
     }
+    choice
 }
 
 /// Picks an upstream of a plain service.
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -39,7 +39,9 @@
 const MIN_KNOWN: usize = 2;
 /// Events up to which a generation is short: it has few pauses, of which hardly one falls together
 /// with the reading of other prompts.
-const SHORT_EVENTS: u64 = 8;
+const SHORT_EVENTS: u64 = 16;
+/// Observations from which on an upstream's pace is known. A single one may be wrong.
+const KNOWN_COUNT: u32 = 2;
 
 /// What a request may expect at a candidate.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -60,6 +62,8 @@
     Short,
     /// None: its usual pauses are too long.
     Unfit,
+    /// The candidate's pace is not known yet.
+    Unknown,
 }
 
 /// Length of a generation.
@@ -151,11 +155,16 @@
         }
     }
 
-    /// Returns how far the ratio counts against that of the service, from 0 to 1. A single
-    /// observation may be wrong.
+    fn is_known(&self) -> bool {
+        self.count >= KNOWN_COUNT
+    }
+
+    /// Returns how far the ratio counts against that of the service, from 0 to 1.
     fn confidence(&self) -> f64 {
-        let further = f64::from(self.count.saturating_sub(1));
-        further / (further + 1.0)
+        match self.is_known() {
+            true => 1.0 - 1.0 / (f64::from(self.count) * f64::from(self.count)),
+            false => 0.0,
+        }
     }
 
     /// Returns the logarithm of the ratio to that of the service, 0 where either is unknown.
@@ -243,13 +252,18 @@
         })
     }
 
-    /// Returns which generations keep the bound on pauses at an upstream that takes longer by
-    /// `factor`, with the load there before one is added.
+    /// Returns which generations keep the bound on pauses at an upstream of this pace, with the load
+    /// there before one is added.
     #[must_use]
-    pub fn fit(&self, factor: f64, load: &balance::Load, stride: u64, gap_ms: Option<u64>) -> Fit {
+    pub fn fit(&self, pace: &Pace, load: &balance::Load, stride: u64, gap_ms: Option<u64>) -> Fit {
         let Some(bound) = gap_ms.map(millis) else {
             return Fit::Long;
         };
+        let is_known = pace.first.is_known() || pace.gap.is_known();
+        if self.gap <= 0.0 || !is_known {
+            return Fit::Unknown;
+        }
+        let factor = self.factor(pace);
         if self.longest_pause_ms(factor, load, stride) <= bound {
             return Fit::Long;
         }
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -97,7 +97,7 @@
                     middle.expect(pace, &load, engine.stride, tokens, need.span)
                 }),
                 fit: engine.map_or(pace::Fit::Long, |engine| {
-                    middle.fit(pace, &load, engine.stride, need.gap_ms)
+                    middle.fit(&upstream.pace, &load, engine.stride, need.gap_ms)
                 }),
                 is_near: upstream.status.domain == domain,
                 is_own: self.gateway_position.owns(index),
