--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -228,7 +228,7 @@
     let prefers = |candidate: &&Candidate<K>| {
         let suits = match need.span {
             pace::Span::Long => candidate.fit == pace::Fit::Long,
-            pace::Span::Short => matches!(candidate.fit, pace::Fit::Short | pace::Fit::Unknown),
+            pace::Span::Short => candidate.fit == pace::Fit::Unknown && candidate.load.waiting == 0,
         };
         suits && candidate.begins_within(early_ms)
     };
--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -7,6 +7,7 @@
 use crate::experiment::deadly_parts;
 use crate::experiment::deadly_requests;
 use crate::experiment::named_limits;
+use crate::experiment::pace;
 use crate::experiment::plot;
 use crate::experiment::policy;
 use crate::experiment::report;
@@ -15,7 +16,7 @@
 use crate::experiment::suite;
 
 const HELP: &str =
-    "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --limits | --shedding | --tainted)
+    "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --limits | --pace | --shedding | --tainted)
   [--seeds N] [--load FACTOR] [--out DIR]";
 /// Scenarios that `--all` also runs with each mechanism disabled in turn.
 const ABLATED: [&str; 8] = [
@@ -38,6 +39,8 @@
     seeds: u64,
     /// Whether to compare rules for repeats at a service that refuses requests.
     limits: bool,
+    /// Whether to play engines that differ in speed.
+    pace: bool,
     shedding: bool,
     /// Whether to play prompts that crash engines.
     tainted: bool,
@@ -59,6 +62,7 @@
 fn parse_options(mut arguments: pico_args::Arguments) -> Result<Options, String> {
     let all = arguments.contains("--all");
     let limits = arguments.contains("--limits");
+    let pace = arguments.contains("--pace");
     let shedding = arguments.contains("--shedding");
     let tainted = arguments.contains("--tainted");
     let one: Option<String> = parse(&mut arguments, "--scenario")?;
@@ -74,6 +78,7 @@
         compare: Vec::new(),
         out: out.map(Into::into),
         limits,
+        pace,
         seeds,
         shedding,
         tainted,
@@ -95,9 +100,9 @@
         scenario.traffic.load = load.unwrap_or(scenario.traffic.load);
     }
     let has_scenarios = !options.compare.is_empty() || !options.ablate.is_empty();
-    if !has_scenarios && !limits && !shedding && !tainted {
+    if !has_scenarios && !limits && !pace && !shedding && !tainted {
         return Err(
-            "no scenario given: use --all, --scenario, --ablate, --limits, --shedding or --tainted"
+            "no scenario given: use --all, --scenario, --ablate, --limits, --pace, --shedding or --tainted"
                 .to_owned(),
         );
     }
@@ -125,6 +130,9 @@
     if options.limits {
         (0..options.seeds).for_each(|seed| text.push_str(&named_limits::report(seed)));
     }
+    if options.pace {
+        (0..options.seeds).for_each(|seed| text.push_str(&pace::report(seed)));
+    }
     if options.shedding {
         (0..options.seeds).for_each(|seed| text.push_str(&shedding::report(seed)));
     }
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -16,6 +16,8 @@
 pub mod named_limits;
 pub mod node;
 mod numbers;
+pub mod pace;
+mod paced_engine;
 pub mod plot;
 pub mod policy;
 pub mod report;
