--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -55,3 +55,4 @@
     logs::Event::info(2138, "transfer of a routing document made");
 pub(crate) const TRANSFER_NOT_MADE: logs::Event =
     logs::Event::error(2139, "transfer of a routing document not made");
+pub(crate) const PACES_CHANGED: logs::Event = logs::Event::debug(2147, "upstream paces changed");
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -52,3 +52,4 @@
     logs::Event::warn(6035, "transfer of a routing document stalled");
 pub(crate) const TRANSFER_DAMAGED: logs::Event =
     logs::Event::error(6036, "transfer of a routing document damaged");
+pub(crate) const PACE_CHANGED: logs::Event = logs::Event::debug(6044, "upstream pace changed");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod migrate;
 mod news;
 mod notice;
+mod paces;
 mod placement;
 mod plain;
 mod pool;
