core: the check for equal prefixes no longer grows with the square of the routes

Cause: each route of a document was compared with all earlier ones of its host.

Change: a set of the prefixes of each host, while the table is built. Findings and their order are the same. Tried before: to find equal prefixes when routes are sorted; it changed the order of the findings, so the test of that failed.

Measured (scratch program on platform::document::read_document, release build, 461 kB, 2,000 routes, on a busy machine): one host 6.8 and 8.3 ms before, 3.4 to 5.1 ms now; 20 hosts 2.5 and 3.3 ms before, 3.0 to 3.1 ms now.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -192,6 +192,9 @@
     Unknown,
 }
 
+/// Prefixes of the routes of each host, while a table is built.
+type Prefixes = collections::HashMap<String, collections::HashSet<String>>;
+
 /// A validated routing document, indexed for lookup.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
@@ -219,8 +222,9 @@
             ..Table::default()
         };
         table.index_keys(&mut findings);
+        let mut known = Prefixes::default();
         for draft in source.routes {
-            table.add_route(draft, &mut findings);
+            table.add_route(draft, &mut known, &mut findings);
         }
         table.sort_hosts();
         match findings.is_empty() {
@@ -244,7 +248,7 @@
         }
     }
 
-    fn add_route(&mut self, draft: Draft, findings: &mut Vec<Finding>) {
+    fn add_route(&mut self, draft: Draft, known: &mut Prefixes, findings: &mut Vec<Finding>) {
         let Draft { mut route, shares } = draft;
         let mut report = |problem: String| {
             findings.push(Finding {
@@ -265,9 +269,8 @@
         if total <= 0.0 || shares.iter().any(|share| share.weight < 0.0) {
             report("has no share with a weight above 0".to_owned());
         }
-        let same_host = self.hosts.entry(route.host.clone()).or_default();
-        let has_same_prefix = |key: &RouteKey| self.routes[key.index()].prefix == route.prefix;
-        if same_host.iter().any(has_same_prefix) {
+        let prefixes = known.entry(route.host.clone()).or_default();
+        if !prefixes.insert(route.prefix.clone()) {
             report("has the host and prefix of another route".to_owned());
         }
         for share in shares {
@@ -280,6 +283,7 @@
                 None => report(format!("service {:?} is unknown", share.service)),
             }
         }
+        let same_host = self.hosts.entry(route.host.clone()).or_default();
         same_host.push(RouteKey(key_index(self.routes.len())));
         self.routes.push(route);
     }
