--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -60,6 +60,8 @@
     departures: sync::Arc<sync::Mutex<Vec<wire::Departure>>>,
     /// Whether it sends no documents.
     is_mute: bool,
+    /// What gateways had when they requested a document, for each request.
+    requests: sync::Arc<sync::Mutex<Vec<wire::Held>>>,
     sent_updates: sync::Arc<sync::Mutex<Vec<wire::Update>>>,
 }
 
@@ -85,9 +87,11 @@
         let applied = self.applied.clone();
         let departures = self.departures.clone();
         let is_mute = self.is_mute;
+        let requests = self.requests.clone();
         let connection = updates.clone();
         tokio::spawn(async move {
             while let Some(Ok(report)) = reports.next().await {
+                requests.lock().expect("requests").extend(report.held);
                 if report.wanted > 0 && !is_mute {
                     let document = wire::Document {
                         text: Bytes::from_static(DOCUMENT.as_bytes()),
@@ -132,6 +136,15 @@
         tokio::spawn(served);
     }
 
+    /// Waits for the request of this number, from 1; returns what its gateway had.
+    pub(crate) async fn wait_for_request(&self, number: usize) -> wire::Held {
+        let requests = self.requests.clone();
+        let counted = requests.clone();
+        wait_for(move || counted.lock().expect("requests").len() >= number).await;
+        let requests = requests.lock().expect("requests");
+        requests[number - 1]
+    }
+
     /// Returns the departures that gateways reported.
     pub(crate) fn departures(&self) -> Vec<wire::Departure> {
         self.departures.lock().expect("departures").clone()
