rollouts: a service's traffic moves to a new version, and back if that is bad

No program of ours answered an order to move a service to upstreams of another version.

The platform's calls and `peargap rollout` are two doors to the same commands.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod panics;
 pub mod rate_limit;
 pub mod read_budget;
+pub mod rollout;
 pub mod settings;
 pub mod signals;
--- a/crates/cli/src/changes.rs
+++ b/crates/cli/src/changes.rs
@@ -21,7 +21,7 @@
         Ok(base) => base,
         Err(error) => return output::report_error(line.json, &error),
     };
-    let id = line.id.clone().unwrap_or_else(generate_id);
+    let id = choose_id(line);
     let request = operator::SubmitRequest {
         base_revision,
         change: Some(change),
@@ -56,8 +56,10 @@
     }
 }
 
-fn generate_id() -> String {
-    format!("{:032x}", rand::random::<u128>())
+/// Returns the id from the command line, or a random one.
+pub(crate) fn choose_id(line: &command::CommandLine) -> String {
+    let id = line.id.clone();
+    id.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()))
 }
 
 async fn report_reply(
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -93,6 +93,22 @@
         .await
     }
 
+    /// Starts, reads or aborts a rollout at the first host that responds.
+    pub(crate) async fn rollout(
+        &self,
+        kind: operator::rollout_request::Kind,
+    ) -> Result<operator::RolloutReply, Error> {
+        self.call_any(|host| {
+            let kind = Some(kind.clone());
+            async move {
+                let mut grpc = connect(host).await?;
+                let request = self.authorize(operator::RolloutRequest { kind });
+                await_reply(grpc.rollout(request)).await
+            }
+        })
+        .await
+    }
+
     /// Returns the status of one host, without trying others.
     pub(crate) async fn status_of(
         &self,
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -9,6 +9,7 @@
 use peargap_wire::operator;
 
 use crate::suspect;
+use crate::version_change;
 
 /// Text of `--help`.
 pub const HELP: &str = "\
@@ -27,6 +28,10 @@
   members                list the known nodes
   quarantine list        list prompt parts and requests on which upstreams crash or may crash
   quarantine release ID  serve a request again (request:HEX), or prompts with a part (part:HEX)
+  rollout start SERVICE VERSION SECONDS
+                         move a service to another version of its upstreams within this time
+  rollout status SERVICE show the last rollout of a service
+  rollout abort SERVICE  roll the rollout of a service back
   account                count generations by outcome, from log lines on standard input
   explain REQUEST        print a request's timeline from log lines on standard input
   status                 show every control host and the nodes connected to it
@@ -87,6 +92,8 @@
     QuarantineList,
     /// Serve a request, or prompts with a part, again.
     QuarantineRelease(operator::Name),
+    /// Start, show or abort the rollout of a service.
+    Rollout(version_change::Action),
     /// Show the control hosts and the nodes connected to them.
     Status,
     /// Stop placing new work on an upstream.
@@ -176,6 +183,19 @@
         ["explain", request] => Command::Explain((*request).to_owned()),
         ["quarantine", "list"] => Command::QuarantineList,
         ["quarantine", "release", id] => Command::QuarantineRelease(suspect::parse(id)?),
+        ["rollout", "start", service, target, seconds] => {
+            Command::Rollout(version_change::Action::Start {
+                duration: parse_seconds("SECONDS", seconds)?,
+                service: (*service).to_owned(),
+                target: (*target).to_owned(),
+            })
+        }
+        ["rollout", "status", service] => {
+            Command::Rollout(version_change::Action::Status((*service).to_owned()))
+        }
+        ["rollout", "abort", service] => {
+            Command::Rollout(version_change::Action::Abort((*service).to_owned()))
+        }
         ["members"] => Command::Members,
         ["status"] => Command::Status,
         [] => return Err("missing command".to_owned()),
@@ -215,10 +235,17 @@
     let Some(seconds) = take_value::<f64>(arguments, name)? else {
         return Ok(None);
     };
-    match time::Duration::try_from_secs_f64(seconds) {
-        Ok(duration) => Ok(Some(duration)),
-        Err(error) => Err(format!("{name}: {error}")),
-    }
+    to_duration(name, seconds).map(Some)
+}
+
+fn parse_seconds(name: &str, text: &str) -> Result<time::Duration, String> {
+    let seconds = text.parse::<f64>();
+    to_duration(name, seconds.map_err(|error| format!("{name}: {error}"))?)
+}
+
+fn to_duration(name: &str, seconds: f64) -> Result<time::Duration, String> {
+    let duration = time::Duration::try_from_secs_f64(seconds);
+    duration.map_err(|error| format!("{name}: {error}"))
 }
 
 fn take_addresses(arguments: &mut pico_args::Arguments) -> Result<Vec<net::SocketAddr>, String> {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -13,5 +13,6 @@
 mod run;
 pub mod suspect;
 pub mod timeline;
+pub mod version_change;
 
 pub use run::run;
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -17,7 +17,7 @@
 }
 
 /// Prints `value` if `json` is set, the lines otherwise.
-fn print(json: bool, value: &serde_json::Value, lines: &[String]) {
+pub(crate) fn print(json: bool, value: &serde_json::Value, lines: &[String]) {
     if json {
         println!("{value}");
         return;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -19,6 +19,7 @@
 use crate::options;
 use crate::output;
 use crate::timeline;
+use crate::version_change;
 
 /// Parses the arguments and runs the command.
 pub async fn run(arguments: Vec<ffi::OsString>) -> process::ExitCode {
@@ -54,6 +55,7 @@
         | command::Command::Members
         | command::Command::QuarantineList
         | command::Command::QuarantineRelease(_)
+        | command::Command::Rollout(_)
         | command::Command::Status
         | command::Command::UpstreamDrain(_)
         | command::Command::UpstreamResume(_) => match options::resolve(line) {
@@ -127,6 +129,10 @@
         command::Command::QuarantineRelease(name) => {
             return release(line, &client, name, &operator).await
         }
+        command::Command::Rollout(action) => {
+            let id = changes::choose_id(line);
+            return version_change::run(line.json, &client, action, &id).await;
+        }
         command::Command::Status => return show_status(line, &client).await,
         command::Command::Account
         | command::Command::Explain(_)
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -51,3 +51,10 @@
 pub(crate) const EVIDENCE_NOT_READ: logs::Event =
     logs::Event::warn(2136, "stored evidence not read");
 pub(crate) const EVIDENCE_NOT_WRITTEN: logs::Event = logs::Event::warn(2137, "evidence not stored");
+pub(crate) const ROLLOUT_ORDERED: logs::Event = logs::Event::info(2140, "rollout ordered");
+pub(crate) const ROLLOUT_ABORTED: logs::Event =
+    logs::Event::info(2141, "rollout aborted by an operator");
+pub(crate) const ROLLOUT_SHARE: logs::Event = logs::Event::info(2142, "share of a rollout changed");
+pub(crate) const ROLLOUT_ENDED: logs::Event = logs::Event::warn(2143, "rollout decided");
+pub(crate) const ROLLOUT_NOT_COMMITTED: logs::Event =
+    logs::Event::warn(2144, "decision on a rollout not committed");
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -12,12 +12,14 @@
 use peargap_core::load_totals;
 use peargap_core::named_limits;
 use peargap_core::quarantine;
+use peargap_core::rollout::schedule;
 use peargap_core::upstreams;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::events;
 use crate::replica;
+use crate::rollout;
 
 /// Time between checks for silent upstreams.
 const EXPIRY_PERIOD: time::Duration = time::Duration::from_millis(500);
@@ -43,6 +45,8 @@
     /// Number of the last change; links wait on it.
     pub(crate) last_change: sync::Arc<watch::Sender<u64>>,
     pub(crate) handle: replica::Handle,
+    /// What a bad version may get in a rollout.
+    pub(crate) rollout_bounds: schedule::Bounds,
     state: sync::Arc<sync::Mutex<State>>,
     /// Incremented when a gateway has applied a change or a link is removed.
     link_events: sync::Arc<watch::Sender<u64>>,
@@ -61,6 +65,8 @@
     links: collections::BTreeMap<LinkKey, Link>,
     /// Evidence of gateways on what crashes upstreams.
     pub(crate) quarantine: quarantine::Table,
+    /// What gateways have counted of the rollouts in progress.
+    pub(crate) rollouts: collections::BTreeMap<LinkKey, rollout::Reported>,
     /// Sums of the loads on all links.
     totals: load_totals::Totals,
 }
@@ -117,12 +123,17 @@
 impl Fleet {
     /// Returns an empty fleet and starts the task that marks silent upstreams until `token` is
     /// cancelled.
-    pub(crate) fn spawn(handle: replica::Handle, token: CancellationToken) -> Fleet {
+    pub(crate) fn spawn(
+        handle: replica::Handle,
+        rollout_bounds: schedule::Bounds,
+        token: CancellationToken,
+    ) -> Fleet {
         let fleet = Fleet {
             last_change: sync::Arc::new(watch::Sender::new(0)),
             clock: clock::Clock::start(),
             handle,
             link_events: sync::Arc::new(watch::Sender::new(0)),
+            rollout_bounds,
             state: sync::Arc::default(),
         };
         tokio::spawn(expire(fleet.clone(), token));
@@ -251,6 +262,7 @@
         let mut state = self.lock();
         state.replace_loads(key, load_totals::Loads::default());
         state.links.remove(&key);
+        state.rollouts.remove(&key);
         drop(state);
         self.link_events.send_modify(|count| *count += 1);
     }
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -81,6 +81,7 @@
     unconfirmed_loads: collections::VecDeque<u64>,
     rank: fleet::Rank,
     revision: u64,
+    rollouts: Option<wire::Rollouts>,
     outage_sent: bool,
     version: u64,
 }
@@ -166,6 +167,7 @@
         let told = evidence::decode_all(&report.evidence);
         let successes = evidence::decode_successes(&report.successes);
         fleet.record_evidence(&told, &successes);
+        fleet.record_rollouts(key, &name, report.rollouts);
         for departure in report.departures {
             fleet.record_departure(&departure.upstream, departure.born_ms);
         }
@@ -237,6 +239,7 @@
             members: status.members.clone(),
             voters: status.voter_names.clone(),
         };
+        let is_leader = status.role == status::Role::Leader;
         drop(status);
         let mut update = wire::Update {
             document: self.build_document(&routing),
@@ -252,6 +255,7 @@
             self.sent.hosts = hosts;
         }
         self.add_loads(&mut update);
+        self.add_rollouts(&mut update, &routing, is_leader);
         let rank = self.fleet.find_rank(self.key);
         if rank != self.sent.rank {
             self.sent.rank = rank;
@@ -300,6 +304,20 @@
         update.has_loads = sums.is_first || !update.loads.is_empty();
     }
 
+    /// Adds the rollouts if they changed since the last update.
+    fn add_rollouts(
+        &mut self,
+        update: &mut wire::Update,
+        routing: &routing::Routing,
+        is_leader: bool,
+    ) {
+        let rollouts = self.fleet.describe_rollouts(&routing.rollouts, is_leader);
+        if rollouts != self.sent.rollouts {
+            update.rollouts.clone_from(&rollouts);
+            self.sent.rollouts = rollouts;
+        }
+    }
+
     /// Returns the document if the gateway asked for this version or an older one. A request for a
     /// newer one is kept.
     fn build_document(&self, routing: &routing::Routing) -> Option<wire::Document> {
@@ -348,5 +366,6 @@
         service: status.service.clone(),
         slots: status.slots,
         state: state.into(),
+        version: status.version.clone(),
     }
 }
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -233,6 +233,7 @@
         lease: settings.timing.lease,
         name: settings.name.clone(),
         operator_keys: settings.operator_keys.clone(),
+        rollout: settings.rollout,
     };
     service::build(options, token.clone())
 }
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -18,6 +18,8 @@
 use crate::fleet;
 use crate::proposal;
 use crate::replica;
+use crate::rollout_codec;
+use crate::rollout_orders;
 use crate::state_codec;
 use crate::status;
 use crate::suspect;
@@ -132,6 +134,29 @@
         Ok(tonic::Response::new(operator::ReleaseReply { cleared }))
     }
 
+    async fn rollout(
+        &self,
+        request: tonic::Request<operator::RolloutRequest>,
+    ) -> Result<tonic::Response<operator::RolloutReply>, tonic::Status> {
+        self.authorize(&request)?;
+        let reply = match request.into_inner().kind {
+            Some(operator::rollout_request::Kind::Start(start)) => {
+                let request = rollout_codec::decode_start(start);
+                rollout_orders::start(&self.handle, request).await
+            }
+            Some(operator::rollout_request::Kind::Read(service)) => {
+                rollout_orders::read(&self.handle, service).await
+            }
+            Some(operator::rollout_request::Kind::Abort(service)) => {
+                rollout_orders::abort(&self.handle, service).await
+            }
+            None => return Err(tonic::Status::invalid_argument("the call names no action")),
+        };
+        reply
+            .map(tonic::Response::new)
+            .map_err(claims::describe_failure)
+    }
+
     async fn status(
         &self,
         request: tonic::Request<operator::StatusRequest>,
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -2,13 +2,16 @@
 
 use bytes::Bytes;
 use peargap_adapters::logs;
+use peargap_core::rollout::order;
 use peargap_core::upstreams;
 use peargap_platform::api;
+use peargap_wire::operator;
 use peargap_wire::record;
 
 use crate::events;
 use crate::fleet;
 use crate::proposal;
+use crate::rollout_orders;
 
 /// Handles calls of the platform's API by commands to the log and updates of the fleet.
 #[derive(Clone, Debug)]
@@ -67,6 +70,31 @@
         outcome
     }
 
+    async fn start_rollout(&self, request: order::Request) -> api::Ordered {
+        let reply = rollout_orders::start(&self.fleet.handle, request).await;
+        match reply.map(|reply| reply.answer()) {
+            Ok(operator::RolloutAnswer::Accepted) => api::Ordered::Accepted,
+            Ok(operator::RolloutAnswer::Conflict) => api::Ordered::Conflict,
+            Ok(operator::RolloutAnswer::Unknown) => api::Ordered::NoService,
+            // The request was checked before.
+            Ok(operator::RolloutAnswer::Invalid | operator::RolloutAnswer::Unspecified)
+            | Err(_) => api::Ordered::Unknown,
+        }
+    }
+
+    async fn read_rollout(&self, service: String) -> api::Found {
+        match rollout_orders::read(&self.fleet.handle, service).await {
+            Ok(reply) => match rollout_orders::find_order(reply) {
+                Some(order) => api::Found::Order(order),
+                None => api::Found::None,
+            },
+            Err(failure) => {
+                logs::emit(events::COMMAND_FAILED, format_args!("why={failure:?}"));
+                api::Found::Unknown
+            }
+        }
+    }
+
     async fn record_heartbeat(&self, status: upstreams::Status) {
         self.fleet.record_status(status).await;
     }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic;
 
 use futures::StreamExt as _;
+use peargap_core::rollout::schedule;
 use peargap_wire::control;
 use peargap_wire::control::control_server;
 use peargap_wire::operator::operator_server;
@@ -20,6 +21,7 @@
 use crate::operators;
 use crate::placement;
 use crate::replica;
+use crate::rollout;
 use crate::ticks;
 
 /// Updates buffered for a slow link.
@@ -38,6 +40,8 @@
     pub name: String,
     /// SHA-256 digests of operators' keys.
     pub operator_keys: Vec<[u8; 32]>,
+    /// What a bad version may get in a rollout.
+    pub rollout: schedule::Bounds,
 }
 
 /// The services on both ports.
@@ -57,7 +61,8 @@
     let nodes = attached::Nodes::default();
     tokio::spawn(ticks::run(options.handle.clone(), token.clone()));
     tokio::spawn(placement::run(options.handle.clone(), token.clone()));
-    let fleet = fleet::Fleet::spawn(options.handle.clone(), token.clone());
+    let fleet = fleet::Fleet::spawn(options.handle.clone(), options.rollout, token.clone());
+    tokio::spawn(rollout::run(fleet.clone(), token.clone()));
     let control = Control {
         next_link: sync::Arc::default(),
         shared: node_link::Shared {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -17,6 +17,7 @@
 use peargap_adapters::digest;
 use peargap_adapters::logs;
 use peargap_adapters::settings;
+use peargap_core::rollout::schedule;
 
 use crate::addresses;
 use crate::disk;
@@ -74,6 +75,8 @@
     pub platform: Option<net::SocketAddr>,
     /// Internal addresses of the other control hosts by name.
     pub peers: collections::BTreeMap<String, net::SocketAddr>,
+    /// What a bad version may get in a rollout.
+    pub rollout: schedule::Bounds,
     /// Intervals of the log protocol.
     pub timing: Timing,
     /// The host stores nothing beyond its process: it follows the log and never votes.
@@ -145,6 +148,7 @@
     let timing = read_timing(reader);
     let membership = read_membership(reader);
     let platform = reader.list("listen", "platform", ADDRESS).pop();
+    let rollout = read_rollout(reader);
     let mut peers = read_peers(reader);
     let own_address = name.as_ref().and_then(|name: &String| peers.remove(name));
     Some(Settings {
@@ -168,6 +172,7 @@
         path: None,
         peers,
         platform,
+        rollout,
         timing,
         trust_copy,
         volatile,
@@ -198,6 +203,29 @@
     }
 }
 
+fn read_rollout(reader: &mut settings::Reader) -> schedule::Bounds {
+    let default = schedule::Bounds::default();
+    let fraction = reader.ranged(
+        "rollout",
+        "exposure_fraction",
+        default.fraction,
+        0.001..=1.0,
+    );
+    let tolerance = reader.ranged(
+        "rollout",
+        "exposure_tolerance",
+        default.tolerance,
+        0.0..=1e6,
+    );
+    let default_ms = default.rollback.as_secs_f64() * 1000.0;
+    let rollback_ms = reader.ranged("rollout", "rollback_ms", default_ms, 1_000.0..=600_000.0);
+    schedule::Bounds {
+        fraction,
+        rollback: time::Duration::from_secs_f64(rollback_ms / 1000.0),
+        tolerance,
+    }
+}
+
 fn read_membership(reader: &mut settings::Reader) -> Membership {
     let port = reader.optional("membership", "port", 0, "a port");
     let seeds = reader.list("membership", "seeds", "names of hosts");
--- a/crates/control/src/state_codec.rs
+++ b/crates/control/src/state_codec.rs
@@ -14,6 +14,8 @@
 use peargap_wire::operator;
 use peargap_wire::record;
 
+use crate::rollout_codec;
+
 /// File name that findings give for the manifest.
 const MANIFEST: &str = "manifest";
 
@@ -363,6 +365,12 @@
     record::Routing {
         domains_out: routing.domains_out.iter().cloned().collect(),
         revision: routing.revision,
+        rollouts: routing
+            .rollouts
+            .services()
+            .map(rollout_codec::encode_service)
+            .collect(),
+        rollouts_revision: routing.rollouts.revision,
         text: routing.text.clone(),
         version: routing.version,
     }
@@ -372,6 +380,7 @@
     routing::Routing {
         domains_out: record.domains_out.into_iter().collect(),
         revision: record.revision,
+        rollouts: rollout_codec::restore(record.rollouts_revision, record.rollouts),
         text: record.text,
         version: record.version,
     }
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -5,6 +5,7 @@
 use std::sync;
 
 use bytes::Bytes;
+use peargap_adapters::rollout;
 use peargap_core::changes;
 use peargap_core::claims;
 use peargap_core::clock;
@@ -12,12 +13,14 @@
 use peargap_core::fences;
 use peargap_core::members;
 use peargap_core::placement;
+use peargap_core::rollout::order;
 use peargap_core::routing;
 use peargap_wire::control;
 use peargap_wire::operator;
 use peargap_wire::record;
 use prost::Message as _;
 
+use crate::rollout_codec;
 use crate::state_codec;
 
 /// Window in which model loads count against the weight store's rate, on the replicated clock.
@@ -161,6 +164,10 @@
             record::command::Kind::Shift(shift) => self.set_domain_out(index, &shift),
             record::command::Kind::Submit(request) => self.submit(request),
             record::command::Kind::Tick(tick) => self.tick(&tick),
+            record::command::Kind::StartRollout(start) => self.start_rollout(index, start),
+            record::command::Kind::AdvanceRollout(advance) => self.advance_rollout(index, &advance),
+            record::command::Kind::EndRollout(end) => self.end_rollout(index, &end),
+            record::command::Kind::ReadRollout(service) => self.read_rollout(&service),
         }
     }
 
@@ -178,6 +185,56 @@
         record::reply::Kind::Routed(true)
     }
 
+    fn start_rollout(&mut self, index: u64, start: operator::StartRollout) -> record::reply::Kind {
+        let request = rollout_codec::decode_start(start);
+        let service = request.service.clone();
+        let orders = &mut sync::Arc::make_mut(&mut self.routing).rollouts;
+        let answer = match orders.start(index, request) {
+            order::Answer::Accepted => operator::RolloutAnswer::Accepted,
+            order::Answer::Conflict => operator::RolloutAnswer::Conflict,
+            order::Answer::Invalid => operator::RolloutAnswer::Invalid,
+        };
+        self.reply_rollout(answer, &service)
+    }
+
+    fn advance_rollout(
+        &mut self,
+        index: u64,
+        advance: &record::AdvanceRollout,
+    ) -> record::reply::Kind {
+        let progress = order::Progress {
+            elapsed_ms: advance.elapsed_ms,
+            share_ppm: advance.share_ppm,
+        };
+        let orders = &mut sync::Arc::make_mut(&mut self.routing).rollouts;
+        orders.advance(index, &advance.service, advance.order, progress);
+        self.read_rollout(&advance.service)
+    }
+
+    fn end_rollout(&mut self, index: u64, end: &record::EndRollout) -> record::reply::Kind {
+        if let Some(state) = rollout::decode_state(end.state()) {
+            let orders = &mut sync::Arc::make_mut(&mut self.routing).rollouts;
+            orders.end(index, &end.service, end.order, state);
+        }
+        self.read_rollout(&end.service)
+    }
+
+    fn read_rollout(&self, service: &str) -> record::reply::Kind {
+        let answer = match self.routing.rollouts.find(service) {
+            Some(_known) => operator::RolloutAnswer::Accepted,
+            None => operator::RolloutAnswer::Unknown,
+        };
+        self.reply_rollout(answer, service)
+    }
+
+    fn reply_rollout(&self, answer: operator::RolloutAnswer, service: &str) -> record::reply::Kind {
+        let known = self.routing.rollouts.find(service);
+        record::reply::Kind::Rollout(operator::RolloutReply {
+            answer: answer.into(),
+            rollout: known.map(|known| rollout::encode_order(&known.last)),
+        })
+    }
+
     fn submit(&mut self, request: operator::SubmitRequest) -> record::reply::Kind {
         let answer = match state_codec::decode_request(request) {
             Some(request) => {
--- a/crates/control/tests/services.rs
+++ b/crates/control/tests/services.rs
@@ -29,6 +29,7 @@
 async fn start() -> Host {
     let token = cancel::CancellationToken::new();
     let options = service::Options {
+        rollout: peargap_core::rollout::schedule::Bounds::default(),
         handle: replica::spawn_volatile(state_machine::StateMachine::new()),
         lease: time::Duration::from_millis(1_500),
         name: "c1".to_owned(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod request;
 pub mod retry;
 pub mod retry_budget;
+pub mod rollout;
 pub mod routes;
 pub mod routing;
 mod running;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -1,4 +1,5 @@
-//! Replicated routing state: the current routing document and the failure domains out of service.
+//! Replicated routing state: the current routing document, the failure domains out of service and
+//! the rollouts.
 //!
 //! The document is stored verbatim; [`crate::routes`] defines its contents.
 
@@ -6,6 +7,8 @@
 
 use bytes::Bytes;
 
+use crate::rollout::order;
+
 /// Replicated routing state.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Routing {
@@ -13,6 +16,8 @@
     pub domains_out: collections::BTreeSet<String>,
     /// Log index of the last change to `domains_out`.
     pub revision: u64,
+    /// Rollouts of services to other versions.
+    pub rollouts: order::Orders,
     /// Text of the document; empty before the first.
     pub text: Bytes,
     /// Version of the document; 0 before the first.
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -61,6 +61,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: State,
+    /// Version of its software; empty if it names none.
+    pub version: String,
 }
 
 impl Status {
@@ -79,7 +81,7 @@
         write!(
             formatter,
             "upstream={} service={} address={} domain={} state={:?} cold_ms={} born_ms={} \
-             sequence={}",
+             sequence={} version={:?}",
             self.name,
             self.service,
             self.address,
@@ -87,7 +89,8 @@
             self.state,
             self.cold_ms,
             self.edition.born_ms,
-            self.edition.sequence
+            self.edition.sequence,
+            self.version
         )
     }
 }
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -23,6 +23,7 @@
         service: "s".to_owned(),
         slots: 4,
         state,
+        version: String::new(),
     }
 }
 
--- a/crates/core/tests/upstreams.rs
+++ b/crates/core/tests/upstreams.rs
@@ -13,6 +13,7 @@
         service: "pool".to_owned(),
         slots: 24,
         state,
+        version: String::new(),
     }
 }
 
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -63,7 +63,9 @@
         let mut random = rand::rng();
         // All gateways number the upstreams in the order of their names, so that each gateway gets
         // other upstreams as its own.
+        let versions = self.choose_versions(now, &criteria);
         let ready = self.list_ready(&criteria.service.name).enumerate();
+        let ready = ready.filter(|(_index, (_key, upstream))| versions.allows(upstream));
         let untried = ready.filter(|(_index, (key, _upstream))| !criteria.exclude.contains(key));
         let mut allowed = Vec::new();
         let mut broken = Vec::new();
@@ -80,6 +82,7 @@
         if allowed.is_empty() && !has_limited {
             allowed = broken;
         }
+        versions.keep_preferred(&mut allowed);
         if criteria.purpose == rate_limit::Purpose::Copy {
             prefer_unlimited(&mut allowed);
         }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -46,3 +46,8 @@
     logs::Event::info(6033, "trial of a request in quarantine");
 pub(crate) const REQUEST_BROKEN_OFF: logs::Event =
     logs::Event::warn(6031, "request broken off by its upstream");
+pub(crate) const ROLLOUT_APPLIED: logs::Event = logs::Event::info(6038, "rollout changed");
+pub(crate) const ROLLOUT_LAPSED: logs::Event =
+    logs::Event::warn(6039, "share of a rollout lapsed, no news of it");
+pub(crate) const ROLLOUT_IGNORED: logs::Event =
+    logs::Event::warn(6040, "rollout ignored, malformed");
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -280,9 +280,11 @@
                 upstream.breaker.record_probe(now);
             }
         }
-        Ok(placement::Placement::reserve(
-            self, key, upstream, load, view,
-        ))
+        let placement = placement::Placement::reserve(self, key, upstream, load, view);
+        if load.running > 0 {
+            state.record_version(now, key);
+        }
+        Ok(placement)
     }
 
     /// Records the outcome of a call in the upstream's circuit breaker.
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -23,6 +23,7 @@
 use crate::fleet;
 use crate::limits;
 use crate::pool;
+use crate::rollout;
 use crate::upstream;
 
 /// Time after which an upstream that takes no work and is no longer heard of is removed, in
@@ -48,6 +49,8 @@
     pub(crate) remote_loads_at: time::Instant,
     /// Revision of `domains_out`.
     pub(crate) revision: u64,
+    /// Rollouts of services to other versions.
+    pub(crate) rollouts: rollout::Rollouts,
     /// Number of gateways that share the limits.
     pub(crate) sharers: fleet_share::Sharers,
     /// Answered requests with suspected subjects.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -28,11 +28,14 @@
 use crate::load_reporter;
 use crate::news;
 use crate::pool;
+use crate::rollout;
 
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 const KEEPALIVE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Interval of load reports.
 const LOAD_REPORT_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Interval of reports of what was counted in rollouts.
+const COUNTS_REPORT_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Reports buffered for a slow connection.
 const REPORT_BUFFER: usize = 16;
 /// Maximum size of an update, in bytes.
@@ -176,6 +179,9 @@
     let mut load_reporter = load_reporter::LoadReporter::default();
     let mut position = fleet_share::Position::default();
     let mut told = news::Told::default();
+    let mut rollout_told = rollout::Told::default();
+    let mut rollout_tick = tokio::time::interval(COUNTS_REPORT_INTERVAL);
+    rollout_tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let turn = shared.fleet.next_turn(host, &mut told);
         if let Some(report) = turn.report {
@@ -184,7 +190,7 @@
         tokio::select! {
             () = tokio::time::sleep(document_fetch::TIMEOUT), if turn.is_behind => {}
             update = updates.next() => match update {
-                Some(Ok(update)) => {
+                Some(Ok(mut update)) => {
                     shared.record_update(host);
                     if update.version > 0 {
                         shared.fleet.record_offer(host, update.version);
@@ -194,6 +200,10 @@
                         shared.fleet.set_position(position);
                     }
                     load_reporter.record_update(&update);
+                    if let Some(rollouts) = update.rollouts.take() {
+                        rollout_told.is_wanted = rollouts.wants_counts;
+                        shared.fleet.apply_rollouts(rollouts);
+                    }
                     apply(shared, host, update, &reports).await?;
                 }
                 Some(Err(status)) => return Err(status.to_string()),
@@ -201,6 +211,11 @@
             },
             // The sender lives as long as `shared`.
             Ok(()) = news.changed() => {}
+            _instant = rollout_tick.tick(), if rollout_told.is_wanted => {
+                if let Some(report) = shared.fleet.next_counts(&mut rollout_told) {
+                    send(&reports, report).await?;
+                }
+            }
             result = known.changed() => {
                 result.map_err(|_closed| "list of connected control hosts closed".to_owned())?;
                 if !shared.reports_to(host) {
@@ -317,6 +332,7 @@
         service: upstream.service,
         slots: upstream.slots,
         state,
+        version: upstream.version,
     })
 }
 
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -13,6 +13,7 @@
 use peargap_core::balance;
 use peargap_core::event_timing;
 use peargap_core::rate_limit;
+use peargap_core::rollout::counts;
 use peargap_core::routes;
 use peargap_platform::head;
 use tokio::sync::mpsc;
@@ -45,6 +46,8 @@
     pub(crate) last_event: atomic::AtomicU64,
     pub(crate) targets: event_timing::Targets,
     pub(crate) request: call::Request,
+    /// Name of its route.
+    pub(crate) route: String,
     pub(crate) service: routes::Service,
 }
 
@@ -56,6 +59,16 @@
         prompt + events * self.engine.stride + RESERVED_OUTPUT_TOKENS
     }
 
+    /// Counts what the engine at `placement` answered, for a rollout in progress.
+    pub(crate) fn count_sample(
+        &self,
+        fleet: &fleet::Fleet,
+        placement: &placement::Placement,
+        sample: counts::Sample,
+    ) {
+        fleet.count_sample(&self.route, &self.request, placement, sample);
+    }
+
     /// Returns the ID of the last event sent to the caller.
     pub(crate) fn last_event(&self) -> Option<u64> {
         match self.last_event.load(atomic::Ordering::Relaxed) {
@@ -93,6 +106,7 @@
             gap_ms: route.gap_ms,
         },
         request,
+        route: route.name.clone(),
         service: service.clone(),
     });
     if gateway.stop.may_cut_off(&generation) {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -13,6 +13,7 @@
 use crate::gateway;
 use crate::placement;
 use crate::response;
+use crate::rollout;
 
 /// Maximum number of upstreams that a request is sent to.
 const MAX_ATTEMPTS: usize = 4;
@@ -89,7 +90,7 @@
         if let Some(subject) = trial {
             gateway.fleet.record_trial(request, subject);
         }
-        let result = try_upstream(gateway, request, &placement).await;
+        let result = try_upstream(gateway, request, &route.name, &placement).await;
         attempts.record(&result);
         match result {
             Ok(response) if is_server_error(&response) => {
@@ -135,6 +136,7 @@
 async fn try_upstream(
     gateway: &gateway::Gateway,
     request: &call::Request,
+    route: &str,
     placement: &placement::Placement,
 ) -> Result<FullResponse, call::Failure> {
     let attempt = response::attempt_text(&request.head.attempt);
@@ -150,6 +152,7 @@
         copy_to: None,
         resume: None,
     };
+    let sent_at = time::Instant::now();
     let result = match call::send(request, placement, options).await {
         Ok(response) => call::read_to_end(response, &placement.pool, &gateway.bodies).await,
         Err(failure) => Err(failure),
@@ -157,6 +160,11 @@
     gateway
         .fleet
         .record_outcome(placement.key, call::classify(&result));
+    if let Some(sample) = rollout::sample_plain(&result, sent_at.elapsed()) {
+        gateway
+            .fleet
+            .count_sample(route, request, placement, sample);
+    }
     if result.is_ok() {
         // An error response, too, shows that the upstream lives on.
         gateway.fleet.record_answered(request);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,6 +7,7 @@
 use peargap_adapters::logs;
 use peargap_core::balance;
 use peargap_core::event_timing;
+use peargap_core::rollout::counts;
 use peargap_core::sse;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -179,12 +180,20 @@
         if let event_timing::Arrival::Next(gap_ms) = arrival {
             self.gateway.stop.record_gap(gap_ms);
         }
+        if let (event_timing::Arrival::First(first_ms), 0) = (arrival, self.moves) {
+            self.count_sample(counts::Sample::Began(Some(first_ms)));
+        }
         if self.pace.longest_gap_ms() > longest_ms {
             self.paused_by_move = self.last_event_engine != self.placement.key;
         }
         self.last_event_engine = self.placement.key;
     }
 
+    fn count_sample(&self, sample: counts::Sample) {
+        let fleet = &self.gateway.fleet;
+        self.generation.count_sample(fleet, &self.placement, sample);
+    }
+
     fn attempt(&self) -> std::borrow::Cow<'_, str> {
         response::attempt_text(&self.generation.request.head.attempt)
     }
@@ -278,6 +287,8 @@
         if crash::is_beginning(self.events) {
             self.gateway.fleet.record_answered(&self.generation.request);
         }
+        let pause_ms = (self.moves == 0).then(|| self.pace.longest_gap_ms());
+        self.count_sample(counts::Sample::Ended(pause_ms));
         Next::Complete
     }
 
@@ -308,6 +319,7 @@
         );
         if !self.gateway.fleet.is_leaving(self.placement.key) {
             let outcome = fleet::Outcome::Failed;
+            self.count_sample(counts::Sample::Failed);
             self.gateway
                 .fleet
                 .record_outcome(self.placement.key, outcome);
--- a/crates/gateway/src/starting.rs
+++ b/crates/gateway/src/starting.rs
@@ -4,6 +4,7 @@
 
 use peargap_adapters::logs;
 use peargap_core::quarantine;
+use peargap_core::rollout::counts;
 use tokio::time;
 
 use crate::attempts;
@@ -16,6 +17,7 @@
 use crate::migrate;
 use crate::placement;
 use crate::response;
+use crate::rollout;
 
 /// Maximum number of engines that a request is sent to.
 const MAX_ATTEMPTS: usize = 3;
@@ -212,6 +214,10 @@
             .fleet
             .record_outcome(placement.key, call::classify(&sent));
         self.attempts.record(&sent);
+        if rollout::is_failure(&sent) {
+            let sample = counts::Sample::Failed;
+            generation.count_sample(&self.gateway.fleet, &placement, sample);
+        }
         let failure = match sent {
             Ok(response) => {
                 placement.finish_prompt();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -205,6 +205,7 @@
         service: "desk".to_owned(),
         slots: 24,
         state: wire::State::Ready.into(),
+        version: "v1".to_owned(),
     }
 }
 
--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -10,12 +10,13 @@
 use crate::experiment::plot;
 use crate::experiment::policy;
 use crate::experiment::report;
+use crate::experiment::rollouts;
 use crate::experiment::scenario;
 use crate::experiment::shedding;
 use crate::experiment::suite;
 
 const HELP: &str =
-    "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --limits | --shedding | --tainted)
+    "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --limits | --shedding | --tainted | --rollouts)
   [--seeds N] [--load FACTOR] [--out DIR]";
 /// Scenarios that `--all` also runs with each mechanism disabled in turn.
 const ABLATED: [&str; 8] = [
@@ -35,6 +36,8 @@
     ablate: Vec<scenario::Scenario>,
     compare: Vec<scenario::Scenario>,
     out: Option<path::PathBuf>,
+    /// Whether to play rollouts.
+    rollouts: bool,
     seeds: u64,
     /// Whether to compare rules for repeats at a service that refuses requests.
     limits: bool,
@@ -59,6 +62,7 @@
 fn parse_options(mut arguments: pico_args::Arguments) -> Result<Options, String> {
     let all = arguments.contains("--all");
     let limits = arguments.contains("--limits");
+    let rollouts = arguments.contains("--rollouts");
     let shedding = arguments.contains("--shedding");
     let tainted = arguments.contains("--tainted");
     let one: Option<String> = parse(&mut arguments, "--scenario")?;
@@ -74,6 +78,7 @@
         compare: Vec::new(),
         out: out.map(Into::into),
         limits,
+        rollouts,
         seeds,
         shedding,
         tainted,
@@ -95,9 +100,10 @@
         scenario.traffic.load = load.unwrap_or(scenario.traffic.load);
     }
     let has_scenarios = !options.compare.is_empty() || !options.ablate.is_empty();
-    if !has_scenarios && !limits && !shedding && !tainted {
+    if !has_scenarios && !limits && !shedding && !tainted && !rollouts {
         return Err(
-            "no scenario given: use --all, --scenario, --ablate, --limits, --shedding or --tainted"
+            "no scenario given: use --all, --scenario, --ablate, --limits, --shedding, --tainted or \
+             --rollouts"
                 .to_owned(),
         );
     }
@@ -132,6 +138,9 @@
         text.push_str(&deadly_parts::report(options.seeds));
         text.push_str(&deadly_requests::report(options.seeds));
     }
+    if options.rollouts {
+        text.push_str(&rollouts::report(options.seeds));
+    }
     for scenario in &options.compare {
         eprintln!("{}", scenario.name);
         let table = suite::run_scenario(scenario, &policy::COMPARED, options.seeds);
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -19,6 +19,7 @@
 pub mod plot;
 pub mod policy;
 pub mod report;
+pub mod rollouts;
 pub mod scenario;
 mod schedule;
 pub mod shedding;
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -36,6 +36,50 @@
     /// Answered requests with suspected subjects, since the previous report.
     #[prost(message, repeated, tag = "11")]
     pub successes: ::prost::alloc::vec::Vec<Success>,
+    /// Complete counts of each rollout in progress, for a host that asks for them; set when they changed.
+    #[prost(message, repeated, tag = "15")]
+    pub rollouts: ::prost::alloc::vec::Vec<RolloutCounts>,
+}
+/// What one gateway has counted of a rollout since it heard of it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutCounts {
+    /// Log index of the order.
+    #[prost(uint64, tag = "1")]
+    pub order: u64,
+    /// Requests that still run on other versions.
+    #[prost(uint32, tag = "2")]
+    pub running_elsewhere: u32,
+    #[prost(message, repeated, tag = "3")]
+    pub routes: ::prost::alloc::vec::Vec<RouteCounts>,
+}
+/// Answers on one route.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RouteCounts {
+    /// Name of the route; empty for all routes beyond the number that is counted apart.
+    #[prost(string, tag = "1")]
+    pub route: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "2")]
+    pub target: ::core::option::Option<AnswerCounts>,
+    /// Answers of the other versions.
+    #[prost(message, optional, tag = "3")]
+    pub others: ::core::option::Option<AnswerCounts>,
+}
+/// Answers of upstreams. Times are counted by half octaves of milliseconds, without trailing zeros.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AnswerCounts {
+    #[prost(uint32, tag = "1")]
+    pub answered: u32,
+    #[prost(uint32, tag = "2")]
+    pub failed: u32,
+    /// Times to the first event of a stream.
+    #[prost(uint32, repeated, tag = "3")]
+    pub first: ::prost::alloc::vec::Vec<u32>,
+    /// Whole times of plain calls.
+    #[prost(uint32, repeated, tag = "4")]
+    pub whole: ::prost::alloc::vec::Vec<u32>,
+    /// Longest pauses of ended streams.
+    #[prost(uint32, repeated, tag = "5")]
+    pub pause: ::prost::alloc::vec::Vec<u32>,
 }
 /// What requests have in common by which they may crash upstreams.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -208,6 +252,46 @@
     /// Evidence on what crashes upstreams that changed since the previous update.
     #[prost(message, repeated, tag = "14")]
     pub evidence: ::prost::alloc::vec::Vec<Evidence>,
+    /// The rollouts; set when they changed since the previous update.
+    #[prost(message, optional, tag = "18")]
+    pub rollouts: ::core::option::Option<Rollouts>,
+}
+/// All services with a rollout, past or in progress.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Rollouts {
+    /// Log index of the last change.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub rollouts: ::prost::alloc::vec::Vec<Rollout>,
+    /// Whether this host asks for counts.
+    #[prost(bool, tag = "3")]
+    pub wants_counts: bool,
+}
+/// The last rollout of a service.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Rollout {
+    /// Log index of the order.
+    #[prost(uint64, tag = "1")]
+    pub order: u64,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub target: ::prost::alloc::string::String,
+    #[prost(enumeration = "RolloutState", tag = "4")]
+    pub state: i32,
+    /// Version that the last completed rollout moved the service to; empty before the first.
+    #[prost(string, tag = "5")]
+    pub base: ::prost::alloc::string::String,
+    /// Versions that were rolled back.
+    #[prost(string, repeated, tag = "6")]
+    pub barred: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Millionths of new requests that go to the target.
+    #[prost(uint32, tag = "7")]
+    pub share_ppm: u32,
+    /// Time without a newer revision after which the target gets no new requests.
+    #[prost(uint32, tag = "8")]
+    pub lease_ms: u32,
 }
 /// The operators' routing document.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -252,6 +336,41 @@
     /// Sequence number of the heartbeat that this state comes from.
     #[prost(uint64, tag = "9")]
     pub sequence: u64,
+    /// Version of its software; empty if it names none.
+    #[prost(string, tag = "10")]
+    pub version: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum RolloutState {
+    Unspecified = 0,
+    InProgress = 1,
+    Completed = 2,
+    RolledBack = 3,
+}
+impl RolloutState {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "ROLLOUT_STATE_UNSPECIFIED",
+            Self::InProgress => "ROLLOUT_STATE_IN_PROGRESS",
+            Self::Completed => "ROLLOUT_STATE_COMPLETED",
+            Self::RolledBack => "ROLLOUT_STATE_ROLLED_BACK",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ROLLOUT_STATE_UNSPECIFIED" => Some(Self::Unspecified),
+            "ROLLOUT_STATE_IN_PROGRESS" => Some(Self::InProgress),
+            "ROLLOUT_STATE_COMPLETED" => Some(Self::Completed),
+            "ROLLOUT_STATE_ROLLED_BACK" => Some(Self::RolledBack),
+            _ => None,
+        }
+    }
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/crates/wire/src/gen/peargap.record.rs
+++ b/crates/wire/src/gen/peargap.record.rs
@@ -2,7 +2,10 @@
 /// A command to the replicated state machine.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Command {
-    #[prost(oneof = "command::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(
+        oneof = "command::Kind",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23"
+    )]
     pub kind: ::core::option::Option<command::Kind>,
 }
 /// Nested message and enum types in `Command`.
@@ -33,8 +36,55 @@
         /// Reads the routing state.
         #[prost(bool, tag = "11")]
         ReadRouting(bool),
+        #[prost(message, tag = "20")]
+        StartRollout(super::super::operator::StartRollout),
+        #[prost(message, tag = "21")]
+        AdvanceRollout(super::AdvanceRollout),
+        #[prost(message, tag = "22")]
+        EndRollout(super::EndRollout),
+        /// Reads the last rollout of a service.
+        #[prost(string, tag = "23")]
+        ReadRollout(::prost::alloc::string::String),
     }
 }
+/// Progress of a rollout; applied only while it is in progress.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AdvanceRollout {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Log index of the order.
+    #[prost(uint64, tag = "2")]
+    pub order: u64,
+    /// Time since the order.
+    #[prost(uint64, tag = "3")]
+    pub elapsed_ms: u64,
+    /// Millionths of new requests that go to the target.
+    #[prost(uint32, tag = "4")]
+    pub share_ppm: u32,
+}
+/// End of a rollout; applied only while it is in progress.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndRollout {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Log index of the order; 0 for whichever is in progress.
+    #[prost(uint64, tag = "2")]
+    pub order: u64,
+    #[prost(enumeration = "super::operator::RolloutState", tag = "3")]
+    pub state: i32,
+}
+/// All that is replicated of the rollouts of one service.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServiceRollouts {
+    #[prost(message, optional, tag = "1")]
+    pub last: ::core::option::Option<super::operator::Rollout>,
+    /// Version that the last completed rollout moved the service to; empty before the first.
+    #[prost(string, tag = "2")]
+    pub base: ::prost::alloc::string::String,
+    /// Versions that were rolled back, the last one last.
+    #[prost(string, repeated, tag = "3")]
+    pub barred: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
 /// A routing document that an operator sent.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Publish {
@@ -53,7 +103,7 @@
     pub out: bool,
 }
 /// The routing document in force and the domains out of service.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Routing {
     #[prost(uint64, tag = "1")]
     pub version: u64,
@@ -64,11 +114,16 @@
     /// Log index of the last change of `domains_out`.
     #[prost(uint64, tag = "4")]
     pub revision: u64,
+    #[prost(message, repeated, tag = "20")]
+    pub rollouts: ::prost::alloc::vec::Vec<ServiceRollouts>,
+    /// Log index of the last change of `rollouts`.
+    #[prost(uint64, tag = "21")]
+    pub rollouts_revision: u64,
 }
 /// The state machine's reply to a command.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Reply {
-    #[prost(oneof = "reply::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "reply::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 20")]
     pub kind: ::core::option::Option<reply::Kind>,
 }
 /// Nested message and enum types in `Reply`.
@@ -97,6 +152,8 @@
         Routed(bool),
         #[prost(message, tag = "10")]
         Routing(super::Routing),
+        #[prost(message, tag = "20")]
+        Rollout(super::super::operator::RolloutReply),
     }
 }
 /// A node announced itself or changed its announcement.
