--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod panics;
 pub mod rate_limit;
 pub mod read_budget;
+pub mod rollout;
 pub mod settings;
 pub mod signals;
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -56,3 +56,10 @@
 pub(crate) const TRANSFER_NOT_MADE: logs::Event =
     logs::Event::error(2139, "transfer of a routing document not made");
 pub(crate) const PACES_CHANGED: logs::Event = logs::Event::debug(2147, "upstream paces changed");
+pub(crate) const ROLLOUT_ORDERED: logs::Event = logs::Event::info(2140, "rollout ordered");
+pub(crate) const ROLLOUT_ABORTED: logs::Event =
+    logs::Event::info(2141, "rollout aborted by an operator");
+pub(crate) const ROLLOUT_SHARE: logs::Event = logs::Event::info(2142, "share of a rollout changed");
+pub(crate) const ROLLOUT_ENDED: logs::Event = logs::Event::warn(2143, "rollout decided");
+pub(crate) const ROLLOUT_NOT_COMMITTED: logs::Event =
+    logs::Event::warn(2144, "decision on a rollout not committed");
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -13,6 +13,7 @@
 use peargap_core::named_limits;
 use peargap_core::pace_table;
 use peargap_core::quarantine;
+use peargap_core::rollout::schedule;
 use peargap_core::upstreams;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -20,6 +21,7 @@
 use crate::documents;
 use crate::events;
 use crate::replica;
+use crate::rollout;
 
 /// Time between checks for silent upstreams.
 const EXPIRY_PERIOD: time::Duration = time::Duration::from_millis(500);
@@ -46,6 +48,8 @@
     /// Number of the last change; links wait on it.
     pub(crate) last_change: sync::Arc<watch::Sender<u64>>,
     pub(crate) handle: replica::Handle,
+    /// What a bad version may get in a rollout.
+    pub(crate) rollout_bounds: schedule::Bounds,
     state: sync::Arc<sync::Mutex<State>>,
     /// Incremented when a gateway has applied a change or a link is removed.
     link_events: sync::Arc<watch::Sender<u64>>,
@@ -66,6 +70,8 @@
     pub(crate) paces: pace_table::Table,
     /// Evidence of gateways on what crashes upstreams.
     pub(crate) quarantine: quarantine::Table,
+    /// What gateways have counted of the rollouts in progress.
+    pub(crate) rollouts: collections::BTreeMap<LinkKey, rollout::Reported>,
     /// Sums of the loads on all links.
     totals: load_totals::Totals,
 }
@@ -122,13 +128,18 @@
 impl Fleet {
     /// Returns an empty fleet and starts the task that marks silent upstreams until `token` is
     /// cancelled.
-    pub(crate) fn spawn(handle: replica::Handle, token: CancellationToken) -> Fleet {
+    pub(crate) fn spawn(
+        handle: replica::Handle,
+        rollout_bounds: schedule::Bounds,
+        token: CancellationToken,
+    ) -> Fleet {
         let fleet = Fleet {
             last_change: sync::Arc::new(watch::Sender::new(0)),
             clock: clock::Clock::start(),
             documents: documents::Documents::default(),
             handle,
             link_events: sync::Arc::new(watch::Sender::new(0)),
+            rollout_bounds,
             state: sync::Arc::default(),
         };
         tokio::spawn(expire(fleet.clone(), token));
@@ -257,6 +268,7 @@
         let mut state = self.lock();
         state.replace_loads(key, load_totals::Loads::default());
         state.links.remove(&key);
+        state.rollouts.remove(&key);
         drop(state);
         self.link_events.send_modify(|count| *count += 1);
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -53,3 +53,8 @@
 pub(crate) const TRANSFER_DAMAGED: logs::Event =
     logs::Event::error(6036, "transfer of a routing document damaged");
 pub(crate) const PACE_CHANGED: logs::Event = logs::Event::debug(6044, "upstream pace changed");
+pub(crate) const ROLLOUT_APPLIED: logs::Event = logs::Event::info(6038, "rollout changed");
+pub(crate) const ROLLOUT_LAPSED: logs::Event =
+    logs::Event::warn(6039, "share of a rollout lapsed, no news of it");
+pub(crate) const ROLLOUT_IGNORED: logs::Event =
+    logs::Event::warn(6040, "rollout ignored, malformed");
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -264,6 +264,9 @@
         let stride = criteria.service.engine.map(|engine| engine.stride);
         let timing = placement::Timing::start(now, stride);
         let placement = placement::Placement::reserve(self, key, upstream, load, view, timing);
+        if load.running > 0 {
+            state.record_version(now, key);
+        }
         Ok(placement)
     }
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -14,6 +14,7 @@
 use crate::gateway;
 use crate::placement;
 use crate::response;
+use crate::rollout;
 
 /// Maximum number of upstreams that a request is sent to.
 const MAX_ATTEMPTS: usize = 4;
@@ -91,7 +92,7 @@
         if let Some(subject) = trial {
             gateway.fleet.record_trial(request, subject);
         }
-        let result = try_upstream(gateway, request, &placement).await;
+        let result = try_upstream(gateway, request, &route.name, &placement).await;
         attempts.record(&result);
         match result {
             Ok(response) if is_server_error(&response) => {
@@ -137,6 +138,7 @@
 async fn try_upstream(
     gateway: &gateway::Gateway,
     request: &call::Request,
+    route: &str,
     placement: &placement::Placement,
 ) -> Result<FullResponse, call::Failure> {
     let attempt = response::attempt_text(&request.head.attempt);
@@ -152,6 +154,7 @@
         copy_to: None,
         resume: None,
     };
+    let sent_at = time::Instant::now();
     let result = match call::send(request, placement, options).await {
         Ok(response) => call::read_to_end(response, &placement.pool, &gateway.bodies).await,
         Err(failure) => Err(failure),
@@ -162,6 +165,11 @@
     if matches!(&result, Ok(response) if response.0.status.is_success()) {
         placement.record_first();
     }
+    if let Some(sample) = rollout::sample_plain(&result, sent_at.elapsed()) {
+        gateway
+            .fleet
+            .count_sample(route, request, placement, sample);
+    }
     if result.is_ok() {
         // An error response, too, shows that the upstream lives on.
         gateway.fleet.record_answered(request);
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -43,6 +43,9 @@
     /// Times of answers that this gateway has observed since the previous report.
     #[prost(message, repeated, tag = "13")]
     pub observations: ::prost::alloc::vec::Vec<Observation>,
+    /// Complete counts of each rollout in progress, for a host that asks for them; set when they changed.
+    #[prost(message, repeated, tag = "15")]
+    pub rollouts: ::prost::alloc::vec::Vec<RolloutCounts>,
 }
 /// What a gateway has of the routing document.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -153,6 +156,47 @@
     #[prost(uint32, tag = "2")]
     pub thousandths: u32,
 }
+/// What one gateway has counted of a rollout since it heard of it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutCounts {
+    /// Log index of the order.
+    #[prost(uint64, tag = "1")]
+    pub order: u64,
+    /// Requests that still run on other versions.
+    #[prost(uint32, tag = "2")]
+    pub running_elsewhere: u32,
+    #[prost(message, repeated, tag = "3")]
+    pub routes: ::prost::alloc::vec::Vec<RouteCounts>,
+}
+/// Answers on one route.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RouteCounts {
+    /// Name of the route; empty for all routes beyond the number that is counted apart.
+    #[prost(string, tag = "1")]
+    pub route: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "2")]
+    pub target: ::core::option::Option<AnswerCounts>,
+    /// Answers of the other versions.
+    #[prost(message, optional, tag = "3")]
+    pub others: ::core::option::Option<AnswerCounts>,
+}
+/// Answers of upstreams. Times are counted by half octaves of milliseconds, without trailing zeros.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AnswerCounts {
+    #[prost(uint32, tag = "1")]
+    pub answered: u32,
+    #[prost(uint32, tag = "2")]
+    pub failed: u32,
+    /// Times to the first event of a stream.
+    #[prost(uint32, repeated, tag = "3")]
+    pub first: ::prost::alloc::vec::Vec<u32>,
+    /// Whole times of plain calls.
+    #[prost(uint32, repeated, tag = "4")]
+    pub whole: ::prost::alloc::vec::Vec<u32>,
+    /// Longest pauses of ended streams.
+    #[prost(uint32, repeated, tag = "5")]
+    pub pause: ::prost::alloc::vec::Vec<u32>,
+}
 /// What requests have in common by which they may crash upstreams.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Subject {
@@ -333,6 +377,46 @@
     /// Paces of upstreams that changed since the previous update.
     #[prost(message, repeated, tag = "16")]
     pub paces: ::prost::alloc::vec::Vec<Pace>,
+    /// The rollouts; set when they changed since the previous update.
+    #[prost(message, optional, tag = "18")]
+    pub rollouts: ::core::option::Option<Rollouts>,
+}
+/// All services with a rollout, past or in progress.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Rollouts {
+    /// Log index of the last change.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub rollouts: ::prost::alloc::vec::Vec<Rollout>,
+    /// Whether this host asks for counts.
+    #[prost(bool, tag = "3")]
+    pub wants_counts: bool,
+}
+/// The last rollout of a service.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Rollout {
+    /// Log index of the order.
+    #[prost(uint64, tag = "1")]
+    pub order: u64,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub target: ::prost::alloc::string::String,
+    #[prost(enumeration = "super::operator::RolloutState", tag = "4")]
+    pub state: i32,
+    /// Version that the last completed rollout moved the service to; empty before the first.
+    #[prost(string, tag = "5")]
+    pub base: ::prost::alloc::string::String,
+    /// Versions that were rolled back.
+    #[prost(string, repeated, tag = "6")]
+    pub barred: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Millionths of new requests that go to the target.
+    #[prost(uint32, tag = "7")]
+    pub share_ppm: u32,
+    /// Time without a newer revision after which the target gets no new requests.
+    #[prost(uint32, tag = "8")]
+    pub lease_ms: u32,
 }
 /// The operators' routing document.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -377,6 +461,9 @@
     /// Sequence number of the heartbeat that this state comes from.
     #[prost(uint64, tag = "9")]
     pub sequence: u64,
+    /// Version of its software; empty if it names none.
+    #[prost(string, tag = "10")]
+    pub version: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
