--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -29,8 +29,13 @@
 /// answer shall not outweigh the others.
 const EARLY_WINDOWS: u32 = 3;
 const LATER_PERIOD: u32 = 4;
-/// Part of a generation's longest pauses that the expected one covers.
-const LONGEST_PART: f64 = 0.8;
+/// Part of an upstream's longest pauses that the expected one covers.
+const LONGEST_PART: f64 = 0.9;
+/// Part of the upstreams whose longest pauses the expected one covers: at many, hardly a prompt was
+/// read beside the generations that were observed.
+const LONGEST_UPSTREAMS_PART: f64 = 0.75;
+/// Observations from which on an upstream's longest pauses count.
+const LONGEST_COUNT: u32 = 4;
 /// Factor by which a pace differs from the middle at most.
 const MAX_FACTOR: f64 = 8.0;
 /// Smallest difference from the middle that counts as one.
@@ -202,14 +207,14 @@
     /// Returns the middle of these paces.
     #[must_use]
     pub fn of(paces: &[Pace]) -> Middle {
-        let longest = |pace: &Pace| match pace.gap.value > 0.0 {
-            true => pace.longest.value / pace.gap.value,
-            false => 0.0,
-        };
+        let has_longest =
+            |pace: &&Pace| pace.gap.value > 0.0 && pace.longest.count >= LONGEST_COUNT;
+        let longest = paces.iter().filter(has_longest);
+        let longest = longest.map(|pace| pace.longest.value / pace.gap.value);
         Middle {
-            first: median(paces.iter().map(|pace| pace.first.value)),
-            gap: median(paces.iter().map(|pace| pace.gap.value)),
-            longest: median(paces.iter().map(longest)).max(1.0),
+            first: quantile(paces.iter().map(|pace| pace.first.value), 0.5),
+            gap: quantile(paces.iter().map(|pace| pace.gap.value), 0.5),
+            longest: quantile(longest, LONGEST_UPSTREAMS_PART).max(1.0),
         }
     }
 
@@ -345,14 +350,21 @@
     CALL_MS * (f64::from(running) / f64::from(slots.max(1))).max(1.0)
 }
 
-/// Returns the median of the positive values; 0 if there are too few.
-fn median(values: impl Iterator<Item = f64>) -> f64 {
+/// Returns the value below which this part of the positive values lies; 0 if there are too few.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "the index is within the list"
+)]
+fn quantile(values: impl Iterator<Item = f64>, part: f64) -> f64 {
     let mut known: Vec<f64> = values.filter(|value| *value > 0.0).collect();
     if known.len() < MIN_KNOWN {
         return 0.0;
     }
     known.sort_by(f64::total_cmp);
-    known[known.len() / 2]
+    let index = known.len() as f64 * part;
+    known[(index as usize).min(known.len() - 1)]
 }
 
 #[allow(
