core: generations that will join count for expected pauses; copies spread as before

Of the two that are compared the one that suits is taken. Idle slow engines were expected to keep a bound of 180 ms by a hair (166 to 179 ms, 242 to 250 ms came), as nothing ran there yet.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -20,6 +20,8 @@
 /// Share of an engine's memory up to which it accepts generations that move away from another
 /// engine.
 const MAX_MOVE_MEMORY_SHARE: f64 = 0.95;
+/// Share of an engine's memory by which one where pauses are too long counts as fuller for a copy.
+const UNSUITABLE_FILL: f64 = 1.0;
 /// Candidates drawn at random and compared for a request. With a comparison of all, every gateway
 /// would choose the same least loaded one before it learns of the others' choices.
 const SAMPLE_SIZE: usize = 2;
@@ -270,7 +272,7 @@
 }
 
 /// Picks an engine that receives a copy of a generation of `tokens` tokens.
-pub fn choose_copy<K: Copy + PartialEq, R: Rng + ?Sized>(
+pub fn choose_copy<K: Copy, R: Rng + ?Sized>(
     candidates: &[Candidate<K>],
     tokens: u64,
     purpose: Purpose,
@@ -288,22 +290,18 @@
     let fitting = candidates
         .iter()
         .filter(|candidate| fill(candidate) <= share);
-    // A generation that continues where its pauses are too long is late for good. Copying memory to
-    // another failure domain takes twice as long.
-    let suits = |candidate: &&Candidate<K>| candidate.fit == pace::Fit::Long;
-    let suitable = fitting.clone().filter(suits);
-    let near = |candidate: &&Candidate<K>| candidate.is_near;
-    let mut choice = choose_least(suitable.clone().filter(near), fill, random);
-    if choice == Choice::Full {
-        choice = choose_least(suitable, fill, random);
-    }
-    if choice == Choice::Full {
-        choice = choose_least(fitting.clone().filter(near), fill, random);
-    }
-    if choice == Choice::Full {
-        choice = choose_least(fitting, fill, random);
+    // Copies spread over all engines that have room, as each takes few at a time. Of the two that
+    // are compared, the one where pauses are within the bound is taken.
+    let score = |candidate: &Candidate<K>| match candidate.fit {
+        pace::Fit::Short | pace::Fit::Unfit => fill(candidate) + UNSUITABLE_FILL,
+        pace::Fit::Long | pace::Fit::Unknown => fill(candidate),
+    };
+    // Copying memory to another failure domain takes twice as long.
+    let near = fitting.clone().filter(|candidate| candidate.is_near);
+    match choose_least(near, score, random) {
+        Choice::Full => choose_least(fitting, score, random),
+        choice => choice,
     }
-    choice
 }
 
 /// Picks an upstream of a plain service.
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -21,6 +21,8 @@
 const STEP_MS: f64 = 10.0;
 /// Part of [`STEP_MS`] that each further generation adds.
 const STEP_PART: f64 = 0.05;
+/// Generations that are expected to join a long one.
+const JOINING: u32 = 2;
 /// Reference time of a plain call, in milliseconds.
 const CALL_MS: f64 = 50.0;
 /// Events between which one observation of pauses is made.
@@ -283,7 +285,8 @@
     }
 
     fn longest_pause_ms(&self, factor: f64, load: &balance::Load, stride: u64) -> f64 {
-        self.longest * self.usual_pause_ms(factor, load, stride)
+        let running = load.running.saturating_add(1 + JOINING);
+        self.longest * self.gap * factor * gap_reference_ms(running, stride)
     }
 }
 
