gateway: answers are read on while callers are slow, within one budget of memory

Cause: a relay queued 32 events for its caller and then waited for it, so the engine's stream was not read and an engine that cuts off unread answers ended it; the deadline was not looked at meanwhile. Nothing bounded whole responses and request bodies in the hands of slow peers.

Change: core::body_budget decides who is ended when what peers have not read exceeds a quarter of the host's memory ([memory] host_mb): most bytes times longest time without a read. adapters::body_budget counts bytes until the network has them. An ended response has its connection reset (E6053). Large whole bodies wait up to a second for room first.

--- /dev/null
+++ b/crates/adapters/src/body_budget.rs
@@ -0,0 +1,283 @@
+//! Bytes that wait for slow peers, counted to one budget of memory for the process.
+//!
+//! Bytes count from when they are put into a [`Hold`] until the system has taken the last of them
+//! for the network, so what an HTTP library buffers counts too.
+
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use peargap_core::body_budget;
+use slotmap::SecondaryMap;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock;
+use crate::logs;
+
+/// Bytes of memory that a piece takes beside its own bytes: its owner, its allocation and its
+/// place in a queue.
+const PIECE_OVERHEAD_BYTES: usize = 160;
+
+/// The peer that bytes wait for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Side {
+    /// A caller that reads a response.
+    Caller,
+    /// An upstream that reads a request.
+    Upstream,
+}
+
+/// Memory for bytes that peers have not read yet; clones share it.
+#[derive(Clone, Debug)]
+pub struct Budget(sync::Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    clock: clock::Clock,
+    ended: logs::Event,
+    /// Notified when bytes have been read.
+    freed: Notify,
+    state: sync::Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    budget: body_budget::Budget,
+    ended: u64,
+    owners: SecondaryMap<body_budget::Key, Owner>,
+}
+
+/// What a holder belongs to.
+#[derive(Debug)]
+struct Owner {
+    request: Bytes,
+    side: Side,
+    token: CancellationToken,
+}
+
+/// What the budget holds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Usage {
+    /// Bytes that wait for peers.
+    pub bytes: u64,
+    /// Requests and responses that have been ended.
+    pub ended: u64,
+    /// Requests and responses that are being sent.
+    pub holders: u64,
+}
+
+impl Budget {
+    /// Returns a budget of `limit_bytes`. `ended` is logged for each request or response that is
+    /// ended because the budget is exceeded.
+    #[must_use]
+    pub fn new(limit_bytes: u64, ended: logs::Event) -> Budget {
+        Budget(sync::Arc::new(Inner {
+            clock: clock::Clock::start(),
+            ended,
+            freed: Notify::new(),
+            state: sync::Mutex::new(State {
+                budget: body_budget::Budget::new(limit_bytes),
+                ended: 0,
+                owners: SecondaryMap::new(),
+            }),
+        }))
+    }
+
+    /// Returns a hold for one response or request; `request` is its ID in log lines. `token` is
+    /// cancelled if it has to end because the budget is exceeded.
+    #[must_use]
+    pub fn open(&self, side: Side, request: Bytes, token: CancellationToken) -> Hold {
+        let mut state = self.lock();
+        let key = state.budget.open(self.0.clock.now());
+        let owner = Owner {
+            request,
+            side,
+            token: token.clone(),
+        };
+        state.owners.insert(key, owner);
+        drop(state);
+        Hold(sync::Arc::new(Holder {
+            budget: self.clone(),
+            key,
+            token,
+        }))
+    }
+
+    /// Returns what it holds.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        let state = self.lock();
+        let holders = state.budget.count_holders();
+        Usage {
+            bytes: state.budget.held_bytes(),
+            ended: state.ended,
+            holders: to_u64(holders),
+        }
+    }
+
+    fn add(&self, key: body_budget::Key, bytes: usize) {
+        self.add_locked(&mut self.lock(), key, bytes);
+    }
+
+    /// Adds bytes if this ends nobody; returns whether it has.
+    fn try_add(&self, key: body_budget::Key, bytes: usize) -> bool {
+        let mut state = self.lock();
+        let has_room = state.budget.has_room(to_u64(bytes));
+        if has_room {
+            self.add_locked(&mut state, key, bytes);
+        }
+        has_room
+    }
+
+    fn add_locked(&self, state: &mut State, key: body_budget::Key, bytes: usize) {
+        let bytes = to_u64(bytes);
+        for ended in state.budget.add(key, bytes, self.0.clock.now()) {
+            self.end(state, ended);
+        }
+    }
+
+    fn end(&self, state: &mut State, ended: body_budget::Ended) {
+        state.ended += 1;
+        let Some(owner) = state.owners.remove(ended.key) else {
+            return;
+        };
+        logs::emit(
+            self.0.ended,
+            format_args!(
+                "request={} side={:?} bytes={} waited_ms={} left={} limit={} holders={}",
+                String::from_utf8_lossy(&owner.request),
+                owner.side,
+                ended.bytes,
+                ended.waited_ms,
+                state.budget.held_bytes(),
+                state.budget.limit_bytes(),
+                state.budget.count_holders(),
+            ),
+        );
+        owner.token.cancel();
+    }
+
+    fn record_read(&self, key: body_budget::Key, bytes: usize) {
+        let bytes = to_u64(bytes);
+        let now = self.0.clock.now();
+        self.lock().budget.record_read(key, bytes, now);
+        self.0.freed.notify_waiters();
+    }
+
+    fn close(&self, key: body_budget::Key) {
+        let mut state = self.lock();
+        state.budget.close(key);
+        state.owners.remove(key);
+        drop(state);
+        self.0.freed.notify_waiters();
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        let locked = self.0.state.lock();
+        locked.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+fn to_u64(count: usize) -> u64 {
+    u64::try_from(count).unwrap_or(u64::MAX)
+}
+
+/// The share of one response or request in the budget; it ends with the last clone and the last
+/// bytes put into it.
+#[derive(Clone, Debug)]
+pub struct Hold(sync::Arc<Holder>);
+
+#[derive(Debug)]
+struct Holder {
+    budget: Budget,
+    key: body_budget::Key,
+    token: CancellationToken,
+}
+
+impl Drop for Holder {
+    fn drop(&mut self) {
+        self.budget.close(self.key);
+    }
+}
+
+impl Hold {
+    /// Returns a copy of `bytes` that counts until it is dropped.
+    #[must_use]
+    pub fn copy(&self, bytes: &[u8]) -> Bytes {
+        let counted = bytes.len() + PIECE_OVERHEAD_BYTES;
+        self.0.budget.add(self.0.key, counted);
+        Bytes::from_owner(Piece {
+            bytes: Box::<[u8]>::from(bytes),
+            counted,
+            hold: self.clone(),
+        })
+    }
+
+    /// Counts a whole body until the hold ends.
+    pub fn count_body(&self, bytes: &Bytes) {
+        self.0.budget.add(self.0.key, bytes.len());
+    }
+
+    /// Counts a whole body until the hold ends. Waits for at most `limit` until others have read
+    /// enough that nobody has to be ended for it.
+    pub async fn count_body_when_room(&self, bytes: &Bytes, limit: time::Duration) {
+        let Holder { budget, key, .. } = &*self.0;
+        let counted = async {
+            loop {
+                let freed = budget.0.freed.notified();
+                if budget.try_add(*key, bytes.len()) {
+                    return;
+                }
+                freed.await;
+            }
+        };
+        if tokio::time::timeout(limit, counted).await.is_err() {
+            self.count_body(bytes);
+        }
+    }
+
+    /// Returns a part of a body that was counted as a whole. Once it is dropped, the peer counts
+    /// as having read.
+    #[must_use]
+    pub fn part(&self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(Piece {
+            bytes,
+            counted: 0,
+            hold: self.clone(),
+        })
+    }
+
+    /// Returns whether it was ended because the budget was exceeded.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        self.0.token.is_cancelled()
+    }
+}
+
+/// Bytes of a hold.
+struct Piece<B> {
+    bytes: B,
+    /// Bytes that it counts.
+    counted: usize,
+    hold: Hold,
+}
+
+impl AsRef<[u8]> for Piece<Box<[u8]>> {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl AsRef<[u8]> for Piece<Bytes> {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl<B> Drop for Piece<B> {
+    fn drop(&mut self) {
+        let holder = &self.hold.0;
+        holder.budget.record_read(holder.key, self.counted);
+    }
+}
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -1,6 +1,7 @@
 //! Adapters that the peargap processes share: command line, settings, configuration, logs,
 //! metrics, health and signals.
 
+pub mod body_budget;
 pub mod clock;
 pub mod command;
 pub mod config;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backlog;
 pub mod balance;
 pub mod batch;
+pub mod body_budget;
 pub mod breaker;
 pub mod changes;
 pub mod claims;
--- /dev/null
+++ b/crates/core/tests/body_budget.rs
@@ -0,0 +1,107 @@
+//! Memory for what peers have not read: nothing ends while there is room, and then whoever holds
+//! most for longest.
+
+use std::collections;
+
+use peargap_core::body_budget;
+use peargap_core::time;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+
+const LIMIT_BYTES: u64 = 22_000_000;
+
+fn at(millis: u64) -> time::Instant {
+    time::Instant(millis)
+}
+
+#[test]
+fn whoever_holds_most_for_longest_is_ended_first() {
+    let mut budget = body_budget::Budget::new(1000);
+    let long = budget.open(at(0));
+    let large = budget.open(at(0));
+    let late = budget.open(at(0));
+    assert!(budget.add(long, 200, at(0)).is_empty());
+    assert!(budget.add(large, 700, at(1000)).is_empty());
+    // At 2000 ms: 200 for 2000 ms, 700 for 1000 ms and 101 for no time.
+    let ended = budget.add(late, 101, at(2000));
+    let expected = body_budget::Ended {
+        bytes: 700,
+        key: large,
+        waited_ms: 1000,
+    };
+    assert_eq!(ended, [expected]);
+    assert_eq!(budget.held_bytes(), 301);
+    // An ended holder counts no more, whatever still arrives for it.
+    assert!(budget.add(large, 5000, at(2001)).is_empty());
+    budget.record_read(large, 700, at(2001));
+    assert_eq!(budget.held_bytes(), 301);
+    budget.close(long);
+    budget.close(late);
+    assert_eq!((budget.held_bytes(), budget.count_holders()), (0, 0));
+}
+
+#[test]
+fn one_that_is_larger_than_the_budget_ends_itself() {
+    let mut budget = body_budget::Budget::new(1000);
+    let small = budget.open(at(0));
+    let large = budget.open(at(0));
+    assert!(budget.add(small, 10, at(5)).is_empty());
+    let ended = budget.add(large, 1001, at(5));
+    assert_eq!(ended.len(), 1);
+    assert_eq!((ended[0].key, budget.held_bytes()), (large, 10));
+}
+
+/// A caller that holds nothing for a long time does not count as slow when the next event comes.
+#[test]
+fn time_without_anything_to_read_does_not_count() {
+    let mut budget = body_budget::Budget::new(1000);
+    let idle = budget.open(at(0));
+    let stalled = budget.open(at(0));
+    assert!(budget.add(stalled, 400, at(9000)).is_empty());
+    assert!(budget.add(idle, 500, at(9900)).is_empty());
+    let ended = budget.add(idle, 200, at(10_000));
+    assert_eq!(ended[0].key, stalled);
+}
+
+/// 500 callers that read 1 KB a second and 50 that read nothing, whose answers of 1 MB arrive
+/// within 10 s: the budget holds, and only those that read nothing are ended.
+#[test]
+fn callers_that_read_slowly_stay_while_others_read_nothing() {
+    for seed in 1..=20 {
+        let mut random = rand::rngs::StdRng::seed_from_u64(seed);
+        let mut budget = body_budget::Budget::new(LIMIT_BYTES);
+        let reading: Vec<_> = (0..500).map(|_caller| budget.open(at(0))).collect();
+        let stalled: collections::HashSet<_> = (0..50).map(|_caller| budget.open(at(0))).collect();
+        let mut ended = 0;
+        for step in 0..200 {
+            let now = at(step * 50 + random.random_range(0..50));
+            for &caller in &reading {
+                ended += add(&mut budget, &stalled, caller, 200, now);
+                if step % 20 == 19 {
+                    budget.record_read(caller, 1000, now);
+                }
+            }
+            for &caller in &stalled {
+                ended += add(&mut budget, &stalled, caller, 20_000, now);
+            }
+        }
+        assert!(ended > 0);
+    }
+}
+
+/// Adds bytes to a holder; returns how many ended because of it, which read nothing, and no more
+/// of them than had to.
+fn add(
+    budget: &mut body_budget::Budget,
+    stalled: &collections::HashSet<body_budget::Key>,
+    caller: body_budget::Key,
+    bytes: u64,
+    now: time::Instant,
+) -> usize {
+    let ended = budget.add(caller, bytes, now);
+    assert!(budget.held_bytes() <= LIMIT_BYTES);
+    assert!(ended.iter().all(|ended| stalled.contains(&ended.key)));
+    let last = ended.last().map_or(u64::MAX, |ended| ended.bytes);
+    assert!(budget.held_bytes().saturating_add(last) > LIMIT_BYTES);
+    ended.len()
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,6 @@
 use std::sync;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body;
 use peargap_adapters::digest;
 use peargap_adapters::logs;
@@ -18,6 +17,7 @@
 use crate::pool;
 use crate::response;
 use crate::response_body;
+use crate::unread;
 
 /// A caller's request, with its complete body.
 #[derive(Debug)]
@@ -38,6 +38,8 @@
     pub(crate) priority: Option<u32>,
     /// Name of the caller's team.
     pub(crate) team: Option<String>,
+    /// Counts what its caller and its upstream have not read.
+    pub(crate) unread: unread::Account,
 }
 
 impl Request {
@@ -164,15 +166,23 @@
         team: request.team.as_deref(),
         upstream: &placement.name,
     };
-    let mut outgoing = http::Request::new(Full::new(request.body.clone()));
+    let attempt = &request.head.attempt;
+    let body = request.body.clone();
+    let (body, ended) = request.unread.build_request_body(attempt, body);
+    let mut outgoing = http::Request::new(body);
     *outgoing.method_mut() = request.parts.method.clone();
     *outgoing.uri_mut() = request.parts.uri.clone();
     *outgoing.headers_mut() = head::write_request(&request.parts.headers, &forwarding);
     let sent_at = placement.notices.now();
-    let sent = sender.send_request(outgoing).await;
+    let sent = tokio::select! {
+        sent = sender.send_request(outgoing) => sent,
+        () = ended.cancelled() => {
+            return Err(Failure::Unknown("request was not read in time".to_owned()));
+        }
+    };
     let response = sent.map_err(classify_error)?;
     let (head, body) = response.into_parts();
-    let parsed = head::read_response(head.status, &head.headers, &request.head.attempt);
+    let parsed = head::read_response(head.status, &head.headers, attempt);
     if parsed.ran == head::Ran::OtherInstance {
         return Err(Failure::Displaced);
     }
@@ -220,18 +230,20 @@
 
 /// Reads the body of a response and returns its connection to the pool.
 pub(crate) async fn read_to_end(
+    request: &Request,
     response: Response,
     pool: &sync::Arc<pool::Pool>,
     bodies: &response_body::Reader,
-) -> Result<(http::response::Parts, Bytes), Failure> {
+) -> Result<(http::response::Parts, unread::Body), Failure> {
     let Response {
         body,
         head,
         keep_alive_s,
         sender,
     } = response;
-    let read = bodies.read(body).await;
-    let bytes = read.map_err(|error| Failure::Unknown(error.to_string()))?;
+    let hold = request.unread.open_response(&request.head.attempt);
+    let read = bodies.read(body, hold).await;
+    let body = read.map_err(|error| Failure::Unknown(error.to_string()))?;
     pool.release(sender, keep_alive_s);
-    Ok((head, bytes))
+    Ok((head, body))
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -44,5 +44,9 @@
 pub(crate) const QUARANTINE_CHANGED: logs::Event = logs::Event::warn(6032, "quarantine changed");
 pub(crate) const QUARANTINE_TRIAL: logs::Event =
     logs::Event::info(6033, "trial of a request in quarantine");
+pub(crate) const PEER_TOO_SLOW: logs::Event =
+    logs::Event::warn(6053, "peer too slow, its request or response ended");
+pub(crate) const UNSENT_UNBOUNDED: logs::Event =
+    logs::Event::warn(6054, "unsent bytes of callers not bounded");
 pub(crate) const REQUEST_BROKEN_OFF: logs::Event =
     logs::Event::warn(6031, "request broken off by its upstream");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,10 +8,12 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
 use hyper::body;
+use peargap_adapters::body_budget;
 use peargap_adapters::panics;
 use peargap_core::routes;
 use peargap_platform::head;
 use rand::RngExt as _;
+use tokio_util::sync::CancellationToken;
 
 use crate::call;
 use crate::fleet;
@@ -22,6 +24,7 @@
 use crate::response_body;
 use crate::retries;
 use crate::stop;
+use crate::unread;
 
 /// Time limit of a request that names none, in milliseconds; the route's timeout still applies.
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
@@ -42,6 +45,8 @@
     pub(crate) meters: meters::Meters,
     pub(crate) retries: retries::Retries,
     pub(crate) stop: stop::Stop,
+    /// Memory for what callers and upstreams have not read.
+    pub(crate) unread: body_budget::Budget,
 }
 
 impl Gateway {
@@ -51,16 +56,21 @@
         response::refuse(attempt, refusal, self.fleet.version())
     }
 
-    /// Serves one request.
+    /// Serves one request. `connection` closes its caller's connection when it is cancelled.
     pub(crate) async fn serve(
         self,
         request: http::Request<body::Incoming>,
+        connection: CancellationToken,
     ) -> Result<response::Response, convert::Infallible> {
         let (parts, body) = request.into_parts();
         let head = head::read_request(&parts.headers);
         let attempt = head.attempt.clone();
+        let unread = unread::Account {
+            budget: self.unread.clone(),
+            connection,
+        };
         Ok(
-            match panics::catch(self.serve_routed(head, parts, body)).await {
+            match panics::catch(self.serve_routed(head, parts, body, unread)).await {
                 Ok(Ok(response)) => response,
                 Ok(Err(refusal)) => self.refuse(&attempt, refusal),
                 Err(panics::Panicked) => self.refuse(&attempt, response::Refusal::Internal),
@@ -73,6 +83,7 @@
         head: head::Request,
         parts: http::request::Parts,
         body: body::Incoming,
+        unread: unread::Account,
     ) -> Result<response::Response, response::Refusal> {
         let startup_end = tokio::time::Instant::now() + STARTUP_TIMEOUT;
         let table = self.fleet.wait_for_table(startup_end).await;
@@ -115,6 +126,7 @@
             parts,
             priority: service.engine.is_some().then_some(priority),
             team: team.map(|team| team.name.clone()),
+            unread,
         };
         Ok(match route.kind {
             routes::Kind::Idempotent | routes::Kind::Once => {
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -30,8 +30,6 @@
 use crate::response;
 use crate::starting;
 
-/// Events buffered for a slow caller.
-const EVENT_BUFFER: usize = 32;
 /// Assumed prompt length of a request that declares none, in tokens.
 const DEFAULT_PROMPT_TOKENS: u64 = 1000;
 /// Output tokens reserved beyond those received so far.
@@ -157,15 +155,16 @@
     if !status.is_success() {
         return forward_error(gateway, &generation, run).await;
     }
-    let (sender, events) = mpsc::channel(EVENT_BUFFER);
+    // The budget for what callers have not read bounds it.
+    let (sender, events) = mpsc::unbounded_channel();
     let relay = relay::Relay::new(gateway.clone(), generation, run, sender.clone());
     tokio::spawn(async move {
         if panics::catch(relay.run()).await.is_err() {
             // Without it, the response would look complete. Fails if the caller has left.
-            let _ = sender.send(Err(response::Interrupted)).await;
+            let _ = sender.send(Err(response::Interrupted));
         }
     });
-    let frames = wrappers::ReceiverStream::new(events);
+    let frames = wrappers::UnboundedReceiverStream::new(events);
     let frames =
         frames.map(|event: Result<Bytes, response::Interrupted>| event.map(body::Frame::data));
     let mut response = http::Response::new(StreamBody::new(frames).boxed_unsync());
@@ -180,8 +179,10 @@
     generation: &Generation,
     run: Run,
 ) -> response::Response {
-    let attempt = &generation.request.head.attempt;
-    match call::read_to_end(run.response, &run.placement.pool, &gateway.bodies).await {
+    let request = &generation.request;
+    let attempt = &request.head.attempt;
+    let pool = &run.placement.pool;
+    match call::read_to_end(request, run.response, pool, &gateway.bodies).await {
         Ok((parts, body)) => {
             gateway.fleet.record_answered(&generation.request);
             logs::emit(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,4 +36,5 @@
 mod starting;
 mod startup;
 mod stop;
+mod unread;
 mod upstream;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -1,6 +1,7 @@
 //! Metrics of a gateway.
 
 use opentelemetry::metrics as otel;
+use peargap_adapters::body_budget;
 use peargap_adapters::metrics;
 use peargap_core::event_timing;
 use peargap_core::retry_budget;
@@ -36,6 +37,24 @@
         .build();
 }
 
+/// Registers the metrics of what callers and upstreams have not read.
+pub(crate) fn observe_unread(registry: &metrics::Registry, unread: &body_budget::Budget) {
+    let held = unread.clone();
+    let _gauge = registry
+        .meter()
+        .u64_observable_gauge("peargap_gateway_unread_bytes")
+        .with_description("Bytes held for callers and upstreams that have not read them yet")
+        .with_callback(move |gauge| gauge.observe(held.usage().bytes, &[]))
+        .build();
+    let ended = unread.clone();
+    let _counter = registry
+        .meter()
+        .u64_observable_counter("peargap_gateway_unread_ended")
+        .with_description("Requests and responses ended as their peers were too slow")
+        .with_callback(move |counter| counter.observe(ended.usage().ended, &[]))
+        .build();
+}
+
 /// The gateway's instruments, shared by all clones.
 #[derive(Clone, Debug)]
 pub(crate) struct Meters {
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use http_body_util::Full;
 use http_body_util::Limited;
 use peargap_platform::engine;
 use peargap_platform::head;
@@ -22,6 +21,7 @@
 use crate::placement;
 use crate::pool;
 use crate::response;
+use crate::unread;
 
 /// Range of the random delay, in milliseconds, before a generation with a backup copy moves away
 /// from a leaving engine, so that its generations do not all arrive elsewhere at once.
@@ -177,7 +177,9 @@
     let connection = pool.acquire().await;
     let mut sender = connection.map_err(|error| error.to_string())?.sender;
     notices.record_sent();
-    let sent = sender.send_request(request.map(Full::new)).await;
+    let sent = sender
+        .send_request(request.map(unread::Body::new_uncounted))
+        .await;
     let (parts, body) = sent.map_err(|error| error.to_string())?.into_parts();
     notices.record(head::read_notice(parts.status, &parts.headers));
     let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -13,6 +13,7 @@
 use crate::gateway;
 use crate::placement;
 use crate::response;
+use crate::unread;
 
 /// Maximum number of upstreams that a request is sent to.
 const MAX_ATTEMPTS: usize = 4;
@@ -125,7 +126,7 @@
 }
 
 /// Head and complete body of an upstream's response.
-type FullResponse = (http::response::Parts, bytes::Bytes);
+type FullResponse = (http::response::Parts, unread::Body);
 
 fn is_server_error(response: &FullResponse) -> bool {
     response.0.status.is_server_error()
@@ -151,7 +152,9 @@
         resume: None,
     };
     let result = match call::send(request, placement, options).await {
-        Ok(response) => call::read_to_end(response, &placement.pool, &gateway.bodies).await,
+        Ok(response) => {
+            call::read_to_end(request, response, &placement.pool, &gateway.bodies).await
+        }
         Err(failure) => Err(failure),
     };
     gateway
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,8 +5,6 @@
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body;
 use hyper::client::conn::http1;
 use hyper_util::rt;
@@ -14,6 +12,7 @@
 use peargap_adapters::read_budget;
 
 use crate::events;
+use crate::unread;
 
 /// Time limit for opening a connection. TCP retransmits a lost SYN only after a second; by then
 /// another upstream would have responded.
@@ -44,14 +43,14 @@
     address: net::SocketAddr,
     /// Bytes that the upstream may send before a response.
     budget: read_budget::Budget,
-    inner: http1::SendRequest<Full<Bytes>>,
+    inner: http1::SendRequest<unread::Body>,
 }
 
 impl Sender {
     /// Sends a request and returns the head of the response, with its unread body.
     pub(crate) async fn send_request(
         &mut self,
-        request: http::Request<Full<Bytes>>,
+        request: http::Request<unread::Body>,
     ) -> hyper::Result<http::Response<body::Incoming>> {
         self.budget.set(MAX_HEAD_BYTES);
         let result = self.inner.send_request(request).await;
@@ -190,7 +189,7 @@
 
     async fn connect(&self) -> Result<Sender, Error> {
         let stream = tokio::net::TcpStream::connect(self.address).await?;
-        set_tcp_options(&stream)?;
+        set_tcp_options(&stream, UNACKNOWLEDGED_TIMEOUT)?;
         let budget = read_budget::Budget::new(MAX_HEAD_BYTES);
         let stream = read_budget::Stream::new(stream, budget.clone());
         let handshake = http1::Builder::new()
@@ -228,11 +227,14 @@
 }
 
 /// Disables Nagle's algorithm, and sets the TCP timeouts by which the kernel closes a connection
-/// whose peer is gone without closing it.
-pub(crate) fn set_tcp_options(stream: &tokio::net::TcpStream) -> Result<(), std::io::Error> {
+/// whose peer is gone without closing it, or reads nothing for `unacknowledged`.
+pub(crate) fn set_tcp_options(
+    stream: &tokio::net::TcpStream,
+    unacknowledged: time::Duration,
+) -> Result<(), std::io::Error> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(unacknowledged))?;
     let probes = socket2::TcpKeepalive::new()
         .with_time(PROBE_INTERVAL)
         .with_interval(PROBE_INTERVAL)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic;
 
 use bytes::Bytes;
+use peargap_adapters::body_budget;
 use peargap_adapters::logs;
 use peargap_core::balance;
 use peargap_core::event_timing;
@@ -47,10 +48,12 @@
     /// Whether the engine changed during the longest pause.
     paused_by_move: bool,
     placement: placement::Placement,
-    sender: mpsc::Sender<Result<Bytes, response::Interrupted>>,
+    sender: mpsc::UnboundedSender<Result<Bytes, response::Interrupted>>,
     source: source::Source,
     /// When to try again to make a copy.
     retry_copy_at: Option<time::Instant>,
+    /// Counts the events that the caller has not read yet.
+    unread: body_budget::Hold,
 }
 
 /// What a relay has to handle.
@@ -104,12 +107,14 @@
         gateway: gateway::Gateway,
         generation: sync::Arc<generation::Generation>,
         run: generation::Run,
-        sender: mpsc::Sender<Result<Bytes, response::Interrupted>>,
+        sender: mpsc::UnboundedSender<Result<Bytes, response::Interrupted>>,
     ) -> Relay {
         let mut changes = gateway.fleet.changes();
         // The engine may have started to leave before this subscription.
         changes.mark_changed();
         let pace = event_timing::EventTiming::start(generation.request.arrived, generation.targets);
+        let request = &generation.request;
+        let unread = request.unread.open_response(&request.head.attempt);
         Relay {
             broken: None,
             buffer: sse::Buffer::default(),
@@ -128,6 +133,7 @@
             sender,
             source: source::Source::from_response(run.response),
             retry_copy_at: None,
+            unread,
         }
     }
 
@@ -135,14 +141,14 @@
     pub(crate) async fn run(mut self) {
         let end = loop {
             let input = self.next_input().await;
-            match self.handle(input).await {
+            match self.handle(input) {
                 Next::Continue => {}
                 end => break end,
             }
         };
         if let Next::Broken(_why) = end {
             // Fails if the caller has left.
-            let _ = self.sender.send(Err(response::Interrupted)).await;
+            let _ = self.sender.send(Err(response::Interrupted));
         }
         self.log_end(end);
     }
@@ -208,13 +214,14 @@
         }
     }
 
-    async fn handle(&mut self, input: Input) -> Next {
+    fn handle(&mut self, input: Input) -> Next {
         match input {
             Input::Accepted => self.stop_previous(),
+            Input::CallerLeft if self.unread.is_ended() => Next::Broken("too many events unread"),
             Input::CallerLeft => Next::Left,
             Input::Copied(result) => self.finish_copy(result),
             Input::Shutdown => self.handle_stream_failure("gateway is shutting down"),
-            Input::Read(source::Read::Data(data)) => self.forward(&data).await,
+            Input::Read(source::Read::Data(data)) => self.forward(&data),
             Input::Read(source::Read::End) => self.end(),
             Input::Read(source::Read::Error(why)) => self.handle_stream_failure(&why),
             Input::Moved(result) => self.finish_move(result),
@@ -223,16 +230,18 @@
         }
     }
 
-    /// Sends the complete events that have arrived to the caller, without those that it already
-    /// has.
-    async fn forward(&mut self, data: &[u8]) -> Next {
+    /// Queues the complete events that have arrived for the caller, without those that it already
+    /// has. The engine's stream is read on however slowly the caller reads, as the engine cuts off a
+    /// stream that remains unread.
+    fn forward(&mut self, data: &[u8]) -> Next {
         self.buffer.push(data);
         while let Some(event) = self.buffer.take_event() {
             let last = self.generation.last_event.load(atomic::Ordering::Relaxed);
             if event.id.is_some_and(|id| id <= last && self.events > 0) {
                 continue;
             }
-            if self.sender.send(Ok(event.bytes)).await.is_err() {
+            let counted = self.unread.copy(&event.bytes);
+            if self.sender.send(Ok(counted)).is_err() {
                 return Next::Left;
             }
             self.events += 1;
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -12,6 +12,7 @@
 use peargap_platform::head;
 
 use crate::events;
+use crate::unread;
 
 /// Error that aborts a response body, so that the caller sees that it is incomplete.
 #[derive(Clone, Copy, Debug)]
@@ -178,8 +179,9 @@
 }
 
 /// Returns an upstream's response, whose body has been read, as a response to the caller.
-pub(crate) fn forward(parts: &http::response::Parts, body: Bytes) -> Response {
-    let mut response = http::Response::new(full_body(body));
+pub(crate) fn forward(parts: &http::response::Parts, body: unread::Body) -> Response {
+    let body = body.map_err(|never| match never {}).boxed_unsync();
+    let mut response = http::Response::new(body);
     *response.status_mut() = parts.status;
     *response.headers_mut() = head::copy_headers(&parts.headers);
     response
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -1,21 +1,25 @@
 //! Bodies of responses that are read whole before they are forwarded.
 
 use std::sync;
+use std::time;
 
-use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 use hyper::body;
+use peargap_adapters::body_budget;
 use peargap_adapters::logs;
 use tokio::sync::Semaphore;
 
 use crate::events;
 use crate::settings;
+use crate::unread;
 
 /// Bytes of a body from which on it counts as large.
 const LARGE_BODY_BYTES: usize = 256 << 10;
 /// Large bodies that are read at the same time; further ones wait.
 const MAX_LARGE_BODIES: usize = 4;
+/// Time for which a large body waits until callers have read enough of others.
+const ROOM_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// Why a body was not read to its end.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -56,8 +60,12 @@
         self.limits
     }
 
-    /// Reads a body to its end.
-    pub(crate) async fn read(&self, mut body: body::Incoming) -> Result<Bytes, Error> {
+    /// Reads a body to its end; `hold` counts it until the caller has read it.
+    pub(crate) async fn read(
+        &self,
+        mut body: body::Incoming,
+        hold: body_budget::Hold,
+    ) -> Result<unread::Body, Error> {
         let mut bytes = BytesMut::new();
         let mut permit = None;
         while let Some(frame) = body.frame().await {
@@ -78,6 +86,11 @@
                 permit = Some(acquired.map_err(|error| Error::Broken(error.to_string()))?);
             }
         }
-        Ok(bytes.freeze())
+        let bytes = bytes.freeze();
+        match permit {
+            Some(_permit) => hold.count_body_when_room(&bytes, ROOM_TIMEOUT).await,
+            None => hold.count_body(&bytes),
+        }
+        Ok(unread::Body::new(hold, bytes))
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 
+use peargap_adapters::body_budget;
 use peargap_adapters::health;
 use peargap_adapters::logs;
 use peargap_adapters::metrics;
@@ -23,6 +24,10 @@
 /// Interval at which readiness is updated.
 const READINESS_PERIOD: core::time::Duration = core::time::Duration::from_millis(200);
 
+/// Bytes for a caller that the system takes before it has sent those it has. It shows soon that a
+/// caller reads on, and little is held where no budget counts it.
+const UNSENT_BYTES: u32 = 4 << 10;
+
 /// Why a gateway cannot start.
 #[derive(Debug)]
 pub enum Error {
@@ -48,10 +53,13 @@
     let registry = metrics::Registry::new().map_err(|error| Error::Setup(error.to_string()))?;
     let readiness = health::Readiness::default();
     let callers = bind(settings.callers).await?;
+    bound_unsent(&callers);
     let health_listener = bind(settings.health).await?;
     let meters = meters::Meters::new(&registry);
     let fleet = fleet::Fleet::new(&settings.domain);
     meters::observe_quarantine(&registry, &fleet);
+    let unread = body_budget::Budget::new(settings.unread_bytes(), events::PEER_TOO_SLOW);
+    meters::observe_unread(&registry, &unread);
     let router = health::build_router(readiness.clone(), registry);
     let health = tokio::spawn(async move {
         // Runs until the process exits.
@@ -85,6 +93,7 @@
         meters,
         retries,
         stop: stop::Stop::default(),
+        unread,
     };
     server::run(callers, gateway, settings.grace, token).await;
     follow_token.cancel();
@@ -123,6 +132,14 @@
     bound.map_err(|error| Error::Listen(address, error))
 }
 
+/// Bounds what the system buffers for each caller; connections inherit it from their listener.
+fn bound_unsent(listener: &tokio::net::TcpListener) {
+    let socket = socket2::SockRef::from(listener);
+    if let Err(error) = socket.set_tcp_notsent_lowat(UNSENT_BYTES) {
+        logs::emit(events::UNSENT_UNBOUNDED, format_args!("why={error}"));
+    }
+}
+
 /// Reports the gateway as ready while it has routes and is not stopping.
 async fn update_readiness(
     fleet: fleet::Fleet,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -23,6 +23,9 @@
 const DRAIN_DELAY: time::Duration = time::Duration::from_millis(2500);
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_DELAY: time::Duration = time::Duration::from_millis(20);
+/// Time that a caller may leave sent data unread. A caller that is gone without closing its
+/// connection looks the same; its generation still ends at its deadline.
+const UNREAD_TIMEOUT: time::Duration = time::Duration::from_secs(120);
 /// Time reserved for the exit of the process after the last response.
 const EXIT_MARGIN: time::Duration = time::Duration::from_millis(400);
 
@@ -79,7 +82,7 @@
     gateway: gateway::Gateway,
     shutdown: CancellationToken,
 ) {
-    if let Err(error) = pool::set_tcp_options(&stream) {
+    if let Err(error) = pool::set_tcp_options(&stream, UNREAD_TIMEOUT) {
         logs::emit(
             events::CALLER_CONNECTION_FAILED,
             format_args!("peer={peer} why={error}"),
@@ -90,19 +93,29 @@
     let limits = gateway.fleet.table().map(|table| table.limits());
     let limits = limits.unwrap_or_default();
     let head_bytes = usize::try_from(limits.head_bytes).unwrap_or(usize::MAX);
-    let handler = service::service_fn(move |request| gateway.clone().serve(request));
-    let connection = http1::Builder::new()
+    let ended = CancellationToken::new();
+    let token = ended.clone();
+    let handler = service::service_fn(move |request| gateway.clone().serve(request, token.clone()));
+    let mut connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(time::Duration::from_millis(limits.idle_ms))
         .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
         .serve_connection(rt::TokioIo::new(stream), handler);
-    let mut connection = core::pin::pin!(connection);
+    let served = async {
+        tokio::select! {
+            result = &mut connection => result,
+            () = shutdown.cancelled() => {
+                core::pin::Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
+            }
+        }
+    };
     let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = shutdown.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        result = served => result,
+        () = ended.cancelled() => {
+            reset(&connection.into_parts().io.into_inner(), peer);
+            return;
         }
     };
     if let Err(error) = result {
@@ -112,3 +125,15 @@
         );
     }
 }
+
+/// Has the connection reset when it is dropped, so that its caller sees that the response is
+/// incomplete and the system frees what it buffers.
+fn reset(stream: &tokio::net::TcpStream, peer: net::SocketAddr) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(error) = socket.set_linger(Some(time::Duration::ZERO)) {
+        logs::emit(
+            events::CALLER_CONNECTION_FAILED,
+            format_args!("peer={peer} why={error}"),
+        );
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod program;
 pub(crate) mod raw;
+pub(crate) mod slow;
 
 use std::collections;
 use std::net;
@@ -208,6 +210,15 @@
     }
 }
 
+/// How a gateway runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Launch {
+    /// In the test process.
+    InProcess,
+    /// As its program.
+    Program,
+}
+
 /// A gateway with its control host and runners.
 #[derive(Debug)]
 pub(crate) struct Fixture {
@@ -215,6 +226,8 @@
     pub(crate) control: Control,
     pub(crate) ended: tokio::task::JoinHandle<()>,
     pub(crate) health: net::SocketAddr,
+    /// The gateway, if it does not run in the test process.
+    pub(crate) program: Option<program::Program>,
     pub(crate) rack: runner::RunnerGroup,
     pub(crate) runners: collections::BTreeMap<String, runner::Runner>,
     pub(crate) stop: CancellationToken,
@@ -228,6 +241,10 @@
 
     /// Starts a gateway without routes that follows the fixture's control host and these others.
     pub(crate) async fn start_with_hosts(others: &[Control]) -> Fixture {
+        Fixture::launch(others, Launch::InProcess).await
+    }
+
+    async fn launch(others: &[Control], launch: Launch) -> Fixture {
         let ports = ports::find_ports(3).expect("ports");
         let local = |port| net::SocketAddr::from(([127, 0, 0, 1], port));
         let control = Control::default();
@@ -246,6 +263,7 @@
             domain: "a".to_owned(),
             grace: time::Duration::from_secs(8),
             health: local(ports[2]),
+            host_mb: 88.0,
             log_format: peargap_adapters::logs::Format::Text,
             log_level: peargap_adapters::logs::Level::Info,
             name: "gateway-1".to_owned(),
@@ -257,8 +275,16 @@
             },
         };
         let token = stop.clone();
+        let program = match launch {
+            Launch::InProcess => None,
+            Launch::Program => Some(program::Program::start(&settings)),
+        };
+        let is_program = program.is_some();
         let ended = tokio::spawn(async move {
-            run::run(settings, token).await.expect("a gateway");
+            match is_program {
+                true => token.cancelled().await,
+                false => run::run(settings, token).await.expect("a gateway"),
+            }
         });
         control.wait_until_connected().await;
         for other in others {
@@ -269,6 +295,7 @@
             control,
             ended,
             health: local(ports[2]),
+            program,
             rack: runner::RunnerGroup::default(),
             runners: collections::BTreeMap::new(),
             stop,
@@ -279,8 +306,23 @@
     /// plain service `desk`, the others to the engine service `pool`.
     pub(crate) async fn start(names: &[&str]) -> Fixture {
         let mut fixture = Fixture::start_empty().await;
+        fixture.route().await;
+        for name in names {
+            fixture.start_runner(name).await;
+        }
+        fixture
+    }
+
+    /// Starts the gateway's program, with routes.
+    pub(crate) async fn start_program() -> Fixture {
+        let fixture = Fixture::launch(&[], Launch::Program).await;
+        fixture.route().await;
         fixture
-            .control
+    }
+
+    /// Gives the gateway its routes.
+    async fn route(&self) {
+        self.control
             .send(wire::Update {
                 gateways: 1,
                 position: 1,
@@ -288,11 +330,7 @@
                 ..wire::Update::default()
             })
             .await;
-        fixture.wait_until_routed().await;
-        for name in names {
-            fixture.start_runner(name).await;
-        }
-        fixture
+        self.wait_until_routed().await;
     }
 
     /// Waits until the gateway has routes.
@@ -374,14 +412,19 @@
     /// Starts a gateway with one upstream of a service, at an address.
     pub(crate) async fn start_at(address: net::SocketAddr, service: &str) -> Fixture {
         let fixture = Fixture::start(&[]).await;
+        fixture.announce_at(address, service).await;
+        fixture
+    }
+
+    /// Announces an upstream of a service, at an address.
+    pub(crate) async fn announce_at(&self, address: net::SocketAddr, service: &str) {
         let upstream = wire::Upstream {
             address: address.to_string(),
-            name: "raw".to_owned(),
+            name: format!("raw-{service}"),
             service: service.to_owned(),
             ..new_upstream()
         };
-        fixture.control.announce_upstream(upstream).await;
-        fixture
+        self.control.announce_upstream(upstream).await;
     }
 }
 
