gateway: upstreams that read requests slowly keep theirs, and ended requests free their memory

Cause: a connection whose upstream left sent data unread for 1.5 s was closed by the kernel, so a slow upstream lost long requests. A request that was given up on (time limit, caller gone, and now the budget) stayed in memory: hyper's client connection goes on with the body until the upstream has read it. The budget could not tell a slow reader from one that reads nothing.

Change: socket::Socket lengthens the timeout of a connection while more than 64 KiB are on their way, and bounds what the system takes unsent; pool::Sender ends its connection with itself; a request's body is read into one buffer; core::body_budget counts the time beyond the peer's longest time between two reads so far.

Ruled out: a longer timeout for all requests (a cut link to an engine is noticed by the 1.5 s); the time since the last read alone (40 requests read every 1.7 s were ended before younger ones of which nothing was read).

--- a/crates/core/src/body_budget.rs
+++ b/crates/core/src/body_budget.rs
@@ -17,16 +17,20 @@
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     bytes: u64,
+    /// Longest time between two reads of the peer while bytes waited, in milliseconds.
+    longest_gap_ms: u64,
     /// When the peer last read something, or when the first byte began to wait, if that is later.
     waiting_since: time::Instant,
 }
 
 impl Holder {
-    /// Returns the bytes that wait times the milliseconds for which the peer has read nothing.
+    /// Returns the bytes that wait times the milliseconds for which the peer has read nothing, beyond
+    /// those that it took between two reads before.
     fn weigh(&self, now: time::Instant) -> u128 {
-        // Bytes added within the current millisecond count too.
-        let waited_ms = now.millis_since(self.waiting_since).max(1);
-        u128::from(self.bytes) * u128::from(waited_ms)
+        let waited_ms = now.millis_since(self.waiting_since);
+        let excess_ms = waited_ms.saturating_sub(self.longest_gap_ms);
+        // A peer that reads at its pace counts by its bytes alone.
+        u128::from(self.bytes) * u128::from(excess_ms.max(1))
     }
 }
 
@@ -88,6 +92,7 @@
     pub fn open(&mut self, now: time::Instant) -> Key {
         self.holders.insert(Holder {
             bytes: 0,
+            longest_gap_ms: 0,
             waiting_since: now,
         })
     }
@@ -127,13 +132,18 @@
         let Some(holder) = self.holders.get_mut(key) else {
             return;
         };
+        let gap_ms = match holder.bytes {
+            0 => 0,
+            _waiting => now.millis_since(holder.waiting_since),
+        };
+        holder.longest_gap_ms = holder.longest_gap_ms.max(gap_ms);
         let read = bytes.min(holder.bytes);
         holder.bytes -= read;
         holder.waiting_since = now;
         self.held_bytes -= read;
     }
 
-    /// Removes the holder that holds most for longest.
+    /// Removes the holder that holds most for longest, by its own pace.
     fn take_heaviest(&mut self, now: time::Instant) -> Option<Ended> {
         let holders = self.holders.iter();
         let holding = holders.filter(|(_key, holder)| holder.bytes > 0);
--- a/crates/core/tests/body_budget.rs
+++ b/crates/core/tests/body_budget.rs
@@ -63,6 +63,24 @@
     assert_eq!(ended[0].key, stalled);
 }
 
+/// A caller that reads once in five seconds is not taken for one that reads nothing.
+#[test]
+fn a_caller_that_keeps_its_pace_is_ended_after_one_that_reads_nothing() {
+    let mut budget = body_budget::Budget::new(1000);
+    let slow = budget.open(at(0));
+    assert!(budget.add(slow, 900, at(0)).is_empty());
+    budget.record_read(slow, 100, at(5000));
+    let stalled = budget.open(at(5000));
+    assert!(budget.add(stalled, 150, at(9000)).is_empty());
+    let ended = budget.add(slow, 60, at(9500));
+    assert_eq!((ended[0].key, ended.len()), (stalled, 1));
+    // Past its pace it counts like any other: 800 bytes for a second against 200 for two.
+    let late = budget.open(at(9500));
+    assert!(budget.add(late, 140, at(9500)).is_empty());
+    let ended = budget.add(late, 60, at(11_000));
+    assert_eq!(ended[0].key, slow);
+}
+
 /// 500 callers that read 1 KB a second and 50 that read nothing, whose answers of 1 MB arrive
 /// within 10 s: the budget holds, and only those that read nothing are ended.
 #[test]
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -47,6 +47,6 @@
 pub(crate) const PEER_TOO_SLOW: logs::Event =
     logs::Event::warn(6053, "peer too slow, its request or response ended");
 pub(crate) const UNSENT_UNBOUNDED: logs::Event =
-    logs::Event::warn(6054, "unsent bytes of callers not bounded");
+    logs::Event::warn(6054, "unsent bytes of peers not bounded");
 pub(crate) const REQUEST_BROKEN_OFF: logs::Event =
     logs::Event::warn(6031, "request broken off by its upstream");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,9 +5,11 @@
 use std::time;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
 use hyper::body;
+use hyper::body::Body as _;
 use peargap_adapters::body_budget;
 use peargap_adapters::panics;
 use peargap_core::routes;
@@ -152,13 +154,21 @@
 }
 
 /// Reads the body of a request, up to `limit` bytes.
+///
+/// Each frame is copied at once: kept until the end, the frames would need as much memory again.
 async fn read_body(body: body::Incoming, limit: u64) -> Result<Bytes, response::Refusal> {
+    let expected = body.size_hint().lower().min(limit);
+    let mut bytes = BytesMut::with_capacity(usize::try_from(expected).unwrap_or(0));
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(response::Refusal::BodyTooLong)
+    let mut body = Limited::new(body, limit);
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                return Err(response::Refusal::BodyTooLong);
+            }
+            Err(_broken) => return Err(response::Refusal::BodyBroken),
         }
-        Err(_broken) => Err(response::Refusal::BodyBroken),
     }
+    Ok(bytes.freeze())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod run;
 mod server;
 pub mod settings;
+mod socket;
 mod source;
 mod starting;
 mod startup;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -10,8 +10,11 @@
 use hyper_util::rt;
 use peargap_adapters::logs;
 use peargap_adapters::read_budget;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
 
 use crate::events;
+use crate::socket;
 use crate::unread;
 
 /// Time limit for opening a connection. TCP retransmits a lost SYN only after a second; by then
@@ -41,6 +44,9 @@
 #[derive(Debug)]
 pub(crate) struct Sender {
     address: net::SocketAddr,
+    /// Ends the connection when the sender is dropped. By itself, the connection would only end once
+    /// the upstream has read what was handed to it.
+    _ending: DropGuard,
     /// Bytes that the upstream may send before a response.
     budget: read_budget::Budget,
     inner: http1::SendRequest<unread::Body>,
@@ -191,18 +197,21 @@
         let stream = tokio::net::TcpStream::connect(self.address).await?;
         set_tcp_options(&stream, UNACKNOWLEDGED_TIMEOUT)?;
         let budget = read_budget::Budget::new(MAX_HEAD_BYTES);
-        let stream = read_budget::Stream::new(stream, budget.clone());
+        let stream = read_budget::Stream::new(socket::Socket::new(stream), budget.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_READ_BYTES)
             .handshake(rt::TokioIo::new(stream))
             .await;
         let (inner, connection) = handshake.map_err(|error| Error::Other(error.to_string()))?;
         // Errors are reported to the request on this connection.
+        let ended = CancellationToken::new();
+        let ending = ended.clone().drop_guard();
         tokio::spawn(async move {
-            let _ = connection.await;
+            let _ = ended.run_until_cancelled_owned(connection).await;
         });
         Ok(Sender {
             address: self.address,
+            _ending: ending,
             budget,
             inner,
         })
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -19,15 +19,12 @@
 use crate::retries;
 use crate::server;
 use crate::settings;
+use crate::socket;
 use crate::stop;
 
 /// Interval at which readiness is updated.
 const READINESS_PERIOD: core::time::Duration = core::time::Duration::from_millis(200);
 
-/// Bytes for a caller that the system takes before it has sent those it has. It shows soon that a
-/// caller reads on, and little is held where no budget counts it.
-const UNSENT_BYTES: u32 = 4 << 10;
-
 /// Why a gateway cannot start.
 #[derive(Debug)]
 pub enum Error {
@@ -53,7 +50,8 @@
     let registry = metrics::Registry::new().map_err(|error| Error::Setup(error.to_string()))?;
     let readiness = health::Readiness::default();
     let callers = bind(settings.callers).await?;
-    bound_unsent(&callers);
+    // Connections inherit it from their listener.
+    socket::bound_unsent(&socket2::SockRef::from(&callers));
     let health_listener = bind(settings.health).await?;
     let meters = meters::Meters::new(&registry);
     let fleet = fleet::Fleet::new(&settings.domain);
@@ -132,14 +130,6 @@
     bound.map_err(|error| Error::Listen(address, error))
 }
 
-/// Bounds what the system buffers for each caller; connections inherit it from their listener.
-fn bound_unsent(listener: &tokio::net::TcpListener) {
-    let socket = socket2::SockRef::from(listener);
-    if let Err(error) = socket.set_tcp_notsent_lowat(UNSENT_BYTES) {
-        logs::emit(events::UNSENT_UNBOUNDED, format_args!("why={error}"));
-    }
-}
-
 /// Reports the gateway as ready while it has routes and is not stopping.
 async fn update_readiness(
     fleet: fleet::Fleet,
