agent: tokens that readers have not acknowledged share one budget

Cause: each generation's replay buffer was bounded (1 MiB), their sum was bounded for finished ones only, so many slow readers could take running generations times that.

Change: agents count unacknowledged tokens to the budget that gateways use ([stream] unread_bytes, 64 MiB). Past it, the generation that held most for longest is cancelled at the engine, its tokens are dropped at once and its reader gets a failure (E4027).

Ruled out: reading on past replay_bytes while the budget has room.

--- a/crates/adapters/src/body_budget.rs
+++ b/crates/adapters/src/body_budget.rs
@@ -202,6 +202,16 @@
 }
 
 impl Hold {
+    /// Counts bytes that the caller of this function keeps.
+    pub fn add(&self, bytes: usize) {
+        self.0.budget.add(self.0.key, bytes);
+    }
+
+    /// Records that the peer has read bytes that were added.
+    pub fn record_read(&self, bytes: usize) {
+        self.0.budget.record_read(self.0.key, bytes);
+    }
+
     /// Returns a copy of `bytes` that counts until it is dropped.
     #[must_use]
     pub fn copy(&self, bytes: &[u8]) -> Bytes {
--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -3,6 +3,7 @@
 use core::sync::atomic;
 use std::sync;
 
+use peargap_adapters::body_budget;
 use peargap_adapters::follow;
 use peargap_core::generation;
 use peargap_core::prefix_cache;
@@ -43,6 +44,8 @@
     pub(crate) generation_counter: atomic::AtomicU64,
     pub(crate) requests: sync::Mutex<seen::Requests>,
     pub(crate) settings: settings::Settings,
+    /// Memory for tokens that readers have not acknowledged.
+    pub(crate) unread: body_budget::Budget,
     pub(crate) view: follow::View,
 }
 
--- a/crates/agent/src/events.rs
+++ b/crates/agent/src/events.rs
@@ -17,6 +17,8 @@
     logs::Event::warn(4024, "engine connection lost");
 pub(crate) const ENTRY_LINK_LOST: logs::Event = logs::Event::warn(4025, "entry link lost");
 pub(crate) const RESUMED: logs::Event = logs::Event::info(4026, "generation resumed");
+pub(crate) const READER_TOO_SLOW: logs::Event =
+    logs::Event::warn(4027, "reader too slow, its generation ended");
 pub(crate) const CALLED: logs::Event = logs::Event::info(4030, "call answered");
 pub(crate) const CALL_FAILED: logs::Event = logs::Event::warn(4031, "call failed");
 pub(crate) const UPSTREAM_LOST: logs::Event = logs::Event::warn(4040, "upstream does not respond");
--- a/crates/agent/src/generation.rs
+++ b/crates/agent/src/generation.rs
@@ -70,7 +70,10 @@
     };
     let end = match end {
         Some(end) => end,
-        None => cancel_at_engine(&agent, &stream).await,
+        None => {
+            stream.release_overdue();
+            cancel_at_engine(&agent, &stream).await
+        }
     };
     let cause = driver.cause;
     let (admission_end, ended) = outcome::classify_end(&end);
@@ -134,7 +137,9 @@
             Err(_) => tokio::time::sleep(RETRY_DELAY).await,
         }
     }
-    let failed = if stream.cancelled.is_cancelled() {
+    let failed = if stream.is_overdue() {
+        stream::build_overdue()
+    } else if stream.cancelled.is_cancelled() {
         build_failed(wire::Reason::Cancelled, 0, "cancelled")
     } else {
         build_failed(wire::Reason::Deadline, 0, "the deadline passed")
--- a/crates/agent/src/registry.rs
+++ b/crates/agent/src/registry.rs
@@ -59,6 +59,7 @@
         let mut sweep = Sweep::default();
         let mut finished = Vec::new();
         for stream in self.by_id.values() {
+            stream.release_overdue();
             let summary = stream.summarize();
             match (summary.ended_at, summary.idle_since) {
                 (None, Some(since)) if since + bounds.grace <= now => {
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -8,6 +8,7 @@
 use std::sync;
 use std::thread;
 
+use peargap_adapters::body_budget;
 use peargap_adapters::command;
 use peargap_adapters::deployment;
 use peargap_adapters::follow;
@@ -136,6 +137,7 @@
     let agent = agent::Agent {
         announcement,
         prefix_cache: sync::Mutex::default(),
+        unread: body_budget::Budget::new(settings.stream.unread_bytes, events::READER_TOO_SLOW),
         claims: sync::Mutex::default(),
         clock,
         enforcement,
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -81,6 +81,8 @@
     pub(crate) retention: time::Duration,
     /// Memory limit of all finished generations.
     pub(crate) retained_bytes: usize,
+    /// Memory limit of the tokens of all generations that readers have not acknowledged.
+    pub(crate) unread_bytes: u64,
 }
 
 /// Reads the settings file, or returns all problems found in it.
@@ -165,5 +167,6 @@
         replay_bytes: reader.ranged("stream", "replay_bytes", 1 << 20, 1 << 10..=1 << 30),
         retention: time::Duration::from_millis(retention),
         retained_bytes: reader.ranged("stream", "retained_bytes", 64 << 20, 1 << 16..=8 << 30),
+        unread_bytes: reader.ranged("stream", "unread_bytes", 64 << 20, 1 << 12..=8 << 30),
     }
 }
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -45,6 +45,7 @@
         start.request.clone(),
         start.team.clone(),
         agent.settings.stream.replay_bytes,
+        &agent.unread,
         agent.clock.now(),
     ));
     agent::lock(&agent.prefix_cache).record_chain(&start.prefix);
--- a/crates/agent/src/stream.rs
+++ b/crates/agent/src/stream.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic;
 
 use bytes::Bytes;
+use peargap_adapters::body_budget;
 use peargap_core::replay_buffer;
 use peargap_core::time;
 use peargap_wire::agent as wire;
@@ -16,7 +17,8 @@
 /// A generation that this agent holds.
 #[derive(Debug)]
 pub(crate) struct Stream {
-    /// Cancelled when the caller cancels or the generation is abandoned.
+    /// Cancelled when the caller cancels, the generation is abandoned or it has to end as too much is
+    /// unacknowledged.
     pub(crate) cancelled: cancel::CancellationToken,
     /// ID of the generation.
     pub(crate) id: String,
@@ -27,6 +29,8 @@
     changes: watch::Sender<()>,
     space: tokio::sync::Notify,
     state: sync::Mutex<State>,
+    /// Counts the tokens that are not acknowledged.
+    unread: body_budget::Hold,
 }
 
 #[derive(Debug)]
@@ -34,6 +38,8 @@
     /// Number of requests ahead in the queue, 0 when admitted; `None` until queued or admitted.
     accepted: Option<u32>,
     buffer: replay_buffer::Buffer,
+    /// Bytes of tokens that are counted as not acknowledged.
+    counted_bytes: usize,
     /// When the generation ended; valid only if `end` is set.
     ended_at: time::Instant,
     end: Option<End>,
@@ -85,10 +91,15 @@
         request_id: String,
         team: String,
         replay_bytes: usize,
+        unread: &body_budget::Budget,
         now: time::Instant,
     ) -> Stream {
+        let ended = cancel::CancellationToken::new();
+        let cancelled = ended.child_token();
+        let side = body_budget::Side::Caller;
+        let unread = unread.open(side, Bytes::from(request_id.clone()), ended);
         Stream {
-            cancelled: cancel::CancellationToken::new(),
+            cancelled,
             changes: watch::Sender::new(()),
             id,
             produced: sync::Arc::default(),
@@ -97,12 +108,14 @@
             state: sync::Mutex::new(State {
                 accepted: None,
                 buffer: replay_buffer::Buffer::new(replay_bytes),
+                counted_bytes: 0,
                 end: None,
                 ended_at: now,
                 idle_since: Some(now),
                 end_taken: false,
             }),
             team,
+            unread,
         }
     }
 
@@ -130,6 +143,7 @@
         if pushed == replay_buffer::Push::Stored {
             self.produced.fetch_add(1, atomic::Ordering::Relaxed);
         }
+        self.count_unread(&mut state);
         pushed
     }
 
@@ -158,6 +172,7 @@
     pub(crate) fn attach(&self, offset: u64) -> Result<Cursor, replay_buffer::Attach> {
         let mut state = self.lock();
         let attached = state.buffer.attach(offset);
+        self.count_unread(&mut state);
         let replay_buffer::Attach::Ready(link) = attached else {
             return Err(attached);
         };
@@ -210,7 +225,9 @@
 
     /// Records the acknowledgement of the tokens before `offset`.
     pub(crate) fn acknowledge(&self, cursor: Cursor, offset: u64) {
-        if self.lock().buffer.acknowledge(cursor.link, offset) {
+        let mut state = self.lock();
+        if state.buffer.acknowledge(cursor.link, offset) {
+            self.count_unread(&mut state);
             self.space.notify_one();
         }
     }
@@ -233,6 +250,34 @@
         }
     }
 
+    /// Counts what is not acknowledged now.
+    fn count_unread(&self, state: &mut State) {
+        let bytes = state.buffer.unacknowledged_bytes();
+        match bytes.checked_sub(state.counted_bytes) {
+            Some(added) => self.unread.add(added),
+            None => self.unread.record_read(state.counted_bytes - bytes),
+        }
+        state.counted_bytes = bytes;
+    }
+
+    /// Returns whether it has to end as too much is unacknowledged.
+    pub(crate) fn is_overdue(&self) -> bool {
+        self.unread.is_ended()
+    }
+
+    /// Drops the tokens of a generation that has to end as too much is unacknowledged. If it was
+    /// complete, its reader is told that it is not any more.
+    pub(crate) fn release_overdue(&self) {
+        if !self.is_overdue() {
+            return;
+        }
+        let mut state = self.lock();
+        state.buffer.discard();
+        if state.end.is_some() {
+            state.end = Some(End::Failed(build_overdue()));
+        }
+    }
+
     fn lock(&self) -> sync::MutexGuard<'_, State> {
         self.state
             .lock()
@@ -240,6 +285,12 @@
     }
 }
 
+/// Builds the failure of a generation that has to end as too much is unacknowledged.
+pub(crate) fn build_overdue() -> wire::Failed {
+    let reason = wire::Reason::Cancelled;
+    build_failed(wire::Ran::Yes, reason, 0, "too many tokens unread")
+}
+
 /// Builds a failure message.
 pub(crate) fn build_failed(
     ran: wire::Ran,
--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -315,6 +315,24 @@
     assert!(received.finished.is_some());
 }
 
+#[tokio::test]
+async fn past_the_budget_the_generation_whose_reader_reads_nothing_is_ended() {
+    let fixture = start_fixture("[stream]\nunread_bytes=4096\n").await;
+    let address = fixture.entry_relay.address;
+    let mut stalled = support::open(address, support::start_request("r1", 400)).await;
+    let mut reading = support::open(address, support::start_request("r2", 400)).await;
+    let mut received = support::Received::default();
+    reading.read_all(&mut received).await;
+    assert_eq!(received.text, support::full_text(400));
+    assert!(received.finished.is_some());
+    // Nothing was acknowledged until here.
+    let mut ended = support::Received::default();
+    stalled.read_all(&mut ended).await;
+    let failed = ended.failed.expect("not ended");
+    assert_eq!(failed.detail, "too many tokens unread");
+    assert_eq!(fixture.engine.inspect(|state| state.cancelled), 1);
+}
+
 #[tokio::test]
 async fn finished_generation_is_kept_for_its_retention_and_its_team() {
     let fixture = start_fixture("[stream]\nretention_ms=1500\n").await;
--- a/crates/core/src/replay_buffer.rs
+++ b/crates/core/src/replay_buffer.rs
@@ -112,6 +112,24 @@
         self.kept_bytes
     }
 
+    /// Returns the memory of the tokens that are not acknowledged, in bytes.
+    pub fn unacknowledged_bytes(&self) -> usize {
+        self.unacknowledged_bytes
+    }
+
+    /// Drops all tokens of a generation that is ended, also those that are not acknowledged.
+    pub fn discard(&mut self) {
+        let next = self.next();
+        self.tokens.clear();
+        self.first = next;
+        self.acknowledged = next;
+        self.kept_bytes = 0;
+        self.unacknowledged_bytes = 0;
+        if let Some(reader) = &mut self.reader {
+            reader.next = next;
+        }
+    }
+
     /// Returns whether a token may be pushed.
     pub fn has_room(&self) -> bool {
         self.unacknowledged_bytes < self.limit_bytes
