--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -19,6 +19,7 @@
 use crate::fleet;
 use crate::fleet_state;
 use crate::placement;
+use crate::plain;
 use crate::upstream;
 
 /// Rank of upstreams that are used only if there are no others.
@@ -360,7 +361,7 @@
 
 /// Returns what the result of a plain call says of its upstream's version, if anything.
 pub(crate) fn sample_plain(
-    result: &Result<(http::response::Parts, bytes::Bytes), call::Failure>,
+    result: &Result<plain::FullResponse, call::Failure>,
     elapsed: Duration,
 ) -> Option<counts::Sample> {
     let millis = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 
+use peargap_adapters::body_budget;
 use peargap_adapters::health;
 use peargap_adapters::logs;
 use peargap_adapters::metrics;
@@ -18,6 +19,7 @@
 use crate::retries;
 use crate::server;
 use crate::settings;
+use crate::socket;
 use crate::stop;
 
 /// Interval at which readiness is updated.
@@ -48,10 +50,14 @@
     let registry = metrics::Registry::new().map_err(|error| Error::Setup(error.to_string()))?;
     let readiness = health::Readiness::default();
     let callers = bind(settings.callers).await?;
+    // Connections inherit it from their listener.
+    socket::bound_unsent(&socket2::SockRef::from(&callers));
     let health_listener = bind(settings.health).await?;
     let meters = meters::Meters::new(&registry);
     let fleet = fleet::Fleet::new(&settings.domain);
     meters::observe_quarantine(&registry, &fleet);
+    let unread = body_budget::Budget::new(settings.unread_bytes(), events::PEER_TOO_SLOW);
+    meters::observe_unread(&registry, &unread);
     let router = health::build_router(readiness.clone(), registry);
     let health = tokio::spawn(async move {
         // Runs until the process exits.
@@ -85,6 +91,7 @@
         meters,
         retries,
         stop: stop::Stop::default(),
+        unread,
     };
     server::run(callers, gateway, settings.grace, token).await;
     follow_token.cancel();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod program;
 pub(crate) mod raw;
+pub(crate) mod slow;
 
 use std::collections;
 use std::net;
@@ -58,6 +60,8 @@
     applied: sync::Arc<sync::Mutex<Vec<u64>>>,
     connections: sync::Arc<sync::Mutex<Vec<UpdateSender>>>,
     departures: sync::Arc<sync::Mutex<Vec<wire::Departure>>>,
+    /// Whether its documents allow long bodies and much time.
+    is_generous: bool,
     /// Whether it sends no documents.
     is_mute: bool,
     /// What gateways had when they requested a document, for each request.
@@ -88,13 +92,18 @@
         let departures = self.departures.clone();
         let is_mute = self.is_mute;
         let requests = self.requests.clone();
+        let text = match self.is_generous {
+            true => generous_document(),
+            false => DOCUMENT.to_owned(),
+        };
+        let text = Bytes::from(text);
         let connection = updates.clone();
         tokio::spawn(async move {
             while let Some(Ok(report)) = reports.next().await {
                 requests.lock().expect("requests").extend(report.held);
                 if report.wanted > 0 && !is_mute {
                     let document = wire::Document {
-                        text: Bytes::from_static(DOCUMENT.as_bytes()),
+                        text: text.clone(),
                         version: report.wanted,
                     };
                     let update = wire::Update {
@@ -206,6 +215,12 @@
     }
 }
 
+/// Returns the document with plain routes for long bodies that take much time.
+fn generous_document() -> String {
+    let document = DOCUMENT.replace("\"timeoutMs\":3000", "\"timeoutMs\":9000");
+    document.replace("\"maxBodyBytes\":1000", "\"maxBodyBytes\":2000000")
+}
+
 /// Returns the status of an upstream of the plain service that has no address yet.
 pub(crate) fn new_upstream() -> wire::Upstream {
     wire::Upstream {
@@ -222,6 +237,15 @@
     }
 }
 
+/// How a gateway runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Launch {
+    /// In the test process.
+    InProcess,
+    /// As its program.
+    Program,
+}
+
 /// A gateway with its control host and runners.
 #[derive(Debug)]
 pub(crate) struct Fixture {
@@ -229,6 +253,8 @@
     pub(crate) control: Control,
     pub(crate) ended: tokio::task::JoinHandle<()>,
     pub(crate) health: net::SocketAddr,
+    /// The gateway, if it does not run in the test process.
+    pub(crate) program: Option<program::Program>,
     pub(crate) rack: runner::RunnerGroup,
     pub(crate) runners: collections::BTreeMap<String, runner::Runner>,
     pub(crate) stop: CancellationToken,
@@ -242,9 +268,16 @@
 
     /// Starts a gateway without routes that follows the fixture's control host and these others.
     pub(crate) async fn start_with_hosts(others: &[Control]) -> Fixture {
+        Fixture::launch(others, Launch::InProcess).await
+    }
+
+    async fn launch(others: &[Control], launch: Launch) -> Fixture {
         let ports = ports::find_ports(3).expect("ports");
         let local = |port| net::SocketAddr::from(([127, 0, 0, 1], port));
-        let control = Control::default();
+        let control = Control {
+            is_generous: launch == Launch::Program,
+            ..Control::default()
+        };
         control.serve(local(ports[0]));
         let mut control_seeds = vec![local(ports[0])];
         for (number, other) in (2..).zip(others) {
@@ -260,6 +293,7 @@
             domain: "a".to_owned(),
             grace: time::Duration::from_secs(8),
             health: local(ports[2]),
+            host_mb: 88.0,
             log_format: peargap_adapters::logs::Format::Text,
             log_level: peargap_adapters::logs::Level::Info,
             name: "gateway-1".to_owned(),
@@ -271,8 +305,16 @@
             },
         };
         let token = stop.clone();
+        let program = match launch {
+            Launch::InProcess => None,
+            Launch::Program => Some(program::Program::start(&settings)),
+        };
+        let is_program = program.is_some();
         let ended = tokio::spawn(async move {
-            run::run(settings, token).await.expect("a gateway");
+            match is_program {
+                true => token.cancelled().await,
+                false => run::run(settings, token).await.expect("a gateway"),
+            }
         });
         control.wait_until_connected().await;
         for other in others {
@@ -283,6 +325,7 @@
             control,
             ended,
             health: local(ports[2]),
+            program,
             rack: runner::RunnerGroup::default(),
             runners: collections::BTreeMap::new(),
             stop,
@@ -293,8 +336,23 @@
     /// plain service `desk`, the others to the engine service `pool`.
     pub(crate) async fn start(names: &[&str]) -> Fixture {
         let mut fixture = Fixture::start_empty().await;
+        fixture.route().await;
+        for name in names {
+            fixture.start_runner(name).await;
+        }
         fixture
-            .control
+    }
+
+    /// Starts the gateway's program, with routes for long bodies that take much time.
+    pub(crate) async fn start_program() -> Fixture {
+        let fixture = Fixture::launch(&[], Launch::Program).await;
+        fixture.route().await;
+        fixture
+    }
+
+    /// Gives the gateway its routes.
+    async fn route(&self) {
+        self.control
             .send(wire::Update {
                 gateways: 1,
                 position: 1,
@@ -302,11 +360,7 @@
                 ..wire::Update::default()
             })
             .await;
-        fixture.wait_until_routed().await;
-        for name in names {
-            fixture.start_runner(name).await;
-        }
-        fixture
+        self.wait_until_routed().await;
     }
 
     /// Waits until the gateway has routes.
@@ -388,14 +442,19 @@
     /// Starts a gateway with one upstream of a service, at an address.
     pub(crate) async fn start_at(address: net::SocketAddr, service: &str) -> Fixture {
         let fixture = Fixture::start(&[]).await;
+        fixture.announce_at(address, service).await;
+        fixture
+    }
+
+    /// Announces an upstream of a service, at an address.
+    pub(crate) async fn announce_at(&self, address: net::SocketAddr, service: &str) {
         let upstream = wire::Upstream {
             address: address.to_string(),
-            name: "raw".to_owned(),
+            name: format!("raw-{service}"),
             service: service.to_owned(),
             ..new_upstream()
         };
-        fixture.control.announce_upstream(upstream).await;
-        fixture
+        self.control.announce_upstream(upstream).await;
     }
 }
 
