--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod read_budget;
 pub mod settings;
 pub mod signals;
+pub mod waiting;
--- a/crates/adapters/src/load.rs
+++ b/crates/adapters/src/load.rs
@@ -1,6 +1,7 @@
 //! Loads of upstreams in the messages between gateways and control hosts.
 
 use peargap_core::balance;
+use peargap_core::engine_room;
 use peargap_core::rate_limit;
 use peargap_wire::fleet as wire;
 
@@ -10,6 +11,10 @@
     balance::Load {
         copied: u64::from(load.copied),
         failing: load.failing,
+        later: engine_room::Later {
+            far: u64::from(load.later_far),
+            near: u64::from(load.later_near),
+        },
         limited: rate_limit::Counts {
             known_by: load.limit_known_by,
             sent_units: load.limit_sent,
@@ -30,6 +35,8 @@
     wire::Load {
         copied: narrow(load.copied),
         failing: load.failing,
+        later_far: narrow(load.later.far),
+        later_near: narrow(load.later.near),
         limit_known_by: load.limited.known_by,
         limit_sent: load.limited.sent_units,
         limit_wanted: load.limited.wanted,
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -12,7 +12,9 @@
 use peargap_core::load_totals;
 use peargap_core::named_limits;
 use peargap_core::quarantine;
+use peargap_core::time::Instant;
 use peargap_core::upstreams;
+use peargap_core::waiting;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -32,6 +34,10 @@
 /// stopped. The time is below the upstream's own call timeout of one second.
 const CONFIRM_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 
+/// Age from which on what waits at a gateway no longer counts: the gateway may have failed, and others
+/// would leave room to its requests in vain.
+const MAX_WAITING_AGE_MS: u64 = 600;
+
 /// Identifies the link of a gateway; later links have higher keys.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(crate) struct LinkKey(u64);
@@ -63,6 +69,8 @@
     pub(crate) quarantine: quarantine::Table,
     /// Sums of the loads on all links.
     totals: load_totals::Totals,
+    /// Sums of what waits at the gateways on all links.
+    waiting: waiting::Table,
 }
 
 #[derive(Debug, Default)]
@@ -77,6 +85,10 @@
     reports_load: bool,
     /// Whether the gateway has no sums from this host yet.
     needs_sums: bool,
+    /// What waits at the gateway.
+    waiting: waiting::Table,
+    /// When the gateway last confirmed what waits there.
+    waiting_confirmed: Instant,
 }
 
 /// Statuses that changed since a given change.
@@ -103,6 +115,8 @@
     /// Whether the gateway has no sums from this host yet.
     pub(crate) is_first: bool,
     pub(crate) others: load_totals::Loads,
+    /// What waits at the other gateways.
+    pub(crate) waiting: waiting::Table,
 }
 
 /// Position of a gateway among those that follow this host.
@@ -250,6 +264,7 @@
     pub(crate) fn detach(&self, key: LinkKey) {
         let mut state = self.lock();
         state.replace_loads(key, load_totals::Loads::default());
+        state.replace_waiting(key, waiting::Table::default());
         state.links.remove(&key);
         drop(state);
         self.link_events.send_modify(|count| *count += 1);
@@ -257,7 +272,9 @@
 
     /// Records that a gateway has applied the update `number` and every change up to `change`.
     pub(crate) fn record_applied(&self, key: LinkKey, number: u64, change: u64) {
+        let now = self.clock.now();
         if let Some(link) = self.lock().links.get_mut(&key) {
+            link.waiting_confirmed = now;
             link.applied = link.applied.max(change);
             link.applied_number = link.applied_number.max(number);
         }
@@ -266,12 +283,21 @@
 
     /// Records the loads that a gateway reported. `starts` is set if the gateway has just chosen
     /// this host to report to.
-    pub(crate) fn record_loads(&self, key: LinkKey, loads: load_totals::Loads, starts: bool) {
+    pub(crate) fn record_loads(
+        &self,
+        key: LinkKey,
+        loads: load_totals::Loads,
+        waiting: waiting::Table,
+        starts: bool,
+    ) {
+        let now = self.clock.now();
         let mut state = self.lock();
         state.replace_loads(key, loads);
+        state.replace_waiting(key, waiting);
         let Some(link) = state.links.get_mut(&key) else {
             return;
         };
+        link.waiting_confirmed = now;
         link.needs_sums |= starts;
         let has_started = !core::mem::replace(&mut link.reports_load, true);
         drop(state);
@@ -285,6 +311,7 @@
     pub(crate) fn stop_loads(&self, key: LinkKey) {
         let mut state = self.lock();
         state.replace_loads(key, load_totals::Loads::default());
+        state.replace_waiting(key, waiting::Table::default());
         if let Some(link) = state.links.get_mut(&key) {
             link.reports_load = false;
         }
@@ -301,6 +328,7 @@
             applied_number,
             is_first,
             others: state.totals.without(&link.loads),
+            waiting: state.waiting.without(&link.waiting),
         })
     }
 
@@ -364,6 +392,28 @@
         }
     }
 
+    fn replace_waiting(&mut self, key: LinkKey, waiting: waiting::Table) {
+        if let Some(link) = self.links.get_mut(&key) {
+            self.waiting.replace(&link.waiting, &waiting);
+            link.waiting = waiting;
+        }
+    }
+
+    /// Drops what waits at gateways that have not confirmed it lately; returns how many there are.
+    fn drop_unconfirmed_waiting(&mut self, now: Instant) -> usize {
+        let is_old = |link: &Link| {
+            link.waiting != waiting::Table::default()
+                && now.millis_since(link.waiting_confirmed) > MAX_WAITING_AGE_MS
+        };
+        let links = self.links.iter();
+        let old = links.filter(|(_key, link)| is_old(link));
+        let old: Vec<LinkKey> = old.map(|(key, _link)| *key).collect();
+        for key in &old {
+            self.replace_waiting(*key, waiting::Table::default());
+        }
+        old.len()
+    }
+
     fn record_change(&mut self, name: String) -> u64 {
         self.last_change += 1;
         self.changes_by_upstream.insert(name, self.last_change);
@@ -389,6 +439,10 @@
         let now = fleet.clock.now();
         let change = {
             let mut state = fleet.lock();
+            let dropped = state.drop_unconfirmed_waiting(now);
+            if dropped > 0 {
+                logs::emit(events::WAITING_DROPPED, format_args!("gateways={dropped}"));
+            }
             let expired = state.directory.expire(now, SILENCE_MS);
             state.directory.forget(now, FORGET_MS);
             for status in expired {
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -10,6 +10,7 @@
 use peargap_adapters::limit;
 use peargap_adapters::load;
 use peargap_adapters::logs;
+use peargap_adapters::waiting;
 use peargap_core::aggregator;
 use peargap_core::load_totals;
 use peargap_core::routing;
@@ -77,6 +78,8 @@
     limit_change: u64,
     number: u64,
     loads: load_totals::Loads,
+    /// What waits at the other gateways.
+    waiting: peargap_core::waiting::Table,
     /// Numbers of the updates with loads that the gateway may not have applied yet.
     unconfirmed_loads: collections::VecDeque<u64>,
     rank: fleet::Rank,
@@ -158,7 +161,8 @@
             let loads = report.loads.iter();
             let loads = loads.map(|one| (one.upstream.clone(), load::decode(one)));
             let loads = loads.collect();
-            fleet.record_loads(key, loads, report.starts_loads);
+            let waiting = waiting::decode(&report.waiting);
+            fleet.record_loads(key, loads, waiting, report.starts_loads);
         }
         for news in report.limits {
             fleet.record_limit(limit::decode(news));
@@ -292,12 +296,17 @@
         } else if unconfirmed.len() >= MAX_UNCONFIRMED_LOADS {
             return;
         }
+        let has_waiting = sums.waiting != self.sent.waiting;
         let changes = sums.others.diff(&self.sent.loads);
         self.sent.loads = sums.others;
         let loads = changes.iter();
         update.loads = loads.map(|(name, one)| load::encode(name, one)).collect();
         update.all_loads = sums.is_first;
-        update.has_loads = sums.is_first || !update.loads.is_empty();
+        update.has_loads = sums.is_first || has_waiting || !update.loads.is_empty();
+        if update.has_loads {
+            update.waiting = waiting::encode(&sums.waiting);
+            self.sent.waiting = sums.waiting;
+        }
     }
 
     /// Returns the document if the gateway asked for this version or an older one. A request for a
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -8,6 +8,7 @@
 use rand::seq::IteratorRandom as _;
 use rand::Rng;
 
+use crate::engine_room;
 use crate::rate_limit;
 
 /// Share of an engine's memory that generations and copies may hold by estimate. It is a little
@@ -59,6 +60,8 @@
     pub copied: u64,
     /// Gateways whose circuit breaker for the upstream is open.
     pub failing: u32,
+    /// Tokens that running generations are expected to hold later.
+    pub later: engine_room::Later,
     /// What gateways tell each other of requests to an upstream that names a limit.
     pub limited: rate_limit::Counts,
     /// Gateways whose last request it has refused, a short time ago.
@@ -84,6 +87,7 @@
         Load {
             copied: self.copied + other.copied,
             failing: self.failing + other.failing,
+            later: self.later.plus(other.later),
             limited: self.limited.plus(other.limited),
             refusing: self.refusing + other.refusing,
             running: self.running + other.running,
@@ -98,6 +102,7 @@
         Load {
             copied: self.copied - part.copied,
             failing: self.failing - part.failing,
+            later: self.later.minus(part.later),
             limited: self.limited.minus(part.limited),
             refusing: self.refusing - part.refusing,
             running: self.running - part.running,
@@ -264,6 +269,6 @@
     clippy::cast_precision_loss,
     reason = "token counts are far below 2^52"
 )]
-fn ratio(tokens: u64, memory: u64) -> f64 {
+pub(crate) fn ratio(tokens: u64, memory: u64) -> f64 {
     tokens as f64 / memory.max(1) as f64
 }
--- a/crates/core/tests/load_totals.rs
+++ b/crates/core/tests/load_totals.rs
@@ -1,6 +1,7 @@
 //! Sums of gateways' loads agree with a sum over all reports.
 
 use peargap_core::balance;
+use peargap_core::engine_room;
 use peargap_core::load_totals;
 use peargap_core::rate_limit;
 
@@ -10,6 +11,10 @@
     balance::Load {
         copied: u64::from(amount) * 3,
         failing: amount / 2,
+        later: engine_room::Later {
+            far: u64::from(amount) * 2,
+            near: u64::from(amount) * 9,
+        },
         limited: rate_limit::Counts {
             known_by: amount % 3,
             sent_units: amount * 5,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -44,5 +44,9 @@
 pub(crate) const QUARANTINE_CHANGED: logs::Event = logs::Event::warn(6032, "quarantine changed");
 pub(crate) const QUARANTINE_TRIAL: logs::Event =
     logs::Event::info(6033, "trial of a request in quarantine");
+pub(crate) const WAIT_ENDED: logs::Event =
+    logs::Event::info(6048, "generation begins after a wait for room");
+pub(crate) const WAIT_REFUSED: logs::Event =
+    logs::Event::info(6049, "generation refused, no room in time");
 pub(crate) const REQUEST_BROKEN_OFF: logs::Event =
     logs::Event::warn(6031, "request broken off by its upstream");
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 use peargap_adapters::logs;
 use peargap_core::balance;
 use peargap_core::breaker;
+use peargap_core::engine_room;
 use peargap_core::rate_limit;
 use peargap_core::retry_budget;
 use peargap_core::routes;
@@ -15,6 +16,7 @@
 use crate::events;
 use crate::fleet_state;
 use crate::placement;
+use crate::room;
 
 slotmap::new_key_type! {
     /// Key of an upstream.
@@ -32,6 +34,8 @@
     pub(crate) news: sync::Arc<watch::Sender<u64>>,
     /// Counter that increases when something comes into quarantine or out of it.
     pub(crate) quarantine_changes: sync::Arc<watch::Sender<u64>>,
+    /// Generations that wait for room at engines.
+    pub(crate) room: room::Room,
     state: sync::Arc<sync::Mutex<fleet_state::State>>,
 }
 
@@ -40,6 +44,8 @@
 pub(crate) enum PlacementError {
     /// All candidates are full.
     Full,
+    /// There is room, but it is left to more urgent requests at other gateways.
+    HeldBack,
     /// No upstream takes new work.
     NoUpstream,
     /// The upstreams that take new work get as many requests as the limits that they name allow.
@@ -91,6 +97,7 @@
             domain: sync::Arc::from(domain),
             news: sync::Arc::new(watch::Sender::new(0)),
             quarantine_changes: sync::Arc::new(watch::Sender::new(0)),
+            room: room::Room::default(),
             state: sync::Arc::default(),
         }
     }
@@ -210,23 +217,25 @@
             ..balance::Load::default()
         };
         self.place(criteria, load, |candidates| {
-            balance::choose_plain(candidates, &mut rand::rng())
+            balance::choose_plain(candidates, &mut rand::rng()).into()
         })
     }
 
-    /// Chooses an engine for a generation.
+    /// Chooses an engine for a generation that needs this room.
     pub(crate) fn place_generation(
         &self,
         criteria: Criteria<'_>,
+        need: engine_room::Need,
     ) -> Result<placement::Placement, PlacementError> {
         let load = balance::Load {
+            later: need.later,
             running: 1,
-            tokens: criteria.tokens,
-            waiting: criteria.tokens,
+            tokens: need.tokens,
+            waiting: need.tokens,
             ..balance::Load::default()
         };
         self.place(criteria, load, |candidates| {
-            balance::choose_engine(candidates, criteria.tokens, &mut rand::rng())
+            engine_room::choose(candidates, need, &mut rand::rng())
         })
     }
 
@@ -241,7 +250,7 @@
             ..balance::Load::default()
         };
         self.place(criteria, load, |candidates| {
-            balance::choose_copy(candidates, criteria.tokens, purpose, &mut rand::rng())
+            balance::choose_copy(candidates, criteria.tokens, purpose, &mut rand::rng()).into()
         })
     }
 
@@ -249,16 +258,19 @@
         &self,
         criteria: Criteria<'_>,
         load: balance::Load,
-        choose: impl FnOnce(&[balance::Candidate<UpstreamKey>]) -> balance::Choice<UpstreamKey>,
+        choose: impl FnOnce(&[balance::Candidate<UpstreamKey>]) -> engine_room::Choice<UpstreamKey>,
     ) -> Result<placement::Placement, PlacementError> {
         let now = self.clock.now();
         let mut state = self.lock();
         state.record_wanted(now, &criteria);
         let candidates = state.list_candidates(now, criteria, &self.domain);
         let key = match choose(&candidates) {
-            balance::Choice::Full => return Err(PlacementError::Full),
-            balance::Choice::NoCandidates => return Err(state.explain_no_candidates(now, criteria)),
-            balance::Choice::Take(key) => key,
+            engine_room::Choice::Full => return Err(PlacementError::Full),
+            engine_room::Choice::HeldBack => return Err(PlacementError::HeldBack),
+            engine_room::Choice::NoCandidates => {
+                return Err(state.explain_no_candidates(now, criteria));
+            }
+            engine_room::Choice::Take(key) => key,
         };
         let view = placement::View {
             limit: state.explain_limit(now, key),
@@ -318,13 +330,18 @@
         former: balance::Load,
         load: balance::Load,
     ) -> bool {
-        match self.lock().upstreams.get_mut(key) {
+        let is_known = match self.lock().upstreams.get_mut(key) {
             Some(upstream) => {
                 upstream.local_load = upstream.local_load.minus(former).plus(load);
                 true
             }
             None => false,
+        };
+        if load.tokens + load.copied + load.waiting < former.tokens + former.copied + former.waiting
+        {
+            self.room.notify();
         }
+        is_known
     }
 
     pub(crate) fn lock(&self) -> sync::MutexGuard<'_, fleet_state::State> {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -215,7 +215,9 @@
                 }
                 shared.fleet.set_position(position);
                 shared.check_silence(host, load_reporter.since());
-                if let Some(report) = load_reporter.build_report(shared.fleet.list_local_loads()) {
+                let loads = shared.fleet.list_local_loads();
+                let waiting = shared.fleet.list_local_waiting();
+                if let Some(report) = load_reporter.build_report(loads, waiting) {
                     send(&reports, report).await?;
                 }
             }
@@ -262,8 +264,10 @@
             shared.fleet.clear_remote_loads();
         }
         if update.has_loads {
+            shared.fleet.update_remote_waiting(&update.waiting);
             shared.fleet.update_remote_loads(&update.loads);
         }
+        shared.fleet.room.confirm_others(shared.fleet.clock.now());
         shared.fleet.record_sums(update.all_loads);
     }
     if !has_upstreams {
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -11,7 +11,9 @@
 use peargap_adapters::logs;
 use peargap_adapters::panics;
 use peargap_core::balance;
+use peargap_core::engine_room;
 use peargap_core::event_timing;
+use peargap_core::output_forecast;
 use peargap_core::rate_limit;
 use peargap_core::routes;
 use peargap_platform::head;
@@ -40,6 +42,8 @@
 /// State of a generation that its relay and its moves share.
 #[derive(Debug)]
 pub(crate) struct Generation {
+    /// Class by which its output is forecast.
+    pub(crate) class: output_forecast::Class,
     pub(crate) engine: routes::Engine,
     /// ID of the last event sent to the caller; 0 before the first.
     pub(crate) last_event: atomic::AtomicU64,
@@ -51,9 +55,40 @@
 impl Generation {
     /// Estimates the tokens that it holds in an engine's memory after this many events.
     pub(crate) fn estimate_tokens(&self, events: u64) -> u64 {
-        let usage = self.request.head.usage;
-        let prompt = usage.map_or(DEFAULT_PROMPT_TOKENS, |usage| usage.prompt);
-        prompt + events * self.engine.stride + RESERVED_OUTPUT_TOKENS
+        let request = self.forecast_request();
+        let produced = self.count_tokens(events);
+        let left = request
+            .max_output
+            .map(|limit| limit.saturating_sub(produced));
+        let reserved = left.map_or(RESERVED_OUTPUT_TOKENS, |left| {
+            left.min(RESERVED_OUTPUT_TOKENS)
+        });
+        request.prompt + produced + reserved
+    }
+
+    /// Returns the output tokens in this many events.
+    pub(crate) fn count_tokens(&self, events: u64) -> u64 {
+        events * self.engine.stride
+    }
+
+    /// Returns what it is expected to hold later in an engine's memory after `produced` tokens.
+    pub(crate) fn later(
+        &self,
+        forecasts: &output_forecast::Forecasts,
+        produced: u64,
+    ) -> engine_room::Later {
+        forecasts.later(self.class, self.forecast_request(), produced)
+    }
+
+    fn forecast_request(&self) -> output_forecast::Request {
+        let head = &self.request.head;
+        output_forecast::Request {
+            hint: head.length_hint,
+            max_output: head.usage.map(|usage| usage.max_output),
+            prompt: head
+                .usage
+                .map_or(DEFAULT_PROMPT_TOKENS, |usage| usage.prompt),
+        }
     }
 
     /// Returns the ID of the last event sent to the caller.
@@ -85,7 +120,9 @@
         return plain::serve(gateway, &request, route, service).await;
     };
     let attempt = request.head.attempt.clone();
+    let room = &gateway.fleet.room;
     let generation = sync::Arc::new(Generation {
+        class: room.classify(&route.name, request.head.length_hint),
         engine,
         last_event: atomic::AtomicU64::new(0),
         targets: event_timing::Targets {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod response;
 mod response_body;
 mod retries;
+mod room;
 pub mod run;
 mod server;
 pub mod settings;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -1,7 +1,9 @@
 //! Load of this gateway and of the others on the upstreams.
 
 use peargap_adapters::load;
+use peargap_adapters::waiting;
 use peargap_core::balance;
+use peargap_core::engine_room;
 use peargap_core::fleet_share;
 use peargap_core::rate_limit;
 use peargap_wire::fleet as wire;
@@ -30,6 +32,11 @@
         sharers.update(now, position.gateways, rate_limit::COUNT_TIME);
     }
 
+    /// Updates what waits at other gateways.
+    pub(crate) fn update_remote_waiting(&self, figures: &[wire::Waiting]) {
+        self.room.set_others(waiting::decode(figures));
+    }
+
     /// Updates the load from other gateways; upstreams that are not listed are unchanged.
     pub(crate) fn update_remote_loads(&self, loads: &[wire::Load]) {
         let now = self.clock.now();
@@ -43,6 +50,13 @@
                 upstream.remote_load = load::decode(reported);
             }
         }
+        drop(state);
+        self.room.notify();
+    }
+
+    /// Returns what waits at this gateway.
+    pub(crate) fn list_local_waiting(&self) -> Vec<wire::Waiting> {
+        waiting::encode(&self.room.figures(self.clock.now()))
     }
 
     /// Returns the load from this gateway on each upstream that has any.
@@ -66,6 +80,10 @@
             let local = balance::Load {
                 copied: round_up(upstream.local_load.copied),
                 failing: u32::from(is_failing(upstream)),
+                later: engine_room::Later {
+                    far: round_up(upstream.local_load.later.far),
+                    near: round_up(upstream.local_load.later.near),
+                },
                 limited: limited.unwrap_or_default(),
                 refusing: u32::from(upstream.is_refusing(now)),
                 tokens: round_up(upstream.local_load.tokens),
--- a/crates/gateway/src/load_reporter.rs
+++ b/crates/gateway/src/load_reporter.rs
@@ -13,6 +13,8 @@
     last_update: u64,
     /// Loads in the last report.
     reported: Vec<wire::Load>,
+    /// What waited by the last report.
+    reported_waiting: Vec<wire::Waiting>,
     /// Time since which the control host is reported to, if it is.
     since: Option<Instant>,
     /// Whether no report has been sent since then.
@@ -53,9 +55,13 @@
     }
 
     /// Returns the next report, if one is due.
-    pub(crate) fn build_report(&mut self, loads: Vec<wire::Load>) -> Option<wire::Report> {
+    pub(crate) fn build_report(
+        &mut self,
+        loads: Vec<wire::Load>,
+        waiting: Vec<wire::Waiting>,
+    ) -> Option<wire::Report> {
         let is_first = core::mem::take(&mut self.is_first);
-        let has_loads = is_first || loads != self.reported;
+        let has_loads = is_first || loads != self.reported || waiting != self.reported_waiting;
         if !has_loads && self.unconfirmed < MAX_UNCONFIRMED {
             return None;
         }
@@ -68,7 +74,9 @@
         };
         if has_loads {
             self.reported.clone_from(&loads);
+            self.reported_waiting.clone_from(&waiting);
             report.loads = loads;
+            report.waiting = waiting;
         }
         Some(report)
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use peargap_core::balance;
+use peargap_core::engine_room;
 use peargap_core::rate_limit;
 
 use crate::fleet;
@@ -104,12 +105,16 @@
         });
     }
 
-    /// Updates the tokens that the generation or its copy holds in the upstream's memory.
-    pub(crate) fn set_tokens(&mut self, tokens: u64) {
+    /// Updates the tokens that the generation or its copy holds in the upstream's memory, and those
+    /// that the generation is expected to hold later.
+    pub(crate) fn set_tokens(&mut self, tokens: u64, later: engine_room::Later) {
         let mut load = self.load;
         match load.running {
             0 => load.copied = tokens,
-            _ => load.tokens = tokens,
+            _ => {
+                load.later = later;
+                load.tokens = tokens;
+            }
         }
         self.replace(load);
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use peargap_adapters::logs;
 use peargap_core::balance;
+use peargap_core::engine_room;
 use peargap_core::event_timing;
 use peargap_core::sse;
 use tokio::sync::mpsc;
@@ -226,6 +227,7 @@
     /// Sends the complete events that have arrived to the caller, without those that it already
     /// has.
     async fn forward(&mut self, data: &[u8]) -> Next {
+        let events_before = self.events;
         self.buffer.push(data);
         while let Some(event) = self.buffer.take_event() {
             let last = self.generation.last_event.load(atomic::Ordering::Relaxed);
@@ -255,13 +257,25 @@
             return self.handle_stream_failure("event longer than allowed");
         }
         let tokens = self.generation.estimate_tokens(self.events);
-        self.placement.set_tokens(tokens);
+        let later = self.forecast(events_before);
+        self.placement.set_tokens(tokens, later);
         if let Some(copy) = &mut self.copy {
-            copy.placement.set_tokens(tokens);
+            copy.placement.set_tokens(tokens, later);
         }
         Next::Continue
     }
 
+    /// Learns from the output's growth; returns what the generation is expected to hold later.
+    fn forecast(&self, events_before: u64) -> engine_room::Later {
+        let generation = &self.generation;
+        let before = generation.count_tokens(events_before);
+        let produced = generation.count_tokens(self.events);
+        self.gateway.fleet.room.with_forecasts(|forecasts| {
+            forecasts.record_growth(generation.class, before, produced);
+            generation.later(forecasts, produced)
+        })
+    }
+
     fn end(&mut self) -> Next {
         if !self.buffer.is_empty() {
             return self.handle_stream_failure("stream ended in the middle of an event");
@@ -278,6 +292,10 @@
         if crash::is_beginning(self.events) {
             self.gateway.fleet.record_answered(&self.generation.request);
         }
+        let generation = &self.generation;
+        let produced = generation.count_tokens(self.events);
+        let room = &self.gateway.fleet.room;
+        room.with_forecasts(|forecasts| forecasts.record_end(generation.class, produced));
         Next::Complete
     }
 
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -39,7 +39,10 @@
     /// The request's body could not be read to its end.
     BodyBroken,
     /// Every engine is full; the request has not run.
-    Full,
+    Full {
+        /// Time after which the caller may try again, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The request's head is longer than allowed.
     HeadTooLong,
     /// The gateway has a fault; the request may have run.
@@ -88,7 +91,7 @@
         match self {
             Refusal::BodyBroken => "body_broken",
             Refusal::BodyTooLong => "body_too_long",
-            Refusal::Full => "full",
+            Refusal::Full { .. } => "full",
             Refusal::HeadTooLong => "head_too_long",
             Refusal::Internal => "internal",
             Refusal::KeyUnknown => "key_unknown",
@@ -110,7 +113,7 @@
         match self {
             Refusal::BodyBroken => StatusCode::BAD_REQUEST,
             Refusal::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Refusal::Full
+            Refusal::Full { .. }
             | Refusal::Limited { .. }
             | Refusal::NoRoutes
             | Refusal::Nobody
@@ -132,12 +135,13 @@
     /// not run.
     fn retry_after_ms(self) -> Option<u64> {
         match self {
-            Refusal::Full | Refusal::Nobody => Some(1000),
+            Refusal::Nobody => Some(1000),
             Refusal::NoRoutes => Some(600),
             Refusal::NotTaken => Some(300),
             // Other gateways are not affected.
             Refusal::Stopping => Some(0),
-            Refusal::Limited { retry_after_ms }
+            Refusal::Full { retry_after_ms }
+            | Refusal::Limited { retry_after_ms }
             | Refusal::Paused { retry_after_ms }
             | Refusal::Quarantined { retry_after_ms, .. } => Some(retry_after_ms),
             Refusal::BodyBroken
--- a/crates/gateway/src/starting.rs
+++ b/crates/gateway/src/starting.rs
@@ -3,7 +3,11 @@
 use std::sync;
 
 use peargap_adapters::logs;
+use peargap_core::engine_room;
 use peargap_core::quarantine;
+use peargap_core::time::Instant;
+use peargap_core::waiting;
+use tokio::sync::watch;
 use tokio::time;
 
 use crate::attempts;
@@ -16,14 +20,22 @@
 use crate::migrate;
 use crate::placement;
 use crate::response;
+use crate::room;
 
 /// Maximum number of engines that a request is sent to.
 const MAX_ATTEMPTS: usize = 3;
-/// Interval at which a waiting generation looks for an engine with free capacity.
-const CAPACITY_POLL_INTERVAL: time::Duration = time::Duration::from_millis(30);
-/// A request waits for free capacity for at most the latency objective divided by this. After that
-/// it is refused, so that its caller learns early that there is none.
+/// Interval at which a generation looks again while upstreams take no more by the limits they name.
+const LIMIT_POLL_INTERVAL: time::Duration = time::Duration::from_millis(30);
+/// Interval at which a waiting generation looks again if nothing has woken it: it may have become
+/// pressing, or been held back for long enough.
+const WAIT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// A request waits for at most the latency objective divided by this while it is not known how long
+/// it would have to. After that it is refused, so that its caller learns early that there is no room.
 const CAPACITY_WAIT_DIVISOR: u32 = 8;
+/// Time after which a caller may try again if it is not known when there is room, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1000;
+/// Longest time after which a caller is told to try again, in milliseconds.
+const MAX_RETRY_AFTER_MS: u64 = 5000;
 
 /// A generation that has not begun yet.
 #[derive(Debug)]
@@ -31,8 +43,12 @@
     attempts: attempts::Attempts,
     /// When a generation that waits for free capacity is refused.
     capacity_deadline: time::Instant,
+    changes: watch::Receiver<u64>,
     gateway: &'a gateway::Gateway,
     generation: &'a sync::Arc<generation::Generation>,
+    objective: time::Duration,
+    /// Place in the queue of those that wait for an engine's room.
+    place: Option<room::Place>,
     /// Refusal if no other engine is tried.
     refusal: response::Refusal,
     /// How often it may still be repeated after it may have run.
@@ -51,8 +67,8 @@
     Refuse(response::Refusal),
     /// Try another engine.
     TryAgain,
-    /// Look again later for an engine with free capacity.
-    Wait,
+    /// Look again when there may be room, or after this time.
+    Wait(time::Duration),
 }
 
 impl<'a> Starting<'a> {
@@ -68,8 +84,11 @@
         Starting {
             attempts: attempts::Attempts::new(MAX_ATTEMPTS),
             capacity_deadline: since + objective / CAPACITY_WAIT_DIVISOR,
+            changes: gateway.fleet.room.changes(),
             gateway,
             generation,
+            objective,
+            place: None,
             refusal: response::Refusal::NotTaken,
             repeats,
             since,
@@ -85,7 +104,7 @@
                 Next::Begin(run) => return Ok(*run),
                 Next::Refuse(refusal) => return Err(refusal),
                 Next::TryAgain => {}
-                Next::Wait => time::sleep(CAPACITY_POLL_INTERVAL).await,
+                Next::Wait(longest) => self.wait(longest).await,
             }
         }
         Err(self.refusal)
@@ -95,10 +114,15 @@
         if let Some(refusal) = self.check_quarantine() {
             return Next::Refuse(refusal);
         }
-        let placement = match self.choose() {
+        let ahead = match self.take_turn() {
+            waiting::Turn::Begin { ahead } => ahead,
+            waiting::Turn::Wait => return self.wait_or_refuse(false),
+        };
+        let placement = match self.choose(ahead) {
             Ok(placement) => placement,
             Err(error) => return self.explain(error),
         };
+        self.leave_queue(&placement);
         if self.attempts.tried().is_empty() {
             self.gateway.meters.record_wait(self.since.elapsed());
         }
@@ -137,16 +161,116 @@
         &self.generation.request
     }
 
-    fn choose(&self) -> Result<placement::Placement, fleet::PlacementError> {
-        self.gateway.fleet.place_generation(fleet::Criteria {
+    fn choose(&self, ahead: u32) -> Result<placement::Placement, fleet::PlacementError> {
+        let generation = self.generation;
+        let fleet = &self.gateway.fleet;
+        let tokens = generation.estimate_tokens(0);
+        let criteria = fleet::Criteria {
             exclude: self.attempts.tried(),
             near: None,
             purpose: self.attempts.purpose(),
-            service: &self.generation.service,
-            tokens: self.generation.estimate_tokens(0),
+            service: &generation.service,
+            tokens,
+        };
+        let later = |forecasts: &mut _| generation.later(forecasts, 0);
+        let need = engine_room::Need {
+            ahead,
+            later: fleet.room.with_forecasts(later),
+            tokens,
+        };
+        fleet.place_generation(criteria, need)
+    }
+
+    fn now(&self) -> Instant {
+        self.gateway.fleet.clock.now()
+    }
+
+    /// Returns whether it is the generation's turn. One that may have run does not wait.
+    fn take_turn(&mut self) -> waiting::Turn {
+        if self.attempts.has_arrived() {
+            return waiting::Turn::Begin { ahead: 0 };
+        }
+        let now = self.now();
+        self.changes.mark_unchanged();
+        if self.place.is_none() {
+            let waiter = self.describe(now);
+            let service = &self.generation.service.name;
+            self.place = Some(self.gateway.fleet.room.join(service, waiter));
+        }
+        let place = self.place.as_ref();
+        place.map_or(waiting::Turn::Begin { ahead: 0 }, |place| place.turn(now))
+    }
+
+    fn describe(&self, now: Instant) -> waiting::Waiter {
+        let request = self.request();
+        let room = &self.gateway.fleet.room;
+        let team = request.team.as_deref();
+        let first_event = expected_first_event(self.generation.estimate_tokens(0));
+        let patience = self.objective / CAPACITY_WAIT_DIVISOR;
+        waiting::Waiter {
+            is_above_share: team.is_some_and(|team| room.is_above_share(now, team)),
+            latest_start: request.arrived + self.objective.saturating_sub(first_event),
+            patience_ms: u64::try_from(patience.as_millis()).unwrap_or(u64::MAX),
+            rank: request.priority.unwrap_or_default(),
+            since: now,
+        }
+    }
+
+    /// Returns what a generation does that can't begin now. `is_held_back` is set if there is room that
+    /// it leaves to others.
+    fn wait_or_refuse(&self, is_held_back: bool) -> Next {
+        let patience = match &self.place {
+            Some(place) => place.wait(self.now(), is_held_back),
+            None => waiting::Patience::Refuse {
+                retry_after_ms: None,
+            },
+        };
+        let retry_after_ms = match patience {
+            waiting::Patience::Keep => return Next::Wait(WAIT_CHECK_INTERVAL),
+            waiting::Patience::Refuse { retry_after_ms } => retry_after_ms,
+        };
+        logs::emit(
+            events::WAIT_REFUSED,
+            format_args!(
+                "request={} waited_ms={} expected_ms={retry_after_ms:?}",
+                response::attempt_text(&self.request().head.attempt),
+                self.since.elapsed().as_millis(),
+            ),
+        );
+        let retry_after_ms = retry_after_ms.unwrap_or(RETRY_AFTER_MS);
+        Next::Refuse(response::Refusal::Full {
+            retry_after_ms: retry_after_ms.min(MAX_RETRY_AFTER_MS),
         })
     }
 
+    /// Waits until there may be room or another's turn has come, at most for `longest`.
+    async fn wait(&mut self, longest: time::Duration) {
+        // The sender lives as long as the gateway.
+        let _ = time::timeout(longest, self.changes.changed()).await;
+    }
+
+    /// Leaves the queue, as an engine was chosen.
+    fn leave_queue(&mut self, placement: &placement::Placement) {
+        let Some(place) = self.place.take() else {
+            return;
+        };
+        let request = self.request();
+        let now = self.now();
+        let waited_ms = now.millis_since(request.arrived);
+        if self.attempts.tried().is_empty() && place.has_waited() {
+            logs::emit(
+                events::WAIT_ENDED,
+                format_args!(
+                    "request={} upstream={} since_arrival_ms={waited_ms}",
+                    response::attempt_text(&request.head.attempt),
+                    placement.name
+                ),
+            );
+        }
+        let tokens = self.generation.estimate_tokens(0);
+        place.begin(now, request.team.as_deref(), tokens);
+    }
+
     /// Returns what to do if no engine was chosen.
     fn explain(&self, error: fleet::PlacementError) -> Next {
         let has_not_run = self.refusal == response::Refusal::NotTaken;
@@ -155,12 +279,13 @@
                 response::Refusal::Paused { retry_after_ms }
             }
             _error if self.attempts.has_arrived() => self.refusal,
-            fleet::PlacementError::Full | fleet::PlacementError::Limited { .. }
+            fleet::PlacementError::Full => return self.wait_or_refuse(false),
+            fleet::PlacementError::HeldBack => return self.wait_or_refuse(true),
+            fleet::PlacementError::Limited { .. }
                 if time::Instant::now() < self.capacity_deadline =>
             {
-                return Next::Wait;
+                return Next::Wait(LIMIT_POLL_INTERVAL);
             }
-            fleet::PlacementError::Full => response::Refusal::Full,
             fleet::PlacementError::Limited { retry_after_ms } => {
                 let service = &self.generation.service.name;
                 self.gateway.meters.count_limited(service);
@@ -274,6 +399,15 @@
     }
 }
 
+/// Returns the time that an engine needs for the first event of a prompt of this length.
+fn expected_first_event(tokens: u64) -> time::Duration {
+    /// Time without the prompt: transfers, the wait for the engine's step.
+    const BASE: time::Duration = time::Duration::from_millis(150);
+    /// Prompt tokens that an engine reads in a millisecond, beside its other work.
+    const TOKENS_PER_MS: u64 = 10;
+    BASE + time::Duration::from_millis(tokens / TOKENS_PER_MS)
+}
+
 /// Continues a generation at its copy after its engine failed without a response.
 async fn resume_at_copy(
     gateway: &gateway::Gateway,
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -36,6 +36,22 @@
     /// Answered requests with suspected subjects, since the previous report.
     #[prost(message, repeated, tag = "11")]
     pub successes: ::prost::alloc::vec::Vec<Success>,
+    /// Generations that wait at the gateway, by service; complete in each report with `has_loads`.
+    #[prost(message, repeated, tag = "14")]
+    pub waiting: ::prost::alloc::vec::Vec<Waiting>,
+}
+/// Generations that wait for the engines of a service.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Waiting {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Number of waiting generations by level of urgency; the first goes first.
+    #[prost(uint32, repeated, tag = "2")]
+    pub levels: ::prost::alloc::vec::Vec<u32>,
+    /// Generations that began in the last second.
+    #[prost(uint32, tag = "3")]
+    pub started: u32,
 }
 /// What requests have in common by which they may crash upstreams.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -162,6 +178,13 @@
     /// Requests that these gateways would have sent in the last second.
     #[prost(uint32, tag = "10")]
     pub limit_wanted: u32,
+    /// Estimated tokens that its running generations will hold, when each that has not ended has made another 128
+    /// output tokens.
+    #[prost(uint32, tag = "14")]
+    pub later_near: u32,
+    /// The same after 512 output tokens.
+    #[prost(uint32, tag = "15")]
+    pub later_far: u32,
 }
 /// Control host to gateway.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -208,6 +231,10 @@
     /// Evidence on what crashes upstreams that changed since the previous update.
     #[prost(message, repeated, tag = "14")]
     pub evidence: ::prost::alloc::vec::Vec<Evidence>,
+    /// Generations that wait at the other gateways that report to this host, by service; complete in each update
+    /// with `has_loads`.
+    #[prost(message, repeated, tag = "17")]
+    pub waiting: ::prost::alloc::vec::Vec<Waiting>,
 }
 /// The operators' routing document.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
