--- a/crates/core/src/curve.rs
+++ b/crates/core/src/curve.rs
@@ -90,6 +90,12 @@
         curves
     }
 
+    /// Returns the number of classes.
+    #[must_use]
+    pub fn count_classes(&self) -> usize {
+        self.curves.len()
+    }
+
     /// Returns the class of a model (or service) and team after recomputing its curve.
     pub fn class(&mut self, model: &str, team: &str) -> Class {
         let parent = self.model_class(model);
--- a/crates/core/src/output_forecast.rs
+++ b/crates/core/src/output_forecast.rs
@@ -44,6 +44,12 @@
         Class(self.curves.class(route, &name))
     }
 
+    /// Returns the number of classes that are kept.
+    #[must_use]
+    pub fn count_classes(&self) -> usize {
+        self.curves.count_classes()
+    }
+
     /// Records that an output has grown to `after` tokens from `before`.
     pub fn record_growth(&mut self, class: Class, before: u64, after: u64) {
         let Class(class) = class;
--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -13,9 +13,10 @@
 use crate::experiment::scenario;
 use crate::experiment::shedding;
 use crate::experiment::suite;
+use crate::experiment::waiting;
 
 const HELP: &str =
-    "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --limits | --shedding | --tainted)
+    "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --limits | --shedding | --tainted | --waiting)
   [--seeds N] [--load FACTOR] [--out DIR]";
 /// Scenarios that `--all` also runs with each mechanism disabled in turn.
 const ABLATED: [&str; 8] = [
@@ -41,6 +42,8 @@
     shedding: bool,
     /// Whether to play prompts that crash engines.
     tainted: bool,
+    /// Whether to play bursts at engines that are short of memory.
+    waiting: bool,
 }
 
 /// Runs the scenarios that the arguments select.
@@ -61,6 +64,7 @@
     let limits = arguments.contains("--limits");
     let shedding = arguments.contains("--shedding");
     let tainted = arguments.contains("--tainted");
+    let waiting = arguments.contains("--waiting");
     let one: Option<String> = parse(&mut arguments, "--scenario")?;
     let ablate: Option<String> = parse(&mut arguments, "--ablate")?;
     let load: Option<f64> = parse(&mut arguments, "--load")?;
@@ -77,6 +81,7 @@
         seeds,
         shedding,
         tainted,
+        waiting,
     };
     if all {
         options.compare = scenario::list_scenarios();
@@ -95,9 +100,9 @@
         scenario.traffic.load = load.unwrap_or(scenario.traffic.load);
     }
     let has_scenarios = !options.compare.is_empty() || !options.ablate.is_empty();
-    if !has_scenarios && !limits && !shedding && !tainted {
+    if !has_scenarios && !limits && !shedding && !tainted && !waiting {
         return Err(
-            "no scenario given: use --all, --scenario, --ablate, --limits, --shedding or --tainted"
+            "no scenario given: use --all, --scenario, --ablate, --limits, --shedding, --tainted or --waiting"
                 .to_owned(),
         );
     }
@@ -132,6 +137,9 @@
         text.push_str(&deadly_parts::report(options.seeds));
         text.push_str(&deadly_requests::report(options.seeds));
     }
+    if options.waiting {
+        (0..options.seeds).for_each(|seed| text.push_str(&waiting::report(seed)));
+    }
     for scenario in &options.compare {
         eprintln!("{}", scenario.name);
         let table = suite::run_scenario(scenario, &policy::COMPARED, options.seeds);
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -25,4 +25,5 @@
 pub mod simulation;
 pub mod suite;
 pub mod target;
+pub mod waiting;
 pub mod workload;
