--- a/crates/core/src/engine_room.rs
+++ b/crates/core/src/engine_room.rs
@@ -6,22 +6,27 @@
 //! The expected sums add up over gateways like the present ones.
 
 use rand::Rng;
+use rand::RngExt as _;
 
 use crate::balance;
+use crate::waiting;
 
-/// Output tokens ahead at which [`Later::near`] looks.
+/// Output tokens ahead up to which [`Later::near`] looks.
 pub const NEAR_TOKENS: u32 = 128;
-/// Output tokens ahead at which [`Later::far`] looks.
-pub const FAR_TOKENS: u32 = 512;
+/// Output tokens ahead up to which [`Later::far`] looks.
+pub const FAR_TOKENS: u32 = 1024;
 /// Share of an engine's memory that its generations may be expected to hold later.
 const MAX_LATER_SHARE: f64 = 1.0;
+/// Generations that look for a place, for each that takes one at the same time as others.
+const TAKERS_PER_PLACE: u64 = 2;
 
 /// Tokens that generations are expected to hold in an engine's memory later.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Later {
-    /// After [`FAR_TOKENS`] more output tokens of each that has not ended.
+    /// By those that last for more than [`NEAR_TOKENS`] output tokens, when they have grown as expected by
+    /// up to [`FAR_TOKENS`].
     pub far: u64,
-    /// After [`NEAR_TOKENS`] more output tokens of each that has not ended.
+    /// By all, when they have grown by up to [`NEAR_TOKENS`] output tokens and none has ended.
     pub near: u64,
 }
 
@@ -35,6 +40,12 @@
         }
     }
 
+    /// Returns the larger of both.
+    #[must_use]
+    pub fn peak(self) -> u64 {
+        self.far.max(self.near)
+    }
+
     /// Returns this without `part`, which must be contained in it.
     #[must_use]
     pub fn minus(self, part: Later) -> Later {
@@ -48,14 +59,46 @@
 /// What a generation that is to begin needs.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Need {
-    /// Waiting generations of all gateways that go first.
+    /// Waiting generations of other gateways that go first.
     pub ahead: u32,
+    /// Generations of other gateways that look for room as well and may not have been seen.
+    pub beside: u32,
+    /// Whether it may take room at an engine that another gateway prefers, or has done so in vain since
+    /// it last heard of the others.
+    pub may_draw: bool,
     /// Tokens that it is expected to hold later.
     pub later: Later,
     /// Tokens that it holds at its beginning.
     pub tokens: u64,
 }
 
+impl Need {
+    /// Returns the need of a generation whose turn it is.
+    #[must_use]
+    pub fn new(turn: waiting::Turn, later: Later, tokens: u64) -> Need {
+        match turn {
+            waiting::Turn::Begin {
+                ahead,
+                beside,
+                is_news,
+            } => Need {
+                ahead,
+                beside,
+                later,
+                may_draw: is_news,
+                tokens,
+            },
+            waiting::Turn::Wait => Need {
+                ahead: u32::MAX,
+                beside: 0,
+                later,
+                may_draw: false,
+                tokens,
+            },
+        }
+    }
+}
+
 /// Result of a choice between engines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice<K> {
@@ -91,35 +134,59 @@
     }
     let fitting = candidates
         .iter()
-        .filter(|candidate| fits_later(candidate, need.later));
+        .filter(|candidate| fits_later(candidate, need));
     let fitting: Vec<balance::Candidate<K>> = fitting.copied().collect();
-    let chosen = match balance::choose_engine(&fitting, need.tokens, random) {
-        balance::Choice::Full | balance::Choice::NoCandidates => return Choice::Full,
-        balance::Choice::Take(key) => key,
-    };
-    let has_place = need.ahead == 0 || count_places(&fitting, need.tokens) > u64::from(need.ahead);
-    match has_place {
-        true => Choice::Take(chosen),
-        false => Choice::HeldBack,
+    if fitting.is_empty() {
+        return Choice::Full;
+    }
+    // One that fits has a place, if its size is above the memory.
+    let places = count_places(&fitting, need).max(1);
+    if places <= u64::from(need.ahead) && need.ahead > 0 {
+        return match balance::choose_engine(&fitting, need.tokens, random) {
+            balance::Choice::Full | balance::Choice::NoCandidates => Choice::Full,
+            balance::Choice::Take(_key) => Choice::HeldBack,
+        };
+    }
+    if draw(places, need, random) {
+        return balance::choose_engine(&fitting, need.tokens, random).into();
+    }
+    let own = fitting.iter().filter(|candidate| candidate.is_own);
+    let own: Vec<balance::Candidate<K>> = own.copied().collect();
+    match balance::choose_engine(&own, need.tokens, random) {
+        balance::Choice::Take(key) => Choice::Take(key),
+        balance::Choice::Full | balance::Choice::NoCandidates => Choice::HeldBack,
+    }
+}
+
+/// Decides whether a generation takes any engine with room. Where there are fewer places than
+/// generations that look for one, all gateways would take the same few: each takes one with the
+/// probability with which half of the places are taken, until it hears what the others took.
+fn draw<R: Rng + ?Sized>(places: u64, need: Need, random: &mut R) -> bool {
+    let left = places.saturating_sub(u64::from(need.ahead));
+    let wanted = TAKERS_PER_PLACE * u64::from(need.beside) + 1;
+    if left >= wanted {
+        return true;
     }
+    need.may_draw && random.random_range(0..wanted) < left
 }
 
-fn fits_later<K>(candidate: &balance::Candidate<K>, later: Later) -> bool {
+fn fits_later<K>(candidate: &balance::Candidate<K>, need: Need) -> bool {
     let load = candidate.load;
     // An engine without running generations has room for any that it accepts at all.
     if load.running == 0 {
         return true;
     }
-    let held = load.later.plus(later);
-    balance::ratio(held.near.max(held.far) + load.copied, candidate.memory) <= MAX_LATER_SHARE
+    let held = load.later.plus(need.later).peak() + load.copied;
+    balance::ratio(held, candidate.memory) <= MAX_LATER_SHARE
 }
 
-/// Returns how many generations of this size the engines have room for now.
-fn count_places<K>(candidates: &[balance::Candidate<K>], tokens: u64) -> u64 {
+/// Returns how many generations of this size the engines have room for.
+fn count_places<K>(candidates: &[balance::Candidate<K>], need: Need) -> u64 {
+    let size = need.later.peak().max(need.tokens);
     let places = candidates.iter().map(|candidate| {
         let load = candidate.load;
-        let held = load.tokens + load.copied;
-        let by_memory = candidate.memory.saturating_sub(held) / tokens.max(1);
+        let held = load.later.peak().max(load.tokens) + load.copied;
+        let by_memory = candidate.memory.saturating_sub(held) / size.max(1);
         let by_slots = u64::from(candidate.slots.saturating_sub(load.running));
         by_memory.min(by_slots)
     });
--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -28,10 +28,14 @@
 const TURN_OF_OLDEST: u32 = 8;
 /// Generations begun in a second from which on they tell how long a wait takes.
 const MIN_STARTED: u32 = 8;
+/// Age of what a gateway knows of the others: two periods of the exchange, in milliseconds.
+const UNSEEN_MS: u64 = 100;
 /// Age from which on the figures of other gateways are not used, in milliseconds.
 const MAX_AGE_MS: u64 = 600;
-/// Lowest level of generations of teams that are above their share.
-const ABOVE_SHARE_LEVEL: usize = 6;
+/// Lowest priority that is told apart.
+const LAST_RANK: usize = 2;
+/// Place of generations of teams that are above their share, behind those of all priorities.
+const ABOVE_SHARE_PLACE: usize = 3;
 
 /// A generation that waits for room.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -49,20 +53,17 @@
 }
 
 impl Waiter {
-    /// Returns its level. A pressing one goes before one of the next higher priority that has time.
+    /// Returns its level. All pressing ones go before those that have time.
     #[must_use]
     pub fn level(&self, now: Instant) -> usize {
         let is_pressing = self.latest_start.millis_since(now) <= PRESSING_MS;
-        let rank = self.rank.min(2);
-        match (self.is_above_share, is_pressing, rank) {
-            (true, true, _rank) => ABOVE_SHARE_LEVEL,
-            (true, false, _rank) => ABOVE_SHARE_LEVEL + 1,
-            (false, true, 0) => 0,
-            (false, true, 1) => 1,
-            (false, false, 0) => 2,
-            (false, true, _rank) => 3,
-            (false, false, 1) => 4,
-            (false, false, _rank) => 5,
+        let place = match self.is_above_share {
+            true => ABOVE_SHARE_PLACE,
+            false => usize::try_from(self.rank).map_or(LAST_RANK, |rank| rank.min(LAST_RANK)),
+        };
+        match is_pressing {
+            true => place,
+            false => LEVELS / 2 + place,
         }
     }
 }
@@ -103,6 +104,12 @@
         }
     }
 
+    /// Returns how many generations have probably begun that are not in the loads yet.
+    fn count_unseen(&self) -> u32 {
+        let unseen = u64::from(self.started) * UNSEEN_MS / 1000;
+        u32::try_from(unseen).unwrap_or(u32::MAX)
+    }
+
     /// Returns how many wait in the levels that `levels` covers.
     fn count(&self, levels: core::ops::Range<usize>) -> u32 {
         let waiting = self.waiting[levels].iter();
@@ -133,11 +140,24 @@
     Begin {
         /// Generations at other gateways that go first.
         ahead: u32,
+        /// Generations at other gateways that look for room as well.
+        beside: u32,
+        /// Whether the gateway has heard of the others since the generation last looked.
+        is_news: bool,
     },
     /// Others of this gateway go first.
     Wait,
 }
 
+impl Turn {
+    /// Turn of a generation that nothing else is to be left room by.
+    pub const ALONE: Turn = Turn::Begin {
+        ahead: 0,
+        beside: 0,
+        is_news: true,
+    };
+}
+
 /// How long a generation waits that can't begin now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Patience {
@@ -156,6 +176,8 @@
     has_waited: bool,
     /// Since when there has been room for it that was left to others.
     held_back: Option<Instant>,
+    /// When the figures of the others were received that were known when it last looked.
+    looked: Option<Instant>,
     waiter: Waiter,
 }
 
@@ -179,6 +201,7 @@
         self.places.insert(Place {
             has_waited: false,
             held_back: None,
+            looked: None,
             waiter,
         })
     }
@@ -197,8 +220,9 @@
     }
 
     /// Records that a generation can't begin now, and whether there was room that was left to others.
-    pub fn record_wait(&mut self, now: Instant, key: Key, is_held_back: bool) {
+    pub fn record_wait(&mut self, now: Instant, key: Key, others: &Others, is_held_back: bool) {
         if let Some(place) = self.places.get_mut(key) {
+            place.looked = Some(others.received);
             place.has_waited = true;
             let since = place.held_back.unwrap_or(now);
             place.held_back = is_held_back.then_some(since);
@@ -226,9 +250,15 @@
     #[must_use]
     pub fn turn(&self, now: Instant, key: Key, others: &Others) -> Turn {
         match self.places.get(key) {
-            Some(place) if self.first(now) == Some(key) => Turn::Begin {
-                ahead: self.count_ahead(now, place, others.current(now)),
-            },
+            Some(place) if self.first(now) == Some(key) => {
+                let figures = self.relevant_others(now, place, others);
+                let level = place.waiter.level(now);
+                Turn::Begin {
+                    ahead: figures.count(0..level),
+                    beside: figures.count(level..level + 1) + figures.count_unseen(),
+                    is_news: place.looked != Some(others.received),
+                }
+            }
             Some(_) | None => Turn::Wait,
         }
     }
@@ -268,14 +298,15 @@
         self.begun % TURN_OF_OLDEST == TURN_OF_OLDEST - 1
     }
 
-    fn count_ahead(&self, now: Instant, place: &Place, others: Option<Figures>) -> u32 {
+    /// Returns the figures of the others that a generation leaves room to.
+    fn relevant_others(&self, now: Instant, place: &Place, others: &Others) -> Figures {
         let was_held_back = place
             .held_back
             .is_some_and(|since| now >= since + MAX_HELD_BACK);
         if was_held_back || self.is_turn_of_oldest() {
-            return 0;
+            return Figures::default();
         }
-        others.map_or(0, |figures| figures.count(0..place.waiter.level(now)))
+        others.current(now).unwrap_or_default()
     }
 
     /// Returns the time until it is the turn of a generation, by the rate at which generations begin at
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -151,7 +151,7 @@
         let state = self.room.lock();
         let others = state.others_of(&self.service);
         let service = state.services.get(&self.service);
-        service.map_or(waiting::Turn::Begin { ahead: 0 }, |service| {
+        service.map_or(waiting::Turn::Wait, |service| {
             service.queue.turn(now, self.key, &others)
         })
     }
@@ -163,7 +163,9 @@
         let Some(service) = state.services.get_mut(&self.service) else {
             return waiting::Patience::Keep;
         };
-        service.queue.record_wait(now, self.key, is_held_back);
+        service
+            .queue
+            .record_wait(now, self.key, &others, is_held_back);
         let started = service.started.count(now, &STARTED_WINDOW);
         service.queue.patience(now, self.key, &others, started)
     }
--- a/crates/gateway/src/starting.rs
+++ b/crates/gateway/src/starting.rs
@@ -114,11 +114,11 @@
         if let Some(refusal) = self.check_quarantine() {
             return Next::Refuse(refusal);
         }
-        let ahead = match self.take_turn() {
-            waiting::Turn::Begin { ahead } => ahead,
-            waiting::Turn::Wait => return self.wait_or_refuse(false),
-        };
-        let placement = match self.choose(ahead) {
+        let turn = self.take_turn();
+        if turn == waiting::Turn::Wait {
+            return self.wait_or_refuse(false);
+        }
+        let placement = match self.choose(turn) {
             Ok(placement) => placement,
             Err(error) => return self.explain(error),
         };
@@ -161,7 +161,7 @@
         &self.generation.request
     }
 
-    fn choose(&self, ahead: u32) -> Result<placement::Placement, fleet::PlacementError> {
+    fn choose(&self, turn: waiting::Turn) -> Result<placement::Placement, fleet::PlacementError> {
         let generation = self.generation;
         let fleet = &self.gateway.fleet;
         let tokens = generation.estimate_tokens(0);
@@ -173,11 +173,8 @@
             tokens,
         };
         let later = |forecasts: &mut _| generation.later(forecasts, 0);
-        let need = engine_room::Need {
-            ahead,
-            later: fleet.room.with_forecasts(later),
-            tokens,
-        };
+        let later = fleet.room.with_forecasts(later);
+        let need = engine_room::Need::new(turn, later, tokens);
         fleet.place_generation(criteria, need)
     }
 
@@ -188,7 +185,7 @@
     /// Returns whether it is the generation's turn. One that may have run does not wait.
     fn take_turn(&mut self) -> waiting::Turn {
         if self.attempts.has_arrived() {
-            return waiting::Turn::Begin { ahead: 0 };
+            return waiting::Turn::ALONE;
         }
         let now = self.now();
         self.changes.mark_unchanged();
@@ -198,7 +195,7 @@
             self.place = Some(self.gateway.fleet.room.join(service, waiter));
         }
         let place = self.place.as_ref();
-        place.map_or(waiting::Turn::Begin { ahead: 0 }, |place| place.turn(now))
+        place.map_or(waiting::Turn::ALONE, |place| place.turn(now))
     }
 
     fn describe(&self, now: Instant) -> waiting::Waiter {
