--- a/crates/core/src/engine_room.rs
+++ b/crates/core/src/engine_room.rs
@@ -17,6 +17,10 @@
 pub const FAR_TOKENS: u32 = 1024;
 /// Share of an engine's memory that its generations may be expected to hold later.
 const MAX_LATER_SHARE: f64 = 1.0;
+/// Tokens of waiting prompts behind which a generation with a shorter prompt is not sent. An engine reads
+/// them in some hundred milliseconds, so it always has one to read; what waits at a gateway instead of
+/// behind them can still be overtaken by more urgent ones.
+const MAX_QUEUED_TOKENS: u64 = 3000;
 /// Generations that look for a place, for each that takes one at the same time as others.
 const TAKERS_PER_PLACE: u64 = 2;
 
@@ -134,7 +138,7 @@
     }
     let fitting = candidates
         .iter()
-        .filter(|candidate| fits_later(candidate, need));
+        .filter(|candidate| fits_later(candidate, need) && has_short_queue(candidate, need));
     let fitting: Vec<balance::Candidate<K>> = fitting.copied().collect();
     if fitting.is_empty() {
         return Choice::Full;
@@ -180,6 +184,10 @@
     balance::ratio(held, candidate.memory) <= MAX_LATER_SHARE
 }
 
+fn has_short_queue<K>(candidate: &balance::Candidate<K>, need: Need) -> bool {
+    candidate.load.waiting <= MAX_QUEUED_TOKENS.max(need.tokens)
+}
+
 /// Returns how many generations of this size the engines have room for.
 fn count_places<K>(candidates: &[balance::Candidate<K>], need: Need) -> u64 {
     let size = need.later.peak().max(need.tokens);
@@ -188,7 +196,9 @@
         let held = load.later.peak().max(load.tokens) + load.copied;
         let by_memory = candidate.memory.saturating_sub(held) / size.max(1);
         let by_slots = u64::from(candidate.slots.saturating_sub(load.running));
-        by_memory.min(by_slots)
+        let queue = MAX_QUEUED_TOKENS.max(need.tokens);
+        let by_queue = queue.saturating_sub(load.waiting) / need.tokens.max(1) + 1;
+        by_memory.min(by_slots).min(by_queue)
     });
     places.sum()
 }
