--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod rollout;
 pub mod settings;
 pub mod signals;
+pub mod waiting;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -48,6 +48,10 @@
     logs::Event::warn(6053, "peer too slow, its request or response ended");
 pub(crate) const UNSENT_UNBOUNDED: logs::Event =
     logs::Event::warn(6054, "unsent bytes of peers not bounded");
+pub(crate) const WAIT_ENDED: logs::Event =
+    logs::Event::info(6048, "generation begins after a wait for room");
+pub(crate) const WAIT_REFUSED: logs::Event =
+    logs::Event::info(6049, "generation refused, no room in time");
 pub(crate) const REQUEST_BROKEN_OFF: logs::Event =
     logs::Event::warn(6031, "request broken off by its upstream");
 pub(crate) const TRANSFER_RECEIVED: logs::Event =
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod response_body;
 mod retries;
 mod rollout;
+mod room;
 pub mod run;
 mod server;
 pub mod settings;
--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -15,10 +15,11 @@
 use crate::experiment::scenario;
 use crate::experiment::shedding;
 use crate::experiment::suite;
+use crate::experiment::waiting;
 
 const HELP: &str =
     "usage: peargap-load experiment (--all | --scenario NAME | --ablate NAME | --limits | --pace | --rollouts | --shedding
-  | --tainted)
+  | --tainted | --waiting)
   [--seeds N] [--load FACTOR] [--out DIR]";
 /// Scenarios that `--all` also runs with each mechanism disabled in turn.
 const ABLATED: [&str; 8] = [
@@ -48,6 +49,8 @@
     shedding: bool,
     /// Whether to play prompts that crash engines.
     tainted: bool,
+    /// Whether to play bursts at engines that are short of memory.
+    waiting: bool,
 }
 
 /// Runs the scenarios that the arguments select.
@@ -70,6 +73,7 @@
     let rollouts = arguments.contains("--rollouts");
     let shedding = arguments.contains("--shedding");
     let tainted = arguments.contains("--tainted");
+    let waiting = arguments.contains("--waiting");
     let one: Option<String> = parse(&mut arguments, "--scenario")?;
     let ablate: Option<String> = parse(&mut arguments, "--ablate")?;
     let load: Option<f64> = parse(&mut arguments, "--load")?;
@@ -88,6 +92,7 @@
         seeds,
         shedding,
         tainted,
+        waiting,
     };
     if all {
         options.compare = scenario::list_scenarios();
@@ -106,10 +111,10 @@
         scenario.traffic.load = load.unwrap_or(scenario.traffic.load);
     }
     let has_scenarios = !options.compare.is_empty() || !options.ablate.is_empty();
-    if !has_scenarios && !limits && !pace && !rollouts && !shedding && !tainted {
+    if !has_scenarios && !limits && !pace && !rollouts && !shedding && !tainted && !waiting {
         return Err(
-            "no scenario given: use --all, --scenario, --ablate, --limits, --pace, --rollouts, --shedding or \
-             --tainted"
+            "no scenario given: use --all, --scenario, --ablate, --limits, --pace, --rollouts, --shedding, \
+             --tainted or --waiting"
                 .to_owned(),
         );
     }
@@ -150,6 +155,9 @@
     if options.rollouts {
         text.push_str(&rollouts::report(options.seeds));
     }
+    if options.waiting {
+        (0..options.seeds).for_each(|seed| text.push_str(&waiting::report(seed)));
+    }
     for scenario in &options.compare {
         eprintln!("{}", scenario.name);
         let table = suite::run_scenario(scenario, &policy::COMPARED, options.seeds);
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -43,6 +43,9 @@
     /// Times of answers that this gateway has observed since the previous report.
     #[prost(message, repeated, tag = "13")]
     pub observations: ::prost::alloc::vec::Vec<Observation>,
+    /// Generations that wait at the gateway, by service; complete in each report with `has_loads`.
+    #[prost(message, repeated, tag = "14")]
+    pub waiting: ::prost::alloc::vec::Vec<Waiting>,
     /// Complete counts of each rollout in progress, for a host that asks for them; set when they changed.
     #[prost(message, repeated, tag = "15")]
     pub rollouts: ::prost::alloc::vec::Vec<RolloutCounts>,
@@ -197,6 +200,19 @@
     #[prost(uint32, repeated, tag = "5")]
     pub pause: ::prost::alloc::vec::Vec<u32>,
 }
+/// Generations that wait for the engines of a service.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Waiting {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Number of waiting generations by level of urgency; the first goes first.
+    #[prost(uint32, repeated, tag = "2")]
+    pub levels: ::prost::alloc::vec::Vec<u32>,
+    /// Generations that began in the last second.
+    #[prost(uint32, tag = "3")]
+    pub started: u32,
+}
 /// What requests have in common by which they may crash upstreams.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Subject {
@@ -325,6 +341,13 @@
     /// Requests that these gateways would have sent in the last second.
     #[prost(uint32, tag = "10")]
     pub limit_wanted: u32,
+    /// Estimated tokens that its running generations will hold, when each that has not ended has made another 128
+    /// output tokens.
+    #[prost(uint32, tag = "14")]
+    pub later_near: u32,
+    /// The same after 512 output tokens.
+    #[prost(uint32, tag = "15")]
+    pub later_far: u32,
 }
 /// Control host to gateway.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -377,6 +400,10 @@
     /// Paces of upstreams that changed since the previous update.
     #[prost(message, repeated, tag = "16")]
     pub paces: ::prost::alloc::vec::Vec<Pace>,
+    /// Generations that wait at the other gateways that report to this host, by service; complete in each update
+    /// with `has_loads`.
+    #[prost(message, repeated, tag = "17")]
+    pub waiting: ::prost::alloc::vec::Vec<Waiting>,
     /// The rollouts; set when they changed since the previous update.
     #[prost(message, optional, tag = "18")]
     pub rollouts: ::core::option::Option<Rollouts>,
