--- a/crates/gateway/tests/slow_callers.rs
+++ b/crates/gateway/tests/slow_callers.rs
@@ -10,8 +10,6 @@
 
 /// Events of an answer that is longer than what the buffers of the system take.
 const MANY_EVENTS: u64 = 1 << 10;
-/// Memory of the host.
-const HOST_BYTES: u64 = 88_000_000;
 /// Callers that read a piece of 1 KB each second, and the rest at once after a time.
 const SLOW_CALLERS: usize = 500;
 const SLOW_EVENTS: u64 = 4;
@@ -74,13 +72,7 @@
         assert_eq!(answer, slow::Answer::Complete(expected));
     }
     assert_eq!(engine.count_cut_off(), 0);
-    let peak = fixture
-        .program
-        .as_ref()
-        .expect("a program")
-        .read_peak_bytes();
-    println!("peak={peak}");
-    assert!(peak < HOST_BYTES, "{peak} bytes were resident");
+    fixture.program.as_ref().expect("a program").assert_peak();
     beside.assert_unchanged(alone);
     for caller in stalled {
         caller.abort();
--- a/crates/gateway/tests/slow_upstreams.rs
+++ b/crates/gateway/tests/slow_upstreams.rs
@@ -8,8 +8,6 @@
 use support::slow;
 use support::Fixture;
 
-/// Memory of the host.
-const HOST_BYTES: u64 = 88_000_000;
 /// Time between two reads of a slow upstream: longer than a connection may stay unacknowledged.
 const READ_INTERVAL: time::Duration = time::Duration::from_millis(1700);
 /// Requests that their upstream reads slowly, in four pieces.
@@ -45,13 +43,7 @@
     for request in slow_requests {
         assert_eq!(request.await.expect("a caller"), "200");
     }
-    let peak = fixture
-        .program
-        .as_ref()
-        .expect("a program")
-        .read_peak_bytes();
-    println!("peak={peak}");
-    assert!(peak < HOST_BYTES, "{peak} bytes were resident");
+    fixture.program.as_ref().expect("a program").assert_peak();
     beside.assert_unchanged(alone);
     for request in stalled {
         request.abort();
--- a/crates/gateway/tests/support/program.rs
+++ b/crates/gateway/tests/support/program.rs
@@ -5,6 +5,9 @@
 
 use peargap_gateway::settings;
 
+/// Memory of the host of which the fixture's settings tell, in bytes.
+const HOST_BYTES: u64 = 88_000_000;
+
 /// A running gateway; killed when dropped.
 #[derive(Debug)]
 pub(crate) struct Program {
@@ -36,8 +39,15 @@
         }
     }
 
+    /// Checks that it never had more memory resident than the host has.
+    pub(crate) fn assert_peak(&self) {
+        let peak = self.read_peak_bytes();
+        println!("peak={peak}");
+        assert!(peak < HOST_BYTES, "{peak} bytes were resident");
+    }
+
     /// Returns the most memory that it has had resident so far, in bytes.
-    pub(crate) fn read_peak_bytes(&self) -> u64 {
+    fn read_peak_bytes(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.expect("a status");
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
