--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod crash;
 mod documents;
 mod events;
+mod explain;
 mod fleet;
 mod fleet_state;
 mod follow;
