--- a/crates/adapters/src/load.rs
+++ b/crates/adapters/src/load.rs
@@ -2,6 +2,7 @@
 
 use peargap_core::balance;
 use peargap_core::rate_limit;
+use peargap_core::slow_start;
 use peargap_wire::fleet as wire;
 
 /// Returns the load in a message.
@@ -17,6 +18,11 @@
         },
         refusing: load.refusing,
         running: load.running,
+        starting: slow_start::Counts {
+            in_time: load.starting_in_time,
+            setbacks: load.starting_setbacks,
+            wanted: load.starting_wanted,
+        },
         tokens: u64::from(load.tokens),
         waiting: u64::from(load.waiting),
     }
@@ -35,6 +41,9 @@
         limit_wanted: load.limited.wanted,
         refusing: load.refusing,
         running: load.running,
+        starting_in_time: load.starting.in_time,
+        starting_setbacks: load.starting.setbacks,
+        starting_wanted: load.starting.wanted,
         tokens: narrow(load.tokens),
         upstream: upstream.to_owned(),
         waiting: narrow(load.waiting),
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -10,6 +10,7 @@
 
 use crate::pace;
 use crate::rate_limit;
+use crate::slow_start;
 
 /// Share of an engine's memory that generations and copies may hold by estimate. It is a little
 /// above 1 because some of them end before the request's prompt is processed.
@@ -73,6 +74,8 @@
     pub refusing: u32,
     /// Requests that run or wait.
     pub running: u32,
+    /// What gateways have seen of its answers since it started; nothing once its start is over.
+    pub starting: slow_start::Counts,
     /// Tokens held by running generations.
     pub tokens: u64,
     /// Tokens of prompts that are not processed yet.
@@ -95,6 +98,7 @@
             limited: self.limited.plus(other.limited),
             refusing: self.refusing + other.refusing,
             running: self.running + other.running,
+            starting: self.starting.plus(other.starting),
             tokens: self.tokens + other.tokens,
             waiting: self.waiting + other.waiting,
         }
@@ -109,6 +113,7 @@
             limited: self.limited.minus(part.limited),
             refusing: self.refusing - part.refusing,
             running: self.running - part.running,
+            starting: self.starting.minus(part.starting),
             tokens: self.tokens - part.tokens,
             waiting: self.waiting - part.waiting,
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,6 +55,7 @@
 mod running;
 pub mod seen;
 pub mod selection;
+pub mod slow_start;
 pub mod sse;
 pub mod table;
 pub mod time;
--- a/crates/core/tests/load_totals.rs
+++ b/crates/core/tests/load_totals.rs
@@ -3,6 +3,7 @@
 use peargap_core::balance;
 use peargap_core::load_totals;
 use peargap_core::rate_limit;
+use peargap_core::slow_start;
 
 const UPSTREAMS: [&str; 4] = ["a", "b", "c", "d"];
 
@@ -17,6 +18,11 @@
         },
         refusing: amount / 3,
         running: amount,
+        starting: slow_start::Counts {
+            in_time: amount,
+            setbacks: amount % 2,
+            wanted: amount * 2,
+        },
         tokens: u64::from(amount) * 7,
         waiting: u64::from(amount % 2),
     }
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -20,6 +20,8 @@
     Broken,
     /// Other gateways and this one send as many as it takes: it names a limit.
     Limited,
+    /// It has just started and has as many requests as its answers allow.
+    Starting,
     /// It is in a pause that it asked for, or in a cold start and has its rate of requests.
     NotNow,
 }
@@ -45,6 +47,9 @@
         if let breaker::Decision::Reject { .. } = upstream.breaker.check(now) {
             return Admission::Broken;
         }
+        if !upstream.allows_start_request(now, criteria.purpose, random) {
+            return Admission::Starting;
+        }
         match self.is_within_limit(now, upstream, index, criteria.purpose, random) {
             true => Admission::Allow,
             false => Admission::Limited,
@@ -68,15 +73,21 @@
         let untried = ready.filter(|(_index, (key, _upstream))| !criteria.exclude.contains(key));
         let mut allowed = Vec::new();
         let mut broken = Vec::new();
+        let mut starting = Vec::new();
         let mut has_limited = false;
         for (index, (key, upstream)) in untried {
             match self.admit(now, &criteria, index, upstream, &mut random) {
                 Admission::Allow => allowed.push((index, key, upstream)),
                 Admission::Broken => broken.push((index, key, upstream)),
                 Admission::Limited => has_limited = true,
+                Admission::Starting => starting.push((index, key, upstream)),
                 Admission::NotNow => {}
             }
         }
+        // Nothing is refused because upstreams have just started.
+        if allowed.is_empty() && !has_limited {
+            allowed = starting;
+        }
         // If every upstream fails, each may still serve some requests.
         if allowed.is_empty() && !has_limited {
             allowed = broken;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -46,4 +46,5 @@
     logs::Event::info(6033, "trial of a request in quarantine");
 pub(crate) const REQUEST_BROKEN_OFF: logs::Event =
     logs::Event::warn(6031, "request broken off by its upstream");
+pub(crate) const START_OVER: logs::Event = logs::Event::info(6045, "start of an upstream over");
 pub(crate) const PACE_CHANGED: logs::Event = logs::Event::debug(6044, "upstream pace changed");
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -258,6 +258,9 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.record_wanted(now, &criteria);
+        if load.running > 0 {
+            state.record_start_wanted(now, &criteria);
+        }
         let candidates = state.list_candidates(now, criteria, &self.domain);
         let key = match choose(&candidates) {
             balance::Choice::Full => return Err(PlacementError::Full),
@@ -284,7 +287,8 @@
             }
         }
         let stride = criteria.service.engine.map(|engine| engine.stride);
-        let timing = placement::Timing::start(now, stride);
+        let objective_ms = criteria.need.objective_ms;
+        let timing = placement::Timing::start(now, stride, objective_ms);
         let placement = placement::Placement::reserve(self, key, upstream, load, view, timing);
         Ok(placement)
     }
@@ -294,6 +298,9 @@
         let now = self.clock.now();
         if let Some(upstream) = self.lock().upstreams.get_mut(key) {
             upstream.record_refusal(now, outcome == Outcome::Failed);
+            if outcome != Outcome::Succeeded {
+                upstream.record_start_answer(now, false);
+            }
             match outcome {
                 Outcome::Absent => upstream.breaker.record_absence(now),
                 Outcome::Broken => upstream.breaker.record_break(now),
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -17,6 +17,7 @@
 use peargap_core::rate_limit;
 use peargap_core::retry_budget;
 use peargap_core::routes;
+use peargap_core::slow_start;
 use peargap_core::time;
 use peargap_core::upstreams;
 use slotmap::SlotMap;
@@ -29,6 +30,9 @@
 /// Time after which an upstream that takes no work and is no longer heard of is removed, in
 /// milliseconds.
 const FORGET_MS: u64 = 30_000;
+/// Time after the first upstream of a service within which those that have been serving become
+/// known too.
+const ALL_KNOWN_TIME: core::time::Duration = core::time::Duration::from_secs(3);
 
 /// State that is shared by all clones of a [`fleet::Fleet`].
 #[derive(Debug, Default)]
@@ -116,6 +120,7 @@
         address: net::SocketAddr,
         status: upstreams::Status,
     ) -> upstreams::Outcome {
+        let is_new_among_known = self.knows_for_long(now, &status.service);
         let cold_until = now + core::time::Duration::from_millis(status.cold_ms);
         let known = self.names.get(&status.name).copied();
         let known = known.and_then(|key| self.upstreams.get_mut(key));
@@ -135,6 +140,9 @@
                 pause_end: None,
                 refused_at: None,
                 remote_load: balance::Load::default(),
+                starting: is_new_among_known.then(slow_start::Starter::default),
+                started_at: None,
+                known_since: now,
                 local_load: balance::Load::default(),
                 pool: sync::Arc::new(pool::Pool::new(address)),
                 status,
@@ -156,17 +164,32 @@
             known.limit_per_s = self.limits.get(&status.name, status.edition.born_ms);
             known.limiter = rate_limit::Limiter::default();
             known.observed = pace::Samples::default();
+            known.starting = Some(slow_start::Starter::default());
+            known.started_at = None;
             known.pace = pace::Pace::default();
             known.pause_end = None;
             known.refused_at = None;
             known.pool = sync::Arc::new(pool::Pool::new(address));
         }
+        let is_cold_again = status.cold_ms > 0 && now >= known.cold_until;
+        if is_same_process && is_cold_again {
+            known.starting = Some(slow_start::Starter::default());
+            known.started_at = None;
+        }
         known.cold_until = cold_until;
         known.last_heard = now;
         known.status = status;
         outcome
     }
 
+    /// Returns whether the gateway has known an upstream of this service for so long that it would
+    /// know the others, had they not just started.
+    fn knows_for_long(&self, now: time::Instant, service: &str) -> bool {
+        self.upstreams.values().any(|upstream| {
+            upstream.status.service == service && now >= upstream.known_since + ALL_KNOWN_TIME
+        })
+    }
+
     fn forget(&mut self, now: time::Instant) {
         let names = &mut self.names;
         self.upstreams.retain(|_key, upstream| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod run;
 mod server;
 pub mod settings;
+mod slow_start;
 mod source;
 mod starting;
 mod startup;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -48,7 +48,10 @@
     /// Returns the load from this gateway on each upstream that has any.
     pub(crate) fn list_local_loads(&self) -> Vec<wire::Load> {
         let now = self.clock.now();
-        let state = self.lock();
+        let mut state = self.lock();
+        for upstream in state.upstreams.values_mut() {
+            upstream.update_start(now);
+        }
         let is_failing = |upstream: &upstream::Upstream| {
             upstream.breaker.is_upstream_failing() || upstream.paused_until(now).is_some()
         };
@@ -57,6 +60,7 @@
                 || is_failing(upstream)
                 || upstream.limit_per_s.is_some()
                 || upstream.is_refusing(now)
+                || upstream.starting.is_some()
         });
         let gateways = state.sharers.count();
         let loads = with_load.map(|upstream| {
@@ -68,6 +72,11 @@
                 failing: u32::from(is_failing(upstream)),
                 limited: limited.unwrap_or_default(),
                 refusing: u32::from(upstream.is_refusing(now)),
+                starting: upstream
+                    .starting
+                    .as_ref()
+                    .map(|starting| starting.report(now))
+                    .unwrap_or_default(),
                 tokens: round_up(upstream.local_load.tokens),
                 ..upstream.local_load
             };
--- a/crates/gateway/src/paces.rs
+++ b/crates/gateway/src/paces.rs
@@ -16,11 +16,19 @@
 
 impl fleet::Fleet {
     /// Records how long one start of an upstream took for a first event or a plain call, as a ratio
-    /// to its reference.
-    pub(crate) fn record_first(&self, key: fleet::UpstreamKey, born_ms: u64, ratio: f64) {
+    /// to its reference, and whether that was in time.
+    pub(crate) fn record_first(
+        &self,
+        key: fleet::UpstreamKey,
+        born_ms: u64,
+        ratio: f64,
+        is_in_time: bool,
+    ) {
+        let now = self.clock.now();
         if let Some(upstream) = self.lock().upstreams.get_mut(key) {
             if upstream.is_start(born_ms) {
                 upstream.observed.first.record(ratio);
+                upstream.record_start_answer(now, is_in_time);
             }
         }
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -65,6 +65,8 @@
 /// Times of the answer to a request, for the pace of its upstream.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Timing {
+    /// Time in which the answer has to begin, in milliseconds.
+    objective_ms: u64,
     pauses: pace::Pauses,
     sent_at: Instant,
     /// Tokens in an event; `None` for plain calls.
@@ -73,8 +75,9 @@
 
 impl Timing {
     /// Returns the timing of a request that is sent now.
-    pub(crate) fn start(now: Instant, stride: Option<u64>) -> Timing {
+    pub(crate) fn start(now: Instant, stride: Option<u64>, objective_ms: u64) -> Timing {
         Timing {
+            objective_ms,
             pauses: pace::Pauses::default(),
             sent_at: now,
             stride,
@@ -144,9 +147,11 @@
             Some(_stride) => pace::first_reference_ms(self.view.load.waiting + self.load.waiting),
             None => pace::call_reference_ms(self.view.load.running.saturating_add(1), self.slots),
         };
+        let is_in_time = waited_ms <= self.timing.objective_ms;
         let waited_ms = f64::from(u32::try_from(waited_ms).unwrap_or(u32::MAX));
         let ratio = waited_ms / reference_ms;
-        self.fleet.record_first(self.key, self.born_ms, ratio);
+        self.fleet
+            .record_first(self.key, self.born_ms, ratio, is_in_time);
     }
 
     /// Records for the engine's pace the time between two of its events, in milliseconds.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -65,7 +65,10 @@
         let criteria = fleet::Criteria {
             exclude: attempts.tried(),
             near: None,
-            need: pace::Need::default(),
+            need: pace::Need {
+                objective_ms: route.objective_ms,
+                ..pace::Need::default()
+            },
             purpose: attempts.purpose(),
             service,
             tokens: 0,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -8,6 +8,7 @@
 use peargap_core::cold_rate;
 use peargap_core::pace;
 use peargap_core::rate_limit;
+use peargap_core::slow_start;
 use peargap_core::time;
 use peargap_core::upstreams;
 
@@ -21,6 +22,8 @@
     /// Requests sent to it, for the rate limit of its cold start.
     pub(crate) cold_requests: cold_rate::Counter,
     pub(crate) last_heard: time::Instant,
+    /// When it became known.
+    pub(crate) known_since: time::Instant,
     /// When its limit was last named or changed; `None` if it never named one.
     pub(crate) limit_known_at: Option<time::Instant>,
     /// Since when it names a limit, for requests sent after a time without one.
@@ -42,6 +45,10 @@
     /// Load from this gateway.
     pub(crate) local_load: balance::Load,
     pub(crate) pool: sync::Arc<pool::Pool>,
+    /// What this gateway has seen of its start; `None` if it was not seen to start.
+    pub(crate) starting: Option<slow_start::Starter>,
+    /// When its start was over, while the others may not know it yet.
+    pub(crate) started_at: Option<time::Instant>,
     pub(crate) status: upstreams::Status,
 }
 
--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -11,6 +11,7 @@
 use crate::experiment::plot;
 use crate::experiment::policy;
 use crate::experiment::report;
+use crate::experiment::restart;
 use crate::experiment::scenario;
 use crate::experiment::shedding;
 use crate::experiment::suite;
@@ -132,6 +133,7 @@
     }
     if options.pace {
         (0..options.seeds).for_each(|seed| text.push_str(&pace::report(seed)));
+        (0..options.seeds).for_each(|seed| text.push_str(&restart::report(seed)));
     }
     if options.shedding {
         (0..options.seeds).for_each(|seed| text.push_str(&shedding::report(seed)));
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -21,6 +21,7 @@
 pub mod plot;
 pub mod policy;
 pub mod report;
+pub mod restart;
 pub mod scenario;
 mod schedule;
 pub mod shedding;
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -213,6 +213,15 @@
     /// Requests that these gateways would have sent in the last second.
     #[prost(uint32, tag = "10")]
     pub limit_wanted: u32,
+    /// Answers in time of an upstream that has just started.
+    #[prost(uint32, tag = "11")]
+    pub starting_in_time: u32,
+    /// Its answers that were late, refused or lost lately.
+    #[prost(uint32, tag = "12")]
+    pub starting_setbacks: u32,
+    /// Requests in the last second that could have been sent to it.
+    #[prost(uint32, tag = "13")]
+    pub starting_wanted: u32,
 }
 /// Control host to gateway.
 #[derive(Clone, PartialEq, ::prost::Message)]
