--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -23,6 +23,8 @@
 const MAX_MOVE_MEMORY_SHARE: f64 = 0.95;
 /// Share of an engine's memory by which one where pauses are too long counts as fuller for a copy.
 const UNSUITABLE_FILL: f64 = 1.0;
+/// The same for one whose pace is not known yet: new engines are the emptiest.
+const UNKNOWN_FILL: f64 = 0.5;
 /// Candidates drawn at random and compared for a request. With a comparison of all, every gateway
 /// would choose the same least loaded one before it learns of the others' choices.
 const SAMPLE_SIZE: usize = 2;
@@ -298,8 +300,9 @@
     // Copies spread over all engines that have room, as each takes few at a time. Of the two that
     // are compared, the one where pauses are within the bound is taken.
     let score = |candidate: &Candidate<K>| match candidate.fit {
+        pace::Fit::Long => fill(candidate),
+        pace::Fit::Unknown => fill(candidate) + UNKNOWN_FILL,
         pace::Fit::Short | pace::Fit::Unfit => fill(candidate) + UNSUITABLE_FILL,
-        pace::Fit::Long | pace::Fit::Unknown => fill(candidate),
     };
     // Copying memory to another failure domain takes twice as long.
     let near = fitting.clone().filter(|candidate| candidate.is_near);
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -194,6 +194,46 @@
     pub longest: Ratio,
 }
 
+impl Pace {
+    fn is_known(&self) -> bool {
+        self.first.is_known() || self.gap.is_known()
+    }
+}
+
+/// How an upstream compares with the middle of its service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Comparison {
+    /// Its answers take less time.
+    Faster,
+    /// They take longer.
+    Slower,
+    /// It is not known yet.
+    Unknown,
+    /// They take as long.
+    Usual,
+}
+
+impl Comparison {
+    /// All of them.
+    pub const ALL: [Comparison; 4] = [
+        Comparison::Faster,
+        Comparison::Slower,
+        Comparison::Unknown,
+        Comparison::Usual,
+    ];
+
+    /// Returns the label value for metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Comparison::Faster => "faster",
+            Comparison::Slower => "slower",
+            Comparison::Unknown => "unknown",
+            Comparison::Usual => "usual",
+        }
+    }
+}
+
 /// Middle of a service's upstreams; a part is 0 while it is unknown.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Middle {
@@ -266,8 +306,7 @@
         let Some(bound) = gap_ms.map(millis) else {
             return Fit::Long;
         };
-        let is_known = pace.first.is_known() || pace.gap.is_known();
-        if self.gap <= 0.0 || !is_known {
+        if self.gap <= 0.0 || !pace.is_known() {
             return Fit::Unknown;
         }
         let factor = self.factor(pace);
@@ -280,6 +319,19 @@
         }
     }
 
+    /// Returns how an upstream of this pace compares.
+    #[must_use]
+    pub fn compare(&self, pace: &Pace) -> Comparison {
+        if !pace.is_known() {
+            return Comparison::Unknown;
+        }
+        match self.factor(pace) {
+            factor if factor > 1.0 => Comparison::Slower,
+            factor if factor < 1.0 => Comparison::Faster,
+            _ => Comparison::Usual,
+        }
+    }
+
     fn usual_pause_ms(&self, factor: f64, load: &balance::Load, stride: u64) -> f64 {
         self.gap * factor * gap_reference_ms(load.running.saturating_add(1), stride)
     }
--- a/crates/core/src/pace_table.rs
+++ b/crates/core/src/pace_table.rs
@@ -19,7 +19,7 @@
 /// Observations that are enough.
 const ENOUGH: u32 = 4;
 /// Relative difference up to which another pace is no news.
-const SAME_PACE: f64 = 0.08;
+const SAME_PACE: f64 = 0.15;
 /// Observations from which on twice as many are no news.
 const SETTLED: u32 = 8;
 
--- a/crates/gateway/src/paces.rs
+++ b/crates/gateway/src/paces.rs
@@ -2,7 +2,9 @@
 
 use core::time::Duration;
 
+use opentelemetry::metrics as otel;
 use peargap_adapters::logs;
+use peargap_adapters::metrics;
 use peargap_adapters::pace as wire_pace;
 use peargap_core::pace;
 use peargap_wire::fleet as wire;
@@ -10,10 +12,28 @@
 use crate::events;
 use crate::fleet;
 use crate::fleet_state;
+use crate::upstream;
 
 /// Time between two reports of observations.
 const REPORT_PERIOD: Duration = Duration::from_millis(250);
 
+/// Registers the gauge of upstreams by their pace.
+pub(crate) fn observe(registry: &metrics::Registry, fleet: &fleet::Fleet) {
+    let fleet = fleet.clone();
+    let observe = move |gauge: &dyn otel::AsyncInstrument<u64>| {
+        for comparison in pace::Comparison::ALL {
+            let labels = [opentelemetry::KeyValue::new("pace", comparison.as_str())];
+            gauge.observe(fleet.count_paces(comparison), &labels);
+        }
+    };
+    let _gauge = registry
+        .meter()
+        .u64_observable_gauge("peargap_gateway_upstreams")
+        .with_description("Upstreams by their pace, compared with the middle of their service")
+        .with_callback(observe)
+        .build();
+}
+
 impl fleet::Fleet {
     /// Records how long one start of an upstream took for a first event or a plain call, as a ratio
     /// to its reference, and whether that was in time.
@@ -58,6 +78,18 @@
         }
     }
 
+    /// Returns the number of upstreams that compare so with their service.
+    fn count_paces(&self, comparison: pace::Comparison) -> u64 {
+        let state = self.lock();
+        let is_counted = |upstream: &&upstream::Upstream| {
+            let middle = state.middles.get(&upstream.status.service);
+            let middle = middle.copied().unwrap_or_default();
+            middle.compare(&upstream.pace) == comparison
+        };
+        let counted = state.upstreams.values().filter(is_counted);
+        u64::try_from(counted.count()).unwrap_or(u64::MAX)
+    }
+
     /// Returns the report of what has been observed since the last one, if it is due.
     pub(crate) fn take_observations(&self) -> Option<wire::Report> {
         let now = self.clock.now();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,6 +14,7 @@
 use crate::follow;
 use crate::gateway;
 use crate::meters;
+use crate::paces;
 use crate::response_body;
 use crate::retries;
 use crate::server;
@@ -52,6 +53,7 @@
     let meters = meters::Meters::new(&registry);
     let fleet = fleet::Fleet::new(&settings.domain);
     meters::observe_quarantine(&registry, &fleet);
+    paces::observe(&registry, &fleet);
     let router = health::build_router(readiness.clone(), registry);
     let health = tokio::spawn(async move {
         // Runs until the process exits.
