--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -10,6 +10,7 @@
 
 use crate::pace;
 use crate::rate_limit;
+use crate::slow_start;
 
 /// Share of an engine's memory that generations and copies may hold by estimate. It is a little
 /// above 1 because some of them end before the request's prompt is processed.
@@ -22,6 +23,8 @@
 const MAX_MOVE_MEMORY_SHARE: f64 = 0.95;
 /// Share of an engine's memory by which one where pauses are too long counts as fuller for a copy.
 const UNSUITABLE_FILL: f64 = 1.0;
+/// The same for one whose pace is not known yet: new engines are the emptiest.
+const UNKNOWN_FILL: f64 = 0.5;
 /// Candidates drawn at random and compared for a request. With a comparison of all, every gateway
 /// would choose the same least loaded one before it learns of the others' choices.
 const SAMPLE_SIZE: usize = 2;
@@ -73,6 +76,8 @@
     pub refusing: u32,
     /// Requests that run or wait.
     pub running: u32,
+    /// What gateways have seen of its answers since it started; nothing once its start is over.
+    pub starting: slow_start::Counts,
     /// Tokens held by running generations.
     pub tokens: u64,
     /// Tokens of prompts that are not processed yet.
@@ -95,6 +100,7 @@
             limited: self.limited.plus(other.limited),
             refusing: self.refusing + other.refusing,
             running: self.running + other.running,
+            starting: self.starting.plus(other.starting),
             tokens: self.tokens + other.tokens,
             waiting: self.waiting + other.waiting,
         }
@@ -109,6 +115,7 @@
             limited: self.limited.minus(part.limited),
             refusing: self.refusing - part.refusing,
             running: self.running - part.running,
+            starting: self.starting.minus(part.starting),
             tokens: self.tokens - part.tokens,
             waiting: self.waiting - part.waiting,
         }
@@ -293,8 +300,9 @@
     // Copies spread over all engines that have room, as each takes few at a time. Of the two that
     // are compared, the one where pauses are within the bound is taken.
     let score = |candidate: &Candidate<K>| match candidate.fit {
+        pace::Fit::Long => fill(candidate),
+        pace::Fit::Unknown => fill(candidate) + UNKNOWN_FILL,
         pace::Fit::Short | pace::Fit::Unfit => fill(candidate) + UNSUITABLE_FILL,
-        pace::Fit::Long | pace::Fit::Unknown => fill(candidate),
     };
     // Copying memory to another failure domain takes twice as long.
     let near = fitting.clone().filter(|candidate| candidate.is_near);
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -10,6 +10,7 @@
 use axum::routing;
 use peargap_adapters::body_budget;
 use peargap_core::balance;
+use peargap_core::event_timing;
 use peargap_core::rate_limit;
 use peargap_core::routes;
 use peargap_core::time::Instant;
@@ -137,6 +138,8 @@
     Cold,
     /// It or its failure domain is out of service.
     OutOfService(upstreams::State),
+    /// It has just started and has as many requests as its answers allow.
+    Starting,
     /// It asked for a pause, which ends in this many milliseconds.
     Paused(u64),
 }
@@ -151,6 +154,7 @@
             Verdict::Cold => formatter.write_str("cold"),
             Verdict::OutOfService(upstreams::State::Ready) => formatter.write_str("domain_out"),
             Verdict::OutOfService(state) => write!(formatter, "{state:?}"),
+            Verdict::Starting => formatter.write_str("starting"),
             Verdict::Paused(millis) => write!(formatter, "paused pause_ms={millis}"),
         }
     }
@@ -200,11 +204,19 @@
             Some(_engine) => generation::estimate_start_tokens(request),
             None => 0,
         };
+        let targets = event_timing::Targets {
+            first_ms: route.objective_ms,
+            gap_ms: route.gap_ms,
+        };
+        let need = service
+            .engine
+            .map(|engine| generation::pace_need(request, targets, engine));
         let subjects = quarantine::list_subjects(request, true);
         let quarantined_by = self.lock().quarantine.find_quarantined(&subjects);
         let criteria = fleet::Criteria {
             exclude: &[],
             near: None,
+            need: need.unwrap_or_default(),
             purpose: rate_limit::Purpose::First,
             service,
             tokens,
@@ -245,9 +257,11 @@
                 slots: upstream.status.slots,
                 verdict,
                 view: placement::View {
+                    expected: candidate.and_then(|candidate| candidate.expected),
                     limit: state.explain_limit(now, key),
                     load: upstream.local_load.plus(upstream.remote_load),
                     load_age_ms: now.millis_since(state.remote_loads_at),
+                    pace: candidate.map_or(1.0, |candidate| candidate.pace),
                 },
             });
         }
@@ -279,6 +293,7 @@
         match self.admit(now, &criteria, index, upstream, &mut rand::rng()) {
             candidates::Admission::Limited => Verdict::Limited,
             candidates::Admission::NotNow => Verdict::Cold,
+            candidates::Admission::Starting => Verdict::Starting,
             candidates::Admission::Allow | candidates::Admission::Broken => Verdict::Failing,
         }
     }
@@ -289,7 +304,10 @@
     criteria: fleet::Criteria<'_>,
 ) -> balance::Choice<fleet::UpstreamKey> {
     match criteria.service.engine {
-        Some(_engine) => balance::choose_engine(candidates, criteria.tokens, &mut rand::rng()),
+        Some(_engine) => {
+            let random = &mut rand::rng();
+            balance::choose_engine_by_pace(candidates, criteria.tokens, &criteria.need, random)
+        }
         None => balance::choose_plain(candidates, &mut rand::rng()),
     }
 }
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -56,19 +56,9 @@
         estimate_start_tokens(&self.request) + events * self.engine.stride
     }
 
-    /// Returns what it needs of an engine. Without a declared output it counts as long.
+    /// Returns what it needs of an engine.
     pub(crate) fn need(&self) -> pace::Need {
-        let head = &self.request.head;
-        let declared = head.usage.map(|usage| usage.max_output);
-        let output = head.length_hint.or(declared);
-        let stride = self.engine.stride;
-        pace::Need {
-            gap_ms: self.targets.gap_ms,
-            objective_ms: self.targets.first_ms,
-            span: output.map_or(pace::Span::Long, |output| {
-                pace::Span::of_output(output, stride)
-            }),
-        }
+        pace_need(&self.request, self.targets, self.engine)
     }
 
     /// Counts what the engine at `placement` answered, for a rollout in progress.
@@ -97,6 +87,23 @@
     prompt + RESERVED_OUTPUT_TOKENS
 }
 
+/// Returns what a request needs of an engine. Without a declared output it counts as long.
+pub(crate) fn pace_need(
+    request: &call::Request,
+    targets: event_timing::Targets,
+    engine: routes::Engine,
+) -> pace::Need {
+    let declared = request.head.usage.map(|usage| usage.max_output);
+    let output = request.head.length_hint.or(declared);
+    pace::Need {
+        gap_ms: targets.gap_ms,
+        objective_ms: targets.first_ms,
+        span: output.map_or(pace::Span::Long, |output| {
+            pace::Span::of_output(output, engine.stride)
+        }),
+    }
+}
+
 /// A generation at one engine.
 #[derive(Debug)]
 pub(crate) struct Run {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod run;
 mod server;
 pub mod settings;
+mod slow_start;
 mod socket;
 mod source;
 mod starting;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,6 +16,7 @@
 use crate::follow;
 use crate::gateway;
 use crate::meters;
+use crate::paces;
 use crate::response_body;
 use crate::retries;
 use crate::server;
@@ -59,6 +60,7 @@
     meters::observe_quarantine(&registry, &fleet);
     let unread = body_budget::Budget::new(settings.unread_bytes(), events::PEER_TOO_SLOW);
     meters::observe_unread(&registry, &unread);
+    paces::observe(&registry, &fleet);
     let router = health::build_router(readiness.clone(), registry);
     let router = router.merge(explain::build_router(fleet.clone(), unread.clone()));
     let health = tokio::spawn(async move {
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -21,6 +21,7 @@
 pub mod plot;
 pub mod policy;
 pub mod report;
+pub mod restart;
 pub mod rollouts;
 pub mod scenario;
 mod schedule;
