--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -60,6 +60,7 @@
     logs::Event::warn(6035, "transfer of a routing document stalled");
 pub(crate) const TRANSFER_DAMAGED: logs::Event =
     logs::Event::error(6036, "transfer of a routing document damaged");
+pub(crate) const START_OVER: logs::Event = logs::Event::info(6045, "start of an upstream over");
 pub(crate) const PACE_CHANGED: logs::Event = logs::Event::debug(6044, "upstream pace changed");
 pub(crate) const ROLLOUT_APPLIED: logs::Event = logs::Event::info(6038, "rollout changed");
 pub(crate) const ROLLOUT_LAPSED: logs::Event =
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -29,7 +29,7 @@
 pub(crate) struct Fleet {
     pub(crate) clock: clock::Clock,
     changed: sync::Arc<watch::Sender<u64>>,
-    domain: sync::Arc<str>,
+    pub(crate) domain: sync::Arc<str>,
     /// Counter that increases with what control hosts are to be told: departures, changes of limits that
     /// upstreams name, evidence on what crashes upstreams.
     pub(crate) news: sync::Arc<watch::Sender<u64>>,
@@ -248,6 +248,9 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.record_wanted(now, &criteria);
+        if load.running > 0 {
+            state.record_start_wanted(now, &criteria);
+        }
         let candidates = state.list_candidates(now, criteria, &self.domain);
         let key = match choose(&candidates) {
             engine_room::Choice::Full => return Err(PlacementError::Full),
@@ -277,7 +280,8 @@
             }
         }
         let stride = criteria.service.engine.map(|engine| engine.stride);
-        let timing = placement::Timing::start(now, stride);
+        let objective_ms = criteria.need.objective_ms;
+        let timing = placement::Timing::start(now, stride, objective_ms);
         let placement = placement::Placement::reserve(self, key, upstream, load, view, timing);
         if load.running > 0 {
             state.record_version(now, key);
@@ -290,6 +294,9 @@
         let now = self.clock.now();
         if let Some(upstream) = self.lock().upstreams.get_mut(key) {
             upstream.record_refusal(now, outcome == Outcome::Failed);
+            if outcome != Outcome::Succeeded {
+                upstream.record_start_answer(now, false);
+            }
             match outcome {
                 Outcome::Absent => upstream.breaker.record_absence(now),
                 Outcome::Broken => upstream.breaker.record_break(now),
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -57,15 +57,7 @@
 impl Generation {
     /// Estimates the tokens that it holds in an engine's memory after this many events.
     pub(crate) fn estimate_tokens(&self, events: u64) -> u64 {
-        let request = self.forecast_request();
-        let produced = self.count_tokens(events);
-        let left = request
-            .max_output
-            .map(|limit| limit.saturating_sub(produced));
-        let reserved = left.map_or(RESERVED_OUTPUT_TOKENS, |left| {
-            left.min(RESERVED_OUTPUT_TOKENS)
-        });
-        request.prompt + produced + reserved
+        estimate_tokens(&self.request, self.count_tokens(events))
     }
 
     /// Returns the output tokens in this many events.
@@ -83,29 +75,12 @@
     }
 
     fn forecast_request(&self) -> output_forecast::Request {
-        let head = &self.request.head;
-        output_forecast::Request {
-            hint: head.length_hint,
-            max_output: head.usage.map(|usage| usage.max_output),
-            prompt: head
-                .usage
-                .map_or(DEFAULT_PROMPT_TOKENS, |usage| usage.prompt),
-        }
+        forecast_request(&self.request)
     }
 
-    /// Returns what it needs of an engine. Without a declared output it counts as long.
+    /// Returns what it needs of an engine.
     pub(crate) fn need(&self) -> pace::Need {
-        let head = &self.request.head;
-        let declared = head.usage.map(|usage| usage.max_output);
-        let output = head.length_hint.or(declared);
-        let stride = self.engine.stride;
-        pace::Need {
-            gap_ms: self.targets.gap_ms,
-            objective_ms: self.targets.first_ms,
-            span: output.map_or(pace::Span::Long, |output| {
-                pace::Span::of_output(output, stride)
-            }),
-        }
+        pace_need(&self.request, self.targets, self.engine)
     }
 
     /// Counts what the engine at `placement` answered, for a rollout in progress.
@@ -127,6 +102,51 @@
     }
 }
 
+/// Estimates the tokens that a request holds in an engine's memory as it begins.
+pub(crate) fn estimate_start_tokens(request: &call::Request) -> u64 {
+    estimate_tokens(request, 0)
+}
+
+/// Estimates the tokens that a request holds in an engine's memory after `produced` tokens.
+fn estimate_tokens(request: &call::Request, produced: u64) -> u64 {
+    let request = forecast_request(request);
+    let left = request
+        .max_output
+        .map(|limit| limit.saturating_sub(produced));
+    let reserved = left.map_or(RESERVED_OUTPUT_TOKENS, |left| {
+        left.min(RESERVED_OUTPUT_TOKENS)
+    });
+    request.prompt + produced + reserved
+}
+
+fn forecast_request(request: &call::Request) -> output_forecast::Request {
+    let head = &request.head;
+    output_forecast::Request {
+        hint: head.length_hint,
+        max_output: head.usage.map(|usage| usage.max_output),
+        prompt: head
+            .usage
+            .map_or(DEFAULT_PROMPT_TOKENS, |usage| usage.prompt),
+    }
+}
+
+/// Returns what a request needs of an engine. Without a declared output it counts as long.
+pub(crate) fn pace_need(
+    request: &call::Request,
+    targets: event_timing::Targets,
+    engine: routes::Engine,
+) -> pace::Need {
+    let declared = request.head.usage.map(|usage| usage.max_output);
+    let output = request.head.length_hint.or(declared);
+    pace::Need {
+        gap_ms: targets.gap_ms,
+        objective_ms: targets.first_ms,
+        span: output.map_or(pace::Span::Long, |output| {
+            pace::Span::of_output(output, engine.stride)
+        }),
+    }
+}
+
 /// A generation at one engine.
 #[derive(Debug)]
 pub(crate) struct Run {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -11,10 +11,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::events;
+use crate::explain;
 use crate::fleet;
 use crate::follow;
 use crate::gateway;
 use crate::meters;
+use crate::paces;
 use crate::response_body;
 use crate::retries;
 use crate::server;
@@ -58,7 +60,9 @@
     meters::observe_quarantine(&registry, &fleet);
     let unread = body_budget::Budget::new(settings.unread_bytes(), events::PEER_TOO_SLOW);
     meters::observe_unread(&registry, &unread);
+    paces::observe(&registry, &fleet);
     let router = health::build_router(readiness.clone(), registry);
+    let router = router.merge(explain::build_router(fleet.clone(), unread.clone()));
     let health = tokio::spawn(async move {
         // Runs until the process exits.
         let _ = axum::serve(health_listener, router).await;
