--- a/crates/core/src/engine_room.rs
+++ b/crates/core/src/engine_room.rs
@@ -72,11 +72,23 @@
     pub may_draw: bool,
     /// Tokens that it is expected to hold later.
     pub later: Later,
+    /// Whether engines need room for what generations hold later, and short queues.
+    pub looks_ahead: bool,
     /// Tokens that it holds at its beginning.
     pub tokens: u64,
 }
 
 impl Need {
+    /// Returns the need of a generation that looks at the present load only.
+    #[must_use]
+    pub fn present(tokens: u64) -> Need {
+        Need {
+            may_draw: true,
+            tokens,
+            ..Need::default()
+        }
+    }
+
     /// Returns the need of a generation whose turn it is.
     #[must_use]
     pub fn new(turn: waiting::Turn, later: Later, tokens: u64) -> Need {
@@ -89,6 +101,7 @@
                 ahead,
                 beside,
                 later,
+                looks_ahead: true,
                 may_draw: is_news,
                 tokens,
             },
@@ -96,6 +109,7 @@
                 ahead: u32::MAX,
                 beside: 0,
                 later,
+                looks_ahead: true,
                 may_draw: false,
                 tokens,
             },
@@ -136,6 +150,9 @@
     if candidates.is_empty() {
         return Choice::NoCandidates;
     }
+    if !need.looks_ahead {
+        return balance::choose_engine(candidates, need.tokens, random).into();
+    }
     let fitting = candidates
         .iter()
         .filter(|candidate| fits_later(candidate, need) && has_short_queue(candidate, need));
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -14,6 +14,9 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct TeamKey(u32);
 
+/// Times the shortest latency objective of a service's generations from which on another is patient.
+const PATIENT_RATIO: u64 = 2;
+
 /// How often a request may run, and the form of its response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -192,6 +195,13 @@
     Unknown,
 }
 
+/// Range of the latency objectives of a service's generations, in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Objectives {
+    least: Option<u64>,
+    most: Option<u64>,
+}
+
 /// A validated routing document, indexed for lookup.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
@@ -201,6 +211,8 @@
     limits: Limits,
     needs_keys: bool,
     routes: Vec<Route>,
+    /// Latency objectives of the generations of each service.
+    objectives: Vec<Objectives>,
     services: Vec<Service>,
     teams: Vec<Team>,
     version: u64,
@@ -223,6 +235,7 @@
             table.add_route(draft, &mut findings);
         }
         table.sort_hosts();
+        table.index_objectives();
         match findings.is_empty() {
             true => Ok(table),
             false => Err(findings),
@@ -284,6 +297,22 @@
         self.routes.push(route);
     }
 
+    fn index_objectives(&mut self) {
+        self.objectives = vec![Objectives::default(); self.services.len()];
+        let streams = self
+            .routes
+            .iter()
+            .filter(|route| route.kind == Kind::Stream);
+        for route in streams {
+            for share in route.shares.iter().filter(|share| share.weight > 0.0) {
+                let known = &mut self.objectives[share.service.index()];
+                let objective = route.objective_ms;
+                known.least = Some(known.least.map_or(objective, |least| least.min(objective)));
+                known.most = known.most.max(Some(objective));
+            }
+        }
+    }
+
     fn sort_hosts(&mut self) {
         for keys in self.hosts.values_mut() {
             let routes = &self.routes;
@@ -341,6 +370,15 @@
         &self.services[key.index()]
     }
 
+    /// Returns whether some generations of a service have much more time than others, so that the order
+    /// in which they get its engines matters.
+    #[must_use]
+    pub fn has_patient_generations(&self, key: ServiceKey) -> bool {
+        let objectives = self.objectives[key.index()];
+        let least = objectives.least.unwrap_or_default();
+        objectives.most.unwrap_or_default() >= PATIENT_RATIO * least && least > 0
+    }
+
     /// Returns a service by its name.
     #[must_use]
     pub fn service_named(&self, name: &str) -> Option<&Service> {
--- a/crates/core/tests/output_forecast.rs
+++ b/crates/core/tests/output_forecast.rs
@@ -52,6 +52,7 @@
         ahead,
         beside: 0,
         later,
+        looks_ahead: true,
         may_draw: true,
         tokens: PROMPT + 200,
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -87,6 +87,10 @@
             routes::Access::Unknown => return Err(response::Refusal::RouteUnknown),
         };
         let service = table.pick_service(route, rand::rng().random());
+        let order = match table.has_patient_generations(service) {
+            true => generation::Order::Queue,
+            false => generation::Order::Poll,
+        };
         let service = table.service(service);
         let route = table.route(route);
         let team = team.map(|team| table.team(team));
@@ -120,7 +124,7 @@
             routes::Kind::Idempotent | routes::Kind::Once => {
                 plain::serve(self, &request, route, service).await
             }
-            routes::Kind::Stream => generation::serve(self, request, route, service).await,
+            routes::Kind::Stream => generation::serve(self, request, route, service, order).await,
         })
     }
 }
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -39,6 +39,15 @@
 /// Output tokens reserved beyond those received so far.
 const RESERVED_OUTPUT_TOKENS: u64 = 200;
 
+/// How generations of a service get the room of its engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Order {
+    /// Each looks again and again for a short time.
+    Poll,
+    /// They wait in an order, at all gateways.
+    Queue,
+}
+
 /// State of a generation that its relay and its moves share.
 #[derive(Debug)]
 pub(crate) struct Generation {
@@ -47,6 +56,7 @@
     pub(crate) engine: routes::Engine,
     /// ID of the last event sent to the caller; 0 before the first.
     pub(crate) last_event: atomic::AtomicU64,
+    pub(crate) order: Order,
     pub(crate) targets: event_timing::Targets,
     pub(crate) request: call::Request,
     pub(crate) service: routes::Service,
@@ -57,13 +67,7 @@
     pub(crate) fn estimate_tokens(&self, events: u64) -> u64 {
         let request = self.forecast_request();
         let produced = self.count_tokens(events);
-        let left = request
-            .max_output
-            .map(|limit| limit.saturating_sub(produced));
-        let reserved = left.map_or(RESERVED_OUTPUT_TOKENS, |left| {
-            left.min(RESERVED_OUTPUT_TOKENS)
-        });
-        request.prompt + produced + reserved
+        request.prompt + produced + RESERVED_OUTPUT_TOKENS
     }
 
     /// Returns the output tokens in this many events.
@@ -115,6 +119,7 @@
     request: call::Request,
     route: &routes::Route,
     service: &routes::Service,
+    order: Order,
 ) -> response::Response {
     let Some(engine) = service.engine else {
         return plain::serve(gateway, &request, route, service).await;
@@ -124,6 +129,7 @@
     let generation = sync::Arc::new(Generation {
         class: room.classify(&route.name, request.head.length_hint),
         engine,
+        order,
         last_event: atomic::AtomicU64::new(0),
         targets: event_timing::Targets {
             first_ms: route.objective_ms,
--- a/crates/gateway/src/starting.rs
+++ b/crates/gateway/src/starting.rs
@@ -24,8 +24,8 @@
 
 /// Maximum number of engines that a request is sent to.
 const MAX_ATTEMPTS: usize = 3;
-/// Interval at which a generation looks again while upstreams take no more by the limits they name.
-const LIMIT_POLL_INTERVAL: time::Duration = time::Duration::from_millis(30);
+/// Interval at which a generation without a queue looks again for an engine with free capacity.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(30);
 /// Interval at which a waiting generation looks again if nothing has woken it: it may have become
 /// pressing, or been held back for long enough.
 const WAIT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -174,7 +174,10 @@
         };
         let later = |forecasts: &mut _| generation.later(forecasts, 0);
         let later = fleet.room.with_forecasts(later);
-        let need = engine_room::Need::new(turn, later, tokens);
+        let need = match generation.order {
+            generation::Order::Poll => engine_room::Need::present(tokens),
+            generation::Order::Queue => engine_room::Need::new(turn, later, tokens),
+        };
         fleet.place_generation(criteria, need)
     }
 
@@ -184,7 +187,8 @@
 
     /// Returns whether it is the generation's turn. One that may have run does not wait.
     fn take_turn(&mut self) -> waiting::Turn {
-        if self.attempts.has_arrived() {
+        let is_queued = self.generation.order == generation::Order::Queue;
+        if !is_queued || self.attempts.has_arrived() {
             return waiting::Turn::ALONE;
         }
         let now = self.now();
@@ -243,7 +247,12 @@
     /// Waits until there may be room or another's turn has come, at most for `longest`.
     async fn wait(&mut self, longest: time::Duration) {
         // The sender lives as long as the gateway.
-        let _ = time::timeout(longest, self.changes.changed()).await;
+        match self.place {
+            Some(_) => {
+                let _ = time::timeout(longest, self.changes.changed()).await;
+            }
+            None => time::sleep(longest).await,
+        }
     }
 
     /// Leaves the queue, as an engine was chosen.
@@ -276,13 +285,18 @@
                 response::Refusal::Paused { retry_after_ms }
             }
             _error if self.attempts.has_arrived() => self.refusal,
-            fleet::PlacementError::Full => return self.wait_or_refuse(false),
+            fleet::PlacementError::Full if self.place.is_some() => {
+                return self.wait_or_refuse(false);
+            }
             fleet::PlacementError::HeldBack => return self.wait_or_refuse(true),
-            fleet::PlacementError::Limited { .. }
+            fleet::PlacementError::Full | fleet::PlacementError::Limited { .. }
                 if time::Instant::now() < self.capacity_deadline =>
             {
-                return Next::Wait(LIMIT_POLL_INTERVAL);
+                return Next::Wait(POLL_INTERVAL);
             }
+            fleet::PlacementError::Full => response::Refusal::Full {
+                retry_after_ms: RETRY_AFTER_MS,
+            },
             fleet::PlacementError::Limited { retry_after_ms } => {
                 let service = &self.generation.service.name;
                 self.gateway.meters.count_limited(service);
--- a/crates/load/src/experiment/waiting/engines.rs
+++ b/crates/load/src/experiment/waiting/engines.rs
@@ -6,8 +6,8 @@
 pub const SLOTS: u32 = 32;
 /// Time between two states of the engines, in milliseconds.
 pub const TICK_MS: u64 = 5;
-/// Prompt tokens that an engine reads in a millisecond.
-const PROMPT_TOKENS_PER_MS: f64 = 14.0;
+/// Prompt tokens that an engine reads in a millisecond, beside its other work.
+const PROMPT_TOKENS_PER_MS: f64 = 8.0;
 /// Time of a step without and for each running generation, in milliseconds.
 const STEP_MS: f64 = 7.0;
 const STEP_MS_EACH: f64 = 0.3;
--- a/crates/load/src/experiment/waiting/mod.rs
+++ b/crates/load/src/experiment/waiting/mod.rs
@@ -86,7 +86,7 @@
 #[must_use]
 pub fn report(seed: u64) -> String {
     let mut text = String::new();
-    for burst in [2.0, 3.0] {
+    for burst in [1.0, 1.5, 2.0, 2.5, 3.0] {
         for first_team in [1.0, 7.5] {
             for rule in RULES {
                 let scenario = Scenario {
