--- a/crates/load/src/experiment/waiting/gateways.rs
+++ b/crates/load/src/experiment/waiting/gateways.rs
@@ -15,6 +15,8 @@
 
 /// Engines of the service.
 pub const ENGINES: usize = 43;
+/// Output tokens that gateways reserve beyond those made so far.
+const RESERVED_OUTPUT_TOKENS: u64 = 200;
 const STARTED_WINDOW: window::Window = window::Window {
     length: Duration::from_secs(1),
     slots: 10,
@@ -190,8 +192,7 @@
 /// Returns the tokens that a gateway reckons that a generation holds.
 #[must_use]
 pub fn reserve(kind: callers::Kind, produced: u64) -> u64 {
-    let left = kind.max_output().saturating_sub(produced);
-    kind.prompt() + produced + left.min(200)
+    kind.prompt() + produced + RESERVED_OUTPUT_TOKENS
 }
 
 /// Returns what a generation will hold, by the output that it really gets.
