--- a/crates/core/tests/output_forecast.rs
+++ b/crates/core/tests/output_forecast.rs
@@ -3,6 +3,7 @@
 use peargap_core::balance;
 use peargap_core::engine_room;
 use peargap_core::output_forecast;
+use peargap_core::pace;
 use rand::SeedableRng as _;
 
 const MEMORY: u64 = 27_000;
@@ -30,6 +31,9 @@
 
 fn engine(running: u64, later: engine_room::Later) -> balance::Candidate<u8> {
     balance::Candidate {
+        expected: None,
+        fit: pace::Fit::Long,
+        pace: 1.0,
         is_near: true,
         is_own: false,
         key: 1,
@@ -49,9 +53,11 @@
 
 fn choose(running: u64, later: engine_room::Later, ahead: u32) -> engine_room::Choice<u8> {
     let need = engine_room::Need {
+        pace: pace::Need::default(),
         ahead,
         beside: 0,
         later,
+        looks_ahead: true,
         may_draw: true,
         tokens: PROMPT + 200,
     };
