core: test of places counts the prompts that an engine takes at a time

The former bound (four places by memory) held before prompts in front were counted; it is replaced by both bounds, by prompts and by memory.

--- a/crates/core/tests/output_forecast.rs
+++ b/crates/core/tests/output_forecast.rs
@@ -85,10 +85,12 @@
 
 #[test]
 fn room_for_one_is_left_to_those_that_go_first() {
-    // Eight fit.
+    // Eight fit, but an engine takes two prompts at a time.
     let later = engine_room::Later::default();
-    assert_eq!(choose(4, later, 2), engine_room::Choice::Take(1));
-    assert_eq!(choose(4, later, 4), engine_room::Choice::HeldBack);
+    assert_eq!(choose(4, later, 1), engine_room::Choice::Take(1));
+    assert_eq!(choose(4, later, 2), engine_room::Choice::HeldBack);
+    // There is memory for one more.
+    assert_eq!(choose(7, later, 1), engine_room::Choice::HeldBack);
 }
 
 #[test]
--- a/crates/load/src/experiment/waiting/engines.rs
+++ b/crates/load/src/experiment/waiting/engines.rs
@@ -133,7 +133,7 @@
 }
 
 #[allow(clippy::cast_precision_loss, reason = "small numbers")]
-fn number(count: u64) -> f64 {
+pub(super) fn number(count: u64) -> f64 {
     count as f64
 }
 
@@ -142,6 +142,6 @@
     clippy::cast_sign_loss,
     reason = "small numbers"
 )]
-fn whole(count: f64) -> u64 {
+pub(super) fn whole(count: f64) -> u64 {
     count.max(0.0) as u64
 }
--- a/crates/load/src/experiment/waiting/run.rs
+++ b/crates/load/src/experiment/waiting/run.rs
@@ -118,7 +118,7 @@
         for gateway in &mut self.gateways {
             for placed in &mut gateway.placed {
                 let made = self.engines[placed.engine].made(placed.call);
-                let produced = whole(made.unwrap_or_default());
+                let produced = engines::whole(made.unwrap_or_default());
                 gateway
                     .forecasts
                     .record_growth(placed.class, placed.produced, produced);
@@ -133,7 +133,7 @@
             let found = gateway.placed.iter().position(|placed| placed.call == call);
             if let Some(found) = found {
                 let placed = gateway.placed.swap_remove(found);
-                let tokens = whole(self.calls[call].output);
+                let tokens = engines::whole(self.calls[call].output);
                 gateway.forecasts.record_end(placed.class, tokens);
             }
         }
@@ -268,9 +268,9 @@
             call,
             made: 0.0,
             output: one.output,
-            prompt: number(one.kind.prompt()),
+            prompt: engines::number(one.kind.prompt()),
             rank: one.kind.rank(),
-            unread: number(one.kind.prompt()),
+            unread: engines::number(one.kind.prompt()),
         });
         let gateway = &mut self.gateways[index];
         let class = gateway.forecasts.classify(name_route(one.kind), None);
@@ -333,7 +333,7 @@
         let mut asked = [0.0; callers::TEAMS];
         let mut got = [0.0; callers::TEAMS];
         for call in &self.calls {
-            let tokens = number(call.kind.prompt());
+            let tokens = engines::number(call.kind.prompt());
             asked[call.team] += tokens;
             got[call.team] += if call.ended_ms.is_some() { tokens } else { 0.0 };
         }
@@ -342,7 +342,7 @@
         let shares: Vec<f64> = shares.collect();
         let sum: f64 = shares.iter().sum();
         let squares: f64 = shares.iter().map(|share| share * share).sum();
-        sum * sum / (number(24) * squares.max(f64::MIN_POSITIVE))
+        sum * sum / (engines::number(24) * squares.max(f64::MIN_POSITIVE))
     }
 }
 
@@ -384,20 +384,6 @@
     }
 }
 
-#[allow(clippy::cast_precision_loss, reason = "small numbers")]
-fn number(count: u64) -> f64 {
-    count as f64
-}
-
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "small numbers"
-)]
-fn whole(count: f64) -> u64 {
-    count.max(0.0) as u64
-}
-
 #[allow(clippy::cast_precision_loss, reason = "small numbers")]
 fn ratio(part: usize, whole: usize) -> f64 {
     part as f64 / whole.max(1) as f64
