--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -8,10 +8,10 @@
 use http_body_util::Full;
 use peargap_fake::runner;
 use peargap_wire::fleet as wire;
-use support::generation;
-use support::request;
+use support::caller::generation;
+use support::caller::request;
+use support::caller::Response;
 use support::Fixture;
-use support::Response;
 
 /// Part on which engines crash.
 const DEADLY: &str = "dead";
--- a/crates/gateway/tests/documents.rs
+++ b/crates/gateway/tests/documents.rs
@@ -7,7 +7,7 @@
 use peargap_core::document_history;
 use peargap_core::document_transfer;
 use peargap_wire::fleet as wire;
-use support::request;
+use support::caller::request;
 use support::Control;
 use support::Fixture;
 
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -8,7 +8,7 @@
 
 use peargap_fake::endless;
 use peargap_wire::fleet as wire;
-use support::request;
+use support::caller::request;
 use support::Fixture;
 
 /// Bytes that a peer can send into buffers of the system after the last read.
@@ -61,7 +61,7 @@
 #[tokio::test]
 async fn an_event_without_end_is_cut_off() {
     let (fixture, upstream) = start("pool", endless::Part::Event).await;
-    let response = fixture.call(support::generation()).await;
+    let response = fixture.call(support::caller::generation()).await;
     assert!(!response.is_complete);
     assert_closed(&upstream, 128 << 10).await;
 }
--- a/crates/gateway/tests/extremes.rs
+++ b/crates/gateway/tests/extremes.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use support::generation;
+use support::caller::generation;
+use support::caller::request;
 use support::raw;
-use support::request;
 use support::Fixture;
 
 #[tokio::test]
--- a/crates/gateway/tests/generations.rs
+++ b/crates/gateway/tests/generations.rs
@@ -6,10 +6,10 @@
 
 use peargap_fake::runner;
 use peargap_wire::fleet as wire;
-use support::generation;
+use support::caller::generation;
+use support::caller::Response;
 use support::wait_for;
 use support::Fixture;
-use support::Response;
 
 const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
@@ -193,7 +193,7 @@
         .runner("p1")
         .set_behaviour(runner::Behaviour::OtherAttempt);
     for _call in 0..10 {
-        let response = fixture.call(support::resumable_generation()).await;
+        let response = fixture.call(support::caller::resumable_generation()).await;
         assert_eq!(response.status, 200);
         assert_eq!(response.ids(), ids_up_to(5));
     }
@@ -227,7 +227,8 @@
 async fn a_generation_without_a_backup_moves_from_a_draining_engine() {
     let fixture = start_fixture(&["p1", "p2"], 150).await;
     let mut caller = fixture.connect().await;
-    let calling = tokio::spawn(async move { caller.call(support::large_generation()).await });
+    let calling =
+        tokio::spawn(async move { caller.call(support::caller::large_generation()).await });
     let first = fixture.wait_for_running().await;
     tokio::time::sleep(EVENT_INTERVAL * 10).await;
     fixture.drain(&first.name).await;
@@ -249,7 +250,7 @@
     fixture.runner("p2").set_behaviour(runner::Behaviour::Shed);
     for _call in 0..6 {
         let before = fixture.runner("p1").runs().len();
-        let response = fixture.call(support::resumable_generation()).await;
+        let response = fixture.call(support::caller::resumable_generation()).await;
         let has_run = fixture.runner("p1").runs().len() > before;
         let expected = if has_run { 502 } else { 503 };
         assert_eq!(response.status, expected);
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -7,8 +7,8 @@
 use peargap_fake::runner;
 use peargap_fake::runner::Arrival;
 use peargap_wire::fleet as wire;
-use support::generation;
-use support::request;
+use support::caller::generation;
+use support::caller::request;
 use support::wait_for;
 use support::Fixture;
 
@@ -25,7 +25,7 @@
     }
 }
 
-fn retry_after(response: &support::Response) -> f64 {
+fn retry_after(response: &support::caller::Response) -> f64 {
     let text = response.headers["retry-after"].to_str().expect("text");
     text.parse().expect("seconds")
 }
@@ -215,7 +215,7 @@
 }
 
 /// Calls an upstream's service for this long, with a new request each 10 ms.
-async fn press(fixture: &Fixture, length: time::Duration) -> Vec<support::Response> {
+async fn press(fixture: &Fixture, length: time::Duration) -> Vec<support::caller::Response> {
     let end = time::Instant::now() + length;
     let mut calls = Vec::new();
     while time::Instant::now() < end {
--- a/crates/gateway/tests/odd_answers.rs
+++ b/crates/gateway/tests/odd_answers.rs
@@ -4,12 +4,12 @@
 
 use std::time;
 
-use support::generation;
+use support::caller::generation;
+use support::caller::request;
+use support::caller::Response;
 use support::raw;
 use support::raw::Step;
-use support::request;
 use support::Fixture;
-use support::Response;
 
 const STREAM: &str = "content-type: text/event-stream\r\n";
 
--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -8,7 +8,7 @@
 use peargap_fake::runner;
 use peargap_load::ports;
 use peargap_wire::fleet as wire;
-use support::request;
+use support::caller::request;
 use support::Fixture;
 
 fn count_runs(fixture: &Fixture) -> usize {
@@ -345,7 +345,10 @@
     announce_absent(&fixture, "pool").await;
     for _call in 0..10 {
         assert_eq!(fixture.call(request("/once/", "")).await.status, 200);
-        assert_eq!(fixture.call(support::generation()).await.status, 200);
+        assert_eq!(
+            fixture.call(support::caller::generation()).await.status,
+            200
+        );
     }
 }
 
@@ -404,7 +407,7 @@
         fixture.runner(name).set_events(100, pace);
     }
     let mut caller = fixture.connect().await;
-    let calling = tokio::spawn(async move { caller.call(support::generation()).await });
+    let calling = tokio::spawn(async move { caller.call(support::caller::generation()).await });
     fixture.wait_for_running().await;
     fixture.stop.cancel();
     let response = calling.await.expect("a response");
@@ -450,7 +453,7 @@
     }
     fixture.stop.cancel();
     tokio::time::sleep(time::Duration::from_millis(100)).await;
-    let mut long = support::generation();
+    let mut long = support::caller::generation();
     let usage = http::HeaderValue::from_static("900,4000");
     long.headers_mut().insert("token-usage", usage);
     assert_eq!(fixture.call(long).await.status, 503);
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -6,7 +6,7 @@
 
 use peargap_wire::fleet as wire;
 use peargap_wire::operator;
-use support::request;
+use support::caller::request;
 use support::Fixture;
 
 const WHOLE_PPM: u32 = 1_000_000;
--- a/crates/gateway/tests/support/slow.rs
+++ b/crates/gateway/tests/support/slow.rs
@@ -226,7 +226,7 @@
         let mut times = Vec::new();
         for _call in 0..calls {
             let begun = time::Instant::now();
-            let response = caller.call(super::request("/once/", "")).await;
+            let response = caller.call(super::caller::request("/once/", "")).await;
             assert_eq!(response.status, 200);
             times.push(begun.elapsed());
             tokio::time::sleep(time::Duration::from_millis(20)).await;
