--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,7 @@
 export ROOT
 program="$ROOT/target/review/leave"
 [ -x "$program" ] || exit 2
-RECORD=record.txt exec "$program"
+RECORD=record.txt "$program"
+code=$?
+[ "$code" -le 1 ] || exit 2
+exit "$code"
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in late leave evacuation cold; do
+for name in writer leave evacuation cold; do
     rustc --edition 2021 -O -o "target/review/$name" "review/standins/$name.rs"
 done
--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -199,6 +199,12 @@
     /// gateways, from the templates of the deploy file.
     pub fn prepare(disks: usize, diskless: usize, gateways: usize) -> Deployment {
         let root = std::env::var("ROOT").map_or_else(|_| PathBuf::from("."), PathBuf::from);
+        for program in ["peargap-control", "peargap-gateway"] {
+            if !root.join("target/release").join(program).is_file() {
+                eprintln!("the case cannot run: {program} is not built");
+                std::process::exit(2);
+            }
+        }
         let folder = std::env::temp_dir().join(format!("peargap-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let mut ips: Vec<String> = (0..disks + diskless).map(control_ip).collect();
