proof: hold up what control hosts send to each other

Change: each control host reaches the others through relays of its own; a relay can hold what its connections carry and passes it on in small segments afterwards, as a link with a round trip does. All at once, the end of the connection would arrive with the held bytes and hide the fault.

--- a/crates/proof/tests/failures/relay.rs
+++ b/crates/proof/tests/failures/relay.rs
@@ -1,5 +1,5 @@
-//! A TCP relay that can silence or reset the connections open now, and can delay all of them or
-//! pass what the targets send over a link of limited rate.
+//! A TCP relay that can silence or reset the connections open now, and can delay all of them, hold
+//! them up, or pass what the targets send over a link of limited rate.
 //!
 //! Connections that are opened after a silence or reset work normally.
 
@@ -17,6 +17,9 @@
 
 /// Bytes that a connection passes on at once.
 const BUFFER_BYTES: usize = 16 * 1024;
+/// Bytes that a connection that was held up passes on in a round trip.
+const SEGMENT_BYTES: usize = 1460;
+const ROUND_TRIP: time::Duration = time::Duration::from_millis(3);
 
 /// A relay from `port` on the address it listens on to its target.
 #[derive(Debug)]
@@ -96,6 +99,8 @@
     /// Connections with a smaller number drop everything.
     silent_below: atomic::AtomicU64,
     connection_count: atomic::AtomicU64,
+    /// Whether everything is held up, to be passed on later.
+    held: watch::Sender<bool>,
     /// Incremented to close every open connection.
     resets: watch::Sender<u64>,
 }
@@ -132,6 +137,7 @@
             delay_ms: atomic::AtomicU64::new(0),
             silent_below: atomic::AtomicU64::new(0),
             connection_count: atomic::AtomicU64::new(0),
+            held: watch::Sender::new(false),
             resets: watch::Sender::new(0),
         });
         tokio::spawn(accept(listener, target, faults.clone()));
@@ -153,6 +159,11 @@
         threshold.store(opened, atomic::Ordering::SeqCst);
     }
 
+    /// Holds up what all connections carry, or passes it on, in small segments.
+    pub(crate) fn hold(&self, held: bool) {
+        self.faults.held.send_replace(held);
+    }
+
     /// Closes every open connection.
     pub(crate) fn reset(&self) {
         self.faults.resets.send_modify(|resets| *resets += 1);
@@ -219,11 +230,16 @@
     faults: &Faults,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut was_held = false;
     while let Ok(count @ 1..) = from.read(&mut buffer).await {
         let delay_ms = faults.delay_ms.load(atomic::Ordering::SeqCst);
         if delay_ms > 0 {
             tokio::time::sleep(time::Duration::from_millis(delay_ms)).await;
         }
+        // The sender lives as long as `faults`.
+        let mut held = faults.held.subscribe();
+        was_held |= *held.borrow();
+        let _ = held.wait_for(|held| !held).await;
         // The data is read and dropped, as by a middlebox that has lost the connection's state.
         if faults.is_silent(connection, direction) {
             continue;
@@ -232,8 +248,14 @@
         if let Some((link, name)) = link.filter(|_link| direction == Direction::Responses) {
             link.pass(name, count).await;
         }
-        if to.write_all(&buffer[..count]).await.is_err() {
-            return;
+        let segment_bytes = if was_held { SEGMENT_BYTES } else { count };
+        for segment in buffer[..count].chunks(segment_bytes) {
+            if to.write_all(segment).await.is_err() {
+                return;
+            }
+            if was_held {
+                tokio::time::sleep(ROUND_TRIP).await;
+            }
         }
     }
     if faults.is_silent(connection, direction) {
--- a/crates/proof/tests/soak/deployment.rs
+++ b/crates/proof/tests/soak/deployment.rs
@@ -50,6 +50,8 @@
     /// Relays through which gateways connect to the control hosts.
     pub(crate) control_relays: Vec<relay::Relay>,
     folder: tempfile::TempDir,
+    /// Relays through which each control host connects to the others.
+    pub(crate) peer_relays: Vec<Vec<relay::Relay>>,
     pub(crate) gateway_ports: Vec<u16>,
     pub(crate) gateways: Vec<Process>,
     pub(crate) platform_port: u16,
@@ -138,8 +140,9 @@
 impl Deployment {
     /// Starts all processes and four runners, two of each service.
     pub(crate) async fn start(gateway_count: usize) -> Deployment {
-        let ports = peargap_load::ports::find_ports(5 + gateway_count).expect("ports");
+        let ports = peargap_load::ports::find_ports(5 + CONTROLS + gateway_count).expect("ports");
         let (internal, platform, relayed) = (ports[0], ports[1], ports[2]);
+        let peer_ports = &ports[5 + gateway_count..];
         let folder = tempfile::tempdir().expect("a folder");
         let name = |host: usize| format!("{}:{platform}", control_ip(host));
         let seeds: Vec<String> = (0..CONTROLS).map(name).collect();
@@ -149,9 +152,10 @@
             let text = format!(
                 "[node]\nname = {name}\ndomain = d{host}\n[listen]\ninternal = {ip}:{internal}\n\
                  operators = {ip}:{operators}\nhealth = {ip}:{health}\nplatform = {name}\n\
-                 [membership]\nport = {internal}\nseeds = {seeds}\n[bootstrap]\nvoters = {seeds}\n\
+                 [membership]\nport = {peers}\nseeds = {seeds}\n[bootstrap]\nvoters = {seeds}\n\
                  [data]\nfolder = {folder}\n",
                 name = name(host),
+                peers = peer_ports[host],
                 operators = ports[3],
                 health = ports[4],
                 folder = folder.path().join(format!("data-{host}")).display(),
@@ -176,10 +180,18 @@
             Process::new("peargap-gateway", folder.path(), &name, &text)
         });
         let gateways = gateways.collect();
+        let at = |host, port| net::SocketAddr::from((control_ip(host), port));
         let mut control_relays = Vec::new();
-        for host in 0..CONTROLS {
-            let at = |port| net::SocketAddr::from((control_ip(host), port));
-            control_relays.push(relay::Relay::start_at(at(relayed), at(internal)).await);
+        let mut peer_relays = Vec::new();
+        for (host, port) in peer_ports.iter().enumerate() {
+            let relay = relay::Relay::start_at(at(host, relayed), at(host, internal));
+            control_relays.push(relay.await);
+            let mut relays = Vec::new();
+            for peer in (0..CONTROLS).filter(|peer| *peer != host) {
+                let relay = relay::Relay::start_at(at(peer, *port), at(peer, internal));
+                relays.push(relay.await);
+            }
+            peer_relays.push(relays);
         }
         let mut deployment = Deployment {
             control_relays,
@@ -187,6 +199,7 @@
             folder,
             gateway_ports,
             gateways,
+            peer_relays,
             platform_port: platform,
             rack: runner::RunnerGroup::default(),
             started_upstreams: 0,
@@ -238,6 +251,28 @@
         self.upstreams.push(upstream);
     }
 
+    /// Returns the address at which a control host serves the platform's API.
+    pub(crate) fn platform_address(&self, host: usize) -> net::SocketAddr {
+        net::SocketAddr::from((control_ip(host), self.platform_port))
+    }
+
+    /// Holds up what a control host sends to the others, or passes it on.
+    pub(crate) fn hold_peers(&self, host: usize, held: bool) {
+        for relay in &self.peer_relays[host] {
+            relay.hold(held);
+        }
+    }
+
+    /// Returns the control host that has last become the leader.
+    pub(crate) fn find_leader(&self) -> usize {
+        let leads = |process: &Process| {
+            let text = fs::read_to_string(&process.log).expect("a log");
+            let role = text.lines().rev().find(|line| line.contains("E2003"));
+            role.is_some_and(|line| line.contains("Leader"))
+        };
+        self.controls.iter().position(leads).expect("a leader")
+    }
+
     /// Kills a control host and deletes its data folder.
     pub(crate) fn delete_data(&mut self, host: usize) {
         self.controls[host].kill();
@@ -260,6 +295,9 @@
         for relay in &self.control_relays {
             relay.delay(time::Duration::ZERO);
         }
+        for host in 0..CONTROLS {
+            self.hold_peers(host, false);
+        }
         // Silent connections are detected and replaced within this time.
         tokio::time::sleep(time::Duration::from_secs(3)).await;
     }
--- a/crates/proof/tests/soak/operator.rs
+++ b/crates/proof/tests/soak/operator.rs
@@ -58,10 +58,6 @@
     Some((answer.status.as_u16(), answer.body))
 }
 
-fn control_address(deployment: &deployment::Deployment, host: usize) -> net::SocketAddr {
-    net::SocketAddr::from((deployment::control_ip(host), deployment.platform_port))
-}
-
 impl Operator {
     /// Sends the first document until a host acknowledges it, then starts to send others.
     pub(crate) async fn start(
@@ -69,7 +65,7 @@
         ledger: ledger::Ledger,
     ) -> Operator {
         let hosts: Vec<_> = (0..deployment::CONTROLS)
-            .map(|host| control_address(deployment, host))
+            .map(|host| deployment.platform_address(host))
             .collect();
         let deadline = time::Instant::now() + deployment::WAIT_TIMEOUT;
         while !send_document(&hosts, 0, 1, &ledger).await {
@@ -99,7 +95,7 @@
             let deadline = time::Instant::now() + deployment::WAIT_TIMEOUT;
             let body = loop {
                 let answer = call(
-                    control_address(deployment, host),
+                    deployment.platform_address(host),
                     "GET",
                     "/api/config",
                     String::new(),
