control: a leave holds whichever host is told of it

Cause: an upstream's status is kept only by the host that it calls, a leave names no start, and a host that did not know the name answered at once and told nobody. Likewise a leave with an older edition was stale to gateways, a departure of an unknown upstream was dropped, and a repeated leave did not wait. Change: the host asks the attached gateways for the current start, then records and tells the leave (control::leaves, E2149). Within a start, the stage outweighs the heartbeat's number. If nobody knows the upstream, the name is kept with the time of day as its latest start.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod rollout;
 pub mod settings;
 pub mod signals;
+pub mod upstream;
 pub mod waiting;
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -31,6 +31,8 @@
     2122,
     "gateways did not confirm an upstream's status in time",
 );
+pub(crate) const LEAVE_RECORDED: logs::Event =
+    logs::Event::info(2149, "leave of an upstream recorded");
 pub(crate) const WAITING_DROPPED: logs::Event =
     logs::Event::info(2148, "waiting requests of silent gateways dropped");
 pub(crate) const GATEWAY_ATTACHED: logs::Event = logs::Event::info(2123, "gateway attached");
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -22,6 +22,7 @@
 
 use crate::documents;
 use crate::events;
+use crate::leaves;
 use crate::replica;
 use crate::rollout;
 
@@ -36,7 +37,7 @@
 /// Longest time that the reply to an upstream that stops taking work waits for the gateways to
 /// apply its status. A gateway that does not confirm by then is assumed to be partitioned or
 /// stopped. The time is below the upstream's own call timeout of one second.
-const CONFIRM_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+pub(crate) const CONFIRM_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 
 /// Age from which on what waits at a gateway no longer counts: the gateway may have failed, and others
 /// would leave room to its requests in vain.
@@ -66,8 +67,8 @@
     /// Number of the last change.
     last_change: u64,
     /// Number of the last change of each upstream's status, by upstream.
-    changes_by_upstream: collections::HashMap<String, u64>,
-    directory: upstreams::Directory,
+    pub(crate) changes_by_upstream: collections::HashMap<String, u64>,
+    pub(crate) directory: upstreams::Directory,
     last_link: u64,
     /// Limits that upstreams named to gateways.
     limits: named_limits::Table,
@@ -76,6 +77,8 @@
     pub(crate) paces: pace_table::Table,
     /// Evidence of gateways on what crashes upstreams.
     pub(crate) quarantine: quarantine::Table,
+    /// Questions to gateways, by the number of the change with which each was asked.
+    pub(crate) questions: collections::BTreeMap<u64, leaves::Question>,
     /// What gateways have counted of the rollouts in progress.
     pub(crate) rollouts: collections::BTreeMap<LinkKey, rollout::Reported>,
     /// Sums of the loads on all links.
@@ -102,11 +105,12 @@
     waiting_confirmed: Instant,
 }
 
-/// Statuses that changed since a given change.
+/// Statuses that changed, and questions that were asked, since a given change.
 #[derive(Debug)]
 pub(crate) struct Changes {
-    /// Number of the last change that the statuses include.
+    /// Number of the last change that the statuses and questions include.
     pub(crate) last_change: u64,
+    pub(crate) questions: Vec<leaves::Question>,
     pub(crate) statuses: Vec<upstreams::Status>,
 }
 
@@ -168,33 +172,20 @@
             return;
         };
         if !is_ready {
-            self.wait_until_applied(change).await;
+            let deadline = tokio::time::Instant::now() + CONFIRM_TIMEOUT;
+            self.wait_until_applied(change, deadline).await;
         }
     }
 
-    /// Records that an upstream leaves. Returns once the gateways have applied it or did not in
-    /// time.
-    pub(crate) async fn record_leave(&self, name: &str) {
-        let now = self.clock.now();
-        let Some(change) = self.publish(|directory| directory.leave(now, name)) else {
-            return;
-        };
-        self.wait_until_applied(change).await;
-    }
-
-    /// Records that one start of an upstream is leaving, as it told a gateway.
-    pub(crate) fn record_departure(&self, name: &str, born_ms: u64) {
-        self.publish(|directory| directory.drain(name, born_ms));
-    }
-
     /// Changes the status of an upstream and tells the gateways; returns the number of the change.
-    fn publish(
+    pub(crate) fn publish(
         &self,
-        change: impl FnOnce(&mut upstreams::Directory) -> Option<upstreams::Status>,
+        change: impl FnOnce(Instant, &mut upstreams::Directory) -> Option<upstreams::Status>,
     ) -> Option<u64> {
+        let now = self.clock.now();
         let number = {
             let mut state = self.lock();
-            let status = change(&mut state.directory)?;
+            let status = change(now, &mut state.directory)?;
             log_status(&status);
             state.record_change(status.name)
         };
@@ -251,7 +242,12 @@
         Some(change)
     }
 
-    async fn wait_until_applied(&self, change: u64) {
+    /// Waits until all gateways have applied a change; returns whether they did by `deadline`.
+    pub(crate) async fn wait_until_applied(
+        &self,
+        change: u64,
+        deadline: tokio::time::Instant,
+    ) -> bool {
         let mut link_events = self.link_events.subscribe();
         let applied = async {
             while !self.lock().is_applied_by_all(change) {
@@ -260,12 +256,11 @@
                 }
             }
         };
-        if tokio::time::timeout(CONFIRM_TIMEOUT, applied)
-            .await
-            .is_err()
-        {
+        let is_applied = tokio::time::timeout_at(deadline, applied).await.is_ok();
+        if !is_applied {
             logs::emit(events::STATUS_UNCONFIRMED, format_args!("change={change}"));
         }
+        is_applied
     }
 
     /// Adds the link of a gateway.
@@ -366,7 +361,8 @@
         }
     }
 
-    /// Returns the statuses that changed after `after`, with their remaining cold-start time.
+    /// Returns the statuses that changed, with their remaining cold-start time, and the questions that
+    /// were asked after `after`.
     pub(crate) fn list_changes(&self, after: u64) -> Changes {
         let now = self.clock.now();
         let state = self.lock();
@@ -385,8 +381,10 @@
             status.cold_ms = status.cold_ms.saturating_sub(now.millis_since(entry.heard));
             status
         });
+        let questions = state.questions.range(after + 1..);
         Changes {
             last_change: state.last_change,
+            questions: questions.map(|(_change, one)| one.clone()).collect(),
             statuses: statuses.collect(),
         }
     }
@@ -432,12 +430,18 @@
         old.len()
     }
 
-    fn record_change(&mut self, name: String) -> u64 {
+    /// Returns the number of a new change.
+    pub(crate) fn next_change(&mut self) -> u64 {
         self.last_change += 1;
-        self.changes_by_upstream.insert(name, self.last_change);
         self.last_change
     }
 
+    fn record_change(&mut self, name: String) -> u64 {
+        let change = self.next_change();
+        self.changes_by_upstream.insert(name, change);
+        change
+    }
+
     fn is_applied_by_all(&self, change: u64) -> bool {
         self.links.values().all(|link| link.applied >= change)
     }
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -9,11 +9,11 @@
 use peargap_adapters::limit;
 use peargap_adapters::load;
 use peargap_adapters::logs;
+use peargap_adapters::upstream;
 use peargap_adapters::waiting;
 use peargap_core::aggregator;
 use peargap_core::load_totals;
 use peargap_core::routing;
-use peargap_core::upstreams;
 use peargap_wire::fleet as wire;
 use peargap_wire::fleet::fleet_server;
 use tokio::sync::mpsc;
@@ -25,6 +25,7 @@
 use crate::documents;
 use crate::events;
 use crate::fleet;
+use crate::leaves;
 use crate::status;
 
 /// Updates buffered for a slow link.
@@ -153,6 +154,9 @@
             name = report.gateway;
             logs::emit(events::GATEWAY_ATTACHED, format_args!("gateway={name}"));
         }
+        for status in report.later_starts.into_iter().filter_map(upstream::decode) {
+            fleet.record_answer(&status);
+        }
         if report.applied > 0 {
             let change = confirm_update(unconfirmed, report.applied);
             fleet.record_applied(key, report.applied, change);
@@ -261,7 +265,8 @@
             evidence: evidence.news.iter().map(evidence::encode).collect(),
             limits: limits.news.iter().map(limit::encode).collect(),
             paces: paces.news,
-            upstreams: changed.statuses.iter().map(encode_status).collect(),
+            questions: changed.questions.into_iter().map(encode_question).collect(),
+            upstreams: changed.statuses.iter().map(upstream::encode).collect(),
             ..wire::Update::default()
         };
         if hosts != self.sent.hosts {
@@ -352,23 +357,9 @@
     }
 }
 
-fn encode_status(status: &upstreams::Status) -> wire::Upstream {
-    let state = match status.state {
-        upstreams::State::Draining => wire::State::Draining,
-        upstreams::State::Left => wire::State::Left,
-        upstreams::State::Ready => wire::State::Ready,
-        upstreams::State::Silent => wire::State::Silent,
-    };
-    wire::Upstream {
-        address: status.address.clone(),
-        born_ms: status.edition.born_ms,
-        cold_ms: u32::try_from(status.cold_ms).unwrap_or(u32::MAX),
-        domain: status.domain.clone(),
-        name: status.name.clone(),
-        sequence: status.edition.sequence,
-        service: status.service.clone(),
-        slots: status.slots,
-        state: state.into(),
-        version: status.version.clone(),
+fn encode_question(question: leaves::Question) -> wire::Question {
+    wire::Question {
+        born_ms: question.born_ms,
+        upstream: question.upstream,
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod host;
 mod input;
 pub mod lease;
+mod leaves;
 pub mod log_codec;
 mod node_link;
 pub mod operators;
--- a/crates/core/src/departures.rs
+++ b/crates/core/src/departures.rs
@@ -1,4 +1,5 @@
-//! Upstreams that said in a response that they are leaving, as one gateway was told.
+//! Upstreams that are leaving, as one gateway was told by their responses, or by a control host that
+//! knows no more of them.
 //!
 //! The list outlives what the gateway knows of the upstreams themselves: a control host that has not
 //! heard of a departure may announce the upstream as ready at any time.
@@ -9,7 +10,7 @@
 /// Departures that are kept.
 const MAX_ENTRIES: usize = 256;
 
-/// One start of an upstream that is leaving.
+/// One start of an upstream that is leaving. Earlier starts of it have ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Departure {
     /// Start time of the process by its own clock, in Unix milliseconds.
@@ -34,6 +35,12 @@
         self.0.push(departure);
     }
 
+    /// Returns whether a departure is listed.
+    #[must_use]
+    pub fn contains(&self, departure: &Departure) -> bool {
+        self.0.iter().any(|listed| listed == departure)
+    }
+
     /// Returns the number of departures so far.
     #[must_use]
     pub fn count(&self) -> usize {
@@ -52,7 +59,7 @@
             upstreams::State::Draining | upstreams::State::Left => false,
         };
         let has_departed = self.0.iter().any(|departure| {
-            departure.upstream == status.name && departure.born_ms == status.edition.born_ms
+            departure.upstream == status.name && departure.born_ms >= status.edition.born_ms
         });
         if takes_work && has_departed {
             status.state = upstreams::State::Draining;
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -2,7 +2,10 @@
 //!
 //! The directory is not replicated through the log, because an upstream repeats its status with
 //! each heartbeat. Of two statuses with the same name, the one from the later process start wins,
-//! then the one with the higher heartbeat number.
+//! then the one that is further on its way out, then the one with the higher heartbeat number.
+//!
+//! A leave names an upstream without its status, and may come at a host that has never heard of it.
+//! Such a host keeps a [`Status::departed`], which has no address.
 
 use std::collections;
 
@@ -22,6 +25,12 @@
 }
 
 impl State {
+    /// Returns whether an instance in this state takes no new work any longer.
+    #[must_use]
+    pub fn is_leaving(self) -> bool {
+        self.stage() > 0
+    }
+
     /// Returns how far the instance has come on its way out.
     fn stage(self) -> u8 {
         match self {
@@ -66,6 +75,26 @@
 }
 
 impl Status {
+    /// Returns the status of an upstream of which only the name is known, and that the start at
+    /// `born_ms` and the earlier ones take no new work.
+    #[must_use]
+    pub fn departed(name: &str, born_ms: u64, state: State) -> Status {
+        Status {
+            address: String::new(),
+            cold_ms: 0,
+            domain: String::new(),
+            edition: Edition {
+                born_ms,
+                sequence: 0,
+            },
+            name: name.to_owned(),
+            service: String::new(),
+            slots: 0,
+            state,
+            version: String::new(),
+        }
+    }
+
     /// Returns whether both are equal except for the heartbeat number and the remaining cold time.
     #[must_use]
     pub fn has_same_content(&self, other: &Status) -> bool {
@@ -138,9 +167,19 @@
         }
     }
 
-    /// Marks an upstream as having left; returns its status unless it had left already.
-    pub fn leave(&mut self, now: time::Instant, name: &str) -> Option<Status> {
-        let known = self.entries.get_mut(name)?;
+    /// Returns the status of an upstream.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<&Status> {
+        Some(&self.entries.get(name)?.status)
+    }
+
+    /// Marks the current start of an upstream as having left; returns its status unless it had left
+    /// already. An upstream that is not known is taken for one that started at `born_ms` at the
+    /// latest, so that no start up to then takes new work when it becomes known.
+    pub fn leave(&mut self, now: time::Instant, name: &str, born_ms: u64) -> Option<Status> {
+        let Some(known) = self.entries.get_mut(name) else {
+            return Some(self.insert_departed(now, name, born_ms, State::Left));
+        };
         if known.status.state == State::Left {
             return None;
         }
@@ -149,15 +188,37 @@
         Some(known.status.clone())
     }
 
-    /// Marks one start of an upstream as draining; returns its status unless it takes no new work
-    /// already.
-    pub fn drain(&mut self, name: &str, born_ms: u64) -> Option<Status> {
-        let status = &mut self.entries.get_mut(name)?.status;
-        if status.edition.born_ms != born_ms || status.state.stage() > 0 {
-            return None;
+    /// Marks one start of an upstream as draining, also if it is not known; returns its status
+    /// unless it, or a later start, is known not to take new work already.
+    pub fn drain(&mut self, now: time::Instant, name: &str, born_ms: u64) -> Option<Status> {
+        let known = self.entries.get_mut(name).map(|entry| &mut entry.status);
+        match known {
+            Some(known) if known.edition.born_ms > born_ms => None,
+            Some(known) if known.edition.born_ms == born_ms => {
+                if known.state.is_leaving() {
+                    return None;
+                }
+                known.state = State::Draining;
+                Some(known.clone())
+            }
+            Some(_) | None => Some(self.insert_departed(now, name, born_ms, State::Draining)),
         }
-        status.state = State::Draining;
-        Some(status.clone())
+    }
+
+    fn insert_departed(
+        &mut self,
+        now: time::Instant,
+        name: &str,
+        born_ms: u64,
+        state: State,
+    ) -> Status {
+        let status = Status::departed(name, born_ms, state);
+        let entry = Entry {
+            heard: now,
+            status: status.clone(),
+        };
+        self.entries.insert(name.to_owned(), entry);
+        status
     }
 
     /// Marks as silent the upstreams last heard from more than `silence_ms` ago.
@@ -196,26 +257,38 @@
         && other.edition.born_ms < status.edition.born_ms
 }
 
+/// Applies a status without an address to the known one of the same name.
+pub fn depart(known: &mut Status, departed: &Status) -> Outcome {
+    if known.edition.born_ms > departed.edition.born_ms {
+        return Outcome::Stale;
+    }
+    if known.state.stage() >= departed.state.stage() {
+        return Outcome::Known;
+    }
+    known.state = departed.state;
+    Outcome::Changed
+}
+
 /// Compares a received status with the known one of the same name.
 #[must_use]
 pub fn compare(known: &Status, status: &Status) -> Outcome {
-    if status.edition < known.edition {
-        return Outcome::Stale;
-    }
     let is_same_start = status.edition.born_ms == known.edition.born_ms;
     // An instance that takes no new work takes none again before its next start, so heartbeats that
-    // say otherwise are late.
-    if is_same_start && known.state.stage() > status.state.stage() {
+    // say otherwise are late. A host that was told of it may have heard fewer heartbeats than others.
+    if is_same_start && status.state.stage() != known.state.stage() {
+        return match status.state.stage() > known.state.stage() {
+            true => Outcome::Changed,
+            false => Outcome::Stale,
+        };
+    }
+    if status.edition < known.edition {
         return Outcome::Stale;
     }
     // `Silent` only says that one receiver missed heartbeats, which another one may have received.
-    // A `Ready` of the same heartbeat therefore replaces `Silent`, but not `Draining`.
+    // A `Ready` of the same heartbeat therefore replaces `Silent`.
     let is_same_edition = status.edition == known.edition;
     if is_same_edition && known.state != State::Silent && status.state == State::Ready {
-        return match known.state {
-            State::Ready => Outcome::Known,
-            _ => Outcome::Stale,
-        };
+        return Outcome::Known;
     }
     match known.has_same_content(status) {
         true => Outcome::Known,
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -40,6 +40,7 @@
     assert_eq!(corrected(5, State::Ready), State::Draining);
     assert_eq!(corrected(5, State::Silent), State::Draining);
     assert_eq!(corrected(5, State::Left), State::Left);
+    assert_eq!(corrected(4, State::Ready), State::Draining, "it has ended");
     assert_eq!(corrected(6, State::Ready), State::Ready);
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -4,6 +4,7 @@
 
 use peargap_adapters::clock;
 use peargap_adapters::logs;
+use peargap_adapters::upstream;
 use peargap_core::balance;
 use peargap_core::breaker;
 use peargap_core::engine_room;
@@ -12,6 +13,7 @@
 use peargap_core::retry_budget;
 use peargap_core::routes;
 use peargap_core::upstreams;
+use peargap_wire::fleet as wire;
 use tokio::sync::watch;
 
 use crate::events;
@@ -153,6 +155,17 @@
         }
     }
 
+    /// Returns the upstreams among those asked about of which this gateway knows a later start.
+    pub(crate) fn answer(&self, questions: &[wire::Question]) -> Vec<wire::Upstream> {
+        let state = self.lock();
+        let known = questions.iter().filter_map(|question| {
+            let key = *state.names.get(&question.upstream)?;
+            let status = &state.upstreams.get(key)?.status;
+            (status.edition.born_ms > question.born_ms).then(|| upstream::encode(status))
+        });
+        known.collect()
+    }
+
     /// Wakes those who wait for changes.
     pub(crate) fn notify_changed(&self) {
         self.changed.send_modify(|count| *count += 1);
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -75,7 +75,7 @@
 }
 
 impl State {
-    /// Merges a received status; one without a valid address is ignored.
+    /// Merges a received status; one that takes work and has no valid address is ignored.
     pub(crate) fn merge_status(
         &mut self,
         now: time::Instant,
@@ -84,7 +84,7 @@
         self.forget(now);
         self.departures.correct(&mut status);
         let Ok(address) = status.address.parse::<net::SocketAddr>() else {
-            return upstreams::Outcome::Stale;
+            return self.merge_departed(now, &status);
         };
         let name = status.name.clone();
         let outcome = self.merge_at_address(now, address, status);
@@ -94,6 +94,31 @@
         outcome
     }
 
+    /// Merges what a control host says of an upstream of which it knows only that it leaves.
+    fn merge_departed(
+        &mut self,
+        now: time::Instant,
+        status: &upstreams::Status,
+    ) -> upstreams::Outcome {
+        if !status.state.is_leaving() {
+            return upstreams::Outcome::Stale;
+        }
+        let known = self.names.get(&status.name).copied();
+        if let Some(known) = known.and_then(|key| self.upstreams.get_mut(key)) {
+            known.last_heard = now;
+            return upstreams::depart(&mut known.status, status);
+        }
+        // Another host may still announce it as ready.
+        let departure = departures::Departure {
+            born_ms: status.edition.born_ms,
+            upstream: status.name.clone(),
+        };
+        if !self.departures.contains(&departure) {
+            self.departures.push(departure);
+        }
+        upstreams::Outcome::Known
+    }
+
     /// Marks the upstreams as absent at whose address a later process has started, among them the
     /// named one. The breaker admits probes, as the clock of an upstream's host may have been set
     /// back between two starts.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,12 +8,12 @@
 use futures::StreamExt as _;
 use hyper_util::client::legacy::connect;
 use peargap_adapters::logs;
+use peargap_adapters::upstream;
 use peargap_core::aggregator;
 use peargap_core::document_fetch;
 use peargap_core::fleet_share;
 use peargap_core::reconnect;
 use peargap_core::time::Instant;
-use peargap_core::upstreams;
 use peargap_wire::fleet as wire;
 use peargap_wire::fleet::fleet_client;
 use tokio::sync::mpsc;
@@ -247,7 +247,7 @@
     sent.map_err(|_closed| "report stream closed".to_owned())
 }
 
-/// Applies an update, and acknowledges it if it has upstreams.
+/// Applies an update, and confirms it if it has upstreams or questions.
 async fn apply(
     shared: &Shared,
     host: &str,
@@ -263,12 +263,11 @@
     if let Some(outage) = update.outage {
         shared.fleet.apply_outage(outage.revision, outage.domains);
     }
-    let has_upstreams = !update.upstreams.is_empty();
-    for upstream in update.upstreams {
-        if let Some(status) = decode_status(upstream) {
-            shared.fleet.merge_status(status);
-        }
+    let is_confirmed = !update.upstreams.is_empty() || !update.questions.is_empty();
+    for status in update.upstreams.into_iter().filter_map(upstream::decode) {
+        shared.fleet.merge_status(status);
     }
+    let later_starts = shared.fleet.answer(&update.questions);
     if !update.hosts.is_empty() {
         shared.set_voters(update.voters);
     }
@@ -292,11 +291,12 @@
         shared.fleet.room.confirm_others(shared.fleet.clock.now());
         shared.fleet.record_sums(update.all_loads);
     }
-    if !has_upstreams {
+    if !is_confirmed {
         return Ok(());
     }
     let report = wire::Report {
         applied: update.number,
+        later_starts,
         ..wire::Report::default()
     };
     send(reports, report).await
@@ -310,30 +310,6 @@
     })
 }
 
-fn decode_status(upstream: wire::Upstream) -> Option<upstreams::Status> {
-    let state = match upstream.state() {
-        wire::State::Draining => upstreams::State::Draining,
-        wire::State::Left => upstreams::State::Left,
-        wire::State::Ready => upstreams::State::Ready,
-        wire::State::Silent => upstreams::State::Silent,
-        wire::State::Unspecified => return None,
-    };
-    Some(upstreams::Status {
-        address: upstream.address,
-        cold_ms: u64::from(upstream.cold_ms),
-        domain: upstream.domain,
-        edition: upstreams::Edition {
-            born_ms: upstream.born_ms,
-            sequence: upstream.sequence,
-        },
-        name: upstream.name,
-        service: upstream.service,
-        slots: upstream.slots,
-        state,
-        version: upstream.version,
-    })
-}
-
 impl Shared {
     /// Returns whether load reports go to this host.
     fn reports_to(&self, host: &str) -> bool {
--- a/crates/proof/tests/bounds/main.rs
+++ b/crates/proof/tests/bounds/main.rs
@@ -1,6 +1,6 @@
 //! Bounds that hold for all gateways together: retries to a service that refuses requests, while
 //! gateways and control hosts restart again and again, the limits that upstreams name, prompts that
-//! crash engines, and routing documents on thin links.
+//! crash engines, routing documents on thin links, and upstreams that leave.
 
 #![allow(
     dead_code,
@@ -13,6 +13,7 @@
 #[path = "../soak/deployment.rs"]
 mod deployment;
 mod documents;
+mod leaves;
 #[path = "../soak/ledger.rs"]
 mod ledger;
 #[path = "../soak/operator.rs"]
--- a/crates/wire/src/gen/peargap.fleet.rs
+++ b/crates/wire/src/gen/peargap.fleet.rs
@@ -5,7 +5,7 @@
     /// Name of the gateway; set in the first report of a call.
     #[prost(string, tag = "1")]
     pub gateway: ::prost::alloc::string::String,
-    /// Number of the last update that the gateway has applied.
+    /// Number of the last update with upstreams or questions that the gateway has applied.
     #[prost(uint64, tag = "2")]
     pub applied: u64,
     /// Set when `loads` holds the gateway's complete current load.
@@ -49,6 +49,9 @@
     /// Complete counts of each rollout in progress, for a host that asks for them; set when they changed.
     #[prost(message, repeated, tag = "15")]
     pub rollouts: ::prost::alloc::vec::Vec<RolloutCounts>,
+    /// Answers to `Update.questions`: the upstreams of which this gateway knows a later start.
+    #[prost(message, repeated, tag = "16")]
+    pub later_starts: ::prost::alloc::vec::Vec<Upstream>,
 }
 /// What a gateway has of the routing document.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -416,6 +419,20 @@
     /// The rollouts; set when they changed since the previous update.
     #[prost(message, optional, tag = "18")]
     pub rollouts: ::core::option::Option<Rollouts>,
+    /// Upstreams that are leaving, whose current start this host asks for. The gateway confirms the
+    /// update when it has answered.
+    #[prost(message, repeated, tag = "19")]
+    pub questions: ::prost::alloc::vec::Vec<Question>,
+}
+/// A question for the current start of an upstream.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Question {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// The latest start that the asking host knows, in Unix milliseconds; 0 if it knows none.
+    #[prost(uint64, tag = "2")]
+    pub born_ms: u64,
 }
 /// All services with a rollout, past or in progress.
 #[derive(Clone, PartialEq, ::prost::Message)]
