control: an order that others have overtaken is not applied

Cause: a host that does not lead forwards orders; one that was held up behind a cut was proposed when it arrived, though its caller had long been answered by another host and had given the next order. The state machine applied orders as they came. Ruled out: late entries of a former leader, which precede later orders in the log; gateways, which compare revisions.

--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -39,6 +39,8 @@
 pub(crate) const GATEWAY_DETACHED: logs::Event = logs::Event::info(2124, "gateway detached");
 pub(crate) const DOCUMENT_PUBLISHED: logs::Event = logs::Event::info(2125, "document published");
 pub(crate) const DOMAIN_STATE_SET: logs::Event = logs::Event::info(2126, "domain state set");
+pub(crate) const ORDER_OVERTAKEN: logs::Event =
+    logs::Event::warn(2150, "order on a domain overtaken by another one");
 pub(crate) const COMMAND_FAILED: logs::Event =
     logs::Event::warn(2127, "platform command not committed");
 pub(crate) const CALL_REJECTED: logs::Event = logs::Event::warn(2128, "platform call rejected");
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod copy_detection;
 pub mod disk;
 mod documents;
+mod domain_orders;
 mod events;
 pub mod files;
 mod fleet;
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -8,6 +8,7 @@
 use peargap_wire::operator;
 use peargap_wire::record;
 
+use crate::domain_orders;
 use crate::events;
 use crate::fleet;
 use crate::proposal;
@@ -58,16 +59,7 @@
     }
 
     async fn set_domain_out(&self, domain: String, out: bool) -> api::Outcome {
-        let shift = record::Shift {
-            domain: domain.clone(),
-            out,
-        };
-        let outcome = self.commit(record::command::Kind::Shift(shift)).await;
-        logs::emit(
-            events::DOMAIN_STATE_SET,
-            format_args!("domain={domain} out={out} outcome={outcome:?}"),
-        );
-        outcome
+        domain_orders::set(&self.fleet.handle, domain, out).await
     }
 
     async fn start_rollout(&self, request: order::Request) -> api::Ordered {
--- a/crates/control/src/state_codec.rs
+++ b/crates/control/src/state_codec.rs
@@ -361,9 +361,18 @@
     }
 }
 
+fn encode_domain_order((domain, index): (&String, &u64)) -> record::DomainOrder {
+    record::DomainOrder {
+        domain: domain.clone(),
+        index: *index,
+    }
+}
+
 pub(crate) fn encode_routing(routing: &routing::Routing) -> record::Routing {
+    let orders = routing.orders.iter();
     record::Routing {
         domains_out: routing.domains_out.iter().cloned().collect(),
+        orders: orders.map(encode_domain_order).collect(),
         revision: routing.revision,
         rollouts: routing
             .rollouts
@@ -377,8 +386,10 @@
 }
 
 pub(crate) fn decode_routing(record: record::Routing) -> routing::Routing {
+    let orders = record.orders.into_iter();
     routing::Routing {
         domains_out: record.domains_out.into_iter().collect(),
+        orders: orders.map(|order| (order.domain, order.index)).collect(),
         revision: record.revision,
         rollouts: rollout_codec::restore(record.rollouts_revision, record.rollouts),
         text: record.text,
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -179,10 +179,17 @@
     }
 
     fn set_domain_out(&mut self, index: u64, shift: &record::Shift) -> record::reply::Kind {
-        if self.routing.domains_out.contains(&shift.domain) != shift.out {
-            sync::Arc::make_mut(&mut self.routing).shift(index, &shift.domain, shift.out);
-        }
-        record::reply::Kind::Routed(true)
+        let order = routing::Order {
+            domain: &shift.domain,
+            follows: shift.follows,
+            out: shift.out,
+        };
+        let routing = sync::Arc::make_mut(&mut self.routing);
+        let applied = routing.shift(index, &order);
+        record::reply::Kind::Shifted(record::Shifted {
+            applied,
+            last: routing.last_order(&shift.domain),
+        })
     }
 
     fn start_rollout(&mut self, index: u64, start: operator::StartRollout) -> record::reply::Kind {
--- a/crates/control/tests/state_machine.rs
+++ b/crates/control/tests/state_machine.rs
@@ -83,7 +83,7 @@
 }
 
 fn build_command(random: &mut quickcheck::Gen) -> Bytes {
-    let kind = match number(random) % 8 {
+    let kind = match number(random) % 9 {
         0 => record::command::Kind::Submit(build_submit(random)),
         1 => record::command::Kind::Announce(build_announce(random)),
         2 => record::command::Kind::Leave(record::Leave {
@@ -108,6 +108,11 @@
                 upstream: name(random),
             }],
         }),
+        7 => record::command::Kind::Shift(record::Shift {
+            domain: name(random),
+            follows: Option::<u8>::arbitrary(random).map(u64::from),
+            out: bool::arbitrary(random),
+        }),
         _ => return Vec::<u8>::arbitrary(random).into(),
     };
     let command = record::Command { kind: Some(kind) };
@@ -185,6 +190,33 @@
     machine.apply(index, &command.encode_to_vec().into())
 }
 
+fn shift(machine: &mut state_machine::StateMachine, index: u64, out: bool, follows: u64) -> bool {
+    let kind = record::command::Kind::Shift(record::Shift {
+        domain: "a".to_owned(),
+        follows: Some(follows),
+        out,
+    });
+    let reply = record::Reply::decode(apply(machine, index, kind)).expect("a reply");
+    match reply.kind {
+        Some(record::reply::Kind::Shifted(shifted)) => shifted.applied,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against an order that comes late, after a host has been restored from a snapshot, and undoes
+/// one that was acknowledged meanwhile.
+#[test]
+fn an_overtaken_order_is_not_applied_after_a_snapshot_either() {
+    let mut machine = state_machine::StateMachine::new();
+    assert!(shift(&mut machine, 1, true, 0));
+    assert!(shift(&mut machine, 2, false, 1));
+    assert!(shift(&mut machine, 3, true, 2));
+    let mut machine = state_machine::StateMachine::restore(&machine.snapshot()).unwrap();
+    assert!(!shift(&mut machine, 4, false, 1));
+    assert!(machine.routing().domains_out.contains("a"));
+    assert!(shift(&mut machine, 5, false, 3));
+}
+
 #[test]
 fn model_loads_stay_within_the_weight_store_rate() {
     let mut machine = state_machine::StateMachine::new();
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -14,6 +14,8 @@
 pub struct Routing {
     /// Failure domains out of service, which get no new work.
     pub domains_out: collections::BTreeSet<String>,
+    /// Log index of the last order on each domain that has had one, also if it changed nothing.
+    pub orders: collections::BTreeMap<String, u64>,
     /// Log index of the last change to `domains_out`.
     pub revision: u64,
     /// Rollouts of services to other versions.
@@ -37,17 +39,40 @@
         true
     }
 
-    /// Takes a domain out of service or returns it; `index` is the log index of the command.
+    /// Returns the log index of the last order on a domain; 0 before the first.
+    #[must_use]
+    pub fn last_order(&self, domain: &str) -> u64 {
+        self.orders.get(domain).copied().unwrap_or_default()
+    }
+
+    /// Takes a domain out of service or returns it; `index` is the log index of the order.
     ///
-    /// Returns whether the state changed.
-    pub fn shift(&mut self, index: u64, domain: &str, out: bool) -> bool {
-        let changed = match out {
-            true => self.domains_out.insert(domain.to_owned()),
-            false => self.domains_out.remove(domain),
+    /// An order that names the one that it follows is applied only if that is still the last one on
+    /// the domain. Otherwise it was overtaken on its way to the log. Returns whether it was applied.
+    pub fn shift(&mut self, index: u64, order: &Order<'_>) -> bool {
+        let last = self.last_order(order.domain);
+        if order.follows.is_some_and(|follows| follows != last) {
+            return false;
+        }
+        self.orders.insert(order.domain.to_owned(), index);
+        let changed = match order.out {
+            true => self.domains_out.insert(order.domain.to_owned()),
+            false => self.domains_out.remove(order.domain),
         };
         if changed {
             self.revision = index;
         }
-        changed
+        true
     }
 }
+
+/// An operator's order on a failure domain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Order<'a> {
+    /// Name of the domain.
+    pub domain: &'a str,
+    /// Log index of the last order on the domain that its host knew; `None` applies it in any case.
+    pub follows: Option<u64>,
+    /// Whether the domain is to be out of service.
+    pub out: bool,
+}
--- a/crates/proof/tests/bounds/main.rs
+++ b/crates/proof/tests/bounds/main.rs
@@ -1,6 +1,6 @@
 //! Bounds that hold for all gateways together: retries to a service that refuses requests, while
 //! gateways and control hosts restart again and again, the limits that upstreams name, prompts that
-//! crash engines, routing documents on thin links, and upstreams that leave.
+//! crash engines, routing documents on thin links, upstreams that leave and operators' orders.
 
 #![allow(
     dead_code,
@@ -18,6 +18,7 @@
 mod ledger;
 #[path = "../soak/operator.rs"]
 mod operator;
+mod orders;
 #[path = "../failures/program.rs"]
 mod program;
 #[path = "../failures/relay.rs"]
--- a/crates/proof/tests/soak/deployment.rs
+++ b/crates/proof/tests/soak/deployment.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub(crate) struct Process {
     child: Option<process::Child>,
-    log: path::PathBuf,
+    pub(crate) log: path::PathBuf,
     program: &'static str,
     settings: path::PathBuf,
     paused: bool,
@@ -263,16 +263,6 @@
         }
     }
 
-    /// Returns the control host that has last become the leader.
-    pub(crate) fn find_leader(&self) -> usize {
-        let leads = |process: &Process| {
-            let text = fs::read_to_string(&process.log).expect("a log");
-            let role = text.lines().rev().find(|line| line.contains("E2003"));
-            role.is_some_and(|line| line.contains("Leader"))
-        };
-        self.controls.iter().position(leads).expect("a leader")
-    }
-
     /// Kills a control host and deletes its data folder.
     pub(crate) fn delete_data(&mut self, host: usize) {
         self.controls[host].kill();
--- a/crates/wire/src/gen/peargap.record.rs
+++ b/crates/wire/src/gen/peargap.record.rs
@@ -101,6 +101,28 @@
     pub domain: ::prost::alloc::string::String,
     #[prost(bool, tag = "2")]
     pub out: bool,
+    /// Log index of the last order on the domain that the order's host knew, 0 for none. If set, the
+    /// order is applied only while that is still the last one.
+    #[prost(uint64, optional, tag = "3")]
+    pub follows: ::core::option::Option<u64>,
+}
+/// Whether an order on a failure domain was applied.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Shifted {
+    #[prost(bool, tag = "1")]
+    pub applied: bool,
+    /// Log index of the last order on the domain, this one included.
+    #[prost(uint64, tag = "2")]
+    pub last: u64,
+}
+/// The last order on a failure domain.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DomainOrder {
+    #[prost(string, tag = "1")]
+    pub domain: ::prost::alloc::string::String,
+    /// Log index of the order.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
 }
 /// The routing document in force and the domains out of service.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -119,11 +141,13 @@
     /// Log index of the last change of `rollouts`.
     #[prost(uint64, tag = "21")]
     pub rollouts_revision: u64,
+    #[prost(message, repeated, tag = "22")]
+    pub orders: ::prost::alloc::vec::Vec<DomainOrder>,
 }
 /// The state machine's reply to a command.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Reply {
-    #[prost(oneof = "reply::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 20")]
+    #[prost(oneof = "reply::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20")]
     pub kind: ::core::option::Option<reply::Kind>,
 }
 /// Nested message and enum types in `Reply`.
@@ -152,6 +176,8 @@
         Routed(bool),
         #[prost(message, tag = "10")]
         Routing(super::Routing),
+        #[prost(message, tag = "11")]
+        Shifted(super::Shifted),
         #[prost(message, tag = "20")]
         Rollout(super::super::operator::RolloutReply),
     }
