gateway: whose answer it is, before what it says

Cause: a faulty upstream writes the refusal of an earlier request once more on a kept connection and then runs the next request. A 421 was believed before its id was compared; an answer without an id was believed on any connection. Change: platform::head::Owner, decided first for every status. An answer that bears no id counts only on a connection that has carried no request before; replies of an engine's own API must bear none. Otherwise the request may have run: 502. Ruled out: refusals that follow refusals, as such a connection is closed. Measured: a_refusal_that_is_written_once_more_says_nothing_of_the_next_request failed before (503 for a request that ran, 421 with the former id) and passes with four refusals, each with the former id and with none.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -137,7 +137,7 @@
         let connection = placement.pool.acquire().await;
         let connection = connection.map_err(Failure::Unreachable)?;
         let is_reused = connection.is_reused;
-        match send_on(connection.sender, request, placement, options).await {
+        match send_on(connection, request, placement, options).await {
             // The upstream has closed an idle connection; another one may be open.
             Err(Failure::NotSent(why)) if is_reused => logs::emit(
                 events::SENT_AGAIN,
@@ -153,11 +153,15 @@
 }
 
 async fn send_on(
-    mut sender: pool::Sender,
+    connection: pool::Connection,
     request: &Request,
     placement: &placement::Placement,
     options: Options<'_>,
 ) -> Result<Response, Failure> {
+    let pool::Connection {
+        is_reused,
+        mut sender,
+    } = connection;
     let forwarding = head::Forwarding {
         copy_to: options.copy_to,
         remaining_ms: request.remaining_ms(),
@@ -183,14 +187,19 @@
     let response = sent.map_err(classify_error)?;
     let (head, body) = response.into_parts();
     let parsed = head::read_response(head.status, &head.headers, attempt);
-    if parsed.ran == head::Ran::OtherInstance {
-        return Err(Failure::Displaced);
+    let is_displaced = parsed.ran == head::Ran::OtherInstance;
+    if !is_displaced {
+        placement.notices.record(parsed.notice);
+    }
+    // A response to an earlier request of the connection says nothing of this one, whatever its status.
+    if !is_own(parsed.owner, is_reused) {
+        return Err(Failure::Unknown(format!(
+            "response {} belongs to another request",
+            head.status
+        )));
     }
-    placement.notices.record(parsed.notice);
-    if !parsed.is_for_attempt {
-        return Err(Failure::Unknown(
-            "response belongs to another request".to_owned(),
-        ));
+    if is_displaced {
+        return Err(Failure::Displaced);
     }
     let is_answer = parsed.is_signed || parsed.ran == head::Ran::No;
     if is_answer && parsed.notice.limit.is_none() {
@@ -213,6 +222,16 @@
     })
 }
 
+/// Returns whether a response belongs to the request for which it was read. One that names no attempt
+/// can belong to an earlier one if there was one on the connection.
+fn is_own(owner: head::Owner, is_reused: bool) -> bool {
+    match owner {
+        head::Owner::Another => false,
+        head::Owner::This => true,
+        head::Owner::Unnamed => !is_reused,
+    }
+}
+
 /// Returns what an error says of a request that was handed to a connection.
 fn classify_error(error: hyper::Error) -> Failure {
     if error.is_canceled() {
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -45,6 +45,8 @@
 /// after it has announced that it leaves.
 const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(6000);
 
+/// Attempt id of calls to an engine's own API, which have none.
+const NO_ATTEMPT: &[u8] = b"";
 /// Bytes of a response of an engine's own API at most.
 const MAX_REPLY_BYTES: usize = 64 << 10;
 
@@ -181,7 +183,12 @@
         .send_request(request.map(unread::Body::new_uncounted))
         .await;
     let (parts, body) = sent.map_err(|error| error.to_string())?.into_parts();
-    notices.record(head::read_notice(parts.status, &parts.headers));
+    let parsed = head::read_response(parts.status, &parts.headers, NO_ATTEMPT);
+    notices.record(parsed.notice);
+    // The connection may have carried a request, whose answer is written once more.
+    if parsed.owner == head::Owner::Another {
+        return Err(format!("response {} belongs to a request", parts.status));
+    }
     let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
     let body = body.map_err(|error| error.to_string())?;
     pool.release(sender, None);
--- a/crates/gateway/tests/odd_answers.rs
+++ b/crates/gateway/tests/odd_answers.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync;
 use std::time;
 
 use support::caller::generation;
@@ -113,6 +114,78 @@
     }
 }
 
+/// Plays an upstream that answers a first request, and before its answer to the second one writes a
+/// refusal that names `named`, or no request. Returns the status of the second response and how often
+/// that request arrived.
+async fn call_after_refusal(refusal: &'static str, named: Option<&'static str>) -> (u16, usize) {
+    let arrived = sync::Arc::new(sync::Mutex::new(Vec::new()));
+    let seen = arrived.clone();
+    let upstream = move |number: usize, attempt: &str| {
+        seen.lock().expect("a list").push(attempt.to_owned());
+        let answer = [raw::head(attempt, "content-length: 2\r\n"), raw::send("ok")];
+        let named = named.map_or(String::new(), |id| format!("attempt-id: {id}\r\n"));
+        let extra = format!("HTTP/1.1 {refusal}{named}content-length: 0\r\n\r\n");
+        match number {
+            0 => answer.to_vec(),
+            _ => [raw::send(&extra)].into_iter().chain(answer).collect(),
+        }
+    };
+    let fixture = Fixture::start_at(raw::start(upstream).await, "desk").await;
+    let mut caller = fixture.connect().await;
+    let mut status = 0;
+    for attempt in ["first", "second"] {
+        let sent = with(request("/once/", ""), "attempt-id", attempt);
+        status = caller.call(sent).await.status;
+    }
+    let arrived = arrived.lock().expect("a list");
+    let count = arrived.iter().filter(|attempt| *attempt == "second");
+    (status, count.count())
+}
+
+/// Guards against a refusal of an earlier request that is taken for one of the next request on its
+/// connection, which runs.
+#[tokio::test]
+async fn a_refusal_that_is_written_once_more_says_nothing_of_the_next_request() {
+    let refusals = [
+        "421 Misdirected Request\r\n",
+        "503 Service Unavailable\r\nnot-executed: full\r\n",
+        "429 Too Many Requests\r\nnot-executed: full\r\n",
+        "408 Request Timeout\r\nnot-executed: late\r\n",
+    ];
+    for refusal in refusals {
+        for named in [Some("first"), None] {
+            let called = call_after_refusal(refusal, named).await;
+            assert_eq!(called, (502, 1), "{refusal:?} that names {named:?}");
+        }
+    }
+}
+
+/// Guards against an answer whose head is cut off and that reaches the caller as a whole one.
+#[tokio::test]
+async fn an_answer_whose_head_is_cut_off_is_a_failure() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nattempt-id: a\r\nserver-signature: proof\r\n\
+                        content-type: text/event-stream\r\ncontent-length: 12\r\n\r\n";
+    for end in [Step::Close, Step::Reset] {
+        for cut in (0..HEAD.len())
+            .step_by(9)
+            .chain([HEAD.len() - 2, HEAD.len() - 1])
+        {
+            for path in ["/once/", "/stream/"] {
+                let steps = vec![raw::send(&HEAD[..cut]), end.clone()];
+                let upstream = move |_number, _attempt: &str| steps.clone();
+                let service = if path == "/once/" { "desk" } else { "pool" };
+                let fixture = Fixture::start_at(raw::start(upstream).await, service).await;
+                let sent = match service {
+                    "desk" => request(path, ""),
+                    _ => generation(),
+                };
+                let response = fixture.call(with(sent, "attempt-id", "a")).await;
+                assert_eq!(response.status, 502, "{path} cut at {cut}, {end:?}");
+            }
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_slow_stream_is_delivered_to_its_end() {
     let upstream = |_number, attempt: &str| {
