platform: a heartbeat that lacks fields, or has numbers out of bounds, is refused

Cause: the decoder filled in missing fields and bounded no number, and a higher number replaces what is known. Ruled out: processes that end, by depth or by numbers that do not fit; unused fields are skipped without recursion.

--- a/crates/control/tests/platform/main.rs
+++ b/crates/control/tests/platform/main.rs
@@ -267,6 +267,45 @@
     assert_eq!(update.upstreams[0].state(), wire::State::Ready);
 }
 
+/// Guards against an entry of another writer that ends a host, or takes a sound upstream out of use.
+#[tokio::test]
+async fn odd_heartbeats_change_nothing() {
+    let mut cluster = Cluster::prepare(3, &[]);
+    cluster.start_all();
+    let path = "/api/instances/i-1";
+    let sound = heartbeat("ready", 1);
+    cluster.call(0, 200, "PUT", path, &sound).await;
+    let mut follower = cluster.follow(0).await;
+    let known = follower.wait_upstreams().await;
+    let nested = "[".repeat(100_000);
+    let odd = [
+        sound.replace("\"slots\":4", &format!("\"slots\":4,\"models\":{nested}")),
+        sound.replace(":80\"", ":80800\""),
+        sound.replace(":80\"", ":0\""),
+        sound.replace("\"sequence\":1", "\"sequence\":18446744073709551615"),
+        sound.replace("\"born\":7", "\"born\":18446744073709551615"),
+        sound.replace("\"born\":7", "\"born\":1e400"),
+        sound.replace("\"coldLeftMs\":0", "\"coldLeftMs\":1e300"),
+        sound
+            .replace("\"slots\":4,", "")
+            .replace("\"service\":\"s\"", "\"service\":\"t\""),
+    ];
+    for body in odd {
+        let answer = cluster.try_call(0, "PUT", path, &body).await;
+        let status = answer.expect("an answer").0;
+        assert_eq!(status, 400, "{}", &body[..body.len().min(200)]);
+    }
+    let mut later = cluster.follow(0).await;
+    assert_eq!(later.wait_upstreams().await.upstreams, known.upstreams);
+    // The upstream's own heartbeats still count.
+    later.confirm(1).await;
+    cluster
+        .call(0, 200, "PUT", path, &heartbeat("draining", 2))
+        .await;
+    let told = follower.wait_upstreams().await;
+    assert_eq!(told.upstreams[0].state(), wire::State::Draining);
+}
+
 #[tokio::test]
 async fn a_departure_that_one_gateway_reports_reaches_the_others() {
     let mut cluster = Cluster::prepare(3, &[]);
