soak: runners that leave at once at a host that they have not called, and peers that are held up

Change: two faults more, 24 in all; a leaving runner's DELETE goes to another host than its heartbeats, and what a control host sends to the others is held for up to 3 s and then passed on. The soak checks neither that nothing arrives later than the bound after a leave, nor evacuations: its faults overlap, so a gateway may have missed the leave rightly; bounds::leaves and bounds::orders do.

--- a/crates/proof/tests/soak/deployment.rs
+++ b/crates/proof/tests/soak/deployment.rs
@@ -19,6 +19,13 @@
 pub(crate) const GATEWAYS: usize = 2;
 /// Timeout of each wait while no faults are injected.
 pub(crate) const WAIT_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+/// State in the heartbeats of a runner that will leave.
+pub(crate) const DRAINING: &str = "draining";
+/// State of a runner that leaves without having reported that it drains. It does so at another host
+/// than the one that it has called.
+pub(crate) const LEAVING: &str = "leaving";
+/// Time for which a runner serves after its leave was acknowledged.
+const SERVE_ON_TIME: time::Duration = time::Duration::from_millis(1500);
 /// Time between a runner's heartbeats.
 const HEARTBEAT: time::Duration = time::Duration::from_millis(300);
 
@@ -309,29 +316,40 @@
 async fn send_heartbeats(upstream: Upstream, port: u16) {
     let mut sequence = 0;
     let mut host = 0;
+    let mut is_leaving = false;
     loop {
         let state = *upstream.state.lock().expect("a state");
         let Some(state) = state else {
             return;
         };
+        if state == LEAVING && !is_leaving {
+            is_leaving = true;
+            host = (host + 1) % CONTROLS;
+        }
         sequence += 1;
         // Each start is later than the one before it.
         let born = 7 + upstream.runner.count_crashes();
-        let body = format!(
-            r#"{{"service":"{}","address":"{}","zone":"d0","version":"v1","slots":24,
-            "state":"{state}","coldLeftMs":0,"sequence":{sequence},"born":{born}}}"#,
-            upstream.service, upstream.address
-        );
         let path = format!("/api/instances/{}", upstream.runner.name);
         let address = net::SocketAddr::from((control_ip(host), port));
-        let answered = operator::call(address, "PUT", &path, body).await;
+        let (method, body) = match is_leaving {
+            true => ("DELETE", String::new()),
+            false => {
+                let body = format!(
+                    r#"{{"service":"{}","address":"{}","zone":"d0","version":"v1","slots":24,
+                    "state":"{state}","coldLeftMs":0,"sequence":{sequence},"born":{born}}}"#,
+                    upstream.service, upstream.address
+                );
+                ("PUT", body)
+            }
+        };
+        let answered = operator::call(address, method, &path, body).await;
         if answered.is_none_or(|(status, _body)| status != 200) {
             host = (host + 1) % CONTROLS;
             continue;
         }
-        if state == "draining" {
-            // A draining runner serves for a while longer, then it closes its connections.
-            tokio::time::sleep(time::Duration::from_millis(1500)).await;
+        if is_leaving || state == DRAINING {
+            // It serves for a while longer, then it closes its connections.
+            tokio::time::sleep(SERVE_ON_TIME).await;
             upstream.relay.reset();
             upstream.runner.interrupt_streams();
             *upstream.state.lock().expect("a state") = None;
--- a/crates/proof/tests/soak/faults.rs
+++ b/crates/proof/tests/soak/faults.rs
@@ -39,8 +39,10 @@
     LinkOneWay,
     LinkReset,
     LinkSilent,
+    PeersHeldUp,
     RunnerCrashes,
     RunnerLeaves,
+    RunnerLeavesAtOnce,
     RunnerMisbehaves,
     RunnerNamesLimit,
     RunnerPauses,
@@ -52,7 +54,7 @@
     UpstreamSilent,
 }
 
-const FAULTS: [Fault; 22] = [
+const FAULTS: [Fault; 24] = [
     Fault::ControlKilled,
     Fault::ControlPaused,
     Fault::ControlWiped,
@@ -64,8 +66,10 @@
     Fault::LinkOneWay,
     Fault::LinkReset,
     Fault::LinkSilent,
+    Fault::PeersHeldUp,
     Fault::RunnerCrashes,
     Fault::RunnerLeaves,
+    Fault::RunnerLeavesAtOnce,
     Fault::RunnerMisbehaves,
     Fault::RunnerNamesLimit,
     Fault::RunnerPauses,
@@ -160,16 +164,22 @@
         Fault::LinkOneWay => deployment.control_relays[host].drop_responses(),
         Fault::LinkReset => deployment.control_relays[host].reset(),
         Fault::LinkSilent => deployment.control_relays[host].silence(),
+        // What the host sends to the others meanwhile comes late.
+        Fault::PeersHeldUp => {
+            deployment.hold_peers(host, true);
+            tokio::time::sleep(duration * 4).await;
+            deployment.hold_peers(host, false);
+        }
         Fault::RunnerCrashes => {
             let runner = &deployment.upstreams[upstream].runner;
             runner.crash_on(None, duration);
             runner.crash();
         }
         Fault::RunnerLeaves => {
-            let leaving = &deployment.upstreams[upstream];
-            *leaving.state.lock().expect("a state") = Some("draining");
-            let service = leaving.service;
-            deployment.add_upstream(service).await;
+            replace_upstream(deployment, upstream, deployment::DRAINING).await;
+        }
+        Fault::RunnerLeavesAtOnce => {
+            replace_upstream(deployment, upstream, deployment::LEAVING).await;
         }
         Fault::RunnerMisbehaves => {
             let behaviours = [
@@ -208,7 +218,7 @@
             tokio::spawn(async move {
                 tokio::time::sleep(SILENT_LEAVE_TIME).await;
                 let mut state = leaving.state.lock().expect("a state");
-                *state = state.map(|_state| "draining");
+                *state = state.map(|_state| deployment::DRAINING);
             });
             deployment.add_upstream(service).await;
         }
@@ -242,6 +252,18 @@
     }
 }
 
+/// Makes an upstream leave by reporting this state, and starts another one.
+async fn replace_upstream(
+    deployment: &mut deployment::Deployment,
+    upstream: usize,
+    state: &'static str,
+) {
+    let leaving = &deployment.upstreams[upstream];
+    *leaving.state.lock().expect("a state") = Some(state);
+    let service = leaving.service;
+    deployment.add_upstream(service).await;
+}
+
 /// Returns the indexes of the upstreams whose heartbeats report that they are ready.
 fn find_ready(deployment: &deployment::Deployment) -> Vec<usize> {
     let upstreams = deployment.upstreams.iter().enumerate();
