control: tell gateways of new cold starts, and of upstreams that come back

Cause: a host tells gateways what differs from its own earlier knowledge. It took a heartbeat that differs only by its cold time, or only by its number after others went elsewhere, for known, though gateways lack it. Change: Directory::merge takes a cold start that ends over 300 ms later for news, and a heartbeat before which others are missing. An upstream that stays with its host still causes no message. Ruled out: the gateways, which limit an upstream that they are told is cold again.

--- a/crates/control/tests/platform/main.rs
+++ b/crates/control/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod cluster;
 mod evidence;
+mod statuses;
 
 use std::fs;
 use std::time;
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -11,6 +11,10 @@
 
 use crate::time;
 
+/// Difference up to which the remaining times of two heartbeats speak of the same cold start, in
+/// milliseconds: heartbeats take different times on their way.
+const COLD_TOLERANCE_MS: u64 = 300;
+
 /// Whether an upstream takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum State {
@@ -144,6 +148,23 @@
     pub status: Status,
 }
 
+impl Entry {
+    /// Returns whether a status names a cold start that ends later than the one in this entry.
+    fn is_colder(&self, now: time::Instant, status: &Status) -> bool {
+        let left_ms = self
+            .status
+            .cold_ms
+            .saturating_sub(now.millis_since(self.heard));
+        status.cold_ms > left_ms.saturating_add(COLD_TOLERANCE_MS)
+    }
+
+    /// Returns whether there were heartbeats between this entry's and a status. Another receiver may
+    /// have told others of them, and that they have stopped.
+    fn has_gap_before(&self, status: &Status) -> bool {
+        status.edition.sequence > self.status.edition.sequence.saturating_add(1)
+    }
+}
+
 /// Upstreams known to one process.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
@@ -151,20 +172,23 @@
 }
 
 impl Directory {
-    /// Merges a received status.
+    /// Merges a received status. It is `Known` only if those who were told the former one lack nothing
+    /// of it.
     pub fn merge(&mut self, now: time::Instant, status: Status) -> Outcome {
         let Some(known) = self.entries.get_mut(&status.name) else {
             let name = status.name.clone();
             self.entries.insert(name, Entry { heard: now, status });
             return Outcome::Changed;
         };
-        match compare(&known.status, &status) {
-            Outcome::Stale => Outcome::Stale,
-            outcome => {
-                *known = Entry { heard: now, status };
-                outcome
-            }
+        let outcome = match compare(&known.status, &status) {
+            Outcome::Known if known.is_colder(now, &status) => Outcome::Changed,
+            Outcome::Known if known.has_gap_before(&status) => Outcome::Changed,
+            outcome => outcome,
+        };
+        if outcome != Outcome::Stale {
+            *known = Entry { heard: now, status };
         }
+        outcome
     }
 
     /// Returns the status of an upstream.
--- a/crates/core/tests/upstreams.rs
+++ b/crates/core/tests/upstreams.rs
@@ -198,6 +198,48 @@
     assert!(!upstreams::is_displaced(&former, &later));
 }
 
+/// Guards against an upstream that becomes cold again and gets its full load, as nobody is told.
+#[test]
+fn a_new_cold_start_is_news() {
+    let mut directory = upstreams::Directory::default();
+    let cold = |sequence, cold_ms| upstreams::Status {
+        cold_ms,
+        ..status(5, sequence, upstreams::State::Ready)
+    };
+    let mut merge = |at, sequence, cold_ms| {
+        let status = cold(sequence, cold_ms);
+        directory.merge(time::Instant(at), status)
+    };
+    use upstreams::Outcome;
+    assert_eq!(merge(1_000, 1, 4_000), Outcome::Changed);
+    assert_eq!(merge(2_200, 2, 2_800), Outcome::Known, "the same one");
+    assert_eq!(merge(3_600, 3, 1_600), Outcome::Known, "200 ms on its way");
+    assert_eq!(merge(4_800, 4, 400), Outcome::Known);
+    assert_eq!(merge(6_000, 5, 0), Outcome::Known);
+    assert_eq!(merge(7_200, 6, 5_500), Outcome::Changed, "a new one");
+    assert_eq!(merge(8_400, 7, 4_300), Outcome::Known);
+    assert_eq!(merge(9_600, 8, 5_500), Outcome::Changed, "once more");
+}
+
+/// Guards against an upstream that calls other hosts for a while, is reported silent by one of them, and
+/// is not announced again by the host that it comes back to.
+#[test]
+fn heartbeats_that_went_elsewhere_make_the_next_one_news() {
+    let mut directory = upstreams::Directory::default();
+    let ready = |sequence| status(5, sequence, upstreams::State::Ready);
+    assert_eq!(directory.merge(NOW, ready(1)), upstreams::Outcome::Changed);
+    assert_eq!(directory.merge(NOW, ready(2)), upstreams::Outcome::Known);
+    assert_eq!(directory.merge(NOW, ready(2)), upstreams::Outcome::Known);
+    assert_eq!(directory.merge(NOW, ready(5)), upstreams::Outcome::Changed);
+    assert_eq!(directory.merge(NOW, ready(6)), upstreams::Outcome::Known);
+    // Gateways that were told of the fifth take the other host's word for outdated.
+    let silent = status(5, 4, upstreams::State::Silent);
+    assert_eq!(
+        upstreams::compare(&ready(5), &silent),
+        upstreams::Outcome::Stale
+    );
+}
+
 #[test]
 fn upstreams_are_forgotten_after_a_while() {
     let mut directory = upstreams::Directory::default();
