core: service, address, domain and version are fixed for a start of an upstream

Callers: those of an upstream that another writer's complete entry moved to a service that is not named anywhere, under its name and start: gateways had it there, and the upstream's own heartbeats with the same number were known, so nobody was told. Cause: a later number replaced all that is known of a start. Change: a status that contradicts what is fixed for a start is a conflict: refused (409, E2151), ignored by gateways (E6055). The first holds its place until it is silent, so an entry that came first and is not repeated is replaced. Ruled out: legitimate changes; a new version, address or domain comes with a new start.

--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -27,6 +27,10 @@
 pub(crate) const MODEL_PLACED: logs::Event = logs::Event::info(2110, "model placed");
 pub(crate) const UPSTREAM_CHANGED: logs::Event = logs::Event::info(2120, "upstream status changed");
 pub(crate) const HEARTBEAT_STALE: logs::Event = logs::Event::info(2121, "stale heartbeat ignored");
+pub(crate) const HEARTBEAT_CONFLICT: logs::Event = logs::Event::warn(
+    2151,
+    "heartbeat that contradicts the upstream's start refused",
+);
 pub(crate) const STATUS_UNCONFIRMED: logs::Event = logs::Event::warn(
     2122,
     "gateways did not confirm an upstream's status in time",
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -164,17 +164,16 @@
         fleet
     }
 
-    /// Records an upstream's status. If the upstream is not ready, returns once the gateways have
-    /// applied the status or did not in time.
-    pub(crate) async fn record_status(&self, status: upstreams::Status) {
+    /// Records an upstream's status; returns what it is compared with the known one. If the upstream
+    /// is not ready, returns once the gateways have applied the status or did not in time.
+    pub(crate) async fn record_status(&self, status: upstreams::Status) -> upstreams::Outcome {
         let is_ready = status.state == upstreams::State::Ready;
-        let Some(change) = self.merge_status(status) else {
-            return;
-        };
-        if !is_ready {
+        let (outcome, change) = self.merge_status(status);
+        if let Some(change) = change.filter(|_change| !is_ready) {
             let deadline = tokio::time::Instant::now() + CONFIRM_TIMEOUT;
             self.wait_until_applied(change, deadline).await;
         }
+        outcome
     }
 
     /// Changes the status of an upstream and tells the gateways; returns the number of the change.
@@ -216,30 +215,34 @@
         }
     }
 
-    fn merge_status(&self, status: upstreams::Status) -> Option<u64> {
+    /// Merges a status; returns what it is, and the change that told the gateways of it.
+    fn merge_status(&self, status: upstreams::Status) -> (upstreams::Outcome, Option<u64>) {
         let now = self.clock.now();
-        let change = {
-            let mut state = self.lock();
-            match state.directory.merge(now, status.clone()) {
-                upstreams::Outcome::Changed => {
-                    log_status(&status);
-                    state.record_change(status.name)
-                }
-                // An upstream that repeats its call after a lost reply waits for the same change.
-                upstreams::Outcome::Known => {
-                    return state.changes_by_upstream.get(&status.name).copied();
-                }
-                upstreams::Outcome::Stale => {
-                    logs::emit(
-                        events::HEARTBEAT_STALE,
-                        format_args!("upstream={} edition={:?}", status.name, status.edition),
-                    );
-                    return None;
-                }
+        let mut state = self.lock();
+        let outcome = state.directory.merge(now, status.clone());
+        let change = match outcome {
+            upstreams::Outcome::Changed => {
+                log_status(&status);
+                let change = state.record_change(status.name);
+                drop(state);
+                self.last_change.send_replace(change);
+                Some(change)
+            }
+            upstreams::Outcome::Conflict => {
+                logs::emit(events::HEARTBEAT_CONFLICT, format_args!("{status}"));
+                None
+            }
+            // An upstream that repeats its call after a lost reply waits for the same change.
+            upstreams::Outcome::Known => state.changes_by_upstream.get(&status.name).copied(),
+            upstreams::Outcome::Stale => {
+                logs::emit(
+                    events::HEARTBEAT_STALE,
+                    format_args!("upstream={} edition={:?}", status.name, status.edition),
+                );
+                None
             }
         };
-        self.last_change.send_replace(change);
-        Some(change)
+        (outcome, change)
     }
 
     /// Waits until all gateways have applied a change; returns whether they did by `deadline`.
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -87,8 +87,13 @@
         }
     }
 
-    async fn record_heartbeat(&self, status: upstreams::Status) {
-        self.fleet.record_status(status).await;
+    async fn record_heartbeat(&self, status: upstreams::Status) -> api::Beat {
+        match self.fleet.record_status(status).await {
+            upstreams::Outcome::Conflict => api::Beat::Conflict,
+            upstreams::Outcome::Changed | upstreams::Outcome::Known | upstreams::Outcome::Stale => {
+                api::Beat::Recorded
+            }
+        }
     }
 
     async fn record_leave(&self, name: String) {
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -99,6 +99,16 @@
         }
     }
 
+    /// Returns whether another status of the same start contradicts what is fixed for a start.
+    fn contradicts(&self, other: &Status) -> bool {
+        let is_located = !self.address.is_empty() && !other.address.is_empty();
+        let is_same = self.address == other.address
+            && self.domain == other.domain
+            && self.service == other.service
+            && self.version == other.version;
+        is_located && !is_same
+    }
+
     /// Returns whether both are equal except for the heartbeat number and the remaining cold time.
     #[must_use]
     pub fn has_same_content(&self, other: &Status) -> bool {
@@ -133,6 +143,9 @@
 pub enum Outcome {
     /// It carries new information.
     Changed,
+    /// It names another service, address, failure domain or version than the known one of the same
+    /// start, which are fixed. It comes from another writer and must be ignored.
+    Conflict,
     /// It is as new as the known one, or newer, and carries the same information.
     Known,
     /// It is outdated and must be ignored.
@@ -185,8 +198,9 @@
             Outcome::Known if known.has_gap_before(&status) => Outcome::Changed,
             outcome => outcome,
         };
-        if outcome != Outcome::Stale {
-            *known = Entry { heard: now, status };
+        match outcome {
+            Outcome::Changed | Outcome::Known => *known = Entry { heard: now, status },
+            Outcome::Conflict | Outcome::Stale => {}
         }
         outcome
     }
@@ -297,6 +311,10 @@
 #[must_use]
 pub fn compare(known: &Status, status: &Status) -> Outcome {
     let is_same_start = status.edition.born_ms == known.edition.born_ms;
+    // The first one holds as long as it is heard of: if it is the one of another writer, it is silent soon.
+    if is_same_start && known.state != State::Silent && known.contradicts(status) {
+        return Outcome::Conflict;
+    }
     // An instance that takes no new work takes none again before its next start, so heartbeats that
     // say otherwise are late. A host that was told of it may have heard fewer heartbeats than others.
     if is_same_start && status.state.stage() != known.state.stage() {
--- a/crates/core/tests/upstreams.rs
+++ b/crates/core/tests/upstreams.rs
@@ -198,6 +198,49 @@
     assert!(!upstreams::is_displaced(&former, &later));
 }
 
+/// Guards against a complete entry of another writer that moves an upstream to another service.
+#[test]
+fn what_is_fixed_for_a_start_does_not_change() {
+    use upstreams::Outcome;
+    let known = status(5, 1, upstreams::State::Ready);
+    let changes: [fn(&mut upstreams::Status); 4] = [
+        |status| status.address = "10.0.0.2:80".to_owned(),
+        |status| status.domain = "b".to_owned(),
+        |status| status.service = "desk".to_owned(),
+        |status| status.version = "v2".to_owned(),
+    ];
+    for change in changes {
+        for state in [upstreams::State::Ready, upstreams::State::Draining] {
+            let mut directory = upstreams::Directory::default();
+            directory.merge(NOW, known.clone());
+            let mut odd = status(5, 2, state);
+            change(&mut odd);
+            assert_eq!(directory.merge(NOW, odd.clone()), Outcome::Conflict);
+            let next = status(5, 2, upstreams::State::Ready);
+            assert_eq!(directory.merge(NOW, next.clone()), Outcome::Known);
+            assert_eq!(directory.find("i-1"), Some(&next));
+            odd.edition.born_ms = 6;
+            assert_eq!(directory.merge(NOW, odd), Outcome::Changed, "a restart");
+        }
+    }
+}
+
+/// If the entry of another writer came first, the upstream's own replaces it as soon as it is silent.
+#[test]
+fn an_entry_that_is_not_repeated_holds_no_place() {
+    let mut directory = upstreams::Directory::default();
+    let mut odd = status(5, 1, upstreams::State::Ready);
+    "desk".clone_into(&mut odd.service);
+    directory.merge(NOW, odd);
+    let own = status(5, 2, upstreams::State::Ready);
+    let merged = directory.merge(NOW, own.clone());
+    assert_eq!(merged, upstreams::Outcome::Conflict);
+    assert_eq!(directory.expire(time::Instant(7001), 6000).len(), 1);
+    let merged = directory.merge(time::Instant(7002), own.clone());
+    assert_eq!(merged, upstreams::Outcome::Changed);
+    assert_eq!(directory.find("i-1"), Some(&own));
+}
+
 /// Guards against an upstream that becomes cold again and gets its full load, as nobody is told.
 #[test]
 fn a_new_cold_start_is_news() {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -15,6 +15,8 @@
 pub(crate) const OUTAGE_APPLIED: logs::Event =
     logs::Event::info(6008, "domains out of service changed");
 pub(crate) const UPSTREAM_CHANGED: logs::Event = logs::Event::info(6009, "upstream changed");
+pub(crate) const UPSTREAM_CONFLICT: logs::Event =
+    logs::Event::warn(6055, "status that contradicts the upstream's start ignored");
 pub(crate) const REQUEST_PLACED: logs::Event = logs::Event::info(6010, "request placed");
 pub(crate) const REQUEST_REFUSED: logs::Event = logs::Event::info(6011, "request refused");
 pub(crate) const REQUEST_ENDED: logs::Event = logs::Event::info(6012, "request ended");
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -149,9 +149,15 @@
     pub(crate) fn merge_status(&self, status: upstreams::Status) {
         let now = self.clock.now();
         let outcome = self.lock().merge_status(now, status.clone());
-        if outcome == upstreams::Outcome::Changed {
-            logs::emit(events::UPSTREAM_CHANGED, format_args!("{status}"));
-            self.notify_changed();
+        match outcome {
+            upstreams::Outcome::Changed => {
+                logs::emit(events::UPSTREAM_CHANGED, format_args!("{status}"));
+                self.notify_changed();
+            }
+            upstreams::Outcome::Conflict => {
+                logs::emit(events::UPSTREAM_CONFLICT, format_args!("{status}"));
+            }
+            upstreams::Outcome::Known | upstreams::Outcome::Stale => {}
         }
     }
 
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -182,8 +182,9 @@
             return upstreams::Outcome::Changed;
         };
         let outcome = upstreams::compare(&known.status, &status);
-        if outcome == upstreams::Outcome::Stale {
-            return outcome;
+        match outcome {
+            upstreams::Outcome::Conflict | upstreams::Outcome::Stale => return outcome,
+            upstreams::Outcome::Changed | upstreams::Outcome::Known => {}
         }
         // A restarted process or another address invalidates connections and failure history.
         let is_same_process = known.status.edition.born_ms == status.edition.born_ms
