control: one interface for the file operations of the data folder

Its logs tell the hypotheses apart: E2009 says that entries before a closed segment are missing, no disk was full. What they do not show is which write had not reached the disk, and no test could lose power: the page cache of a real file system survives a killed process, and a test cannot lose it.

The operations on files, sync among them, now go through the trait Volume, which a test can implement with a page cache of its own.

--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -5,8 +5,8 @@
 
 use std::fs;
 use std::io;
-use std::io::Write as _;
 use std::path;
+use std::sync;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -22,8 +22,11 @@
 use crate::log_codec;
 use crate::record;
 use crate::replay;
+use crate::volume;
 
 const BIRTH_FILE: &str = "birth";
+/// Size of the writes that fill a file.
+const FILLER_BLOCK_BYTES: usize = 8 << 10;
 const HARD_STATE_FILE: &str = "hard";
 const LOCK_FILE: &str = "lock";
 /// Start of the name of a subfolder that holds the files of a replaced disk.
@@ -79,10 +82,11 @@
     // Holds the lock until it is dropped.
     _lock: fs::File,
     me: member::Member,
-    segment: fs::File,
+    segment: Box<dyn volume::File>,
     segments: Vec<replay::Segment>,
     /// Size of the snapshot file.
     snapshot_bytes: u64,
+    volume: volume::Shared,
 }
 
 impl Disk {
@@ -93,17 +97,29 @@
         disk: u64,
         limits: Limits,
     ) -> Result<(Disk, Recovered), files::Error> {
-        fs::create_dir_all(folder).map_err(|error| files::io_error(folder, error))?;
-        let lock = lock_folder(folder)?;
-        let (me, hard) = match read_hard_state(folder)? {
+        Disk::open_on(sync::Arc::new(volume::Local), folder, name, disk, limits)
+    }
+
+    /// Does the same as [`Disk::open`] on a given volume.
+    pub fn open_on(
+        volume: volume::Shared,
+        folder: &path::Path,
+        name: &Bytes,
+        disk: u64,
+        limits: Limits,
+    ) -> Result<(Disk, Recovered), files::Error> {
+        let created = volume.create_folder(folder);
+        created.map_err(|error| files::io_error(folder, error))?;
+        let lock = lock_folder(&*volume, folder)?;
+        let (me, hard) = match read_hard_state(&*volume, folder)? {
             Some(recovered) => recovered,
-            None => create_hard_state(folder, name, disk)?,
+            None => create_hard_state(&*volume, folder, name, disk)?,
         };
-        let snapshot = read_snapshot(folder)?;
+        let (snapshot, snapshot_bytes) = read_snapshot(&*volume, folder)?;
         let mut replay = replay::Replay::new(snapshot);
-        let segments = replay.read_segments(folder)?;
+        let segments = replay.read_segments(&*volume, folder)?;
         let number = segments.last().map_or(1, |segment| segment.number + 1);
-        let copied = !copy_detection::is_original(&folder.join(BIRTH_FILE))?;
+        let copied = !copy_detection::is_original(&*volume, &folder.join(BIRTH_FILE))?;
         let mut disk = Disk {
             folder: folder.to_owned(),
             foreign_bytes: 0,
@@ -111,9 +127,10 @@
             limits,
             _lock: lock,
             me: me.clone(),
-            segment: create_segment(folder, number)?,
+            segment: create_segment(&*volume, folder, number)?,
             segments,
-            snapshot_bytes: files::count_file_bytes(&folder.join(SNAPSHOT_FILE)),
+            snapshot_bytes,
+            volume,
         };
         disk.segments.push(replay::Segment {
             bytes: 0,
@@ -138,16 +155,17 @@
 
     /// Accepts a copied folder as the original.
     pub fn accept_copy(&mut self) -> Result<(), files::Error> {
-        copy_detection::write_birth(&self.folder.join(BIRTH_FILE))?;
-        files::sync_folder(&self.folder)
+        copy_detection::write_birth(&*self.volume, &self.folder.join(BIRTH_FILE))?;
+        files::sync_folder(&*self.volume, &self.folder)
     }
 
     /// Stores the hard state.
     pub fn save_hard(&mut self, hard: &effect::Hard) -> Result<(), files::Error> {
         let payload = log_codec::encode_hard(&self.me, hard).encode_to_vec();
         self.retry_without_reserve(|disk| {
-            files::replace_file(&disk.folder, HARD_STATE_FILE, &payload)
-        })
+            files::replace_file(&*disk.volume, &disk.folder, HARD_STATE_FILE, &payload)
+        })?;
+        Ok(())
     }
 
     /// Appends entries to the log; they replace all stored entries from the first one's index on.
@@ -176,10 +194,9 @@
             self.append_records(&[cut], index)?;
         }
         let payload = log_codec::encode_snapshot(snapshot).encode_to_vec();
-        self.retry_without_reserve(|disk| {
-            files::replace_file(&disk.folder, SNAPSHOT_FILE, &payload)
+        self.snapshot_bytes = self.retry_without_reserve(|disk| {
+            files::replace_file(&*disk.volume, &disk.folder, SNAPSHOT_FILE, &payload)
         })?;
-        self.snapshot_bytes = files::count_file_bytes(&self.folder.join(SNAPSHOT_FILE));
         self.start_next_segment()?;
         self.delete_segments(index)
     }
@@ -189,28 +206,31 @@
         let target = self
             .folder
             .join(format!("{REPLACED_PREFIX}{:016x}", self.me.disk));
-        fs::create_dir_all(&target).map_err(|error| files::io_error(&target, error))?;
+        let volume = &*self.volume;
+        let created = volume.create_folder(&target);
+        created.map_err(|error| files::io_error(&target, error))?;
         // The hard state is moved last: while it is there, the folder still belongs to the old
         // member.
         for segment in &self.segments {
-            files::move_file(&self.folder, &target, &replay::name_segment(segment.number))?;
+            let name = replay::name_segment(segment.number);
+            files::move_file(volume, &self.folder, &target, &name)?;
         }
-        files::move_file(&self.folder, &target, SNAPSHOT_FILE)?;
-        files::move_file(&self.folder, &target, HARD_STATE_FILE)?;
-        files::sync_folder(&target)?;
-        files::sync_folder(&self.folder)
+        files::move_file(volume, &self.folder, &target, SNAPSHOT_FILE)?;
+        files::move_file(volume, &self.folder, &target, HARD_STATE_FILE)?;
+        files::sync_folder(volume, &target)?;
+        files::sync_folder(volume, &self.folder)
     }
 
     /// Allocates the reserve if there is room for it, so that changes are accepted again; returns
     /// whether it is allocated.
     pub fn allocate_reserve(&mut self) -> bool {
-        self.foreign_bytes = count_foreign_bytes(&self.folder);
+        self.foreign_bytes = count_foreign_bytes(&*self.volume, &self.folder);
         let path = self.folder.join(RESERVE_FILE);
         let bytes = self.limits.reserve_bytes;
         let room = self.count_used_bytes() + bytes <= self.limits.max_bytes;
-        let taken = room && write_reserve(&path, bytes).is_ok();
+        let taken = room && self.write_reserve(&path, bytes).is_ok();
         if !taken {
-            let _ = fs::remove_file(&path);
+            let _ = self.volume.remove(&path);
         }
         self.full = !taken;
         taken
@@ -228,8 +248,8 @@
             return false;
         }
         let path = self.folder.join(PROBE_FILE);
-        let held = write_filler(&path, bytes).is_ok();
-        let _ = fs::remove_file(&path);
+        let held = write_filler(&*self.volume, &path, bytes).is_ok();
+        let _ = self.volume.remove(&path);
         held
     }
 
@@ -283,14 +303,14 @@
     }
 
     /// Retries a write once after deleting the reserve if the disk is full.
-    fn retry_without_reserve(
+    fn retry_without_reserve<T>(
         &mut self,
-        write: impl Fn(&mut Disk) -> Result<(), files::Error>,
-    ) -> Result<(), files::Error> {
+        write: impl Fn(&mut Disk) -> Result<T, files::Error>,
+    ) -> Result<T, files::Error> {
         match write(self) {
             Err(files::Error::Full) if !self.full => {
                 self.full = true;
-                let _ = fs::remove_file(self.folder.join(RESERVE_FILE));
+                let _ = self.volume.remove(&self.folder.join(RESERVE_FILE));
                 write(self)
             }
             result => result,
@@ -300,7 +320,7 @@
     /// Closes the current segment and starts the next one.
     fn start_next_segment(&mut self) -> Result<(), files::Error> {
         let number = self.segments.last().map_or(1, |segment| segment.number + 1);
-        self.segment = create_segment(&self.folder, number)?;
+        self.segment = create_segment(&*self.volume, &self.folder, number)?;
         self.segments.push(replay::Segment {
             bytes: 0,
             last_index: 0,
@@ -318,38 +338,47 @@
             .count();
         for segment in self.segments.drain(..old) {
             let path = self.folder.join(replay::name_segment(segment.number));
-            fs::remove_file(&path).map_err(|error| files::io_error(&path, error))?;
+            let removed = self.volume.remove(&path);
+            removed.map_err(|error| files::io_error(&path, error))?;
         }
-        files::sync_folder(&self.folder)
+        files::sync_folder(&*self.volume, &self.folder)
+    }
+
+    fn write_reserve(&self, path: &path::Path, bytes: u64) -> io::Result<()> {
+        let items = self.volume.list(&self.folder)?;
+        let mut reserves = items.iter().filter(|item| item.name == RESERVE_FILE);
+        if reserves.any(|item| item.bytes == bytes) {
+            return Ok(());
+        }
+        write_filler(&*self.volume, path, bytes)
     }
 }
 
-fn lock_folder(folder: &path::Path) -> Result<fs::File, files::Error> {
+fn lock_folder(volume: &dyn volume::Volume, folder: &path::Path) -> Result<fs::File, files::Error> {
     let path = folder.join(LOCK_FILE);
-    let file = fs::File::create(&path).map_err(|error| files::io_error(&path, error))?;
-    match file.try_lock() {
-        Ok(()) => Ok(file),
-        Err(fs::TryLockError::WouldBlock) => Err(files::Error::InUse(folder.to_owned())),
-        Err(fs::TryLockError::Error(error)) => Err(files::io_error(&path, error)),
-    }
+    let locked = volume.lock(&path);
+    let locked = locked.map_err(|error| files::io_error(&path, error))?;
+    locked.ok_or_else(|| files::Error::InUse(folder.to_owned()))
 }
 
-fn create_segment(folder: &path::Path, number: u64) -> Result<fs::File, files::Error> {
+fn create_segment(
+    volume: &dyn volume::Volume,
+    folder: &path::Path,
+    number: u64,
+) -> Result<Box<dyn volume::File>, files::Error> {
     let path = folder.join(replay::name_segment(number));
-    let file = fs::OpenOptions::new()
-        .append(true)
-        .create_new(true)
-        .open(&path)
-        .map_err(|error| files::io_error(&path, error))?;
-    files::sync_folder(folder)?;
+    let file = volume.open(&path, volume::Mode::New);
+    let file = file.map_err(|error| files::io_error(&path, error))?;
+    files::sync_folder(volume, folder)?;
     Ok(file)
 }
 
 fn read_hard_state(
+    volume: &dyn volume::Volume,
     folder: &path::Path,
 ) -> Result<Option<(member::Member, effect::Hard)>, files::Error> {
     let path = folder.join(HARD_STATE_FILE);
-    let Some(payload) = files::read_file(&path)? else {
+    let Some(payload) = files::read_file(volume, &path)? else {
         return Ok(None);
     };
     let mut hard = wire::Hard::decode(payload)
@@ -362,6 +391,7 @@
 }
 
 fn create_hard_state(
+    volume: &dyn volume::Volume,
     folder: &path::Path,
     name: &Bytes,
     disk: u64,
@@ -370,8 +400,8 @@
         disk,
         name: name.clone(),
     };
-    let is_used = folder.join(SNAPSHOT_FILE).exists() || !replay::list_segments(folder)?.is_empty();
-    if is_used {
+    let has_snapshot = files::read_file(volume, &folder.join(SNAPSHOT_FILE))?.is_some();
+    if has_snapshot || !replay::list_segments(volume, folder)?.is_empty() {
         let path = folder.join(HARD_STATE_FILE);
         return Err(files::corrupt(
             &path,
@@ -380,50 +410,55 @@
     }
     let hard = effect::Hard::default();
     let payload = log_codec::encode_hard(&me, &hard).encode_to_vec();
-    copy_detection::write_birth(&folder.join(BIRTH_FILE))?;
-    files::replace_file(folder, HARD_STATE_FILE, &payload)?;
+    copy_detection::write_birth(volume, &folder.join(BIRTH_FILE))?;
+    files::replace_file(volume, folder, HARD_STATE_FILE, &payload)?;
     Ok((me, hard))
 }
 
-fn read_snapshot(folder: &path::Path) -> Result<entry::Snapshot, files::Error> {
+/// Returns the snapshot and the size of its file.
+fn read_snapshot(
+    volume: &dyn volume::Volume,
+    folder: &path::Path,
+) -> Result<(entry::Snapshot, u64), files::Error> {
     let path = folder.join(SNAPSHOT_FILE);
-    let Some(payload) = files::read_file(&path)? else {
-        return Ok(entry::Snapshot::default());
+    let Some(payload) = files::read_file(volume, &path)? else {
+        return Ok((entry::Snapshot::default(), 0));
     };
+    let bytes = files::count_bytes(&payload);
     let snapshot = wire::Snapshot::decode(payload);
     let snapshot =
         snapshot.map_err(|_error| files::corrupt(&path, "the snapshot cannot be decoded"))?;
-    log_codec::decode_snapshot(snapshot)
-        .map_err(|_error| files::corrupt(&path, "the snapshot is invalid"))
+    let snapshot = log_codec::decode_snapshot(snapshot)
+        .map_err(|_error| files::corrupt(&path, "the snapshot is invalid"))?;
+    Ok((snapshot, bytes))
 }
 
 /// Returns the total size of the files and folders that the log does not manage.
-fn count_foreign_bytes(folder: &path::Path) -> u64 {
-    let Ok(items) = fs::read_dir(folder) else {
+fn count_foreign_bytes(volume: &dyn volume::Volume, folder: &path::Path) -> u64 {
+    let Ok(items) = volume.list(folder) else {
         return 0;
     };
-    let foreign = items.flatten().filter(|item| {
-        let name = item.file_name().to_string_lossy().into_owned();
-        !MANAGED_FILES.contains(&name.as_str()) && !name.starts_with(replay::SEGMENT_PREFIX)
+    let foreign = items.iter().filter(|item| {
+        let is_managed = MANAGED_FILES.contains(&item.name.as_str());
+        !is_managed && !item.name.starts_with(replay::SEGMENT_PREFIX)
     });
     foreign
-        .map(|item| match item.file_type() {
-            Ok(kind) if kind.is_dir() => count_foreign_bytes(&item.path()),
-            Ok(_) | Err(_) => files::count_file_bytes(&item.path()),
+        .map(|item| match item.is_folder {
+            true => count_foreign_bytes(volume, &folder.join(&item.name)),
+            false => item.bytes,
         })
         .sum()
 }
 
-fn write_reserve(path: &path::Path, bytes: u64) -> io::Result<()> {
-    if files::count_file_bytes(path) == bytes {
-        return Ok(());
-    }
-    write_filler(path, bytes)
-}
-
 /// Fills a file with data rather than extending it, so that every file system allocates the space.
-fn write_filler(path: &path::Path, bytes: u64) -> io::Result<()> {
-    let mut file = fs::File::create(path)?;
-    io::copy(&mut io::Read::take(io::repeat(0x5a), bytes), &mut file)?;
+fn write_filler(volume: &dyn volume::Volume, path: &path::Path, bytes: u64) -> io::Result<()> {
+    let mut file = volume.open(path, volume::Mode::Replace)?;
+    let block = [0x5a; FILLER_BLOCK_BYTES];
+    let mut left = bytes;
+    while left > 0 {
+        let length = usize::try_from(left).map_or(block.len(), |left| left.min(block.len()));
+        file.write_all(&block[..length])?;
+        left -= files::count_bytes(&block[..length]);
+    }
     file.sync_all()
 }
--- a/crates/control/src/files.rs
+++ b/crates/control/src/files.rs
@@ -1,14 +1,13 @@
 //! File operations in the data folder and their errors.
 
-use std::fs;
 use std::io;
-use std::io::Write as _;
 use std::path;
 
 use bytes::Bytes;
 use bytes::BytesMut;
 
 use crate::record;
+use crate::volume;
 
 const TEMPORARY_SUFFIX: &str = ".tmp";
 
@@ -76,50 +75,55 @@
     u64::try_from(buffer.len()).unwrap_or(u64::MAX)
 }
 
-/// Returns the size of a file, 0 if it cannot be read.
-pub(crate) fn count_file_bytes(path: &path::Path) -> u64 {
-    fs::metadata(path).map_or(0, |metadata| metadata.len())
-}
-
-pub(crate) fn truncate_file(path: &path::Path, bytes: u64) -> Result<(), Error> {
-    let file = fs::OpenOptions::new().write(true).open(path);
-    let file = file.map_err(|error| io_error(path, error))?;
-    file.set_len(bytes).map_err(|error| io_error(path, error))?;
-    file.sync_all().map_err(|error| io_error(path, error))
-}
-
 /// Moves a file to another folder if it exists.
-pub(crate) fn move_file(from: &path::Path, to: &path::Path, name: &str) -> Result<(), Error> {
-    match fs::rename(from.join(name), to.join(name)) {
+pub(crate) fn move_file(
+    volume: &dyn volume::Volume,
+    from: &path::Path,
+    to: &path::Path,
+    name: &str,
+) -> Result<(), Error> {
+    match volume.rename(&from.join(name), &to.join(name)) {
         Err(error) if error.kind() != io::ErrorKind::NotFound => Err(io_error(from, error)),
         Err(_) | Ok(()) => Ok(()),
     }
 }
 
-pub(crate) fn sync_folder(folder: &path::Path) -> Result<(), Error> {
-    let file = fs::File::open(folder).map_err(|error| io_error(folder, error))?;
-    file.sync_all().map_err(|error| io_error(folder, error))
+pub(crate) fn sync_folder(volume: &dyn volume::Volume, folder: &path::Path) -> Result<(), Error> {
+    let synced = volume.sync_folder(folder);
+    synced.map_err(|error| io_error(folder, error))
 }
 
-/// Replaces a file atomically: after a crash it has either the old or the new content.
-pub(crate) fn replace_file(folder: &path::Path, name: &str, payload: &[u8]) -> Result<(), Error> {
+/// Replaces a file atomically: after a crash it has either the old or the new content. Returns its
+/// size.
+pub(crate) fn replace_file(
+    volume: &dyn volume::Volume,
+    folder: &path::Path,
+    name: &str,
+    payload: &[u8],
+) -> Result<u64, Error> {
     let mut buffer = BytesMut::new();
     record::write_record(&mut buffer, 0, payload);
     let path = folder.join(name);
     let temporary = folder.join(format!("{name}{TEMPORARY_SUFFIX}"));
-    let written = fs::File::create(&temporary).and_then(|mut file| {
+    let opened = volume.open(&temporary, volume::Mode::Replace);
+    let written = opened.and_then(|mut file| {
         file.write_all(&buffer)?;
         file.sync_all()
     });
     written.map_err(|error| io_error(&temporary, error))?;
-    fs::rename(&temporary, &path).map_err(|error| io_error(&path, error))?;
-    sync_folder(folder)
+    let renamed = volume.rename(&temporary, &path);
+    renamed.map_err(|error| io_error(&path, error))?;
+    sync_folder(volume, folder)?;
+    Ok(count_bytes(&buffer))
 }
 
 /// Returns the content of a file that [`replace_file`] wrote, or `None` if there is no such file.
-pub(crate) fn read_file(path: &path::Path) -> Result<Option<Bytes>, Error> {
-    let bytes = match fs::read(path) {
-        Ok(bytes) => Bytes::from(bytes),
+pub(crate) fn read_file(
+    volume: &dyn volume::Volume,
+    path: &path::Path,
+) -> Result<Option<Bytes>, Error> {
+    let bytes = match volume.read(path) {
+        Ok(bytes) => bytes,
         Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
         Err(error) => return Err(io_error(path, error)),
     };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -48,3 +48,4 @@
 mod suspect;
 mod ticks;
 mod timers;
+pub mod volume;
--- a/crates/control/src/quarantine_store.rs
+++ b/crates/control/src/quarantine_store.rs
@@ -16,6 +16,7 @@
 use crate::events;
 use crate::files;
 use crate::fleet;
+use crate::volume;
 
 const FILE: &str = "quarantine";
 /// Time for which changes are collected before they are written.
@@ -37,7 +38,7 @@
     /// is replaced with the next change: other hosts may have the same evidence.
     pub(crate) fn open(folder: &path::Path, fleet: fleet::Fleet) -> Store {
         let path = folder.join(FILE);
-        let read = files::read_file(&path).and_then(|content| {
+        let read = files::read_file(&volume::Local, &path).and_then(|content| {
             let content = content.unwrap_or_default();
             let decoded = wire::StoredEvidence::decode(content.clone());
             let told = decoded.map_err(|_error| files::corrupt(&path, "it cannot be decoded"))?;
@@ -88,10 +89,13 @@
         }
         let folder = self.folder.clone();
         let payload = content.clone();
-        let written =
-            tokio::task::spawn_blocking(move || files::replace_file(&folder, FILE, &payload));
+        let written = tokio::task::spawn_blocking(move || {
+            files::replace_file(&volume::Local, &folder, FILE, &payload)
+        });
         match written.await {
-            Ok(result) => result?,
+            Ok(result) => {
+                result?;
+            }
             // The runtime shuts down.
             Err(_cancelled) => return Ok(()),
         }
--- a/crates/control/src/replay.rs
+++ b/crates/control/src/replay.rs
@@ -1,6 +1,5 @@
 //! Recovers the log from its segments.
 
-use std::fs;
 use std::path;
 
 use bytes::Bytes;
@@ -11,6 +10,7 @@
 use crate::files;
 use crate::log_codec;
 use crate::record;
+use crate::volume;
 
 /// Start of a segment's file name.
 pub(crate) const SEGMENT_PREFIX: &str = "log-";
@@ -43,25 +43,28 @@
 
     pub(crate) fn read_segments(
         &mut self,
+        volume: &dyn volume::Volume,
         folder: &path::Path,
     ) -> Result<Vec<Segment>, files::Error> {
-        let numbers = list_segments(folder)?;
+        let numbers = list_segments(volume, folder)?;
         let mut segments = Vec::new();
         for number in &numbers {
             let is_last = Some(number) == numbers.last();
-            segments.push(self.read_segment(folder, *number, is_last)?);
+            segments.push(self.read_segment(volume, folder, *number, is_last)?);
         }
         Ok(segments)
     }
 
     fn read_segment(
         &mut self,
+        volume: &dyn volume::Volume,
         folder: &path::Path,
         number: u64,
         is_last: bool,
     ) -> Result<Segment, files::Error> {
         let path = folder.join(name_segment(number));
-        let bytes = Bytes::from(fs::read(&path).map_err(|error| files::io_error(&path, error))?);
+        let read = volume.read(&path);
+        let bytes = read.map_err(|error| files::io_error(&path, error))?;
         let mut segment = Segment {
             bytes: 0,
             last_index: 0,
@@ -84,7 +87,7 @@
                 }
                 record::ReadResult::Invalid if is_last && !record::was_synced(&bytes, offset) => {
                     self.torn_bytes = files::count_bytes(&bytes) - segment.bytes;
-                    files::truncate_file(&path, segment.bytes)?;
+                    truncate_file(volume, &path, segment.bytes)?;
                     return Ok(segment);
                 }
                 record::ReadResult::Invalid => {
@@ -137,14 +140,30 @@
     format!("{SEGMENT_PREFIX}{number:020}")
 }
 
-pub(crate) fn list_segments(folder: &path::Path) -> Result<Vec<u64>, files::Error> {
-    let mut numbers = Vec::new();
-    for item in fs::read_dir(folder).map_err(|error| files::io_error(folder, error))? {
-        let item = item.map_err(|error| files::io_error(folder, error))?;
-        let name = item.file_name().to_string_lossy().into_owned();
-        let number = name.strip_prefix(SEGMENT_PREFIX);
-        numbers.extend(number.and_then(|number| number.parse::<u64>().ok()));
-    }
+fn truncate_file(
+    volume: &dyn volume::Volume,
+    path: &path::Path,
+    bytes: u64,
+) -> Result<(), files::Error> {
+    let opened = volume.open(path, volume::Mode::Append);
+    let truncated = opened.and_then(|file| {
+        file.set_len(bytes)?;
+        file.sync_all()
+    });
+    truncated.map_err(|error| files::io_error(path, error))
+}
+
+pub(crate) fn list_segments(
+    volume: &dyn volume::Volume,
+    folder: &path::Path,
+) -> Result<Vec<u64>, files::Error> {
+    let items = volume.list(folder);
+    let items = items.map_err(|error| files::io_error(folder, error))?;
+    let numbers = items.iter().filter_map(|item| {
+        let number = item.name.strip_prefix(SEGMENT_PREFIX)?;
+        number.parse::<u64>().ok()
+    });
+    let mut numbers: Vec<u64> = numbers.collect();
     numbers.sort_unstable();
     Ok(numbers)
 }
