control: what a start reads from the log is synced before it counts

Cause: Disk::open read the segments as the page cache showed them. A process that is killed between a write and its sync leaves records that no disk holds; the next process counted them as stored, told the leader so and started the next segment. A later loss of power took them. The host then found a gap before a closed segment (E2009 at each start, for good), or less than it had acknowledged (E2005, a new member). With one disk lost at the same moment two of four voters were left.

Class: state that was read counts as durable. Fix: each segment that was read is synced before the next one is created, so nothing is acknowledged that is only in the cache. Torn tails are synced by the same call.

--- a/crates/control/src/replay.rs
+++ b/crates/control/src/replay.rs
@@ -41,6 +41,8 @@
         }
     }
 
+    /// Reads all segments and makes what was read durable: a process that was killed may have left
+    /// records that no sync covers, and this one acknowledges them.
     pub(crate) fn read_segments(
         &mut self,
         volume: &dyn volume::Volume,
@@ -50,7 +52,9 @@
         let mut segments = Vec::new();
         for number in &numbers {
             let is_last = Some(number) == numbers.last();
-            segments.push(self.read_segment(volume, folder, *number, is_last)?);
+            let segment = self.read_segment(volume, folder, *number, is_last)?;
+            sync_segment(volume, folder, &segment)?;
+            segments.push(segment);
         }
         Ok(segments)
     }
@@ -140,19 +144,28 @@
     format!("{SEGMENT_PREFIX}{number:020}")
 }
 
+/// Truncates a file; the caller syncs it.
 fn truncate_file(
     volume: &dyn volume::Volume,
     path: &path::Path,
     bytes: u64,
 ) -> Result<(), files::Error> {
     let opened = volume.open(path, volume::Mode::Append);
-    let truncated = opened.and_then(|file| {
-        file.set_len(bytes)?;
-        file.sync_all()
-    });
+    let truncated = opened.and_then(|file| file.set_len(bytes));
     truncated.map_err(|error| files::io_error(path, error))
 }
 
+fn sync_segment(
+    volume: &dyn volume::Volume,
+    folder: &path::Path,
+    segment: &Segment,
+) -> Result<(), files::Error> {
+    let path = folder.join(name_segment(segment.number));
+    let opened = volume.open(&path, volume::Mode::Append);
+    let synced = opened.and_then(|file| file.sync_all());
+    synced.map_err(|error| files::io_error(&path, error))
+}
+
 pub(crate) fn list_segments(
     volume: &dyn volume::Volume,
     folder: &path::Path,
