control: a segment whose creation failed half-way is used, not fatal

Cause: create_segment created the file and then could not sync its folder, as the disk was full. The caller tries the call again, which asked for the same new file: AlreadyExists is no Full, so the control host ended. Had it gone on, the empty file would have made the segment before it count as closed, so that a torn tail there was corruption for good.

--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -320,7 +320,8 @@
     /// Closes the current segment and starts the next one.
     fn start_next_segment(&mut self) -> Result<(), files::Error> {
         let number = self.segments.last().map_or(1, |segment| segment.number + 1);
-        self.segment = create_segment(&*self.volume, &self.folder, number)?;
+        let create = |disk: &mut Disk| create_segment(&*disk.volume, &disk.folder, number);
+        self.segment = self.retry_without_reserve(create)?;
         self.segments.push(replay::Segment {
             bytes: 0,
             last_index: 0,
@@ -367,7 +368,8 @@
     number: u64,
 ) -> Result<Box<dyn volume::File>, files::Error> {
     let path = folder.join(replay::name_segment(number));
-    let file = volume.open(&path, volume::Mode::New);
+    // A former attempt may have created it without being able to sync the folder.
+    let file = volume.open(&path, volume::Mode::Append);
     let file = file.map_err(|error| files::io_error(&path, error))?;
     files::sync_folder(volume, folder)?;
     Ok(file)
