gateway: plain calls that outlast a stop get an answer

It can happen here with routes whose timeout is longer than what is left of the grace: the head comes while the gateway still takes connections, its body seconds later; the call was sent, and the process ended before its answer. With the archive's 800 ms it can't: such a call ends 3.3 s after the SIGTERM.

Once no new connections are taken, a plain call that may last beyond the end of the process is refused as not run (503, Retry-After 0), before each send. Calls that still run 200 ms before the end are answered 504 (CutOff), which promises nothing. Calls that come in the first 2.5 s are still taken, whatever their timeout: the usual call is over long before, and their connections lead to this gateway.

Weighed: refusing from the SIGTERM on all calls whose timeout is longer than the grace; their callers would be refused on their kept connections for 2.5 s.

Not covered: a generation that waits for room while the gateway stops is checked once, before it waits.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -21,7 +21,8 @@
 const MAX_ATTEMPTS: usize = 4;
 
 /// Serves a request by an upstream of a service. It is retried at another upstream if it has not
-/// run, or if its route is idempotent and allows another attempt.
+/// run, or if its route is idempotent and allows another attempt. A call that still runs when the
+/// process ends is answered like one whose deadline has passed.
 pub(crate) async fn serve(
     gateway: &gateway::Gateway,
     request: &call::Request,
@@ -29,9 +30,15 @@
     service: &routes::Service,
 ) -> response::Response {
     let served = serve_in_time(gateway, request, route, service);
-    match time::timeout_at(request.deadline, served).await {
-        Ok(response) => response,
-        Err(_elapsed) => gateway.refuse(&request.head.attempt, response::Refusal::TimedOut),
+    tokio::select! {
+        biased;
+        response = served => response,
+        () = time::sleep_until(request.deadline) => {
+            gateway.refuse(&request.head.attempt, response::Refusal::TimedOut)
+        }
+        () = gateway.stop.wait_for_last_answers() => {
+            gateway.refuse(&request.head.attempt, response::Refusal::CutOff)
+        }
     }
 }
 
@@ -64,6 +71,10 @@
         if attempts.has_arrived() && trial.is_none() && gateway.fleet.is_quarantined(request) {
             break;
         }
+        if possible_runs == 0 && gateway.stop.may_cut_off_call(request.deadline) {
+            refusal = response::Refusal::Stopping;
+            break;
+        }
         let criteria = fleet::Criteria {
             exclude: attempts.tried(),
             near: None,
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -39,6 +39,8 @@
     BodyTooLong,
     /// The request's body could not be read to its end.
     BodyBroken,
+    /// The gateway ends; the request may have run.
+    CutOff,
     /// Every engine is full; the request has not run.
     Full {
         /// Time after which the caller may try again, in milliseconds.
@@ -92,6 +94,7 @@
         match self {
             Refusal::BodyBroken => "body_broken",
             Refusal::BodyTooLong => "body_too_long",
+            Refusal::CutOff => "cut_off",
             Refusal::Full { .. } => "full",
             Refusal::HeadTooLong => "head_too_long",
             Refusal::Internal => "internal",
@@ -127,7 +130,7 @@
             Refusal::Internal => StatusCode::INTERNAL_SERVER_ERROR,
             Refusal::KeyUnknown => StatusCode::UNAUTHORIZED,
             Refusal::RouteUnknown => StatusCode::NOT_FOUND,
-            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::CutOff | Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Refusal::UpstreamFailed => StatusCode::BAD_GATEWAY,
         }
     }
@@ -147,6 +150,7 @@
             | Refusal::Quarantined { retry_after_ms, .. } => Some(retry_after_ms),
             Refusal::BodyBroken
             | Refusal::BodyTooLong
+            | Refusal::CutOff
             | Refusal::HeadTooLong
             | Refusal::Internal
             | Refusal::KeyUnknown
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -49,6 +49,7 @@
         () = accepting => {}
         () = stopped => {}
     }
+    gateway.stop.close();
     shutdown.cancel();
     connections.close();
     let remaining = grace.saturating_sub(DRAIN_DELAY + EXIT_MARGIN);
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -4,14 +4,21 @@
 
 use peargap_core::drain;
 use tokio::time;
+use tokio_util::sync::CancellationToken;
 
 use crate::generation;
 
+/// Time before the end of the process at which calls that still run are answered.
+const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(200);
+
 /// The stop of the process, shared by all requests.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Stop {
+    begun: CancellationToken,
     /// When running requests are cut off; set once the process is told to stop.
     ends_at: sync::Arc<sync::OnceLock<time::Instant>>,
+    /// Cancelled once the gateway takes no new connections.
+    is_closed: CancellationToken,
     pace: sync::Arc<sync::Mutex<drain::Pace>>,
 }
 
@@ -20,6 +27,27 @@
     pub(crate) fn begin(&self, ends_at: time::Instant) {
         // A process is told to stop once.
         let _ = self.ends_at.set(ends_at);
+        self.begun.cancel();
+    }
+
+    /// Records that the gateway takes no new connections.
+    pub(crate) fn close(&self) {
+        self.is_closed.cancel();
+    }
+
+    /// Waits until calls that still run must be answered, as the process ends.
+    pub(crate) async fn wait_for_last_answers(&self) {
+        self.begun.cancelled().await;
+        if let Some(ends_at) = self.ends_at.get() {
+            time::sleep_until(*ends_at - ANSWER_MARGIN).await;
+        }
+    }
+
+    /// Returns whether the stop of the process may cut off a call that is about to be sent, if it may
+    /// last until `deadline`. While callers still find the gateway, calls of usual length are taken.
+    pub(crate) fn may_cut_off_call(&self, deadline: time::Instant) -> bool {
+        let ends_at = self.ends_at.get();
+        self.is_closed.is_cancelled() && ends_at.is_some_and(|ends_at| deadline > *ends_at)
     }
 
     /// Records the time between two events of a generation, in milliseconds.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -243,6 +243,8 @@
 enum Launch {
     /// In the test process.
     InProcess,
+    /// In the test process, with routes for long bodies that take much time.
+    InProcessGenerous,
     /// As its program.
     Program,
 }
@@ -276,7 +278,7 @@
         let ports = ports::find_ports(3).expect("ports");
         let local = |port| net::SocketAddr::from(([127, 0, 0, 1], port));
         let control = Control {
-            is_generous: launch == Launch::Program,
+            is_generous: launch != Launch::InProcess,
             ..Control::default()
         };
         control.serve(local(ports[0]));
@@ -308,7 +310,7 @@
         };
         let token = stop.clone();
         let program = match launch {
-            Launch::InProcess => None,
+            Launch::InProcess | Launch::InProcessGenerous => None,
             Launch::Program => Some(program::Program::start(&settings)),
         };
         let is_program = program.is_some();
@@ -345,6 +347,13 @@
         fixture
     }
 
+    /// Starts a gateway with routes for long bodies that take much time.
+    pub(crate) async fn start_generous() -> Fixture {
+        let fixture = Fixture::launch(&[], Launch::InProcessGenerous).await;
+        fixture.route().await;
+        fixture
+    }
+
     /// Starts the gateway's program, with routes for long bodies that take much time.
     pub(crate) async fn start_program() -> Fixture {
         let fixture = Fixture::launch(&[], Launch::Program).await;
