control: a segment is closed by the next one, whether or not that is used

Now a segment that was created is the current one at once, and only its name may still have to be made durable, which each write to it does first. The segment before it is complete by then and gets nothing more, so the next one closes it as before. An empty current segment is not replaced by another.

--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -78,6 +78,8 @@
     foreign_bytes: u64,
     /// The reserve is not allocated, so changes are refused.
     full: bool,
+    /// The name of the current segment is on the disk.
+    has_durable_name: bool,
     limits: Limits,
     // Holds the lock until it is dropped.
     _lock: fs::File,
@@ -124,6 +126,7 @@
             folder: folder.to_owned(),
             foreign_bytes: 0,
             full: false,
+            has_durable_name: false,
             limits,
             _lock: lock,
             me: me.clone(),
@@ -137,6 +140,7 @@
             last_index: 0,
             number,
         });
+        disk.sync_segment_name()?;
         disk.allocate_reserve();
         let recovered = Recovered {
             copied,
@@ -291,6 +295,7 @@
         if self.count_used_bytes() + files::count_bytes(buffer) + reserve > self.limits.max_bytes {
             return Err(files::Error::Full);
         }
+        self.sync_segment_name()?;
         let written = self.segment.write_all(buffer);
         let written = written.and_then(|()| self.segment.sync_data());
         if let Err(error) = written {
@@ -317,16 +322,30 @@
         }
     }
 
-    /// Closes the current segment and starts the next one.
+    /// Closes the current segment and starts the next one, unless the current one is empty.
     fn start_next_segment(&mut self) -> Result<(), files::Error> {
-        let number = self.segments.last().map_or(1, |segment| segment.number + 1);
-        let create = |disk: &mut Disk| create_segment(&*disk.volume, &disk.folder, number);
-        self.segment = self.retry_without_reserve(create)?;
-        self.segments.push(replay::Segment {
-            bytes: 0,
-            last_index: 0,
-            number,
-        });
+        let current = self.segments.last();
+        if current.is_none_or(|segment| segment.bytes > 0) {
+            let number = current.map_or(1, |segment| segment.number + 1);
+            let create = |disk: &mut Disk| create_segment(&*disk.volume, &disk.folder, number);
+            self.segment = self.retry_without_reserve(create)?;
+            self.has_durable_name = false;
+            self.segments.push(replay::Segment {
+                bytes: 0,
+                last_index: 0,
+                number,
+            });
+        }
+        self.sync_segment_name()
+    }
+
+    /// Makes the name of the current segment durable. This may fail on a full disk; the segment before is
+    /// closed all the same, and nothing is written to this one until it succeeds.
+    fn sync_segment_name(&mut self) -> Result<(), files::Error> {
+        if !self.has_durable_name {
+            files::sync_folder(&*self.volume, &self.folder)?;
+            self.has_durable_name = true;
+        }
         Ok(())
     }
 
@@ -368,11 +387,8 @@
     number: u64,
 ) -> Result<Box<dyn volume::File>, files::Error> {
     let path = folder.join(replay::name_segment(number));
-    // A former attempt may have created it without being able to sync the folder.
-    let file = volume.open(&path, volume::Mode::Append);
-    let file = file.map_err(|error| files::io_error(&path, error))?;
-    files::sync_folder(volume, folder)?;
-    Ok(file)
+    let file = volume.open(&path, volume::Mode::New);
+    file.map_err(|error| files::io_error(&path, error))
 }
 
 fn read_hard_state(
--- a/crates/control/src/replay.rs
+++ b/crates/control/src/replay.rs
@@ -48,15 +48,11 @@
         volume: &dyn volume::Volume,
         folder: &path::Path,
     ) -> Result<Vec<Segment>, files::Error> {
-        let files = list_segments(volume, folder)?;
+        let numbers = list_segments(volume, folder)?;
         let mut segments = Vec::new();
-        for (position, file) in files.iter().enumerate() {
-            // A segment that was created, but never used, does not close the one before it.
-            let is_last = files
-                .iter()
-                .skip(position + 1)
-                .all(|later| later.bytes == 0);
-            let segment = self.read_segment(volume, folder, file.number, is_last)?;
+        for number in &numbers {
+            let is_last = Some(number) == numbers.last();
+            let segment = self.read_segment(volume, folder, *number, is_last)?;
             sync_segment(volume, folder, &segment)?;
             segments.push(segment);
         }
@@ -170,28 +166,17 @@
     synced.map_err(|error| files::io_error(&path, error))
 }
 
-/// Size and number of a segment's file.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SegmentFile {
-    pub(crate) bytes: u64,
-    pub(crate) number: u64,
-}
-
-/// Returns the segments of a folder, oldest first.
 pub(crate) fn list_segments(
     volume: &dyn volume::Volume,
     folder: &path::Path,
-) -> Result<Vec<SegmentFile>, files::Error> {
+) -> Result<Vec<u64>, files::Error> {
     let items = volume.list(folder);
     let items = items.map_err(|error| files::io_error(folder, error))?;
-    let files = items.iter().filter_map(|item| {
+    let numbers = items.iter().filter_map(|item| {
         let number = item.name.strip_prefix(SEGMENT_PREFIX)?;
-        Some(SegmentFile {
-            bytes: item.bytes,
-            number: number.parse().ok()?,
-        })
+        number.parse::<u64>().ok()
     });
-    let mut files: Vec<SegmentFile> = files.collect();
-    files.sort_unstable_by_key(|file| file.number);
-    Ok(files)
+    let mut numbers: Vec<u64> = numbers.collect();
+    numbers.sort_unstable();
+    Ok(numbers)
 }
