control: a disk that is being set aside can be started on at any moment

A kill between two moves left a gap, too.

The newest segment is moved first, and each move is durable before the next one, so what is left is an earlier state of the log. That is refused by the other hosts as before, and set aside again.

--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -213,15 +213,21 @@
         let volume = &*self.volume;
         let created = volume.create_folder(&target);
         created.map_err(|error| files::io_error(&target, error))?;
-        // The hard state is moved last: while it is there, the folder still belongs to the old
-        // member.
-        for segment in &self.segments {
+        // What is left after each move can be started on: an earlier state of the log, then none.
+        // While the hard state is there, the folder still belongs to the old member.
+        for segment in self.segments.iter().rev() {
             let name = replay::name_segment(segment.number);
-            files::move_file(volume, &self.folder, &target, &name)?;
+            self.set_file_aside(&target, &name)?;
         }
-        files::move_file(volume, &self.folder, &target, SNAPSHOT_FILE)?;
-        files::move_file(volume, &self.folder, &target, HARD_STATE_FILE)?;
-        files::sync_folder(volume, &target)?;
+        self.set_file_aside(&target, SNAPSHOT_FILE)?;
+        self.set_file_aside(&target, HARD_STATE_FILE)
+    }
+
+    /// Moves a file; the move is durable before this returns.
+    fn set_file_aside(&self, target: &path::Path, name: &str) -> Result<(), files::Error> {
+        let volume = &*self.volume;
+        files::move_file(volume, &self.folder, target, name)?;
+        files::sync_folder(volume, target)?;
         files::sync_folder(volume, &self.folder)
     }
 
--- a/crates/control/tests/power_loss/main.rs
+++ b/crates/control/tests/power_loss/main.rs
@@ -15,6 +15,7 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 
+const CALLS_BEFORE_SET_ASIDE: usize = 8;
 const FOLDER: &str = "/data";
 const LIMITS: disk::Limits = disk::Limits {
     max_bytes: 1 << 20,
@@ -128,6 +129,22 @@
         }
     }
 
+    /// Runs a process that makes some calls, and sets its disk aside; it may be killed meanwhile.
+    fn set_aside(&mut self) {
+        let (mut disk, mut state) = self.open().expect("a disk");
+        for _call in 0..CALLS_BEFORE_SET_ASIDE {
+            let call = self.draw_call(&state);
+            self.carry_out(&mut disk, &call);
+            state = list_states(&state, &call).pop().expect("a state");
+        }
+        let operations = self.random.random_range(1..=MAX_OPERATIONS);
+        self.volume.kill_after(Some(operations));
+        let result = disk.set_aside();
+        assert!(result.is_ok() || self.volume.is_killed(), "{result:?}");
+        self.volume.lose_power();
+        self.volume.kill_after(None);
+    }
+
     /// Starts a process; `None` if it was killed meanwhile, or could not start on a full disk.
     fn open(&mut self) -> Option<(disk::Disk, State)> {
         let name = Bytes::from_static(b"a");
@@ -309,3 +326,19 @@
         power: true,
     });
 }
+
+#[test]
+fn a_disk_that_was_being_set_aside_can_be_started_on() {
+    let faults = Faults {
+        full_disk: false,
+        power: true,
+    };
+    for seed in 0..SEEDS {
+        let mut play = Play::new(seed, faults);
+        play.set_aside();
+        let name = Bytes::from_static(b"a");
+        let shared = sync::Arc::new(play.volume.clone());
+        let opened = disk::Disk::open_on(shared, path::Path::new(FOLDER), &name, 8, LIMITS);
+        assert!(opened.is_ok(), "seed {seed}: {opened:?}");
+    }
+}
