--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -22,6 +22,7 @@
 pub(crate) const STARTED: logs::Event = logs::Event::info(2001, "control host started");
 pub(crate) const STOPPED: logs::Event = logs::Event::info(2002, "control host stopped");
 pub(crate) const SNAPSHOT_INSTALLED: logs::Event = logs::Event::info(2011, "snapshot installed");
+pub(crate) const SNAPSHOT_NOT_TAKEN: logs::Event = logs::Event::warn(2152, "snapshot not taken");
 pub(crate) const SNAPSHOT_TAKEN: logs::Event = logs::Event::info(2010, "snapshot taken");
 pub(crate) const TAIL_TRUNCATED: logs::Event = logs::Event::warn(2012, "torn log tail truncated");
 pub(crate) const MODEL_PLACED: logs::Event = logs::Event::info(2110, "model placed");
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -72,6 +72,8 @@
     /// Handle for the services.
     pub handle: replica::Handle,
     inputs: mpsc::Sender<input::Input>,
+    /// Ends a wait for room on the disk.
+    stopping: CancellationToken,
 }
 
 /// Runs a control host until `token` is cancelled.
@@ -95,7 +97,7 @@
     let operators = serve_operators(&settings, services.operator, &servers).await?;
     reload_on_hangup(&settings, &replica, &servers)?;
     tokio::spawn(update_readiness(replica.handle.status(), readiness));
-    let result = wait_for_end(&replica.inputs, replica.ended, &token).await;
+    let result = wait_for_end(replica, &token).await;
     servers.cancel();
     tokio::time::sleep(SHUTDOWN_DELAY).await;
     sender_token.cancel();
@@ -109,17 +111,15 @@
     result
 }
 
-async fn wait_for_end(
-    inputs: &mpsc::Sender<input::Input>,
-    mut ended: oneshot::Receiver<Result<(), files::Error>>,
-    token: &CancellationToken,
-) -> Result<(), Error> {
+async fn wait_for_end(mut replica: Replica, token: &CancellationToken) -> Result<(), Error> {
     tokio::select! {
         () = token.cancelled() => {}
-        result = &mut ended => return convert_result(result),
+        result = &mut replica.ended => return convert_result(result),
     }
-    let _ = inputs.send(input::Input::Stop).await;
-    convert_result(ended.await)
+    replica.stopping.cancel();
+    // Fails if the thread has just ended; its result tells why.
+    let _ = replica.inputs.send(input::Input::Stop).await;
+    convert_result(replica.ended.await)
 }
 
 fn convert_result(
@@ -164,11 +164,13 @@
         .build()
         .map_err(|error| Error::Setup(error.to_string()))?;
     let thread_settings = settings.clone();
+    let stopping = CancellationToken::new();
+    let stopped = stopping.clone();
     let thread = thread::Builder::new().name("replica".to_owned());
     let spawned = thread.spawn(move || {
         let result = runtime.block_on(async {
-            let replica_thread = replica_thread::ReplicaThread::open(thread_settings, outputs)?;
-            replica_thread.run(queue).await
+            let opened = replica_thread::ReplicaThread::open(thread_settings, outputs, stopped);
+            opened?.run(queue).await
         });
         if let Err(error) = &result {
             logs::emit(events::LOG_FAILED, format_args!("{error}"));
@@ -187,6 +189,7 @@
         ended,
         handle,
         inputs,
+        stopping,
     })
 }
 
--- a/crates/control/src/persist.rs
+++ b/crates/control/src/persist.rs
@@ -21,24 +21,36 @@
 /// Delay between attempts to write to a full disk.
 const FULL_DISK_RETRY_DELAY: time::Duration = time::Duration::from_millis(200);
 
+/// Whether the data of effects was stored.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Saved {
+    /// All of it.
+    Complete,
+    /// The process is told to stop while the disk is full; the effects must not be carried out.
+    Stopped,
+}
+
 impl replica_thread::ReplicaThread {
     /// Stores the data of the effects; retries while the disk is full, the reserve included.
     pub(crate) async fn save_with_retry(
         &mut self,
         effects: &[effect::Effect],
-    ) -> Result<(), files::Error> {
+    ) -> Result<Saved, files::Error> {
         let mut saved = 0;
         while let Some(effect) = effects.get(saved) {
             match self.save_effect(effect) {
                 Ok(()) => saved += 1,
                 Err(files::Error::Full) => {
                     logs::emit(events::DISK_FULL, format_args!("retry_ms=200"));
-                    time::sleep(FULL_DISK_RETRY_DELAY).await;
+                    tokio::select! {
+                        () = time::sleep(FULL_DISK_RETRY_DELAY) => {}
+                        () = self.stopping.cancelled() => return Ok(Saved::Stopped),
+                    }
                 }
                 Err(error) => return Err(error),
             }
         }
-        Ok(())
+        Ok(Saved::Complete)
     }
 
     pub(crate) fn save(&mut self, effects: &[effect::Effect]) -> Result<(), files::Error> {
@@ -84,13 +96,13 @@
     }
 
     /// Replaces applied entries with a snapshot once they exceed a number or a size.
-    pub(crate) async fn compact(&mut self) -> Result<(), files::Error> {
+    pub(crate) async fn compact(&mut self) -> Result<Saved, files::Error> {
         let snapshot_index = self.log.store().snapshot().position.index;
         let limit = self.settings.disk_limits.max_bytes / SNAPSHOT_LIMIT_DIVISOR;
         let is_large = self.storage.count_log_bytes() > limit.min(SNAPSHOT_BYTES)
             && self.applied > snapshot_index;
         if self.applied < snapshot_index + SNAPSHOT_ENTRIES && !is_large {
-            return Ok(());
+            return Ok(Saved::Complete);
         }
         let data = self.machine.snapshot();
         // The log drops the entries in memory, so storing the snapshot must not fail afterwards.
@@ -98,7 +110,16 @@
             .storage
             .can_store_snapshot(replica_thread::count_bytes(&data))
         {
-            return Ok(());
+            logs::emit(
+                events::SNAPSHOT_NOT_TAKEN,
+                format_args!(
+                    "index={} bytes={} log_bytes={} why=no room",
+                    self.applied,
+                    data.len(),
+                    self.storage.count_log_bytes()
+                ),
+            );
+            return Ok(Saved::Complete);
         }
         logs::emit(
             events::SNAPSHOT_TAKEN,
--- a/crates/control/src/replica_thread.rs
+++ b/crates/control/src/replica_thread.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time;
+use tokio_util::sync::CancellationToken;
 
 use crate::answer;
 use crate::events;
@@ -69,6 +70,8 @@
     pub(crate) machine: state_machine::StateMachine,
     outputs: Outputs,
     pub(crate) settings: sync::Arc<settings::Settings>,
+    /// Cancelled when the process is told to stop.
+    pub(crate) stopping: CancellationToken,
     timers: timers::Timers,
     pending: pending::Proposals,
 }
@@ -78,6 +81,7 @@
     pub(crate) fn open(
         settings: sync::Arc<settings::Settings>,
         outputs: Outputs,
+        stopping: CancellationToken,
     ) -> Result<ReplicaThread, files::Error> {
         let name = Bytes::from(settings.name.clone());
         let disk_id = rand::rng().random_range(1..member::VOLATILE);
@@ -131,6 +135,7 @@
             outputs,
             timers: timers::Timers::new(settings.timing),
             settings,
+            stopping,
             pending: pending::Proposals::default(),
         };
         thread.save(&effects)?;
@@ -208,7 +213,9 @@
         if let Some(round) = self.log.round() {
             self.lease.begin_round(round, now);
         }
-        self.save_with_retry(&effects).await?;
+        if self.save_with_retry(&effects).await? == persist::Saved::Stopped {
+            return Ok(Flow::Stop);
+        }
         if self.run_effects(effects, now) {
             return Ok(Flow::ReplaceDisk);
         }
@@ -216,7 +223,9 @@
         if was_leader && self.log.role() != log::Role::Leader {
             self.end_leadership();
         }
-        self.compact().await?;
+        if self.compact().await? == persist::Saved::Stopped {
+            flow = Flow::Stop;
+        }
         self.publish_status();
         Ok(flow)
     }
@@ -382,7 +391,7 @@
         );
         self.end_leadership();
         self.storage.set_aside()?;
-        ReplicaThread::open(self.settings, self.outputs)
+        ReplicaThread::open(self.settings, self.outputs, self.stopping)
     }
 
     fn publish_status(&self) {
--- a/crates/control/tests/failures.rs
+++ b/crates/control/tests/failures.rs
@@ -345,6 +345,30 @@
     assert_eq!(cluster.read_commands(leader), ["one", "three"]);
 }
 
+#[test]
+fn a_host_that_waits_for_room_on_its_disk_can_be_stopped() {
+    let mut cluster = Cluster::start(3, "");
+    let leader = cluster.wait_for_leader();
+    cluster.commit("one");
+    cluster.wait_for_catch_up(leader);
+    for host in &mut cluster.hosts {
+        host.kill();
+        host.add_data_settings("limit_mb=16\n");
+        let ballast = fs::File::create(host.folder.join("ballast")).expect("a file");
+        ballast.set_len(16 << 20).expect("a size");
+        host.start();
+    }
+    let mut waiting = None;
+    wait_until("a host that waits for room", || {
+        let mut hosts = 0..cluster.hosts.len();
+        waiting = hosts.find(|index| cluster.hosts[*index].read_log().contains("E2006"));
+        waiting.is_some()
+    });
+    let host = &mut cluster.hosts[waiting.expect("a host")];
+    host.signal("TERM");
+    assert!(host.wait_for_exit());
+}
+
 #[test]
 fn a_fourth_host_joins_and_votes() {
     let mut cluster = Cluster::prepare(4, 3, "");
