--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -21,6 +21,7 @@
 
 use crate::addresses;
 use crate::disk;
+use crate::volume;
 
 const ADDRESS: &str = "an address such as 127.0.0.1:7000";
 const BATCH_ENTRIES: usize = 512;
@@ -83,6 +84,8 @@
     pub volatile: bool,
     /// Accept a copied data folder as up to date.
     pub trust_copy: bool,
+    /// Volume that the data folder is on.
+    pub volume: volume::Shared,
 }
 
 /// The hosts that may be members of the log, and how their addresses are found.
@@ -176,6 +179,7 @@
         timing,
         trust_copy,
         volatile,
+        volume: sync::Arc::new(volume::Local),
     })
 }
 
--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -43,7 +43,9 @@
             };
             return Ok((Storage::Memory { bytes: 0 }, recovered));
         }
-        let opened = disk::Disk::open(&settings.folder, name, disk, settings.disk_limits);
+        let volume = settings.volume.clone();
+        let limits = settings.disk_limits;
+        let opened = disk::Disk::open_on(volume, &settings.folder, name, disk, limits);
         let (disk, recovered) = opened?;
         Ok((Storage::Disk(Box::new(disk)), recovered))
     }
--- a/crates/control/tests/power_loss/main.rs
+++ b/crates/control/tests/power_loss/main.rs
@@ -1,5 +1,6 @@
 //! What a data folder holds after kills, losses of power and spells of a full disk, in random series.
 
+mod full_in_turn;
 mod volume;
 
 use std::path;
