control: a host that starts on a full disk waits for room

A start now waits as writes do, with E2006 each 200 ms, and can be stopped meanwhile. An empty last segment is used by the next start, as each attempt would leave another one.

--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -119,8 +119,15 @@
         };
         let (snapshot, snapshot_bytes) = read_snapshot(&*volume, folder)?;
         let mut replay = replay::Replay::new(snapshot);
-        let segments = replay.read_segments(&*volume, folder)?;
+        let mut segments = replay.read_segments(&*volume, folder)?;
         let number = segments.last().map_or(1, |segment| segment.number + 1);
+        // An empty segment is used, or each start would leave another one.
+        let empty = segments.last().filter(|segment| segment.bytes == 0);
+        let (number, mode) = match empty.map(|segment| segment.number) {
+            Some(number) => (number, volume::Mode::Append),
+            None => (number, volume::Mode::New),
+        };
+        segments.retain(|segment| segment.number != number);
         let copied = !copy_detection::is_original(&*volume, &folder.join(BIRTH_FILE))?;
         let mut disk = Disk {
             folder: folder.to_owned(),
@@ -130,7 +137,7 @@
             limits,
             _lock: lock,
             me: me.clone(),
-            segment: create_segment(&*volume, folder, number)?,
+            segment: open_segment(&*volume, folder, number, mode)?,
             segments,
             snapshot_bytes,
             volume,
@@ -333,8 +340,9 @@
         let current = self.segments.last();
         if current.is_none_or(|segment| segment.bytes > 0) {
             let number = current.map_or(1, |segment| segment.number + 1);
-            let create = |disk: &mut Disk| create_segment(&*disk.volume, &disk.folder, number);
-            self.segment = self.retry_without_reserve(create)?;
+            self.segment = self.retry_without_reserve(|disk| {
+                open_segment(&*disk.volume, &disk.folder, number, volume::Mode::New)
+            })?;
             self.has_durable_name = false;
             self.segments.push(replay::Segment {
                 bytes: 0,
@@ -387,13 +395,14 @@
     locked.ok_or_else(|| files::Error::InUse(folder.to_owned()))
 }
 
-fn create_segment(
+fn open_segment(
     volume: &dyn volume::Volume,
     folder: &path::Path,
     number: u64,
+    mode: volume::Mode,
 ) -> Result<Box<dyn volume::File>, files::Error> {
     let path = folder.join(replay::name_segment(number));
-    let file = volume.open(&path, volume::Mode::New);
+    let file = volume.open(&path, mode);
     file.map_err(|error| files::io_error(&path, error))
 }
 
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -170,7 +170,7 @@
     let spawned = thread.spawn(move || {
         let result = runtime.block_on(async {
             let opened = replica_thread::ReplicaThread::open(thread_settings, outputs, stopped);
-            opened?.run(queue).await
+            opened.await?.run(queue).await
         });
         if let Err(error) = &result {
             logs::emit(events::LOG_FAILED, format_args!("{error}"));
--- a/crates/control/src/persist.rs
+++ b/crates/control/src/persist.rs
@@ -2,15 +2,20 @@
 
 use std::path;
 
+use bytes::Bytes;
 use peargap_adapters::logs;
 use peargap_core::log::effect;
 use peargap_core::log::entry;
 use tokio::time;
+use tokio_util::sync::CancellationToken;
 
+use crate::disk;
 use crate::events;
 use crate::files;
 use crate::replica_thread;
+use crate::settings;
 use crate::state_machine;
+use crate::storage;
 
 /// Size of the log after which a snapshot replaces it, however large the disk limit is.
 const SNAPSHOT_BYTES: u64 = 64 << 20;
@@ -30,6 +35,37 @@
     Stopped,
 }
 
+/// What to do after a wait for room on the disk.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Wait {
+    Retry,
+    Stop,
+}
+
+/// Waits before a full disk is tried again, or until the process is told to stop.
+async fn wait_for_room(stopping: &CancellationToken) -> Wait {
+    logs::emit(events::DISK_FULL, format_args!("retry_ms=200"));
+    tokio::select! {
+        () = time::sleep(FULL_DISK_RETRY_DELAY) => Wait::Retry,
+        () = stopping.cancelled() => Wait::Stop,
+    }
+}
+
+/// Opens the storage; retries while the disk is full, and fails if the process is told to stop then.
+pub(crate) async fn open_with_retry(
+    settings: &settings::Settings,
+    name: &Bytes,
+    disk: u64,
+    stopping: &CancellationToken,
+) -> Result<(storage::Storage, disk::Recovered), files::Error> {
+    loop {
+        match storage::Storage::open(settings, name, disk) {
+            Err(files::Error::Full) if wait_for_room(stopping).await == Wait::Retry => {}
+            result => return result,
+        }
+    }
+}
+
 impl replica_thread::ReplicaThread {
     /// Stores the data of the effects; retries while the disk is full, the reserve included.
     pub(crate) async fn save_with_retry(
@@ -41,10 +77,8 @@
             match self.save_effect(effect) {
                 Ok(()) => saved += 1,
                 Err(files::Error::Full) => {
-                    logs::emit(events::DISK_FULL, format_args!("retry_ms=200"));
-                    tokio::select! {
-                        () = time::sleep(FULL_DISK_RETRY_DELAY) => {}
-                        () = self.stopping.cancelled() => return Ok(Saved::Stopped),
+                    if wait_for_room(&self.stopping).await == Wait::Stop {
+                        return Ok(Saved::Stopped);
                     }
                 }
                 Err(error) => return Err(error),
@@ -53,12 +87,6 @@
         Ok(Saved::Complete)
     }
 
-    pub(crate) fn save(&mut self, effects: &[effect::Effect]) -> Result<(), files::Error> {
-        effects
-            .iter()
-            .try_for_each(|effect| self.save_effect(effect))
-    }
-
     fn save_effect(&mut self, effect: &effect::Effect) -> Result<(), files::Error> {
         match effect {
             effect::Effect::AcceptCopiedDisk => self.storage.accept_copy(),
--- a/crates/control/src/replica_thread.rs
+++ b/crates/control/src/replica_thread.rs
@@ -77,15 +77,16 @@
 }
 
 impl ReplicaThread {
-    /// Opens the disk and starts the log from its content.
-    pub(crate) fn open(
+    /// Opens the disk and starts the log from its content; waits while the disk is full.
+    pub(crate) async fn open(
         settings: sync::Arc<settings::Settings>,
         outputs: Outputs,
         stopping: CancellationToken,
     ) -> Result<ReplicaThread, files::Error> {
         let name = Bytes::from(settings.name.clone());
         let disk_id = rand::rng().random_range(1..member::VOLATILE);
-        let (mut storage, recovered) = storage::Storage::open(&settings, &name, disk_id)?;
+        let opened = persist::open_with_retry(&settings, &name, disk_id, &stopping).await;
+        let (mut storage, recovered) = opened?;
         if recovered.copied && settings.trust_copy {
             storage.accept_copy()?;
         }
@@ -138,9 +139,11 @@
             stopping,
             pending: pending::Proposals::default(),
         };
-        thread.save(&effects)?;
+        if thread.save_with_retry(&effects).await? == persist::Saved::Stopped {
+            return Err(files::Error::Full);
+        }
         if thread.run_effects(effects, time::Instant::now()) {
-            return thread.replace_disk();
+            return Box::pin(thread.replace_disk()).await;
         }
         thread.publish_status();
         thread.publish_state();
@@ -166,7 +169,7 @@
             };
             match self.handle_batch(event, &mut batch).await? {
                 Flow::Continue => {}
-                Flow::ReplaceDisk => self = self.replace_disk()?,
+                Flow::ReplaceDisk => self = self.replace_disk().await?,
                 Flow::Stop => return Ok(()),
             }
         }
@@ -383,7 +386,7 @@
     }
 
     /// Moves the old disk away and restarts as a new member.
-    fn replace_disk(mut self) -> Result<ReplicaThread, files::Error> {
+    async fn replace_disk(mut self) -> Result<ReplicaThread, files::Error> {
         let me = self.log.me();
         logs::emit(
             events::DISK_SET_ASIDE,
@@ -391,7 +394,7 @@
         );
         self.end_leadership();
         self.storage.set_aside()?;
-        ReplicaThread::open(self.settings, self.outputs, self.stopping)
+        ReplicaThread::open(self.settings, self.outputs, self.stopping).await
     }
 
     fn publish_status(&self) {
--- a/crates/control/tests/power_loss/full_in_turn.rs
+++ b/crates/control/tests/power_loss/full_in_turn.rs
@@ -28,18 +28,22 @@
 
 struct Cluster {
     hosts: Vec<tokio::task::JoinHandle<Result<(), host::Error>>>,
-    port: u16,
+    /// Ports for other hosts, the platform, operators and health checks.
+    ports: Vec<u16>,
     token: CancellationToken,
     volumes: Vec<volume::Simulated>,
 }
 
 impl Cluster {
     fn start(seed: u64) -> Cluster {
-        let ports = ports::find_ports(4).expect("ports");
-        let token = CancellationToken::new();
-        let volumes: Vec<volume::Simulated> = (0..HOSTS)
+        let volumes = (0..HOSTS)
             .map(|host| volume::Simulated::new(seed * u64::from(HOSTS) + u64::from(host)))
             .collect();
+        Cluster::start_on(volumes, ports::find_ports(4).expect("ports"))
+    }
+
+    fn start_on(volumes: Vec<volume::Simulated>, ports: Vec<u16>) -> Cluster {
+        let token = CancellationToken::new();
         let names: Vec<String> = (1..=HOSTS)
             .map(|host| format!("127.0.0.{host}:{}", ports[1]))
             .collect();
@@ -59,11 +63,12 @@
             settings.volume = sync::Arc::new(volume.clone());
             tokio::spawn(host::run(settings, token.clone()))
         });
+        let hosts = hosts.collect();
         Cluster {
-            hosts: hosts.collect(),
-            port: ports[0],
-            token: token.clone(),
-            volumes: volumes.clone(),
+            hosts,
+            ports,
+            token,
+            volumes,
         }
     }
 
@@ -78,8 +83,13 @@
         }
     }
 
+    fn assert_running(&self) {
+        let ended = self.hosts.iter().position(|host| host.is_finished());
+        assert_eq!(ended, None, "a host that has ended");
+    }
+
     async fn propose(&self, host: u8, text: &str) -> Option<wire::propose_reply::Kind> {
-        let address = format!("http://127.0.0.{host}:{}", self.port);
+        let address = format!("http://127.0.0.{host}:{}", self.ports[0]);
         let mut client = wire::peer_client::PeerClient::connect(address).await.ok()?;
         let command = Bytes::copy_from_slice(text.as_bytes());
         let reply = client.propose(wire::ProposeRequest { command }).await;
@@ -121,8 +131,7 @@
             "seed {seed}: change {number} is not accepted"
         );
     }
-    let ended = cluster.hosts.iter().position(|host| host.is_finished());
-    assert_eq!(ended, None, "seed {seed}: a host that has ended");
+    cluster.assert_running();
     cluster.token.cancel();
 }
 
@@ -136,3 +145,31 @@
 async fn changes_are_accepted_after_disks_were_full_in_turn() {
     play(first_seed()).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn hosts_that_start_on_full_disks_wait_for_room() {
+    let cluster = Cluster::start(0);
+    cluster.change("before").await;
+    let volumes = cluster.volumes.clone();
+    cluster.token.cancel();
+    for host in cluster.hosts {
+        host.await.expect("a task").expect("a clean end");
+    }
+    let full = volume::Full {
+        new_files: true,
+        syncs: false,
+        writes: true,
+    };
+    for volume in &volumes {
+        volume.fill_after(0, full);
+    }
+    let cluster = Cluster::start_on(volumes, cluster.ports);
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    cluster.assert_running();
+    for volume in &cluster.volumes {
+        volume.fill_after(0, volume::Full::default());
+    }
+    let changed = tokio::time::timeout(CHANGE_TIMEOUT, cluster.change("after")).await;
+    assert!(changed.is_ok(), "no change is accepted");
+    cluster.token.cancel();
+}
