control: the room in the data folder has a module of its own

The reserve, the probe and the count of what is not the log's move to room.rs; nothing else changes. power_loss, disk, failures: 32 passed.

--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -4,7 +4,6 @@
 //! any other damage is an error that names the file and the offset.
 
 use std::fs;
-use std::io;
 use std::path;
 use std::sync;
 
@@ -22,29 +21,17 @@
 use crate::log_codec;
 use crate::record;
 use crate::replay;
+use crate::room;
 use crate::volume;
 
-const BIRTH_FILE: &str = "birth";
-/// Size of the writes that fill a file.
-const FILLER_BLOCK_BYTES: usize = 8 << 10;
-const HARD_STATE_FILE: &str = "hard";
-const LOCK_FILE: &str = "lock";
+pub(crate) const BIRTH_FILE: &str = "birth";
+pub(crate) const HARD_STATE_FILE: &str = "hard";
+pub(crate) const LOCK_FILE: &str = "lock";
 /// Start of the name of a subfolder that holds the files of a replaced disk.
 const REPLACED_PREFIX: &str = "old-";
-/// Files, besides segments, that are not counted as foreign.
-const MANAGED_FILES: [&str; 6] = [
-    BIRTH_FILE,
-    HARD_STATE_FILE,
-    LOCK_FILE,
-    PROBE_FILE,
-    RESERVE_FILE,
-    SNAPSHOT_FILE,
-];
-const PROBE_FILE: &str = "probe";
-const RESERVE_FILE: &str = "reserve";
 /// Size after which a segment is closed and the next one started.
 const SEGMENT_BYTES: u64 = 8 << 20;
-const SNAPSHOT_FILE: &str = "snapshot";
+pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
 
 /// Size limits of the data folder.
 #[derive(Clone, Copy, Debug)]
@@ -241,13 +228,12 @@
     /// Allocates the reserve if there is room for it, so that changes are accepted again; returns
     /// whether it is allocated.
     pub fn allocate_reserve(&mut self) -> bool {
-        self.foreign_bytes = count_foreign_bytes(&*self.volume, &self.folder);
-        let path = self.folder.join(RESERVE_FILE);
+        self.foreign_bytes = room::count_foreign_bytes(&*self.volume, &self.folder);
         let bytes = self.limits.reserve_bytes;
-        let room = self.count_used_bytes() + bytes <= self.limits.max_bytes;
-        let taken = room && self.write_reserve(&path, bytes).is_ok();
+        let fits = self.count_used_bytes() + bytes <= self.limits.max_bytes;
+        let taken = fits && room::write_reserve(&*self.volume, &self.folder, bytes).is_ok();
         if !taken {
-            let _ = self.volume.remove(&path);
+            room::remove_reserve(&*self.volume, &self.folder);
         }
         self.full = !taken;
         taken
@@ -264,10 +250,7 @@
         if self.count_used_bytes() + bytes > self.limits.max_bytes {
             return false;
         }
-        let path = self.folder.join(PROBE_FILE);
-        let held = write_filler(&*self.volume, &path, bytes).is_ok();
-        let _ = self.volume.remove(&path);
-        held
+        room::probe(&*self.volume, &self.folder, bytes)
     }
 
     /// Returns the size of the log's segments.
@@ -328,7 +311,7 @@
         match write(self) {
             Err(files::Error::Full) if !self.full => {
                 self.full = true;
-                let _ = self.volume.remove(&self.folder.join(RESERVE_FILE));
+                room::remove_reserve(&*self.volume, &self.folder);
                 write(self)
             }
             result => result,
@@ -377,15 +360,6 @@
         }
         files::sync_folder(&*self.volume, &self.folder)
     }
-
-    fn write_reserve(&self, path: &path::Path, bytes: u64) -> io::Result<()> {
-        let items = self.volume.list(&self.folder)?;
-        let mut reserves = items.iter().filter(|item| item.name == RESERVE_FILE);
-        if reserves.any(|item| item.bytes == bytes) {
-            return Ok(());
-        }
-        write_filler(&*self.volume, path, bytes)
-    }
 }
 
 fn lock_folder(volume: &dyn volume::Volume, folder: &path::Path) -> Result<fs::File, files::Error> {
@@ -465,33 +439,3 @@
         .map_err(|_error| files::corrupt(&path, "the snapshot is invalid"))?;
     Ok((snapshot, bytes))
 }
-
-/// Returns the total size of the files and folders that the log does not manage.
-fn count_foreign_bytes(volume: &dyn volume::Volume, folder: &path::Path) -> u64 {
-    let Ok(items) = volume.list(folder) else {
-        return 0;
-    };
-    let foreign = items.iter().filter(|item| {
-        let is_managed = MANAGED_FILES.contains(&item.name.as_str());
-        !is_managed && !item.name.starts_with(replay::SEGMENT_PREFIX)
-    });
-    foreign
-        .map(|item| match item.is_folder {
-            true => count_foreign_bytes(volume, &folder.join(&item.name)),
-            false => item.bytes,
-        })
-        .sum()
-}
-
-/// Fills a file with data rather than extending it, so that every file system allocates the space.
-fn write_filler(volume: &dyn volume::Volume, path: &path::Path, bytes: u64) -> io::Result<()> {
-    let mut file = volume.open(path, volume::Mode::Replace)?;
-    let block = [0x5a; FILLER_BLOCK_BYTES];
-    let mut left = bytes;
-    while left > 0 {
-        let length = usize::try_from(left).map_or(block.len(), |left| left.min(block.len()));
-        file.write_all(&block[..length])?;
-        left -= files::count_bytes(&block[..length]);
-    }
-    file.sync_all()
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -39,6 +39,7 @@
 mod rollout;
 mod rollout_codec;
 mod rollout_orders;
+mod room;
 pub mod service;
 pub mod settings;
 mod state_codec;
