--- a/crates/proof/tests/bounds/leaves.rs
+++ b/crates/proof/tests/bounds/leaves.rs
@@ -21,9 +21,7 @@
     let mut deployment = deployment::Deployment::start(GATEWAYS).await;
     let ledger = ledger::Ledger::default();
     let operator = operator::Operator::start(&deployment, ledger.clone()).await;
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|number| caller::spawn(number, 3, &deployment, ledger.clone()))
-        .collect();
+    let callers = caller::spawn_all(CALLERS, 3, &deployment, &ledger);
     tokio::time::sleep(time::Duration::from_secs(3)).await;
     let desks = deployment.upstreams.iter();
     let desks: Vec<_> = desks.filter(|one| one.service == "desk").cloned().collect();
@@ -42,10 +40,7 @@
     // The host that knew it comes back, and knows nothing.
     deployment.controls[0].start();
     tokio::time::sleep(DRAIN_TIME + WATCH_TIME).await;
-    ledger.stop();
-    for caller in callers {
-        caller.await.expect("a caller");
-    }
+    caller::stop(callers, &ledger).await;
     drop(operator);
     let arrivals = |upstream: &deployment::Upstream| {
         let arrivals = upstream.runner.arrivals();
--- a/crates/proof/tests/bounds/main.rs
+++ b/crates/proof/tests/bounds/main.rs
@@ -122,9 +122,7 @@
     }
     let ledger = ledger::Ledger::default();
     let operator = operator::Operator::start(&deployment, ledger.clone()).await;
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|number| caller::spawn(number, 1, &deployment, ledger.clone()))
-        .collect();
+    let callers = caller::spawn_all(CALLERS, 1, &deployment, &ledger);
     tokio::time::sleep(time::Duration::from_secs(2)).await;
     for upstream in &deployment.upstreams {
         if upstream.service == "desk" {
@@ -132,10 +130,7 @@
         }
     }
     restart_in_turn(&mut deployment, time::Instant::now() + SHEDDING_TIME).await;
-    ledger.stop();
-    for caller in callers {
-        caller.await.expect("a caller");
-    }
+    caller::stop(callers, &ledger).await;
     drop(operator);
     let (worst, text) = measure(&list_arrivals(&deployment));
     println!("{text}; {}", ledger.summary());
@@ -158,9 +153,7 @@
     let deployment = deployment::Deployment::start(GATEWAYS).await;
     let ledger = ledger::Ledger::default();
     let operator = operator::Operator::start(&deployment, ledger.clone()).await;
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|number| caller::spawn(number, 2, &deployment, ledger.clone()))
-        .collect();
+    let callers = caller::spawn_all(CALLERS, 2, &deployment, &ledger);
     tokio::time::sleep(time::Duration::from_secs(5)).await;
     let desks = deployment.upstreams.iter();
     let desks: Vec<_> = desks.filter(|one| one.service == "desk").collect();
@@ -174,10 +167,7 @@
         desk.runner.set_limit(None);
     }
     tokio::time::sleep(END_TIME).await;
-    ledger.stop();
-    for caller in callers {
-        caller.await.expect("a caller");
-    }
+    caller::stop(callers, &ledger).await;
     drop(operator);
     for desk in desks {
         let name = &desk.runner.name;
--- a/crates/proof/tests/bounds/orders.rs
+++ b/crates/proof/tests/bounds/orders.rs
@@ -40,9 +40,7 @@
     let deployment = deployment::Deployment::start(GATEWAYS).await;
     let ledger = ledger::Ledger::default();
     let operator = operator::Operator::start(&deployment, ledger.clone()).await;
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|number| caller::spawn(number, 4, &deployment, ledger.clone()))
-        .collect();
+    let callers = caller::spawn_all(CALLERS, 4, &deployment, &ledger);
     let leader = find_leader(&deployment);
     let behind = (leader + 1) % deployment::CONTROLS;
     assert_eq!(order(&deployment, leader, "POST").await, Some(200));
@@ -61,10 +59,7 @@
     assert_eq!(order(&deployment, behind, "DELETE").await, Some(200));
     let returned = time::Instant::now();
     tokio::time::sleep(WATCH_TIME).await;
-    ledger.stop();
-    for caller in callers {
-        caller.await.expect("a caller");
-    }
+    caller::stop(callers, &ledger).await;
     drop(operator);
     let arrivals = deployment.upstreams.iter();
     let arrivals: Vec<_> = arrivals.flat_map(|one| one.runner.arrivals()).collect();
--- a/crates/proof/tests/soak/caller.rs
+++ b/crates/proof/tests/soak/caller.rs
@@ -47,15 +47,35 @@
     Broken,
 }
 
-/// Starts a caller that sends requests until the ledger is stopped.
-pub(crate) fn spawn(
+/// Callers that have been started.
+pub(crate) type Callers = tokio::task::JoinSet<()>;
+
+/// Starts callers that send requests until the ledger is stopped.
+pub(crate) fn spawn_all(
+    count: u64,
+    seed: u64,
+    deployment: &deployment::Deployment,
+    ledger: &ledger::Ledger,
+) -> Callers {
+    let callers = (0..count).map(|number| call(number, seed, deployment, ledger.clone()));
+    callers.collect()
+}
+
+/// Stops the ledger and waits for the callers to end.
+pub(crate) async fn stop(callers: Callers, ledger: &ledger::Ledger) {
+    ledger.stop();
+    callers.join_all().await;
+}
+
+/// Sends requests until the ledger is stopped.
+fn call(
     number: u64,
     seed: u64,
     deployment: &deployment::Deployment,
     ledger: ledger::Ledger,
-) -> tokio::task::JoinHandle<()> {
+) -> impl core::future::Future<Output = ()> + use<> {
     let ports = deployment.gateway_ports.clone();
-    tokio::spawn(async move {
+    async move {
         let mut random = SmallRng::seed_from_u64(seed * 1000 + number);
         let mut reusable = None;
         let mut count = 0;
@@ -82,7 +102,7 @@
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
-    })
+    }
 }
 
 /// Checks that every gateway serves each kind of request after the faults have ended.
--- a/crates/proof/tests/soak/main.rs
+++ b/crates/proof/tests/soak/main.rs
@@ -53,19 +53,14 @@
     }
     let ledger = ledger::Ledger::default();
     let mut operator = operator::Operator::start(&deployment, ledger.clone()).await;
-    let callers: Vec<_> = (0..CALLER_COUNT)
-        .map(|number| caller::spawn(number, seed, &deployment, ledger.clone()))
-        .collect();
+    let callers = caller::spawn_all(CALLER_COUNT, seed, &deployment, &ledger);
     let mut random = SmallRng::seed_from_u64(seed);
     let deadline = time::Instant::now() + FAULT_DURATION;
     while time::Instant::now() < deadline {
         faults::inject_random_fault(&mut deployment, &mut random, &ledger).await;
     }
     deployment.end_faults().await;
-    ledger.stop();
-    for caller in callers {
-        caller.await.expect("a caller");
-    }
+    caller::stop(callers, &ledger).await;
     operator.finish(&deployment).await;
     caller::check_served(&deployment, &ledger).await;
     ledger.check_runs(&deployment);
