gateway: a short grace does not refuse calls while connections are still taken

A gateway lives at least 2.5 s after it is told to stop, as connections still come; with a grace below 2.9 s the end of requests was reckoned earlier than that, so calls that came afterwards were sent and answered 504 at once. The end is the later of both now, and a call that comes after the last answers is refused as not run.

a_call_is_served_while_a_gateway_with_a_short_grace_still_takes_connections: 504 before, 200 now; stops 3, plain 25 passed. With the platform's grace of 8 s nothing differs.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -41,7 +41,8 @@
     let accepting = accept(&listener, &gateway, &shutdown, &connections);
     let stopped = async {
         stop.cancelled().await;
-        let ends_at = tokio::time::Instant::now() + grace.saturating_sub(EXIT_MARGIN);
+        let rest = grace.saturating_sub(EXIT_MARGIN).max(DRAIN_DELAY);
+        let ends_at = tokio::time::Instant::now() + rest;
         gateway.stop.begin(ends_at);
         tokio::time::sleep(DRAIN_DELAY).await;
     };
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -46,8 +46,11 @@
     /// Returns whether the stop of the process may cut off a call that is about to be sent, if it may
     /// last until `deadline`. While callers still find the gateway, calls of usual length are taken.
     pub(crate) fn may_cut_off_call(&self, deadline: time::Instant) -> bool {
-        let ends_at = self.ends_at.get();
-        self.is_closed.is_cancelled() && ends_at.is_some_and(|ends_at| deadline > *ends_at)
+        let Some(ends_at) = self.ends_at.get() else {
+            return false;
+        };
+        let is_over = time::Instant::now() >= *ends_at - ANSWER_MARGIN;
+        is_over || (self.is_closed.is_cancelled() && deadline > *ends_at)
     }
 
     /// Records the time between two events of a generation, in milliseconds.
--- a/crates/gateway/tests/stops.rs
+++ b/crates/gateway/tests/stops.rs
@@ -74,3 +74,12 @@
     assert!(response.is_complete);
     assert_eq!(fixture.runner("d1").runs().len(), 1);
 }
+
+#[tokio::test]
+async fn a_call_is_served_while_a_gateway_with_a_short_grace_still_takes_connections() {
+    let mut fixture = Fixture::start_hasty().await;
+    fixture.start_runner("d1").await;
+    fixture.stop.cancel();
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    assert_eq!(fixture.call(request("/once/x", "body")).await.status, 200);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -245,6 +245,8 @@
     InProcess,
     /// In the test process, with routes for long bodies that take much time.
     InProcessGenerous,
+    /// In the test process, with a grace period of half a second.
+    InProcessHasty,
     /// As its program.
     Program,
 }
@@ -278,7 +280,7 @@
         let ports = ports::find_ports(3).expect("ports");
         let local = |port| net::SocketAddr::from(([127, 0, 0, 1], port));
         let control = Control {
-            is_generous: launch != Launch::InProcess,
+            is_generous: matches!(launch, Launch::InProcessGenerous | Launch::Program),
             ..Control::default()
         };
         control.serve(local(ports[0]));
@@ -294,7 +296,10 @@
             control_port: ports[0],
             control_seeds,
             domain: "a".to_owned(),
-            grace: time::Duration::from_secs(8),
+            grace: match launch {
+                Launch::InProcessHasty => time::Duration::from_millis(500),
+                _ => time::Duration::from_secs(8),
+            },
             health: local(ports[2]),
             host_mb: 88.0,
             log_format: peargap_adapters::logs::Format::Text,
@@ -310,8 +315,8 @@
         };
         let token = stop.clone();
         let program = match launch {
-            Launch::InProcess | Launch::InProcessGenerous => None,
             Launch::Program => Some(program::Program::start(&settings)),
+            _ => None,
         };
         let is_program = program.is_some();
         let ended = tokio::spawn(async move {
@@ -354,6 +359,13 @@
         fixture
     }
 
+    /// Starts a gateway with routes and a grace period of half a second.
+    pub(crate) async fn start_hasty() -> Fixture {
+        let fixture = Fixture::launch(&[], Launch::InProcessHasty).await;
+        fixture.route().await;
+        fixture
+    }
+
     /// Starts the gateway's program, with routes for long bodies that take much time.
     pub(crate) async fn start_program() -> Fixture {
         let fixture = Fixture::launch(&[], Launch::Program).await;
