--- a/crates/proof/tests/failures/fleet.rs
+++ b/crates/proof/tests/failures/fleet.rs
@@ -3,6 +3,7 @@
 use core::time;
 use std::collections;
 use std::fs;
+use std::net;
 use std::process;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use crate::program;
 use crate::relay;
 use crate::settings;
+use crate::spawn;
 
 /// How long a step may take before the test fails.
 pub(crate) const STEP_TIMEOUT: time::Duration = time::Duration::from_secs(20);
@@ -26,9 +28,13 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Plan {
     pub(crate) controls: usize,
+    /// Limit of the open descriptors of each process, if it is not the machine's.
+    pub(crate) descriptors: Option<u64>,
     pub(crate) engine_arguments: &'static [&'static str],
     pub(crate) engines: usize,
     pub(crate) entries: usize,
+    /// Whether the processes authenticate to each other.
+    pub(crate) has_key: bool,
     /// Puts a relay between each agent and its engine.
     pub(crate) relays: bool,
     pub(crate) services: usize,
@@ -38,9 +44,11 @@
     fn default() -> Plan {
         Plan {
             controls: 3,
+            descriptors: None,
             engine_arguments: &[],
             engines: 2,
             entries: 2,
+            has_key: true,
             relays: false,
             services: 1,
         }
@@ -60,8 +68,11 @@
     pub(crate) relays: Vec<relay::Relay>,
     pub(crate) service_ports: Vec<u16>,
     controls: Vec<settings::ControlPorts>,
+    descriptors: Option<u64>,
     folder: tempfile::TempDir,
+    has_key: bool,
     health_ports: collections::BTreeMap<String, u16>,
+    internal_ports: collections::BTreeMap<String, u16>,
     processes: collections::BTreeMap<String, Process>,
 }
 
@@ -70,10 +81,13 @@
     pub(crate) async fn start(plan: Plan) -> Fleet {
         let mut fleet = Fleet {
             controls: Vec::new(),
+            descriptors: plan.descriptors,
             engine_ports: Vec::new(),
             entry_urls: Vec::new(),
             folder: tempfile::tempdir().expect("a temporary folder"),
+            has_key: plan.has_key,
             health_ports: collections::BTreeMap::new(),
+            internal_ports: collections::BTreeMap::new(),
             processes: collections::BTreeMap::new(),
             relays: Vec::new(),
             service_ports: Vec::new(),
@@ -205,6 +219,7 @@
         });
         let agent = format!("agent-{name}");
         self.health_ports.insert(agent.clone(), health);
+        self.internal_ports.insert(agent.clone(), internal);
         self.start_with_settings(&agent, "peargap-agent", &text);
     }
 
@@ -234,7 +249,10 @@
     fn start_with_settings(&mut self, name: &str, program: &'static str, text: &str) {
         let path = self.folder.path().join(format!("{name}.ini"));
         let key = self.folder.path().join(DEPLOYMENT_KEY_FILE);
-        let text = format!("{text}\n[deployment]\nkey_file = {}\n", key.display());
+        let text = match self.has_key {
+            true => format!("{text}\n[deployment]\nkey_file = {}\n", key.display()),
+            false => text.to_owned(),
+        };
         fs::write(&path, text).expect("settings written");
         let arguments = vec!["--config".to_owned(), path.display().to_string()];
         self.spawn(name, program, arguments);
@@ -246,12 +264,12 @@
             .create(true)
             .open(self.folder.path().join(format!("{name}.log")))
             .expect("a log file");
-        let child = process::Command::new(program::find_program(program))
+        let mut command = process::Command::new(program::find_program(program));
+        command
             .args(&arguments)
             .stdout(log.try_clone().expect("a log file"))
-            .stderr(log)
-            .spawn()
-            .expect("the program starts");
+            .stderr(log);
+        let child = spawn::start(&mut command, self.descriptors);
         self.processes.insert(
             name.to_owned(),
             Process {
@@ -362,6 +380,34 @@
     }
 }
 
+#[allow(dead_code, reason = "the tests of clients use it")]
+impl Fleet {
+    /// Returns the id of a process.
+    pub(crate) fn id(&self, name: &str) -> u32 {
+        self.processes[name].child.id()
+    }
+
+    /// Returns the address of a process's health port.
+    pub(crate) fn health(&self, name: &str) -> net::SocketAddr {
+        local(self.health_ports[name])
+    }
+
+    /// Returns the address at which a control host serves operators.
+    pub(crate) fn operators(&self, index: usize) -> net::SocketAddr {
+        local(self.controls[index].operators)
+    }
+
+    /// Returns the address at which a control host or agent serves other processes.
+    pub(crate) fn internal(&self, name: &str) -> net::SocketAddr {
+        let index = name.strip_prefix("control-");
+        let index = index.and_then(|index| index.parse::<usize>().ok());
+        local(match index {
+            Some(index) => self.controls[index].internal,
+            None => self.internal_ports[name],
+        })
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for process in self.processes.values_mut() {
@@ -376,6 +422,11 @@
     }
 }
 
+#[allow(dead_code, reason = "the tests of clients use it")]
+fn local(port: u16) -> net::SocketAddr {
+    net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port))
+}
+
 /// Waits until `check` returns true; after [`STEP_TIMEOUT`], fails the test and names `what`.
 pub(crate) async fn wait_until(what: &str, mut check: impl AsyncFnMut() -> bool) {
     let deadline = tokio::time::Instant::now() + STEP_TIMEOUT;
--- a/crates/proof/tests/failures/main.rs
+++ b/crates/proof/tests/failures/main.rs
@@ -8,6 +8,7 @@
 #[allow(dead_code, reason = "the soak test uses the rest of it")]
 mod relay;
 mod settings;
+mod spawn;
 
 mod cold;
 mod configuration;
