core: who is ended when callers hold too much, or too many connections

Cause of the failing tests: what arrives from callers was bounded by nothing; the budget for unread bytes knew only what waits for slow peers.

Change: body_budget weighs what arrives by its bytes times the time since its first byte, however steadily the rest trickles in, so that a crowd that holds much for long goes before a body that has just come.

Ruled out: weighing by the time since the last byte (a client that sends a byte now and then would be the last to go, and a large ordinary body the first); ending idle connections for memory (they hold little, and their callers have done nothing wrong).

--- a/crates/core/src/body_budget.rs
+++ b/crates/core/src/body_budget.rs
@@ -1,8 +1,8 @@
-//! Memory for bodies that peers have not read yet, and who is ended when it runs out.
+//! Memory for what callers make a process hold, and who is ended when it runs out.
 //!
-//! A holder is one response that a caller has not read, or one request that an upstream has not
-//! read. There is one budget for the process, so that a single slow peer may use all of it while
-//! nobody else needs it.
+//! A holder is one response that a caller has not read, one request that is being received or that
+//! an upstream has not read, or one connection. There is one budget for the process, so that a
+//! single slow peer may use all of it while nobody else needs it.
 
 use slotmap::SlotMap;
 
@@ -13,24 +13,43 @@
     pub struct Key;
 }
 
-/// A response or request whose bytes wait for a peer to read them.
+/// What the bytes of a holder wait for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    /// The peer sends the rest of them.
+    Arriving,
+    /// The peer reads them.
+    Leaving,
+    /// Nothing that the peer does: they are needed until the holder is closed.
+    Settled,
+}
+
+/// A response, request or connection whose bytes are held.
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     bytes: u64,
     /// Longest time between two reads of the peer while bytes waited, in milliseconds.
     longest_gap_ms: u64,
-    /// When the peer last read something, or when the first byte began to wait, if that is later.
+    phase: Phase,
+    /// When the first byte arrived or began to wait. While bytes leave, when the peer last read
+    /// something, if that is later.
     waiting_since: time::Instant,
 }
 
 impl Holder {
-    /// Returns the bytes that wait times the milliseconds for which the peer has read nothing, beyond
-    /// those that it took between two reads before.
-    fn weigh(&self, now: time::Instant) -> u128 {
+    /// Returns the bytes times milliseconds: while they arrive, those since the first one, however
+    /// steadily the others come; while they leave, those for which the peer has read nothing,
+    /// beyond those that it took between two reads before. `None` if it can't be ended.
+    fn weigh(&self, now: time::Instant) -> Option<u128> {
         let waited_ms = now.millis_since(self.waiting_since);
-        let excess_ms = waited_ms.saturating_sub(self.longest_gap_ms);
+        let counted_ms = match self.phase {
+            _any if self.bytes == 0 => return None,
+            Phase::Arriving => waited_ms,
+            Phase::Leaving => waited_ms.saturating_sub(self.longest_gap_ms),
+            Phase::Settled => return None,
+        };
         // A peer that reads at its pace counts by its bytes alone.
-        u128::from(self.bytes) * u128::from(excess_ms.max(1))
+        Some(u128::from(self.bytes) * u128::from(counted_ms.max(1)))
     }
 }
 
@@ -41,7 +60,7 @@
     pub bytes: u64,
     /// Its key, which is no longer valid.
     pub key: Key,
-    /// Milliseconds for which its peer had read nothing.
+    /// Milliseconds since its first byte arrived, or for which its peer had read nothing.
     pub waited_ms: u64,
 }
 
@@ -88,15 +107,74 @@
         self.held_bytes.saturating_add(bytes) <= self.limit_bytes
     }
 
-    /// Adds a holder of nothing.
+    /// Adds a holder of nothing, whose bytes will wait for its peer to read them.
     pub fn open(&mut self, now: time::Instant) -> Key {
+        self.open_in(Phase::Leaving, now)
+    }
+
+    /// Adds a holder of nothing, whose bytes its peer will send.
+    pub fn open_arriving(&mut self, now: time::Instant) -> Key {
+        self.open_in(Phase::Arriving, now)
+    }
+
+    /// Adds a holder of `bytes` that can't be ended.
+    pub fn open_settled(&mut self, bytes: u64, now: time::Instant) -> Key {
+        let key = self.open_in(Phase::Settled, now);
+        self.set_bytes(key, bytes);
+        key
+    }
+
+    fn open_in(&mut self, phase: Phase, now: time::Instant) -> Key {
         self.holders.insert(Holder {
             bytes: 0,
             longest_gap_ms: 0,
+            phase,
             waiting_since: now,
         })
     }
 
+    fn set_bytes(&mut self, key: Key, bytes: u64) {
+        if let Some(holder) = self.holders.get_mut(key) {
+            self.held_bytes = self.held_bytes - holder.bytes + bytes;
+            holder.bytes = bytes;
+        }
+    }
+
+    /// Keeps a holder until it is closed. Does nothing if it has been ended.
+    pub fn settle(&mut self, key: Key) {
+        if let Some(holder) = self.holders.get_mut(key) {
+            holder.phase = Phase::Settled;
+        }
+    }
+
+    /// Keeps a holder until it is closed, with `bytes` in place of those that it holds.
+    pub fn reset(&mut self, key: Key, bytes: u64) {
+        self.settle(key);
+        self.set_bytes(key, bytes);
+    }
+
+    /// Lets the bytes of a holder wait for its peer to read them.
+    pub fn begin_leaving(&mut self, key: Key, now: time::Instant) {
+        if let Some(holder) = self.holders.get_mut(key) {
+            holder.longest_gap_ms = 0;
+            holder.phase = Phase::Leaving;
+            holder.waiting_since = now;
+        }
+    }
+
+    /// Adds bytes that have arrived to a holder, which its peer has not sent whole.
+    ///
+    /// Returns the holders that end because of this; `key` may be among them.
+    pub fn arrive(&mut self, key: Key, bytes: u64, now: time::Instant) -> Vec<Ended> {
+        if let Some(holder) = self.holders.get_mut(key) {
+            if holder.phase != Phase::Arriving {
+                holder.phase = Phase::Arriving;
+                holder.waiting_since = now;
+            }
+        }
+        self.add(key, bytes, now)
+    }
+
     /// Removes a holder with all that it holds. Does nothing if it has been ended.
     pub fn close(&mut self, key: Key) {
         if let Some(holder) = self.holders.remove(key) {
@@ -146,8 +224,8 @@
     /// Removes the holder that holds most for longest, by its own pace.
     fn take_heaviest(&mut self, now: time::Instant) -> Option<Ended> {
         let holders = self.holders.iter();
-        let holding = holders.filter(|(_key, holder)| holder.bytes > 0);
-        let (key, holder) = holding.max_by_key(|(_key, holder)| holder.weigh(now))?;
+        let weighed = holders.filter_map(|(key, holder)| Some((holder.weigh(now)?, key, holder)));
+        let (_weight, key, holder) = weighed.max_by_key(|(weight, _key, _holder)| *weight)?;
         let ended = Ended {
             bytes: holder.bytes,
             key,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod cold_rate;
 pub mod config;
 pub mod config_follower;
+pub mod connections;
 pub mod curve;
 pub mod departures;
 pub mod document_delta;
--- a/crates/core/tests/body_budget.rs
+++ b/crates/core/tests/body_budget.rs
@@ -123,3 +123,58 @@
     assert!(budget.held_bytes().saturating_add(last) > LIMIT_BYTES);
     ended.len()
 }
+
+/// However steadily the others of a crowd send, a body that has just come stays.
+#[test]
+fn bodies_that_trickle_for_long_are_ended_before_one_that_has_just_come() {
+    let mut budget = body_budget::Budget::new(LIMIT_BYTES);
+    let crowd: Vec<_> = (0..100)
+        .map(|_client| budget.open_arriving(at(0)))
+        .collect();
+    let mut ended = Vec::new();
+    for step in 0..1000 {
+        for &client in &crowd {
+            ended.extend(budget.arrive(client, 200, at(step * 10)));
+        }
+    }
+    assert!(budget.held_bytes() <= LIMIT_BYTES);
+    let whole = budget.open_arriving(at(10_000));
+    for step in 0..20 {
+        let others = budget.arrive(whole, 100_000, at(10_000 + step));
+        assert!(others.iter().all(|other| other.key != whole));
+    }
+    assert!(budget.held_bytes() <= LIMIT_BYTES);
+}
+
+/// A request that is being answered is not ended for one that arrives.
+#[test]
+fn what_is_settled_is_kept_and_the_newcomer_ends() {
+    let mut budget = body_budget::Budget::new(1000);
+    let answered = budget.open_arriving(at(0));
+    assert!(budget.arrive(answered, 900, at(0)).is_empty());
+    budget.settle(answered);
+    let late = budget.open_arriving(at(5000));
+    let ended = budget.arrive(late, 200, at(5000));
+    assert_eq!((ended[0].key, ended.len()), (late, 1));
+    assert_eq!(budget.held_bytes(), 900);
+    // Once its upstream has to read it again, it may be ended.
+    budget.begin_leaving(answered, at(5000));
+    let late = budget.open_arriving(at(6000));
+    let ended = budget.arrive(late, 200, at(6000));
+    assert_eq!((ended[0].key, ended.len()), (answered, 1));
+}
+
+/// Bytes that a connection's head held are free for others once its request has begun.
+#[test]
+fn a_connection_holds_its_head_only_until_the_request_begins() {
+    let mut budget = body_budget::Budget::new(1000);
+    let connection = budget.open_settled(100, at(0));
+    assert!(budget.arrive(connection, 500, at(10)).is_empty());
+    budget.reset(connection, 100);
+    assert_eq!(budget.held_bytes(), 100);
+    let late = budget.open_arriving(at(10));
+    let ended = budget.arrive(late, 901, at(20));
+    assert_eq!((ended[0].key, ended.len()), (late, 1));
+    budget.close(connection);
+    assert_eq!((budget.held_bytes(), budget.count_holders()), (0, 0));
+}
