adapters: one bound of what callers make a process hold

Change: an intake per process, over all its ports. It counts connections (half of the descriptors), heads, requests and bodies that arrive, and answers that are not read, against one budget of memory: a quarter of [memory] host_mb. Listeners, a reader of bodies, a layer for HTTP routers and one for messages between processes use it, so no program has a cap of its own.

- A body is copied into one buffer as its frames come: a frame of 16 bytes kept the buffer of 16 KB that it was read into.
One that is announced to be too long is not read.
- The system takes 64 KiB at most for a connection before the process reads it.
- A message between processes counts while it arrives.

Ruled out: time limits for each phase of a request. They depend on the machine's speed and bound neither memory nor descriptors within them.

--- a/crates/adapters/src/body_budget.rs
+++ b/crates/adapters/src/body_budget.rs
@@ -1,7 +1,8 @@
-//! Bytes that wait for slow peers, counted to one budget of memory for the process.
+//! Bytes that callers make the process hold, counted to one budget of memory.
 //!
-//! Bytes count from when they are put into a [`Hold`] until the system has taken the last of them
-//! for the network, so what an HTTP library buffers counts too.
+//! Bytes that leave count from when they are put into a [`Hold`] until the system has taken the last
+//! of them for the network, so what an HTTP library buffers counts too. Bytes that arrive count from
+//! when they are received until the request that they belong to has ended.
 
 use std::sync;
 use std::time;
@@ -11,6 +12,7 @@
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
+use tokio_util::sync::WaitForCancellationFutureOwned;
 
 use crate::clock;
 use crate::logs;
@@ -19,16 +21,20 @@
 /// place in a queue.
 const PIECE_OVERHEAD_BYTES: usize = 160;
 
-/// The peer that bytes wait for.
+/// What bytes are held for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Side {
     /// A caller that reads a response.
     Caller,
+    /// A connection on which the head of a request arrives.
+    Connection,
+    /// A request that is received.
+    Request,
     /// An upstream that reads a request.
     Upstream,
 }
 
-/// Memory for bytes that peers have not read yet; clones share it.
+/// Memory for bytes that callers make the process hold; clones share it.
 #[derive(Clone, Debug)]
 pub struct Budget(sync::Arc<Inner>);
 
@@ -88,8 +94,39 @@
     /// cancelled if it has to end because the budget is exceeded.
     #[must_use]
     pub fn open(&self, side: Side, request: Bytes, token: CancellationToken) -> Hold {
+        let now = self.0.clock.now();
+        self.hold(side, request, token, |budget| budget.open(now))
+    }
+
+    /// Returns a hold for a request that arrives; `request` is its ID in log lines.
+    #[must_use]
+    pub fn receive(&self, request: Bytes) -> Hold {
+        let now = self.0.clock.now();
+        let token = CancellationToken::new();
+        self.hold(Side::Request, request, token, |budget| {
+            budget.open_arriving(now)
+        })
+    }
+
+    /// Returns a hold of `bytes` for a connection, whose peer's address is `peer` in log lines.
+    /// `token` is cancelled if it has to end because the budget is exceeded.
+    #[must_use]
+    pub fn connect(&self, peer: Bytes, bytes: usize, token: CancellationToken) -> Hold {
+        let now = self.0.clock.now();
+        self.hold(Side::Connection, peer, token, |budget| {
+            budget.open_settled(to_u64(bytes), now)
+        })
+    }
+
+    fn hold(
+        &self,
+        side: Side,
+        request: Bytes,
+        token: CancellationToken,
+        open: impl FnOnce(&mut body_budget::Budget) -> body_budget::Key,
+    ) -> Hold {
         let mut state = self.lock();
-        let key = state.budget.open(self.0.clock.now());
+        let key = open(&mut state.budget);
         let owner = Owner {
             request,
             side,
@@ -137,6 +174,14 @@
         }
     }
 
+    fn arrive(&self, key: body_budget::Key, bytes: usize) {
+        let bytes = to_u64(bytes);
+        let state = &mut self.lock();
+        for ended in state.budget.arrive(key, bytes, self.0.clock.now()) {
+            self.end(state, ended);
+        }
+    }
+
     fn end(&self, state: &mut State, ended: body_budget::Ended) {
         state.ended += 1;
         let Some(owner) = state.owners.remove(ended.key) else {
@@ -207,6 +252,40 @@
         self.0.budget.add(self.0.key, bytes);
     }
 
+    /// Counts bytes that have arrived, while the rest of them is still expected.
+    pub fn arrive(&self, bytes: usize) {
+        self.0.budget.arrive(self.0.key, bytes);
+    }
+
+    /// Keeps what it holds until it is dropped: nothing that the peer does is waited for.
+    pub fn settle(&self) {
+        self.0.budget.lock().budget.settle(self.0.key);
+    }
+
+    /// Keeps `bytes` in place of what it holds until it is dropped.
+    pub fn reset(&self, bytes: usize) {
+        let bytes = to_u64(bytes);
+        self.0.budget.lock().budget.reset(self.0.key, bytes);
+        self.0.budget.0.freed.notify_waiters();
+    }
+
+    /// Lets what it holds wait for its peer to read it.
+    pub fn begin_leaving(&self) {
+        let now = self.0.budget.0.clock.now();
+        self.0.budget.lock().budget.begin_leaving(self.0.key, now);
+    }
+
+    /// Returns once it has been ended because the budget was exceeded.
+    pub async fn ended(&self) {
+        self.0.token.cancelled().await;
+    }
+
+    /// Returns a future that is ready once it has been ended.
+    #[must_use]
+    pub fn ended_owned(&self) -> WaitForCancellationFutureOwned {
+        self.0.token.clone().cancelled_owned()
+    }
+
     /// Records that the peer has read bytes that were added.
     pub fn record_read(&self, bytes: usize) {
         self.0.budget.record_read(self.0.key, bytes);
@@ -258,6 +337,16 @@
         })
     }
 
+    /// Returns the last part of a body that was counted as a whole. Once it is dropped, nothing that
+    /// the peer does is waited for.
+    #[must_use]
+    pub fn last_part(&self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(Last {
+            bytes,
+            hold: self.clone(),
+        })
+    }
+
     /// Returns whether it was ended because the budget was exceeded.
     #[must_use]
     pub fn is_ended(&self) -> bool {
@@ -291,3 +380,21 @@
         holder.budget.record_read(holder.key, self.counted);
     }
 }
+
+/// The last bytes of a hold that a peer reads.
+struct Last {
+    bytes: Bytes,
+    hold: Hold,
+}
+
+impl AsRef<[u8]> for Last {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Last {
+    fn drop(&mut self) {
+        self.hold.settle();
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/intake/http.rs
@@ -0,0 +1,122 @@
+//! HTTP servers whose requests count to the process's intake.
+
+use std::time;
+
+use axum::body;
+use axum::extract;
+use axum::middleware;
+use axum::response;
+use axum::response::IntoResponse as _;
+use bytes::Bytes;
+use http::header;
+use http::StatusCode;
+use http_body_util::BodyExt as _;
+use tokio_util::sync::CancellationToken;
+
+use crate::intake;
+use crate::intake::listener;
+
+/// Time after which a caller may try again whose request was ended, in seconds.
+const RETRY_AFTER_S: u32 = 1;
+/// Time for which a stopping server waits for requests that have not arrived whole.
+const CLOSE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// Bound of the bodies that a router takes.
+#[derive(Clone, Copy, Debug)]
+struct Bound {
+    bytes: usize,
+}
+
+/// Serves a router until `stop` is cancelled. Its requests come with their bodies, of at most
+/// `body_bytes`, already received.
+pub async fn serve(
+    socket: tokio::net::TcpListener,
+    router: axum::Router,
+    intake: intake::Intake,
+    body_bytes: usize,
+    stop: CancellationToken,
+) -> std::io::Result<()> {
+    let bound = Bound { bytes: body_bytes };
+    let router = count(router.layer(middleware::from_fn_with_state(bound, receive)));
+    let service = router.into_make_service_with_connect_info::<intake::Connection>();
+    let listener = listener::Listener::new(socket, intake);
+    let served =
+        axum::serve(listener, service).with_graceful_shutdown(stop.clone().cancelled_owned());
+    let closed = async {
+        stop.cancelled().await;
+        tokio::time::sleep(CLOSE_TIMEOUT).await;
+    };
+    tokio::select! {
+        served = served => served,
+        () = closed => Ok(()),
+    }
+}
+
+/// Counts the requests of a router, which finds each of them in its extensions. The connection, an
+/// extension as well, is put there by the server.
+pub fn count(router: axum::Router) -> axum::Router {
+    router.layer(middleware::from_fn(open))
+}
+
+async fn open(
+    extract::ConnectInfo(connection): extract::ConnectInfo<intake::Connection>,
+    mut request: extract::Request,
+    next: middleware::Next,
+) -> response::Response {
+    let path = request.uri().path();
+    let id = Bytes::copy_from_slice(path.as_bytes());
+    let opened = connection.open_request(id, count_head_bytes(path, request.headers()));
+    request.extensions_mut().insert(opened.clone());
+    let response = next.run(request).await;
+    response.map(|body| {
+        body::Body::new(body.map_frame(move |frame| {
+            // Dropped with the body.
+            let _ = &opened;
+            frame
+        }))
+    })
+}
+
+async fn receive(
+    extract::State(bound): extract::State<Bound>,
+    request: extract::Request,
+    next: middleware::Next,
+) -> response::Response {
+    let (parts, body) = request.into_parts();
+    let Some(opened) = parts.extensions.get::<intake::Request>() else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
+    match intake::body::read(body, bound.bytes, opened).await {
+        Ok(bytes) => {
+            let request = extract::Request::from_parts(parts, body::Body::from(bytes));
+            next.run(request).await
+        }
+        Err(error) => refuse(&error),
+    }
+}
+
+/// Returns the response to a request that has not arrived whole, and so has not run.
+fn refuse(error: &intake::body::Error) -> response::Response {
+    let close = (header::CONNECTION, "close");
+    match error {
+        intake::body::Error::Broken(why) => {
+            (StatusCode::BAD_REQUEST, [close], why.clone()).into_response()
+        }
+        intake::body::Error::Ended => {
+            let again = (header::RETRY_AFTER, RETRY_AFTER_S.to_string());
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            (status, [close], [again], "no memory for the request\n").into_response()
+        }
+        intake::body::Error::TooLong => {
+            (StatusCode::PAYLOAD_TOO_LARGE, [close], "body too long\n").into_response()
+        }
+    }
+}
+
+/// Returns the bytes of a request's path and headers.
+#[must_use]
+pub fn count_head_bytes(path: &str, headers: &http::HeaderMap) -> usize {
+    let headers = headers.iter();
+    let lengths = headers.map(|(name, value)| name.as_str().len() + value.len());
+    path.len() + lengths.sum::<usize>()
+}
--- /dev/null
+++ b/crates/adapters/src/intake/listener.rs
@@ -0,0 +1,205 @@
+//! Listening sockets whose connections count to the process's intake.
+
+use core::future::Future as _;
+use std::io;
+use std::net;
+use std::pin;
+use std::task;
+use std::time;
+
+use axum::extract::connect_info;
+use axum::serve;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::WaitForCancellationFutureOwned;
+use tonic::transport::server;
+
+use crate::intake;
+use crate::logs;
+
+/// Delay after a failed accept, such as one for lack of file descriptors.
+const ACCEPT_DELAY: time::Duration = time::Duration::from_millis(20);
+/// What a client sends first that speaks HTTP/2.
+const MULTIPLEXED_PREFACE: &[u8] = b"PRI";
+/// Bytes that the system takes for a connection before the process reads them.
+const UNREAD_BYTES: usize = 64 << 10;
+
+const ACCEPT_FAILED: logs::Event = logs::Event::warn(1012, "connection not accepted");
+const UNREAD_UNBOUNDED: logs::Event =
+    logs::Event::warn(1013, "unread bytes of callers not bounded");
+
+/// A listening socket.
+#[derive(Debug)]
+pub struct Listener {
+    intake: intake::Intake,
+    socket: TcpListener,
+}
+
+impl Listener {
+    /// Returns a listener whose connections count to `intake`.
+    #[must_use]
+    pub fn new(socket: TcpListener, intake: intake::Intake) -> Listener {
+        // Connections inherit it from their listener.
+        let bounded = socket2::SockRef::from(&socket).set_recv_buffer_size(UNREAD_BYTES);
+        if let Err(error) = bounded {
+            logs::emit(UNREAD_UNBOUNDED, format_args!("why={error}"));
+        }
+        Listener { intake, socket }
+    }
+
+    /// Returns the next connection. A connection that carries no request may be ended for it.
+    pub async fn accept(&self) -> (Stream, net::SocketAddr) {
+        loop {
+            self.intake.wait_for_closes().await;
+            match self.socket.accept().await {
+                Ok((socket, peer)) => {
+                    if let Some(connection) = self.intake.connect(peer) {
+                        return (Stream::new(socket, connection), peer);
+                    }
+                }
+                Err(error) => {
+                    logs::emit(ACCEPT_FAILED, format_args!("why={error}"));
+                    self.intake.end_one();
+                    tokio::time::sleep(ACCEPT_DELAY).await;
+                }
+            }
+        }
+    }
+
+    /// Returns the connections as a stream, for a server of messages between processes.
+    pub fn into_incoming(self) -> impl futures::Stream<Item = io::Result<Stream>> {
+        futures::stream::unfold(self, |listener| async move {
+            let (stream, _peer) = listener.accept().await;
+            // Without it, small messages wait for the acknowledgement of earlier ones.
+            let accepted = stream.tcp().set_nodelay(true).map(|()| stream);
+            Some((accepted, listener))
+        })
+    }
+}
+
+impl serve::Listener for Listener {
+    type Addr = net::SocketAddr;
+    type Io = Stream;
+
+    async fn accept(&mut self) -> (Stream, net::SocketAddr) {
+        Listener::accept(self).await
+    }
+
+    fn local_addr(&self) -> io::Result<net::SocketAddr> {
+        self.socket.local_addr()
+    }
+}
+
+/// A connection that a caller has opened; reads fail once it has to end.
+#[derive(Debug)]
+pub struct Stream {
+    connection: intake::Connection,
+    ended: pin::Pin<Box<WaitForCancellationFutureOwned>>,
+    /// Whether nothing has been received yet.
+    is_new: bool,
+    socket: TcpStream,
+}
+
+impl Stream {
+    fn new(socket: TcpStream, connection: intake::Connection) -> Stream {
+        Stream {
+            ended: Box::pin(connection.token().clone().cancelled_owned()),
+            connection,
+            is_new: true,
+            socket,
+        }
+    }
+
+    /// Returns the connection's share in the intake.
+    #[must_use]
+    pub fn connection(&self) -> &intake::Connection {
+        &self.connection
+    }
+
+    /// Returns the socket.
+    #[must_use]
+    pub fn tcp(&self) -> &TcpStream {
+        &self.socket
+    }
+
+    fn record_received(&mut self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        if self.is_new && bytes.starts_with(MULTIPLEXED_PREFACE) {
+            self.connection.set_multiplexed();
+        }
+        self.is_new = false;
+        self.connection.record_received(bytes.len());
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        if self.ended.as_mut().poll(context).is_ready() {
+            let error = io::Error::other("ended, as others need what it holds");
+            return task::Poll::Ready(Err(error));
+        }
+        let filled = buffer.filled().len();
+        let result = pin::Pin::new(&mut self.socket).poll_read(context, buffer);
+        self.record_received(&buffer.filled()[filled..]);
+        result
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.socket).poll_write_vectored(context, slices)
+    }
+}
+
+impl connect_info::Connected<serve::IncomingStream<'_, Listener>> for intake::Connection {
+    fn connect_info(stream: serve::IncomingStream<'_, Listener>) -> intake::Connection {
+        stream.io().connection().clone()
+    }
+}
+
+impl server::Connected for Stream {
+    type ConnectInfo = intake::Connection;
+
+    fn connect_info(&self) -> intake::Connection {
+        self.connection.clone()
+    }
+}
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod evidence;
 pub mod follow;
 pub mod health;
+pub mod intake;
 pub mod limit;
 pub mod load;
 pub mod logs;
