gateway: bodies of callers count to the memory for callers

What callers saw: a gateway of 88 MB ended while 100 clients sent bodies of 2 MB and stopped short; with 200 descriptors, 300 half heads at either port left none for others. Cause: a body that was received, or that waited for an answer after its upstream had read it, counted nowhere; an announced length over the limit was read up to it; connections had no bound, at the health port either.

Change: both ports use the intake. A request counts once, from its head until its answer has been sent; so far its body was counted anew for each upstream that it was sent to, and not beyond. While it arrives, the memory may end it: 503 with Retry-After 1, which has not run. While an upstream reads it, it may be ended as before. While it waits or is answered it is kept. Why this works: everything that grows with the number of callers is in one sum, and the sum is bounded.

A request that is ended while its upstream reads it is not sent to another one, as its body would no longer count.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -172,17 +172,18 @@
     };
     let attempt = &request.head.attempt;
     let body = request.body.clone();
-    let (body, ended) = request.unread.build_request_body(attempt, body);
+    let body = request.unread.build_request_body(body);
     let mut outgoing = http::Request::new(body);
     *outgoing.method_mut() = request.parts.method.clone();
     *outgoing.uri_mut() = request.parts.uri.clone();
     *outgoing.headers_mut() = head::write_request(&request.parts.headers, &forwarding);
     let sent_at = placement.notices.now();
     let sent = tokio::select! {
-        sent = sender.send_request(outgoing) => sent,
-        () = ended.cancelled() => {
+        biased;
+        () = request.unread.received.hold().ended() => {
             return Err(Failure::Unknown("request was not read in time".to_owned()));
         }
+        sent = sender.send_request(outgoing) => sent,
     };
     let response = sent.map_err(classify_error)?;
     let (head, body) = response.into_parts();
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -27,7 +27,6 @@
 pub(crate) const MOVE_COMPLETED: logs::Event = logs::Event::info(6016, "generation moved");
 pub(crate) const CALLER_CONNECTION_FAILED: logs::Event =
     logs::Event::debug(6017, "caller connection failed");
-pub(crate) const ACCEPT_FAILED: logs::Event = logs::Event::warn(6018, "connection not accepted");
 pub(crate) const COPY_COMPLETED: logs::Event = logs::Event::info(6020, "generation memory copied");
 pub(crate) const CONTROL_SILENT: logs::Event = logs::Event::warn(6024, "control host silent");
 pub(crate) const RETRY_DENIED: logs::Event = logs::Event::warn(6023, "retry not allowed");
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -9,6 +9,7 @@
 use axum::extract;
 use axum::routing;
 use peargap_adapters::body_budget;
+use peargap_adapters::intake;
 use peargap_core::balance;
 use peargap_core::event_timing;
 use peargap_core::rate_limit;
@@ -31,6 +32,8 @@
 
 /// Path before that of the request in question.
 const PREFIX: &str = "/explain";
+/// Longest body of a question, in bytes; the routing document may set a lower limit.
+pub(crate) const MAX_BODY_BYTES: usize = 16 << 20;
 /// Choices made to find out how often each candidate would be chosen.
 const CHOICES: u32 = 200;
 
@@ -67,6 +70,9 @@
     let Ok(body) = axum::body::to_bytes(body, limit).await else {
         return refuse(http::StatusCode::PAYLOAD_TOO_LARGE, "body_too_long");
     };
+    let Some(received) = parts.extensions.get::<intake::Request>().cloned() else {
+        return refuse(http::StatusCode::INTERNAL_SERVER_ERROR, "not_counted");
+    };
     let head = head::read_request(&parts.headers);
     let (route, team) = match table.find(&head.host, parts.uri.path(), head.key.as_deref()) {
         routes::Access::Denied => return refuse(http::StatusCode::UNAUTHORIZED, "key_unknown"),
@@ -85,6 +91,7 @@
         unread: unread::Account {
             budget: explainer.unread.clone(),
             connection: CancellationToken::new(),
+            received,
         },
     };
     let mut text = String::new();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,12 +5,9 @@
 use std::time;
 
 use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt as _;
-use http_body_util::Limited;
 use hyper::body;
-use hyper::body::Body as _;
 use peargap_adapters::body_budget;
+use peargap_adapters::intake;
 use peargap_adapters::panics;
 use peargap_core::routes;
 use peargap_platform::head;
@@ -60,26 +57,28 @@
         response::refuse(attempt, refusal, self.fleet.version())
     }
 
-    /// Serves one request. `connection` closes its caller's connection when it is cancelled.
+    /// Serves one request of a connection. `closing` closes the connection when it is cancelled.
     pub(crate) async fn serve(
         self,
         request: http::Request<body::Incoming>,
-        connection: CancellationToken,
+        connection: intake::Connection,
+        closing: CancellationToken,
     ) -> Result<response::Response, convert::Infallible> {
         let (parts, body) = request.into_parts();
         let head = head::read_request(&parts.headers);
         let attempt = head.attempt.clone();
+        let received = connection.open_request(attempt.clone(), count_head_bytes(&parts));
         let unread = unread::Account {
             budget: self.unread.clone(),
-            connection,
+            connection: closing,
+            received: received.clone(),
         };
-        Ok(
-            match panics::catch(self.serve_routed(head, parts, body, unread)).await {
-                Ok(Ok(response)) => response,
-                Ok(Err(refusal)) => self.refuse(&attempt, refusal),
-                Err(panics::Panicked) => self.refuse(&attempt, response::Refusal::Internal),
-            },
-        )
+        let response = match panics::catch(self.serve_routed(head, parts, body, unread)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(refusal)) => self.refuse(&attempt, refusal),
+            Err(panics::Panicked) => self.refuse(&attempt, response::Refusal::Internal),
+        };
+        Ok(response::keep(response, received))
     }
 
     async fn serve_routed(
@@ -92,7 +91,8 @@
         let startup_end = tokio::time::Instant::now() + STARTUP_TIMEOUT;
         let table = self.fleet.wait_for_table(startup_end).await;
         let table = table.ok_or(response::Refusal::NoRoutes)?;
-        if count_head_bytes(&parts) > table.limits().head_bytes {
+        let limits = table.limits();
+        if count_head_bytes(&parts) > to_usize(limits.head_bytes) {
             return Err(response::Refusal::HeadTooLong);
         }
         let found = table.find(&head.host, parts.uri.path(), head.key.as_deref());
@@ -114,9 +114,9 @@
         let timeout = time::Duration::from_millis(timeout.min(route.timeout_ms));
         let arrived = self.fleet.clock.now();
         let deadline = tokio::time::Instant::now() + timeout;
-        let read = read_body(body, table.limits().body_bytes);
+        let read = intake::body::read(body, to_usize(limits.body_bytes), &unread.received);
         let body = match tokio::time::timeout_at(deadline, read).await {
-            Ok(read) => read?,
+            Ok(read) => read.map_err(response::Refusal::of_body)?,
             Err(_elapsed) => return Err(response::Refusal::TimedOutUnsent),
         };
         self.fleet.wait_for_upstream(service, startup_end).await;
@@ -148,7 +148,7 @@
 
 /// Returns the size of a request's head in bytes: path, query and headers as received, without the
 /// method and the protocol version.
-fn count_head_bytes(parts: &http::request::Parts) -> u64 {
+fn count_head_bytes(parts: &http::request::Parts) -> usize {
     /// Bytes of the colon, the space and the line end of a header.
     const HEADER_SEPARATOR_BYTES: usize = 4;
     let path = parts.uri.path_and_query();
@@ -156,26 +156,9 @@
     let headers = parts.headers.iter();
     let lengths =
         headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_SEPARATOR_BYTES);
-    let bytes = path + lengths.sum::<usize>();
-    u64::try_from(bytes).unwrap_or(u64::MAX)
+    path + lengths.sum::<usize>()
 }
 
-/// Reads the body of a request, up to `limit` bytes.
-///
-/// Each frame is copied at once: kept until the end, the frames would need as much memory again.
-async fn read_body(body: body::Incoming, limit: u64) -> Result<Bytes, response::Refusal> {
-    let expected = body.size_hint().lower().min(limit);
-    let mut bytes = BytesMut::with_capacity(usize::try_from(expected).unwrap_or(0));
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let mut body = Limited::new(body, limit);
-    while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
-            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-                return Err(response::Refusal::BodyTooLong);
-            }
-            Err(_broken) => return Err(response::Refusal::BodyBroken),
-        }
-    }
-    Ok(bytes.freeze())
+fn to_usize(bytes: u64) -> usize {
+    usize::try_from(bytes).unwrap_or(usize::MAX)
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -126,6 +126,9 @@
                 refusal = response::Refusal::UpstreamFailed;
             }
         }
+        if request.unread.is_request_ended() {
+            break;
+        }
         if possible_runs == 0 {
             continue;
         }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -7,6 +7,8 @@
 use http_body_util::combinators;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use peargap_adapters::intake;
+use peargap_adapters::intake::body;
 use peargap_adapters::logs;
 use peargap_core::quarantine;
 use peargap_platform::head;
@@ -60,6 +62,8 @@
     },
     /// No upstream of the service takes new work; the request has not run.
     Nobody,
+    /// The memory for callers was used up before the request had arrived; it has not run.
+    NoMemory,
     /// The gateway has no routing table yet; the request has not run.
     NoRoutes,
     /// Each upstream that was tried refused the request or was unreachable; it has not run.
@@ -89,6 +93,15 @@
 }
 
 impl Refusal {
+    /// Returns why a request is refused whose body could not be read.
+    pub(crate) fn of_body(error: body::Error) -> Refusal {
+        match error {
+            body::Error::Broken(_why) => Refusal::BodyBroken,
+            body::Error::Ended => Refusal::NoMemory,
+            body::Error::TooLong => Refusal::BodyTooLong,
+        }
+    }
+
     /// Returns the label value for metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -100,6 +113,7 @@
             Refusal::Internal => "internal",
             Refusal::KeyUnknown => "key_unknown",
             Refusal::Limited { .. } => "limited",
+            Refusal::NoMemory => "no_memory",
             Refusal::NoRoutes => "no_routes",
             Refusal::Nobody => "nobody",
             Refusal::NotTaken => "not_taken",
@@ -119,6 +133,7 @@
             Refusal::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Full { .. }
             | Refusal::Limited { .. }
+            | Refusal::NoMemory
             | Refusal::NoRoutes
             | Refusal::Nobody
             | Refusal::NotTaken
@@ -139,7 +154,7 @@
     /// not run.
     fn retry_after_ms(self) -> Option<u64> {
         match self {
-            Refusal::Nobody => Some(1000),
+            Refusal::NoMemory | Refusal::Nobody => Some(1000),
             Refusal::NoRoutes => Some(600),
             Refusal::NotTaken => Some(300),
             // Other gateways are not affected.
@@ -186,6 +201,18 @@
     response
 }
 
+/// Returns a response that counts its request until its body has been sent.
+pub(crate) fn keep(response: Response, request: intake::Request) -> Response {
+    response.map(|body| {
+        let body = body.map_frame(move |frame| {
+            // Dropped with the body.
+            let _ = &request;
+            frame
+        });
+        body.boxed_unsync()
+    })
+}
+
 /// Returns an upstream's response, whose body has been read, as a response to the caller.
 pub(crate) fn forward(parts: &http::response::Parts, body: unread::Body) -> Response {
     let body = body.map_err(|never| match never {}).boxed_unsync();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,8 +2,9 @@
 
 use std::net;
 
-use peargap_adapters::body_budget;
 use peargap_adapters::health;
+use peargap_adapters::intake;
+use peargap_adapters::intake::listener;
 use peargap_adapters::logs;
 use peargap_adapters::metrics;
 use peargap_adapters::signals;
@@ -58,15 +59,22 @@
     let meters = meters::Meters::new(&registry);
     let fleet = fleet::Fleet::new(&settings.domain);
     meters::observe_quarantine(&registry, &fleet);
-    let unread = body_budget::Budget::new(settings.unread_bytes(), events::PEER_TOO_SLOW);
-    meters::observe_unread(&registry, &unread);
+    let intake = intake::Intake::new(settings.intake, events::PEER_TOO_SLOW);
+    meters::observe_unread(&registry, intake.budget());
     paces::observe(&registry, &fleet);
     let router = health::build_router(readiness.clone(), registry);
-    let router = router.merge(explain::build_router(fleet.clone(), unread.clone()));
-    let health = tokio::spawn(async move {
-        // Runs until the process exits.
-        let _ = axum::serve(health_listener, router).await;
-    });
+    let router = router.merge(explain::build_router(
+        fleet.clone(),
+        intake.budget().clone(),
+    ));
+    // Runs until the process exits.
+    let health = tokio::spawn(intake::http::serve(
+        health_listener,
+        router,
+        intake.clone(),
+        explain::MAX_BODY_BYTES,
+        CancellationToken::new(),
+    ));
     let follow_token = CancellationToken::new();
     let options = follow::Options {
         gateway: settings.name.clone(),
@@ -96,8 +104,9 @@
         orders_waiting: settings.orders_waiting,
         retries,
         stop: stop::Stop::default(),
-        unread,
+        unread: intake.budget().clone(),
     };
+    let callers = listener::Listener::new(callers, intake);
     server::run(callers, gateway, settings.grace, token).await;
     follow_token.cancel();
     health.abort();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,6 +6,7 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt;
+use peargap_adapters::intake::listener;
 use peargap_adapters::logs;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task;
@@ -21,8 +22,6 @@
 /// How long a stopping gateway still accepts connections. The load balancer probes readiness once a
 /// second and stops sending after two failures.
 const DRAIN_DELAY: time::Duration = time::Duration::from_millis(2500);
-/// Delay after a failed accept, such as one for lack of file descriptors.
-const ACCEPT_DELAY: time::Duration = time::Duration::from_millis(20);
 /// Time that a caller may leave sent data unread. A caller that is gone without closing its
 /// connection looks the same; its generation still ends at its deadline.
 const UNREAD_TIMEOUT: time::Duration = time::Duration::from_secs(120);
@@ -31,7 +30,7 @@
 
 /// Serves callers until `stop` is cancelled, then drains the connections for the rest of `grace`.
 pub(crate) async fn run(
-    listener: tokio::net::TcpListener,
+    listener: listener::Listener,
     gateway: gateway::Gateway,
     grace: time::Duration,
     stop: CancellationToken,
@@ -59,32 +58,25 @@
 }
 
 async fn accept(
-    listener: &tokio::net::TcpListener,
+    listener: &listener::Listener,
     gateway: &gateway::Gateway,
     shutdown: &CancellationToken,
     connections: &task::TaskTracker,
 ) {
     loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let served = serve(stream, peer, gateway.clone(), shutdown.clone());
-                connections.spawn(served);
-            }
-            Err(error) => {
-                logs::emit(events::ACCEPT_FAILED, format_args!("why={error}"));
-                tokio::time::sleep(ACCEPT_DELAY).await;
-            }
-        }
+        let (stream, peer) = listener.accept().await;
+        let served = serve(stream, peer, gateway.clone(), shutdown.clone());
+        connections.spawn(served);
     }
 }
 
 async fn serve(
-    stream: tokio::net::TcpStream,
+    stream: listener::Stream,
     peer: net::SocketAddr,
     gateway: gateway::Gateway,
     shutdown: CancellationToken,
 ) {
-    if let Err(error) = pool::set_tcp_options(&stream, UNREAD_TIMEOUT) {
+    if let Err(error) = pool::set_tcp_options(stream.tcp(), UNREAD_TIMEOUT) {
         logs::emit(
             events::CALLER_CONNECTION_FAILED,
             format_args!("peer={peer} why={error}"),
@@ -97,7 +89,12 @@
     let head_bytes = usize::try_from(limits.head_bytes).unwrap_or(usize::MAX);
     let ended = CancellationToken::new();
     let token = ended.clone();
-    let handler = service::service_fn(move |request| gateway.clone().serve(request, token.clone()));
+    let counted = stream.connection().clone();
+    let handler = service::service_fn(move |request| {
+        gateway
+            .clone()
+            .serve(request, counted.clone(), token.clone())
+    });
     let mut connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(time::Duration::from_millis(limits.idle_ms))
@@ -116,7 +113,7 @@
     let result = tokio::select! {
         result = served => result,
         () = ended.cancelled() => {
-            reset(&connection.into_parts().io.into_inner(), peer);
+            reset(connection.into_parts().io.inner().tcp(), peer);
             return;
         }
     };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,16 +4,13 @@
 use std::path;
 use std::time;
 
+use peargap_adapters::intake::limits;
 use peargap_adapters::logs;
 use peargap_adapters::settings;
 use peargap_core::retry_budget;
 
 const ADDRESS_HINT: &str = "an address such as 127.0.0.1:7000";
 const DEFAULT_GRACE_MS: u64 = 8000;
-const DEFAULT_HOST_MB: f64 = 256.0;
-const BYTES_PER_MB: f64 = 1e6;
-/// Share of the host's memory that may hold what callers and upstreams have not read.
-const UNREAD_SHARE: f64 = 0.25;
 
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
@@ -30,8 +27,8 @@
     pub grace: time::Duration,
     /// Listen address of the health and metrics endpoints.
     pub health: net::SocketAddr,
-    /// Memory of the host, in megabytes.
-    pub host_mb: f64,
+    /// What callers may make the process hold.
+    pub intake: limits::Limits,
     /// Format of log lines.
     pub log_format: logs::Format,
     /// Minimum severity of log lines.
@@ -49,19 +46,6 @@
     pub path: Option<path::PathBuf>,
 }
 
-impl Settings {
-    /// Returns the memory for what callers and upstreams have not read, in bytes.
-    #[must_use]
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the memory of a host in bytes is a positive number far below 2^53"
-    )]
-    pub fn unread_bytes(&self) -> u64 {
-        (self.host_mb * BYTES_PER_MB * UNREAD_SHARE) as u64
-    }
-}
-
 /// Bounds of what an upstream sends in a response; a longer one is cut off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ResponseLimits {
@@ -101,7 +85,7 @@
     let control_port = reader.required("control", "port", "a port");
     let control_seeds = reader.list("control", "seeds", ADDRESS_HINT);
     let grace_ms = reader.ranged("stop", "grace_ms", DEFAULT_GRACE_MS, 100..=600_000);
-    let host_mb = reader.ranged("memory", "host_mb", DEFAULT_HOST_MB, 16.0..=1e6);
+    let intake = limits::read(reader);
     let response_limits = read_response_limits(reader);
     let retry_limits = read_retry_limits(reader);
     let orders_waiting = reader.optional("waiting", "in_order", false, "true or false");
@@ -116,7 +100,7 @@
         domain: domain?,
         grace: time::Duration::from_millis(grace_ms),
         health: health?,
-        host_mb,
+        intake,
         log_format,
         log_level,
         name: name?,
--- a/crates/gateway/src/starting.rs
+++ b/crates/gateway/src/starting.rs
@@ -400,6 +400,9 @@
         if !failure.may_have_run() {
             return Next::TryAgain;
         }
+        if self.request().unread.is_request_ended() {
+            return Next::Refuse(response::Refusal::UpstreamFailed);
+        }
         let broken = crash::Broken::of(&self.gateway.fleet, failure, self.request(), placement);
         let resumed = match copy {
             Some(copy) => resume_at_copy(self.gateway, self.generation, copy, broken).await,
--- a/crates/gateway/src/unread.rs
+++ b/crates/gateway/src/unread.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hyper::body;
 use peargap_adapters::body_budget;
+use peargap_adapters::intake;
 use tokio_util::sync::CancellationToken;
 
 /// Bytes of a body that are handed to a connection at once, so that it shows whether its peer
@@ -19,6 +20,8 @@
     pub(crate) budget: body_budget::Budget,
     /// Closes the caller's connection when it is cancelled.
     pub(crate) connection: CancellationToken,
+    /// Counts the request until it has been answered.
+    pub(crate) received: intake::Request,
 }
 
 impl Account {
@@ -29,18 +32,18 @@
             .open(side, attempt.clone(), self.connection.clone())
     }
 
-    /// Returns the body of a request to an upstream, and the token that is cancelled if the request
-    /// has to end.
-    pub(crate) fn build_request_body(
-        &self,
-        attempt: &Bytes,
-        bytes: Bytes,
-    ) -> (Body, CancellationToken) {
-        let side = body_budget::Side::Upstream;
-        let ended = CancellationToken::new();
-        let hold = self.budget.open(side, attempt.clone(), ended.clone());
-        hold.count_body(&bytes);
-        (Body::new(hold, bytes), ended)
+    /// Returns the body of a request to an upstream, which waits for the upstream to read it.
+    pub(crate) fn build_request_body(&self, bytes: Bytes) -> Body {
+        let hold = self.received.hold();
+        if !bytes.is_empty() {
+            hold.begin_leaving();
+        }
+        Body::new(hold.clone(), bytes)
+    }
+
+    /// Returns whether the request was ended because the memory for callers was used up.
+    pub(crate) fn is_request_ended(&self) -> bool {
+        self.received.hold().is_ended()
     }
 }
 
@@ -88,6 +91,7 @@
         let length = self.rest.len().min(FRAME_BYTES);
         let part = self.rest.split_to(length);
         let part = match &self.hold {
+            Some(hold) if self.rest.is_empty() => hold.last_part(part),
             Some(hold) => hold.part(part),
             None => part,
         };
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt;
+use peargap_adapters::intake::limits;
 use peargap_core::retry_budget;
 use peargap_fake::runner;
 use peargap_gateway::run;
@@ -301,7 +302,10 @@
                 _ => time::Duration::from_secs(8),
             },
             health: local(ports[2]),
-            host_mb: 88.0,
+            intake: limits::Limits {
+                host_mb: 88.0,
+                ..limits::Limits::default()
+            },
             log_format: peargap_adapters::logs::Format::Text,
             log_level: peargap_adapters::logs::Level::Info,
             name: "gateway-1".to_owned(),
--- a/crates/gateway/tests/support/program.rs
+++ b/crates/gateway/tests/support/program.rs
@@ -27,7 +27,7 @@
             settings.health,
             settings.control_port,
             settings.control_seeds[0],
-            settings.host_mb,
+            settings.intake.host_mb,
         );
         let path = folder.path().join("gateway.ini");
         fs::write(&path, text).expect("a file");
