agent: messages and connections count to the memory for callers

What callers saw: an agent held 434 MB of 256 for 50 messages of 8 MB that stopped short, and with 200 descriptors 300 silent connections at either port took it out of service. Cause: nothing bounded messages that arrive (32 MB each), nor connections.

Change: both ports use the intake; a message that is ended is answered RESOURCE_EXHAUSTED and has not run.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -1,7 +1,6 @@
 //! Startup and graceful shutdown of the agent.
 
 use core::error;
-use core::future::IntoFuture as _;
 use core::sync::atomic;
 use core::time::Duration;
 use std::process;
@@ -13,6 +12,8 @@
 use peargap_adapters::deployment;
 use peargap_adapters::follow;
 use peargap_adapters::health;
+use peargap_adapters::intake;
+use peargap_adapters::intake::listener;
 use peargap_adapters::logs;
 use peargap_adapters::metrics;
 use peargap_adapters::signals;
@@ -194,13 +195,13 @@
     let shutdown = signals::listen()?;
     let closing = cancel::CancellationToken::new();
     let readiness = health::Readiness::default();
+    let intake = intake::Intake::new(agent.settings.intake, intake::REQUEST_ENDED);
     let listener = tokio::net::TcpListener::bind(agent.settings.health).await?;
     let router = health::build_router(readiness.clone(), registry);
-    let health_server =
-        axum::serve(listener, router).with_graceful_shutdown(closing.clone().cancelled_owned());
-    let health_server = tokio::spawn(health_server.into_future());
-    let incoming = tonic::transport::server::TcpIncoming::bind(agent.settings.internal)?
-        .with_nodelay(Some(true));
+    let health_server = intake::http::serve(listener, router, intake.clone(), 0, closing.clone());
+    let health_server = tokio::spawn(health_server);
+    let internal = tokio::net::TcpListener::bind(agent.settings.internal).await?;
+    let incoming = listener::Listener::new(internal, intake);
     let service = service::Service {
         agent: sync::Arc::clone(&agent),
         calls: task::TaskTracker::new(),
--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -6,6 +6,8 @@
 
 use futures::Stream;
 use peargap_adapters::deployment;
+use peargap_adapters::intake::listener;
+use peargap_adapters::intake::messages;
 use peargap_wire::agent as wire;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers;
@@ -90,7 +92,7 @@
 /// Serves until `stop` is cancelled and all streams have ended, at most `timeout` after `stop`.
 pub(crate) async fn serve(
     service: Service,
-    incoming: tonic::transport::server::TcpIncoming,
+    incoming: listener::Listener,
     stop: cancel::CancellationToken,
     timeout: Duration,
 ) -> Result<(), tonic::transport::Error> {
@@ -100,11 +102,12 @@
     let serving = tonic::transport::Server::builder()
         .http2_keepalive_interval(Some(KEEPALIVE_PERIOD))
         .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
+        .layer(messages::Layer)
         .layer(tonic::service::InterceptorLayer::new(
             deployment::check_request,
         ))
         .add_service(server)
-        .serve_with_incoming_shutdown(incoming, stop.clone().cancelled_owned());
+        .serve_with_incoming_shutdown(incoming.into_incoming(), stop.clone().cancelled_owned());
     tokio::select! {
         served = serving => served,
         () = async { stop.cancelled().await; tokio::time::sleep(timeout).await } => Ok(()),
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -6,6 +6,7 @@
 use std::str;
 
 use peargap_adapters::deployment;
+use peargap_adapters::intake::limits;
 use peargap_adapters::logs;
 use peargap_adapters::settings;
 
@@ -16,6 +17,7 @@
     pub(crate) deployment_key: Option<deployment::Key>,
     pub(crate) domain: String,
     pub(crate) health: net::SocketAddr,
+    pub(crate) intake: limits::Limits,
     pub(crate) internal: net::SocketAddr,
     pub(crate) log_format: logs::Format,
     pub(crate) log_level: logs::Level,
@@ -120,6 +122,7 @@
         deployment_key,
         domain: domain?,
         health: health?,
+        intake: limits::read(reader),
         internal: internal?,
         log_format,
         log_level,
