control: what arrives at the four ports counts to the memory for callers

What callers saw: a control host held 358 to 440 MB of 256 for heartbeats, documents, orders and messages that stopped short, and with 200 descriptors 300 connections at any port left none for others. Cause: nothing bounded what arrives (2 MB at the platform's port, 4 to 64 MB between processes), nor connections.

Change: all four ports use the intake; bodies at the platform's port are received before the request is handled, in one buffer.

--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -8,6 +8,9 @@
 
 use peargap_adapters::deployment;
 use peargap_adapters::health;
+use peargap_adapters::intake;
+use peargap_adapters::intake::listener;
+use peargap_adapters::intake::messages;
 use peargap_adapters::logs;
 use peargap_adapters::metrics;
 use peargap_adapters::signals;
@@ -18,7 +21,6 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
-use tonic::transport::server;
 
 use crate::events;
 use crate::files;
@@ -85,16 +87,25 @@
     gauges::observe_replica(&registry, &replica.handle.status());
     let readiness = health::Readiness::default();
     let servers = token.child_token();
-    let health = serve_health(&settings, readiness.clone(), registry, &servers).await?;
+    let intake = intake::Intake::new(settings.intake, intake::REQUEST_ENDED);
+    let health = bind(settings.health).await?;
+    let health = tokio::spawn(serve_http(
+        health,
+        health::build_router(readiness.clone(), registry),
+        intake.clone(),
+        servers.clone(),
+    ));
     let services = build_services(&settings, &replica, &servers);
     let fleet = services.fleet;
     if !settings.volatile {
         let store = quarantine_store::Store::open(&settings.folder, fleet.clone());
         tokio::spawn(store.keep(servers.clone()));
     }
-    let internal = serve_internal(&settings, &replica, services.control, &fleet, &servers).await?;
-    let platform = serve_platform(&settings, &fleet, &servers).await?;
-    let operators = serve_operators(&settings, services.operator, &servers).await?;
+    let internal = listener::Listener::new(bind(settings.internal).await?, intake.clone());
+    let internal = serve_internal(internal, &replica, services.control, &fleet, &servers);
+    let platform = serve_platform(&settings, &fleet, &intake, &servers).await?;
+    let operators = listener::Listener::new(bind(settings.operators).await?, intake);
+    let operators = serve_operators(operators, services.operator, &servers);
     reload_on_hangup(&settings, &replica, &servers)?;
     tokio::spawn(update_readiness(replica.handle.status(), readiness));
     let result = wait_for_end(replica, &token).await;
@@ -241,34 +252,34 @@
     service::build(options, token.clone())
 }
 
-async fn serve_operators(
-    settings: &settings::Settings,
+fn serve_operators(
+    listener: listener::Listener,
     operators: operator_server::OperatorServer<operators::Operators>,
     token: &CancellationToken,
-) -> Result<tokio::task::JoinHandle<()>, Error> {
-    let listener = bind(settings.operators).await?;
-    let incoming = server::TcpIncoming::from(listener).with_nodelay(Some(true));
-    let server = tonic::transport::Server::builder().add_service(operators);
+) -> tokio::task::JoinHandle<()> {
+    let server = tonic::transport::Server::builder()
+        .layer(messages::Layer)
+        .add_service(operators);
     let stop = token.clone().cancelled_owned();
-    Ok(tokio::spawn(async move {
+    tokio::spawn(async move {
+        let incoming = listener.into_incoming();
         let _ = server.serve_with_incoming_shutdown(incoming, stop).await;
-    }))
+    })
 }
 
-async fn serve_internal(
-    settings: &settings::Settings,
+fn serve_internal(
+    listener: listener::Listener,
     replica: &Replica,
     control: control_server::ControlServer<service::Control>,
     fleet: &fleet::Fleet,
     token: &CancellationToken,
-) -> Result<tokio::task::JoinHandle<()>, Error> {
-    let listener = bind(settings.internal).await?;
-    let incoming = server::TcpIncoming::from(listener).with_nodelay(Some(true));
+) -> tokio::task::JoinHandle<()> {
     let peer = peer_service::build_server(peer_service::PeerService {
         handle: replica.handle.clone(),
         inputs: replica.inputs.clone(),
     });
     let server = tonic::transport::Server::builder()
+        .layer(messages::Layer)
         .layer(tonic::service::InterceptorLayer::new(
             deployment::check_request,
         ))
@@ -279,44 +290,38 @@
             token: token.clone(),
         }));
     let stop = token.clone().cancelled_owned();
-    Ok(tokio::spawn(async move {
+    tokio::spawn(async move {
+        let incoming = listener.into_incoming();
         let _ = server.serve_with_incoming_shutdown(incoming, stop).await;
-    }))
+    })
 }
 
 /// Serves the platform API if the settings contain an address for it.
 async fn serve_platform(
     settings: &settings::Settings,
     fleet: &fleet::Fleet,
+    intake: &intake::Intake,
     token: &CancellationToken,
 ) -> Result<Option<tokio::task::JoinHandle<()>>, Error> {
     let Some(address) = settings.platform else {
         return Ok(None);
     };
-    let listener = bind(address).await?;
+    let socket = bind(address).await?;
     let router = peargap_platform::api::build_router(platform::Handler {
         fleet: fleet.clone(),
     });
-    let stop = token.clone().cancelled_owned();
-    Ok(Some(tokio::spawn(async move {
-        let server = axum::serve(listener, router).with_graceful_shutdown(stop);
-        let _ = server.await;
-    })))
+    let served = serve_http(socket, router, intake.clone(), token.clone());
+    Ok(Some(tokio::spawn(served)))
 }
 
-async fn serve_health(
-    settings: &settings::Settings,
-    readiness: health::Readiness,
-    registry: metrics::Registry,
-    token: &CancellationToken,
-) -> Result<tokio::task::JoinHandle<()>, Error> {
-    let listener = bind(settings.health).await?;
-    let router = health::build_router(readiness, registry);
-    let stop = token.clone().cancelled_owned();
-    Ok(tokio::spawn(async move {
-        let server = axum::serve(listener, router).with_graceful_shutdown(stop);
-        let _ = server.await;
-    }))
+async fn serve_http(
+    socket: tokio::net::TcpListener,
+    router: axum::Router,
+    intake: intake::Intake,
+    stop: CancellationToken,
+) {
+    let max = peargap_platform::api::MAX_BODY_BYTES;
+    let _ = intake::http::serve(socket, router, intake, max, stop).await;
 }
 
 /// Reports the host as ready while it knows a leader.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use peargap_adapters::deployment;
 use peargap_adapters::digest;
+use peargap_adapters::intake::limits;
 use peargap_adapters::logs;
 use peargap_adapters::settings;
 use peargap_core::rollout::schedule;
@@ -54,6 +55,8 @@
     pub folder: path::PathBuf,
     /// Address for health checks and metrics.
     pub health: net::SocketAddr,
+    /// What callers may make the process hold.
+    pub intake: limits::Limits,
     /// Address for entries, agents and other control hosts.
     pub internal: net::SocketAddr,
     /// Format of log lines.
@@ -164,6 +167,7 @@
         domain: domain?,
         folder: folder?,
         health: health?,
+        intake: limits::read(reader),
         internal: internal?,
         log_format,
         log_level,
