entry: bodies and connections count to the memory for callers

What callers saw: an entry held 357 to 438 MB of 256 for 100 bodies that stopped short, over HTTP/1.1 and HTTP/2, and half heads at its health port left it without descriptors, for good. Cause: bodies were bounded one by one only (4 MB, 600 s); 10,000 connections were allowed whatever the descriptors.

Change: both ports use the intake; a body that is ended is refused as busy, not run, with a retry time. max_connections stays as a second bound. A stopping entry ends connections without a whole request after its linger time; by reading, one body that never came whole kept it for up to 600 s (no run).

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -14,8 +14,6 @@
 pub(crate) const CALLER_STALLED: logs::Event = logs::Event::warn(3009, "stalled caller dropped");
 pub(crate) const DRAINING: logs::Event = logs::Event::info(3010, "entry draining");
 pub(crate) const STOPPED: logs::Event = logs::Event::info(3011, "entry stopped");
-pub(crate) const CONNECTION_REFUSED: logs::Event =
-    logs::Event::warn(3012, "caller connection refused");
 pub(crate) const CLAIMED: logs::Event = logs::Event::info(3013, "claim answered");
 pub(crate) const SETTLED: logs::Event = logs::Event::info(3014, "claim settled");
 pub(crate) const SETTLE_FAILED: logs::Event = logs::Event::error(3015, "claim not settled");
--- a/crates/entry/src/generations.rs
+++ b/crates/entry/src/generations.rs
@@ -10,6 +10,7 @@
 use axum::response;
 use axum::response::IntoResponse as _;
 use bytes::Bytes;
+use peargap_adapters::intake;
 use peargap_core::manifest;
 use peargap_core::prefix;
 use peargap_wire::agent as wire;
@@ -81,7 +82,7 @@
             return refusal.into_response();
         }
     };
-    let mut response = match prepare(&app, shape, &id, &team, &parts.headers, body).await {
+    let mut response = match prepare(&app, shape, &id, &team, &parts, body).await {
         Ok(call) => run(app, call).await,
         Err(refusal) => {
             app.log_refusal(&id, &team, &refusal);
@@ -105,12 +106,13 @@
     shape: prompt::Shape,
     id: &str,
     team: &str,
-    headers: &http::HeaderMap,
+    parts: &http::request::Parts,
     body: body::Body,
 ) -> Result<Call, refusal::Refusal> {
+    let headers = &parts.headers;
     let timeout = app::read_timeout(&app.settings.limits, headers)?;
     let deadline = clock::Instant::now() + timeout;
-    let body = read_body(app, body, deadline).await?;
+    let body = read_body(app, &parts.extensions, body, deadline).await?;
     let prompt =
         prompt::parse_prompt(shape, body).map_err(prompt::ValidationError::into_refusal)?;
     let fleet = app.fleet();
@@ -133,37 +135,40 @@
     Ok(Call { job, prompt })
 }
 
-/// Reads a body within the entry's limit and the deadline.
+/// Reads the body of the request with these extensions within the entry's limit and the deadline.
 pub(crate) async fn read_body(
     app: &app::App,
+    extensions: &http::Extensions,
     body: body::Body,
     deadline: clock::Instant,
 ) -> Result<Bytes, refusal::Refusal> {
     let limit = app.settings.limits.body_bytes;
-    let read = clock::timeout_at(deadline, body::to_bytes(body, limit)).await;
-    match read {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(error)) if is_too_large(&error) => {
-            let message = format!("The body is larger than {limit} bytes.");
-            Err(refusal::Refusal::not_run(refusal::Code::TooLarge, message))
-        }
-        Ok(Err(_)) => {
-            let message = "The body was not received completely.";
-            Err(refusal::Refusal::not_run(
+    let Some(received) = extensions.get::<intake::Request>() else {
+        let message = "The entry has a fault.";
+        return Err(refusal::Refusal::failed(refusal::Ran::No, message));
+    };
+    let (code, message) =
+        match clock::timeout_at(deadline, intake::body::read(body, limit, received)).await {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(intake::body::Error::TooLong)) => (
+                refusal::Code::TooLarge,
+                format!("The body is larger than {limit} bytes."),
+            ),
+            Ok(Err(intake::body::Error::Broken(_why))) => (
                 refusal::Code::InvalidRequest,
-                message,
-            ))
-        }
-        Err(_) => {
-            let message = "The body was not received within the deadline.";
-            Err(refusal::Refusal::not_run(refusal::Code::Deadline, message))
-        }
-    }
-}
-
-fn is_too_large(error: &axum::Error) -> bool {
-    let cause = std::error::Error::source(error);
-    cause.is_some_and(|cause| cause.is::<http_body_util::LengthLimitError>())
+                "The body was not received completely.".to_owned(),
+            ),
+            Ok(Err(intake::body::Error::Ended)) => {
+                let message = "The entry has no memory for the request.";
+                let refusal = refusal::Refusal::not_run(refusal::Code::Busy, message);
+                return Err(refusal.with_retry(refusal::DEFAULT_RETRY_MS));
+            }
+            Err(_elapsed) => (
+                refusal::Code::Deadline,
+                "The body was not received within the deadline.".to_owned(),
+            ),
+        };
+    Err(refusal::Refusal::not_run(code, message))
 }
 
 fn check_model(
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -10,6 +10,8 @@
 use peargap_adapters::deployment;
 use peargap_adapters::follow;
 use peargap_adapters::health;
+use peargap_adapters::intake;
+use peargap_adapters::intake::listener;
 use peargap_adapters::logs;
 use peargap_adapters::metrics;
 use peargap_adapters::signals;
@@ -196,12 +198,22 @@
     });
     let readiness = health::Readiness::default();
     let router = health::build_router(readiness.clone(), registry);
-    tokio::spawn(async move { axum::serve(health, router).await });
+    let intake = intake::Intake::new(app.settings.intake, intake::REQUEST_ENDED);
+    // Runs until the process exits.
+    let until = cancel::CancellationToken::new();
+    tokio::spawn(intake::http::serve(
+        health,
+        router,
+        intake.clone(),
+        0,
+        until,
+    ));
     tokio::spawn(watch_readiness(app.clone(), readiness));
     tokio::spawn(watch_stop(app.clone()));
     let name = &app.settings.node.name;
     logs::emit(events::STARTED, format_args!("entry={name}"));
-    server::serve(app.clone(), callers).await;
+    let callers = listener::Listener::new(callers, intake.clone());
+    server::serve(app.clone(), callers, &intake).await;
     app.tasks.close();
     app.tasks.wait().await;
     logs::emit(
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -13,21 +13,17 @@
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful;
 use hyper_util::service;
-use peargap_adapters::logs;
-use tokio::net;
-use tokio::sync::Semaphore;
+use peargap_adapters::intake;
+use peargap_adapters::intake::listener;
 use tokio::time as clock;
 
 use crate::app;
-use crate::events;
 use crate::generations;
 use crate::services;
 use crate::write_timeout;
 
 /// Timeout for receiving the head of an HTTP/1.1 request.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-/// Delay after a failed accept.
-const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 /// Maximum number of concurrent streams on an HTTP/2 connection.
 const MAX_CONCURRENT_STREAMS: u32 = 1_000;
 /// Size of the send buffer of an HTTP/2 stream, in bytes.
@@ -74,27 +70,29 @@
 }
 
 /// Serves callers until the entry stops, then waits for running requests.
-pub(crate) async fn serve(app: sync::Arc<app::App>, listener: net::TcpListener) {
+pub(crate) async fn serve(
+    app: sync::Arc<app::App>,
+    listener: listener::Listener,
+    intake: &intake::Intake,
+) {
     let server = Server {
         builder: build_connections(&app),
         connections: graceful::GracefulShutdown::new(),
-        connection_slots: sync::Arc::new(Semaphore::new(app.settings.limits.max_connections)),
-        router: build_router(app.clone()),
+        router: intake::http::count(build_router(app.clone())),
         app,
     };
-    server.run(listener).await;
+    server.run(listener, intake).await;
 }
 
 struct Server {
     app: sync::Arc<app::App>,
     builder: auto::Builder<rt::TokioExecutor>,
     connections: graceful::GracefulShutdown,
-    connection_slots: sync::Arc<Semaphore>,
     router: axum::Router,
 }
 
 impl Server {
-    async fn run(self, listener: net::TcpListener) {
+    async fn run(self, listener: listener::Listener, intake: &intake::Intake) {
         // Connections are accepted for a while longer, until load balancers see that this entry is
         // not ready.
         let stop = async {
@@ -104,36 +102,33 @@
         tokio::pin!(stop);
         loop {
             tokio::select! {
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.start_connection(stream),
-                    Err(_) => clock::sleep(ACCEPT_RETRY_DELAY).await,
-                },
+                (stream, _peer) = listener.accept() => self.start_connection(stream),
                 () = &mut stop => break,
             }
         }
         drop(listener);
+        intake.end_idle();
         self.connections.shutdown().await;
     }
 
-    fn start_connection(&self, stream: net::TcpStream) {
-        let Ok(slot) = self.connection_slots.clone().try_acquire_owned() else {
-            let max = self.app.settings.limits.max_connections;
-            logs::emit(events::CONNECTION_REFUSED, format_args!("most={max}"));
-            return;
-        };
+    fn start_connection(&self, stream: listener::Stream) {
         // Nagle's algorithm would hold small events back until the peer acknowledges earlier ones.
-        let _ = stream.set_nodelay(true);
+        let _ = stream.tcp().set_nodelay(true);
         let limit = self.app.settings.limits.stalled_reader;
         // Also drops a caller whose host or network fails without closing the connection.
-        let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(limit));
+        let _ = socket2::SockRef::from(stream.tcp()).set_tcp_user_timeout(Some(limit));
+        let connected = extract::ConnectInfo(stream.connection().clone());
         let io = rt::TokioIo::new(write_timeout::WriteTimeoutStream::new(stream, limit));
-        let service = service::TowerToHyperService::new(self.router.clone());
+        let router = service::TowerToHyperService::new(self.router.clone());
+        let service = hyper::service::service_fn(move |mut request: http::Request<_>| {
+            request.extensions_mut().insert(connected.clone());
+            hyper::service::Service::call(&router, request)
+        });
         let connection = self.builder.serve_connection(io, service).into_owned();
         let connection = self.connections.watch(connection);
         tokio::spawn(async move {
             // An error ends the connection and its requests; no caller is left to report it to.
             let _ = connection.await;
-            drop(slot);
         });
     }
 }
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -65,7 +65,7 @@
     let timeout = app::read_timeout(&app.settings.limits, &parts.headers)?;
     let deadline = clock::Instant::now() + timeout;
     let key = read_key(&parts.headers)?;
-    let body = generations::read_body(app, body, deadline).await?;
+    let body = generations::read_body(app, &parts.extensions, body, deadline).await?;
     let request = build_request(app, id, &team, &service.name, parts, path, body);
     let repeatable = service.repeatable;
     let job = call::Job {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path;
 
 use peargap_adapters::deployment;
+use peargap_adapters::intake::limits;
 use peargap_adapters::logs;
 use peargap_adapters::settings;
 
@@ -19,6 +20,8 @@
     pub drain: Drain,
     /// Listen addresses.
     pub listen: Listen,
+    /// What callers may make the process hold.
+    pub intake: limits::Limits,
     /// Limits on callers.
     pub limits: Limits,
     /// Log format and level.
@@ -54,8 +57,6 @@
     pub default_deadline: time::Duration,
     /// Maximum size of a request head.
     pub header_bytes: usize,
-    /// Maximum number of open connections.
-    pub max_connections: usize,
     /// Maximum timeout that a caller may set.
     pub max_deadline: time::Duration,
     /// Time after which a caller that reads nothing is dropped.
@@ -94,6 +95,10 @@
     let listen = read_listen(&mut reader);
     let controls = read_controls(&mut reader);
     let limits = read_limits(&mut reader);
+    let intake = limits::Limits {
+        connections: reader.ranged("limits", "max_connections", 10_000, 1..=1_000_000),
+        ..limits::read(&mut reader)
+    };
     let drain = read_drain(&mut reader);
     let log = read_log(&mut reader);
     let settings = node.zip(listen).map(|(node, listen)| Settings {
@@ -101,6 +106,7 @@
         deployment_key,
         drain,
         listen,
+        intake,
         limits,
         log,
         node,
@@ -140,7 +146,6 @@
         body_bytes: reader.ranged("limits", "body_bytes", 4 << 20, 1024..=256 << 20),
         default_deadline: read_millis(reader, "limits", "default_deadline_ms", 600_000, 1),
         header_bytes: reader.ranged("limits", "header_bytes", 32 << 10, 8 << 10..=1 << 20),
-        max_connections: reader.ranged("limits", "max_connections", 10_000, 1..=1_000_000),
         max_deadline: read_millis(reader, "limits", "max_deadline_ms", 3_600_000, 1),
         stalled_reader: read_millis(reader, "limits", "stalled_reader_ms", 30_000, 100),
         traffic_threads: reader.ranged("limits", "traffic_threads", 2, 1..=256),
--- a/crates/entry/src/write_timeout.rs
+++ b/crates/entry/src/write_timeout.rs
@@ -6,22 +6,22 @@
 use core::time;
 use std::io;
 
+use peargap_adapters::intake::listener;
 use tokio::io as async_io;
-use tokio::net;
 use tokio::time as clock;
 
 /// A connection whose writes fail with `TimedOut` when the peer does not read.
 #[derive(Debug)]
 pub(crate) struct WriteTimeoutStream {
     limit: time::Duration,
-    stream: net::TcpStream,
+    stream: listener::Stream,
     /// Runs while a write is pending.
     timer: Option<pin::Pin<Box<clock::Sleep>>>,
 }
 
 impl WriteTimeoutStream {
     /// Wraps a connection; `limit` bounds how long a write may be pending.
-    pub(crate) fn new(stream: net::TcpStream, limit: time::Duration) -> WriteTimeoutStream {
+    pub(crate) fn new(stream: listener::Stream, limit: time::Duration) -> WriteTimeoutStream {
         WriteTimeoutStream {
             limit,
             stream,
