adapters: the answer to a request that was cut short is not lost to a reset

What callers saw: a body over the limit that is sent on got no 413 but a closed connection, which promises nothing, so its caller may send it again. Cause: a connection that is closed with unread bytes is reset, and the reset overtakes the answer or fails the caller's write.

Change: a connection whose last request was answered before it had arrived whole is closed in the direction of the caller first; for a second at most what still arrives is read and dropped. Why it works: the caller has the answer before the reset, if it ever comes. What is dropped is never kept, and the connection counts as one without a request, so others may end it.

--- a/crates/adapters/src/intake.rs
+++ b/crates/adapters/src/intake.rs
@@ -120,6 +120,7 @@
             hold: self.0.budget.connect(peer, CONNECTION_BYTES, ended.clone()),
             ended,
             intake: self.clone(),
+            is_cut_short: atomic::AtomicBool::new(false),
             is_multiplexed: atomic::AtomicBool::new(false),
             key,
             requests: atomic::AtomicUsize::new(0),
@@ -182,6 +183,8 @@
     ended: CancellationToken,
     hold: body_budget::Hold,
     intake: Intake,
+    /// Whether the last request was answered before it had arrived whole.
+    is_cut_short: atomic::AtomicBool,
     /// Whether it carries several requests at once, whose heads count with them.
     is_multiplexed: atomic::AtomicBool,
     key: connections::Key,
@@ -230,6 +233,10 @@
         }
     }
 
+    fn is_cut_short(&self) -> bool {
+        self.0.is_cut_short.load(atomic::Ordering::Acquire)
+    }
+
     fn set_multiplexed(&self) {
         self.0.is_multiplexed.store(true, atomic::Ordering::Relaxed);
         self.0.hold.reset(CONNECTION_BYTES);
@@ -268,6 +275,9 @@
             return;
         }
         let accepted = &self.0.connection.0;
+        accepted
+            .is_cut_short
+            .store(false, atomic::Ordering::Release);
         accepted.intake.lock().table.begin_request(accepted.key);
     }
 
@@ -281,7 +291,11 @@
     fn drop(&mut self) {
         let accepted = &self.connection.0;
         accepted.requests.fetch_sub(1, atomic::Ordering::AcqRel);
-        if self.is_whole.load(atomic::Ordering::Acquire) {
+        let is_whole = self.is_whole.load(atomic::Ordering::Acquire);
+        accepted
+            .is_cut_short
+            .store(!is_whole, atomic::Ordering::Release);
+        if is_whole {
             let now = accepted.intake.0.clock.now();
             accepted.intake.lock().table.end_request(accepted.key, now);
         }
--- a/crates/adapters/src/intake/listener.rs
+++ b/crates/adapters/src/intake/listener.rs
@@ -22,6 +22,11 @@
 
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_DELAY: time::Duration = time::Duration::from_millis(20);
+/// Bytes that are read and dropped at once while a connection closes.
+const DISCARD_BYTES: usize = 4 << 10;
+/// Time for which a caller may send on after the answer to a request that had not arrived whole. A
+/// connection that is closed at once is reset, and the reset may overtake the answer.
+const CLOSE_TIME: time::Duration = time::Duration::from_secs(1);
 /// What a client sends first that speaks HTTP/2.
 const MULTIPLEXED_PREFACE: &[u8] = b"PRI";
 /// Bytes that the system takes for a connection before the process reads them.
@@ -96,6 +101,8 @@
 /// A connection that a caller has opened; reads fail once it has to end.
 #[derive(Debug)]
 pub struct Stream {
+    /// Ends a close that waits for the caller.
+    closing: Option<pin::Pin<Box<tokio::time::Sleep>>>,
     connection: intake::Connection,
     ended: pin::Pin<Box<WaitForCancellationFutureOwned>>,
     /// Whether nothing has been received yet.
@@ -106,6 +113,7 @@
 impl Stream {
     fn new(socket: TcpStream, connection: intake::Connection) -> Stream {
         Stream {
+            closing: None,
             ended: Box::pin(connection.token().clone().cancelled_owned()),
             connection,
             is_new: true,
@@ -125,6 +133,26 @@
         &self.socket
     }
 
+    /// Reads and drops what the caller sends until it closes the connection, or its time is over.
+    fn poll_discard(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
+        let Some(closing) = &mut self.closing else {
+            return task::Poll::Ready(Ok(()));
+        };
+        if closing.as_mut().poll(context).is_ready() || self.ended.as_mut().poll(context).is_ready()
+        {
+            return task::Poll::Ready(Ok(()));
+        }
+        let mut bytes = [0; DISCARD_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            let read = pin::Pin::new(&mut self.socket).poll_read(context, &mut buffer);
+            task::ready!(read)?;
+            if buffer.filled().is_empty() {
+                return task::Poll::Ready(Ok(()));
+            }
+        }
+    }
+
     fn record_received(&mut self, bytes: &[u8]) {
         if bytes.is_empty() {
             return;
@@ -174,7 +202,13 @@
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.socket).poll_shutdown(context)
+        if self.closing.is_none() {
+            task::ready!(pin::Pin::new(&mut self.socket).poll_shutdown(context))?;
+            if self.connection.is_cut_short() {
+                self.closing = Some(Box::pin(tokio::time::sleep(CLOSE_TIME)));
+            }
+        }
+        self.poll_discard(context)
     }
 
     fn is_write_vectored(&self) -> bool {
