gateway: a head that does not end in its time is closed

What callers saw: 300 half heads kept their connections for as long as the document lets a connection be idle, although it names a time limit of its own for heads (3 s). Cause: headerTimeoutMs was read from the document and used nowhere.

Change: the time from a head's first byte to its last is bounded by the document's limit; what has arrived is read before the limit is looked at, as the process may have been suspended meanwhile. Ruled out: hyper's limit for heads, which also counts the time between requests.

--- a/crates/adapters/src/intake.rs
+++ b/crates/adapters/src/intake.rs
@@ -123,6 +123,7 @@
             is_cut_short: atomic::AtomicBool::new(false),
             is_multiplexed: atomic::AtomicBool::new(false),
             key,
+            opened: atomic::AtomicUsize::new(0),
             requests: atomic::AtomicUsize::new(0),
         })))
     }
@@ -188,7 +189,9 @@
     /// Whether it carries several requests at once, whose heads count with them.
     is_multiplexed: atomic::AtomicBool,
     key: connections::Key,
-    /// Requests whose heads are complete.
+    /// Requests that it has carried so far.
+    opened: atomic::AtomicUsize,
+    /// Requests that it carries, whose heads are complete.
     requests: atomic::AtomicUsize,
 }
 
@@ -209,6 +212,7 @@
     pub fn open_request(&self, id: Bytes, head_bytes: usize) -> Request {
         let connection = &self.0;
         connection.requests.fetch_add(1, atomic::Ordering::AcqRel);
+        connection.opened.fetch_add(1, atomic::Ordering::AcqRel);
         if !connection.is_multiplexed.load(atomic::Ordering::Relaxed) {
             // The request counts the head from now on.
             connection.hold.reset(CONNECTION_BYTES);
@@ -227,12 +231,22 @@
     /// Counts bytes of a head, which arrive between requests.
     fn record_received(&self, bytes: usize) {
         let connection = &self.0;
-        let is_between = connection.requests.load(atomic::Ordering::Acquire) == 0;
-        if is_between && !connection.is_multiplexed.load(atomic::Ordering::Relaxed) {
+        if self.is_between_requests() && !connection.is_multiplexed.load(atomic::Ordering::Relaxed)
+        {
             connection.hold.arrive(bytes);
         }
     }
 
+    /// Returns the number of requests that it has carried so far.
+    fn count_opened(&self) -> usize {
+        self.0.opened.load(atomic::Ordering::Acquire)
+    }
+
+    /// Returns whether it carries no request whose head is complete.
+    fn is_between_requests(&self) -> bool {
+        self.0.requests.load(atomic::Ordering::Acquire) == 0
+    }
+
     fn is_cut_short(&self) -> bool {
         self.0.is_cut_short.load(atomic::Ordering::Acquire)
     }
--- a/crates/adapters/src/intake/listener.rs
+++ b/crates/adapters/src/intake/listener.rs
@@ -105,6 +105,13 @@
     closing: Option<pin::Pin<Box<tokio::time::Sleep>>>,
     connection: intake::Connection,
     ended: pin::Pin<Box<WaitForCancellationFutureOwned>>,
+    /// Time limit of a head.
+    head_limit: Option<time::Duration>,
+    /// Requests before the head that arrives, and when that began.
+    heads_before: usize,
+    head_since: Option<tokio::time::Instant>,
+    /// Ends a head of which a read has not brought the end.
+    head_timer: Option<pin::Pin<Box<tokio::time::Sleep>>>,
     /// Whether nothing has been received yet.
     is_new: bool,
     socket: TcpStream,
@@ -116,11 +123,40 @@
             closing: None,
             ended: Box::pin(connection.token().clone().cancelled_owned()),
             connection,
+            head_limit: None,
+            heads_before: 0,
+            head_since: None,
+            head_timer: None,
             is_new: true,
             socket,
         }
     }
 
+    /// Bounds the time from the first byte of a head to its last.
+    pub fn set_head_limit(&mut self, limit: time::Duration) {
+        self.head_limit = Some(limit);
+    }
+
+    /// Forgets when a head began that has become a request.
+    fn forget_former_head(&mut self) {
+        let opened = self.connection.count_opened();
+        if core::mem::replace(&mut self.heads_before, opened) != opened {
+            self.head_since = None;
+            self.head_timer = None;
+        }
+    }
+
+    /// Returns whether the head that arrives has taken too long.
+    fn poll_head_timeout(&mut self, context: &mut task::Context<'_>) -> task::Poll<()> {
+        let (Some(since), Some(limit)) = (self.head_since, self.head_limit) else {
+            return task::Poll::Pending;
+        };
+        let timer = self
+            .head_timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(since + limit)));
+        timer.as_mut().poll(context)
+    }
+
     /// Returns the connection's share in the intake.
     #[must_use]
     pub fn connection(&self) -> &intake::Connection {
@@ -161,6 +197,10 @@
             self.connection.set_multiplexed();
         }
         self.is_new = false;
+        if self.head_limit.is_some() && self.connection.is_between_requests() {
+            self.head_since
+                .get_or_insert_with(tokio::time::Instant::now);
+        }
         self.connection.record_received(bytes.len());
     }
 }
@@ -175,8 +215,13 @@
             let error = io::Error::other("ended, as others need what it holds");
             return task::Poll::Ready(Err(error));
         }
+        self.forget_former_head();
         let filled = buffer.filled().len();
         let result = pin::Pin::new(&mut self.socket).poll_read(context, buffer);
+        // What has arrived is read first: the process may have been suspended.
+        if result.is_pending() && self.poll_head_timeout(context).is_ready() {
+            return task::Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
         self.record_received(&buffer.filled()[filled..]);
         result
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -71,7 +71,7 @@
 }
 
 async fn serve(
-    stream: listener::Stream,
+    mut stream: listener::Stream,
     peer: net::SocketAddr,
     gateway: gateway::Gateway,
     shutdown: CancellationToken,
@@ -87,6 +87,7 @@
     let limits = gateway.fleet.table().map(|table| table.limits());
     let limits = limits.unwrap_or_default();
     let head_bytes = usize::try_from(limits.head_bytes).unwrap_or(usize::MAX);
+    stream.set_head_limit(time::Duration::from_millis(limits.head_ms));
     let ended = CancellationToken::new();
     let token = ended.clone();
     let counted = stream.connection().clone();
--- a/crates/proof/tests/clients/main.rs
+++ b/crates/proof/tests/clients/main.rs
@@ -16,6 +16,7 @@
 #[path = "../failures/program.rs"]
 #[allow(dead_code, reason = "the failure tests use the rest of it")]
 mod program;
+mod refusals;
 #[path = "../failures/relay.rs"]
 #[allow(dead_code, reason = "the failure tests use the rest of it")]
 mod relay;
