control: documents that arrive at once wait for room before they are read

What callers saw: 50 documents of nearly 2 MB, each of them valid, took 306 MB of the 256 of a control host's machine. Cause: a document takes several times its size while it is read and committed (text, table, command, log, what is written), and as many were handled at the same time as had arrived.

Change: requests of 64 KiB or more at the platform's port wait until an eighth of the memory for callers has room for them; shorter ones, such as heartbeats and orders to take a zone out, never wait.

--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time;
 
+use axum::middleware;
 use peargap_adapters::deployment;
 use peargap_adapters::health;
 use peargap_adapters::intake;
@@ -28,6 +29,7 @@
 use crate::gateways;
 use crate::gauges;
 use crate::input;
+use crate::large_requests;
 use crate::operators;
 use crate::peer_service;
 use crate::peers;
@@ -310,6 +312,9 @@
     let router = peargap_platform::api::build_router(platform::Handler {
         fleet: fleet.clone(),
     });
+    let room = large_requests::Room::new(settings.intake.memory_bytes());
+    let waiting = middleware::from_fn_with_state(room, large_requests::wait_for_room);
+    let router = router.layer(waiting);
     let served = serve_http(socket, router, intake.clone(), token.clone());
     Ok(Some(tokio::spawn(served)))
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod gauges;
 pub mod host;
 mod input;
+mod large_requests;
 pub mod lease;
 mod leaves;
 pub mod log_codec;
--- a/crates/proof/tests/clients/gateway.rs
+++ b/crates/proof/tests/clients/gateway.rs
@@ -122,10 +122,19 @@
     /// Calls the platform's API for documents; returns the status, if there is an answer.
     pub(crate) async fn call_platform(&self, method: &str, document: &'static str) -> Option<u16> {
         let body = Bytes::from_static(document.as_bytes());
-        send(self.addresses.platform, method, "/api/config", body).await
+        put_document(self.addresses.platform, method, body).await
     }
 }
 
+/// Calls the platform's API for documents; returns the status, if there is an answer.
+pub(crate) async fn put_document(
+    platform: net::SocketAddr,
+    method: &str,
+    document: Bytes,
+) -> Option<u16> {
+    send(platform, method, "/api/config", document).await
+}
+
 impl Drop for Stack {
     fn drop(&mut self) {
         self.beats.abort();
--- a/crates/proof/tests/clients/memory.rs
+++ b/crates/proof/tests/clients/memory.rs
@@ -277,3 +277,44 @@
     let path = "/services/lookups/x";
     check_messages(fleet, "entry-0", address, path, (2, 50), 4_000_000).await;
 }
+
+/// Returns a valid document of nearly 2 MB.
+fn build_long_document(version: usize) -> bytes::Bytes {
+    let mut text = format!(
+        r#"{{"version":{version},"services":[{{"name":"s"}}],"routes":[
+        {{"name":"r","host":"h","pathPrefix":"/r/","routeType":"idempotent","timeoutMs":9000,"service":"s"}}"#
+    );
+    for route in 0.. {
+        text += &format!(
+            r#",{{"name":"r{route}","host":"h","pathPrefix":"/v{version}/{route}/","routeType":"idempotent",
+            "timeoutMs":9000,"service":"s"}}"#
+        );
+        if text.len() > NEARLY_2_MB {
+            break;
+        }
+    }
+    text += "]}";
+    bytes::Bytes::from(text)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn whole_documents_at_once_stay_within_the_control_host() {
+    let _one = crate::ONE_AT_A_TIME.lock().await;
+    let stack = gateway::Stack::start(None).await;
+    let platform = stack.addresses.platform;
+    let mut puts = Vec::new();
+    for version in 0..CLIENTS / 2 {
+        let document = build_long_document(100 + version);
+        puts.push(tokio::spawn(gateway::put_document(
+            platform, "PUT", document,
+        )));
+    }
+    let mut answered = Vec::new();
+    for put in puts {
+        answered.push(put.await.expect("a client"));
+    }
+    println!("{answered:?}");
+    assert_eq!(stack.call_platform("GET", "").await, Some(200));
+    assert_eq!(stack.call(100).await, Some(200));
+    crate::assert_memory(stack.control.id(), HOST_BYTES);
+}
