adapters: a request's body and its answer's are counted in one place

Change: intake::Request::attach in place of three closures that kept a request until its answer's body was dropped; Side::Request also stands for what an upstream reads, which was a side of its own; an unused count is gone. No behaviour changes.

--- a/crates/adapters/src/body_budget.rs
+++ b/crates/adapters/src/body_budget.rs
@@ -28,10 +28,8 @@
     Caller,
     /// A connection on which the head of a request arrives.
     Connection,
-    /// A request that is received.
+    /// A request that is received, or that an upstream reads.
     Request,
-    /// An upstream that reads a request.
-    Upstream,
 }
 
 /// Memory for bytes that callers make the process hold; clones share it.
@@ -281,7 +279,6 @@
     }
 
     /// Returns a future that is ready once it has been ended.
-    #[must_use]
     pub fn ended_owned(&self) -> WaitForCancellationFutureOwned {
         self.0.token.clone().cancelled_owned()
     }
--- a/crates/adapters/src/intake.rs
+++ b/crates/adapters/src/intake.rs
@@ -16,6 +16,7 @@
 use std::time;
 
 use bytes::Bytes;
+use http_body_util::BodyExt as _;
 use peargap_core::connections;
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
@@ -88,12 +89,6 @@
         &self.0.budget
     }
 
-    /// Returns the number of open connections.
-    #[must_use]
-    pub fn count_connections(&self) -> usize {
-        self.lock().table.count()
-    }
-
     /// Returns a new connection, for which another one may be ended; `None` if it is refused.
     fn connect(&self, peer: net::SocketAddr) -> Option<Connection> {
         let ended = CancellationToken::new();
@@ -295,6 +290,18 @@
         accepted.intake.lock().table.begin_request(accepted.key);
     }
 
+    /// Returns a body, which counts the request until it is dropped.
+    pub fn attach<B: http_body::Body>(
+        self,
+        body: B,
+    ) -> impl http_body::Body<Data = B::Data, Error = B::Error> {
+        body.map_frame(move |frame| {
+            // Dropped with the body.
+            let _ = &self;
+            frame
+        })
+    }
+
     /// Forgets what it holds beside its head.
     fn release_body(&self) {
         self.0.hold.reset(self.0.bytes);
--- a/crates/adapters/src/intake/http.rs
+++ b/crates/adapters/src/intake/http.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use http::header;
 use http::StatusCode;
-use http_body_util::BodyExt as _;
 use tokio_util::sync::CancellationToken;
 
 use crate::intake;
@@ -68,13 +67,7 @@
     let opened = connection.open_request(id, count_head_bytes(path, request.headers()));
     request.extensions_mut().insert(opened.clone());
     let response = next.run(request).await;
-    response.map(|body| {
-        body::Body::new(body.map_frame(move |frame| {
-            // Dropped with the body.
-            let _ = &opened;
-            frame
-        }))
-    })
+    response.map(|body| body::Body::new(opened.attach(body)))
 }
 
 async fn receive(
--- a/crates/adapters/src/intake/messages.rs
+++ b/crates/adapters/src/intake/messages.rs
@@ -8,7 +8,6 @@
 use std::task;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use tokio_util::sync::WaitForCancellationFutureOwned;
 use tonic::body;
 
@@ -84,13 +83,7 @@
             if !response.headers().contains_key(tonic::Status::GRPC_STATUS) {
                 opened.complete();
             }
-            Ok(response.map(|body| {
-                body::Body::new(body.map_frame(move |frame| {
-                    // Dropped with the body.
-                    let _ = &opened;
-                    frame
-                }))
-            }))
+            Ok(response.map(|body| body::Body::new(opened.attach(body))))
         })
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use bytes::Bytes;
+use http_body_util::BodyExt as _;
 use hyper::body;
 use peargap_adapters::body_budget;
 use peargap_adapters::intake;
@@ -78,7 +79,7 @@
             Ok(Err(refusal)) => self.refuse(&attempt, refusal),
             Err(panics::Panicked) => self.refuse(&attempt, response::Refusal::Internal),
         };
-        Ok(response::keep(response, received))
+        Ok(response.map(|body| received.attach(body).boxed_unsync()))
     }
 
     async fn serve_routed(
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -7,7 +7,6 @@
 use http_body_util::combinators;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use peargap_adapters::intake;
 use peargap_adapters::intake::body;
 use peargap_adapters::logs;
 use peargap_core::quarantine;
@@ -201,18 +200,6 @@
     response
 }
 
-/// Returns a response that counts its request until its body has been sent.
-pub(crate) fn keep(response: Response, request: intake::Request) -> Response {
-    response.map(|body| {
-        let body = body.map_frame(move |frame| {
-            // Dropped with the body.
-            let _ = &request;
-            frame
-        });
-        body.boxed_unsync()
-    })
-}
-
 /// Returns an upstream's response, whose body has been read, as a response to the caller.
 pub(crate) fn forward(parts: &http::response::Parts, body: unread::Body) -> Response {
     let body = body.map_err(|never| match never {}).boxed_unsync();
