adapters: a body that arrives is kept in segments until it is whole

Cause: a buffer that doubles with a long body leaves holes of all sizes between 64 KB and 2 MB. Change: segments of 64 KiB, joined once when the body is whole. A body of up to 64 KiB is not copied.

--- a/crates/adapters/src/intake/body.rs
+++ b/crates/adapters/src/intake/body.rs
@@ -7,6 +7,10 @@
 
 use crate::intake;
 
+/// Bytes of a body that are kept together until it is whole. A buffer that grows with a long body
+/// leaves holes of all sizes in memory, which take several times what the bodies do.
+const SEGMENT_BYTES: usize = 64 << 10;
+
 /// Why a body was not read to its end.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Error {
@@ -33,7 +37,7 @@
         return Err(Error::TooLong);
     }
     let hold = request.hold();
-    let mut bytes = BytesMut::new();
+    let mut segments = Segments::default();
     let mut body = core::pin::pin!(body);
     loop {
         let frame = tokio::select! {
@@ -43,19 +47,55 @@
         };
         let Some(frame) = frame else {
             request.complete();
-            return Ok(bytes.freeze());
+            return Ok(segments.join());
         };
         let frame = frame.map_err(|error| Error::Broken(error.to_string()))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if data.len() > limit - bytes.len() {
+        if data.len() > limit - segments.length {
             return Err(Error::TooLong);
         }
         hold.arrive(data.len());
         if hold.is_ended() {
             return Err(Error::Ended);
         }
-        bytes.extend_from_slice(&data);
+        segments.append(&data);
+    }
+}
+
+/// The bytes of a body that have arrived.
+#[derive(Debug, Default)]
+struct Segments {
+    full: Vec<BytesMut>,
+    last: BytesMut,
+    length: usize,
+}
+
+impl Segments {
+    fn append(&mut self, data: &[u8]) {
+        let mut rest = data;
+        while !rest.is_empty() {
+            if self.last.len() == SEGMENT_BYTES {
+                let next = BytesMut::with_capacity(SEGMENT_BYTES);
+                self.full.push(core::mem::replace(&mut self.last, next));
+            }
+            let length = rest.len().min(SEGMENT_BYTES - self.last.len());
+            let (now, later) = rest.split_at(length);
+            self.last.extend_from_slice(now);
+            rest = later;
+        }
+        self.length += data.len();
+    }
+
+    fn join(self) -> Bytes {
+        if self.full.is_empty() {
+            return self.last.freeze();
+        }
+        let mut whole = BytesMut::with_capacity(self.length);
+        for segment in self.full.into_iter().chain([self.last]) {
+            whole.extend_from_slice(&segment);
+        }
+        whole.freeze()
     }
 }
