adapters: read buffers of connections to routers are bounded

What callers saw: 800 callers at the platform's port of a control host took 288 to 296 MB of 256, with bodies of which 64 MB were allowed. Cause: axum's server lets hyper's read buffer of each connection grow to 400 KiB, and what is in it counts nowhere. Change: routers are served by the same connections as an entry's, with a buffer of 16 KiB; the entry's code for the extensions of a connection serves both.

--- a/crates/adapters/src/intake/http.rs
+++ b/crates/adapters/src/intake/http.rs
@@ -1,5 +1,7 @@
 //! HTTP servers whose requests count to the process's intake.
 
+use core::convert;
+use core::future::Future;
 use std::time;
 
 use axum::body;
@@ -10,6 +12,10 @@
 use bytes::Bytes;
 use http::header;
 use http::StatusCode;
+use hyper_util::rt;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful;
+use hyper_util::service;
 use tokio_util::sync::CancellationToken;
 
 use crate::intake;
@@ -17,6 +23,8 @@
 
 /// Time after which a caller may try again whose request was ended, in seconds.
 const RETRY_AFTER_S: u32 = 1;
+/// Read buffer of a connection, and longest head, in bytes. By default hyper takes 400 KiB.
+const BUFFER_BYTES: usize = 16 << 10;
 /// Time for which a stopping server waits for requests that have not arrived whole.
 const CLOSE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -34,21 +42,47 @@
     intake: intake::Intake,
     body_bytes: usize,
     stop: CancellationToken,
-) -> std::io::Result<()> {
+) {
     let bound = Bound { bytes: body_bytes };
     let router = count(router.layer(middleware::from_fn_with_state(bound, receive)));
-    let service = router.into_make_service_with_connect_info::<intake::Connection>();
     let listener = listener::Listener::new(socket, intake);
-    let served =
-        axum::serve(listener, service).with_graceful_shutdown(stop.clone().cancelled_owned());
-    let closed = async {
-        stop.cancelled().await;
-        tokio::time::sleep(CLOSE_TIMEOUT).await;
-    };
-    tokio::select! {
-        served = served => served,
-        () = closed => Ok(()),
+    let mut builder = auto::Builder::new(rt::TokioExecutor::new());
+    builder.http1().max_buf_size(BUFFER_BYTES);
+    let connections = graceful::GracefulShutdown::new();
+    loop {
+        let (stream, _peer) = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        let service = build_service(router.clone(), stream.connection());
+        let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
+        let connection = connections.watch(connection.into_owned());
+        tokio::spawn(async move {
+            // An error ends the connection and its requests; no caller is left to report it to.
+            let _ = connection.await;
+        });
     }
+    drop(listener);
+    // Requests that have not arrived whole by then end with the process.
+    let _ = tokio::time::timeout(CLOSE_TIMEOUT, connections.shutdown()).await;
+}
+
+/// Returns a router as the service of a connection, which its requests find in their extensions.
+pub fn build_service(
+    router: axum::Router,
+    connection: &intake::Connection,
+) -> impl hyper::service::Service<
+    http::Request<hyper::body::Incoming>,
+    Response = response::Response,
+    Error = convert::Infallible,
+    Future = impl Future<Output = Result<response::Response, convert::Infallible>> + Send,
+> + Clone {
+    let connected = extract::ConnectInfo(connection.clone());
+    let router = service::TowerToHyperService::new(router);
+    hyper::service::service_fn(move |mut request: http::Request<hyper::body::Incoming>| {
+        request.extensions_mut().insert(connected.clone());
+        hyper::service::Service::call(&router, request)
+    })
 }
 
 /// Counts the requests of a router, which finds each of them in its extensions. The connection, an
--- a/crates/adapters/src/intake/listener.rs
+++ b/crates/adapters/src/intake/listener.rs
@@ -7,8 +7,6 @@
 use std::task;
 use std::time;
 
-use axum::extract::connect_info;
-use axum::serve;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -85,19 +83,6 @@
     }
 }
 
-impl serve::Listener for Listener {
-    type Addr = net::SocketAddr;
-    type Io = Stream;
-
-    async fn accept(&mut self) -> (Stream, net::SocketAddr) {
-        Listener::accept(self).await
-    }
-
-    fn local_addr(&self) -> io::Result<net::SocketAddr> {
-        self.socket.local_addr()
-    }
-}
-
 /// A connection that a caller has opened; reads fail once it has to end.
 #[derive(Debug)]
 pub struct Stream {
@@ -269,12 +254,6 @@
     }
 }
 
-impl connect_info::Connected<serve::IncomingStream<'_, Listener>> for intake::Connection {
-    fn connect_info(stream: serve::IncomingStream<'_, Listener>) -> intake::Connection {
-        stream.io().connection().clone()
-    }
-}
-
 impl server::Connected for Stream {
     type ConnectInfo = intake::Connection;
 
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -224,7 +224,7 @@
     drain(&agent, &readiness, &calls).await;
     closing.cancel();
     serving.await??;
-    health_server.await??;
+    health_server.await?;
     logs::emit(
         events::STOPPED,
         format_args!("upstream={}", agent.settings.upstream.name),
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -326,7 +326,7 @@
     stop: CancellationToken,
 ) {
     let max = peargap_platform::api::MAX_BODY_BYTES;
-    let _ = intake::http::serve(socket, router, intake, max, stop).await;
+    intake::http::serve(socket, router, intake, max, stop).await;
 }
 
 /// Reports the host as ready while it knows a leader.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -12,7 +12,6 @@
 use hyper_util::rt;
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful;
-use hyper_util::service;
 use peargap_adapters::intake;
 use peargap_adapters::intake::listener;
 use tokio::time as clock;
@@ -117,13 +116,8 @@
         let limit = self.app.settings.limits.stalled_reader;
         // Also drops a caller whose host or network fails without closing the connection.
         let _ = socket2::SockRef::from(stream.tcp()).set_tcp_user_timeout(Some(limit));
-        let connected = extract::ConnectInfo(stream.connection().clone());
+        let service = intake::http::build_service(self.router.clone(), stream.connection());
         let io = rt::TokioIo::new(write_timeout::WriteTimeoutStream::new(stream, limit));
-        let router = service::TowerToHyperService::new(self.router.clone());
-        let service = hyper::service::service_fn(move |mut request: http::Request<_>| {
-            request.extensions_mut().insert(connected.clone());
-            hyper::service::Service::call(&router, request)
-        });
         let connection = self.builder.serve_connection(io, service).into_owned();
         let connection = self.connections.watch(connection);
         tokio::spawn(async move {
--- a/crates/proof/tests/clients/memory.rs
+++ b/crates/proof/tests/clients/memory.rs
@@ -199,6 +199,16 @@
     check_platform("PUT /api/instances/x", 2 * CLIENTS, body).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn read_buffers_of_many_callers_stay_within_the_control_host() {
+    let _one = crate::ONE_AT_A_TIME.lock().await;
+    let body = Body::Chunked {
+        chunk: 500_000,
+        sent: 1_000_000,
+    };
+    check_platform("PUT /api/instances/x", 8 * CLIENTS, body).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn documents_in_small_chunks_stay_within_the_control_host() {
     let _one = crate::ONE_AT_A_TIME.lock().await;
