entry, agent: clients that never send the rest do not keep a stopping process

What callers saw: after SIGTERM an entry with a body that never came whole, and an agent with half a head at its health port, did not exit within 20 s; the entry waits for up to 600 s. Cause: a graceful stop waits for every connection that carries part of a request. Evidence: refusals::bodies_that_never_come_whole_do_not_keep_a_stopping_entry and half_heads_do_not_keep_a_stopping_agent fail on (x86_64); the same at a control host held there.

Before this commit it ended them at once, and with them bodies that were about to be whole. Connections that a stop ends are no longer logged as too many.

--- a/crates/adapters/src/intake.rs
+++ b/crates/adapters/src/intake.rs
@@ -97,7 +97,7 @@
             let key = match state.table.open(self.0.clock.now()) {
                 connections::Opened::Accepted(key) => key,
                 connections::Opened::AcceptedFor { ended, key } => {
-                    state.end(ended);
+                    state.end_for_another(ended);
                     key
                 }
                 connections::Opened::Refused => {
@@ -139,18 +139,18 @@
 
     /// Ends all connections that carry no whole request, as the process stops.
     pub fn end_idle(&self) {
-        while self.end_one() {}
+        let mut state = self.lock();
+        while let Some(key) = state.table.end_one() {
+            state.end(key);
+        }
     }
 
-    /// Ends the connection that others need least, so that its descriptor can be used; returns
-    /// whether there is one.
-    fn end_one(&self) -> bool {
+    /// Ends the connection that others need least, so that its descriptor can be used.
+    fn end_one(&self) {
         let mut state = self.lock();
-        let ended = state.table.end_one();
-        if let Some(key) = ended {
-            state.end(key);
+        if let Some(key) = state.table.end_one() {
+            state.end_for_another(key);
         }
-        ended.is_some()
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, State> {
@@ -160,10 +160,14 @@
 }
 
 impl State {
+    fn end_for_another(&mut self, key: connections::Key) {
+        let open = self.table.count();
+        logs::emit(CONNECTION_ENDED, format_args!("open={open}"));
+        self.end(key);
+    }
+
     fn end(&mut self, key: connections::Key) {
         if let Some(token) = self.tokens.remove(key) {
-            let open = self.table.count();
-            logs::emit(CONNECTION_ENDED, format_args!("open={open}"));
             token.cancel();
         }
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -106,8 +106,14 @@
             }
         }
         drop(listener);
-        intake.end_idle();
-        self.connections.shutdown().await;
+        let shutdown = self.connections.shutdown();
+        tokio::pin!(shutdown);
+        // Requests that are arriving are served if they come whole in that time.
+        tokio::select! {
+            () = &mut shutdown => return,
+            () = clock::sleep(self.app.settings.drain.linger) => intake.end_idle(),
+        }
+        shutdown.await;
     }
 
     fn start_connection(&self, stream: listener::Stream) {
--- a/crates/proof/tests/clients/refusals.rs
+++ b/crates/proof/tests/clients/refusals.rs
@@ -1,12 +1,16 @@
 //! Clients are refused with an answer that holds, and let go.
 
 use std::collections;
+use std::net;
 use std::sync;
 use std::time;
 
+use rustix::process as unix;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 
+use crate::crowd;
+use crate::fleet;
 use crate::gateway;
 
 /// Clients that send whole bodies at once, more than the gateway has memory for.
@@ -121,3 +125,57 @@
         tokio::time::sleep(time::Duration::from_secs(4)).await;
     }
 }
+
+/// Stops a process beside clients that never send the rest of their requests.
+async fn check_stop(
+    name: &str,
+    body: crowd::Body,
+    find: impl Fn(&fleet::Fleet) -> net::SocketAddr,
+) {
+    let plan = fleet::Plan {
+        controls: 1,
+        engines: 1,
+        entries: 1,
+        ..fleet::Plan::default()
+    };
+    let mut fleet = fleet::Fleet::start(plan).await;
+    let path = "POST /services/lookups/x";
+    let crowd = crowd::Crowd::start(find(&fleet), path, 20, body).await;
+    fleet.signal(name, unix::Signal::TERM);
+    assert!(fleet.wait_exit(name).await, "{name} failed");
+    drop(crowd);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_that_never_come_whole_do_not_keep_a_stopping_entry() {
+    let _one = crate::ONE_AT_A_TIME.lock().await;
+    let body = crowd::Body::Announced {
+        announced: 1000,
+        sent: 10,
+    };
+    check_stop("entry-0", body, |fleet| {
+        let address = fleet.entry_urls[0].strip_prefix("http://");
+        address
+            .and_then(|address| address.parse().ok())
+            .expect("an address")
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn half_heads_do_not_keep_a_stopping_agent() {
+    let _one = crate::ONE_AT_A_TIME.lock().await;
+    check_stop("agent-desk-0", crowd::Body::HalfHead, |fleet| {
+        fleet.health("agent-desk-0")
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn half_heads_do_not_keep_a_stopping_control_host() {
+    let _one = crate::ONE_AT_A_TIME.lock().await;
+    check_stop("control-0", crowd::Body::HalfHead, |fleet| {
+        fleet.health("control-0")
+    })
+    .await;
+}
