proof: documents that are not read leave a control host descriptors

What callers saw: 300 callers that request a document of 2 MB and read nothing took all 200 descriptors of a control host; others got no answer in 20 s. Cause: as with half heads: connections had no bound.

--- a/crates/proof/tests/clients/crowd.rs
+++ b/crates/proof/tests/clients/crowd.rs
@@ -17,6 +17,8 @@
 const SEND_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 /// Bytes that are handed to a connection at once.
 const WRITE_BYTES: usize = 64 << 10;
+/// Bytes that the system takes for a client that does not read.
+const UNREAD_BUFFER_BYTES: u32 = 4 << 10;
 /// Bytes of the head of a message between processes: a flag and a length.
 const MESSAGE_HEAD_BYTES: usize = 5;
 
@@ -34,6 +36,8 @@
     HalfHead,
     /// Nothing is sent but the preface of HTTP/2.
     Preface,
+    /// There is none, and the answer is not read.
+    Unread,
 }
 
 /// Clients that stay connected until this is dropped.
@@ -69,8 +73,7 @@
             );
             let mut progress = progress.clone();
             crowd.connections.push(tokio::spawn(async move {
-                let connected = tokio::net::TcpStream::connect(address).await;
-                let mut stream = connected.expect("a connection");
+                let mut stream = connect(address, body).await.expect("a connection");
                 // The peer may close the connection at any time.
                 let _ = tokio::time::timeout(SEND_TIMEOUT, send(&mut stream, head, body)).await;
                 progress.finish();
@@ -114,10 +117,20 @@
     }
 }
 
+async fn connect(address: net::SocketAddr, body: Body) -> std::io::Result<tokio::net::TcpStream> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    if matches!(body, Body::Unread) {
+        // The answer stays with the peer.
+        socket.set_recv_buffer_size(UNREAD_BUFFER_BYTES)?;
+    }
+    socket.connect(address).await
+}
+
 async fn send(stream: &mut tokio::net::TcpStream, head: String, body: Body) -> std::io::Result<()> {
     match body {
         Body::HalfHead => stream.write_all(head.as_bytes()).await,
         Body::Preface => stream.write_all(PREFACE).await,
+        Body::Unread => stream.write_all(format!("{head}\r\n").as_bytes()).await,
         Body::Announced { announced, sent } => {
             let head = format!("{head}content-length: {announced}\r\n\r\n");
             stream.write_all(head.as_bytes()).await?;
--- a/crates/proof/tests/clients/descriptors.rs
+++ b/crates/proof/tests/clients/descriptors.rs
@@ -7,6 +7,7 @@
 use crate::crowd::Crowd;
 use crate::fleet;
 use crate::gateway;
+use crate::memory;
 
 /// Limit of the open descriptors of each process.
 const LIMIT: u64 = 200;
@@ -133,3 +134,21 @@
     let address = fleet.health("entry-0");
     check_fleet(fleet, "entry-0", address, Body::HalfHead).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn documents_that_are_not_read_leave_the_control_host_descriptors() {
+    let _one = crate::ONE_AT_A_TIME.lock().await;
+    let stack = gateway::Stack::start(Some(LIMIT)).await;
+    let platform = stack.addresses.platform;
+    let document = memory::build_long_document(100);
+    let put = gateway::put_document(platform, "PUT", document).await;
+    assert_eq!(put, Some(200));
+    let path = "GET /api/config";
+    let crowd = Crowd::start(platform, path, CLIENTS, Body::Unread).await;
+    for _call in 0..2 {
+        assert_eq!(stack.call(100).await, Some(200));
+        assert_eq!(stack.call_platform("GET", "").await, Some(200));
+    }
+    crate::assert_descriptors(stack.control.id(), BOUND);
+    drop(crowd);
+}
--- a/crates/proof/tests/clients/memory.rs
+++ b/crates/proof/tests/clients/memory.rs
@@ -289,7 +289,7 @@
 }
 
 /// Returns a valid document of nearly 2 MB.
-fn build_long_document(version: usize) -> bytes::Bytes {
+pub(crate) fn build_long_document(version: usize) -> bytes::Bytes {
     let mut text = format!(
         r#"{{"version":{version},"services":[{{"name":"s"}}],"routes":[
         {{"name":"r","host":"h","pathPrefix":"/r/","routeType":"idempotent","timeoutMs":9000,"service":"s"}}"#
