adapters: connections and unfinished bodies count as the memory that they take

What callers saw: nothing over the bound, but 800 connections took 129 MB beside the 64 MB that count (release build), 152 KB each. Cause: a body's last segment of 64 KiB counted with its bytes only, and a connection counts 4 KiB where its read buffer alone takes 8. Change: segments of 16 KiB that count whole; 8 KiB for a connection, and no more connections than half of the memory for callers holds, so that connections that are kept leave room for requests: 1,342 at a host of 88 MB, 1,678 at one of 110.

--- a/crates/adapters/src/intake.rs
+++ b/crates/adapters/src/intake.rs
@@ -27,7 +27,7 @@
 use crate::logs;
 
 /// What the budget counts for a connection without a request: its task and its read buffer.
-const CONNECTION_BYTES: usize = 4 << 10;
+const CONNECTION_BYTES: usize = 8 << 10;
 /// What the budget counts for a request beside its head and body: its task and its stream.
 const REQUEST_BYTES: usize = 2 << 10;
 /// Longest wait for a connection to be closed that is being ended.
@@ -70,14 +70,15 @@
     /// ended.
     #[must_use]
     pub fn new(limits: limits::Limits, ended: logs::Event) -> Intake {
+        let max_connections = limits.max_connections(CONNECTION_BYTES);
         Intake(sync::Arc::new(Inner {
             budget: body_budget::Budget::new(limits.memory_bytes(), ended),
             clock: clock::Clock::start(),
             closed: Notify::new(),
-            max_connections: limits.max_connections(),
+            max_connections,
             open: atomic::AtomicUsize::new(0),
             state: sync::Mutex::new(State {
-                table: connections::Table::new(limits.max_connections()),
+                table: connections::Table::new(max_connections),
                 tokens: SecondaryMap::new(),
             }),
         }))
--- a/crates/adapters/src/intake/body.rs
+++ b/crates/adapters/src/intake/body.rs
@@ -9,7 +9,7 @@
 
 /// Bytes of a body that are kept together until it is whole. A buffer that grows with a long body
 /// leaves holes of all sizes in memory, which take several times what the bodies do.
-const SEGMENT_BYTES: usize = 64 << 10;
+const SEGMENT_BYTES: usize = 16 << 10;
 
 /// Why a body was not read to its end.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -56,7 +56,7 @@
         if data.len() > limit - segments.length {
             return Err(Error::TooLong);
         }
-        hold.arrive(data.len());
+        hold.arrive(segments.count_growth(data.len()));
         if hold.is_ended() {
             return Err(Error::Ended);
         }
@@ -73,6 +73,11 @@
 }
 
 impl Segments {
+    /// Returns the memory that this many more bytes take.
+    fn count_growth(&self, bytes: usize) -> usize {
+        count_memory(self.length + bytes) - count_memory(self.length)
+    }
+
     fn append(&mut self, data: &[u8]) {
         let mut rest = data;
         while !rest.is_empty() {
@@ -99,3 +104,12 @@
         whole.freeze()
     }
 }
+
+/// Returns the memory that a body of this length takes until it is whole. The first segment grows with
+/// its bytes.
+fn count_memory(length: usize) -> usize {
+    match length {
+        0..=SEGMENT_BYTES => length,
+        _longer => length.div_ceil(SEGMENT_BYTES) * SEGMENT_BYTES,
+    }
+}
--- a/crates/adapters/src/intake/limits.rs
+++ b/crates/adapters/src/intake/limits.rs
@@ -14,7 +14,7 @@
 /// What a process may use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
-    /// Connections that callers may open, if the descriptors do not set a lower bound.
+    /// Connections that callers may open, if neither descriptors nor memory set a lower bound.
     pub connections: usize,
     /// Descriptors that it may open. Half of them are for callers' connections, the rest for
     /// connections to others and for files.
@@ -46,11 +46,14 @@
         (self.host_mb * BYTES_PER_MB * MEMORY_SHARE) as u64
     }
 
-    /// Returns the number of connections that callers may open.
+    /// Returns the number of connections that callers may open, if the budget counts this many bytes for
+    /// each.
     #[must_use]
-    pub(crate) fn max_connections(&self) -> usize {
-        let half = usize::try_from(self.descriptors / 2).unwrap_or(usize::MAX);
-        half.min(self.connections)
+    pub(crate) fn max_connections(&self, connection_bytes: usize) -> usize {
+        let half = |whole| usize::try_from(whole / 2).unwrap_or(usize::MAX);
+        // The other half of the memory is for requests.
+        let by_memory = half(self.memory_bytes()) / connection_bytes;
+        half(self.descriptors).min(by_memory).min(self.connections)
     }
 }
 
