proof: the ordinary calls beside a crowd stand in one place

Change: the call through the fleet, the operator's call and the address of an entry's callers were written two and three times in the tests of clients. Assertions, crowds and bounds are as before.

--- a/crates/proof/tests/clients/descriptors.rs
+++ b/crates/proof/tests/clients/descriptors.rs
@@ -2,7 +2,6 @@
 
 use std::net;
 
-use crate::caller;
 use crate::crowd::Body;
 use crate::crowd::Crowd;
 use crate::fleet;
@@ -32,13 +31,7 @@
 async fn check_fleet(fleet: fleet::Fleet, name: &str, address: net::SocketAddr, body: Body) {
     let crowd = Crowd::start(address, "POST /x", CLIENTS, body).await;
     for _call in 0..2 {
-        let call = caller::call_service(&fleet.entry_urls[0], "lookups/x", "k");
-        let answer = tokio::time::timeout(fleet::STEP_TIMEOUT, call)
-            .await
-            .expect("an answer");
-        assert!(answer.status.is_success(), "{answer:?}");
-        let status = fleet.run_peargap(&["status"]).await;
-        assert!(status.status.success(), "{}", fleet::format_output(&status));
+        crate::assert_served(&fleet).await;
         fleet.wait_ready(name).await;
     }
     crate::assert_descriptors(fleet.id(name), BOUND);
@@ -120,10 +113,7 @@
 async fn half_heads_of_callers_leave_the_entry_descriptors() {
     let _one = crate::ONE_AT_A_TIME.lock().await;
     let fleet = start_fleet().await;
-    let address = fleet.entry_urls[0]
-        .strip_prefix("http://")
-        .expect("an address");
-    let address = address.parse().expect("an address");
+    let address = fleet.callers(0);
     check_fleet(fleet, "entry-0", address, Body::HalfHead).await;
 }
 
--- a/crates/proof/tests/clients/main.rs
+++ b/crates/proof/tests/clients/main.rs
@@ -31,6 +31,16 @@
 /// Held by the test that runs.
 static ONE_AT_A_TIME: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
+/// Checks that a call through an entry, an agent and a service, and one of an operator, are answered.
+async fn assert_served(fleet: &fleet::Fleet) {
+    let call = caller::call_service(&fleet.entry_urls[0], "lookups/x", "k");
+    let answer = tokio::time::timeout(fleet::STEP_TIMEOUT, call).await;
+    let answer = answer.expect("an answer");
+    assert!(answer.status.is_success(), "{answer:?}");
+    let status = fleet.run_peargap(&["status"]).await;
+    assert!(status.status.success(), "{}", fleet::format_output(&status));
+}
+
 /// Time for which a process's peak of memory stays the same once it has read what was sent.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(1);
 /// Checks of the peak at most before the process counts as settled.
--- a/crates/proof/tests/clients/memory.rs
+++ b/crates/proof/tests/clients/memory.rs
@@ -2,7 +2,6 @@
 
 use std::time;
 
-use crate::caller;
 use crate::crowd::Body;
 use crate::crowd::Crowd;
 use crate::fleet;
@@ -66,25 +65,15 @@
     fleet::Fleet::start(plan).await
 }
 
-/// Checks that a process is within its host's memory and that calls through the fleet, and of its
-/// operators, are answered.
+/// Checks that calls are answered and that a process is within its host's memory.
 async fn check_fleet(fleet: &fleet::Fleet, name: &str) {
-    let call = caller::call_service(&fleet.entry_urls[0], "lookups/x", "k");
-    let answer = tokio::time::timeout(fleet::STEP_TIMEOUT, call)
-        .await
-        .expect("an answer");
-    assert!(answer.status.is_success(), "{answer:?}");
-    let status = fleet.run_peargap(&["status"]).await;
-    assert!(status.status.success(), "{}", fleet::format_output(&status));
+    crate::assert_served(fleet).await;
     crate::assert_memory(fleet.id(name), HOST_BYTES);
 }
 
 async fn check_entry(body: Body) {
     let fleet = start_fleet().await;
-    let address = fleet.entry_urls[0]
-        .strip_prefix("http://")
-        .expect("an address");
-    let address = address.parse().expect("an address");
+    let address = fleet.callers(0);
     let crowd = Crowd::start(address, "POST /services/lookups/x", CLIENTS, body).await;
     crate::settle(fleet.id("entry-0")).await;
     check_fleet(&fleet, "entry-0").await;
@@ -280,10 +269,7 @@
 async fn bodies_over_http2_that_stop_short_stay_within_the_entrys_host() {
     let _one = crate::ONE_AT_A_TIME.lock().await;
     let fleet = start_fleet().await;
-    let address = fleet.entry_urls[0]
-        .strip_prefix("http://")
-        .expect("an address");
-    let address = address.parse().expect("an address");
+    let address = fleet.callers(0);
     let path = "/services/lookups/x";
     check_messages(fleet, "entry-0", address, path, (2, 50), 4_000_000).await;
 }
--- a/crates/proof/tests/clients/refusals.rs
+++ b/crates/proof/tests/clients/refusals.rs
@@ -153,13 +153,7 @@
         announced: 1000,
         sent: 10,
     };
-    check_stop("entry-0", body, |fleet| {
-        let address = fleet.entry_urls[0].strip_prefix("http://");
-        address
-            .and_then(|address| address.parse().ok())
-            .expect("an address")
-    })
-    .await;
+    check_stop("entry-0", body, |fleet| fleet.callers(0)).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/proof/tests/failures/fleet.rs
+++ b/crates/proof/tests/failures/fleet.rs
@@ -392,6 +392,13 @@
         local(self.health_ports[name])
     }
 
+    /// Returns the address at which an entry serves callers.
+    pub(crate) fn callers(&self, index: usize) -> net::SocketAddr {
+        let address = self.entry_urls[index].strip_prefix("http://");
+        let parsed = address.and_then(|address| address.parse().ok());
+        parsed.expect("an address")
+    }
+
     /// Returns the address at which a control host serves operators.
     pub(crate) fn operators(&self, index: usize) -> net::SocketAddr {
         local(self.controls[index].operators)
