adapters: answers of known length say their length again

What callers saw: since the intake counts a request until its answer's body is dropped, answers of known length came in chunks, without a content-length, from all programs. Cause: http_body_util's MapFrame, which kept the request, does not pass on the length of its body. Change: a body of our own that passes on all of it. Measured: the test passes.

--- a/crates/adapters/src/intake.rs
+++ b/crates/adapters/src/intake.rs
@@ -4,6 +4,7 @@
 //! A caller that keeps within the limits meets the bound only beside others that do not. Who is ended
 //! then is decided by [`peargap_core::body_budget`] and [`peargap_core::connections`].
 
+pub mod answer;
 pub mod body;
 pub mod http;
 pub mod limits;
@@ -16,7 +17,6 @@
 use std::time;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use peargap_core::connections;
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
@@ -296,15 +296,9 @@
     }
 
     /// Returns a body, which counts the request until it is dropped.
-    pub fn attach<B: http_body::Body>(
-        self,
-        body: B,
-    ) -> impl http_body::Body<Data = B::Data, Error = B::Error> {
-        body.map_frame(move |frame| {
-            // Dropped with the body.
-            let _ = &self;
-            frame
-        })
+    #[must_use]
+    pub fn attach<B>(self, body: B) -> answer::Answer<B> {
+        answer::Answer::new(body, self)
     }
 
     /// Forgets what it holds beside its head.
--- a/crates/adapters/src/intake/messages.rs
+++ b/crates/adapters/src/intake/messages.rs
@@ -40,7 +40,7 @@
 
 impl<S, B> tower::Service<http::Request<body::Body>> for Service<S>
 where
-    B: http_body::Body<Data = Bytes> + Send + 'static,
+    B: http_body::Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     S: tower::Service<http::Request<body::Body>, Response = http::Response<B>>,
     S::Error: Send + 'static,
--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -4,6 +4,8 @@
 mod support;
 
 use std::time;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
 
 use peargap_fake::runner;
 use peargap_load::ports;
@@ -458,3 +460,22 @@
     long.headers_mut().insert("token-usage", usage);
     assert_eq!(fixture.call(long).await.status, 503);
 }
+
+#[tokio::test]
+async fn an_answer_of_known_length_says_its_length() {
+    let fixture = Fixture::start(&["d1"]).await;
+    fixture.runner("d1").set_body_bytes(1000);
+    for (path, length) in [("/once/", 1000), ("/nowhere/", 0)] {
+        let stream = tokio::net::TcpStream::connect(fixture.address).await;
+        let mut stream = stream.expect("a connection");
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nhost: h.example\r\nattempt-id: 7\r\nx-api-key: k1\r\n\
+             connection: close\r\ncontent-length: 0\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("an answer");
+        let length = format!("\r\ncontent-length: {length}\r\n");
+        assert!(answer.contains(&length), "{answer}");
+    }
+}
