--- a/review/standins-2/cases/mod.rs
+++ b/review/standins-2/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod cut_stream;
 mod left_server;
+mod moved_twice;
 mod second_copy;
 
 use crate::record::Record;
@@ -17,6 +18,7 @@
     match name {
         "left-server" => left_server::play(record, has_trouble),
         "second-copy" => second_copy::play(record, has_trouble),
+        "moved-twice" => moved_twice::play(record, has_trouble),
         "cut-stream" => cut_stream::play(record, has_trouble),
         other => Err(format!("there is no case {other}")),
     }
--- a/review/standins-2/cases/second_copy.rs
+++ b/review/standins-2/cases/second_copy.rs
@@ -260,14 +260,14 @@
 }
 
 /// Returns the text of a field of a flat JSON object.
-fn field(text: &str, name: &str) -> String {
+pub fn field(text: &str, name: &str) -> String {
     let key = format!("\"{name}\":\"");
     let rest = text.split(&key).nth(1).unwrap_or("");
     rest.split('"').next().unwrap_or("").to_owned()
 }
 
 /// Asks for a generation. Returns whether it came whole, and how many events belong to another one.
-fn generate(
+pub fn generate(
     record: &Record,
     deployment: &Deployment,
     attempt: &str,
