--- a/review/standins-2/cases/mod.rs
+++ b/review/standins-2/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod cut_stream;
+mod late_events;
 mod left_server;
 mod moved_twice;
 mod second_copy;
@@ -20,6 +21,7 @@
         "second-copy" => second_copy::play(record, has_trouble),
         "moved-twice" => moved_twice::play(record, has_trouble),
         "cut-stream" => cut_stream::play(record, has_trouble),
+        "late-events" => late_events::play(record, has_trouble),
         other => Err(format!("there is no case {other}")),
     }
 }
