--- a/review/standins-2/cases/cut_stream.rs
+++ b/review/standins-2/cases/cut_stream.rs
@@ -30,13 +30,15 @@
         "desk",
         "osu",
         deployment.controls(),
-        Arc::new(move |runner: &Runner, request: &Message, stream: &mut TcpStream| {
-            let attempt = request.header("attempt-id").unwrap_or("").to_owned();
-            runner.note(&format!("runs {attempt}"));
-            send_stream(runner, &attempt, stream, has_trouble);
-            // The connection ends with the stream.
-            false
-        }),
+        Arc::new(
+            move |runner: &Runner, request: &Message, stream: &mut TcpStream| {
+                let attempt = request.header("attempt-id").unwrap_or("").to_owned();
+                runner.note(&format!("runs {attempt}"));
+                send_stream(runner, &attempt, stream, has_trouble);
+                // The connection ends with the stream.
+                false
+            },
+        ),
     );
     thread::sleep(Duration::from_secs(4));
     let mut broken = Vec::new();
@@ -56,7 +58,9 @@
         }
     }
     Ok(match broken.is_empty() {
-        true => Verdict::Held(format!("{STREAMS} streams, none looks complete that is not")),
+        true => Verdict::Held(format!(
+            "{STREAMS} streams, none looks complete that is not"
+        )),
         false => Verdict::Broken(format!(
             "{} of {STREAMS} streams ended inside an event and look complete to the client",
             broken.len()
@@ -94,9 +98,12 @@
     let request = http::format_request("POST", "/guide/2f", deploy::HOST, &headers, b"prompt");
     record.line(&format!("client sends {attempt}"));
     let timeout = Duration::from_secs(10);
-    let stream = http::connect(deployment.callers(0), timeout).map_err(|error| error.to_string())?;
+    let stream =
+        http::connect(deployment.callers(0), timeout).map_err(|error| error.to_string())?;
     let mut writer = stream.try_clone().map_err(|error| error.to_string())?;
-    writer.write_all(&request).map_err(|error| error.to_string())?;
+    writer
+        .write_all(&request)
+        .map_err(|error| error.to_string())?;
     let mut reader = BufReader::new(stream);
     let head = http::read_head(&mut reader).map_err(|error| error.to_string())?;
     let mut message = head.ok_or("no answer")?;
--- a/review/standins-2/cases/late_events.rs
+++ b/review/standins-2/cases/late_events.rs
@@ -31,7 +31,14 @@
         .flat_map(|service| ["osu", "tema"].map(|zone| (service, zone)))
         .map(|(service, zone)| {
             let name = format!("i-{service}-{zone}");
-            Runner::start(record, &name, service, zone, deployment.controls(), Arc::new(send_stream))
+            Runner::start(
+                record,
+                &name,
+                service,
+                zone,
+                deployment.controls(),
+                Arc::new(send_stream),
+            )
         })
         .collect();
     thread::sleep(Duration::from_secs(4));
@@ -41,7 +48,9 @@
     );
     let document = deploy::document(8).replace(r#""routes":["#, &added);
     deployment.publish(&document, Duration::from_secs(4))?;
-    record.line(&format!("version 8 adds the route /notes/ to the service {service}"));
+    record.line(&format!(
+        "version 8 adds the route /notes/ to the service {service}"
+    ));
     // `configApplyMs` after the acknowledgement, and some more.
     thread::sleep(Duration::from_millis(2500));
     let mut clients = Vec::new();
@@ -65,7 +74,9 @@
     drop(servers);
     let [first, added] = served;
     if first < REQUESTS / 2 {
-        return Err(format!("only {first} of {REQUESTS} requests on the first route were served"));
+        return Err(format!(
+            "only {first} of {REQUESTS} requests on the first route were served"
+        ));
     }
     let text = format!(
         "{added} of {REQUESTS} requests on the route that was added were served, {first} of {REQUESTS} on the first"
@@ -91,7 +102,9 @@
         let event = format!("id: {id}\ndata: {attempt} {id}\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         if stream.write_all(chunk.as_bytes()).is_err() {
-            runner.note(&format!("drops {attempt} after event {id}, its connection was closed"));
+            runner.note(&format!(
+                "drops {attempt} after event {id}, its connection was closed"
+            ));
             return false;
         }
         thread::sleep(GAP);
@@ -101,7 +114,13 @@
 }
 
 /// Asks for a stream; returns whether it came whole. The client leaves after a gap that is too long.
-fn receive(record: &Record, deployment: &Deployment, machine: usize, path: &str, attempt: &str) -> bool {
+fn receive(
+    record: &Record,
+    deployment: &Deployment,
+    machine: usize,
+    path: &str,
+    attempt: &str,
+) -> bool {
     let headers = [
         ("Attempt-Id", attempt),
         ("Deadline-Ms", "39000"),
--- a/review/standins-2/cases/left_server.rs
+++ b/review/standins-2/cases/left_server.rs
@@ -42,15 +42,17 @@
         "desk",
         "osu",
         deployment.controls(),
-        Arc::new(move |runner: &Runner, request: &Message, stream: &mut TcpStream| {
-            let attempt = request.header("attempt-id").unwrap_or("").to_owned();
-            noted.lock().expect("unpoisoned").push(Arrival {
-                at: Instant::now(),
-                attempt: attempt.clone(),
-            });
-            runner.note(&format!("runs {attempt}"));
-            work(runner, request, stream)
-        }),
+        Arc::new(
+            move |runner: &Runner, request: &Message, stream: &mut TcpStream| {
+                let attempt = request.header("attempt-id").unwrap_or("").to_owned();
+                noted.lock().expect("unpoisoned").push(Arrival {
+                    at: Instant::now(),
+                    attempt: attempt.clone(),
+                });
+                runner.note(&format!("runs {attempt}"));
+                work(runner, request, stream)
+            },
+        ),
     );
     let _staying = Runner::start(
         record,
@@ -72,7 +74,9 @@
         return Err("the leave was not acknowledged".to_owned());
     }
     let acknowledged = Instant::now();
-    record.line(&format!("control host {KILLED} acknowledged that i-leaving leaves"));
+    record.line(&format!(
+        "control host {KILLED} acknowledged that i-leaving leaves"
+    ));
     let mut started = acknowledged;
     if has_trouble {
         thread::sleep(Duration::from_millis(150));
@@ -102,7 +106,9 @@
             let address = deployment.callers(machine);
             let record = record.clone();
             let lost = lost.clone();
-            calls.push(thread::spawn(move || reserve(&record, machine, number, address, &lost)));
+            calls.push(thread::spawn(move || {
+                reserve(&record, machine, number, address, &lost)
+            }));
         }
         thread::sleep(Duration::from_millis(50));
     }
@@ -111,10 +117,16 @@
     }
     let _ = exiting.join();
     let arrivals = arrivals.lock().expect("unpoisoned");
-    let late: Vec<_> = arrivals.iter().filter(|arrival| arrival.at > judged).collect();
+    let late: Vec<_> = arrivals
+        .iter()
+        .filter(|arrival| arrival.at > judged)
+        .collect();
     for arrival in &late {
         let after = arrival.at.duration_since(acknowledged).as_millis();
-        record.line(&format!("{} reached i-leaving {after} ms after the acknowledgement", arrival.attempt));
+        record.line(&format!(
+            "{} reached i-leaving {after} ms after the acknowledgement",
+            arrival.attempt
+        ));
     }
     let lost = lost.load(Ordering::SeqCst);
     let text = format!(
@@ -135,7 +147,13 @@
 }
 
 /// Sends an order that may run once to a gateway.
-fn reserve(record: &Record, machine: usize, number: usize, address: std::net::SocketAddr, lost: &AtomicUsize) {
+fn reserve(
+    record: &Record,
+    machine: usize,
+    number: usize,
+    address: std::net::SocketAddr,
+    lost: &AtomicUsize,
+) {
     let attempt = format!("a{machine}-{number}");
     let headers = [
         ("Attempt-Id", attempt.as_str()),
--- a/review/standins-2/cases/moved_twice.rs
+++ b/review/standins-2/cases/moved_twice.rs
@@ -52,7 +52,9 @@
         let usage = format!("1000,{}", EVENTS * 4);
         let record = record.clone();
         let deployment = deployment.clone();
-        clients.push(thread::spawn(move || generate(&record, &deployment, &attempt, &usage)));
+        clients.push(thread::spawn(move || {
+            generate(&record, &deployment, &attempt, &usage)
+        }));
         thread::sleep(Duration::from_millis(20));
     }
     thread::sleep(Duration::from_millis(500));
@@ -78,7 +80,10 @@
     for (attempt, begun) in resumed.iter() {
         let end = ended.get(attempt).ok_or("a run has no end")?;
         let both = end.saturating_duration_since(*begun);
-        record.line(&format!("{attempt}: both servers worked on it for {} ms", both.as_millis()));
+        record.line(&format!(
+            "{attempt}: both servers worked on it for {} ms",
+            both.as_millis()
+        ));
         broken += usize::from(both > ALLOWED + MARGIN);
     }
     let text = format!(
@@ -106,12 +111,12 @@
         "pool",
         "osu",
         deployment.controls(),
-        Arc::new(move |runner: &Runner, request: &Message, stream: &mut TcpStream| {
-            match request.path() {
+        Arc::new(
+            move |runner: &Runner, request: &Message, stream: &mut TcpStream| match request.path() {
                 "/api/kv-move" => copy(&seen, runner, request, stream),
                 _ => run(&seen, runner, request, stream, works_on),
-            }
-        }),
+            },
+        ),
     )
 }
 
@@ -121,12 +126,20 @@
     let attempt = field(&text, "id");
     let is_last = text.contains("\"isFinal\":true");
     if is_last {
-        seen.stopped.lock().expect("unpoisoned").push(attempt.clone());
+        seen.stopped
+            .lock()
+            .expect("unpoisoned")
+            .push(attempt.clone());
     }
     thread::sleep(COPY_TIME);
     let handle = format!("h-{attempt}");
-    seen.copies.lock().expect("unpoisoned").insert(handle.clone(), attempt.clone());
-    runner.note(&format!("copies the memory of {attempt}, isFinal: {is_last}"));
+    seen.copies
+        .lock()
+        .expect("unpoisoned")
+        .insert(handle.clone(), attempt.clone());
+    runner.note(&format!(
+        "copies the memory of {attempt}, isFinal: {is_last}"
+    ));
     let body = format!(r#"{{"kvHandle":"{handle}","made":1}}"#);
     let answer = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
@@ -137,19 +150,44 @@
 
 /// Runs a generation, or goes on with one from a copy. With `works_on` it works on after its connection was
 /// closed, until it is done or ordered to stop.
-fn run(seen: &Seen, runner: &Runner, request: &Message, stream: &mut TcpStream, works_on: bool) -> bool {
+fn run(
+    seen: &Seen,
+    runner: &Runner,
+    request: &Message,
+    stream: &mut TcpStream,
+    works_on: bool,
+) -> bool {
     let attempt = request.header("attempt-id").unwrap_or("").to_owned();
     let mut next = 1;
     if let Some(from) = request.header("kv-from") {
         let handle = from.rsplit('/').next().unwrap_or("").to_owned();
-        if seen.copies.lock().expect("unpoisoned").remove(&handle).is_none() {
-            runner.note(&format!("{attempt} can't go on from {handle}: no such copy, or it was used"));
-            return runner::answer(stream, request, "503 Service Unavailable", "Not-Executed: 1\r\n", b"");
+        if seen
+            .copies
+            .lock()
+            .expect("unpoisoned")
+            .remove(&handle)
+            .is_none()
+        {
+            runner.note(&format!(
+                "{attempt} can't go on from {handle}: no such copy, or it was used"
+            ));
+            return runner::answer(
+                stream,
+                request,
+                "503 Service Unavailable",
+                "Not-Executed: 1\r\n",
+                b"",
+            );
         }
-        let last = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
+        let last = request
+            .header("last-event-id")
+            .and_then(|id| id.parse::<u64>().ok());
         next = last.unwrap_or(0) + 1;
         runner.note(&format!("{attempt} goes on after event {}", next - 1));
-        seen.resumed.lock().expect("unpoisoned").insert(attempt.clone(), Instant::now());
+        seen.resumed
+            .lock()
+            .expect("unpoisoned")
+            .insert(attempt.clone(), Instant::now());
     } else {
         runner.note(&format!("runs {attempt}"));
     }
@@ -169,8 +207,13 @@
         thread::sleep(GAP);
     }
     if next == 1 {
-        seen.ended.lock().expect("unpoisoned").insert(attempt.clone(), Instant::now());
-        runner.note(&format!("ends its work on {attempt}, its connection is open: {is_open}"));
+        seen.ended
+            .lock()
+            .expect("unpoisoned")
+            .insert(attempt.clone(), Instant::now());
+        runner.note(&format!(
+            "ends its work on {attempt}, its connection is open: {is_open}"
+        ));
     }
     is_open && stream.write_all(b"0\r\n\r\n").is_ok()
 }
--- a/review/standins-2/cases/second_copy.rs
+++ b/review/standins-2/cases/second_copy.rs
@@ -56,9 +56,11 @@
     /// Returns whether one more answer may come a second time, and counts it if so.
     fn may_send_again(&self) -> bool {
         let most = self.answered.load(Ordering::SeqCst) / SPOILED;
-        let counted = self.sent_again.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |count| {
-            (count < most).then_some(count + 1)
-        });
+        let counted = self
+            .sent_again
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |count| {
+                (count < most).then_some(count + 1)
+            });
         counted.is_ok()
     }
 }
@@ -75,7 +77,12 @@
             let deployment = deployment.clone();
             thread::spawn(move || {
                 for number in 0..SHORT / AT_A_TIME {
-                    let _ = generate(&record, &deployment, &format!("short-{client}-{number}"), "100,4");
+                    let _ = generate(
+                        &record,
+                        &deployment,
+                        &format!("short-{client}-{number}"),
+                        "100,4",
+                    );
                 }
             })
         })
@@ -88,14 +95,18 @@
         let attempt = format!("gen-{number}");
         let record = record.clone();
         let deployment = deployment.clone();
-        clients.push(thread::spawn(move || generate(&record, &deployment, &attempt, "1000,640")));
+        clients.push(thread::spawn(move || {
+            generate(&record, &deployment, &attempt, "1000,640")
+        }));
         thread::sleep(Duration::from_millis(20));
     }
     thread::sleep(Duration::from_millis(500));
     let _second = start_engine(record, &deployment, &engines, "i-new", LIMIT, false);
     thread::sleep(Duration::from_millis(500));
     let before = engines.answered.load(Ordering::SeqCst);
-    record.line(&format!("i-old has answered {before} requests; i-new has started"));
+    record.line(&format!(
+        "i-old has answered {before} requests; i-new has started"
+    ));
     // The answer of a short generation tells the gateway of the limit.
     for number in 0..20 {
         generate(record, &deployment, &format!("short-new-{number}"), "100,4")?;
@@ -116,11 +127,15 @@
     let moves = engines.moves.load(Ordering::SeqCst);
     let resumed = engines.resumed.load(Ordering::SeqCst);
     if moves == 0 || resumed == 0 {
-        return Err(format!("{moves} copies were ordered, {resumed} requests went on elsewhere"));
+        return Err(format!(
+            "{moves} copies were ordered, {resumed} requests went on elsewhere"
+        ));
     }
     let answered = engines.answered.load(Ordering::SeqCst);
     let again = engines.sent_again.load(Ordering::SeqCst);
-    record.line(&format!("i-old has answered {answered} requests, {again} answers came a second time"));
+    record.line(&format!(
+        "i-old has answered {answered} requests, {again} answers came a second time"
+    ));
     let text = format!(
         "{mixed} requests went on from the memory of another one, {foreign} clients got events of another's \
          generation; {moves} copies, {resumed} resumes, {whole} of {GENERATIONS} streams whole"
@@ -146,12 +161,12 @@
         "pool",
         "osu",
         deployment.controls(),
-        Arc::new(move |runner: &Runner, request: &Message, stream: &mut TcpStream| {
-            match request.path() {
+        Arc::new(
+            move |runner: &Runner, request: &Message, stream: &mut TcpStream| match request.path() {
                 "/api/kv-move" => copy(&engines, runner, request, stream, sends_copies),
                 _ => run(&engines, runner, request, stream, notice),
-            }
-        }),
+            },
+        ),
     )
 }
 
@@ -163,16 +178,27 @@
     stream: &mut TcpStream,
     sends_copies: bool,
 ) -> bool {
-    let Ok(peer) = stream.peer_addr() else { return false };
+    let Ok(peer) = stream.peer_addr() else {
+        return false;
+    };
     let text = request.text();
     let attempt = field(&text, "id");
-    let former = engines.answers.lock().expect("unpoisoned").get(&peer).cloned();
-    let is_copy = former.as_ref().is_some_and(|answer| answer.starts_with(b"HTTP/1.1 200"));
+    let former = engines
+        .answers
+        .lock()
+        .expect("unpoisoned")
+        .get(&peer)
+        .cloned();
+    let is_copy = former
+        .as_ref()
+        .is_some_and(|answer| answer.starts_with(b"HTTP/1.1 200"));
     if sends_copies && is_copy && engines.may_send_again() {
         let former = former.unwrap_or_default();
         let answer = String::from_utf8_lossy(&former);
         let body = answer.rsplit("\r\n").next().unwrap_or("");
-        runner.note(&format!("order for {attempt}: sends the last answer of this connection once more: {body:?}"));
+        runner.note(&format!(
+            "order for {attempt}: sends the last answer of this connection once more: {body:?}"
+        ));
         let _ = stream.write_all(&former);
         // What follows on the connection belongs to no request any more.
         return false;
@@ -193,7 +219,11 @@
             thread::sleep(COPY_TIME);
             let number = engines.moves.fetch_add(1, Ordering::SeqCst);
             let handle = format!("h{number}");
-            engines.copies.lock().expect("unpoisoned").insert(handle.clone(), attempt.clone());
+            engines
+                .copies
+                .lock()
+                .expect("unpoisoned")
+                .insert(handle.clone(), attempt.clone());
             ("200 OK", format!(r#"{{"kvHandle":"{handle}","made":1}}"#))
         }
     };
@@ -203,7 +233,11 @@
         "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
-    engines.answers.lock().expect("unpoisoned").insert(peer, answer.clone().into_bytes());
+    engines
+        .answers
+        .lock()
+        .expect("unpoisoned")
+        .insert(peer, answer.clone().into_bytes());
     stream.write_all(answer.as_bytes()).is_ok()
 }
 
@@ -221,16 +255,27 @@
     if let Some(from) = request.header("kv-from") {
         let handle = from.rsplit('/').next().unwrap_or("").to_owned();
         let Some(held) = engines.copies.lock().expect("unpoisoned").remove(&handle) else {
-            runner.note(&format!("{attempt} can't go on from {handle}: no such copy, or it was used"));
+            runner.note(&format!(
+                "{attempt} can't go on from {handle}: no such copy, or it was used"
+            ));
             let headers = format!("Not-Executed: 1\r\n{notice}");
             return runner::answer(stream, request, "503 Service Unavailable", &headers, b"");
         };
-        let last = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
+        let last = request
+            .header("last-event-id")
+            .and_then(|id| id.parse::<u64>().ok());
         next = last.unwrap_or(0) + 1;
         engines.resumed.fetch_add(1, Ordering::SeqCst);
-        runner.note(&format!("{attempt} goes on after event {} from {handle}, the memory of {held}", next - 1));
+        runner.note(&format!(
+            "{attempt} goes on after event {} from {handle}, the memory of {held}",
+            next - 1
+        ));
         if held != attempt {
-            engines.mixed.lock().expect("unpoisoned").push((attempt.clone(), held.clone()));
+            engines
+                .mixed
+                .lock()
+                .expect("unpoisoned")
+                .push((attempt.clone(), held.clone()));
         }
         owner = held;
     } else {
@@ -239,8 +284,12 @@
         }
         runner.note(&format!("runs {attempt}"));
     }
-    let usage = request.header("token-usage").and_then(|usage| usage.split(',').nth(1));
-    let events = usage.and_then(|tokens| tokens.parse::<u64>().ok()).map_or(EVENTS, |tokens| tokens / 4);
+    let usage = request
+        .header("token-usage")
+        .and_then(|usage| usage.split(',').nth(1));
+    let events = usage
+        .and_then(|tokens| tokens.parse::<u64>().ok())
+        .map_or(EVENTS, |tokens| tokens / 4);
     let head = format!(
         "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {attempt}.1\r\n{notice}\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -281,11 +330,19 @@
         ("Token-Usage", usage),
         ("Prefix-Hash", "5c1e07a2:80,e4402b7d:20"),
     ];
-    let request = http::format_request("POST", "/guide/2f", deploy::HOST, &headers, attempt.as_bytes());
+    let request = http::format_request(
+        "POST",
+        "/guide/2f",
+        deploy::HOST,
+        &headers,
+        attempt.as_bytes(),
+    );
     let stream = http::connect(deployment.callers(0), Duration::from_secs(20));
     let stream = stream.map_err(|error| error.to_string())?;
     let mut writer = stream.try_clone().map_err(|error| error.to_string())?;
-    writer.write_all(&request).map_err(|error| error.to_string())?;
+    writer
+        .write_all(&request)
+        .map_err(|error| error.to_string())?;
     let mut reader = BufReader::new(stream);
     let head = http::read_head(&mut reader).map_err(|error| error.to_string())?;
     let mut message = head.ok_or("no answer")?;
@@ -293,7 +350,10 @@
     let _ = http::read_body(&mut reader, &mut message, |_| {});
     let text = message.text();
     let own = format!("data: tokens of {attempt}");
-    let foreign = text.lines().filter(|line| line.starts_with("data:") && *line != own).count();
+    let foreign = text
+        .lines()
+        .filter(|line| line.starts_with("data:") && *line != own)
+        .count();
     if !attempt.starts_with("short") {
         record.line(&format!(
             "client: {attempt} has status {}, whole: {}, {} events, {foreign} of another generation",
--- a/review/standins-2/deploy.rs
+++ b/review/standins-2/deploy.rs
@@ -22,7 +22,11 @@
 
 /// Kills all processes that were started and still run.
 pub fn kill_all() {
-    for id in RUNNING.lock().unwrap_or_else(|error| error.into_inner()).drain(..) {
+    for id in RUNNING
+        .lock()
+        .unwrap_or_else(|error| error.into_inner())
+        .drain(..)
+    {
         let _ = Command::new("kill").args(["-9", &id.to_string()]).status();
     }
 }
@@ -92,12 +96,15 @@
 
     /// Returns the addresses of all control hosts.
     pub fn controls(&self) -> Vec<SocketAddr> {
-        (0..self.machines.len()).map(|index| self.control(index)).collect()
+        (0..self.machines.len())
+            .map(|index| self.control(index))
+            .collect()
     }
 
     /// Starts the processes of a machine.
     pub fn start_machine(&mut self, index: usize, bootstrap: bool) -> Result<(), String> {
-        let control = self.write_settings(index, "control", self.control_settings(index, bootstrap))?;
+        let control =
+            self.write_settings(index, "control", self.control_settings(index, bootstrap))?;
         let gateway = self.write_settings(index, "gateway", self.gateway_settings(index))?;
         let control = self.spawn("peargap-control", &control)?;
         let gateway = self.spawn("peargap-gateway", &gateway)?;
@@ -110,7 +117,8 @@
 
     /// Kills the processes of a machine (SIGKILL).
     pub fn kill_machine(&mut self, index: usize) {
-        self.record.line(&format!("machine {index}: both processes get SIGKILL"));
+        self.record
+            .line(&format!("machine {index}: both processes get SIGKILL"));
         let machine = &mut self.machines[index];
         for child in [&mut machine.control, &mut machine.gateway] {
             end(child);
@@ -143,7 +151,8 @@
         let request = http::format_request("GET", "/readyz", "ready", &[], &[]);
         for machine in &self.machines {
             let address = http::at(machine.ip, self.ports.ready);
-            while !http::call(address, &request, SECOND).is_ok_and(|answer| answer.status() == 200) {
+            while !http::call(address, &request, SECOND).is_ok_and(|answer| answer.status() == 200)
+            {
                 if Instant::now() > deadline {
                     return Err(format!("the gateway at {address} does not become ready"));
                 }
@@ -162,7 +171,13 @@
     /// `deploy/control.ini` with the figures of the lending site.
     fn control_settings(&self, index: usize, bootstrap: bool) -> String {
         let Machine { ip, zone, .. } = &self.machines[index];
-        let Ports { internal, control_health, operators, control, .. } = self.ports;
+        let Ports {
+            internal,
+            control_health,
+            operators,
+            control,
+            ..
+        } = self.ports;
         let seeds = self.seeds();
         let voters = if bootstrap { seeds.as_str() } else { "" };
         let data = self.folder.join(format!("data-{index}"));
@@ -183,7 +198,12 @@
     /// `deploy/gateway.ini` with the figures of the lending site.
     fn gateway_settings(&self, index: usize) -> String {
         let Machine { ip, zone, .. } = &self.machines[index];
-        let Ports { internal, callers, ready, .. } = self.ports;
+        let Ports {
+            internal,
+            callers,
+            ready,
+            ..
+        } = self.ports;
         let seeds = self.seeds();
         format!(
             "[node]\nname = edge-{zone}-1\ndomain = {zone}\n\n\
@@ -208,9 +228,19 @@
         let log = log.map_err(|error| error.to_string())?;
         let errors = log.try_clone().map_err(|error| error.to_string())?;
         let mut command = Command::new(format!("target/release/{program}"));
-        command.arg("--config").arg(settings).stdin(Stdio::null()).stdout(log).stderr(errors);
-        let child = command.spawn().map_err(|error| format!("{program}: {error}"))?;
-        RUNNING.lock().unwrap_or_else(|error| error.into_inner()).push(child.id());
+        command
+            .arg("--config")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors);
+        let child = command
+            .spawn()
+            .map_err(|error| format!("{program}: {error}"))?;
+        RUNNING
+            .lock()
+            .unwrap_or_else(|error| error.into_inner())
+            .push(child.id());
         Ok(child)
     }
 }
@@ -234,7 +264,10 @@
         let _ = child.kill();
         let _ = child.wait();
         let id = child.id();
-        RUNNING.lock().unwrap_or_else(|error| error.into_inner()).retain(|known| *known != id);
+        RUNNING
+            .lock()
+            .unwrap_or_else(|error| error.into_inner())
+            .retain(|known| *known != id);
     }
 }
 
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -145,11 +145,7 @@
 }
 
 /// Sends one request on a connection of its own and returns the response.
-pub fn call(
-    address: SocketAddr,
-    request: &[u8],
-    timeout: Duration,
-) -> io::Result<Message> {
+pub fn call(address: SocketAddr, request: &[u8], timeout: Duration) -> io::Result<Message> {
     let mut stream = connect(address, timeout)?;
     stream.write_all(request)?;
     let mut reader = BufReader::new(stream);
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -34,7 +34,10 @@
     };
     let record = record::Record::create(&Path::new(folder).join("record.txt"));
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
-    record.line(&format!("case {name}, disruption {}", if has_trouble { "on" } else { "off" }));
+    record.line(&format!(
+        "case {name}, disruption {}",
+        if has_trouble { "on" } else { "off" }
+    ));
     thread::spawn(|| {
         thread::sleep(LONGEST);
         deploy::kill_all();
@@ -44,7 +47,9 @@
     let played = record.clone();
     let name = name.clone();
     let case = thread::spawn(move || {
-        panic::catch_unwind(panic::AssertUnwindSafe(|| cases::play(&name, &played, has_trouble)))
+        panic::catch_unwind(panic::AssertUnwindSafe(|| {
+            cases::play(&name, &played, has_trouble)
+        }))
     });
     let outcome = case.join().expect("panics are caught");
     let (code, text) = match outcome {
--- a/review/standins-2/runner.rs
+++ b/review/standins-2/runner.rs
@@ -47,7 +47,9 @@
     ) -> Runner {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time of day");
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("a time of day");
         let runner = Runner(Arc::new(Inner {
             address,
             born: born.as_millis(),
@@ -71,7 +73,9 @@
 
     /// Writes a line to the record.
     pub fn note(&self, text: &str) {
-        self.0.record.line(&format!("server {}: {text}", self.0.name));
+        self.0
+            .record
+            .line(&format!("server {}: {text}", self.0.name));
     }
 
     /// Stops the regular heartbeats; others can still be sent one by one.
@@ -86,7 +90,14 @@
 
     /// Sends a heartbeat to one control host; returns whether it was acknowledged.
     pub fn beat(&self, control: SocketAddr) -> bool {
-        let Inner { address, born, name, service, zone, .. } = &*self.0;
+        let Inner {
+            address,
+            born,
+            name,
+            service,
+            zone,
+            ..
+        } = &*self.0;
         let sequence = self.0.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let state = *self.0.state.lock().expect("unpoisoned");
         let body = format!(
@@ -151,7 +162,9 @@
     }
 
     fn serve(&self, stream: TcpStream, handler: &Handler) {
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_request(&mut reader) {
             if self.0.has_ended.load(Ordering::SeqCst) {
@@ -159,7 +172,8 @@
             }
             let target = request.header("target-instance");
             if target.is_some_and(|target| target != self.0.name) {
-                let _ = writer.write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+                let _ = writer
+                    .write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
                 continue;
             }
             if !handler(self, &request, &mut writer) {
