--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,6 @@
 //! Plays the cases of a review against the project's own programs on loopback addresses.
 //!
-//! `case NAME FOLDER` plays one case and writes `record.txt` into its folder. It exits with 1 if the
+//! `case NAME RECORD` plays one case and writes its record to that file. It exits with 1 if the
 //! rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the environment
 //! the disruption is left out.
 
@@ -28,11 +28,17 @@
 
 fn main() {
     let arguments: Vec<String> = env::args().collect();
-    let [_, name, folder] = &arguments[..] else {
-        eprintln!("usage: case NAME FOLDER");
+    let [_, name, path] = &arguments[..] else {
+        eprintln!("usage: case NAME RECORD");
         exit(2);
     };
-    let record = record::Record::create(&Path::new(folder).join("record.txt"));
+    let record = match record::Record::create(Path::new(path)) {
+        Ok(record) => record,
+        Err(error) => {
+            println!("could not run: {path}: {error}");
+            exit(2);
+        }
+    };
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     record.line(&format!(
         "case {name}, disruption {}",
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -1,7 +1,7 @@
 //! The record of a case: what was sent, answered and run, with the milliseconds since its start.
 
 use std::fs;
-use std::io::Write as _;
+use std::io::{self, Write as _};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
@@ -15,12 +15,12 @@
 
 impl Record {
     /// Opens the record file.
-    pub fn create(path: &Path) -> Record {
-        let file = fs::File::create(path).expect("the record file can be written");
-        Record {
+    pub fn create(path: &Path) -> io::Result<Record> {
+        let file = fs::File::create(path)?;
+        Ok(Record {
             file: Arc::new(Mutex::new(file)),
             start: Instant::now(),
-        }
+        })
     }
 
     /// Writes a line.
