--- a/review/standins-3/caller.rs
+++ b/review/standins-3/caller.rs
@@ -30,10 +30,10 @@
     format!("{:016x}", 0x9c41_d07b_0000_0000 + ATTEMPTS.fetch_add(1, Ordering::SeqCst))
 }
 
-/// Returns a desired state with one route to one service of model runners.
-pub fn document(timeout_ms: u64) -> String {
+/// Returns a desired state of this version with one route to one service of model runners.
+pub fn document(version: u64, timeout_ms: u64) -> String {
     format!(
-        r#"{{"version":7,"routes":[{{"name":"r-1","host":"{HOST}","pathPrefix":"{STREAM}","routeType":"streaming","timeoutMs":{timeout_ms},"latencySloMs":1800,"priority":0,"service":"huvo11a","maxAttempts":1,"public":false,"sticky":true,"resumable":false,"itlTargetMs":180}}],"services":[{{"name":"huvo11a","healthPath":"/healthz","maxConns":252,"protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0,"engine":{{"slots":24,"kvCapacity":34206,"kvTokenBytes":18432,"linkMbps":2700.0,"moves":true,"backups":true,"stride":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleTtlS":5.0,"models":[{{"name":"m"}}]}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"huka270","apiKeys":["{KEY}"],"priority":1}}]}}"#
+        r#"{{"version":{version},"routes":[{{"name":"r-1","host":"{HOST}","pathPrefix":"{STREAM}","routeType":"streaming","timeoutMs":{timeout_ms},"latencySloMs":1800,"priority":0,"service":"huvo11a","maxAttempts":1,"public":false,"sticky":true,"resumable":false,"itlTargetMs":180}}],"services":[{{"name":"huvo11a","healthPath":"/healthz","maxConns":252,"protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0,"engine":{{"slots":24,"kvCapacity":34206,"kvTokenBytes":18432,"linkMbps":2700.0,"moves":true,"backups":true,"stride":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleTtlS":5.0,"models":[{{"name":"m"}}]}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"huka270","apiKeys":["{KEY}"],"priority":1}}]}}"#
     )
 }
 
--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -26,8 +26,6 @@
     pub retry_after: Option<u32>,
     /// Two requests of five get a 500 whose body never ends.
     pub stalls: bool,
-    /// It resets the connections of requests that it has not begun to answer.
-    pub resets: bool,
 }
 
 /// How a runner behaves that is sound.
@@ -35,8 +33,14 @@
 pub struct Traits {
     /// It works on when the connection of a request closes.
     pub works_on: bool,
-    /// Time for which a request waits in its queue.
-    pub queue: Duration,
+    /// Requests that it runs at once; others wait.
+    pub slots: usize,
+}
+
+impl Default for Traits {
+    fn default() -> Traits {
+        Traits { works_on: false, slots: 24 }
+    }
 }
 
 /// One run of a request at a runner.
@@ -76,6 +80,8 @@
     service: &'static str,
     stops: Mutex<HashMap<String, Arc<AtomicBool>>>,
     count: AtomicU64,
+    /// Requests that run.
+    running: Mutex<usize>,
     traits: Traits,
     zone: String,
 }
@@ -129,6 +135,7 @@
             service,
             stops: Mutex::default(),
             count: AtomicU64::new(0),
+            running: Mutex::default(),
             traits,
             zone: zone.to_owned(),
         }));
@@ -310,19 +317,75 @@
         }
         let stop = Arc::new(AtomicBool::new(false));
         inner.stops.lock().unwrap().insert(attempt.clone(), stop.clone());
-        if from.is_none() {
-            thread::sleep(inner.traits.queue);
-            if self.faults().resets {
-                self.record(format!("{} resets the connection of {attempt}", inner.name));
-                inner.stops.lock().unwrap().remove(&attempt);
-                return Ok(false);
+        let limit = Duration::from_millis(head.number("deadline-ms").unwrap_or(60_000));
+        let result = match self.wait_for_slot(connection, &attempt, Instant::now() + limit) {
+            true => {
+                let result = self.run(connection, request, &attempt, &stop);
+                *inner.running.lock().unwrap() -= 1;
+                result
             }
-        }
-        let result = self.run(connection, request, &attempt, &stop);
+            false => Ok(false),
+        };
         inner.stops.lock().unwrap().remove(&attempt);
         result
     }
 
+    /// Sends requests of other callers straight to the runner, which anyone may call.
+    pub fn occupy(&self, count: usize, events: (u64, u64)) -> Vec<thread::JoinHandle<()>> {
+        let start = |number| {
+            let (address, name) = (self.0.address, self.0.name.clone());
+            thread::spawn(move || {
+                let Ok(mut connection) = Connection::open(address) else {
+                    return;
+                };
+                let body = format!("{} {}", events.0, events.1);
+                let sent = connection.write(
+                    format!(
+                        "POST /other HTTP/1.1\r\nHost: other.example\r\nAttempt-Id: other-{number}\r\n\
+                         Target-Instance: {name}\r\nDeadline-Ms: 39000\r\nContent-Length: {}\r\n\r\n{body}",
+                        body.len()
+                    )
+                    .as_bytes(),
+                );
+                if sent.is_err() || connection.read_head().is_err() {
+                    return;
+                }
+                while let Ok(Some(_)) = connection.read_chunk() {}
+            })
+        };
+        (0..count).map(start).collect()
+    }
+
+    /// Returns the requests that run.
+    pub fn running(&self) -> usize {
+        *self.0.running.lock().unwrap()
+    }
+
+    /// Waits for a free slot and takes it; returns false if the caller has closed its connection or the
+    /// time is over.
+    fn wait_for_slot(&self, connection: &Connection, attempt: &str, until: Instant) -> bool {
+        let mut waits = false;
+        while Instant::now() < until {
+            {
+                let mut running = self.0.running.lock().unwrap();
+                if *running < self.0.traits.slots {
+                    *running += 1;
+                    return true;
+                }
+            }
+            if !waits {
+                waits = true;
+                self.record(format!("{} has no free slot: {attempt} waits", self.0.name));
+            }
+            if connection.is_closed() {
+                self.record(format!("{}: the caller of {attempt} has closed, not run", self.0.name));
+                return false;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+
     fn holds_copy(&self, from: &str) -> bool {
         let address = self.0.address.to_string();
         let copies = self.0.group.0.copies.lock().unwrap();
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -122,6 +122,17 @@
         Ok(body)
     }
 
+    /// Returns whether the peer has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        let _ = self.stream.set_nonblocking(true);
+        let peeked = self.stream.peek(&mut [0]);
+        let _ = self.stream.set_nonblocking(false);
+        match peeked {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
     }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod deploy;
 mod engine;
+mod full_target;
 mod http;
 mod record;
 mod stalled_error;
@@ -44,6 +45,7 @@
     let verdict = match name.as_str() {
         "stale-connections" => stops::stale_connections(&setting),
         "paused-engine" => stops::paused_engine(&setting),
+        "full-target" => full_target::run(&setting),
         "stalled-error" => stalled_error::run(&setting),
         _ => Verdict::NotRun("no such case".to_owned()),
     };
--- a/review/standins-3/stalled_error.rs
+++ b/review/standins-3/stalled_error.rs
@@ -8,11 +8,11 @@
 use crate::engine::{Faults, Group, Runner, Traits};
 use crate::{Setting, Verdict};
 
-const RUNNERS: u8 = 7;
-const REQUESTS: usize = 260;
+const RUNNERS: u8 = 8;
+const REQUESTS: usize = 320;
 /// Requests before the runner begins to fail some.
-const SOUND_REQUESTS: usize = 100;
-const REQUEST_GAP: Duration = Duration::from_millis(40);
+const SOUND_REQUESTS: usize = 120;
+const REQUEST_GAP: Duration = Duration::from_millis(32);
 /// Events of a request, and the time between them in milliseconds.
 const EVENTS: (u64, u64) = (30, 40);
 /// The route's timeout.
@@ -26,20 +26,19 @@
 
 pub fn run(setting: &Setting<'_>) -> Verdict {
     let record = setting.record;
-    let document = caller::document(TIMEOUT.as_millis() as u64);
+    let document = caller::document(7, TIMEOUT.as_millis() as u64);
     let Some(deployment) = Deployment::start(setting.folder, 1, &document, record) else {
         return Verdict::NotRun("the deployment did not start".to_owned());
     };
     let group = Group::new(record);
     let mut runners = Vec::new();
     for number in 1..=RUNNERS {
-        let traits = Traits { works_on: false, queue: Duration::ZERO };
         let started = group.start(
             &format!("i-runner{number}"),
             "huvo11a",
             &format!("z{}", 1 + number % 3),
             deployment.runner_address(number),
-            traits,
+            Traits::default(),
             &deployment.control,
         );
         let Ok(runner) = started else {
--- a/review/standins-3/stops.rs
+++ b/review/standins-3/stops.rs
@@ -15,7 +15,8 @@
 /// Time for which the runs are watched after the move.
 const WATCHED: Duration = Duration::from_secs(3);
 /// Requests at once before the long one; each leaves an idle connection to its runner.
-const SHORT_REQUESTS: usize = 24;
+const SHORT_REQUESTS: usize = 72;
+const RUNNERS: u8 = 6;
 /// Events of the long request, and the time between them in milliseconds.
 const LONG: (u64, u64) = (160, 50);
 
@@ -27,16 +28,16 @@
 
 fn open(setting: &Setting<'_>) -> Option<Scene> {
     let record = setting.record;
-    let document = caller::document(39_000);
+    let document = caller::document(7, 39_000);
     let deployment = Deployment::start(setting.folder, 1, &document, record)?;
     let group = Group::new(record);
     let mut runners = Vec::new();
-    for number in 1..=2_u8 {
-        let traits = Traits { works_on: true, queue: Duration::ZERO };
+    for number in 1..=RUNNERS {
+        let traits = Traits { works_on: true, ..Traits::default() };
         let runner = group.start(
             &format!("i-runner{number}"),
             "huvo11a",
-            &format!("z{number}"),
+            &format!("z{}", 1 + number % 3),
             deployment.runner_address(number),
             traits,
             &deployment.control,
