--- a/review/standins-3/full_target.rs
+++ b/review/standins-3/full_target.rs
@@ -11,9 +11,9 @@
 use crate::record::Record;
 use crate::{Setting, Verdict};
 
-const RUNNERS: u8 = 6;
+const RUNNERS: u8 = 8;
 /// Streams through the gateway at the time of the change.
-const STREAMS: usize = 18;
+const STREAMS: usize = 24;
 /// Their events, and the time between these in milliseconds.
 const EVENTS: (u64, u64) = (140, 50);
 /// The same for what other callers have running at the runners without a free slot.
--- a/review/standins-3/stops.rs
+++ b/review/standins-3/stops.rs
@@ -15,8 +15,8 @@
 /// Time for which the runs are watched after the move.
 const WATCHED: Duration = Duration::from_secs(3);
 /// Requests at once before the long one; each leaves an idle connection to its runner.
-const SHORT_REQUESTS: usize = 72;
-const RUNNERS: u8 = 6;
+const SHORT_REQUESTS: usize = 96;
+const RUNNERS: u8 = 8;
 /// Events of the long request, and the time between them in milliseconds.
 const LONG: (u64, u64) = (160, 50);
 
