gateway, core: a pause allows two orders, and a run is left only with one of them

Cause: run_guard gave no order to stop a run in a pause and gave up after 2.5 s, while migrate had resumed the generation without asking.

Change: core::pause::Pause counts the orders of a pause, two at most; order::Permit stands for one, and no order is sent without. A generation takes the permit to stop its run before it resumes elsewhere and goes on where it is until it has one or its stream breaks; its backup's engine is then checked again. Orders that are due in a pause wait for its end and aren't given up; frees and copies on demand wait too, copies no longer ask each 60 ms.

--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -129,6 +129,8 @@
     freed: Vec<String>,
     /// Running generations by their attempt: number of the stream, and the token that stops it.
     generations: collections::HashMap<String, (u64, CancellationToken)>,
+    /// When orders arrived.
+    orders: Vec<time::Instant>,
     /// Whether all responses say that the runner is leaving.
     is_leaving: bool,
     /// Limit that all responses name.
@@ -159,6 +161,7 @@
             events: 5,
             freed: Vec::new(),
             generations: collections::HashMap::new(),
+            orders: Vec::new(),
             is_leaving: false,
             limit: None,
             retry_after: None,
@@ -356,6 +359,16 @@
         self.lock().arrivals.clone()
     }
 
+    /// Returns when orders to copy memory or to free it arrived.
+    pub fn orders(&self) -> Vec<time::Instant> {
+        self.lock().orders.clone()
+    }
+
+    /// Returns whether a generation with this attempt ID is running.
+    pub fn is_running(&self, attempt: &str) -> bool {
+        self.lock().generations.contains_key(attempt)
+    }
+
     /// Returns the number of generations that are streaming.
     pub fn count_running(&self) -> usize {
         self.inner.running.load(atomic::Ordering::SeqCst)
--- a/crates/fake/src/runner/answer.rs
+++ b/crates/fake/src/runner/answer.rs
@@ -1,6 +1,7 @@
 //! Answers of a runner to requests and calls.
 
 use std::convert;
+use std::time;
 
 use axum::body;
 use axum::extract;
@@ -175,6 +176,7 @@
 ) -> Result<response::Response, convert::Infallible> {
     let target = order["target"].as_str().unwrap_or_default();
     let attempt = order["id"].as_str().unwrap_or_default();
+    runner.lock().orders.push(time::Instant::now());
     let running = runner.lock().generations.get(attempt).cloned();
     let Some((_number, stop)) = running else {
         return Ok(StatusCode::NOT_FOUND.into_response());
@@ -204,6 +206,8 @@
     for other in others {
         other.remove_copy(&copy);
     }
-    runner.lock().freed.push(handle);
+    let mut state = runner.lock();
+    state.orders.push(time::Instant::now());
+    state.freed.push(handle);
     StatusCode::OK
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -59,6 +59,12 @@
     logs::Event::info(6059, "order to stop a run is repeated");
 pub(crate) const MEMORY_NOT_FREED: logs::Event =
     logs::Event::warn(6060, "memory of a stopped run not freed");
+pub(crate) const MOVE_DELAYED: logs::Event =
+    logs::Event::info(6061, "move delayed, its engine is in a pause");
+pub(crate) const STOP_DELAYED: logs::Event = logs::Event::info(
+    6062,
+    "order to stop a run delayed, its engine is in a pause",
+);
 pub(crate) const UNSENT_UNBOUNDED: logs::Event =
     logs::Event::warn(6054, "unsent bytes of peers not bounded");
 pub(crate) const WAIT_ENDED: logs::Event =
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -189,7 +189,7 @@
                 limiter: rate_limit::Limiter::default(),
                 observed: pace::Samples::default(),
                 pace: pace::Pace::default(),
-                pause_end: None,
+                pause: None,
                 refused_at: None,
                 remote_load: balance::Load::default(),
                 starting: is_new_among_known.then(slow_start::Starter::default),
@@ -220,7 +220,7 @@
             known.starting = Some(slow_start::Starter::default());
             known.started_at = None;
             known.pace = pace::Pace::default();
-            known.pause_end = None;
+            known.pause = None;
             known.refused_at = None;
             known.pool = sync::Arc::new(pool::Pool::new(address));
         }
--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -19,6 +19,7 @@
 use crate::placement;
 use crate::pool;
 use crate::response;
+use crate::run_guard;
 
 /// Range of the random delay, in milliseconds, before a generation with a backup copy moves away
 /// from a leaving engine, so that its generations do not all arrive elsewhere at once.
@@ -56,6 +57,8 @@
 pub(crate) enum Failure {
     /// The memory could not be copied.
     NotCopied(String),
+    /// The memory can't be copied before the pause of its engine is over, which lasts for this time.
+    Paused(time::Duration),
     /// The engine with the copy did not resume the generation.
     NotResumed(String),
 }
@@ -141,14 +144,12 @@
     let engine = order::Engine::at(from);
     let from = from.address.clone();
     Task::spawn(|_accepted| async move {
-        if engine.is_paused() {
-            return Err(Failure::NotCopied("engine asked for a pause".to_owned()));
-        }
         let attempt = response::attempt_text(&attempt);
-        let ordered = engine.copy(&attempt, &placement.address, false);
+        let ordered = engine.copy(&attempt, &placement.address);
         let handle = match time::timeout(COPY_TIMEOUT, ordered).await {
             Ok(Ok(engine::Moved::Copied(copy))) => copy.handle,
             Ok(Ok(moved)) => return Err(Failure::NotCopied(format!("{moved:?}"))),
+            Ok(Err(order::Error::Paused(left))) => return Err(Failure::Paused(left)),
             Ok(Err(error)) => return Err(Failure::NotCopied(format!("{error:?}"))),
             Err(_elapsed) => return Err(Failure::NotCopied("copy timed out".to_owned())),
         };
@@ -157,57 +158,118 @@
     })
 }
 
+/// What a generation leaves as it resumes elsewhere.
+#[derive(Debug)]
+pub(crate) enum Former {
+    /// A run that has broken off; set if the generation was beginning there.
+    Broken(Option<crash::Broken>),
+    /// A run that goes on at an engine that is leaving; how it may be left.
+    Running(Option<sync::Arc<run_guard::Exit>>),
+}
+
 /// Resumes a generation at the engine that holds a copy, unless its beginning has ended the process of
-/// the engine where it broke.
+/// the engine where it broke. One that still runs goes on until its engine may be ordered to stop it.
 pub(crate) fn resume(
     gateway: gateway::Gateway,
     generation: sync::Arc<generation::Generation>,
     copy: Copy,
-    reason: Reason,
-    broken: Option<crash::Broken>,
+    former: Former,
 ) -> Task<generation::Run> {
     Task::spawn(|accepted| async move {
-        if let Some(broken) = broken {
-            if broken.examine().await == pool::Process::Ended {
-                let why = "engine ended as the generation began".to_owned();
-                return Err(Failure::NotResumed(why));
+        let exit = former.examine(copy.origin == Origin::Backup).await?;
+        let resumed = resume_at(&gateway, &generation, copy, exit.as_deref(), &accepted).await;
+        if let (Err(_failure), Some(exit)) = (&resumed, exit) {
+            exit.cancel();
+        }
+        resumed
+    })
+}
+
+impl Former {
+    /// Waits until the generation may begin to leave; fails if its beginning has ended the engine's
+    /// process. Returns how a run that goes on may be left.
+    async fn examine(
+        self,
+        has_backup: bool,
+    ) -> Result<Option<sync::Arc<run_guard::Exit>>, Failure> {
+        match self {
+            Former::Broken(None) => Ok(None),
+            Former::Broken(Some(broken)) => match broken.examine().await {
+                pool::Process::Ended => Err(Failure::NotResumed(
+                    "engine ended as the generation began".to_owned(),
+                )),
+                pool::Process::Running | pool::Process::Unknown => Ok(None),
+            },
+            Former::Running(exit) => {
+                if has_backup {
+                    let delay = rand::rng().random_range(MOVE_DELAY_MS);
+                    time::sleep(time::Duration::from_millis(delay)).await;
+                }
+                Ok(exit)
             }
         }
-        if reason == Reason::Leaving && copy.origin == Origin::Backup {
-            let delay = rand::rng().random_range(MOVE_DELAY_MS);
-            time::sleep(time::Duration::from_millis(delay)).await;
+    }
+}
+
+async fn resume_at(
+    gateway: &gateway::Gateway,
+    generation: &generation::Generation,
+    copy: Copy,
+    exit: Option<&run_guard::Exit>,
+    accepted: &Notify,
+) -> Result<generation::Run, Failure> {
+    let Copy {
+        origin,
+        mut placement,
+    } = copy;
+    placement.promote_copy();
+    let mut failure = String::new();
+    for _attempt in 0..MAX_ATTEMPTS {
+        prepare(gateway, generation, &placement, exit).await?;
+        if generation.last_event().is_none() && gateway.fleet.is_quarantined(&generation.request) {
+            let why = "the request is in quarantine".to_owned();
+            return Err(Failure::NotResumed(why));
+        }
+        match try_resume(gateway, generation, &origin, &placement, accepted).await {
+            Ok((sent, copy)) => {
+                return Ok(generation::Run {
+                    copy,
+                    guard: sent.guard,
+                    placement,
+                    response: sent.response,
+                })
+            }
+            Err(ResumeError::NotRun(why)) => failure = why,
+            Err(ResumeError::MayHaveRun(why)) => return Err(Failure::NotResumed(why)),
         }
-        let Copy {
-            origin,
-            mut placement,
-        } = copy;
-        placement.promote_copy();
-        let mut failure = String::new();
-        for _attempt in 0..MAX_ATTEMPTS {
-            wait_for_pause(&placement).await?;
-            wait_for_limit(&placement).await?;
-            if generation.last_event().is_none()
-                && gateway.fleet.is_quarantined(&generation.request)
-            {
-                let why = "the request is in quarantine".to_owned();
+        time::sleep(RETRY_DELAY).await;
+    }
+    Err(Failure::NotResumed(failure))
+}
+
+/// Waits until the generation may resume at the engine with the copy and leave its former run.
+async fn prepare(
+    gateway: &gateway::Gateway,
+    generation: &generation::Generation,
+    placement: &placement::Placement,
+    exit: Option<&run_guard::Exit>,
+) -> Result<(), Failure> {
+    loop {
+        wait_for_pause(placement).await?;
+        wait_for_limit(placement).await?;
+        let Some(exit) = exit else {
+            return Ok(());
+        };
+        match exit.prepare(&generation.request.head.attempt).await {
+            run_guard::Wait::None => return Ok(()),
+            // The wait may have been long.
+            run_guard::Wait::Waited if gateway.fleet.is_in_service(placement.key) => {}
+            run_guard::Wait::Waited => {
+                let why = "the engine with the copy went out of service".to_owned();
                 return Err(Failure::NotResumed(why));
             }
-            match try_resume(&gateway, &generation, &origin, &placement, &accepted).await {
-                Ok((sent, copy)) => {
-                    return Ok(generation::Run {
-                        copy,
-                        guard: sent.guard,
-                        placement,
-                        response: sent.response,
-                    })
-                }
-                Err(ResumeError::NotRun(why)) => failure = why,
-                Err(ResumeError::MayHaveRun(why)) => return Err(Failure::NotResumed(why)),
-            }
-            time::sleep(RETRY_DELAY).await;
         }
-        Err(Failure::NotResumed(failure))
-    })
+    }
 }
 
 /// Waits until the engine with the copy accepts requests again; fails if its pause is long.
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -84,6 +84,21 @@
     pub(crate) fn pause_left(&self) -> Option<Duration> {
         self.fleet.pause_left(self.key)
     }
+
+    /// Returns the time left in which the upstream gets orders by a permit only; `None` outside of pauses.
+    pub(crate) fn orders_left(&self) -> Option<Duration> {
+        self.fleet.orders_left(self.key)
+    }
+
+    /// Takes a permit for an order to the upstream.
+    pub(crate) fn permit_order(&self) -> pause::Permit {
+        self.fleet.permit_order(self.key)
+    }
+
+    /// Takes back a permit for an order in the pause that began at `began`.
+    pub(crate) fn return_permit(&self, began: Instant) {
+        self.fleet.return_permit(self.key, began);
+    }
 }
 
 impl fleet::Fleet {
@@ -91,24 +106,45 @@
     fn record_pause(&self, key: fleet::UpstreamKey, born_ms: u64, request: pause::Request) {
         let now = self.clock.now();
         let length = pause::bound(request);
-        let end = pause::end(now, length, &mut rand::rng());
         let mut state = self.lock();
         let upstream = state.upstreams.get_mut(key);
         let Some(upstream) = upstream.filter(|upstream| upstream.is_start(born_ms)) else {
             return;
         };
-        upstream.pause_until(end);
+        let pause = pause::Pause::extend(upstream.pause, now, length, &mut rand::rng());
+        upstream.keep_pause(pause);
         let name = upstream.status.name.clone();
         drop(state);
         logs::emit(
             events::PAUSE_STARTED,
             format_args!(
                 "upstream={name} asked={request:?} kept={length:?} ends_in_ms={}",
-                end.millis_since(now)
+                pause.end().millis_since(now)
             ),
         );
     }
 
+    fn orders_left(&self, key: fleet::UpstreamKey) -> Option<Duration> {
+        let state = self.lock();
+        let pause = state.upstreams.get(key)?.pause?;
+        pause.orders_left(self.clock.now())
+    }
+
+    fn permit_order(&self, key: fleet::UpstreamKey) -> pause::Permit {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let upstream = state.upstreams.get_mut(key);
+        upstream.map_or(pause::Permit::Free, |upstream| upstream.permit_order(now))
+    }
+
+    fn return_permit(&self, key: fleet::UpstreamKey, began: Instant) {
+        let mut state = self.lock();
+        let upstream = state.upstreams.get_mut(key);
+        if let Some(pause) = upstream.and_then(|upstream| upstream.pause.as_mut()) {
+            pause.return_permit(began);
+        }
+    }
+
     /// Returns the time left of an upstream's pause; `None` outside of pauses.
     fn pause_left(&self, key: fleet::UpstreamKey) -> Option<Duration> {
         let now = self.clock.now();
--- a/crates/gateway/src/order.rs
+++ b/crates/gateway/src/order.rs
@@ -1,13 +1,17 @@
 //! Orders to an engine's own API.
 //!
 //! An answer to an order names neither the order nor a generation, so it is read from a connection that
-//! carries one order and is closed after it.
+//! carries one order and is closed after it. An engine in a pause gets no orders but those that stop a
+//! run, and only with a permit.
 
+use core::time::Duration;
 use std::sync;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
+use peargap_core::pause;
+use peargap_core::time::Instant;
 use peargap_platform::engine;
 use peargap_platform::head;
 
@@ -29,11 +33,41 @@
     pool: sync::Arc<pool::Pool>,
 }
 
+/// Permit to send one order to an engine, also in its pause. One that is not used is returned.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    /// When the pause began that the order counts to, if it does.
+    began: Option<Instant>,
+    notices: notice::Recorder,
+}
+
+impl Permit {
+    /// Returns whether it counts to a pause, so that it holds in that pause.
+    pub(crate) fn is_counted(&self) -> bool {
+        self.began.is_some()
+    }
+
+    /// Uses the permit for an order that is sent now.
+    fn spend(mut self) {
+        self.began = None;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some(began) = self.began {
+            self.notices.return_permit(began);
+        }
+    }
+}
+
 /// Why an order got no answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Error {
     /// The engine may have got the order; the error.
     Broken(String),
+    /// The engine is in a pause, which lasts for this time; nothing was sent.
+    Paused(Duration),
     /// No connection could be opened.
     Unreachable(pool::Error),
 }
@@ -48,21 +82,48 @@
         }
     }
 
-    /// Returns whether the engine has asked for a pause, which is not over.
-    pub(crate) fn is_paused(&self) -> bool {
-        self.notices.pause_left().is_some()
+    /// Takes a permit for one order; fails with the time after which to ask again if the engine is in a
+    /// pause that allows no further orders.
+    pub(crate) fn permit(&self) -> Result<Permit, Duration> {
+        let began = match self.notices.permit_order() {
+            pause::Permit::Counted(began) => Some(began),
+            pause::Permit::Denied(left) => return Err(left),
+            pause::Permit::Free => None,
+        };
+        let notices = self.notices.clone();
+        Ok(Permit { began, notices })
+    }
+
+    /// Returns a permit for an order that is not sent in a pause.
+    fn permit_outside_pauses(&self) -> Result<Permit, Error> {
+        if let Some(left) = self.notices.orders_left() {
+            return Err(Error::Paused(left));
+        }
+        let notices = self.notices.clone();
+        Ok(Permit {
+            began: None,
+            notices,
+        })
+    }
+
+    /// Orders a copy of a generation's memory to the engine at the address `target`; the generation goes
+    /// on.
+    pub(crate) async fn copy(&self, attempt: &str, target: &str) -> Result<engine::Moved, Error> {
+        let permit = self.permit_outside_pauses()?;
+        let request = engine::build_move(attempt, target, false);
+        let (status, body) = self.call(request, permit).await?;
+        Ok(engine::read_move(status, &body))
     }
 
-    /// Orders a copy of a generation's memory to the engine at the address `target`. The generation
-    /// also stops if this is the `last` copy.
-    pub(crate) async fn copy(
+    /// Orders a generation to stop, and its memory to be copied to the engine at the address `target`.
+    pub(crate) async fn stop(
         &self,
         attempt: &str,
         target: &str,
-        last: bool,
+        permit: Permit,
     ) -> Result<engine::Moved, Error> {
-        let request = engine::build_move(attempt, target, last);
-        let (status, body) = self.call(request).await?;
+        let request = engine::build_move(attempt, target, true);
+        let (status, body) = self.call(request, permit).await?;
         Ok(engine::read_move(status, &body))
     }
 
@@ -71,16 +132,19 @@
         let Some(request) = engine::build_free(handle) else {
             return Ok(false);
         };
-        let (status, _body) = self.call(request).await?;
+        let permit = self.permit_outside_pauses()?;
+        let (status, _body) = self.call(request, permit).await?;
         Ok(status.is_success())
     }
 
     async fn call(
         &self,
         request: http::Request<Bytes>,
+        permit: Permit,
     ) -> Result<(http::StatusCode, Bytes), Error> {
         let connection = self.pool.acquire_for_order().await;
         let connection = connection.map_err(Error::Unreachable)?;
+        permit.spend();
         self.notices.record_sent();
         let request = request.map(unread::Body::new_uncounted);
         let (response, _open) = connection
--- a/crates/gateway/src/relay/moves.rs
+++ b/crates/gateway/src/relay/moves.rs
@@ -55,7 +55,11 @@
             );
             let gateway = self.gateway.clone();
             let generation = self.generation.clone();
-            self.moving = Some(migrate::resume(gateway, generation, copy, reason, broken));
+            let former = match reason {
+                migrate::Reason::Broken => migrate::Former::Broken(broken),
+                migrate::Reason::Leaving => migrate::Former::Running(self.source.exit()),
+            };
+            self.moving = Some(migrate::resume(gateway, generation, copy, former));
             return relay::Next::Continue;
         }
         if let Some(broken) = broken {
@@ -117,7 +121,11 @@
             Err(failure) => {
                 self.gateway.meters.count_copy(meters::Outcome::Failed);
                 self.log_failure(&failure);
-                self.retry_copy_at = Some(time::Instant::now() + COPY_RETRY);
+                let delay = match failure {
+                    migrate::Failure::Paused(left) => left,
+                    migrate::Failure::NotCopied(_) | migrate::Failure::NotResumed(_) => COPY_RETRY,
+                };
+                self.retry_copy_at = Some(time::Instant::now() + delay);
             }
         }
         relay::Next::Continue
--- a/crates/gateway/src/run_guard.rs
+++ b/crates/gateway/src/run_guard.rs
@@ -2,6 +2,9 @@
 //!
 //! Most engines drop a run when its connection closes; some work on. So an engine whose run was given
 //! up before its end is ordered to stop it. Nearly all answer that there is no such run.
+//!
+//! An engine in a pause gets few orders. So a generation that runs well takes the permit for the order
+//! before it goes on elsewhere, and goes on where it is until it gets one.
 
 use core::time::Duration;
 use std::sync;
@@ -11,6 +14,7 @@
 use peargap_platform::engine;
 use tokio::runtime;
 use tokio::time;
+use tokio_util::sync::CancellationToken;
 
 use crate::events;
 use crate::fleet;
@@ -28,6 +32,9 @@
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Orders to stop a run at most.
 const MAX_ORDERS: u32 = 7;
+/// Longest pause after which memory that a stopped run has left is still freed. The engine frees it by
+/// itself some seconds after the copy.
+const MAX_FREE_DELAY: Duration = Duration::from_secs(6);
 /// Time limit for the answer to an order. The run has stopped long before: the answer waits until the
 /// memory is copied.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(6);
@@ -73,6 +80,7 @@
     deadline: time::Instant,
     engine: order::Engine,
     engines: Engines,
+    exit: sync::Arc<Exit>,
     fleet: fleet::Fleet,
     key: fleet::UpstreamKey,
     meters: meters::Meters,
@@ -80,6 +88,69 @@
     service: String,
 }
 
+/// How a run may be left, shared by its guard and the move of its generation to another engine.
+#[derive(Debug)]
+pub(crate) struct Exit {
+    engine: order::Engine,
+    /// Cancelled once the guard has been dropped.
+    left: CancellationToken,
+    /// Permit for the order to stop the run, while the generation is about to go on elsewhere.
+    permit: sync::Mutex<Option<order::Permit>>,
+}
+
+/// Whether a generation had to wait before it could leave a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Wait {
+    None,
+    Waited,
+}
+
+impl Exit {
+    /// Waits until the engine may be ordered to stop the run, or the run has ended otherwise.
+    pub(crate) async fn prepare(&self, attempt: &Bytes) -> Wait {
+        let mut wait = Wait::None;
+        while let Err(left) = self.take_permit() {
+            if wait == Wait::None {
+                logs::emit(
+                    events::MOVE_DELAYED,
+                    format_args!(
+                        "request={} from={} pause_left_ms={}",
+                        response::attempt_text(attempt),
+                        self.engine.name,
+                        left.as_millis()
+                    ),
+                );
+            }
+            wait = Wait::Waited;
+            tokio::select! {
+                () = self.left.cancelled() => return wait,
+                () = time::sleep(left) => {}
+            }
+        }
+        wait
+    }
+
+    /// Takes a permit for the order to stop the run, unless there is one that holds in a pause.
+    fn take_permit(&self) -> Result<(), Duration> {
+        let mut permit = self.lock();
+        if self.left.is_cancelled() || permit.as_ref().is_some_and(order::Permit::is_counted) {
+            return Ok(());
+        }
+        *permit = Some(self.engine.permit()?);
+        Ok(())
+    }
+
+    /// Returns the permit, as the generation stays where it is.
+    pub(crate) fn cancel(&self) {
+        drop(self.lock().take());
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Option<order::Permit>> {
+        let locked = self.permit.lock();
+        locked.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum End {
@@ -131,6 +202,11 @@
             deadline: generation.request.deadline,
             engine: order::Engine::at(placement),
             engines: generation.engines.clone(),
+            exit: sync::Arc::new(Exit {
+                engine: order::Engine::at(placement),
+                left: CancellationToken::new(),
+                permit: sync::Mutex::default(),
+            }),
             fleet: fleet.clone(),
             key: placement.key,
             meters: meters.clone(),
@@ -142,10 +218,18 @@
         Guard { run }
     }
 
+    /// Returns how the run may be left; `None` if no order would stop it.
+    pub(crate) fn exit(&self) -> Option<sync::Arc<Exit>> {
+        let run = self.run.as_ref()?;
+        Some(run.exit.clone())
+    }
+
     /// Records that the run has ended at its engine, or has not begun there.
     pub(crate) fn finish(mut self) {
         if let Some(run) = self.run.take() {
             run.engines.remove(run.key);
+            run.exit.left.cancel();
+            run.exit.cancel();
         }
     }
 }
@@ -156,6 +240,7 @@
             return;
         };
         run.engines.remove(run.key);
+        run.exit.left.cancel();
         // Engines stop runs by themselves at their deadline.
         if time::Instant::now() >= run.deadline {
             return;
@@ -192,11 +277,21 @@
 
     async fn stop(&self) -> End {
         let mut delay = RETRY_DELAY;
-        for _order in 0..MAX_ORDERS {
+        let mut orders = 0;
+        while orders < MAX_ORDERS && time::Instant::now() < self.deadline {
             if self.engines.contains(self.key) {
                 return End::Resumed;
             }
-            match self.order_stop().await {
+            let permit = match self.take_permit() {
+                Ok(permit) => permit,
+                Err(left) => {
+                    self.log_delay(left);
+                    time::sleep(left).await;
+                    continue;
+                }
+            };
+            orders += 1;
+            match self.order_stop(permit).await {
                 Next::End(end) => return end,
                 Next::Free(handle) => {
                     self.free(&handle).await;
@@ -217,15 +312,30 @@
         End::Unknown
     }
 
-    async fn order_stop(&self) -> Next {
-        if self.engine.is_paused() {
-            return Next::Retry("engine asked for a pause".to_owned());
-        }
+    /// Returns the permit that was taken before the run was left, or takes one.
+    fn take_permit(&self) -> Result<order::Permit, Duration> {
+        let taken = self.exit.lock().take();
+        taken.map_or_else(|| self.engine.permit(), Ok)
+    }
+
+    fn log_delay(&self, left: Duration) {
+        logs::emit(
+            events::STOP_DELAYED,
+            format_args!(
+                "request={} upstream={} pause_left_ms={}",
+                response::attempt_text(&self.attempt),
+                self.engine.name,
+                left.as_millis()
+            ),
+        );
+    }
+
+    async fn order_stop(&self, permit: order::Permit) -> Next {
         let Some(target) = self.fleet.find_other(self.key, &self.service) else {
             return Next::End(End::Unknown);
         };
         let attempt = response::attempt_text(&self.attempt);
-        let ordered = self.engine.copy(&attempt, &target, true);
+        let ordered = self.engine.stop(&attempt, &target, permit);
         match time::timeout(ORDER_TIMEOUT, ordered).await {
             Ok(Ok(engine::Moved::NoRun)) => Next::End(End::Dropped),
             Ok(Ok(engine::Moved::Copied(copy))) => Next::Free(copy.handle),
@@ -237,9 +347,18 @@
         }
     }
 
-    /// Frees the memory that the order has left at the engine and at its target.
+    /// Frees the memory that the order has left at the engine and at its target, after a pause.
     async fn free(&self, handle: &str) {
-        let freed = time::timeout(ORDER_TIMEOUT, self.engine.free(handle)).await;
+        let since = time::Instant::now();
+        let freed = loop {
+            let freed = time::timeout(ORDER_TIMEOUT, self.engine.free(handle)).await;
+            match freed {
+                Ok(Err(order::Error::Paused(left))) if since.elapsed() + left <= MAX_FREE_DELAY => {
+                    time::sleep(left).await;
+                }
+                freed => break freed,
+            }
+        };
         if !matches!(freed, Ok(Ok(true))) {
             logs::emit(
                 events::MEMORY_NOT_FREED,
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -1,5 +1,7 @@
 //! Event stream of the upstream that runs a request.
 
+use std::sync;
+
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body;
@@ -44,6 +46,14 @@
         }))
     }
 
+    /// Returns how the run may be left; `None` if it is no longer read, or no order would stop it.
+    pub(crate) fn exit(&self) -> Option<sync::Arc<run_guard::Exit>> {
+        match self {
+            Source::Stopped => None,
+            Source::Upstream(stream) => stream.guard.exit(),
+        }
+    }
+
     /// Reads the next data from the upstream; never returns once the source is stopped.
     pub(crate) async fn read(&mut self) -> Read {
         let Source::Upstream(stream) = self else {
--- a/crates/gateway/src/starting.rs
+++ b/crates/gateway/src/starting.rs
@@ -444,8 +444,8 @@
     copy: migrate::Copy,
     broken: Option<crash::Broken>,
 ) -> Option<generation::Run> {
-    let reason = migrate::Reason::Broken;
-    let mut resuming = migrate::resume(gateway.clone(), generation.clone(), copy, reason, broken);
+    let former = migrate::Former::Broken(broken);
+    let mut resuming = migrate::resume(gateway.clone(), generation.clone(), copy, former);
     let attempt = response::attempt_text(&generation.request.head.attempt);
     match resuming.wait().await {
         Ok(run) => {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -7,6 +7,7 @@
 use peargap_core::breaker;
 use peargap_core::cold_rate;
 use peargap_core::pace;
+use peargap_core::pause;
 use peargap_core::rate_limit;
 use peargap_core::slow_start;
 use peargap_core::time;
@@ -36,8 +37,8 @@
     pub(crate) observed: pace::Samples,
     /// Its pace, from the observations of all gateways.
     pub(crate) pace: pace::Pace,
-    /// End of the last pause that it asked for.
-    pub(crate) pause_end: Option<time::Instant>,
+    /// The last pause that it asked for.
+    pub(crate) pause: Option<pause::Pause>,
     /// When it last refused a request or failed, if it has not answered one since.
     pub(crate) refused_at: Option<time::Instant>,
     /// Load from the other gateways.
@@ -61,17 +62,25 @@
         self.status.edition.born_ms == born_ms
     }
 
-    /// Sends nothing to the upstream until `end`, and a single request first after it.
-    pub(crate) fn pause_until(&mut self, end: time::Instant) {
-        let end = self.pause_end.map_or(end, |former| former.max(end));
-        self.pause_end = Some(end);
-        self.breaker.record_pause(end);
+    /// Sends no request to the upstream until `pause` is over, and a single one first after it.
+    pub(crate) fn keep_pause(&mut self, pause: pause::Pause) {
+        self.pause = Some(pause);
+        self.breaker.record_pause(pause.end());
+    }
+
+    /// Takes a permit for an order to the upstream.
+    pub(crate) fn permit_order(&mut self, now: time::Instant) -> pause::Permit {
+        match &mut self.pause {
+            Some(pause) => pause.permit_order(now),
+            None => pause::Permit::Free,
+        }
     }
 
     /// Returns the end of the pause that the upstream is in, or of the wait for the answer to the
     /// first request after it; `None` if requests may be sent.
     pub(crate) fn paused_until(&self, now: time::Instant) -> Option<time::Instant> {
-        let pause_end = self.pause_end.filter(|end| now < *end);
+        let pause_end = self.pause.map(|pause| pause.end());
+        let pause_end = pause_end.filter(|end| now < *end);
         pause_end.or_else(|| match self.breaker.check(now) {
             breaker::Decision::Reject { retry_after_ms } if self.breaker.is_pausing() => {
                 Some(now + Duration::from_millis(retry_after_ms))
