gateway: a response that is read whole ends at its request's deadline, a failure a second after its head

Cause: generation::forward_whole awaits call::read_to_end, which had no time limit; only plain::serve bounded it, from outside.

Change: the deadline is in read_to_end itself, and a failure's body gets a second, as its status tells the caller nearly all: 502 then, and an idempotent call goes to another upstream. call::Failure::Late is no sign of a crash. An engine that answers a failure has ended the run: it is not ordered to stop it.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -76,7 +76,12 @@
                 self.arrived += 1;
                 self.broken += 1;
             }
-            Err(call::Failure::Displaced | call::Failure::Lost(_) | call::Failure::NotRun(_))
+            Err(
+                call::Failure::Displaced
+                | call::Failure::Late(_)
+                | call::Failure::Lost(_)
+                | call::Failure::NotRun(_),
+            )
             | Ok(_) => self.arrived += 1,
         }
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -22,6 +22,9 @@
 use crate::response_body;
 use crate::unread;
 
+/// Time limit for the body of a response that is a failure of its upstream.
+const FAILURE_BODY_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
 /// A caller's request, with its complete body.
 #[derive(Debug)]
 pub(crate) struct Request {
@@ -93,6 +96,8 @@
 pub(crate) enum Failure {
     /// Another process is at the upstream's address; the request has not run.
     Displaced,
+    /// The response has begun and did not end in time; the request may have run.
+    Late(Late),
     /// The connection was lost in the network; the request may have run.
     Lost(String),
     /// The upstream refused the request, for this reason; it has not run.
@@ -105,11 +110,20 @@
     Unreachable(pool::Error),
 }
 
+/// Which time has passed before a response ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Late {
+    /// The deadline of the request.
+    Deadline,
+    /// The time for the body of a failure.
+    Failure,
+}
+
 impl Failure {
     /// Returns whether the request may have run.
     pub(crate) fn may_have_run(&self) -> bool {
         match self {
-            Failure::Lost(_) | Failure::Unknown(_) => true,
+            Failure::Late(_) | Failure::Lost(_) | Failure::Unknown(_) => true,
             Failure::Displaced
             | Failure::NotRun(_)
             | Failure::NotSent(_)
@@ -127,7 +141,7 @@
         }
         Err(Failure::Unknown(_)) => fleet::Outcome::Broken,
         Err(Failure::Lost(_) | Failure::Unreachable(_)) => fleet::Outcome::Unreachable,
-        Err(Failure::NotRun(_) | Failure::NotSent(_)) => fleet::Outcome::Failed,
+        Err(Failure::Late(_) | Failure::NotRun(_) | Failure::NotSent(_)) => fleet::Outcome::Failed,
     }
 }
 
@@ -265,7 +279,8 @@
 }
 
 /// Reads the body of a response and returns its connection to the pool. One of events that ends inside
-/// an event is not whole, however its end is shown.
+/// an event is not whole, however its end is shown. The read ends at the deadline of the request, and
+/// that of a failure sooner: its status tells the caller nearly all.
 pub(crate) async fn read_to_end(
     request: &Request,
     response: Response,
@@ -278,8 +293,10 @@
         connection,
         head,
     } = response;
+    let (end, late) = limit_read(request.deadline, head.status);
     let hold = request.unread.open_response(&request.head.attempt);
-    let read = bodies.read(body, arriving, hold).await;
+    let read = time::timeout_at(end, bodies.read(body, arriving, hold)).await;
+    let read = read.map_err(|_elapsed| Failure::Late(late))?;
     let body = read.map_err(|error| Failure::Unknown(error.to_string()))?;
     let content = sse::content(head.headers.get(header::CONTENT_TYPE));
     if content == sse::Content::Events && !body.ends_between_events() {
@@ -289,3 +306,12 @@
     pool.release(connection);
     Ok((head, body))
 }
+
+/// Returns until when the body of a response with this status is read, and what has passed then.
+fn limit_read(deadline: time::Instant, status: http::StatusCode) -> (time::Instant, Late) {
+    let failure_end = time::Instant::now() + FAILURE_BODY_TIMEOUT;
+    match status.is_server_error() && failure_end < deadline {
+        true => (failure_end, Late::Failure),
+        false => (deadline, Late::Deadline),
+    }
+}
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -66,6 +66,7 @@
         match failure {
             call::Failure::Unknown(_) => Some(Broken::new(fleet, request, placement, 0)),
             call::Failure::Displaced
+            | call::Failure::Late(_)
             | call::Failure::Lost(_)
             | call::Failure::NotRun(_)
             | call::Failure::NotSent(_)
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -340,9 +340,19 @@
         response,
         ..
     } = run;
+    // An engine that answers a failure has ended the run, whatever it sends on.
+    let guard = match response.head.status.is_server_error() {
+        true => {
+            guard.finish();
+            None
+        }
+        false => Some(guard),
+    };
     match call::read_to_end(request, response, &placement.pool, &gateway.bodies).await {
         Ok(response) => {
-            guard.finish();
+            if let Some(guard) = guard {
+                guard.finish();
+            }
             gateway.fleet.record_answered(request);
             plain::forward(gateway, request, response)
         }
@@ -355,7 +365,8 @@
                     placement.name
                 ),
             );
-            gateway.refuse(&request.head.attempt, response::Refusal::UpstreamFailed)
+            let refusal = response::Refusal::of_failure(&failure);
+            gateway.refuse(&request.head.attempt, refusal)
         }
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -121,12 +121,16 @@
                 | call::Failure::NotSent(_)
                 | call::Failure::Unreachable(_),
             ) => {}
-            Err(call::Failure::Lost(_) | call::Failure::Unknown(_)) => {
+            Err(
+                failure @ (call::Failure::Late(_)
+                | call::Failure::Lost(_)
+                | call::Failure::Unknown(_)),
+            ) => {
                 possible_runs += 1;
-                refusal = response::Refusal::UpstreamFailed;
+                refusal = response::Refusal::of_failure(&failure);
             }
         }
-        if request.unread.is_request_ended() {
+        if request.unread.is_request_ended() || refusal == response::Refusal::TimedOut {
             break;
         }
         if possible_runs == 0 {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -12,6 +12,7 @@
 use peargap_core::quarantine;
 use peargap_platform::head;
 
+use crate::call;
 use crate::events;
 use crate::unread;
 
@@ -101,6 +102,14 @@
         }
     }
 
+    /// Returns why a request is refused that may have run at an upstream, which failed so.
+    pub(crate) fn of_failure(failure: &call::Failure) -> Refusal {
+        match failure {
+            call::Failure::Late(call::Late::Deadline) => Refusal::TimedOut,
+            _failure => Refusal::UpstreamFailed,
+        }
+    }
+
     /// Returns the label value for metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -383,7 +383,7 @@
 /// Returns whether the upstream failed, and not the network or its capacity.
 fn is_own_failure(failure: &call::Failure) -> bool {
     match failure {
-        call::Failure::Unknown(_) => true,
+        call::Failure::Late(_) | call::Failure::Unknown(_) => true,
         call::Failure::Displaced
         | call::Failure::Lost(_)
         | call::Failure::NotRun(_)
