gateway: a stream that has not begun is answered as the process ends

Callers saw a closed connection where a plain call gets 504: a request on a streaming route whose response had not begun at the end of the grace period was cut with the process.

Cause: only plain::serve waits for stop::wait_for_last_answers.

Measured, x86_64: a_response_without_end_is_answered_before_the_process_ends failed on the former code (no response), passes now.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -217,13 +217,32 @@
     }
 }
 
-/// Serves a request by a stream from an upstream of a service.
+/// Serves a request by a stream from an upstream of a service. One whose response has not begun when the
+/// process ends is answered like one whose deadline has passed.
 pub(crate) async fn serve(
     gateway: &gateway::Gateway,
     request: call::Request,
     route: &routes::Route,
     service: &routes::Service,
     order: Order,
+) -> response::Response {
+    let attempt = request.head.attempt.clone();
+    tokio::select! {
+        biased;
+        response = begin(gateway, request, route, service, order) => response,
+        () = gateway.stop.wait_for_last_answers() => {
+            gateway.refuse(&attempt, response::Refusal::CutOff)
+        }
+    }
+}
+
+/// Returns the response to a request once it has begun.
+async fn begin(
+    gateway: &gateway::Gateway,
+    request: call::Request,
+    route: &routes::Route,
+    service: &routes::Service,
+    order: Order,
 ) -> response::Response {
     let attempt = request.head.attempt.clone();
     let room = &gateway.fleet.room;
--- a/crates/gateway/tests/late_ends.rs
+++ b/crates/gateway/tests/late_ends.rs
@@ -153,6 +153,25 @@
     }
 }
 
+/// Guards against a response without end whose caller gets no answer as the process ends.
+#[tokio::test]
+async fn a_response_without_end_is_answered_before_the_process_ends() {
+    for service in ["pool", "desk"] {
+        let (address, _closed) = start_endless("200 OK").await;
+        let fixture = Fixture::start_hasty().await;
+        fixture.announce_at(address, service).await;
+        let request = match service {
+            "pool" => caller::generation(),
+            _ => caller::request("/once/", ""),
+        };
+        let mut caller = fixture.connect().await;
+        let call = tokio::spawn(async move { caller.call(request).await });
+        tokio::time::sleep(PIECE_INTERVAL * 4).await;
+        fixture.stop.cancel();
+        assert_eq!(call.await.expect("a response").status, 504, "{service}");
+    }
+}
+
 /// Guards against large failures without end that keep sound large responses from being read.
 #[tokio::test]
 async fn large_failures_without_end_delay_others_briefly() {
