gateway: a copy counts as running only once its generation may resume there

Change: the copy is promoted after the wait; Wait::None for a run that was given up meanwhile; Run takes its engine from its Exit.

Measured, x86_64: all gateway tests but the known red ones pass.

--- a/crates/gateway/src/migrate.rs
+++ b/crates/gateway/src/migrate.rs
@@ -222,10 +222,10 @@
         origin,
         mut placement,
     } = copy;
-    placement.promote_copy();
     let mut failure = String::new();
     for _attempt in 0..MAX_ATTEMPTS {
         prepare(gateway, generation, &placement, exit).await?;
+        placement.promote_copy();
         if generation.last_event().is_none() && gateway.fleet.is_quarantined(&generation.request) {
             let why = "the request is in quarantine".to_owned();
             return Err(Failure::NotResumed(why));
@@ -262,7 +262,6 @@
         };
         match exit.prepare(&generation.request.head.attempt).await {
             run_guard::Wait::None => return Ok(()),
-            // The wait may have been long.
             run_guard::Wait::Waited if gateway.fleet.is_in_service(placement.key) => {}
             run_guard::Wait::Waited => {
                 let why = "the engine with the copy went out of service".to_owned();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -132,8 +132,11 @@
         }
     }
 
-    /// Counts the memory of a copy as that of a running generation.
+    /// Counts the memory of a copy as that of a running generation, unless it does already.
     pub(crate) fn promote_copy(&mut self) {
+        if self.load.running > 0 {
+            return;
+        }
         self.replace(balance::Load {
             running: 1,
             tokens: self.load.copied,
--- a/crates/gateway/src/run_guard.rs
+++ b/crates/gateway/src/run_guard.rs
@@ -78,7 +78,6 @@
     attempt: Bytes,
     /// When the engine stops it by itself.
     deadline: time::Instant,
-    engine: order::Engine,
     engines: Engines,
     exit: sync::Arc<Exit>,
     fleet: fleet::Fleet,
@@ -92,21 +91,23 @@
 #[derive(Debug)]
 pub(crate) struct Exit {
     engine: order::Engine,
-    /// Cancelled once the guard has been dropped.
+    /// Cancelled once the run has ended or was given up.
     left: CancellationToken,
     /// Permit for the order to stop the run, while the generation is about to go on elsewhere.
     permit: sync::Mutex<Option<order::Permit>>,
 }
 
-/// Whether a generation had to wait before it could leave a run.
+/// Whether a generation had to wait before it could leave a run that goes on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Wait {
+    /// It may leave at once.
     None,
+    /// It may leave after the end of a pause, so that what was known of other engines may be old.
     Waited,
 }
 
 impl Exit {
-    /// Waits until the engine may be ordered to stop the run, or the run has ended otherwise.
+    /// Waits until the engine may be ordered to stop the run, or the run has been given up.
     pub(crate) async fn prepare(&self, attempt: &Bytes) -> Wait {
         let mut wait = Wait::None;
         while let Err(left) = self.take_permit() {
@@ -123,7 +124,7 @@
             }
             wait = Wait::Waited;
             tokio::select! {
-                () = self.left.cancelled() => return wait,
+                () = self.left.cancelled() => return Wait::None,
                 () = time::sleep(left) => {}
             }
         }
@@ -200,7 +201,6 @@
         let run = generation.can_move().then(|| Run {
             attempt: generation.request.head.attempt.clone(),
             deadline: generation.request.deadline,
-            engine: order::Engine::at(placement),
             engines: generation.engines.clone(),
             exit: sync::Arc::new(Exit {
                 engine: order::Engine::at(placement),
@@ -269,7 +269,7 @@
             format_args!(
                 "request={} upstream={} end={end:?} since_close_ms={}",
                 response::attempt_text(&self.attempt),
-                self.engine.name,
+                self.exit.engine.name,
                 closed.elapsed().as_millis()
             ),
         );
@@ -302,7 +302,7 @@
                     format_args!(
                         "request={} upstream={} why={why}",
                         response::attempt_text(&self.attempt),
-                        self.engine.name
+                        self.exit.engine.name
                     ),
                 ),
             }
@@ -315,7 +315,7 @@
     /// Returns the permit that was taken before the run was left, or takes one.
     fn take_permit(&self) -> Result<order::Permit, Duration> {
         let taken = self.exit.lock().take();
-        taken.map_or_else(|| self.engine.permit(), Ok)
+        taken.map_or_else(|| self.exit.engine.permit(), Ok)
     }
 
     fn log_delay(&self, left: Duration) {
@@ -324,7 +324,7 @@
             format_args!(
                 "request={} upstream={} pause_left_ms={}",
                 response::attempt_text(&self.attempt),
-                self.engine.name,
+                self.exit.engine.name,
                 left.as_millis()
             ),
         );
@@ -335,7 +335,7 @@
             return Next::End(End::Unknown);
         };
         let attempt = response::attempt_text(&self.attempt);
-        let ordered = self.engine.stop(&attempt, &target, permit);
+        let ordered = self.exit.engine.stop(&attempt, &target, permit);
         match time::timeout(ORDER_TIMEOUT, ordered).await {
             Ok(Ok(engine::Moved::NoRun)) => Next::End(End::Dropped),
             Ok(Ok(engine::Moved::Copied(copy))) => Next::Free(copy.handle),
@@ -351,7 +351,7 @@
     async fn free(&self, handle: &str) {
         let since = time::Instant::now();
         let freed = loop {
-            let freed = time::timeout(ORDER_TIMEOUT, self.engine.free(handle)).await;
+            let freed = time::timeout(ORDER_TIMEOUT, self.exit.engine.free(handle)).await;
             match freed {
                 Ok(Err(order::Error::Paused(left))) if since.elapsed() + left <= MAX_FREE_DELAY => {
                     time::sleep(left).await;
@@ -365,7 +365,7 @@
                 format_args!(
                     "request={} upstream={} handle={handle} result={freed:?}",
                     response::attempt_text(&self.attempt),
-                    self.engine.name
+                    self.exit.engine.name
                 ),
             );
         }
