--- a/crates/gateway/tests/late_ends.rs
+++ b/crates/gateway/tests/late_ends.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic;
 use std::time;
 
-use peargap_wire::fleet as wire;
 use support::caller;
 use support::raw;
 use support::raw::Step;
@@ -52,6 +51,14 @@
     (address, closed)
 }
 
+/// Returns a request that may run once, for one of the two services.
+fn request_to(service: &str) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+    match service {
+        "pool" => caller::generation(),
+        _ => caller::request("/once/", ""),
+    }
+}
+
 fn with_deadline(
     mut request: http::Request<http_body_util::Full<bytes::Bytes>>,
     millis: &'static str,
@@ -67,10 +74,7 @@
     for service in ["pool", "desk"] {
         let (address, closed) = start_endless("500 Internal Server Error").await;
         let fixture = Fixture::start_at(address, service).await;
-        let request = match service {
-            "pool" => caller::generation(),
-            _ => caller::request("/once/", ""),
-        };
+        let request = request_to(service);
         let begun = time::Instant::now();
         let response = fixture.call(request).await;
         assert_eq!(response.status, 502, "{service}");
@@ -137,10 +141,7 @@
     for service in ["pool", "desk"] {
         let (address, closed) = start_endless("200 OK").await;
         let fixture = Fixture::start_at(address, service).await;
-        let request = match service {
-            "pool" => caller::generation(),
-            _ => caller::request("/once/", ""),
-        };
+        let request = request_to(service);
         let mut caller = fixture.connect().await;
         let task = caller.task.abort_handle();
         let call = tokio::spawn(async move { caller.call(request).await });
@@ -160,10 +161,7 @@
         let (address, _closed) = start_endless("200 OK").await;
         let fixture = Fixture::start_hasty().await;
         fixture.announce_at(address, service).await;
-        let request = match service {
-            "pool" => caller::generation(),
-            _ => caller::request("/once/", ""),
-        };
+        let request = request_to(service);
         let mut caller = fixture.connect().await;
         let call = tokio::spawn(async move { caller.call(request).await });
         tokio::time::sleep(PIECE_INTERVAL * 4).await;
@@ -242,10 +240,7 @@
             })
             .await;
             let fixture = Fixture::start_at(address, service).await;
-            let request = match service {
-                "pool" => caller::generation(),
-                _ => caller::request("/once/", ""),
-            };
+            let request = request_to(service);
             let begun = time::Instant::now();
             let response = fixture.call(with_deadline(request, "700")).await;
             assert_eq!(response.status, 504, "{service} {piece:?}");
@@ -298,13 +293,7 @@
     let second = raw::start_engine(script).await;
     let fixture = Fixture::start(&[]).await;
     for (name, address) in [("one", first), ("two", second)] {
-        let upstream = wire::Upstream {
-            address: address.to_string(),
-            name: name.to_owned(),
-            service: "pool".to_owned(),
-            ..support::new_upstream()
-        };
-        fixture.control.announce_upstream(upstream).await;
+        fixture.announce_named(name, address, "pool").await;
     }
     let response = fixture.call(caller::generation()).await;
     assert!(!response.is_complete);
--- a/crates/gateway/tests/moves.rs
+++ b/crates/gateway/tests/moves.rs
@@ -63,11 +63,7 @@
     fixture: &Fixture,
     attempt: &'static str,
 ) -> tokio::task::JoinHandle<caller::Response> {
-    let mut request = caller::generation();
-    let value = http::HeaderValue::from_static(attempt);
-    request.headers_mut().insert("attempt-id", value);
-    let mut caller = fixture.connect().await;
-    tokio::spawn(async move { caller.call(request).await })
+    fixture.start_call(caller::generation(), attempt).await
 }
 
 /// Guards against the late second copy of an answer to a copy order that is taken for the answer to the
--- a/crates/gateway/tests/run_ends.rs
+++ b/crates/gateway/tests/run_ends.rs
@@ -31,13 +31,10 @@
 /// Starts a generation with this attempt ID.
 async fn generate(fixture: &Fixture, attempt: &str) -> Call {
     let mut request = caller::generation();
-    let value = http::HeaderValue::from_str(attempt).expect("an ID");
-    request.headers_mut().insert("attempt-id", value);
     // Short, so that there is room for a backup copy of each.
     let usage = http::HeaderValue::from_static("100,400");
     request.headers_mut().insert("token-usage", usage);
-    let mut caller = fixture.connect().await;
-    tokio::spawn(async move { caller.call(request).await })
+    fixture.start_call(request, attempt).await
 }
 
 /// Generations at two engines that work on after a connection has closed. Each has a backup copy at the
@@ -299,9 +296,6 @@
 
 /// Starts a call that may run once.
 async fn call_once(fixture: &Fixture, attempt: &str) -> Call {
-    let mut request = caller::request("/once/", "");
-    let value = http::HeaderValue::from_str(attempt).expect("an ID");
-    request.headers_mut().insert("attempt-id", value);
-    let mut caller = fixture.connect().await;
-    tokio::spawn(async move { caller.call(request).await })
+    let request = caller::request("/once/", "");
+    fixture.start_call(request, attempt).await
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -307,14 +307,32 @@
 
     /// Announces an upstream of a service, at an address.
     pub(crate) async fn announce_at(&self, address: net::SocketAddr, service: &str) {
+        let name = format!("raw-{service}");
+        self.announce_named(&name, address, service).await;
+    }
+
+    /// Announces an upstream of a service with this name, at an address.
+    pub(crate) async fn announce_named(&self, name: &str, address: net::SocketAddr, service: &str) {
         let upstream = wire::Upstream {
             address: address.to_string(),
-            name: format!("raw-{service}"),
+            name: name.to_owned(),
             service: service.to_owned(),
             ..new_upstream()
         };
         self.control.announce_upstream(upstream).await;
     }
+
+    /// Sends a request with this attempt ID on a new connection, in a task.
+    pub(crate) async fn start_call(
+        &self,
+        mut request: http::Request<Full<Bytes>>,
+        attempt: &str,
+    ) -> tokio::task::JoinHandle<caller::Response> {
+        let value = http::HeaderValue::from_str(attempt).expect("an ID");
+        request.headers_mut().insert("attempt-id", value);
+        let mut caller = self.connect().await;
+        tokio::spawn(async move { caller.call(request).await })
+    }
 }
 
 /// Returns the service of a runner with this name.
