--- a/crates/gateway/tests/run_ends.rs
+++ b/crates/gateway/tests/run_ends.rs
@@ -138,31 +138,32 @@
     in_time.count()
 }
 
-/// Guards against a generation that moved and is worked on at the former engine as well, as that engine
-/// asked for a pause.
-#[tokio::test]
-async fn a_generation_that_moved_ends_at_an_engine_in_a_pause() {
-    let scene = Scene::start(1).await;
-    let (former, paused) = (scene.former.clone(), scene.pause("2").await);
+/// Has the former engine leave in a pause of this many seconds, and asserts that its generations go on at
+/// one engine each and that it gets no more orders than a pause allows.
+async fn assert_left_in_a_pause(scene: Scene, seconds: &'static str) {
+    let (former, paused) = (scene.former.clone(), scene.pause(seconds).await);
     scene.fixture.drain(&former.name).await;
     let longest = scene.finish().await;
     assert!(longest <= OVERLAP, "{longest:?}");
-    let orders = count_orders(&former, paused, time::Duration::from_secs(2));
+    let length = time::Duration::from_secs(seconds.parse().expect("a number"));
+    let orders = count_orders(&former, paused, length);
     assert!(orders <= ORDERS_IN_A_PAUSE, "{orders} orders");
 }
 
+/// Guards against a generation that moved and is worked on at the former engine as well, as that engine
+/// asked for a pause.
+#[tokio::test]
+async fn a_generation_that_moved_ends_at_an_engine_in_a_pause() {
+    assert_left_in_a_pause(Scene::start(1).await, "2").await;
+}
+
 /// Guards against generations that move together and are worked on at both engines, as a pause leaves no
 /// order for most of them, and against more orders than a pause allows.
 #[tokio::test]
 async fn generations_that_leave_an_engine_in_a_pause_go_on_at_one_engine_each() {
     let scene = Scene::start(16).await;
     assert!(scene.former.count_running() >= 8);
-    let (former, paused) = (scene.former.clone(), scene.pause("1").await);
-    scene.fixture.drain(&former.name).await;
-    let longest = scene.finish().await;
-    assert!(longest <= OVERLAP, "{longest:?}");
-    let orders = count_orders(&former, paused, time::Duration::from_secs(1));
-    assert!(orders <= ORDERS_IN_A_PAUSE, "{orders} orders");
+    assert_left_in_a_pause(scene, "1").await;
 }
 
 /// Guards against a generation that waits for the end of its engine's pause and is lost as the engine
@@ -184,7 +185,7 @@
 
 /// An engine that drops its idle connections without notice: what is sent next on one is reset.
 #[derive(Clone, Default)]
-struct Forgetful {
+struct DroppingEngine {
     /// Number of connections that were open when it dropped its idle ones.
     dropped: sync::Arc<atomic::AtomicUsize>,
     opened: sync::Arc<atomic::AtomicUsize>,
@@ -192,7 +193,7 @@
     stops: sync::Arc<sync::Mutex<Vec<time::Instant>>>,
 }
 
-impl Forgetful {
+impl DroppingEngine {
     /// Starts the engine. The generation `long` has many events, others have one.
     async fn start(&self) -> std::net::SocketAddr {
         let engine = self.clone();
@@ -246,7 +247,7 @@
 #[tokio::test]
 async fn an_order_to_stop_reaches_an_engine_that_has_dropped_its_idle_connections() {
     let fixture = Fixture::start(&[]).await;
-    let former = Forgetful::default();
+    let former = DroppingEngine::default();
     let address = former.start().await;
     fixture.announce_at(address, "pool").await;
     let call = generate(&fixture, "long").await;
@@ -274,7 +275,7 @@
 #[tokio::test]
 async fn one_call_is_lost_on_connections_that_were_dropped_together() {
     let fixture = Fixture::start(&[]).await;
-    let upstream = Forgetful::default();
+    let upstream = DroppingEngine::default();
     let address = upstream.start().await;
     fixture.announce_at(address, "desk").await;
     let mut calls = Vec::new();
